build: lay out the workspace and the interfaces between packages

Cause: nothing stood yet, and several people are about to work side by side. Change: npm workspaces by domain, project references, dprint, ESLint, node:test runner, and the interfaces of clock, errors, ids, links, key-value service, instance list, engines, configuration and batch items. Conclusion: the interfaces are enough to start the packages in parallel.

--- /dev/null
+++ b/batch/jobs/src/fileRecord.ts
@@ -0,0 +1,12 @@
+import type { FileId } from "@knapweedwood/core.ids/fileId";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+
+/** An uploaded or produced file. */
+export interface FileRecord {
+    fileId: FileId;
+    teamId: TeamId;
+    fileName: string;
+    purpose: string;
+    sizeBytes: number;
+    createdAtMs: number;
+}
--- /dev/null
+++ b/config/configuration/src/limits.ts
@@ -0,0 +1,6 @@
+/** Limits of a team, a caller or a service. Undefined means unlimited. */
+export interface Limits {
+    requestsPerSecond?: number;
+    tokensPerSecond?: number;
+    concurrency?: number;
+}
--- /dev/null
+++ b/config/configuration/src/teamDefinition.ts
@@ -0,0 +1,13 @@
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import type { KeyRecord } from "./keyRecord.js";
+import type { Limits } from "./limits.js";
+
+/** A team that shares the platform. */
+export interface TeamDefinition {
+    teamId: TeamId;
+    displayName: string;
+    /** Share of contended capacity, relative to other teams. */
+    weight: number;
+    limits: Limits;
+    keys: KeyRecord[];
+}
--- /dev/null
+++ b/core/clock/src/clock.ts
@@ -0,0 +1,10 @@
+import type { Timer } from "./timer.js";
+
+/** Source of time and of timers. All times are in milliseconds. */
+export interface Clock {
+    /** Milliseconds since the Unix epoch. Never goes backwards within a process. */
+    nowMs(): number;
+
+    /** Calls `action` once, `delayMs` milliseconds from now. */
+    setTimer(delayMs: number, action: () => void): Timer;
+}
--- /dev/null
+++ b/core/clock/src/manualClock.ts
@@ -0,0 +1,58 @@
+import type { Clock } from "./clock.js";
+import type { Timer } from "./timer.js";
+
+interface PendingTimer {
+    dueMs: number;
+    action: () => void;
+}
+
+/** A clock that moves only when told to. For tests and simulations. */
+export class ManualClock implements Clock {
+    private currentMs: number;
+    private pending: PendingTimer[] = [];
+
+    constructor(startMs = 0) {
+        this.currentMs = startMs;
+    }
+
+    nowMs(): number {
+        return this.currentMs;
+    }
+
+    setTimer(delayMs: number, action: () => void): Timer {
+        const timer: PendingTimer = { dueMs: this.currentMs + Math.max(0, delayMs), action };
+        this.pending.push(timer);
+        return {
+            cancel: () => {
+                this.pending = this.pending.filter(other => other !== timer);
+            },
+        };
+    }
+
+    /** Moves time forward, firing due timers in order and letting promises settle between them. */
+    async advance(durationMs: number): Promise<void> {
+        const endMs = this.currentMs + durationMs;
+        await settle();
+        for (let next = this.takeNext(endMs); next !== undefined; next = this.takeNext(endMs)) {
+            this.currentMs = Math.max(this.currentMs, next.dueMs);
+            next.action();
+            await settle();
+        }
+        this.currentMs = endMs;
+    }
+
+    private takeNext(endMs: number): PendingTimer | undefined {
+        const next = this.pending
+            .filter(timer => timer.dueMs <= endMs)
+            .reduce<PendingTimer | undefined>(
+                (first, timer) => first === undefined || timer.dueMs < first.dueMs ? timer : first,
+                undefined,
+            );
+        this.pending = this.pending.filter(timer => timer !== next);
+        return next;
+    }
+}
+
+function settle(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
--- /dev/null
+++ b/engines/model-engine/src/generateEvent.ts
@@ -0,0 +1,13 @@
+import type { JsonObject } from "./jsonObject.js";
+import type { Usage } from "./usage.js";
+
+/** One event of a generation. */
+export type GenerateEvent =
+    | {
+        kind: "chunk";
+        text: string;
+        tokenCount: number;
+        /** The engine's choice object, where it says more than text (tool calls, log probabilities). */
+        choice?: JsonObject;
+    }
+    | { kind: "finish"; finishReason: string; usage: Usage; };
--- /dev/null
+++ b/engines/model-engine/src/generateRequest.ts
@@ -0,0 +1,11 @@
+import type { JsonObject } from "./jsonObject.js";
+import type { ResumePoint } from "./resumePoint.js";
+
+/** A request to generate text. */
+export interface GenerateRequest {
+    endpoint: "/v1/chat/completions" | "/v1/completions";
+    /** The body as the caller sent it. */
+    body: JsonObject;
+    /** What an earlier stream of the same request had produced. */
+    resumeFrom?: ResumePoint;
+}
--- /dev/null
+++ b/observability/logs/src/logFields.ts
@@ -0,0 +1,2 @@
+/** Fields of a log line. */
+export type LogFields = { [field: string]: unknown; };
--- /dev/null
+++ b/scripts/updateReferences.mjs
@@ -0,0 +1,46 @@
+// Keeps the TypeScript project references in step with the workspace dependencies of each package.json.
+import { existsSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
+import path from "node:path";
+
+const root = path.resolve(import.meta.dirname, "..");
+const check = process.argv.includes("--check");
+const readJson = file => JSON.parse(readFileSync(file, "utf8"));
+const domains = readJson(path.join(root, "package.json")).workspaces.map(pattern => pattern.replace("/*", ""));
+const packages = domains
+    .filter(domain => existsSync(path.join(root, domain)))
+    .flatMap(domain => readdirSync(path.join(root, domain)).map(name => `${domain}/${name}`))
+    .filter(folder => existsSync(path.join(root, folder, "package.json")))
+    .sort();
+const folderByName = new Map(packages.map(folder => [readJson(path.join(root, folder, "package.json")).name, folder]));
+
+const stale = [];
+const write = (file, value) => {
+    const text = `${JSON.stringify(value, undefined, 4)}\n`;
+    if (existsSync(file) && readFileSync(file, "utf8") === text) {
+        return;
+    }
+    stale.push(path.relative(root, file));
+    if (!check) {
+        writeFileSync(file, text);
+    }
+};
+
+packages.forEach(folder => {
+    const manifest = readJson(path.join(root, folder, "package.json"));
+    const internal = Object.keys({ ...manifest.dependencies, ...manifest.devDependencies })
+        .filter(name => folderByName.has(name))
+        .map(name => folderByName.get(name))
+        .sort();
+    write(path.join(root, folder, "tsconfig.json"), {
+        extends: "../../tsconfig.base.json",
+        compilerOptions: { rootDir: ".", outDir: "dist" },
+        include: ["src", "test"],
+        references: internal.map(target => ({ path: path.relative(folder, target) })),
+    });
+});
+write(path.join(root, "tsconfig.json"), { files: [], references: packages.map(folder => ({ path: folder })) });
+
+if (check && stale.length > 0) {
+    console.error(`Stale, run node scripts/updateReferences.mjs: ${stale.join(", ")}`);
+    process.exit(1);
+}
