--- /dev/null
+++ b/standins/key-value/src/changeHistory.ts
@@ -0,0 +1,39 @@
+import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+
+const MAX_BATCHES = 20_000;
+const MAX_SIZE_BYTES = 64_000_000;
+
+/** The last changes, for watches that begin at an earlier revision. */
+export class ChangeHistory {
+    private batches: WatchBatch[] = [];
+    private sizeBytes = 0;
+    private droppedRevision = 0;
+
+    push(batch: WatchBatch): void {
+        this.batches.push(batch);
+        this.sizeBytes += sizeOf(batch);
+        if (this.batches.length > MAX_BATCHES || this.sizeBytes > MAX_SIZE_BYTES) {
+            this.dropOlderHalf();
+        }
+    }
+
+    /** Whether all changes after `revision` are still here. */
+    reachesBackTo(revision: number): boolean {
+        return revision >= this.droppedRevision;
+    }
+
+    /** Changes after `revision`, in order, shape [batches]. */
+    after(revision: number): WatchBatch[] {
+        return this.batches.filter(batch => batch.revision > revision);
+    }
+
+    private dropOlderHalf(): void {
+        const dropped = this.batches.splice(0, Math.ceil(this.batches.length / 2));
+        this.droppedRevision = dropped.at(-1)?.revision ?? this.droppedRevision;
+        this.sizeBytes -= dropped.reduce((total, batch) => total + sizeOf(batch), 0);
+    }
+}
+
+function sizeOf(batch: WatchBatch): number {
+    return batch.puts.reduce((total, entry) => total + entry.value.byteLength, 0);
+}
--- /dev/null
+++ b/standins/key-value/src/keyValueStore.ts
@@ -0,0 +1,146 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { KeyValueCompare } from "@knapweedwood/platform.key-value/keyValueCompare";
+import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
+import { MAX_VALUE_SIZE_BYTES } from "@knapweedwood/platform.key-value/maxValueSizeBytes";
+import type { TransactionResult } from "@knapweedwood/platform.key-value/transactionResult";
+import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import { LeaseTable } from "./leaseTable.js";
+import { SortedKeys } from "./sortedKeys.js";
+
+/** Keys, leases and one revision counter, without faults. Each method takes effect at once. */
+export class KeyValueStore {
+    private readonly leases: LeaseTable;
+    private readonly onChange: (batch: WatchBatch) => void;
+    private readonly entries = new Map<string, KeyValueEntry>();
+    private readonly keys = new SortedKeys();
+    private currentRevision = 1;
+
+    /** @param opts.onChange called after each change, with all keys that changed together */
+    constructor(opts: { clock: Clock; onChange: (batch: WatchBatch) => void; }) {
+        this.leases = new LeaseTable({ clock: opts.clock, onLapse: keys => this.deleteKeys(keys) });
+        this.onChange = opts.onChange;
+    }
+
+    get revision(): number {
+        return this.currentRevision;
+    }
+
+    get(key: string): KeyValueEntry | undefined {
+        return this.entries.get(key);
+    }
+
+    list(prefix: string, opts: { limit?: number; afterKey?: string; }): KeyValueEntry[] {
+        return this.keys
+            .withPrefix(prefix, { limit: opts.limit ?? Infinity, afterKey: opts.afterKey })
+            .flatMap(key => this.entries.get(key) ?? []);
+    }
+
+    transact(compares: KeyValueCompare[], operations: KeyValueOperation[]): TransactionResult {
+        this.check(operations);
+        const holds = compares.every(compare => this.modRevisionOf(compare.key) === compare.modRevision);
+        if (!holds) {
+            const current = compares.flatMap(compare => this.entries.get(compare.key) ?? []);
+            return { succeeded: false, revision: this.currentRevision, current };
+        }
+        this.apply(operations);
+        return { succeeded: true, revision: this.currentRevision, current: [] };
+    }
+
+    grantLease(ttlMs: number): string {
+        return this.leases.grant(ttlMs);
+    }
+
+    keepLeaseAlive(leaseId: string): number {
+        return this.leases.keepAlive(leaseId);
+    }
+
+    /** Ends a lease and deletes its keys. */
+    endLease(leaseId: string): void {
+        this.leases.end(leaseId);
+    }
+
+    close(): void {
+        this.leases.close();
+    }
+
+    private modRevisionOf(key: string): number {
+        return this.entries.get(key)?.modRevision ?? 0;
+    }
+
+    private check(operations: KeyValueOperation[]): void {
+        if (new Set(operations.map(operation => operation.key)).size < operations.length) {
+            throw new KnapweedError("KEY_VALUE_DUPLICATE_KEY", "A transaction changes a key twice.", {
+                outcome: "not-run",
+            });
+        }
+        operations.forEach(operation => {
+            if (operation.kind === "put") {
+                this.checkPut(operation.value, operation.leaseId);
+            }
+        });
+    }
+
+    private checkPut(value: Uint8Array, leaseId: string | undefined): void {
+        if (value.byteLength > MAX_VALUE_SIZE_BYTES) {
+            throw new KnapweedError(
+                "KEY_VALUE_VALUE_TOO_LARGE",
+                `A value of ${value.byteLength} bytes is over the limit of ${MAX_VALUE_SIZE_BYTES} bytes.`,
+                { outcome: "not-run" },
+            );
+        }
+        if (leaseId !== undefined && !this.leases.has(leaseId)) {
+            throw new KnapweedError("KEY_VALUE_LEASE_NOT_FOUND", `Lease ${leaseId} has lapsed or never was.`, {
+                outcome: "not-run",
+            });
+        }
+    }
+
+    private apply(operations: KeyValueOperation[]): void {
+        const effective = operations.filter(operation => operation.kind === "put" || this.entries.has(operation.key));
+        if (effective.length === 0) {
+            return;
+        }
+        this.currentRevision += 1;
+        const batch: WatchBatch = { revision: this.currentRevision, puts: [], deletedKeys: [] };
+        effective.forEach(operation => {
+            if (operation.kind === "put") {
+                batch.puts.push(this.put(operation.key, operation.value, operation.leaseId));
+            }
+            else {
+                this.remove(operation.key);
+                batch.deletedKeys.push(operation.key);
+            }
+        });
+        this.onChange(batch);
+    }
+
+    private deleteKeys(keys: string[]): void {
+        this.apply(keys.map(key => ({ kind: "delete", key })));
+    }
+
+    private put(key: string, value: Uint8Array, leaseId: string | undefined): KeyValueEntry {
+        this.detach(key);
+        const entry: KeyValueEntry = { key, value: value.slice(), modRevision: this.currentRevision, leaseId };
+        this.entries.set(key, entry);
+        this.keys.add(key);
+        if (leaseId !== undefined) {
+            this.leases.attach(leaseId, key);
+        }
+        return entry;
+    }
+
+    private remove(key: string): void {
+        this.detach(key);
+        this.entries.delete(key);
+        this.keys.remove(key);
+    }
+
+    private detach(key: string): void {
+        const leaseId = this.entries.get(key)?.leaseId;
+        if (leaseId !== undefined) {
+            this.leases.detach(leaseId, key);
+        }
+    }
+}
--- /dev/null
+++ b/standins/key-value/src/keyValueWatcher.ts
@@ -0,0 +1,57 @@
+import type { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+
+/** Changes under one prefix, queued for one reader. */
+export class KeyValueWatcher {
+    private readonly prefix: string;
+    private queue: WatchBatch[] = [];
+    private failure: KnapweedError | undefined;
+    private ended = false;
+    private wake: () => void = () => undefined;
+
+    constructor(prefix: string) {
+        this.prefix = prefix;
+    }
+
+    /** Queues the part of `batch` that lies under the prefix. */
+    push(batch: WatchBatch): void {
+        const puts = batch.puts.filter(entry => entry.key.startsWith(this.prefix));
+        const deletedKeys = batch.deletedKeys.filter(key => key.startsWith(this.prefix));
+        if (puts.length + deletedKeys.length > 0) {
+            this.queue.push({ revision: batch.revision, puts, deletedKeys });
+            this.wake();
+        }
+    }
+
+    /** Makes the reader throw `error`. */
+    fail(error: KnapweedError): void {
+        this.failure = error;
+        this.wake();
+    }
+
+    /** Ends the reader without an error. */
+    end(): void {
+        this.ended = true;
+        this.wake();
+    }
+
+    async *batches(): AsyncIterable<WatchBatch> {
+        while (!this.ended) {
+            if (this.failure !== undefined) {
+                throw this.failure;
+            }
+            const ready = this.queue;
+            this.queue = [];
+            yield* ready;
+            await this.nextWake();
+        }
+    }
+
+    private async nextWake(): Promise<void> {
+        if (this.queue.length === 0 && this.failure === undefined && !this.ended) {
+            await new Promise<void>(resolve => {
+                this.wake = resolve;
+            });
+        }
+    }
+}
--- /dev/null
+++ b/standins/key-value/src/leaseTable.ts
@@ -0,0 +1,80 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Timer } from "@knapweedwood/core.clock/timer";
+
+interface Lease {
+    ttlMs: number;
+    expiresMs: number;
+    keys: Set<string>;
+    timer: Timer | undefined;
+}
+
+/** Leases that lapse by a clock. */
+export class LeaseTable {
+    private readonly clock: Clock;
+    private readonly onLapse: (keys: string[]) => void;
+    private readonly leases = new Map<string, Lease>();
+    private granted = 0;
+
+    /** @param opts.onLapse called with the keys attached to a lease that has ended, shape [keys] */
+    constructor(opts: { clock: Clock; onLapse: (keys: string[]) => void; }) {
+        this.clock = opts.clock;
+        this.onLapse = opts.onLapse;
+    }
+
+    grant(ttlMs: number): string {
+        this.granted += 1;
+        const leaseId = String(this.granted);
+        const lease: Lease = { ttlMs, expiresMs: this.clock.nowMs() + ttlMs, keys: new Set(), timer: undefined };
+        this.leases.set(leaseId, lease);
+        this.schedule(leaseId, lease);
+        return leaseId;
+    }
+
+    has(leaseId: string): boolean {
+        return this.leases.has(leaseId);
+    }
+
+    attach(leaseId: string, key: string): void {
+        this.leases.get(leaseId)?.keys.add(key);
+    }
+
+    detach(leaseId: string, key: string): void {
+        this.leases.get(leaseId)?.keys.delete(key);
+    }
+
+    /** @returns the time to live left, 0 where the lease has lapsed */
+    keepAlive(leaseId: string): number {
+        const lease = this.leases.get(leaseId);
+        if (lease === undefined) {
+            return 0;
+        }
+        lease.expiresMs = this.clock.nowMs() + lease.ttlMs;
+        return lease.ttlMs;
+    }
+
+    /** Ends a lease. Has no effect where it has lapsed. */
+    end(leaseId: string): void {
+        const lease = this.leases.get(leaseId);
+        if (lease === undefined) {
+            return;
+        }
+        lease.timer?.cancel();
+        this.leases.delete(leaseId);
+        this.onLapse([...lease.keys]);
+    }
+
+    close(): void {
+        this.leases.forEach(lease => lease.timer?.cancel());
+        this.leases.clear();
+    }
+
+    private schedule(leaseId: string, lease: Lease): void {
+        lease.timer = this.clock.setTimer(lease.expiresMs - this.clock.nowMs(), () => {
+            if (lease.expiresMs > this.clock.nowMs()) {
+                this.schedule(leaseId, lease);
+                return;
+            }
+            this.end(leaseId);
+        });
+    }
+}
--- /dev/null
+++ b/standins/key-value/src/memoryKeyValueService.ts
@@ -0,0 +1,151 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { answerLostError } from "@knapweedwood/platform.key-value/answerLostError";
+import type { KeyValueCompare } from "@knapweedwood/platform.key-value/keyValueCompare";
+import type { KeyValueCounters } from "@knapweedwood/platform.key-value/keyValueCounters";
+import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { TransactionResult } from "@knapweedwood/platform.key-value/transactionResult";
+import { unavailableError } from "@knapweedwood/platform.key-value/unavailableError";
+import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import { ChangeHistory } from "./changeHistory.js";
+import { KeyValueFaults } from "./keyValueFaults.js";
+import { KeyValueStore } from "./keyValueStore.js";
+import { KeyValueWatcher } from "./keyValueWatcher.js";
+
+/** A key-value service in memory, with the faults of the real one. */
+export class MemoryKeyValueService implements KeyValueService {
+    readonly faults = new KeyValueFaults({
+        onOutage: () => this.loseWatches(),
+        onLapse: leaseId => this.store.endLease(leaseId),
+    });
+    /** Calls so far, refused ones included. */
+    readonly counters: KeyValueCounters = { reads: 0, writes: 0, keepAlives: 0, watches: 0, activeWatches: 0 };
+    private readonly clock: Clock;
+    private readonly store: KeyValueStore;
+    private readonly history = new ChangeHistory();
+    private readonly watchers = new Set<KeyValueWatcher>();
+
+    constructor(opts: { clock: Clock; }) {
+        this.clock = opts.clock;
+        this.store = new KeyValueStore({ clock: opts.clock, onChange: batch => this.publish(batch) });
+    }
+
+    /** Revision of the last change. */
+    get revision(): number {
+        return this.store.revision;
+    }
+
+    get(key: string): Promise<KeyValueEntry | undefined> {
+        this.counters.reads += 1;
+        return this.read(() => this.store.get(key));
+    }
+
+    list(prefix: string, opts: { limit?: number; afterKey?: string; } = {}): Promise<KeyValueEntry[]> {
+        this.counters.reads += 1;
+        return this.read(() => this.store.list(prefix, opts));
+    }
+
+    transact(compares: KeyValueCompare[], operations: KeyValueOperation[]): Promise<TransactionResult> {
+        this.counters.writes += 1;
+        return this.write(() => this.store.transact(compares, operations));
+    }
+
+    grantLease(ttlMs: number): Promise<string> {
+        this.counters.writes += 1;
+        return this.write(() => this.store.grantLease(ttlMs));
+    }
+
+    keepLeaseAlive(leaseId: string): Promise<number> {
+        this.counters.keepAlives += 1;
+        return this.read(() => this.store.keepLeaseAlive(leaseId));
+    }
+
+    revokeLease(leaseId: string): Promise<void> {
+        this.counters.writes += 1;
+        return this.write(() => this.store.endLease(leaseId));
+    }
+
+    async *watch(prefix: string, opts: { afterRevision: number; signal: AbortSignal; }): AsyncIterable<WatchBatch> {
+        this.counters.watches += 1;
+        await this.begin();
+        const watcher = this.openWatcher(prefix, opts.afterRevision);
+        const end = () => watcher.end();
+        opts.signal.addEventListener("abort", end, { once: true });
+        if (opts.signal.aborted) {
+            watcher.end();
+        }
+        this.counters.activeWatches += 1;
+        try {
+            yield* watcher.batches();
+        }
+        finally {
+            this.counters.activeWatches -= 1;
+            opts.signal.removeEventListener("abort", end);
+            this.watchers.delete(watcher);
+        }
+    }
+
+    /** Stops the timers of leases and ends all watches. */
+    close(): void {
+        this.store.close();
+        this.watchers.forEach(watcher => watcher.end());
+    }
+
+    private openWatcher(prefix: string, afterRevision: number): KeyValueWatcher {
+        if (!this.history.reachesBackTo(afterRevision)) {
+            throw new KnapweedError(
+                "KEY_VALUE_COMPACTED",
+                `Changes after revision ${afterRevision} are no longer kept.`,
+                { hint: "List the keys and watch from the revision of the newest." },
+            );
+        }
+        const watcher = new KeyValueWatcher(prefix);
+        this.history.after(afterRevision).forEach(batch => watcher.push(batch));
+        this.watchers.add(watcher);
+        return watcher;
+    }
+
+    private async read<Value>(action: () => Value): Promise<Value> {
+        await this.begin();
+        const value = action();
+        await this.answer();
+        return value;
+    }
+
+    private async write<Value>(action: () => Value): Promise<Value> {
+        await this.begin();
+        const value = action();
+        if (this.faults.takeLostAnswer()) {
+            throw answerLostError("The answer of the key-value service was lost.");
+        }
+        await this.answer();
+        return value;
+    }
+
+    private async begin(): Promise<void> {
+        if (this.faults.delayMs > 0) {
+            await sleep(this.clock, this.faults.delayMs);
+        }
+        if (this.faults.outage) {
+            throw unavailableError("The key-value service is away.");
+        }
+    }
+
+    private async answer(): Promise<void> {
+        if (this.faults.answerDelayMs > 0) {
+            await sleep(this.clock, this.faults.answerDelayMs);
+        }
+    }
+
+    private publish(batch: WatchBatch): void {
+        this.history.push(batch);
+        this.watchers.forEach(watcher => watcher.push(batch));
+    }
+
+    private loseWatches(): void {
+        this.watchers.forEach(watcher => watcher.fail(unavailableError("The watch was lost.")));
+    }
+}
--- /dev/null
+++ b/standins/weight-store/src/memoryWeightStore.ts
@@ -0,0 +1,57 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { WeightLoadRequest } from "@knapweedwood/platform.weight-store/weightLoadRequest";
+import type { WeightLoadReservation } from "@knapweedwood/platform.weight-store/weightLoadReservation";
+import type { WeightStore } from "@knapweedwood/platform.weight-store/weightStore";
+
+const MS_PER_S = 1000;
+
+interface Transfer {
+    reservationId: string;
+    startMs: number;
+    endMs: number;
+}
+
+/** A weight store in memory that serves one transfer after the other at a fixed rate. */
+export class MemoryWeightStore implements WeightStore {
+    /** While true, calls are refused. */
+    outage = false;
+    private readonly clock: Clock;
+    private readonly bytesPerS: number;
+    private transfers: Transfer[] = [];
+    private reserved = 0;
+
+    constructor(opts: { clock: Clock; bytesPerS: number; }) {
+        this.clock = opts.clock;
+        this.bytesPerS = opts.bytesPerS;
+    }
+
+    async requestLoad(request: WeightLoadRequest): Promise<WeightLoadReservation> {
+        this.refuseInOutage();
+        const nowMs = this.clock.nowMs();
+        this.transfers = this.transfers.filter(transfer => transfer.endMs > nowMs);
+        const startMs = this.transfers.reduce((latestMs, transfer) => Math.max(latestMs, transfer.endMs), nowMs);
+        const transferMs = request.sizeBytes / this.bytesPerS * MS_PER_S;
+        this.reserved += 1;
+        const reservationId = String(this.reserved);
+        this.transfers.push({ reservationId, startMs, endMs: startMs + transferMs });
+        return { reservationId, waitMs: startMs - nowMs, transferMs };
+    }
+
+    async cancelLoad(reservationId: string): Promise<void> {
+        this.refuseInOutage();
+        const nowMs = this.clock.nowMs();
+        this.transfers = this.transfers.flatMap(transfer => {
+            if (transfer.reservationId !== reservationId) {
+                return [transfer];
+            }
+            return transfer.startMs < nowMs ? [{ ...transfer, endMs: Math.min(transfer.endMs, nowMs) }] : [];
+        });
+    }
+
+    private refuseInOutage(): void {
+        if (this.outage) {
+            throw new KnapweedError("WEIGHT_STORE_UNAVAILABLE", "The weight store is away.", { outcome: "not-run" });
+        }
+    }
+}
