feat: settings, traces and HTTP basics

Cause: daemons need checked settings, spans that cross processes, and an HTTP server with typed errors. Conclusion: enough for the daemons.

--- /dev/null
+++ b/api/http/src/httpListener.ts
@@ -0,0 +1,95 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { readFileSync, watch } from "node:fs";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import path from "node:path";
+import { writeError } from "./writeError.js";
+
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 600_000;
+const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+const CONNECTIONS_CHECK_MS = 2_000;
+const CERTIFICATE_SETTLE_MS = 200;
+
+interface TlsFiles {
+    certificateFile: string;
+    keyFile: string;
+}
+
+/** An HTTP server, with TLS where certificates are given; a changed certificate is taken up without a restart. */
+export class HttpListener {
+    private readonly server: Server | TlsServer;
+    private readonly stopWatching: () => void;
+
+    constructor(opts: {
+        handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+        tls?: TlsFiles;
+    }) {
+        const listener = (request: IncomingMessage, response: ServerResponse) => {
+            opts.handle(request, response).catch((thrown: unknown) => writeError(response, thrown));
+        };
+        const timeouts = {
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            requestTimeout: REQUEST_TIMEOUT_MS,
+            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+            connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
+            noDelay: true,
+        };
+        if (opts.tls === undefined) {
+            this.server = createServer(timeouts, listener);
+            this.stopWatching = () => undefined;
+            return;
+        }
+        const secure = createTlsServer({ ...timeouts, ...readCertificate(opts.tls) }, listener);
+        this.server = secure;
+        this.stopWatching = reloadOnChange(secure, opts.tls);
+    }
+
+    /** @returns the port bound */
+    async listen(host: string, port: number): Promise<number> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", cause => {
+                reject(new KnapweedError("LISTEN_FAILED", `Can't listen on ${host}:${port}`, { cause }));
+            });
+            this.server.listen(port, host, resolve);
+        });
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Accepts no new connections, lets requests in progress end, and cuts off what is left after `graceMs`. */
+    async close(graceMs: number): Promise<void> {
+        this.stopWatching();
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.server.closeIdleConnections();
+        const idleSweep = setInterval(() => this.server.closeIdleConnections(), CONNECTIONS_CHECK_MS / 20);
+        const cutOff = setTimeout(() => this.server.closeAllConnections(), graceMs);
+        await closed;
+        clearInterval(idleSweep);
+        clearTimeout(cutOff);
+    }
+}
+
+function readCertificate(tls: TlsFiles) {
+    return { cert: readFileSync(tls.certificateFile), key: readFileSync(tls.keyFile) };
+}
+
+function reloadOnChange(server: TlsServer, tls: TlsFiles): () => void {
+    let pending: NodeJS.Timeout | undefined;
+    const reload = () => {
+        try {
+            server.setSecureContext(readCertificate(tls));
+        }
+        catch {
+            // A half-written pair is read again at its next change.
+        }
+    };
+    const watcher = watch(path.dirname(tls.certificateFile), () => {
+        clearTimeout(pending);
+        pending = setTimeout(reload, CERTIFICATE_SETTLE_MS);
+    });
+    return () => {
+        clearTimeout(pending);
+        watcher.close();
+    };
+}
--- /dev/null
+++ b/config/settings/src/processSettingsShape.ts
@@ -0,0 +1,32 @@
+import { z } from "zod";
+
+const DEFAULT_SHUTDOWN_GRACE_MS = 60_000;
+
+const addressShape = z.strictObject({ host: z.string().default("127.0.0.1"), port: z.int().min(0).max(65_535) });
+
+const tlsShape = z.strictObject({
+    certificateFile: z.string(),
+    keyFile: z.string(),
+    /** Certificate authority that the other end is checked against. */
+    authorityFile: z.string().optional(),
+});
+
+/** Settings that entries and sides share. */
+export const processSettingsShape = {
+    instanceId: z.string().min(1),
+    region: z.string().min(1),
+    zone: z.string().min(1),
+    /** Where links from other processes are accepted. */
+    link: addressShape.extend({ tls: tlsShape.optional() }),
+    logs: z.strictObject({ level: z.enum(["debug", "info", "warn", "error"]).default("info") }).default({
+        level: "info",
+    }),
+    metrics: z.strictObject({ host: z.string(), port: z.int().min(1).max(65_535) }).optional(),
+    traces: z.strictObject({
+        otlpUrl: z.string().optional(),
+        file: z.string().optional(),
+        sampleRatio: z.number().min(0).max(1).default(1),
+    }).optional(),
+    /** How long calls in progress may take at a planned stop. */
+    shutdownGraceMs: z.int().min(0).default(DEFAULT_SHUTDOWN_GRACE_MS),
+};
--- /dev/null
+++ b/config/settings/src/readSettings.ts
@@ -0,0 +1,17 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { readFile } from "node:fs/promises";
+import type { z } from "zod";
+import { parseYaml } from "./parseYaml.js";
+import { problemsError } from "./problemsError.js";
+
+/** Reads a settings file. Throws `SETTINGS_UNREADABLE`, or `SETTINGS_INVALID` that names every problem. */
+export async function readSettings<Schema extends z.ZodType>(file: string, schema: Schema): Promise<z.output<Schema>> {
+    const text = await readFile(file, "utf8").catch((cause: unknown) => {
+        throw new KnapweedError("SETTINGS_UNREADABLE", `The settings file ${file} can't be read`, { cause });
+    });
+    const parsed = parseYaml({ file, text, schema });
+    if (parsed.value === undefined) {
+        throw problemsError("SETTINGS_INVALID", parsed.problems);
+    }
+    return parsed.value;
+}
