feat: callers' API and parts of the side (in progress)

Cause: callers speak the OpenAI API; entries and sides need shared calls. Conclusion: to be measured with the whole path.

--- /dev/null
+++ b/api/callers/src/callAdmission.ts
@@ -0,0 +1,13 @@
+import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
+import type { Caller } from "./caller.js";
+
+/** Applies the limits of teams and callers. */
+export interface CallAdmission {
+    /**
+     * Admits a call, or throws `LIMIT_EXCEEDED` (429, not run) with the time to come back.
+     *
+     * @param opts.tokens tokens that the call may take at the most
+     * @returns to be called once the call has ended, with the tokens that it took
+     */
+    admit(opts: { caller: Caller; service: ServiceDefinition; tokens: number; }): (usedTokens: number) => void;
+}
--- /dev/null
+++ b/api/callers/src/callersApiOptions.ts
@@ -0,0 +1,24 @@
+import type { BatchService } from "@knapweedwood/batch.jobs/batchService";
+import type { ConfigurationSource } from "@knapweedwood/config.configuration/configurationSource";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { Tracer } from "@knapweedwood/observability.traces/tracer";
+import type { CallAdmission } from "./callAdmission.js";
+import type { InferenceBackend } from "./inferenceBackend.js";
+import type { KeyedCalls } from "./keyedCalls.js";
+
+/** What the callers' API works with. */
+export interface CallersApiOptions {
+    configuration: ConfigurationSource;
+    backend: InferenceBackend;
+    batches: BatchService;
+    admission: CallAdmission;
+    keyedCalls: KeyedCalls;
+    clock: Clock;
+    logger: Logger;
+    metrics: Metrics;
+    tracer: Tracer;
+    maxBodyBytes: number;
+    maxFileBytes: number;
+}
--- /dev/null
+++ b/api/callers/src/fileObject.ts
@@ -0,0 +1,16 @@
+import type { FileRecord } from "@knapweedwood/batch.jobs/fileRecord";
+
+const MS_PER_SECOND = 1000;
+
+/** A file in the published form of the OpenAI API. */
+export function fileObject(file: FileRecord): object {
+    return {
+        id: file.fileId,
+        object: "file",
+        bytes: file.sizeBytes,
+        created_at: Math.floor(file.createdAtMs / MS_PER_SECOND),
+        filename: file.fileName,
+        purpose: file.purpose,
+        status: "processed",
+    };
+}
--- /dev/null
+++ b/api/callers/src/generateRoute.ts
@@ -0,0 +1,138 @@
+import { errorBody } from "@knapweedwood/api.http/errorBody";
+import { readJson } from "@knapweedwood/api.http/readJson";
+import { writeJson } from "@knapweedwood/api.http/writeJson";
+import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { CompletionAssembler } from "@knapweedwood/engines.model-engine/completionAssembler";
+import type { GenerateEvent } from "@knapweedwood/engines.model-engine/generateEvent";
+import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
+import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import { randomUUID } from "node:crypto";
+import type { CallersApiOptions } from "./callersApiOptions.js";
+import { checkGenerateBody } from "./checkGenerateBody.js";
+import { ChunkObjects } from "./chunkObjects.js";
+import { estimateTokens } from "./estimateTokens.js";
+import { keyedJsonCall } from "./keyedJsonCall.js";
+import type { RequestContext } from "./requestContext.js";
+import { ServerSentEvents } from "./serverSentEvents.js";
+import { serviceForModel } from "./serviceForModel.js";
+
+/** `POST /v1/chat/completions` and `POST /v1/completions`. */
+export class GenerateRoute {
+    private readonly opts: CallersApiOptions;
+
+    constructor(opts: CallersApiOptions) {
+        this.opts = opts;
+    }
+
+    async handle(context: RequestContext, endpoint: GenerateRequest["endpoint"]): Promise<void> {
+        const body = await readJson(context.request, this.opts.maxBodyBytes);
+        checkGenerateBody(endpoint, body);
+        const service = serviceForModel(context, body["model"]);
+        const release = this.opts.admission.admit({
+            caller: context.caller,
+            service,
+            tokens: estimateTokens(body),
+        });
+        const usage = { tokens: 0 };
+        try {
+            const request: GenerateRequest = { endpoint, body };
+            if (body["stream"] === true) {
+                await this.answerStream(context, service, request, usage);
+            }
+            else {
+                await this.answerWhole(context, service, request, usage);
+            }
+        }
+        finally {
+            release(usage.tokens);
+        }
+    }
+
+    private async answerWhole(
+        context: RequestContext,
+        service: ServiceDefinition,
+        request: GenerateRequest,
+        used: { tokens: number; },
+    ): Promise<void> {
+        const run = () => this.collect(context, service, request, used);
+        const keyed = keyedJsonCall(context, this.opts.keyedCalls, { service, body: request.body, run });
+        writeJson(context.response, await (keyed ?? run()));
+    }
+
+    private async collect(
+        context: RequestContext,
+        service: ServiceDefinition,
+        request: GenerateRequest,
+        used: { tokens: number; },
+    ): Promise<JsonObject> {
+        const assembler = new CompletionAssembler({ id: newId(request), nowMs: this.opts.clock.nowMs(), request });
+        for await (const event of this.events(context, service, request, used)) {
+            assembler.add(event);
+        }
+        return assembler.response();
+    }
+
+    private async answerStream(
+        context: RequestContext,
+        service: ServiceDefinition,
+        request: GenerateRequest,
+        used: { tokens: number; },
+    ): Promise<void> {
+        const chunks = new ChunkObjects({ id: newId(request), nowMs: this.opts.clock.nowMs(), request });
+        const stream = new ServerSentEvents(context.response);
+        const includeUsage = (request.body["stream_options"] as JsonObject | undefined)?.["include_usage"] === true;
+        let hasBegun = false;
+        try {
+            for await (const event of this.events(context, service, request, used)) {
+                if (!hasBegun) {
+                    hasBegun = true;
+                    stream.begin();
+                }
+                await stream.send(chunks.chunk(event), context.signal);
+                if (event.kind === "finish" && includeUsage) {
+                    await stream.send(chunks.usage(event), context.signal);
+                }
+            }
+            stream.end();
+        }
+        catch (thrown) {
+            if (!hasBegun) {
+                throw thrown;
+            }
+            const error = toKnapweedError(thrown);
+            this.opts.metrics.increment("stream_failed", { reason: error.code });
+            stream.fail(errorBody(error));
+        }
+    }
+
+    /** Yields the events up to the finish; throws where a stream ends without one. */
+    private async *events(
+        context: RequestContext,
+        service: ServiceDefinition,
+        request: GenerateRequest,
+        used: { tokens: number; },
+    ): AsyncIterable<GenerateEvent> {
+        const events = this.opts.backend.generate({
+            service,
+            request,
+            caller: context.caller,
+            signal: context.signal,
+            deadlineMs: this.opts.clock.nowMs() + service.deadlineMs,
+            traceParent: context.span.traceParent,
+        });
+        for await (const event of events) {
+            yield event;
+            if (event.kind === "finish") {
+                used.tokens = event.usage.promptTokens + event.usage.completionTokens;
+                return;
+            }
+        }
+        throw new KnapweedError("STREAM_CUT", "The upstream's answer ended early", { outcome: "unknown" });
+    }
+}
+
+function newId(request: GenerateRequest): string {
+    return `${request.endpoint === "/v1/chat/completions" ? "chatcmpl" : "cmpl"}-${randomUUID()}`;
+}
--- /dev/null
+++ b/api/callers/src/keyedCalls.ts
@@ -0,0 +1,21 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { Caller } from "./caller.js";
+import type { RecordedAnswer } from "./recordedAnswer.js";
+
+/** Runs calls with an idempotency key at most once, whichever entry they come to. */
+export interface KeyedCalls {
+    /**
+     * Claims the key and runs the call, or gives the answer recorded earlier.
+     *
+     * Throws `IDEMPOTENCY_KEY_REUSED` (422) where the key came with another request, `CALL_IN_PROGRESS` (409), or
+     * an error with outcome `unknown` where the first run's outcome can't be known.
+     */
+    run(opts: {
+        caller: Caller;
+        service: ServiceName;
+        idempotencyKey: string;
+        /** Digest of the method, path and body. */
+        requestDigest: string;
+        run: () => Promise<RecordedAnswer>;
+    }): Promise<RecordedAnswer>;
+}
--- /dev/null
+++ b/api/callers/src/mayCall.ts
@@ -0,0 +1,7 @@
+import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+
+/** Whether a team may call a service. */
+export function mayCall(service: ServiceDefinition, teamId: TeamId): boolean {
+    return service.callableBy === undefined || service.team === teamId || service.callableBy.includes(teamId);
+}
--- /dev/null
+++ b/api/callers/src/readUpload.ts
@@ -0,0 +1,70 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import busboy from "busboy";
+import type { IncomingMessage } from "node:http";
+import type { Readable } from "node:stream";
+
+/**
+ * Reads a multipart upload, streamed. Throws `UPLOAD_INVALID` (400) or `BODY_TOO_LARGE` (413).
+ *
+ * @param store takes the file's content; the form's fields that came before the file are given to it
+ */
+export function readUpload<Stored>(
+    request: IncomingMessage,
+    opts: {
+        maxBytes: number;
+        store: (file: { fileName: string; purpose: string; content: AsyncIterable<Uint8Array>; }) => Promise<Stored>;
+    },
+): Promise<Stored> {
+    return new Promise((resolve, reject) => {
+        const parser = createParser(request, opts.maxBytes);
+        let purpose: string = "batch";
+        let stored: Promise<Stored> | undefined;
+        parser.on("field", (name, value) => {
+            if (name === "purpose" && value !== undefined) {
+                purpose = value;
+            }
+        });
+        parser.on("file", (_name, content, info) => {
+            stored = opts.store({ fileName: info.filename ?? "upload", purpose, content: limited(content, opts.maxBytes) });
+            stored.catch((thrown: unknown) => reject(toKnapweedError(thrown)));
+        });
+        parser.on("error", cause => reject(invalid("The form can't be read", cause)));
+        parser.on("close", () => {
+            if (stored === undefined) {
+                reject(invalid("The form has no file"));
+                return;
+            }
+            stored.then(resolve, reject);
+        });
+        request.once("aborted", () => parser.destroy(new Error("The request was cut")));
+        request.pipe(parser);
+    });
+}
+
+function createParser(request: IncomingMessage, maxBytes: number): busboy.Busboy {
+    try {
+        return busboy({ headers: request.headers, limits: { files: 1, fileSize: maxBytes + 1 } });
+    }
+    catch (cause) {
+        throw invalid("The request is not a form with a file", cause);
+    }
+}
+
+async function* limited(content: Readable, maxBytes: number): AsyncIterable<Uint8Array> {
+    let sizeBytes = 0;
+    for await (const chunk of content as AsyncIterable<Buffer>) {
+        sizeBytes += chunk.length;
+        if (sizeBytes > maxBytes) {
+            throw new KnapweedError("BODY_TOO_LARGE", `The file is larger than ${maxBytes} bytes`, {
+                statusCode: 413,
+                outcome: "not-run",
+            });
+        }
+        yield chunk;
+    }
+}
+
+function invalid(message: string, cause?: unknown): KnapweedError {
+    return new KnapweedError("UPLOAD_INVALID", message, { statusCode: 400, outcome: "not-run", cause });
+}
--- /dev/null
+++ b/api/callers/src/recordedAnswer.ts
@@ -0,0 +1,8 @@
+import type { HeaderField } from "@knapweedwood/daemons.inference/headerField";
+
+/** A whole answer, kept under the call's idempotency key. */
+export interface RecordedAnswer {
+    statusCode: number;
+    headers: HeaderField[];
+    body: Uint8Array;
+}
--- /dev/null
+++ b/api/callers/src/serverSentEvents.ts
@@ -0,0 +1,39 @@
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+
+/** Writes server-sent events, no faster than the caller reads them. */
+export class ServerSentEvents {
+    private readonly response: ServerResponse;
+
+    constructor(response: ServerResponse) {
+        this.response = response;
+    }
+
+    begin(): void {
+        this.response.writeHead(200, {
+            "content-type": "text/event-stream; charset=utf-8",
+            "cache-control": "no-cache",
+            "x-accel-buffering": "no",
+            "x-knapweed-outcome": "answered",
+        });
+    }
+
+    async send(data: object, signal: AbortSignal): Promise<void> {
+        await this.write(`data: ${JSON.stringify(data)}\n\n`, signal);
+    }
+
+    end(): void {
+        this.response.end("data: [DONE]\n\n");
+    }
+
+    /** Ends a stream that failed after it had begun: the last event carries the error and no `[DONE]` follows. */
+    fail(error: object): void {
+        this.response.end(`data: ${JSON.stringify(error)}\n\n`);
+    }
+
+    private async write(text: string, signal: AbortSignal): Promise<void> {
+        if (!this.response.write(text) && !signal.aborted) {
+            await once(this.response, "drain", { signal });
+        }
+    }
+}
--- /dev/null
+++ b/daemons/inference/src/forwardableHeaders.ts
@@ -0,0 +1,37 @@
+import type { HeaderField } from "./headerField.js";
+
+const HOP_BY_HOP = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+]);
+const PAIR_LENGTH = 2;
+
+/**
+ * End-to-end header fields of an HTTP message (RFC 9110, section 7.6.1): hop-by-hop fields and those that
+ * `Connection` names are dropped.
+ *
+ * @param rawHeaders names and values in turn, shape [2 * fields]
+ * @returns the fields kept, shape [fields]
+ */
+export function forwardableHeaders(rawHeaders: readonly string[], opts: { drop?: string[]; } = {}): HeaderField[] {
+    const fields = Array.from(
+        { length: rawHeaders.length / PAIR_LENGTH },
+        (_, index) => ({
+            name: (rawHeaders[PAIR_LENGTH * index] ?? "").toLowerCase(),
+            value: rawHeaders[PAIR_LENGTH * index + 1] ?? "",
+        }),
+    );
+    const named = fields
+        .filter(field => field.name === "connection")
+        .flatMap(field => field.value.split(",").map(name => name.trim().toLowerCase()));
+    const dropped = new Set([...named, ...opts.drop ?? []]);
+    return fields.filter(field => !HOP_BY_HOP.has(field.name) && !dropped.has(field.name));
+}
--- /dev/null
+++ b/daemons/side/src/plainUpstream.ts
@@ -0,0 +1,78 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { forwardableHeaders } from "@knapweedwood/daemons.inference/forwardableHeaders";
+import type { PlainCallRequest } from "@knapweedwood/daemons.inference/plainCallRequest";
+import type { PlainFrame } from "@knapweedwood/daemons.inference/plainFrame";
+import { type Dispatcher, Pool } from "undici";
+
+const CONNECT_TIMEOUT_MS = 2000;
+const NOT_SENT_CODES = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
+
+/** A plain service behind HTTP. Each call is sent at most once. */
+export class PlainUpstream {
+    private readonly pool: Pool;
+
+    constructor(opts: { url: string; }) {
+        this.pool = new Pool(opts.url, { connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1, headersTimeout: 0 });
+    }
+
+    /** Passes a call on and yields its answer: the head, then the body. */
+    async *call(
+        request: PlainCallRequest,
+        opts: { body: AsyncIterable<Uint8Array> | Uint8Array | undefined; signal: AbortSignal; },
+    ): AsyncIterable<PlainFrame> {
+        const answer = await this.send(request, opts);
+        yield { kind: "head", statusCode: answer.statusCode, headers: forwardableHeaders(flatten(answer.headers)) };
+        try {
+            for await (const bytes of answer.body as AsyncIterable<Uint8Array>) {
+                yield { kind: "body", bytes };
+            }
+        }
+        catch (cause) {
+            throw new KnapweedError("UPSTREAM_CUT", "The upstream's answer ended early", { outcome: "unknown", cause });
+        }
+    }
+
+    async isHealthy(): Promise<boolean> {
+        try {
+            const answer = await this.pool.request({ method: "GET", path: "/healthz", headersTimeout: CONNECT_TIMEOUT_MS });
+            await answer.body.dump();
+            return answer.statusCode < 500;
+        }
+        catch {
+            return false;
+        }
+    }
+
+    async close(): Promise<void> {
+        await this.pool.destroy();
+    }
+
+    private async send(
+        request: PlainCallRequest,
+        opts: { body: AsyncIterable<Uint8Array> | Uint8Array | undefined; signal: AbortSignal; },
+    ): Promise<Dispatcher.ResponseData> {
+        try {
+            return await this.pool.request({
+                method: request.method as Dispatcher.HttpMethod,
+                path: request.path,
+                headers: request.headers.flatMap(field => [field.name, field.value]),
+                body: opts.body as Dispatcher.DispatchOptions["body"],
+                signal: opts.signal,
+                idempotent: false,
+            });
+        }
+        catch (cause) {
+            const code = (cause as { code?: string; }).code ?? "";
+            throw new KnapweedError("UPSTREAM_FAILED", `The upstream could not be called: ${String(cause)}`, {
+                outcome: NOT_SENT_CODES.has(code) ? "not-run" : "unknown",
+                cause,
+            });
+        }
+    }
+}
+
+function flatten(headers: Dispatcher.ResponseData["headers"]): string[] {
+    return Object.entries(headers).flatMap(([name, value]) =>
+        (Array.isArray(value) ? value : [value ?? ""]).flatMap(single => [name, single])
+    );
+}
--- /dev/null
+++ b/daemons/side/src/sideProcessOptions.ts
@@ -0,0 +1,18 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { SideSettings } from "@knapweedwood/config.settings/sideSettings";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { Tracer } from "@knapweedwood/observability.traces/tracer";
+import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
+
+/** What a side works with. */
+export interface SideProcessOptions {
+    settings: SideSettings;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+    tracer: Tracer;
+    instanceList: InstanceList;
+}
--- /dev/null
+++ b/daemons/side/src/upstreamMonitor.ts
@@ -0,0 +1,76 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { AdapterName } from "@knapweedwood/core.ids/adapterName";
+import type { ModelName } from "@knapweedwood/core.ids/modelName";
+import type { EngineState } from "@knapweedwood/engines.model-engine/engineState";
+import type { ModelEngine } from "@knapweedwood/engines.model-engine/modelEngine";
+import type { PlainUpstream } from "./plainUpstream.js";
+
+const INTERVAL_MS = 1000;
+const FAILURES_UNTIL_UNHEALTHY = 2;
+
+/** Watches the upstream beside this side: whether it answers, and which models it can serve. */
+export class UpstreamMonitor {
+    private readonly opts: { engine?: ModelEngine; plain?: PlainUpstream; clock: Clock; };
+    private readonly stopping = new AbortController();
+    private running: Promise<void> = Promise.resolve();
+    private failures = FAILURES_UNTIL_UNHEALTHY;
+    private engineState: EngineState | undefined;
+
+    constructor(opts: UpstreamMonitor["opts"]) {
+        this.opts = opts;
+    }
+
+    async start(): Promise<void> {
+        await this.check();
+        this.running = this.run();
+    }
+
+    async stop(): Promise<void> {
+        this.stopping.abort();
+        await this.running;
+    }
+
+    get isHealthy(): boolean {
+        return this.failures < FAILURES_UNTIL_UNHEALTHY;
+    }
+
+    /** Models and adapters that are ready; undefined for a plain service. */
+    get readyModels(): ModelName[] | undefined {
+        if (this.opts.engine === undefined) {
+            return undefined;
+        }
+        const isReady = (held: { state: string; }) => held.state === "ready";
+        const models = this.engineState?.models.filter(isReady).map(held => held.model) ?? [];
+        const adapters = this.engineState?.adapters.filter(isReady).map(held => asModel(held.adapter)) ?? [];
+        return [...models, ...adapters];
+    }
+
+    get role(): EngineState["role"] {
+        return this.engineState?.role ?? "any";
+    }
+
+    private async run(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            await sleep(this.opts.clock, INTERVAL_MS, this.stopping.signal);
+            await this.check();
+        }
+    }
+
+    private async check(): Promise<void> {
+        const isAlive = await this.probe().catch(() => false);
+        this.failures = isAlive ? 0 : this.failures + 1;
+    }
+
+    private async probe(): Promise<boolean> {
+        if (this.opts.engine !== undefined) {
+            this.engineState = await this.opts.engine.state();
+            return true;
+        }
+        return await this.opts.plain?.isHealthy() ?? false;
+    }
+}
+
+function asModel(adapter: AdapterName): ModelName {
+    return adapter as string as ModelName;
+}
