feat(platform): key-value service over the etcd v3 JSON gateway

Cause: daemons reach the platform's key-value service over HTTP, and its answers can be lost, late or never come. Conclusion: the platform's faults can be caused over real sockets.

--- /dev/null
+++ b/standins/http/src/httpStandin.ts
@@ -0,0 +1,69 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { HttpHandler } from "./httpHandler.js";
+import { sendJson } from "./sendJson.js";
+
+/** An HTTP server whose open connections can be made to go silent for good. */
+export class HttpStandin {
+    private readonly server: Server;
+    private readonly handler: HttpHandler;
+    private readonly open = new Set<Socket>();
+    private readonly silent = new WeakSet<Socket>();
+
+    constructor(opts: { handler: HttpHandler; }) {
+        this.handler = opts.handler;
+        this.server = createServer((request, response) => this.accept(request, response));
+        this.server.keepAliveTimeout = 0;
+        this.server.on("connection", socket => this.track(socket));
+    }
+
+    /** @returns the port */
+    listen(opts: { host: string; port: number; }): Promise<number> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(opts.port, opts.host, () => {
+                this.server.off("error", reject);
+                resolve((this.server.address() as AddressInfo).port);
+            });
+        });
+    }
+
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeAllConnections();
+        });
+    }
+
+    /** From now on the connections that are open neither take requests nor give answers; new ones work. */
+    silenceOpenConnections(): void {
+        this.open.forEach(socket => this.silence(socket));
+    }
+
+    private track(socket: Socket): void {
+        this.open.add(socket);
+        socket.on("error", () => undefined);
+        socket.once("end", () => socket.destroy());
+        socket.once("close", () => this.open.delete(socket));
+    }
+
+    private silence(socket: Socket): void {
+        this.silent.add(socket);
+        socket.write = () => true;
+        socket.end = () => socket;
+    }
+
+    private accept(request: IncomingMessage, response: ServerResponse): void {
+        if (this.silent.has(request.socket)) {
+            return;
+        }
+        const url = new URL(request.url ?? "/", "http://standin");
+        this.handler(request, response, url).catch((error: unknown) => {
+            if (response.headersSent) {
+                response.destroy();
+                return;
+            }
+            sendJson(response, 500, { error: String(error) });
+        });
+    }
+}
--- /dev/null
+++ b/standins/key-value/src/keyValueServer.ts
@@ -0,0 +1,91 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { HttpStandin } from "@knapweedwood/standins.http/httpStandin";
+import { readJson } from "@knapweedwood/standins.http/readJson";
+import { sendJson } from "@knapweedwood/standins.http/sendJson";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { EtcdGateway } from "./etcdGateway.js";
+import { etcdRefusal } from "./etcdRefusal.js";
+import { isAnswerLost } from "./isAnswerLost.js";
+import type { KeyValueFaultOrder } from "./keyValueFaultOrder.js";
+import { MemoryKeyValueService } from "./memoryKeyValueService.js";
+import { streamWatch } from "./streamWatch.js";
+
+const NOT_FOUND_STATUS = 404;
+
+/**
+ * The key-value service as a server: the etcd v3 JSON gateway, `POST /faults` to set faults and `GET /counters`
+ * for the calls so far.
+ */
+export class KeyValueServer {
+    readonly service: MemoryKeyValueService;
+    private readonly gateway: EtcdGateway;
+    private readonly http: HttpStandin;
+
+    constructor(opts: { clock: Clock; }) {
+        this.service = new MemoryKeyValueService(opts);
+        this.gateway = new EtcdGateway(this.service);
+        this.http = new HttpStandin({ handler: (request, response, url) => this.handle(request, response, url) });
+    }
+
+    /** @returns the port */
+    listen(opts: { host: string; port: number; }): Promise<number> {
+        return this.http.listen(opts);
+    }
+
+    async close(): Promise<void> {
+        this.service.close();
+        await this.http.close();
+    }
+
+    applyFaults(order: KeyValueFaultOrder): void {
+        const faults = this.service.faults;
+        faults.outage = order.outage ?? faults.outage;
+        faults.delayMs = order.delayMs ?? faults.delayMs;
+        faults.answerDelayMs = order.answerDelayMs ?? faults.answerDelayMs;
+        if (order.loseAnswers !== undefined) {
+            faults.loseNextAnswers(order.loseAnswers);
+        }
+        if (order.lapseLease !== undefined) {
+            faults.lapseLease(order.lapseLease);
+        }
+        if (order.silentConnections === true) {
+            this.http.silenceOpenConnections();
+        }
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
+        if (url.pathname === "/counters") {
+            sendJson(response, 200, this.service.counters);
+            return;
+        }
+        if (url.pathname === "/faults") {
+            this.applyFaults(await readJson<KeyValueFaultOrder>(request));
+            sendJson(response, 200, {});
+            return;
+        }
+        if (url.pathname === "/v3/watch") {
+            await streamWatch({ service: this.service, body: await readJson(request), response });
+            return;
+        }
+        await this.answer(request, response, url.pathname);
+    }
+
+    private async answer(request: IncomingMessage, response: ServerResponse, path: string): Promise<void> {
+        const call = this.gateway.callOf(path);
+        if (call === undefined) {
+            sendJson(response, NOT_FOUND_STATUS, { code: 5, message: "Not Found" });
+            return;
+        }
+        try {
+            sendJson(response, 200, await call(await readJson(request)));
+        }
+        catch (error) {
+            if (isAnswerLost(error)) {
+                request.socket.destroy();
+                return;
+            }
+            const refusal = etcdRefusal(error);
+            sendJson(response, refusal.statusCode, refusal.error);
+        }
+    }
+}
--- a/standins/key-value/src/memoryKeyValueService.ts
+++ b/standins/key-value/src/memoryKeyValueService.ts
@@ -26,6 +26,7 @@
     private readonly clock: Clock;
     private readonly store: KeyValueStore;
     private readonly history = new ChangeHistory();
+    private readonly closing = new AbortController();
     private readonly watchers = new Set<KeyValueWatcher>();
 
     constructor(opts: { clock: Clock; }) {
@@ -88,8 +89,9 @@
         }
     }
 
-    /** Stops the timers of leases and ends all watches. */
+    /** Stops the timers of leases and of delays, and ends all watches. */
     close(): void {
+        this.closing.abort();
         this.store.close();
         this.watchers.forEach(watcher => watcher.end());
     }
@@ -127,7 +129,7 @@
 
     private async begin(): Promise<void> {
         if (this.faults.delayMs > 0) {
-            await sleep(this.clock, this.faults.delayMs);
+            await sleep(this.clock, this.faults.delayMs, this.closing.signal);
         }
         if (this.faults.outage) {
             throw unavailableError("The key-value service is away.");
@@ -136,7 +138,7 @@
 
     private async answer(): Promise<void> {
         if (this.faults.answerDelayMs > 0) {
-            await sleep(this.clock, this.faults.answerDelayMs);
+            await sleep(this.clock, this.faults.answerDelayMs, this.closing.signal);
         }
     }
 
--- /dev/null
+++ b/standins/key-value/src/toKeyValue.ts
@@ -0,0 +1,13 @@
+import { encodeBytes } from "@knapweedwood/platform.key-value-etcd/encodeBytes";
+import type { EtcdKeyValue } from "@knapweedwood/platform.key-value-etcd/etcdKeyValue";
+import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
+
+/** An entry as etcd sends it. */
+export function toKeyValue(entry: KeyValueEntry): EtcdKeyValue {
+    return {
+        key: encodeBytes(entry.key),
+        value: encodeBytes(entry.value),
+        mod_revision: String(entry.modRevision),
+        lease: entry.leaseId,
+    };
+}
