feat(platform): instance list, weight store and plain service over HTTP

Cause: a full deployment needs the rest of the platform as processes of its own. Change: HttpInstanceList and InstanceListServer, HttpWeightStore and WeightStoreServer, ServiceServer that records each call it ran; each with its faults over HTTP.

--- /dev/null
+++ b/standins/instance-list/src/instanceListFaultOrder.ts
@@ -0,0 +1,8 @@
+/** Body of `POST /faults`: what is left out stays as it is. */
+export interface InstanceListFaultOrder {
+    outage?: boolean;
+    lagMs?: number;
+    ttlMs?: number;
+    /** Makes the connections that are open now go silent for good. */
+    silentConnections?: boolean;
+}
--- /dev/null
+++ b/standins/service/src/serviceServer.ts
@@ -0,0 +1,146 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { HttpStandin } from "@knapweedwood/standins.http/httpStandin";
+import { readBody } from "@knapweedwood/standins.http/readBody";
+import { readJson } from "@knapweedwood/standins.http/readJson";
+import { sendJson } from "@knapweedwood/standins.http/sendJson";
+import { createHash } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { pipeline } from "node:stream/promises";
+import type { ServiceFaultOrder } from "./serviceFaultOrder.js";
+import { ServiceFaults } from "./serviceFaults.js";
+import type { ServiceRecord } from "./serviceRecord.js";
+
+const ERROR_STATUS = 500;
+const UNAVAILABLE_STATUS = 503;
+
+/**
+ * A plain service that echoes what it is sent and records each call that it ran.
+ *
+ * - any path: runs the call, and answers with its method, path, headers and body as JSON
+ * - `/stream`: runs the call, and sends the body back as it arrives
+ * - `/status/CODE`: runs the call, and answers with that status
+ * - `GET /__record`: all calls that ran; `POST /__faults`: sets faults
+ */
+export class ServiceServer {
+    /** Calls that ran, shape [calls]. */
+    readonly record: ServiceRecord[] = [];
+    private readonly clock: Clock;
+    private readonly faults = new ServiceFaults();
+    private readonly onDie: () => void;
+    private readonly http: HttpStandin;
+    private readonly closing = new AbortController();
+
+    /** @param opts.onDie what `dieAfterNextCall` does; by default the process exits */
+    constructor(opts: { clock: Clock; onDie?: () => void; }) {
+        this.clock = opts.clock;
+        this.onDie = opts.onDie ?? (() => process.exit(1));
+        this.http = new HttpStandin({ handler: (request, response, url) => this.handle(request, response, url) });
+    }
+
+    /** @returns the port */
+    listen(opts: { host: string; port: number; }): Promise<number> {
+        return this.http.listen(opts);
+    }
+
+    close(): Promise<void> {
+        this.closing.abort();
+        return this.http.close();
+    }
+
+    applyFaults(order: ServiceFaultOrder): void {
+        this.faults.apply(order);
+        if (order.silentConnections === true) {
+            this.http.silenceOpenConnections();
+        }
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
+        if (url.pathname === "/__record") {
+            sendJson(response, 200, { calls: this.record });
+            return;
+        }
+        if (url.pathname === "/__faults") {
+            this.applyFaults(await readJson<ServiceFaultOrder>(request));
+            sendJson(response, 200, {});
+            return;
+        }
+        if (this.faults.delayMs > 0) {
+            await sleep(this.clock, this.faults.delayMs, this.closing.signal);
+        }
+        if (this.faults.takeRefusal()) {
+            sendJson(response, UNAVAILABLE_STATUS, { error: "The service is busy." });
+            return;
+        }
+        await this.run(request, response, url);
+    }
+
+    private async run(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
+        const record = this.begin(request, url);
+        response.once("finish", () => {
+            record.isAnswered = true;
+        });
+        if (url.pathname === "/stream") {
+            await this.streamBack(request, response, record);
+            return;
+        }
+        const body = await readBody(request);
+        record.bodyDigest = createHash("sha256").update(body).digest("hex");
+        record.bodySizeBytes = body.byteLength;
+        if (this.loseAnswer(request)) {
+            return;
+        }
+        const echo = { method: request.method, path: record.path, headers: request.headers, body: body.toString() };
+        sendJson(response, this.statusOf(url), { ...echo, sequenceNumber: record.sequenceNumber });
+    }
+
+    private begin(request: IncomingMessage, url: URL): ServiceRecord {
+        const record: ServiceRecord = {
+            sequenceNumber: this.record.length,
+            method: request.method ?? "GET",
+            path: `${url.pathname}${url.search}`,
+            idempotencyKey: headerOf(request, "idempotency-key"),
+            marker: headerOf(request, "x-marker"),
+            bodyDigest: "",
+            bodySizeBytes: 0,
+            startedMs: this.clock.nowMs(),
+            isAnswered: false,
+        };
+        this.record.push(record);
+        return record;
+    }
+
+    private async streamBack(request: IncomingMessage, response: ServerResponse, record: ServiceRecord): Promise<void> {
+        const hash = createHash("sha256");
+        response.writeHead(200, { "content-type": request.headers["content-type"] ?? "application/octet-stream" });
+        response.flushHeaders();
+        request.on("data", (chunk: Buffer) => {
+            hash.update(chunk);
+            record.bodySizeBytes += chunk.byteLength;
+        });
+        await pipeline(request, response);
+        record.bodyDigest = hash.digest("hex");
+    }
+
+    private loseAnswer(request: IncomingMessage): boolean {
+        if (this.faults.dieAfterNextCall) {
+            this.onDie();
+            return true;
+        }
+        if (this.faults.takeLostAnswer()) {
+            request.socket.destroy();
+            return true;
+        }
+        return false;
+    }
+
+    private statusOf(url: URL): number {
+        const asked = Number(/^\/status\/(\d{3})$/u.exec(url.pathname)?.[1] ?? 200);
+        return this.faults.takeError() ? ERROR_STATUS : asked;
+    }
+}
+
+function headerOf(request: IncomingMessage, name: string): string | undefined {
+    const value = request.headers[name];
+    return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/standins/service/test/serviceServer.test.ts
@@ -0,0 +1,74 @@
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type IncomingMessage, request as httpRequest } from "node:http";
+import { after, before, test } from "node:test";
+import { ServiceServer } from "../src/serviceServer.js";
+
+let baseUrl = "";
+let deaths = 0;
+const server = new ServiceServer({ clock: new SystemClock(), onDie: () => deaths += 1 });
+
+before(async () => {
+    baseUrl = `http://127.0.0.1:${await server.listen({ host: "127.0.0.1", port: 0 })}`;
+});
+
+after(() => server.close());
+
+function callsWith(marker: string) {
+    return server.record.filter(record => record.marker === marker);
+}
+
+test("a call is echoed and recorded", async () => {
+    const response = await fetch(`${baseUrl}/orders?x=1`, {
+        method: "PUT",
+        headers: { "idempotency-key": "key-1", "x-marker": "echo" },
+        body: "plates",
+    });
+    const echo = await response.json() as { method: string; path: string; body: string; };
+    assert.deepEqual([echo.method, echo.path, echo.body], ["PUT", "/orders?x=1", "plates"]);
+    const { calls } = await (await fetch(`${baseUrl}/__record`)).json() as { calls: typeof server.record; };
+    assert.deepEqual(
+        calls.filter(call => call.marker === "echo").map(call => [call.idempotencyKey, call.bodySizeBytes]),
+        [["key-1", 6]],
+    );
+});
+
+test("a call whose answer is lost ran once; one that is refused did not run", async () => {
+    server.applyFaults({ loseAnswers: 1 });
+    await assert.rejects(fetch(`${baseUrl}/`, { method: "POST", headers: { "x-marker": "lost" }, body: "x" }));
+    assert.deepEqual(callsWith("lost").map(call => call.isAnswered), [false]);
+    server.applyFaults({ refusals: 1 });
+    const refused = await fetch(`${baseUrl}/`, { method: "POST", headers: { "x-marker": "refused" }, body: "x" });
+    assert.equal(refused.status, 503);
+    assert.deepEqual(callsWith("refused"), []);
+});
+
+test("an error and a death come after the call has run", async () => {
+    server.applyFaults({ errors: 1 });
+    const response = await fetch(`${baseUrl}/`, { headers: { "x-marker": "error" } });
+    assert.equal(response.status, 500);
+    assert.equal(callsWith("error").length, 1);
+    server.applyFaults({ dieAfterNextCall: true });
+    const controller = new AbortController();
+    const dying = fetch(`${baseUrl}/`, { headers: { "x-marker": "death" }, signal: controller.signal });
+    while (deaths === 0) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    controller.abort();
+    await assert.rejects(dying);
+    server.applyFaults({ dieAfterNextCall: false });
+    assert.equal(callsWith("death").length, 1);
+});
+
+test("a body is streamed back while it is still being sent", async () => {
+    const request = httpRequest(`${baseUrl}/stream`, { method: "POST" });
+    request.flushHeaders();
+    const [response] = await once(request, "response") as [IncomingMessage];
+    request.write("first");
+    assert.equal(String((await once(response, "data"))[0]), "first");
+    request.write("second");
+    assert.equal(String((await once(response, "data"))[0]), "second");
+    request.end();
+    await once(response, "end");
+});
--- a/standins/weight-store/src/memoryWeightStore.ts
+++ b/standins/weight-store/src/memoryWeightStore.ts
@@ -16,8 +16,9 @@
 export class MemoryWeightStore implements WeightStore {
     /** While true, calls are refused. */
     outage = false;
+    /** Rate of new transfers. Changed at any time by the owner. */
+    bytesPerS: number;
     private readonly clock: Clock;
-    private readonly bytesPerS: number;
     private transfers: Transfer[] = [];
     private reserved = 0;
 
--- /dev/null
+++ b/standins/weight-store/src/weightStoreFaultOrder.ts
@@ -0,0 +1,7 @@
+/** Body of `POST /faults`: what is left out stays as it is. */
+export interface WeightStoreFaultOrder {
+    outage?: boolean;
+    bytesPerS?: number;
+    /** Makes the connections that are open now go silent for good. */
+    silentConnections?: boolean;
+}
