feat: entry dispatcher and side process (in progress)

Cause: the whole path needs a process at each end of the link. Conclusion: to be measured with the whole path.

--- a/api/callers/src/generateRoute.ts
+++ b/api/callers/src/generateRoute.ts
@@ -11,7 +11,6 @@
 import { randomUUID } from "node:crypto";
 import type { CallersApiOptions } from "./callersApiOptions.js";
 import { checkGenerateBody } from "./checkGenerateBody.js";
-import { ChunkObjects } from "./chunkObjects.js";
 import { estimateTokens } from "./estimateTokens.js";
 import { keyedJsonCall } from "./keyedJsonCall.js";
 import type { RequestContext } from "./requestContext.js";
@@ -67,7 +66,7 @@
         request: GenerateRequest,
         used: { tokens: number; },
     ): Promise<JsonObject> {
-        const assembler = new CompletionAssembler({ id: newId(request), nowMs: this.opts.clock.nowMs(), request });
+        const assembler = this.newAssembler(request);
         for await (const event of this.events(context, service, request, used)) {
             assembler.add(event);
         }
@@ -80,7 +79,7 @@
         request: GenerateRequest,
         used: { tokens: number; },
     ): Promise<void> {
-        const chunks = new ChunkObjects({ id: newId(request), nowMs: this.opts.clock.nowMs(), request });
+        const assembler = this.newAssembler(request);
         const stream = new ServerSentEvents(context.response);
         const includeUsage = (request.body["stream_options"] as JsonObject | undefined)?.["include_usage"] === true;
         let hasBegun = false;
@@ -90,10 +89,10 @@
                     hasBegun = true;
                     stream.begin();
                 }
-                await stream.send(chunks.chunk(event), context.signal);
-                if (event.kind === "finish" && includeUsage) {
-                    await stream.send(chunks.usage(event), context.signal);
-                }
+                await stream.send(assembler.add(event), context.signal);
+            }
+            if (includeUsage) {
+                await stream.send([assembler.usageChunk()], context.signal);
             }
             stream.end();
         }
@@ -107,6 +106,10 @@
         }
     }
 
+    private newAssembler(request: GenerateRequest): CompletionAssembler {
+        return new CompletionAssembler({ request, answerId: randomUUID(), createdAtMs: this.opts.clock.nowMs() });
+    }
+
     /** Yields the events up to the finish; throws where a stream ends without one. */
     private async *events(
         context: RequestContext,
@@ -132,7 +135,3 @@
         throw new KnapweedError("STREAM_CUT", "The upstream's answer ended early", { outcome: "unknown" });
     }
 }
-
-function newId(request: GenerateRequest): string {
-    return `${request.endpoint === "/v1/chat/completions" ? "chatcmpl" : "cmpl"}-${randomUUID()}`;
-}
--- a/api/callers/src/serverSentEvents.ts
+++ b/api/callers/src/serverSentEvents.ts
@@ -18,8 +18,9 @@
         });
     }
 
-    async send(data: object, signal: AbortSignal): Promise<void> {
-        await this.write(`data: ${JSON.stringify(data)}\n\n`, signal);
+    /** @param events JSON objects, an event each, shape [events] */
+    async send(events: object[], signal: AbortSignal): Promise<void> {
+        await this.write(events.map(data => `data: ${JSON.stringify(data)}\n\n`).join(""), signal);
     }
 
     end(): void {
--- /dev/null
+++ b/daemons/common/src/createObservers.ts
@@ -0,0 +1,30 @@
+import type { EntrySettings } from "@knapweedwood/config.settings/entrySettings";
+import type { SideSettings } from "@knapweedwood/config.settings/sideSettings";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { JsonLogger } from "@knapweedwood/observability.logs/jsonLogger";
+import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
+import { StatsdMetrics } from "@knapweedwood/observability.metrics/statsdMetrics";
+import { silentTracer } from "@knapweedwood/observability.traces/silentTracer";
+import type { Tracer } from "@knapweedwood/observability.traces/tracer";
+import type { Observers } from "./observers.js";
+
+/** Logger, metrics and tracer, as the settings say. */
+export async function createObservers(settings: EntrySettings | SideSettings, clock: Clock): Promise<Observers> {
+    const { instanceId, zone } = settings;
+    return {
+        logger: new JsonLogger({ clock, level: settings.logs.level, fields: { instanceId, zone } }),
+        metrics: settings.metrics === undefined
+            ? silentMetrics
+            : new StatsdMetrics({ ...settings.metrics, tags: { instance: instanceId, zone } }),
+        tracer: await createTracer(settings),
+    };
+}
+
+/** OpenTelemetry is loaded only where traces are wanted, for its memory. */
+async function createTracer(settings: EntrySettings | SideSettings): Promise<Tracer> {
+    if (settings.traces === undefined) {
+        return silentTracer;
+    }
+    const { OpenTelemetryTracer } = await import("@knapweedwood/observability.traces/openTelemetryTracer");
+    return new OpenTelemetryTracer({ instanceId: settings.instanceId, ...settings.traces });
+}
--- /dev/null
+++ b/daemons/common/src/observers.ts
@@ -0,0 +1,10 @@
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { Tracer } from "@knapweedwood/observability.traces/tracer";
+
+/** Where a process reports what it does. */
+export interface Observers {
+    logger: Logger;
+    metrics: Metrics;
+    tracer: Tracer;
+}
--- /dev/null
+++ b/daemons/common/src/settingsFileOf.ts
@@ -0,0 +1,11 @@
+import { parseArgs } from "node:util";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+
+/** The settings file that the command line names: `--settings FILE`. Throws `SETTINGS_MISSING`. */
+export function settingsFileOf(commandLine: string[]): string {
+    const { values } = parseArgs({ args: commandLine, options: { settings: { type: "string" } } });
+    if (values.settings === undefined) {
+        throw new KnapweedError("SETTINGS_MISSING", "No settings file is named", { hint: "Use --settings FILE" });
+    }
+    return values.settings;
+}
--- /dev/null
+++ b/daemons/entry/src/generationProgress.ts
@@ -0,0 +1,35 @@
+import type { GenerateEvent } from "@knapweedwood/engines.model-engine/generateEvent";
+import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
+
+/** What a generation has produced so far, so that it can go on at another upstream. */
+export class GenerationProgress {
+    private readonly original: GenerateRequest;
+    private text = "";
+    private tokenCount = 0;
+    private isPlainText = true;
+
+    constructor(request: GenerateRequest) {
+        this.original = request;
+    }
+
+    /** Whether the rest can be generated elsewhere: not where choices carried more than text. */
+    get isResumable(): boolean {
+        return this.isPlainText;
+    }
+
+    add(event: GenerateEvent): void {
+        if (event.kind === "finish") {
+            return;
+        }
+        this.text += event.text;
+        this.tokenCount += event.tokenCount;
+        this.isPlainText &&= event.choice === undefined;
+    }
+
+    /** The request for what is left. */
+    request(): GenerateRequest {
+        return this.tokenCount === 0
+            ? this.original
+            : { ...this.original, resumeFrom: { text: this.text, tokenCount: this.tokenCount } };
+    }
+}
--- /dev/null
+++ b/daemons/entry/src/sideHandle.ts
@@ -0,0 +1,17 @@
+import type { SideStatus } from "@knapweedwood/daemons.inference/sideStatus";
+import type { Link } from "@knapweedwood/links.calls/link";
+import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+
+/** A side that this entry is linked to. */
+export interface SideHandle {
+    record: InstanceRecord;
+    link: Link;
+    /** As the side last said; undefined until it has. */
+    status: SideStatus | undefined;
+    /** When the status arrived, in milliseconds. */
+    statusAtMs: number;
+    /** Calls that this entry has in progress there. */
+    inFlight: number;
+    /** When the side was first seen, in milliseconds. */
+    joinedAtMs: number;
+}
--- /dev/null
+++ b/daemons/side/src/sideProcess.ts
@@ -0,0 +1,203 @@
+import { Gate } from "@knapweedwood/admission.gate/gate";
+import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
+import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
+import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
+import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { RegionName } from "@knapweedwood/core.ids/regionName";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import type { SideStatus } from "@knapweedwood/daemons.inference/sideStatus";
+import { HttpModelEngine } from "@knapweedwood/engines.model-engine/httpModelEngine";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
+import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
+import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import { CallHandlers } from "./callHandlers.js";
+import { PlainUpstream } from "./plainUpstream.js";
+import type { SideProcessOptions } from "./sideProcessOptions.js";
+import { StatusReporter } from "./statusReporter.js";
+import { UpstreamMonitor } from "./upstreamMonitor.js";
+
+const DRAIN_CHECK_MS = 20;
+/** Entries stop sending on the status; the pause covers calls that were on their way. */
+const LEAVE_PAUSE_MS = 200;
+
+/** The process beside one upstream: the one gate in front of it. */
+export class SideProcess {
+    private readonly opts: SideProcessOptions;
+    private readonly service: ServiceName;
+    private readonly endpoint: WebSocketLinkEndpoint;
+    private readonly watcher: InstanceWatcher;
+    private readonly configuration: DistributedConfiguration;
+    private readonly engine: HttpModelEngine | undefined;
+    private readonly plain: PlainUpstream | undefined;
+    private readonly gate: Gate | undefined;
+    private readonly monitor: UpstreamMonitor;
+    private readonly handlers: CallHandlers;
+    private readonly reporter: StatusReporter;
+    private announcer: InstanceAnnouncer | undefined;
+    private isLeaving = false;
+
+    constructor(opts: SideProcessOptions) {
+        this.opts = opts;
+        const { settings, clock, random, logger, metrics, instanceList, tracer } = opts;
+        this.service = settings.service as ServiceName;
+        const identity = identityOf(opts);
+        this.endpoint = new WebSocketLinkEndpoint({
+            identity,
+            clock,
+            host: settings.link.host,
+            port: settings.link.port,
+            tls: settings.link.tls,
+            logger,
+            metrics,
+        });
+        this.watcher = new InstanceWatcher({ instanceList, clock, random, logger });
+        this.configuration = new DistributedConfiguration({
+            identity,
+            clock,
+            random,
+            keyValue: undefined,
+            instanceList,
+            endpoint: this.endpoint,
+            logger,
+            metrics,
+        });
+        const isEngine = settings.upstream.kind === "model-engine";
+        this.engine = isEngine ? new HttpModelEngine({ baseUrl: settings.upstream.url }) : undefined;
+        this.plain = isEngine ? undefined : new PlainUpstream({ url: settings.upstream.url });
+        this.gate = this.engine === undefined ? undefined : this.createGate(this.engine);
+        this.monitor = new UpstreamMonitor({ engine: this.engine, plain: this.plain, clock });
+        this.handlers = new CallHandlers({
+            endpoint: this.endpoint,
+            tracer,
+            service: settings.service,
+            engine: this.engine,
+            gate: this.gate,
+            plain: this.plain,
+            isLeaving: () => this.isLeaving,
+        });
+        this.reporter = new StatusReporter({ endpoint: this.endpoint, clock, status: () => this.status() });
+        this.endpoint.receive(cancelJobNotification, ({ jobId }) => this.gate?.cancelJob(jobId));
+        this.configuration.subscribe(view => this.applyService(view.service(this.service)));
+    }
+
+    /** @returns the address of this side's links, as `host:port` */
+    async start(): Promise<string> {
+        const address = await this.endpoint.listen();
+        await this.watcher.start();
+        await this.monitor.start();
+        await this.configuration.start();
+        this.gate?.start();
+        this.reporter.start();
+        this.announcer = this.createAnnouncer(address);
+        await this.announcer.start();
+        this.opts.logger.info("side.started", { address, service: this.service });
+        return address;
+    }
+
+    /** Stops in order: no new work, calls in progress end, batch items go back, then the links close. */
+    async stop(): Promise<void> {
+        const { clock, logger, settings } = this.opts;
+        this.isLeaving = true;
+        this.reporter.send();
+        await this.announcer?.leave();
+        await sleep(clock, LEAVE_PAUSE_MS);
+        await this.gate?.leave();
+        await this.drain(settings.shutdownGraceMs);
+        await this.announcer?.stop();
+        await this.reporter.stop();
+        await this.configuration.stop();
+        await this.watcher.stop();
+        await this.monitor.stop();
+        await this.endpoint.close();
+        await this.plain?.close();
+        logger.info("side.stopped");
+    }
+
+    private async drain(graceMs: number): Promise<void> {
+        const { clock } = this.opts;
+        const endMs = clock.nowMs() + graceMs;
+        while (this.handlers.runningCalls > 0 && clock.nowMs() < endMs) {
+            await sleep(clock, DRAIN_CHECK_MS);
+        }
+    }
+
+    private createGate(engine: HttpModelEngine): Gate {
+        const { clock, random, logger, metrics } = this.opts;
+        return new Gate({
+            engine,
+            clock,
+            logger,
+            metrics,
+            batchSource: new LinkBatchSource({
+                endpoint: this.endpoint,
+                entries: () =>
+                    this.watcher.current()
+                        .filter(record => record.kind === "entry" && record.state === "live")
+                        .map(record => record.address),
+                service: this.service,
+                clock,
+                random,
+            }),
+        });
+    }
+
+    private createAnnouncer(address: string): InstanceAnnouncer {
+        const { settings, instanceList, clock, logger } = this.opts;
+        return new InstanceAnnouncer({
+            instanceList,
+            clock,
+            logger,
+            record: {
+                instanceId: settings.instanceId as InstanceId,
+                kind: "side",
+                region: settings.region as RegionName,
+                zone: settings.zone as ZoneName,
+                address,
+                state: "live",
+                service: this.service,
+                hasDataFolder: false,
+            },
+        });
+    }
+
+    private applyService(service: ServiceDefinition | undefined): void {
+        if (service !== undefined) {
+            this.gate?.setObjective({
+                tokenGapObjectiveMs: service.tokenGapObjectiveMs,
+                batchBalance: service.batchBalance,
+            });
+        }
+    }
+
+    private status(): SideStatus {
+        const load = this.gate?.load();
+        return {
+            instanceId: this.opts.settings.instanceId as InstanceId,
+            service: this.service,
+            state: this.isLeaving ? "leaving" : "live",
+            isHealthy: this.monitor.isHealthy,
+            models: this.monitor.readyModels,
+            role: this.monitor.role,
+            onlineRunning: load?.onlineRunning ?? this.handlers.runningCalls,
+            onlineQueued: load?.onlineQueued ?? 0,
+            batchRunning: load?.batchRunning ?? 0,
+            batchQueued: load?.batchQueued ?? 0,
+            revision: this.configuration.current()?.revision ?? 0,
+        };
+    }
+}
+
+function identityOf(opts: SideProcessOptions): PeerIdentity {
+    return {
+        instanceId: opts.settings.instanceId as InstanceId,
+        incarnation: Math.floor(opts.clock.nowMs()) as Incarnation,
+        kind: "side",
+        zone: opts.settings.zone as ZoneName,
+        region: opts.settings.region as RegionName,
+    };
+}
