feat: publish configurations as content-addressed chunks under one root

Cause: operators race one another, answers get lost, and 19,000 teams must not move on each change. Change: service files are checked together with file, line and path; records hang in two levels of chunks below a root that is swapped; disjoint publishes merge, others get PUBLISH_CONFLICT; a lost answer is settled by the change id.

--- /dev/null
+++ b/config/configuration/src/checkConfiguration.ts
@@ -0,0 +1,92 @@
+import type { ConfigurationProblem } from "./configurationProblem.js";
+import type { Limits } from "./limits.js";
+import type { ServiceDefinition } from "./serviceDefinition.js";
+import type { TeamDefinition } from "./teamDefinition.js";
+
+const LIMIT_FIELDS = ["requestsPerSecond", "tokensPerSecond", "concurrency"] as const;
+
+/**
+ * Checks the rules that span several definitions.
+ *
+ * @returns every problem found, shape [problems]
+ */
+export function checkConfiguration(
+    opts: { services: readonly ServiceDefinition[]; teams: readonly Pick<TeamDefinition, "teamId" | "limits">[]; },
+): ConfigurationProblem[] {
+    const limitsByTeam = new Map<string, Limits>(opts.teams.map(team => [team.teamId, team.limits]));
+    return [
+        ...opts.services.flatMap(service => unknownTeams(service, limitsByTeam)),
+        ...opts.services.flatMap(service => limitsOverQuota(service, limitsByTeam)),
+        ...modelsOfferedTwice(opts.services),
+        ...opts.services.flatMap(modelsOfWrongKind),
+    ];
+}
+
+function unknownTeams(service: ServiceDefinition, teams: Map<string, Limits>): ConfigurationProblem[] {
+    const owner = teams.has(service.team)
+        ? []
+        : [problem(service, ["team"], `expected a team that is defined; there is no team "${service.team}"`)];
+    const callers = (service.callableBy ?? [])
+        .map((team, index) => ({ team, index }))
+        .filter(caller => !teams.has(caller.team))
+        .map(caller =>
+            problem(service, ["callableBy", caller.index], `expected a team that is defined, got "${caller.team}"`)
+        );
+    return [...owner, ...callers];
+}
+
+function limitsOverQuota(service: ServiceDefinition, teams: Map<string, Limits>): ConfigurationProblem[] {
+    const quota = teams.get(service.team) ?? {};
+    return LIMIT_FIELDS
+        .filter(field => (service.limits[field] ?? 0) > (quota[field] ?? Infinity))
+        .map(field =>
+            problem(
+                service,
+                ["limits", field],
+                `expected at most the quota of team "${service.team}", ${String(quota[field])}; got ${
+                    String(service.limits[field])
+                }`,
+            )
+        );
+}
+
+function modelsOfferedTwice(services: readonly ServiceDefinition[]): ConfigurationProblem[] {
+    const firstOffer = new Map<string, ServiceDefinition>();
+    return services.flatMap(service =>
+        service.models.flatMap((model, modelIndex) =>
+            [
+                { name: model.name as string, path: ["models", modelIndex, "name"] },
+                ...model.adapters.map((adapter, index) => ({
+                    name: adapter.name as string,
+                    path: ["models", modelIndex, "adapters", index, "name"],
+                })),
+            ].flatMap(offer => {
+                const earlier = firstOffer.get(offer.name);
+                firstOffer.set(offer.name, earlier ?? service);
+                return earlier === undefined
+                    ? []
+                    : [
+                        problem(
+                            service,
+                            offer.path,
+                            `model or adapter "${offer.name}" is offered twice; service "${earlier.name}" offers it too`,
+                        ),
+                    ];
+            })
+        )
+    );
+}
+
+function modelsOfWrongKind(service: ServiceDefinition): ConfigurationProblem[] {
+    if (service.kind === "plain" && service.models.length > 0) {
+        return [problem(service, ["models"], "expected no models for a service of kind plain")];
+    }
+    if (service.kind === "model-engine" && service.models.length === 0) {
+        return [problem(service, ["models"], "expected at least one model for a service of kind model-engine")];
+    }
+    return [];
+}
+
+function problem(service: ServiceDefinition, path: (string | number)[], message: string): ConfigurationProblem {
+    return { recordKey: `service/${service.name}`, path, message };
+}
--- /dev/null
+++ b/config/publishing/src/configurationPublisher.ts
@@ -0,0 +1,254 @@
+import { checkConfiguration } from "@knapweedwood/config.configuration/checkConfiguration";
+import type { ConfigurationView } from "@knapweedwood/config.configuration/configurationView";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { Revision } from "@knapweedwood/core.ids/revision";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { ConfigurationChange } from "./configurationChange.js";
+import { ConfigurationStore } from "./configurationStore.js";
+import { ConfigurationTree } from "./configurationTree.js";
+import { differenceOf } from "./differenceOf.js";
+import type { HistoryEntry } from "./historyEntry.js";
+import type { LoadedConfiguration } from "./loadedConfiguration.js";
+import { PublishConflict } from "./publishConflict.js";
+import type { PublishRequest } from "./publishRequest.js";
+import type { PublishResult } from "./publishResult.js";
+import type { RecordDifference } from "./recordDifference.js";
+import type { TreeChange } from "./treeChange.js";
+import { viewOfTree } from "./viewOfTree.js";
+
+const MAX_SWAP_ATTEMPTS = 50;
+const RETRY_DELAY_MS = 20;
+const SETTLE_DELAY_MS = 200;
+const SETTLE_TIMEOUT_MS = 10_000;
+const HISTORY_CHANGES_NAMED = 50;
+const DEFAULT_HISTORY_LIMIT = 50;
+const FIRST_REVISION = 1 as Revision;
+const INVALID_STATUS_CODE = 400;
+const UNAVAILABLE_STATUS_CODE = 503;
+
+/** Publishes configurations: checks, merges, swaps the root, and settles lost answers by reading. */
+export class ConfigurationPublisher {
+    private readonly clock: Clock;
+    private readonly createChangeId: () => string;
+    private readonly store: ConfigurationStore;
+
+    /** @param opts.createChangeId gives an id that no other publish has, such as a random UUID */
+    constructor(opts: { keyValue: KeyValueService; clock: Clock; createChangeId: () => string; }) {
+        this.clock = opts.clock;
+        this.createChangeId = opts.createChangeId;
+        this.store = new ConfigurationStore(opts);
+    }
+
+    /** The newest configuration in the key-value service; undefined before the first publish. */
+    async current(): Promise<ConfigurationView | undefined> {
+        const loaded = await this.store.load();
+        return loaded.root === undefined ? undefined : viewOfTree(loaded.root, loaded.tree);
+    }
+
+    /**
+     * Publishes changes as one new revision.
+     *
+     * Throws `PublishConflict` where someone else changed one of the records since `baseRevision` (or since the
+     * call began), `CONFIGURATION_INVALID` where the result breaks a rule, and `PUBLISH_UNKNOWN` with outcome
+     * `unknown` where an answer was lost and the key-value service stays away.
+     */
+    async publish(request: PublishRequest): Promise<PublishResult> {
+        let seen: ConfigurationTree | undefined;
+        const changeId = this.createChangeId();
+        for (let attempt = 0; attempt < MAX_SWAP_ATTEMPTS; attempt += 1) {
+            const loaded = await this.store.load();
+            seen ??= await this.treeSeen(request, loaded);
+            const planned = plan(request.changes, loaded);
+            const conflicts = conflictsOf(planned.difference, seen, loaded.tree);
+            if (conflicts.length > 0) {
+                throw new PublishConflict(conflicts);
+            }
+            check(planned.change.tree);
+            if (request.dryRun === true || planned.difference.length === 0) {
+                return resultOf(loaded.root, planned.difference, false);
+            }
+            const history = this.historyOf({ request, changeId, ...planned });
+            if (await this.swapSettled({ modRevision: loaded.modRevision, change: planned.change, history })) {
+                return resultOf(history.root, planned.difference, true);
+            }
+            await sleep(this.clock, RETRY_DELAY_MS);
+        }
+        throw new KnapweedError("PUBLISH_CONTENDED", "Other publishes kept coming first", {
+            outcome: "not-run",
+            statusCode: UNAVAILABLE_STATUS_CODE,
+        });
+    }
+
+    /** Publishes the records of an earlier revision as a new, higher one. */
+    async rollback(opts: { revision: Revision; actor: string; dryRun?: boolean; }): Promise<PublishResult> {
+        const target = await this.store.loadRevision(opts.revision);
+        const loaded = await this.store.load();
+        return this.publish({
+            actor: opts.actor,
+            message: `rollback to ${String(opts.revision)}`,
+            changes: differenceOf(loaded.tree, target).map(toChange),
+            ...(loaded.root === undefined ? {} : { baseRevision: loaded.root.revision }),
+            ...(opts.dryRun === undefined ? {} : { dryRun: opts.dryRun }),
+        });
+    }
+
+    /** Audit records, newest first. */
+    async history(opts: { limit?: number; } = {}): Promise<HistoryEntry[]> {
+        const { root } = await this.store.load();
+        return root === undefined
+            ? []
+            : this.store.history({ newest: root.revision, limit: opts.limit ?? DEFAULT_HISTORY_LIMIT });
+    }
+
+    /** The records that differ between two revisions. */
+    async difference(from: Revision, to: Revision): Promise<RecordDifference[]> {
+        return differenceOf(await this.store.loadRevision(from), await this.store.loadRevision(to));
+    }
+
+    private async treeSeen(request: PublishRequest, loaded: LoadedConfiguration): Promise<ConfigurationTree> {
+        return request.baseRevision === undefined || request.baseRevision === loaded.root?.revision
+            ? loaded.tree
+            : this.store.loadRevision(request.baseRevision);
+    }
+
+    private historyOf(
+        opts: {
+            request: PublishRequest;
+            changeId: string;
+            change: TreeChange;
+            difference: RecordDifference[];
+            revision: Revision;
+        },
+    ): HistoryEntry {
+        return {
+            root: {
+                revision: opts.revision,
+                digest: opts.change.tree.digest(),
+                changeId: opts.changeId,
+                publishedAtMs: Math.round(this.clock.nowMs()),
+                groups: opts.change.tree.groupReferences(),
+            },
+            actor: opts.request.actor,
+            message: opts.request.message ?? "",
+            changes: opts.difference
+                .slice(0, HISTORY_CHANGES_NAMED)
+                .map(changed => ({ recordKey: changed.recordKey, kind: changed.kind })),
+            changeCount: opts.difference.length,
+            replaced: opts.change.replaced,
+        };
+    }
+
+    /** Swaps; where the answer is lost, finds out by reading whether the swap took effect. */
+    private async swapSettled(
+        opts: { modRevision: number; change: TreeChange; history: HistoryEntry; },
+    ): Promise<boolean> {
+        try {
+            return await this.store.swap(opts);
+        }
+        catch (thrown) {
+            if (!(thrown instanceof KnapweedError) || thrown.outcome !== "unknown") {
+                throw thrown;
+            }
+            return this.settle(opts);
+        }
+    }
+
+    /**
+     * Repeats the swap under the same change id until an answer arrives. Either it takes effect now, or the root has
+     * moved, and the audit record of the revision says whose change moved it.
+     */
+    private async settle(
+        opts: { modRevision: number; change: TreeChange; history: HistoryEntry; },
+    ): Promise<boolean> {
+        const { root } = opts.history;
+        const deadlineMs = this.clock.nowMs() + SETTLE_TIMEOUT_MS;
+        while (this.clock.nowMs() < deadlineMs) {
+            await sleep(this.clock, SETTLE_DELAY_MS);
+            const settled = await this.trySettle(opts);
+            if (settled !== undefined) {
+                return settled;
+            }
+        }
+        throw new KnapweedError(
+            "PUBLISH_UNKNOWN",
+            `Whether revision ${String(root.revision)} was published is unknown`,
+            {
+                outcome: "unknown",
+                statusCode: UNAVAILABLE_STATUS_CODE,
+                hint: `Look for change ${root.changeId} in the history once the key-value service is back.`,
+            },
+        );
+    }
+
+    private async trySettle(
+        opts: { modRevision: number; change: TreeChange; history: HistoryEntry; },
+    ): Promise<boolean | undefined> {
+        try {
+            if (await this.store.swap(opts)) {
+                return true;
+            }
+            const entry = await this.store.historyEntry(opts.history.root.revision);
+            return entry?.root.changeId === opts.history.root.changeId;
+        }
+        catch {
+            return undefined;
+        }
+    }
+}
+
+function plan(
+    changes: ConfigurationChange[],
+    loaded: LoadedConfiguration,
+): { change: TreeChange; difference: RecordDifference[]; revision: Revision; } {
+    const revision = loaded.root === undefined ? FIRST_REVISION : (loaded.root.revision + 1) as Revision;
+    const change = loaded.tree.apply(changes, revision);
+    return { change, difference: differenceOf(loaded.tree, change.tree), revision };
+}
+
+/** Changes of others to records that this publish would change as well; who wants what is there already has none. */
+function conflictsOf(
+    wanted: RecordDifference[],
+    seen: ConfigurationTree,
+    current: ConfigurationTree,
+): RecordDifference[] {
+    const touched = new Set(wanted.map(difference => difference.recordKey));
+    return differenceOf(seen, current).filter(difference => touched.has(difference.recordKey));
+}
+
+function check(tree: ConfigurationTree): void {
+    const records = tree.records();
+    const problems = checkConfiguration({
+        services: records.flatMap(record => record.kind === "service" ? [record.service] : []),
+        teams: records.flatMap(record => record.kind === "team" ? [record.team] : []),
+    });
+    const [first] = problems;
+    if (first !== undefined) {
+        const lines = problems.map(problem => `${problem.recordKey} ${problem.path.join(".")}: ${problem.message}`);
+        throw new KnapweedError("CONFIGURATION_INVALID", lines.join("\n"), {
+            outcome: "not-run",
+            statusCode: INVALID_STATUS_CODE,
+            parameter: `${first.recordKey}.${first.path.join(".")}`,
+        });
+    }
+}
+
+function toChange(difference: RecordDifference): ConfigurationChange {
+    return difference.after === undefined
+        ? { kind: "remove", recordKey: difference.recordKey }
+        : { kind: "put", record: difference.after };
+}
+
+function resultOf(
+    root: HistoryEntry["root"] | undefined,
+    difference: RecordDifference[],
+    published: boolean,
+): PublishResult {
+    return {
+        revision: root?.revision ?? (0 as Revision),
+        digest: root?.digest ?? "",
+        difference,
+        published,
+    };
+}
--- /dev/null
+++ b/config/publishing/src/configurationStore.ts
@@ -0,0 +1,129 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { Revision } from "@knapweedwood/core.ids/revision";
+import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import { configurationKeys } from "./configurationKeys.js";
+import type { ConfigurationRoot } from "./configurationRoot.js";
+import { ConfigurationTree } from "./configurationTree.js";
+import type { HistoryEntry } from "./historyEntry.js";
+import { KeyValueChunkSource } from "./keyValueChunkSource.js";
+import type { LoadedConfiguration } from "./loadedConfiguration.js";
+import { loadTree } from "./loadTree.js";
+import type { TreeChange } from "./treeChange.js";
+
+const MAX_OPERATIONS_PER_TRANSACTION = 64;
+const NOT_FOUND_STATUS_CODE = 404;
+/** Revisions whose chunks are kept, so that they can be rolled back to. */
+const ROLLBACK_WINDOW_REVISIONS = 1000;
+/** Revisions whose audit record is kept. */
+const HISTORY_WINDOW_REVISIONS = 20_000;
+
+/** The configuration as it lies in the key-value service. */
+export class ConfigurationStore {
+    private readonly keyValue: KeyValueService;
+    private readonly source: KeyValueChunkSource;
+    private newest: ConfigurationTree = ConfigurationTree.empty;
+
+    constructor(opts: { keyValue: KeyValueService; }) {
+        this.keyValue = opts.keyValue;
+        this.source = new KeyValueChunkSource(opts);
+    }
+
+    /** Reads the newest revision, fetching only the chunks that an earlier call has not. */
+    async load(): Promise<LoadedConfiguration> {
+        const entry = await this.keyValue.get(configurationKeys.root);
+        if (entry === undefined) {
+            return { root: undefined, tree: ConfigurationTree.empty, modRevision: 0 };
+        }
+        const root = decode<ConfigurationRoot>(entry);
+        const tree = await loadTree({ root, source: this.source, known: this.newest });
+        this.newest = tree;
+        return { root, tree, modRevision: entry.modRevision };
+    }
+
+    /** Reads a revision within the rollback window. Throws `REVISION_NOT_FOUND` for others. */
+    async loadRevision(revision: Revision): Promise<ConfigurationTree> {
+        const entry = await this.historyEntry(revision);
+        if (entry === undefined) {
+            throw revisionNotFound(revision);
+        }
+        try {
+            return await loadTree({ root: entry.root, source: this.source, known: this.newest });
+        }
+        catch (thrown) {
+            throw thrown instanceof KnapweedError && thrown.code === "ERR_KNAPWEED_CHUNK_NOT_FOUND"
+                ? revisionNotFound(revision)
+                : thrown;
+        }
+    }
+
+    async historyEntry(revision: Revision): Promise<HistoryEntry | undefined> {
+        const entry = await this.keyValue.get(configurationKeys.history(revision));
+        return entry === undefined ? undefined : decode<HistoryEntry>(entry);
+    }
+
+    /** Audit records, newest first, shape [0..limit]. */
+    async history(opts: { newest: Revision; limit: number; }): Promise<HistoryEntry[]> {
+        const afterKey = configurationKeys.history(Math.max(0, opts.newest - opts.limit) as Revision);
+        const entries = await this.keyValue.list(configurationKeys.historyPrefix, { limit: opts.limit, afterKey });
+        return entries.map(entry => decode<HistoryEntry>(entry)).reverse();
+    }
+
+    /**
+     * Swaps the root and writes what belongs to it.
+     *
+     * @returns whether the root was still the one of `modRevision`
+     */
+    async swap(opts: { modRevision: number; change: TreeChange; history: HistoryEntry; }): Promise<boolean> {
+        const { root } = opts.history;
+        const chunks = opts.change.written.map(chunk => put(configurationKeys.chunk(chunk.reference), chunk.text));
+        const expired = await this.expiredChunkOperations(root.revision);
+        const ahead = chunks.splice(0, Math.max(0, chunks.length + expired.length - MAX_OPERATIONS_PER_TRANSACTION));
+        for (let start = 0; start < ahead.length; start += MAX_OPERATIONS_PER_TRANSACTION) {
+            await this.keyValue.transact([], ahead.slice(start, start + MAX_OPERATIONS_PER_TRANSACTION));
+        }
+        const result = await this.keyValue.transact(
+            [{ key: configurationKeys.root, modRevision: opts.modRevision }],
+            [
+                ...chunks,
+                ...expired.slice(0, MAX_OPERATIONS_PER_TRANSACTION),
+                put(configurationKeys.root, JSON.stringify(root)),
+                put(configurationKeys.history(root.revision), JSON.stringify(opts.history)),
+            ],
+        );
+        if (result.succeeded) {
+            this.newest = opts.change.tree;
+        }
+        return result.succeeded;
+    }
+
+    private async expiredChunkOperations(revision: Revision): Promise<KeyValueOperation[]> {
+        const expired = (revision - ROLLBACK_WINDOW_REVISIONS) as Revision;
+        const entry = expired <= 0 ? undefined : await this.historyEntry(expired);
+        const oldest = (revision - HISTORY_WINDOW_REVISIONS) as Revision;
+        return [
+            ...(oldest <= 0 ? [] : [{ kind: "delete" as const, key: configurationKeys.history(oldest) }]),
+            ...(entry?.replaced ?? []).map(reference => ({
+                kind: "delete" as const,
+                key: configurationKeys.chunk(reference),
+            })),
+        ];
+    }
+}
+
+function decode<Value>(entry: KeyValueEntry): Value {
+    return JSON.parse(new TextDecoder().decode(entry.value)) as Value;
+}
+
+function put(key: string, text: string): KeyValueOperation {
+    return { kind: "put", key, value: new TextEncoder().encode(text) };
+}
+
+function revisionNotFound(revision: Revision): KnapweedError {
+    return new KnapweedError("REVISION_NOT_FOUND", `Revision ${String(revision)} is not kept`, {
+        outcome: "not-run",
+        statusCode: NOT_FOUND_STATUS_CODE,
+        hint: "`knapweed config history` lists the revisions that are.",
+    });
+}
--- /dev/null
+++ b/config/publishing/src/configurationTree.ts
@@ -0,0 +1,131 @@
+import { digestOf } from "@knapweedwood/core.hashing/digestOf";
+import type { Revision } from "@knapweedwood/core.ids/revision";
+import { changeKeyOf } from "./changeKeyOf.js";
+import type { ChunkReference } from "./chunkReference.js";
+import { chunkReferenceOf } from "./chunkReferenceOf.js";
+import type { ConfigurationChange } from "./configurationChange.js";
+import type { ConfigurationRecord } from "./configurationRecord.js";
+import { groupBy } from "./groupBy.js";
+import type { RecordKey } from "./recordKey.js";
+import { recordKeyOf } from "./recordKeyOf.js";
+import type { TreeBucket } from "./treeBucket.js";
+import type { TreeChange } from "./treeChange.js";
+import type { TreeGroup } from "./treeGroup.js";
+
+const GROUP_COUNT = 32;
+const BUCKETS_PER_GROUP = 32;
+const DIGEST_CHARACTERS = 8;
+const HEXADECIMAL = 16;
+const NO_CHUNK = "" as ChunkReference;
+
+/**
+ * The records of one revision, in two levels of chunks: a change of one record writes one bucket and one group,
+ * however many records there are. Immutable; revisions share the parts that did not change.
+ */
+export class ConfigurationTree {
+    static readonly empty = new ConfigurationTree(Array.from({ length: GROUP_COUNT }, () => emptyGroup()));
+
+    /** Shape [GROUP_COUNT]. */
+    readonly groups: readonly TreeGroup[];
+
+    constructor(groups: readonly TreeGroup[]) {
+        this.groups = groups;
+    }
+
+    /** References of the groups, shape [GROUP_COUNT]. */
+    groupReferences(): ChunkReference[] {
+        return this.groups.map(group => group.reference);
+    }
+
+    digest(): string {
+        return digestOf(JSON.stringify(this.groupReferences()));
+    }
+
+    records(): ConfigurationRecord[] {
+        return this.groups.flatMap(group => group.buckets.flatMap(bucket => bucket.records));
+    }
+
+    record(key: RecordKey): ConfigurationRecord | undefined {
+        const { groupIndex, bucketIndex } = placeOf(key);
+        return this.groups[groupIndex]?.buckets[bucketIndex]?.records.find(record => recordKeyOf(record) === key);
+    }
+
+    /** Texts of all chunks that the tree holds. */
+    chunks(): { reference: ChunkReference; text: string; }[] {
+        return this.groups
+            .flatMap(group => [
+                { reference: group.reference, text: groupText(group.buckets) },
+                ...group.buckets.map(bucket => ({ reference: bucket.reference, text: bucketText(bucket.records) })),
+            ])
+            .filter(chunk => chunk.reference !== NO_CHUNK);
+    }
+
+    /** Applies changes, the last one winning where several touch one record. */
+    apply(changes: readonly ConfigurationChange[], revision: Revision): TreeChange {
+        const changesByGroup = groupBy(changes, change => placeOf(changeKeyOf(change)).groupIndex);
+        const written: TreeChange["written"] = [];
+        const replaced: ChunkReference[] = [];
+        const exchange = (oldReference: ChunkReference, text: string, isEmpty: boolean): ChunkReference => {
+            replaced.push(...(oldReference === NO_CHUNK ? [] : [oldReference]));
+            if (isEmpty) {
+                return NO_CHUNK;
+            }
+            const reference = chunkReferenceOf(text, revision);
+            written.push({ reference, text });
+            return reference;
+        };
+        const groups = this.groups.map((group, groupIndex) => {
+            const groupChanges = changesByGroup.get(groupIndex);
+            return groupChanges === undefined ? group : applyToGroup(group, groupChanges, exchange);
+        });
+        return { tree: new ConfigurationTree(groups), written, replaced };
+    }
+}
+
+type Exchange = (oldReference: ChunkReference, text: string, isEmpty: boolean) => ChunkReference;
+
+function applyToGroup(group: TreeGroup, changes: ConfigurationChange[], exchange: Exchange): TreeGroup {
+    const changesByBucket = groupBy(changes, change => placeOf(changeKeyOf(change)).bucketIndex);
+    const buckets = group.buckets.map((bucket, bucketIndex) => {
+        const bucketChanges = changesByBucket.get(bucketIndex);
+        return bucketChanges === undefined ? bucket : applyToBucket(bucket, bucketChanges, exchange);
+    });
+    const isEmpty = buckets.every(bucket => bucket.reference === NO_CHUNK);
+    return { buckets, reference: exchange(group.reference, groupText(buckets), isEmpty) };
+}
+
+function applyToBucket(bucket: TreeBucket, changes: ConfigurationChange[], exchange: Exchange): TreeBucket {
+    const recordsByKey = new Map(bucket.records.map(record => [recordKeyOf(record), record]));
+    changes.forEach(change =>
+        change.kind === "put"
+            ? recordsByKey.set(changeKeyOf(change), change.record)
+            : recordsByKey.delete(change.recordKey)
+    );
+    const records = [...recordsByKey.entries()]
+        .sort(([left], [right]) => left < right ? -1 : 1)
+        .map(([, record]) => record);
+    return { records, reference: exchange(bucket.reference, bucketText(records), records.length === 0) };
+}
+
+function placeOf(key: RecordKey): { groupIndex: number; bucketIndex: number; } {
+    const hash = parseInt(digestOf(key).slice(0, DIGEST_CHARACTERS), HEXADECIMAL);
+    return {
+        groupIndex: hash % GROUP_COUNT,
+        bucketIndex: Math.floor(hash / GROUP_COUNT) % BUCKETS_PER_GROUP,
+    };
+}
+
+function groupText(buckets: readonly TreeBucket[]): string {
+    return JSON.stringify(buckets.map(bucket => bucket.reference));
+}
+
+function bucketText(records: readonly ConfigurationRecord[]): string {
+    return JSON.stringify(records);
+}
+
+function emptyGroup(): TreeGroup {
+    return {
+        reference: NO_CHUNK,
+        buckets: Array.from({ length: BUCKETS_PER_GROUP }, () => ({ reference: NO_CHUNK, records: [] })),
+    };
+}
--- /dev/null
+++ b/config/publishing/src/differenceOf.ts
@@ -0,0 +1,43 @@
+import { isDeepStrictEqual } from "node:util";
+import type { ConfigurationRecord } from "./configurationRecord.js";
+import type { ConfigurationTree } from "./configurationTree.js";
+import type { RecordDifference } from "./recordDifference.js";
+import type { RecordKey } from "./recordKey.js";
+import { recordKeyOf } from "./recordKeyOf.js";
+
+/** The records that differ between two trees, in key order; looks only at buckets that differ. */
+export function differenceOf(before: ConfigurationTree, after: ConfigurationTree): RecordDifference[] {
+    return after.groups
+        .flatMap((group, groupIndex) =>
+            group.buckets.flatMap((bucket, bucketIndex) => {
+                const earlier = before.groups[groupIndex]?.buckets[bucketIndex];
+                return earlier === undefined || earlier.reference === bucket.reference
+                    ? []
+                    : differenceOfRecords(earlier.records, bucket.records);
+            })
+        )
+        .sort((left, right) => left.recordKey < right.recordKey ? -1 : 1);
+}
+
+function differenceOfRecords(
+    before: readonly ConfigurationRecord[],
+    after: readonly ConfigurationRecord[],
+): RecordDifference[] {
+    const earlier = new Map(before.map(record => [recordKeyOf(record), record]));
+    const later = new Map(after.map(record => [recordKeyOf(record), record]));
+    return [...new Set([...earlier.keys(), ...later.keys()])]
+        .map(recordKey => ({ recordKey, before: earlier.get(recordKey), after: later.get(recordKey) }))
+        .filter(pair => !isDeepStrictEqual(plain(pair.before), plain(pair.after)))
+        .map(pair => ({ ...pair, kind: kindOf(pair) }));
+}
+
+function kindOf(pair: { recordKey: RecordKey; before: unknown; after: unknown; }): RecordDifference["kind"] {
+    if (pair.before === undefined) {
+        return "added";
+    }
+    return pair.after === undefined ? "removed" : "changed";
+}
+
+function plain(record: ConfigurationRecord | undefined): unknown {
+    return record === undefined ? undefined : JSON.parse(JSON.stringify(record));
+}
--- /dev/null
+++ b/config/publishing/src/treeBucket.ts
@@ -0,0 +1,8 @@
+import type { ChunkReference } from "./chunkReference.js";
+import type { ConfigurationRecord } from "./configurationRecord.js";
+
+/** Records whose keys hash alike, in key order. */
+export interface TreeBucket {
+    reference: ChunkReference;
+    records: readonly ConfigurationRecord[];
+}
--- /dev/null
+++ b/config/service-files/src/limitsSchema.ts
@@ -0,0 +1,8 @@
+import { z } from "zod";
+
+/** Limits of a team or a service. */
+export const limitsSchema = z.strictObject({
+    requestsPerSecond: z.number().positive().optional(),
+    tokensPerSecond: z.number().positive().optional(),
+    concurrency: z.int().positive().optional(),
+});
--- /dev/null
+++ b/config/service-files/src/parseServiceFiles.ts
@@ -0,0 +1,91 @@
+import { checkConfiguration } from "@knapweedwood/config.configuration/checkConfiguration";
+import type { ConfigurationView } from "@knapweedwood/config.configuration/configurationView";
+import type { ParsedServiceFile } from "./parsedServiceFile.js";
+import { parseServiceFile } from "./parseServiceFile.js";
+import type { ServiceFile } from "./serviceFile.js";
+import type { ServiceFileDefinitions } from "./serviceFileDefinitions.js";
+import type { ServiceFileProblem } from "./serviceFileProblem.js";
+import type { ServiceFilesResult } from "./serviceFilesResult.js";
+
+interface Definition {
+    recordKey: string;
+    parsed: ParsedServiceFile;
+    path: [string, number];
+}
+
+/**
+ * Parses and checks files together, with every problem at once.
+ *
+ * @param opts.current the configuration in force, whose services and teams the files may refer to
+ */
+export function parseServiceFiles(
+    files: readonly ServiceFile[],
+    opts: { current?: ConfigurationView | undefined; } = {},
+): ServiceFilesResult {
+    const parsedFiles = files.map(parseServiceFile);
+    const definitionsList = parsedFiles.flatMap(definitionsOf);
+    const definitions = {
+        services: parsedFiles.flatMap(parsed => parsed.definitions.services),
+        teams: parsedFiles.flatMap(parsed => parsed.definitions.teams),
+    };
+    const ownProblems = [...parsedFiles.flatMap(parsed => parsed.problems), ...definedTwice(definitionsList)];
+    const problems = ownProblems.length > 0
+        ? ownProblems
+        : problemsAcross(definitions, definitionsList, opts.current);
+    return { definitions, problems };
+}
+
+function definitionsOf(parsed: ParsedServiceFile): Definition[] {
+    return [
+        ...parsed.definitions.services.map((service, index): Definition => ({
+            recordKey: `service/${service.name}`,
+            parsed,
+            path: ["services", index],
+        })),
+        ...parsed.definitions.teams.map((team, index): Definition => ({
+            recordKey: `team/${team.teamId}`,
+            parsed,
+            path: ["teams", index],
+        })),
+    ];
+}
+
+function definedTwice(definitions: Definition[]): ServiceFileProblem[] {
+    const first = new Map<string, Definition>();
+    return definitions.flatMap(definition => {
+        const earlier = first.get(definition.recordKey);
+        if (earlier === undefined) {
+            first.set(definition.recordKey, definition);
+            return [];
+        }
+        const place = earlier.parsed.problemAt(earlier.path, "");
+        return [definition.parsed.problemAt(
+            definition.path,
+            `${definition.recordKey} to be defined once; ${place.file}:${String(place.line)} defines it too`,
+        )];
+    });
+}
+
+function problemsAcross(
+    definitions: ServiceFileDefinitions,
+    list: Definition[],
+    current: ConfigurationView | undefined,
+): ServiceFileProblem[] {
+    const byKey = new Map(list.map(definition => [definition.recordKey, definition]));
+    const merged = {
+        services: [
+            ...(current?.services() ?? []).filter(service => !byKey.has(`service/${service.name}`)),
+            ...definitions.services,
+        ],
+        teams: [
+            ...(current?.teams() ?? []).filter(team => !byKey.has(`team/${team.teamId}`)),
+            ...definitions.teams,
+        ],
+    };
+    return checkConfiguration(merged).map(problem => {
+        const definition = byKey.get(problem.recordKey);
+        return definition === undefined
+            ? { file: problem.recordKey, line: 0, path: problem.path.join("."), expected: problem.message }
+            : definition.parsed.problemAt([...definition.path, ...problem.path], problem.message);
+    });
+}
--- /dev/null
+++ b/config/service-files/src/serviceFileSchema.ts
@@ -0,0 +1,9 @@
+import { z } from "zod";
+import { serviceSchema } from "./serviceSchema.js";
+import { teamSchema } from "./teamSchema.js";
+
+/** One `knapweed.yaml`. */
+export const serviceFileSchema = z.strictObject({
+    services: z.array(serviceSchema).default([]),
+    teams: z.array(teamSchema).default([]),
+});
