--- a/config/publishing/src/groupBy.ts
+++ b/config/publishing/src/groupBy.ts
@@ -1,9 +1,11 @@
 /** Groups `values` by what `keyOf` gives, in order of first appearance. */
 export function groupBy<Value, Key>(values: readonly Value[], keyOf: (value: Value) => Key): Map<Key, Value[]> {
-    return values.reduce((groups, value) => {
+    const groups = new Map<Key, Value[]>();
+    values.forEach(value => {
         const key = keyOf(value);
-        const group = groups.get(key);
-        group === undefined ? groups.set(key, [value]) : group.push(value);
-        return groups;
-    }, new Map<Key, Value[]>());
+        const group = groups.get(key) ?? [];
+        group.push(value);
+        groups.set(key, group);
+    });
+    return groups;
 }
