--- /dev/null
+++ b/daemons/embedded/src/embeddedEntry.ts
@@ -0,0 +1,7 @@
+import type { EntryProcess } from "@knapweedwood/daemons.entry/entryProcess";
+
+/** An entry of an embedded deployment. */
+export interface EmbeddedEntry {
+    process: EntryProcess;
+    httpPort: number;
+}
--- /dev/null
+++ b/daemons/entry/src/entryHttp.ts
@@ -0,0 +1,55 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { authenticate } from "@knapweedwood/api.callers/authenticate";
+import type { CallersApi } from "@knapweedwood/api.callers/callersApi";
+import { writeError } from "@knapweedwood/api.http/writeError";
+import { writeJson } from "@knapweedwood/api.http/writeJson";
+import type { OperatorsApi } from "@knapweedwood/api.operators/operatorsApi";
+import type { ConfigurationSource } from "@knapweedwood/config.configuration/configurationSource";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+
+const OPERATORS_PREFIX = "/admin/v1";
+const COME_BACK_MS = 1000;
+
+/** Hands a request to the callers' API, the operators' API, or the health checks. */
+export class EntryHttp {
+    private readonly opts: {
+        callersApi: CallersApi;
+        operatorsApi: OperatorsApi;
+        configuration: ConfigurationSource;
+        isReady: () => boolean;
+    };
+
+    constructor(opts: EntryHttp["opts"]) {
+        this.opts = opts;
+    }
+
+    async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const path = (request.url ?? "/").split("?")[0] ?? "/";
+        if (path === "/readyz" || path === "/livez") {
+            const isGood = path === "/livez" || this.opts.isReady();
+            return writeJson(response, { ready: isGood }, { statusCode: isGood ? 200 : 503 });
+        }
+        if (path === OPERATORS_PREFIX || path.startsWith(`${OPERATORS_PREFIX}/`)) {
+            return this.handleOperator(request, response).catch((thrown: unknown) => writeError(response, thrown));
+        }
+        return this.opts.callersApi.handle(request, response);
+    }
+
+    private async handleOperator(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const view = this.opts.configuration.current();
+        if (view === undefined) {
+            throw new KnapweedError("NOT_READY", "This instance has no configuration yet", {
+                outcome: "not-run",
+                retryAfterMs: COME_BACK_MS,
+            });
+        }
+        const { team, key } = authenticate(request, view);
+        const caller = { teamId: team.teamId, keyId: key.keyId, role: key.role };
+        if (!await this.opts.operatorsApi.handle(request, response, caller)) {
+            throw new KnapweedError("PATH_UNKNOWN", "There is nothing at this path", {
+                statusCode: 404,
+                outcome: "not-run",
+            });
+        }
+    }
+}
--- /dev/null
+++ b/daemons/entry/src/entryProcessOptions.ts
@@ -0,0 +1,20 @@
+import type { EntrySettings } from "@knapweedwood/config.settings/entrySettings";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { Tracer } from "@knapweedwood/observability.traces/tracer";
+import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+
+/** What an entry works with. */
+export interface EntryProcessOptions {
+    settings: EntrySettings;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+    tracer: Tracer;
+    keyValue: KeyValueService;
+    instanceList: InstanceList;
+}
