--- /dev/null
+++ b/engines/model-engine/src/engineErrorOf.ts
@@ -0,0 +1,37 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+
+const CODES_BEFORE_SENDING = [
+    "ECONNREFUSED",
+    "EHOSTUNREACH",
+    "ENETUNREACH",
+    "ENOTFOUND",
+    "EADDRNOTAVAIL",
+    "UND_ERR_CONNECT_TIMEOUT",
+];
+
+/** The error for an exchange with an engine that `thrown` ended. */
+export function engineErrorOf(thrown: unknown, signal: AbortSignal | undefined): KnapweedError {
+    if (thrown instanceof KnapweedError) {
+        return thrown;
+    }
+    if (signal?.aborted === true) {
+        return new KnapweedError("CANCELLED", "The request was cancelled", { outcome: "unknown", cause: thrown });
+    }
+    const message = thrown instanceof Error ? thrown.message : String(thrown);
+    if (CODES_BEFORE_SENDING.includes(errorCodeOf(thrown))) {
+        return new KnapweedError("ENGINE_UNREACHABLE", `The engine can't be reached: ${message}`, {
+            outcome: "not-run",
+            statusCode: 503,
+            cause: thrown,
+        });
+    }
+    return new KnapweedError("ENGINE_CONNECTION_LOST", `The connection to the engine was lost: ${message}`, {
+        outcome: "unknown",
+        statusCode: 502,
+        cause: thrown,
+    });
+}
+
+function errorCodeOf(thrown: unknown): string {
+    return thrown instanceof Error && "code" in thrown ? String(thrown.code) : "";
+}
--- /dev/null
+++ b/engines/model-engine/src/engineRefusalOf.ts
@@ -0,0 +1,42 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { JsonObject } from "./jsonObject.js";
+
+const MS_PER_SECOND = 1000;
+
+interface Refusal {
+    statusCode: number;
+    retryAfter: string | undefined;
+    body: string;
+}
+
+/** The error for an answer of an engine whose status is not 2xx. */
+export function engineRefusalOf(refusal: Refusal): KnapweedError {
+    const message = messageOf(refusal.body) ?? `The engine answered with status ${refusal.statusCode}`;
+    if (refusal.statusCode === 429 || refusal.statusCode === 503) {
+        return new KnapweedError("ENGINE_BUSY", message, {
+            outcome: "not-run",
+            statusCode: refusal.statusCode,
+            retryAfterMs: retryAfterMsOf(refusal.retryAfter),
+        });
+    }
+    if (refusal.statusCode < 500) {
+        return new KnapweedError("ENGINE_REFUSED", message, { outcome: "answered", statusCode: refusal.statusCode });
+    }
+    return new KnapweedError("ENGINE_FAILED", message, { outcome: "unknown", statusCode: refusal.statusCode });
+}
+
+function retryAfterMsOf(header: string | undefined): number | undefined {
+    const seconds = Number(header);
+    return header === undefined || Number.isNaN(seconds) ? undefined : seconds * MS_PER_SECOND;
+}
+
+function messageOf(body: string): string | undefined {
+    try {
+        const { error } = JSON.parse(body) as JsonObject;
+        const message = typeof error === "object" && error !== null ? (error as JsonObject).message : undefined;
+        return typeof message === "string" ? message : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/engines/model-engine/src/generateRequest.ts
+++ b/engines/model-engine/src/generateRequest.ts
@@ -1,3 +1,4 @@
+import type { RequestId } from "@knapweedwood/core.ids/requestId";
 import type { JsonObject } from "./jsonObject.js";
 import type { ResumePoint } from "./resumePoint.js";
 
@@ -8,4 +9,6 @@
     body: JsonObject;
     /** What an earlier stream of the same request had produced. */
     resumeFrom?: ResumePoint;
+    /** Name of the request at the engine, for the export of its KV cache. */
+    requestId?: RequestId;
 }
--- /dev/null
+++ b/engines/model-engine/src/httpModelEngine.ts
@@ -0,0 +1,201 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { Agent, type Dispatcher, request } from "undici";
+import type { CacheEvent } from "./cacheEvent.js";
+import { CompletionChunkReader } from "./completionChunkReader.js";
+import { engineErrorOf } from "./engineErrorOf.js";
+import type { EngineLoad } from "./engineLoad.js";
+import type { EngineOrder } from "./engineOrder.js";
+import { engineRefusalOf } from "./engineRefusalOf.js";
+import type { EngineState } from "./engineState.js";
+import type { GenerateEvent } from "./generateEvent.js";
+import type { GenerateRequest } from "./generateRequest.js";
+import type { JsonObject } from "./jsonObject.js";
+import type { ModelEngine } from "./modelEngine.js";
+import { serverSentEvents } from "./serverSentEvents.js";
+
+const CONNECT_TIMEOUT_MS = 2000;
+const DEFAULT_HEADERS_TIMEOUT_MS = 60_000;
+const DEFAULT_CHUNK_GAP_TIMEOUT_MS = 30_000;
+const CONTROL_TIMEOUT_MS = 5000;
+const KEEP_ALIVE_MS = 4000;
+const CONFLICT = 409;
+
+interface Call {
+    method: "GET" | "POST";
+    path: string;
+    body?: JsonObject | Uint8Array;
+    headers?: { [name: string]: string; };
+    signal?: AbortSignal;
+}
+
+/** A model engine reached over its OpenAI-compatible HTTP interface. */
+export class HttpModelEngine implements ModelEngine {
+    private readonly baseUrl: string;
+    private readonly agent: Agent;
+
+    constructor(opts: {
+        /** Such as `http://127.0.0.1:8000`. */
+        baseUrl: string;
+        /** Longest wait for the headers of an answer. */
+        headersTimeoutMs?: number;
+        /** Longest silence within a stream before its connection counts as lost. */
+        chunkGapTimeoutMs?: number;
+    }) {
+        this.baseUrl = opts.baseUrl.replace(/\/$/, "");
+        this.agent = new Agent({
+            connect: { timeout: CONNECT_TIMEOUT_MS },
+            headersTimeout: opts.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
+            bodyTimeout: opts.chunkGapTimeoutMs ?? DEFAULT_CHUNK_GAP_TIMEOUT_MS,
+            keepAliveTimeout: KEEP_ALIVE_MS,
+        });
+    }
+
+    async *generate(generateRequest: GenerateRequest, opts: { signal: AbortSignal; }): AsyncGenerator<GenerateEvent> {
+        const answer = await this.send({
+            method: "POST",
+            path: generateRequest.endpoint,
+            body: streamingBodyOf(generateRequest),
+            headers: generateRequest.requestId === undefined ? {} : { "x-request-id": generateRequest.requestId },
+            signal: opts.signal,
+        });
+        try {
+            yield* readGeneration(answer.body);
+        }
+        catch (thrown) {
+            throw engineErrorOf(thrown, opts.signal);
+        }
+        finally {
+            answer.body.destroy();
+        }
+    }
+
+    embed(body: JsonObject, opts: { signal: AbortSignal; }): Promise<JsonObject> {
+        return this.sendForJson<JsonObject>({ method: "POST", path: "/v1/embeddings", body, signal: opts.signal });
+    }
+
+    /** The names of the models that the engine offers, shape [models]. */
+    async listModels(): Promise<string[]> {
+        const list = await this.sendForJson<{ data: { id: string; }[]; }>(controlCall("GET", "/v1/models"));
+        return list.data.map(model => model.id);
+    }
+
+    load(): Promise<EngineLoad> {
+        return this.sendForJson<EngineLoad>(controlCall("GET", "/load"));
+    }
+
+    state(): Promise<EngineState> {
+        return this.sendForJson<EngineState>(controlCall("GET", "/state"));
+    }
+
+    async order(order: EngineOrder): Promise<void> {
+        try {
+            await this.sendForJson({ ...controlCall("POST", "/orders"), body: { ...order } });
+        }
+        catch (thrown) {
+            const error = engineErrorOf(thrown, undefined);
+            throw error.statusCode === CONFLICT
+                ? new KnapweedError("ENGINE_ORDER_STALE", error.message, { outcome: "not-run", cause: error })
+                : error;
+        }
+    }
+
+    async *cacheEvents(opts: { signal: AbortSignal; }): AsyncGenerator<CacheEvent> {
+        const answer = await this.send({ method: "GET", path: "/cache/events", signal: opts.signal });
+        try {
+            for await (const data of serverSentEvents(answer.body)) {
+                yield JSON.parse(data) as CacheEvent;
+            }
+        }
+        catch (thrown) {
+            throw engineErrorOf(thrown, opts.signal);
+        }
+        finally {
+            answer.body.destroy();
+        }
+    }
+
+    async exportCache(engineRequestId: string): Promise<Uint8Array> {
+        const answer = await this.send({
+            ...controlCall("POST", "/cache/export"),
+            body: { requestId: engineRequestId },
+        });
+        return new Uint8Array(await answer.body.arrayBuffer());
+    }
+
+    async importCache(cache: Uint8Array): Promise<void> {
+        await this.sendForJson({ ...controlCall("POST", "/cache/import"), body: cache });
+    }
+
+    /** Ends all connections. */
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+
+    private async sendForJson<Answer>(call: Call): Promise<Answer> {
+        const answer = await this.send(call);
+        try {
+            return await answer.body.json() as Answer;
+        }
+        catch (thrown) {
+            throw engineErrorOf(thrown, call.signal);
+        }
+    }
+
+    private async send(call: Call): Promise<Dispatcher.ResponseData> {
+        const answer = await this.exchange(call);
+        if (answer.statusCode < 300) {
+            return answer;
+        }
+        const retryAfter = answer.headers["retry-after"];
+        throw engineRefusalOf({
+            statusCode: answer.statusCode,
+            retryAfter: typeof retryAfter === "string" ? retryAfter : undefined,
+            body: await answer.body.text().catch(() => ""),
+        });
+    }
+
+    private async exchange(call: Call): Promise<Dispatcher.ResponseData> {
+        const isBinary = call.body instanceof Uint8Array;
+        try {
+            return await request(`${this.baseUrl}${call.path}`, {
+                dispatcher: this.agent,
+                method: call.method,
+                headers: {
+                    "content-type": isBinary ? "application/octet-stream" : "application/json",
+                    ...call.headers,
+                },
+                body: isBinary ? call.body as Uint8Array : call.body && JSON.stringify(call.body),
+                signal: call.signal,
+            });
+        }
+        catch (thrown) {
+            throw engineErrorOf(thrown, call.signal);
+        }
+    }
+}
+
+function controlCall(method: "GET" | "POST", path: string): Call {
+    return { method, path, signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS) };
+}
+
+function streamingBodyOf(generateRequest: GenerateRequest): JsonObject {
+    const body = { ...generateRequest.body, stream: true, stream_options: { include_usage: true } };
+    const resume = generateRequest.resumeFrom;
+    return resume === undefined || resume.tokenCount === 0
+        ? body
+        : { ...body, knapweed_resume: { text: resume.text, tokenCount: resume.tokenCount } };
+}
+
+async function* readGeneration(body: AsyncIterable<Uint8Array>): AsyncGenerator<GenerateEvent> {
+    const reader = new CompletionChunkReader();
+    for await (const data of serverSentEvents(body)) {
+        yield* reader.read(data);
+        if (reader.isEnded) {
+            return;
+        }
+    }
+    throw new KnapweedError("ENGINE_STREAM_CUT", "The engine's stream ended before its end mark", {
+        outcome: "unknown",
+        statusCode: 502,
+    });
+}
--- /dev/null
+++ b/standins/engine/src/completionHandler.ts
@@ -0,0 +1,123 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
+import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import type { ResumePoint } from "@knapweedwood/engines.model-engine/resumePoint";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { AnswerStream } from "./answerStream.js";
+import type { EngineCore } from "./engineCore.js";
+import type { EngineFaults } from "./engineFaults.js";
+import type { EngineSequence } from "./engineSequence.js";
+import { poisonOf } from "./poisonOf.js";
+import { promptOf } from "./promptOf.js";
+import { RequestRecords } from "./requestRecords.js";
+import { sendError } from "./sendError.js";
+
+const MS_PER_SECOND = 1000;
+/** How many ended requests keep their KV cache for an export. */
+const EXPORTABLE_REQUESTS = 256;
+
+/** Answers completion requests of a stand-in engine. */
+export class CompletionHandler {
+    private readonly clock: Clock;
+    private readonly random: Random;
+    private readonly core: EngineCore;
+    private readonly records: RequestRecords;
+    private readonly faults: EngineFaults;
+    private readonly readyNames: () => string[];
+    private readonly sequences = new Map<string, EngineSequence>();
+    private requestCount = 0;
+
+    constructor(opts: {
+        clock: Clock;
+        random: Random;
+        core: EngineCore;
+        records: RequestRecords;
+        faults: EngineFaults;
+        readyNames: () => string[];
+    }) {
+        this.clock = opts.clock;
+        this.random = opts.random;
+        this.core = opts.core;
+        this.records = opts.records;
+        this.faults = opts.faults;
+        this.readyNames = opts.readyNames;
+    }
+
+    handle(
+        endpoint: GenerateRequest["endpoint"],
+        body: JsonObject,
+        exchange: { request: IncomingMessage; response: ServerResponse; },
+    ): void {
+        const { request, response } = exchange;
+        if (!this.readyNames().includes(String(body.model))) {
+            sendError(response, 404, "model_not_found", `The model '${String(body.model)}' is not loaded`);
+            return;
+        }
+        const marker = RequestRecords.markerOf(body);
+        if (this.refuseFaulty(marker, body, response)) {
+            return;
+        }
+        this.requestCount += 1;
+        const id = String(request.headers["x-request-id"] ?? `request-${this.requestCount}`);
+        const generateRequest = { endpoint, body, resumeFrom: body.knapweed_resume as ResumePoint | undefined };
+        this.run({ generateRequest, response, marker, id });
+    }
+
+    /** The text that the KV cache of a request covers; undefined where the request is not known. */
+    coveredText(requestId: string): string | undefined {
+        return this.sequences.get(requestId)?.coveredText();
+    }
+
+    private run(
+        opts: { generateRequest: GenerateRequest; response: ServerResponse; marker: string; id: string; },
+    ): void {
+        let isFinished = false;
+        this.records.count(opts.marker, "started");
+        const stream = new AnswerStream({
+            response: opts.response,
+            request: opts.generateRequest,
+            id: opts.id,
+            createdAtSeconds: Math.floor(this.clock.nowMs() / MS_PER_SECOND),
+            onFinish: () => {
+                isFinished = true;
+                this.records.count(opts.marker, "finished");
+            },
+        });
+        const sequence = this.core.submit(opts.generateRequest, stream);
+        this.remember(opts.id, sequence);
+        opts.response.on("close", () => {
+            if (!isFinished) {
+                this.core.cancel(sequence);
+                this.records.count(opts.marker, "cancelled");
+            }
+        });
+    }
+
+    private refuseFaulty(marker: string, body: JsonObject, response: ServerResponse): boolean {
+        const poison = poisonOf(promptOf(body));
+        if (poison === "malformed") {
+            sendError(response, 400, "invalid_prompt", "The prompt is malformed");
+            return true;
+        }
+        if (poison === "crash") {
+            this.records.count(marker, "started");
+            response.destroy();
+            return true;
+        }
+        if (poison === "never-completes" || this.random.next() < this.faults.errorShare) {
+            this.records.count(marker, "started");
+            sendError(response, 500, "internal_error", "The request can't be completed");
+            return true;
+        }
+        return false;
+    }
+
+    private remember(id: string, sequence: EngineSequence): void {
+        this.sequences.set(id, sequence);
+        const oldest = this.sequences.keys().next().value;
+        if (this.sequences.size > EXPORTABLE_REQUESTS && oldest !== undefined) {
+            this.sequences.delete(oldest);
+        }
+    }
+}
--- /dev/null
+++ b/standins/engine/src/engineCore.ts
@@ -0,0 +1,173 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { EngineLoad } from "@knapweedwood/engines.model-engine/engineLoad";
+import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
+import { EngineSequence } from "./engineSequence.js";
+import { LaggingLoad } from "./laggingLoad.js";
+import { PrefixCache } from "./prefixCache.js";
+import type { SequenceSink } from "./sequenceSink.js";
+import type { StepModel } from "./stepModel.js";
+
+/** Longest delay of a timer that later steps make up for. */
+const MAX_CATCH_UP_MS = 100;
+
+/** Totals of the work that an engine has done. */
+export interface EngineTotals {
+    steps: number;
+    busyMs: number;
+    decodeTokens: number;
+    prefillTokens: number;
+}
+
+/**
+ * The scheduler of a stand-in engine: continuous batching in steps, first come first served. Requests that come in
+ * during a step join the next one.
+ */
+export class EngineCore {
+    readonly prefixCache: PrefixCache;
+    readonly totals: EngineTotals = { steps: 0, busyMs: 0, decodeTokens: 0, prefillTokens: 0 };
+    /** Multiplies the duration of each step. */
+    slowFactor = 1;
+    private readonly clock: Clock;
+    private readonly model: StepModel;
+    private readonly laggingLoad: LaggingLoad;
+    private waiting: EngineSequence[] = [];
+    private running: EngineSequence[] = [];
+    private isStepping = false;
+    private isFrozen = false;
+    private stepEndMs = 0;
+    private lastStepMs = 0;
+
+    constructor(opts: {
+        clock: Clock;
+        stepModel: StepModel;
+        onCacheChange?: (kind: "stored" | "evicted", blockHashes: string[]) => void;
+    }) {
+        this.clock = opts.clock;
+        this.model = opts.stepModel;
+        this.laggingLoad = new LaggingLoad(opts.stepModel.loadLagMs);
+        this.prefixCache = new PrefixCache({
+            limitTokens: opts.stepModel.prefixCacheTokens,
+            onChange: opts.onCacheChange ?? (() => undefined),
+        });
+    }
+
+    /** Queues a request. */
+    submit(request: GenerateRequest, sink: SequenceSink): EngineSequence {
+        const sequence = new EngineSequence(request, sink);
+        this.waiting.push(sequence);
+        this.startStepping();
+        return sequence;
+    }
+
+    /** A frozen engine begins no step. */
+    setFrozen(isFrozen: boolean): void {
+        this.isFrozen = isFrozen;
+        this.startStepping();
+    }
+
+    /** Stops a sequence; it leaves the batch at the end of the current step. */
+    cancel(sequence: EngineSequence): void {
+        sequence.isCancelled = true;
+        this.waiting = this.waiting.filter(other => other !== sequence);
+    }
+
+    /** The load as it was reported last. */
+    reportedLoad(): EngineLoad {
+        return this.laggingLoad.at(this.clock.nowMs()) ?? this.currentLoad();
+    }
+
+    /** The load at this moment, which an engine doesn't tell. */
+    currentLoad(): EngineLoad {
+        return {
+            runningSequences: this.running.length,
+            waitingSequences: this.waiting.length,
+            kvTokensUsed: this.kvTokensUsed(),
+            kvTokensLimit: this.model.kvTokensLimit,
+            maxSequences: this.model.maxSequences,
+            lastStepMs: this.lastStepMs,
+        };
+    }
+
+    private kvTokensUsed(): number {
+        return this.running.reduce((sum, sequence) => sum + sequence.kvTokens, 0);
+    }
+
+    private startStepping(): void {
+        if (!this.isStepping) {
+            this.stepEndMs = this.clock.nowMs();
+            this.beginStep();
+        }
+    }
+
+    private beginStep(): void {
+        this.removeCancelled();
+        this.admitWaiting();
+        this.laggingLoad.record(this.clock.nowMs(), this.currentLoad());
+        this.isStepping = this.running.length > 0 && !this.isFrozen;
+        if (!this.isStepping) {
+            return;
+        }
+        const decoding = this.running.filter(sequence => sequence.prefillTokensLeft === 0);
+        const prefillTokens = this.spendPrefill();
+        const durationMs = this.slowFactor * (
+            this.model.fixedMs
+            + this.model.perSequenceMs * this.running.length
+            + this.model.perPrefillTokenMs * prefillTokens
+        );
+        this.count(durationMs, prefillTokens);
+        const startMs = Math.max(this.stepEndMs, this.clock.nowMs() - MAX_CATCH_UP_MS);
+        this.stepEndMs = startMs + durationMs;
+        this.clock.setTimer(Math.max(0, this.stepEndMs - this.clock.nowMs()), () => this.endStep(decoding));
+    }
+
+    private count(durationMs: number, prefillTokens: number): void {
+        this.lastStepMs = durationMs;
+        this.totals.steps += 1;
+        this.totals.busyMs += durationMs;
+        this.totals.prefillTokens += prefillTokens;
+    }
+
+    private spendPrefill(): number {
+        return this.running.reduce((spent, sequence) => {
+            const share = Math.min(sequence.prefillTokensLeft, this.model.maxPrefillTokensPerStep - spent);
+            sequence.prefillTokensLeft -= share;
+            return spent + share;
+        }, 0);
+    }
+
+    private endStep(decoding: EngineSequence[]): void {
+        const ready = this.running.filter(sequence => sequence.prefillTokensLeft === 0 && !sequence.isCancelled);
+        ready
+            .filter(sequence => !decoding.includes(sequence))
+            .forEach(sequence => this.prefixCache.store(sequence.prompt));
+        ready.forEach(sequence => sequence.produceToken());
+        this.totals.decodeTokens += ready.length;
+        const finished = ready.filter(sequence => sequence.isFinished);
+        this.running = this.running.filter(sequence => !finished.includes(sequence));
+        finished.forEach(sequence => {
+            this.prefixCache.store(sequence.coveredText());
+            sequence.sink.finish(sequence.finishReason, sequence.usage);
+        });
+        this.beginStep();
+    }
+
+    private removeCancelled(): void {
+        this.running
+            .filter(sequence => sequence.isCancelled && sequence.prefillTokensLeft === 0)
+            .forEach(sequence => this.prefixCache.store(sequence.coveredText()));
+        this.running = this.running.filter(sequence => !sequence.isCancelled);
+    }
+
+    private admitWaiting(): void {
+        let kvTokensUsed = this.kvTokensUsed();
+        const firstKept = this.waiting.findIndex((sequence, index) => {
+            const isFull = this.running.length + index >= this.model.maxSequences;
+            kvTokensUsed += sequence.kvTokens;
+            return isFull || kvTokensUsed > this.model.kvTokensLimit && this.running.length + index > 0;
+        });
+        const admitted = firstKept === -1 ? this.waiting : this.waiting.slice(0, firstKept);
+        this.waiting = firstKept === -1 ? [] : this.waiting.slice(firstKept);
+        admitted.forEach(sequence => sequence.beginPrefill(this.prefixCache.matchTokens(sequence.coveredText())));
+        this.running = [...this.running, ...admitted];
+    }
+}
--- /dev/null
+++ b/standins/engine/src/expectedText.ts
@@ -0,0 +1,16 @@
+import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
+import { promptOf } from "./promptOf.js";
+import { textHash } from "./textHash.js";
+import { tokenTargetOf } from "./tokenTargetOf.js";
+import { tokenText } from "./tokenText.js";
+
+/**
+ * The text that the stand-in engine answers a request with.
+ *
+ * @param request `tokenCount` is the number of tokens wanted; the whole answer where undefined
+ */
+export function expectedText(request: GenerateRequest & { tokenCount?: number; }): string {
+    const promptHash = textHash(promptOf(request.body));
+    const length = request.tokenCount ?? tokenTargetOf(request.body).tokenCount;
+    return Array.from({ length }, (_, index) => tokenText(promptHash, index)).join("");
+}
--- /dev/null
+++ b/standins/engine/src/loadedModels.ts
@@ -0,0 +1,95 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { AdapterName } from "@knapweedwood/core.ids/adapterName";
+import type { ModelName } from "@knapweedwood/core.ids/modelName";
+import type { ModelVersion } from "@knapweedwood/core.ids/modelVersion";
+import type { EngineOrder } from "@knapweedwood/engines.model-engine/engineOrder";
+import type { EngineState } from "@knapweedwood/engines.model-engine/engineState";
+import type { EngineServerOptions } from "./engineServerOptions.js";
+
+const DEFAULT_LOAD_DURATION_MS = 200;
+
+/** What a stand-in engine holds, and the orders that change it. */
+export class LoadedModels {
+    private readonly clock: Clock;
+    private readonly opts: EngineServerOptions;
+    private readonly held: EngineState;
+    private highestFencingNumber = 0;
+
+    constructor(opts: EngineServerOptions) {
+        this.opts = opts;
+        this.clock = opts.clock;
+        this.held = {
+            models: opts.models.map(({ model, version }) => ({
+                model: model as ModelName,
+                version: version as ModelVersion,
+                state: "ready",
+            })),
+            adapters: [],
+            role: "any",
+            incarnation: opts.incarnation ?? 1,
+        };
+    }
+
+    state(): EngineState {
+        return this.held;
+    }
+
+    /** Names that requests may use, shape [models + adapters]. */
+    readyNames(): string[] {
+        const models = this.held.models.filter(({ state }) => state === "ready").map(({ model }) => String(model));
+        const adapters = this.held.adapters.filter(({ state }) => state === "ready").map(({ adapter }) =>
+            String(adapter)
+        );
+        return [...models, ...adapters];
+    }
+
+    /** Carries out an order. @returns whether it was accepted */
+    accept(order: EngineOrder): boolean {
+        if (this.opts.checksFencing && order.fencingNumber < this.highestFencingNumber) {
+            return false;
+        }
+        this.highestFencingNumber = Math.max(this.highestFencingNumber, order.fencingNumber);
+        this.carryOut(order.action);
+        return true;
+    }
+
+    private carryOut(action: EngineOrder["action"]): void {
+        switch (action.kind) {
+            case "load-model":
+                return this.loadModel(action);
+            case "unload-model":
+                this.held.models = this.held.models
+                    .filter(({ model, version }) => model !== action.model || version !== action.version);
+                return;
+            case "load-adapter":
+                return this.loadAdapter(action);
+            case "unload-adapter":
+                this.held.adapters = this.held.adapters.filter(({ adapter }) => adapter !== action.adapter);
+                return;
+            case "set-role":
+                this.held.role = action.role;
+        }
+    }
+
+    private loadModel({ model, version }: { model: ModelName; version: ModelVersion; }): void {
+        if (this.held.models.some(other => other.model === model && other.version === version)) {
+            return;
+        }
+        const loading: EngineState["models"][number] = { model, version, state: "loading" };
+        this.held.models.push(loading);
+        this.becomeReadyLater(loading);
+    }
+
+    private loadAdapter({ adapter, version }: { adapter: AdapterName; version: ModelVersion; }): void {
+        const loading: EngineState["adapters"][number] = { adapter, version, state: "loading" };
+        this.held.adapters = [...this.held.adapters.filter(other => other.adapter !== adapter), loading];
+        this.becomeReadyLater(loading);
+    }
+
+    private becomeReadyLater(loading: { version: ModelVersion; state: "loading" | "ready" | "failed"; }): void {
+        const isUnhealthy = this.opts.unhealthyVersions?.includes(loading.version) === true;
+        this.clock.setTimer(this.opts.loadDurationMs ?? DEFAULT_LOAD_DURATION_MS, () => {
+            loading.state = isUnhealthy ? "failed" : "ready";
+        });
+    }
+}
--- /dev/null
+++ b/standins/engine/src/prefixCache.ts
@@ -0,0 +1,66 @@
+import { textHash } from "./textHash.js";
+
+/** Tokens in one block of the prefix cache. */
+const BLOCK_TOKENS = 16;
+/** Characters that the stand-in engine counts as one token. */
+const CHARACTERS_PER_TOKEN = 4;
+const BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_PER_TOKEN;
+
+/** Prefix cache of an engine: the least recently used block is evicted first. */
+export class PrefixCache {
+    private readonly limitBlocks: number;
+    private readonly onChange: (kind: "stored" | "evicted", blockHashes: string[]) => void;
+    private readonly blocks = new Set<number>();
+
+    constructor(opts: {
+        limitTokens: number;
+        onChange: (kind: "stored" | "evicted", blockHashes: string[]) => void;
+    }) {
+        this.limitBlocks = Math.floor(opts.limitTokens / BLOCK_TOKENS);
+        this.onChange = opts.onChange;
+    }
+
+    /** How many leading tokens of a text are held. */
+    matchTokens(text: string): number {
+        const hashes = blockHashesOf(text);
+        const miss = hashes.findIndex(hash => !this.blocks.has(hash));
+        const matched = miss === -1 ? hashes.length : miss;
+        hashes.slice(0, matched).forEach(hash => this.touch(hash));
+        return matched * BLOCK_TOKENS;
+    }
+
+    /** Keeps the blocks of a text. */
+    store(text: string): void {
+        const hashes = blockHashesOf(text).slice(0, this.limitBlocks);
+        const added = hashes.filter(hash => !this.blocks.has(hash));
+        hashes.forEach(hash => this.touch(hash));
+        const excess = this.leastRecentlyUsed(this.blocks.size - this.limitBlocks);
+        excess.forEach(hash => this.blocks.delete(hash));
+        this.announce("stored", added);
+        this.announce("evicted", excess);
+    }
+
+    private leastRecentlyUsed(count: number): number[] {
+        return count > 0 ? [...this.blocks].slice(0, count) : [];
+    }
+
+    private touch(hash: number): void {
+        this.blocks.delete(hash);
+        this.blocks.add(hash);
+    }
+
+    private announce(kind: "stored" | "evicted", hashes: number[]): void {
+        if (hashes.length > 0) {
+            this.onChange(kind, hashes.map(String));
+        }
+    }
+}
+
+function blockHashesOf(text: string): number[] {
+    const length = Math.floor(text.length / BLOCK_CHARACTERS);
+    let hash: number | undefined;
+    return Array.from({ length }, (_, index) => {
+        hash = textHash(text.slice(index * BLOCK_CHARACTERS, (index + 1) * BLOCK_CHARACTERS), hash);
+        return hash;
+    });
+}
--- /dev/null
+++ b/standins/engine/src/promptOf.ts
@@ -0,0 +1,18 @@
+import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+
+/** The whole prompt of a request as one text. */
+export function promptOf(body: JsonObject): string {
+    if (Array.isArray(body.messages)) {
+        return (body.messages as JsonObject[])
+            .map(message => `${String(message.role)}: ${contentTextOf(message.content)}\n`)
+            .join("");
+    }
+    return Array.isArray(body.prompt) ? body.prompt.join("\n") : String(body.prompt ?? "");
+}
+
+function contentTextOf(content: unknown): string {
+    if (!Array.isArray(content)) {
+        return String(content ?? "");
+    }
+    return (content as JsonObject[]).map(part => String(part.text ?? "")).join("");
+}
--- /dev/null
+++ b/standins/engine/src/requestRecords.ts
@@ -0,0 +1,24 @@
+import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import type { RequestCounts } from "./requestCounts.js";
+
+/** Counts, for audits, what ran at an engine by the marker that each request carries. */
+export class RequestRecords {
+    private readonly counts = new Map<string, RequestCounts>();
+
+    count(marker: string, what: keyof RequestCounts): void {
+        const counts = this.counts.get(marker) ?? { started: 0, finished: 0, cancelled: 0 };
+        counts[what] += 1;
+        this.counts.set(marker, counts);
+    }
+
+    /** All counts by marker. */
+    toJson(): { [marker: string]: RequestCounts; } {
+        return Object.fromEntries(this.counts);
+    }
+
+    /** The marker of a request: its `metadata.marker`, or else its `user`. */
+    static markerOf(body: JsonObject): string {
+        const metadata = body.metadata as { marker?: unknown; } | undefined | null;
+        return String(metadata?.marker ?? body.user ?? "unmarked");
+    }
+}
--- /dev/null
+++ b/standins/engine/src/textHash.ts
@@ -0,0 +1,11 @@
+const FNV_OFFSET = 0x811c_9dc5;
+const FNV_PRIME = 0x0100_0193;
+
+/** FNV-1a hash of a text, an unsigned 32-bit number, continued from `start`. */
+export function textHash(text: string, start = FNV_OFFSET): number {
+    let hash = start;
+    for (let position = 0; position < text.length; position += 1) {
+        hash = Math.imul(hash ^ text.charCodeAt(position), FNV_PRIME);
+    }
+    return hash >>> 0;
+}
--- /dev/null
+++ b/standins/engine/src/tokenTargetOf.ts
@@ -0,0 +1,17 @@
+import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import { promptOf } from "./promptOf.js";
+import { textHash } from "./textHash.js";
+
+const SHORTEST_ANSWER_TOKENS = 8;
+const ANSWER_RANGE_TOKENS = 56;
+const LENGTH_SALT = 77;
+
+/** How many tokens the stand-in engine answers with: the limit that the request names, or else a function of the prompt. */
+export function tokenTargetOf(body: JsonObject): { tokenCount: number; finishReason: "length" | "stop"; } {
+    const limit = body.max_completion_tokens ?? body.max_tokens;
+    if (typeof limit === "number") {
+        return { tokenCount: limit, finishReason: "length" };
+    }
+    const tokenCount = SHORTEST_ANSWER_TOKENS + textHash(promptOf(body), LENGTH_SALT) % ANSWER_RANGE_TOKENS;
+    return { tokenCount, finishReason: "stop" };
+}
