feat: command line, demonstration and quickstart (in progress)

Cause: newcomers need two commands, operators one command line. Change: knapweed commands over the HTTP APIs, stand-ins as processes, the quickstart's main job.

--- /dev/null
+++ b/cli/knapweed/src/apiClient.ts
@@ -0,0 +1,87 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { FormData, request } from "undici";
+
+type JsonValue = { [field: string]: unknown; };
+
+/** Calls the APIs of an entry with one key. Throws the entry's own errors, or `ENTRY_UNREACHABLE`. */
+export class ApiClient {
+    private readonly url: string;
+    private readonly key: string;
+
+    constructor(opts: { url: string; key: string; }) {
+        this.url = opts.url.replace(/\/$/u, "");
+        this.key = opts.key;
+    }
+
+    get(path: string): Promise<JsonValue> {
+        return this.json("GET", path);
+    }
+
+    post(path: string, body: object, headers: { [name: string]: string; } = {}): Promise<JsonValue> {
+        return this.json("POST", path, JSON.stringify(body), { "content-type": "application/json", ...headers });
+    }
+
+    delete(path: string): Promise<JsonValue> {
+        return this.json("DELETE", path);
+    }
+
+    /** Uploads a file for batch jobs. @returns the file object */
+    upload(opts: { fileName: string; content: Blob; }): Promise<JsonValue> {
+        const form = new FormData();
+        form.set("purpose", "batch");
+        form.set("file", opts.content, opts.fileName);
+        return this.json("POST", "/v1/files", form);
+    }
+
+    /** The body of an answer, in parts. */
+    async *stream(path: string): AsyncIterable<Uint8Array> {
+        const answer = await this.send("GET", path);
+        yield* answer.body as AsyncIterable<Uint8Array>;
+    }
+
+    private async json(
+        method: "GET" | "POST" | "DELETE",
+        path: string,
+        body?: string | FormData,
+        headers: { [name: string]: string; } = {},
+    ): Promise<JsonValue> {
+        const answer = await this.send(method, path, body, headers);
+        return await answer.body.json() as JsonValue;
+    }
+
+    private async send(
+        method: "GET" | "POST" | "DELETE",
+        path: string,
+        body?: string | FormData,
+        headers: { [name: string]: string; } = {},
+    ) {
+        const answer = await request(`${this.url}${path}`, {
+            method,
+            body,
+            headers: { authorization: `Bearer ${this.key}`, ...headers },
+        }).catch((cause: unknown) => {
+            throw new KnapweedError("ENTRY_UNREACHABLE", `No entry answers at ${this.url}`, {
+                hint: "Set --url or KNAPWEED_URL",
+                cause,
+            });
+        });
+        if (answer.statusCode >= 400) {
+            throw errorOf(answer.statusCode, await answer.body.text());
+        }
+        return answer;
+    }
+}
+
+function errorOf(statusCode: number, text: string): KnapweedError {
+    const parsed = parseError(text);
+    return new KnapweedError(parsed?.code ?? "ANSWER_UNREADABLE", parsed?.message ?? text, { statusCode });
+}
+
+function parseError(text: string): { code: string; message: string; } | undefined {
+    try {
+        return (JSON.parse(text) as { error?: { code: string; message: string; }; }).error;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/cli/knapweed/src/commands/dev.ts
@@ -0,0 +1,49 @@
+import { randomBytes } from "node:crypto";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { DemoDeployment } from "@knapweedwood/daemons.embedded/demoDeployment";
+import { JsonLogger } from "@knapweedwood/observability.logs/jsonLogger";
+import { silentTracer } from "@knapweedwood/observability.traces/silentTracer";
+import { Flags } from "@oclif/core";
+import { KnapweedCommand } from "../knapweedCommand.js";
+import { untilSignal } from "../untilSignal.js";
+
+const KEY_BYTES = 24;
+
+/** Runs an embedded deployment until it is told to stop. */
+export default class Dev extends KnapweedCommand {
+    static override description = "run a whole deployment in this process, with stand-ins for platform and engines";
+    static override flags = {
+        port: Flags.integer({ description: "port of the API", default: 8080 }),
+        "api-key": Flags.string({ description: "key of the platform's operator; a new one where it is left out" }),
+        "log-level": Flags.option({ options: ["debug", "info", "warn", "error"] as const })({ default: "warn" }),
+        "trace-file": Flags.string({ description: "file that trace spans are appended to, a JSON object a line" }),
+    };
+
+    async run(): Promise<unknown> {
+        const { flags } = await this.parse(Dev);
+        const operatorKey = flags["api-key"] ?? randomBytes(KEY_BYTES).toString("base64url");
+        const demo = new DemoDeployment({
+            port: flags.port,
+            seed: 1,
+            operatorKey,
+            logger: new JsonLogger({ clock: new SystemClock(), level: flags["log-level"] }),
+            tracer: await this.tracer(flags["trace-file"]),
+        });
+        await demo.start();
+        this.log(`API:   ${demo.deployment.url()}/v1`);
+        this.log(`Key:   ${operatorKey}`);
+        this.log("Model: demo-chat");
+        this.log("Stop with Ctrl-C.");
+        await untilSignal();
+        await demo.stop();
+        return { url: demo.deployment.url() };
+    }
+
+    private async tracer(file: string | undefined) {
+        if (file === undefined) {
+            return silentTracer;
+        }
+        const { OpenTelemetryTracer } = await import("@knapweedwood/observability.traces/openTelemetryTracer");
+        return new OpenTelemetryTracer({ instanceId: "dev", file });
+    }
+}
--- /dev/null
+++ b/cli/knapweed/src/commands/publish.ts
@@ -0,0 +1,41 @@
+import { Args, Flags } from "@oclif/core";
+import { ApiCommand } from "../apiCommand.js";
+import { collectServiceFiles } from "../collectServiceFiles.js";
+import { waitInForce } from "../waitInForce.js";
+
+interface PublishAnswer {
+    revision: number;
+    published: boolean;
+    difference: { recordKey: string; kind: string; }[];
+}
+
+/** Collects service files and puts them into force. */
+export default class Publish extends ApiCommand {
+    static override description = "collect knapweed.yaml files and put them into force";
+    static override strict = false;
+    static override args = { folder: Args.directory({ description: "folder to collect from", required: true }) };
+    static override flags = {
+        "dry-run": Flags.boolean({ description: "check and show the difference only" }),
+        wait: Flags.boolean({ description: "wait until the revision is in force everywhere" }),
+        message: Flags.string({ description: "why, for the audit trail", default: "" }),
+    };
+
+    async run(): Promise<unknown> {
+        const { argv, flags } = await this.parse(Publish);
+        const client = this.client(flags);
+        const files = await collectServiceFiles(argv as string[]);
+        const answer = await client.post("/admin/v1/configuration/publish", {
+            files,
+            dryRun: flags["dry-run"],
+            message: flags.message,
+        }) as unknown as PublishAnswer;
+        answer.difference.forEach(({ kind, recordKey }) => this.log(`${kind.padEnd(8)} ${recordKey}`));
+        this.log(answer.published ? `Published revision ${answer.revision}` : `Revision ${answer.revision} stands`);
+        if (flags.wait && answer.published) {
+            const report = await waitInForce(client, answer.revision);
+            this.log(`In force on ${report.reached} of ${report.total}`);
+            return { ...answer, inForce: report };
+        }
+        return answer;
+    }
+}
--- /dev/null
+++ b/cli/knapweed/src/commands/rollback.ts
@@ -0,0 +1,15 @@
+import { Args } from "@oclif/core";
+import { ApiCommand } from "../apiCommand.js";
+
+/** Publishes an earlier configuration again, as a new and higher revision. */
+export default class Rollback extends ApiCommand {
+    static override description = "put an earlier revision into force again";
+    static override args = { revision: Args.integer({ description: "revision to go back to", required: true }) };
+
+    async run(): Promise<unknown> {
+        const { args, flags } = await this.parse(Rollback);
+        const answer = await this.client(flags).post("/admin/v1/configuration/rollback", { revision: args.revision });
+        this.log(`Published revision ${String(answer["revision"])}`);
+        return answer;
+    }
+}
--- /dev/null
+++ b/cli/knapweed/src/commands/standin/instance-list.ts
@@ -0,0 +1,13 @@
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { InstanceListServer } from "@knapweedwood/standins.instance-list/instanceListServer";
+import { StandinCommand } from "../../standinCommand.js";
+
+/** Runs the stand-in of the platform's instance-list as a process of its own. */
+export default class StandinInstanceList extends StandinCommand {
+    static override description = "stand-in: instance-list";
+
+    async run(): Promise<unknown> {
+        const { flags } = await this.parse(StandinInstanceList);
+        return this.serve(new InstanceListServer({ clock: new SystemClock() }), flags);
+    }
+}
--- /dev/null
+++ b/cli/quickstart/src/batchInput.ts
@@ -0,0 +1,15 @@
+const MAX_TOKENS = 24;
+
+/** The lines of a batch file, in the published form of the OpenAI API; the named items can never complete. */
+export function batchInput(opts: { itemCount: number; poisoned: Set<number>; }): string {
+    return Array.from({ length: opts.itemCount }, (_, index) => {
+        const marker = opts.poisoned.has(index) ? " [never-completes]" : "";
+        const body = {
+            model: "demo-chat",
+            messages: [{ role: "user", content: `Assess lot ${index}.${marker}` }],
+            max_tokens: MAX_TOKENS,
+            user: `item-${index}`,
+        };
+        return `${JSON.stringify({ custom_id: `lot-${index}`, method: "POST", url: "/v1/chat/completions", body })}\n`;
+    }).join("");
+}
--- /dev/null
+++ b/daemons/side/bin/knapweed-side.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/src/main.js";
