feat(links): carry calls between processes over resumable WebSocket links

Cause: the daemons have an interface of links but nothing behind it. Change: sessions of numbered messages over ws and msgpackr, with handshake, heartbeat, replacement and resume, credit per call, cancel, deadlines and truthful outcomes. Conclusion: the daemons can be wired; fuzzing of the session follows.

--- /dev/null
+++ b/links/endpoint/src/acceptedLink.ts
@@ -0,0 +1,148 @@
+import type { Timer } from "@knapweedwood/core.clock/timer";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { Link } from "@knapweedwood/links.calls/link";
+import { BaseLink } from "./baseLink.js";
+import type { DecodedMessage } from "./decodedMessage.js";
+import type { LinkConnection } from "./linkConnection.js";
+import type { LinkTools } from "./linkTools.js";
+import type { MessageOf } from "./messageOf.js";
+import { PingWatch } from "./pingWatch.js";
+import { protocolVersion } from "./protocolVersion.js";
+
+interface AcceptedLinkOptions {
+    tools: LinkTools;
+    onClosed: () => void;
+}
+
+/** The end of a link that accepts. It keeps the session for a while when its connection is lost. */
+export class AcceptedLink extends BaseLink {
+    private readonly opts: AcceptedLinkOptions;
+    private watch: PingWatch;
+    private timer: Timer | undefined;
+    private currentState: Link["state"] = "connecting";
+
+    constructor(opts: AcceptedLinkOptions) {
+        super(opts.tools);
+        this.opts = opts;
+        this.watch = this.createWatch();
+    }
+
+    get state(): Link["state"] {
+        return this.currentState;
+    }
+
+    /** Whether a connection is in use. */
+    get isAttached(): boolean {
+        return this.connection !== undefined;
+    }
+
+    /** Takes over a connection whose `hello` named this session. */
+    accept(connection: LinkConnection, hello: MessageOf<"hello">, isNew: boolean): void {
+        this.detach();
+        this.watch = this.createWatch();
+        this.currentState = "open";
+        connection.sendMessage({
+            type: "welcome",
+            version: Math.min(protocolVersion, hello.version),
+            identity: this.tools.identity,
+            resumed: !isNew,
+            received: this.session.received,
+            maxMessageBytes: this.tools.limits.maxMessageBytes,
+        });
+        this.attach(connection, hello.identity, isNew ? 0 : hello.received, hello.maxMessageBytes);
+        this.report(isNew ? "link.accepted" : "link.accepted_again");
+        this.setTimer(this.tools.limits.heartbeatIntervalMs, () => this.look());
+    }
+
+    /** Takes in a message from `from`; one from a connection that was replaced is dropped. */
+    onMessage(from: LinkConnection, decoded: DecodedMessage): void {
+        const { message } = decoded;
+        if (from !== this.connection) {
+            return;
+        }
+        if (message.type === "ping") {
+            this.watch.onPing(this.tools.clock.nowMs(), message.intervalMs);
+            this.currentState = "open";
+            this.connection.sendMessage({
+                type: "pong",
+                sequence: message.sequence,
+                received: this.session.received,
+            });
+            this.onAcknowledged(message.received);
+            return;
+        }
+        this.receive(decoded);
+    }
+
+    onConnectionClosed(from: LinkConnection, reason: KnapweedError): void {
+        if (from === this.connection) {
+            this.lose(reason);
+        }
+    }
+
+    onConnectionDrained(from: LinkConnection): void {
+        if (from === this.connection) {
+            this.onDrained();
+        }
+    }
+
+    close(): void {
+        this.end(new KnapweedError("LINK_CLOSED", "The link was closed"), true);
+    }
+
+    /** Ends the session for good. */
+    end(reason: KnapweedError, sayGoodbye = false): void {
+        if (this.currentState === "closed") {
+            return;
+        }
+        this.currentState = "closed";
+        this.timer?.cancel();
+        this.session.end(reason);
+        if (sayGoodbye && this.connection !== undefined) {
+            this.connection.sendMessage({ type: "goodbye" });
+            this.connection.close();
+            this.connection = undefined;
+        }
+        this.detach();
+        this.opts.onClosed();
+    }
+
+    protected onCallStarted(): void {
+        if (this.currentState === "closed") {
+            this.session.failUnwritten("LINK_CLOSED", "The link is closed");
+        }
+    }
+
+    protected onGoodbye(): void {
+        this.end(new KnapweedError("LINK_CLOSED", "The other end closed the link"));
+    }
+
+    private look(): void {
+        const verdict = this.watch.verdict(this.tools.clock.nowMs());
+        if (verdict === "silent") {
+            this.lose(new KnapweedError("LINK_SILENT", "The connection went silent"));
+            return;
+        }
+        this.currentState = verdict === "suspect" ? "suspect" : "open";
+        const { heartbeatIntervalMs, idleHeartbeatIntervalMs } = this.tools.limits;
+        this.setTimer(this.callCount > 0 ? heartbeatIntervalMs : idleHeartbeatIntervalMs, () => this.look());
+    }
+
+    private lose(reason: KnapweedError): void {
+        this.detach();
+        this.currentState = "suspect";
+        this.report("link.lost", reason);
+        this.setTimer(this.tools.limits.resumeGraceMs, () => {
+            this.end(new KnapweedError("LINK_LOST", "The other end did not resume the link in time"));
+        });
+    }
+
+    private createWatch(): PingWatch {
+        return new PingWatch({ silentAfterMs: this.tools.limits.silentAfterMs }, this.tools.clock.nowMs());
+    }
+
+    private setTimer(delayMs: number, action: () => void): void {
+        this.timer?.cancel();
+        this.timer = this.tools.clock.setTimer(delayMs, action);
+    }
+}
--- /dev/null
+++ b/links/endpoint/src/baseLink.ts
@@ -0,0 +1,152 @@
+import type { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { CallDefinition } from "@knapweedwood/links.calls/callDefinition";
+import type { CallOptions } from "@knapweedwood/links.calls/callOptions";
+import type { Link } from "@knapweedwood/links.calls/link";
+import type { NotificationDefinition } from "@knapweedwood/links.calls/notificationDefinition";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import type { DecodedMessage } from "./decodedMessage.js";
+import type { LinkConnection } from "./linkConnection.js";
+import { LinkSession } from "./linkSession.js";
+import type { LinkTools } from "./linkTools.js";
+import { protocolVersion } from "./protocolVersion.js";
+
+const ACKNOWLEDGE_AFTER_MESSAGES = 64;
+const ACKNOWLEDGE_AFTER_BYTES = 256 << 10;
+
+/** What links have in common at the end that connects and at the end that accepts. */
+export abstract class BaseLink implements Link {
+    abstract readonly state: Link["state"];
+    protected readonly tools: LinkTools;
+    protected readonly session: LinkSession;
+    /** The connection in use, once its handshake has ended. */
+    protected connection: LinkConnection | undefined;
+    private unreportedMessages = 0;
+    private unreportedBytes = 0;
+
+    constructor(tools: LinkTools) {
+        this.tools = tools;
+        this.session = new LinkSession({ ...tools, onWritable: () => this.onWritable() });
+    }
+
+    get peer(): PeerIdentity | undefined {
+        return this.session.peer;
+    }
+
+    /** Calls in flight in both directions. */
+    get callCount(): number {
+        return this.session.callCount;
+    }
+
+    call<Request, Frame>(
+        definition: CallDefinition<Request, Frame>,
+        request: Request,
+        opts: CallOptions = {},
+    ): AsyncIterable<Frame> {
+        const call = this.session.call(definition.name, request, opts) as AsyncIterable<Frame>;
+        this.onCallStarted();
+        return call;
+    }
+
+    notify<Message>(definition: NotificationDefinition<Message>, message: Message): void {
+        if (this.connection === undefined || this.connection.isFull) {
+            this.tools.metrics.increment("link.notification_dropped");
+            return;
+        }
+        this.connection.sendMessage({ type: "notification", name: definition.name, payload: message });
+    }
+
+    abstract close(): void;
+
+    /** Called after a call has been started here. */
+    protected abstract onCallStarted(): void;
+
+    /** Called when the other end has ended the session on purpose. */
+    protected abstract onGoodbye(): void;
+
+    /** Takes a connection into use after its handshake. */
+    protected attach(connection: LinkConnection, peer: PeerIdentity, received: number, maxMessageBytes: number): void {
+        this.connection = connection;
+        this.session.attach(peer, received, maxMessageBytes);
+        this.pump();
+        this.session.onRoom();
+    }
+
+    /** Stops using the present connection. The session stays. */
+    protected detach(): void {
+        this.connection?.terminate();
+        this.connection = undefined;
+    }
+
+    /** Writes what is due while the connection has room. */
+    protected pump(): void {
+        while (this.connection !== undefined && !this.connection.isFull) {
+            const bytes = this.session.next();
+            if (bytes === undefined) {
+                return;
+            }
+            this.connection.send(bytes);
+        }
+    }
+
+    /** Takes in a message that either kind of link treats alike. */
+    protected receive(decoded: DecodedMessage): void {
+        const { message } = decoded;
+        switch (message.type) {
+            case "notification":
+                this.onNotification(message.name, message.payload);
+                return;
+            case "acknowledgement":
+                this.onAcknowledged(message.received);
+                return;
+            case "goodbye":
+                this.onGoodbye();
+                return;
+            default:
+                if ("number" in message) {
+                    this.session.receive(decoded);
+                    this.reportReceived(decoded.sizeBytes);
+                }
+        }
+    }
+
+    protected onAcknowledged(received: number): void {
+        this.session.acknowledge(received);
+        this.pump();
+    }
+
+    /** Called when a connection has room again. */
+    protected onDrained(): void {
+        this.pump();
+        this.session.onRoom();
+    }
+
+    /** Counts and logs an event in the life of the link. */
+    protected report(event: string, reason?: KnapweedError): void {
+        const fields = reason === undefined ? {} : { code: reason.code, reason: reason.message };
+        this.tools.metrics.increment(event);
+        this.tools.logger.info(event, { ...fields, peer: this.peer?.instanceId, protocolVersion });
+    }
+
+    private onWritable(): void {
+        this.pump();
+    }
+
+    private onNotification(name: string, payload: unknown): void {
+        const peer = this.peer;
+        if (peer !== undefined) {
+            this.tools.registry.receivers.get(name)?.(payload, peer);
+        }
+    }
+
+    private reportReceived(sizeBytes: number): void {
+        this.unreportedMessages += 1;
+        this.unreportedBytes += sizeBytes;
+        if (
+            this.unreportedMessages >= ACKNOWLEDGE_AFTER_MESSAGES || this.unreportedBytes >= ACKNOWLEDGE_AFTER_BYTES
+        ) {
+            this.connection?.sendMessage({ type: "acknowledgement", received: this.session.received });
+            this.unreportedMessages = 0;
+            this.unreportedBytes = 0;
+        }
+    }
+}
--- /dev/null
+++ b/links/endpoint/src/defaultLinkLimits.ts
@@ -0,0 +1,21 @@
+import type { LinkLimits } from "./linkLimits.js";
+
+const KIBIBYTE = 1024;
+const MEBIBYTE = 1024 * KIBIBYTE;
+
+/** Limits that find a silent link in under half a second. */
+export const defaultLinkLimits: LinkLimits = {
+    heartbeatIntervalMs: 100,
+    idleHeartbeatIntervalMs: 500,
+    silentAfterMs: 400,
+    connectTimeoutMs: 500,
+    openTimeoutMs: 1000,
+    resumeTimeoutMs: 2500,
+    resumeGraceMs: 5000,
+    reconnectBaseMs: 25,
+    reconnectMaxMs: 2000,
+    maxMessageBytes: 64 * MEBIBYTE,
+    callWindowBytes: 256 * KIBIBYTE,
+    maxUnacknowledgedBytes: 16 * MEBIBYTE,
+    maxCalls: 20_000,
+};
--- /dev/null
+++ b/links/endpoint/src/dialedLink.ts
@@ -0,0 +1,242 @@
+import type { Timer } from "@knapweedwood/core.clock/timer";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { Link } from "@knapweedwood/links.calls/link";
+import { randomUUID } from "node:crypto";
+import type { WebSocket } from "ws";
+import { Backoff } from "./backoff.js";
+import { BaseLink } from "./baseLink.js";
+import type { DecodedMessage } from "./decodedMessage.js";
+import { fromErrorRecord } from "./fromErrorRecord.js";
+import { HeartbeatMonitor } from "./heartbeatMonitor.js";
+import { LinkConnection } from "./linkConnection.js";
+import type { LinkTools } from "./linkTools.js";
+import type { MessageOf } from "./messageOf.js";
+import { oldestProtocolVersion } from "./oldestProtocolVersion.js";
+import { protocolVersion } from "./protocolVersion.js";
+
+interface DialedLinkOptions {
+    tools: LinkTools;
+    /** Opens a socket to the other end. */
+    openSocket: () => WebSocket;
+    onClosed: () => void;
+}
+
+const REFUSALS_BEFORE_GIVING_UP = 2;
+
+/** The end of a link that connects. It replaces its connection whenever that closes or goes silent. */
+export class DialedLink extends BaseLink {
+    private readonly opts: DialedLinkOptions;
+    private sessionId = randomUUID();
+    private readonly backoff: Backoff;
+    private heartbeat: HeartbeatMonitor | undefined;
+    private attempt: LinkConnection | undefined;
+    private timers: { [name: string]: Timer | undefined; } = {};
+    private currentState: Link["state"] = "connecting";
+    private refusals = 0;
+
+    constructor(opts: DialedLinkOptions) {
+        super(opts.tools);
+        const { limits, random } = opts.tools;
+        this.opts = opts;
+        this.backoff = new Backoff({ baseMs: limits.reconnectBaseMs, maxMs: limits.reconnectMaxMs, random });
+        this.dial();
+    }
+
+    get state(): Link["state"] {
+        return this.currentState;
+    }
+
+    close(): void {
+        if (this.currentState === "closed") {
+            return;
+        }
+        this.currentState = "closed";
+        this.session.end(new KnapweedError("LINK_CLOSED", "The link was closed"));
+        this.connection?.sendMessage({ type: "goodbye" });
+        this.connection?.close();
+        this.connection = undefined;
+        this.attempt?.terminate();
+        Object.values(this.timers).forEach(timer => timer?.cancel());
+        this.opts.onClosed();
+    }
+
+    protected onCallStarted(): void {
+        if (this.currentState === "closed") {
+            this.session.failUnwritten("LINK_CLOSED", "The link is closed");
+            return;
+        }
+        if (this.connection === undefined) {
+            this.awaitOpen();
+            return;
+        }
+        this.beat();
+    }
+
+    protected onGoodbye(): void {
+        this.startAfresh(new KnapweedError("LINK_CLOSED", "The other end closed the link"));
+        this.replace(new KnapweedError("LINK_CLOSED", "The other end closed the link"));
+    }
+
+    private dial(): void {
+        const { tools } = this.opts;
+        const socket = this.opts.openSocket();
+        const attempt: LinkConnection = new LinkConnection({
+            socket,
+            codec: tools.codec,
+            onMessage: decoded => this.onMessage(attempt, decoded),
+            onClosed: reason => this.onConnectionClosed(attempt, reason),
+            onDrained: () => this.onDrained(),
+        });
+        this.attempt = attempt;
+        socket.on("open", () => attempt.sendMessage(this.hello()));
+        this.setTimer("connect", tools.limits.connectTimeoutMs, () => {
+            attempt.terminate();
+            this.onConnectionClosed(attempt, new KnapweedError("LINK_CONNECT_TIMEOUT", "No link in time"));
+        });
+    }
+
+    private hello(): MessageOf<"hello"> {
+        return {
+            type: "hello",
+            version: protocolVersion,
+            oldestVersion: oldestProtocolVersion,
+            identity: this.tools.identity,
+            sessionId: this.sessionId,
+            received: this.session.received,
+            maxMessageBytes: this.tools.limits.maxMessageBytes,
+        };
+    }
+
+    private onMessage(from: LinkConnection, decoded: DecodedMessage): void {
+        const { message } = decoded;
+        if (message.type === "welcome") {
+            this.onWelcome(from, message);
+            return;
+        }
+        if (message.type === "refusal") {
+            this.onRefusal(message);
+            return;
+        }
+        if (from !== this.connection) {
+            return;
+        }
+        if (message.type === "pong") {
+            this.heartbeat?.onPong(message.sequence);
+            this.currentState = "open";
+            this.onAcknowledged(message.received);
+            return;
+        }
+        this.receive(decoded);
+    }
+
+    private onWelcome(from: LinkConnection, message: MessageOf<"welcome">): void {
+        const { limits, random } = this.tools;
+        if (!message.resumed && this.session.hasTraffic) {
+            this.session.restart(new KnapweedError("LINK_PEER_REPLACED", "The other end has forgotten the session"));
+        }
+        ["connect", "open", "resume"].forEach(name => this.clearTimer(name));
+        this.attempt = undefined;
+        this.refusals = 0;
+        this.backoff.reset();
+        this.currentState = "open";
+        this.heartbeat = new HeartbeatMonitor({
+            intervalMs: limits.heartbeatIntervalMs,
+            idleIntervalMs: limits.idleHeartbeatIntervalMs,
+            silentAfterMs: limits.silentAfterMs,
+            random,
+        });
+        this.attach(from, message.identity, message.received, message.maxMessageBytes);
+        this.report(message.resumed ? "link.resumed" : "link.opened");
+        this.beat();
+    }
+
+    private onRefusal(message: MessageOf<"refusal">): void {
+        const error = fromErrorRecord(message.error);
+        this.report("link.refused", error);
+        this.session.failUnwritten(error.code, error.message);
+    }
+
+    private beat(): void {
+        if (this.connection === undefined || this.heartbeat === undefined) {
+            return;
+        }
+        const decision = this.heartbeat.tick(this.tools.clock.nowMs(), this.callCount > 0);
+        if (decision.verdict === "silent") {
+            this.replace(new KnapweedError("LINK_SILENT", "The connection went silent"));
+            return;
+        }
+        this.currentState = decision.verdict === "suspect" ? "suspect" : "open";
+        if (decision.ping !== undefined) {
+            this.connection.sendMessage({ type: "ping", ...decision.ping, received: this.session.received });
+        }
+        this.setTimer("heartbeat", decision.nextTickMs, () => this.beat());
+    }
+
+    private onConnectionClosed(from: LinkConnection, reason: KnapweedError): void {
+        if (from === this.connection || from === this.attempt) {
+            this.replace(reason);
+        }
+    }
+
+    /** Gives up the present connection and opens another. */
+    private replace(reason: KnapweedError): void {
+        if (this.currentState === "closed") {
+            return;
+        }
+        const wasOpen = this.connection !== undefined;
+        this.detach();
+        this.attempt = undefined;
+        this.heartbeat = undefined;
+        this.currentState = "connecting";
+        ["connect", "heartbeat"].forEach(name => this.clearTimer(name));
+        if (wasOpen) {
+            this.report("link.lost", reason);
+            this.awaitResume();
+            this.awaitOpen();
+        }
+        this.countRefusal(reason);
+        this.setTimer("dial", this.backoff.nextMs(), () => this.dial());
+    }
+
+    private countRefusal(reason: KnapweedError): void {
+        const cause = reason.cause as { code?: string; } | undefined;
+        this.refusals = cause?.code === "ECONNREFUSED" ? this.refusals + 1 : 0;
+        if (this.refusals === REFUSALS_BEFORE_GIVING_UP) {
+            this.startAfresh(new KnapweedError("LINK_PEER_GONE", "Nothing listens at the other end any more"));
+        }
+    }
+
+    /** Ends calls that wait for a first connection for too long. */
+    private awaitOpen(): void {
+        if (this.timers["open"] === undefined) {
+            this.setTimer("open", this.tools.limits.openTimeoutMs, () => {
+                this.session.failUnwritten("LINK_NOT_OPEN", "No connection could be opened in time");
+            });
+        }
+    }
+
+    private awaitResume(): void {
+        this.setTimer("resume", this.tools.limits.resumeTimeoutMs, () => {
+            this.startAfresh(new KnapweedError("LINK_LOST", "The connection could not be resumed in time"));
+        });
+    }
+
+    /** Gives up the session for one that the other end can't mistake for it. */
+    private startAfresh(reason: KnapweedError): void {
+        this.sessionId = randomUUID();
+        this.session.restart(reason);
+    }
+
+    private setTimer(name: string, delayMs: number, action: () => void): void {
+        this.clearTimer(name);
+        this.timers[name] = this.tools.clock.setTimer(delayMs, () => {
+            this.timers[name] = undefined;
+            action();
+        });
+    }
+
+    private clearTimer(name: string): void {
+        this.timers[name]?.cancel();
+        this.timers[name] = undefined;
+    }
+}
--- /dev/null
+++ b/links/endpoint/src/errorRecord.ts
@@ -0,0 +1,12 @@
+import type { Outcome } from "@knapweedwood/core.errors/outcome";
+
+/** A KnapweedError as it crosses a link. */
+export interface ErrorRecord {
+    code: string;
+    message: string;
+    hint?: string | undefined;
+    outcome?: Outcome | undefined;
+    statusCode?: number | undefined;
+    retryAfterMs?: number | undefined;
+    parameter?: string | undefined;
+}
--- /dev/null
+++ b/links/endpoint/src/incomingCalls.ts
@@ -0,0 +1,125 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import type { CallRegistry } from "./callRegistry.js";
+import { IncomingCall } from "./incomingCall.js";
+import type { MessageOf } from "./messageOf.js";
+import { notRunError } from "./notRunError.js";
+import { toErrorRecord } from "./toErrorRecord.js";
+import type { UnnumberedMessage } from "./unnumberedMessage.js";
+
+interface IncomingCallsOptions {
+    clock: Clock;
+    registry: CallRegistry;
+    maxCalls: number;
+    send: (message: UnnumberedMessage) => void;
+    isCongested: () => boolean;
+    /** Called when a call has ended. */
+    onEnded: () => void;
+}
+
+/** The calls that this end answers on one link. */
+export class IncomingCalls {
+    private readonly opts: IncomingCallsOptions;
+    private readonly running = new Map<number, IncomingCall>();
+
+    constructor(opts: IncomingCallsOptions) {
+        this.opts = opts;
+    }
+
+    get size(): number {
+        return this.running.size;
+    }
+
+    /** Refuses a request, or runs its handler. */
+    onRequest(message: MessageOf<"request">, peer: PeerIdentity): void {
+        const { callId, timeoutMs, traceParent } = message;
+        const refusal = this.refusalOf(message);
+        if (refusal !== undefined) {
+            this.opts.send({ type: "failure", callId, error: toErrorRecord(refusal) });
+            return;
+        }
+        const call = this.createCall(message);
+        this.running.set(callId, call);
+        const release = this.limitTime(call, timeoutMs);
+        const deadlineMs = timeoutMs === undefined ? undefined : this.opts.clock.nowMs() + timeoutMs;
+        const handler = this.opts.registry.handlers.get(message.name)!;
+        void call.run(handler, message.payload, { peer, deadlineMs, traceParent }).finally(() => {
+            release();
+            this.forget(callId, call);
+        });
+    }
+
+    onCancel(message: MessageOf<"cancel">): void {
+        this.running.get(message.callId)?.abort(
+            new KnapweedError("LINK_CANCELLED", "The caller cancelled the call"),
+        );
+    }
+
+    onCredit(message: MessageOf<"credit">): void {
+        this.running.get(message.callId)?.raiseCredit(message.creditBytes);
+    }
+
+    /** Counts bytes of frames as they are written. */
+    onFrameWritten(callId: number, sizeBytes: number): void {
+        this.running.get(callId)?.countWritten(sizeBytes);
+    }
+
+    /** Lets handlers that wait for room on the link go on. */
+    onRoom(): void {
+        this.running.forEach(call => call.onRoom());
+    }
+
+    /** Stops one handler. */
+    abort(callId: number, reason: KnapweedError): void {
+        this.running.get(callId)?.abort(reason);
+    }
+
+    /** Stops all handlers. */
+    abortAll(reason: KnapweedError): void {
+        this.running.forEach(call => call.abort(reason));
+    }
+
+    private createCall({ callId, creditBytes }: MessageOf<"request">): IncomingCall {
+        const { send, isCongested } = this.opts;
+        return new IncomingCall({
+            creditBytes,
+            isCongested,
+            sendFrame: (frameIndex, payload) => send({ type: "frame", callId, frameIndex, payload }),
+            sendEnd: frameCount => send({ type: "end", callId, frameCount }),
+            sendFailure: thrown => send({ type: "failure", callId, error: toErrorRecord(thrown) }),
+        });
+    }
+
+    private forget(callId: number, call: IncomingCall): void {
+        if (this.running.get(callId) === call) {
+            this.running.delete(callId);
+        }
+        this.opts.onEnded();
+    }
+
+    private refusalOf(message: MessageOf<"request">): KnapweedError | undefined {
+        if (!this.opts.registry.handlers.has(message.name)) {
+            return notRunError("LINK_UNKNOWN_CALL", `There is no call ${message.name}`);
+        }
+        if (this.opts.registry.isClosing) {
+            return notRunError("LINK_CLOSING", "The process is shutting down");
+        }
+        if (this.running.size >= this.opts.maxCalls) {
+            return notRunError("LINK_TOO_MANY_CALLS", "The link has as many calls in flight as it may have");
+        }
+        if (message.timeoutMs !== undefined && message.timeoutMs <= 0) {
+            return notRunError("LINK_DEADLINE_EXCEEDED", "The call was due before it arrived");
+        }
+        return undefined;
+    }
+
+    private limitTime(call: IncomingCall, timeoutMs: number | undefined): () => void {
+        if (timeoutMs === undefined) {
+            return () => undefined;
+        }
+        const error = new KnapweedError("LINK_DEADLINE_EXCEEDED", "The call is past its deadline");
+        const timer = this.opts.clock.setTimer(timeoutMs, () => call.abort(error));
+        return () => timer.cancel();
+    }
+}
--- /dev/null
+++ b/links/endpoint/src/linkConnection.ts
@@ -0,0 +1,124 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { RawData, WebSocket } from "ws";
+import type { DecodedMessage } from "./decodedMessage.js";
+import type { LinkMessage } from "./linkMessage.js";
+import type { MessageCodec } from "./messageCodec.js";
+
+interface LinkConnectionOptions {
+    socket: WebSocket;
+    codec: MessageCodec;
+    onMessage: (decoded: DecodedMessage) => void;
+    /** Called once, when the connection has ended by whatever cause. */
+    onClosed: (reason: KnapweedError) => void;
+    /** Called when there is room for more. */
+    onDrained: () => void;
+}
+
+const HIGH_WATER_BYTES = 1 << 20;
+const BATCH_BYTES = 64 << 10;
+const BAD_MESSAGE_STATUS = 1007;
+
+/** One WebSocket. Gathers what is sent in one turn of the event loop into few writes. */
+export class LinkConnection {
+    private readonly opts: LinkConnectionOptions;
+    private batch: Uint8Array[] = [];
+    private batchBytes = 0;
+    private flushHandle: NodeJS.Immediate | undefined;
+    private ended = false;
+    private sentByteCount = 0;
+    private receivedByteCount = 0;
+
+    constructor(opts: LinkConnectionOptions) {
+        this.opts = opts;
+        opts.socket.binaryType = "nodebuffer";
+        opts.socket.on("message", data => this.receive(data));
+        opts.socket.on("error", error => this.end(toKnapweedError(error, "LINK_CONNECTION_FAILED")));
+        opts.socket.on("close", () => this.end(new KnapweedError("LINK_CONNECTION_CLOSED", "The connection closed")));
+    }
+
+    /** Whether writers should wait. */
+    get isFull(): boolean {
+        return this.batchBytes + this.opts.socket.bufferedAmount >= HIGH_WATER_BYTES;
+    }
+
+    /** Payload bytes sent so far. */
+    get sentBytes(): number {
+        return this.sentByteCount;
+    }
+
+    /** Payload bytes received so far. */
+    get receivedBytes(): number {
+        return this.receivedByteCount;
+    }
+
+    sendMessage(message: LinkMessage): void {
+        this.send(this.opts.codec.encode(message));
+    }
+
+    send(bytes: Uint8Array): void {
+        if (this.ended) {
+            return;
+        }
+        if (this.batchBytes + bytes.length > BATCH_BYTES) {
+            this.flush();
+        }
+        this.batch.push(bytes);
+        this.batchBytes += bytes.length;
+        this.flushHandle ??= setImmediate(() => this.flush());
+    }
+
+    /** Sends what is waiting and closes in an orderly way. */
+    close(): void {
+        this.flush();
+        this.opts.socket.close();
+    }
+
+    /** Drops the connection without waiting for the other end. Nothing is reported afterwards. */
+    terminate(): void {
+        this.ended = true;
+        clearImmediate(this.flushHandle);
+        this.opts.socket.terminate();
+    }
+
+    private flush(): void {
+        clearImmediate(this.flushHandle);
+        this.flushHandle = undefined;
+        if (this.batch.length === 0 || this.opts.socket.readyState !== this.opts.socket.OPEN) {
+            return;
+        }
+        const bytes = this.batch.length === 1 ? this.batch[0] : Buffer.concat(this.batch);
+        this.batch = [];
+        this.batchBytes = 0;
+        this.sentByteCount += bytes.length;
+        this.opts.socket.send(bytes, { binary: true }, () => this.opts.onDrained());
+    }
+
+    private receive(data: RawData): void {
+        if (this.ended) {
+            return;
+        }
+        const bytes = data as Buffer;
+        this.receivedByteCount += bytes.length;
+        try {
+            this.opts.codec.decode(bytes).forEach(decoded => {
+                if (!this.ended) {
+                    this.opts.onMessage(decoded);
+                }
+            });
+        }
+        catch (error) {
+            this.opts.socket.close(BAD_MESSAGE_STATUS);
+            this.end(toKnapweedError(error));
+        }
+    }
+
+    private end(reason: KnapweedError): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        clearImmediate(this.flushHandle);
+        this.opts.onClosed(reason);
+    }
+}
--- /dev/null
+++ b/links/endpoint/src/linkServer.ts
@@ -0,0 +1,149 @@
+import type { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { createServer as createPlainServer, type Server } from "node:http";
+import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import { type WebSocket, WebSocketServer } from "ws";
+import { AcceptedLink } from "./acceptedLink.js";
+import type { DecodedMessage } from "./decodedMessage.js";
+import { LinkConnection } from "./linkConnection.js";
+import type { LinkTls } from "./linkTls.js";
+import type { LinkTools } from "./linkTools.js";
+import type { MessageOf } from "./messageOf.js";
+import { notRunError } from "./notRunError.js";
+import { oldestProtocolVersion } from "./oldestProtocolVersion.js";
+import { protocolVersion } from "./protocolVersion.js";
+import { toErrorRecord } from "./toErrorRecord.js";
+
+interface LinkServerOptions {
+    tools: LinkTools;
+    host: string;
+    port: number;
+    tls: LinkTls | undefined;
+}
+
+/** Accepts connections and gives each to the session that it names. */
+export class LinkServer {
+    private readonly opts: LinkServerOptions;
+    private readonly server: Server | TlsServer;
+    private readonly sessions = new Map<string, AcceptedLink>();
+
+    constructor(opts: LinkServerOptions) {
+        this.opts = opts;
+        this.server = opts.tls === undefined ? createPlainServer() : createTlsServer(toServerOptions(opts.tls));
+        const webSockets = new WebSocketServer({
+            server: this.server,
+            perMessageDeflate: false,
+            maxPayload: opts.tools.limits.maxMessageBytes,
+        });
+        webSockets.on("connection", socket => this.onConnection(socket));
+    }
+
+    /** Links with their sessions, those without a connection among them. */
+    get links(): AcceptedLink[] {
+        return [...this.sessions.values()];
+    }
+
+    /** @returns the port bound */
+    async listen(): Promise<number> {
+        const { host, port } = this.opts;
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, host, resolve);
+        });
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Uses other certificates for new connections. */
+    reloadTls(tls: LinkTls): void {
+        (this.server as TlsServer).setSecureContext(toServerOptions(tls));
+    }
+
+    /** Stops accepting and ends what is left. */
+    async close(): Promise<void> {
+        this.links.forEach(link => link.close());
+        await new Promise<void>(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeAllConnections();
+        });
+    }
+
+    private onConnection(socket: WebSocket): void {
+        const { clock, codec, limits } = this.opts.tools;
+        let link: AcceptedLink | undefined;
+        const connection: LinkConnection = new LinkConnection({
+            socket,
+            codec,
+            onMessage: decoded => {
+                if (link !== undefined) {
+                    link.onMessage(connection, decoded);
+                    return;
+                }
+                handshakeTimer.cancel();
+                link = this.onFirstMessage(connection, decoded);
+            },
+            onClosed: (reason: KnapweedError) => {
+                handshakeTimer.cancel();
+                link?.onConnectionClosed(connection, reason);
+            },
+            onDrained: () => link?.onConnectionDrained(connection),
+        });
+        const handshakeTimer = clock.setTimer(limits.connectTimeoutMs, () => connection.terminate());
+    }
+
+    private onFirstMessage(connection: LinkConnection, { message }: DecodedMessage): AcceptedLink | undefined {
+        if (message.type !== "hello") {
+            connection.terminate();
+            return undefined;
+        }
+        const refusal = this.refusalOf(message);
+        if (refusal !== undefined) {
+            connection.sendMessage({ type: "refusal", error: toErrorRecord(refusal) });
+            connection.close();
+            return undefined;
+        }
+        const known = this.sessions.get(message.sessionId);
+        const link = known ?? this.createLink(message);
+        link.accept(connection, message, known === undefined);
+        return link;
+    }
+
+    private refusalOf(hello: MessageOf<"hello">): KnapweedError | undefined {
+        if (hello.version < oldestProtocolVersion || hello.oldestVersion > protocolVersion) {
+            const text = `The other end speaks versions ${oldestProtocolVersion} to ${protocolVersion}`;
+            return notRunError("LINK_VERSION_UNSUPPORTED", text);
+        }
+        if (this.opts.tools.registry.isClosing) {
+            return notRunError("LINK_CLOSING", "The process is shutting down");
+        }
+        return undefined;
+    }
+
+    private createLink(hello: MessageOf<"hello">): AcceptedLink {
+        this.endForgottenSessions(hello);
+        const link = new AcceptedLink({
+            tools: this.opts.tools,
+            onClosed: () => this.sessions.delete(hello.sessionId),
+        });
+        this.sessions.set(hello.sessionId, link);
+        return link;
+    }
+
+    /** Ends sessions that the other end can't mean to resume. */
+    private endForgottenSessions({ identity }: MessageOf<"hello">): void {
+        const reason = notRunError("LINK_PEER_REPLACED", "The other end has begun another session");
+        this.links
+            .filter(link => link.peer?.instanceId === identity.instanceId)
+            .filter(link => !link.isAttached || link.peer!.incarnation < identity.incarnation)
+            .forEach(link => link.end(reason));
+    }
+}
+
+function toServerOptions(tls: LinkTls) {
+    return {
+        cert: tls.certificate,
+        key: tls.privateKey,
+        ca: tls.authorities,
+        requestCert: true,
+        rejectUnauthorized: true,
+    };
+}
--- /dev/null
+++ b/links/endpoint/src/linkTools.ts
@@ -0,0 +1,20 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { CallRegistry } from "./callRegistry.js";
+import type { LinkLimits } from "./linkLimits.js";
+import type { MessageCodec } from "./messageCodec.js";
+
+/** What all links of an endpoint share. */
+export interface LinkTools {
+    identity: PeerIdentity;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+    codec: MessageCodec;
+    limits: LinkLimits;
+    registry: CallRegistry;
+}
--- /dev/null
+++ b/links/endpoint/src/messageCodec.ts
@@ -0,0 +1,55 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { Packr } from "msgpackr";
+import type { DecodedMessage } from "./decodedMessage.js";
+import type { LinkMessage } from "./linkMessage.js";
+import { messageLayouts } from "./messageLayouts.js";
+
+const indexByType = new Map(messageLayouts.map((layout, index) => [layout.type, index]));
+
+/** Packs link messages into bytes. Several packed messages may stand one after the other. */
+export class MessageCodec {
+    private readonly packr = new Packr({ useRecords: false });
+
+    encode(message: LinkMessage): Uint8Array {
+        const index = indexByType.get(message.type)!;
+        const values = message as unknown as Record<string, unknown>;
+        return this.packr.pack([index, ...messageLayouts[index].fields.map(([name]) => values[name])]);
+    }
+
+    /**
+     * @returns the messages in order, shape [messages]
+     * @throws KnapweedError ERR_KNAPWEED_LINK_BAD_MESSAGE where the bytes are no messages of this protocol
+     */
+    decode(bytes: Uint8Array): DecodedMessage[] {
+        const messages: DecodedMessage[] = [];
+        try {
+            this.packr.unpackMultiple(bytes, (value: unknown, start?: number, end?: number) => {
+                messages.push({ message: toMessage(value), sizeBytes: (end ?? 0) - (start ?? 0) });
+            });
+        }
+        catch (error) {
+            throw error instanceof KnapweedError ? error : badMessage("The bytes are not msgpack", error);
+        }
+        return messages;
+    }
+}
+
+function toMessage(value: unknown): LinkMessage {
+    if (!Array.isArray(value)) {
+        throw badMessage("A message is not an array");
+    }
+    const layout = messageLayouts[value[0] as number];
+    if (layout === undefined) {
+        throw badMessage("A message has an unknown type");
+    }
+    const wrong = layout.fields.find(([, check], index) => !check(value[index + 1]));
+    if (wrong !== undefined) {
+        throw badMessage(`Field ${wrong[0]} of message ${layout.type} is wrong`);
+    }
+    const fields = layout.fields.map(([name], index) => [name, value[index + 1]] as const);
+    return { type: layout.type, ...Object.fromEntries(fields) } as unknown as LinkMessage;
+}
+
+function badMessage(message: string, cause?: unknown): KnapweedError {
+    return new KnapweedError("LINK_BAD_MESSAGE", message, { outcome: "unknown", cause });
+}
--- /dev/null
+++ b/links/endpoint/src/oldestProtocolVersion.ts
@@ -0,0 +1,2 @@
+/** Oldest version of the protocol between processes that is still spoken. */
+export const oldestProtocolVersion = 1;
--- /dev/null
+++ b/links/endpoint/src/outgoingCall.ts
@@ -0,0 +1,136 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+
+interface BufferedFrame<Frame> {
+    payload: Frame;
+    sizeBytes: number;
+}
+
+interface Waiter<Frame> {
+    resolve: (result: IteratorResult<Frame>) => void;
+    reject: (error: KnapweedError) => void;
+}
+
+interface OutgoingCallOptions {
+    callId: number;
+    /** Bytes of frames that may be on their way or unread here. */
+    windowBytes: number;
+    /** Tells the other end that it may have sent `creditBytes` bytes of frames since the start of the call. */
+    giveCredit: (creditBytes: number) => void;
+    /** Called once where the reader stops before the call has ended. */
+    onAbandoned: () => void;
+}
+
+/** The frames of a call as its caller reads them: in order, each once, complete or followed by an error. */
+export class OutgoingCall<Frame> implements AsyncIterableIterator<Frame> {
+    readonly callId: number;
+    private readonly opts: OutgoingCallOptions;
+    private readonly buffered: BufferedFrame<Frame>[] = [];
+    private waiter: Waiter<Frame> | undefined;
+    private frameCount = 0;
+    private readBytes = 0;
+    private grantedBytes: number;
+    private ended = false;
+    private error: KnapweedError | undefined;
+
+    constructor(opts: OutgoingCallOptions) {
+        this.opts = opts;
+        this.callId = opts.callId;
+        this.grantedBytes = opts.windowBytes;
+    }
+
+    get isEnded(): boolean {
+        return this.ended;
+    }
+
+    /** Takes in a frame from the link. */
+    acceptFrame(frameIndex: number, payload: Frame, sizeBytes: number): void {
+        if (this.ended) {
+            return;
+        }
+        if (frameIndex !== this.frameCount) {
+            this.fail(
+                new KnapweedError("LINK_FRAME_MISSING", `Frame ${this.frameCount} is missing`, { outcome: "unknown" }),
+            );
+            return;
+        }
+        this.frameCount += 1;
+        this.buffered.push({ payload, sizeBytes });
+        this.serveWaiter();
+    }
+
+    /** Takes in the end of the call, which states how many frames there were. */
+    acceptEnd(frameCount: number): void {
+        if (this.ended) {
+            return;
+        }
+        if (frameCount !== this.frameCount) {
+            const message = `${this.frameCount} of ${frameCount} frames arrived`;
+            this.fail(new KnapweedError("LINK_FRAME_MISSING", message, { outcome: "unknown" }));
+            return;
+        }
+        this.ended = true;
+        this.serveWaiter();
+    }
+
+    /** Ends the call with an error, which the reader gets after the frames that have arrived. */
+    fail(error: KnapweedError): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        this.error = error;
+        this.serveWaiter();
+    }
+
+    next(): Promise<IteratorResult<Frame>> {
+        return new Promise((resolve, reject) => {
+            this.waiter = { resolve, reject };
+            this.serveWaiter();
+        });
+    }
+
+    return(): Promise<IteratorResult<Frame>> {
+        this.buffered.length = 0;
+        this.error = undefined;
+        if (!this.ended) {
+            this.ended = true;
+            this.opts.onAbandoned();
+        }
+        this.serveWaiter();
+        return Promise.resolve({ done: true, value: undefined });
+    }
+
+    [Symbol.asyncIterator](): AsyncIterableIterator<Frame> {
+        return this;
+    }
+
+    private serveWaiter(): void {
+        if (this.waiter === undefined || (this.buffered.length === 0 && !this.ended)) {
+            return;
+        }
+        const { resolve, reject } = this.waiter;
+        this.waiter = undefined;
+        const frame = this.buffered.shift();
+        if (frame !== undefined) {
+            this.countRead(frame.sizeBytes);
+            resolve({ done: false, value: frame.payload });
+            return;
+        }
+        if (this.error !== undefined) {
+            const error = this.error;
+            this.error = undefined;
+            reject(error);
+            return;
+        }
+        resolve({ done: true, value: undefined });
+    }
+
+    private countRead(sizeBytes: number): void {
+        this.readBytes += sizeBytes;
+        const wantedBytes = this.readBytes + this.opts.windowBytes;
+        if (!this.ended && wantedBytes - this.grantedBytes >= this.opts.windowBytes / 2) {
+            this.grantedBytes = wantedBytes;
+            this.opts.giveCredit(wantedBytes);
+        }
+    }
+}
--- /dev/null
+++ b/links/endpoint/src/protocolVersion.ts
@@ -0,0 +1,2 @@
+/** Version of the protocol between processes. */
+export const protocolVersion = 1;
--- /dev/null
+++ b/links/endpoint/src/webSocketLinkEndpoint.ts
@@ -0,0 +1,121 @@
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import type { CallDefinition } from "@knapweedwood/links.calls/callDefinition";
+import type { CallHandler } from "@knapweedwood/links.calls/callHandler";
+import type { Link } from "@knapweedwood/links.calls/link";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import type { NotificationDefinition } from "@knapweedwood/links.calls/notificationDefinition";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import { randomInt } from "node:crypto";
+import { WebSocket } from "ws";
+import type { BaseLink } from "./baseLink.js";
+import { CallRegistry } from "./callRegistry.js";
+import { defaultLinkLimits } from "./defaultLinkLimits.js";
+import { DialedLink } from "./dialedLink.js";
+import { LinkServer } from "./linkServer.js";
+import type { LinkTls } from "./linkTls.js";
+import type { LinkTools } from "./linkTools.js";
+import { MessageCodec } from "./messageCodec.js";
+import type { WebSocketLinkEndpointOptions } from "./webSocketLinkEndpointOptions.js";
+
+const DEFAULT_CLOSE_GRACE_MS = 30_000;
+const CLOSE_POLL_MS = 20;
+const MAX_SEED = 2 ** 31;
+
+/** The links of one process over WebSockets that carry msgpack. */
+export class WebSocketLinkEndpoint implements LinkEndpoint {
+    readonly identity: PeerIdentity;
+    private readonly opts: WebSocketLinkEndpointOptions;
+    private readonly tools: LinkTools;
+    private readonly server: LinkServer;
+    private readonly dialed = new Map<string, DialedLink>();
+    private tls: LinkTls | undefined;
+
+    constructor(opts: WebSocketLinkEndpointOptions) {
+        this.opts = opts;
+        this.identity = opts.identity;
+        this.tls = opts.tls;
+        this.tools = {
+            identity: opts.identity,
+            clock: opts.clock,
+            random: opts.random ?? new SeededRandom(randomInt(MAX_SEED)),
+            logger: opts.logger,
+            metrics: opts.metrics,
+            codec: new MessageCodec(),
+            limits: { ...defaultLinkLimits, ...opts.limits },
+            registry: new CallRegistry(),
+        };
+        this.server = new LinkServer({ tools: this.tools, host: opts.host, port: opts.port, tls: opts.tls });
+    }
+
+    async listen(): Promise<string> {
+        const port = await this.server.listen();
+        return this.opts.advertisedAddress ?? `${this.opts.host}:${port}`;
+    }
+
+    handle<Request, Frame>(definition: CallDefinition<Request, Frame>, handler: CallHandler<Request, Frame>): void {
+        this.tools.registry.handlers.set(definition.name, handler as CallHandler<unknown, unknown>);
+    }
+
+    receive<Message>(
+        definition: NotificationDefinition<Message>,
+        receiver: (message: Message, peer: PeerIdentity) => void,
+    ): void {
+        this.tools.registry.receivers.set(
+            definition.name,
+            receiver as (message: unknown, peer: PeerIdentity) => void,
+        );
+    }
+
+    connect(address: string): Link {
+        const known = this.dialed.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const link = new DialedLink({
+            tools: this.tools,
+            openSocket: () => this.openSocket(address),
+            onClosed: () => this.dialed.delete(address),
+        });
+        this.dialed.set(address, link);
+        return link;
+    }
+
+    links(): Link[] {
+        return this.allLinks().filter(link => link.state === "open" || link.state === "suspect");
+    }
+
+    /** Uses other certificates for new connections, in both directions. */
+    reloadTls(tls: LinkTls): void {
+        this.tls = tls;
+        this.server.reloadTls(tls);
+    }
+
+    async close(graceMs = DEFAULT_CLOSE_GRACE_MS): Promise<void> {
+        const { clock, registry } = this.tools;
+        const giveUpAtMs = clock.nowMs() + graceMs;
+        registry.isClosing = true;
+        while (this.allLinks().some(link => link.callCount > 0) && clock.nowMs() < giveUpAtMs) {
+            await sleep(clock, CLOSE_POLL_MS);
+        }
+        [...this.dialed.values()].forEach(link => link.close());
+        await this.server.close();
+    }
+
+    private allLinks(): BaseLink[] {
+        return [...this.dialed.values(), ...this.server.links];
+    }
+
+    private openSocket(address: string): WebSocket {
+        const { tls } = this;
+        const common = { perMessageDeflate: false, maxPayload: this.tools.limits.maxMessageBytes };
+        return tls === undefined
+            ? new WebSocket(`ws://${address}`, common)
+            : new WebSocket(`wss://${address}`, {
+                ...common,
+                cert: tls.certificate,
+                key: tls.privateKey,
+                ca: tls.authorities,
+            });
+    }
+}
