--- /dev/null
+++ b/admission/cost-model/src/recursiveLeastSquares.ts
@@ -0,0 +1,41 @@
+const INITIAL_VARIANCE = 100;
+/** Bound of the covariance, so that it can't grow without end while the features don't change. */
+const MAX_TRACE = 300;
+
+/** Linear least squares over a stream of samples, old samples forgotten step by step. */
+export class RecursiveLeastSquares {
+    /** Shape [features]. */
+    readonly coefficients: number[];
+    private readonly forgettingFactor: number;
+    private covariance: number[][];
+
+    /** @param opts `initial` is the first estimate, shape [features] */
+    constructor(opts: { initial: number[]; forgettingFactor: number; }) {
+        this.coefficients = [...opts.initial];
+        this.forgettingFactor = opts.forgettingFactor;
+        this.covariance = opts.initial.map((_, row) =>
+            opts.initial.map((_, column) => row === column ? INITIAL_VARIANCE : 0)
+        );
+    }
+
+    /** @param features shape [features] */
+    update(features: number[], target: number): void {
+        const projected = this.covariance.map(row => dot(row, features));
+        const scale = this.forgettingFactor + dot(features, projected);
+        const gain = projected.map(value => value / scale);
+        const error = target - dot(this.coefficients, features);
+        gain.forEach((value, index) => {
+            this.coefficients[index] = (this.coefficients[index] ?? 0) + value * error;
+        });
+        const reduced = this.covariance.map((row, rowIndex) =>
+            row.map((value, column) => value - (gain[rowIndex] ?? 0) * (projected[column] ?? 0))
+        );
+        const trace = reduced.reduce((sum, row, index) => sum + (row[index] ?? 0), 0);
+        const growth = trace / this.forgettingFactor > MAX_TRACE ? 1 : 1 / this.forgettingFactor;
+        this.covariance = reduced.map(row => row.map(value => value * growth));
+    }
+}
+
+function dot(left: number[], right: number[]): number {
+    return left.reduce((sum, value, index) => sum + value * (right[index] ?? 0), 0);
+}
