feat(entry): entry process

Cause: callers need a process that serves both APIs and carries the shared roles. Change: wiring of links, configuration, batch role, dispatcher and HTTP; settings choose the segment store.

--- a/config/settings/src/entrySettingsSchema.ts
+++ b/config/settings/src/entrySettingsSchema.ts
@@ -4,6 +4,7 @@
 const DEFAULT_MAX_BODY_BYTES = 32 * 1024 * 1024;
 const DEFAULT_MAX_FILE_BYTES = 1024 * 1024 * 1024;
 const DEFAULT_PARTITION_COUNT = 16;
+const MAX_PARTITION_COUNT = 4096;
 
 /** Schema of an entry's settings file. */
 export const entrySettingsSchema = z.strictObject({
@@ -25,7 +26,9 @@
     bootstrapKeyHash: z.string().regex(/^[0-9a-f]{64}$/u).optional(),
     /** Folder for segments; none where the instance has no disk. */
     dataFolder: z.string().optional(),
-    batch: z.strictObject({ partitionCount: z.int().min(1).max(4096).default(DEFAULT_PARTITION_COUNT) }).default({
-        partitionCount: DEFAULT_PARTITION_COUNT,
-    }),
+    batch: z.strictObject({
+        partitionCount: z.int().min(1).max(MAX_PARTITION_COUNT).default(DEFAULT_PARTITION_COUNT),
+        /** Where items and results are kept; the same on every entry of a deployment. */
+        segmentStore: z.enum(["key-value", "data-folders"]).default("key-value"),
+    }).default({ partitionCount: DEFAULT_PARTITION_COUNT, segmentStore: "key-value" }),
 });
--- /dev/null
+++ b/daemons/entry/src/configuredServices.ts
@@ -0,0 +1,16 @@
+import { mayCall } from "@knapweedwood/api.callers/mayCall";
+import type { ServiceLookup } from "@knapweedwood/batch.owner/serviceLookup";
+import type { ConfigurationSource } from "@knapweedwood/config.configuration/configurationSource";
+import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+
+/** Services of the configuration in force, as owners of partitions see them. */
+export function configuredServices(configuration: ConfigurationSource): ServiceLookup {
+    const callable = (service: ServiceDefinition | undefined, teamId: TeamId) =>
+        service !== undefined && mayCall(service, teamId) ? service : undefined;
+    return {
+        isReady: () => configuration.current() !== undefined,
+        ofModel: (model, teamId) => callable(configuration.current()?.serviceOfModel(model), teamId),
+        named: (name, teamId) => callable(configuration.current()?.service(name), teamId),
+    };
+}
--- /dev/null
+++ b/daemons/entry/src/entryProcess.ts
@@ -0,0 +1,232 @@
+import { randomUUID } from "node:crypto";
+import { CallersApi } from "@knapweedwood/api.callers/callersApi";
+import { HttpListener } from "@knapweedwood/api.http/httpListener";
+import { OperatorsApi } from "@knapweedwood/api.operators/operatorsApi";
+import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
+import { KeyValueBatchService } from "@knapweedwood/batch.jobs/keyValueBatchService";
+import { BatchRole } from "@knapweedwood/batch.owner/batchRole";
+import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
+import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
+import { ConfigurationPublisher } from "@knapweedwood/config.publishing/configurationPublisher";
+import { ensureBootstrapConfiguration } from "@knapweedwood/api.operators/ensureBootstrapConfiguration";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { RegionName } from "@knapweedwood/core.ids/regionName";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
+import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
+import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import { BodyStreams } from "./bodyStreams.js";
+import { configuredServices } from "./configuredServices.js";
+import { createSegmentStore } from "./createSegmentStore.js";
+import { Dispatcher } from "./dispatcher.js";
+import { EntryHttp } from "./entryHttp.js";
+import type { EntryProcessOptions } from "./entryProcessOptions.js";
+import { LeastLoadedSelector } from "./leastLoadedSelector.js";
+import { RetryBudget } from "./retryBudget.js";
+import { unclaimedCalls } from "./unclaimedCalls.js";
+import { unlimitedAdmission } from "./unlimitedAdmission.js";
+import { UpstreamDirectory } from "./upstreamDirectory.js";
+
+const BOOTSTRAP_RETRY_MS = 1000;
+/** The balancer stops sending once it sees the instance leaving. */
+const LEAVE_PAUSE_MS = 500;
+
+/** The process between callers and sides; by lease it also carries shared roles. */
+export class EntryProcess {
+    private readonly opts: EntryProcessOptions;
+    private readonly endpoint: WebSocketLinkEndpoint;
+    private readonly watcher: InstanceWatcher;
+    private readonly configuration: DistributedConfiguration;
+    private readonly publisher: ConfigurationPublisher;
+    private readonly directory: UpstreamDirectory;
+    private readonly dispatcher: Dispatcher;
+    private readonly stopping = new AbortController();
+    private batchRole: BatchRole | undefined;
+    private announcer: InstanceAnnouncer | undefined;
+    private listener: HttpListener | undefined;
+
+    constructor(opts: EntryProcessOptions) {
+        this.opts = opts;
+        const { settings, clock, random, logger, metrics, keyValue, instanceList, tracer } = opts;
+        const identity = {
+            instanceId: settings.instanceId as InstanceId,
+            incarnation: Math.floor(clock.nowMs()) as Incarnation,
+            kind: "entry" as const,
+            zone: settings.zone as ZoneName,
+            region: settings.region as RegionName,
+        };
+        this.endpoint = new WebSocketLinkEndpoint({ identity, clock, random, logger, metrics, ...settings.link });
+        this.watcher = new InstanceWatcher({ instanceList, clock, random, logger });
+        this.configuration = new DistributedConfiguration({
+            identity,
+            clock,
+            random,
+            keyValue,
+            instanceList,
+            endpoint: this.endpoint,
+            logger,
+            metrics,
+        });
+        this.publisher = new ConfigurationPublisher({ keyValue, clock, createChangeId: randomUUID });
+        this.directory = new UpstreamDirectory({
+            endpoint: this.endpoint,
+            clock,
+            watcher: this.watcher,
+            selectSubset: records => records,
+        });
+        this.dispatcher = new Dispatcher({
+            directory: this.directory,
+            selector: new LeastLoadedSelector({ random }),
+            retryGate: new RetryBudget(),
+            bodyStreams: new BodyStreams({ endpoint: this.endpoint }),
+            clock,
+            random,
+            metrics,
+            tracer,
+        });
+    }
+
+    /** @returns the port where callers are served, and the address of the links */
+    async start(): Promise<{ httpPort: number; linkAddress: string; }> {
+        const { settings, logger } = this.opts;
+        const linkAddress = await this.endpoint.listen();
+        await this.watcher.start();
+        await this.configuration.start();
+        const segmentStore = await createSegmentStore({
+            ...this.opts,
+            endpoint: this.endpoint,
+            watcher: this.watcher,
+        });
+        this.batchRole = this.createBatchRole(segmentStore);
+        await this.batchRole.start();
+        this.listener = this.createListener(segmentStore);
+        const httpPort = await this.listener.listen(settings.http.host, settings.http.port);
+        this.announcer = this.createAnnouncer(linkAddress);
+        await this.announcer.start();
+        void this.bootstrap();
+        logger.info("entry.started", { httpPort, linkAddress });
+        return { httpPort, linkAddress };
+    }
+
+    /** Stops in order: leaving is announced, calls in progress end, shared roles are handed over. */
+    async stop(): Promise<void> {
+        const { settings, clock, logger } = this.opts;
+        this.stopping.abort();
+        await this.announcer?.leave();
+        await sleep(clock, LEAVE_PAUSE_MS);
+        await this.listener?.close(settings.shutdownGraceMs);
+        await this.batchRole?.stop();
+        await this.configuration.stop();
+        await this.watcher.stop();
+        await this.announcer?.stop();
+        await this.endpoint.close();
+        logger.info("entry.stopped");
+    }
+
+    private isReady(): boolean {
+        return !this.stopping.signal.aborted && this.configuration.current() !== undefined;
+    }
+
+    private createListener(segmentStore: SegmentStore): HttpListener {
+        const { settings, clock, random, logger, metrics, tracer, keyValue } = this.opts;
+        const batches = new KeyValueBatchService({
+            keyValue,
+            segmentStore,
+            clock,
+            random,
+            onCancelled: jobId =>
+                this.endpoint.links().forEach(link => link.notify(cancelJobNotification, { jobId })),
+        });
+        const callersApi = new CallersApi({
+            configuration: this.configuration,
+            backend: this.dispatcher,
+            batches,
+            admission: unlimitedAdmission,
+            keyedCalls: unclaimedCalls,
+            clock,
+            logger,
+            metrics,
+            tracer,
+            maxBodyBytes: settings.http.maxBodyBytes,
+            maxFileBytes: settings.http.maxFileBytes,
+        });
+        const http = new EntryHttp({
+            callersApi,
+            operatorsApi: this.createOperatorsApi(batches),
+            configuration: this.configuration,
+            isReady: () => this.isReady(),
+        });
+        return new HttpListener({
+            handle: (request, response) => http.handle(request, response),
+            tls: settings.http.tls,
+        });
+    }
+
+    private createOperatorsApi(batches: KeyValueBatchService): OperatorsApi {
+        return new OperatorsApi({
+            publisher: this.publisher,
+            configuration: this.configuration,
+            batches,
+            clock: this.opts.clock,
+        });
+    }
+
+    private createBatchRole(segmentStore: SegmentStore): BatchRole {
+        const { settings, clock, random, logger, metrics, keyValue, instanceList } = this.opts;
+        return new BatchRole({
+            instanceId: settings.instanceId as InstanceId,
+            zone: settings.zone as ZoneName,
+            clock,
+            random,
+            keyValue,
+            instanceList,
+            endpoint: this.endpoint,
+            segmentStore,
+            logger,
+            metrics,
+            partitionCount: settings.batch.partitionCount,
+            services: configuredServices(this.configuration),
+            teamWeight: teamId => this.configuration.current()?.team(teamId)?.weight ?? 1,
+        });
+    }
+
+    private createAnnouncer(address: string): InstanceAnnouncer {
+        const { settings, instanceList, clock, logger } = this.opts;
+        return new InstanceAnnouncer({
+            instanceList,
+            clock,
+            logger,
+            record: {
+                instanceId: settings.instanceId as InstanceId,
+                kind: "entry",
+                region: settings.region as RegionName,
+                zone: settings.zone as ZoneName,
+                address,
+                state: "live",
+                service: undefined,
+                hasDataFolder: settings.dataFolder !== undefined,
+            },
+        });
+    }
+
+    /** Publishes the first platform operator's key where there is no configuration yet. */
+    private async bootstrap(): Promise<void> {
+        const { settings, clock, logger } = this.opts;
+        const platformKeyHash = settings.bootstrapKeyHash;
+        if (platformKeyHash === undefined) {
+            return;
+        }
+        while (!this.stopping.signal.aborted) {
+            try {
+                await ensureBootstrapConfiguration({ publisher: this.publisher, platformKeyHash });
+                return;
+            }
+            catch (error) {
+                logger.warn("bootstrap.failed", { error: String(error) });
+                await sleep(clock, BOOTSTRAP_RETRY_MS, this.stopping.signal);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemons/entry/src/main.ts
@@ -0,0 +1,33 @@
+import { randomInt } from "node:crypto";
+import { entrySettingsSchema } from "@knapweedwood/config.settings/entrySettingsSchema";
+import { readSettings } from "@knapweedwood/config.settings/readSettings";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { createObservers } from "@knapweedwood/daemons.common/createObservers";
+import { runDaemon } from "@knapweedwood/daemons.common/runDaemon";
+import { settingsFileOf } from "@knapweedwood/daemons.common/settingsFileOf";
+import { HttpInstanceList } from "@knapweedwood/platform.instance-list/httpInstanceList";
+import { EtcdKeyValueService } from "@knapweedwood/platform.key-value-etcd/etcdKeyValueService";
+import { EntryProcess } from "./entryProcess.js";
+
+const SEED_LIMIT = 2 ** 31;
+
+const settings = await readSettings(settingsFileOf(process.argv.slice(2)), entrySettingsSchema);
+const clock = new SystemClock();
+const observers = await createObservers(settings, clock);
+const entry = new EntryProcess({
+    settings,
+    clock,
+    random: new SeededRandom(randomInt(SEED_LIMIT)),
+    keyValue: new EtcdKeyValueService({ baseUrl: settings.platform.keyValueUrl, clock }),
+    instanceList: new HttpInstanceList({ baseUrl: settings.platform.instanceListUrl }),
+    ...observers,
+});
+await runDaemon({
+    start: () => entry.start(),
+    stop: async () => {
+        await entry.stop();
+        await observers.tracer.close();
+    },
+    logger: observers.logger,
+});
