--- /dev/null
+++ b/batch/jobs/src/initialProgress.ts
@@ -0,0 +1,26 @@
+import type { FencingNumber } from "@knapweedwood/core.ids/fencingNumber";
+import { jobChart } from "./jobChart.js";
+import type { JobProgress } from "./jobProgress.js";
+
+/** The progress of a job that was just accepted. */
+export function initialProgress(writeId: string): JobProgress {
+    return {
+        state: jobChart.initial,
+        writeId,
+        fencingNumber: 0 as FencingNumber,
+        totalCount: 0,
+        completedCount: 0,
+        failedCount: 0,
+        finished: [],
+        claimed: [],
+        results: [],
+        histories: [],
+        checkpointCount: 0,
+        startedAtMs: undefined,
+        finishedAtMs: undefined,
+        cancelledAtMs: undefined,
+        outputFileId: undefined,
+        errorFileId: undefined,
+        errors: [],
+    };
+}
--- /dev/null
+++ b/batch/jobs/src/itemRange.ts
@@ -0,0 +1,5 @@
+/** Items `first` to `last`, both included. */
+export interface ItemRange {
+    first: number;
+    last: number;
+}
--- /dev/null
+++ b/batch/jobs/src/jobAcceptance.ts
@@ -0,0 +1,98 @@
+import { commitTransaction } from "@knapweedwood/batch.records/commitTransaction";
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
+import { readRecord } from "@knapweedwood/batch.records/readRecord";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import { batchKeys } from "./batchKeys.js";
+import type { BatchService } from "./batchService.js";
+import { createSortableId } from "./createSortableId.js";
+import { initialProgress } from "./initialProgress.js";
+import type { JobManifest } from "./jobManifest.js";
+import type { JobProgress } from "./jobProgress.js";
+import type { JobRecord } from "./jobRecord.js";
+import type { OpenJob } from "./openJob.js";
+import type { StoredFile } from "./storedFile.js";
+import { toJobRecord } from "./toJobRecord.js";
+
+const DEFAULT_DUE_MS = 24 * 60 * 60 * 1000;
+
+type AcceptOptions = Parameters<BatchService["createJob"]>[0] & { file: StoredFile; };
+
+/** Accepts jobs: one compare-and-swap under the team's idempotency key decides. */
+export class JobAcceptance {
+    private readonly opts: { keyValue: KeyValueService; clock: Clock; random: Random; };
+
+    constructor(opts: { keyValue: KeyValueService; clock: Clock; random: Random; }) {
+        this.opts = opts;
+    }
+
+    async accept(opts: AcceptOptions): Promise<JobRecord> {
+        return await this.accepted(opts) ?? await this.create(opts);
+    }
+
+    private async create(opts: AcceptOptions): Promise<JobRecord> {
+        const { random, clock } = this.opts;
+        const nowMs = clock.nowMs();
+        const jobId = createSortableId({ prefix: "batch_", nowMs, random }) as JobId;
+        const manifest: JobManifest = {
+            jobId,
+            teamId: opts.teamId,
+            endpoint: opts.endpoint,
+            inputFileId: opts.inputFileId,
+            input: opts.file.segments,
+            metadata: opts.metadata,
+            idempotencyKey: opts.idempotencyKey,
+            createdAtMs: nowMs,
+            dueAtMs: nowMs + (opts.dueMs ?? DEFAULT_DUE_MS),
+        };
+        const progress = initialProgress(jobId);
+        const idempotency = batchKeys.idempotency(opts.teamId, opts.idempotencyKey);
+        const open: OpenJob = { jobId, cancelled: false };
+        const result = await commitTransaction({
+            ...this.opts,
+            compares: [{ key: idempotency, modRevision: 0 }],
+            operations: [
+                { kind: "put", key: idempotency, value: encodeRecord({ jobId }) },
+                { kind: "put", key: batchKeys.manifest(jobId), value: encodeRecord(manifest) },
+                { kind: "put", key: batchKeys.progress(jobId), value: encodeRecord(progress) },
+                { kind: "put", key: batchKeys.openJob(jobId), value: encodeRecord(open) },
+                { kind: "put", key: batchKeys.teamJob(opts.teamId, jobId), value: encodeRecord({ jobId }) },
+            ],
+        });
+        const record = result.succeeded ? toJobRecord(manifest, progress) : await this.accepted(opts);
+        if (record === undefined) {
+            throw new KnapweedError("JOB_NOT_ACCEPTED", "The job was removed while it was accepted", {
+                outcome: "not-run",
+                statusCode: 503,
+            });
+        }
+        return record;
+    }
+
+    /** The job that was accepted under the same idempotency key before. */
+    private async accepted(opts: AcceptOptions): Promise<JobRecord | undefined> {
+        const { keyValue } = this.opts;
+        const key = batchKeys.idempotency(opts.teamId, opts.idempotencyKey);
+        const found = await readRecord<{ jobId: JobId; }>(keyValue, key);
+        if (found === undefined) {
+            return undefined;
+        }
+        const { jobId } = found.value;
+        const manifest = await readRecord<JobManifest>(keyValue, batchKeys.manifest(jobId));
+        const progress = await readRecord<JobProgress>(keyValue, batchKeys.progress(jobId));
+        if (manifest === undefined || progress === undefined) {
+            return undefined;
+        }
+        if (manifest.value.inputFileId !== opts.inputFileId || manifest.value.endpoint !== opts.endpoint) {
+            throw new KnapweedError("IDEMPOTENCY_KEY_REUSED", "The idempotency key belongs to another job", {
+                statusCode: 409,
+                outcome: "not-run",
+                parameter: "Idempotency-Key",
+            });
+        }
+        return toJobRecord(manifest.value, progress.value);
+    }
+}
--- /dev/null
+++ b/batch/jobs/src/jobManifest.ts
@@ -0,0 +1,18 @@
+import type { SegmentReference } from "@knapweedwood/batch.segments/segmentReference";
+import type { FileId } from "@knapweedwood/core.ids/fileId";
+import type { IdempotencyKey } from "@knapweedwood/core.ids/idempotencyKey";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+
+/** What was accepted. Never changed. */
+export interface JobManifest {
+    jobId: JobId;
+    teamId: TeamId;
+    endpoint: string;
+    inputFileId: FileId;
+    input: SegmentReference[];
+    metadata: { [name: string]: string; };
+    idempotencyKey: IdempotencyKey;
+    createdAtMs: number;
+    dueAtMs: number;
+}
--- /dev/null
+++ b/batch/jobs/src/partitionOf.ts
@@ -0,0 +1,11 @@
+import { digestOf } from "@knapweedwood/core.hashing/digestOf";
+import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
+
+const HASH_DIGITS = 8;
+const HEXADECIMAL = 16;
+
+/** The partition that a job or file belongs to. */
+export function partitionOf(id: string, partitionCount: number): PartitionId {
+    const hash = Number.parseInt(digestOf(id).slice(0, HASH_DIGITS), HEXADECIMAL);
+    return String(hash % partitionCount) as PartitionId;
+}
--- /dev/null
+++ b/batch/owner/src/batchRole.ts
@@ -0,0 +1,187 @@
+import type { BatchItem } from "@knapweedwood/batch.items/batchItem";
+import type { BatchResult } from "@knapweedwood/batch.items/batchResult";
+import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
+import { pullItemsCall } from "@knapweedwood/batch.items/pullItemsCall";
+import type { PullItemsRequest } from "@knapweedwood/batch.items/pullItemsRequest";
+import { reportResultsCall } from "@knapweedwood/batch.items/reportResultsCall";
+import { batchKeys } from "@knapweedwood/batch.jobs/batchKeys";
+import type { OpenJob } from "@knapweedwood/batch.jobs/openJob";
+import { partitionOf } from "@knapweedwood/batch.jobs/partitionOf";
+import type { OwnedPartition } from "@knapweedwood/batch.ownership/ownedPartition";
+import { PartitionOwnership } from "@knapweedwood/batch.ownership/partitionOwnership";
+import { listRecords } from "@knapweedwood/batch.records/listRecords";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
+import type { BatchRoleOptions } from "./batchRoleOptions.js";
+import { handOutItems } from "./handOutItems.js";
+import { PartitionOwner } from "./partitionOwner.js";
+import { TeamShares } from "./teamShares.js";
+
+const OBSERVE_INTERVAL_MS = 1000;
+const DEFAULT_WRITE_BUDGET_PER_SECOND = 64;
+const MS_PER_SECOND = 1000;
+const FORWARD_TIMEOUT_MS = 5000;
+
+/** The batch work of one entry instance: owns partitions, hands out their items, gathers and commits results. */
+export class BatchRole {
+    private readonly opts: BatchRoleOptions;
+    private readonly ownership: PartitionOwnership;
+    private readonly owners = new Map<PartitionId, PartitionOwner>();
+    private readonly shares: TeamShares;
+    private readonly stopping = new AbortController();
+    private entries: InstanceId[] = [];
+    private loop: Promise<void> | undefined;
+
+    constructor(opts: BatchRoleOptions) {
+        this.opts = opts;
+        this.shares = new TeamShares({ weightOf: opts.teamWeight });
+        this.ownership = new PartitionOwnership({
+            ...opts,
+            scope: "batch",
+            liveEntries: () => this.liveEntries(),
+            onAcquired: partition => this.acquired(partition),
+            onLost: (partitionId, address) => void this.lost(partitionId, address),
+            onRelease: partitionId => this.released(partitionId),
+        });
+        opts.endpoint.handle(pullItemsCall, (request, context) => this.pull(request, context.peer));
+        opts.endpoint.handle(reportResultsCall, (request, context) => this.report(request.results, context.peer));
+    }
+
+    start(): void {
+        this.ownership.start();
+        this.loop ??= this.observeUntilStopped();
+    }
+
+    /** Commits what is done and hands all partitions over. */
+    async stop(): Promise<void> {
+        this.stopping.abort();
+        await this.ownership.stop();
+        await this.loop;
+        await Promise.all([...this.owners.values()].map(owner => owner.stop()));
+        this.owners.clear();
+    }
+
+    /** Tells the gates that this instance has links with to stop a job's items. */
+    notifyCancelled(jobId: JobId): void {
+        this.opts.endpoint.links()
+            .filter(link => link.peer?.kind === "side")
+            .forEach(link => link.notify(cancelJobNotification, { jobId }));
+    }
+
+    /** Partitions that this instance may commit to, shape [partitions]. */
+    ownedPartitions(): OwnedPartition[] {
+        return [...this.owners.keys()].flatMap(partitionId => this.ownership.owned(partitionId) ?? []);
+    }
+
+    private async *pull(request: PullItemsRequest, peer: PeerIdentity): AsyncIterable<{ items: BatchItem[]; }> {
+        const items = this.stopping.signal.aborted ? [] : await handOutItems({
+            owners: [...this.owners.values()],
+            request,
+            peer,
+            shares: this.shares,
+            nowMs: this.opts.clock.nowMs(),
+        });
+        this.opts.metrics.increment("batch.items_handed_out", {}, items.length);
+        yield { items };
+    }
+
+    private async *report(results: BatchResult[], peer: PeerIdentity): AsyncIterable<{ taken: number; }> {
+        const jobIds = [...new Set(results.map(result => result.jobId))];
+        const taken = await Promise.all(jobIds.map(async jobId => {
+            const owner = this.owners.get(partitionOf(jobId, this.opts.partitionCount));
+            return await owner?.report(jobId, results.filter(result => result.jobId === jobId), peer) ?? 0;
+        }));
+        yield { taken: taken.reduce((sum, count) => sum + count, 0) };
+    }
+
+    private async observeUntilStopped(): Promise<void> {
+        const { clock, random, logger } = this.opts;
+        while (!this.stopping.signal.aborted) {
+            await this.observe().catch((error: unknown) => {
+                logger.warn("open jobs not read", { code: toKnapweedError(error).code });
+            });
+            await sleep(clock, OBSERVE_INTERVAL_MS * (0.75 + random.next() / 4), this.stopping.signal);
+        }
+    }
+
+    private async observe(): Promise<void> {
+        if (this.owners.size === 0) {
+            return;
+        }
+        const records = await listRecords<OpenJob>(this.opts.keyValue, batchKeys.openJobs);
+        const open = records.map(record => record.value);
+        await Promise.all(
+            [...this.owners].map(([partitionId, owner]) =>
+                owner.observe(open.filter(job => partitionOf(job.jobId, this.opts.partitionCount) === partitionId))
+            ),
+        );
+    }
+
+    private acquired(partition: OwnedPartition): void {
+        const { partitionId } = partition;
+        const existing = this.owners.get(partitionId);
+        if (existing !== undefined) {
+            existing.reloadAll().catch((error: unknown) => {
+                this.opts.logger.warn("jobs not reloaded", { code: toKnapweedError(error).code });
+            });
+            return;
+        }
+        const owner = new PartitionOwner({
+            ...this.opts,
+            partitionId,
+            owned: () => this.ownership.owned(partitionId),
+            peers: () => this.opts.endpoint.links().flatMap(link => link.peer ?? []),
+            notifyCancelled: jobId => this.notifyCancelled(jobId),
+            commitIntervalMs: this.opts.partitionCount * MS_PER_SECOND
+                / (this.opts.writeBudgetPerSecond ?? DEFAULT_WRITE_BUDGET_PER_SECOND),
+        });
+        this.owners.set(partitionId, owner);
+        owner.start();
+    }
+
+    /** Another instance took the partition: what was not committed goes to it. */
+    private async lost(partitionId: PartitionId, newOwnerAddress: string): Promise<void> {
+        const owner = this.owners.get(partitionId);
+        this.owners.delete(partitionId);
+        if (owner === undefined) {
+            return;
+        }
+        this.opts.logger.warn("partition lost", { partitionId });
+        await owner.stop();
+        const link = this.opts.endpoint.connect(newOwnerAddress);
+        for await (const results of owner.uncommittedResults()) {
+            await singleFrame(link.call(reportResultsCall, { results }, { timeoutMs: FORWARD_TIMEOUT_MS })).catch(() =>
+                undefined
+            );
+        }
+    }
+
+    private async released(partitionId: PartitionId): Promise<void> {
+        const owner = this.owners.get(partitionId);
+        this.owners.delete(partitionId);
+        try {
+            await owner?.flush();
+        }
+        finally {
+            await owner?.stop();
+        }
+    }
+
+    private async liveEntries(): Promise<InstanceId[]> {
+        try {
+            const records = await this.opts.instanceList.list();
+            this.entries = records
+                .filter(record => record.kind === "entry" && record.state === "live")
+                .map(record => record.instanceId);
+        }
+        catch (error) {
+            this.opts.logger.debug("instance list kept", { code: toKnapweedError(error).code });
+        }
+        return this.entries;
+    }
+}
--- /dev/null
+++ b/batch/owner/src/batchRoleOptions.ts
@@ -0,0 +1,33 @@
+import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { ServiceLookup } from "./serviceLookup.js";
+
+/** Options of {@link BatchRole}. */
+export interface BatchRoleOptions {
+    instanceId: InstanceId;
+    /** Where this instance accepts links, as `host:port`. */
+    address: () => string;
+    clock: Clock;
+    random: Random;
+    keyValue: KeyValueService;
+    instanceList: InstanceList;
+    endpoint: LinkEndpoint;
+    segmentStore: SegmentStore;
+    services: ServiceLookup;
+    teamWeight: (teamId: TeamId) => number;
+    logger: Logger;
+    metrics: Metrics;
+    /** The same in all entry instances. */
+    partitionCount: number;
+    /** Checkpoint writes per second of the whole fleet; shared out over the partitions. */
+    writeBudgetPerSecond?: number;
+    leaseTtlMs?: number;
+}
--- /dev/null
+++ b/batch/owner/src/compareRuns.ts
@@ -0,0 +1,14 @@
+import type { JobRun } from "./jobRun.js";
+import type { TeamShares } from "./teamShares.js";
+
+/** Orders jobs for handing out: overdue ones first, then by the teams' shares, then by due time. */
+export function compareRuns(left: JobRun, right: JobRun, opts: { nowMs: number; shares: TeamShares; }): number {
+    const leftOverdue = left.manifest.dueAtMs <= opts.nowMs;
+    const rightOverdue = right.manifest.dueAtMs <= opts.nowMs;
+    if (leftOverdue !== rightOverdue) {
+        return leftOverdue ? -1 : 1;
+    }
+    const byDueTime = left.manifest.dueAtMs - right.manifest.dueAtMs;
+    const byShare = opts.shares.servedBy(left.manifest.teamId) - opts.shares.servedBy(right.manifest.teamId);
+    return leftOverdue ? byDueTime : byShare || byDueTime;
+}
--- /dev/null
+++ b/batch/owner/src/decideAfterAttempt.ts
@@ -0,0 +1,66 @@
+import type { ItemHistory } from "@knapweedwood/batch.jobs/itemHistory";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { AttemptDecision } from "./attemptDecision.js";
+import type { FailedAttempt } from "./failedAttempt.js";
+
+const MAX_FAILED_UPSTREAMS = 3;
+const MAX_ITEM_FAILURES = 6;
+const MAX_LOST_UPSTREAMS = 3;
+const MAX_OVERDUE_INSTANCE_FAILURES = 20;
+const BACKOFF_BASE_MS = 500;
+const BACKOFF_LIMIT_MS = 60_000;
+
+/**
+ * Decides whether an item is tried again. Failures that an instance caused do not count against the item, until the
+ * job is overdue; an item that fails, or loses its upstream, at several upstreams is set aside.
+ */
+export function decideAfterAttempt(opts: {
+    nowMs: number;
+    dueAtMs: number;
+    repeatable: boolean;
+    index: number;
+    history: ItemHistory | undefined;
+    attempt: FailedAttempt;
+    random: Random;
+}): AttemptDecision {
+    const { attempt, nowMs } = opts;
+    if (!opts.repeatable && attempt.mayHaveRun) {
+        const message = "The call may have run and may not be repeated";
+        return { kind: "set-aside", code: "outcome_unknown", message };
+    }
+    const history = addAttempt(opts.history ?? emptyHistory(opts.index), attempt);
+    if (history.upstreams.length >= MAX_FAILED_UPSTREAMS || history.itemFailures >= MAX_ITEM_FAILURES) {
+        return { kind: "set-aside", code: attempt.code, message: attempt.message };
+    }
+    if (history.lostUpstreams.length >= MAX_LOST_UPSTREAMS) {
+        const message = `${MAX_LOST_UPSTREAMS} upstreams were lost while they ran the item`;
+        return { kind: "set-aside", code: "upstreams_lost", message };
+    }
+    if (nowMs > opts.dueAtMs && history.instanceFailures >= MAX_OVERDUE_INSTANCE_FAILURES) {
+        return { kind: "set-aside", code: "attempts_exhausted", message: attempt.message };
+    }
+    const failureCount = history.itemFailures + history.instanceFailures;
+    const ceilingMs = Math.min(BACKOFF_LIMIT_MS, BACKOFF_BASE_MS * 2 ** Math.min(failureCount - 1, 16));
+    return { kind: "retry", notBeforeMs: nowMs + ceilingMs * opts.random.next(), history };
+}
+
+function emptyHistory(index: number): ItemHistory {
+    return { index, itemFailures: 0, instanceFailures: 0, upstreams: [], lostUpstreams: [] };
+}
+
+function addAttempt(history: ItemHistory, attempt: FailedAttempt): ItemHistory {
+    const isItem = attempt.cause === "item";
+    const isLoss = attempt.cause === "upstream-lost";
+    return {
+        index: history.index,
+        itemFailures: history.itemFailures + Number(isItem),
+        instanceFailures: history.instanceFailures + Number(!isItem),
+        upstreams: isItem ? withInstance(history.upstreams, attempt.upstream) : history.upstreams,
+        lostUpstreams: isLoss ? withInstance(history.lostUpstreams, attempt.upstream) : history.lostUpstreams,
+    };
+}
+
+function withInstance(instances: InstanceId[], instance: InstanceId): InstanceId[] {
+    return instances.includes(instance) ? instances : [...instances, instance];
+}
--- /dev/null
+++ b/batch/owner/src/itemQueue.ts
@@ -0,0 +1,113 @@
+import type { ItemHistory } from "@knapweedwood/batch.jobs/itemHistory";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import type { ItemFlight } from "./itemFlight.js";
+import type { PendingItem } from "./pendingItem.js";
+
+/** How long a failed item waits for an upstream that has not failed it yet. */
+const OTHER_UPSTREAM_WAIT_MS = 10_000;
+
+/** The items of a job that wait or are at a gate. */
+export class ItemQueue {
+    private waiting: PendingItem[] = [];
+    private readonly flights = new Map<number, ItemFlight>();
+    private readonly histories = new Map<number, ItemHistory>();
+
+    constructor(histories: ItemHistory[]) {
+        histories.forEach(history => this.histories.set(history.index, history));
+    }
+
+    get waitingCount(): number {
+        return this.waiting.length;
+    }
+
+    get flightCount(): number {
+        return this.flights.size;
+    }
+
+    allFlights(): ItemFlight[] {
+        return [...this.flights.values()];
+    }
+
+    allHistories(): ItemHistory[] {
+        return [...this.histories.values()];
+    }
+
+    flight(index: number): ItemFlight | undefined {
+        return this.flights.get(index);
+    }
+
+    history(index: number): ItemHistory | undefined {
+        return this.histories.get(index);
+    }
+
+    setHistory(history: ItemHistory): void {
+        this.histories.set(history.index, history);
+    }
+
+    add(item: PendingItem): void {
+        this.waiting.push(item);
+    }
+
+    addFirst(item: PendingItem): void {
+        this.waiting.unshift(item);
+    }
+
+    /** Takes the next item of `service` that may run at this gate's upstream. */
+    take(service: ServiceName, peer: PeerIdentity, nowMs: number): PendingItem | undefined {
+        const position = this.waiting.findIndex(item =>
+            item.service.name === service && item.notBeforeMs <= nowMs && this.isAllowed(item, peer, nowMs)
+        );
+        if (position === -1) {
+            return undefined;
+        }
+        const [item] = this.waiting.splice(position, 1);
+        const begun = { ...item, attemptCount: item.attemptCount + 1 };
+        this.flights.set(item.index, {
+            item: begun,
+            peer: peer.instanceId,
+            incarnation: peer.incarnation,
+            sinceMs: nowMs,
+            peerLostSinceMs: undefined,
+        });
+        return begun;
+    }
+
+    /** Ends the flight of an item, where there is one. */
+    land(index: number): ItemFlight | undefined {
+        const flight = this.flights.get(index);
+        this.flights.delete(index);
+        return flight;
+    }
+
+    /** Forgets an item that has its result. */
+    finish(index: number): void {
+        this.flights.delete(index);
+        this.histories.delete(index);
+        this.waiting = this.waiting.filter(item => item.index !== index);
+    }
+
+    clear(): void {
+        this.waiting = [];
+        this.flights.clear();
+    }
+
+    /** An item that may have brought an upstream down runs alone among its like at each upstream. */
+    private isAllowed(item: PendingItem, peer: PeerIdentity, nowMs: number): boolean {
+        const history = this.histories.get(item.index);
+        if (history === undefined) {
+            return true;
+        }
+        const isSuspect = history.lostUpstreams.length > 0;
+        const hasFailedHere = [...history.upstreams, ...history.lostUpstreams].includes(peer.instanceId);
+        const hasWaited = nowMs - item.notBeforeMs >= OTHER_UPSTREAM_WAIT_MS;
+        return !(isSuspect && this.hasSuspectAt(peer)) && (!hasFailedHere || hasWaited);
+    }
+
+    private hasSuspectAt(peer: PeerIdentity): boolean {
+        return [...this.flights.values()].some(flight =>
+            flight.peer === peer.instanceId
+            && (this.histories.get(flight.item.index)?.lostUpstreams.length ?? 0) > 0
+        );
+    }
+}
--- /dev/null
+++ b/batch/owner/src/jobRun.ts
@@ -0,0 +1,272 @@
+import type { BatchItem } from "@knapweedwood/batch.items/batchItem";
+import type { BatchResult } from "@knapweedwood/batch.items/batchResult";
+import { ItemSet } from "@knapweedwood/batch.jobs/itemSet";
+import type { JobManifest } from "@knapweedwood/batch.jobs/jobManifest";
+import type { JobProgress } from "@knapweedwood/batch.jobs/jobProgress";
+import type { StoredRecord } from "@knapweedwood/batch.records/storedRecord";
+import type { ItemIndex } from "@knapweedwood/core.ids/itemIndex";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import { createOutputLine } from "./createOutputLine.js";
+import { decideAfterAttempt } from "./decideAfterAttempt.js";
+import type { FailedAttempt } from "./failedAttempt.js";
+import { ItemQueue } from "./itemQueue.js";
+import { JobInput } from "./jobInput.js";
+import type { JobRunOptions } from "./jobRunOptions.js";
+import { parseInputLine } from "./parseInputLine.js";
+import type { PendingItem } from "./pendingItem.js";
+import { resolveService } from "./resolveService.js";
+import { ResultBuffer } from "./resultBuffer.js";
+
+const READ_AHEAD_ITEMS = 512;
+const REFILL_BELOW_ITEMS = 256;
+const MAX_BUFFERED_BYTES = 16_000_000;
+/** How long the results of claimed items of an earlier owner may still arrive. */
+const ORPHAN_GRACE_MS = 20_000;
+
+/** One job in the memory of its partition's owner. */
+export class JobRun {
+    readonly manifest: JobManifest;
+    readonly buffer: ResultBuffer;
+    private readonly opts: JobRunOptions;
+    private readonly input: JobInput;
+    private readonly beganAtMs: number;
+    private stored: StoredRecord<JobProgress>;
+    private finished: ItemSet;
+    private orphans: Set<number>;
+    private claims = new Set<number>();
+    private queue: ItemQueue;
+    private cursor = 0;
+    private refilling: Promise<void> | undefined;
+    private firstUncommittedAtMs: number | undefined;
+
+    constructor(opts: JobRunOptions) {
+        this.opts = opts;
+        this.manifest = opts.manifest;
+        this.stored = opts.progress;
+        this.input = new JobInput({ store: opts.segmentStore, segments: opts.manifest.input });
+        this.buffer = new ResultBuffer(opts.segmentStore);
+        this.beganAtMs = opts.clock.nowMs();
+        this.finished = new ItemSet(opts.progress.value.finished);
+        this.orphans = new Set(indexesOf(opts.progress.value.claimed).filter(index => !this.finished.has(index)));
+        this.queue = new ItemQueue(opts.progress.value.histories);
+    }
+
+    get progress(): JobProgress {
+        return this.stored.value;
+    }
+
+    get modRevision(): number {
+        return this.stored.modRevision;
+    }
+
+    get oldestUncommittedAtMs(): number | undefined {
+        return this.firstUncommittedAtMs;
+    }
+
+    /** Claims that wait for a commit, shape [items]. */
+    get pendingClaims(): number[] {
+        return [...this.claims];
+    }
+
+    get isDrained(): boolean {
+        return this.progress.state === "in_progress" && this.finished.size === this.progress.totalCount;
+    }
+
+    get flights(): ReturnType<ItemQueue["allFlights"]> {
+        return this.queue.allFlights();
+    }
+
+    /** Whether the item's call may not be repeated. */
+    isClaimed(index: number): boolean {
+        return this.orphans.has(index) || this.queue.flight(index)?.item.service.repeatable === false;
+    }
+
+    /** Whether the item is still out under this attempt. */
+    isAtGate(item: BatchItem): boolean {
+        return this.queue.flight(item.itemIndex)?.item.attemptCount === item.attempt;
+    }
+
+    histories(): JobProgress["histories"] {
+        return this.queue.allHistories();
+    }
+
+    /** Reads items ahead; the queue stays bounded. */
+    async refill(): Promise<void> {
+        if (
+            this.opts.services.isReady() && this.progress.state === "in_progress"
+            && this.queue.waitingCount < REFILL_BELOW_ITEMS
+        ) {
+            this.refilling ??= this.readAhead().finally(() => this.refilling = undefined);
+            await this.refilling;
+        }
+    }
+
+    /** Hands out the next item of a service; undefined where none may run at this gate now. */
+    take(service: ServiceName, peer: PeerIdentity): BatchItem | undefined {
+        if (this.progress.state !== "in_progress" || this.buffer.sizeBytes > MAX_BUFFERED_BYTES) {
+            return undefined;
+        }
+        const item = this.queue.take(service, peer, this.opts.clock.nowMs());
+        if (item === undefined) {
+            return undefined;
+        }
+        if (!item.service.repeatable && item.attemptCount === 1) {
+            this.claims.add(item.index);
+        }
+        return this.toBatchItem(item);
+    }
+
+    /** Takes back items that were not handed out after all. */
+    untake(items: BatchItem[]): void {
+        items.forEach(({ itemIndex }) => {
+            const flight = this.queue.land(itemIndex);
+            if (flight !== undefined) {
+                this.queue.addFirst({ ...flight.item, attemptCount: flight.item.attemptCount - 1 });
+            }
+        });
+    }
+
+    /** Takes a result in; one that no longer matters is ignored. */
+    async report(result: BatchResult, peer: PeerIdentity): Promise<void> {
+        const index: number = result.itemIndex;
+        if (this.progress.state !== "in_progress" || this.finished.has(index) || index >= this.progress.totalCount) {
+            return;
+        }
+        const { outcome } = result;
+        if (outcome.kind === "completed" || outcome.kind === "rejected") {
+            const flight = this.queue.flight(index);
+            const customId = flight?.item.line.customId ?? await this.customIdOf(index);
+            this.finish(index, customId, outcome);
+            return;
+        }
+        const flight = this.queue.flight(index);
+        if (flight === undefined || flight.peer !== peer.instanceId || flight.item.attemptCount !== result.attempt) {
+            return;
+        }
+        if (outcome.kind === "returned") {
+            this.queue.land(index);
+            this.queue.addFirst({ ...flight.item, resumeFrom: outcome.resumeFrom ?? flight.item.resumeFrom });
+            return;
+        }
+        this.fail(index, { ...outcome, upstream: peer.instanceId, cause: outcome.blame });
+    }
+
+    /** Notes a failed attempt of an item in flight. */
+    fail(index: number, attempt: FailedAttempt): void {
+        const flight = this.queue.land(index);
+        if (flight === undefined) {
+            return;
+        }
+        const { item } = flight;
+        const decision = decideAfterAttempt({
+            nowMs: this.opts.clock.nowMs(),
+            dueAtMs: this.manifest.dueAtMs,
+            repeatable: item.service.repeatable,
+            index,
+            history: this.queue.history(index),
+            attempt,
+            random: this.opts.random,
+        });
+        if (decision.kind === "set-aside") {
+            this.finish(index, item.line.customId, decision);
+            return;
+        }
+        this.queue.setHistory(decision.history);
+        this.queue.add({ ...item, notBeforeMs: decision.notBeforeMs });
+    }
+
+    /** Gives claimed items of an earlier owner up as unknown once nobody can report them any more. */
+    async settleOrphans(): Promise<void> {
+        if (this.orphans.size === 0 || this.opts.clock.nowMs() - this.beganAtMs < ORPHAN_GRACE_MS) {
+            return;
+        }
+        const message = "The call may have run and may not be repeated";
+        for (const index of [...this.orphans]) {
+            const customId = await this.customIdOf(index);
+            if (!this.finished.has(index)) {
+                this.finish(index, customId, { kind: "set-aside", code: "outcome_unknown", message });
+            }
+        }
+    }
+
+    /** Takes the record as it was committed or as another writer has left it. */
+    adopt(stored: StoredRecord<JobProgress>): void {
+        this.stored = stored;
+        const digests = new Set(stored.value.results.map(result => result.digest));
+        this.buffer.commit(this.buffer.sealedSegments.filter(sealed => digests.has(sealed.segment.digest)));
+        indexesOf(stored.value.finished).filter(index => this.finished.add(index))
+            .forEach(index => this.queue.finish(index));
+        this.claims = new Set([...this.claims].filter(index => !new ItemSet(stored.value.claimed).has(index)));
+        if (this.buffer.uncommittedCount === 0) {
+            this.firstUncommittedAtMs = undefined;
+        }
+        else {
+            this.firstUncommittedAtMs = this.opts.clock.nowMs();
+        }
+        if (stored.value.state !== "in_progress") {
+            this.queue.clear();
+        }
+    }
+
+    private finish(index: number, customId: string, outcome: Parameters<typeof createOutputLine>[0]["outcome"]): void {
+        if (!this.finished.add(index)) {
+            return;
+        }
+        this.queue.finish(index);
+        this.orphans.delete(index);
+        this.firstUncommittedAtMs ??= this.opts.clock.nowMs();
+        const { jobId } = this.manifest;
+        const result = createOutputLine({ jobId, index, customId, outcome });
+        const tooLarge = { kind: "set-aside", code: "result_too_large", message: "The result is too large" } as const;
+        this.buffer.add(
+            this.buffer.fits(result) ? result : createOutputLine({ jobId, index, customId, outcome: tooLarge }),
+        );
+    }
+
+    private async readAhead(): Promise<void> {
+        while (this.queue.waitingCount < READ_AHEAD_ITEMS && this.cursor < this.progress.totalCount) {
+            const index = this.cursor;
+            if (!this.finished.has(index) && !this.orphans.has(index)) {
+                this.enqueue(index, await this.input.lineAt(index));
+            }
+            this.cursor = index + 1;
+        }
+    }
+
+    private enqueue(index: number, text: string): void {
+        const line = parseInputLine(text, this.manifest.endpoint);
+        const service = resolveService(this.opts.services, line, this.manifest.teamId);
+        if (service === undefined) {
+            const message = "No service offers the model or has the name";
+            this.finish(index, line.customId, { kind: "rejected", statusCode: 404, code: "model_not_found", message });
+            return;
+        }
+        this.queue.add({ index, line, service, attemptCount: 0, notBeforeMs: 0, resumeFrom: undefined });
+    }
+
+    private async customIdOf(index: number): Promise<string> {
+        return parseInputLine(await this.input.lineAt(index), this.manifest.endpoint).customId;
+    }
+
+    private toBatchItem(item: PendingItem): BatchItem {
+        return {
+            jobId: this.manifest.jobId,
+            itemIndex: item.index as ItemIndex,
+            attempt: item.attemptCount,
+            teamId: this.manifest.teamId,
+            service: item.service.name,
+            endpoint: item.line.url as BatchItem["endpoint"],
+            body: item.line.body,
+            dueAtMs: this.manifest.dueAtMs,
+            repeatable: item.service.repeatable,
+            resumeFrom: item.resumeFrom,
+        };
+    }
+}
+
+function indexesOf(ranges: JobProgress["finished"]): number[] {
+    return ranges.flatMap(range =>
+        Array.from({ length: range.last - range.first + 1 }, (_, offset) => range.first + offset)
+    );
+}
--- /dev/null
+++ b/batch/owner/src/parseInputLine.ts
@@ -0,0 +1,44 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import type { InputLine } from "./inputLine.js";
+
+const MAX_CUSTOM_ID_LENGTH = 512;
+
+/** Parses one line of a batch input file. Throws a KnapweedError that says what is wrong with it. */
+export function parseInputLine(text: string, endpoint: string): InputLine {
+    const value = parseJson(text);
+    if (!isJsonObject(value)) {
+        throw refused("invalid_json_line", "The line is not a JSON object");
+    }
+    const { custom_id: customId, method, url, body } = value;
+    if (typeof customId !== "string" || customId === "" || customId.length > MAX_CUSTOM_ID_LENGTH) {
+        throw refused("invalid_custom_id", `custom_id must be a string of 1 to ${MAX_CUSTOM_ID_LENGTH} characters`);
+    }
+    if (method !== "POST") {
+        throw refused("invalid_method", "method must be POST");
+    }
+    if (url !== endpoint) {
+        throw refused("mismatched_url", `url must be the endpoint of the job, ${endpoint}`);
+    }
+    if (!isJsonObject(body)) {
+        throw refused("invalid_body", "body must be a JSON object");
+    }
+    return { customId, url: endpoint, body };
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text) as unknown;
+    }
+    catch {
+        throw refused("invalid_json_line", "The line is not valid JSON");
+    }
+}
+
+function isJsonObject(value: unknown): value is JsonObject {
+    return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+function refused(parameter: string, message: string): KnapweedError {
+    return new KnapweedError("BATCH_LINE_INVALID", message, { parameter, statusCode: 400, outcome: "not-run" });
+}
--- /dev/null
+++ b/batch/owner/src/pendingItem.ts
@@ -0,0 +1,14 @@
+import type { ResumePoint } from "@knapweedwood/engines.model-engine/resumePoint";
+import type { InputLine } from "./inputLine.js";
+import type { ServiceView } from "./serviceView.js";
+
+/** An item that waits for an upstream. */
+export interface PendingItem {
+    index: number;
+    line: InputLine;
+    service: ServiceView;
+    /** Attempts begun so far. */
+    attemptCount: number;
+    notBeforeMs: number;
+    resumeFrom: ResumePoint | undefined;
+}
--- /dev/null
+++ b/batch/owner/src/plannedWrite.ts
@@ -0,0 +1,10 @@
+import type { JobProgress } from "@knapweedwood/batch.jobs/jobProgress";
+import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
+
+/** The next progress of a job, with what is written in the same transaction. */
+export interface PlannedWrite {
+    /** Revision of the record that the plan was made from. */
+    baseRevision: number;
+    progress: JobProgress;
+    operations: KeyValueOperation[];
+}
--- /dev/null
+++ b/batch/owner/src/resolveService.ts
@@ -0,0 +1,18 @@
+import type { ModelName } from "@knapweedwood/core.ids/modelName";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import type { InputLine } from "./inputLine.js";
+import type { ServiceLookup } from "./serviceLookup.js";
+import type { ServiceView } from "./serviceView.js";
+
+const SERVICE_URL = /^\/services\/([^/]+)/u;
+
+/** The service that an item calls: named by its URL, or offering its model. */
+export function resolveService(lookup: ServiceLookup, line: InputLine, teamId: TeamId): ServiceView | undefined {
+    const name = SERVICE_URL.exec(line.url)?.[1];
+    if (name !== undefined) {
+        return lookup.named(decodeURIComponent(name) as ServiceName, teamId);
+    }
+    const { model } = line.body;
+    return typeof model === "string" ? lookup.ofModel(model as ModelName, teamId) : undefined;
+}
--- /dev/null
+++ b/batch/owner/src/resultBuffer.ts
@@ -0,0 +1,114 @@
+import type { BatchResult } from "@knapweedwood/batch.items/batchResult";
+import type { ItemResult } from "@knapweedwood/batch.jobs/itemResult";
+import type { ResultSegment } from "@knapweedwood/batch.jobs/resultSegment";
+import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { SealedResults } from "./sealedResults.js";
+import { toBatchResult } from "./toBatchResult.js";
+
+interface BufferedResult {
+    index: number;
+    failed: boolean;
+    line: Buffer;
+}
+
+/** Results that no segment holds yet. */
+export class ResultBuffer {
+    private readonly store: SegmentStore;
+    private results: BufferedResult[] = [];
+    private sealing: Promise<void> = Promise.resolve();
+    private sealed: SealedResults[] = [];
+    private bytes = 0;
+
+    constructor(store: SegmentStore) {
+        this.store = store;
+    }
+
+    /** Size of the results that are in memory only. */
+    get sizeBytes(): number {
+        return this.bytes;
+    }
+
+    /** Results that wait for a commit, shape [segments]. */
+    get sealedSegments(): readonly SealedResults[] {
+        return this.sealed;
+    }
+
+    get uncommittedCount(): number {
+        return this.results.length + this.sealed.reduce((sum, segment) => sum + segment.indexes.length, 0);
+    }
+
+    /** Whether one result fits into a segment. */
+    fits(result: ItemResult): boolean {
+        return encode(result).length <= this.store.maxSegmentBytes;
+    }
+
+    add(result: ItemResult): void {
+        const line = encode(result);
+        this.results.push({ index: result.index, failed: result.failed, line });
+        this.bytes += line.length;
+    }
+
+    get isFull(): boolean {
+        return this.bytes >= this.store.maxSegmentBytes;
+    }
+
+    /** Writes the buffered results as segments. Throws where a segment can't be kept; its results stay buffered. */
+    async seal(): Promise<void> {
+        const previous = this.sealing;
+        const next = previous.catch(() => undefined).then(() => this.sealAll());
+        this.sealing = next;
+        await next;
+    }
+
+    /** Forgets sealed segments that are committed. */
+    commit(segments: readonly SealedResults[]): void {
+        this.sealed = this.sealed.filter(segment => !segments.includes(segment));
+    }
+
+    /** The uncommitted results as reports, in groups, for another owner to take. */
+    async *uncommittedResults(jobId: JobId): AsyncIterable<BatchResult[]> {
+        for (const { segment } of this.sealed) {
+            const text = Buffer.from(await this.store.get(segment.digest)).toString("utf8");
+            yield text.trimEnd().split("\n").flatMap(line =>
+                toBatchResult(jobId, JSON.parse(line) as ItemResult) ?? []
+            );
+        }
+        yield this.results.flatMap(result =>
+            toBatchResult(jobId, JSON.parse(result.line.toString("utf8")) as ItemResult) ?? []
+        );
+    }
+
+    private async sealAll(): Promise<void> {
+        while (this.results.length > 0) {
+            const taken = this.takeOneSegment();
+            const bytes = Buffer.concat(taken.map(result => result.line));
+            const digest = await this.store.put(bytes);
+            this.results = this.results.filter(result => !taken.includes(result));
+            this.bytes -= bytes.length;
+            this.sealed.push(describe(taken, { digest, sizeBytes: bytes.length }));
+        }
+    }
+
+    private takeOneSegment(): BufferedResult[] {
+        let sizeBytes = 0;
+        const end = this.results.findIndex(result => {
+            sizeBytes += result.line.length;
+            return sizeBytes > this.store.maxSegmentBytes;
+        });
+        return this.results.slice(0, end === -1 ? undefined : end).sort((left, right) => left.index - right.index);
+    }
+}
+
+function encode(result: ItemResult): Buffer {
+    return Buffer.from(`${JSON.stringify(result)}\n`, "utf8");
+}
+
+function describe(taken: BufferedResult[], stored: Pick<ResultSegment, "digest" | "sizeBytes">): SealedResults {
+    const indexes = taken.map(result => result.index);
+    return {
+        segment: { ...stored, lineCount: taken.length, firstIndex: indexes[0], lastIndex: indexes[indexes.length - 1] },
+        indexes,
+        failedCount: taken.filter(result => result.failed).length,
+    };
+}
--- /dev/null
+++ b/batch/ownership/src/decideOwnership.ts
@@ -0,0 +1,33 @@
+import { rendezvousRank } from "@knapweedwood/core.hashing/rendezvousRank";
+import type { OwnershipDecision } from "./ownershipDecision.js";
+import type { OwnershipView } from "./ownershipView.js";
+
+const RANK_DELAY_MS = 400;
+const MAX_RANK_DELAYS = 3;
+const REBALANCE_DELAY_MS = 5000;
+
+/**
+ * Decides which partitions to take and which to hand over: the entry that ranks first takes a free partition at once,
+ * the others wait by rank; a suspended holder keeps its partition where nobody else has taken it.
+ */
+export function decideOwnership(view: OwnershipView): OwnershipDecision {
+    const acquire = view.partitions.filter(partition =>
+        partition.holder === undefined
+        && (partition.state === "suspended"
+            || (partition.state === "idle" && partition.freeSinceMs !== undefined
+                && view.nowMs - partition.freeSinceMs >= waitMs(view, partition.partitionId)))
+    );
+    const release = view.partitions.filter(partition =>
+        partition.state === "held" && partition.misplacedSinceMs !== undefined
+        && view.nowMs - partition.misplacedSinceMs >= REBALANCE_DELAY_MS
+    );
+    return {
+        acquire: acquire.map(partition => partition.partitionId),
+        release: release.slice(0, 1).map(partition => partition.partitionId),
+    };
+}
+
+function waitMs(view: OwnershipView, partitionId: string): number {
+    const rank = rendezvousRank(partitionId, view.liveEntries).indexOf(view.instanceId);
+    return RANK_DELAY_MS * (rank === -1 ? MAX_RANK_DELAYS : Math.min(rank, MAX_RANK_DELAYS));
+}
--- /dev/null
+++ b/batch/ownership/src/ownershipEvent.ts
@@ -0,0 +1,2 @@
+/** What moves an instance's ownership of a partition. */
+export type OwnershipEvent = "acquired" | "lapsed" | "taken" | "release" | "released";
--- /dev/null
+++ b/batch/records/src/readRecord.ts
@@ -0,0 +1,12 @@
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import { decodeRecord } from "./decodeRecord.js";
+import type { StoredRecord } from "./storedRecord.js";
+
+/** Reads one record; undefined where the key is absent. */
+export async function readRecord<Value>(
+    keyValue: KeyValueService,
+    key: string,
+): Promise<StoredRecord<Value> | undefined> {
+    const entry = await keyValue.get(key);
+    return entry && { key, value: decodeRecord<Value>(entry.value), modRevision: entry.modRevision };
+}
--- /dev/null
+++ b/batch/records/src/storedRecord.ts
@@ -0,0 +1,6 @@
+/** A record as it was read, with the revision that a compare-and-swap expects. */
+export interface StoredRecord<Value> {
+    key: string;
+    value: Value;
+    modRevision: number;
+}
--- /dev/null
+++ b/batch/segments/src/folderSegmentStore.ts
@@ -0,0 +1,105 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { digestOf } from "@knapweedwood/core.hashing/digestOf";
+import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
+import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
+import path from "node:path";
+import { segmentNotFound } from "./segmentNotFound.js";
+import type { SegmentStore } from "./segmentStore.js";
+import { verifySegment } from "./verifySegment.js";
+
+const MAX_SEGMENT_BYTES = 4_000_000;
+const PARTIAL_SUFFIX = ".partial";
+
+/**
+ * Keeps segments as files below a data folder, synced before they are acknowledged. Files of an earlier instance at
+ * the same folder are served as well: each read is checked against its digest.
+ */
+export class FolderSegmentStore implements SegmentStore {
+    readonly maxSegmentBytes = MAX_SEGMENT_BYTES;
+    private readonly folder: string;
+    private partialCount = 0;
+
+    constructor(opts: { dataFolder: string; }) {
+        this.folder = path.join(opts.dataFolder, "segments");
+    }
+
+    /** Creates the folder and removes files that an earlier instance had not finished. */
+    async prepare(): Promise<void> {
+        await mkdir(this.folder, { recursive: true });
+        const names = await readdir(this.folder, { recursive: true });
+        await Promise.all(
+            names.filter(name => name.endsWith(PARTIAL_SUFFIX)).map(name => rm(path.join(this.folder, name))),
+        );
+    }
+
+    async put(bytes: Uint8Array): Promise<SegmentDigest> {
+        const digest = digestOf(bytes);
+        const file = this.fileOf(digest);
+        const partial = `${file}.${process.pid}.${this.partialCount++}${PARTIAL_SUFFIX}`;
+        try {
+            await mkdir(path.dirname(file), { recursive: true });
+            await writeSynced(partial, bytes);
+            await rename(partial, file);
+            await syncFolder(path.dirname(file));
+        }
+        catch (error) {
+            await rm(partial, { force: true }).catch(() => undefined);
+            throw new KnapweedError("SEGMENT_NOT_KEPT", `Segment ${digest} could not be written`, {
+                cause: error,
+                hint: "Check the free space of the data folder",
+                statusCode: 503,
+            });
+        }
+        return digest;
+    }
+
+    /** Removes a copy that does not match its digest, so that a repair replaces it. */
+    async get(digest: SegmentDigest): Promise<Uint8Array> {
+        const bytes = await readFile(this.fileOf(digest)).catch(() => {
+            throw segmentNotFound(digest);
+        });
+        try {
+            return verifySegment(digest, bytes);
+        }
+        catch (error) {
+            await this.remove(digest);
+            throw error;
+        }
+    }
+
+    async remove(digest: SegmentDigest): Promise<void> {
+        await rm(this.fileOf(digest), { force: true });
+    }
+
+    async repair(digest: SegmentDigest): Promise<number> {
+        return await this.get(digest).then(() => 1, () => 0);
+    }
+
+    private fileOf(digest: SegmentDigest): string {
+        if (!/^[0-9a-f]{64}$/u.test(digest)) {
+            throw new KnapweedError("SEGMENT_DIGEST_INVALID", "Not a segment digest", { statusCode: 400 });
+        }
+        return path.join(this.folder, digest.slice(0, 2), digest);
+    }
+}
+
+async function writeSynced(file: string, bytes: Uint8Array): Promise<void> {
+    const handle = await open(file, "w");
+    try {
+        await handle.writeFile(bytes);
+        await handle.sync();
+    }
+    finally {
+        await handle.close();
+    }
+}
+
+async function syncFolder(folder: string): Promise<void> {
+    const handle = await open(folder, "r");
+    try {
+        await handle.sync();
+    }
+    finally {
+        await handle.close();
+    }
+}
--- /dev/null
+++ b/batch/source/src/linkBatchSource.ts
@@ -0,0 +1,135 @@
+import type { BatchItem } from "@knapweedwood/batch.items/batchItem";
+import type { BatchResult } from "@knapweedwood/batch.items/batchResult";
+import type { BatchSource } from "@knapweedwood/batch.items/batchSource";
+import { pullItemsCall } from "@knapweedwood/batch.items/pullItemsCall";
+import { reportResultsCall } from "@knapweedwood/batch.items/reportResultsCall";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
+
+const CALL_TIMEOUT_MS = 10_000;
+/** How long an entry that had no work is left alone while others have some. */
+const EMPTY_PAUSE_MS = 250;
+const MAX_EMPTY_PAUSE_MS = 2000;
+const REPORT_RETRY_MS = 100;
+const MAX_REPORT_RETRY_MS = 2000;
+const GROUP_SIZE_RESULTS = 64;
+
+interface EntryState {
+    emptyCount: number;
+    notBeforeMs: number;
+}
+
+interface LinkBatchSourceOptions {
+    endpoint: LinkEndpoint;
+    /** Addresses of the live entry instances. */
+    entries: () => string[];
+    service: ServiceName;
+    clock: Clock;
+    random: Random;
+}
+
+/** Pulls items from the entries that own partitions and reports results to the owner of each. */
+export class LinkBatchSource implements BatchSource {
+    private readonly opts: LinkBatchSourceOptions;
+    private readonly states = new Map<string, EntryState>();
+    private readonly ownerOfJob = new Map<JobId, string>();
+    private readonly stopping = new AbortController();
+
+    constructor(opts: LinkBatchSourceOptions) {
+        this.opts = opts;
+    }
+
+    /** Ends reports that no owner has taken. */
+    stop(): void {
+        this.stopping.abort();
+    }
+
+    async pull(count: number): Promise<BatchItem[]> {
+        const items: BatchItem[] = [];
+        for (const address of this.entriesToAsk()) {
+            if (items.length >= count) {
+                break;
+            }
+            items.push(...await this.pullFrom(address, count - items.length));
+        }
+        return items;
+    }
+
+    async report(results: BatchResult[]): Promise<void> {
+        const jobIds = [...new Set(results.map(result => result.jobId))];
+        const groups = jobIds.flatMap(jobId => chunk(results.filter(result => result.jobId === jobId)));
+        await Promise.all(groups.map(group => this.reportGroup(group)));
+    }
+
+    /** Entries that may have work, in random order, those that had some before the others. */
+    private entriesToAsk(): string[] {
+        const nowMs = this.opts.clock.nowMs();
+        return this.opts.entries()
+            .filter(address => (this.states.get(address)?.notBeforeMs ?? 0) <= nowMs)
+            .map(address => ({ address, order: this.emptyCount(address) + this.opts.random.next() }))
+            .sort((left, right) => left.order - right.order)
+            .map(ranked => ranked.address);
+    }
+
+    private emptyCount(address: string): number {
+        return this.states.get(address)?.emptyCount ?? 0;
+    }
+
+    private async pullFrom(address: string, count: number): Promise<BatchItem[]> {
+        const { endpoint, service } = this.opts;
+        const items = await singleFrame(
+            endpoint.connect(address).call(pullItemsCall, { service, count }, { timeoutMs: CALL_TIMEOUT_MS }),
+        ).then(frame => frame.items, () => []);
+        items.forEach(item => this.ownerOfJob.set(item.jobId, address));
+        this.note(address, items.length);
+        return items;
+    }
+
+    private note(address: string, itemCount: number): void {
+        const emptyCount = itemCount > 0 ? 0 : this.emptyCount(address) + 1;
+        const pauseMs = Math.min(MAX_EMPTY_PAUSE_MS, EMPTY_PAUSE_MS * emptyCount);
+        const notBeforeMs = this.opts.clock.nowMs() + pauseMs * (0.5 + this.opts.random.next() / 2);
+        this.states.set(address, { emptyCount, notBeforeMs: itemCount > 0 ? 0 : notBeforeMs });
+    }
+
+    /** Reports results of one job until an owner has taken them. */
+    private async reportGroup(results: BatchResult[]): Promise<void> {
+        for (let attempt = 0; !this.stopping.signal.aborted; attempt++) {
+            if (await this.reportOnce(results)) {
+                return;
+            }
+            const ceilingMs = Math.min(MAX_REPORT_RETRY_MS, REPORT_RETRY_MS * 2 ** Math.min(attempt, 8));
+            const delayMs = ceilingMs * (0.5 + this.opts.random.next() / 2);
+            await sleep(this.opts.clock, delayMs, this.stopping.signal);
+        }
+    }
+
+    private async reportOnce(results: BatchResult[]): Promise<boolean> {
+        const { jobId } = results[0];
+        const known = this.ownerOfJob.get(jobId);
+        const entries = this.opts.entries();
+        const order = known === undefined ? entries : [known, ...entries.filter(address => address !== known)];
+        for (const address of order) {
+            const link = this.opts.endpoint.connect(address);
+            const taken = await singleFrame(link.call(reportResultsCall, { results }, { timeoutMs: CALL_TIMEOUT_MS }))
+                .then(frame => frame.taken, () => 0);
+            if (taken >= results.length) {
+                this.ownerOfJob.set(jobId, address);
+                return true;
+            }
+        }
+        return false;
+    }
+}
+
+function chunk(results: BatchResult[]): BatchResult[][] {
+    return Array.from(
+        { length: Math.ceil(results.length / GROUP_SIZE_RESULTS) },
+        (_, index) => results.slice(index * GROUP_SIZE_RESULTS, (index + 1) * GROUP_SIZE_RESULTS),
+    );
+}
--- /dev/null
+++ b/core/charts/test/chart.test.ts
@@ -0,0 +1,24 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Chart } from "../src/chart.js";
+
+const door = new Chart<"open" | "shut" | "gone", "close" | "open" | "remove">({
+    id: "door",
+    initial: "shut",
+    states: {
+        open: { on: { close: { target: "shut" } } },
+        shut: { on: { open: { target: "open" }, remove: { target: "gone" } } },
+        gone: { type: "final" },
+    },
+});
+
+test("a chart moves by its events", () => {
+    assert.equal(door.initial, "shut");
+    assert.equal(door.next("shut", "open"), "open");
+    assert.equal(door.isFinal(door.next("shut", "remove")), true);
+    assert.deepEqual(door.events("shut"), ["open", "remove"]);
+});
+
+test("an event that the state does not accept is refused", () => {
+    assert.throws(() => door.next("open", "remove"), { code: "ERR_KNAPWEED_CHART_EVENT_REFUSED" });
+});
