feat: distribute the configuration over links, counted as in force upwards

Cause: an accepted revision must be in force everywhere within seconds, also when the key-value service is away. Change: two watchers a zone by rendezvous rank, relays below them, deltas over links, beats that find who missed one, reports upwards, and a fallback to other entries or to the key-value service when parents are gone. Figures: none on real processes yet.

--- /dev/null
+++ b/config/distribution/src/deltaNotification.ts
@@ -0,0 +1,9 @@
+import type { ChunkReference } from "@knapweedwood/config.publishing/chunkReference";
+import type { ConfigurationRoot } from "@knapweedwood/config.publishing/configurationRoot";
+import { defineNotification } from "@knapweedwood/links.calls/defineNotification";
+
+/** A new revision with the chunks that the one before lacks, or without chunks where they are large. */
+export const deltaNotification = defineNotification<{
+    root: ConfigurationRoot;
+    chunks: { reference: ChunkReference; text: string; }[];
+}>("configuration.delta");
--- /dev/null
+++ b/config/distribution/src/distributedConfiguration.ts
@@ -0,0 +1,276 @@
+import type { ConfigurationSource } from "@knapweedwood/config.configuration/configurationSource";
+import type { ConfigurationView } from "@knapweedwood/config.configuration/configurationView";
+import type { ChunkSource } from "@knapweedwood/config.publishing/chunkSource";
+import type { ConfigurationRoot } from "@knapweedwood/config.publishing/configurationRoot";
+import type { ConfigurationTree } from "@knapweedwood/config.publishing/configurationTree";
+import { KeyValueChunkSource } from "@knapweedwood/config.publishing/keyValueChunkSource";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { Revision } from "@knapweedwood/core.ids/revision";
+import type { Link } from "@knapweedwood/links.calls/link";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
+import { announceNotification } from "./announceNotification.js";
+import { beatNotification } from "./beatNotification.js";
+import { chunksBeyond } from "./chunksBeyond.js";
+import { ConfigurationHolder } from "./configurationHolder.js";
+import { deltaNotification } from "./deltaNotification.js";
+import { handleDistributionCalls } from "./distributionHandlers.js";
+import type { DistributionOptions } from "./distributionOptions.js";
+import { fetchRootCall } from "./fetchRootCall.js";
+import { InForceQuery } from "./inForceQuery.js";
+import type { InForceReport } from "./inForceReport.js";
+import { LinkChunkSource } from "./linkChunkSource.js";
+import { MemberReports } from "./memberReports.js";
+import type { MemberRevision } from "./memberRevision.js";
+import { Neighbours } from "./neighbours.js";
+import { RootWatcher } from "./rootWatcher.js";
+
+const BEAT_PERIOD_MS = 1_000;
+const BEAT_JITTER_MS = 200;
+const REPORT_EXPIRY_MS = 5_000;
+const REPORT_DELAY_MS = 20;
+const REFRESH_PERIOD_MS = 2_000;
+const ORPHAN_AFTER_MS = 3_000;
+const FETCH_TIMEOUT_MS = 5_000;
+const MAX_DELTA_CHARACTERS = 64 * 1024;
+
+/**
+ * The configuration in force at this process. A few watchers a zone follow the key-value service; all others get
+ * deltas over links from a parent. Beats carry revisions both ways, so that whoever missed a delta fetches it, and
+ * carry what is in force upwards.
+ */
+export class DistributedConfiguration implements ConfigurationSource {
+    private readonly opts: DistributionOptions;
+    private readonly holder: ConfigurationHolder;
+    private readonly reports = new MemberReports({ expiryMs: REPORT_EXPIRY_MS });
+    private readonly neighbours: Neighbours;
+    private readonly watcher: RootWatcher | undefined;
+    private readonly keyValueSource: ChunkSource | undefined;
+    private readonly stopped = new AbortController();
+    private readonly fetching = new Set<InstanceId>();
+    private isReportPlanned = false;
+    private heardFromParentAtMs: number;
+
+    constructor(opts: DistributionOptions) {
+        this.opts = opts;
+        this.holder = new ConfigurationHolder({ onAdopted: adopted => this.handleAdopted(adopted) });
+        this.neighbours = new Neighbours(opts);
+        this.heardFromParentAtMs = opts.clock.nowMs();
+        if (opts.keyValue !== undefined) {
+            this.keyValueSource = new KeyValueChunkSource({ keyValue: opts.keyValue });
+            this.watcher = new RootWatcher({
+                ...opts,
+                keyValue: opts.keyValue,
+                onRoot: root => this.handleRoot(root),
+            });
+        }
+        handleDistributionCalls({ endpoint: opts.endpoint, holder: this.holder, members: () => this.members() });
+        opts.endpoint.receive(beatNotification, (beat, peer) => this.handleBeat(beat, peer));
+        opts.endpoint.receive(announceNotification, (message, peer) => this.handleAnnounce(message.revision, peer));
+        opts.endpoint.receive(deltaNotification, (delta, peer) => this.handleDelta(delta, peer));
+    }
+
+    /** Starts following; resolves at once, whether or not a configuration has been found. */
+    start(): Promise<void> {
+        void this.refreshLoop();
+        void this.beatLoop();
+        return Promise.resolve();
+    }
+
+    stop(): Promise<void> {
+        this.stopped.abort();
+        this.watcher?.stop();
+        return Promise.resolve();
+    }
+
+    current(): ConfigurationView | undefined {
+        return this.holder.current();
+    }
+
+    subscribe(listener: (view: ConfigurationView) => void): () => void {
+        return this.holder.subscribe(listener);
+    }
+
+    /** Waits until `revision` or a higher one is in force here. @returns whether it is */
+    async waitFor(revision: Revision, opts: { timeoutMs: number; }): Promise<boolean> {
+        const aborter = new AbortController();
+        const unsubscribe = this.holder.subscribe(view => view.revision >= revision && aborter.abort());
+        if (this.holder.revision < revision) {
+            await sleep(this.opts.clock, opts.timeoutMs, aborter.signal);
+        }
+        unsubscribe();
+        return this.holder.revision >= revision;
+    }
+
+    /** Counts on how many processes `revision`, or the one in force here, is in force. */
+    inForce(revision: Revision = this.holder.revision): Promise<InForceReport> {
+        const query = new InForceQuery({ ...this.opts, ownMembers: () => this.members() });
+        return query.run(revision);
+    }
+
+    private members(): MemberRevision[] {
+        const self = { instanceId: this.opts.identity.instanceId, revision: this.holder.revision };
+        return [self, ...this.reports.members(this.opts.clock.nowMs())];
+    }
+
+    private async refreshLoop(): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            await this.neighbours.refresh();
+            this.followOrNot();
+            await this.pause(REFRESH_PERIOD_MS);
+        }
+    }
+
+    /** Follows the key-value service while this process is a watcher, or while no parent answers. */
+    private followOrNot(): void {
+        const isOrphan = this.opts.clock.nowMs() - this.heardFromParentAtMs > ORPHAN_AFTER_MS;
+        if (this.stopped.signal.aborted) {
+            return;
+        }
+        if (this.neighbours.place.isWatcher || isOrphan) {
+            this.watcher?.start();
+        }
+        else {
+            this.watcher?.stop();
+        }
+    }
+
+    private async beatLoop(): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            this.beat();
+            this.opts.metrics.gauge("configuration.revision", this.holder.revision);
+            await this.pause(BEAT_PERIOD_MS);
+        }
+    }
+
+    private beat(): void {
+        this.reportUpwards();
+        this.neighbours.siblings().forEach(link => link.notify(beatNotification, this.beatMessage([])));
+    }
+
+    private reportUpwards(): void {
+        this.neighbours.parents().forEach(link => link.notify(beatNotification, this.beatMessage(this.members())));
+    }
+
+    private beatMessage(members: MemberRevision[]): { revision: Revision; digest: string; members: MemberRevision[]; } {
+        return { revision: this.holder.revision, digest: this.holder.root?.digest ?? "", members };
+    }
+
+    private pause(periodMs: number): Promise<void> {
+        const { clock, random } = this.opts;
+        return sleep(clock, periodMs + random.nextInteger(BEAT_JITTER_MS), this.stopped.signal);
+    }
+
+    private handleBeat(
+        beat: { revision: Revision; digest: string; members: MemberRevision[]; },
+        peer: PeerIdentity,
+    ): void {
+        if (this.stopped.signal.aborted) {
+            return;
+        }
+        if (beat.members.length > 0 && this.reports.put(peer.instanceId, beat.members, this.opts.clock.nowMs())) {
+            this.planReport();
+        }
+        const announcement = { revision: this.holder.revision, digest: this.holder.root?.digest ?? "" };
+        this.neighbours.linkTo(peer)?.notify(announceNotification, announcement);
+        this.fetchWhereNewer(beat.revision, peer);
+    }
+
+    private handleAnnounce(revision: Revision, peer: PeerIdentity): void {
+        if (this.neighbours.isParent(peer)) {
+            this.heardFromParentAtMs = this.opts.clock.nowMs();
+        }
+        this.fetchWhereNewer(revision, peer);
+    }
+
+    private handleDelta(
+        delta: { root: ConfigurationRoot; chunks: { reference: string; text: string; }[]; },
+        peer: PeerIdentity,
+    ): void {
+        const link = this.neighbours.linkTo(peer);
+        if (link !== undefined) {
+            const delivered = delta.chunks as Parameters<typeof chunksSource>[1];
+            this.adopt(delta.root, chunksSource(link, delivered));
+        }
+    }
+
+    private handleRoot(root: ConfigurationRoot): void {
+        if (this.keyValueSource !== undefined) {
+            this.adopt(root, this.keyValueSource);
+        }
+    }
+
+    private adopt(root: ConfigurationRoot, source: ChunkSource): void {
+        if (this.stopped.signal.aborted) {
+            return;
+        }
+        this.holder.adopt(root, source).catch((thrown: unknown) => {
+            this.opts.logger.debug("configuration.adopt-failed", { revision: root.revision, error: String(thrown) });
+        });
+    }
+
+    private fetchWhereNewer(revision: Revision, peer: PeerIdentity): void {
+        const link = this.neighbours.linkTo(peer);
+        if (revision > this.holder.revision && link !== undefined && !this.fetching.has(peer.instanceId)) {
+            this.fetching.add(peer.instanceId);
+            void this.fetchFrom(link).finally(() => this.fetching.delete(peer.instanceId));
+        }
+    }
+
+    private async fetchFrom(link: Link): Promise<void> {
+        try {
+            const { root } = await singleFrame(link.call(fetchRootCall, {}, { timeoutMs: FETCH_TIMEOUT_MS }));
+            if (root !== undefined && !this.stopped.signal.aborted) {
+                await this.holder.adopt(root, chunksSource(link, []));
+            }
+        }
+        catch (thrown) {
+            this.opts.logger.debug("configuration.fetch-failed", { error: String(thrown) });
+        }
+    }
+
+    private handleAdopted(adopted: { root: ConfigurationRoot; before: ConfigurationTree; }): void {
+        const { root } = adopted;
+        const ageMs = this.opts.clock.nowMs() - root.publishedAtMs;
+        this.opts.logger.info("configuration.in-force", { revision: root.revision, ageMs: Math.round(ageMs) });
+        this.opts.metrics.timing("configuration.in_force_ms", ageMs);
+        this.passOn(root, adopted.before);
+        this.planReport();
+    }
+
+    private passOn(root: ConfigurationRoot, before: ConfigurationTree): void {
+        const links = [
+            ...this.reports.children(this.opts.clock.nowMs()).flatMap(child => this.neighbours.linkToId(child) ?? []),
+            ...this.neighbours.siblings(),
+        ];
+        if (links.length === 0) {
+            return;
+        }
+        const chunks = chunksBeyond(before, this.holder.tree);
+        const sizeCharacters = chunks.reduce((sum, chunk) => sum + chunk.text.length, 0);
+        const delta = { root, chunks: sizeCharacters > MAX_DELTA_CHARACTERS ? [] : chunks };
+        links.forEach(link => link.notify(deltaNotification, delta));
+    }
+
+    /** Reports upwards soon, gathering the reports that arrive meanwhile. */
+    private planReport(): void {
+        if (this.isReportPlanned) {
+            return;
+        }
+        this.isReportPlanned = true;
+        this.opts.clock.setTimer(REPORT_DELAY_MS, () => {
+            this.isReportPlanned = false;
+            if (!this.stopped.signal.aborted) {
+                this.reportUpwards();
+            }
+        });
+    }
+}
+
+function chunksSource(
+    link: Link,
+    delivered: ConstructorParameters<typeof LinkChunkSource>[0]["delivered"],
+): LinkChunkSource {
+    return new LinkChunkSource({ link, timeoutMs: FETCH_TIMEOUT_MS, delivered });
+}
--- /dev/null
+++ b/config/distribution/src/distributionHandlers.ts
@@ -0,0 +1,45 @@
+import type { ChunkReference } from "@knapweedwood/config.publishing/chunkReference";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import type { ConfigurationHolder } from "./configurationHolder.js";
+import { fetchChunksCall } from "./fetchChunksCall.js";
+import { fetchRootCall } from "./fetchRootCall.js";
+import type { MemberRevision } from "./memberRevision.js";
+import { zoneStatusCall } from "./zoneStatusCall.js";
+
+const TEXTS_PER_FRAME = 16;
+
+/** Answers peers that fetch the configuration, or ask on how many processes it is in force. */
+export function handleDistributionCalls(
+    opts: { endpoint: LinkEndpoint; holder: ConfigurationHolder; members: () => MemberRevision[]; },
+): void {
+    const { endpoint, holder } = opts;
+    endpoint.handle(fetchRootCall, async function*() {
+        yield holder.root === undefined ? {} : { root: holder.root };
+    });
+    endpoint.handle(fetchChunksCall, async function*(request) {
+        const texts = chunkTexts(holder, request.references);
+        for (let start = 0; start < texts.length; start += TEXTS_PER_FRAME) {
+            yield { texts: texts.slice(start, start + TEXTS_PER_FRAME) };
+        }
+    });
+    endpoint.handle(zoneStatusCall, async function*() {
+        yield { members: opts.members() };
+    });
+}
+
+function chunkTexts(holder: ConfigurationHolder, references: ChunkReference[]): string[] {
+    const wanted = new Set(references);
+    const texts = new Map(
+        holder.tree.chunks(reference => wanted.has(reference)).map(chunk => [chunk.reference, chunk.text]),
+    );
+    return references.map(reference => {
+        const text = texts.get(reference);
+        if (text === undefined) {
+            throw new KnapweedError("CHUNK_NOT_FOUND", `Chunk ${reference} is not held here any more`, {
+                outcome: "not-run",
+            });
+        }
+        return text;
+    });
+}
--- /dev/null
+++ b/config/distribution/src/distributionOptions.ts
@@ -0,0 +1,21 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+
+/** What a {@link DistributedConfiguration} is made of. */
+export interface DistributionOptions {
+    identity: PeerIdentity;
+    clock: Clock;
+    random: Random;
+    /** Undefined for a process that gets the configuration over links only. */
+    keyValue: KeyValueService | undefined;
+    instanceList: InstanceList;
+    endpoint: LinkEndpoint;
+    logger: Logger;
+    metrics: Metrics;
+}
--- /dev/null
+++ b/config/distribution/src/inForceQuery.ts
@@ -0,0 +1,71 @@
+import type { Revision } from "@knapweedwood/core.ids/revision";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
+import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InForceReport } from "./inForceReport.js";
+import type { MemberRevision } from "./memberRevision.js";
+import { watchersOfZone } from "./watchersOfZone.js";
+import { zoneStatusCall } from "./zoneStatusCall.js";
+
+const STATUS_TIMEOUT_MS = 1_000;
+
+/** Asks the watchers of each zone what is in force below them. */
+export class InForceQuery {
+    private readonly identity: PeerIdentity;
+    private readonly endpoint: LinkEndpoint;
+    private readonly instanceList: InstanceList;
+    private readonly logger: Logger;
+    private readonly ownMembers: () => MemberRevision[];
+
+    constructor(opts: {
+        identity: PeerIdentity;
+        endpoint: LinkEndpoint;
+        instanceList: InstanceList;
+        logger: Logger;
+        ownMembers: () => MemberRevision[];
+    }) {
+        this.identity = opts.identity;
+        this.endpoint = opts.endpoint;
+        this.instanceList = opts.instanceList;
+        this.logger = opts.logger;
+        this.ownMembers = opts.ownMembers;
+    }
+
+    async run(revision: Revision): Promise<InForceReport> {
+        const instances = (await this.instanceList.list())
+            .filter(instance => instance.kind !== "upstream" && instance.region === this.identity.region);
+        const answers = await Promise.all(this.watchersOf(instances).map(watcher => this.ask(watcher)));
+        const revisions = new Map<string, Revision>();
+        [...this.ownMembers(), ...answers.flat()].forEach(member =>
+            revisions.set(
+                member.instanceId,
+                Math.max(member.revision, revisions.get(member.instanceId) ?? 0) as Revision,
+            )
+        );
+        const expected = [...new Set([this.identity.instanceId, ...instances.map(instance => instance.instanceId)])];
+        const missing = expected.filter(instanceId => (revisions.get(instanceId) ?? -1) < revision);
+        return { revision, reached: expected.length - missing.length, total: expected.length, missing };
+    }
+
+    private watchersOf(instances: InstanceRecord[]): InstanceRecord[] {
+        const zones = [...new Set(instances.map(instance => instance.zone))];
+        const watchers = zones.flatMap(zone => watchersOfZone(zone, instances));
+        return [...new Map(watchers.map(watcher => [watcher.instanceId, watcher])).values()]
+            .filter(watcher => watcher.instanceId !== this.identity.instanceId);
+    }
+
+    private async ask(watcher: InstanceRecord): Promise<MemberRevision[]> {
+        try {
+            const link = this.endpoint.connect(watcher.address);
+            const answer = await singleFrame(link.call(zoneStatusCall, {}, { timeoutMs: STATUS_TIMEOUT_MS }));
+            return answer.members;
+        }
+        catch (thrown) {
+            this.logger.debug("configuration.status-failed", { watcher: watcher.instanceId, error: String(thrown) });
+            return [];
+        }
+    }
+}
--- /dev/null
+++ b/config/distribution/src/memberReports.ts
@@ -0,0 +1,62 @@
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { MemberRevision } from "./memberRevision.js";
+
+interface Report {
+    members: MemberRevision[];
+    heardAtMs: number;
+}
+
+/** What the processes below this one reported last. */
+export class MemberReports {
+    private readonly reports = new Map<InstanceId, Report>();
+    private readonly expiryMs: number;
+
+    constructor(opts: { expiryMs: number; }) {
+        this.expiryMs = opts.expiryMs;
+    }
+
+    /** @returns whether the report differs from the one before */
+    put(child: InstanceId, members: MemberRevision[], nowMs: number): boolean {
+        const before = this.reports.get(child);
+        this.reports.set(child, { members, heardAtMs: nowMs });
+        return before === undefined || !areSame(before.members, members);
+    }
+
+    /** Children heard of lately. */
+    children(nowMs: number): InstanceId[] {
+        this.dropExpired(nowMs);
+        return [...this.reports.keys()];
+    }
+
+    /** All members below, each with the highest revision reported. */
+    members(nowMs: number): MemberRevision[] {
+        this.dropExpired(nowMs);
+        return highestOfEach([...this.reports.values()].flatMap(report => report.members));
+    }
+
+    private dropExpired(nowMs: number): void {
+        this.reports.forEach((report, child) => {
+            if (nowMs - report.heardAtMs > this.expiryMs) {
+                this.reports.delete(child);
+            }
+        });
+    }
+}
+
+function highestOfEach(members: MemberRevision[]): MemberRevision[] {
+    const highest = new Map<InstanceId, MemberRevision>();
+    members.forEach(member => {
+        const known = highest.get(member.instanceId);
+        if (known === undefined || known.revision < member.revision) {
+            highest.set(member.instanceId, member);
+        }
+    });
+    return [...highest.values()];
+}
+
+function areSame(before: MemberRevision[], after: MemberRevision[]): boolean {
+    return before.length === after.length
+        && before.every((member, index) =>
+            member.instanceId === after[index]?.instanceId && member.revision === after[index]?.revision
+        );
+}
--- /dev/null
+++ b/config/distribution/src/planDistribution.ts
@@ -0,0 +1,64 @@
+import { rendezvousRank } from "@knapweedwood/core.hashing/rendezvousRank";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { DistributionPlace } from "./distributionPlace.js";
+import { watchersOfZone } from "./watchersOfZone.js";
+
+/** Most processes that one passes revisions on to, as long as a zone has at most `FAN_OUT`³ processes. */
+const FAN_OUT = 16;
+const SIBLINGS_IN_OTHER_ZONES = 2;
+const MAX_PARENTS_OF_A_KIND = 4;
+
+/**
+ * The place of one process: watchers of its zone at the top, relays below them where the zone is large, all others
+ * below the relays. Relays double in number rather than grow by one, so that a process seldom changes its parent.
+ */
+export function planDistribution(
+    opts: { self: InstanceRecord; instances: readonly InstanceRecord[]; },
+): DistributionPlace {
+    const { self } = opts;
+    const others = opts.instances.filter(instance =>
+        instance.instanceId !== self.instanceId && instance.kind !== "upstream"
+    );
+    const all = [...others, self];
+    const watchers = watchersOfZone(self.zone, all);
+    if (watchers.some(watcher => watcher.instanceId === self.instanceId)) {
+        return { isWatcher: true, parents: [], siblings: siblingsOf(self, watchers, all) };
+    }
+    const members = all
+        .filter(instance => instance.zone === self.zone)
+        .filter(instance => watchers.every(watcher => watcher.instanceId !== instance.instanceId));
+    const relays = relaysOf(self, members, watchers.length);
+    const isRelay = relays.some(relay => relay.instanceId === self.instanceId);
+    const preferred = isRelay ? [] : ranked(`configuration/${self.instanceId}/relay`, relays);
+    const entries = others.filter(instance => instance.kind === "entry");
+    const candidates = [
+        preferred,
+        ranked(`configuration/${self.instanceId}/watcher`, watchers),
+        ranked(`configuration/${self.instanceId}/entry`, entries.filter(entry => entry.zone === self.zone)),
+        ranked(`configuration/${self.instanceId}/entry`, entries.filter(entry => entry.zone !== self.zone)),
+    ];
+    const parents = candidates.flatMap(group => group.slice(0, MAX_PARENTS_OF_A_KIND));
+    return { isWatcher: false, parents: [...new Set(parents)], siblings: [] };
+}
+
+function relaysOf(self: InstanceRecord, members: InstanceRecord[], watcherCount: number): InstanceRecord[] {
+    if (members.length <= watcherCount * FAN_OUT) {
+        return [];
+    }
+    const count = 2 ** Math.ceil(Math.log2(members.length / FAN_OUT));
+    return ranked(`configuration/${self.zone}/relay`, members).slice(0, count);
+}
+
+function siblingsOf(self: InstanceRecord, watchers: InstanceRecord[], all: InstanceRecord[]): InstanceRecord[] {
+    const own = watchers.filter(watcher => watcher.instanceId !== self.instanceId);
+    const otherZones = [...new Set(all.map(instance => instance.zone))].filter(zone => zone !== self.zone);
+    const elsewhere = otherZones.flatMap(zone => watchersOfZone(zone, all).filter(watcher => watcher.zone === zone));
+    const key = `configuration/${self.instanceId}/sibling`;
+    return [...own, ...ranked(key, elsewhere).slice(0, SIBLINGS_IN_OTHER_ZONES)];
+}
+
+function ranked(key: string, instances: readonly InstanceRecord[]): InstanceRecord[] {
+    const byId = new Map<InstanceId, InstanceRecord>(instances.map(instance => [instance.instanceId, instance]));
+    return rendezvousRank(key, [...byId.keys()]).map(instanceId => byId.get(instanceId) as InstanceRecord);
+}
--- /dev/null
+++ b/config/distribution/src/rootWatcher.ts
@@ -0,0 +1,104 @@
+import { configurationKeys } from "@knapweedwood/config.publishing/configurationKeys";
+import type { ConfigurationRoot } from "@knapweedwood/config.publishing/configurationRoot";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+
+const SWEEP_PERIOD_MS = 1_000;
+const SWEEP_JITTER_MS = 200;
+
+/**
+ * Follows the configuration's root in the key-value service: by a watch for speed, and by reading it again and again,
+ * which finds what a lost or silent watch missed.
+ */
+export class RootWatcher {
+    private readonly keyValue: KeyValueService;
+    private readonly clock: Clock;
+    private readonly random: Random;
+    private readonly logger: Logger;
+    private readonly onRoot: (root: ConfigurationRoot) => void;
+    private aborter: AbortController | undefined;
+
+    constructor(opts: {
+        keyValue: KeyValueService;
+        clock: Clock;
+        random: Random;
+        logger: Logger;
+        onRoot: (root: ConfigurationRoot) => void;
+    }) {
+        this.keyValue = opts.keyValue;
+        this.clock = opts.clock;
+        this.random = opts.random;
+        this.logger = opts.logger;
+        this.onRoot = opts.onRoot;
+    }
+
+    get isRunning(): boolean {
+        return this.aborter !== undefined;
+    }
+
+    /** Starts following; has no effect while it does. */
+    start(): void {
+        if (this.aborter === undefined) {
+            this.aborter = new AbortController();
+            void this.sweep(this.aborter.signal);
+            void this.follow(this.aborter.signal);
+        }
+    }
+
+    stop(): void {
+        this.aborter?.abort();
+        this.aborter = undefined;
+    }
+
+    /** Reads the root once. Throws where the key-value service is away. */
+    async read(): Promise<void> {
+        const entry = await this.keyValue.get(configurationKeys.root);
+        if (entry !== undefined) {
+            this.report(entry);
+        }
+    }
+
+    private async sweep(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.attempt("configuration.sweep-failed", () => this.read());
+            await this.pause(signal);
+        }
+    }
+
+    private async follow(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.attempt("configuration.watch-lost", () => this.followOnce(signal));
+            await this.pause(signal);
+        }
+    }
+
+    private async followOnce(signal: AbortSignal): Promise<void> {
+        const { revision } = await this.keyValue.transact([], []);
+        await this.read();
+        const batches = this.keyValue.watch(configurationKeys.root, { afterRevision: revision, signal });
+        for await (const batch of batches) {
+            batch.puts.forEach(entry => this.report(entry));
+        }
+    }
+
+    private report(entry: KeyValueEntry): void {
+        this.onRoot(JSON.parse(new TextDecoder().decode(entry.value)) as ConfigurationRoot);
+    }
+
+    private async attempt(event: string, action: () => Promise<void>): Promise<void> {
+        try {
+            await action();
+        }
+        catch (thrown) {
+            this.logger.debug(event, { error: String(thrown) });
+        }
+    }
+
+    private pause(signal: AbortSignal): Promise<void> {
+        return sleep(this.clock, SWEEP_PERIOD_MS + this.random.nextInteger(SWEEP_JITTER_MS), signal);
+    }
+}
--- a/config/publishing/src/configurationTree.ts
+++ b/config/publishing/src/configurationTree.ts
@@ -50,14 +50,18 @@
         return this.groups[groupIndex]?.buckets[bucketIndex]?.records.find(record => recordKeyOf(record) === key);
     }
 
-    /** Texts of all chunks that the tree holds. */
-    chunks(): { reference: ChunkReference; text: string; }[] {
-        return this.groups
-            .flatMap(group => [
-                { reference: group.reference, text: groupText(group.buckets) },
-                ...group.buckets.map(bucket => ({ reference: bucket.reference, text: bucketText(bucket.records) })),
-            ])
-            .filter(chunk => chunk.reference !== NO_CHUNK);
+    /** The chunks whose references `isWanted` picks, groups before their buckets. */
+    chunks(isWanted: (reference: ChunkReference) => boolean): { reference: ChunkReference; text: string; }[] {
+        const isPresent = (part: { reference: ChunkReference; }) =>
+            part.reference !== NO_CHUNK && isWanted(part.reference);
+        const groups = this.groups
+            .filter(isPresent)
+            .map(group => ({ reference: group.reference, text: groupText(group.buckets) }));
+        const buckets = this.groups
+            .flatMap(group => group.buckets)
+            .filter(isPresent)
+            .map(bucket => ({ reference: bucket.reference, text: bucketText(bucket.records) }));
+        return [...groups, ...buckets];
     }
 
     /** Applies changes, the last one winning where several touch one record. */
