--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -1,6 +1,6 @@
-import { randomUUID } from "node:crypto";
 import { CallersApi } from "@knapweedwood/api.callers/callersApi";
 import { HttpListener } from "@knapweedwood/api.http/httpListener";
+import { ensureBootstrapConfiguration } from "@knapweedwood/api.operators/ensureBootstrapConfiguration";
 import { OperatorsApi } from "@knapweedwood/api.operators/operatorsApi";
 import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
 import { KeyValueBatchService } from "@knapweedwood/batch.jobs/keyValueBatchService";
@@ -8,7 +8,6 @@
 import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
 import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
 import { ConfigurationPublisher } from "@knapweedwood/config.publishing/configurationPublisher";
-import { ensureBootstrapConfiguration } from "@knapweedwood/api.operators/ensureBootstrapConfiguration";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
@@ -17,6 +16,7 @@
 import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import { randomUUID } from "node:crypto";
 import { BodyStreams } from "./bodyStreams.js";
 import { configuredServices } from "./configuredServices.js";
 import { createSegmentStore } from "./createSegmentStore.js";
@@ -136,8 +136,7 @@
             segmentStore,
             clock,
             random,
-            onCancelled: jobId =>
-                this.endpoint.links().forEach(link => link.notify(cancelJobNotification, { jobId })),
+            onCancelled: jobId => this.endpoint.links().forEach(link => link.notify(cancelJobNotification, { jobId })),
         });
         const callersApi = new CallersApi({
             configuration: this.configuration,
--- a/daemons/entry/src/main.ts
+++ b/daemons/entry/src/main.ts
@@ -1,4 +1,3 @@
-import { randomInt } from "node:crypto";
 import { entrySettingsSchema } from "@knapweedwood/config.settings/entrySettingsSchema";
 import { readSettings } from "@knapweedwood/config.settings/readSettings";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
@@ -8,6 +7,7 @@
 import { settingsFileOf } from "@knapweedwood/daemons.common/settingsFileOf";
 import { HttpInstanceList } from "@knapweedwood/platform.instance-list/httpInstanceList";
 import { EtcdKeyValueService } from "@knapweedwood/platform.key-value-etcd/etcdKeyValueService";
+import { randomInt } from "node:crypto";
 import { EntryProcess } from "./entryProcess.js";
 
 const SEED_LIMIT = 2 ** 31;
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -1,6 +1,6 @@
 import { Gate } from "@knapweedwood/admission.gate/gate";
-import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
 import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
+import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
 import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
 import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
 import { sleep } from "@knapweedwood/core.clock/sleep";
@@ -118,6 +118,18 @@
         logger.info("side.stopped");
     }
 
+    /** Ends at once, as a crash would: links are cut, nothing is given back or withdrawn. For tests. */
+    async crash(): Promise<void> {
+        await this.announcer?.abandon();
+        await this.reporter.stop();
+        await this.endpoint.close(0);
+        await this.configuration.stop();
+        await this.watcher.stop();
+        await this.monitor.stop();
+        await this.gate?.close();
+        await this.plain?.close();
+    }
+
     private async drain(graceMs: number): Promise<void> {
         const { clock } = this.opts;
         const endMs = clock.nowMs() + graceMs;
