--- a/links/endpoint/src/acceptedLink.ts
+++ b/links/endpoint/src/acceptedLink.ts
@@ -14,6 +14,8 @@
     onClosed: () => void;
 }
 
+const BAD_MESSAGE_CODE = "ERR_KNAPWEED_LINK_BAD_MESSAGE";
+
 /** The end of a link that accepts. It keeps the session for a while when its connection is lost. */
 export class AcceptedLink extends BaseLink {
     private readonly opts: AcceptedLinkOptions;
@@ -75,9 +77,14 @@
     }
 
     onConnectionClosed(from: LinkConnection, reason: KnapweedError): void {
-        if (from === this.connection) {
-            this.lose(reason);
+        if (from !== this.connection) {
+            return;
+        }
+        if (reason.code === BAD_MESSAGE_CODE) {
+            this.end(reason);
+            return;
         }
+        this.lose(reason);
     }
 
     onConnectionDrained(from: LinkConnection): void {
--- a/links/endpoint/src/dialedLink.ts
+++ b/links/endpoint/src/dialedLink.ts
@@ -21,6 +21,7 @@
     onClosed: () => void;
 }
 
+const BAD_MESSAGE_CODE = "ERR_KNAPWEED_LINK_BAD_MESSAGE";
 const REFUSALS_BEFORE_GIVING_UP = 2;
 
 /** The end of a link that connects. It replaces its connection whenever that closes or goes silent. */
@@ -82,6 +83,7 @@
         const socket = this.opts.openSocket();
         const attempt: LinkConnection = new LinkConnection({
             socket,
+            clock: tools.clock,
             codec: tools.codec,
             onMessage: decoded => this.onMessage(attempt, decoded),
             onClosed: reason => this.onConnectionClosed(attempt, reason),
@@ -184,6 +186,9 @@
             return;
         }
         const wasOpen = this.connection !== undefined;
+        if (reason.code === BAD_MESSAGE_CODE) {
+            this.startAfresh(reason);
+        }
         this.detach();
         this.attempt = undefined;
         this.heartbeat = undefined;
--- a/links/endpoint/src/linkConnection.ts
+++ b/links/endpoint/src/linkConnection.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { RawData, WebSocket } from "ws";
@@ -7,6 +8,7 @@
 
 interface LinkConnectionOptions {
     socket: WebSocket;
+    clock: Clock;
     codec: MessageCodec;
     onMessage: (decoded: DecodedMessage) => void;
     /** Called once, when the connection has ended by whatever cause. */
@@ -17,6 +19,7 @@
 
 const HIGH_WATER_BYTES = 1 << 20;
 const BATCH_BYTES = 64 << 10;
+const CLOSE_TIMEOUT_MS = 300;
 const BAD_MESSAGE_STATUS = 1007;
 
 /** One WebSocket. Gathers what is sent in one turn of the event loop into few writes. */
@@ -68,10 +71,12 @@
         this.flushHandle ??= setImmediate(() => this.flush());
     }
 
-    /** Sends what is waiting and closes in an orderly way. */
+    /** Sends what is waiting and closes in an orderly way, or without the other end where that is silent. */
     close(): void {
         this.flush();
         this.opts.socket.close();
+        const timer = this.opts.clock.setTimer(CLOSE_TIMEOUT_MS, () => this.opts.socket.terminate());
+        this.opts.socket.on("close", () => timer.cancel());
     }
 
     /** Drops the connection without waiting for the other end. Nothing is reported afterwards. */
--- a/links/endpoint/src/linkServer.ts
+++ b/links/endpoint/src/linkServer.ts
@@ -1,4 +1,5 @@
 import type { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import { createServer as createPlainServer, type Server } from "node:http";
 import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
@@ -72,6 +73,7 @@
         let link: AcceptedLink | undefined;
         const connection: LinkConnection = new LinkConnection({
             socket,
+            clock,
             codec,
             onMessage: decoded => {
                 if (link !== undefined) {
@@ -103,7 +105,13 @@
         }
         const known = this.sessions.get(message.sessionId);
         const link = known ?? this.createLink(message);
-        link.accept(connection, message, known === undefined);
+        try {
+            link.accept(connection, message, known === undefined);
+        }
+        catch (error) {
+            link.end(toKnapweedError(error));
+            throw error;
+        }
         return link;
     }
 
--- /dev/null
+++ b/links/endpoint/test/heartbeat.test.ts
@@ -0,0 +1,83 @@
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import * as fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { HeartbeatMonitor } from "../src/heartbeatMonitor.js";
+import { PingWatch } from "../src/pingWatch.js";
+
+const SEED = 20_261_203;
+const INTERVAL_MS = 100;
+const IDLE_INTERVAL_MS = 500;
+const SILENT_AFTER_MS = 400;
+
+function createMonitor(seed: number): HeartbeatMonitor {
+    return new HeartbeatMonitor({
+        intervalMs: INTERVAL_MS,
+        idleIntervalMs: IDLE_INTERVAL_MS,
+        silentAfterMs: SILENT_AFTER_MS,
+        random: new SeededRandom(seed),
+    });
+}
+
+test("a connection that stops answering is suspect, then silent within its bound and never sooner", () => {
+    const inputs = { seed: fc.integer(), isBusy: fc.boolean(), stopMs: fc.integer({ min: 0, max: 3000 }) };
+    fc.assert(
+        fc.property(fc.record(inputs), ({ seed, isBusy, stopMs }) => {
+            const monitor = createMonitor(seed);
+            const intervalMs = isBusy ? INTERVAL_MS : IDLE_INTERVAL_MS;
+            const verdicts = new Set<string>();
+            for (let nowMs = 0; nowMs < 10_000;) {
+                const decision = monitor.tick(nowMs, isBusy);
+                verdicts.add(decision.verdict);
+                if (decision.verdict === "silent") {
+                    assert.ok(nowMs - stopMs <= intervalMs * 1.1 + SILENT_AFTER_MS + INTERVAL_MS);
+                    assert.ok(nowMs - stopMs >= SILENT_AFTER_MS - INTERVAL_MS);
+                    assert.ok(verdicts.has("suspect"));
+                    return;
+                }
+                if (decision.ping !== undefined && nowMs < stopMs) {
+                    monitor.onPong(decision.ping.sequence);
+                }
+                nowMs += decision.nextTickMs;
+            }
+            assert.fail("the silence was not found");
+        }),
+        { seed: SEED },
+    );
+});
+
+test("an idle link sends fewer pings, and one at once when a call begins", () => {
+    const countPings = (isBusy: boolean) => {
+        const monitor = createMonitor(1);
+        let pings = 0;
+        for (let nowMs = 0; nowMs < 10_000;) {
+            const decision = monitor.tick(nowMs, isBusy);
+            pings += decision.ping === undefined ? 0 : 1;
+            monitor.onPong(pings);
+            nowMs += decision.nextTickMs;
+        }
+        return pings;
+    };
+    assert.ok(countPings(true) > 90);
+    assert.ok(countPings(false) <= 23);
+    const monitor = createMonitor(1);
+    assert.notEqual(monitor.tick(0, false).ping, undefined);
+    assert.notEqual(monitor.tick(200, true).ping, undefined);
+});
+
+test("time in which this process stood still is not held against the connection", () => {
+    const monitor = createMonitor(1);
+    const { nextTickMs } = monitor.tick(0, true);
+    assert.notEqual(monitor.tick(nextTickMs + 5000, true).verdict, "silent");
+});
+
+test("the accepting end waits for as long as the last ping announced", () => {
+    const watch = new PingWatch({ silentAfterMs: SILENT_AFTER_MS }, 0);
+    watch.onPing(1000, IDLE_INTERVAL_MS);
+    assert.equal(watch.verdict(1500), "alive");
+    assert.equal(watch.verdict(1800), "suspect");
+    assert.equal(watch.verdict(1900), "silent");
+    watch.onPing(1901, INTERVAL_MS);
+    assert.equal(watch.verdict(1950), "alive");
+    assert.equal(watch.verdict(2060), "suspect");
+});
--- /dev/null
+++ b/links/endpoint/test/linkFaults.test.ts
@@ -0,0 +1,199 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { collectFrames } from "@knapweedwood/links.calls/collectFrames";
+import { defineCall } from "@knapweedwood/links.calls/defineCall";
+import type { Link } from "@knapweedwood/links.calls/link";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { test, type TestContext } from "node:test";
+import { setTimeout as pause } from "node:timers/promises";
+import { WebSocket } from "ws";
+import type { WebSocketLinkEndpoint } from "../src/webSocketLinkEndpoint.js";
+import { createTestEndpoint } from "./createTestEndpoint.js";
+import { TcpRelay } from "./tcpRelay.js";
+import { testIdentity } from "./testIdentity.js";
+
+interface CountRequest {
+    count: number;
+    pauseMs: number;
+    paddingBytes: number;
+}
+
+const countCall = defineCall<CountRequest, { index: number; }>("test.count");
+const FRAMES = 120;
+const slowCount: CountRequest = { count: FRAMES, pauseMs: 10, paddingBytes: 0 };
+
+class Counter {
+    runs = 0;
+    sentFrames = 0;
+
+    async *handle(request: CountRequest): AsyncGenerator<{ index: number; padding: Uint8Array; }> {
+        this.runs += 1;
+        for (let index = 0; index < request.count; index += 1) {
+            if (request.pauseMs > 0) {
+                await pause(request.pauseMs);
+            }
+            this.sentFrames += 1;
+            yield { index, padding: new Uint8Array(request.paddingBytes) };
+        }
+    }
+}
+
+interface Setting {
+    server: WebSocketLinkEndpoint;
+    counter: Counter;
+    relay: TcpRelay;
+    link: Link;
+    serverPort: number;
+}
+
+async function createSetting(context: TestContext): Promise<Setting> {
+    const server = createTestEndpoint(context, "server");
+    const client = createTestEndpoint(context, "client");
+    const counter = new Counter();
+    const backCounter = new Counter();
+    server.handle(countCall, request => counter.handle(request));
+    client.handle(countCall, request => backCounter.handle(request));
+    const serverPort = Number((await server.listen()).split(":")[1]);
+    const relay = new TcpRelay(serverPort);
+    context.after(() => relay.close());
+    const link = client.connect(await relay.listen());
+    await collectFrames(link.call(countCall, { ...slowCount, count: 1 }));
+    counter.runs = 0;
+    return { server, counter, relay, link, serverPort };
+}
+
+function assertComplete(frames: { index: number; }[], count = FRAMES): void {
+    assert.deepEqual(frames.map(frame => frame.index), Array.from({ length: count }, (_, index) => index));
+}
+
+const silences = [
+    { name: "forward", directions: ["forward"] },
+    { name: "backward", directions: ["backward"] },
+    { name: "both", directions: ["forward", "backward"] },
+] as const;
+
+silences.forEach(({ name, directions }) => {
+    test(`a call goes on over a new connection when its own goes silent: ${name}`, async context => {
+        const { counter, relay, link } = await createSetting(context);
+        const reading = collectFrames(link.call(countCall, slowCount));
+        await pause(100);
+        relay.silence(...directions);
+        assertComplete(await reading);
+        assert.equal(counter.runs, 1);
+        assert.equal(relay.connectionCount, 2);
+    });
+
+    test(`a call begun on a silent idle link reaches its handler once: ${name}`, async context => {
+        const { counter, relay, link } = await createSetting(context);
+        relay.silence(...directions);
+        assertComplete(await collectFrames(link.call(countCall, slowCount)));
+        assert.equal(counter.runs, 1);
+    });
+
+    test(`the accepting end's call survives silence: ${name}`, async context => {
+        const { server, relay } = await createSetting(context);
+        const reading = collectFrames(server.links()[0].call(countCall, slowCount));
+        await pause(100);
+        relay.silence(...directions);
+        assertComplete(await reading);
+    });
+});
+
+test("a link is suspect before it is replaced", async context => {
+    const { relay, link } = await createSetting(context);
+    const reading = collectFrames(link.call(countCall, slowCount));
+    const states = new Set<string>();
+    relay.silence("backward");
+    const watching = setInterval(() => states.add(link.state), 5);
+    await reading;
+    clearInterval(watching);
+    assert.ok(states.has("suspect"));
+});
+
+test("a connection that is cut again and again costs no frame", async context => {
+    const { counter, relay, link } = await createSetting(context);
+    relay.cutEach(3000);
+    relay.cut();
+    const request = { count: 100, pauseMs: 1, paddingBytes: 300 };
+    assertComplete(await collectFrames(link.call(countCall, request)), 100);
+    assert.equal(counter.runs, 1);
+    assert.ok(relay.connectionCount > 5);
+});
+
+test("a call in flight ends as unknown when another process stands at the address", async context => {
+    const { server, relay, link, serverPort } = await createSetting(context);
+    const reading = collectFrames(link.call(countCall, { ...slowCount, pauseMs: 200 }));
+    const outcome = assert.rejects(reading, { outcome: "unknown" });
+    await pause(50);
+    relay.cut();
+    await server.close(0);
+    const next = createTestEndpoint(context, "server", { identity: testIdentity("server", 2), port: serverPort });
+    next.handle(countCall, request => new Counter().handle(request));
+    await next.listen();
+    await outcome;
+    assertComplete(await collectFrames(link.call(countCall, slowCount)));
+    assert.equal(link.peer?.incarnation, 2);
+});
+
+test("a slow reader holds up its own call alone, within its window", async context => {
+    const { counter, link } = await createSetting(context);
+    const slow = link.call(countCall, { count: 2000, pauseMs: 0, paddingBytes: 1000 })[Symbol.asyncIterator]();
+    await slow.next();
+    await pause(200);
+    const sentFrames = counter.sentFrames;
+    assert.ok(sentFrames < 600, `${sentFrames} frames were sent to a reader that read one`);
+    assertComplete(await collectFrames(link.call(countCall, slowCount)));
+    const rest: { index: number; }[] = [];
+    for await (const frame of { [Symbol.asyncIterator]: () => slow }) {
+        rest.push(frame);
+    }
+    assert.equal(rest.length, 1999);
+});
+
+test("a closing process refuses new calls as not run and lets calls in progress end", async context => {
+    const { server, link } = await createSetting(context);
+    const reading = collectFrames(link.call(countCall, slowCount));
+    await pause(50);
+    const closing = server.close(5000);
+    await assert.rejects(collectFrames(link.call(countCall, slowCount)), {
+        code: "ERR_KNAPWEED_LINK_CLOSING",
+        outcome: "not-run",
+    });
+    assertComplete(await reading);
+    await closing;
+});
+
+test("a request larger than a message may be is refused as not run", async context => {
+    const server = createTestEndpoint(context, "server", { limits: { maxMessageBytes: 10_000 } });
+    const client = createTestEndpoint(context, "client");
+    const sizeCall = defineCall<{ bytes: Uint8Array; }, { sizeBytes: number; }>("test.size");
+    server.handle(sizeCall, async function*({ bytes }) {
+        yield { sizeBytes: bytes.length };
+    });
+    const link = client.connect(await server.listen());
+    await assert.rejects(collectFrames(link.call(sizeCall, { bytes: new Uint8Array(20_000) })), {
+        code: "ERR_KNAPWEED_LINK_MESSAGE_TOO_LARGE",
+        outcome: "not-run",
+    });
+    assert.deepEqual(await collectFrames(link.call(sizeCall, { bytes: new Uint8Array(5000) })), [{ sizeBytes: 5000 }]);
+});
+
+test("a frame larger than a message may be ends its call with an error", async context => {
+    const { link } = await createSetting(context);
+    const request = { count: 1, pauseMs: 0, paddingBytes: 65 << 20 };
+    await assert.rejects(collectFrames(link.call(countCall, request)), (error: KnapweedError) => {
+        assert.equal(error.code, "ERR_KNAPWEED_LINK_MESSAGE_TOO_LARGE");
+        assert.equal(error.outcome, "unknown");
+        return true;
+    });
+});
+
+test("bytes that are no messages end their connection and no other", async context => {
+    const { link, serverPort } = await createSetting(context);
+    const stray = new WebSocket(`ws://127.0.0.1:${serverPort}`);
+    await once(stray, "open");
+    stray.send(new Uint8Array([0xc1, 1, 2, 3]));
+    const [status] = await once(stray, "close") as [number];
+    assert.equal(status, 1007);
+    assertComplete(await collectFrames(link.call(countCall, slowCount)));
+});
--- a/links/endpoint/test/webSocketLinkEndpoint.test.ts
+++ b/links/endpoint/test/webSocketLinkEndpoint.test.ts
@@ -1,45 +1,19 @@
-import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
-import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
-import type { RegionName } from "@knapweedwood/core.ids/regionName";
-import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import { collectFrames } from "@knapweedwood/links.calls/collectFrames";
 import { defineCall } from "@knapweedwood/links.calls/defineCall";
-import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
-import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
 import assert from "node:assert/strict";
-import { test, type TestContext } from "node:test";
-import { WebSocketLinkEndpoint } from "../src/webSocketLinkEndpoint.js";
+import { test } from "node:test";
+import { createTestEndpoint } from "./createTestEndpoint.js";
 
 const countCall = defineCall<{ count: number; }, { index: number; }>("test.count");
 
-function createEndpoint(context: TestContext, name: string, incarnation = 1): WebSocketLinkEndpoint {
-    const endpoint = new WebSocketLinkEndpoint({
-        identity: {
-            instanceId: name as InstanceId,
-            incarnation: incarnation as Incarnation,
-            kind: "side",
-            zone: "zone-a" as ZoneName,
-            region: "region" as RegionName,
-        },
-        clock: new SystemClock(),
-        host: "127.0.0.1",
-        port: 0,
-        logger: silentLogger,
-        metrics: silentMetrics,
-    });
-    context.after(() => endpoint.close(0));
-    return endpoint;
-}
-
 async function* count(request: { count: number; }) {
     yield* Array.from({ length: request.count }, (_, index) => ({ index }));
 }
 
 test("a call yields its frames in order, in both directions of a link", async context => {
-    const server = createEndpoint(context, "server");
-    const client = createEndpoint(context, "client");
+    const server = createTestEndpoint(context, "server");
+    const client = createTestEndpoint(context, "client");
     server.handle(countCall, count);
     client.handle(countCall, count);
     const link = client.connect(await server.listen());
@@ -51,8 +25,8 @@
 });
 
 test("a handler's error arrives with all its parts", async context => {
-    const server = createEndpoint(context, "server");
-    const client = createEndpoint(context, "client");
+    const server = createTestEndpoint(context, "server");
+    const client = createTestEndpoint(context, "client");
     server.handle(countCall, async function*() {
         yield { index: 0 };
         throw new KnapweedError("BUSY", "Too busy", {
@@ -74,8 +48,8 @@
 });
 
 test("a call that the other end doesn't know is refused as not run", async context => {
-    const server = createEndpoint(context, "server");
-    const client = createEndpoint(context, "client");
+    const server = createTestEndpoint(context, "server");
+    const client = createTestEndpoint(context, "client");
     const link = client.connect(await server.listen());
     await assert.rejects(collectFrames(link.call(countCall, { count: 1 })), {
         code: "ERR_KNAPWEED_LINK_UNKNOWN_CALL",
@@ -84,16 +58,16 @@
 });
 
 test("a call over a link that never opens ends as not run", async context => {
-    const client = createEndpoint(context, "client");
-    const closed = createEndpoint(context, "closed");
+    const client = createTestEndpoint(context, "client");
+    const closed = createTestEndpoint(context, "closed");
     const address = await closed.listen();
     await closed.close(0);
     await assert.rejects(collectFrames(client.connect(address).call(countCall, { count: 1 })), { outcome: "not-run" });
 });
 
 test("a reader that stops early has the handler cancelled", async context => {
-    const server = createEndpoint(context, "server");
-    const client = createEndpoint(context, "client");
+    const server = createTestEndpoint(context, "server");
+    const client = createTestEndpoint(context, "client");
     const cancelled = new Promise<void>(resolve => {
         server.handle(countCall, async function*(_request, { signal }) {
             yield { index: 0 };
@@ -109,8 +83,8 @@
 });
 
 test("a call past its deadline ends as unknown once its request was written", async context => {
-    const server = createEndpoint(context, "server");
-    const client = createEndpoint(context, "client");
+    const server = createTestEndpoint(context, "server");
+    const client = createTestEndpoint(context, "client");
     server.handle(countCall, async function*(_request, { signal, deadlineMs }) {
         yield { index: deadlineMs === undefined ? 0 : 1 };
         await new Promise<void>(abort => signal.addEventListener("abort", () => abort()));
