feat(admission): the gate, with its policies as pure decisions

Cause: engines admit as requests arrive and know no priorities, so nothing kept batch work away from online calls.

--- /dev/null
+++ b/admission/gate/src/batchRoom.ts
@@ -0,0 +1,125 @@
+import { stepDurationMs } from "@knapweedwood/admission.cost-model/stepDurationMs";
+import { batchStepLimitMs } from "./batchStepLimitMs.js";
+import type { GateState, RunningBatchItem, WorkSize } from "./gateState.js";
+
+const MS_PER_SECOND = 1000;
+/** Steps for which arrivals are expected ahead, because that long a cancelled stream still holds its place. */
+const HEAD_ROOM_STEPS = 1;
+/** Standard deviations of the expected arrivals that are kept free. */
+const HEAD_ROOM_DEVIATIONS = 1;
+
+/** What the next step of the engine has left for batch work, after online work and head-room. */
+export class BatchRoom {
+    private readonly state: GateState;
+    private readonly limitMs: number;
+    private readonly reservedSequences: number;
+    private readonly onlineSequences: number;
+    private readonly onlinePrefillTokens: number;
+    private readonly onlineKvTokens: number;
+    private batchSequences: number;
+    private batchPrefillTokens: number;
+    private batchKvTokens: number;
+
+    private constructor(state: GateState, admitOnline: number) {
+        const admitted = state.online.waiting.slice(0, admitOnline);
+        const { running } = state.batch;
+        this.state = state;
+        this.limitMs = batchStepLimitMs(state);
+        this.onlineSequences = state.online.running + admitOnline + state.foreignSequences;
+        this.onlinePrefillTokens = state.online.prefillTokens + sumOf(admitted, "prefillTokens");
+        this.onlineKvTokens = state.online.kvTokens + sumOf(admitted, "kvTokens");
+        this.batchSequences = running.length;
+        this.batchPrefillTokens = sumOf(running.filter(item => item.isPending), "prefillTokens");
+        this.batchKvTokens = sumOf(running, "kvTokens");
+        this.reservedSequences = expectedArrivals(state);
+    }
+
+    /** The room once `admitOnline` of the waiting online calls have entered. */
+    static after(state: GateState, admitOnline: number): BatchRoom {
+        return new BatchRoom(state, admitOnline);
+    }
+
+    /** Whether the batch work that runs has to give way. */
+    get isExceeded(): boolean {
+        if (this.batchSequences === 0) {
+            return false;
+        }
+        return this.onlineSequences + this.batchSequences > this.state.limits.maxSequences
+            || this.onlineKvTokens + this.batchKvTokens > this.state.limits.kvTokens
+            || this.isStepExceeded(0);
+    }
+
+    /** Sequences that batch work could add. */
+    get freeSequences(): number {
+        const { costs, limits } = this.state;
+        const slots = limits.maxSequences - this.reservedSequences - this.onlineSequences - this.batchSequences;
+        const stepRoomMs = this.limitMs - this.stepMs(this.reservedPrefillTokens);
+        const byStep = stepRoomMs / Math.max(costs.perSequenceMs, Number.EPSILON);
+        return Math.max(0, Math.floor(Math.min(slots, byStep)));
+    }
+
+    /** Gives back what a cancelled item held. @returns true */
+    free(item: RunningBatchItem): boolean {
+        this.batchSequences -= 1;
+        this.batchPrefillTokens -= item.isPending ? item.prefillTokens : 0;
+        this.batchKvTokens -= item.kvTokens;
+        return true;
+    }
+
+    /** Takes the room for an item, if there is enough. @returns whether there was */
+    take(item: WorkSize): boolean {
+        if (this.freeSequences === 0 || !this.hasKvTokens(item)) {
+            return false;
+        }
+        if (this.isStepExceeded(item.prefillTokens + this.reservedPrefillTokens, 1)) {
+            return false;
+        }
+        this.hold(item);
+        return true;
+    }
+
+    /** Takes the room for an item whose prefill alone exceeds a step. @returns whether a sequence was free */
+    takeOversized(item: WorkSize): boolean {
+        if (this.freeSequences === 0 || !this.hasKvTokens(item) || this.onlinePrefillTokens > 0) {
+            return false;
+        }
+        this.hold(item);
+        return true;
+    }
+
+    private get reservedPrefillTokens(): number {
+        return 0;
+    }
+
+    private hold(item: WorkSize): void {
+        this.batchSequences += 1;
+        this.batchPrefillTokens += item.prefillTokens;
+        this.batchKvTokens += item.kvTokens;
+    }
+
+    private hasKvTokens(item: WorkSize): boolean {
+        return this.onlineKvTokens + this.batchKvTokens + item.kvTokens <= this.state.limits.kvTokens;
+    }
+
+    private isStepExceeded(addedPrefillTokens: number, addedSequences = 0): boolean {
+        return this.stepMs(addedPrefillTokens, addedSequences) > this.limitMs;
+    }
+
+    private stepMs(addedPrefillTokens: number, addedSequences = 0): number {
+        const prefillTokens = this.onlinePrefillTokens + this.batchPrefillTokens + addedPrefillTokens;
+        return stepDurationMs(this.state.costs, {
+            sequences: this.onlineSequences + this.batchSequences + addedSequences,
+            prefillTokens: Math.min(prefillTokens, this.state.limits.prefillTokensPerStep),
+        });
+    }
+}
+
+function expectedArrivals(state: GateState): number {
+    const stepMs = Math.max(state.objective.tokenGapObjectiveMs, state.costs.fixedMs);
+    const expected = state.online.arrivalsPerSecond * HEAD_ROOM_STEPS * stepMs / MS_PER_SECOND;
+    return Math.ceil(expected + HEAD_ROOM_DEVIATIONS * Math.sqrt(expected));
+}
+
+function sumOf(items: WorkSize[], field: keyof WorkSize): number {
+    return items.reduce((sum, item) => sum + item[field], 0);
+}
--- /dev/null
+++ b/admission/gate/src/embeddingRunner.ts
@@ -0,0 +1,27 @@
+import type { BatchItem } from "@knapweedwood/batch.items/batchItem";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import type { ModelEngine } from "@knapweedwood/engines.model-engine/modelEngine";
+import type { BatchItemRunner } from "./batchItemRunner.js";
+
+const OK = 200;
+const NOT_FOUND = 404;
+
+/** Runs embedding items at a model engine. */
+export class EmbeddingRunner implements BatchItemRunner {
+    private readonly engine: ModelEngine;
+
+    constructor(opts: { engine: ModelEngine; }) {
+        this.engine = opts.engine;
+    }
+
+    async run(item: BatchItem, opts: { signal: AbortSignal; }): Promise<{ statusCode: number; body: JsonObject; }> {
+        if (item.endpoint !== "/v1/embeddings") {
+            throw new KnapweedError("ENDPOINT_UNKNOWN", `A model engine doesn't offer ${item.endpoint}`, {
+                outcome: "answered",
+                statusCode: NOT_FOUND,
+            });
+        }
+        return { statusCode: OK, body: await this.engine.embed(item.body, opts) };
+    }
+}
--- /dev/null
+++ b/admission/gate/src/engineLimits.ts
@@ -0,0 +1,64 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { EngineLoad } from "@knapweedwood/engines.model-engine/engineLoad";
+import type { ModelEngine } from "@knapweedwood/engines.model-engine/modelEngine";
+import type { GateState } from "./gateState.js";
+
+const POLL_MS = 500;
+/** How old the engine's report may be. */
+const REPORT_LAG_MS = 2000;
+const DEFAULT_LIMITS: GateState["limits"] = { maxSequences: 8, kvTokens: 16_384, prefillTokensPerStep: 512 };
+
+/** What the engine's lagging report adds to the gate's own counts: its limits, and sequences that came another way. */
+export class EngineLimits {
+    private readonly clock: Clock;
+    private readonly engine: ModelEngine;
+    private readonly ownSequences: () => number;
+    private readonly recentCounts: { atMs: number; count: number; }[] = [];
+    private report: EngineLoad | undefined;
+    private isStopped = false;
+
+    constructor(opts: { clock: Clock; engine: ModelEngine; ownSequences: () => number; }) {
+        this.clock = opts.clock;
+        this.engine = opts.engine;
+        this.ownSequences = opts.ownSequences;
+    }
+
+    get limits(): GateState["limits"] {
+        return this.report === undefined ? DEFAULT_LIMITS : {
+            maxSequences: this.report.maxSequences,
+            kvTokens: this.report.kvTokensLimit,
+            prefillTokensPerStep: this.report.maxPrefillTokensPerStep ?? DEFAULT_LIMITS.prefillTokensPerStep,
+        };
+    }
+
+    /** Sequences beyond the most that this gate had in the engine while the report may have been made. */
+    get foreignSequences(): number {
+        const reported = (this.report?.runningSequences ?? 0) + (this.report?.waitingSequences ?? 0);
+        const own = this.recentCounts.reduce((most, { count }) => Math.max(most, count), this.ownSequences());
+        return Math.max(0, reported - own);
+    }
+
+    /** Notes that the number of this gate's sequences has changed. */
+    countChanged(): void {
+        const nowMs = this.clock.nowMs();
+        const firstRecent = this.recentCounts.findLastIndex(({ atMs }) => atMs < nowMs - REPORT_LAG_MS);
+        this.recentCounts.splice(0, Math.max(0, firstRecent));
+        this.recentCounts.push({ atMs: nowMs, count: this.ownSequences() });
+    }
+
+    /** Reads the report now and then from now on. */
+    start(): void {
+        void this.poll();
+    }
+
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    private async poll(): Promise<void> {
+        this.report = await this.engine.load().catch(() => this.report);
+        if (!this.isStopped) {
+            this.clock.setTimer(POLL_MS, () => void this.poll());
+        }
+    }
+}
--- /dev/null
+++ b/admission/gate/src/engineStreams.ts
@@ -0,0 +1,77 @@
+import { StepCostModel } from "@knapweedwood/admission.cost-model/stepCostModel";
+import type { StepCosts } from "@knapweedwood/admission.cost-model/stepCosts";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
+import type { ActiveStream } from "./activeStream.js";
+import type { WorkSize } from "./gateState.js";
+import { StepObserver } from "./stepObserver.js";
+import type { WorkEstimator } from "./workEstimator.js";
+
+const INITIAL_COSTS: StepCosts = { fixedMs: 10, perSequenceMs: 0.5, perPrefillTokenMs: 0.05 };
+
+/** The requests that the engine works on, and what their tokens tell of its steps. */
+export class EngineStreams {
+    private readonly clock: Clock;
+    private readonly estimator: WorkEstimator;
+    private readonly model = new StepCostModel({ initial: INITIAL_COSTS });
+    private readonly active = new Set<ActiveStream>();
+    private readonly observer: StepObserver;
+    private readonly onFirstToken: (stream: ActiveStream) => void;
+
+    constructor(opts: {
+        clock: Clock;
+        estimator: WorkEstimator;
+        objectiveMs: () => number;
+        onFirstToken: (stream: ActiveStream) => void;
+    }) {
+        this.clock = opts.clock;
+        this.estimator = opts.estimator;
+        this.onFirstToken = opts.onFirstToken;
+        this.observer = new StepObserver({
+            model: this.model,
+            active: this.active,
+            objectiveMs: opts.objectiveMs,
+        });
+    }
+
+    get costs(): StepCosts {
+        return this.model.costs;
+    }
+
+    /** How many there are. */
+    get count(): number {
+        return this.active.size;
+    }
+
+    get stretchedGapShare(): number {
+        return this.observer.stretchedGapShare;
+    }
+
+    open(kind: ActiveStream["kind"], size: WorkSize): ActiveStream {
+        const stream: ActiveStream = { kind, ...size, startedAtMs: this.clock.nowMs(), hasFirstToken: false };
+        this.active.add(stream);
+        return stream;
+    }
+
+    close(stream: ActiveStream): void {
+        this.active.delete(stream);
+    }
+
+    tokenArrived(stream: ActiveStream, request: GenerateRequest): void {
+        this.observer.tokenArrived(stream, this.clock.nowMs());
+        if (!stream.hasFirstToken) {
+            stream.hasFirstToken = true;
+            this.estimator.processed(request);
+            this.onFirstToken(stream);
+        }
+    }
+
+    /** Whether no step can have taken the stream in yet. */
+    isPending(stream: ActiveStream): boolean {
+        return !stream.hasFirstToken && stream.startedAtMs >= (this.observer.lastStepEndMs ?? 0);
+    }
+
+    of(kind: ActiveStream["kind"]): ActiveStream[] {
+        return [...this.active].filter(stream => stream.kind === kind);
+    }
+}
--- /dev/null
+++ b/admission/gate/src/failureJudge.ts
@@ -0,0 +1,35 @@
+import type { BatchResult } from "@knapweedwood/batch.items/batchResult";
+import type { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+
+/** So many failures in a row, with no other request begun between, speak against the instance. */
+const SUSPECT_FAILURES = 3;
+
+type FailedOutcome = Extract<BatchResult["outcome"], { kind: "failed" | "rejected"; }>;
+
+/** Judges whether a failed attempt speaks against the item or against the instance. */
+export class FailureJudge {
+    private failuresInARow = 0;
+
+    /** Notes that the engine gave a request its first token. */
+    began(): void {
+        this.failuresInARow = 0;
+    }
+
+    /** Notes that an attempt failed, as soon as it does. */
+    failed(): void {
+        this.failuresInARow += 1;
+    }
+
+    /** @param isEngineReachable what a probe since the failure has found */
+    judge(error: KnapweedError, isEngineReachable: boolean): FailedOutcome {
+        const { code, message, statusCode } = error;
+        if (statusCode !== undefined && error.outcome === "answered") {
+            return { kind: "rejected", statusCode, code, message };
+        }
+        if (error.outcome === "not-run") {
+            return { kind: "failed", code, message, blame: "instance", mayHaveRun: false };
+        }
+        const isItemSuspect = isEngineReachable && this.failuresInARow < SUSPECT_FAILURES;
+        return { kind: "failed", code, message, blame: isItemSuspect ? "item" : "instance", mayHaveRun: true };
+    }
+}
--- /dev/null
+++ b/admission/gate/src/gate.ts
@@ -0,0 +1,286 @@
+import { stepDurationMs } from "@knapweedwood/admission.cost-model/stepDurationMs";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { Timer } from "@knapweedwood/core.clock/timer";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { GenerateEvent } from "@knapweedwood/engines.model-engine/generateEvent";
+import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
+import type { ActiveStream } from "./activeStream.js";
+import type { AdmissionPolicy } from "./admissionPolicy.js";
+import { ArrivalStatistics } from "./arrivalStatistics.js";
+import { BatchLane } from "./batchLane.js";
+import { BatchPuller } from "./batchPuller.js";
+import { EmbeddingRunner } from "./embeddingRunner.js";
+import { EngineLimits } from "./engineLimits.js";
+import { EngineStreams } from "./engineStreams.js";
+import { FailureJudge } from "./failureJudge.js";
+import type { GateLoad } from "./gateLoad.js";
+import type { GateObjective } from "./gateObjective.js";
+import type { GateOptions } from "./gateOptions.js";
+import type { GateState } from "./gateState.js";
+import { OnlineFirstPolicy } from "./onlineFirstPolicy.js";
+import { OnlineQueue } from "./onlineQueue.js";
+import { ResultReporter } from "./resultReporter.js";
+import { WorkEstimator } from "./workEstimator.js";
+
+const TICK_MS = 25;
+const DRAIN_CHECK_MS = 10;
+const DEFAULT_MAX_ONLINE_WAITING = 256;
+const DEFAULT_OBJECTIVE: GateObjective = { tokenGapObjectiveMs: 50, batchBalance: 0.9 };
+
+/** The one gate in front of a model engine: online calls first, batch items in what is left. */
+export class Gate {
+    private readonly opts: GateOptions;
+    private readonly clock: Clock;
+    private readonly policy: AdmissionPolicy;
+    private readonly estimator = new WorkEstimator();
+    private readonly arrivals = new ArrivalStatistics();
+    private readonly judge = new FailureJudge();
+    private readonly streams: EngineStreams;
+    private readonly limits: EngineLimits;
+    private readonly online: OnlineQueue;
+    private readonly reporter: ResultReporter | undefined;
+    private readonly batch: BatchLane | undefined;
+    private readonly puller: BatchPuller | undefined;
+    private objective: GateObjective;
+    private isLeaving = false;
+    private ticker: Timer | undefined;
+    private pendingDecision: Timer | undefined;
+
+    constructor(opts: GateOptions) {
+        const { clock, engine, batchSource: source, logger, metrics } = opts;
+        this.opts = opts;
+        this.clock = clock;
+        this.policy = opts.policy ?? new OnlineFirstPolicy();
+        this.objective = opts.objective ?? DEFAULT_OBJECTIVE;
+        this.online = new OnlineQueue({ clock, maxWaiting: opts.maxOnlineWaiting ?? DEFAULT_MAX_ONLINE_WAITING });
+        this.streams = new EngineStreams({
+            clock,
+            estimator: this.estimator,
+            objectiveMs: () => this.objective.tokenGapObjectiveMs,
+            onFirstToken: () => {
+                this.judge.began();
+                this.decideSoon();
+            },
+        });
+        this.limits = new EngineLimits({ clock, engine, ownSequences: () => this.streams.count });
+        if (source === undefined) {
+            return;
+        }
+        this.reporter = new ResultReporter({ clock, source, logger });
+        this.batch = this.createLane(this.reporter);
+        this.puller = new BatchPuller({
+            clock,
+            source,
+            logger,
+            onItems: items => {
+                this.batch?.add(items);
+                this.afterPull();
+            },
+        });
+        metrics.gauge("gate.objective_ms", this.objective.tokenGapObjectiveMs);
+    }
+
+    /** Starts the batch loop and the reading of the engine's load. */
+    start(): void {
+        this.limits.start();
+        this.tick();
+    }
+
+    /**
+     * Runs an online call. Throws a KnapweedError with outcome `not-run` where it refuses before the engine began:
+     * `GATE_OVERLOADED`, `GATE_DEADLINE` or `GATE_LEAVING`, with `retryAfterMs`.
+     *
+     * @param opts `deadlineMs` is when the call is due, by the gate's clock
+     */
+    async *runOnline(
+        request: GenerateRequest,
+        opts: { signal: AbortSignal; deadlineMs?: number; },
+    ): AsyncGenerator<GenerateEvent> {
+        if (this.isLeaving) {
+            throw new KnapweedError("GATE_LEAVING", "The upstream is leaving", { outcome: "not-run", statusCode: 503 });
+        }
+        const stream = await this.admitOnline(request, opts);
+        const startedAtMs = this.clock.nowMs();
+        try {
+            for await (const event of this.opts.engine.generate(request, { signal: opts.signal })) {
+                this.noteOnline(request, stream, event);
+                yield event;
+            }
+        }
+        finally {
+            this.streams.close(stream);
+            this.online.ended(this.clock.nowMs() - startedAtMs);
+            this.decide();
+        }
+    }
+
+    load(): GateLoad {
+        const items = this.batch?.items ?? [];
+        const batchRunning = items.filter(held => held.run !== undefined).length;
+        const totals = this.batch?.totals ?? { preemptions: 0, tokensThrownAway: 0, batchTokens: 0 };
+        const streams = [...this.streams.of("online"), ...this.streams.of("batch")];
+        const pending = streams.filter(stream => this.streams.isPending(stream));
+        return {
+            onlineRunning: this.streams.of("online").length,
+            onlineQueued: this.online.waiting.length,
+            batchRunning,
+            batchQueued: items.length - batchRunning,
+            predictedStepMs: stepDurationMs(this.streams.costs, {
+                sequences: streams.length,
+                prefillTokens: prefillTokensOf(pending),
+            }),
+            ...totals,
+        };
+    }
+
+    /** Stops all items of a job at once; none of it runs here any more. */
+    cancelJob(jobId: JobId): void {
+        this.batch?.cancelJob(jobId);
+    }
+
+    setObjective(objective: GateObjective): void {
+        this.objective = objective;
+        this.decideSoon();
+    }
+
+    /** Refuses new online calls and gives all batch items back; resolves when their owners have them. */
+    async leave(): Promise<void> {
+        this.isLeaving = true;
+        this.batch?.leave();
+        while ((this.batch?.items.length ?? 0) > 0) {
+            await sleep(this.clock, DRAIN_CHECK_MS);
+        }
+        await this.reporter?.idle();
+    }
+
+    /** Leaves, then lets the online calls in progress end. */
+    async close(): Promise<void> {
+        await this.leave();
+        while (this.streams.count + this.online.waiting.length > 0) {
+            await sleep(this.clock, DRAIN_CHECK_MS);
+        }
+        this.limits.stop();
+        this.ticker?.cancel();
+        this.pendingDecision?.cancel();
+    }
+
+    private createLane(reporter: ResultReporter): BatchLane {
+        const { engine, clock, metrics, itemRunner } = this.opts;
+        return new BatchLane({
+            engine,
+            clock,
+            metrics,
+            reporter,
+            itemRunner: itemRunner ?? new EmbeddingRunner({ engine }),
+            estimator: this.estimator,
+            streams: this.streams,
+            judge: this.judge,
+            onChange: () => this.decideSoon(),
+            onEngineTrouble: () => this.puller?.pause(),
+        });
+    }
+
+    private async admitOnline(
+        request: GenerateRequest,
+        opts: { signal: AbortSignal; deadlineMs?: number; },
+    ): Promise<ActiveStream> {
+        const size = this.estimator.sizeOf(request);
+        this.arrivals.add(this.clock.nowMs(), size.prefillTokens);
+        const running = this.streams.of("online").length;
+        const entered = this.online.enter({ size, running, signal: opts.signal, deadlineMs: opts.deadlineMs });
+        this.decide();
+        try {
+            return await entered;
+        }
+        catch (thrown) {
+            this.opts.metrics.increment("gate.refused", { code: (thrown as KnapweedError).code });
+            throw thrown;
+        }
+    }
+
+    private noteOnline(request: GenerateRequest, stream: ActiveStream, event: GenerateEvent): void {
+        if (event.kind === "chunk") {
+            this.streams.tokenArrived(stream, request);
+            return;
+        }
+        this.estimator.learn(request, stream, event.usage);
+    }
+
+    private afterPull(): void {
+        if (this.isLeaving) {
+            this.batch?.leave();
+            return;
+        }
+        this.decide();
+    }
+
+    private tick(): void {
+        this.batch?.giveBackStale();
+        this.decide();
+        this.ticker = this.clock.setTimer(TICK_MS, () => this.tick());
+    }
+
+    /** Decides once for events that come together. */
+    private decideSoon(): void {
+        this.pendingDecision ??= this.clock.setTimer(0, () => {
+            this.pendingDecision = undefined;
+            this.decide();
+        });
+    }
+
+    private decide(): void {
+        const decision = this.policy.decide(this.state());
+        decision.preempt.forEach(key => this.batch?.preempt(key));
+        this.online.admit(decision.admitOnline, size => this.streams.open("online", size));
+        if (this.isLeaving) {
+            return;
+        }
+        decision.start.forEach(key => this.batch?.start(key));
+        const waiting = this.batch?.items.filter(held => held.run === undefined).length ?? 0;
+        this.puller?.want(decision.wantedWaiting - waiting);
+        this.limits.countChanged();
+    }
+
+    private state(): GateState {
+        const nowMs = this.clock.nowMs();
+        const online = this.streams.of("online");
+        const items = this.batch?.items ?? [];
+        return {
+            nowMs,
+            objective: this.objective,
+            costs: this.streams.costs,
+            limits: this.limits.limits,
+            foreignSequences: this.limits.foreignSequences,
+            online: {
+                running: online.length,
+                kvTokens: online.reduce((sum, stream) => sum + stream.kvTokens, 0),
+                prefillTokens: prefillTokensOf(online.filter(stream => !stream.hasFirstToken)),
+                waiting: this.online.waiting.map(({ size, arrivedAtMs }) => ({ ...size, waitingSinceMs: arrivedAtMs })),
+                arrivalsPerSecond: this.arrivals.perSecond(nowMs),
+                meanPrefillTokens: this.arrivals.meanPrefillTokens,
+                lastArrivalMs: this.arrivals.lastArrivalMs,
+            },
+            batch: {
+                running: items.flatMap(({ key, item, size, run }) =>
+                    run === undefined || run.stopReason !== undefined ? [] : {
+                        key,
+                        ...size,
+                        producedTokens: run.producedTokens,
+                        dueAtMs: item.dueAtMs,
+                        isPending: this.streams.isPending(run.stream),
+                    }
+                ),
+                waiting: items.flatMap(({ key, item, size, run, waitingSinceMs, isResumed }) =>
+                    run === undefined ? { key, ...size, dueAtMs: item.dueAtMs, waitingSinceMs, isResumed } : []
+                ),
+                stretchedGapShare: this.streams.stretchedGapShare,
+            },
+        };
+    }
+}
+
+function prefillTokensOf(streams: ActiveStream[]): number {
+    return streams.reduce((sum, stream) => sum + stream.prefillTokens, 0);
+}
--- /dev/null
+++ b/admission/gate/src/gateOptions.ts
@@ -0,0 +1,25 @@
+import type { BatchSource } from "@knapweedwood/batch.items/batchSource";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { ModelEngine } from "@knapweedwood/engines.model-engine/modelEngine";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { AdmissionPolicy } from "./admissionPolicy.js";
+import type { BatchItemRunner } from "./batchItemRunner.js";
+import type { GateObjective } from "./gateObjective.js";
+
+/** Options of a gate. */
+export interface GateOptions {
+    engine: ModelEngine;
+    clock: Clock;
+    logger: Logger;
+    metrics: Metrics;
+    /** Online first where undefined. */
+    policy?: AdmissionPolicy;
+    /** Where batch items come from; no batch work where undefined. */
+    batchSource?: BatchSource;
+    /** Runs batch items that are not generations; embeddings only where undefined. */
+    itemRunner?: BatchItemRunner;
+    objective?: GateObjective;
+    /** Online calls that wait at most. */
+    maxOnlineWaiting?: number;
+}
--- /dev/null
+++ b/admission/gate/src/heldItem.ts
@@ -0,0 +1,16 @@
+import type { BatchItem } from "@knapweedwood/batch.items/batchItem";
+import type { ResumePoint } from "@knapweedwood/engines.model-engine/resumePoint";
+import type { BatchKey } from "./batchKey.js";
+import type { BatchRun } from "./batchRun.js";
+import type { WorkSize } from "./gateState.js";
+
+/** A batch item at the gate. */
+export interface HeldItem {
+    key: BatchKey;
+    item: BatchItem;
+    size: WorkSize;
+    resumeFrom: ResumePoint | undefined;
+    isResumed: boolean;
+    waitingSinceMs: number;
+    run: BatchRun | undefined;
+}
--- /dev/null
+++ b/admission/gate/src/onlineFirstPolicy.ts
@@ -0,0 +1,72 @@
+import type { AdmissionPolicy } from "./admissionPolicy.js";
+import { BatchRoom } from "./batchRoom.js";
+import { fittingOnlineCalls } from "./fittingOnlineCalls.js";
+import type { GateDecision } from "./gateDecision.js";
+import type { GateState, RunningBatchItem, WaitingBatchItem } from "./gateState.js";
+
+/** Items of due times closer than this count as equally urgent. */
+const DUE_GRANULARITY_MS = 60_000;
+/** An item that has waited so long at the gate is started even where its prefill exceeds the room of a step. */
+const MAX_WAIT_MS = 5000;
+/** Items held ahead of need, as a share of those that run. */
+const AHEAD_SHARE = 0.25;
+const MIN_AHEAD = 2;
+
+/**
+ * Online work enters at once; batch work fills what the next step has left, and leaves it again as soon as online work
+ * needs the room.
+ */
+export class OnlineFirstPolicy implements AdmissionPolicy {
+    decide(state: GateState): GateDecision {
+        const admitOnline = fittingOnlineCalls(state);
+        const room = BatchRoom.after(state, admitOnline);
+        const preempted = this.choosePreempted(state, room);
+        const started = preempted.length > 0 ? [] : this.chooseStarted(state, room);
+        return {
+            admitOnline,
+            preempt: preempted.map(item => item.key),
+            start: started.map(item => item.key),
+            wantedWaiting: this.wantedWaiting(state, room),
+        };
+    }
+
+    private choosePreempted(state: GateState, room: BatchRoom): RunningBatchItem[] {
+        if (!room.isExceeded) {
+            return [];
+        }
+        return [...state.batch.running]
+            .sort((left, right) => compareCostOfCancel(left, right))
+            .filter(item => room.isExceeded && room.free(item));
+    }
+
+    private chooseStarted(state: GateState, room: BatchRoom): WaitingBatchItem[] {
+        const candidates = [...state.batch.waiting].sort(compareUrgency);
+        const started = candidates.filter(item => room.take(item));
+        if (started.length > 0 || state.batch.running.some(item => item.isPending)) {
+            return started;
+        }
+        return candidates
+            .filter(item => state.nowMs - item.waitingSinceMs > MAX_WAIT_MS && room.takeOversized(item))
+            .slice(0, 1);
+    }
+
+    private wantedWaiting(state: GateState, room: BatchRoom): number {
+        const running = state.batch.running.length;
+        return Math.ceil(Math.max(MIN_AHEAD, room.freeSequences + running * AHEAD_SHARE));
+    }
+}
+
+/** Items that no step has taken in yet cost nothing to cancel; else those with the least progress cost least. */
+function compareCostOfCancel(left: RunningBatchItem, right: RunningBatchItem): number {
+    return Number(right.isPending) - Number(left.isPending) || left.producedTokens - right.producedTokens;
+}
+
+function compareUrgency(left: WaitingBatchItem, right: WaitingBatchItem): number {
+    return dueBucketOf(left) - dueBucketOf(right)
+        || Number(right.isResumed) - Number(left.isResumed)
+        || left.prefillTokens - right.prefillTokens;
+}
+
+function dueBucketOf(item: WaitingBatchItem): number {
+    return Math.floor(item.dueAtMs / DUE_GRANULARITY_MS);
+}
--- /dev/null
+++ b/admission/gate/src/onlineQueue.ts
@@ -0,0 +1,110 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { ActiveStream } from "./activeStream.js";
+import type { WorkSize } from "./gateState.js";
+import type { OnlineCall } from "./onlineCall.js";
+
+const MIN_RETRY_AFTER_MS = 100;
+const DURATION_SMOOTHING = 0.1;
+const INITIAL_DURATION_MS = 1000;
+
+/** Online calls that wait for room in the engine: bounded, first come first served, refused where the deadline can't be met. */
+export class OnlineQueue {
+    private readonly clock: Clock;
+    private readonly maxWaiting: number;
+    private calls: OnlineCall[] = [];
+    private meanDurationMs = INITIAL_DURATION_MS;
+
+    constructor(opts: { clock: Clock; maxWaiting: number; }) {
+        this.clock = opts.clock;
+        this.maxWaiting = opts.maxWaiting;
+    }
+
+    /** The waiting calls, oldest first. */
+    get waiting(): readonly OnlineCall[] {
+        return this.calls;
+    }
+
+    /**
+     * Queues a call. The promise resolves with its stream when it is admitted; it rejects, always as not run, when it is refused or
+     * cancelled.
+     */
+    enter(opts: {
+        size: WorkSize;
+        signal: AbortSignal;
+        deadlineMs: number | undefined;
+        running: number;
+    }): Promise<ActiveStream> {
+        const nowMs = this.clock.nowMs();
+        const waitMs = this.expectedWaitMs(opts.running);
+        if (this.calls.length >= this.maxWaiting) {
+            return Promise.reject(refusal("GATE_OVERLOADED", "The upstream and its queue are full", waitMs));
+        }
+        if (opts.deadlineMs !== undefined && nowMs + waitMs >= opts.deadlineMs) {
+            return Promise.reject(refusal("GATE_DEADLINE", "The call can't be answered before its deadline", waitMs));
+        }
+        return new Promise((admit, refuse) => {
+            const { size, deadlineMs } = opts;
+            this.wait({ size, arrivedAtMs: nowMs, deadlineMs, admit, refuse }, opts.signal);
+        });
+    }
+
+    /** Admits the oldest `count` calls, each with a stream that `open` makes. */
+    admit(count: number, open: (size: WorkSize) => ActiveStream): void {
+        const admitted = this.calls.slice(0, count);
+        this.calls = this.calls.slice(count);
+        admitted.forEach(call => call.admit(open(call.size)));
+    }
+
+    /** Notes how long a call was in the engine. */
+    ended(durationMs: number): void {
+        this.meanDurationMs += DURATION_SMOOTHING * (durationMs - this.meanDurationMs);
+    }
+
+    private wait(call: OnlineCall, signal: AbortSignal): void {
+        const leave = (error: KnapweedError) => {
+            this.calls = this.calls.filter(other => other !== call);
+            call.refuse(error);
+        };
+        const onAbort = () =>
+            leave(new KnapweedError("CANCELLED", "The call was cancelled before it ran", { outcome: "not-run" }));
+        const timer = call.deadlineMs === undefined
+            ? undefined
+            : this.clock.setTimer(
+                call.deadlineMs - call.arrivedAtMs,
+                () =>
+                    leave(refusal("GATE_DEADLINE", "The deadline passed before the call ran", this.expectedWaitMs(1))),
+            );
+        signal.addEventListener("abort", onAbort, { once: true });
+        const settle = () => {
+            timer?.cancel();
+            signal.removeEventListener("abort", onAbort);
+        };
+        const { admit, refuse } = call;
+        call.admit = stream => {
+            settle();
+            admit(stream);
+        };
+        call.refuse = thrown => {
+            settle();
+            refuse(thrown);
+        };
+        this.calls.push(call);
+        if (signal.aborted) {
+            onAbort();
+        }
+    }
+
+    /** Until a call that enters now is admitted, going by how fast the running calls end. */
+    private expectedWaitMs(running: number): number {
+        return this.calls.length * this.meanDurationMs / Math.max(1, running);
+    }
+}
+
+function refusal(code: string, message: string, waitMs: number): KnapweedError {
+    return new KnapweedError(code, message, {
+        outcome: "not-run",
+        statusCode: 503,
+        retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs)),
+    });
+}
--- /dev/null
+++ b/admission/gate/src/stepObserver.ts
@@ -0,0 +1,98 @@
+import type { StepCostModel } from "@knapweedwood/admission.cost-model/stepCostModel";
+import type { ActiveStream } from "./activeStream.js";
+
+/** Tokens that arrive within this share of the fixed cost of a step belong to one step. */
+const SAME_STEP_SHARE = 0.4;
+const SHARE_SMOOTHING = 0.0005;
+
+interface ObservedStep {
+    endMs: number;
+    /** The streams that the step gave a token, and whether it was their first. */
+    streams: Map<ActiveStream, { isFirst: boolean; }>;
+}
+
+/**
+ * Finds the steps of the engine in the arrival times of tokens: all running streams get a token at the end of each
+ * step.
+ */
+export class StepObserver {
+    private readonly model: StepCostModel;
+    private readonly active: ReadonlySet<ActiveStream>;
+    private readonly objectiveMs: () => number;
+    private previous: ObservedStep | undefined;
+    private current: ObservedStep | undefined;
+    private stretchedShare = 0;
+
+    constructor(opts: { model: StepCostModel; active: ReadonlySet<ActiveStream>; objectiveMs: () => number; }) {
+        this.model = opts.model;
+        this.active = opts.active;
+        this.objectiveMs = opts.objectiveMs;
+    }
+
+    /** End of the last step seen; undefined before the first. */
+    get lastStepEndMs(): number | undefined {
+        return this.current?.endMs;
+    }
+
+    /** Share of recent online token gaps that batch work stretched beyond the objective. */
+    get stretchedGapShare(): number {
+        return this.stretchedShare;
+    }
+
+    /** Notes that a token of a stream has arrived. */
+    tokenArrived(stream: ActiveStream, nowMs: number): void {
+        if (this.current === undefined || this.startsNewStep(this.current, stream, nowMs)) {
+            this.endCurrent();
+            this.previous = this.current;
+            this.current = { endMs: nowMs, streams: new Map() };
+        }
+        this.current.streams.set(stream, { isFirst: !stream.hasFirstToken });
+    }
+
+    private startsNewStep(current: ObservedStep, stream: ActiveStream, nowMs: number): boolean {
+        return current.streams.has(stream)
+            || nowMs - current.endMs > SAME_STEP_SHARE * this.model.costs.fixedMs;
+    }
+
+    private endCurrent(): void {
+        const { previous, current } = this;
+        if (previous === undefined || current === undefined || !isContiguous(previous, current)) {
+            return;
+        }
+        const durationMs = current.endMs - previous.endMs;
+        if (!this.hasLongPrefill(previous)) {
+            this.model.observe({
+                durationMs,
+                sequences: current.streams.size,
+                prefillTokens: firstPrefillTokens(current, () => true),
+            });
+        }
+        this.noteStretch(current, durationMs);
+    }
+
+    /** Whether a prefill went on through the whole step, so that its share of the step is not known. */
+    private hasLongPrefill(previous: ObservedStep): boolean {
+        return [...this.active].some(stream => !stream.hasFirstToken && stream.startedAtMs < previous.endMs);
+    }
+
+    private noteStretch(step: ObservedStep, durationMs: number): void {
+        const streams = [...step.streams.keys()];
+        const onlineCount = streams.filter(stream => stream.kind === "online").length;
+        const { perSequenceMs, perPrefillTokenMs } = this.model.costs;
+        const batchMs = perSequenceMs * (streams.length - onlineCount)
+            + perPrefillTokenMs * firstPrefillTokens(step, stream => stream.kind === "batch");
+        const isStretched = durationMs > this.objectiveMs() && durationMs - batchMs <= this.objectiveMs();
+        const weight = 1 - (1 - SHARE_SMOOTHING) ** onlineCount;
+        this.stretchedShare += weight * (Number(isStretched) - this.stretchedShare);
+    }
+}
+
+function isContiguous(previous: ObservedStep, current: ObservedStep): boolean {
+    return [...current.streams.keys()].some(stream => previous.streams.has(stream));
+}
+
+function firstPrefillTokens(step: ObservedStep, isCounted: (stream: ActiveStream) => boolean): number {
+    return [...step.streams.entries()]
+        .filter(([stream, { isFirst }]) => isFirst && isCounted(stream))
+        .reduce((sum, [stream]) => sum + stream.prefillTokens, 0);
+}
--- a/engines/model-engine/src/engineLoad.ts
+++ b/engines/model-engine/src/engineLoad.ts
@@ -7,4 +7,6 @@
     maxSequences: number;
     /** Duration of the last step. */
     lastStepMs: number;
+    /** Prompt tokens that one step processes at most, where the engine tells. */
+    maxPrefillTokensPerStep?: number;
 }
--- a/standins/engine/src/promptOf.ts
+++ b/engines/model-engine/src/promptTextOf.ts
@@ -1,7 +1,7 @@
-import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import type { JsonObject } from "./jsonObject.js";
 
 /** The whole prompt of a request as one text. */
-export function promptOf(body: JsonObject): string {
+export function promptTextOf(body: JsonObject): string {
     if (Array.isArray(body.messages)) {
         return (body.messages as JsonObject[])
             .map(message => `${String(message.role)}: ${contentTextOf(message.content)}\n`)
--- a/standins/engine/src/completionHandler.ts
+++ b/standins/engine/src/completionHandler.ts
@@ -2,6 +2,7 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
 import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
 import type { ResumePoint } from "@knapweedwood/engines.model-engine/resumePoint";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AnswerStream } from "./answerStream.js";
@@ -9,7 +10,6 @@
 import type { EngineFaults } from "./engineFaults.js";
 import type { EngineSequence } from "./engineSequence.js";
 import { poisonOf } from "./poisonOf.js";
-import { promptOf } from "./promptOf.js";
 import { RequestRecords } from "./requestRecords.js";
 import { sendError } from "./sendError.js";
 
@@ -95,7 +95,7 @@
     }
 
     private refuseFaulty(marker: string, body: JsonObject, response: ServerResponse): boolean {
-        const poison = poisonOf(promptOf(body));
+        const poison = poisonOf(promptTextOf(body));
         if (poison === "malformed") {
             sendError(response, 400, "invalid_prompt", "The prompt is malformed");
             return true;
--- a/standins/engine/src/embeddingsOf.ts
+++ b/standins/engine/src/embeddingsOf.ts
@@ -1,5 +1,5 @@
+import { textHash } from "@knapweedwood/core.hashing/textHash";
 import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
-import { textHash } from "./textHash.js";
 import { tokensIn } from "./tokensIn.js";
 
 const DIMENSIONS = 8;
--- a/standins/engine/src/engineCore.ts
+++ b/standins/engine/src/engineCore.ts
@@ -85,6 +85,7 @@
             kvTokensLimit: this.model.kvTokensLimit,
             maxSequences: this.model.maxSequences,
             lastStepMs: this.lastStepMs,
+            maxPrefillTokensPerStep: this.model.maxPrefillTokensPerStep,
         };
     }
 
--- a/standins/engine/src/engineSequence.ts
+++ b/standins/engine/src/engineSequence.ts
@@ -1,8 +1,8 @@
+import { textHash } from "@knapweedwood/core.hashing/textHash";
 import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
+import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
 import type { Usage } from "@knapweedwood/engines.model-engine/usage";
-import { promptOf } from "./promptOf.js";
 import type { SequenceSink } from "./sequenceSink.js";
-import { textHash } from "./textHash.js";
 import { tokensIn } from "./tokensIn.js";
 import { tokenTargetOf } from "./tokenTargetOf.js";
 import { tokenText } from "./tokenText.js";
@@ -22,7 +22,7 @@
 
     constructor(request: GenerateRequest, sink: SequenceSink) {
         this.sink = sink;
-        this.prompt = promptOf(request.body);
+        this.prompt = promptTextOf(request.body);
         this.promptHash = textHash(this.prompt);
         this.promptTokens = tokensIn(this.prompt);
         const target = tokenTargetOf(request.body);
--- a/standins/engine/src/expectedText.ts
+++ b/standins/engine/src/expectedText.ts
@@ -1,6 +1,6 @@
+import { textHash } from "@knapweedwood/core.hashing/textHash";
 import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
-import { promptOf } from "./promptOf.js";
-import { textHash } from "./textHash.js";
+import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
 import { tokenTargetOf } from "./tokenTargetOf.js";
 import { tokenText } from "./tokenText.js";
 
@@ -10,7 +10,7 @@
  * @param request `tokenCount` is the number of tokens wanted; the whole answer where undefined
  */
 export function expectedText(request: GenerateRequest & { tokenCount?: number; }): string {
-    const promptHash = textHash(promptOf(request.body));
+    const promptHash = textHash(promptTextOf(request.body));
     const length = request.tokenCount ?? tokenTargetOf(request.body).tokenCount;
     return Array.from({ length }, (_, index) => tokenText(promptHash, index)).join("");
 }
--- a/standins/engine/src/inMemoryEngine.ts
+++ b/standins/engine/src/inMemoryEngine.ts
@@ -7,11 +7,11 @@
 import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
 import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
 import type { ModelEngine } from "@knapweedwood/engines.model-engine/modelEngine";
+import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
 import { defaultStepModel } from "./defaultStepModel.js";
 import { embeddingsOf } from "./embeddingsOf.js";
 import { EngineCore } from "./engineCore.js";
 import { poisonOf } from "./poisonOf.js";
-import { promptOf } from "./promptOf.js";
 import type { StepModel } from "./stepModel.js";
 
 /** A stand-in engine within the process, for tests and simulations on a clock that is moved by hand. */
@@ -86,7 +86,7 @@
 }
 
 function refusePoisoned(request: GenerateRequest): void {
-    switch (poisonOf(promptOf(request.body))) {
+    switch (poisonOf(promptTextOf(request.body))) {
         case "never-completes":
             throw new KnapweedError("ENGINE_FAILED", "The item can't be completed", {
                 outcome: "unknown",
--- a/standins/engine/src/prefixCache.ts
+++ b/standins/engine/src/prefixCache.ts
@@ -1,4 +1,4 @@
-import { textHash } from "./textHash.js";
+import { textHash } from "@knapweedwood/core.hashing/textHash";
 
 /** Tokens in one block of the prefix cache. */
 const BLOCK_TOKENS = 16;
--- a/standins/engine/src/tokenTargetOf.ts
+++ b/standins/engine/src/tokenTargetOf.ts
@@ -1,6 +1,6 @@
+import { textHash } from "@knapweedwood/core.hashing/textHash";
 import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
-import { promptOf } from "./promptOf.js";
-import { textHash } from "./textHash.js";
+import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
 
 const SHORTEST_ANSWER_TOKENS = 8;
 const ANSWER_RANGE_TOKENS = 56;
@@ -12,6 +12,6 @@
     if (typeof limit === "number") {
         return { tokenCount: limit, finishReason: "length" };
     }
-    const tokenCount = SHORTEST_ANSWER_TOKENS + textHash(promptOf(body), LENGTH_SALT) % ANSWER_RANGE_TOKENS;
+    const tokenCount = SHORTEST_ANSWER_TOKENS + textHash(promptTextOf(body), LENGTH_SALT) % ANSWER_RANGE_TOKENS;
     return { tokenCount, finishReason: "stop" };
 }
--- a/standins/engine/src/tokenText.ts
+++ b/standins/engine/src/tokenText.ts
@@ -1,4 +1,4 @@
-import { textHash } from "./textHash.js";
+import { textHash } from "@knapweedwood/core.hashing/textHash";
 
 const BASE_36 = 36;
 const WORD_RANGE = BASE_36 ** 4;
