--- /dev/null
+++ b/cli/knapweed/src/commands/top.ts
@@ -0,0 +1,36 @@
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { Flags } from "@oclif/core";
+import { ApiCommand } from "../apiCommand.js";
+import type { FleetAnswer } from "../fleetAnswer.js";
+import { fleetLines } from "../fleetLines.js";
+import type { InForceAnswer } from "../inForceAnswer.js";
+
+const CLEAR_SCREEN = "\u001b[2J\u001b[H";
+const MS_PER_SECOND = 1000;
+
+/** Shows the fleet live in a terminal. */
+export default class Top extends ApiCommand {
+    static override description = "show the fleet live";
+    static override flags = {
+        interval: Flags.integer({ description: "seconds between two pictures", default: 1, min: 1 }),
+        count: Flags.integer({ description: "pictures shown; without end where it is left out", min: 1 }),
+    };
+
+    async run(): Promise<unknown> {
+        const { flags } = await this.parse(Top);
+        const client = this.client(flags);
+        const clock = new SystemClock();
+        const pictures = flags.count ?? Number.POSITIVE_INFINITY;
+        for (let shown = 1;; shown += 1) {
+            const fleet = await client.get("/admin/v1/fleet") as unknown as FleetAnswer;
+            const inForce = await client.get("/admin/v1/configuration/in-force") as unknown as InForceAnswer;
+            const clear = process.stdout.isTTY ? CLEAR_SCREEN : "";
+            this.log(`${clear}${new Date(clock.nowMs()).toISOString()}\n${fleetLines(fleet, inForce).join("\n")}`);
+            if (shown >= pictures) {
+                return { ...fleet, inForce };
+            }
+            await sleep(clock, flags.interval * MS_PER_SECOND);
+        }
+    }
+}
--- /dev/null
+++ b/cli/knapweed/src/fleetAnswer.ts
@@ -0,0 +1,25 @@
+/** The fleet, as the operators' API shows it. */
+export interface FleetAnswer {
+    revision: number;
+    instances: {
+        instanceId: string;
+        kind: string;
+        zone: string;
+        state: string;
+        address: string;
+        service?: string;
+        linkState?: string;
+    }[];
+    upstreams: {
+        instanceId: string;
+        service: string;
+        zone: string;
+        state: string;
+        isHealthy: boolean;
+        models: string[];
+        onlineRunning: number;
+        onlineQueued: number;
+        batchRunning: number;
+        batchQueued: number;
+    }[];
+}
--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -24,6 +24,7 @@
 import { EntryHttp } from "./entryHttp.js";
 import type { EntryProcessOptions } from "./entryProcessOptions.js";
 import { LeastLoadedSelector } from "./leastLoadedSelector.js";
+import { LinkedFleet } from "./linkedFleet.js";
 import { RetryBudget } from "./retryBudget.js";
 import { unclaimedCalls } from "./unclaimedCalls.js";
 import { unlimitedAdmission } from "./unlimitedAdmission.js";
@@ -100,7 +101,7 @@
             watcher: this.watcher,
         });
         this.batchRole = this.createBatchRole(segmentStore);
-        await this.batchRole.start();
+        this.batchRole.start();
         this.listener = this.createListener(segmentStore);
         const httpPort = await this.listener.listen(settings.http.host, settings.http.port);
         this.announcer = this.createAnnouncer(linkAddress);
@@ -167,8 +168,11 @@
         return new OperatorsApi({
             publisher: this.publisher,
             configuration: this.configuration,
-            batches,
+            jobs: batches,
+            fleet: new LinkedFleet({ watcher: this.watcher, endpoint: this.endpoint, directory: this.directory }),
+            usage: undefined,
             clock: this.opts.clock,
+            logger: this.opts.logger,
         });
     }
 
