feat: operators' API under /admin/v1

Cause: operators of the platform and of teams administer teams, keys, services, jobs and the configuration. Change: routes with roles; keys are shown once and kept as hashes; a team sees and touches only its own; every change is a publish with its author, so that the history is the audit trail; the first key comes from the settings.

--- /dev/null
+++ b/api/operators/src/changesOfFiles.ts
@@ -0,0 +1,59 @@
+import type { ConfigurationView } from "@knapweedwood/config.configuration/configurationView";
+import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
+import type { ConfigurationChange } from "@knapweedwood/config.publishing/configurationChange";
+import { parseServiceFiles } from "@knapweedwood/config.service-files/parseServiceFiles";
+import type { ServiceFile } from "@knapweedwood/config.service-files/serviceFile";
+import type { ServiceFileProblem } from "@knapweedwood/config.service-files/serviceFileProblem";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { forbidden } from "./forbidden.js";
+import { mayTouchTeam } from "./mayTouchTeam.js";
+import type { OperatorCaller } from "./operatorCaller.js";
+
+/** The changes that service files ask for. Throws `SERVICE_FILES_INVALID` with every problem, or `ROLE_FORBIDDEN`. */
+export function changesOfFiles(
+    opts: { files: ServiceFile[]; current: ConfigurationView | undefined; caller: OperatorCaller; },
+): ConfigurationChange[] {
+    const { definitions, problems } = parseServiceFiles(opts.files, { current: opts.current });
+    if (problems.length > 0) {
+        throw invalid(problems);
+    }
+    if (opts.caller.role !== "platform-operator") {
+        requireOwnServices(definitions.services, opts);
+        if (definitions.teams.length > 0) {
+            throw forbidden("Only operators of the platform publish teams");
+        }
+    }
+    return [
+        ...definitions.services.map(service => ({
+            kind: "put" as const,
+            record: { kind: "service" as const, service },
+        })),
+        ...definitions.teams.map(team => ({ kind: "put" as const, record: { kind: "team" as const, team } })),
+    ];
+}
+
+/** A team operator neither gives a service to another team nor takes one from it. */
+function requireOwnServices(
+    services: ServiceDefinition[],
+    opts: { current: ConfigurationView | undefined; caller: OperatorCaller; },
+): void {
+    const foreign = services.find(service => {
+        const before = opts.current?.service(service.name);
+        return !mayTouchTeam(opts.caller, service.team)
+            || (before !== undefined && !mayTouchTeam(opts.caller, before.team));
+    });
+    if (foreign !== undefined) {
+        throw forbidden(`The service "${foreign.name}" is not of team "${opts.caller.teamId}"`);
+    }
+}
+
+function invalid(problems: ServiceFileProblem[]): KnapweedError {
+    const lines = problems.map(problem =>
+        `${problem.file}:${String(problem.line)}: ${problem.path}: ${problem.expected}`
+    );
+    return new KnapweedError("SERVICE_FILES_INVALID", lines.join("\n"), {
+        statusCode: 400,
+        outcome: "not-run",
+        parameter: problems[0]?.path ?? "",
+    });
+}
--- /dev/null
+++ b/api/operators/src/configurationEditor.ts
@@ -0,0 +1,78 @@
+import type { ConfigurationView } from "@knapweedwood/config.configuration/configurationView";
+import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
+import type { TeamDefinition } from "@knapweedwood/config.configuration/teamDefinition";
+import type { ConfigurationChange } from "@knapweedwood/config.publishing/configurationChange";
+import type { PublishResult } from "@knapweedwood/config.publishing/publishResult";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import { mayTouchTeam } from "./mayTouchTeam.js";
+import { notFound } from "./notFound.js";
+import type { OperatorCaller } from "./operatorCaller.js";
+import type { OperatorsApiOptions } from "./operatorsApiOptions.js";
+
+const IN_FORCE_HERE_TIMEOUT_MS = 3_000;
+
+/** Reads the newest configuration and publishes changes to it, for one request. */
+export class ConfigurationEditor {
+    private readonly opts: Pick<OperatorsApiOptions, "publisher" | "configuration">;
+    private readonly caller: OperatorCaller;
+
+    constructor(opts: Pick<OperatorsApiOptions, "publisher" | "configuration">, caller: OperatorCaller) {
+        this.opts = opts;
+        this.caller = caller;
+    }
+
+    /** The newest configuration published, which may not be in force here yet. */
+    async newest(): Promise<ConfigurationView> {
+        const view = await this.opts.publisher.current();
+        if (view === undefined) {
+            throw new KnapweedError("CONFIGURATION_MISSING", "Nothing has been published yet", {
+                statusCode: 503,
+                outcome: "not-run",
+            });
+        }
+        return view;
+    }
+
+    /** A team that the caller may touch. Throws `TEAM_NOT_FOUND` for any other. */
+    team(view: ConfigurationView, teamId: string): TeamDefinition {
+        const team = mayTouchTeam(this.caller, teamId) ? view.team(teamId as TeamId) : undefined;
+        if (team === undefined) {
+            throw notFound("team", teamId);
+        }
+        return team;
+    }
+
+    /** A service that the caller may touch. Throws `SERVICE_NOT_FOUND` for any other. */
+    service(view: ConfigurationView, name: string): ServiceDefinition {
+        const service = view.service(name as ServiceName);
+        if (service === undefined || !mayTouchTeam(this.caller, service.team)) {
+            throw notFound("service", name);
+        }
+        return service;
+    }
+
+    /** Publishes changes made to `view`, and waits a moment until they are in force in this process. */
+    async publish(
+        view: ConfigurationView,
+        changes: ConfigurationChange[],
+        opts: { message: string; dryRun?: boolean; },
+    ): Promise<PublishResult> {
+        const result = await this.opts.publisher.publish({
+            actor: this.caller.keyId,
+            changes,
+            baseRevision: view.revision,
+            ...opts,
+        });
+        return this.settled(result);
+    }
+
+    /** Waits a moment until a result is in force in this process, so that the next request here sees it. */
+    async settled(result: PublishResult): Promise<PublishResult> {
+        if (result.published) {
+            await this.opts.configuration.waitFor(result.revision, { timeoutMs: IN_FORCE_HERE_TIMEOUT_MS });
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/api/operators/src/keyObject.ts
@@ -0,0 +1,7 @@
+import type { KeyRecord } from "@knapweedwood/config.configuration/keyRecord";
+
+/** A key as the API shows it: without its hash. */
+export function keyObject(key: KeyRecord): object {
+    const { keyHash: _keyHash, ...fields } = key;
+    return fields;
+}
--- /dev/null
+++ b/api/operators/src/operatorsApiOptions.ts
@@ -0,0 +1,25 @@
+import type { BatchService } from "@knapweedwood/batch.jobs/batchService";
+import type { ConfigurationSource } from "@knapweedwood/config.configuration/configurationSource";
+import type { InForceReport } from "@knapweedwood/config.distribution/inForceReport";
+import type { ConfigurationPublisher } from "@knapweedwood/config.publishing/configurationPublisher";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Revision } from "@knapweedwood/core.ids/revision";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { FleetView } from "./fleetView.js";
+import type { UsageView } from "./usageView.js";
+
+/** What an {@link OperatorsApi} works with. */
+export interface OperatorsApiOptions {
+    publisher: ConfigurationPublisher;
+    /** The configuration in force here, and on how many processes it is. */
+    configuration: ConfigurationSource & {
+        inForce(revision?: Revision): Promise<InForceReport>;
+        waitFor(revision: Revision, opts: { timeoutMs: number; }): Promise<boolean>;
+    };
+    jobs: BatchService;
+    fleet: FleetView;
+    /** Undefined where usage is not metered. */
+    usage: UsageView | undefined;
+    clock: Clock;
+    logger: Logger;
+}
--- /dev/null
+++ b/api/operators/src/usageTotals.ts
@@ -0,0 +1,7 @@
+/** What a team has used, for charge-back. */
+export interface UsageTotals {
+    calls: number;
+    items: number;
+    promptTokens: number;
+    completionTokens: number;
+}
