test(links): prove mutual TLS and the reload of certificates

Cause: links may run under mutual TLS, which no test had tried. Change: certificates of two authorities for the tests; a stranger is refused as not run, and let in after a reload.

--- /dev/null
+++ b/links/endpoint/test/linkTls.test.ts
@@ -0,0 +1,48 @@
+import { defineCall } from "@knapweedwood/links.calls/defineCall";
+import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createTestEndpoint } from "./createTestEndpoint.js";
+import { testCertificates } from "./testCertificates.js";
+
+const echoCall = defineCall<{ text: string; }, { text: string; }>("test.echo");
+const { first, second } = testCertificates;
+const limits = { openTimeoutMs: 300 };
+
+test("links run over mutual TLS", async context => {
+    const server = createTestEndpoint(context, "server", { tls: first });
+    const client = createTestEndpoint(context, "client", { tls: first });
+    server.handle(echoCall, async function*(request) {
+        yield request;
+    });
+    const link = client.connect(await server.listen());
+    assert.deepEqual(await singleFrame(link.call(echoCall, { text: "hello" })), { text: "hello" });
+});
+
+test("an end without a certificate of the authority is refused, and let in once certificates are reloaded", async context => {
+    const server = createTestEndpoint(context, "server", { tls: first });
+    server.handle(echoCall, async function*(request) {
+        yield request;
+    });
+    const address = await server.listen();
+    const stranger = createTestEndpoint(context, "stranger", {
+        tls: { ...second, authorities: first.authorities },
+        limits,
+    });
+    await assert.rejects(singleFrame(stranger.connect(address).call(echoCall, { text: "hello" })), {
+        outcome: "not-run",
+    });
+    server.reloadTls(second);
+    stranger.reloadTls(second);
+    const answer = await singleFrame(stranger.connect(address).call(echoCall, { text: "hello" }, { timeoutMs: 5000 }));
+    assert.deepEqual(answer, { text: "hello" });
+});
+
+test("a plain connection gets nothing from an end with TLS", async context => {
+    const server = createTestEndpoint(context, "server", { tls: first });
+    const client = createTestEndpoint(context, "client", { limits });
+    const address = await server.listen();
+    await assert.rejects(singleFrame(client.connect(address).call(echoCall, { text: "hello" })), {
+        outcome: "not-run",
+    });
+});
