feat(daemons): links with TLS and certificate reload, entry wiring

Cause: links between instances must be authenticated; plain links belong on loopback. Change: createLinkEndpoint reads certificates, watches them, and refuses plain links elsewhere. Conclusion: TLS to be tested over real processes.

--- a/api/http/src/httpListener.ts
+++ b/api/http/src/httpListener.ts
@@ -1,16 +1,15 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import { readFileSync, watch } from "node:fs";
+import { readFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
-import path from "node:path";
+import { watchFile } from "./watchFile.js";
 import { writeError } from "./writeError.js";
 
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 600_000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
 const CONNECTIONS_CHECK_MS = 2_000;
-const CERTIFICATE_SETTLE_MS = 200;
 
 interface TlsFiles {
     certificateFile: string;
@@ -75,21 +74,12 @@
 }
 
 function reloadOnChange(server: TlsServer, tls: TlsFiles): () => void {
-    let pending: NodeJS.Timeout | undefined;
-    const reload = () => {
+    return watchFile(tls.certificateFile, () => {
         try {
             server.setSecureContext(readCertificate(tls));
         }
         catch {
             // A half-written pair is read again at its next change.
         }
-    };
-    const watcher = watch(path.dirname(tls.certificateFile), () => {
-        clearTimeout(pending);
-        pending = setTimeout(reload, CERTIFICATE_SETTLE_MS);
     });
-    return () => {
-        clearTimeout(pending);
-        watcher.close();
-    };
 }
--- /dev/null
+++ b/api/http/src/watchFile.ts
@@ -0,0 +1,22 @@
+import * as fileSystem from "node:fs";
+import path from "node:path";
+
+const SETTLE_MS = 200;
+
+/**
+ * Calls `onChange` after a file, or another in its folder, has changed. The folder is watched, since certificates are
+ * usually replaced by a rename.
+ *
+ * @returns a function that stops it
+ */
+export function watchFile(file: string, onChange: () => void): () => void {
+    let pending: NodeJS.Timeout | undefined;
+    const watcher = fileSystem.watch(path.dirname(file), { persistent: false }, () => {
+        clearTimeout(pending);
+        pending = setTimeout(onChange, SETTLE_MS);
+    });
+    return () => {
+        clearTimeout(pending);
+        watcher.close();
+    };
+}
--- a/config/settings/src/processSettingsShape.ts
+++ b/config/settings/src/processSettingsShape.ts
@@ -8,7 +8,7 @@
     certificateFile: z.string(),
     keyFile: z.string(),
     /** Certificate authority that the other end is checked against. */
-    authorityFile: z.string().optional(),
+    authorityFile: z.string(),
 });
 
 /** Settings that entries and sides share. */
--- /dev/null
+++ b/daemons/common/src/createLinkEndpoint.ts
@@ -0,0 +1,69 @@
+import { readFileSync } from "node:fs";
+import { isIPv6 } from "node:net";
+import { watchFile } from "@knapweedwood/api.http/watchFile";
+import type { EntrySettings } from "@knapweedwood/config.settings/entrySettings";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import type { LinkTls } from "@knapweedwood/links.endpoint/linkTls";
+import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+
+type LinkSettings = EntrySettings["link"];
+type TlsSettings = NonNullable<LinkSettings["tls"]>;
+
+/**
+ * The links of a process, as its settings say, with certificates reloaded when they change.
+ * Throws `LINK_PLAIN_REFUSED` for links without TLS that would leave the machine.
+ */
+export function createLinkEndpoint(opts: {
+    identity: PeerIdentity;
+    link: LinkSettings;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+}): LinkEndpoint {
+    const { link, logger } = opts;
+    const { tls, host, port } = link;
+    if (tls === undefined && !isLoopback(host)) {
+        throw new KnapweedError("LINK_PLAIN_REFUSED", `Links on ${host} need TLS`, {
+            hint: "Set link.tls, or listen on loopback",
+        });
+    }
+    const endpoint = new WebSocketLinkEndpoint({
+        ...opts,
+        host,
+        port,
+        tls: tls === undefined ? undefined : readTls(tls),
+    });
+    if (tls !== undefined) {
+        watchFile(tls.certificateFile, () => reload(endpoint, tls, logger));
+    }
+    return endpoint;
+}
+
+function readTls(tls: TlsSettings): LinkTls {
+    return {
+        certificate: readFileSync(tls.certificateFile, "utf8"),
+        privateKey: readFileSync(tls.keyFile, "utf8"),
+        authorities: readFileSync(tls.authorityFile, "utf8"),
+    };
+}
+
+function reload(endpoint: WebSocketLinkEndpoint, tls: TlsSettings, logger: Logger): void {
+    try {
+        endpoint.reloadTls(readTls(tls));
+        logger.info("link.certificate-reloaded");
+    }
+    catch (error) {
+        logger.warn("link.certificate-unreadable", { error: String(error) });
+    }
+}
+
+function isLoopback(host: string): boolean {
+    return isIPv6(host) ? host === "::1" : host.startsWith("127.") || host === "localhost";
+}
--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -13,7 +13,8 @@
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
-import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
+import { createLinkEndpoint } from "@knapweedwood/daemons.common/createLinkEndpoint";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
 import { randomUUID } from "node:crypto";
@@ -37,7 +38,7 @@
 /** The process between callers and sides; by lease it also carries shared roles. */
 export class EntryProcess {
     private readonly opts: EntryProcessOptions;
-    private readonly endpoint: WebSocketLinkEndpoint;
+    private readonly endpoint: LinkEndpoint;
     private readonly watcher: InstanceWatcher;
     private readonly configuration: DistributedConfiguration;
     private readonly publisher: ConfigurationPublisher;
@@ -58,7 +59,7 @@
             zone: settings.zone as ZoneName,
             region: settings.region as RegionName,
         };
-        this.endpoint = new WebSocketLinkEndpoint({ identity, clock, random, logger, metrics, ...settings.link });
+        this.endpoint = createLinkEndpoint({ identity, link: settings.link, clock, random, logger, metrics });
         this.watcher = new InstanceWatcher({ instanceList, clock, random, logger });
         this.configuration = new DistributedConfiguration({
             identity,
@@ -100,7 +101,7 @@
             endpoint: this.endpoint,
             watcher: this.watcher,
         });
-        this.batchRole = this.createBatchRole(segmentStore);
+        this.batchRole = this.createBatchRole(segmentStore, linkAddress);
         this.batchRole.start();
         this.listener = this.createListener(segmentStore);
         const httpPort = await this.listener.listen(settings.http.host, settings.http.port);
@@ -176,11 +177,11 @@
         });
     }
 
-    private createBatchRole(segmentStore: SegmentStore): BatchRole {
+    private createBatchRole(segmentStore: SegmentStore, address: string): BatchRole {
         const { settings, clock, random, logger, metrics, keyValue, instanceList } = this.opts;
         return new BatchRole({
             instanceId: settings.instanceId as InstanceId,
-            zone: settings.zone as ZoneName,
+            address: () => address,
             clock,
             random,
             keyValue,
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -9,10 +9,11 @@
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import { createLinkEndpoint } from "@knapweedwood/daemons.common/createLinkEndpoint";
 import type { SideStatus } from "@knapweedwood/daemons.inference/sideStatus";
 import { HttpModelEngine } from "@knapweedwood/engines.model-engine/httpModelEngine";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
-import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
 import { CallHandlers } from "./callHandlers.js";
@@ -29,7 +30,7 @@
 export class SideProcess {
     private readonly opts: SideProcessOptions;
     private readonly service: ServiceName;
-    private readonly endpoint: WebSocketLinkEndpoint;
+    private readonly endpoint: LinkEndpoint;
     private readonly watcher: InstanceWatcher;
     private readonly configuration: DistributedConfiguration;
     private readonly engine: HttpModelEngine | undefined;
@@ -46,15 +47,7 @@
         const { settings, clock, random, logger, metrics, instanceList, tracer } = opts;
         this.service = settings.service as ServiceName;
         const identity = identityOf(opts);
-        this.endpoint = new WebSocketLinkEndpoint({
-            identity,
-            clock,
-            host: settings.link.host,
-            port: settings.link.port,
-            tls: settings.link.tls,
-            logger,
-            metrics,
-        });
+        this.endpoint = createLinkEndpoint({ identity, link: settings.link, clock, random, logger, metrics });
         this.watcher = new InstanceWatcher({ instanceList, clock, random, logger });
         this.configuration = new DistributedConfiguration({
             identity,
