feat(batch): batch role, claims and a simulated fleet

Cause: entries need one class that owns partitions, and calls that may not be repeated need a claim before they are sent. Change: BatchRole, LinkBatchSource, ClaimService with packed writes; an in-memory fleet with a controlled clock.

--- a/api/callers/src/readUpload.ts
+++ b/api/callers/src/readUpload.ts
@@ -26,7 +26,11 @@
             }
         });
         parser.on("file", (_name, content, info) => {
-            stored = opts.store({ fileName: info.filename ?? "upload", purpose, content: limited(content, opts.maxBytes) });
+            stored = opts.store({
+                fileName: info.filename ?? "upload",
+                purpose,
+                content: limited(content, opts.maxBytes),
+            });
             stored.catch((thrown: unknown) => reject(toKnapweedError(thrown)));
         });
         parser.on("error", cause => reject(invalid("The form can't be read", cause)));
--- /dev/null
+++ b/batch/claims/src/claimEntry.ts
@@ -0,0 +1,17 @@
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { StoredAnswer } from "./storedAnswer.js";
+
+/** One change in the log of a shard of claims. */
+export type ClaimEntry =
+    | {
+        kind: "claimed";
+        claimId: string;
+        tokenId: string;
+        requestDigest: string;
+        /** The entry instance that sends the call. */
+        executor: InstanceId;
+        atMs: number;
+        expiresAtMs: number;
+    }
+    | { kind: "recorded"; claimId: string; tokenId: string; requestDigest: string; atMs: number; answer: StoredAnswer; }
+    | { kind: "released"; claimId: string; tokenId: string; atMs: number; };
--- /dev/null
+++ b/batch/claims/src/claimResult.ts
@@ -0,0 +1,12 @@
+import type { ClaimToken } from "./claimToken.js";
+import type { RecordedAnswer } from "./recordedAnswer.js";
+
+/** What became of a claim. Only `granted` allows the call to be sent, once. */
+export type ClaimResult =
+    | { kind: "granted"; token: ClaimToken; }
+    | { kind: "recorded"; answer: RecordedAnswer; }
+    | { kind: "in-progress"; }
+    /** The call was begun, and its outcome can't be known (yet). */
+    | { kind: "unknown"; }
+    /** The key belongs to a call with another digest. */
+    | { kind: "conflict"; };
--- /dev/null
+++ b/batch/claims/src/claimShard.ts
@@ -0,0 +1,222 @@
+import type { OwnedPartition } from "@knapweedwood/batch.ownership/ownedPartition";
+import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { ClaimEntry } from "./claimEntry.js";
+import { ClaimLog } from "./claimLog.js";
+import type { ClaimResult } from "./claimResult.js";
+import { ClaimTable } from "./claimTable.js";
+import type { ClaimToken } from "./claimToken.js";
+import type { RecordedAnswer } from "./recordedAnswer.js";
+import type { StoredAnswer } from "./storedAnswer.js";
+
+const MAX_ENTRIES_PER_PAGE = 1000;
+const MAX_PAGE_BYTES = 700_000;
+const MAX_INLINE_BODY_BYTES = 16_000;
+const ENTRY_OVERHEAD_BYTES = 400;
+
+export interface ClaimShardOptions {
+    shardId: PartitionId;
+    keyValue: KeyValueService;
+    segmentStore: SegmentStore;
+    clock: Clock;
+    random: Random;
+    owned: () => OwnedPartition | undefined;
+    /** Whether an entry instance that sends a call still lives. */
+    isLive: (executor: InstanceId) => boolean;
+    /** Least time between two writes of this shard. */
+    commitIntervalMs: number;
+    retentionMs: number;
+}
+
+interface PendingEntry {
+    entry: ClaimEntry;
+    sizeBytes: number;
+    settle: (isCommitted: boolean) => void;
+    fail: (error: unknown) => void;
+}
+
+/** The owner of one shard of claims: decides on claims and packs many into one write. */
+export class ClaimShard {
+    private readonly opts: ClaimShardOptions;
+    private readonly log: ClaimLog;
+    private readonly table = new ClaimTable();
+    /** Claims that a running write decides, by claim id. */
+    private readonly deciding = new Map<string, Promise<void>>();
+    private pending: PendingEntry[] = [];
+    private flushing: Promise<void> | undefined;
+    private lastCommitAtMs = Number.NEGATIVE_INFINITY;
+    private loading: Promise<void> | undefined;
+
+    constructor(opts: ClaimShardOptions) {
+        this.opts = opts;
+        this.log = new ClaimLog(opts);
+    }
+
+    /** Reads the shard's log; again where a first time failed. */
+    async load(): Promise<void> {
+        this.loading ??= this.log.load().then(
+            entries => entries.forEach(entry => this.table.apply(entry)),
+            (error: unknown) => {
+                this.loading = undefined;
+                throw error;
+            },
+        );
+        await this.loading;
+    }
+
+    async claim(opts: {
+        token: ClaimToken;
+        requestDigest: string;
+        timeoutMs: number;
+        executor: InstanceId;
+    }): Promise<ClaimResult> {
+        const { claimId, tokenId } = opts.token;
+        await this.load();
+        for (let other = this.deciding.get(claimId); other !== undefined; other = this.deciding.get(claimId)) {
+            await other;
+            await this.load();
+        }
+        const current = this.table.find(claimId);
+        if (current !== undefined) {
+            const isOwn = current.kind === "claimed" && current.tokenId === tokenId;
+            return isOwn ? { kind: "granted", token: opts.token } : await this.describe(current, opts.requestDigest);
+        }
+        const nowMs = this.opts.clock.nowMs();
+        const { requestDigest, executor } = opts;
+        const expiresAtMs = nowMs + opts.timeoutMs;
+        const decision = this.append({
+            kind: "claimed",
+            claimId,
+            tokenId,
+            requestDigest,
+            executor,
+            atMs: nowMs,
+            expiresAtMs,
+        });
+        const decided = decision.then(() => undefined, () => undefined).finally(() => this.deciding.delete(claimId));
+        this.deciding.set(claimId, decided);
+        if (!await decision) {
+            throw notOwner();
+        }
+        return { kind: "granted", token: opts.token };
+    }
+
+    /** Records an answer under the token that was granted. @returns whether it stands */
+    async record(token: ClaimToken, answer: RecordedAnswer): Promise<boolean> {
+        await this.load();
+        const current = this.table.find(token.claimId);
+        if (current?.tokenId !== token.tokenId || current.kind === "recorded") {
+            return current?.tokenId === token.tokenId;
+        }
+        const { claimId, tokenId } = token;
+        const stored = await this.store(answer);
+        const atMs = this.opts.clock.nowMs();
+        const { requestDigest } = current;
+        return await this.append({ kind: "recorded", claimId, tokenId, requestDigest, atMs, answer: stored });
+    }
+
+    async release(token: ClaimToken): Promise<boolean> {
+        await this.load();
+        const current = this.table.find(token.claimId);
+        if (current?.kind !== "claimed" || current.tokenId !== token.tokenId) {
+            return current === undefined;
+        }
+        const { claimId, tokenId } = token;
+        return await this.append({ kind: "released", claimId, tokenId, atMs: this.opts.clock.nowMs() });
+    }
+
+    /** Waits until what was asked is committed. */
+    async flush(): Promise<void> {
+        await this.flushing?.catch(() => undefined);
+    }
+
+    private append(entry: ClaimEntry): Promise<boolean> {
+        const bodyBytes = entry.kind === "recorded" ? entry.answer.body?.length ?? 0 : 0;
+        return new Promise((settle, fail) => {
+            this.pending.push({ entry, sizeBytes: bodyBytes + ENTRY_OVERHEAD_BYTES, settle, fail });
+            this.flushing ??= this.flushAll().finally(() => this.flushing = undefined);
+        });
+    }
+
+    private async flushAll(): Promise<void> {
+        const { clock, commitIntervalMs, retentionMs } = this.opts;
+        while (this.pending.length > 0) {
+            await sleep(clock, this.lastCommitAtMs + commitIntervalMs - clock.nowMs());
+            const page = this.takePage();
+            this.lastCommitAtMs = clock.nowMs();
+            await this.commitPage(page);
+            const expiredBeforeMs = clock.nowMs() - retentionMs;
+            await this.log.compact(this.table, expiredBeforeMs).then(
+                () => this.table.expire(expiredBeforeMs),
+                () => undefined,
+            );
+        }
+    }
+
+    private async commitPage(page: PendingEntry[]): Promise<void> {
+        try {
+            const isCommitted = await this.log.append(page.map(pending => pending.entry));
+            if (isCommitted) {
+                page.forEach(pending => this.table.apply(pending.entry));
+            }
+            else {
+                this.loading = undefined;
+            }
+            page.forEach(pending => pending.settle(isCommitted));
+        }
+        catch (error) {
+            // The page may have been written: what stands is read again before the next decision.
+            this.loading = undefined;
+            page.forEach(pending => pending.fail(error));
+        }
+    }
+
+    private takePage(): PendingEntry[] {
+        let sizeBytes = 0;
+        const end = this.pending.findIndex((pending, index) => {
+            sizeBytes += pending.sizeBytes;
+            return index >= MAX_ENTRIES_PER_PAGE || (index > 0 && sizeBytes > MAX_PAGE_BYTES);
+        });
+        return this.pending.splice(0, end === -1 ? this.pending.length : end);
+    }
+
+    private async describe(
+        current: Exclude<ClaimEntry, { kind: "released"; }>,
+        requestDigest: string,
+    ): Promise<ClaimResult> {
+        const nowMs = this.opts.clock.nowMs();
+        const kind = ClaimTable.describe(current, { requestDigest, nowMs, isLive: this.opts.isLive });
+        return kind === "recorded" && current.kind === "recorded"
+            ? { kind, answer: await this.read(current.answer) }
+            : { kind: kind as Exclude<typeof kind, "recorded"> };
+    }
+
+    private async store(answer: RecordedAnswer): Promise<StoredAnswer> {
+        const { statusCode, headers } = answer;
+        const body = Buffer.from(answer.body);
+        if (body.length <= MAX_INLINE_BODY_BYTES) {
+            return { statusCode, headers, body: body.toString("base64"), bodyDigest: undefined };
+        }
+        return { statusCode, headers, body: undefined, bodyDigest: await this.opts.segmentStore.put(body) };
+    }
+
+    private async read(stored: StoredAnswer): Promise<RecordedAnswer> {
+        const body = stored.bodyDigest === undefined
+            ? Buffer.from(stored.body ?? "", "base64")
+            : await this.opts.segmentStore.get(stored.bodyDigest);
+        return { statusCode: stored.statusCode, headers: stored.headers, body };
+    }
+}
+
+function notOwner(): KnapweedError {
+    return new KnapweedError("CLAIM_SHARD_MOVED", "Another instance owns the shard of the claim", {
+        outcome: "not-run",
+        statusCode: 503,
+    });
+}
--- /dev/null
+++ b/batch/claims/src/claimTable.ts
@@ -0,0 +1,61 @@
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { ClaimEntry } from "./claimEntry.js";
+
+/** How long an executor may be missing from the lagging instance list. */
+const EXECUTOR_GRACE_MS = 10_000;
+
+type LiveEntry = Exclude<ClaimEntry, { kind: "released"; }>;
+
+/** The claims of a shard, as its log tells them. */
+export class ClaimTable {
+    private readonly claims = new Map<string, LiveEntry>();
+
+    get size(): number {
+        return this.claims.size;
+    }
+
+    /** Takes a committed entry in. Entries come in the order of the log. */
+    apply(entry: ClaimEntry): void {
+        const current = this.claims.get(entry.claimId);
+        if (entry.kind !== "released") {
+            if (current?.kind !== "recorded") {
+                this.claims.set(entry.claimId, entry);
+            }
+            return;
+        }
+        if (current?.kind === "claimed" && current.tokenId === entry.tokenId) {
+            this.claims.delete(entry.claimId);
+        }
+    }
+
+    find(claimId: string): LiveEntry | undefined {
+        return this.claims.get(claimId);
+    }
+
+    /** Whether an entry of the log still says something that a later one does not. */
+    isCurrent(entry: ClaimEntry): boolean {
+        return this.claims.get(entry.claimId) === entry;
+    }
+
+    /** Forgets claims made before `beforeMs`. */
+    expire(beforeMs: number): void {
+        [...this.claims.values()]
+            .filter(entry => entry.atMs < beforeMs)
+            .forEach(entry => this.claims.delete(entry.claimId));
+    }
+
+    /** What a resend learns of a claim that stands. */
+    static describe(
+        entry: LiveEntry,
+        opts: { requestDigest: string; nowMs: number; isLive: (executor: InstanceId) => boolean; },
+    ): "conflict" | "recorded" | "unknown" | "in-progress" {
+        if (entry.requestDigest !== opts.requestDigest) {
+            return "conflict";
+        }
+        if (entry.kind === "recorded") {
+            return "recorded";
+        }
+        const isListed = opts.nowMs - entry.atMs < EXECUTOR_GRACE_MS || opts.isLive(entry.executor);
+        return opts.nowMs >= entry.expiresAtMs || !isListed ? "unknown" : "in-progress";
+    }
+}
--- /dev/null
+++ b/batch/claims/src/recordedAnswer.ts
@@ -0,0 +1,6 @@
+/** The answer of a claimed call, as it is given again to a resend. */
+export interface RecordedAnswer {
+    statusCode: number;
+    headers: { [name: string]: string; };
+    body: Uint8Array;
+}
--- /dev/null
+++ b/batch/claims/src/storedAnswer.ts
@@ -0,0 +1,10 @@
+import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
+
+/** A recorded answer as a claim's log holds it. */
+export interface StoredAnswer {
+    statusCode: number;
+    headers: { [name: string]: string; };
+    /** Base64; undefined where the body stands in a segment. */
+    body: string | undefined;
+    bodyDigest: SegmentDigest | undefined;
+}
--- a/batch/owner/src/itemQueue.ts
+++ b/batch/owner/src/itemQueue.ts
@@ -25,6 +25,11 @@
         return this.flights.size;
     }
 
+    /** Whether the item waits or is at a gate. */
+    has(index: number): boolean {
+        return this.flights.has(index) || this.waiting.some(item => item.index === index);
+    }
+
     allFlights(): ItemFlight[] {
         return [...this.flights.values()];
     }
--- a/batch/owner/src/jobRun.ts
+++ b/batch/owner/src/jobRun.ts
@@ -30,13 +30,15 @@
     readonly buffer: ResultBuffer;
     private readonly opts: JobRunOptions;
     private readonly input: JobInput;
-    private readonly beganAtMs: number;
+    private beganAtMs: number;
+    private readonly ownWriteIds = new Set<string>();
     private stored: StoredRecord<JobProgress>;
     private finished: ItemSet;
     private orphans: Set<number>;
     private claims = new Set<number>();
     private queue: ItemQueue;
     private cursor = 0;
+    private readUpTo = 0;
     private refilling: Promise<void> | undefined;
     private firstUncommittedAtMs: number | undefined;
 
@@ -190,25 +192,58 @@
         }
     }
 
-    /** Takes the record as it was committed or as another writer has left it. */
+    /** Notes the id of a write that may take effect. */
+    noteWrite(writeId: string): void {
+        this.ownWriteIds.add(writeId);
+    }
+
+    /** Takes the record as it was committed, by this owner or by another writer. */
     adopt(stored: StoredRecord<JobProgress>): void {
+        const isOwn = this.ownWriteIds.has(stored.value.writeId);
+        const knownClaims = new ItemSet(this.stored.value.claimed);
+        const newClaims = indexesOf(stored.value.claimed).filter(index => !knownClaims.has(index));
         this.stored = stored;
         const digests = new Set(stored.value.results.map(result => result.digest));
-        this.buffer.commit(this.buffer.sealedSegments.filter(sealed => digests.has(sealed.segment.digest)));
-        indexesOf(stored.value.finished).filter(index => this.finished.add(index))
-            .forEach(index => this.queue.finish(index));
-        this.claims = new Set([...this.claims].filter(index => !new ItemSet(stored.value.claimed).has(index)));
-        if (this.buffer.uncommittedCount === 0) {
-            this.firstUncommittedAtMs = undefined;
-        }
-        else {
-            this.firstUncommittedAtMs = this.opts.clock.nowMs();
+        this.buffer.forget(this.buffer.sealedSegments.filter(sealed => digests.has(sealed.segment.digest)));
+        newClaims.forEach(index => this.claims.delete(index));
+        this.ownWriteIds.clear();
+        if (!isOwn) {
+            this.adoptForeign(newClaims);
         }
+        this.firstUncommittedAtMs = this.buffer.uncommittedCount === 0 ? undefined : this.opts.clock.nowMs();
         if (stored.value.state !== "in_progress") {
             this.queue.clear();
         }
     }
 
+    /** Forgets sealed results that another owner has committed; what else was in their segments is run again. */
+    dropOverlaps(): void {
+        const committed = new ItemSet(this.progress.finished);
+        const overlapping = this.buffer.sealedSegments
+            .filter(sealed => sealed.indexes.some(index => committed.has(index)));
+        if (overlapping.length === 0) {
+            return;
+        }
+        this.buffer.forget(overlapping);
+        this.finished = new ItemSet(this.progress.finished);
+        this.buffer.uncommittedIndexes().forEach(index => this.finished.add(index));
+        this.cursor = 0;
+    }
+
+    /** Another owner wrote the record: its results and claims stand. */
+    private adoptForeign(newClaims: number[]): void {
+        const committed = new ItemSet(this.progress.finished);
+        this.buffer.forgetBuffered(index => committed.has(index));
+        indexesOf(this.progress.finished)
+            .filter(index => this.finished.add(index))
+            .forEach(index => this.queue.finish(index));
+        newClaims.filter(index => !this.finished.has(index)).forEach(index => {
+            this.queue.finish(index);
+            this.orphans.add(index);
+        });
+        this.beganAtMs = this.opts.clock.nowMs();
+    }
+
     private finish(index: number, customId: string, outcome: Parameters<typeof createOutputLine>[0]["outcome"]): void {
         if (!this.finished.add(index)) {
             return;
@@ -227,13 +262,18 @@
     private async readAhead(): Promise<void> {
         while (this.queue.waitingCount < READ_AHEAD_ITEMS && this.cursor < this.progress.totalCount) {
             const index = this.cursor;
-            if (!this.finished.has(index) && !this.orphans.has(index)) {
+            if (!this.finished.has(index) && !this.orphans.has(index) && !this.wasRead(index)) {
                 this.enqueue(index, await this.input.lineAt(index));
             }
             this.cursor = index + 1;
+            this.readUpTo = Math.max(this.readUpTo, this.cursor);
         }
     }
 
+    private wasRead(index: number): boolean {
+        return index < this.readUpTo && this.queue.has(index);
+    }
+
     private enqueue(index: number, text: string): void {
         const line = parseInputLine(text, this.manifest.endpoint);
         const service = resolveService(this.opts.services, line, this.manifest.teamId);
--- a/batch/owner/src/partitionOwner.ts
+++ b/batch/owner/src/partitionOwner.ts
@@ -162,6 +162,7 @@
         await sleep(clock, this.lastCommitAtMs + commitIntervalMs - clock.nowMs());
         await Promise.all(due.map(run => run.buffer.seal()));
         this.lastCommitAtMs = clock.nowMs();
+        due.forEach(run => run.dropOverlaps());
         const writes = due.map(run => ({
             run,
             baseRevision: run.modRevision,
--- a/batch/owner/src/progressCommitter.ts
+++ b/batch/owner/src/progressCommitter.ts
@@ -32,6 +32,7 @@
             return false;
         }
         const { keyValue, clock, random } = this.opts;
+        writes.forEach(({ run, progress }) => run.noteWrite(progress.writeId));
         const ownerKey = partitionKeys.owner("batch", owned.partitionId);
         const result = await commitTransaction({
             keyValue,
--- a/batch/owner/src/resultBuffer.ts
+++ b/batch/owner/src/resultBuffer.ts
@@ -61,8 +61,19 @@
         await next;
     }
 
-    /** Forgets sealed segments that are committed. */
-    commit(segments: readonly SealedResults[]): void {
+    /** Items with a result that is not committed, shape [results]. */
+    uncommittedIndexes(): number[] {
+        return [...this.results.map(result => result.index), ...this.sealed.flatMap(segment => segment.indexes)];
+    }
+
+    /** Forgets results that no segment holds yet. */
+    forgetBuffered(matches: (index: number) => boolean): void {
+        this.results = this.results.filter(result => !matches(result.index));
+        this.bytes = this.results.reduce((sum, result) => sum + result.line.length, 0);
+    }
+
+    /** Forgets sealed segments. */
+    forget(segments: readonly SealedResults[]): void {
         this.sealed = this.sealed.filter(segment => !segments.includes(segment));
     }
 
@@ -85,7 +96,7 @@
             const bytes = Buffer.concat(taken.map(result => result.line));
             const digest = await this.store.put(bytes);
             this.results = this.results.filter(result => !taken.includes(result));
-            this.bytes -= bytes.length;
+            this.bytes = this.results.reduce((sum, result) => sum + result.line.length, 0);
             this.sealed.push(describe(taken, { digest, sizeBytes: bytes.length }));
         }
     }
--- a/batch/ownership/src/partitionOwnership.ts
+++ b/batch/ownership/src/partitionOwnership.ts
@@ -26,6 +26,7 @@
     state: OwnershipState;
     owned: OwnedPartition | undefined;
     holder: InstanceId | undefined;
+    holderAddress: string | undefined;
     freeSinceMs: number | undefined;
     misplacedSinceMs: number | undefined;
 }
@@ -47,6 +48,7 @@
                 state: ownershipChart.initial,
                 owned: undefined,
                 holder: undefined,
+                holderAddress: undefined,
                 freeSinceMs: undefined,
                 misplacedSinceMs: undefined,
             }]),
@@ -74,9 +76,9 @@
         return status?.state === "held" ? status.owned : undefined;
     }
 
-    /** The holder, as last seen. */
-    holder(partitionId: PartitionId): InstanceId | undefined {
-        return this.statuses.get(partitionId)?.holder;
+    /** Where the holder accepts links, as last seen; undefined where the partition is free. */
+    holderAddress(partitionId: PartitionId): string | undefined {
+        return this.statuses.get(partitionId)?.holderAddress;
     }
 
     private async run(): Promise<void> {
@@ -145,6 +147,7 @@
     ): void {
         const nowMs = this.opts.clock.nowMs();
         status.holder = record?.value.instanceId;
+        status.holderAddress = record?.value.address;
         status.freeSinceMs = record === undefined ? status.freeSinceMs ?? nowMs : undefined;
         const isPreferred =
             (rendezvousRank(partitionId, liveEntries)[0] ?? this.opts.instanceId) === this.opts.instanceId;
@@ -190,6 +193,7 @@
         this.move(status, "acquired");
         status.owned = { partitionId, fencingNumber, modRevision: result.revision };
         status.holder = instanceId;
+        status.holderAddress = record.address;
         logger.info("partition acquired", { scope, partitionId, fencingNumber });
         metrics.increment("batch.partition_acquired");
         this.opts.onAcquired(status.owned);
--- a/cli/knapweed/src/benchCommand.ts
+++ b/cli/knapweed/src/benchCommand.ts
@@ -1,5 +1,5 @@
-import { writeFile } from "node:fs/promises";
 import { Flags, type Interfaces } from "@oclif/core";
+import { writeFile } from "node:fs/promises";
 import { KnapweedCommand } from "./knapweedCommand.js";
 
 /** A command that runs an experiment on loopback and writes its figures. */
--- a/cli/knapweed/src/collectServiceFiles.ts
+++ b/cli/knapweed/src/collectServiceFiles.ts
@@ -1,6 +1,6 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { readdir, readFile } from "node:fs/promises";
 import path from "node:path";
-import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 
 const FILE_NAME = "knapweed.yaml";
 const SKIPPED_FOLDERS = new Set(["node_modules", ".git", "dist"]);
--- a/cli/knapweed/src/commands/dev.ts
+++ b/cli/knapweed/src/commands/dev.ts
@@ -1,9 +1,9 @@
-import { randomBytes } from "node:crypto";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { DemoDeployment } from "@knapweedwood/daemons.embedded/demoDeployment";
 import { JsonLogger } from "@knapweedwood/observability.logs/jsonLogger";
 import { silentTracer } from "@knapweedwood/observability.traces/silentTracer";
 import { Flags } from "@oclif/core";
+import { randomBytes } from "node:crypto";
 import { KnapweedCommand } from "../knapweedCommand.js";
 import { untilSignal } from "../untilSignal.js";
 
--- a/cli/knapweed/src/commands/job/submit.ts
+++ b/cli/knapweed/src/commands/job/submit.ts
@@ -1,6 +1,6 @@
+import { Args, Flags } from "@oclif/core";
 import { openAsBlob } from "node:fs";
 import path from "node:path";
-import { Args, Flags } from "@oclif/core";
 import { ApiCommand } from "../../apiCommand.js";
 
 /** Uploads a file of items and creates a batch job from it. */
--- a/cli/knapweed/src/knapweedCommand.ts
+++ b/cli/knapweed/src/knapweedCommand.ts
@@ -14,6 +14,9 @@
             this.logJson({ error: { code: error.code, message: error.message, hint: error.hint } });
             return this.exit(1);
         }
-        return this.error(error.message, { code: error.code, suggestions: error.hint === undefined ? [] : [error.hint] });
+        return this.error(error.message, {
+            code: error.code,
+            suggestions: error.hint === undefined ? [] : [error.hint],
+        });
     }
 }
--- a/cli/knapweed/src/waitInForce.ts
+++ b/cli/knapweed/src/waitInForce.ts
@@ -1,5 +1,5 @@
-import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import type { ApiClient } from "./apiClient.js";
 import type { InForceAnswer } from "./inForceAnswer.js";
--- a/cli/quickstart/src/mainJob.ts
+++ b/cli/quickstart/src/mainJob.ts
@@ -1,10 +1,10 @@
-import { randomBytes } from "node:crypto";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { DemoDeployment } from "@knapweedwood/daemons.embedded/demoDeployment";
 import { JsonLogger } from "@knapweedwood/observability.logs/jsonLogger";
 import { silentTracer } from "@knapweedwood/observability.traces/silentTracer";
+import { randomBytes } from "node:crypto";
 import { batchInput } from "./batchInput.js";
 import { OnlineCaller } from "./onlineCaller.js";
 import type { QuickstartOutcome } from "./quickstartOutcome.js";
--- a/daemons/common/src/runDaemon.ts
+++ b/daemons/common/src/runDaemon.ts
@@ -26,7 +26,10 @@
     process.on("SIGTERM", onSignal);
     process.on("SIGINT", onSignal);
     process.on("unhandledRejection", error => {
-        logger.error("process.unhandled-rejection", { error: String(error), stack: (error as Error | undefined)?.stack });
+        logger.error("process.unhandled-rejection", {
+            error: String(error),
+            stack: (error as Error | undefined)?.stack,
+        });
     });
     await opts.start();
 }
--- a/daemons/common/src/settingsFileOf.ts
+++ b/daemons/common/src/settingsFileOf.ts
@@ -1,5 +1,5 @@
-import { parseArgs } from "node:util";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { parseArgs } from "node:util";
 
 /** The settings file that the command line names: `--settings FILE`. Throws `SETTINGS_MISSING`. */
 export function settingsFileOf(commandLine: string[]): string {
--- a/daemons/embedded/src/demoDeployment.ts
+++ b/daemons/embedded/src/demoDeployment.ts
@@ -47,7 +47,10 @@
         const answer = await fetch(`${this.deployment.url()}/admin/v1/configuration/publish`, {
             method: "POST",
             headers: this.headers(),
-            body: JSON.stringify({ files: [{ path: "knapweed.yaml", text: demoServiceFile }], message: "demonstration" }),
+            body: JSON.stringify({
+                files: [{ path: "knapweed.yaml", text: demoServiceFile }],
+                message: "demonstration",
+            }),
         });
         if (answer.status !== 200) {
             throw new KnapweedError("DEMO_NOT_PUBLISHED", await answer.text());
--- a/daemons/embedded/src/demoServiceFile.ts
+++ b/daemons/embedded/src/demoServiceFile.ts
@@ -1,5 +1,6 @@
 /** The service file of the demonstration. */
-export const demoServiceFile = `# Services of the demonstration: a model with batch work, and receipts that must not be doubled.
+export const demoServiceFile =
+    `# Services of the demonstration: a model with batch work, and receipts that must not be doubled.
 teams:
   - teamId: cellar
     displayName: Cellar desk
--- a/daemons/embedded/src/embeddedDeployment.ts
+++ b/daemons/embedded/src/embeddedDeployment.ts
@@ -1,4 +1,3 @@
-import { createHash } from "node:crypto";
 import { entrySettingsSchema } from "@knapweedwood/config.settings/entrySettingsSchema";
 import { sideSettingsSchema } from "@knapweedwood/config.settings/sideSettingsSchema";
 import { sleep } from "@knapweedwood/core.clock/sleep";
@@ -11,6 +10,7 @@
 import { MemoryInstanceList } from "@knapweedwood/standins.instance-list/memoryInstanceList";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import { ServiceServer } from "@knapweedwood/standins.service/serviceServer";
+import { createHash } from "node:crypto";
 import type { EmbeddedDeploymentOptions } from "./embeddedDeploymentOptions.js";
 import type { EmbeddedEntry } from "./embeddedEntry.js";
 import type { EmbeddedSide } from "./embeddedSide.js";
--- a/daemons/entry/src/affinityKeyOf.ts
+++ b/daemons/entry/src/affinityKeyOf.ts
@@ -1,5 +1,5 @@
-import { createHash } from "node:crypto";
 import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import { createHash } from "node:crypto";
 
 const PREFIX_CHARACTERS = 512;
 
--- a/daemons/entry/src/bodyStreams.ts
+++ b/daemons/entry/src/bodyStreams.ts
@@ -1,7 +1,7 @@
-import { randomUUID } from "node:crypto";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { readBodyCall } from "@knapweedwood/daemons.inference/readBodyCall";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import { randomUUID } from "node:crypto";
 import type { PreparedBody } from "./preparedBody.js";
 
 const INLINE_LIMIT_BYTES = 256 * 1024;
--- a/daemons/entry/src/entryHttp.ts
+++ b/daemons/entry/src/entryHttp.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
 import { authenticate } from "@knapweedwood/api.callers/authenticate";
 import type { CallersApi } from "@knapweedwood/api.callers/callersApi";
 import { writeError } from "@knapweedwood/api.http/writeError";
@@ -6,6 +5,7 @@
 import type { OperatorsApi } from "@knapweedwood/api.operators/operatorsApi";
 import type { ConfigurationSource } from "@knapweedwood/config.configuration/configurationSource";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { IncomingMessage, ServerResponse } from "node:http";
 
 const OPERATORS_PREFIX = "/admin/v1";
 const COME_BACK_MS = 1000;
--- a/daemons/side/src/callHandlers.ts
+++ b/daemons/side/src/callHandlers.ts
@@ -1,3 +1,4 @@
+import type { Gate } from "@knapweedwood/admission.gate/gate";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import { embedCall } from "@knapweedwood/daemons.inference/embedCall";
@@ -11,7 +12,6 @@
 import type { CallContext } from "@knapweedwood/links.calls/callContext";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { Tracer } from "@knapweedwood/observability.traces/tracer";
-import type { Gate } from "@knapweedwood/admission.gate/gate";
 import type { PlainUpstream } from "./plainUpstream.js";
 
 interface CallHandlersOptions {
@@ -33,12 +33,18 @@
     constructor(opts: CallHandlersOptions) {
         this.opts = opts;
         const { endpoint } = opts;
-        endpoint.handle(generateCall, (call, context) =>
-            this.traced("side.generate", call.service, context, () => this.generate(call, context)));
-        endpoint.handle(embedCall, (call, context) =>
-            this.traced("side.embed", call.service, context, () => this.embed(call, context)));
-        endpoint.handle(plainCall, (call, context) =>
-            this.traced("side.plain", call.service, context, () => this.plain(call, context)));
+        endpoint.handle(
+            generateCall,
+            (call, context) => this.traced("side.generate", call.service, context, () => this.generate(call, context)),
+        );
+        endpoint.handle(
+            embedCall,
+            (call, context) => this.traced("side.embed", call.service, context, () => this.embed(call, context)),
+        );
+        endpoint.handle(
+            plainCall,
+            (call, context) => this.traced("side.plain", call.service, context, () => this.plain(call, context)),
+        );
     }
 
     /** Calls in progress. */
--- a/daemons/side/src/plainUpstream.ts
+++ b/daemons/side/src/plainUpstream.ts
@@ -34,7 +34,11 @@
 
     async isHealthy(): Promise<boolean> {
         try {
-            const answer = await this.pool.request({ method: "GET", path: "/healthz", headersTimeout: CONNECT_TIMEOUT_MS });
+            const answer = await this.pool.request({
+                method: "GET",
+                path: "/healthz",
+                headersTimeout: CONNECT_TIMEOUT_MS,
+            });
             await answer.body.dump();
             return answer.statusCode < 500;
         }
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -1,6 +1,6 @@
 import { Gate } from "@knapweedwood/admission.gate/gate";
-import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
 import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
+import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
 import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
 import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
 import { sleep } from "@knapweedwood/core.clock/sleep";
--- a/daemons/side/src/sideProcessOptions.ts
+++ b/daemons/side/src/sideProcessOptions.ts
@@ -1,6 +1,6 @@
+import type { SideSettings } from "@knapweedwood/config.settings/sideSettings";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { Random } from "@knapweedwood/core.random/random";
-import type { SideSettings } from "@knapweedwood/config.settings/sideSettings";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
 import type { Tracer } from "@knapweedwood/observability.traces/tracer";
--- /dev/null
+++ b/fuzz/promises/src/memoryEndpoint.ts
@@ -0,0 +1,81 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { CallDefinition } from "@knapweedwood/links.calls/callDefinition";
+import type { CallHandler } from "@knapweedwood/links.calls/callHandler";
+import type { Link } from "@knapweedwood/links.calls/link";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import type { NotificationDefinition } from "@knapweedwood/links.calls/notificationDefinition";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import type { InstanceGate } from "./instanceGate.js";
+import { MemoryLink } from "./memoryLink.js";
+import type { MemoryNetwork } from "./memoryNetwork.js";
+
+type AnyHandler = CallHandler<unknown, unknown>;
+type AnyReceiver = (message: unknown, peer: PeerIdentity) => void;
+
+/** The links of one simulated process. */
+export class MemoryEndpoint implements LinkEndpoint {
+    readonly identity: PeerIdentity;
+    readonly address: string;
+    readonly gate: InstanceGate;
+    private readonly network: MemoryNetwork;
+    private readonly handlers = new Map<string, AnyHandler>();
+    private readonly receivers = new Map<string, AnyReceiver>();
+
+    constructor(opts: { identity: PeerIdentity; address: string; gate: InstanceGate; network: MemoryNetwork; }) {
+        this.identity = opts.identity;
+        this.address = opts.address;
+        this.gate = opts.gate;
+        this.network = opts.network;
+        opts.network.add(this);
+    }
+
+    listen(): Promise<string> {
+        return Promise.resolve(this.address);
+    }
+
+    handle<Request, Frame>(definition: CallDefinition<Request, Frame>, handler: CallHandler<Request, Frame>): void {
+        this.handlers.set(definition.name, handler as AnyHandler);
+    }
+
+    receive<Message>(
+        definition: NotificationDefinition<Message>,
+        receiver: (message: Message, peer: PeerIdentity) => void,
+    ): void {
+        this.receivers.set(definition.name, receiver as AnyReceiver);
+    }
+
+    connect(address: string): Link {
+        return new MemoryLink({ from: this, address, network: this.network });
+    }
+
+    links(): Link[] {
+        return this.network.all()
+            .filter(other => other !== this && !other.gate.dead && !this.network.isSilent(this.address, other.address))
+            .map(other => this.connect(other.address));
+    }
+
+    close(): Promise<void> {
+        this.network.remove(this.address);
+        return Promise.resolve();
+    }
+
+    /** Runs the handler of a call. */
+    async answer(name: string, request: unknown, peer: PeerIdentity): Promise<unknown[]> {
+        await this.gate.pass();
+        const handler = this.handlers.get(name);
+        if (handler === undefined) {
+            throw new KnapweedError("LINK_NO_HANDLER", `No handler for ${name}`, { outcome: "not-run" });
+        }
+        const context = { peer, signal: new AbortController().signal, deadlineMs: undefined, traceParent: undefined };
+        const frames: unknown[] = [];
+        for await (const frame of handler(request, context)) {
+            frames.push(frame);
+        }
+        await this.gate.pass();
+        return frames;
+    }
+
+    deliver(name: string, message: unknown, peer: PeerIdentity): void {
+        this.gate.run(() => this.receivers.get(name)?.(message, peer));
+    }
+}
--- /dev/null
+++ b/fuzz/promises/src/memoryLink.ts
@@ -0,0 +1,71 @@
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { CallDefinition } from "@knapweedwood/links.calls/callDefinition";
+import type { Link } from "@knapweedwood/links.calls/link";
+import type { NotificationDefinition } from "@knapweedwood/links.calls/notificationDefinition";
+import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
+import type { MemoryEndpoint } from "./memoryEndpoint.js";
+import type { MemoryNetwork } from "./memoryNetwork.js";
+
+const CALL_TIMEOUT_MS = 2000;
+
+/** A link between two simulated processes. */
+export class MemoryLink implements Link {
+    private readonly opts: { from: MemoryEndpoint; address: string; network: MemoryNetwork; };
+
+    constructor(opts: { from: MemoryEndpoint; address: string; network: MemoryNetwork; }) {
+        this.opts = opts;
+    }
+
+    get peer(): PeerIdentity | undefined {
+        return this.opts.network.at(this.opts.address)?.identity;
+    }
+
+    get state(): Link["state"] {
+        return this.isReachable() ? "open" : "suspect";
+    }
+
+    async *call<Request, Frame>(definition: CallDefinition<Request, Frame>, request: Request): AsyncIterable<Frame> {
+        const { from, network } = this.opts;
+        const target = network.at(this.opts.address);
+        if (target === undefined || target.gate.dead || !this.isReachable()) {
+            await sleep(network.clock, 1);
+            await from.gate.pass();
+            throw new KnapweedError("LINK_CLOSED", "The process can't be reached", { outcome: "not-run" });
+        }
+        const copy = structuredClone(request);
+        if (network.takeDuplicate()) {
+            target.answer(definition.name, structuredClone(copy), from.identity).catch(() => undefined);
+        }
+        const frames = await Promise.race([target.answer(definition.name, copy, from.identity), this.timeOut()]);
+        await from.gate.pass();
+        if (network.takeLostAnswer() || !this.isReachable()) {
+            throw lost();
+        }
+        yield* frames as Frame[];
+    }
+
+    notify<Message>(definition: NotificationDefinition<Message>, message: Message): void {
+        if (this.isReachable()) {
+            this.opts.network.at(this.opts.address)?.deliver(definition.name, message, this.opts.from.identity);
+        }
+    }
+
+    close(): void {
+        // Links of the simulation hold nothing.
+    }
+
+    private isReachable(): boolean {
+        return !this.opts.network.isSilent(this.opts.from.address, this.opts.address);
+    }
+
+    private async timeOut(): Promise<never> {
+        await sleep(this.opts.network.clock, CALL_TIMEOUT_MS);
+        await this.opts.from.gate.pass();
+        throw lost();
+    }
+}
+
+function lost(): KnapweedError {
+    return new KnapweedError("LINK_ANSWER_LOST", "The answer was lost", { outcome: "unknown" });
+}
--- /dev/null
+++ b/fuzz/promises/src/memorySegmentStore.ts
@@ -0,0 +1,51 @@
+import { segmentNotFound } from "@knapweedwood/batch.segments/segmentNotFound";
+import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
+import { verifySegment } from "@knapweedwood/batch.segments/verifySegment";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { digestOf } from "@knapweedwood/core.hashing/digestOf";
+import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
+
+const MAX_SEGMENT_BYTES = 2000;
+
+/** A data folder in memory. It outlives the process, as a disk does. */
+export class MemorySegmentStore implements SegmentStore {
+    readonly maxSegmentBytes = MAX_SEGMENT_BYTES;
+    /** While true, nothing can be written. */
+    isFull = false;
+    private readonly segments = new Map<SegmentDigest, Uint8Array>();
+
+    put(bytes: Uint8Array): Promise<SegmentDigest> {
+        if (this.isFull) {
+            return Promise.reject(new KnapweedError("SEGMENT_NOT_KEPT", "The disk is full", { outcome: "not-run" }));
+        }
+        const digest = digestOf(bytes);
+        this.segments.set(digest, Buffer.from(bytes));
+        return Promise.resolve(digest);
+    }
+
+    async get(digest: SegmentDigest): Promise<Uint8Array> {
+        const bytes = this.segments.get(digest);
+        if (bytes === undefined) {
+            throw segmentNotFound(digest);
+        }
+        return verifySegment(digest, bytes);
+    }
+
+    remove(digest: SegmentDigest): Promise<void> {
+        this.segments.delete(digest);
+        return Promise.resolve();
+    }
+
+    repair(digest: SegmentDigest): Promise<number> {
+        return this.get(digest).then(() => 1, () => 0);
+    }
+
+    /** Cuts the copies short, as a torn write does. */
+    tear(): void {
+        this.segments.forEach((bytes, digest) => this.segments.set(digest, bytes.subarray(0, bytes.length >> 1)));
+    }
+
+    clear(): void {
+        this.segments.clear();
+    }
+}
--- /dev/null
+++ b/fuzz/promises/src/simulatedEntry.ts
@@ -0,0 +1,140 @@
+import { ClaimService } from "@knapweedwood/batch.claims/claimService";
+import { KeyValueBatchService } from "@knapweedwood/batch.jobs/keyValueBatchService";
+import { BatchRole } from "@knapweedwood/batch.owner/batchRole";
+import { registerSegmentHolder } from "@knapweedwood/batch.segments/registerSegmentHolder";
+import { ReplicatedSegmentStore } from "@knapweedwood/batch.segments/replicatedSegmentStore";
+import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { RegionName } from "@knapweedwood/core.ids/regionName";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
+import { GatedClock } from "./gatedClock.js";
+import { GatedKeyValueService } from "./gatedKeyValueService.js";
+import { InstanceGate } from "./instanceGate.js";
+import { MemoryEndpoint } from "./memoryEndpoint.js";
+import type { MemorySegmentStore } from "./memorySegmentStore.js";
+import { simulatedServices } from "./simulatedServices.js";
+import type { SimulationPlatform } from "./simulationPlatform.js";
+
+const HEARTBEAT_MS = 2000;
+const REGION = "test" as RegionName;
+const PARTITION_COUNT = 2;
+const SHARD_COUNT = 2;
+
+/** One entry process of the simulation: the real batch components over an in-memory platform. */
+export class SimulatedEntry {
+    readonly gate = new InstanceGate();
+    readonly instanceId: InstanceId;
+    readonly address: string;
+    readonly batchService: KeyValueBatchService;
+    readonly claims: ClaimService;
+    readonly role: BatchRole;
+    readonly segmentStore: ReplicatedSegmentStore;
+    private readonly endpoint: MemoryEndpoint;
+    private readonly platform: SimulationPlatform;
+    readonly zone: ZoneName;
+    private readonly clock: GatedClock;
+
+    constructor(opts: {
+        platform: SimulationPlatform;
+        index: number;
+        incarnation: number;
+        seed: number;
+        dataFolder: MemorySegmentStore;
+    }) {
+        const { platform } = opts;
+        this.platform = platform;
+        this.instanceId = `entry-${opts.index}-${opts.incarnation}` as InstanceId;
+        this.address = `entry-${opts.index}-${opts.incarnation}:1`;
+        this.zone = `zone-${opts.index}` as ZoneName;
+        const clock = new GatedClock({ clock: platform.clock, gate: this.gate });
+        this.clock = clock;
+        const random = new SeededRandom(opts.seed);
+        const keyValue = platform.options.wrapKeyValue(
+            new GatedKeyValueService({ keyValue: platform.keyValue, gate: this.gate }),
+        );
+        this.endpoint = new MemoryEndpoint({
+            identity: {
+                instanceId: this.instanceId,
+                incarnation: opts.incarnation as Incarnation,
+                kind: "entry",
+                zone: this.zone,
+                region: REGION,
+            },
+            address: this.address,
+            gate: this.gate,
+            network: platform.network,
+        });
+        registerSegmentHolder({ endpoint: this.endpoint, store: opts.dataFolder });
+        this.segmentStore = new ReplicatedSegmentStore({
+            instanceId: this.instanceId,
+            endpoint: this.endpoint,
+            local: opts.dataFolder,
+            holders: () => platform.holders(),
+            copyCount: platform.options.copyCount,
+        });
+        const shared = {
+            instanceId: this.instanceId,
+            address: () => this.address,
+            clock,
+            random,
+            keyValue,
+            instanceList: platform.instanceList,
+            endpoint: this.endpoint,
+            segmentStore: this.segmentStore,
+            logger: platform.options.logger ?? silentLogger,
+            metrics: silentMetrics,
+        };
+        this.role = new BatchRole({
+            ...shared,
+            services: simulatedServices,
+            teamWeight: () => 1,
+            partitionCount: PARTITION_COUNT,
+        });
+        this.claims = new ClaimService({ ...shared, shardCount: SHARD_COUNT });
+        this.batchService = new KeyValueBatchService({
+            ...shared,
+            onCancelled: jobId => this.role.notifyCancelled(jobId),
+        });
+    }
+
+    start(): void {
+        this.announce();
+        this.role.start();
+        this.claims.start();
+    }
+
+    /** Ends the process without a word. */
+    crash(): void {
+        this.gate.kill();
+        this.platform.network.remove(this.address);
+    }
+
+    /** A planned stop: what is owned is handed over first. */
+    async stop(): Promise<void> {
+        await this.platform.instanceList.announce({ ...this.record(), state: "leaving" });
+        await Promise.all([this.role.stop(), this.claims.stop()]);
+        await this.platform.instanceList.withdraw(this.instanceId);
+        this.crash();
+    }
+
+    private announce(): void {
+        void this.platform.instanceList.announce(this.record());
+        this.clock.setTimer(HEARTBEAT_MS, () => this.announce());
+    }
+
+    private record(): Parameters<SimulationPlatform["instanceList"]["announce"]>[0] {
+        return {
+            instanceId: this.instanceId,
+            kind: "entry",
+            region: REGION,
+            zone: this.zone,
+            address: this.address,
+            state: "live",
+            service: undefined,
+            hasDataFolder: true,
+        };
+    }
+}
--- /dev/null
+++ b/fuzz/promises/src/simulatedSide.ts
@@ -0,0 +1,135 @@
+import type { BatchItem } from "@knapweedwood/batch.items/batchItem";
+import type { BatchResult } from "@knapweedwood/batch.items/batchResult";
+import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
+import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { RegionName } from "@knapweedwood/core.ids/regionName";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { answerOf } from "./answerOf.js";
+import { GatedClock } from "./gatedClock.js";
+import { InstanceGate } from "./instanceGate.js";
+import { MemoryEndpoint } from "./memoryEndpoint.js";
+import type { SimulationPlatform } from "./simulationPlatform.js";
+
+const PULL_INTERVAL_MS = 300;
+const PULL_COUNT = 4;
+const MAX_RUN_MS = 400;
+
+/** One side process with its upstream: pulls items, runs them and reports their results. */
+export class SimulatedSide {
+    readonly gate = new InstanceGate();
+    readonly service: ServiceName;
+    private readonly platform: SimulationPlatform;
+    private readonly clock: GatedClock;
+    private readonly random: SeededRandom;
+    private readonly source: LinkBatchSource;
+    private readonly address: string;
+    private readonly cancelled = new Set<JobId>();
+    private readonly onCrash: () => void;
+
+    constructor(opts: {
+        platform: SimulationPlatform;
+        index: number;
+        incarnation: number;
+        service: string;
+        seed: number;
+        entries: () => string[];
+        /** Called where an item brings the upstream down. */
+        onCrash: () => void;
+    }) {
+        this.platform = opts.platform;
+        this.onCrash = opts.onCrash;
+        this.service = opts.service as ServiceName;
+        this.address = `side-${opts.index}:1`;
+        this.clock = new GatedClock({ clock: opts.platform.clock, gate: this.gate });
+        this.random = new SeededRandom(opts.seed);
+        const endpoint = new MemoryEndpoint({
+            identity: {
+                instanceId: `side-${opts.index}` as InstanceId,
+                incarnation: opts.incarnation as Incarnation,
+                kind: "side",
+                zone: `zone-${opts.index % 3}` as ZoneName,
+                region: "test" as RegionName,
+            },
+            address: this.address,
+            gate: this.gate,
+            network: opts.platform.network,
+        });
+        endpoint.receive(cancelJobNotification, ({ jobId }) => {
+            this.cancelled.add(jobId);
+        });
+        this.source = new LinkBatchSource({
+            endpoint,
+            entries: opts.entries,
+            service: this.service,
+            clock: this.clock,
+            random: this.random,
+        });
+    }
+
+    start(): void {
+        this.pullAgain();
+    }
+
+    crash(): void {
+        this.gate.kill();
+        this.platform.network.remove(this.address);
+    }
+
+    private pullAgain(): void {
+        this.clock.setTimer(PULL_INTERVAL_MS, () => {
+            void this.pull().finally(() => this.pullAgain());
+        });
+    }
+
+    private async pull(): Promise<void> {
+        const items = await this.source.pull(PULL_COUNT);
+        const results = await Promise.all(items.map(item => this.run(item)));
+        const finished = results.filter(result => result !== undefined);
+        if (finished.length > 0) {
+            const report = this.source.report(finished);
+            await (this.platform.options.reportsOnce ? Promise.race([report, sleep(this.clock, 1)]) : report);
+        }
+    }
+
+    private async run(item: BatchItem): Promise<BatchResult | undefined> {
+        await sleep(this.clock, this.random.nextInteger(MAX_RUN_MS));
+        if (this.cancelled.has(item.jobId) && !this.platform.options.ignoresCancel) {
+            return undefined;
+        }
+        const runCount = this.platform.options.repeatsItems && this.random.nextInteger(4) === 0 ? 2 : 1;
+        Array.from({ length: runCount }).forEach(() => this.execute(item));
+        const { jobId, itemIndex, attempt } = item;
+        const outcome = this.outcomeOf(item);
+        await sleep(this.clock, this.random.nextInteger(MAX_RUN_MS));
+        return outcome && { jobId, itemIndex, attempt, outcome };
+    }
+
+    private execute(item: BatchItem): void {
+        this.platform.upstreams.add({
+            service: item.service,
+            call: `${item.jobId}/${item.itemIndex}`,
+            repeatable: item.repeatable,
+            atMs: this.clock.nowMs(),
+        });
+    }
+
+    private outcomeOf(item: BatchItem): BatchResult["outcome"] | undefined {
+        switch (item.body.behaviour) {
+            case "reject":
+                return { kind: "rejected", statusCode: 400, code: "bad_request", message: "refused" };
+            case "fail":
+                return { kind: "failed", code: "engine_error", message: "failed", blame: "item", mayHaveRun: true };
+            case "crash":
+                this.onCrash();
+                return undefined;
+            default:
+                return { kind: "completed", statusCode: 200, body: answerOf(item.body) };
+        }
+    }
+}
--- /dev/null
+++ b/fuzz/promises/src/simulationPlatform.ts
@@ -0,0 +1,27 @@
+import type { SegmentHolder } from "@knapweedwood/batch.segments/segmentHolder";
+import type { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { MemoryInstanceList } from "@knapweedwood/standins.instance-list/memoryInstanceList";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import { MemoryNetwork } from "./memoryNetwork.js";
+import type { SimulationOptions } from "./simulationOptions.js";
+import { UpstreamRecord } from "./upstreamRecord.js";
+
+/** The platform below a simulated fleet. */
+export class SimulationPlatform {
+    readonly clock: ManualClock;
+    readonly options: SimulationOptions;
+    readonly keyValue: MemoryKeyValueService;
+    readonly instanceList: MemoryInstanceList;
+    readonly network: MemoryNetwork;
+    readonly upstreams = new UpstreamRecord();
+    /** Live instances with a data folder. */
+    holders: () => SegmentHolder[] = () => [];
+
+    constructor(opts: { clock: ManualClock; options: SimulationOptions; }) {
+        this.clock = opts.clock;
+        this.options = opts.options;
+        this.keyValue = new MemoryKeyValueService({ clock: opts.clock });
+        this.instanceList = new MemoryInstanceList({ clock: opts.clock, ttlMs: 6000 });
+        this.network = new MemoryNetwork({ clock: opts.clock });
+    }
+}
