feat(bench): arrivals, recorders, process launching and reports for the experiments

Cause: each experiment needs the same tools. Conclusion: the experiments can be written without harnesses of their own.

--- /dev/null
+++ b/bench/load/src/burstArrivals.ts
@@ -0,0 +1,24 @@
+import type { BurstArrivalsOptions } from "./burstArrivalsOptions.js";
+import { poissonArrivals } from "./poissonArrivals.js";
+
+/**
+ * Arrivals in bursts; begins with an off period.
+ *
+ * @returns moments in milliseconds from the start, in order, shape [arrivals]
+ */
+export function burstArrivals(opts: BurstArrivalsOptions): number[] {
+    const arrivals: number[] = [];
+    let startMs = 0;
+    let isOn = false;
+    while (startMs < opts.durationMs) {
+        const meanMs = isOn ? opts.meanOnMs : opts.meanOffMs;
+        const periodMs = -Math.log(1 - opts.random.next()) * meanMs;
+        const durationMs = Math.min(periodMs, opts.durationMs - startMs);
+        const ratePerS = isOn ? opts.onRatePerS : opts.offRatePerS;
+        const offsetMs = startMs;
+        arrivals.push(...poissonArrivals({ ratePerS, durationMs, random: opts.random }).map(atMs => atMs + offsetMs));
+        startMs += periodMs;
+        isOn = !isOn;
+    }
+    return arrivals;
+}
--- /dev/null
+++ b/bench/load/src/isReady.ts
@@ -0,0 +1,34 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import { request } from "undici";
+import type { Readiness } from "./readiness.js";
+
+const PROBE_TIMEOUT_MS = 1000;
+const OK_STATUS = 200;
+
+/** Whether a process is ready now. */
+export async function isReady(readiness: Readiness): Promise<boolean> {
+    try {
+        return readiness.kind === "url" ? await answersOk(readiness.url) : await accepts(readiness.port);
+    }
+    catch {
+        return false;
+    }
+}
+
+async function answersOk(url: string): Promise<boolean> {
+    const answer = await request(url, { signal: AbortSignal.timeout(PROBE_TIMEOUT_MS) });
+    await answer.body.dump();
+    return answer.statusCode === OK_STATUS;
+}
+
+async function accepts(port: number): Promise<boolean> {
+    const socket = connect(port, "127.0.0.1");
+    try {
+        await once(socket, "connect", { signal: AbortSignal.timeout(PROBE_TIMEOUT_MS) });
+        return true;
+    }
+    finally {
+        socket.destroy();
+    }
+}
--- /dev/null
+++ b/bench/load/src/plotSeries.ts
@@ -0,0 +1,6 @@
+/** One line of a plot. */
+export interface PlotSeries {
+    name: string;
+    /** Shape [points]. */
+    points: { x: number; y: number; }[];
+}
--- /dev/null
+++ b/bench/load/src/runClosedLoop.ts
@@ -0,0 +1,24 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+
+/**
+ * Keeps `concurrency` calls in progress for `durationMs`.
+ *
+ * @returns calls that ended within the time
+ */
+export async function runClosedLoop(opts: {
+    clock: Clock;
+    concurrency: number;
+    durationMs: number;
+    call: () => Promise<void>;
+}): Promise<number> {
+    const endMs = opts.clock.nowMs() + opts.durationMs;
+    let ended = 0;
+    const runCaller = async (): Promise<void> => {
+        while (opts.clock.nowMs() < endMs) {
+            await opts.call();
+            ended += opts.clock.nowMs() < endMs ? 1 : 0;
+        }
+    };
+    await Promise.all(Array.from({ length: opts.concurrency }, runCaller));
+    return ended;
+}
