--- a/standins/weight-store/src/memoryWeightStore.ts
+++ b/standins/weight-store/src/memoryWeightStore.ts
@@ -4,6 +4,7 @@
 import type { WeightLoadReservation } from "@knapweedwood/platform.weight-store/weightLoadReservation";
 import type { WeightStore } from "@knapweedwood/platform.weight-store/weightStore";
 
+const DEFAULT_BYTES_PER_S = 1_000_000_000;
 const MS_PER_S = 1000;
 
 interface Transfer {
@@ -22,9 +23,9 @@
     private transfers: Transfer[] = [];
     private reserved = 0;
 
-    constructor(opts: { clock: Clock; bytesPerS: number; }) {
+    constructor(opts: { clock: Clock; bytesPerS?: number; }) {
         this.clock = opts.clock;
-        this.bytesPerS = opts.bytesPerS;
+        this.bytesPerS = opts.bytesPerS ?? DEFAULT_BYTES_PER_S;
     }
 
     async requestLoad(request: WeightLoadRequest): Promise<WeightLoadReservation> {
--- a/standins/weight-store/src/weightStoreServer.ts
+++ b/standins/weight-store/src/weightStoreServer.ts
@@ -16,7 +16,7 @@
     readonly store: MemoryWeightStore;
     private readonly http: HttpStandin;
 
-    constructor(opts: { clock: Clock; bytesPerS: number; }) {
+    constructor(opts: { clock: Clock; bytesPerS?: number; }) {
         this.store = new MemoryWeightStore(opts);
         this.http = new HttpStandin({ handler: (request, response, url) => this.handle(request, response, url) });
     }
