feat(bench): what an entry and a side add to calling the engine directly

Change: bench/overhead runs the engines, sides, entry, a bare pass-through and the platform's stand-ins as processes and measures them in turn; bench/load tells resident memory.

--- a/bench/load/src/launchedProcess.ts
+++ b/bench/load/src/launchedProcess.ts
@@ -55,10 +55,10 @@
         this.child.kill("SIGCONT");
     }
 
-    /** Resident memory, without pages shared with other processes. */
-    async privateMemoryBytes(): Promise<number> {
-        const [, residentPages = 0, sharedPages = 0] = (await this.readProcess("statm")).split(" ").map(Number);
-        return (residentPages - sharedPages) * PAGE_SIZE_BYTES;
+    /** Resident memory. */
+    async residentMemoryBytes(): Promise<number> {
+        const [, residentPages = 0] = (await this.readProcess("statm")).split(" ").map(Number);
+        return residentPages * PAGE_SIZE_BYTES;
     }
 
     /** Processor time used so far. */
--- a/bench/load/test/launchProcess.test.ts
+++ b/bench/load/test/launchProcess.test.ts
@@ -23,7 +23,7 @@
     const port = await freePort();
     const readiness = { kind: "url", url: `http://127.0.0.1:${port}/` } as const;
     const launched = await launchProcess({ name: "server", mainFile, folder, settings: { port }, readiness });
-    assert.ok(await launched.privateMemoryBytes() > 0);
+    assert.ok(await launched.residentMemoryBytes() > 0);
     assert.ok(await launched.processorTimeMs() > 0);
     assert.equal(await launched.stop(), 7);
 });
--- /dev/null
+++ b/bench/overhead/src/chatClient.ts
@@ -0,0 +1,78 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { Agent, type Dispatcher, request } from "undici";
+import type { ChatTarget } from "./chatTarget.js";
+
+const OK_STATUS = 200;
+const TOKEN_MARK = '"content":';
+
+/** Asks one target for completions. */
+export class ChatClient {
+    private readonly target: ChatTarget;
+    private readonly model: string;
+    private readonly agent = new Agent({ connections: 512, pipelining: 1 });
+    private turn = 0;
+
+    constructor(opts: { target: ChatTarget; model: string; }) {
+        this.target = opts.target;
+        this.model = opts.model;
+    }
+
+    /** Asks for a whole answer. Throws where it is not answered with status 200. */
+    async complete(maxTokens: number): Promise<void> {
+        const answer = await this.post({ max_tokens: maxTokens });
+        await answer.body.text();
+    }
+
+    /**
+     * Asks for a streamed answer.
+     *
+     * @param onFirstToken called when the first token has arrived
+     * @returns the tokens that arrived
+     */
+    async stream(maxTokens: number, onFirstToken: () => void = () => undefined): Promise<number> {
+        const answer = await this.post({ max_tokens: maxTokens, stream: true });
+        let tokens = 0;
+        for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+            const arrived = countOf(chunk.toString("latin1"), TOKEN_MARK);
+            if (tokens === 0 && arrived > 0) {
+                onFirstToken();
+            }
+            tokens += arrived;
+        }
+        return tokens;
+    }
+
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+
+    private async post(fields: object): Promise<Dispatcher.ResponseData> {
+        const { baseUrls, key } = this.target;
+        this.turn += 1;
+        const answer = await request(`${baseUrls[this.turn % baseUrls.length]}/v1/chat/completions`, {
+            dispatcher: this.agent,
+            method: "POST",
+            headers: {
+                "content-type": "application/json",
+                ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
+            },
+            body: JSON.stringify({
+                model: this.model,
+                messages: [{ role: "user", content: `Summarise the note of cask ${this.turn}.` }],
+                ...fields,
+            }),
+        });
+        if (answer.statusCode !== OK_STATUS) {
+            throw new KnapweedError("BENCH_CALL_FAILED", `Status ${answer.statusCode}: ${await answer.body.text()}`);
+        }
+        return answer;
+    }
+}
+
+function countOf(text: string, mark: string): number {
+    let count = 0;
+    for (let index = text.indexOf(mark); index >= 0; index = text.indexOf(mark, index + mark.length)) {
+        count += 1;
+    }
+    return count;
+}
--- /dev/null
+++ b/bench/overhead/src/engineSettings.ts
@@ -0,0 +1,6 @@
+/** Settings of a stand-in engine's process. */
+export interface EngineSettings {
+    port: number;
+    seed: number;
+    model: string;
+}
--- /dev/null
+++ b/bench/overhead/src/overheadExperiment.ts
@@ -0,0 +1,161 @@
+import { poissonArrivals } from "@knapweedwood/bench.load/poissonArrivals";
+import { Recorder } from "@knapweedwood/bench.load/recorder";
+import { runClosedLoop } from "@knapweedwood/bench.load/runClosedLoop";
+import { runOpenLoop } from "@knapweedwood/bench.load/runOpenLoop";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { ChatClient } from "./chatClient.js";
+import type { OverheadOptions } from "./overheadOptions.js";
+import type { OverheadReport } from "./overheadReport.js";
+import { RateRounds } from "./rateRounds.js";
+import type { TestBed } from "./testBed.js";
+
+const MS_PER_S = 1000;
+const CONCURRENCY = 64;
+const STREAM_TOKENS = 16;
+const LOAD_SHARE = 0.6;
+
+type Path = "direct" | "passThrough" | "entry";
+const PATHS: Path[] = ["direct", "passThrough", "entry"];
+
+/** Measures rates and latency of each path in turn, so that all see the same state of the machine. */
+export class OverheadExperiment {
+    failedCalls = 0;
+    private readonly opts: OverheadOptions;
+    private readonly bed: TestBed;
+    private readonly clock = new SystemClock();
+    private readonly random: SeededRandom;
+    private readonly clients: { [path in Path]: ChatClient; };
+
+    constructor(opts: OverheadOptions, bed: TestBed) {
+        this.opts = opts;
+        this.bed = bed;
+        this.random = new SeededRandom(opts.seed);
+        this.clients = {
+            direct: new ChatClient({ target: bed.direct, model: bed.model }),
+            passThrough: new ChatClient({ target: bed.passThrough, model: bed.model }),
+            entry: new ChatClient({ target: bed.throughEntry, model: bed.model }),
+        };
+    }
+
+    async warmUp(): Promise<void> {
+        for (const path of PATHS) {
+            await this.requestRate(path);
+            await this.tokenRate(path);
+        }
+    }
+
+    async measureRequests(): Promise<OverheadReport["requests"]> {
+        const rounds = await this.inTurn(path => this.requestRate(path));
+        return {
+            direct: rounds.direct.summary(),
+            passThrough: rounds.passThrough.summary(),
+            entry: rounds.entry.summary(),
+            entryShare: rounds.entry.meanPerS / rounds.passThrough.meanPerS,
+        };
+    }
+
+    async measureTokens(): Promise<OverheadReport["tokens"]> {
+        const rounds = await this.inTurn(path => this.tokenRate(path));
+        return {
+            direct: rounds.direct.summary(),
+            passThrough: rounds.passThrough.summary(),
+            entry: rounds.entry.summary(),
+        };
+    }
+
+    /** @param tokensPerS streamed tokens a second at which the entry is saturated */
+    async measureFirstToken(tokensPerS: number): Promise<OverheadReport["firstToken"]> {
+        const saturationPerS = tokensPerS / STREAM_TOKENS;
+        const offeredPerS = saturationPerS * LOAD_SHARE;
+        const recorders = { direct: new Recorder(), entry: new Recorder() };
+        for (let round = 0; round < this.opts.rounds; round += 1) {
+            await this.firstTokenRound("direct", offeredPerS, recorders.direct);
+            await this.firstTokenRound("entry", offeredPerS, recorders.entry);
+        }
+        const direct = recorders.direct.summary();
+        const entry = recorders.entry.summary();
+        return {
+            saturationPerS,
+            offeredPerS,
+            direct,
+            entry,
+            addedP50Ms: entry.p50Ms - direct.p50Ms,
+            addedP99Ms: entry.p99Ms - direct.p99Ms,
+        };
+    }
+
+    /** Processor time that the entry and the sides spend on a whole answer of one token. */
+    async measureProcessorTime(): Promise<OverheadReport["processorTime"]> {
+        const timesMs = async () => ({
+            entry: await this.bed.entry.processorTimeMs(),
+            sides: sum(await Promise.all(this.bed.sides.map(side => side.processorTimeMs()))),
+        });
+        const before = await timesMs();
+        const answered = await this.requestRate("entry") * this.opts.phaseMs / MS_PER_S;
+        const after = await timesMs();
+        return {
+            entryMsPerRequest: (after.entry - before.entry) / answered,
+            sideMsPerRequest: (after.sides - before.sides) / answered,
+        };
+    }
+
+    async close(): Promise<void> {
+        await Promise.all(PATHS.map(path => this.clients[path].close()));
+    }
+
+    private async inTurn(measure: (path: Path) => Promise<number>): Promise<{ [path in Path]: RateRounds; }> {
+        const rounds = { direct: new RateRounds(), passThrough: new RateRounds(), entry: new RateRounds() };
+        for (let round = 0; round < this.opts.rounds; round += 1) {
+            for (const path of PATHS) {
+                rounds[path].add(await measure(path));
+            }
+        }
+        return rounds;
+    }
+
+    private async requestRate(path: Path): Promise<number> {
+        const ended = await this.closedLoop(() => this.clients[path].complete(1));
+        return ended * MS_PER_S / this.opts.phaseMs;
+    }
+
+    private async tokenRate(path: Path): Promise<number> {
+        const ended = await this.closedLoop(async () => {
+            await this.clients[path].stream(STREAM_TOKENS);
+        });
+        return ended * STREAM_TOKENS * MS_PER_S / this.opts.phaseMs;
+    }
+
+    private closedLoop(call: () => Promise<void>): Promise<number> {
+        return runClosedLoop({
+            clock: this.clock,
+            concurrency: CONCURRENCY,
+            durationMs: this.opts.phaseMs,
+            call: () => this.counted(call),
+        });
+    }
+
+    private firstTokenRound(path: "direct" | "entry", ratePerS: number, recorder: Recorder): Promise<void> {
+        return runOpenLoop({
+            clock: this.clock,
+            arrivals: poissonArrivals({ ratePerS, durationMs: this.opts.phaseMs, random: this.random }),
+            call: (_index, dueMs) =>
+                this.counted(async () => {
+                    await this.clients[path].stream(STREAM_TOKENS, () => recorder.record(this.clock.nowMs() - dueMs));
+                }),
+        });
+    }
+
+    private async counted(call: () => Promise<void>): Promise<void> {
+        try {
+            await call();
+        }
+        catch {
+            this.failedCalls += 1;
+        }
+    }
+}
+
+function sum(values: number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
--- /dev/null
+++ b/bench/overhead/src/passThroughMain.ts
@@ -0,0 +1,33 @@
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { pipeline } from "node:stream/promises";
+import { Pool } from "undici";
+import type { PassThroughSettings } from "./passThroughSettings.js";
+import { readChildSettings } from "./readChildSettings.js";
+
+// The baseline: hands each request on to an engine and the answer back, with nothing in between.
+const HOST = "127.0.0.1";
+const BAD_GATEWAY_STATUS = 502;
+const CONNECTIONS = 256;
+
+const settings = readChildSettings<PassThroughSettings>();
+const pools = settings.enginePorts.map(port => new Pool(`http://${HOST}:${port}`, { connections: CONNECTIONS }));
+let turn = 0;
+
+async function pass(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    turn += 1;
+    const answer = await pools[turn % pools.length]!.request({
+        method: "POST",
+        path: request.url ?? "/",
+        headers: { "content-type": "application/json" },
+        body: request,
+    });
+    response.writeHead(answer.statusCode, { "content-type": answer.headers["content-type"] });
+    await pipeline(answer.body, response);
+}
+
+createServer((request, response) => {
+    pass(request, response).catch(() => {
+        response.statusCode = BAD_GATEWAY_STATUS;
+        response.end();
+    });
+}).listen(settings.port, HOST);
--- /dev/null
+++ b/bench/overhead/src/runOverhead.ts
@@ -0,0 +1,44 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { OverheadExperiment } from "./overheadExperiment.js";
+import type { OverheadOptions } from "./overheadOptions.js";
+import type { OverheadReport } from "./overheadReport.js";
+import { targetsOf } from "./targetsOf.js";
+import { TestBed } from "./testBed.js";
+
+const IDLE_MS = 3000;
+
+/** Measures what an entry and a side add to calling the stand-in engine directly, on real processes on loopback. */
+export async function runOverhead(opts: OverheadOptions): Promise<OverheadReport> {
+    const bed = new TestBed(opts);
+    try {
+        await bed.start();
+        await sleep(IDLE_MS);
+        const memory = await measureMemory(bed);
+        const experiment = new OverheadExperiment(opts, bed);
+        await experiment.warmUp();
+        const requests = await experiment.measureRequests();
+        const tokens = await experiment.measureTokens();
+        const firstToken = await experiment.measureFirstToken(tokens.entry.meanPerS);
+        const processorTime = await experiment.measureProcessorTime();
+        await experiment.close();
+        const { failedCalls } = experiment;
+        const figures = { requests, tokens, firstToken, processorTime, memory, failedCalls };
+        return { ...figures, targets: targetsOf(figures) };
+    }
+    finally {
+        await bed.stop();
+    }
+}
+
+async function measureMemory(bed: TestBed): Promise<OverheadReport["memory"]> {
+    const emptyBytes = await bed.empty.residentMemoryBytes();
+    const entryBytes = await bed.entry.residentMemoryBytes();
+    const sideBytes = await bed.sides[0]!.residentMemoryBytes();
+    return {
+        emptyBytes,
+        entryBytes,
+        sideBytes,
+        entryBeyondBytes: entryBytes - emptyBytes,
+        sideBeyondBytes: sideBytes - emptyBytes,
+    };
+}
