--- /dev/null
+++ b/routing/choice/src/fullKnowledgeChooser.ts
@@ -0,0 +1,29 @@
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { ChooseRequest } from "./chooseRequest.js";
+import type { UpstreamChooser } from "./upstreamChooser.js";
+
+interface FullKnowledgeChooserOptions {
+    /** Cost of the request at an upstream, known exactly, such as its time to the first token in milliseconds. */
+    costOf: (instanceId: InstanceId, request: ChooseRequest) => number;
+}
+
+/** Chooses by the true state of all upstreams: the bound for what can be known. For simulations only. */
+export class FullKnowledgeChooser implements UpstreamChooser {
+    private readonly opts: FullKnowledgeChooserOptions;
+
+    constructor(opts: FullKnowledgeChooserOptions) {
+        this.opts = opts;
+    }
+
+    choose(request: ChooseRequest): InstanceId | undefined {
+        return request.candidates
+            .filter(({ state, linkState }) => state === "live" && linkState === "open")
+            .map(({ instanceId }) => ({ instanceId, cost: this.opts.costOf(instanceId, request) }))
+            .sort((left, right) => left.cost - right.cost)
+            .at(0)?.instanceId;
+    }
+
+    observe(): void {
+        return;
+    }
+}
--- /dev/null
+++ b/routing/choice/src/outlierEjector.ts
@@ -0,0 +1,111 @@
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { EjectionLimits } from "./ejectionLimits.js";
+import type { UpstreamHealth } from "./upstreamHealth.js";
+import type { UpstreamObservation } from "./upstreamObservation.js";
+
+interface OutlierEjectorOptions {
+    limits: EjectionLimits;
+    /** Called with the time at which an ejected upstream returns, in milliseconds. */
+    onEjected: (instanceId: InstanceId, returnsAtMs: number) => void;
+}
+
+const SMOOTHING = 0.1;
+const MINIMUM_PEERS = 2;
+
+/** Takes upstreams out that fail, or are slow beside their peers. */
+export class OutlierEjector {
+    private readonly opts: OutlierEjectorOptions;
+    private readonly healths = new Map<InstanceId, UpstreamHealth>();
+
+    constructor(opts: OutlierEjectorOptions) {
+        this.opts = opts;
+    }
+
+    isEjected(instanceId: InstanceId, nowMs: number): boolean {
+        return (this.healths.get(instanceId)?.ejectedUntilMs ?? 0) > nowMs;
+    }
+
+    /** Forgets upstreams that are no longer listed. */
+    retain(instanceIds: readonly InstanceId[]): void {
+        const present = new Set(instanceIds);
+        [...this.healths.keys()]
+            .filter(instanceId => !present.has(instanceId))
+            .forEach(instanceId => this.healths.delete(instanceId));
+    }
+
+    observe(observation: UpstreamObservation): void {
+        if (observation.kind === "abandoned") {
+            return;
+        }
+        const health = this.update(observation);
+        if (!this.isEjected(observation.instanceId, observation.nowMs) && this.isOutlier(observation, health)) {
+            this.eject(observation, health);
+        }
+    }
+
+    private update(observation: UpstreamObservation): UpstreamHealth {
+        const known = this.healths.get(observation.instanceId);
+        const isFailure = observation.kind === "failure";
+        const durationMs = known === undefined || known.observationCount === 0
+            ? observation.durationMs
+            : smooth(known.durationMs, observation.durationMs);
+        const health: UpstreamHealth = {
+            consecutiveFailures: isFailure ? (known?.consecutiveFailures ?? 0) + 1 : 0,
+            failureShare: smooth(known?.failureShare ?? 0, observation.kind === "success" ? 0 : 1),
+            durationMs: isFailure ? known?.durationMs ?? observation.durationMs : durationMs,
+            observationCount: (known?.observationCount ?? 0) + 1,
+            ejectedUntilMs: known?.ejectedUntilMs ?? 0,
+            ejectionCount: known?.ejectionCount ?? 0,
+        };
+        this.healths.set(observation.instanceId, health);
+        return health;
+    }
+
+    private isOutlier({ instanceId, kind }: UpstreamObservation, health: UpstreamHealth): boolean {
+        const { limits } = this.opts;
+        if (health.consecutiveFailures >= limits.consecutiveFailures) {
+            return true;
+        }
+        if (health.observationCount < limits.minimumObservations) {
+            return false;
+        }
+        return kind !== "success" && health.failureShare >= limits.failureShare || this.isSlow(instanceId, health);
+    }
+
+    private isSlow(instanceId: InstanceId, health: UpstreamHealth): boolean {
+        const { limits } = this.opts;
+        const peerDurationsMs = [...this.healths]
+            .filter(([peerId, peer]) => peerId !== instanceId && peer.observationCount >= limits.minimumObservations)
+            .map(([, peer]) => peer.durationMs)
+            .sort((left, right) => left - right);
+        if (peerDurationsMs.length < MINIMUM_PEERS) {
+            return false;
+        }
+        const medianMs = peerDurationsMs[Math.floor(peerDurationsMs.length / 2)];
+        return health.durationMs > medianMs * limits.slowFactor;
+    }
+
+    private eject({ instanceId, nowMs }: UpstreamObservation, health: UpstreamHealth): void {
+        const { limits, onEjected } = this.opts;
+        const ejectedCount = [...this.healths.keys()].filter(other => this.isEjected(other, nowMs)).length;
+        if (ejectedCount + 1 > this.healths.size * limits.maxEjectedShare) {
+            return;
+        }
+        const isRepeated = nowMs - health.ejectedUntilMs < limits.maxMs;
+        const ejectionCount = isRepeated ? health.ejectionCount + 1 : 1;
+        const durationMs = Math.min(limits.maxMs, limits.baseMs * 2 ** (ejectionCount - 1));
+        this.healths.set(instanceId, {
+            consecutiveFailures: 0,
+            failureShare: 0,
+            durationMs: 0,
+            observationCount: 0,
+            ejectedUntilMs: nowMs + durationMs,
+            ejectionCount,
+        });
+        onEjected(instanceId, nowMs + durationMs);
+    }
+}
+
+function smooth(previous: number, sample: number): number {
+    return previous + SMOOTHING * (sample - previous);
+}
--- /dev/null
+++ b/routing/choice/src/prefixIndex.ts
@@ -0,0 +1,90 @@
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { PrefixCacheChange } from "./prefixCacheChange.js";
+
+interface PrefixIndexOptions {
+    /** Blocks remembered for each upstream. */
+    maxBlocks: number;
+}
+
+interface UpstreamBlocks {
+    /** By hash of the block, oldest use first: whether an event of the engine has confirmed it. */
+    blocks: Map<string, boolean>;
+    lastSequenceNumber: number | undefined;
+}
+
+/**
+ * Which upstream probably holds which blocks of prompts. Built from this entry's own choices, corrected by the
+ * engines' events, which come late and with gaps: after a gap nothing counts as confirmed any more.
+ */
+export class PrefixIndex {
+    private readonly maxBlocks: number;
+    private readonly upstreams = new Map<InstanceId, UpstreamBlocks>();
+
+    constructor(opts: PrefixIndexOptions) {
+        this.maxBlocks = opts.maxBlocks;
+    }
+
+    /** Notes that a prompt with these blocks has been sent to an upstream. */
+    onChosen(instanceId: InstanceId, promptBlocks: readonly string[]): void {
+        const upstream = this.upstreamOf(instanceId);
+        promptBlocks.forEach(block => this.put(upstream, block, upstream.blocks.get(block) ?? false));
+    }
+
+    /** Takes in an engine's event. One that is older than the last is dropped. */
+    onCacheChange(change: PrefixCacheChange): void {
+        const upstream = this.upstreamOf(change.instanceId);
+        const last = upstream.lastSequenceNumber;
+        if (last !== undefined && change.sequenceNumber <= last) {
+            return;
+        }
+        if (last !== undefined && change.sequenceNumber > last + 1) {
+            upstream.blocks.forEach((_, block) => upstream.blocks.set(block, false));
+        }
+        upstream.lastSequenceNumber = change.sequenceNumber;
+        if (change.kind === "stored") {
+            change.blockHashes.forEach(block => this.put(upstream, block, true));
+        }
+        else {
+            change.blockHashes.forEach(block => upstream.blocks.delete(block));
+        }
+    }
+
+    /** Forgets an upstream, whose engine has been restarted or removed. */
+    forget(instanceId: InstanceId): void {
+        this.upstreams.delete(instanceId);
+    }
+
+    /** Forgets upstreams that are no longer listed. */
+    retain(instanceIds: readonly InstanceId[]): void {
+        const present = new Set(instanceIds);
+        [...this.upstreams.keys()]
+            .filter(instanceId => !present.has(instanceId))
+            .forEach(instanceId => this.forget(instanceId));
+    }
+
+    /** Leading blocks that an upstream probably holds; an unconfirmed one counts a half. */
+    matchOf(instanceId: InstanceId, promptBlocks: readonly string[]): number {
+        const blocks = this.upstreams.get(instanceId)?.blocks;
+        if (blocks === undefined) {
+            return 0;
+        }
+        const firstMissing = promptBlocks.findIndex(block => !blocks.has(block));
+        const held = firstMissing === -1 ? promptBlocks : promptBlocks.slice(0, firstMissing);
+        return held.reduce((sum, block) => sum + (blocks.get(block) === true ? 1 : 0.5), 0);
+    }
+
+    private upstreamOf(instanceId: InstanceId): UpstreamBlocks {
+        const known = this.upstreams.get(instanceId) ?? { blocks: new Map(), lastSequenceNumber: undefined };
+        this.upstreams.set(instanceId, known);
+        return known;
+    }
+
+    private put(upstream: UpstreamBlocks, block: string, isConfirmed: boolean): void {
+        upstream.blocks.delete(block);
+        upstream.blocks.set(block, isConfirmed);
+        if (upstream.blocks.size > this.maxBlocks) {
+            const oldest = upstream.blocks.keys().next().value!;
+            upstream.blocks.delete(oldest);
+        }
+    }
+}
--- /dev/null
+++ b/routing/choice/src/rendezvousSubset.ts
@@ -0,0 +1,21 @@
+import { rendezvousRank } from "@knapweedwood/core.hashing/rendezvousRank";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { SubsetPolicy } from "./subsetPolicy.js";
+
+interface RendezvousSubsetOptions {
+    entryId: InstanceId;
+    subsetSize: number;
+}
+
+/** The upstreams ranked highest for this entry. Needs no list of entries; its coverage is even only on average. */
+export class RendezvousSubset implements SubsetPolicy {
+    private readonly opts: RendezvousSubsetOptions;
+
+    constructor(opts: RendezvousSubsetOptions) {
+        this.opts = opts;
+    }
+
+    subsetOf(instanceIds: readonly InstanceId[]): InstanceId[] {
+        return rendezvousRank(this.opts.entryId, instanceIds).slice(0, this.opts.subsetSize);
+    }
+}
--- /dev/null
+++ b/routing/choice/src/ringSubset.ts
@@ -0,0 +1,34 @@
+import { rendezvousRank } from "@knapweedwood/core.hashing/rendezvousRank";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { SubsetPolicy } from "./subsetPolicy.js";
+
+interface RingSubsetOptions {
+    entryId: InstanceId;
+    subsetSize: number;
+    /** All entries that share the upstreams, this one among them. */
+    entries: () => readonly InstanceId[];
+}
+
+const ENTRY_ORDER = "entries";
+const UPSTREAM_ORDER = "upstreams";
+
+/**
+ * Lays the upstreams on a ring and the entries' stretches of it one after the other, so that the numbers of entries
+ * that any two upstreams serve differ by at most one.
+ */
+export class RingSubset implements SubsetPolicy {
+    private readonly opts: RingSubsetOptions;
+
+    constructor(opts: RingSubsetOptions) {
+        this.opts = opts;
+    }
+
+    subsetOf(instanceIds: readonly InstanceId[]): InstanceId[] {
+        const ring = rendezvousRank(UPSTREAM_ORDER, instanceIds);
+        const size = Math.min(this.opts.subsetSize, ring.length);
+        const entries = rendezvousRank(ENTRY_ORDER, this.opts.entries());
+        const rank = Math.max(0, entries.indexOf(this.opts.entryId));
+        const start = rank * size;
+        return Array.from({ length: size }, (_, offset) => ring[(start + offset) % ring.length]);
+    }
+}
