--- /dev/null
+++ b/routing/retries/src/budgetedRetryPolicy.ts
@@ -0,0 +1,72 @@
+import type { Random } from "@knapweedwood/core.random/random";
+import type { RetryBudget } from "./retryBudget.js";
+import type { RetryDecision } from "./retryDecision.js";
+import type { RetryPolicy } from "./retryPolicy.js";
+import type { RetryState } from "./retryState.js";
+
+interface BudgetedRetryPolicyOptions {
+    budget: RetryBudget;
+    random: Random;
+    maxAttempts?: number;
+    /** First pause, doubled with each attempt, in milliseconds. */
+    baseDelayMs?: number;
+    maxDelayMs?: number;
+    /** Time that an attempt needs to be worth it, in milliseconds. */
+    minimumAttemptMs?: number;
+}
+
+const DEFAULT_MAX_ATTEMPTS = 3;
+const DEFAULT_BASE_DELAY_MS = 20;
+const DEFAULT_MAX_DELAY_MS = 1000;
+const DEFAULT_MINIMUM_ATTEMPT_MS = 5;
+const TEMPORARY_STATUS_CODES = [408, 425, 429];
+
+/**
+ * Tries again within a budget and the deadline, after a jittered pause: a call that provably did not run, or one that
+ * may be repeated.
+ */
+export class BudgetedRetryPolicy implements RetryPolicy {
+    private readonly opts: Required<BudgetedRetryPolicyOptions>;
+
+    constructor(opts: BudgetedRetryPolicyOptions) {
+        this.opts = {
+            maxAttempts: DEFAULT_MAX_ATTEMPTS,
+            baseDelayMs: DEFAULT_BASE_DELAY_MS,
+            maxDelayMs: DEFAULT_MAX_DELAY_MS,
+            minimumAttemptMs: DEFAULT_MINIMUM_ATTEMPT_MS,
+            ...opts,
+        };
+    }
+
+    decide(state: RetryState): RetryDecision {
+        if (state.outcome === "answered") {
+            return { kind: "give-up", reason: "answered" };
+        }
+        if (state.outcome === "unknown" && !state.repeatable) {
+            return { kind: "give-up", reason: "not-repeatable" };
+        }
+        if (isRefusedForGood(state.statusCode)) {
+            return { kind: "give-up", reason: "refused" };
+        }
+        if (state.attempt >= this.opts.maxAttempts) {
+            return { kind: "give-up", reason: "attempts" };
+        }
+        const delayMs = Math.max(this.jitteredDelayMs(state.attempt), state.retryAfterMs ?? 0);
+        if (state.nowMs + delayMs + this.opts.minimumAttemptMs > (state.deadlineMs ?? Number.POSITIVE_INFINITY)) {
+            return { kind: "give-up", reason: "deadline" };
+        }
+        return this.opts.budget.tryRetry(state.nowMs)
+            ? { kind: "retry", delayMs }
+            : { kind: "give-up", reason: "budget" };
+    }
+
+    private jitteredDelayMs(attempt: number): number {
+        const ceilingMs = Math.min(this.opts.maxDelayMs, this.opts.baseDelayMs * 2 ** (attempt - 1));
+        return this.opts.random.next() * ceilingMs;
+    }
+}
+
+function isRefusedForGood(statusCode: number | undefined): boolean {
+    return statusCode !== undefined && statusCode >= 400 && statusCode < 500
+        && !TEMPORARY_STATUS_CODES.includes(statusCode);
+}
--- /dev/null
+++ b/routing/retries/src/durationQuantile.ts
@@ -0,0 +1,31 @@
+const SAMPLE_COUNT = 256;
+const SORT_EVERY = 16;
+
+/** A quantile of the latest durations. */
+export class DurationQuantile {
+    private readonly quantile: number;
+    private readonly samplesMs: number[] = [];
+    private sampleIndex = 0;
+    private observedCount = 0;
+    private currentMs: number | undefined;
+
+    /** @param quantile in (0, 1) */
+    constructor(quantile: number) {
+        this.quantile = quantile;
+    }
+
+    /** Undefined until there are samples. */
+    get valueMs(): number | undefined {
+        return this.currentMs;
+    }
+
+    observe(durationMs: number): void {
+        this.samplesMs[this.sampleIndex] = durationMs;
+        this.sampleIndex = (this.sampleIndex + 1) % SAMPLE_COUNT;
+        this.observedCount += 1;
+        if (this.observedCount % SORT_EVERY === 0) {
+            const sorted = [...this.samplesMs].sort((left, right) => left - right);
+            this.currentMs = sorted[Math.floor(sorted.length * this.quantile)];
+        }
+    }
+}
--- /dev/null
+++ b/routing/retries/test/retries.test.ts
@@ -0,0 +1,92 @@
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import * as fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { BudgetedRetryPolicy } from "../src/budgetedRetryPolicy.js";
+import { HedgePolicy } from "../src/hedgePolicy.js";
+import { RetryBudget } from "../src/retryBudget.js";
+import type { RetryState } from "../src/retryState.js";
+
+const SEED = 20_261_203;
+
+test("retries never exceed a tenth of the requests and what was saved, whatever the order", () => {
+    fc.assert(
+        fc.property(fc.array(fc.boolean(), { maxLength: 2000, size: "max" }), events => {
+            const budget = new RetryBudget({ ratio: 0.1, maxSaved: 5 });
+            let requests = 0;
+            let retries = 0;
+            events.forEach(isRequest => {
+                if (isRequest) {
+                    budget.onRequest(0);
+                    requests += 1;
+                    return;
+                }
+                retries += budget.tryRetry(0) ? 1 : 0;
+                assert.ok(retries <= requests * 0.1 + 5 + 1e-6);
+            });
+        }),
+        { seed: SEED },
+    );
+});
+
+test("in a full brown-out the load grows by a tenth", () => {
+    const budget = new RetryBudget();
+    const policy = new BudgetedRetryPolicy({ budget, random: new SeededRandom(SEED) });
+    let sent = 0;
+    const send = (attempt: number): void => {
+        sent += 1;
+        const decision = policy.decide({ attempt, outcome: "not-run", statusCode: 503, repeatable: true, nowMs: 0 });
+        if (decision.kind === "retry") {
+            send(attempt + 1);
+        }
+    };
+    Array.from({ length: 10_000 }, () => {
+        budget.onRequest(0);
+        send(1);
+    });
+    assert.ok(sent > 10_900 && sent <= 11_010, `${sent} attempts of 10000 requests`);
+});
+
+test("a call is tried again only where that is safe, in time and useful", () => {
+    const state: fc.Arbitrary<RetryState> = fc.record({
+        attempt: fc.integer({ min: 1, max: 5 }),
+        outcome: fc.constantFrom("answered", "not-run", "unknown"),
+        statusCode: fc.option(fc.integer({ min: 200, max: 599 }), { nil: undefined }),
+        repeatable: fc.boolean(),
+        retryAfterMs: fc.option(fc.integer({ min: 0, max: 5000 }), { nil: undefined }),
+        deadlineMs: fc.option(fc.integer({ min: 0, max: 10_000 }), { nil: undefined }),
+        nowMs: fc.integer({ min: 0, max: 10_000 }),
+    });
+    fc.assert(
+        fc.property(state, fc.integer(), (one, seed) => {
+            const policy = new BudgetedRetryPolicy({ budget: new RetryBudget(), random: new SeededRandom(seed) });
+            const decision = policy.decide(one);
+            const isSafe = one.outcome === "not-run" || one.outcome === "unknown" && one.repeatable;
+            if (decision.kind === "retry") {
+                assert.ok(isSafe);
+                assert.ok(one.attempt < 3);
+                assert.ok(decision.delayMs >= (one.retryAfterMs ?? 0));
+                assert.ok(one.nowMs + decision.delayMs < (one.deadlineMs ?? Infinity));
+                return;
+            }
+            const isTemporary = one.statusCode === undefined || one.statusCode >= 500 || one.statusCode < 400
+                || [408, 425, 429].includes(one.statusCode);
+            const hasTime = one.nowMs + Math.max(100, one.retryAfterMs ?? 0) + 5 <= (one.deadlineMs ?? Infinity);
+            assert.ok(!(isSafe && isTemporary && hasTime && one.attempt < 3), `gave up: ${decision.reason}`);
+        }),
+        { seed: SEED, numRuns: 2000 },
+    );
+});
+
+test("a hedge waits for the usual duration and takes from the same budget", () => {
+    const budget = new RetryBudget({ maxSaved: 1 });
+    const hedges = new HedgePolicy({ budget });
+    assert.equal(hedges.hedgeAfterMs({ repeatable: true, nowMs: 0 }), undefined);
+    Array.from({ length: 256 }, (_, index) => hedges.observe(index));
+    const delayMs = hedges.hedgeAfterMs({ repeatable: true, nowMs: 0 })!;
+    assert.ok(delayMs >= 240 && delayMs <= 245);
+    assert.equal(hedges.hedgeAfterMs({ repeatable: false, nowMs: 0 }), undefined);
+    assert.equal(hedges.hedgeAfterMs({ repeatable: true, nowMs: 0, deadlineMs: 250 }), undefined);
+    assert.ok(hedges.tryHedge(0));
+    assert.ok(!budget.tryRetry(0));
+});
