--- /dev/null
+++ b/routing/limits/src/demandRate.ts
@@ -0,0 +1,17 @@
+const TIME_CONSTANT_MS = 1000;
+const MS_PER_SECOND = 1000;
+
+/** Amount per second, smoothed over about a second. */
+export class DemandRate {
+    private perSecond = 0;
+    private updatedAtMs = 0;
+
+    add(amount: number, nowMs: number): void {
+        this.perSecond = this.valueAt(nowMs) + amount * MS_PER_SECOND / TIME_CONSTANT_MS;
+        this.updatedAtMs = nowMs;
+    }
+
+    valueAt(nowMs: number): number {
+        return this.perSecond * Math.exp(-Math.max(0, nowMs - this.updatedAtMs) / TIME_CONSTANT_MS);
+    }
+}
--- /dev/null
+++ b/routing/limits/src/gradientConcurrencyLimit.ts
@@ -0,0 +1,99 @@
+import type { ConcurrencyLimit } from "./concurrencyLimit.js";
+
+interface GradientConcurrencyLimitOptions {
+    initialLimit: number;
+    minLimit: number;
+    maxLimit: number;
+    /** Growth of durations over the shortest that is put up with, such as 1.5. */
+    tolerance: number;
+    /** Answers after which the limit is looked at again. */
+    windowSize: number;
+}
+
+const DROP_FACTOR = 0.8;
+const SMOOTHING = 0.2;
+const LOWEST_GRADIENT = 0.5;
+/** Windows between probes, in which few calls run so that the duration without a queue is learned again. */
+const WINDOWS_BETWEEN_PROBES = 100;
+const PROBE_SHARE = 0.25;
+
+/**
+ * Finds how many calls a service takes at once from how much longer they take than when it is idle (the gradient of
+ * Netflix's concurrency limits): the limit grows while durations stay short and shrinks as queues build up.
+ */
+export class GradientConcurrencyLimit implements ConcurrencyLimit {
+    private readonly opts: GradientConcurrencyLimitOptions;
+    private estimatedLimit: number;
+    private inFlightCount = 0;
+    private peakInFlightCount = 0;
+    private shortestMs = Number.POSITIVE_INFINITY;
+    private windowMs: number[] = [];
+    private windowsUntilProbe = WINDOWS_BETWEEN_PROBES;
+
+    constructor(opts: Partial<GradientConcurrencyLimitOptions> = {}) {
+        this.opts = { initialLimit: 20, minLimit: 1, maxLimit: 1000, tolerance: 1.5, windowSize: 20, ...opts };
+        this.estimatedLimit = this.opts.initialLimit;
+    }
+
+    get limit(): number {
+        const share = this.isProbing ? PROBE_SHARE : 1;
+        return Math.max(this.opts.minLimit, Math.floor(this.estimatedLimit * share));
+    }
+
+    private get isProbing(): boolean {
+        return this.windowsUntilProbe === 0;
+    }
+
+    tryAcquire(): boolean {
+        if (this.inFlightCount >= this.limit) {
+            return false;
+        }
+        this.inFlightCount += 1;
+        this.peakInFlightCount = Math.max(this.peakInFlightCount, this.inFlightCount);
+        return true;
+    }
+
+    release({ durationMs, kind }: { durationMs: number; kind: "success" | "dropped" | "ignored"; }): void {
+        const isDraining = this.inFlightCount > this.limit;
+        this.inFlightCount = Math.max(0, this.inFlightCount - 1);
+        if (kind === "dropped") {
+            this.setLimit(this.estimatedLimit * DROP_FACTOR);
+            this.windowMs = [];
+        }
+        else if (kind === "success" && !isDraining) {
+            this.windowMs.push(durationMs);
+        }
+        if (this.windowMs.length >= this.opts.windowSize) {
+            this.closeWindow();
+        }
+    }
+
+    private closeWindow(): void {
+        const sorted = this.windowMs.sort((left, right) => left - right);
+        const medianMs = sorted[Math.floor(sorted.length / 2)];
+        const isUnused = this.peakInFlightCount < this.estimatedLimit / 2;
+        this.windowMs = [];
+        this.peakInFlightCount = this.inFlightCount;
+        if (this.isProbing) {
+            this.shortestMs = medianMs;
+            this.windowsUntilProbe = WINDOWS_BETWEEN_PROBES;
+            return;
+        }
+        this.windowsUntilProbe -= 1;
+        this.shortestMs = Math.min(this.shortestMs, medianMs);
+        this.adjust(medianMs, isUnused);
+    }
+
+    private adjust(medianMs: number, isUnused: boolean): void {
+        const gradient = Math.max(LOWEST_GRADIENT, Math.min(1, this.opts.tolerance * this.shortestMs / medianMs));
+        if (gradient < 1 || !isUnused) {
+            const room = gradient === 1 ? Math.sqrt(this.estimatedLimit) : 0;
+            const wantedLimit = this.estimatedLimit * gradient + room;
+            this.setLimit(this.estimatedLimit + SMOOTHING * (wantedLimit - this.estimatedLimit));
+        }
+    }
+
+    private setLimit(limit: number): void {
+        this.estimatedLimit = Math.min(this.opts.maxLimit, Math.max(this.opts.minLimit, limit));
+    }
+}
--- /dev/null
+++ b/routing/limits/src/limitRequest.ts
@@ -0,0 +1,16 @@
+import type { KeyId } from "@knapweedwood/core.ids/keyId";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import type { RateLimits } from "./rateLimits.js";
+
+/** A request that wants to be let in. */
+export interface LimitRequest {
+    teamId: TeamId;
+    keyId?: KeyId | undefined;
+    /** Limits of the team. */
+    limits: RateLimits;
+    /** Limits of the key. */
+    keyLimits?: RateLimits | undefined;
+    /** Tokens that the request is expected to use: of its prompt and of its answer. */
+    tokens: number;
+    nowMs: number;
+}
--- /dev/null
+++ b/routing/limits/src/weightedFairQueue.ts
@@ -0,0 +1,80 @@
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import type { FairQueueEntry } from "./fairQueueEntry.js";
+
+interface QueuedEntry<Item> extends FairQueueEntry<Item> {
+    startTag: number;
+}
+
+/**
+ * Start-time fair queueing between teams (Goyal, Vin and Cheng, 1996): teams with waiting items are served by their
+ * weights, each team's items in order, and no team gains by having been idle.
+ */
+export class WeightedFairQueue<Item> {
+    private readonly queues = new Map<TeamId, QueuedEntry<Item>[]>();
+    private readonly finishTags = new Map<TeamId, number>();
+    private virtualTime = 0;
+    private count = 0;
+
+    get size(): number {
+        return this.count;
+    }
+
+    /** Items of one team that wait. */
+    sizeOf(teamId: TeamId): number {
+        return this.queues.get(teamId)?.length ?? 0;
+    }
+
+    enqueue(entry: FairQueueEntry<Item>): void {
+        const startTag = Math.max(this.virtualTime, this.finishTags.get(entry.teamId) ?? 0);
+        this.finishTags.set(entry.teamId, startTag + entry.cost / entry.weight);
+        const queue = this.queues.get(entry.teamId) ?? [];
+        queue.push({ ...entry, startTag });
+        this.queues.set(entry.teamId, queue);
+        this.count += 1;
+    }
+
+    /** Takes the item whose turn it is. */
+    dequeue(): Item | undefined {
+        const next = [...this.queues.values()]
+            .map(queue => queue[0])
+            .reduce<QueuedEntry<Item> | undefined>(
+                (first, entry) => first === undefined || entry.startTag < first.startTag ? entry : first,
+                undefined,
+            );
+        if (next === undefined) {
+            return undefined;
+        }
+        this.virtualTime = next.startTag;
+        this.takeFirst(next.teamId);
+        return next.item;
+    }
+
+    /** Takes out an item that no longer waits. @returns whether it was there */
+    remove(teamId: TeamId, item: Item): boolean {
+        const queue = this.queues.get(teamId);
+        const index = queue?.findIndex(entry => entry.item === item) ?? -1;
+        if (queue === undefined || index === -1) {
+            return false;
+        }
+        queue.splice(index, 1);
+        this.onTaken(teamId, queue);
+        return true;
+    }
+
+    private takeFirst(teamId: TeamId): void {
+        const queue = this.queues.get(teamId)!;
+        queue.shift();
+        this.onTaken(teamId, queue);
+    }
+
+    private onTaken(teamId: TeamId, queue: QueuedEntry<Item>[]): void {
+        this.count -= 1;
+        if (queue.length === 0) {
+            this.queues.delete(teamId);
+        }
+        if (this.count === 0) {
+            this.finishTags.clear();
+            this.virtualTime = 0;
+        }
+    }
+}
