refactor(links): states of a link in a chart, traffic counted, own stalls excused

Cause: the states of a link stood as assignments in two classes; a process that was late itself suspected its peers; the cost of heartbeats could not be read. Change: charts/link.json interpreted by core/charts; lateness of the heartbeat's own timer is added to the time that an answer may take; endpoints count bytes. Conclusion: no change of behaviour but for the stall.

--- a/links/endpoint/src/acceptedLink.ts
+++ b/links/endpoint/src/acceptedLink.ts
@@ -1,6 +1,5 @@
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import type { Link } from "@knapweedwood/links.calls/link";
 import { BaseLink } from "./baseLink.js";
 import type { DecodedMessage } from "./decodedMessage.js";
 import type { LinkConnection } from "./linkConnection.js";
@@ -21,7 +20,6 @@
     private readonly opts: AcceptedLinkOptions;
     private watch: PingWatch;
     private timer: Timer | undefined;
-    private currentState: Link["state"] = "connecting";
 
     constructor(opts: AcceptedLinkOptions) {
         super(opts.tools);
@@ -29,10 +27,6 @@
         this.watch = this.createWatch();
     }
 
-    get state(): Link["state"] {
-        return this.currentState;
-    }
-
     /** Whether a connection is in use. */
     get isAttached(): boolean {
         return this.connection !== undefined;
@@ -42,7 +36,7 @@
     accept(connection: LinkConnection, hello: MessageOf<"hello">, isNew: boolean): void {
         this.detach();
         this.watch = this.createWatch();
-        this.currentState = "open";
+        this.transition("welcomed");
         connection.sendMessage({
             type: "welcome",
             version: Math.min(protocolVersion, hello.version),
@@ -64,7 +58,7 @@
         }
         if (message.type === "ping") {
             this.watch.onPing(this.tools.clock.nowMs(), message.intervalMs);
-            this.currentState = "open";
+            this.transition("beatAnswered");
             this.connection.sendMessage({
                 type: "pong",
                 sequence: message.sequence,
@@ -99,10 +93,10 @@
 
     /** Ends the session for good. */
     end(reason: KnapweedError, sayGoodbye = false): void {
-        if (this.currentState === "closed") {
+        if (this.state === "closed") {
             return;
         }
-        this.currentState = "closed";
+        this.transition("closed");
         this.timer?.cancel();
         this.session.end(reason);
         if (sayGoodbye && this.connection !== undefined) {
@@ -115,7 +109,7 @@
     }
 
     protected onCallStarted(): void {
-        if (this.currentState === "closed") {
+        if (this.state === "closed") {
             this.session.failUnwritten("LINK_CLOSED", "The link is closed");
         }
     }
@@ -130,14 +124,14 @@
             this.lose(new KnapweedError("LINK_SILENT", "The connection went silent"));
             return;
         }
-        this.currentState = verdict === "suspect" ? "suspect" : "open";
+        this.transition(verdict === "suspect" ? "beatMissed" : "beatAnswered");
         const { heartbeatIntervalMs, idleHeartbeatIntervalMs } = this.tools.limits;
         this.setTimer(this.callCount > 0 ? heartbeatIntervalMs : idleHeartbeatIntervalMs, () => this.look());
     }
 
     private lose(reason: KnapweedError): void {
         this.detach();
-        this.currentState = "suspect";
+        this.transition("lostByPeer");
         this.report("link.lost", reason);
         this.setTimer(this.tools.limits.resumeGraceMs, () => {
             this.end(new KnapweedError("LINK_LOST", "The other end did not resume the link in time"));
--- a/links/endpoint/src/baseLink.ts
+++ b/links/endpoint/src/baseLink.ts
@@ -5,7 +5,9 @@
 import type { NotificationDefinition } from "@knapweedwood/links.calls/notificationDefinition";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import type { DecodedMessage } from "./decodedMessage.js";
+import { linkChart } from "./linkChart.js";
 import type { LinkConnection } from "./linkConnection.js";
+import type { LinkEvent } from "./linkEvent.js";
 import { LinkSession } from "./linkSession.js";
 import type { LinkTools } from "./linkTools.js";
 import { protocolVersion } from "./protocolVersion.js";
@@ -15,11 +17,13 @@
 
 /** What links have in common at the end that connects and at the end that accepts. */
 export abstract class BaseLink implements Link {
-    abstract readonly state: Link["state"];
     protected readonly tools: LinkTools;
     protected readonly session: LinkSession;
     /** The connection in use, once its handshake has ended. */
     protected connection: LinkConnection | undefined;
+    private currentState: Link["state"] = linkChart.initial;
+    private endedSentBytes = 0;
+    private endedReceivedBytes = 0;
     private unreportedMessages = 0;
     private unreportedBytes = 0;
 
@@ -28,6 +32,20 @@
         this.session = new LinkSession({ ...tools, onWritable: () => this.onWritable() });
     }
 
+    get state(): Link["state"] {
+        return this.currentState;
+    }
+
+    /** Payload bytes sent over all connections of the link. */
+    get sentBytes(): number {
+        return this.endedSentBytes + (this.connection?.sentBytes ?? 0);
+    }
+
+    /** Payload bytes received over all connections of the link. */
+    get receivedBytes(): number {
+        return this.endedReceivedBytes + (this.connection?.receivedBytes ?? 0);
+    }
+
     get peer(): PeerIdentity | undefined {
         return this.session.peer;
     }
@@ -73,10 +91,19 @@
 
     /** Stops using the present connection. The session stays. */
     protected detach(): void {
+        this.endedSentBytes = this.sentBytes;
+        this.endedReceivedBytes = this.receivedBytes;
         this.connection?.terminate();
         this.connection = undefined;
     }
 
+    /** Changes the state of the link where its chart knows the event in the present state. */
+    protected transition(event: LinkEvent): void {
+        if (linkChart.accepts(this.currentState, event)) {
+            this.currentState = linkChart.next(this.currentState, event);
+        }
+    }
+
     /** Writes what is due while the connection has room. */
     protected pump(): void {
         while (this.connection !== undefined && !this.connection.isFull) {
--- a/links/endpoint/src/dialedLink.ts
+++ b/links/endpoint/src/dialedLink.ts
@@ -1,6 +1,5 @@
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import type { Link } from "@knapweedwood/links.calls/link";
 import { randomUUID } from "node:crypto";
 import type { WebSocket } from "ws";
 import { Backoff } from "./backoff.js";
@@ -32,7 +31,6 @@
     private heartbeat: HeartbeatMonitor | undefined;
     private attempt: LinkConnection | undefined;
     private timers: { [name: string]: Timer | undefined; } = {};
-    private currentState: Link["state"] = "connecting";
     private refusals = 0;
 
     constructor(opts: DialedLinkOptions) {
@@ -43,15 +41,11 @@
         this.dial();
     }
 
-    get state(): Link["state"] {
-        return this.currentState;
-    }
-
     close(): void {
-        if (this.currentState === "closed") {
+        if (this.state === "closed") {
             return;
         }
-        this.currentState = "closed";
+        this.transition("closed");
         this.session.end(new KnapweedError("LINK_CLOSED", "The link was closed"));
         this.connection?.sendMessage({ type: "goodbye" });
         this.connection?.close();
@@ -62,7 +56,7 @@
     }
 
     protected onCallStarted(): void {
-        if (this.currentState === "closed") {
+        if (this.state === "closed") {
             this.session.failUnwritten("LINK_CLOSED", "The link is closed");
             return;
         }
@@ -124,7 +118,7 @@
         }
         if (message.type === "pong") {
             this.heartbeat?.onPong(message.sequence);
-            this.currentState = "open";
+            this.transition("beatAnswered");
             this.onAcknowledged(message.received);
             return;
         }
@@ -140,7 +134,7 @@
         this.attempt = undefined;
         this.refusals = 0;
         this.backoff.reset();
-        this.currentState = "open";
+        this.transition("welcomed");
         this.heartbeat = new HeartbeatMonitor({
             intervalMs: limits.heartbeatIntervalMs,
             idleIntervalMs: limits.idleHeartbeatIntervalMs,
@@ -167,7 +161,7 @@
             this.replace(new KnapweedError("LINK_SILENT", "The connection went silent"));
             return;
         }
-        this.currentState = decision.verdict === "suspect" ? "suspect" : "open";
+        this.transition(decision.verdict === "suspect" ? "beatMissed" : "beatAnswered");
         if (decision.ping !== undefined) {
             this.connection.sendMessage({ type: "ping", ...decision.ping, received: this.session.received });
         }
@@ -182,7 +176,7 @@
 
     /** Gives up the present connection and opens another. */
     private replace(reason: KnapweedError): void {
-        if (this.currentState === "closed") {
+        if (this.state === "closed") {
             return;
         }
         const wasOpen = this.connection !== undefined;
@@ -192,7 +186,7 @@
         this.detach();
         this.attempt = undefined;
         this.heartbeat = undefined;
-        this.currentState = "connecting";
+        this.transition("lost");
         ["connect", "heartbeat"].forEach(name => this.clearTimer(name));
         if (wasOpen) {
             this.report("link.lost", reason);
--- a/links/endpoint/src/heartbeatMonitor.ts
+++ b/links/endpoint/src/heartbeatMonitor.ts
@@ -67,10 +67,8 @@
     }
 
     private excuseStall(nowMs: number): void {
-        const stallMs = nowMs - this.nextTickAtMs;
-        if (stallMs > this.opts.intervalMs) {
-            this.unanswered = this.unanswered.map(ping => ({ ...ping, sentAtMs: ping.sentAtMs + stallMs }));
-        }
+        const stallMs = Math.max(0, nowMs - this.nextTickAtMs);
+        this.unanswered = this.unanswered.map(ping => ({ ...ping, sentAtMs: ping.sentAtMs + stallMs }));
     }
 
     private jittered(intervalMs: number): number {
--- a/links/endpoint/src/webSocketLinkEndpoint.ts
+++ b/links/endpoint/src/webSocketLinkEndpoint.ts
@@ -15,6 +15,7 @@
 import { LinkServer } from "./linkServer.js";
 import type { LinkTls } from "./linkTls.js";
 import type { LinkTools } from "./linkTools.js";
+import type { LinkTraffic } from "./linkTraffic.js";
 import { MessageCodec } from "./messageCodec.js";
 import type { WebSocketLinkEndpointOptions } from "./webSocketLinkEndpointOptions.js";
 
@@ -85,6 +86,15 @@
         return this.allLinks().filter(link => link.state === "open" || link.state === "suspect");
     }
 
+    /** Payload bytes that the present links have sent and received. */
+    traffic(): LinkTraffic {
+        const links = this.allLinks();
+        return {
+            sentBytes: links.reduce((sum, link) => sum + link.sentBytes, 0),
+            receivedBytes: links.reduce((sum, link) => sum + link.receivedBytes, 0),
+        };
+    }
+
     /** Uses other certificates for new connections, in both directions. */
     reloadTls(tls: LinkTls): void {
         this.tls = tls;
