--- a/admission/gate/src/batchLane.ts
+++ b/admission/gate/src/batchLane.ts
@@ -41,14 +41,12 @@
         return [...this.held.values()];
     }
 
-    /** Takes pulled items in. Items of cancelled jobs go straight back. */
-    add(items: BatchItem[]): void {
-        items.forEach(item => {
-            const held = this.hold(item);
-            if (this.cancelledJobs.has(item.jobId)) {
-                this.giveBack(held);
-            }
-        });
+    /** Takes pulled items in. Items of cancelled jobs go straight back. @returns how many were kept */
+    add(items: BatchItem[]): number {
+        const added = items.map(item => this.hold(item));
+        const unwanted = added.filter(held => this.cancelledJobs.has(held.item.jobId));
+        unwanted.forEach(held => this.giveBack(held));
+        return added.length - unwanted.length;
     }
 
     /** Starts the stream of a waiting item. */
--- a/admission/gate/src/batchPuller.ts
+++ b/admission/gate/src/batchPuller.ts
@@ -9,13 +9,14 @@
 const TROUBLE_PAUSE_MS = 1000;
 const MAX_ITEMS_A_PULL = 64;
 
-/** Pulls batch items, one pull at a time; pauses longer and longer while there are none. */
+/** Pulls batch items, one pull at a time; pauses longer and longer while there are none to run. */
 export class BatchPuller {
     private readonly opts: {
         clock: Clock;
         source: BatchSource;
         logger: Logger;
-        onItems: (items: BatchItem[]) => void;
+        /** Takes the items in. @returns how many of them can run */
+        onItems: (items: BatchItem[]) => number;
     };
     private isPulling = false;
     private pauseMs = MIN_PAUSE_MS;
@@ -43,13 +44,13 @@
             this.opts.logger.debug("gate.pull-failed", { code: toKnapweedError(thrown).code });
             return [];
         });
+        const usefulItems = this.opts.onItems(items);
         this.isPulling = false;
-        if (items.length === 0) {
+        if (usefulItems === 0) {
             this.notBeforeMs = Math.max(this.notBeforeMs, this.opts.clock.nowMs() + this.pauseMs);
             this.pauseMs = Math.min(MAX_PAUSE_MS, this.pauseMs * 2);
             return;
         }
         this.pauseMs = MIN_PAUSE_MS;
-        this.opts.onItems(items);
     }
 }
--- a/admission/gate/src/gate.ts
+++ b/admission/gate/src/gate.ts
@@ -1,4 +1,5 @@
 import { stepDurationMs } from "@knapweedwood/admission.cost-model/stepDurationMs";
+import type { BatchItem } from "@knapweedwood/batch.items/batchItem";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
@@ -74,10 +75,7 @@
             clock,
             source,
             logger,
-            onItems: items => {
-                this.batch?.add(items);
-                this.afterPull();
-            },
+            onItems: items => this.takePulled(items),
         });
         metrics.gauge("gate.objective_ms", this.objective.tokenGapObjectiveMs);
     }
@@ -208,12 +206,14 @@
         this.estimator.learn(request, stream, event.usage);
     }
 
-    private afterPull(): void {
+    private takePulled(items: BatchItem[]): number {
+        const keptItems = this.batch?.add(items) ?? 0;
         if (this.isLeaving) {
             this.batch?.leave();
-            return;
+            return 0;
         }
-        this.decide();
+        this.decideSoon();
+        return keptItems;
     }
 
     private tick(): void {
--- /dev/null
+++ b/bench/mixed/src/batchItemMeans.ts
@@ -0,0 +1,30 @@
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
+import { tokensIn } from "@knapweedwood/standins.engine/tokensIn";
+import { createBatchBody } from "./createBatchBody.js";
+
+const SAMPLES = 2000;
+const SEED = 1;
+const BLOCK_TOKENS = 16;
+
+/** Mean size of the batch items: prompt tokens outside the shared prefix, and answer tokens. */
+export function batchItemMeans(): { prefillTokens: number; answerTokens: number; } {
+    const random = new SeededRandom(SEED);
+    const bodies = Array.from({ length: SAMPLES }, () => createBatchBody(random, "bench"));
+    const prompts = bodies.map(promptTextOf);
+    const sharedTokens = Math.floor(tokensIn(commonPrefix(prompts)) / BLOCK_TOKENS) * BLOCK_TOKENS;
+    return {
+        prefillTokens: meanOf(prompts.map(tokensIn)) - sharedTokens,
+        answerTokens: meanOf(bodies.map(body => Number(body.max_tokens))),
+    };
+}
+
+function commonPrefix(texts: string[]): string {
+    const [first = "", ...rest] = texts;
+    const length = [...first].findIndex((character, index) => rest.some(text => text[index] !== character));
+    return first.slice(0, length === -1 ? first.length : length);
+}
+
+function meanOf(values: number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- /dev/null
+++ b/bench/mixed/src/batchSupply.ts
@@ -0,0 +1,66 @@
+import type { BatchItem } from "@knapweedwood/batch.items/batchItem";
+import type { BatchResult } from "@knapweedwood/batch.items/batchResult";
+import type { BatchSource } from "@knapweedwood/batch.items/batchSource";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { ItemIndex } from "@knapweedwood/core.ids/itemIndex";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { createBatchBody } from "./createBatchBody.js";
+
+const PULL_DELAY_MS = 3;
+const DUE_MS = 3_600_000;
+
+/** A source of batch items that never ends, for simulations. */
+export class BatchSupply implements BatchSource {
+    readonly results: BatchResult[] = [];
+    private readonly clock: Clock;
+    private readonly random: SeededRandom;
+    private readonly model: string;
+    private readonly returned: BatchItem[] = [];
+    private readonly given = new Map<number, BatchItem>();
+    private count = 0;
+
+    constructor(opts: { clock: Clock; seed: number; model: string; }) {
+        this.clock = opts.clock;
+        this.random = new SeededRandom(opts.seed);
+        this.model = opts.model;
+    }
+
+    async pull(count: number): Promise<BatchItem[]> {
+        await sleep(this.clock, PULL_DELAY_MS);
+        return Array.from({ length: count }, () => this.returned.pop() ?? this.create());
+    }
+
+    report(results: BatchResult[]): Promise<void> {
+        results.forEach(result => {
+            const item = this.given.get(result.itemIndex);
+            if (result.outcome.kind === "returned" && item !== undefined) {
+                this.returned.push({ ...item, resumeFrom: result.outcome.resumeFrom });
+                return;
+            }
+            this.given.delete(result.itemIndex);
+            this.results.push(result);
+        });
+        return Promise.resolve();
+    }
+
+    private create(): BatchItem {
+        this.count += 1;
+        const item: BatchItem = {
+            jobId: "job-bench" as JobId,
+            itemIndex: this.count as ItemIndex,
+            attempt: 1,
+            teamId: "bench" as TeamId,
+            service: "bench" as ServiceName,
+            endpoint: "/v1/chat/completions",
+            body: createBatchBody(this.random, this.model),
+            dueAtMs: this.clock.nowMs() + DUE_MS,
+            repeatable: true,
+        };
+        this.given.set(this.count, item);
+        return item;
+    }
+}
--- /dev/null
+++ b/bench/mixed/src/createWorkload.ts
@@ -0,0 +1,71 @@
+import type { Random } from "@knapweedwood/core.random/random";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import type { OnlineArrival } from "./onlineArrival.js";
+import { sampleLogNormal } from "./sampleLogNormal.js";
+import { textOf } from "./textOf.js";
+import type { WorkloadOptions } from "./workloadOptions.js";
+
+const MS_PER_SECOND = 1000;
+const SHARED_PREFIXES = 4;
+const SHARED_PREFIX_CHARACTERS = 512;
+const PROMPT_CHARACTERS = { median: 480, sigma: 0.9, min: 40, max: 8000 };
+const ANSWER_TOKENS = { median: 24, sigma: 0.8, min: 4, max: 200 };
+/** The base rate swings by this share over the workload, as it does over a day. */
+const DIURNAL_SHARE = 0.4;
+
+/** Open-loop arrivals: a diurnal base, bursts of seconds, heavy-tailed lengths and shared prefixes. */
+export function createWorkload(opts: WorkloadOptions): OnlineArrival[] {
+    const random = new SeededRandom(opts.seed);
+    const prefixes = Array.from({ length: SHARED_PREFIXES }, () => textOf(random, SHARED_PREFIX_CHARACTERS));
+    const bursts = createBursts(random, opts);
+    const peakRate = opts.baseRatePerSecond * (1 + DIURNAL_SHARE) * opts.burstFactor;
+    const arrivals: OnlineArrival[] = [];
+    for (let atMs = gapMs(random, peakRate); atMs < opts.durationMs; atMs += gapMs(random, peakRate)) {
+        if (random.next() < rateAt(atMs, opts, bursts) / peakRate) {
+            arrivals.push(createArrival(random, { atMs, prefixes, opts, index: arrivals.length }));
+        }
+    }
+    return arrivals;
+}
+
+interface Burst {
+    startMs: number;
+    endMs: number;
+}
+
+function createBursts(random: Random, opts: WorkloadOptions): Burst[] {
+    const bursts: Burst[] = [];
+    let startMs = gapMs(random, MS_PER_SECOND / opts.burstEveryMs);
+    while (startMs < opts.durationMs) {
+        const endMs = startMs + opts.burstDurationMs * (0.5 + random.next());
+        bursts.push({ startMs, endMs });
+        startMs = endMs + gapMs(random, MS_PER_SECOND / opts.burstEveryMs);
+    }
+    return bursts;
+}
+
+function rateAt(atMs: number, opts: WorkloadOptions, bursts: Burst[]): number {
+    const isBurst = bursts.some(burst => atMs >= burst.startMs && atMs < burst.endMs);
+    const diurnal = 1 + DIURNAL_SHARE * Math.sin(2 * Math.PI * atMs / opts.durationMs);
+    return opts.baseRatePerSecond * diurnal * (isBurst ? opts.burstFactor : 1);
+}
+
+function gapMs(random: Random, ratePerSecond: number): number {
+    return -Math.log(1 - random.next()) * MS_PER_SECOND / ratePerSecond;
+}
+
+function createArrival(
+    random: Random,
+    part: { atMs: number; prefixes: string[]; opts: WorkloadOptions; index: number; },
+): OnlineArrival {
+    const prefix = part.prefixes[random.nextInteger(part.prefixes.length)];
+    const question = textOf(random, sampleLogNormal(random, PROMPT_CHARACTERS));
+    const answerTokens = sampleLogNormal(random, ANSWER_TOKENS);
+    const body = {
+        model: part.opts.model,
+        messages: [{ role: "system", content: prefix }, { role: "user", content: question }],
+        max_tokens: answerTokens,
+        user: `online-${part.index}`,
+    };
+    return { atMs: part.atMs, answerTokens, request: { endpoint: "/v1/chat/completions", body } };
+}
--- /dev/null
+++ b/bench/mixed/src/idleCapacityTokens.ts
@@ -0,0 +1,26 @@
+import type { EngineTotals } from "@knapweedwood/standins.engine/engineTotals";
+import type { StepModel } from "@knapweedwood/standins.engine/stepModel";
+
+/**
+ * The batch tokens that the capacity left idle by online work could have yielded: the engine runs without a pause, each
+ * step as full as its slots and the objective allow, and all that online work did not need goes to batch items whose
+ * shared prefix is cached. Neither bursts nor the moments of arrivals cost it anything.
+ */
+export function idleCapacityTokens(opts: {
+    stepModel: StepModel;
+    objectiveMs: number;
+    durationMs: number;
+    /** What online work alone did in that time. */
+    online: Pick<EngineTotals, "decodeTokens" | "prefillTokens">;
+    batchItem: { prefillTokens: number; answerTokens: number; };
+}): number {
+    const { stepModel, durationMs, online, batchItem } = opts;
+    const prefillPerTokenMs = stepModel.perPrefillTokenMs * batchItem.prefillTokens / batchItem.answerTokens;
+    const batchTokenMs = stepModel.perSequenceMs + prefillPerTokenMs;
+    const onlineMs = stepModel.perSequenceMs * online.decodeTokens + stepModel.perPrefillTokenMs * online.prefillTokens;
+    const byStepTime = (steps: number) => (durationMs - onlineMs - steps * stepModel.fixedMs) / batchTokenMs;
+    const fewestSteps = durationMs / opts.objectiveMs;
+    const slotSteps = (durationMs - onlineMs + online.decodeTokens * batchTokenMs)
+        / (stepModel.fixedMs + stepModel.maxSequences * batchTokenMs);
+    return Math.max(0, byStepTime(Math.max(fewestSteps, slotSteps)));
+}
--- /dev/null
+++ b/bench/mixed/src/latencySummary.ts
@@ -0,0 +1,7 @@
+/** Quantiles of a latency, in milliseconds. */
+export interface LatencySummary {
+    count: number;
+    p50Ms: number;
+    p99Ms: number;
+    p999Ms: number;
+}
--- /dev/null
+++ b/bench/mixed/src/simulateArm.ts
@@ -0,0 +1,111 @@
+import type { AdmissionPolicy } from "@knapweedwood/admission.gate/admissionPolicy";
+import { Gate } from "@knapweedwood/admission.gate/gate";
+import type { GateObjective } from "@knapweedwood/admission.gate/gateObjective";
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
+import type { EngineTotals } from "@knapweedwood/standins.engine/engineTotals";
+import { InMemoryEngine } from "@knapweedwood/standins.engine/inMemoryEngine";
+import type { StepModel } from "@knapweedwood/standins.engine/stepModel";
+import { BatchSupply } from "./batchSupply.js";
+import type { LatencySummary } from "./latencySummary.js";
+import type { OnlineArrival } from "./onlineArrival.js";
+import { summarizeLatencies } from "./summarizeLatencies.js";
+
+const GRACE_MS = 20_000;
+
+/** What one arm of a simulation measured. */
+export interface SimulatedArm {
+    timeToFirstToken: LatencySummary;
+    tokenGap: LatencySummary;
+    batchTokens: number;
+    preemptions: number;
+    tokensThrownAway: number;
+    refused: number;
+    totals: EngineTotals;
+    batchItem: { prefillTokens: number; answerTokens: number; };
+}
+
+/** Runs one arm in simulated time: gates and engines in one process, the least loaded gate chosen for each call. */
+export async function simulateArm(opts: {
+    arrivals: OnlineArrival[];
+    durationMs: number;
+    seed: number;
+    engines: number;
+    stepModel: StepModel;
+    objective: GateObjective;
+    createPolicy: () => AdmissionPolicy;
+    /** How many of the engines, the last ones, serve batch work only. */
+    batchOnlyEngines?: number;
+    withBatch: boolean;
+}): Promise<SimulatedArm> {
+    const clock = new ManualClock();
+    const supply = new BatchSupply({ clock, seed: opts.seed, model: "bench" });
+    const engines = Array.from(
+        { length: opts.engines },
+        () => new InMemoryEngine({ clock, stepModel: opts.stepModel }),
+    );
+    const batchOnly = opts.batchOnlyEngines ?? 0;
+    const gates = engines.map((engine, index) =>
+        new Gate({
+            engine,
+            clock,
+            logger: silentLogger,
+            metrics: silentMetrics,
+            policy: opts.createPolicy(),
+            objective: opts.objective,
+            batchSource: opts.withBatch && (batchOnly === 0 || index >= opts.engines - batchOnly) ? supply : undefined,
+        })
+    );
+    gates.forEach(gate => gate.start());
+    const onlineGates = gates.slice(0, opts.engines - batchOnly);
+    const firstTokens: number[] = [];
+    const gaps: number[] = [];
+    let refused = 0;
+    const call = async (arrival: OnlineArrival) => {
+        const gate = onlineGates.reduce((best, other) => loadOf(other) < loadOf(best) ? other : best);
+        const startMs = clock.nowMs();
+        let lastMs: number | undefined;
+        try {
+            for await (const event of gate.runOnline(arrival.request, { signal: new AbortController().signal })) {
+                if (event.kind === "chunk") {
+                    (lastMs === undefined ? firstTokens : gaps).push(clock.nowMs() - (lastMs ?? startMs));
+                    lastMs = clock.nowMs();
+                }
+            }
+        }
+        catch {
+            refused += 1;
+        }
+    };
+    opts.arrivals.forEach(arrival => clock.setTimer(arrival.atMs, () => void call(arrival)));
+    await clock.advance(opts.durationMs);
+    const batchTokens = gates.reduce((sum, gate) => sum + gate.load().batchTokens, 0);
+    const totals = sumTotals(engines.map(engine => ({ ...engine.core.totals })));
+    const loads = gates.map(gate => gate.load());
+    void GRACE_MS;
+    return {
+        timeToFirstToken: summarizeLatencies(firstTokens),
+        tokenGap: summarizeLatencies(gaps),
+        batchTokens,
+        preemptions: loads.reduce((sum, load) => sum + load.preemptions, 0),
+        tokensThrownAway: loads.reduce((sum, load) => sum + load.tokensThrownAway, 0),
+        refused,
+        totals,
+        batchItem: { prefillTokens: 0, answerTokens: 1 },
+    };
+}
+
+function loadOf(gate: Gate): number {
+    const load = gate.load();
+    return load.onlineRunning + load.onlineQueued;
+}
+
+function sumTotals(totals: EngineTotals[]): EngineTotals {
+    return totals.reduce((sum, total) => ({
+        steps: sum.steps + total.steps,
+        busyMs: sum.busyMs + total.busyMs,
+        decodeTokens: sum.decodeTokens + total.decodeTokens,
+        prefillTokens: sum.prefillTokens + total.prefillTokens,
+    }));
+}
--- a/standins/engine/src/engineCore.ts
+++ b/standins/engine/src/engineCore.ts
@@ -2,6 +2,7 @@
 import type { EngineLoad } from "@knapweedwood/engines.model-engine/engineLoad";
 import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
 import { EngineSequence } from "./engineSequence.js";
+import type { EngineTotals } from "./engineTotals.js";
 import { LaggingLoad } from "./laggingLoad.js";
 import { PrefixCache } from "./prefixCache.js";
 import type { SequenceSink } from "./sequenceSink.js";
@@ -10,14 +11,6 @@
 /** Longest delay of a timer that later steps make up for. */
 const MAX_CATCH_UP_MS = 100;
 
-/** Totals of the work that an engine has done. */
-export interface EngineTotals {
-    steps: number;
-    busyMs: number;
-    decodeTokens: number;
-    prefillTokens: number;
-}
-
 /**
  * The scheduler of a stand-in engine: continuous batching in steps, first come first served. Requests that come in
  * during a step join the next one.
