--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -1,6 +1,6 @@
-import { randomUUID } from "node:crypto";
 import { CallersApi } from "@knapweedwood/api.callers/callersApi";
 import { HttpListener } from "@knapweedwood/api.http/httpListener";
+import { ensureBootstrapConfiguration } from "@knapweedwood/api.operators/ensureBootstrapConfiguration";
 import { OperatorsApi } from "@knapweedwood/api.operators/operatorsApi";
 import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
 import { KeyValueBatchService } from "@knapweedwood/batch.jobs/keyValueBatchService";
@@ -8,15 +8,16 @@
 import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
 import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
 import { ConfigurationPublisher } from "@knapweedwood/config.publishing/configurationPublisher";
-import { ensureBootstrapConfiguration } from "@knapweedwood/api.operators/ensureBootstrapConfiguration";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
-import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
+import { createLinkEndpoint } from "@knapweedwood/daemons.common/createLinkEndpoint";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import { randomUUID } from "node:crypto";
 import { BodyStreams } from "./bodyStreams.js";
 import { configuredServices } from "./configuredServices.js";
 import { createSegmentStore } from "./createSegmentStore.js";
@@ -24,6 +25,7 @@
 import { EntryHttp } from "./entryHttp.js";
 import type { EntryProcessOptions } from "./entryProcessOptions.js";
 import { LeastLoadedSelector } from "./leastLoadedSelector.js";
+import { LinkedFleet } from "./linkedFleet.js";
 import { RetryBudget } from "./retryBudget.js";
 import { unclaimedCalls } from "./unclaimedCalls.js";
 import { unlimitedAdmission } from "./unlimitedAdmission.js";
@@ -36,7 +38,7 @@
 /** The process between callers and sides; by lease it also carries shared roles. */
 export class EntryProcess {
     private readonly opts: EntryProcessOptions;
-    private readonly endpoint: WebSocketLinkEndpoint;
+    private readonly endpoint: LinkEndpoint;
     private readonly watcher: InstanceWatcher;
     private readonly configuration: DistributedConfiguration;
     private readonly publisher: ConfigurationPublisher;
@@ -57,7 +59,7 @@
             zone: settings.zone as ZoneName,
             region: settings.region as RegionName,
         };
-        this.endpoint = new WebSocketLinkEndpoint({ identity, clock, random, logger, metrics, ...settings.link });
+        this.endpoint = createLinkEndpoint({ identity, link: settings.link, clock, random, logger, metrics });
         this.watcher = new InstanceWatcher({ instanceList, clock, random, logger });
         this.configuration = new DistributedConfiguration({
             identity,
@@ -99,8 +101,8 @@
             endpoint: this.endpoint,
             watcher: this.watcher,
         });
-        this.batchRole = this.createBatchRole(segmentStore);
-        await this.batchRole.start();
+        this.batchRole = this.createBatchRole(segmentStore, linkAddress);
+        this.batchRole.start();
         this.listener = this.createListener(segmentStore);
         const httpPort = await this.listener.listen(settings.http.host, settings.http.port);
         this.announcer = this.createAnnouncer(linkAddress);
@@ -136,8 +138,7 @@
             segmentStore,
             clock,
             random,
-            onCancelled: jobId =>
-                this.endpoint.links().forEach(link => link.notify(cancelJobNotification, { jobId })),
+            onCancelled: jobId => this.endpoint.links().forEach(link => link.notify(cancelJobNotification, { jobId })),
         });
         const callersApi = new CallersApi({
             configuration: this.configuration,
@@ -168,16 +169,19 @@
         return new OperatorsApi({
             publisher: this.publisher,
             configuration: this.configuration,
-            batches,
+            jobs: batches,
+            fleet: new LinkedFleet({ watcher: this.watcher, endpoint: this.endpoint, directory: this.directory }),
+            usage: undefined,
             clock: this.opts.clock,
+            logger: this.opts.logger,
         });
     }
 
-    private createBatchRole(segmentStore: SegmentStore): BatchRole {
+    private createBatchRole(segmentStore: SegmentStore, address: string): BatchRole {
         const { settings, clock, random, logger, metrics, keyValue, instanceList } = this.opts;
         return new BatchRole({
             instanceId: settings.instanceId as InstanceId,
-            zone: settings.zone as ZoneName,
+            address: () => address,
             clock,
             random,
             keyValue,
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -1,6 +1,6 @@
 import { Gate } from "@knapweedwood/admission.gate/gate";
-import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
 import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
+import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
 import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
 import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
 import { sleep } from "@knapweedwood/core.clock/sleep";
@@ -9,10 +9,11 @@
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import { createLinkEndpoint } from "@knapweedwood/daemons.common/createLinkEndpoint";
 import type { SideStatus } from "@knapweedwood/daemons.inference/sideStatus";
 import { HttpModelEngine } from "@knapweedwood/engines.model-engine/httpModelEngine";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
-import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
 import { CallHandlers } from "./callHandlers.js";
@@ -29,7 +30,7 @@
 export class SideProcess {
     private readonly opts: SideProcessOptions;
     private readonly service: ServiceName;
-    private readonly endpoint: WebSocketLinkEndpoint;
+    private readonly endpoint: LinkEndpoint;
     private readonly watcher: InstanceWatcher;
     private readonly configuration: DistributedConfiguration;
     private readonly engine: HttpModelEngine | undefined;
@@ -46,15 +47,7 @@
         const { settings, clock, random, logger, metrics, instanceList, tracer } = opts;
         this.service = settings.service as ServiceName;
         const identity = identityOf(opts);
-        this.endpoint = new WebSocketLinkEndpoint({
-            identity,
-            clock,
-            host: settings.link.host,
-            port: settings.link.port,
-            tls: settings.link.tls,
-            logger,
-            metrics,
-        });
+        this.endpoint = createLinkEndpoint({ identity, link: settings.link, clock, random, logger, metrics });
         this.watcher = new InstanceWatcher({ instanceList, clock, random, logger });
         this.configuration = new DistributedConfiguration({
             identity,
@@ -118,6 +111,18 @@
         logger.info("side.stopped");
     }
 
+    /** Ends at once, as a crash would: links are cut, nothing is given back or withdrawn. For tests. */
+    async crash(): Promise<void> {
+        await this.announcer?.abandon();
+        await this.reporter.stop();
+        await this.endpoint.close(0);
+        await this.configuration.stop();
+        await this.watcher.stop();
+        await this.monitor.stop();
+        await this.gate?.close();
+        await this.plain?.close();
+    }
+
     private async drain(graceMs: number): Promise<void> {
         const { clock } = this.opts;
         const endMs = clock.nowMs() + graceMs;
