perf(admission): truer step samples, and batch gives way to long prefills

Cause: the cost of prefill tokens and sequences was learned too low, so batch work gave way too little; an online prompt of several chunks paid for batch sequences in each of them. Change: prefills that span steps are left out of the samples, cancelled streams count in the step that carried them, and while an online prefill needs several steps batch work may add 3% of the objective only.

--- a/admission/gate/src/batchLane.ts
+++ b/admission/gate/src/batchLane.ts
@@ -63,7 +63,7 @@
         if (held?.run !== undefined) {
             this.totals.preemptions += 1;
             this.opts.metrics.increment("gate.preempted");
-            stop(held.run, "preempted");
+            this.stop(held.run, "preempted");
         }
     }
 
@@ -92,10 +92,16 @@
                 this.giveBack(held);
                 return;
             }
-            stop(held.run, reason);
+            this.stop(held.run, reason);
         });
     }
 
+    private stop(run: BatchRun, reason: StopReason): void {
+        run.stopReason = reason === "preempted" ? run.stopReason ?? reason : reason;
+        run.abort.abort();
+        this.opts.streams.cancelled(run.stream);
+    }
+
     private hold(item: BatchItem): HeldItem {
         const held: HeldItem = {
             key: `${item.jobId}/${item.itemIndex}/${item.attempt}` as BatchKey,
@@ -227,11 +233,6 @@
     onEngineTrouble: () => void;
 }
 
-function stop(run: BatchRun, reason: StopReason): void {
-    run.stopReason = reason === "preempted" ? run.stopReason ?? reason : reason;
-    run.abort.abort();
-}
-
 function isGeneration(item: BatchItem): boolean {
     return item.endpoint === "/v1/chat/completions" || item.endpoint === "/v1/completions";
 }
--- a/admission/gate/src/batchRoom.ts
+++ b/admission/gate/src/batchRoom.ts
@@ -8,6 +8,9 @@
 /** Standard deviations of the expected arrivals that are kept free. */
 const HEAD_ROOM_DEVIATIONS = 1;
 
+/** While an online prefill takes several steps, batch work may lengthen them by this share of the objective. */
+const LONG_PREFILL_SHARE = 0.03;
+
 /** What the next step of the engine has left for batch work, after online work and head-room. */
 export class BatchRoom {
     private readonly state: GateState;
@@ -46,14 +49,15 @@
         }
         return this.onlineSequences + this.batchSequences > this.state.limits.maxSequences
             || this.onlineKvTokens + this.batchKvTokens > this.state.limits.kvTokens
-            || this.isStepExceeded(0);
+            || this.isStepExceeded(0)
+            || this.delaysLongPrefill();
     }
 
     /** Sequences that batch work could add. */
     get freeSequences(): number {
         const { costs, limits } = this.state;
         const slots = limits.maxSequences - this.reservedSequences - this.onlineSequences - this.batchSequences;
-        const stepRoomMs = this.limitMs - this.stepMs(this.reservedPrefillTokens);
+        const stepRoomMs = this.limitMs - this.stepMs(0);
         const byStep = stepRoomMs / Math.max(costs.perSequenceMs, Number.EPSILON);
         return Math.max(0, Math.floor(Math.min(slots, byStep)));
     }
@@ -71,7 +75,7 @@
         if (this.freeSequences === 0 || !this.hasKvTokens(item)) {
             return false;
         }
-        if (this.isStepExceeded(item.prefillTokens + this.reservedPrefillTokens, 1)) {
+        if (this.isStepExceeded(item.prefillTokens, 1) || this.delaysLongPrefill(1)) {
             return false;
         }
         this.hold(item);
@@ -87,10 +91,6 @@
         return true;
     }
 
-    private get reservedPrefillTokens(): number {
-        return 0;
-    }
-
     private hold(item: WorkSize): void {
         this.batchSequences += 1;
         this.batchPrefillTokens += item.prefillTokens;
@@ -105,6 +105,13 @@
         return this.stepMs(addedPrefillTokens, addedSequences) > this.limitMs;
     }
 
+    private delaysLongPrefill(addedSequences = 0): boolean {
+        const { costs, limits, objective } = this.state;
+        const addedMs = costs.perSequenceMs * (this.batchSequences + addedSequences);
+        return this.onlinePrefillTokens > limits.prefillTokensPerStep
+            && addedMs > LONG_PREFILL_SHARE * objective.tokenGapObjectiveMs;
+    }
+
     private stepMs(addedPrefillTokens: number, addedSequences = 0): number {
         const prefillTokens = this.onlinePrefillTokens + this.batchPrefillTokens + addedPrefillTokens;
         return stepDurationMs(this.state.costs, {
--- a/admission/gate/src/engineStreams.ts
+++ b/admission/gate/src/engineStreams.ts
@@ -57,6 +57,11 @@
         this.active.delete(stream);
     }
 
+    /** Notes that a stream was cancelled; it stays open until the engine has let it go. */
+    cancelled(stream: ActiveStream): void {
+        this.observer.streamCancelled(stream);
+    }
+
     tokenArrived(stream: ActiveStream, request: GenerateRequest): void {
         this.observer.tokenArrived(stream, this.clock.nowMs());
         if (!stream.hasFirstToken) {
--- a/admission/gate/src/gate.ts
+++ b/admission/gate/src/gate.ts
@@ -123,6 +123,7 @@
         return {
             onlineRunning: this.streams.of("online").length,
             onlineQueued: this.online.waiting.length,
+            onlinePrefillTokens: prefillTokensOf(this.streams.of("online").filter(stream => !stream.hasFirstToken)),
             batchRunning,
             batchQueued: items.length - batchRunning,
             predictedStepMs: stepDurationMs(this.streams.costs, {
--- a/admission/gate/src/gateLoad.ts
+++ b/admission/gate/src/gateLoad.ts
@@ -5,6 +5,8 @@
     batchRunning: number;
     /** Batch items held here and not running. */
     batchQueued: number;
+    /** Prompt tokens of online calls that the engine has still to process. */
+    onlinePrefillTokens: number;
     /** Predicted duration of the engine's next step. */
     predictedStepMs: number;
     /** Batch streams cancelled to make room, since the start. */
--- a/admission/gate/src/stepObserver.ts
+++ b/admission/gate/src/stepObserver.ts
@@ -6,9 +6,12 @@
 const SHARE_SMOOTHING = 0.0005;
 
 interface ObservedStep {
+    startMs: number;
     endMs: number;
     /** The streams that the step gave a token, and whether it was their first. */
     streams: Map<ActiveStream, { isFirst: boolean; }>;
+    /** Streams that were cancelled while the step ran; it carried them all the same. */
+    cancelled: ActiveStream[];
 }
 
 /**
@@ -21,6 +24,7 @@
     private readonly objectiveMs: () => number;
     private previous: ObservedStep | undefined;
     private current: ObservedStep | undefined;
+    private cancelled: ActiveStream[] = [];
     private stretchedShare = 0;
 
     constructor(opts: { model: StepCostModel; active: ReadonlySet<ActiveStream>; objectiveMs: () => number; }) {
@@ -44,11 +48,24 @@
         if (this.current === undefined || this.startsNewStep(this.current, stream, nowMs)) {
             this.endCurrent();
             this.previous = this.current;
-            this.current = { endMs: nowMs, streams: new Map() };
+            this.current = {
+                startMs: this.previous?.endMs ?? nowMs,
+                endMs: nowMs,
+                streams: new Map(),
+                cancelled: this.cancelled,
+            };
+            this.cancelled = [];
         }
         this.current.streams.set(stream, { isFirst: !stream.hasFirstToken });
     }
 
+    /** Notes that a stream was cancelled. */
+    streamCancelled(stream: ActiveStream): void {
+        if (this.current !== undefined && stream.startedAtMs < this.current.endMs) {
+            this.cancelled.push(stream);
+        }
+    }
+
     private startsNewStep(current: ObservedStep, stream: ActiveStream, nowMs: number): boolean {
         return current.streams.has(stream)
             || nowMs - current.endMs > SAME_STEP_SHARE * this.model.costs.fixedMs;
@@ -60,19 +77,22 @@
             return;
         }
         const durationMs = current.endMs - previous.endMs;
-        if (!this.hasLongPrefill(previous)) {
+        if (!this.hasLongPrefill({ previous, current })) {
             this.model.observe({
                 durationMs,
-                sequences: current.streams.size,
+                sequences: current.streams.size + current.cancelled.length,
                 prefillTokens: firstPrefillTokens(current, () => true),
             });
         }
         this.noteStretch(current, durationMs);
     }
 
-    /** Whether a prefill went on through the whole step, so that its share of the step is not known. */
-    private hasLongPrefill(previous: ObservedStep): boolean {
-        return [...this.active].some(stream => !stream.hasFirstToken && stream.startedAtMs < previous.endMs);
+    /** Whether a prefill took more than this step, so that its share of the step is not known. */
+    private hasLongPrefill(steps: { previous: ObservedStep; current: ObservedStep; }): boolean {
+        const { previous, current } = steps;
+        return [...this.active].some(stream => !stream.hasFirstToken && stream.startedAtMs < previous.endMs)
+            || [...current.streams].some(([stream, { isFirst }]) => isFirst && stream.startedAtMs < previous.startMs)
+            || current.cancelled.some(stream => !stream.hasFirstToken);
     }
 
     private noteStretch(step: ObservedStep, durationMs: number): void {
--- a/admission/gate/src/workEstimator.ts
+++ b/admission/gate/src/workEstimator.ts
@@ -8,7 +8,7 @@
 const INITIAL_ANSWER_TOKENS = 64;
 const SMOOTHING = 0.05;
 /** Prompt tokens that are processed again when a cancelled stream is resumed from the cache. */
-const RESUMED_PREFILL_TOKENS = 16;
+const RESUMED_PREFILL_TOKENS = 8;
 
 /** Estimates what requests ask of the engine, and learns from what they turn out to have asked. */
 export class WorkEstimator {
--- a/bench/mixed/src/trial.ts
+++ b/bench/mixed/src/trial.ts
@@ -7,9 +7,11 @@
 import { createWorkload } from "./createWorkload.js";
 import { idleCapacityTokens } from "./idleCapacityTokens.js";
 import { simulateArm } from "./simulateArm.js";
+import { steepStepModel } from "./steepStepModel.js";
 
 const seconds = Number(process.argv[2] ?? 60);
 const seeds = (process.argv[3] ?? "1").split(",").map(Number);
+const stepModel = process.env.MODEL === "steep" ? steepStepModel : benchStepModel;
 const objective = { tokenGapObjectiveMs: Number(process.argv[4] ?? 45), batchBalance: Number(process.argv[5] ?? 1) };
 for (const seed of seeds) {
     const durationMs = seconds * 1000;
@@ -28,7 +30,7 @@
             durationMs,
             seed,
             engines: 6,
-            stepModel: benchStepModel,
+            stepModel,
             objective,
             createPolicy: policy,
             withBatch,
@@ -56,7 +58,7 @@
             arm.timeToFirstToken.count,
         );
     const bound = idleCapacityTokens({
-        stepModel: benchStepModel,
+        stepModel,
         objectiveMs: objective.tokenGapObjectiveMs,
         durationMs: durationMs * 6,
         online: a.totals,
@@ -75,6 +77,17 @@
     }
     const d = await run(() => new OnlineFirstPolicy(), true);
     show("d", d);
+    if (process.env.WORST) {
+        arrivals.map((arrival, i) => ({
+            at: Math.round(arrival.atMs),
+            prompt: String((arrival.request.body.messages as { content: string; }[])[1]?.content).length / 4,
+            a: a.firstTokenMs[i]!,
+            d: d.firstTokenMs[i]!,
+        }))
+            .sort((l, r) => r.d - l.d).slice(0, 40).forEach(w =>
+                console.log(w.at, w.prompt, w.a?.toFixed(0), w.d?.toFixed(0))
+            );
+    }
     console.log(
         "items",
         batchItemMeans(),
