feat(placement): plan a region under a lease and converge engines on it

Cause: models, versions and roles must come to be as wanted, spread, paced and without a replica less, and stale orders must have no lasting effect. Change: a pure planner, a planner's lease whose fencing number is the revision of its key, and a side that compares and orders one step at a time by a chart in JSON, acting only on the newest plan that was confirmed lately. Figures: 5,040 interleavings of two planners, a side and a paused side for each kind of engine end with the later plan. Conclusion: engines that check fencing never take an older order after a newer one; where they do not, the one order of a side process that was paused in mid-order is undone by the next comparison.

--- a/daemons/common/src/createLinkEndpoint.ts
+++ b/daemons/common/src/createLinkEndpoint.ts
@@ -1,5 +1,3 @@
-import { readFileSync } from "node:fs";
-import { isIPv6 } from "node:net";
 import { watchFile } from "@knapweedwood/api.http/watchFile";
 import type { EntrySettings } from "@knapweedwood/config.settings/entrySettings";
 import type { Clock } from "@knapweedwood/core.clock/clock";
@@ -11,6 +9,8 @@
 import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import { readFileSync } from "node:fs";
+import { isIPv6 } from "node:net";
 
 type LinkSettings = EntrySettings["link"];
 type TlsSettings = NonNullable<LinkSettings["tls"]>;
--- /dev/null
+++ b/placement/orders/test/orderConverger.test.ts
@@ -0,0 +1,198 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { FencingNumber } from "@knapweedwood/core.ids/fencingNumber";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { ModelName } from "@knapweedwood/core.ids/modelName";
+import type { ModelVersion } from "@knapweedwood/core.ids/modelVersion";
+import type { EngineOrder } from "@knapweedwood/engines.model-engine/engineOrder";
+import { LoadedModels } from "@knapweedwood/standins.engine/loadedModels";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { convergerChart } from "../src/convergerChart.js";
+import { OrderConverger } from "../src/orderConverger.js";
+import type { ReceivedPlan } from "../src/receivedPlan.js";
+
+const model = "demo" as ModelName;
+
+function plan(fencingNumber: number, planNumber: number, version: string): ReceivedPlan {
+    return {
+        fencingNumber: fencingNumber as FencingNumber,
+        planNumber,
+        upstream: {
+            instanceId: "u" as InstanceId,
+            models: [{ model, version: version as ModelVersion }],
+            adapters: [],
+            role: "any",
+            roleSinceMs: 0,
+        },
+    };
+}
+
+class Engine {
+    readonly clock = new ManualClock();
+    readonly accepted: EngineOrder[] = [];
+    readonly held: LoadedModels;
+
+    constructor(opts: { checksFencing: boolean; }) {
+        this.held = new LoadedModels({
+            clock: this.clock,
+            seed: 1,
+            models: [],
+            checksFencing: opts.checksFencing,
+            loadDurationMs: 0,
+        });
+    }
+
+    state() {
+        return Promise.resolve(structuredClone(this.held.state()));
+    }
+
+    order(order: EngineOrder): Promise<void> {
+        if (!this.held.accept(order)) {
+            return Promise.reject(new KnapweedError("ENGINE_ORDER_STALE", "old", { outcome: "not-run" }));
+        }
+        this.accepted.push(order);
+        return Promise.resolve();
+    }
+
+    versions(): string[] {
+        return this.held.state().models.map(held => held.version as string).sort();
+    }
+}
+
+async function converge(engine: Engine, side: OrderConverger): Promise<void> {
+    for (let round = 0; round < 5; round += 1) {
+        side.sweep();
+        await side.run();
+        await engine.clock.advance(1);
+    }
+}
+
+/** All orders in which the events of several actors can come, each actor's own order kept. */
+function interleavings(actors: string[][]): string[][] {
+    if (actors.every(events => events.length === 0)) {
+        return [[]];
+    }
+    return actors.flatMap((events, index) =>
+        events.length === 0
+            ? []
+            : interleavings(actors.map((other, n) => n === index ? other.slice(1) : other))
+                .map(rest => [events[0] as string, ...rest])
+    );
+}
+
+const ACTORS = [
+    ["first-plans", "first-repeats", "first-plans-again"],
+    ["second-plans", "second-repeats"],
+    ["step", "step", "step"],
+    ["old-side-step"],
+];
+
+[true, false].forEach(checksFencing => {
+    const kind = checksFencing ? "checks" : "does not check";
+    test(`two planners and a paused side in every order end with the later plan, where the engine ${kind} fencing`, async () => {
+        const orders = interleavings(ACTORS);
+        assert.equal(orders.length, 5_040);
+        for (const events of orders) {
+            await play(events, checksFencing);
+        }
+    });
+});
+
+async function play(events: string[], checksFencing: boolean): Promise<void> {
+    const engine = new Engine({ checksFencing });
+    const create = () => new OrderConverger({ engine, clock: engine.clock });
+    const side = create();
+    // A side process that was paused just before its order, while a new one took its place.
+    const oldSide = create();
+    oldSide.receive(plan(1, 1, "old"), 0);
+    await oldSide.step();
+    await oldSide.step();
+    let hasSecondArrived = false;
+    for (const event of events) {
+        const before = engine.accepted.length;
+        switch (event) {
+            case "first-plans":
+            case "first-repeats":
+                side.receive(plan(1, 1, "old"), 0);
+                break;
+            case "first-plans-again":
+                side.receive(plan(1, 2, "older"), 0);
+                break;
+            case "second-plans":
+            case "second-repeats":
+                hasSecondArrived = true;
+                side.receive(plan(2, 1, "new"), 0);
+                break;
+            case "step":
+                await side.step();
+                break;
+            case "old-side-step":
+                await oldSide.step();
+                break;
+        }
+        if (event === "step" && hasSecondArrived) {
+            engine.accepted.slice(before).forEach(order => assert.equal(order.fencingNumber, 2, events.join(" ")));
+        }
+    }
+    await converge(engine, side);
+    assert.deepEqual(engine.versions(), ["new"], events.join(" "));
+    if (checksFencing) {
+        const numbers = engine.accepted.map(order => order.fencingNumber as number);
+        assert.deepEqual(numbers, [...numbers].sort((left, right) => left - right), events.join(" "));
+    }
+}
+
+test("no order is begun once the plan has not been confirmed for too long", async () => {
+    const engine = new Engine({ checksFencing: false });
+    const side = new OrderConverger({ engine, clock: engine.clock });
+    side.receive(plan(1, 1, "1"), engine.clock.nowMs());
+    await side.step();
+    await engine.clock.advance(8_000);
+    await side.run();
+    assert.deepEqual([engine.accepted, side.state], [[], "waiting"]);
+    side.receive(plan(1, 1, "1"), engine.clock.nowMs());
+    await converge(engine, side);
+    assert.deepEqual(engine.versions(), ["1"]);
+});
+
+test("an engine that was changed by hand is brought back", async () => {
+    const engine = new Engine({ checksFencing: false });
+    const side = new OrderConverger({ engine, clock: engine.clock });
+    side.receive(plan(1, 1, "1"), 0);
+    await converge(engine, side);
+    engine.held.accept({
+        fencingNumber: 0 as FencingNumber,
+        action: { kind: "load-model", model, version: "by-hand" as ModelVersion },
+    });
+    await converge(engine, side);
+    assert.deepEqual(engine.versions(), ["1"]);
+});
+
+test("the old version is unloaded only when the new one is ready", async () => {
+    const engine = new Engine({ checksFencing: true });
+    const side = new OrderConverger({ engine, clock: engine.clock });
+    side.receive(plan(1, 1, "1"), 0);
+    await converge(engine, side);
+    side.receive(plan(1, 2, "2"), 0);
+    await side.run();
+    assert.deepEqual(engine.versions(), ["1", "2"]);
+    await converge(engine, side);
+    assert.deepEqual(engine.versions(), ["2"]);
+});
+
+test("every state of the chart can be reached and left", () => {
+    const reached = new Set([convergerChart.initial]);
+    const frontier = [convergerChart.initial];
+    for (let state = frontier.pop(); state !== undefined; state = frontier.pop()) {
+        const from = state;
+        convergerChart.events(from).map(event => convergerChart.next(from, event)).forEach(next => {
+            if (!reached.has(next)) {
+                reached.add(next);
+                frontier.push(next);
+            }
+        });
+    }
+    assert.deepEqual([...reached].sort(), convergerChart.states().sort());
+    convergerChart.states().forEach(state => assert.ok(convergerChart.events(state).length > 0));
+});
--- /dev/null
+++ b/placement/planner/src/chooseReplicas.ts
@@ -0,0 +1,37 @@
+import { rendezvousRank } from "@knapweedwood/core.hashing/rendezvousRank";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { UpstreamObservation } from "./upstreamObservation.js";
+
+/**
+ * Picks `count` upstreams, spread evenly over zones. Within a zone those picked before stay, then those that answer,
+ * then by rendezvous rank.
+ */
+export function chooseReplicas(
+    opts: {
+        key: string;
+        count: number;
+        candidates: readonly UpstreamObservation[];
+        previous: ReadonlySet<InstanceId>;
+    },
+): UpstreamObservation[] {
+    const live = opts.candidates.filter(candidate => candidate.state === "live");
+    const ranks = new Map(
+        rendezvousRank(opts.key, live.map(candidate => candidate.instanceId)).map((
+            instanceId,
+            rank,
+        ) => [instanceId, rank]),
+    );
+    const preference = (candidate: UpstreamObservation): number =>
+        (candidate.engine === undefined ? 2 * live.length : 0)
+        + (opts.previous.has(candidate.instanceId) ? 0 : live.length)
+        + (ranks.get(candidate.instanceId) ?? 0);
+    const byZone = new Map<string, UpstreamObservation[]>();
+    [...live]
+        .sort((left, right) => preference(left) - preference(right))
+        .forEach(candidate => byZone.set(candidate.zone, [...byZone.get(candidate.zone) ?? [], candidate]));
+    const rounds = [...byZone.entries()]
+        .sort(([left], [right]) => left < right ? -1 : 1)
+        .flatMap(([, members]) => members.map((candidate, round) => ({ candidate, round })))
+        .sort((left, right) => left.round - right.round);
+    return rounds.slice(0, opts.count).map(({ candidate }) => candidate);
+}
--- /dev/null
+++ b/placement/planner/src/plannerLease.ts
@@ -0,0 +1,91 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { FencingNumber } from "@knapweedwood/core.ids/fencingNumber";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { RegionName } from "@knapweedwood/core.ids/regionName";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import { placementKeys } from "./placementKeys.js";
+
+const LEASE_TTL_MS = 10_000;
+/** Time before the lease's end at which its holder stops acting on it. */
+const LEASE_MARGIN_MS = 3_000;
+
+/**
+ * The lease of a region's planner. Its fencing number is the revision at which the holder's key was written, which
+ * only rises.
+ */
+export class PlannerLease {
+    private readonly keyValue: KeyValueService;
+    private readonly clock: Clock;
+    private readonly instanceId: InstanceId;
+    private readonly key: string;
+    private leaseId: string | undefined;
+    private number: FencingNumber | undefined;
+    private validUntilMs = 0;
+
+    constructor(opts: { keyValue: KeyValueService; clock: Clock; instanceId: InstanceId; region: RegionName; }) {
+        this.keyValue = opts.keyValue;
+        this.clock = opts.clock;
+        this.instanceId = opts.instanceId;
+        this.key = placementKeys.holder(opts.region);
+    }
+
+    /** Undefined while the lease is not held, or about to end. */
+    get fencingNumber(): FencingNumber | undefined {
+        return this.clock.nowMs() < this.validUntilMs - LEASE_MARGIN_MS ? this.number : undefined;
+    }
+
+    /**
+     * Takes the lease where it is free, or keeps it alive where it is held here. Called again and again.
+     *
+     * @returns whether it is held
+     */
+    async acquireOrKeep(): Promise<boolean> {
+        return this.leaseId === undefined ? this.acquire() : this.keep(this.leaseId);
+    }
+
+    async release(): Promise<void> {
+        const leaseId = this.leaseId;
+        this.forget();
+        if (leaseId !== undefined) {
+            await this.keyValue.revokeLease(leaseId);
+        }
+    }
+
+    private async acquire(): Promise<boolean> {
+        if (await this.keyValue.get(this.key) !== undefined) {
+            return false;
+        }
+        const startedAtMs = this.clock.nowMs();
+        const leaseId = await this.keyValue.grantLease(LEASE_TTL_MS);
+        const value = new TextEncoder().encode(this.instanceId);
+        const result = await this.keyValue.transact(
+            [{ key: this.key, modRevision: 0 }],
+            [{ kind: "put", key: this.key, value, leaseId }],
+        );
+        if (!result.succeeded) {
+            await this.keyValue.revokeLease(leaseId);
+            return false;
+        }
+        this.leaseId = leaseId;
+        this.number = result.revision as FencingNumber;
+        this.validUntilMs = startedAtMs + LEASE_TTL_MS;
+        return true;
+    }
+
+    private async keep(leaseId: string): Promise<boolean> {
+        const startedAtMs = this.clock.nowMs();
+        const leftMs = await this.keyValue.keepLeaseAlive(leaseId);
+        if (leftMs === 0) {
+            this.forget();
+            return false;
+        }
+        this.validUntilMs = startedAtMs + Math.min(leftMs, LEASE_TTL_MS);
+        return true;
+    }
+
+    private forget(): void {
+        this.leaseId = undefined;
+        this.number = undefined;
+        this.validUntilMs = 0;
+    }
+}
