--- a/admission/gate/src/engineLimits.ts
+++ b/admission/gate/src/engineLimits.ts
@@ -6,6 +6,8 @@
 const POLL_MS = 500;
 /** How old the engine's report may be. */
 const REPORT_LAG_MS = 2000;
+/** Counts within this time are kept as their highest. */
+const COUNT_RESOLUTION_MS = 100;
 const DEFAULT_LIMITS: GateState["limits"] = { maxSequences: 8, kvTokens: 16_384, prefillTokensPerStep: 512 };
 
 /** What the engine's lagging report adds to the gate's own counts: its limits, and sequences that came another way. */
@@ -41,6 +43,11 @@
     /** Notes that the number of this gate's sequences has changed. */
     countChanged(): void {
         const nowMs = this.clock.nowMs();
+        const last = this.recentCounts.at(-1);
+        if (last !== undefined && nowMs - last.atMs < COUNT_RESOLUTION_MS) {
+            last.count = Math.max(last.count, this.ownSequences());
+            return;
+        }
         const firstRecent = this.recentCounts.findLastIndex(({ atMs }) => atMs < nowMs - REPORT_LAG_MS);
         this.recentCounts.splice(0, Math.max(0, firstRecent));
         this.recentCounts.push({ atMs: nowMs, count: this.ownSequences() });
--- a/engines/model-engine/src/httpModelEngine.ts
+++ b/engines/model-engine/src/httpModelEngine.ts
@@ -58,14 +58,16 @@
             headers: generateRequest.requestId === undefined ? {} : { "x-request-id": generateRequest.requestId },
             signal: opts.signal,
         });
+        let isWhole = false;
         try {
-            yield* readGeneration(answer.body);
+            yield* readGeneration(answer.body.iterator({ destroyOnReturn: false }));
+            isWhole = true;
         }
         catch (thrown) {
             throw engineErrorOf(thrown, opts.signal);
         }
         finally {
-            answer.body.destroy();
+            release(answer.body, isWhole);
         }
     }
 
@@ -186,6 +188,15 @@
         : { ...body, knapweed_resume: { text: resume.text, tokenCount: resume.tokenCount } };
 }
 
+/** Keeps the connection of an answer that was read to its end mark; drops that of any other. */
+function release(body: Dispatcher.ResponseData["body"], isWhole: boolean): void {
+    if (isWhole) {
+        body.dump().catch(() => undefined);
+        return;
+    }
+    body.destroy();
+}
+
 async function* readGeneration(body: AsyncIterable<Uint8Array>): AsyncGenerator<GenerateEvent> {
     const reader = new CompletionChunkReader();
     for await (const data of serverSentEvents(body)) {
--- a/observability/traces/src/silentTracer.ts
+++ b/observability/traces/src/silentTracer.ts
@@ -1,8 +1,7 @@
-import { randomBytes } from "node:crypto";
+import { randomUUID } from "node:crypto";
 import type { Tracer } from "./tracer.js";
 
-const TRACE_ID_BYTES = 16;
-const SPAN_ID_BYTES = 8;
+const SPAN_ID_LENGTH = 16;
 
 /** Records nothing; keeps the trace context of the caller, so that ids in logs agree between processes. */
 export const silentTracer: Tracer = {
@@ -15,7 +14,11 @@
 };
 
 function newTraceParent(): string {
-    const traceId = randomBytes(TRACE_ID_BYTES).toString("hex");
-    const spanId = randomBytes(SPAN_ID_BYTES).toString("hex");
-    return `00-${traceId}-${spanId}-00`;
+    const spanId = randomHex().slice(0, SPAN_ID_LENGTH);
+    return `00-${randomHex()}-${spanId}-00`;
+}
+
+/** 32 hexadecimal digits. A UUID is drawn from bytes that Node.js fetches in bulk, which random bytes are not. */
+function randomHex(): string {
+    return randomUUID().replaceAll("-", "");
 }
