--- a/daemons/entry/src/main.ts
+++ b/daemons/entry/src/main.ts
@@ -20,7 +20,7 @@
     clock,
     random: new SeededRandom(randomInt(SEED_LIMIT)),
     keyValue: new EtcdKeyValueService({ baseUrl: settings.platform.keyValueUrl, clock }),
-    instanceList: new HttpInstanceList({ baseUrl: settings.platform.instanceListUrl }),
+    instanceList: new HttpInstanceList({ baseUrl: settings.platform.instanceListUrl, clock }),
     ...observers,
 });
 await runDaemon({
--- a/daemons/side/src/main.ts
+++ b/daemons/side/src/main.ts
@@ -18,7 +18,7 @@
     settings,
     clock,
     random: new SeededRandom(randomInt(SEED_LIMIT)),
-    instanceList: new HttpInstanceList({ baseUrl: settings.platform.instanceListUrl }),
+    instanceList: new HttpInstanceList({ baseUrl: settings.platform.instanceListUrl, clock }),
     ...observers,
 });
 await runDaemon({
