--- /dev/null
+++ b/bench/silent-links/src/runCall.ts
@@ -0,0 +1,28 @@
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { Link } from "@knapweedwood/links.calls/link";
+import type { CallRecord } from "./callRecord.js";
+import { streamCall } from "./streamCall.js";
+import type { StreamRequest } from "./streamRequest.js";
+
+/** Makes one call and checks each of its frames. */
+export async function runCall(link: Link, linkIndex: number, request: StreamRequest): Promise<CallRecord> {
+    const startedMs = performance.now();
+    let frameCount = 0;
+    let handlerMs = 0;
+    let isRight = true;
+    const toRecord = (outcome: CallRecord["outcome"]): CallRecord => {
+        const endedMs = performance.now();
+        return { linkIndex, startedMs, endedMs, addedMs: endedMs - startedMs - handlerMs, outcome };
+    };
+    try {
+        for await (const frame of link.call(streamCall, request)) {
+            isRight &&= frame.callId === request.callId && frame.index === frameCount && frame.runCount === 1;
+            handlerMs = frame.elapsedMs;
+            frameCount += 1;
+        }
+        return toRecord(isRight && frameCount === request.frameCount ? "complete" : "wrong");
+    }
+    catch (error) {
+        return toRecord(toKnapweedError(error).outcome === "not-run" ? "not-run" : "unknown");
+    }
+}
--- /dev/null
+++ b/bench/silent-links/src/runSilentLinks.ts
@@ -0,0 +1,119 @@
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
+import { TcpRelay } from "@knapweedwood/standins.network/tcpRelay";
+import { setTimeout as pause } from "node:timers/promises";
+import type { CallRecord } from "./callRecord.js";
+import { createBenchEndpoint } from "./createBenchEndpoint.js";
+import type { FaultRecord } from "./faultRecord.js";
+import type { LinkUnderTest } from "./linkUnderTest.js";
+import { measureIdleCost } from "./measureIdleCost.js";
+import { runCall } from "./runCall.js";
+import { runCountsCall } from "./runCountsCall.js";
+import { ServerProcesses } from "./serverProcesses.js";
+import type { SilentLinksOptions } from "./silentLinksOptions.js";
+import type { SilentLinksReport } from "./silentLinksReport.js";
+import { toAddedTime } from "./toAddedTime.js";
+
+const SERVERS = 3;
+const LINKS = 9;
+const CALL_INTERVAL_MS = 40;
+const MAX_FRAMES = 60;
+const FRAME_GAP_MS = 10;
+const FAULT_INTERVAL_MS = 300;
+const FAULT_KINDS: FaultRecord["kind"][] = ["forward", "backward", "both", "cut"];
+const FOUND_WITHIN_MS = 1000;
+const MS_PER_SECOND = 1000;
+
+/** Calls over links that go silent or are cut every now and then, and measures what that costs the calls. */
+export async function runSilentLinks(opts: SilentLinksOptions): Promise<SilentLinksReport> {
+    const servers = new ServerProcesses();
+    try {
+        const ports = await servers.start(SERVERS);
+        const idle = await measureIdleCost(ports[0]);
+        const links = await Promise.all(Array.from({ length: LINKS }, (_, index) => openLink(ports[index % SERVERS])));
+        const endsAtMs = performance.now() + opts.seconds * MS_PER_SECOND;
+        const [faults, records] = await Promise.all([
+            causeFaults(links, new SeededRandom(opts.seed), endsAtMs),
+            makeCalls(links, new SeededRandom(opts.seed + 1), endsAtMs),
+        ]);
+        const runs = await Promise.all(
+            links.slice(0, SERVERS).map(({ link }) => singleFrame(link.call(runCountsCall, {}))),
+        );
+        const replacementCount = links.reduce((sum, { relay }) => sum + relay.connectionCount - 1, 0);
+        await closeAll(links);
+        const affected = records.filter(record => isAffected(record, faults));
+        const countOf = (outcome: CallRecord["outcome"]) => records.filter(one => one.outcome === outcome).length;
+        return {
+            ...opts,
+            linkCount: LINKS,
+            faultCount: faults.length,
+            replacementCount,
+            affected: toAddedTime(affected),
+            others: toAddedTime(records.filter(record => !affected.includes(record))),
+            wrongCount: countOf("wrong"),
+            notRunCount: countOf("not-run"),
+            unknownCount: countOf("unknown"),
+            doubledCount: runs.reduce((sum, { doubled }) => sum + doubled, 0),
+            idleBytesPerSecond: idle.bytesPerSecond,
+            idleCoreShare: idle.coreShare,
+        };
+    }
+    finally {
+        servers.stop();
+    }
+}
+
+async function openLink(port: number): Promise<LinkUnderTest> {
+    const relay = new TcpRelay(port);
+    const endpoint = createBenchEndpoint(`caller-${port}`);
+    const link = endpoint.connect(await relay.listen());
+    await singleFrame(link.call(runCountsCall, {}));
+    return { relay, endpoint, link };
+}
+
+async function causeFaults(links: LinkUnderTest[], random: SeededRandom, endsAtMs: number): Promise<FaultRecord[]> {
+    const faults: FaultRecord[] = [];
+    while (performance.now() < endsAtMs) {
+        await pause(FAULT_INTERVAL_MS * 2 * random.next());
+        const linkIndex = random.nextInteger(links.length);
+        const kind = FAULT_KINDS[random.nextInteger(FAULT_KINDS.length)];
+        faults.push({ linkIndex, kind, atMs: performance.now() });
+        causeFault(links[linkIndex].relay, kind);
+    }
+    return faults;
+}
+
+function causeFault(relay: TcpRelay, kind: FaultRecord["kind"]): void {
+    if (kind === "cut") {
+        relay.cut();
+    }
+    else if (kind === "both") {
+        relay.silence("forward", "backward");
+    }
+    else {
+        relay.silence(kind);
+    }
+}
+
+async function makeCalls(links: LinkUnderTest[], random: SeededRandom, endsAtMs: number): Promise<CallRecord[]> {
+    const calls: Promise<CallRecord>[] = [];
+    for (let callId = 1; performance.now() < endsAtMs; callId += 1) {
+        const linkIndex = random.nextInteger(links.length);
+        const frameCount = 1 + random.nextInteger(MAX_FRAMES);
+        calls.push(runCall(links[linkIndex].link, linkIndex, { callId, frameCount, gapMs: FRAME_GAP_MS }));
+        await pause(CALL_INTERVAL_MS * 2 * random.next() / links.length);
+    }
+    return Promise.all(calls);
+}
+
+function isAffected(record: CallRecord, faults: readonly FaultRecord[]): boolean {
+    return faults.some(fault =>
+        fault.linkIndex === record.linkIndex && fault.atMs <= record.endedMs
+        && record.startedMs <= fault.atMs + FOUND_WITHIN_MS
+    );
+}
+
+async function closeAll(links: LinkUnderTest[]): Promise<void> {
+    await Promise.all(links.map(({ endpoint }) => endpoint.close(0)));
+    links.forEach(({ relay }) => relay.close());
+}
--- /dev/null
+++ b/bench/silent-links/src/silentLinksOptions.ts
@@ -0,0 +1,5 @@
+/** Options of the bench. */
+export interface SilentLinksOptions {
+    seconds: number;
+    seed: number;
+}
--- /dev/null
+++ b/bench/silent-links/src/streamRequest.ts
@@ -0,0 +1,6 @@
+/** Asks for a stream of frames. */
+export interface StreamRequest {
+    callId: number;
+    frameCount: number;
+    gapMs: number;
+}
--- a/links/endpoint/src/defaultLinkLimits.ts
+++ b/links/endpoint/src/defaultLinkLimits.ts
@@ -6,7 +6,7 @@
 /** Limits that find a silent link in under half a second. */
 export const defaultLinkLimits: LinkLimits = {
     heartbeatIntervalMs: 100,
-    idleHeartbeatIntervalMs: 500,
+    idleHeartbeatIntervalMs: 1000,
     silentAfterMs: 400,
     connectTimeoutMs: 500,
     openTimeoutMs: 1000,
--- a/links/endpoint/src/dialedLink.ts
+++ b/links/endpoint/src/dialedLink.ts
@@ -126,7 +126,7 @@
     }
 
     private onWelcome(from: LinkConnection, message: MessageOf<"welcome">): void {
-        const { limits, random } = this.tools;
+        const { limits } = this.tools;
         if (!message.resumed && this.session.hasTraffic) {
             this.session.restart(new KnapweedError("LINK_PEER_REPLACED", "The other end has forgotten the session"));
         }
@@ -139,7 +139,7 @@
             intervalMs: limits.heartbeatIntervalMs,
             idleIntervalMs: limits.idleHeartbeatIntervalMs,
             silentAfterMs: limits.silentAfterMs,
-            random,
+            phaseMs: this.tools.heartbeatPhaseMs,
         });
         this.attach(from, message.identity, message.received, message.maxMessageBytes);
         this.report(message.resumed ? "link.resumed" : "link.opened");
--- a/links/endpoint/src/heartbeatMonitor.ts
+++ b/links/endpoint/src/heartbeatMonitor.ts
@@ -1,11 +1,11 @@
-import type { Random } from "@knapweedwood/core.random/random";
 import type { HeartbeatDecision } from "./heartbeatDecision.js";
 
 interface HeartbeatMonitorOptions {
     intervalMs: number;
     idleIntervalMs: number;
     silentAfterMs: number;
-    random: Random;
+    /** Offset of this process's heartbeats, so that processes don't send theirs at the same moments. */
+    phaseMs: number;
 }
 
 interface UnansweredPing {
@@ -13,7 +13,9 @@
     sentAtMs: number;
 }
 
-const JITTER_SHARE = 0.1;
+/** Part of the interval to whose multiples heartbeats are put off, so that a process wakes once for many links. */
+const ALIGNMENT_SHARE = 0.25;
+const TIMER_TOLERANCE_MS = 2;
 
 /**
  * Judges a connection by its round trips, so that silence in either direction is seen. Pings are sent more often
@@ -36,9 +38,9 @@
 
     tick(nowMs: number, isBusy: boolean): HeartbeatDecision {
         this.excuseStall(nowMs);
-        const intervalMs = this.jittered(isBusy ? this.opts.intervalMs : this.opts.idleIntervalMs);
-        const ping = nowMs - this.lastPingAtMs >= intervalMs * (1 - JITTER_SHARE)
-            ? this.sendPing(nowMs, intervalMs)
+        const intervalMs = isBusy ? this.opts.intervalMs : this.opts.idleIntervalMs;
+        const ping = nowMs - this.lastPingAtMs >= intervalMs - TIMER_TOLERANCE_MS
+            ? this.sendPing(nowMs, intervalMs * (1 + ALIGNMENT_SHARE))
             : undefined;
         const nextTickMs = this.nextTickMs(nowMs, intervalMs);
         this.nextTickAtMs = nowMs + nextTickMs;
@@ -58,12 +60,17 @@
         if (ageMs >= this.opts.silentAfterMs) {
             return "silent";
         }
-        return ageMs >= this.opts.intervalMs * (1 - JITTER_SHARE) ? "suspect" : "alive";
+        return ageMs >= this.opts.intervalMs - TIMER_TOLERANCE_MS ? "suspect" : "alive";
     }
 
     private nextTickMs(nowMs: number, intervalMs: number): number {
-        const nextPingMs = Math.max(1, this.lastPingAtMs + intervalMs - nowMs);
-        return this.unanswered.length === 0 ? nextPingMs : Math.min(nextPingMs, this.opts.intervalMs);
+        const nextPingMs = Math.max(1, this.aligned(this.lastPingAtMs + intervalMs, intervalMs) - nowMs);
+        const oldest = this.unanswered.at(0);
+        if (oldest === undefined) {
+            return nextPingMs;
+        }
+        const silentInMs = Math.max(1, oldest.sentAtMs + this.opts.silentAfterMs - nowMs);
+        return Math.min(nextPingMs, silentInMs, this.opts.intervalMs);
     }
 
     private excuseStall(nowMs: number): void {
@@ -71,7 +78,9 @@
         this.unanswered = this.unanswered.map(ping => ({ ...ping, sentAtMs: ping.sentAtMs + stallMs }));
     }
 
-    private jittered(intervalMs: number): number {
-        return intervalMs * (1 + JITTER_SHARE * (2 * this.opts.random.next() - 1));
+    private aligned(timeMs: number, intervalMs: number): number {
+        const alignmentMs = intervalMs * ALIGNMENT_SHARE;
+        const phaseMs = this.opts.phaseMs;
+        return Math.ceil((timeMs - phaseMs) / alignmentMs) * alignmentMs + phaseMs;
     }
 }
--- a/links/endpoint/src/incomingCalls.ts
+++ b/links/endpoint/src/incomingCalls.ts
@@ -118,8 +118,9 @@
         if (timeoutMs === undefined) {
             return () => undefined;
         }
-        const error = new KnapweedError("LINK_DEADLINE_EXCEEDED", "The call is past its deadline");
-        const timer = this.opts.clock.setTimer(timeoutMs, () => call.abort(error));
+        const timer = this.opts.clock.setTimer(timeoutMs, () => {
+            call.abort(new KnapweedError("LINK_DEADLINE_EXCEEDED", "The call is past its deadline"));
+        });
         return () => timer.cancel();
     }
 }
--- a/links/endpoint/src/linkTools.ts
+++ b/links/endpoint/src/linkTools.ts
@@ -17,4 +17,6 @@
     codec: MessageCodec;
     limits: LinkLimits;
     registry: CallRegistry;
+    /** Offset of this process's heartbeats, in milliseconds. */
+    heartbeatPhaseMs: number;
 }
--- a/links/endpoint/src/webSocketLinkEndpoint.ts
+++ b/links/endpoint/src/webSocketLinkEndpoint.ts
@@ -36,15 +36,18 @@
         this.opts = opts;
         this.identity = opts.identity;
         this.tls = opts.tls;
+        const limits = { ...defaultLinkLimits, ...opts.limits };
+        const random = opts.random ?? new SeededRandom(randomInt(MAX_SEED));
         this.tools = {
             identity: opts.identity,
             clock: opts.clock,
-            random: opts.random ?? new SeededRandom(randomInt(MAX_SEED)),
+            random,
             logger: opts.logger,
             metrics: opts.metrics,
             codec: new MessageCodec(),
-            limits: { ...defaultLinkLimits, ...opts.limits },
+            limits,
             registry: new CallRegistry(),
+            heartbeatPhaseMs: random.next() * limits.idleHeartbeatIntervalMs,
         };
         this.server = new LinkServer({ tools: this.tools, host: opts.host, port: opts.port, tls: opts.tls });
     }
--- a/links/endpoint/test/linkFaults.test.ts
+++ b/links/endpoint/test/linkFaults.test.ts
@@ -2,6 +2,7 @@
 import { collectFrames } from "@knapweedwood/links.calls/collectFrames";
 import { defineCall } from "@knapweedwood/links.calls/defineCall";
 import type { Link } from "@knapweedwood/links.calls/link";
+import { TcpRelay } from "@knapweedwood/standins.network/tcpRelay";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { test, type TestContext } from "node:test";
@@ -9,7 +10,6 @@
 import { WebSocket } from "ws";
 import type { WebSocketLinkEndpoint } from "../src/webSocketLinkEndpoint.js";
 import { createTestEndpoint } from "./createTestEndpoint.js";
-import { TcpRelay } from "./tcpRelay.js";
 import { testIdentity } from "./testIdentity.js";
 
 interface CountRequest {
--- a/links/endpoint/test/tcpRelay.ts
+++ b/standins/network/src/tcpRelay.ts
@@ -1,17 +1,22 @@
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import type { NetworkDirection } from "./networkDirection.js";
 
-type Direction = "forward" | "backward";
+interface RelayedConnection {
+    near: Socket;
+    far: Socket;
+    silent: Set<NetworkDirection>;
+}
 
 /** A TCP relay that can cut its connections, or let them go silent in either direction while new ones work. */
 export class TcpRelay {
     private readonly targetPort: number;
     private readonly server: Server;
-    private pairs: { near: Socket; far: Socket; silent: Set<Direction>; }[] = [];
+    private readonly pairs: RelayedConnection[] = [];
     private cutAfterBytes = Number.POSITIVE_INFINITY;
 
     constructor(targetPort: number) {
         this.targetPort = targetPort;
-        this.server = createServer(near => this.onConnection(near));
+        this.server = createServer({ noDelay: true }, near => this.onConnection(near));
     }
 
     /** @returns the address of the relay, as `host:port` */
@@ -26,7 +31,7 @@
     }
 
     /** Lets the connections of now go silent for good: nothing passes any more, not even their end. */
-    silence(...directions: Direction[]): void {
+    silence(...directions: NetworkDirection[]): void {
         this.pairs.forEach(pair => directions.forEach(direction => pair.silent.add(direction)));
     }
 
@@ -48,8 +53,8 @@
     }
 
     private onConnection(near: Socket): void {
-        const far = connect(this.targetPort, "127.0.0.1");
-        const silent = new Set<Direction>();
+        const far = connect({ port: this.targetPort, host: "127.0.0.1", noDelay: true });
+        const silent = new Set<NetworkDirection>();
         let carriedBytes = 0;
         this.pairs.push({ near, far, silent });
         near.on("data", data => silent.has("forward") || far.write(data));
