--- /dev/null
+++ b/bench/affinity/src/simulatedUpstream.ts
@@ -0,0 +1,76 @@
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import { PrefixCache } from "@knapweedwood/standins.engine/prefixCache";
+import type { PromptArrival } from "./promptArrival.js";
+
+const SLOTS = 16;
+const CACHE_TOKENS = 24_000;
+const CHARACTERS_PER_TOKEN = 4;
+const PREFILL_MS_PER_TOKEN = 0.4;
+
+interface Running {
+    endsAtMs: number;
+}
+
+/** A model engine: reads one prompt at a time, then produces the answers of up to 16 at once. */
+export class SimulatedUpstream {
+    readonly instanceId: InstanceId;
+    promptTokens = 0;
+    cachedTokens = 0;
+    /** Time from arrival to the first token, shape [requests]. */
+    readonly firstTokenMs: number[] = [];
+    private readonly cache: PrefixCache;
+    private readonly queue: PromptArrival[] = [];
+    private running: Running[] = [];
+    private prefillUntilMs = 0;
+
+    constructor(instanceId: InstanceId, onCacheChange: (kind: "stored" | "evicted", blockHashes: string[]) => void) {
+        this.instanceId = instanceId;
+        this.cache = new PrefixCache({ limitTokens: CACHE_TOKENS, onChange: onCacheChange });
+    }
+
+    get runningCount(): number {
+        return this.running.length;
+    }
+
+    get queuedCount(): number {
+        return this.queue.length;
+    }
+
+    enqueue(arrival: PromptArrival): void {
+        this.queue.push(arrival);
+    }
+
+    /** Time to the first token that a prompt would have here now, in milliseconds. */
+    costOf(prompt: string, nowMs: number): number {
+        const waitingTokens = this.queue.reduce((sum, { prompt: other }) => sum + this.missingTokens(other), 0);
+        const prefillMs = (waitingTokens + this.missingTokens(prompt)) * PREFILL_MS_PER_TOKEN;
+        const slotsWaitMs = Math.max(0, this.running.length + this.queue.length - SLOTS + 1) * PREFILL_MS_PER_TOKEN;
+        return Math.max(0, this.prefillUntilMs - nowMs) + prefillMs + slotsWaitMs * 1000;
+    }
+
+    /** Moves time on. @returns how many requests have ended */
+    advance(nowMs: number): number {
+        const before = this.running.length;
+        this.running = this.running.filter(({ endsAtMs }) => endsAtMs > nowMs);
+        const endedCount = before - this.running.length;
+        while (this.queue.length > 0 && this.running.length < SLOTS && this.prefillUntilMs <= nowMs) {
+            this.start(this.queue.shift()!, nowMs);
+        }
+        return endedCount;
+    }
+
+    private start(arrival: PromptArrival, nowMs: number): void {
+        const tokens = Math.ceil(arrival.prompt.length / CHARACTERS_PER_TOKEN);
+        const missing = this.missingTokens(arrival.prompt);
+        this.cache.store(arrival.prompt);
+        this.promptTokens += tokens;
+        this.cachedTokens += tokens - missing;
+        this.prefillUntilMs = nowMs + missing * PREFILL_MS_PER_TOKEN;
+        this.firstTokenMs.push(this.prefillUntilMs - arrival.atMs);
+        this.running.push({ endsAtMs: this.prefillUntilMs + arrival.decodeMs });
+    }
+
+    private missingTokens(prompt: string): number {
+        return Math.ceil(prompt.length / CHARACTERS_PER_TOKEN) - this.cache.matchTokens(prompt);
+    }
+}
--- a/routing/choice/src/affinityChooser.ts
+++ b/routing/choice/src/affinityChooser.ts
@@ -17,7 +17,7 @@
 import type { WeightedLoad } from "./weightedLoad.js";
 
 const DEFAULT_SUBSET_SIZE = 24;
-const DEFAULT_AFFINITY_LOAD_FACTOR = 1.25;
+const DEFAULT_AFFINITY_LOAD_FACTOR = 1.6;
 const DEFAULT_ZONE_LOAD_FACTOR = 1.5;
 const DEFAULT_SLOW_START_MS = 10_000;
 const DEFAULT_MAX_INDEXED_BLOCKS = 4096;
