--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -106,6 +106,7 @@
         await this.configuration.stop();
         await this.watcher.stop();
         await this.monitor.stop();
+        await this.gate?.close();
         await this.endpoint.close();
         await this.plain?.close();
         logger.info("side.stopped");
