perf(admission): no batch work while an online prefill takes several steps

Cause: first tokens of long prompts make the online tail, and each batch sequence lengthened each of their steps. Change: batch work leaves as long as an online prefill needs more than one step; expected arrivals are held free rounded down.

--- a/admission/gate/src/batchRoom.ts
+++ b/admission/gate/src/batchRoom.ts
@@ -8,9 +8,6 @@
 /** Standard deviations of the expected arrivals that are kept free. */
 const HEAD_ROOM_DEVIATIONS = 1;
 
-/** While an online prefill takes several steps, batch work may lengthen them by this share of the objective. */
-const LONG_PREFILL_SHARE = 0.03;
-
 /** What the next step of the engine has left for batch work, after online work and head-room. */
 export class BatchRoom {
     private readonly state: GateState;
@@ -50,7 +47,7 @@
         return this.onlineSequences + this.batchSequences > this.state.limits.maxSequences
             || this.onlineKvTokens + this.batchKvTokens > this.state.limits.kvTokens
             || this.isStepExceeded(0)
-            || this.delaysLongPrefill();
+            || this.hasLongPrefill;
     }
 
     /** Sequences that batch work could add. */
@@ -75,7 +72,7 @@
         if (this.freeSequences === 0 || !this.hasKvTokens(item)) {
             return false;
         }
-        if (this.isStepExceeded(item.prefillTokens, 1) || this.delaysLongPrefill(1)) {
+        if (this.hasLongPrefill || this.isStepExceeded(item.prefillTokens, 1)) {
             return false;
         }
         this.hold(item);
@@ -105,11 +102,9 @@
         return this.stepMs(addedPrefillTokens, addedSequences) > this.limitMs;
     }
 
-    private delaysLongPrefill(addedSequences = 0): boolean {
-        const { costs, limits, objective } = this.state;
-        const addedMs = costs.perSequenceMs * (this.batchSequences + addedSequences);
-        return this.onlinePrefillTokens > limits.prefillTokensPerStep
-            && addedMs > LONG_PREFILL_SHARE * objective.tokenGapObjectiveMs;
+    /** Whether an online prefill takes several steps, each of which batch work would lengthen. */
+    private get hasLongPrefill(): boolean {
+        return this.onlinePrefillTokens > this.state.limits.prefillTokensPerStep;
     }
 
     private stepMs(addedPrefillTokens: number, addedSequences = 0): number {
@@ -124,7 +119,7 @@
 function expectedArrivals(state: GateState): number {
     const stepMs = Math.max(state.objective.tokenGapObjectiveMs, state.costs.fixedMs);
     const expected = state.online.arrivalsPerSecond * HEAD_ROOM_STEPS * stepMs / MS_PER_SECOND;
-    return Math.ceil(expected + HEAD_ROOM_DEVIATIONS * Math.sqrt(expected));
+    return Math.floor(expected + HEAD_ROOM_DEVIATIONS * Math.sqrt(expected));
 }
 
 function sumOf(items: WorkSize[], field: keyof WorkSize): number {
--- a/bench/mixed/src/trial.ts
+++ b/bench/mixed/src/trial.ts
@@ -2,6 +2,8 @@
 import { BatchOffPolicy } from "@knapweedwood/admission.gate/batchOffPolicy";
 import { FirstComeFirstServedPolicy } from "@knapweedwood/admission.gate/firstComeFirstServedPolicy";
 import { OnlineFirstPolicy } from "@knapweedwood/admission.gate/onlineFirstPolicy";
+import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
+import { writeFileSync } from "node:fs";
 import { batchItemMeans } from "./batchItemMeans.js";
 import { benchStepModel } from "./benchStepModel.js";
 import { createWorkload } from "./createWorkload.js";
@@ -77,6 +79,12 @@
     }
     const d = await run(() => new OnlineFirstPolicy(), true);
     show("d", d);
+    if (process.env.DUMP) {
+        writeFileSync(process.env.DUMP, JSON.stringify({
+            a: a.firstTokenMs, d: d.firstTokenMs, share: d.batchTokens / bound, gap: d.tokenGap.p99Ms / a.tokenGap.p99Ms,
+            preempts: d.preemptions, prompt: arrivals.map(x => promptTextOf(x.request.body).length / 4),
+        }));
+    }
     if (process.env.WORST) {
         arrivals.map((arrival, i) => ({
             at: Math.round(arrival.atMs),
