--- a/config/settings/src/sideSettingsSchema.ts
+++ b/config/settings/src/sideSettingsSchema.ts
@@ -11,6 +11,8 @@
         /** Base URL of the upstream, such as `http://127.0.0.1:8001`. */
         url: z.string(),
     }),
+    /** How the gate admits work; the other policies are baselines for measurements. */
+    admissionPolicy: z.enum(["online-first", "first-come-first-served", "batch-off"]).default("online-first"),
     platform: z.strictObject({
         instanceListUrl: z.string(),
         weightStoreUrl: z.string().optional(),
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -1,3 +1,4 @@
+import { createAdmissionPolicy } from "@knapweedwood/admission.gate/createAdmissionPolicy";
 import { Gate } from "@knapweedwood/admission.gate/gate";
 import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
 import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
@@ -132,9 +133,10 @@
     }
 
     private createGate(engine: HttpModelEngine): Gate {
-        const { clock, random, logger, metrics } = this.opts;
+        const { clock, random, logger, metrics, settings } = this.opts;
         return new Gate({
             engine,
+            policy: createAdmissionPolicy(settings.admissionPolicy),
             clock,
             logger,
             metrics,
