--- /dev/null
+++ b/bench/mixed/src/callRecord.ts
@@ -0,0 +1,8 @@
+/** What came of one online call. Times are by `performance.now()`. */
+export interface CallRecord {
+    dueMs: number;
+    /** Shape [tokens]. */
+    tokenTimesMs: number[];
+    isWhole: boolean;
+    failure: string | undefined;
+}
--- a/bench/mixed/src/createWorkload.ts
+++ b/bench/mixed/src/createWorkload.ts
@@ -16,13 +16,14 @@
 /** Open-loop arrivals: a diurnal base, bursts of seconds, heavy-tailed lengths and shared prefixes. */
 export function createWorkload(opts: WorkloadOptions): OnlineArrival[] {
     const random = new SeededRandom(opts.seed);
-    const prefixes = Array.from({ length: SHARED_PREFIXES }, () => textOf(random, SHARED_PREFIX_CHARACTERS));
+    const texts = new SeededRandom(opts.textSeed);
+    const prefixes = Array.from({ length: SHARED_PREFIXES }, () => textOf(texts, SHARED_PREFIX_CHARACTERS));
     const bursts = createBursts(random, opts);
     const peakRate = opts.baseRatePerSecond * (1 + DIURNAL_SHARE) * opts.burstFactor;
     const arrivals: OnlineArrival[] = [];
     for (let atMs = gapMs(random, peakRate); atMs < opts.durationMs; atMs += gapMs(random, peakRate)) {
         if (random.next() < rateAt(atMs, opts, bursts) / peakRate) {
-            arrivals.push(createArrival(random, { atMs, prefixes, opts, index: arrivals.length }));
+            arrivals.push(createArrival(random, { atMs, prefixes, texts, opts, index: arrivals.length }));
         }
     }
     return arrivals;
@@ -56,10 +57,10 @@
 
 function createArrival(
     random: Random,
-    part: { atMs: number; prefixes: string[]; opts: WorkloadOptions; index: number; },
+    part: { atMs: number; prefixes: string[]; texts: Random; opts: WorkloadOptions; index: number; },
 ): OnlineArrival {
     const prefix = part.prefixes[random.nextInteger(part.prefixes.length)];
-    const question = textOf(random, sampleLogNormal(random, PROMPT_CHARACTERS));
+    const question = textOf(part.texts, sampleLogNormal(random, PROMPT_CHARACTERS));
     const answerTokens = sampleLogNormal(random, ANSWER_TOKENS);
     const body = {
         model: part.opts.model,
--- /dev/null
+++ b/bench/mixed/src/engineMain.ts
@@ -0,0 +1,16 @@
+import { readChildSettings } from "@knapweedwood/bench.overhead/readChildSettings";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { EngineServer } from "@knapweedwood/standins.engine/engineServer";
+import type { EngineSettings } from "./engineSettings.js";
+
+const HOST = "127.0.0.1";
+
+const settings = readChildSettings<EngineSettings>();
+const server = new EngineServer({
+    clock: new SystemClock(),
+    seed: settings.seed,
+    models: settings.models.map(model => ({ model, version: "1" })),
+    checksFencing: true,
+    stepModel: settings.stepModel,
+});
+await server.listen({ host: HOST, port: settings.port });
--- /dev/null
+++ b/bench/mixed/src/onlineCaller.ts
@@ -0,0 +1,55 @@
+import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import { serverSentEvents } from "@knapweedwood/engines.model-engine/serverSentEvents";
+import { Agent, request } from "undici";
+import type { CallRecord } from "./callRecord.js";
+
+const OK = 200;
+const TOKEN_MARK = '"content":"';
+const END_OF_STREAM = "[DONE]";
+
+/** Sends online calls to the entries in turn, as callers' clients do, and takes the times of their tokens. */
+export class OnlineCaller {
+    private readonly opts: { entryUrls: string[]; key: string; };
+    private readonly agent = new Agent({ connections: 512, pipelining: 1 });
+    private turn = 0;
+
+    constructor(opts: OnlineCaller["opts"]) {
+        this.opts = opts;
+    }
+
+    /** @param dueMs when the call was to be sent, by `performance.now()`; its wait counts from then */
+    async call(body: JsonObject, dueMs: number): Promise<CallRecord> {
+        this.turn += 1;
+        const tokenTimesMs: number[] = [];
+        try {
+            const answer = await request(
+                `${this.opts.entryUrls[this.turn % this.opts.entryUrls.length]}/v1/chat/completions`,
+                {
+                    dispatcher: this.agent,
+                    method: "POST",
+                    headers: { "content-type": "application/json", "authorization": `Bearer ${this.opts.key}` },
+                    body: JSON.stringify({ ...body, stream: true }),
+                },
+            );
+            if (answer.statusCode !== OK) {
+                const text = await answer.body.text();
+                return { dueMs, tokenTimesMs, isWhole: false, failure: `${answer.statusCode} ${text}` };
+            }
+            let isWhole = false;
+            for await (const data of serverSentEvents(answer.body)) {
+                isWhole ||= data === END_OF_STREAM;
+                if (data.includes(TOKEN_MARK)) {
+                    tokenTimesMs.push(performance.now());
+                }
+            }
+            return { dueMs, tokenTimesMs, isWhole, failure: undefined };
+        }
+        catch (thrown) {
+            return { dueMs, tokenTimesMs, isWhole: false, failure: String(thrown) };
+        }
+    }
+
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+}
--- /dev/null
+++ b/bench/mixed/src/serviceFileOf.ts
@@ -0,0 +1,20 @@
+/** The service file of the experiment: one service a model. */
+export function serviceFileOf(opts: {
+    models: string[];
+    tokenGapObjectiveMs: number;
+    batchBalance: number;
+}): string {
+    const services = opts.models.flatMap(model => [
+        `  - name: ${model}`,
+        "    team: bench",
+        "    kind: model-engine",
+        "    models:",
+        `      - { name: ${model}, version: "1" }`,
+        "    replicas: 1",
+        "    repeatable: true",
+        "    deadlineMs: 60000",
+        `    tokenGapObjectiveMs: ${opts.tokenGapObjectiveMs}`,
+        `    batchBalance: ${opts.batchBalance}`,
+    ]);
+    return ["teams:", "  - teamId: bench", "    displayName: Bench", "services:", ...services, ""].join("\n");
+}
--- a/bench/mixed/src/simulateArm.ts
+++ b/bench/mixed/src/simulateArm.ts
@@ -108,10 +108,9 @@
 }
 
 function sumTotals(totals: EngineTotals[]): EngineTotals {
-    return totals.reduce((sum, total) => ({
-        steps: sum.steps + total.steps,
-        busyMs: sum.busyMs + total.busyMs,
-        decodeTokens: sum.decodeTokens + total.decodeTokens,
-        prefillTokens: sum.prefillTokens + total.prefillTokens,
-    }));
+    return totals.reduce((sum, total) =>
+        Object.fromEntries(
+            Object.entries(sum).map(([field, value]) => [field, value + total[field as keyof EngineTotals]]),
+        ) as unknown as EngineTotals
+    );
 }
--- a/bench/mixed/src/trial.ts
+++ b/bench/mixed/src/trial.ts
@@ -19,6 +19,7 @@
     const durationMs = seconds * 1000;
     const arrivals = createWorkload({
         seed,
+        textSeed: seed,
         durationMs,
         baseRatePerSecond: 30,
         burstFactor: 3,
@@ -80,10 +81,17 @@
     const d = await run(() => new OnlineFirstPolicy(), true);
     show("d", d);
     if (process.env.DUMP) {
-        writeFileSync(process.env.DUMP, JSON.stringify({
-            a: a.firstTokenMs, d: d.firstTokenMs, share: d.batchTokens / bound, gap: d.tokenGap.p99Ms / a.tokenGap.p99Ms,
-            preempts: d.preemptions, prompt: arrivals.map(x => promptTextOf(x.request.body).length / 4),
-        }));
+        writeFileSync(
+            process.env.DUMP,
+            JSON.stringify({
+                a: a.firstTokenMs,
+                d: d.firstTokenMs,
+                share: d.batchTokens / bound,
+                gap: d.tokenGap.p99Ms / a.tokenGap.p99Ms,
+                preempts: d.preemptions,
+                prompt: arrivals.map(x => promptTextOf(x.request.body).length / 4),
+            }),
+        );
     }
     if (process.env.WORST) {
         arrivals.map((arrival, i) => ({
--- a/bench/mixed/src/workloadOptions.ts
+++ b/bench/mixed/src/workloadOptions.ts
@@ -1,6 +1,8 @@
 /** Shape of a workload. */
 export interface WorkloadOptions {
     seed: number;
+    /** Seed of the texts alone: another one gives the same arrivals and lengths with other words. */
+    textSeed: number;
     durationMs: number;
     /** Mean rate outside bursts, over the whole fleet. */
     baseRatePerSecond: number;
--- a/standins/engine/src/engineCore.ts
+++ b/standins/engine/src/engineCore.ts
@@ -17,7 +17,16 @@
  */
 export class EngineCore {
     readonly prefixCache: PrefixCache;
-    readonly totals: EngineTotals = { steps: 0, busyMs: 0, decodeTokens: 0, prefillTokens: 0 };
+    readonly totals: EngineTotals = {
+        steps: 0,
+        busyMs: 0,
+        decodeTokens: 0,
+        batchDecodeTokens: 0,
+        prefillTokens: 0,
+        batchCancelled: 0,
+        batchCancelledTokens: 0,
+        batchResumedTokens: 0,
+    };
     /** Multiplies the duration of each step. */
     slowFactor = 1;
     private readonly clock: Clock;
@@ -47,6 +56,7 @@
     /** Queues a request. */
     submit(request: GenerateRequest, sink: SequenceSink): EngineSequence {
         const sequence = new EngineSequence(request, sink);
+        this.totals.batchResumedTokens += sequence.isBatch ? sequence.tokenCount : 0;
         this.waiting.push(sequence);
         this.startStepping();
         return sequence;
@@ -60,6 +70,10 @@
 
     /** Stops a sequence; it leaves the batch at the end of the current step. */
     cancel(sequence: EngineSequence): void {
+        if (sequence.isBatch && !sequence.isFinished && !sequence.isCancelled) {
+            this.totals.batchCancelled += 1;
+            this.totals.batchCancelledTokens += sequence.tokenCount;
+        }
         sequence.isCancelled = true;
         this.waiting = this.waiting.filter(other => other !== sequence);
     }
@@ -136,6 +150,7 @@
             .forEach(sequence => this.prefixCache.store(sequence.prompt));
         ready.forEach(sequence => sequence.produceToken());
         this.totals.decodeTokens += ready.length;
+        this.totals.batchDecodeTokens += ready.filter(sequence => sequence.isBatch).length;
         const finished = ready.filter(sequence => sequence.isFinished);
         this.running = this.running.filter(sequence => !finished.includes(sequence));
         finished.forEach(sequence => {
--- a/standins/engine/src/engineSequence.ts
+++ b/standins/engine/src/engineSequence.ts
@@ -11,6 +11,8 @@
 export class EngineSequence {
     readonly sink: SequenceSink;
     readonly prompt: string;
+    /** Whether the request says that it is batch work, for the totals only. */
+    readonly isBatch: boolean;
     readonly promptTokens: number;
     readonly finishReason: "length" | "stop";
     readonly tokenTarget: number;
@@ -22,6 +24,7 @@
 
     constructor(request: GenerateRequest, sink: SequenceSink) {
         this.sink = sink;
+        this.isBatch = request.body.user === "batch";
         this.prompt = promptTextOf(request.body);
         this.promptHash = textHash(this.prompt);
         this.promptTokens = tokensIn(this.prompt);
