--- a/admission/gate/src/batchRoom.ts
+++ b/admission/gate/src/batchRoom.ts
@@ -16,6 +16,7 @@
     private readonly onlineSequences: number;
     private readonly onlinePrefillTokens: number;
     private readonly onlineKvTokens: number;
+    private blockingPrefills: number;
     private batchSequences: number;
     private batchPrefillTokens: number;
     private batchKvTokens: number;
@@ -28,6 +29,7 @@
         this.onlineSequences = state.online.running + admitOnline + state.foreignSequences;
         this.onlinePrefillTokens = state.online.prefillTokens + sumOf(admitted, "prefillTokens");
         this.onlineKvTokens = state.online.kvTokens + sumOf(admitted, "kvTokens");
+        this.blockingPrefills = running.filter(item => this.isBlocking(item)).length;
         this.batchSequences = running.length;
         this.batchPrefillTokens = sumOf(running.filter(item => item.isPending), "prefillTokens");
         this.batchKvTokens = sumOf(running, "kvTokens");
@@ -47,7 +49,13 @@
         return this.onlineSequences + this.batchSequences > this.state.limits.maxSequences
             || this.onlineKvTokens + this.batchKvTokens > this.state.limits.kvTokens
             || this.isStepExceeded(0)
-            || this.hasLongPrefill;
+            || this.hasLongPrefill
+            || (this.blockingPrefills > 0 && this.onlinePrefillTokens > 0);
+    }
+
+    /** Whether the prefill of an item holds up, over several steps, all that come after it. */
+    isBlocking(item: RunningBatchItem): boolean {
+        return (item.isPrefilling || item.isPending) && this.isOversized(item);
     }
 
     /** Sequences that batch work could add. */
@@ -61,6 +69,7 @@
 
     /** Gives back what a cancelled item held. @returns true */
     free(item: RunningBatchItem): boolean {
+        this.blockingPrefills -= this.isBlocking(item) ? 1 : 0;
         this.batchSequences -= 1;
         this.batchPrefillTokens -= item.isPending ? item.prefillTokens : 0;
         this.batchKvTokens -= item.kvTokens;
@@ -72,7 +81,7 @@
         if (this.freeSequences === 0 || !this.hasKvTokens(item)) {
             return false;
         }
-        if (this.hasLongPrefill || this.isStepExceeded(item.prefillTokens, 1)) {
+        if (this.hasLongPrefill || this.isOversized(item) || this.isStepExceeded(item.prefillTokens, 1)) {
             return false;
         }
         this.hold(item);
@@ -102,6 +111,10 @@
         return this.stepMs(addedPrefillTokens, addedSequences) > this.limitMs;
     }
 
+    private isOversized(item: WorkSize): boolean {
+        return item.prefillTokens > this.state.limits.prefillTokensPerStep;
+    }
+
     /** Whether an online prefill takes several steps, each of which batch work would lengthen. */
     private get hasLongPrefill(): boolean {
         return this.onlinePrefillTokens > this.state.limits.prefillTokensPerStep;
--- a/admission/gate/src/gate.ts
+++ b/admission/gate/src/gate.ts
@@ -271,6 +271,7 @@
                         producedTokens: run.producedTokens,
                         dueAtMs: item.dueAtMs,
                         isPending: this.streams.isPending(run.stream),
+                        isPrefilling: !run.stream.hasFirstToken && !this.streams.isPending(run.stream),
                     }
                 ),
                 waiting: items.flatMap(({ key, item, size, run, waitingSinceMs, isResumed }) =>
--- a/admission/gate/src/gateState.ts
+++ b/admission/gate/src/gateState.ts
@@ -17,6 +17,8 @@
     dueAtMs: number;
     /** Whether the engine can't have taken it into a step yet. */
     isPending: boolean;
+    /** Whether the engine has begun its prefill and not ended it. */
+    isPrefilling: boolean;
 }
 
 /** A batch item that waits at the gate. */
--- a/admission/gate/src/onlineFirstPolicy.ts
+++ b/admission/gate/src/onlineFirstPolicy.ts
@@ -35,7 +35,10 @@
             return [];
         }
         return [...state.batch.running]
-            .sort((left, right) => compareCostOfCancel(left, right))
+            .sort((left, right) =>
+                Number(room.isBlocking(right)) - Number(room.isBlocking(left))
+                || compareCostOfCancel(left, right)
+            )
             .filter(item => room.isExceeded && room.free(item));
     }
 
