fix(batch): lose no item with the answer of a pull, commit each claim once

Cause: the fuzz found items stuck at a gate that never got them, a claim that waited for itself, and an unhandled rejection of a commit round. Change: numbered pulls that an entry answers once and gives back where the answer was lost; committed claims are known.

--- a/batch/owner/src/batchRole.ts
+++ b/batch/owner/src/batchRole.ts
@@ -20,6 +20,7 @@
 import type { BatchRoleOptions } from "./batchRoleOptions.js";
 import { handOutItems } from "./handOutItems.js";
 import { PartitionOwner } from "./partitionOwner.js";
+import { PullLedger } from "./pullLedger.js";
 import { TeamShares } from "./teamShares.js";
 
 const OBSERVE_INTERVAL_MS = 1000;
@@ -33,6 +34,7 @@
     private readonly ownership: PartitionOwnership;
     private readonly owners = new Map<PartitionId, PartitionOwner>();
     private readonly shares: TeamShares;
+    private readonly pulls = new PullLedger({ giveBack: (items, peer) => this.giveBack(items, peer) });
     private readonly stopping = new AbortController();
     private entries: InstanceId[] = [];
     private loop: Promise<void> | undefined;
@@ -79,15 +81,26 @@
     }
 
     private async *pull(request: PullItemsRequest, peer: PeerIdentity): AsyncIterable<{ items: BatchItem[]; }> {
-        const items = this.stopping.signal.aborted ? [] : await handOutItems({
+        const items = await this.pulls.answer(request, peer, () => this.handOut(request, peer));
+        this.opts.metrics.increment("batch.items_handed_out", {}, items.length);
+        yield { items };
+    }
+
+    private async handOut(request: PullItemsRequest, peer: PeerIdentity): Promise<BatchItem[]> {
+        return this.stopping.signal.aborted || request.count === 0 ? [] : await handOutItems({
             owners: [...this.owners.values()],
             request,
             peer,
             shares: this.shares,
             nowMs: this.opts.clock.nowMs(),
         });
-        this.opts.metrics.increment("batch.items_handed_out", {}, items.length);
-        yield { items };
+    }
+
+    private giveBack(items: BatchItem[], peer: PeerIdentity): void {
+        items.forEach(item => {
+            const owner = this.owners.get(partitionOf(item.jobId, this.opts.partitionCount));
+            owner?.job(item.jobId)?.untake([item], peer);
+        });
     }
 
     private async *report(results: BatchResult[], peer: PeerIdentity): AsyncIterable<{ taken: number; }> {
--- a/batch/owner/src/handOutItems.ts
+++ b/batch/owner/src/handOutItems.ts
@@ -24,7 +24,11 @@
     const items = pick(candidates, opts);
     const claimed = await Promise.all(
         candidates.map(candidate =>
-            claim(candidate, items.filter(item => !item.repeatable && item.jobId === candidate.run.manifest.jobId))
+            claim(
+                candidate,
+                opts.peer,
+                items.filter(item => !item.repeatable && item.jobId === candidate.run.manifest.jobId),
+            )
         ),
     );
     return [...items.filter(item => item.repeatable), ...claimed.flat()];
@@ -47,14 +51,14 @@
     return items;
 }
 
-async function claim(candidate: Candidate, items: BatchItem[]): Promise<BatchItem[]> {
+async function claim(candidate: Candidate, peer: PeerIdentity, items: BatchItem[]): Promise<BatchItem[]> {
     if (items.length === 0) {
         return [];
     }
     const { owner, run } = candidate;
     await owner.checkpoint(other => other === run).catch(() => false);
     const pending = new Set(run.pendingClaims);
-    const isClaimed = (item: BatchItem) => !pending.has(item.itemIndex) && run.isAtGate(item);
-    run.untake(items.filter(item => !isClaimed(item)));
+    const isClaimed = (item: BatchItem) => !pending.has(item.itemIndex) && run.isAtGate(item, peer);
+    run.untake(items.filter(item => !isClaimed(item)), peer);
     return items.filter(isClaimed);
 }
--- a/batch/owner/src/jobRun.ts
+++ b/batch/owner/src/jobRun.ts
@@ -34,9 +34,11 @@
     private readonly ownWriteIds = new Set<string>();
     private stored: StoredRecord<JobProgress>;
     private finished: ItemSet;
-    private orphans: Set<number>;
-    private claims = new Set<number>();
-    private queue: ItemQueue;
+    private readonly orphans: Set<number>;
+    /** Claims that are committed, and those that wait for a commit. */
+    private readonly claimed: ItemSet;
+    private readonly claims = new Set<number>();
+    private readonly queue: ItemQueue;
     private cursor = 0;
     private readUpTo = 0;
     private refilling: Promise<void> | undefined;
@@ -50,6 +52,7 @@
         this.buffer = new ResultBuffer(opts.segmentStore);
         this.beganAtMs = opts.clock.nowMs();
         this.finished = new ItemSet(opts.progress.value.finished);
+        this.claimed = new ItemSet(opts.progress.value.claimed);
         this.orphans = new Set(indexesOf(opts.progress.value.claimed).filter(index => !this.finished.has(index)));
         this.queue = new ItemQueue(opts.progress.value.histories);
     }
@@ -85,8 +88,10 @@
     }
 
     /** Whether the item is still out under this attempt. */
-    isAtGate(item: BatchItem): boolean {
-        return this.queue.flight(item.itemIndex)?.item.attemptCount === item.attempt;
+    isAtGate(item: BatchItem, peer: PeerIdentity): boolean {
+        const flight = this.queue.flight(item.itemIndex);
+        return flight?.item.attemptCount === item.attempt && flight.peer === peer.instanceId
+            && flight.incarnation === peer.incarnation;
     }
 
     histories(): JobProgress["histories"] {
@@ -113,15 +118,15 @@
         if (item === undefined) {
             return undefined;
         }
-        if (!item.service.repeatable && item.attemptCount === 1) {
+        if (!item.service.repeatable && !this.claimed.has(item.index)) {
             this.claims.add(item.index);
         }
         return this.toBatchItem(item);
     }
 
     /** Takes back items that were not handed out after all. */
-    untake(items: BatchItem[]): void {
-        items.forEach(({ itemIndex }) => {
+    untake(items: BatchItem[], peer: PeerIdentity): void {
+        items.filter(item => this.isAtGate(item, peer)).forEach(({ itemIndex }) => {
             const flight = this.queue.land(itemIndex);
             if (flight !== undefined) {
                 this.queue.addFirst({ ...flight.item, attemptCount: flight.item.attemptCount - 1 });
@@ -200,8 +205,7 @@
     /** Takes the record as it was committed, by this owner or by another writer. */
     adopt(stored: StoredRecord<JobProgress>): void {
         const isOwn = this.ownWriteIds.has(stored.value.writeId);
-        const knownClaims = new ItemSet(this.stored.value.claimed);
-        const newClaims = indexesOf(stored.value.claimed).filter(index => !knownClaims.has(index));
+        const newClaims = indexesOf(stored.value.claimed).filter(index => this.claimed.add(index));
         this.stored = stored;
         const digests = new Set(stored.value.results.map(result => result.digest));
         this.buffer.forget(this.buffer.sealedSegments.filter(sealed => digests.has(sealed.segment.digest)));
--- a/batch/owner/src/partitionOwner.ts
+++ b/batch/owner/src/partitionOwner.ts
@@ -49,7 +49,7 @@
     async stop(): Promise<void> {
         this.stopping.abort();
         await this.loop;
-        await this.committing.catch(() => undefined);
+        await this.committing;
     }
 
     /** Commits what is there, for a hand-over. */
@@ -115,8 +115,8 @@
      * @returns whether all that was due is committed
      */
     async checkpoint(isDue: (run: JobRun) => boolean): Promise<boolean> {
-        const round = this.committing.catch(() => undefined).then(() => this.commitRound(isDue));
-        this.committing = round.then(() => undefined);
+        const round = this.committing.then(() => this.commitRound(isDue));
+        this.committing = round.then(() => undefined, () => undefined);
         return await round;
     }
 
--- a/batch/source/src/linkBatchSource.ts
+++ b/batch/source/src/linkBatchSource.ts
@@ -15,6 +15,7 @@
 /** How long an entry that had no work is left alone while others have some. */
 const EMPTY_PAUSE_MS = 250;
 const MAX_EMPTY_PAUSE_MS = 2000;
+const GIVE_BACK_MS = 1000;
 const REPORT_RETRY_MS = 100;
 const MAX_REPORT_RETRY_MS = 2000;
 const GROUP_SIZE_RESULTS = 64;
@@ -22,6 +23,10 @@
 interface EntryState {
     emptyCount: number;
     notBeforeMs: number;
+    /** Pulls so far, and the last whose answer has arrived. */
+    pullNumber: number;
+    receivedNumber: number;
+    isPulling: boolean;
 }
 
 interface LinkBatchSourceOptions {
@@ -70,31 +75,68 @@
     private entriesToAsk(): string[] {
         const nowMs = this.opts.clock.nowMs();
         return this.opts.entries()
-            .filter(address => (this.states.get(address)?.notBeforeMs ?? 0) <= nowMs)
-            .map(address => ({ address, order: this.emptyCount(address) + this.opts.random.next() }))
+            .filter(address => !this.stateOf(address).isPulling && this.stateOf(address).notBeforeMs <= nowMs)
+            .map(address => ({ address, order: this.stateOf(address).emptyCount + this.opts.random.next() }))
             .sort((left, right) => left.order - right.order)
             .map(ranked => ranked.address);
     }
 
-    private emptyCount(address: string): number {
-        return this.states.get(address)?.emptyCount ?? 0;
+    private stateOf(address: string): EntryState {
+        const state = this.states.get(address)
+            ?? { emptyCount: 0, notBeforeMs: 0, pullNumber: 0, receivedNumber: 0, isPulling: false };
+        this.states.set(address, state);
+        return state;
     }
 
     private async pullFrom(address: string, count: number): Promise<BatchItem[]> {
+        const state = this.stateOf(address);
+        if (state.isPulling) {
+            return [];
+        }
+        state.isPulling = true;
+        try {
+            const items = await this.request(address, state, count);
+            items.forEach(item => this.ownerOfJob.set(item.jobId, address));
+            this.note(state, items.length);
+            return items;
+        }
+        catch {
+            this.note(state, 0);
+            this.giveBackLater(address, state);
+            return [];
+        }
+        finally {
+            state.isPulling = false;
+        }
+    }
+
+    private async request(address: string, state: EntryState, count: number): Promise<BatchItem[]> {
         const { endpoint, service } = this.opts;
-        const items = await singleFrame(
-            endpoint.connect(address).call(pullItemsCall, { service, count }, { timeoutMs: CALL_TIMEOUT_MS }),
-        ).then(frame => frame.items, () => []);
-        items.forEach(item => this.ownerOfJob.set(item.jobId, address));
-        this.note(address, items.length);
+        const { receivedNumber } = state;
+        const pullNumber = ++state.pullNumber;
+        const link = endpoint.connect(address);
+        const { items } = await singleFrame(
+            link.call(pullItemsCall, { service, count, pullNumber, receivedNumber }, { timeoutMs: CALL_TIMEOUT_MS }),
+        );
+        state.receivedNumber = pullNumber;
         return items;
     }
 
-    private note(address: string, itemCount: number): void {
-        const emptyCount = itemCount > 0 ? 0 : this.emptyCount(address) + 1;
-        const pauseMs = Math.min(MAX_EMPTY_PAUSE_MS, EMPTY_PAUSE_MS * emptyCount);
-        const notBeforeMs = this.opts.clock.nowMs() + pauseMs * (0.5 + this.opts.random.next() / 2);
-        this.states.set(address, { emptyCount, notBeforeMs: itemCount > 0 ? 0 : notBeforeMs });
+    /** Items of an answer that was lost go back to their owner with the next pull: makes sure that there is one. */
+    private giveBackLater(address: string, state: EntryState): void {
+        const lostNumber = state.pullNumber;
+        this.opts.clock.setTimer(GIVE_BACK_MS * (0.5 + this.opts.random.next()), () => {
+            const isSettled = state.pullNumber !== lostNumber || this.stopping.signal.aborted;
+            if (!isSettled && this.opts.entries().includes(address)) {
+                void this.pullFrom(address, 0);
+            }
+        });
+    }
+
+    private note(state: EntryState, itemCount: number): void {
+        state.emptyCount = itemCount > 0 ? 0 : state.emptyCount + 1;
+        const pauseMs = Math.min(MAX_EMPTY_PAUSE_MS, EMPTY_PAUSE_MS * state.emptyCount);
+        state.notBeforeMs = itemCount > 0 ? 0 : this.opts.clock.nowMs() + pauseMs * (0.5 + this.opts.random.next() / 2);
     }
 
     /** Reports results of one job until an owner has taken them. */
--- a/cli/knapweed/src/commands/status.ts
+++ b/cli/knapweed/src/commands/status.ts
@@ -1,6 +1,6 @@
 import { ApiCommand } from "../apiCommand.js";
-import { fleetLines } from "../fleetLines.js";
 import type { FleetAnswer } from "../fleetAnswer.js";
+import { fleetLines } from "../fleetLines.js";
 import type { InForceAnswer } from "../inForceAnswer.js";
 
 /** Shows instances, upstreams with their load, and on how many processes the configuration is in force. */
--- a/cli/knapweed/src/commands/top.ts
+++ b/cli/knapweed/src/commands/top.ts
@@ -1,5 +1,5 @@
-import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { Flags } from "@oclif/core";
 import { ApiCommand } from "../apiCommand.js";
 import type { FleetAnswer } from "../fleetAnswer.js";
--- /dev/null
+++ b/fuzz/promises/src/checkOutcome.ts
@@ -0,0 +1,146 @@
+import type { JobRecord } from "@knapweedwood/batch.jobs/jobRecord";
+import { KeyValueBatchService } from "@knapweedwood/batch.jobs/keyValueBatchService";
+import type { FileId } from "@knapweedwood/core.ids/fileId";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import { answerOf } from "./answerOf.js";
+import type { FuzzWorld } from "./fuzzWorld.js";
+import { promiseViolation } from "./promiseViolation.js";
+import type { Submission } from "./submission.js";
+
+const TEAM = "team-a" as TeamId;
+const SETTLE_STEP_MS = 10_000;
+const MAX_SETTLE_STEPS = 60;
+
+interface OutputLine {
+    custom_id: string;
+    response: { status_code: number; body: JsonObject; } | null;
+    error: { code: string; } | null;
+}
+
+/** Ends all faults, lets the jobs end and compares their results with what was submitted. */
+export async function checkOutcome(world: FuzzWorld): Promise<void> {
+    world.fleet.heal();
+    await settle(world);
+    await world.oracle.check();
+    for (const submission of world.oracle.submissions) {
+        await checkSubmission(world, submission);
+    }
+    checkKeyedCalls(world);
+}
+
+async function settle(world: FuzzWorld): Promise<void> {
+    for (let step = 0; step < MAX_SETTLE_STEPS; step++) {
+        await world.fleet.advance(SETTLE_STEP_MS);
+        await world.oracle.check();
+        const jobs = await Promise.all(world.oracle.acknowledged().map(submission => jobOf(world, submission)));
+        if (step > 0 && jobs.every(job => ["completed", "cancelled", "failed"].includes(job.state))) {
+            return;
+        }
+    }
+    const states = await Promise.all(world.oracle.acknowledged().map(submission => jobOf(world, submission)));
+    throw promiseViolation("accepted jobs come to their end", states);
+}
+
+async function checkSubmission(world: FuzzWorld, submission: Submission): Promise<void> {
+    if (submission.jobId === undefined) {
+        await checkRefused(world, submission);
+        return;
+    }
+    const job = await jobOf(world, submission);
+    const output = await world.fleet.complete(readLines(world, job.outputFileId));
+    const errors = await world.fleet.complete(readLines(world, job.errorFileId));
+    const customIds = [...output, ...errors].map(line => line.custom_id);
+    const expected = submission.bodies.map((_, index) => `c${index}`);
+    if (new Set(customIds).size !== customIds.length) {
+        throw promiseViolation("no item completes twice", { job, customIds });
+    }
+    if (job.state === "completed" && customIds.length !== expected.length) {
+        throw promiseViolation("no item is lost", { job, customIds });
+    }
+    if (job.state !== "completed" && !submission.cancelWasSent) {
+        throw promiseViolation("only a cancelled job ends early", { job });
+    }
+    output.forEach(line => checkOutputLine(submission, line));
+    errors.forEach(line => checkErrorLine(submission, line));
+    checkOrder(output);
+    checkOrder(errors);
+}
+
+function checkOutputLine(submission: Submission, line: OutputLine): void {
+    const body = submission.bodies[Number(line.custom_id.slice(1))];
+    if (JSON.stringify(line.response?.body) !== JSON.stringify(answerOf(body))) {
+        throw promiseViolation("each item has its own answer", { line, body });
+    }
+}
+
+function checkErrorLine(submission: Submission, line: OutputLine): void {
+    const index = Number(line.custom_id.slice(1));
+    const { behaviour } = submission.bodies[index];
+    const isLedger = submission.endpoint.startsWith("/services/");
+    const isUnknown = isLedger && line.error?.code === "outcome_unknown";
+    const isCrashed = line.error?.code === "upstreams_lost" || line.error?.code === "attempts_exhausted";
+    const isExpected = behaviour !== "answer" || isUnknown || isCrashed;
+    if (!isExpected) {
+        throw promiseViolation("a good item does not fail", { line });
+    }
+}
+
+function checkOrder(lines: OutputLine[]): void {
+    const indexes = lines.map(line => Number(line.custom_id.slice(1)));
+    if (indexes.some((index, position) => position > 0 && index <= indexes[position - 1])) {
+        throw promiseViolation("results stand in the items' order", indexes);
+    }
+}
+
+/** A job of which each request was refused as not run must not exist. */
+async function checkRefused(world: FuzzWorld, submission: Submission): Promise<void> {
+    if (submission.sentCount !== submission.notRunCount) {
+        return;
+    }
+    const jobs = await serviceOf(world).listJobs({ teamId: TEAM, limit: 200 });
+    const found = jobs.find(job => job.inputFileId === submission.inputFileId);
+    if (found !== undefined) {
+        throw promiseViolation("a job refused as not run was not accepted", found);
+    }
+}
+
+/** A call of which each attempt was refused as not run must not have run. */
+function checkKeyedCalls(world: FuzzWorld): void {
+    const keys = new Set(world.oracle.keyedCalls.map(call => call.key));
+    keys.forEach(key => {
+        const calls = world.oracle.keyedCalls.filter(call => call.key === key);
+        const runCount = world.fleet.platform.upstreams.countOf(`keyed/${key}`);
+        if (runCount === 0 && calls.some(call => call.outcome === "answered")) {
+            throw promiseViolation("an answer comes from a run", { key, calls });
+        }
+    });
+}
+
+async function readLines(world: FuzzWorld, fileId: FileId | undefined): Promise<OutputLine[]> {
+    if (fileId === undefined) {
+        return [];
+    }
+    const chunks: Uint8Array[] = [];
+    for await (const chunk of serviceOf(world).readFile({ teamId: TEAM, fileId })) {
+        chunks.push(chunk);
+    }
+    const text = Buffer.concat(chunks).toString("utf8").trimEnd();
+    return text.split("\n").map(line => JSON.parse(line) as OutputLine);
+}
+
+function jobOf(world: FuzzWorld, submission: Submission): Promise<JobRecord> {
+    const { jobId } = submission;
+    if (jobId === undefined) {
+        throw promiseViolation("an acknowledged job has an id", submission);
+    }
+    return serviceOf(world).getJob({ teamId: TEAM, jobId });
+}
+
+function serviceOf(world: FuzzWorld): KeyValueBatchService {
+    const entry = world.fleet.liveEntry(1);
+    if (entry === undefined) {
+        throw promiseViolation("replaced entries live", {});
+    }
+    return entry.batchService;
+}
--- /dev/null
+++ b/fuzz/promises/src/checkProgress.ts
@@ -0,0 +1,39 @@
+import { ItemSet } from "@knapweedwood/batch.jobs/itemSet";
+import { jobChart } from "@knapweedwood/batch.jobs/jobChart";
+import type { JobProgress } from "@knapweedwood/batch.jobs/jobProgress";
+import type { JobSnapshot } from "./jobSnapshot.js";
+import { promiseViolation } from "./promiseViolation.js";
+
+/** Checks what was committed for a job since it was last seen. */
+export function checkProgress(jobId: string, before: JobSnapshot | undefined, after: JobProgress): void {
+    const finished = new ItemSet(after.finished);
+    const resultCount = after.results.reduce((sum, segment) => sum + segment.lineCount, 0);
+    expect("each finished item has one result", jobId, [
+        finished.size === resultCount,
+        finished.size === after.completedCount + after.failedCount,
+        finished.size <= after.totalCount,
+    ], after);
+    if (before === undefined || before.progress.writeId === after.writeId) {
+        return;
+    }
+    const earlier = before.progress;
+    expect("a final job does not change", jobId, [!jobChart.isFinal(earlier.state)], after);
+    expect("committed results stay", jobId, [
+        earlier.finished.every(range => finished.has(range.first) && finished.has(range.last)),
+        finished.size >= new ItemSet(earlier.finished).size,
+    ], after);
+    expect("a cancelled job does not go on", jobId, [
+        earlier.state !== "cancelling" || (["cancelling", "cancelled"].includes(after.state)
+            && finished.size === new ItemSet(earlier.finished).size),
+    ], after);
+    const isByOwner = !after.writeId.startsWith("cancel-");
+    expect("an earlier owner commits nothing", jobId, [
+        !isByOwner || after.fencingNumber >= before.partitionFencingNumber,
+    ], { fencingNumber: after.fencingNumber, expected: before.partitionFencingNumber });
+}
+
+function expect(promise: string, jobId: string, conditions: boolean[], details: unknown): void {
+    if (!conditions.every(Boolean)) {
+        throw promiseViolation(promise, { jobId, details });
+    }
+}
--- a/fuzz/promises/src/fleet.ts
+++ b/fuzz/promises/src/fleet.ts
@@ -9,6 +9,8 @@
 const ENTRY_COUNT = 3;
 const SERVICES = ["chat", "chat", "chat", "ledger", "ledger"];
 const RESTART_MS = 1500;
+const COMPLETE_STEP_MS = 100;
+const MAX_COMPLETE_STEPS = 1000;
 
 /** A simulated fleet: three entries in three zones and five sides. Processes that end are replaced. */
 export class Fleet {
@@ -40,6 +42,17 @@
         return this.clock.advance(durationMs);
     }
 
+    /** Lets time pass until `work` is done. */
+    async complete<Value>(work: Promise<Value>): Promise<Value> {
+        const progress = { isDone: false };
+        const marked = work.finally(() => progress.isDone = true);
+        marked.catch(() => undefined);
+        for (let step = 0; !progress.isDone && step < MAX_COMPLETE_STEPS; step++) {
+            await this.advance(COMPLETE_STEP_MS);
+        }
+        return await marked;
+    }
+
     /** An entry that can take a call now. */
     liveEntry(preferred: number): SimulatedEntry | undefined {
         const order = this.entries.map((_, offset) => this.entries[(preferred + offset) % ENTRY_COUNT]);
--- /dev/null
+++ b/fuzz/promises/src/fuzzPromises.ts
@@ -0,0 +1,46 @@
+import fc from "fast-check";
+import { checkOutcome } from "./checkOutcome.js";
+import { defaultSimulationOptions } from "./defaultSimulationOptions.js";
+import { FuzzCommand } from "./fuzzCommand.js";
+import type { FuzzReport } from "./fuzzReport.js";
+import { FuzzWorld } from "./fuzzWorld.js";
+import type { SimulationOptions } from "./simulationOptions.js";
+import { stepArbitraries } from "./stepArbitrary.js";
+
+const MAX_COMMANDS = 40;
+const MAX_SEED = 1_000_000;
+
+/** Runs random cases against the real components and checks the promises step by step. */
+export async function fuzzPromises(opts: {
+    seed: number;
+    runs: number;
+    options?: SimulationOptions;
+    /** Path of a shrunk case, to replay just that one. */
+    path?: string;
+    shrinks?: boolean;
+}): Promise<FuzzReport> {
+    const commands = fc.commands(stepArbitraries.map(steps => steps.map(step => new FuzzCommand(step))), {
+        maxCommands: MAX_COMMANDS,
+        size: "max",
+    });
+    const property = fc.asyncProperty(fc.nat({ max: MAX_SEED }), commands, async (worldSeed, steps) => {
+        const world = new FuzzWorld({ seed: worldSeed, options: opts.options ?? defaultSimulationOptions });
+        await world.start();
+        await fc.asyncModelRun(() => ({ model: {}, real: world }), steps);
+        await checkOutcome(world);
+    });
+    const details = await fc.check(property, {
+        seed: opts.seed,
+        numRuns: opts.runs,
+        path: opts.path,
+        endOnFailure: opts.shrinks === false,
+    });
+    return {
+        hasFailed: details.failed,
+        runCount: details.numRuns,
+        path: details.counterexamplePath ?? undefined,
+        message: details.failed
+            ? `${String(details.errorInstance)}\n${await fc.asyncDefaultReportMessage(details) ?? ""}`
+            : undefined,
+    };
+}
--- /dev/null
+++ b/fuzz/promises/src/jobClient.ts
@@ -0,0 +1,98 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { FileId } from "@knapweedwood/core.ids/fileId";
+import type { IdempotencyKey } from "@knapweedwood/core.ids/idempotencyKey";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import type { Fleet } from "./fleet.js";
+import type { Oracle } from "./oracle.js";
+import type { SimulatedEntry } from "./simulatedEntry.js";
+import type { ItemBehaviour } from "./step.js";
+import type { Submission } from "./submission.js";
+
+const TEAM = "team-a" as TeamId;
+const DUE_MS = 60_000;
+const ENDPOINTS = { chat: "/v1/chat/completions", ledger: "/services/ledger/receipts" };
+
+/** A caller that sends and cancels jobs. Its requests run beside the steps, as they may hang. */
+export class JobClient {
+    private readonly fleet: Fleet;
+    private readonly oracle: Oracle;
+
+    constructor(opts: { fleet: Fleet; oracle: Oracle; }) {
+        this.fleet = opts.fleet;
+        this.oracle = opts.oracle;
+    }
+
+    async submit(
+        entry: SimulatedEntry,
+        opts: { key: number; service: "chat" | "ledger"; behaviours: ItemBehaviour[]; },
+    ): Promise<void> {
+        const endpoint = ENDPOINTS[opts.service];
+        const number = this.oracle.submissions.length;
+        const bodies = opts.behaviours.map((behaviour, index) => ({
+            model: "demo",
+            text: `job ${number} item ${index}`,
+            behaviour,
+        }));
+        const content = bodies.map((body, index) =>
+            `${JSON.stringify({ custom_id: `c${index}`, method: "POST", url: endpoint, body })}\n`
+        );
+        const inputFileId = await this.upload(entry, content);
+        if (inputFileId === undefined) {
+            return;
+        }
+        const submission: Submission = {
+            idempotencyKey: `job-${number}-${opts.key}` as IdempotencyKey,
+            endpoint,
+            inputFileId,
+            bodies,
+            sentCount: 0,
+            notRunCount: 0,
+            jobId: undefined,
+            cancelledAtMs: undefined,
+            cancelWasSent: false,
+        };
+        this.oracle.submissions.push(submission);
+        await this.send(entry, submission);
+    }
+
+    async send(entry: SimulatedEntry, submission: Submission): Promise<void> {
+        submission.sentCount += 1;
+        const { idempotencyKey, endpoint, inputFileId } = submission;
+        try {
+            const job = await entry.batchService.createJob({
+                teamId: TEAM,
+                inputFileId,
+                endpoint,
+                metadata: {},
+                idempotencyKey,
+                dueMs: DUE_MS,
+            });
+            this.oracle.acknowledge(submission, job.jobId);
+        }
+        catch (error) {
+            submission.notRunCount += Number(error instanceof KnapweedError && error.outcome === "not-run");
+        }
+    }
+
+    async cancel(entry: SimulatedEntry, submission: Submission): Promise<void> {
+        const { jobId } = submission;
+        if (jobId === undefined) {
+            return;
+        }
+        submission.cancelWasSent = true;
+        const job = await entry.batchService.cancelJob({ teamId: TEAM, jobId }).catch(() => undefined);
+        if (job?.state === "cancelling" || job?.state === "cancelled") {
+            submission.cancelledAtMs ??= this.fleet.clock.nowMs();
+        }
+    }
+
+    private async upload(entry: SimulatedEntry, lines: string[]): Promise<FileId | undefined> {
+        const content = async function*() {
+            yield* lines.map(line => Buffer.from(line));
+        };
+        const file = await entry.batchService
+            .createFile({ teamId: TEAM, fileName: "input.jsonl", purpose: "batch", content: content() })
+            .catch(() => undefined);
+        return file?.fileId;
+    }
+}
--- /dev/null
+++ b/fuzz/promises/src/oracle.ts
@@ -0,0 +1,98 @@
+import { batchKeys } from "@knapweedwood/batch.jobs/batchKeys";
+import type { JobProgress } from "@knapweedwood/batch.jobs/jobProgress";
+import { partitionOf } from "@knapweedwood/batch.jobs/partitionOf";
+import { partitionKeys } from "@knapweedwood/batch.ownership/partitionKeys";
+import { readRecord } from "@knapweedwood/batch.records/readRecord";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import { checkProgress } from "./checkProgress.js";
+import type { JobSnapshot } from "./jobSnapshot.js";
+import type { KeyedCall } from "./keyedCall.js";
+import { promiseViolation } from "./promiseViolation.js";
+import type { SimulationPlatform } from "./simulationPlatform.js";
+import type { Submission } from "./submission.js";
+
+const PARTITION_COUNT = 2;
+const CANCEL_LIMIT_MS = 2000;
+/** An item that a side has begun to run may end after the cancel. */
+const RUN_LIMIT_MS = 400;
+
+/** Knows what was promised and compares it with what happened. */
+export class Oracle {
+    readonly submissions: Submission[] = [];
+    readonly keyedCalls: KeyedCall[] = [];
+    /** Until when faults may have lasted. */
+    faultsUntilMs = 0;
+    private readonly platform: SimulationPlatform;
+    private readonly snapshots = new Map<JobId, JobSnapshot>();
+    private violation: unknown;
+
+    constructor(platform: SimulationPlatform) {
+        this.platform = platform;
+    }
+
+    /** Notes a violation that was seen beside the steps. */
+    report(violation: unknown): void {
+        this.violation ??= violation;
+    }
+
+    /** Checks what must hold at any moment. */
+    async check(): Promise<void> {
+        if (this.violation !== undefined) {
+            throw this.violation;
+        }
+        this.checkExecutions();
+        this.checkCancels();
+        if (!this.platform.keyValue.faults.outage) {
+            await Promise.all(this.acknowledged().map(submission => this.checkJob(submission.jobId as JobId)));
+        }
+    }
+
+    acknowledged(): Submission[] {
+        return this.submissions.filter(submission => submission.jobId !== undefined);
+    }
+
+    acknowledge(submission: Submission, jobId: JobId): void {
+        if (submission.jobId !== undefined && submission.jobId !== jobId) {
+            this.report(promiseViolation("a resend gives the same job", { jobId, earlier: submission.jobId }));
+        }
+        submission.jobId ??= jobId;
+    }
+
+    private checkExecutions(): void {
+        const counts = new Map<string, number>();
+        this.platform.upstreams.all()
+            .filter(execution => !execution.repeatable)
+            .forEach(execution => counts.set(execution.call, (counts.get(execution.call) ?? 0) + 1));
+        const repeated = [...counts].filter(([, count]) => count > 1);
+        if (repeated.length > 0) {
+            throw promiseViolation("a call that may not be repeated runs at most once", repeated);
+        }
+    }
+
+    private checkCancels(): void {
+        this.acknowledged().forEach(({ jobId, cancelledAtMs }) => {
+            if (cancelledAtMs === undefined || cancelledAtMs < this.faultsUntilMs) {
+                return;
+            }
+            const limitMs = cancelledAtMs + CANCEL_LIMIT_MS + RUN_LIMIT_MS;
+            const late = this.platform.upstreams.all()
+                .filter(execution => execution.call.startsWith(`${jobId}/`) && execution.atMs > limitMs);
+            if (late.length > 0) {
+                throw promiseViolation("a cancelled job stops", { jobId, cancelledAtMs, late: late[0] });
+            }
+        });
+    }
+
+    private async checkJob(jobId: JobId): Promise<void> {
+        const { keyValue } = this.platform;
+        const fencingKey = partitionKeys.fencing("batch", partitionOf(jobId, PARTITION_COUNT));
+        const progress = await readRecord<JobProgress>(keyValue, batchKeys.progress(jobId));
+        const fencing = await readRecord<{ fencingNumber: number; }>(keyValue, fencingKey);
+        if (progress === undefined) {
+            throw promiseViolation("an accepted job stays", { jobId });
+        }
+        checkProgress(jobId, this.snapshots.get(jobId), progress.value);
+        const partitionFencingNumber = fencing?.value.fencingNumber ?? 0;
+        this.snapshots.set(jobId, { progress: progress.value, partitionFencingNumber });
+    }
+}
--- /dev/null
+++ b/fuzz/promises/src/stepArbitrary.ts
@@ -0,0 +1,48 @@
+import fc from "fast-check";
+import type { ItemBehaviour, Step } from "./step.js";
+
+const index = fc.nat({ max: 5 });
+const key = fc.nat({ max: 3 });
+const shortMs = fc.integer({ min: 100, max: 3000 });
+const longMs = fc.integer({ min: 1000, max: 12_000 });
+const count = fc.integer({ min: 1, max: 3 });
+const behaviours = fc.array(
+    fc.oneof(
+        { weight: 12, arbitrary: fc.constant<ItemBehaviour>("answer") },
+        { weight: 1, arbitrary: fc.constantFrom<ItemBehaviour>("reject", "fail", "crash") },
+    ),
+    { minLength: 1, maxLength: 16 },
+);
+
+function stepOf<Kind extends Step["kind"]>(
+    kind: Kind,
+    fields: { [Field in Exclude<keyof Extract<Step, { kind: Kind; }>, "kind">]: fc.Arbitrary<unknown>; },
+): fc.Arbitrary<Step> {
+    return fc.record({ kind: fc.constant(kind), ...fields }) as unknown as fc.Arbitrary<Step>;
+}
+
+/** Steps of a fuzz case, work more often than faults. Shape [kinds]. */
+export const stepArbitraries: fc.Arbitrary<Step>[] = [
+    stepOf("submit", { entry: index, key, service: fc.constantFrom("chat", "ledger"), behaviours }),
+    stepOf("submit", { entry: index, key, service: fc.constantFrom("chat", "ledger"), behaviours }),
+    stepOf("resend", { entry: index, job: index }),
+    stepOf("cancel", { entry: index, job: index }),
+    stepOf("read", { entry: index, job: index }),
+    stepOf("keyed-call", { entry: index, key, runMs: shortMs, loseAnswer: fc.boolean() }),
+    stepOf("keyed-call", { entry: index, key, runMs: shortMs, loseAnswer: fc.constant(false) }),
+    stepOf("crash-entry", { entry: index }),
+    stepOf("stop-entry", { entry: index }),
+    stepOf("pause-entry", { entry: index, durationMs: longMs }),
+    stepOf("crash-side", { side: index }),
+    stepOf("pause-side", { side: index, durationMs: longMs }),
+    stepOf("outage", { durationMs: longMs }),
+    stepOf("lose-write-answers", { count }),
+    stepOf("lose-call-answers", { count }),
+    stepOf("duplicate-calls", { count }),
+    stepOf("silence", { entry: index, side: index, durationMs: longMs }),
+    stepOf("lapse-leases", {}),
+    stepOf("fill-disk", { entry: index, durationMs: longMs }),
+    stepOf("tear-folder", {}),
+    stepOf("wait", { durationMs: shortMs }),
+    stepOf("wait", { durationMs: longMs }),
+];
