--- a/admission/gate/src/batchLane.ts
+++ b/admission/gate/src/batchLane.ts
@@ -41,14 +41,12 @@
         return [...this.held.values()];
     }
 
-    /** Takes pulled items in. Items of cancelled jobs go straight back. */
-    add(items: BatchItem[]): void {
-        items.forEach(item => {
-            const held = this.hold(item);
-            if (this.cancelledJobs.has(item.jobId)) {
-                this.giveBack(held);
-            }
-        });
+    /** Takes pulled items in. Items of cancelled jobs go straight back. @returns how many were kept */
+    add(items: BatchItem[]): number {
+        const added = items.map(item => this.hold(item));
+        const unwanted = added.filter(held => this.cancelledJobs.has(held.item.jobId));
+        unwanted.forEach(held => this.giveBack(held));
+        return added.length - unwanted.length;
     }
 
     /** Starts the stream of a waiting item. */
@@ -65,7 +63,7 @@
         if (held?.run !== undefined) {
             this.totals.preemptions += 1;
             this.opts.metrics.increment("gate.preempted");
-            stop(held.run, "preempted");
+            this.stop(held.run, "preempted");
         }
     }
 
@@ -94,10 +92,16 @@
                 this.giveBack(held);
                 return;
             }
-            stop(held.run, reason);
+            this.stop(held.run, reason);
         });
     }
 
+    private stop(run: BatchRun, reason: StopReason): void {
+        run.stopReason = reason === "preempted" ? run.stopReason ?? reason : reason;
+        run.abort.abort();
+        this.opts.streams.cancelled(run.stream);
+    }
+
     private hold(item: BatchItem): HeldItem {
         const held: HeldItem = {
             key: `${item.jobId}/${item.itemIndex}/${item.attempt}` as BatchKey,
@@ -229,11 +233,6 @@
     onEngineTrouble: () => void;
 }
 
-function stop(run: BatchRun, reason: StopReason): void {
-    run.stopReason = reason === "preempted" ? run.stopReason ?? reason : reason;
-    run.abort.abort();
-}
-
 function isGeneration(item: BatchItem): boolean {
     return item.endpoint === "/v1/chat/completions" || item.endpoint === "/v1/completions";
 }
