--- a/batch/owner/src/finalizeJob.ts
+++ b/batch/owner/src/finalizeJob.ts
@@ -8,7 +8,6 @@
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
 import type { Clock } from "@knapweedwood/core.clock/clock";
-import type { FencingNumber } from "@knapweedwood/core.ids/fencingNumber";
 import type { FileId } from "@knapweedwood/core.ids/fileId";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
@@ -23,7 +22,6 @@
     segmentStore: SegmentStore;
     clock: Clock;
     random: Random;
-    fencingNumber: FencingNumber;
     writeId: string;
 }): Promise<PlannedWrite> {
     const { manifest, progress } = opts;
@@ -33,7 +31,6 @@
         ...progress,
         state: jobChart.next(progress.state, "finished"),
         writeId: opts.writeId,
-        fencingNumber: opts.fencingNumber,
         finishedAtMs: opts.clock.nowMs(),
         outputFileId: output?.record.fileId,
         errorFileId: errors?.record.fileId,
--- a/batch/owner/src/partitionOwner.ts
+++ b/batch/owner/src/partitionOwner.ts
@@ -8,7 +8,6 @@
 import { readLines } from "@knapweedwood/batch.segments/readLines";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
-import type { FencingNumber } from "@knapweedwood/core.ids/fencingNumber";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import { finalizeJob } from "./finalizeJob.js";
@@ -172,7 +171,6 @@
                 sealed: run.buffer.sealedSegments,
                 claims: run.pendingClaims,
                 histories: run.histories(),
-                fencingNumber: owned.fencingNumber,
                 writeId: this.createWriteId(),
             }),
         }));
@@ -217,7 +215,6 @@
             ...progress,
             state: jobChart.next(progress.state, isRefused ? "refused" : "validated"),
             writeId: this.createWriteId(),
-            fencingNumber: this.fencingNumber(progress),
             totalCount: itemCount,
             startedAtMs: nowMs,
             finishedAtMs: isRefused ? nowMs : undefined,
@@ -241,7 +238,6 @@
             manifest,
             progress,
             baseRevision,
-            fencingNumber: this.fencingNumber(progress),
             writeId: this.createWriteId(),
         });
         await this.committer.commit([{ run, ...write }]);
@@ -278,10 +274,6 @@
         return progress === undefined || progress.value.state !== "in_progress";
     }
 
-    private fencingNumber(progress: JobProgress): FencingNumber {
-        return this.opts.owned()?.fencingNumber ?? progress.fencingNumber;
-    }
-
     private createWriteId(): string {
         const { instanceId, partitionId, clock } = this.opts;
         return `${instanceId}-${partitionId}-${clock.nowMs()}-${this.writeCount++}`;
--- a/batch/owner/src/planCheckpoint.ts
+++ b/batch/owner/src/planCheckpoint.ts
@@ -1,7 +1,6 @@
 import { ItemSet } from "@knapweedwood/batch.jobs/itemSet";
 import { jobChart } from "@knapweedwood/batch.jobs/jobChart";
 import type { JobProgress } from "@knapweedwood/batch.jobs/jobProgress";
-import type { FencingNumber } from "@knapweedwood/core.ids/fencingNumber";
 import type { SealedResults } from "./sealedResults.js";
 
 /** The progress after a checkpoint: everything in `sealed` and `claims` added to what is committed. */
@@ -10,7 +9,6 @@
     sealed: readonly SealedResults[];
     claims: readonly number[];
     histories: JobProgress["histories"];
-    fencingNumber: FencingNumber;
     writeId: string;
 }): JobProgress {
     const { progress, sealed } = opts;
@@ -25,7 +23,6 @@
         ...progress,
         state: jobChart.next(progress.state, isDrained ? "drained" : "checkpoint"),
         writeId: opts.writeId,
-        fencingNumber: opts.fencingNumber,
         completedCount: progress.completedCount + resultCount - failedCount,
         failedCount: progress.failedCount + failedCount,
         finished: finished.toRanges(),
--- a/batch/owner/src/progressCommitter.ts
+++ b/batch/owner/src/progressCommitter.ts
@@ -26,11 +26,13 @@
      *
      * @returns whether the writes took effect
      */
-    async commit(writes: RunWrite[]): Promise<boolean> {
+    async commit(planned: RunWrite[]): Promise<boolean> {
         const owned = this.opts.owned();
-        if (owned === undefined || writes.length === 0) {
+        if (owned === undefined || planned.length === 0) {
             return false;
         }
+        const { fencingNumber } = owned;
+        const writes = planned.map(write => ({ ...write, progress: { ...write.progress, fencingNumber } }));
         const { keyValue, clock, random } = this.opts;
         writes.forEach(({ run, progress }) => run.noteWrite(progress.writeId));
         const ownerKey = partitionKeys.owner("batch", owned.partitionId);
