test(fuzz): mutants and stricter cases; hand over once

Cause: four mutants went uncaught, and a second stop of a leaving entry was refused by its chart. Change: requests sent twice at once, slow writes, long streams under a cancel; a stop is idempotent.

--- a/batch/claims/src/claimService.ts
+++ b/batch/claims/src/claimService.ts
@@ -8,6 +8,7 @@
 import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
 import type { CallDefinition } from "@knapweedwood/links.calls/callDefinition";
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
+import { setMaxListeners } from "node:events";
 import { claimCall } from "./claimCall.js";
 import type { ClaimRequest } from "./claimRequest.js";
 import type { ClaimResult } from "./claimResult.js";
@@ -41,6 +42,7 @@
 
     constructor(opts: ClaimServiceOptions) {
         this.opts = opts;
+        setMaxListeners(0, this.stopping.signal);
         this.ownership = new PartitionOwnership({
             ...opts,
             scope: "claims",
--- a/batch/ownership/src/partitionOwnership.ts
+++ b/batch/ownership/src/partitionOwnership.ts
@@ -38,6 +38,7 @@
     private readonly stopping = new AbortController();
     private leaseId: string | undefined;
     private loop: Promise<void> | undefined;
+    private stopped: Promise<void> | undefined;
     private failureCount = 0;
     private writeCount = 0;
 
@@ -60,7 +61,12 @@
     }
 
     /** Hands all partitions over in order. */
-    async stop(): Promise<void> {
+    stop(): Promise<void> {
+        this.stopped ??= this.handOver();
+        return this.stopped;
+    }
+
+    private async handOver(): Promise<void> {
         this.stopping.abort();
         await this.loop;
         const held = [...this.statuses].filter(([, status]) => status.state === "held");
--- a/batch/source/src/linkBatchSource.ts
+++ b/batch/source/src/linkBatchSource.ts
@@ -10,6 +10,7 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
+import { setMaxListeners } from "node:events";
 
 const CALL_TIMEOUT_MS = 10_000;
 /** How long an entry that had no work is left alone while others have some. */
@@ -47,6 +48,7 @@
 
     constructor(opts: LinkBatchSourceOptions) {
         this.opts = opts;
+        setMaxListeners(0, this.stopping.signal);
     }
 
     /** Ends reports that no owner has taken. */
--- a/fuzz/promises/src/checkOutcome.ts
+++ b/fuzz/promises/src/checkOutcome.ts
@@ -27,6 +27,7 @@
         await checkSubmission(world, submission);
     }
     checkKeyedCalls(world);
+    await world.checkCancel();
 }
 
 async function settle(world: FuzzWorld): Promise<void> {
--- a/fuzz/promises/src/fleet.ts
+++ b/fuzz/promises/src/fleet.ts
@@ -42,6 +42,10 @@
         return this.clock.advance(durationMs);
     }
 
+    leaseIds(): string[] {
+        return this.entries.filter(entry => !entry.gate.dead).flatMap(entry => [...entry.leaseIds]);
+    }
+
     /** Lets time pass until `work` is done. */
     async complete<Value>(work: Promise<Value>): Promise<Value> {
         const progress = { isDone: false };
@@ -70,6 +74,9 @@
     }
 
     crashSide(index: number): void {
+        if (this.sides[index].gate.dead) {
+            return;
+        }
         this.sides[index].crash();
         this.clock.setTimer(RESTART_MS, () => {
             this.sides[index] = this.createSide(index);
@@ -81,6 +88,7 @@
     heal(): void {
         this.platform.keyValue.faults.outage = false;
         this.platform.keyValue.faults.loseNextAnswers(0);
+        this.platform.keyValue.faults.delayMs = 0;
         this.platform.network.heal();
         this.dataFolders.forEach(folder => folder.isFull = false);
         this.entries.forEach(entry => entry.gate.resume());
--- a/fuzz/promises/src/fuzzWorld.ts
+++ b/fuzz/promises/src/fuzzWorld.ts
@@ -1,6 +1,3 @@
-import { partitionKeys } from "@knapweedwood/batch.ownership/partitionKeys";
-import { readRecord } from "@knapweedwood/batch.records/readRecord";
-import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
 import { Fleet } from "./fleet.js";
 import { JobClient } from "./jobClient.js";
 import { KeyedCaller } from "./keyedCaller.js";
@@ -12,6 +9,7 @@
 
 const START_UP_MS = 4000;
 const STEP_MS = 150;
+const CANCEL_AFTER_MS = 3500;
 /** How long a fault may show after it has ended. */
 const AFTERMATH_MS = 8000;
 
@@ -41,12 +39,25 @@
         await this.oracle.check();
     }
 
+    /** Cancels a job of long streams without any fault about. */
+    async checkCancel(): Promise<void> {
+        this.oracle.faultsUntilMs = 0;
+        const behaviours = Array.from({ length: 6 }, () => "slow" as const);
+        await this.take({ kind: "submit", entry: 0, key: 0, service: "chat", behaviours, twice: false });
+        await this.take({ kind: "wait", durationMs: CANCEL_AFTER_MS });
+        await this.take({ kind: "cancel", entry: 1, job: this.oracle.submissions.length - 1 });
+        await this.take({ kind: "wait", durationMs: CANCEL_AFTER_MS });
+    }
+
     private async apply(step: Step): Promise<void> {
         const { fleet } = this;
         const { keyValue, network } = fleet.platform;
         switch (step.kind) {
             case "submit":
-                return this.background(step.entry, entry => this.jobs.submit(entry, step));
+                return this.background(
+                    step.entry,
+                    entry => this.jobs.submit(entry, { ...step, other: this.otherEntry(step) }),
+                );
             case "resend":
                 return this.withJob(step, (entry, submission) => this.jobs.send(entry, submission));
             case "cancel":
@@ -54,9 +65,8 @@
             case "read":
                 return this.withJob(step, () => Promise.resolve());
             case "keyed-call":
-                return this.background(
-                    step.entry,
-                    entry => this.calls.call(entry, { ...step, key: `key-${step.key}` }),
+                return this.entriesOf(step).forEach(preferred =>
+                    this.background(preferred, entry => this.calls.call(entry, { ...step, key: `key-${step.key}` }))
                 );
             case "wait":
                 return;
@@ -76,6 +86,9 @@
             case "outage":
                 keyValue.faults.outage = true;
                 return this.endLater(step.durationMs, () => keyValue.faults.outage = false);
+            case "slow-writes":
+                keyValue.faults.delayMs = step.delayMs;
+                return this.endLater(step.durationMs, () => keyValue.faults.delayMs = 0);
             case "lose-write-answers":
                 this.noteFault(0);
                 return keyValue.faults.loseNextAnswers(step.count);
@@ -145,18 +158,19 @@
         this.oracle.faultsUntilMs = Math.max(this.oracle.faultsUntilMs, untilMs);
     }
 
-    private async lapseLeases(): Promise<void> {
+    /** The entries that a request goes to at once. */
+    private entriesOf(step: { entry: number; twice: boolean; }): number[] {
+        return step.twice ? [step.entry, step.entry + 1] : [step.entry];
+    }
+
+    private otherEntry(step: { entry: number; twice: boolean; }): SimulatedEntry | undefined {
+        return step.twice ? this.fleet.liveEntry((step.entry + 1) % this.fleet.entries.length) : undefined;
+    }
+
+    /** Ends the leases of all owners at once. They learn it later. */
+    private lapseLeases(): void {
         const { keyValue } = this.fleet.platform;
-        const ids = ["0", "1"] as PartitionId[];
-        for (const partitionId of ids) {
-            if (!keyValue.faults.outage) {
-                const key = partitionKeys.owner("batch", partitionId);
-                const leaseId = (await keyValue.get(key))?.leaseId;
-                if (leaseId !== undefined && await readRecord(keyValue, key) !== undefined) {
-                    keyValue.faults.lapseLease(leaseId);
-                }
-            }
-        }
+        this.fleet.leaseIds().forEach(leaseId => keyValue.faults.lapseLease(leaseId));
     }
 
     /** Only one folder is torn in a case: two copies bear the loss of one. */
--- a/fuzz/promises/src/gatedKeyValueService.ts
+++ b/fuzz/promises/src/gatedKeyValueService.ts
@@ -4,6 +4,8 @@
 
 /** The key-value service as an instance reaches it: neither calls nor answers pass while the instance is paused. */
 export class GatedKeyValueService implements KeyValueService {
+    /** Leases granted to this instance. */
+    readonly leaseIds: string[] = [];
     private readonly opts: { keyValue: KeyValueService; gate: InstanceGate; };
 
     constructor(opts: { keyValue: KeyValueService; gate: InstanceGate; }) {
@@ -22,8 +24,10 @@
         return this.pass(service => service.transact(...parameters));
     }
 
-    grantLease(ttlMs: number): Promise<string> {
-        return this.pass(service => service.grantLease(ttlMs));
+    async grantLease(ttlMs: number): Promise<string> {
+        const leaseId = await this.pass(service => service.grantLease(ttlMs));
+        this.leaseIds.push(leaseId);
+        return leaseId;
     }
 
     keepLeaseAlive(leaseId: string): Promise<number> {
--- a/fuzz/promises/src/jobClient.ts
+++ b/fuzz/promises/src/jobClient.ts
@@ -10,6 +10,7 @@
 
 const TEAM = "team-a" as TeamId;
 const DUE_MS = 60_000;
+const UPLOAD_ATTEMPTS = 3;
 const ENDPOINTS = { chat: "/v1/chat/completions", ledger: "/services/ledger/receipts" };
 
 /** A caller that sends and cancels jobs. Its requests run beside the steps, as they may hang. */
@@ -24,7 +25,12 @@
 
     async submit(
         entry: SimulatedEntry,
-        opts: { key: number; service: "chat" | "ledger"; behaviours: ItemBehaviour[]; },
+        opts: {
+            key: number;
+            service: "chat" | "ledger";
+            behaviours: ItemBehaviour[];
+            other: SimulatedEntry | undefined;
+        },
     ): Promise<void> {
         const endpoint = ENDPOINTS[opts.service];
         const number = this.oracle.submissions.length;
@@ -52,7 +58,8 @@
             cancelWasSent: false,
         };
         this.oracle.submissions.push(submission);
-        await this.send(entry, submission);
+        const entries = [entry, opts.other].filter(receiver => receiver !== undefined);
+        await Promise.all(entries.map(receiver => this.send(receiver, submission)));
     }
 
     async send(entry: SimulatedEntry, submission: Submission): Promise<void> {
@@ -90,9 +97,14 @@
         const content = async function*() {
             yield* lines.map(line => Buffer.from(line));
         };
-        const file = await entry.batchService
-            .createFile({ teamId: TEAM, fileName: "input.jsonl", purpose: "batch", content: content() })
-            .catch(() => undefined);
-        return file?.fileId;
+        for (let attempt = 0; attempt < UPLOAD_ATTEMPTS; attempt++) {
+            const file = await entry.batchService
+                .createFile({ teamId: TEAM, fileName: "input.jsonl", purpose: "batch", content: content() })
+                .catch(() => undefined);
+            if (file !== undefined) {
+                return file.fileId;
+            }
+        }
+        return undefined;
     }
 }
--- a/fuzz/promises/src/oracle.ts
+++ b/fuzz/promises/src/oracle.ts
@@ -42,9 +42,18 @@
         }
         this.checkExecutions();
         this.checkCancels();
-        if (!this.platform.keyValue.faults.outage) {
+        const { faults } = this.platform.keyValue;
+        if (faults.outage) {
+            return;
+        }
+        const { delayMs } = faults;
+        faults.delayMs = 0;
+        try {
             await Promise.all(this.acknowledged().map(submission => this.checkJob(submission.jobId as JobId)));
         }
+        finally {
+            faults.delayMs = delayMs;
+        }
     }
 
     acknowledged(): Submission[] {
@@ -75,6 +84,10 @@
                 return;
             }
             const limitMs = cancelledAtMs + CANCEL_LIMIT_MS + RUN_LIMIT_MS;
+            const lastChunkAtMs = this.platform.upstreams.lastChunkAtMs(jobId ?? "") ?? 0;
+            if (lastChunkAtMs > limitMs) {
+                throw promiseViolation("a cancelled job's streams end", { jobId, cancelledAtMs, lastChunkAtMs });
+            }
             const late = this.platform.upstreams.all()
                 .filter(execution => execution.call.startsWith(`${jobId}/`) && execution.atMs > limitMs);
             if (late.length > 0) {
--- a/fuzz/promises/src/simulatedEntry.ts
+++ b/fuzz/promises/src/simulatedEntry.ts
@@ -32,6 +32,7 @@
     readonly claims: ClaimService;
     readonly role: BatchRole;
     readonly segmentStore: ReplicatedSegmentStore;
+    private readonly gatedKeyValue: GatedKeyValueService;
     private readonly endpoint: MemoryEndpoint;
     private readonly platform: SimulationPlatform;
     readonly zone: ZoneName;
@@ -52,9 +53,8 @@
         const clock = new GatedClock({ clock: platform.clock, gate: this.gate });
         this.clock = clock;
         const random = new SeededRandom(opts.seed);
-        const keyValue = platform.options.wrapKeyValue(
-            new GatedKeyValueService({ keyValue: platform.keyValue, gate: this.gate }),
-        );
+        this.gatedKeyValue = new GatedKeyValueService({ keyValue: platform.keyValue, gate: this.gate });
+        const keyValue = platform.options.wrapKeyValue(this.gatedKeyValue);
         this.endpoint = new MemoryEndpoint({
             identity: {
                 instanceId: this.instanceId,
@@ -100,6 +100,10 @@
         });
     }
 
+    get leaseIds(): readonly string[] {
+        return this.gatedKeyValue.leaseIds;
+    }
+
     start(): void {
         this.announce();
         this.role.start();
--- a/fuzz/promises/src/simulatedSide.ts
+++ b/fuzz/promises/src/simulatedSide.ts
@@ -19,6 +19,8 @@
 const PULL_INTERVAL_MS = 300;
 const PULL_COUNT = 4;
 const MAX_RUN_MS = 400;
+const SLOW_CHUNKS = 16;
+const SLOW_CHUNK_MS = 300;
 
 /** One side process with its upstream: pulls items, runs them and reports their results. */
 export class SimulatedSide {
@@ -105,11 +107,26 @@
         const runCount = this.platform.options.repeatsItems && this.random.nextInteger(4) === 0 ? 2 : 1;
         Array.from({ length: runCount }).forEach(() => this.execute(item));
         const { jobId, itemIndex, attempt } = item;
+        if (item.body.behaviour === "slow" && !await this.runSlowly(item)) {
+            return undefined;
+        }
         const outcome = this.outcomeOf(item);
         await sleep(this.clock, this.random.nextInteger(MAX_RUN_MS));
         return outcome && { jobId, itemIndex, attempt, outcome };
     }
 
+    /** A long stream, cancelled with its job. @returns whether it came to its end */
+    private async runSlowly(item: BatchItem): Promise<boolean> {
+        for (let chunk = 0; chunk < SLOW_CHUNKS; chunk++) {
+            await sleep(this.clock, SLOW_CHUNK_MS);
+            if (this.cancelled.has(item.jobId) && !this.platform.options.ignoresCancel) {
+                return false;
+            }
+            this.platform.upstreams.noteChunk({ jobId: item.jobId, atMs: this.clock.nowMs() });
+        }
+        return true;
+    }
+
     private execute(item: BatchItem): void {
         this.platform.upstreams.add({
             service: item.service,
--- a/fuzz/promises/src/step.ts
+++ b/fuzz/promises/src/step.ts
@@ -1,19 +1,27 @@
 /** How an item of a submitted job behaves at its upstream. */
-export type ItemBehaviour = "answer" | "reject" | "fail" | "crash";
+export type ItemBehaviour = "answer" | "slow" | "reject" | "fail" | "crash";
 
 /** One step of a fuzz case. Indexes are taken modulo what there is. */
 export type Step =
-    | { kind: "submit"; entry: number; key: number; service: "chat" | "ledger"; behaviours: ItemBehaviour[]; }
+    | {
+        kind: "submit";
+        entry: number;
+        key: number;
+        service: "chat" | "ledger";
+        behaviours: ItemBehaviour[];
+        twice: boolean;
+    }
     | { kind: "resend"; entry: number; job: number; }
     | { kind: "cancel"; entry: number; job: number; }
     | { kind: "read"; entry: number; job: number; }
-    | { kind: "keyed-call"; entry: number; key: number; runMs: number; loseAnswer: boolean; }
+    | { kind: "keyed-call"; entry: number; key: number; runMs: number; loseAnswer: boolean; twice: boolean; }
     | { kind: "crash-entry"; entry: number; }
     | { kind: "stop-entry"; entry: number; }
     | { kind: "pause-entry"; entry: number; durationMs: number; }
     | { kind: "crash-side"; side: number; }
     | { kind: "pause-side"; side: number; durationMs: number; }
     | { kind: "outage"; durationMs: number; }
+    | { kind: "slow-writes"; delayMs: number; durationMs: number; }
     | { kind: "lose-write-answers"; count: number; }
     | { kind: "lose-call-answers"; count: number; }
     | { kind: "duplicate-calls"; count: number; }
--- a/fuzz/promises/src/stepArbitrary.ts
+++ b/fuzz/promises/src/stepArbitrary.ts
@@ -9,7 +9,7 @@
 const behaviours = fc.array(
     fc.oneof(
         { weight: 12, arbitrary: fc.constant<ItemBehaviour>("answer") },
-        { weight: 1, arbitrary: fc.constantFrom<ItemBehaviour>("reject", "fail", "crash") },
+        { weight: 2, arbitrary: fc.constantFrom<ItemBehaviour>("slow", "slow", "reject", "fail", "crash") },
     ),
     { minLength: 1, maxLength: 16 },
 );
@@ -23,19 +23,32 @@
 
 /** Steps of a fuzz case, work more often than faults. Shape [kinds]. */
 export const stepArbitraries: fc.Arbitrary<Step>[] = [
-    stepOf("submit", { entry: index, key, service: fc.constantFrom("chat", "ledger"), behaviours }),
-    stepOf("submit", { entry: index, key, service: fc.constantFrom("chat", "ledger"), behaviours }),
+    stepOf("submit", {
+        entry: index,
+        key,
+        service: fc.constantFrom("chat", "ledger"),
+        behaviours,
+        twice: fc.boolean(),
+    }),
+    stepOf("submit", {
+        entry: index,
+        key,
+        service: fc.constantFrom("chat", "ledger"),
+        behaviours,
+        twice: fc.boolean(),
+    }),
     stepOf("resend", { entry: index, job: index }),
     stepOf("cancel", { entry: index, job: index }),
     stepOf("read", { entry: index, job: index }),
-    stepOf("keyed-call", { entry: index, key, runMs: shortMs, loseAnswer: fc.boolean() }),
-    stepOf("keyed-call", { entry: index, key, runMs: shortMs, loseAnswer: fc.constant(false) }),
+    stepOf("keyed-call", { entry: index, key, runMs: shortMs, loseAnswer: fc.boolean(), twice: fc.boolean() }),
+    stepOf("keyed-call", { entry: index, key, runMs: shortMs, loseAnswer: fc.constant(false), twice: fc.boolean() }),
     stepOf("crash-entry", { entry: index }),
     stepOf("stop-entry", { entry: index }),
     stepOf("pause-entry", { entry: index, durationMs: longMs }),
     stepOf("crash-side", { side: index }),
     stepOf("pause-side", { side: index, durationMs: longMs }),
     stepOf("outage", { durationMs: longMs }),
+    stepOf("slow-writes", { delayMs: fc.integer({ min: 20, max: 400 }), durationMs: longMs }),
     stepOf("lose-write-answers", { count }),
     stepOf("lose-call-answers", { count }),
     stepOf("duplicate-calls", { count }),
--- /dev/null
+++ b/fuzz/promises/test/mutantKeyValueService.ts
@@ -0,0 +1,78 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { KeyValueCompare } from "@knapweedwood/platform.key-value/keyValueCompare";
+import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { TransactionResult } from "@knapweedwood/platform.key-value/transactionResult";
+import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+
+interface Mutation {
+    /** Comparisons of keys that contain one of these are dropped. */
+    dropsCompares?: string[];
+    /** Puts of keys that contain this are made without their lease. */
+    dropsLeases?: string;
+    /** What a lost answer is taken for. */
+    lostAnswer?: "not-run" | "succeeded";
+    /** Takes a write of keys that contain this as done without making it. */
+    skipsWrites?: string;
+}
+
+/** A key-value service as a faulty component would use it. */
+export class MutantKeyValueService implements KeyValueService {
+    private readonly service: KeyValueService;
+    private readonly mutation: Mutation;
+
+    constructor(service: KeyValueService, mutation: Mutation) {
+        this.service = service;
+        this.mutation = mutation;
+    }
+
+    get(key: string): Promise<KeyValueEntry | undefined> {
+        return this.service.get(key);
+    }
+
+    list(...parameters: Parameters<KeyValueService["list"]>): Promise<KeyValueEntry[]> {
+        return this.service.list(...parameters);
+    }
+
+    async transact(compares: KeyValueCompare[], operations: KeyValueOperation[]): Promise<TransactionResult> {
+        const { dropsCompares = [], dropsLeases, lostAnswer, skipsWrites } = this.mutation;
+        const kept = compares.filter(compare => !dropsCompares.some(part => compare.key.includes(part)));
+        const changed = operations.map(operation =>
+            operation.kind === "put" && dropsLeases !== undefined && operation.key.includes(dropsLeases)
+                ? { ...operation, leaseId: undefined }
+                : operation
+        );
+        if (skipsWrites !== undefined && operations.some(operation => operation.key.includes(skipsWrites))) {
+            return { succeeded: true, revision: 1, current: [] };
+        }
+        try {
+            return await this.service.transact(kept, changed);
+        }
+        catch (error) {
+            if (lostAnswer === undefined || !(error instanceof KnapweedError) || error.outcome !== "unknown") {
+                throw error;
+            }
+            if (lostAnswer === "succeeded") {
+                return { succeeded: true, revision: 1, current: [] };
+            }
+            throw new KnapweedError("KEY_VALUE_UNAVAILABLE", "assumed not run", { outcome: "not-run" });
+        }
+    }
+
+    grantLease(ttlMs: number): Promise<string> {
+        return this.service.grantLease(ttlMs);
+    }
+
+    keepLeaseAlive(leaseId: string): Promise<number> {
+        return this.service.keepLeaseAlive(leaseId);
+    }
+
+    revokeLease(leaseId: string): Promise<void> {
+        return this.service.revokeLease(leaseId);
+    }
+
+    watch(prefix: string, opts: { afterRevision: number; signal: AbortSignal; }): AsyncIterable<WatchBatch> {
+        return this.service.watch(prefix, opts);
+    }
+}
