test(batch): check the commit protocol exhaustively at its smallest

Two owners, three items, one lost answer, one pause, two lapses, over the ownership chart: no state has an item committed twice, each state can still complete; without the fencing check the exploration finds a doubled item.

--- /dev/null
+++ b/batch/ownership/test/commitProtocol.test.ts
@@ -0,0 +1,53 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { initialState, type ProtocolState, successorsOf } from "./commitProtocol.js";
+
+const MAX_STATES = 500_000;
+
+interface Exploration {
+    states: ProtocolState[];
+    doubled: ProtocolState | undefined;
+    /** Steps from each state backwards, as indexes into `states`. */
+    predecessors: number[][];
+}
+
+function explore(opts: { checksFencing: boolean; }): Exploration {
+    const states = [initialState];
+    const indexes = new Map([[JSON.stringify(initialState), 0]]);
+    const predecessors: number[][] = [[]];
+    const isDoubled = (state: ProtocolState) => state.commitCounts.some(count => count > 1);
+    let doubled: ProtocolState | undefined;
+    for (let position = 0; position < states.length && states.length < MAX_STATES; position++) {
+        if (isDoubled(states[position])) {
+            doubled = states[position];
+            break;
+        }
+        successorsOf(states[position], opts).forEach(next => {
+            const key = JSON.stringify(next);
+            const known = indexes.get(key) ?? states.push(next) - 1;
+            indexes.set(key, known);
+            (predecessors[known] ??= []).push(position);
+        });
+    }
+    return { states, doubled, predecessors };
+}
+
+test("no reachable state has an item committed twice, and each can still complete", () => {
+    const { states, doubled, predecessors } = explore({ checksFencing: true });
+    assert.ok(states.length < MAX_STATES);
+    assert.equal(doubled, undefined);
+    const canComplete = new Set(states.flatMap((state, index) => state.committed.length === 3 ? [index] : []));
+    const queue = [...canComplete];
+    for (let index = queue.pop(); index !== undefined; index = queue.pop()) {
+        predecessors[index].filter(previous => !canComplete.has(previous)).forEach(previous => {
+            canComplete.add(previous);
+            queue.push(previous);
+        });
+    }
+    const stuck = states.find((_, index) => !canComplete.has(index));
+    assert.equal(stuck, undefined, JSON.stringify(stuck));
+});
+
+test("without the fencing check the same exploration finds an item committed twice", () => {
+    assert.notEqual(explore({ checksFencing: false }).doubled, undefined);
+});
--- /dev/null
+++ b/batch/ownership/test/commitProtocol.ts
@@ -0,0 +1,143 @@
+import { ownershipChart } from "../src/ownershipChart.js";
+import type { OwnershipState } from "../src/ownershipState.js";
+
+const ITEM_COUNT = 3;
+
+interface OwnerModel {
+    state: OwnershipState;
+    isPaused: boolean;
+    /** Fencing number under which it owns, and the record's revision that it last read. */
+    fencingNumber: number;
+    baseRevision: number;
+    /** Items run and not committed. */
+    results: number[];
+    /** Whether its last commit's answer was lost. */
+    isUnsettled: boolean;
+}
+
+/** The protocol of lease, ownership and checkpoints at its smallest: two owners, three items. */
+export interface ProtocolState {
+    owners: [OwnerModel, OwnerModel];
+    /** The service: who holds the lease, the fencing counter, the progress record and its revision. */
+    holder: 0 | 1 | undefined;
+    fencingNumber: number;
+    revision: number;
+    committed: number[];
+    commitCounts: number[];
+    lostAnswersLeft: number;
+    pausesLeft: number;
+    lapsesLeft: number;
+}
+
+export const initialState: ProtocolState = {
+    owners: [createOwner(), createOwner()],
+    holder: undefined,
+    fencingNumber: 0,
+    revision: 1,
+    committed: [],
+    commitCounts: Array.from({ length: ITEM_COUNT }, () => 0),
+    lostAnswersLeft: 1,
+    pausesLeft: 1,
+    lapsesLeft: 2,
+};
+
+function createOwner(): OwnerModel {
+    const state = ownershipChart.initial;
+    return { state, isPaused: false, fencingNumber: 0, baseRevision: 0, results: [], isUnsettled: false };
+}
+
+/** All states that one action leads to. Shape [successors] */
+export function successorsOf(state: ProtocolState, opts: { checksFencing: boolean; }): ProtocolState[] {
+    return ([0, 1] as const).flatMap(index => [
+        ...acquire(state, index),
+        ...lapse(state, index),
+        ...observe(state, index),
+        ...runItem(state, index),
+        ...commit(state, index, opts),
+        ...pauseOrResume(state, index),
+    ]);
+}
+
+function change(state: ProtocolState, index: 0 | 1, owner: Partial<OwnerModel>, rest: Partial<ProtocolState> = {}) {
+    const next = structuredClone({ ...state, ...rest });
+    next.owners[index] = { ...next.owners[index], ...owner };
+    return next;
+}
+
+function acquire(state: ProtocolState, index: 0 | 1): ProtocolState[] {
+    const owner = state.owners[index];
+    if (owner.isPaused || state.holder !== undefined || !ownershipChart.accepts(owner.state, "acquired")) {
+        return [];
+    }
+    const fencingNumber = state.fencingNumber + 1;
+    const reload = {
+        baseRevision: state.revision,
+        results: owner.results.filter(item => !state.committed.includes(item)),
+    };
+    const next = { state: ownershipChart.next(owner.state, "acquired"), fencingNumber, isUnsettled: false, ...reload };
+    return [change(state, index, next, { holder: index, fencingNumber })];
+}
+
+function lapse(state: ProtocolState, index: 0 | 1): ProtocolState[] {
+    return state.holder === index && state.lapsesLeft > 0
+        ? [change(state, index, {}, { holder: undefined, lapsesLeft: state.lapsesLeft - 1 })]
+        : [];
+}
+
+/** An owner learns that its lease has lapsed or that another has taken over. */
+function observe(state: ProtocolState, index: 0 | 1): ProtocolState[] {
+    const owner = state.owners[index];
+    if (owner.isPaused || owner.state === "idle" || state.holder === index) {
+        return [];
+    }
+    const event = state.holder === undefined ? "lapsed" : "taken";
+    if (!ownershipChart.accepts(owner.state, event)) {
+        return [];
+    }
+    const results = event === "taken" ? [] : owner.results;
+    return [change(state, index, { state: ownershipChart.next(owner.state, event), results })];
+}
+
+function runItem(state: ProtocolState, index: 0 | 1): ProtocolState[] {
+    const owner = state.owners[index];
+    if (owner.isPaused || (owner.state !== "held" && owner.state !== "suspended")) {
+        return [];
+    }
+    return Array.from({ length: ITEM_COUNT }, (_, item) => item)
+        .filter(item => !owner.results.includes(item) && !state.committed.includes(item))
+        .map(item => change(state, index, { results: [...owner.results, item].sort() }));
+}
+
+/** A commit compares the holder and the record's revision; its answer may be lost and is then settled by reading. */
+function commit(state: ProtocolState, index: 0 | 1, opts: { checksFencing: boolean; }): ProtocolState[] {
+    const owner = state.owners[index];
+    if (owner.isPaused || owner.state !== "held" || (owner.results.length === 0 && !owner.isUnsettled)) {
+        return [];
+    }
+    const isOwner = state.holder === index && owner.fencingNumber === state.fencingNumber;
+    const isCurrent = owner.baseRevision === state.revision;
+    if (opts.checksFencing && (!isOwner || !isCurrent)) {
+        const results = owner.results.filter(item => !state.committed.includes(item));
+        return isOwner ? [change(state, index, { baseRevision: state.revision, results, isUnsettled: false })] : [];
+    }
+    const revision = state.revision + 1;
+    const written = {
+        revision,
+        committed: [...new Set([...state.committed, ...owner.results])].sort(),
+        commitCounts: state.commitCounts.map((count, item) => count + Number(owner.results.includes(item))),
+    };
+    const answered = change(state, index, { baseRevision: revision, results: [], isUnsettled: false }, written);
+    const lost = change(state, index, { isUnsettled: true }, {
+        ...written,
+        lostAnswersLeft: state.lostAnswersLeft - 1,
+    });
+    return state.lostAnswersLeft > 0 ? [answered, lost] : [answered];
+}
+
+function pauseOrResume(state: ProtocolState, index: 0 | 1): ProtocolState[] {
+    const owner = state.owners[index];
+    if (owner.isPaused) {
+        return [change(state, index, { isPaused: false })];
+    }
+    return state.pausesLeft > 0 ? [change(state, index, { isPaused: true }, { pausesLeft: state.pausesLeft - 1 })] : [];
+}
