--- a/batch/jobs/src/batchKeys.ts
+++ b/batch/jobs/src/batchKeys.ts
@@ -17,6 +17,7 @@
     teamJobs: (teamId: TeamId) => `${ROOT}/team-jobs/${encodeURIComponent(teamId)}/`,
     teamJob: (teamId: TeamId, jobId: JobId) => `${ROOT}/team-jobs/${encodeURIComponent(teamId)}/${jobId}`,
     allTeamJobs: `${ROOT}/team-jobs/`,
+    allFiles: `${ROOT}/files/`,
     files: (teamId: TeamId) => `${ROOT}/files/${encodeURIComponent(teamId)}/`,
     file: (teamId: TeamId, fileId: FileId) => `${ROOT}/files/${encodeURIComponent(teamId)}/${fileId}`,
 };
--- a/batch/owner/src/batchRole.ts
+++ b/batch/owner/src/batchRole.ts
@@ -19,14 +19,17 @@
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
 import type { BatchRoleOptions } from "./batchRoleOptions.js";
 import { handOutItems } from "./handOutItems.js";
+import { JobRetention } from "./jobRetention.js";
 import { PartitionOwner } from "./partitionOwner.js";
 import { PullLedger } from "./pullLedger.js";
+import { SegmentSweep } from "./segmentSweep.js";
 import { TeamShares } from "./teamShares.js";
 
 const OBSERVE_INTERVAL_MS = 1000;
 const DEFAULT_WRITE_BUDGET_PER_SECOND = 64;
 const MS_PER_SECOND = 1000;
 const FORWARD_TIMEOUT_MS = 5000;
+const SWEEP_INTERVAL_MS = 60_000;
 
 /** The batch work of one entry instance: owns partitions, hands out their items, gathers and commits results. */
 export class BatchRole {
@@ -38,6 +41,7 @@
     private readonly stopping = new AbortController();
     private entries: InstanceId[] = [];
     private loop: Promise<void> | undefined;
+    private sweepLoop: Promise<void> | undefined;
 
     constructor(opts: BatchRoleOptions) {
         this.opts = opts;
@@ -57,6 +61,7 @@
     start(): void {
         this.ownership.start();
         this.loop ??= this.observeUntilStopped();
+        this.sweepLoop ??= this.sweepUntilStopped();
     }
 
     /** Commits what is done and hands all partitions over. */
@@ -64,6 +69,7 @@
         this.stopping.abort();
         await this.ownership.stop();
         await this.loop;
+        await this.sweepLoop;
         await Promise.all([...this.owners.values()].map(owner => owner.stop()));
         this.owners.clear();
     }
@@ -122,6 +128,24 @@
         }
     }
 
+    /** Re-copies segments and removes expired jobs, now and then. */
+    private async sweepUntilStopped(): Promise<void> {
+        const { clock, random, logger, sweepIntervalMs = SWEEP_INTERVAL_MS, retentionMs } = this.opts;
+        const isOwned = (partitionId: PartitionId) => this.ownership.owned(partitionId) !== undefined;
+        const sweep = new SegmentSweep({ ...this.opts, isOwned });
+        const retention = new JobRetention({ ...this.opts, isOwned, retentionMs: retentionMs ?? Infinity });
+        while (!this.stopping.signal.aborted) {
+            await sleep(clock, sweepIntervalMs * (0.75 + random.next() / 2), this.stopping.signal);
+            try {
+                await sweep.run(this.stopping.signal);
+                await retention.run();
+            }
+            catch (error) {
+                logger.warn("sweep ended early", { code: toKnapweedError(error).code });
+            }
+        }
+    }
+
     private async observe(): Promise<void> {
         if (this.owners.size === 0) {
             return;
--- a/batch/owner/src/batchRoleOptions.ts
+++ b/batch/owner/src/batchRoleOptions.ts
@@ -30,4 +30,7 @@
     /** Checkpoint writes per second of the whole fleet; shared out over the partitions. */
     writeBudgetPerSecond?: number;
     leaseTtlMs?: number;
+    /** How long a job is kept after its end; undefined keeps all. */
+    retentionMs?: number;
+    sweepIntervalMs?: number;
 }
--- /dev/null
+++ b/batch/owner/src/segmentSweep.ts
@@ -0,0 +1,58 @@
+import { partitionOf } from "@knapweedwood/batch.jobs/partitionOf";
+import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
+import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import { readReferences } from "./readReferences.js";
+import type { SweepReport } from "./sweepReport.js";
+
+/** Pause between two segments: re-copying takes a bounded share of the network and the disks. */
+const PACE_MS = 20;
+
+/** Compares the segments that files and jobs of owned partitions need with the copies there are, and re-copies. */
+export class SegmentSweep {
+    private readonly opts: {
+        keyValue: KeyValueService;
+        segmentStore: SegmentStore;
+        clock: Clock;
+        partitionCount: number;
+        isOwned: (partitionId: PartitionId) => boolean;
+        logger: Logger;
+        metrics: Metrics;
+    };
+
+    constructor(opts: SegmentSweep["opts"]) {
+        this.opts = opts;
+    }
+
+    async run(signal?: AbortSignal): Promise<SweepReport> {
+        const { keyValue, segmentStore, clock, logger, metrics } = this.opts;
+        const report: SweepReport = { checkedCount: 0, singleCopy: [], lost: [] };
+        for (const digest of this.ownedDigests(await readReferences(keyValue))) {
+            if (signal?.aborted === true) {
+                break;
+            }
+            const copies = await segmentStore.repair(digest);
+            report.checkedCount += 1;
+            if (copies < segmentStore.copyCount) {
+                (copies === 0 ? report.lost : report.singleCopy).push(digest);
+            }
+            await sleep(clock, PACE_MS, signal);
+        }
+        metrics.gauge("batch.segments_single_copy", report.singleCopy.length);
+        metrics.gauge("batch.segments_lost", report.lost.length);
+        if (report.singleCopy.length + report.lost.length > 0) {
+            logger.warn("segments short of copies", { singleCopy: report.singleCopy.length, lost: report.lost });
+        }
+        return report;
+    }
+
+    private ownedDigests(references: Map<string, SegmentDigest[]>): Set<SegmentDigest> {
+        const owned = [...references].filter(([id]) => this.opts.isOwned(partitionOf(id, this.opts.partitionCount)));
+        return new Set(owned.flatMap(([, digests]) => digests));
+    }
+}
--- a/batch/segments/src/folderSegmentStore.ts
+++ b/batch/segments/src/folderSegmentStore.ts
@@ -1,13 +1,14 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { digestOf } from "@knapweedwood/core.hashing/digestOf";
 import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
-import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
+import { mkdir, open, readdir, readFile, rename, rm, stat } from "node:fs/promises";
 import path from "node:path";
 import { segmentNotFound } from "./segmentNotFound.js";
 import type { SegmentStore } from "./segmentStore.js";
 import { verifySegment } from "./verifySegment.js";
 
 const MAX_SEGMENT_BYTES = 4_000_000;
+const DIGEST = /^[0-9a-f]{64}$/u;
 const PARTIAL_SUFFIX = ".partial";
 
 /**
@@ -16,6 +17,7 @@
  */
 export class FolderSegmentStore implements SegmentStore {
     readonly maxSegmentBytes = MAX_SEGMENT_BYTES;
+    readonly copyCount = 1;
     private readonly folder: string;
     private partialCount = 0;
 
@@ -75,8 +77,23 @@
         return await this.get(digest).then(() => 1, () => 0);
     }
 
+    /** Removes segments that are not in `referenced` and were written before `beforeMs`. @returns how many */
+    async removeUnreferenced(referenced: ReadonlySet<SegmentDigest>, beforeMs: number): Promise<number> {
+        const names = await readdir(this.folder, { recursive: true });
+        const digests = names.map(name => path.basename(name)).filter(name => DIGEST.test(name)) as SegmentDigest[];
+        let removedCount = 0;
+        for (const digest of digests.filter(candidate => !referenced.has(candidate))) {
+            const found = await stat(this.fileOf(digest)).catch(() => undefined);
+            if (found !== undefined && found.mtimeMs < beforeMs) {
+                await this.remove(digest);
+                removedCount += 1;
+            }
+        }
+        return removedCount;
+    }
+
     private fileOf(digest: SegmentDigest): string {
-        if (!/^[0-9a-f]{64}$/u.test(digest)) {
+        if (!DIGEST.test(digest)) {
             throw new KnapweedError("SEGMENT_DIGEST_INVALID", "Not a segment digest", { statusCode: 400 });
         }
         return path.join(this.folder, digest.slice(0, 2), digest);
--- a/batch/segments/src/keyValueSegmentStore.ts
+++ b/batch/segments/src/keyValueSegmentStore.ts
@@ -16,6 +16,7 @@
 /** Keeps segments in the key-value service, for deployments without a data folder. */
 export class KeyValueSegmentStore implements SegmentStore {
     readonly maxSegmentBytes = MAX_SEGMENT_BYTES;
+    readonly copyCount = 1;
     private readonly opts: { keyValue: KeyValueService; clock: Clock; random: Random; };
 
     constructor(opts: { keyValue: KeyValueService; clock: Clock; random: Random; }) {
--- a/batch/segments/src/replicatedSegmentStore.ts
+++ b/batch/segments/src/replicatedSegmentStore.ts
@@ -34,7 +34,7 @@
 export class ReplicatedSegmentStore implements SegmentStore {
     readonly maxSegmentBytes = MAX_SEGMENT_BYTES;
     private readonly opts: ReplicatedSegmentStoreOptions;
-    private readonly copyCount: number;
+    readonly copyCount: number;
 
     constructor(opts: ReplicatedSegmentStoreOptions) {
         this.opts = opts;
--- a/batch/segments/src/segmentStore.ts
+++ b/batch/segments/src/segmentStore.ts
@@ -4,6 +4,8 @@
 export interface SegmentStore {
     /** The largest segment that the store takes, in bytes. */
     readonly maxSegmentBytes: number;
+    /** Copies, each in a zone of its own, that an acknowledged segment has. */
+    readonly copyCount: number;
     /** Resolves once the segment is kept as safely as this store can; throws `SEGMENT_NOT_KEPT` where it can't. */
     put(bytes: Uint8Array): Promise<SegmentDigest>;
     /** Throws `SEGMENT_NOT_FOUND`, or `SEGMENT_CORRUPT` where no copy matches the digest. */
--- a/fuzz/promises/src/memorySegmentStore.ts
+++ b/fuzz/promises/src/memorySegmentStore.ts
@@ -10,6 +10,7 @@
 /** A data folder in memory. It outlives the process, as a disk does. */
 export class MemorySegmentStore implements SegmentStore {
     readonly maxSegmentBytes = MAX_SEGMENT_BYTES;
+    readonly copyCount = 1;
     /** While true, nothing can be written. */
     isFull = false;
     private readonly segments = new Map<SegmentDigest, Uint8Array>();
