--- a/batch/owner/src/batchRole.ts
+++ b/batch/owner/src/batchRole.ts
@@ -19,13 +19,17 @@
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
 import type { BatchRoleOptions } from "./batchRoleOptions.js";
 import { handOutItems } from "./handOutItems.js";
+import { JobRetention } from "./jobRetention.js";
 import { PartitionOwner } from "./partitionOwner.js";
+import { PullLedger } from "./pullLedger.js";
+import { SegmentSweep } from "./segmentSweep.js";
 import { TeamShares } from "./teamShares.js";
 
 const OBSERVE_INTERVAL_MS = 1000;
 const DEFAULT_WRITE_BUDGET_PER_SECOND = 64;
 const MS_PER_SECOND = 1000;
 const FORWARD_TIMEOUT_MS = 5000;
+const SWEEP_INTERVAL_MS = 60_000;
 
 /** The batch work of one entry instance: owns partitions, hands out their items, gathers and commits results. */
 export class BatchRole {
@@ -33,9 +37,11 @@
     private readonly ownership: PartitionOwnership;
     private readonly owners = new Map<PartitionId, PartitionOwner>();
     private readonly shares: TeamShares;
+    private readonly pulls = new PullLedger({ giveBack: (items, peer) => this.giveBack(items, peer) });
     private readonly stopping = new AbortController();
     private entries: InstanceId[] = [];
     private loop: Promise<void> | undefined;
+    private sweepLoop: Promise<void> | undefined;
 
     constructor(opts: BatchRoleOptions) {
         this.opts = opts;
@@ -55,6 +61,7 @@
     start(): void {
         this.ownership.start();
         this.loop ??= this.observeUntilStopped();
+        this.sweepLoop ??= this.sweepUntilStopped();
     }
 
     /** Commits what is done and hands all partitions over. */
@@ -62,6 +69,7 @@
         this.stopping.abort();
         await this.ownership.stop();
         await this.loop;
+        await this.sweepLoop;
         await Promise.all([...this.owners.values()].map(owner => owner.stop()));
         this.owners.clear();
     }
@@ -79,15 +87,26 @@
     }
 
     private async *pull(request: PullItemsRequest, peer: PeerIdentity): AsyncIterable<{ items: BatchItem[]; }> {
-        const items = this.stopping.signal.aborted ? [] : await handOutItems({
+        const items = await this.pulls.answer(request, peer, () => this.handOut(request, peer));
+        this.opts.metrics.increment("batch.items_handed_out", {}, items.length);
+        yield { items };
+    }
+
+    private async handOut(request: PullItemsRequest, peer: PeerIdentity): Promise<BatchItem[]> {
+        return this.stopping.signal.aborted || request.count === 0 ? [] : await handOutItems({
             owners: [...this.owners.values()],
             request,
             peer,
             shares: this.shares,
             nowMs: this.opts.clock.nowMs(),
         });
-        this.opts.metrics.increment("batch.items_handed_out", {}, items.length);
-        yield { items };
+    }
+
+    private giveBack(items: BatchItem[], peer: PeerIdentity): void {
+        items.forEach(item => {
+            const owner = this.owners.get(partitionOf(item.jobId, this.opts.partitionCount));
+            owner?.job(item.jobId)?.untake([item], peer);
+        });
     }
 
     private async *report(results: BatchResult[], peer: PeerIdentity): AsyncIterable<{ taken: number; }> {
@@ -109,6 +128,24 @@
         }
     }
 
+    /** Re-copies segments and removes expired jobs, now and then. */
+    private async sweepUntilStopped(): Promise<void> {
+        const { clock, random, logger, sweepIntervalMs = SWEEP_INTERVAL_MS, retentionMs } = this.opts;
+        const isOwned = (partitionId: PartitionId) => this.ownership.owned(partitionId) !== undefined;
+        const sweep = new SegmentSweep({ ...this.opts, isOwned });
+        const retention = new JobRetention({ ...this.opts, isOwned, retentionMs: retentionMs ?? Infinity });
+        while (!this.stopping.signal.aborted) {
+            await sleep(clock, sweepIntervalMs * (0.75 + random.next() / 2), this.stopping.signal);
+            try {
+                await sweep.run(this.stopping.signal);
+                await retention.run();
+            }
+            catch (error) {
+                logger.warn("sweep ended early", { code: toKnapweedError(error).code });
+            }
+        }
+    }
+
     private async observe(): Promise<void> {
         if (this.owners.size === 0) {
             return;
