perf(config): views share the indexes of what did not change; processes with a parent seldom read the instance list

Cause: a new revision rebuilt every index, and each process read the whole instance list every two seconds. Change: indexes belong to the groups of the tree and are made anew for the changed group only; settled processes read the list every 20 s; a process without a configuration asks its parents at short intervals.

--- /dev/null
+++ b/bench/capacity/src/measureConfiguration.ts
@@ -0,0 +1,147 @@
+import { ConfigurationHolder } from "@knapweedwood/config.distribution/configurationHolder";
+import type { ChunkSource } from "@knapweedwood/config.publishing/chunkSource";
+import type { ConfigurationChange } from "@knapweedwood/config.publishing/configurationChange";
+import { ConfigurationPublisher } from "@knapweedwood/config.publishing/configurationPublisher";
+import { ConfigurationStore } from "@knapweedwood/config.publishing/configurationStore";
+import type { ConfigurationTree } from "@knapweedwood/config.publishing/configurationTree";
+import { KeyValueChunkSource } from "@knapweedwood/config.publishing/keyValueChunkSource";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { digestOf } from "@knapweedwood/core.hashing/digestOf";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import { randomUUID } from "node:crypto";
+import { CpuMeter } from "./cpuMeter.js";
+import { createMeasurement } from "./createMeasurement.js";
+import { heapAfterCollection } from "./heapAfterCollection.js";
+import type { Measurement } from "./measurement.js";
+
+const PUBLISHES = 20;
+const KEYS_PER_TEAM = 2;
+const CONDITIONS =
+    `one process, ${KEYS_PER_TEAM} keys a team, ${PUBLISHES} publishes of one team each, stand-in in memory`;
+
+interface ConfigurationPoint {
+    teams: number;
+    heapBytes: number;
+    publishCpuMs: number;
+    adoptCpuMs: number;
+    writtenBytes: number;
+    keyValueCalls: number;
+}
+
+/** Cost of holding, publishing and adopting configurations by the number of teams. */
+export async function measureConfiguration(opts: { sizes: number[]; }): Promise<Measurement[]> {
+    const points: ConfigurationPoint[] = [];
+    for (const teams of opts.sizes) {
+        points.push(await measurePoint(teams));
+    }
+    const common = { sizeUnit: "teams", conditions: CONDITIONS };
+    const pick = (value: (point: ConfigurationPoint) => number) =>
+        points.map(point => ({ size: point.teams, value: value(point) }));
+    return [
+        createMeasurement({ ...common, name: "configuration.heap", unit: "B", points: pick(p => p.heapBytes) }),
+        createMeasurement({
+            ...common,
+            name: "configuration.publish-cpu",
+            unit: "ms",
+            points: pick(p => p.publishCpuMs),
+        }),
+        createMeasurement({ ...common, name: "configuration.adopt-cpu", unit: "ms", points: pick(p => p.adoptCpuMs) }),
+        createMeasurement({ ...common, name: "configuration.written", unit: "B", points: pick(p => p.writtenBytes) }),
+        createMeasurement({
+            ...common,
+            name: "configuration.calls",
+            unit: "calls",
+            points: pick(p => p.keyValueCalls),
+        }),
+    ];
+}
+
+async function measurePoint(teams: number): Promise<ConfigurationPoint> {
+    const clock = new SystemClock();
+    const keyValue = new MemoryKeyValueService({ clock });
+    const publisher = new ConfigurationPublisher({ keyValue, clock, createChangeId: randomUUID });
+    await publisher.publish({
+        actor: "bench",
+        changes: Array.from({ length: teams }, (_, n) => teamChanges(n, 1)).flat(),
+    });
+    const heapBeforeBytes = heapAfterCollection();
+    const holder = new ConfigurationHolder({ onAdopted: () => undefined });
+    await adoptNewest(holder, keyValue);
+    const heapBytes = heapAfterCollection() - heapBeforeBytes;
+    const calls = () => keyValue.counters.reads + keyValue.counters.writes;
+    const callsBefore = calls();
+    const publishCpu = new CpuMeter();
+    const revisionBefore = keyValue.revision;
+    for (let n = 0; n < PUBLISHES; n += 1) {
+        await publisher.publish({ actor: "bench", changes: teamChanges(n, 2).slice(0, 1) });
+    }
+    const publishCpuMs = publishCpu.readMs() / PUBLISHES;
+    const keyValueCalls = (calls() - callsBefore) / PUBLISHES;
+    const entries = await keyValue.list("configuration/");
+    const writtenBytes = entries
+        .filter(entry => entry.modRevision > revisionBefore)
+        .reduce((sum, entry) => sum + entry.value.length, 0) / PUBLISHES;
+    const adoptCpuMs = await measureAdopting({ publisher, keyValue, holder });
+    keyValue.close();
+    return { teams, heapBytes, publishCpuMs, adoptCpuMs, writtenBytes, keyValueCalls };
+}
+
+/** Adopts revision after revision, as one process of the fleet does, with the chunks at hand. */
+async function measureAdopting(
+    opts: { publisher: ConfigurationPublisher; keyValue: MemoryKeyValueService; holder: ConfigurationHolder; },
+): Promise<number> {
+    await adoptNewest(opts.holder, opts.keyValue);
+    let usedMs = 0;
+    for (let n = 0; n < PUBLISHES; n += 1) {
+        await opts.publisher.publish({ actor: "bench", changes: teamChanges(n, n + 3).slice(0, 1) });
+        const store = new ConfigurationStore({ keyValue: opts.keyValue });
+        const { root, tree } = await store.load();
+        const source = treeSource(tree);
+        const cpu = new CpuMeter();
+        await opts.holder.adopt(root ?? fail(), source);
+        usedMs += cpu.readMs();
+    }
+    return usedMs / PUBLISHES;
+}
+
+async function adoptNewest(holder: ConfigurationHolder, keyValue: MemoryKeyValueService): Promise<void> {
+    const { root } = await new ConfigurationStore({ keyValue }).load();
+    await holder.adopt(root ?? fail(), new KeyValueChunkSource({ keyValue }));
+}
+
+function treeSource(tree: ConfigurationTree): ChunkSource {
+    return {
+        fetch: references => {
+            const wanted = new Set(references);
+            const texts = new Map(
+                tree.chunks(reference => wanted.has(reference)).map(chunk => [chunk.reference, chunk.text]),
+            );
+            return Promise.resolve(references.map(reference => texts.get(reference) ?? ""));
+        },
+    };
+}
+
+function teamChanges(n: number, weight: number): ConfigurationChange[] {
+    const teamId = `team-${n}` as never;
+    const team = {
+        teamId,
+        displayName: `Team number ${n}`,
+        weight,
+        limits: { requestsPerSecond: 100, concurrency: 20 },
+    };
+    const keys = Array.from({ length: KEYS_PER_TEAM }, (_, index) => ({
+        keyId: `key-${n}-${index}` as never,
+        keyHash: digestOf(`${n}-${index}`) as string,
+        role: "caller" as const,
+        name: `application ${index}`,
+        createdAtMs: 1_700_000_000_000,
+    }));
+    return [
+        { kind: "put", record: { kind: "team", team } },
+        ...keys.map(key => ({ kind: "put" as const, record: { kind: "key" as const, teamId, key } })),
+    ];
+}
+
+function fail(): never {
+    throw new Error("nothing was published");
+}
--- /dev/null
+++ b/bench/capacity/src/measureDistribution.ts
@@ -0,0 +1,184 @@
+import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
+import { ConfigurationPublisher } from "@knapweedwood/config.publishing/configurationPublisher";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import type { Revision } from "@knapweedwood/core.ids/revision";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import type { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
+import { MemoryInstanceList } from "@knapweedwood/standins.instance-list/memoryInstanceList";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import { randomUUID } from "node:crypto";
+import { CpuMeter } from "./cpuMeter.js";
+import { createEndpoint } from "./createEndpoint.js";
+import { createMeasurement } from "./createMeasurement.js";
+import type { Measurement } from "./measurement.js";
+import { SocketMeter } from "./socketMeter.js";
+
+const MS_PER_SECOND = 1_000;
+const SETTLE_MS = 6_000;
+const PUBLISHES = 20;
+const PUBLISH_GAP_MS = 200;
+const ENTRIES_SHARE = 0.2;
+const IN_FORCE_TIMEOUT_MS = 20_000;
+const CONDITIONS = "members of one zone in one operating-system process, a fifth of them entries, links on loopback";
+
+interface DistributionPoint {
+    members: number;
+    cpuMsPerSecond: number;
+    sentBytesPerSecond: number;
+    keyValueCallsPerSecond: number;
+    cpuMsPerPublish: number;
+    sentBytesPerPublish: number;
+    inForceP99Ms: number;
+}
+
+interface Zone {
+    clock: SystemClock;
+    keyValue: MemoryKeyValueService;
+    endpoints: WebSocketLinkEndpoint[];
+    configurations: DistributedConfiguration[];
+}
+
+/** Cost of the distribution of configurations by the size of a zone, at rest and for each publish. */
+export async function measureDistribution(opts: { sizes: number[]; durationMs: number; }): Promise<Measurement[]> {
+    const points: DistributionPoint[] = [];
+    for (const members of opts.sizes) {
+        points.push(await measurePoint(members, opts.durationMs));
+    }
+    const common = { sizeUnit: "processes of a zone", conditions: CONDITIONS };
+    const pick = (value: (point: DistributionPoint) => number) =>
+        points.map(point => ({ size: point.members, value: value(point) }));
+    return [
+        createMeasurement({
+            ...common,
+            name: "distribution.cpu",
+            unit: "ms/s a process",
+            points: pick(p => p.cpuMsPerSecond),
+        }),
+        createMeasurement({
+            ...common,
+            name: "distribution.sent",
+            unit: "B/s a process",
+            points: pick(p => p.sentBytesPerSecond),
+        }),
+        createMeasurement({
+            ...common,
+            name: "distribution.calls",
+            unit: "calls/s a zone",
+            points: pick(p => p.keyValueCallsPerSecond),
+        }),
+        createMeasurement({
+            ...common,
+            name: "distribution.publish-cpu",
+            unit: "ms a process and publish",
+            points: pick(p => p.cpuMsPerPublish),
+        }),
+        createMeasurement({
+            ...common,
+            name: "distribution.publish-sent",
+            unit: "B a process and publish",
+            points: pick(p => p.sentBytesPerPublish),
+        }),
+        createMeasurement({
+            ...common,
+            name: "distribution.in-force-p99",
+            unit: "ms",
+            points: pick(p => p.inForceP99Ms),
+        }),
+    ];
+}
+
+async function measurePoint(members: number, durationMs: number): Promise<DistributionPoint> {
+    const sockets = new SocketMeter();
+    const zone = await startZone(members);
+    const publisher = new ConfigurationPublisher({ ...zone, createChangeId: randomUUID });
+    await publishOnce(zone, publisher, 0);
+    await sleep(zone.clock, SETTLE_MS);
+    const rest = await measureWhile(zone, sockets, () => sleep(zone.clock, durationMs));
+    const latenciesMs: number[] = [];
+    const busy = await measureWhile(zone, sockets, async () => {
+        for (let n = 1; n <= PUBLISHES; n += 1) {
+            latenciesMs.push(await publishOnce(zone, publisher, n));
+            await sleep(zone.clock, PUBLISH_GAP_MS);
+        }
+    });
+    await Promise.all(zone.configurations.map(configuration => configuration.stop()));
+    await Promise.all(zone.endpoints.map(endpoint => endpoint.close(0)));
+    zone.keyValue.close();
+    sockets.stop();
+    const extra = (perSecond: (point: typeof rest) => number) =>
+        Math.max(0, perSecond(busy) - perSecond(rest)) * busy.seconds / PUBLISHES / members;
+    return {
+        members,
+        cpuMsPerSecond: rest.cpuMsPerSecond / members,
+        sentBytesPerSecond: rest.sentBytesPerSecond / members,
+        keyValueCallsPerSecond: rest.callsPerSecond,
+        cpuMsPerPublish: extra(point => point.cpuMsPerSecond),
+        sentBytesPerPublish: extra(point => point.sentBytesPerSecond),
+        inForceP99Ms: latenciesMs.sort((a, b) => a - b).at(-1) ?? 0,
+    };
+}
+
+async function startZone(members: number): Promise<Zone> {
+    const clock = new SystemClock();
+    const keyValue = new MemoryKeyValueService({ clock });
+    const instanceList = new MemoryInstanceList({ clock, lagMs: 0, ttlMs: Number.MAX_SAFE_INTEGER });
+    const entryCount = Math.max(2, Math.round(members * ENTRIES_SHARE));
+    const endpoints = Array.from(
+        { length: members },
+        (_, n) => createEndpoint(`member-${n}`, n < entryCount ? "entry" : "side"),
+    );
+    const configurations: DistributedConfiguration[] = [];
+    for (const [n, endpoint] of endpoints.entries()) {
+        const address = await endpoint.listen();
+        const { identity } = endpoint;
+        await instanceList.announce({ ...identity, address, state: "live", service: undefined, hasDataFolder: false });
+        configurations.push(
+            new DistributedConfiguration({
+                identity,
+                clock,
+                random: new SeededRandom(n),
+                keyValue: identity.kind === "entry" ? keyValue : undefined,
+                instanceList,
+                endpoint,
+                logger: silentLogger,
+                metrics: silentMetrics,
+            }),
+        );
+    }
+    await Promise.all(configurations.map(configuration => configuration.start()));
+    return { clock, keyValue, endpoints, configurations };
+}
+
+/** @returns time from the publish's acceptance until it is in force everywhere, in milliseconds */
+async function publishOnce(zone: Zone, publisher: ConfigurationPublisher, n: number): Promise<number> {
+    const teamId = `team-${n}` as never;
+    const team = { teamId, displayName: `Team ${n}`, weight: 1, limits: { requestsPerSecond: 10 } };
+    const { revision } = await publisher.publish({
+        actor: "bench",
+        changes: [{ kind: "put", record: { kind: "team", team } }],
+    });
+    const acceptedAtMs = zone.clock.nowMs();
+    await Promise.all(
+        zone.configurations.map(configuration =>
+            configuration.waitFor(revision as Revision, { timeoutMs: IN_FORCE_TIMEOUT_MS })
+        ),
+    );
+    return zone.clock.nowMs() - acceptedAtMs;
+}
+
+async function measureWhile(zone: Zone, sockets: SocketMeter, action: () => Promise<void>) {
+    const calls = () => zone.keyValue.counters.reads + zone.keyValue.counters.writes;
+    const [callsBefore, sentBefore, startedAtMs] = [calls(), sockets.readSentBytes(), zone.clock.nowMs()];
+    const cpu = new CpuMeter();
+    await action();
+    const seconds = (zone.clock.nowMs() - startedAtMs) / MS_PER_SECOND;
+    return {
+        seconds,
+        cpuMsPerSecond: cpu.readMs() / seconds,
+        sentBytesPerSecond: (sockets.readSentBytes() - sentBefore) / seconds,
+        callsPerSecond: (calls() - callsBefore) / seconds,
+    };
+}
--- a/config/distribution/src/configurationHolder.ts
+++ b/config/distribution/src/configurationHolder.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationRoot } from "@knapweedwood/config.publishing/configurationRoot";
 import { ConfigurationTree } from "@knapweedwood/config.publishing/configurationTree";
 import { loadTree } from "@knapweedwood/config.publishing/loadTree";
-import { viewOfTree } from "@knapweedwood/config.publishing/viewOfTree";
+import { TreeConfigurationView } from "@knapweedwood/config.publishing/treeConfigurationView";
 import type { Revision } from "@knapweedwood/core.ids/revision";
 
 /** Told of each adoption, with the tree before it. */
@@ -58,7 +58,7 @@
             return false;
         }
         const before = this.heldTree;
-        const view = viewOfTree(root, tree);
+        const view = new TreeConfigurationView(root, tree);
         this.heldRoot = root;
         this.heldTree = tree;
         this.view = view;
--- a/config/distribution/src/distributedConfiguration.ts
+++ b/config/distribution/src/distributedConfiguration.ts
@@ -27,7 +27,9 @@
 import { RootWatcher } from "./rootWatcher.js";
 
 const BEAT_PERIOD_MS = 1_000;
-const BEAT_JITTER_MS = 200;
+/** Period while this process has no configuration. */
+const FIRST_BEAT_PERIOD_MS = 50;
+const JITTER_SHARE = 0.2;
 const REPORT_EXPIRY_MS = 5_000;
 const REPORT_DELAY_MS = 20;
 const REFRESH_PERIOD_MS = 2_000;
@@ -116,7 +118,7 @@
 
     private async refreshLoop(): Promise<void> {
         while (!this.stopped.signal.aborted) {
-            await this.neighbours.refresh();
+            await this.neighbours.refreshWhereDue();
             this.followOrNot();
             await this.pause(REFRESH_PERIOD_MS);
         }
@@ -140,7 +142,7 @@
         while (!this.stopped.signal.aborted) {
             this.beat();
             this.opts.metrics.gauge("configuration.revision", this.holder.revision);
-            await this.pause(BEAT_PERIOD_MS);
+            await this.pause(this.holder.root === undefined ? FIRST_BEAT_PERIOD_MS : BEAT_PERIOD_MS);
         }
     }
 
@@ -159,7 +161,7 @@
 
     private pause(periodMs: number): Promise<void> {
         const { clock, random } = this.opts;
-        return sleep(clock, periodMs + random.nextInteger(BEAT_JITTER_MS), this.stopped.signal);
+        return sleep(clock, periodMs * (1 + random.next() * JITTER_SHARE), this.stopped.signal);
     }
 
     private handleBeat(
--- a/config/distribution/src/neighbours.ts
+++ b/config/distribution/src/neighbours.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { Link } from "@knapweedwood/links.calls/link";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
@@ -10,6 +11,8 @@
 
 const NOWHERE: DistributionPlace = { isWatcher: false, parents: [], siblings: [] };
 const PARENTS_ADDED_PER_TRY = 2;
+/** How old the instance list may be for a process whose preferred parent answers. */
+const SETTLED_REFRESH_PERIOD_MS = 20_000;
 
 /** The links to the processes beside and above this one, kept in step with the instance list. */
 export class Neighbours {
@@ -18,10 +21,21 @@
     private readonly instanceList: InstanceList;
     private readonly logger: Logger;
     private readonly opened = new Map<string, Link>();
+    private readonly clock: Clock;
+    private refreshedAtMs = 0;
     private parentsTried = PARENTS_ADDED_PER_TRY;
     private currentPlace: DistributionPlace = NOWHERE;
 
-    constructor(opts: { identity: PeerIdentity; endpoint: LinkEndpoint; instanceList: InstanceList; logger: Logger; }) {
+    constructor(
+        opts: {
+            identity: PeerIdentity;
+            endpoint: LinkEndpoint;
+            instanceList: InstanceList;
+            clock: Clock;
+            logger: Logger;
+        },
+    ) {
+        this.clock = opts.clock;
         this.identity = opts.identity;
         this.endpoint = opts.endpoint;
         this.instanceList = opts.instanceList;
@@ -32,8 +46,18 @@
         return this.currentPlace;
     }
 
+    /** Reads the instance list: often while this process watches, or finds no parent, and seldom otherwise. */
+    async refreshWhereDue(): Promise<void> {
+        const nowMs = this.clock.nowMs();
+        const isFresh = this.isSettled() && nowMs - this.refreshedAtMs < SETTLED_REFRESH_PERIOD_MS;
+        if (!isFresh) {
+            this.refreshedAtMs = nowMs;
+            await this.refresh();
+        }
+    }
+
     /** Reads the instance list and takes the place that follows from it; keeps the old place where it is away. */
-    async refresh(): Promise<void> {
+    private async refresh(): Promise<void> {
         try {
             const instances = await this.instanceList.list();
             const inRegion = instances.filter(instance => instance.region === this.identity.region);
@@ -86,6 +110,11 @@
         return links.find(link => link.state === "open") ?? links.at(0);
     }
 
+    private isSettled(): boolean {
+        const [parent] = this.currentPlace.parents;
+        return parent !== undefined && this.opened.get(parent.address)?.state === "open";
+    }
+
     /** Where no parent is known, such as when the instance list is away, any entry that has linked to this process. */
     private openEntries(): Link[] {
         return this.currentPlace.isWatcher
--- a/config/publishing/src/configurationPublisher.ts
+++ b/config/publishing/src/configurationPublisher.ts
@@ -9,6 +9,7 @@
 import { ConfigurationStore } from "./configurationStore.js";
 import { ConfigurationTree } from "./configurationTree.js";
 import { differenceOf } from "./differenceOf.js";
+import { GroupIndex } from "./groupIndex.js";
 import type { HistoryEntry } from "./historyEntry.js";
 import type { LoadedConfiguration } from "./loadedConfiguration.js";
 import { PublishConflict } from "./publishConflict.js";
@@ -16,7 +17,7 @@
 import type { PublishResult } from "./publishResult.js";
 import type { RecordDifference } from "./recordDifference.js";
 import type { TreeChange } from "./treeChange.js";
-import { viewOfTree } from "./viewOfTree.js";
+import { TreeConfigurationView } from "./treeConfigurationView.js";
 
 const MAX_SWAP_ATTEMPTS = 50;
 const RETRY_DELAY_MS = 20;
@@ -44,7 +45,7 @@
     /** The newest configuration in the key-value service; undefined before the first publish. */
     async current(): Promise<ConfigurationView | undefined> {
         const loaded = await this.store.load();
-        return loaded.root === undefined ? undefined : viewOfTree(loaded.root, loaded.tree);
+        return loaded.root === undefined ? undefined : new TreeConfigurationView(loaded.root, loaded.tree);
     }
 
     /**
@@ -218,10 +219,10 @@
 }
 
 function check(tree: ConfigurationTree): void {
-    const records = tree.records();
+    const indexes = tree.groups.map(group => GroupIndex.of(group));
     const problems = checkConfiguration({
-        services: records.flatMap(record => record.kind === "service" ? [record.service] : []),
-        teams: records.flatMap(record => record.kind === "team" ? [record.team] : []),
+        services: indexes.flatMap(index => index.services),
+        teams: indexes.flatMap(index => [...index.teams.values()]),
     });
     const [first] = problems;
     if (first !== undefined) {
