feat(bench): configuration under churn, and slopes for the capacity page

Cause: that a revision is in force everywhere within seconds, and what control costs at 2,200 nodes, must be measured. Change: runConfigChurn lays out real daemons, publishes under kills, pauses, an outage and lost answers, and judges from their logs; runCapacity measures slopes at three sizes or more, works out each role and fills docs/CAPACITY.md.

--- /dev/null
+++ b/bench/capacity/src/capacityRows.ts
@@ -0,0 +1,137 @@
+import type { CapacityRow } from "./capacityRow.js";
+import { fleetSize } from "./fleetSize.js";
+import type { Measurement } from "./measurement.js";
+
+const SECONDS_PER_DAY = 86_400;
+const FAN_OUT = 16;
+const BYTES_PER_MEGABYTE = 1_000_000;
+const COPIES = 2;
+
+/** Works out each role's cost from the measured slopes. */
+export function capacityRows(measurements: Measurement[]): CapacityRow[] {
+    const cost = costsOf(measurements);
+    return [entryRow(cost), sideRow(cost), relayRow(cost), ownerRow(cost), keeperRow(cost), plannerRow(cost)];
+}
+
+interface Costs {
+    slope: (name: string) => number;
+    /** Value at the largest size measured. */
+    largest: (name: string) => number;
+    /** Value on the fitted line, never below zero. */
+    at: (name: string, size: number) => number;
+    configurationHeapBytes: number;
+    /** Of one process, for following the configuration. */
+    followCpuMsPerSecond: number;
+    followBytesPerSecond: number;
+}
+
+function costsOf(measurements: Measurement[]): Costs {
+    const find = (name: string): Measurement => {
+        const found = measurements.find(measurement => measurement.name === name);
+        if (found === undefined) {
+            throw new Error(`${name} was not measured`);
+        }
+        return found;
+    };
+    const slope = (name: string) => Math.max(0, find(name).slope);
+    const largest = (name: string) => Math.max(0, find(name).values.at(-1) ?? 0);
+    const at = (name: string, size: number) => Math.max(0, find(name).intercept + find(name).slope * size);
+    const changesPerSecond = fleetSize.changesPerDay / SECONDS_PER_DAY;
+    return {
+        slope,
+        largest,
+        at,
+        configurationHeapBytes: at("configuration.heap", fleetSize.teams),
+        followCpuMsPerSecond: largest("distribution.cpu")
+            + changesPerSecond * (largest("distribution.publish-cpu") + at("configuration.adopt-cpu", fleetSize.teams)),
+        followBytesPerSecond: largest("distribution.sent")
+            + changesPerSecond * (largest("distribution.publish-sent") + at("configuration.written", fleetSize.teams)),
+    };
+}
+
+function entryRow(cost: Costs): CapacityRow {
+    const links = fleetSize.linksPerEntry;
+    return {
+        role: "entry",
+        state: `configuration of ${fleetSize.teams} teams; ${links} links with the load of their sides`,
+        messages: "heartbeats and load of each linked side; beats to one parent; a delta for each change",
+        cpuMsPerSecond: links * cost.slope("links.cpu") + cost.followCpuMsPerSecond,
+        heapBytes: cost.configurationHeapBytes + links * cost.slope("links.heap"),
+        bytesPerSecond: links * cost.slope("links.sent") + cost.followBytesPerSecond,
+        keyValueCallsPerSecond: cost.slope("batch.idle-calls"),
+        mechanism: "subset of upstreams (routing/choice); tree of relays (config/distribution)",
+    };
+}
+
+function sideRow(cost: Costs): CapacityRow {
+    const links = (fleetSize.entries * fleetSize.linksPerEntry) / fleetSize.upstreams;
+    return {
+        role: "side",
+        state: `configuration of ${fleetSize.teams} teams; ${links.toFixed(1)} links of entries`,
+        messages: "heartbeats and own load to each linked entry; beats to one parent; a delta for each change",
+        cpuMsPerSecond: links * cost.slope("links.cpu") + cost.followCpuMsPerSecond,
+        heapBytes: cost.configurationHeapBytes + links * cost.slope("links.heap"),
+        bytesPerSecond: links * cost.slope("links.sent") + cost.followBytesPerSecond,
+        keyValueCallsPerSecond: 0,
+        mechanism: "subset of upstreams (routing/choice); tree of relays (config/distribution)",
+    };
+}
+
+function relayRow(cost: Costs): CapacityRow {
+    return {
+        role: "relay (watcher of a zone), added to its entry",
+        state: `revisions of ${Math.round((fleetSize.entries + fleetSize.upstreams) / fleetSize.zones)} processes`,
+        messages: `beats of up to ${FAN_OUT} children; each delta ${FAN_OUT} times; root read once a second, one watch`,
+        cpuMsPerSecond: FAN_OUT * (cost.slope("links.cpu") + cost.followCpuMsPerSecond),
+        heapBytes: FAN_OUT * cost.slope("links.heap"),
+        bytesPerSecond: FAN_OUT * (cost.slope("links.sent") + cost.followBytesPerSecond),
+        keyValueCallsPerSecond: cost.largest("distribution.calls") / 2,
+        mechanism: "rendezvous rank over the instance list; content-addressed chunks",
+    };
+}
+
+function ownerRow(cost: Costs): CapacityRow {
+    const jobs = fleetSize.jobsPerDay / fleetSize.batchPartitions;
+    const itemsPerSecond = fleetSize.itemsPerDay / SECONDS_PER_DAY / fleetSize.batchPartitions;
+    const jobsPerSecond = fleetSize.jobsPerDay / SECONDS_PER_DAY / fleetSize.batchPartitions;
+    return {
+        role: `partition owner (one of ${fleetSize.batchPartitions}), added to its entry`,
+        state: `${jobs.toFixed(0)} jobs, where all of a day are open at once; ranges of done items`,
+        messages: "pulls and reports of sides, many items in each",
+        cpuMsPerSecond: itemsPerSecond * cost.slope("batch.items.cpu"),
+        heapBytes: jobs * cost.slope("batch.jobs.heap"),
+        bytesPerSecond: itemsPerSecond * fleetSize.bytesPerItem,
+        keyValueCallsPerSecond: jobsPerSecond * cost.slope("batch.jobs.calls"),
+        mechanism: "leases with fencing numbers (batch/ownership); checkpoints of ranges under a write budget",
+    };
+}
+
+function keeperRow(cost: Costs): CapacityRow {
+    const bytesPerSecond = (fleetSize.itemsPerDay * fleetSize.bytesPerItem * COPIES)
+        / SECONDS_PER_DAY / fleetSize.segmentKeepers;
+    return {
+        role: `segment keeper (one of ${fleetSize.segmentKeepers}), added to its entry`,
+        state: "segments on its disk; none in memory",
+        messages: "segments of up to 1 MB, written to two keepers",
+        cpuMsPerSecond: bytesPerSecond / BYTES_PER_MEGABYTE * cost.slope("segments.cpu"),
+        heapBytes: cost.largest("segments.heap"),
+        bytesPerSecond,
+        keyValueCallsPerSecond: 0,
+        mechanism: "immutable segments by digest, by rendezvous rank (batch/segments)",
+    };
+}
+
+function plannerRow(cost: Costs): CapacityRow {
+    const upstreams = fleetSize.upstreams / fleetSize.regions;
+    const planBytes = cost.at("planner.size", upstreams);
+    return {
+        role: "planner of a region, added to its entry",
+        state: `plan of ${upstreams} upstreams, ${(planBytes / 1024).toFixed(0)} KB in one value`,
+        messages: "lease kept alive; the plan written when it changes, at most once a period",
+        cpuMsPerSecond: cost.at("planner.cpu", upstreams) / fleetSize.plannerPeriodSeconds,
+        heapBytes: COPIES * planBytes,
+        bytesPerSecond: planBytes / fleetSize.plannerPeriodSeconds,
+        keyValueCallsPerSecond: 2 / fleetSize.plannerPeriodSeconds,
+        mechanism: "lease with a fencing number (placement/planner); sides converge (placement/orders)",
+    };
+}
--- /dev/null
+++ b/bench/capacity/src/fleetSize.ts
@@ -0,0 +1,23 @@
+/** The size that docs/CAPACITY.md is worked out for. */
+export const fleetSize = {
+    entries: 2_200,
+    upstreams: 10_000,
+    regions: 8,
+    zones: 29,
+    teams: 19_000,
+    models: 30,
+    changesPerDay: 13_000,
+    jobsPerDay: 5_900,
+    itemsPerDay: 73_000_000,
+    /** Upstreams that one entry is linked to, by the subset of routing/choice. */
+    linksPerEntry: 24,
+    /** Partitions of all batch jobs, by the settings. */
+    batchPartitions: 256,
+    /** Instances with a data folder; an assumption. */
+    segmentKeepers: 200,
+    /** Bytes of an item with its result; an assumption. */
+    bytesPerItem: 4_000,
+    /** Bytes of one record of the instance list as JSON. */
+    instanceRecordBytes: 230,
+    plannerPeriodSeconds: 5,
+};
--- /dev/null
+++ b/bench/config-churn/src/readAdoptions.ts
@@ -0,0 +1,12 @@
+import type { Adoption } from "./adoption.js";
+
+const EVENT = '"event":"configuration.in-force"';
+
+/** The revisions that a process put in force, in order, from its log. */
+export function readAdoptions(log: string): Adoption[] {
+    return log
+        .split("\n")
+        .filter(line => line.includes(EVENT))
+        .map(line => JSON.parse(line) as { time: string; revision: number; ageMs: number; })
+        .map(line => ({ revision: line.revision, atMs: Date.parse(line.time), ageMs: line.ageMs }));
+}
