feat(operators): usage of each team, kept in the key-value service

Cause: usage must be countable for charge-back without loss on restarts beyond a stated bound. Figures: a killed process loses the usage of at most 30 s.

--- /dev/null
+++ b/api/operators/src/addUsage.ts
@@ -0,0 +1,11 @@
+import type { UsageTotals } from "./usageTotals.js";
+
+/** The sum of two totals. */
+export function addUsage(left: Partial<UsageTotals>, right: Partial<UsageTotals>): UsageTotals {
+    return {
+        calls: (left.calls ?? 0) + (right.calls ?? 0),
+        items: (left.items ?? 0) + (right.items ?? 0),
+        promptTokens: (left.promptTokens ?? 0) + (right.promptTokens ?? 0),
+        completionTokens: (left.completionTokens ?? 0) + (right.completionTokens ?? 0),
+    };
+}
--- /dev/null
+++ b/api/operators/src/usageMeter.ts
@@ -0,0 +1,116 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { digestOf } from "@knapweedwood/core.hashing/digestOf";
+import type { RegionName } from "@knapweedwood/core.ids/regionName";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import { addUsage } from "./addUsage.js";
+import type { UsageRecord } from "./usageRecord.js";
+import type { UsageTotals } from "./usageTotals.js";
+import type { UsageView } from "./usageView.js";
+
+/** Usage of this long is lost at most when a process is killed. */
+const FLUSH_PERIOD_MS = 30_000;
+const DAY_CHARACTERS = 10;
+const PART_DIGITS = 1;
+
+interface Part {
+    totals: Map<TeamId, UsageTotals>;
+    isChanged: boolean;
+}
+
+/**
+ * Counts what teams use at this process. Totals of a day are written under keys of this process's own, whole each time,
+ * so that a write whose answer was lost can be repeated. What can't be written waits for the key-value service.
+ */
+export class UsageMeter implements UsageView {
+    private readonly keyValue: KeyValueService;
+    private readonly clock: Clock;
+    private readonly logger: Logger;
+    private readonly prefix: string;
+    private readonly processName: string;
+    private readonly parts = new Map<string, Part>();
+    private readonly stopped = new AbortController();
+    private running: Promise<void> = Promise.resolve();
+
+    /** @param opts.processName differs between any two processes, restarts of one instance among them */
+    constructor(opts: {
+        keyValue: KeyValueService;
+        clock: Clock;
+        logger: Logger;
+        region: RegionName;
+        processName: string;
+    }) {
+        this.keyValue = opts.keyValue;
+        this.clock = opts.clock;
+        this.logger = opts.logger;
+        this.prefix = `regions/${opts.region}/usage/`;
+        this.processName = opts.processName;
+    }
+
+    start(): void {
+        this.running = this.run();
+    }
+
+    /** Writes what is left, and stops. */
+    async stop(): Promise<void> {
+        this.stopped.abort();
+        await this.running;
+        await this.flush();
+    }
+
+    record(used: UsageRecord): void {
+        const day = new Date(this.clock.nowMs()).toISOString().slice(0, DAY_CHARACTERS);
+        const key = `${this.prefix}${day}/${this.processName}/${digestOf(used.teamId).slice(0, PART_DIGITS)}`;
+        const part = this.parts.get(key) ?? { totals: new Map<TeamId, UsageTotals>(), isChanged: true };
+        part.totals.set(used.teamId, addUsage(part.totals.get(used.teamId) ?? {}, used));
+        part.isChanged = true;
+        this.parts.set(key, part);
+    }
+
+    async usageOfDay(day: string): Promise<Map<TeamId, UsageTotals>> {
+        await this.flush();
+        const entries = await this.keyValue.list(`${this.prefix}${day}/`);
+        const sums = new Map<TeamId, UsageTotals>();
+        entries
+            .flatMap(entry => JSON.parse(new TextDecoder().decode(entry.value)) as [TeamId, UsageTotals][])
+            .forEach(([teamId, totals]) => sums.set(teamId, addUsage(sums.get(teamId) ?? {}, totals)));
+        return sums;
+    }
+
+    private async run(): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            await sleep(this.clock, FLUSH_PERIOD_MS, this.stopped.signal);
+            await this.flush();
+            this.forgetEarlierDays();
+        }
+    }
+
+    private async flush(): Promise<void> {
+        for (const [key, part] of this.parts) {
+            if (part.isChanged) {
+                await this.write(key, part);
+            }
+        }
+    }
+
+    private async write(key: string, part: Part): Promise<void> {
+        part.isChanged = false;
+        const value = new TextEncoder().encode(JSON.stringify([...part.totals.entries()]));
+        try {
+            await this.keyValue.transact([], [{ kind: "put", key, value }]);
+        }
+        catch (thrown) {
+            part.isChanged = true;
+            this.logger.debug("usage.not-written", { key, error: String(thrown) });
+        }
+    }
+
+    private forgetEarlierDays(): void {
+        const today = `${this.prefix}${new Date(this.clock.nowMs()).toISOString().slice(0, DAY_CHARACTERS)}/`;
+        [...this.parts.entries()]
+            .filter(([key, part]) => !part.isChanged && !key.startsWith(today))
+            .forEach(([key]) => this.parts.delete(key));
+    }
+}
