feat: limits, claims, choice by prefix and retry budget in the entry; gate for plain services

Cause: the entry chose by load alone, admitted everything, and ran keyed calls without a claim; a side's plain service had no limit and took no batch items. Change: the packages routing/choice, routing/retries, routing/limits and batch/claims wired in; PlainGate with an adaptive limit and batch items in half of it; the demonstration waits until every entry sees every upstream.

--- a/api/callers/src/embeddingRoute.ts
+++ b/api/callers/src/embeddingRoute.ts
@@ -40,7 +40,7 @@
             );
         }
         finally {
-            release(tokens);
+            release({ promptTokens: tokens, completionTokens: 0 });
         }
     }
 }
--- a/api/callers/src/generateRoute.ts
+++ b/api/callers/src/generateRoute.ts
@@ -10,6 +10,7 @@
 import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
 import { randomUUID } from "node:crypto";
 import type { CallersApiOptions } from "./callersApiOptions.js";
+import type { CallUsage } from "./callUsage.js";
 import { checkGenerateBody } from "./checkGenerateBody.js";
 import { estimateTokens } from "./estimateTokens.js";
 import { keyedJsonCall } from "./keyedJsonCall.js";
@@ -34,18 +35,18 @@
             service,
             tokens: estimateTokens(body),
         });
-        const usage = { tokens: 0 };
+        const used: CallUsage = { promptTokens: 0, completionTokens: 0 };
         try {
             const request: GenerateRequest = { endpoint, body };
             if (body["stream"] === true) {
-                await this.answerStream(context, service, request, usage);
+                await this.answerStream(context, service, request, used);
             }
             else {
-                await this.answerWhole(context, service, request, usage);
+                await this.answerWhole(context, service, request, used);
             }
         }
         finally {
-            release(usage.tokens);
+            release(used);
         }
     }
 
@@ -53,7 +54,7 @@
         context: RequestContext,
         service: ServiceDefinition,
         request: GenerateRequest,
-        used: { tokens: number; },
+        used: CallUsage,
     ): Promise<void> {
         const run = () => this.collect(context, service, request, used);
         const keyed = keyedJsonCall(context, this.opts.keyedCalls, { service, body: request.body, run });
@@ -64,7 +65,7 @@
         context: RequestContext,
         service: ServiceDefinition,
         request: GenerateRequest,
-        used: { tokens: number; },
+        used: CallUsage,
     ): Promise<JsonObject> {
         const assembler = this.newAssembler(request);
         for await (const event of this.events(context, service, request, used)) {
@@ -77,7 +78,7 @@
         context: RequestContext,
         service: ServiceDefinition,
         request: GenerateRequest,
-        used: { tokens: number; },
+        used: CallUsage,
     ): Promise<void> {
         const assembler = this.newAssembler(request);
         const stream = new ServerSentEvents(context.response);
@@ -115,7 +116,7 @@
         context: RequestContext,
         service: ServiceDefinition,
         request: GenerateRequest,
-        used: { tokens: number; },
+        used: CallUsage,
     ): AsyncIterable<GenerateEvent> {
         const events = this.opts.backend.generate({
             service,
@@ -128,7 +129,8 @@
         for await (const event of events) {
             yield event;
             if (event.kind === "finish") {
-                used.tokens = event.usage.promptTokens + event.usage.completionTokens;
+                used.promptTokens = event.usage.promptTokens;
+                used.completionTokens = event.usage.completionTokens;
                 return;
             }
         }
--- a/api/callers/src/keyedCalls.ts
+++ b/api/callers/src/keyedCalls.ts
@@ -16,6 +16,8 @@
         idempotencyKey: string;
         /** Digest of the method, path and body. */
         requestDigest: string;
+        /** Longest time that the call may run. */
+        timeoutMs: number;
         run: () => Promise<RecordedAnswer>;
     }): Promise<RecordedAnswer>;
 }
--- a/api/callers/src/keyedJsonCall.ts
+++ b/api/callers/src/keyedJsonCall.ts
@@ -18,6 +18,7 @@
         caller: context.caller,
         service: opts.service.name,
         idempotencyKey,
+        timeoutMs: opts.service.deadlineMs,
         requestDigest: digestOf(`${context.path}\n${JSON.stringify(opts.body)}`),
         run: async () => ({ statusCode: 200, headers: [], body: Buffer.from(JSON.stringify(await opts.run())) }),
     }).then(answer => JSON.parse(Buffer.from(answer.body).toString("utf8")) as JsonObject);
--- a/api/callers/src/plainRoute.ts
+++ b/api/callers/src/plainRoute.ts
@@ -38,7 +38,7 @@
             }
         }
         finally {
-            release(0);
+            release({ promptTokens: 0, completionTokens: 0 });
         }
     }
 
@@ -98,6 +98,7 @@
             caller: context.caller,
             service: service.name,
             idempotencyKey,
+            timeoutMs: service.deadlineMs,
             requestDigest: digestOf(`${context.request.method ?? "GET"} ${path}\n${digestOf(body)}`),
             run: () => collectAnswer(this.call(context, service, path, body.length === 0 ? undefined : oneChunk(body))),
         });
--- a/daemons/embedded/src/demoDeployment.ts
+++ b/daemons/embedded/src/demoDeployment.ts
@@ -70,19 +70,18 @@
 
     private async isServing(): Promise<boolean> {
         const urls = Array.from({ length: ENTRY_COUNT }, (_, index) => this.deployment.url(index));
-        const answers = await Promise.all(urls.map(url => this.tryCall(url)));
+        const answers = await Promise.all(urls.map(url => this.seesAllUpstreams(url)));
         return answers.every(isGood => isGood);
     }
 
-    private async tryCall(url: string): Promise<boolean> {
-        const body = { model: "demo-chat", messages: [{ role: "user", content: "ready?" }], max_tokens: 1 };
-        const answer = await fetch(`${url}/v1/chat/completions`, {
-            method: "POST",
-            headers: this.headers(),
-            body: JSON.stringify(body),
-        });
-        await answer.arrayBuffer();
-        return answer.status === 200;
+    private async seesAllUpstreams(url: string): Promise<boolean> {
+        const answer = await fetch(`${url}/admin/v1/fleet/upstreams`, { headers: this.headers() });
+        if (answer.status !== 200) {
+            await answer.arrayBuffer();
+            return false;
+        }
+        const { upstreams } = await answer.json() as { upstreams: { isHealthy: boolean; }[]; };
+        return upstreams.filter(upstream => upstream.isHealthy).length === ENGINE_COUNT + SERVICE_COUNT;
     }
 
     private headers(): { [name: string]: string; } {
--- a/daemons/entry/src/dispatcher.ts
+++ b/daemons/entry/src/dispatcher.ts
@@ -7,7 +7,6 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { ModelName } from "@knapweedwood/core.ids/modelName";
-import type { Random } from "@knapweedwood/core.random/random";
 import { embedCall } from "@knapweedwood/daemons.inference/embedCall";
 import { generateCall } from "@knapweedwood/daemons.inference/generateCall";
 import { plainCall } from "@knapweedwood/daemons.inference/plainCall";
@@ -21,26 +20,26 @@
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
 import type { Tracer } from "@knapweedwood/observability.traces/tracer";
-import { affinityKeyOf } from "./affinityKeyOf.js";
+import { promptBlocksOf } from "@knapweedwood/routing.choice/promptBlocksOf";
+import type { RetryBudget } from "@knapweedwood/routing.retries/retryBudget";
+import type { RetryDecision } from "@knapweedwood/routing.retries/retryDecision";
+import type { RetryPolicy } from "@knapweedwood/routing.retries/retryPolicy";
 import type { BodyStreams } from "./bodyStreams.js";
 import { GenerationProgress } from "./generationProgress.js";
-import type { RetryGate } from "./retryGate.js";
+import type { ServiceChoosers } from "./serviceChoosers.js";
 import type { SideHandle } from "./sideHandle.js";
+import { toCandidate } from "./toCandidate.js";
 import type { UpstreamDirectory } from "./upstreamDirectory.js";
-import type { UpstreamSelector } from "./upstreamSelector.js";
 
-const MAX_ATTEMPTS = 4;
-const RETRY_BASE_DELAY_MS = 10;
-const RETRY_MAX_DELAY_MS = 250;
 const COME_BACK_MS = 1000;
 
 interface DispatcherOptions {
     directory: UpstreamDirectory;
-    selector: UpstreamSelector;
-    retryGate: RetryGate;
+    choosers: ServiceChoosers;
+    retryPolicy: RetryPolicy;
+    retryBudget: RetryBudget;
     bodyStreams: BodyStreams;
     clock: Clock;
-    random: Random;
     metrics: Metrics;
     tracer: Tracer;
 }
@@ -48,7 +47,8 @@
 interface Attempt<Frame> {
     service: ServiceDefinition;
     model: ModelName | undefined;
-    affinityKey: string | undefined;
+    /** Hashes of the prompt's leading blocks, shape [blocks]. */
+    promptBlocks: string[];
     options: BackendCallOptions;
     /** Whether the call may run again after an outcome that is unknown. */
     isRepeatable: () => boolean;
@@ -72,7 +72,7 @@
         const frames = this.attempts<GenerateEvent>({
             service: opts.service,
             model: opts.request.body["model"] as ModelName,
-            affinityKey: affinityKeyOf(opts.request.body),
+            promptBlocks: promptBlocksOf(promptText(opts.request.body)),
             options: opts,
             isRepeatable: () => opts.service.repeatable && progress.isResumable,
             isResendable: () => progress.isResumable,
@@ -89,7 +89,7 @@
         const frames = this.attempts<{ body: JsonObject; }>({
             service: opts.service,
             model: opts.body["model"] as ModelName,
-            affinityKey: undefined,
+            promptBlocks: [],
             options: opts,
             isRepeatable: () => opts.service.repeatable,
             isResendable: () => true,
@@ -113,7 +113,7 @@
         const frames = this.attempts<PlainFrame>({
             service: opts.service,
             model: undefined,
-            affinityKey: undefined,
+            promptBlocks: [],
             options: opts,
             isRepeatable: () => opts.service.repeatable && !hasAnswered && !body.hasBeenRead(),
             isResendable: () => !hasAnswered && !body.hasBeenRead(),
@@ -131,35 +131,41 @@
     }
 
     private async *attempts<Frame>(attempt: Attempt<Frame>): AsyncIterable<Frame> {
-        const { clock, retryGate, metrics } = this.opts;
-        const failed = new Set<InstanceId>();
-        retryGate.onRequest(clock.nowMs());
+        const { clock, retryBudget, metrics } = this.opts;
+        const excluded: InstanceId[] = [];
+        retryBudget.onRequest(clock.nowMs());
         for (let count = 1;; count += 1) {
-            const side = this.select(attempt, failed);
+            const side = this.choose(attempt, excluded);
             try {
                 yield* this.runOnce(side, attempt, count);
                 return;
             }
             catch (thrown) {
                 const error = toKnapweedError(thrown);
-                failed.add(side.record.instanceId);
-                if (!this.mayRetry(error, attempt, count)) {
+                const decision = this.decideRetry(error, attempt, count);
+                if (decision.kind === "give-up") {
+                    metrics.increment("gave_up", { reason: decision.reason, code: error.code });
                     throw error;
                 }
+                excluded.push(side.record.instanceId);
                 metrics.increment("retry", { reason: error.code });
-                await sleep(clock, this.retryDelayMs(count), attempt.options.signal);
+                await sleep(clock, decision.delayMs, attempt.options.signal);
             }
         }
     }
 
-    private select<Frame>(attempt: Attempt<Frame>, failed: Set<InstanceId>): SideHandle {
-        const { directory, selector } = this.opts;
-        const usable = directory.candidates(attempt.service.name, attempt.model);
-        const fresh = usable.filter(side => !failed.has(side.record.instanceId));
-        const side = selector.select({
-            candidates: fresh.length > 0 ? fresh : usable,
-            affinityKey: attempt.affinityKey,
-        });
+    private choose<Frame>(attempt: Attempt<Frame>, excluded: InstanceId[]): SideHandle {
+        const { directory, choosers, clock } = this.opts;
+        const sides = directory.candidates(attempt.service.name, attempt.model);
+        const request = {
+            candidates: sides.map(toCandidate),
+            promptBlocks: attempt.promptBlocks,
+            nowMs: clock.nowMs(),
+        };
+        const chooser = choosers.of(attempt.service.name);
+        // Where only upstreams that failed are left, they are better than none.
+        const instanceId = chooser.choose({ ...request, excluded }) ?? chooser.choose(request);
+        const side = sides.find(candidate => candidate.record.instanceId === instanceId);
         if (side === undefined) {
             throw new KnapweedError("NO_UPSTREAM", `No upstream of ${attempt.service.name} can take the call`, {
                 outcome: "not-run",
@@ -171,7 +177,7 @@
     }
 
     private async *runOnce<Frame>(side: SideHandle, attempt: Attempt<Frame>, count: number): AsyncIterable<Frame> {
-        const { clock, selector, tracer } = this.opts;
+        const { clock, choosers, tracer } = this.opts;
         const startedMs = clock.nowMs();
         const instanceId = side.record.instanceId;
         const span = tracer.startSpan("entry.call", {
@@ -179,54 +185,65 @@
             attributes: { side: instanceId, attempt: count },
         });
         side.inFlight += 1;
+        let firstFrameMs: number | undefined;
         let failure: KnapweedError | undefined;
+        let hasEnded = false;
         try {
-            yield* attempt.send(side.link, {
+            const frames = attempt.send(side.link, {
                 signal: attempt.options.signal,
                 timeoutMs: Math.max(1, attempt.options.deadlineMs - startedMs),
                 traceParent: span.traceParent,
             });
-            selector.observe({ instanceId, kind: "success", durationMs: clock.nowMs() - startedMs });
+            for await (const frame of frames) {
+                firstFrameMs ??= clock.nowMs();
+                yield frame;
+            }
+            hasEnded = true;
         }
         catch (thrown) {
             failure = toKnapweedError(thrown);
-            if (isInstanceFailure(failure) && !attempt.options.signal.aborted) {
-                selector.observe({ instanceId, kind: "failure", durationMs: clock.nowMs() - startedMs });
-            }
             throw failure;
         }
         finally {
             side.inFlight -= 1;
             span.end(failure);
+            choosers.of(attempt.service.name).observe({
+                instanceId,
+                kind: observationKind({ failure, hasEnded, isCallerGone: attempt.options.signal.aborted }),
+                durationMs: (firstFrameMs ?? clock.nowMs()) - startedMs,
+                nowMs: clock.nowMs(),
+            });
         }
     }
 
-    private mayRetry<Frame>(error: KnapweedError, attempt: Attempt<Frame>, count: number): boolean {
-        const { clock, retryGate } = this.opts;
-        const isAllowed = error.outcome === "not-run"
-            ? attempt.isResendable()
-            : error.outcome === "unknown" && attempt.isRepeatable();
-        return isAllowed
-            && !isFinalRefusal(error)
-            && count < MAX_ATTEMPTS
-            && !attempt.options.signal.aborted
-            && clock.nowMs() < attempt.options.deadlineMs
-            && retryGate.tryRetry(clock.nowMs());
-    }
-
-    private retryDelayMs(count: number): number {
-        const limitMs = Math.min(RETRY_MAX_DELAY_MS, RETRY_BASE_DELAY_MS * 2 ** count);
-        return this.opts.random.next() * limitMs;
+    private decideRetry<Frame>(error: KnapweedError, attempt: Attempt<Frame>, count: number): RetryDecision {
+        const { clock, retryPolicy } = this.opts;
+        const outcome = error.outcome ?? "answered";
+        if (attempt.options.signal.aborted || (outcome === "not-run" && !attempt.isResendable())) {
+            return { kind: "give-up", reason: "not-repeatable" };
+        }
+        return retryPolicy.decide({
+            attempt: count,
+            outcome,
+            statusCode: error.statusCode,
+            repeatable: attempt.isRepeatable(),
+            deadlineMs: attempt.options.deadlineMs,
+            nowMs: clock.nowMs(),
+        });
     }
 }
 
-/** Whether the request itself was refused: no other upstream would take it. */
-function isFinalRefusal(error: KnapweedError): boolean {
-    return error.statusCode !== undefined && error.statusCode >= 400 && error.statusCode < 500
-        && error.statusCode !== 429;
+/** What a call that has ended says of its upstream: a refusal for load or leaving tells nothing against it. */
+function observationKind(
+    ended: { failure: KnapweedError | undefined; hasEnded: boolean; isCallerGone: boolean; },
+): "success" | "failure" | "abandoned" {
+    if (ended.hasEnded) {
+        return "success";
+    }
+    const isInstanceFailure = ended.failure?.outcome === "unknown" && !ended.isCallerGone;
+    return isInstanceFailure ? "failure" : "abandoned";
 }
 
-/** Whether a failure tells against the instance: a refusal for load or leaving does not. */
-function isInstanceFailure(error: KnapweedError): boolean {
-    return error.outcome !== "not-run" && !isFinalRefusal(error);
+function promptText(body: JsonObject): string {
+    return JSON.stringify(body["messages"] ?? body["prompt"] ?? "");
 }
--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -2,6 +2,8 @@
 import { HttpListener } from "@knapweedwood/api.http/httpListener";
 import { ensureBootstrapConfiguration } from "@knapweedwood/api.operators/ensureBootstrapConfiguration";
 import { OperatorsApi } from "@knapweedwood/api.operators/operatorsApi";
+import { UsageMeter } from "@knapweedwood/api.operators/usageMeter";
+import { ClaimService } from "@knapweedwood/batch.claims/claimService";
 import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
 import { KeyValueBatchService } from "@knapweedwood/batch.jobs/keyValueBatchService";
 import { BatchRole } from "@knapweedwood/batch.owner/batchRole";
@@ -17,21 +19,31 @@
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import { AffinityChooser } from "@knapweedwood/routing.choice/affinityChooser";
+import { DemandShares } from "@knapweedwood/routing.limits/demandShares";
+import { SharedLimiter } from "@knapweedwood/routing.limits/sharedLimiter";
+import { UsageExchange } from "@knapweedwood/routing.limits/usageExchange";
+import { BudgetedRetryPolicy } from "@knapweedwood/routing.retries/budgetedRetryPolicy";
+import { RetryBudget } from "@knapweedwood/routing.retries/retryBudget";
 import { randomUUID } from "node:crypto";
 import { BodyStreams } from "./bodyStreams.js";
+import { ClaimedCalls } from "./claimedCalls.js";
 import { configuredServices } from "./configuredServices.js";
 import { createSegmentStore } from "./createSegmentStore.js";
 import { Dispatcher } from "./dispatcher.js";
 import { EntryHttp } from "./entryHttp.js";
 import type { EntryProcessOptions } from "./entryProcessOptions.js";
-import { LeastLoadedSelector } from "./leastLoadedSelector.js";
+import { LimitedAdmission } from "./limitedAdmission.js";
 import { LinkedFleet } from "./linkedFleet.js";
-import { RetryBudget } from "./retryBudget.js";
-import { unclaimedCalls } from "./unclaimedCalls.js";
-import { unlimitedAdmission } from "./unlimitedAdmission.js";
+import { LINKED_SUBSET_SIZE, linkedSubset } from "./linkedSubset.js";
+import { ServiceChoosers } from "./serviceChoosers.js";
 import { UpstreamDirectory } from "./upstreamDirectory.js";
 
 const BOOTSTRAP_RETRY_MS = 1000;
+const MAX_ATTEMPTS = 4;
+/** Retries that may be used at once, such as when a side with many calls in progress is lost. */
+const MAX_SAVED_RETRIES = 64;
+const DEMAND_REPORT_INTERVAL_MS = 500;
 /** The balancer stops sending once it sees the instance leaving. */
 const LEAVE_PAUSE_MS = 500;
 
@@ -44,8 +56,12 @@
     private readonly publisher: ConfigurationPublisher;
     private readonly directory: UpstreamDirectory;
     private readonly dispatcher: Dispatcher;
+    private readonly shares: DemandShares;
+    private readonly usageExchange: UsageExchange;
+    private readonly usage: UsageMeter;
     private readonly stopping = new AbortController();
     private batchRole: BatchRole | undefined;
+    private claims: ClaimService | undefined;
     private announcer: InstanceAnnouncer | undefined;
     private listener: HttpListener | undefined;
 
@@ -76,18 +92,45 @@
             endpoint: this.endpoint,
             clock,
             watcher: this.watcher,
-            selectSubset: records => records,
+            selectSubset: records => linkedSubset(records, { entryId: identity.instanceId, zone: identity.zone }),
         });
+        const retryBudget = new RetryBudget({ maxSaved: MAX_SAVED_RETRIES });
         this.dispatcher = new Dispatcher({
             directory: this.directory,
-            selector: new LeastLoadedSelector({ random }),
-            retryGate: new RetryBudget(),
+            choosers: new ServiceChoosers({
+                create: () =>
+                    new AffinityChooser({
+                        entryId: identity.instanceId,
+                        zone: identity.zone,
+                        random,
+                        subsetSize: LINKED_SUBSET_SIZE,
+                    }),
+            }),
+            retryPolicy: new BudgetedRetryPolicy({ budget: retryBudget, random, maxAttempts: MAX_ATTEMPTS }),
+            retryBudget,
             bodyStreams: new BodyStreams({ endpoint: this.endpoint }),
             clock,
-            random,
             metrics,
             tracer,
         });
+        this.shares = new DemandShares({
+            entryId: identity.instanceId,
+            entryCount: () => this.liveEntryCount(),
+            reportIntervalMs: DEMAND_REPORT_INTERVAL_MS,
+        });
+        this.usageExchange = new UsageExchange({
+            endpoint: this.endpoint,
+            shares: this.shares,
+            clock,
+            reportIntervalMs: DEMAND_REPORT_INTERVAL_MS,
+        });
+        this.usage = new UsageMeter({
+            keyValue,
+            clock,
+            logger,
+            region: identity.region,
+            processName: `${identity.instanceId}-${identity.incarnation}`,
+        });
     }
 
     /** @returns the port where callers are served, and the address of the links */
@@ -103,7 +146,11 @@
         });
         this.batchRole = this.createBatchRole(segmentStore, linkAddress);
         this.batchRole.start();
-        this.listener = this.createListener(segmentStore);
+        this.claims = this.createClaims(segmentStore, linkAddress);
+        this.claims.start();
+        this.usageExchange.start();
+        this.usage.start();
+        this.listener = this.createListener(segmentStore, this.claims);
         const httpPort = await this.listener.listen(settings.http.host, settings.http.port);
         this.announcer = this.createAnnouncer(linkAddress);
         await this.announcer.start();
@@ -120,6 +167,9 @@
         await sleep(clock, LEAVE_PAUSE_MS);
         await this.listener?.close(settings.shutdownGraceMs);
         await this.batchRole?.stop();
+        await this.claims?.stop();
+        this.usageExchange.stop();
+        await this.usage.stop().catch((error: unknown) => logger.warn("usage.not-written", { error: String(error) }));
         await this.configuration.stop();
         await this.watcher.stop();
         await this.announcer?.stop();
@@ -127,11 +177,33 @@
         logger.info("entry.stopped");
     }
 
+    private liveEntryCount(): number {
+        const live = this.watcher.current().filter(record => record.kind === "entry" && record.state === "live");
+        return Math.max(1, live.length);
+    }
+
+    private createClaims(segmentStore: SegmentStore, address: string): ClaimService {
+        const { settings, clock, random, logger, metrics, keyValue, instanceList } = this.opts;
+        return new ClaimService({
+            instanceId: this.endpoint.identity.instanceId,
+            address: () => address,
+            endpoint: this.endpoint,
+            keyValue,
+            instanceList,
+            segmentStore,
+            clock,
+            random,
+            logger,
+            metrics,
+            shardCount: settings.batch.partitionCount,
+        });
+    }
+
     private isReady(): boolean {
         return !this.stopping.signal.aborted && this.configuration.current() !== undefined;
     }
 
-    private createListener(segmentStore: SegmentStore): HttpListener {
+    private createListener(segmentStore: SegmentStore, claims: ClaimService): HttpListener {
         const { settings, clock, random, logger, metrics, tracer, keyValue } = this.opts;
         const batches = new KeyValueBatchService({
             keyValue,
@@ -144,8 +216,13 @@
             configuration: this.configuration,
             backend: this.dispatcher,
             batches,
-            admission: unlimitedAdmission,
-            keyedCalls: unclaimedCalls,
+            admission: new LimitedAdmission({
+                limiter: new SharedLimiter({ shares: this.shares }),
+                usage: this.usage,
+                clock,
+                metrics,
+            }),
+            keyedCalls: new ClaimedCalls({ claims, logger }),
             clock,
             logger,
             metrics,
@@ -171,7 +248,7 @@
             configuration: this.configuration,
             jobs: batches,
             fleet: new LinkedFleet({ watcher: this.watcher, endpoint: this.endpoint, directory: this.directory }),
-            usage: undefined,
+            usage: this.usage,
             clock: this.opts.clock,
             logger: this.opts.logger,
         });
--- /dev/null
+++ b/daemons/entry/src/linkedSubset.ts
@@ -0,0 +1,31 @@
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import { RendezvousSubset } from "@knapweedwood/routing.choice/rendezvousSubset";
+
+/** Upstreams of one service that an entry links to, in its own zone and as many in all others together. */
+export const LINKED_SUBSET_SIZE = 24;
+
+/**
+ * The sides that an entry links to: of each service a deterministic subset in its own zone, and one of the others.
+ *
+ * @param records listed sides, shape [sides]
+ * @returns shape [linked]
+ */
+export function linkedSubset(
+    records: InstanceRecord[],
+    opts: { entryId: InstanceId; zone: ZoneName; },
+): InstanceRecord[] {
+    const subset = new RendezvousSubset({ entryId: opts.entryId, subsetSize: LINKED_SUBSET_SIZE });
+    const groups = new Map<string, InstanceRecord[]>();
+    records.forEach(record => {
+        const key = `${record.zone === opts.zone ? "near" : "far"} ${record.service ?? ""}`;
+        const group = groups.get(key) ?? [];
+        group.push(record);
+        groups.set(key, group);
+    });
+    return [...groups.values()].flatMap(group => {
+        const chosen = new Set(subset.subsetOf(group.map(record => record.instanceId)));
+        return group.filter(record => chosen.has(record.instanceId));
+    });
+}
--- /dev/null
+++ b/daemons/entry/src/serviceChoosers.ts
@@ -0,0 +1,18 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamChooser } from "@knapweedwood/routing.choice/upstreamChooser";
+
+/** One chooser a service, made when the service is first called. */
+export class ServiceChoosers {
+    private readonly create: () => UpstreamChooser;
+    private readonly choosers = new Map<ServiceName, UpstreamChooser>();
+
+    constructor(opts: { create: () => UpstreamChooser; }) {
+        this.create = opts.create;
+    }
+
+    of(service: ServiceName): UpstreamChooser {
+        const known = this.choosers.get(service) ?? this.create();
+        this.choosers.set(service, known);
+        return known;
+    }
+}
--- a/daemons/side/src/callHandlers.ts
+++ b/daemons/side/src/callHandlers.ts
@@ -12,7 +12,7 @@
 import type { CallContext } from "@knapweedwood/links.calls/callContext";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { Tracer } from "@knapweedwood/observability.traces/tracer";
-import type { PlainUpstream } from "./plainUpstream.js";
+import type { PlainGate } from "./plainGate.js";
 
 interface CallHandlersOptions {
     endpoint: LinkEndpoint;
@@ -20,7 +20,7 @@
     service: string;
     engine: ModelEngine | undefined;
     gate: Gate | undefined;
-    plain: PlainUpstream | undefined;
+    plain: PlainGate | undefined;
     /** Whether new calls are refused because this side is leaving. */
     isLeaving: () => boolean;
 }
@@ -97,7 +97,7 @@
 
     private plain(call: PlainCallRequest, context: CallContext) {
         const body = call.bodyId === undefined ? call.body : this.streamedBody(call.bodyId, context);
-        return required(this.opts.plain).call(call, { body, signal: context.signal });
+        return required(this.opts.plain).runOnline(call, { body, signal: context.signal });
     }
 
     private async *streamedBody(bodyId: string, context: CallContext): AsyncIterable<Uint8Array> {
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -7,6 +7,7 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
@@ -18,6 +19,7 @@
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
 import { CallHandlers } from "./callHandlers.js";
+import { PlainGate } from "./plainGate.js";
 import { PlainUpstream } from "./plainUpstream.js";
 import type { SideProcessOptions } from "./sideProcessOptions.js";
 import { StatusReporter } from "./statusReporter.js";
@@ -36,6 +38,7 @@
     private readonly configuration: DistributedConfiguration;
     private readonly engine: HttpModelEngine | undefined;
     private readonly plain: PlainUpstream | undefined;
+    private readonly plainGate: PlainGate | undefined;
     private readonly gate: Gate | undefined;
     private readonly monitor: UpstreamMonitor;
     private readonly handlers: CallHandlers;
@@ -64,6 +67,7 @@
         this.engine = isEngine ? new HttpModelEngine({ baseUrl: settings.upstream.url }) : undefined;
         this.plain = isEngine ? undefined : new PlainUpstream({ url: settings.upstream.url });
         this.gate = this.engine === undefined ? undefined : this.createGate(this.engine);
+        this.plainGate = this.plain === undefined ? undefined : this.createPlainGate(this.plain);
         this.monitor = new UpstreamMonitor({ engine: this.engine, plain: this.plain, clock });
         this.handlers = new CallHandlers({
             endpoint: this.endpoint,
@@ -71,11 +75,11 @@
             service: settings.service,
             engine: this.engine,
             gate: this.gate,
-            plain: this.plain,
+            plain: this.plainGate,
             isLeaving: () => this.isLeaving,
         });
         this.reporter = new StatusReporter({ endpoint: this.endpoint, clock, status: () => this.status() });
-        this.endpoint.receive(cancelJobNotification, ({ jobId }) => this.gate?.cancelJob(jobId));
+        this.endpoint.receive(cancelJobNotification, ({ jobId }) => this.cancelJob(jobId));
         this.configuration.subscribe(view => this.applyService(view.service(this.service)));
     }
 
@@ -86,6 +90,7 @@
         await this.monitor.start();
         await this.configuration.start();
         this.gate?.start();
+        this.plainGate?.start();
         this.reporter.start();
         this.announcer = this.createAnnouncer(address);
         await this.announcer.start();
@@ -101,6 +106,7 @@
         await this.announcer?.leave();
         await sleep(clock, LEAVE_PAUSE_MS);
         await this.gate?.leave();
+        await this.plainGate?.stop();
         await this.drain(settings.shutdownGraceMs);
         await this.announcer?.stop();
         await this.reporter.stop();
@@ -122,6 +128,7 @@
         await this.watcher.stop();
         await this.monitor.stop();
         await this.gate?.close();
+        await this.plainGate?.stop();
         await this.plain?.close();
     }
 
@@ -134,26 +141,41 @@
     }
 
     private createGate(engine: HttpModelEngine): Gate {
-        const { clock, random, logger, metrics, settings } = this.opts;
+        const { clock, logger, metrics, settings } = this.opts;
         return new Gate({
             engine,
             policy: createAdmissionPolicy(settings.admissionPolicy),
             clock,
             logger,
             metrics,
-            batchSource: new LinkBatchSource({
-                endpoint: this.endpoint,
-                entries: () =>
-                    this.watcher.current()
-                        .filter(record => record.kind === "entry" && record.state === "live")
-                        .map(record => record.address),
-                service: this.service,
-                clock,
-                random,
-            }),
+            batchSource: this.createBatchSource(),
+        });
+    }
+
+    private createPlainGate(upstream: PlainUpstream): PlainGate {
+        const { clock, logger } = this.opts;
+        return new PlainGate({ upstream, batchSource: this.createBatchSource(), clock, logger });
+    }
+
+    private createBatchSource(): LinkBatchSource {
+        const { clock, random } = this.opts;
+        return new LinkBatchSource({
+            endpoint: this.endpoint,
+            entries: () =>
+                this.watcher.current()
+                    .filter(record => record.kind === "entry" && record.state === "live")
+                    .map(record => record.address),
+            service: this.service,
+            clock,
+            random,
         });
     }
 
+    private cancelJob(jobId: JobId): void {
+        this.gate?.cancelJob(jobId);
+        this.plainGate?.cancelJob(jobId);
+    }
+
     private createAnnouncer(address: string): InstanceAnnouncer {
         const { settings, instanceList, clock, logger } = this.opts;
         return new InstanceAnnouncer({
