perf(distribution): compare trees place by place, and beat half as often

Change: beats every 2 s, and at once when the link to a parent was replaced, so that lost deltas are still found soon; unchanged groups are not looked into; a relay is measured in a process of its own.

--- a/bench/capacity/src/capacityRows.ts
+++ b/bench/capacity/src/capacityRows.ts
@@ -6,6 +6,7 @@
 const FAN_OUT = 16;
 const BYTES_PER_MEGABYTE = 1_000_000;
 const COPIES = 2;
+const CHANGES_PER_SECOND = fleetSize.changesPerDay / SECONDS_PER_DAY;
 
 /** Works out each role's cost from the measured slopes. */
 export function capacityRows(measurements: Measurement[]): CapacityRow[] {
@@ -36,16 +37,17 @@
     const slope = (name: string) => Math.max(0, find(name).slope);
     const largest = (name: string) => Math.max(0, find(name).values.at(-1) ?? 0);
     const at = (name: string, size: number) => Math.max(0, find(name).intercept + find(name).slope * size);
-    const changesPerSecond = fleetSize.changesPerDay / SECONDS_PER_DAY;
     return {
         slope,
         largest,
         at,
         configurationHeapBytes: at("configuration.heap", fleetSize.teams),
         followCpuMsPerSecond: largest("distribution.cpu")
-            + changesPerSecond * (largest("distribution.publish-cpu") + at("configuration.adopt-cpu", fleetSize.teams)),
+            + CHANGES_PER_SECOND
+                * (largest("distribution.publish-cpu") + at("configuration.adopt-cpu", fleetSize.teams)),
         followBytesPerSecond: largest("distribution.sent")
-            + changesPerSecond * (largest("distribution.publish-sent") + at("configuration.written", fleetSize.teams)),
+            + CHANGES_PER_SECOND
+                * (largest("distribution.publish-sent") + at("configuration.written", fleetSize.teams)),
     };
 }
 
@@ -82,14 +84,21 @@
         role: "relay (watcher of a zone), added to its entry",
         state: `revisions of ${Math.round((fleetSize.entries + fleetSize.upstreams) / fleetSize.zones)} processes`,
         messages: `beats of up to ${FAN_OUT} children; each delta ${FAN_OUT} times; root read once a second, one watch`,
-        cpuMsPerSecond: FAN_OUT * (cost.slope("links.cpu") + cost.followCpuMsPerSecond),
+        cpuMsPerSecond: FAN_OUT
+            * (cost.slope("relay.cpu") + CHANGES_PER_SECOND * cost.slope("relay.publish-cpu")),
         heapBytes: FAN_OUT * cost.slope("links.heap"),
-        bytesPerSecond: FAN_OUT * (cost.slope("links.sent") + cost.followBytesPerSecond),
+        bytesPerSecond: FAN_OUT
+            * (cost.slope("relay.sent") + CHANGES_PER_SECOND * cost.slope("relay.publish-sent") * deltaGrowth(cost)),
         keyValueCallsPerSecond: cost.largest("distribution.calls") / 2,
         mechanism: "rendezvous rank over the instance list; content-addressed chunks",
     };
 }
 
+/** How much larger a delta is with all teams than with the few of the measurement. */
+function deltaGrowth(cost: Costs): number {
+    return cost.at("configuration.written", fleetSize.teams) / cost.at("configuration.written", 0);
+}
+
 function ownerRow(cost: Costs): CapacityRow {
     const jobs = fleetSize.jobsPerDay / fleetSize.batchPartitions;
     const itemsPerSecond = fleetSize.itemsPerDay / SECONDS_PER_DAY / fleetSize.batchPartitions;
--- /dev/null
+++ b/bench/capacity/src/createMember.ts
@@ -0,0 +1,38 @@
+import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
+import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
+import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import { createEndpoint } from "./createEndpoint.js";
+import type { Member } from "./member.js";
+
+/** Makes a library-level process that follows the configuration, and enters it in the list; its caller starts it. */
+export async function createMember(
+    opts: {
+        name: string;
+        kind: "entry" | "side";
+        keyValue: KeyValueService;
+        instanceList: InstanceList;
+        seed: number;
+    },
+): Promise<Member> {
+    const endpoint = createEndpoint(opts.name, opts.kind);
+    const address = await endpoint.listen();
+    const { identity } = endpoint;
+    const record: InstanceRecord = { ...identity, address, state: "live", service: undefined, hasDataFolder: false };
+    await opts.instanceList.announce(record);
+    const configuration = new DistributedConfiguration({
+        identity,
+        clock: new SystemClock(),
+        random: new SeededRandom(opts.seed),
+        keyValue: identity.kind === "entry" ? opts.keyValue : undefined,
+        instanceList: opts.instanceList,
+        endpoint,
+        logger: silentLogger,
+        metrics: silentMetrics,
+    });
+    return { endpoint, record, configuration };
+}
--- a/bench/capacity/src/measureDistribution.ts
+++ b/bench/capacity/src/measureDistribution.ts
@@ -1,28 +1,27 @@
-import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
+import type { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
 import { ConfigurationPublisher } from "@knapweedwood/config.publishing/configurationPublisher";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import type { Revision } from "@knapweedwood/core.ids/revision";
-import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import type { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
-import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
-import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
 import { MemoryInstanceList } from "@knapweedwood/standins.instance-list/memoryInstanceList";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import { randomUUID } from "node:crypto";
 import { CpuMeter } from "./cpuMeter.js";
-import { createEndpoint } from "./createEndpoint.js";
 import { createMeasurement } from "./createMeasurement.js";
+import { createMember } from "./createMember.js";
 import type { Measurement } from "./measurement.js";
+import type { Member } from "./member.js";
 import { SocketMeter } from "./socketMeter.js";
 
 const MS_PER_SECOND = 1_000;
 const SETTLE_MS = 6_000;
-const PUBLISHES = 20;
-const PUBLISH_GAP_MS = 200;
+const PUBLISHES = 10;
+const PUBLISH_GAP_MS = 1_000;
 const ENTRIES_SHARE = 0.2;
 const IN_FORCE_TIMEOUT_MS = 20_000;
-const CONDITIONS = "members of one zone in one operating-system process, a fifth of them entries, links on loopback";
+const CONDITIONS =
+    "members of one zone in one operating-system process, a fifth of them entries, links on loopback, publishes one second apart";
 
 interface DistributionPoint {
     members: number;
@@ -126,28 +125,13 @@
     const keyValue = new MemoryKeyValueService({ clock });
     const instanceList = new MemoryInstanceList({ clock, lagMs: 0, ttlMs: Number.MAX_SAFE_INTEGER });
     const entryCount = Math.max(2, Math.round(members * ENTRIES_SHARE));
-    const endpoints = Array.from(
-        { length: members },
-        (_, n) => createEndpoint(`member-${n}`, n < entryCount ? "entry" : "side"),
-    );
-    const configurations: DistributedConfiguration[] = [];
-    for (const [n, endpoint] of endpoints.entries()) {
-        const address = await endpoint.listen();
-        const { identity } = endpoint;
-        await instanceList.announce({ ...identity, address, state: "live", service: undefined, hasDataFolder: false });
-        configurations.push(
-            new DistributedConfiguration({
-                identity,
-                clock,
-                random: new SeededRandom(n),
-                keyValue: identity.kind === "entry" ? keyValue : undefined,
-                instanceList,
-                endpoint,
-                logger: silentLogger,
-                metrics: silentMetrics,
-            }),
-        );
+    const created: Member[] = [];
+    for (let n = 0; n < members; n += 1) {
+        const kind = n < entryCount ? "entry" : "side";
+        created.push(await createMember({ name: `member-${n}`, kind, keyValue, instanceList, seed: n }));
     }
+    const endpoints = created.map(member => member.endpoint);
+    const configurations = created.map(member => member.configuration);
     await Promise.all(configurations.map(configuration => configuration.start()));
     return { clock, keyValue, endpoints, configurations };
 }
--- /dev/null
+++ b/bench/capacity/src/measureRelay.ts
@@ -0,0 +1,116 @@
+import { ConfigurationPublisher } from "@knapweedwood/config.publishing/configurationPublisher";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { MemoryInstanceList } from "@knapweedwood/standins.instance-list/memoryInstanceList";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import { fork } from "node:child_process";
+import { randomUUID } from "node:crypto";
+import { once } from "node:events";
+import { CpuMeter } from "./cpuMeter.js";
+import { createMeasurement } from "./createMeasurement.js";
+import { createMember } from "./createMember.js";
+import type { Measurement } from "./measurement.js";
+import { SocketMeter } from "./socketMeter.js";
+
+const MS_PER_SECOND = 1_000;
+const SETTLE_MS = 3_000;
+const PUBLISHES = 10;
+const PUBLISH_GAP_MS = 500;
+const CONDITIONS = "one relay in an operating-system process of its own, its children in another; publishes and the "
+    + "stand-in within the relay's process";
+
+interface RelayPoint {
+    children: number;
+    cpuMsPerSecond: number;
+    sentBytesPerSecond: number;
+    cpuMsPerPublish: number;
+    sentBytesPerPublish: number;
+}
+
+/** Cost of a relay by the number of its children, at rest and for each publish. */
+export async function measureRelay(opts: { sizes: number[]; durationMs: number; }): Promise<Measurement[]> {
+    const points: RelayPoint[] = [];
+    for (const children of opts.sizes) {
+        points.push(await measurePoint(children, opts.durationMs));
+    }
+    const common = { sizeUnit: "children of a relay", conditions: CONDITIONS };
+    const pick = (value: (point: RelayPoint) => number) =>
+        points.map(point => ({ size: point.children, value: value(point) }));
+    return [
+        createMeasurement({ ...common, name: "relay.cpu", unit: "ms/s", points: pick(p => p.cpuMsPerSecond) }),
+        createMeasurement({ ...common, name: "relay.sent", unit: "B/s", points: pick(p => p.sentBytesPerSecond) }),
+        createMeasurement({
+            ...common,
+            name: "relay.publish-cpu",
+            unit: "ms a publish",
+            points: pick(p => p.cpuMsPerPublish),
+        }),
+        createMeasurement({
+            ...common,
+            name: "relay.publish-sent",
+            unit: "B a publish",
+            points: pick(p => p.sentBytesPerPublish),
+        }),
+    ];
+}
+
+async function measurePoint(children: number, durationMs: number): Promise<RelayPoint> {
+    const clock = new SystemClock();
+    const sockets = new SocketMeter();
+    const keyValue = new MemoryKeyValueService({ clock });
+    const instanceList = new MemoryInstanceList({ clock, lagMs: 0, ttlMs: Number.MAX_SAFE_INTEGER });
+    const relay = await createMember({ name: "relay", kind: "entry", keyValue, instanceList, seed: 1 });
+    await relay.configuration.start();
+    const publisher = new ConfigurationPublisher({ keyValue, clock, createChangeId: randomUUID });
+    await publish(publisher, 0);
+    const others = fork(new URL("./relayChildrenMain.js", import.meta.url));
+    try {
+        others.send({ relay: relay.record, children });
+        await once(others, "message");
+        await sleep(clock, SETTLE_MS);
+        const rest = await measureWhile(clock, sockets, () => sleep(clock, durationMs));
+        const busy = await measureWhile(clock, sockets, async () => {
+            for (let n = 1; n <= PUBLISHES; n += 1) {
+                await publish(publisher, n);
+                await sleep(clock, PUBLISH_GAP_MS);
+            }
+        });
+        const extra = (perSecond: (of: typeof rest) => number) =>
+            Math.max(0, perSecond(busy) - perSecond(rest)) * busy.seconds / PUBLISHES;
+        return {
+            children,
+            ...rest,
+            cpuMsPerPublish: extra(of => of.cpuMsPerSecond),
+            sentBytesPerPublish: extra(of => of.sentBytesPerSecond),
+        };
+    }
+    finally {
+        others.kill();
+        await relay.configuration.stop();
+        await relay.endpoint.close(0);
+        keyValue.close();
+        sockets.stop();
+    }
+}
+
+async function publish(publisher: ConfigurationPublisher, n: number): Promise<void> {
+    const team = {
+        teamId: `team-${n}` as never,
+        displayName: `Team ${n}`,
+        weight: 1,
+        limits: { requestsPerSecond: 10 },
+    };
+    await publisher.publish({ actor: "bench", changes: [{ kind: "put", record: { kind: "team", team } }] });
+}
+
+async function measureWhile(clock: SystemClock, sockets: SocketMeter, action: () => Promise<void>) {
+    const [sentBefore, startedAtMs] = [sockets.readSentBytes(), clock.nowMs()];
+    const cpu = new CpuMeter();
+    await action();
+    const seconds = (clock.nowMs() - startedAtMs) / MS_PER_SECOND;
+    return {
+        seconds,
+        cpuMsPerSecond: cpu.readMs() / seconds,
+        sentBytesPerSecond: (sockets.readSentBytes() - sentBefore) / seconds,
+    };
+}
--- a/bench/capacity/src/runCapacity.ts
+++ b/bench/capacity/src/runCapacity.ts
@@ -11,11 +11,13 @@
 import { measureLinks } from "./measureLinks.js";
 import type { Measurement } from "./measurement.js";
 import { measurePlanner } from "./measurePlanner.js";
+import { measureRelay } from "./measureRelay.js";
 import { measureSegments } from "./measureSegments.js";
 import { renderTables } from "./renderTables.js";
 
 const FULL = {
     processes: [10, 40, 160],
+    children: [4, 8, 16],
     teams: [100, 1_000, 10_000],
     upstreams: [100, 1_000, 10_000],
     segments: [1, 10, 100],
@@ -26,6 +28,7 @@
 };
 const QUICK: typeof FULL = {
     processes: [5, 10, 20],
+    children: [1, 2, 4],
     teams: [100, 500, 1_000],
     upstreams: [100, 500, 1_000],
     segments: [1, 5, 10],
@@ -62,6 +65,7 @@
         ["batch roles at rest", () => measureBatchIdle({ sizes: sizes.entries })],
         ["batch jobs", () => measureBatch({ itemSizes: sizes.items, jobSizes: sizes.jobs })],
         ["links", () => measureLinks({ sizes: sizes.processes, durationMs })],
+        ["relays", () => measureRelay({ sizes: sizes.children, durationMs })],
         ["distribution", () => measureDistribution({ sizes: sizes.processes, durationMs })],
     ];
 }
--- a/config/distribution/src/chunksBeyond.ts
+++ b/config/distribution/src/chunksBeyond.ts
@@ -1,14 +1,22 @@
 import type { ChunkReference } from "@knapweedwood/config.publishing/chunkReference";
 import type { ConfigurationTree } from "@knapweedwood/config.publishing/configurationTree";
 
-/** The chunks that `after` has and `before` lacks. */
+/** The chunks that `after` has and `before` lacks, place by place. */
 export function chunksBeyond(
     before: ConfigurationTree,
     after: ConfigurationTree,
 ): { reference: ChunkReference; text: string; }[] {
-    const known = new Set(before.groups.flatMap(group => [
-        group.reference,
-        ...group.buckets.map(bucket => bucket.reference),
-    ]));
-    return after.chunks(reference => !known.has(reference));
+    const wanted = new Set(
+        after.groups.flatMap((group, groupIndex) => {
+            const earlier = before.groups[groupIndex];
+            return group === earlier
+                ? []
+                : [group, ...group.buckets]
+                    .filter((part, index) =>
+                        part.reference !== (index === 0 ? earlier : earlier?.buckets[index - 1])?.reference
+                    )
+                    .map(part => part.reference);
+        }),
+    );
+    return after.chunks(reference => wanted.has(reference));
 }
--- a/config/distribution/src/distributedConfiguration.ts
+++ b/config/distribution/src/distributedConfiguration.ts
@@ -26,14 +26,14 @@
 import { Neighbours } from "./neighbours.js";
 import { RootWatcher } from "./rootWatcher.js";
 
-const BEAT_PERIOD_MS = 1_000;
-/** Period while this process has no configuration. */
-const FIRST_BEAT_PERIOD_MS = 50;
+const BEAT_PERIOD_MS = 2_000;
+/** Period at which the link to the parent is looked at. */
+const CHECK_PERIOD_MS = 100;
 const JITTER_SHARE = 0.2;
-const REPORT_EXPIRY_MS = 5_000;
+const REPORT_EXPIRY_MS = 7_000;
 const REPORT_DELAY_MS = 20;
 const REFRESH_PERIOD_MS = 2_000;
-const ORPHAN_AFTER_MS = 3_000;
+const ORPHAN_AFTER_MS = 5_000;
 const FETCH_TIMEOUT_MS = 5_000;
 const MAX_DELTA_CHARACTERS = 64 * 1024;
 
@@ -53,6 +53,7 @@
     private readonly fetching = new Set<InstanceId>();
     private isReportPlanned = false;
     private heardFromParentAtMs: number;
+    private heardParent: InstanceId | undefined;
 
     constructor(opts: DistributionOptions) {
         this.opts = opts;
@@ -139,11 +140,28 @@
     }
 
     private async beatLoop(): Promise<void> {
+        const { clock, metrics, random } = this.opts;
+        let dueAtMs = 0;
         while (!this.stopped.signal.aborted) {
-            this.beat();
-            this.opts.metrics.gauge("configuration.revision", this.holder.revision);
-            await this.pause(this.holder.root === undefined ? FIRST_BEAT_PERIOD_MS : BEAT_PERIOD_MS);
+            if (this.isUnheard() || clock.nowMs() >= dueAtMs) {
+                this.beat();
+                metrics.gauge("configuration.revision", this.holder.revision);
+                dueAtMs = clock.nowMs() + BEAT_PERIOD_MS * (1 + random.next() * JITTER_SHARE);
+            }
+            await this.pause(CHECK_PERIOD_MS);
+        }
+    }
+
+    /** Whether the parent has not answered since it was linked to, or there is no configuration: then beats follow one another at once. */
+    private isUnheard(): boolean {
+        if (this.neighbours.place.isWatcher) {
+            return this.holder.root === undefined;
+        }
+        const parent = this.neighbours.parents().at(0)?.peer?.instanceId;
+        if (parent === undefined || parent !== this.heardParent) {
+            this.heardParent = undefined;
         }
+        return this.heardParent === undefined;
     }
 
     private beat(): void {
@@ -183,6 +201,7 @@
         if (this.neighbours.isParent(peer)) {
             this.heardFromParentAtMs = this.opts.clock.nowMs();
         }
+        this.heardParent = peer.instanceId;
         this.fetchWhereNewer(revision, peer);
     }
 
--- a/config/distribution/src/neighbours.ts
+++ b/config/distribution/src/neighbours.ts
@@ -11,6 +11,8 @@
 
 const NOWHERE: DistributionPlace = { isWatcher: false, parents: [], siblings: [] };
 const PARENTS_ADDED_PER_TRY = 2;
+const MAX_PARENTS_TRIED = 16;
+const TRY_MORE_PERIOD_MS = 300;
 /** How old the instance list may be for a process whose preferred parent answers. */
 const SETTLED_REFRESH_PERIOD_MS = 20_000;
 
@@ -23,6 +25,7 @@
     private readonly opened = new Map<string, Link>();
     private readonly clock: Clock;
     private refreshedAtMs = 0;
+    private triedMoreAtMs = 0;
     private parentsTried = PARENTS_ADDED_PER_TRY;
     private currentPlace: DistributionPlace = NOWHERE;
 
@@ -86,10 +89,7 @@
             }
             links.push(link);
         }
-        this.parentsTried = Math.min(
-            Math.max(this.currentPlace.parents.length, PARENTS_ADDED_PER_TRY),
-            this.parentsTried + PARENTS_ADDED_PER_TRY,
-        );
+        this.tryMoreParents();
         return this.openEntries();
     }
 
@@ -110,6 +110,14 @@
         return links.find(link => link.state === "open") ?? links.at(0);
     }
 
+    private tryMoreParents(): void {
+        const nowMs = this.clock.nowMs();
+        if (nowMs - this.triedMoreAtMs >= TRY_MORE_PERIOD_MS) {
+            this.triedMoreAtMs = nowMs;
+            this.parentsTried = Math.min(MAX_PARENTS_TRIED, this.parentsTried + PARENTS_ADDED_PER_TRY);
+        }
+    }
+
     private isSettled(): boolean {
         const [parent] = this.currentPlace.parents;
         return parent !== undefined && this.opened.get(parent.address)?.state === "open";
--- a/config/publishing/src/loadTree.ts
+++ b/config/publishing/src/loadTree.ts
@@ -9,40 +9,70 @@
 import type { TreeGroup } from "./treeGroup.js";
 
 /**
- * Builds the tree of `root`, fetching only the chunks that `known` lacks.
+ * Builds the tree of `root`, fetching only the chunks that `known` lacks. A record's place in the tree never changes, so
+ * that groups and buckets are compared place by place.
  * Throws `CHUNK_CORRUPT` where a chunk is not what its reference names.
  */
 export async function loadTree(
     opts: { root: ConfigurationRoot; source: ChunkSource; known: ConfigurationTree; },
 ): Promise<ConfigurationTree> {
     const { root, source, known } = opts;
-    const knownGroups = new Map(known.groups.map(group => [group.reference, group]));
-    const knownBuckets = new Map(
-        known.groups.flatMap(group => group.buckets).map(bucket => [bucket.reference, bucket]),
+    const indexes = await fetchIndexes(opts);
+    const buckets = await fetchBuckets(source, missingBuckets(indexes, known));
+    const groups = root.groups.map((reference, groupIndex): TreeGroup => {
+        const index = indexes.get(groupIndex);
+        const before = known.groups[groupIndex] as TreeGroup;
+        return index === undefined
+            ? reusableGroup(reference, before)
+            : { reference, buckets: index.map((bucket, place) => bucketOf(bucket, before.buckets[place], buckets)) };
+    });
+    return verified(new ConfigurationTree(groups), root);
+}
+
+/** The bucket references of each group that has to be read, by the group's place. */
+async function fetchIndexes(
+    opts: { root: ConfigurationRoot; source: ChunkSource; known: ConfigurationTree; },
+): Promise<Map<number, ChunkReference[]>> {
+    const missing = opts.root.groups
+        .map((reference, groupIndex) => ({ reference, groupIndex }))
+        .filter(({ reference, groupIndex }) =>
+            reference !== "" && reference !== opts.known.groups[groupIndex]?.reference
+        );
+    const texts = await fetchIntact(opts.source, missing.map(({ reference }) => reference));
+    return new Map(
+        missing.map(({ groupIndex }, index) => [groupIndex, JSON.parse(texts[index] as string) as ChunkReference[]]),
     );
-    const emptyGroup = ConfigurationTree.empty.groups[0] as TreeGroup;
-    knownGroups.set(emptyGroup.reference, emptyGroup);
-    knownBuckets.set(emptyGroup.reference, emptyGroup.buckets[0] as TreeBucket);
+}
+
+function missingBuckets(indexes: Map<number, ChunkReference[]>, known: ConfigurationTree): ChunkReference[] {
+    return [...indexes.entries()].flatMap(([groupIndex, references]) =>
+        references.filter((reference, place) =>
+            reference !== "" && reference !== known.groups[groupIndex]?.buckets[place]?.reference
+        )
+    );
+}
 
-    const missingGroups = root.groups.filter(reference => !knownGroups.has(reference));
-    const groupTexts = await fetchIntact(source, missingGroups);
-    const indexes = new Map(missingGroups.map((reference, index) => [
+async function fetchBuckets(
+    source: ChunkSource,
+    references: ChunkReference[],
+): Promise<Map<ChunkReference, TreeBucket>> {
+    const texts = await fetchIntact(source, references);
+    return new Map(references.map((reference, index) => [
         reference,
-        JSON.parse(groupTexts[index] as string) as ChunkReference[],
+        { reference, records: JSON.parse(texts[index] as string) as ConfigurationRecord[] },
     ]));
-    const missingBuckets = [...indexes.values()].flat().filter(reference => !knownBuckets.has(reference));
-    const bucketTexts = await fetchIntact(source, missingBuckets);
-    missingBuckets.forEach((reference, index) => {
-        const records = JSON.parse(bucketTexts[index] as string) as ConfigurationRecord[];
-        knownBuckets.set(reference, { reference, records });
-    });
-    const groups = root.groups.map(reference =>
-        knownGroups.get(reference) ?? {
-            reference,
-            buckets: (indexes.get(reference) ?? []).map(bucket => knownBuckets.get(bucket) as TreeBucket),
-        }
-    );
-    return verified(new ConfigurationTree(groups), root);
+}
+
+function reusableGroup(reference: ChunkReference, before: TreeGroup): TreeGroup {
+    return reference === before.reference ? before : ConfigurationTree.empty.groups[0] as TreeGroup;
+}
+
+function bucketOf(
+    reference: ChunkReference,
+    before: TreeBucket | undefined,
+    fetched: Map<ChunkReference, TreeBucket>,
+): TreeBucket {
+    return fetched.get(reference) ?? (before?.reference === reference ? before : { reference, records: [] });
 }
 
 async function fetchIntact(source: ChunkSource, references: ChunkReference[]): Promise<string[]> {
