--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -1,3 +1,4 @@
+import { createAdmissionPolicy } from "@knapweedwood/admission.gate/createAdmissionPolicy";
 import { Gate } from "@knapweedwood/admission.gate/gate";
 import { cancelJobNotification } from "@knapweedwood/batch.items/cancelJobNotification";
 import { LinkBatchSource } from "@knapweedwood/batch.source/linkBatchSource";
@@ -106,6 +107,7 @@
         await this.configuration.stop();
         await this.watcher.stop();
         await this.monitor.stop();
+        await this.gate?.close();
         await this.endpoint.close();
         await this.plain?.close();
         logger.info("side.stopped");
@@ -132,9 +134,10 @@
     }
 
     private createGate(engine: HttpModelEngine): Gate {
-        const { clock, random, logger, metrics } = this.opts;
+        const { clock, random, logger, metrics, settings } = this.opts;
         return new Gate({
             engine,
+            policy: createAdmissionPolicy(settings.admissionPolicy),
             clock,
             logger,
             metrics,
--- a/fuzz/promises/src/fleet.ts
+++ b/fuzz/promises/src/fleet.ts
@@ -9,6 +9,8 @@
 const ENTRY_COUNT = 3;
 const SERVICES = ["chat", "chat", "chat", "ledger", "ledger"];
 const RESTART_MS = 1500;
+const COMPLETE_STEP_MS = 100;
+const MAX_COMPLETE_STEPS = 1000;
 
 /** A simulated fleet: three entries in three zones and five sides. Processes that end are replaced. */
 export class Fleet {
@@ -40,6 +42,21 @@
         return this.clock.advance(durationMs);
     }
 
+    leaseIds(): string[] {
+        return this.entries.filter(entry => !entry.gate.dead).flatMap(entry => [...entry.leaseIds]);
+    }
+
+    /** Lets time pass until `work` is done. */
+    async complete<Value>(work: Promise<Value>): Promise<Value> {
+        const progress = { isDone: false };
+        const marked = work.finally(() => progress.isDone = true);
+        marked.catch(() => undefined);
+        for (let step = 0; !progress.isDone && step < MAX_COMPLETE_STEPS; step++) {
+            await this.advance(COMPLETE_STEP_MS);
+        }
+        return await marked;
+    }
+
     /** An entry that can take a call now. */
     liveEntry(preferred: number): SimulatedEntry | undefined {
         const order = this.entries.map((_, offset) => this.entries[(preferred + offset) % ENTRY_COUNT]);
@@ -57,6 +74,9 @@
     }
 
     crashSide(index: number): void {
+        if (this.sides[index].gate.dead) {
+            return;
+        }
         this.sides[index].crash();
         this.clock.setTimer(RESTART_MS, () => {
             this.sides[index] = this.createSide(index);
@@ -68,6 +88,7 @@
     heal(): void {
         this.platform.keyValue.faults.outage = false;
         this.platform.keyValue.faults.loseNextAnswers(0);
+        this.platform.keyValue.faults.delayMs = 0;
         this.platform.network.heal();
         this.dataFolders.forEach(folder => folder.isFull = false);
         this.entries.forEach(entry => entry.gate.resume());
