--- /dev/null
+++ b/placement/orders/src/convergerTask.ts
@@ -0,0 +1,62 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { EngineState } from "@knapweedwood/engines.model-engine/engineState";
+import type { ModelEngine } from "@knapweedwood/engines.model-engine/modelEngine";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import { exchangePlanCall } from "@knapweedwood/placement.planner/exchangePlanCall";
+import { OrderConverger } from "./orderConverger.js";
+
+const SWEEP_PERIOD_MS = 1_000;
+
+/** Receives plans at a side, and keeps its engine converged on the newest. */
+export class ConvergerTask {
+    private readonly engine: Pick<ModelEngine, "state" | "order">;
+    private readonly clock: Clock;
+    private readonly converger: OrderConverger;
+    private readonly stopped = new AbortController();
+    private running: Promise<void> = Promise.resolve();
+
+    constructor(opts: { engine: Pick<ModelEngine, "state" | "order">; clock: Clock; endpoint: LinkEndpoint; }) {
+        this.engine = opts.engine;
+        this.clock = opts.clock;
+        this.converger = new OrderConverger(opts);
+        const task = this as ConvergerTask;
+        opts.endpoint.handle(exchangePlanCall, async function*(request) {
+            const { upstream, ...numbers } = request;
+            if (upstream !== undefined) {
+                task.converger.receive({ ...numbers, upstream }, task.clock.nowMs());
+            }
+            const engine = await task.engineState();
+            yield engine === undefined ? {} : { engine };
+        });
+    }
+
+    start(): void {
+        this.running = this.run();
+    }
+
+    /** Ends after the order in progress. */
+    async stop(): Promise<void> {
+        this.stopped.abort();
+        await this.running;
+    }
+
+    private async run(): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            this.converger.sweep();
+            while (!this.stopped.signal.aborted && await this.converger.step()) {
+                // Each step is one order or one comparison.
+            }
+            await sleep(this.clock, SWEEP_PERIOD_MS, this.stopped.signal);
+        }
+    }
+
+    private async engineState(): Promise<EngineState | undefined> {
+        try {
+            return await this.engine.state();
+        }
+        catch {
+            return undefined;
+        }
+    }
+}
--- /dev/null
+++ b/placement/orders/test/plannerRole.test.ts
@@ -0,0 +1,93 @@
+import type { ConfigurationSource } from "@knapweedwood/config.configuration/configurationSource";
+import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
+import { PlannerRole } from "@knapweedwood/placement.planner/plannerRole";
+import { LoadedModels } from "@knapweedwood/standins.engine/loadedModels";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ConvergerTask } from "../src/convergerTask.js";
+
+const clock = new SystemClock();
+const ENGINES = 3;
+const MAX_CHECKS = 400;
+
+function createEndpoint(name: string, kind: "entry" | "side"): WebSocketLinkEndpoint {
+    return new WebSocketLinkEndpoint({
+        identity: { instanceId: name, incarnation: 1, kind, zone: "a", region: "tt-north" } as never,
+        clock,
+        host: "127.0.0.1",
+        port: 0,
+        logger: silentLogger,
+        metrics: silentMetrics,
+    });
+}
+
+function serviceOf(version: string): ServiceDefinition {
+    const models = [{ name: "demo", version, adapters: [] }];
+    return { name: "notes", kind: "model-engine", models, roles: ["any"], replicas: 2 } as unknown as ServiceDefinition;
+}
+
+async function eventually(isTrue: () => boolean): Promise<void> {
+    for (let check = 0; check < MAX_CHECKS && !isTrue(); check += 1) {
+        await sleep(clock, 25);
+    }
+    assert.ok(isTrue());
+}
+
+test("a planner and the sides bring engines to what is wanted, and to a new version, over real links", async context => {
+    let services = [serviceOf("1")];
+    const configuration = { current: () => ({ services: () => services }) } as unknown as ConfigurationSource;
+    const engines = Array.from(
+        { length: ENGINES },
+        () => new LoadedModels({ clock, seed: 1, models: [], checksFencing: true, loadDurationMs: 10 }),
+    );
+    const endpoints = engines.map((_, n) => createEndpoint(`side-${n}`, "side"));
+    const addresses = await Promise.all(endpoints.map(endpoint => endpoint.listen()));
+    const tasks = engines.map((held, n) => {
+        const engine = {
+            state: () => Promise.resolve(structuredClone(held.state())),
+            order: (order: Parameters<LoadedModels["accept"]>[0]) =>
+                held.accept(order) ? Promise.resolve() : Promise.reject(new Error("stale")),
+        };
+        return new ConvergerTask({ engine, clock, endpoint: endpoints[n] as WebSocketLinkEndpoint });
+    });
+    const records = addresses.map((address, n) => ({
+        ...(endpoints[n] as WebSocketLinkEndpoint).identity,
+        address,
+        state: "live" as const,
+        service: "notes" as never,
+        hasDataFolder: false,
+    }));
+    const entry = createEndpoint("entry-0", "entry");
+    const keyValue = new MemoryKeyValueService({ clock });
+    const planner = new PlannerRole({
+        keyValue,
+        clock,
+        configuration,
+        instances: () => records,
+        demands: () => [],
+        endpoint: entry,
+        logger: silentLogger,
+        maxConcurrentLoads: 1,
+    });
+    tasks.forEach(task => task.start());
+    planner.start();
+    context.after(async () => {
+        await planner.stop();
+        await Promise.all(tasks.map(task => task.stop()));
+        await Promise.all([entry, ...endpoints].map(endpoint => endpoint.close(0)));
+        keyValue.close();
+    });
+    const holding = (version: string) =>
+        engines.filter(engine =>
+            engine.state().models.some(held => held.version === version && held.state === "ready")
+        );
+    await eventually(() => holding("1").length === 2);
+    services = [serviceOf("2")];
+    await eventually(() => holding("2").length === 2 && holding("1").length === 0);
+});
--- a/placement/planner/src/planRegion.ts
+++ b/placement/planner/src/planRegion.ts
@@ -36,12 +36,17 @@
         model,
         byUpstream: planModel({ model, chosen, members, budget }),
     }));
-    return members.map(upstream => {
+    return members.flatMap((upstream): UpstreamPlan[] => {
+        if (upstream.engine === undefined) {
+            // Nothing is known of it, so that nothing is changed.
+            const before = previous.get(upstream.instanceId);
+            return before === undefined ? [] : [before];
+        }
         const models = versions.flatMap(({ model, byUpstream }) =>
             (byUpstream.get(upstream.instanceId) ?? []).map(version => ({ model: model.name, version }))
         );
         const { role, roleSinceMs } = roles.get(upstream.instanceId) ?? keptRole(upstream, previous, input.nowMs);
-        return { instanceId: upstream.instanceId, models, adapters: adaptersOf(service, models), role, roleSinceMs };
+        return [{ instanceId: upstream.instanceId, models, adapters: adaptersOf(service, models), role, roleSinceMs }];
     });
 }
 
--- a/placement/planner/test/planRegion.test.ts
+++ b/placement/planner/test/planRegion.test.ts
@@ -130,6 +130,27 @@
     ]);
 });
 
+test("an upstream that does not answer keeps its plan", () => {
+    const region = new Region(9);
+    region.run(20);
+    const [silent] = region.holding("1");
+    const before = region.plans.find(plan => plan.instanceId === silent?.instanceId);
+    const engine = silent?.engine;
+    Object.assign(silent ?? {}, { engine: undefined });
+    region.plans = planRegion({
+        services: [region.service],
+        upstreams: region.upstreams,
+        previous: region.plans,
+        demands: [],
+        maxConcurrentLoads: 2,
+        nowMs: 0,
+    });
+    assert.deepEqual(region.plans.find(plan => plan.instanceId === silent?.instanceId), before);
+    Object.assign(silent ?? {}, { engine });
+    region.run(10);
+    assert.equal(region.holding("1", "ready").length, 6);
+});
+
 test("roles follow demand one at a time, and do not flap on small changes", () => {
     const region = new Region(6);
     region.service = { ...SERVICE, roles: ["prefill", "decode"] };
