--- /dev/null
+++ b/cli/knapweed/src/commands/bench/capacity.ts
@@ -0,0 +1,22 @@
+import { runCapacity } from "@knapweedwood/bench.capacity/runCapacity";
+import { Flags } from "@oclif/core";
+import { BenchCommand } from "../../benchCommand.js";
+
+/** Measures: slopes for docs/CAPACITY.md. */
+export default class BenchCapacity extends BenchCommand {
+    static override description = "slopes for docs/CAPACITY.md";
+    static override flags = {
+        page: Flags.string({ description: "page whose tables are filled, such as docs/CAPACITY.md" }),
+        quick: Flags.boolean({ description: "fewer and smaller sizes" }),
+    };
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(BenchCapacity);
+        await runCapacity({
+            jsonFile: String(flags["json"] ?? "capacity.json"),
+            pageFile: flags.page,
+            isQuick: flags.quick,
+            onProgress: message => this.logToStderr(message),
+        });
+    }
+}
--- /dev/null
+++ b/cli/knapweed/src/commands/bench/config.ts
@@ -0,0 +1,31 @@
+import { runConfigChurn } from "@knapweedwood/bench.config-churn/runConfigChurn";
+import { Flags } from "@oclif/core";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { BenchCommand } from "../../benchCommand.js";
+
+/** Measures: configuration in force under churn. */
+export default class BenchConfig extends BenchCommand {
+    static override description = "configuration in force under churn";
+    static override flags = {
+        processes: Flags.integer({ description: "daemons, a fifth of them entries", default: 60 }),
+        publishes: Flags.integer({ description: "publishes", default: 200 }),
+        "publish-interval": Flags.integer({ description: "mean milliseconds between two publishes", default: 500 }),
+    };
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(BenchConfig);
+        const folder = await mkdtemp(path.join(tmpdir(), "knapweed-config-"));
+        const report = await runConfigChurn({
+            folder,
+            seed: Number(flags["seed"]),
+            processes: flags.processes,
+            publishes: flags.publishes,
+            publishIntervalMs: flags["publish-interval"],
+            onProgress: message => this.logToStderr(message),
+        });
+        await this.finish(flags, report);
+        await rm(folder, { recursive: true, force: true });
+    }
+}
--- /dev/null
+++ b/cli/knapweed/src/commands/bench/overhead.ts
@@ -0,0 +1,16 @@
+import { runOverhead } from "@knapweedwood/bench.overhead/runOverhead";
+import { BenchCommand } from "../../benchCommand.js";
+
+/** Measures: added latency and throughput of an entry. */
+export default class BenchOverhead extends BenchCommand {
+    static override description = "added latency and throughput of an entry";
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(BenchOverhead);
+        const report = await runOverhead({
+            seed: Number(flags["seed"]),
+            ...flags["seconds"] === undefined ? {} : { seconds: Number(flags["seconds"]) },
+        });
+        await this.finish(flags, report);
+    }
+}
--- /dev/null
+++ b/cli/knapweed/src/commands/bench/silent-links.ts
@@ -0,0 +1,18 @@
+import { runSilentLinks } from "@knapweedwood/bench.silent-links/runSilentLinks";
+import { BenchCommand } from "../../benchCommand.js";
+
+const DEFAULT_SECONDS = 30;
+
+/** Measures: what silent links cost the calls on them. */
+export default class BenchSilentLinks extends BenchCommand {
+    static override description = "what silent links cost the calls on them";
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(BenchSilentLinks);
+        const report = await runSilentLinks({
+            seconds: Number(flags["seconds"] ?? DEFAULT_SECONDS),
+            seed: Number(flags["seed"]),
+        });
+        await this.finish(flags, report);
+    }
+}
--- a/cli/knapweed/src/commands/service/list.ts
+++ b/cli/knapweed/src/commands/service/list.ts
@@ -5,7 +5,7 @@
     name: string;
     team: string;
     kind: string;
-    replicas: number;
+    replicas?: number;
     models: { name: string; version: string; }[];
 }
 
@@ -20,7 +20,7 @@
             service.name,
             service.team,
             service.kind,
-            service.replicas,
+            service.replicas ?? "all",
             service.models.map(model => `${model.name}:${model.version}`).join(","),
         ]);
         this.log(formatTable(["SERVICE", "TEAM", "KIND", "REPLICAS", "MODELS"], rows));
--- a/config/configuration/src/serviceDefinition.ts
+++ b/config/configuration/src/serviceDefinition.ts
@@ -11,7 +11,8 @@
     kind: "model-engine" | "plain";
     models: ModelDefinition[];
     roles: ("any" | "prefill" | "decode")[];
-    replicas: number;
+    /** Upstreams that hold the models; undefined means all of the service. */
+    replicas?: number;
     /** Whether a call may be run a second time after an unknown outcome. */
     repeatable: boolean;
     /** Whether the upstreams refuse orders with an old fencing number. */
--- a/config/service-files/src/serviceSchema.ts
+++ b/config/service-files/src/serviceSchema.ts
@@ -22,7 +22,7 @@
     kind: z.enum(["model-engine", "plain"]),
     models: z.array(modelSchema).default([]),
     roles: z.array(z.enum(["any", "prefill", "decode"])).min(1).default(["any"]),
-    replicas: z.int().nonnegative().default(1),
+    replicas: z.int().nonnegative().optional().describe("Upstreams that hold the models; all where it is left out"),
     repeatable: z.boolean().default(false).describe("Whether a call may run again after an unknown outcome"),
     checksFencing: z.boolean().default(false).describe("Whether upstreams refuse orders with an old fencing number"),
     limits: limitsSchema.default({}),
--- a/config/settings/src/entrySettingsSchema.ts
+++ b/config/settings/src/entrySettingsSchema.ts
@@ -3,6 +3,7 @@
 
 const DEFAULT_MAX_BODY_BYTES = 32 * 1024 * 1024;
 const DEFAULT_MAX_FILE_BYTES = 1024 * 1024 * 1024;
+const DEFAULT_MAX_CONCURRENT_LOADS = 4;
 const DEFAULT_PARTITION_COUNT = 16;
 const MAX_PARTITION_COUNT = 4096;
 
@@ -26,6 +27,10 @@
     bootstrapKeyHash: z.string().regex(/^[0-9a-f]{64}$/u).optional(),
     /** Folder for segments; none where the instance has no disk. */
     dataFolder: z.string().optional(),
+    placement: z.strictObject({
+        /** Loads of models and adapters that the weight store's rate allows at once in the region. */
+        maxConcurrentLoads: z.int().min(1).default(DEFAULT_MAX_CONCURRENT_LOADS),
+    }).default({ maxConcurrentLoads: DEFAULT_MAX_CONCURRENT_LOADS }),
     batch: z.strictObject({
         partitionCount: z.int().min(1).max(MAX_PARTITION_COUNT).default(DEFAULT_PARTITION_COUNT),
         /** Where items and results are kept; the same on every entry of a deployment. */
--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -17,6 +17,7 @@
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import { createLinkEndpoint } from "@knapweedwood/daemons.common/createLinkEndpoint";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import { PlannerRole } from "@knapweedwood/placement.planner/plannerRole";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
 import { AffinityChooser } from "@knapweedwood/routing.choice/affinityChooser";
@@ -62,6 +63,7 @@
     private readonly stopping = new AbortController();
     private batchRole: BatchRole | undefined;
     private claims: ClaimService | undefined;
+    private readonly planner: PlannerRole;
     private announcer: InstanceAnnouncer | undefined;
     private listener: HttpListener | undefined;
 
@@ -124,6 +126,16 @@
             clock,
             reportIntervalMs: DEMAND_REPORT_INTERVAL_MS,
         });
+        this.planner = new PlannerRole({
+            keyValue,
+            clock,
+            configuration: this.configuration,
+            instances: () => this.watcher.current(),
+            demands: () => [],
+            endpoint: this.endpoint,
+            logger,
+            maxConcurrentLoads: settings.placement.maxConcurrentLoads,
+        });
         this.usage = new UsageMeter({
             keyValue,
             clock,
@@ -149,6 +161,7 @@
         this.claims = this.createClaims(segmentStore, linkAddress);
         this.claims.start();
         this.usageExchange.start();
+        this.planner.start();
         this.usage.start();
         this.listener = this.createListener(segmentStore, this.claims);
         const httpPort = await this.listener.listen(settings.http.host, settings.http.port);
@@ -168,6 +181,7 @@
         await this.listener?.close(settings.shutdownGraceMs);
         await this.batchRole?.stop();
         await this.claims?.stop();
+        await this.planner.stop();
         this.usageExchange.stop();
         await this.usage.stop().catch((error: unknown) => logger.warn("usage.not-written", { error: String(error) }));
         await this.configuration.stop();
--- a/placement/planner/src/planRegion.ts
+++ b/placement/planner/src/planRegion.ts
@@ -21,7 +21,7 @@
     const members = input.upstreams.filter(upstream => upstream.service === service.name);
     const chosen = chooseReplicas({
         key: `placement/${service.name}`,
-        count: service.replicas,
+        count: service.replicas ?? members.length,
         candidates: members,
         previous: new Set(input.previous.filter(plan => plan.models.length > 0).map(plan => plan.instanceId)),
     });
