--- a/daemons/embedded/src/embeddedDeployment.ts
+++ b/daemons/embedded/src/embeddedDeployment.ts
@@ -29,6 +29,7 @@
     readonly entries: EmbeddedEntry[] = [];
     readonly sides: EmbeddedSide[] = [];
     readonly engines: EngineServer[] = [];
+    readonly enginePorts: number[] = [];
     readonly services: ServiceServer[] = [];
     readonly keyValue: MemoryKeyValueService;
     readonly instanceList: MemoryInstanceList;
@@ -95,6 +96,7 @@
         });
         const port = await engine.listen({ host: HOST, port: 0 });
         this.engines.push(engine);
+        this.enginePorts.push(port);
         await this.startSide(`side-${index + 1}`, index, this.opts.engineService, { kind: "model-engine", port });
     }
 
