perf(engines): assemble the chunks of plain text without copies

Cause: each streamed token copied four objects before it was written as JSON. Change: text without the engine's choice object has a path of its own.

--- a/engines/model-engine/src/completionAssembler.ts
+++ b/engines/model-engine/src/completionAssembler.ts
@@ -70,6 +70,24 @@
     }
 
     private addChunk(event: Extract<GenerateEvent, { kind: "chunk"; }>): JsonObject {
+        return event.choice === undefined ? this.addText(event.text, event.tokenCount) : this.addChoice(event);
+    }
+
+    /** The common case: text of the first choice, and nothing else. */
+    private addText(text: string, tokenCount: number): JsonObject {
+        const choice = this.choice(0);
+        const isFirst = choice.text === "" && choice.toolCalls.length === 0;
+        choice.text += text;
+        this.tokenCount += tokenCount;
+        const delta = isFirst ? { role: "assistant", content: text } : { content: text };
+        return this.chunkOf(
+            this.isChat
+                ? { index: 0, delta, logprobs: null, finish_reason: null }
+                : { index: 0, text, logprobs: null, finish_reason: null },
+        );
+    }
+
+    private addChoice(event: Extract<GenerateEvent, { kind: "chunk"; }>): JsonObject {
         const index = Number(event.choice?.index ?? 0);
         const choice = this.choice(index);
         const delta = (event.choice?.delta ?? {}) as JsonObject;
@@ -98,12 +116,16 @@
     }
 
     private chunkOf(choice: JsonObject): JsonObject {
-        return { ...this.base, object: this.chunkObject, choices: [choice] };
+        const { id, created, model } = this.base;
+        return { id, created, model, object: this.chunkObject, choices: [choice] };
     }
 
     private choice(index: number): AssembledChoice {
-        const choice = this.choices.get(index)
-            ?? { text: "", finishReason: undefined, toolCalls: [], logProbabilities: [] };
+        const known = this.choices.get(index);
+        if (known !== undefined) {
+            return known;
+        }
+        const choice = { text: "", finishReason: undefined, toolCalls: [], logProbabilities: [] };
         this.choices.set(index, choice);
         return choice;
     }
--- /dev/null
+++ b/engines/model-engine/test/completionAssembler.test.ts
@@ -0,0 +1,41 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CompletionAssembler } from "../src/completionAssembler.js";
+import type { GenerateRequest } from "../src/generateRequest.js";
+import type { JsonObject } from "../src/jsonObject.js";
+
+function assembler(endpoint: GenerateRequest["endpoint"]): CompletionAssembler {
+    const request = { endpoint, body: { model: "demo-chat" } };
+    return new CompletionAssembler({ request, answerId: "1", createdAtMs: 2000 });
+}
+
+const usage = { promptTokens: 3, completionTokens: 2, cachedTokens: 0 };
+
+(["/v1/chat/completions", "/v1/completions"] as const).forEach(endpoint => {
+    test(`${endpoint}: plain text makes the same chunks and answer as the engine's whole choice objects`, () => {
+        const short = assembler(endpoint);
+        const long = assembler(endpoint);
+        ["one", " two"].forEach(text => {
+            const choice: JsonObject = { index: 0, delta: { content: text }, finish_reason: null };
+            assert.deepEqual(
+                short.add({ kind: "chunk", text, tokenCount: 1 }),
+                long.add({ kind: "chunk", text, tokenCount: 1, choice }),
+            );
+        });
+        assert.deepEqual(
+            short.add({ kind: "finish", finishReason: "stop", usage }),
+            long.add({ kind: "finish", finishReason: "stop", usage }),
+        );
+        assert.deepEqual(short.response(), long.response());
+        assert.deepEqual(short.produced, { text: "one two", tokenCount: 2 });
+    });
+});
+
+test("the first chunk of a chat carries the role, later ones do not", () => {
+    const chat = assembler("/v1/chat/completions");
+    const deltas = ["a", "b"].map(text => {
+        const [chunk] = chat.add({ kind: "chunk", text, tokenCount: 1 });
+        return (chunk?.choices as { delta: JsonObject; }[])[0]?.delta;
+    });
+    assert.deepEqual(deltas, [{ role: "assistant", content: "a" }, { content: "b" }]);
+});
