fix(routing): reports of demand reach every entry

Cause: the exchange sent to whatever entries happened to be linked; entries without a link would have counted each other as idle and let a team have its limit several times. Change: UsageExchange keeps a link between each two live entries, opened by one of the two. Conclusion: the stated bound holds for entries in the instance list.

--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -17,6 +17,7 @@
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import { createLinkEndpoint } from "@knapweedwood/daemons.common/createLinkEndpoint";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
 import { AffinityChooser } from "@knapweedwood/routing.choice/affinityChooser";
@@ -115,7 +116,7 @@
         });
         this.shares = new DemandShares({
             entryId: identity.instanceId,
-            entryCount: () => this.liveEntryCount(),
+            entryCount: () => this.liveEntries().length,
             reportIntervalMs: DEMAND_REPORT_INTERVAL_MS,
         });
         this.usageExchange = new UsageExchange({
@@ -123,6 +124,7 @@
             shares: this.shares,
             clock,
             reportIntervalMs: DEMAND_REPORT_INTERVAL_MS,
+            entries: () => this.liveEntries(),
         });
         this.usage = new UsageMeter({
             keyValue,
@@ -177,9 +179,8 @@
         logger.info("entry.stopped");
     }
 
-    private liveEntryCount(): number {
-        const live = this.watcher.current().filter(record => record.kind === "entry" && record.state === "live");
-        return Math.max(1, live.length);
+    private liveEntries(): InstanceRecord[] {
+        return this.watcher.current().filter(record => record.kind === "entry" && record.state === "live");
     }
 
     private createClaims(segmentStore: SegmentStore, address: string): ClaimService {
--- a/routing/limits/src/usageExchange.ts
+++ b/routing/limits/src/usageExchange.ts
@@ -1,7 +1,9 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { Timer } from "@knapweedwood/core.clock/timer";
+import type { Link } from "@knapweedwood/links.calls/link";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { DemandShares } from "./demandShares.js";
+import type { EntryAddress } from "./entryAddress.js";
 import { usageReportNotification } from "./usageReportNotification.js";
 
 interface UsageExchangeOptions {
@@ -10,11 +12,14 @@
     clock: Clock;
     /** Time between reports, in milliseconds; the same as that of the shares. */
     reportIntervalMs: number;
+    /** The entries that share the limits, shape [entries]. Of each two, one opens a link to the other. */
+    entries: () => readonly EntryAddress[];
 }
 
-/** Exchanges reports of demand with the entries that this one has links to. */
+/** Exchanges reports of demand with all entries that share the limits. */
 export class UsageExchange {
     private readonly opts: UsageExchangeOptions;
+    private readonly opened = new Map<string, Link>();
     private timer: Timer | undefined;
 
     constructor(opts: UsageExchangeOptions) {
@@ -27,6 +32,7 @@
 
     start(): void {
         this.timer = this.opts.clock.setTimer(this.opts.reportIntervalMs, () => {
+            this.keepLinks();
             this.send();
             this.start();
         });
@@ -36,6 +42,20 @@
         this.timer?.cancel();
     }
 
+    private keepLinks(): void {
+        const { endpoint, entries } = this.opts;
+        const addresses = entries()
+            .filter(entry => entry.instanceId < endpoint.identity.instanceId)
+            .map(entry => entry.address);
+        addresses.forEach(address => this.opened.set(address, endpoint.connect(address)));
+        [...this.opened]
+            .filter(([address, link]) => !addresses.includes(address) && link.state !== "open")
+            .forEach(([address, link]) => {
+                link.close();
+                this.opened.delete(address);
+            });
+    }
+
     /** An entry linked both ways gets the report once. */
     private send(): void {
         const { endpoint, shares, clock } = this.opts;
--- a/routing/limits/test/usageExchange.test.ts
+++ b/routing/limits/test/usageExchange.test.ts
@@ -28,7 +28,11 @@
         notify: (_: unknown, report: UsageReport) => receivers[entry](report),
     });
     const sideLink = { peer: { instanceId: "side", kind: "side" }, notify: () => sideReports += 1 };
+    const dialed: string[] = [];
+    const entries = [0, 1].map(entry => ({ instanceId: `entry-${entry}` as InstanceId, address: `address-${entry}` }));
     const endpointOf = (entry: number) => ({
+        identity: { instanceId: `entry-${entry}` },
+        connect: (address: string) => dialed.push(`${entry} to ${address}`),
         links: () => [linkTo(1 - entry), linkTo(1 - entry), sideLink] as unknown as Link[],
         receive: (_: unknown, receiver: (report: UsageReport) => void) => receivers[entry] = receiver,
     });
@@ -38,6 +42,7 @@
             shares: one,
             clock,
             reportIntervalMs: REPORT_INTERVAL_MS,
+            entries: () => entries,
         })
     );
     exchanges.forEach(exchange => exchange.start());
@@ -51,4 +56,5 @@
     assert.ok(Math.abs(parts[0] - (0.05 + 0.9 * 0.75)) < 0.02, `${parts}`);
     assert.ok(Math.abs(parts[1] - (0.05 + 0.9 * 0.25)) < 0.02, `${parts}`);
     assert.equal(sideReports, 0);
+    assert.deepEqual([...new Set(dialed)], ["1 to address-0"]);
 });
