feat(daemons): engines' cache events reach the entries' choice of upstream

Cause: the index of blocks knew an entry's own choices alone, and hashed other text than the engines do. Change: sides pass cache events on within a rate; entries feed them to the chooser and hash the prompt as the engine does; an engine that numbers its events afresh is taken to be empty.

--- a/daemons/entry/src/dispatcher.ts
+++ b/daemons/entry/src/dispatcher.ts
@@ -15,6 +15,7 @@
 import type { GenerateEvent } from "@knapweedwood/engines.model-engine/generateEvent";
 import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
 import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
 import type { CallOptions } from "@knapweedwood/links.calls/callOptions";
 import type { Link } from "@knapweedwood/links.calls/link";
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
@@ -72,7 +73,7 @@
         const frames = this.attempts<GenerateEvent>({
             service: opts.service,
             model: opts.request.body["model"] as ModelName,
-            promptBlocks: promptBlocksOf(promptText(opts.request.body)),
+            promptBlocks: promptBlocksOf(promptTextOf(opts.request.body)),
             options: opts,
             isRepeatable: () => opts.service.repeatable && progress.isResumable,
             isResendable: () => progress.isResumable,
@@ -243,7 +244,3 @@
     const isInstanceFailure = ended.failure?.outcome === "unknown" && !ended.isCallerGone;
     return isInstanceFailure ? "failure" : "abandoned";
 }
-
-function promptText(body: JsonObject): string {
-    return JSON.stringify(body["messages"] ?? body["prompt"] ?? "");
-}
--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -16,6 +16,7 @@
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import { createLinkEndpoint } from "@knapweedwood/daemons.common/createLinkEndpoint";
+import { cacheChangeNotification } from "@knapweedwood/daemons.inference/cacheChangeNotification";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
@@ -96,17 +97,19 @@
             selectSubset: records => linkedSubset(records, { entryId: identity.instanceId, zone: identity.zone }),
         });
         const retryBudget = new RetryBudget({ maxSaved: MAX_SAVED_RETRIES });
+        const choosers = new ServiceChoosers({
+            create: () =>
+                new AffinityChooser({
+                    entryId: identity.instanceId,
+                    zone: identity.zone,
+                    random,
+                    subsetSize: LINKED_SUBSET_SIZE,
+                }),
+        });
+        this.endpoint.receive(cacheChangeNotification, change => choosers.of(change.service).onCacheChange?.(change));
         this.dispatcher = new Dispatcher({
             directory: this.directory,
-            choosers: new ServiceChoosers({
-                create: () =>
-                    new AffinityChooser({
-                        entryId: identity.instanceId,
-                        zone: identity.zone,
-                        random,
-                        subsetSize: LINKED_SUBSET_SIZE,
-                    }),
-            }),
+            choosers,
             retryPolicy: new BudgetedRetryPolicy({ budget: retryBudget, random, maxAttempts: MAX_ATTEMPTS }),
             retryBudget,
             bodyStreams: new BodyStreams({ endpoint: this.endpoint }),
--- /dev/null
+++ b/daemons/side/src/cacheChangeReporter.ts
@@ -0,0 +1,79 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import { cacheChangeNotification } from "@knapweedwood/daemons.inference/cacheChangeNotification";
+import type { CacheEvent } from "@knapweedwood/engines.model-engine/cacheEvent";
+import type { ModelEngine } from "@knapweedwood/engines.model-engine/modelEngine";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+
+const RETRY_MS = 5000;
+const WINDOW_MS = 1000;
+const MAX_BLOCKS_PER_WINDOW = 200;
+
+interface CacheChangeReporterOptions {
+    endpoint: LinkEndpoint;
+    clock: Clock;
+    engine: Pick<ModelEngine, "cacheEvents">;
+    service: ServiceName;
+}
+
+/**
+ * Passes the engine's cache events on to the entries, so that they choose upstreams by what is cached. Events beyond a
+ * rate are left out; entries see the gap and trust what they know of this engine less.
+ */
+export class CacheChangeReporter {
+    private readonly opts: CacheChangeReporterOptions;
+    private readonly stopping = new AbortController();
+    private running: Promise<void> = Promise.resolve();
+    private windowEndsAtMs = 0;
+    private blocksLeft = 0;
+
+    constructor(opts: CacheChangeReporterOptions) {
+        this.opts = opts;
+    }
+
+    start(): void {
+        this.running = this.run();
+    }
+
+    async stop(): Promise<void> {
+        this.stopping.abort();
+        await this.running;
+    }
+
+    private async run(): Promise<void> {
+        const { clock } = this.opts;
+        const { signal } = this.stopping;
+        while (!signal.aborted) {
+            await this.follow().catch(() => undefined);
+            await sleep(clock, RETRY_MS, signal);
+        }
+    }
+
+    private async follow(): Promise<void> {
+        for await (const event of this.opts.engine.cacheEvents({ signal: this.stopping.signal })) {
+            if (this.takeFromWindow(event.blockHashes.length)) {
+                this.send(event);
+            }
+        }
+    }
+
+    private send(event: CacheEvent): void {
+        const { endpoint, service } = this.opts;
+        const change = { ...event, service, instanceId: endpoint.identity.instanceId };
+        endpoint.links()
+            .filter(link => link.peer?.kind === "entry")
+            .forEach(link => link.notify(cacheChangeNotification, change));
+    }
+
+    private takeFromWindow(blockCount: number): boolean {
+        const nowMs = this.opts.clock.nowMs();
+        if (nowMs >= this.windowEndsAtMs) {
+            this.windowEndsAtMs = nowMs + WINDOW_MS;
+            this.blocksLeft = MAX_BLOCKS_PER_WINDOW;
+        }
+        const isAllowed = this.blocksLeft > 0;
+        this.blocksLeft -= blockCount;
+        return isAllowed;
+    }
+}
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -18,6 +18,7 @@
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import { CacheChangeReporter } from "./cacheChangeReporter.js";
 import { CallHandlers } from "./callHandlers.js";
 import { PlainGate } from "./plainGate.js";
 import { PlainUpstream } from "./plainUpstream.js";
@@ -43,6 +44,7 @@
     private readonly monitor: UpstreamMonitor;
     private readonly handlers: CallHandlers;
     private readonly reporter: StatusReporter;
+    private readonly cacheReporter: CacheChangeReporter | undefined;
     private announcer: InstanceAnnouncer | undefined;
     private isLeaving = false;
 
@@ -79,6 +81,12 @@
             isLeaving: () => this.isLeaving,
         });
         this.reporter = new StatusReporter({ endpoint: this.endpoint, clock, status: () => this.status() });
+        this.cacheReporter = this.engine === undefined ? undefined : new CacheChangeReporter({
+            endpoint: this.endpoint,
+            clock,
+            engine: this.engine,
+            service: this.service,
+        });
         this.endpoint.receive(cancelJobNotification, ({ jobId }) => this.cancelJob(jobId));
         this.configuration.subscribe(view => this.applyService(view.service(this.service)));
     }
@@ -92,6 +100,7 @@
         this.gate?.start();
         this.plainGate?.start();
         this.reporter.start();
+        this.cacheReporter?.start();
         this.announcer = this.createAnnouncer(address);
         await this.announcer.start();
         this.opts.logger.info("side.started", { address, service: this.service });
@@ -110,6 +119,7 @@
         await this.drain(settings.shutdownGraceMs);
         await this.announcer?.stop();
         await this.reporter.stop();
+        await this.cacheReporter?.stop();
         await this.configuration.stop();
         await this.watcher.stop();
         await this.monitor.stop();
@@ -123,6 +133,7 @@
     async crash(): Promise<void> {
         await this.announcer?.abandon();
         await this.reporter.stop();
+        await this.cacheReporter?.stop();
         await this.endpoint.close(0);
         await this.configuration.stop();
         await this.watcher.stop();
--- a/routing/choice/src/prefixIndex.ts
+++ b/routing/choice/src/prefixIndex.ts
@@ -6,6 +6,9 @@
     maxBlocks: number;
 }
 
+/** Events that may still be on their way. */
+const LATEST_EVENTS = 1000;
+
 interface UpstreamBlocks {
     /** By hash of the block, oldest use first: whether an event of the engine has confirmed it. */
     blocks: Map<string, boolean>;
@@ -32,6 +35,7 @@
 
     /** Takes in an engine's event. One that is older than the last is dropped. */
     onCacheChange(change: PrefixCacheChange): void {
+        this.forgetRestarted(change);
         const upstream = this.upstreamOf(change.instanceId);
         const last = upstream.lastSequenceNumber;
         if (last !== undefined && change.sequenceNumber <= last) {
@@ -73,6 +77,14 @@
         return held.reduce((sum, block) => sum + (blocks.get(block) === true ? 1 : 0.5), 0);
     }
 
+    /** An engine that numbers its events from far below begins with an empty cache. */
+    private forgetRestarted({ instanceId, sequenceNumber }: PrefixCacheChange): void {
+        const last = this.upstreams.get(instanceId)?.lastSequenceNumber;
+        if (last !== undefined && sequenceNumber < last - LATEST_EVENTS) {
+            this.forget(instanceId);
+        }
+    }
+
     private upstreamOf(instanceId: InstanceId): UpstreamBlocks {
         const known = this.upstreams.get(instanceId) ?? { blocks: new Map(), lastSequenceNumber: undefined };
         this.upstreams.set(instanceId, known);
--- a/routing/choice/test/prefixIndex.test.ts
+++ b/routing/choice/test/prefixIndex.test.ts
@@ -73,3 +73,14 @@
     const second = promptBlocksOf(`${shared}second`.padEnd(900, "2"));
     assert.equal(first.findIndex((block, position) => block !== second[position]), 10);
 });
+
+test("an engine that numbers its events afresh is taken to hold nothing of before", () => {
+    const index = new PrefixIndex({ maxBlocks: 10 });
+    const stored = (sequenceNumber: number, block: string) =>
+        index.onCacheChange({ instanceId: upstream, sequenceNumber, kind: "stored", blockHashes: [block] });
+    stored(5000, "old");
+    stored(4999, "late");
+    assert.deepEqual(["old", "late"].map(block => index.matchOf(upstream, [block])), [1, 0]);
+    stored(1, "new");
+    assert.deepEqual(["old", "new"].map(block => index.matchOf(upstream, [block])), [0, 1]);
+});
