fix(links): the accepting end excuses its own stalls

Cause: a process that stood still judged its peers by pings that waited unread, and dropped good connections. Change: lateness of the accepting end's own timer is added to the time that a ping may take.

--- a/links/endpoint/src/acceptedLink.ts
+++ b/links/endpoint/src/acceptedLink.ts
@@ -20,6 +20,7 @@
     private readonly opts: AcceptedLinkOptions;
     private watch: PingWatch;
     private timer: Timer | undefined;
+    private timerDueMs = 0;
 
     constructor(opts: AcceptedLinkOptions) {
         super(opts.tools);
@@ -119,7 +120,9 @@
     }
 
     private look(): void {
-        const verdict = this.watch.verdict(this.tools.clock.nowMs());
+        const nowMs = this.tools.clock.nowMs();
+        this.watch.excuse(Math.max(0, nowMs - this.timerDueMs));
+        const verdict = this.watch.verdict(nowMs);
         if (verdict === "silent") {
             this.lose(new KnapweedError("LINK_SILENT", "The connection went silent"));
             return;
@@ -144,6 +147,7 @@
 
     private setTimer(delayMs: number, action: () => void): void {
         this.timer?.cancel();
+        this.timerDueMs = this.tools.clock.nowMs() + delayMs;
         this.timer = this.tools.clock.setTimer(delayMs, action);
     }
 }
--- a/links/endpoint/src/pingWatch.ts
+++ b/links/endpoint/src/pingWatch.ts
@@ -19,6 +19,11 @@
         this.intervalMs = intervalMs;
     }
 
+    /** Takes out time in which this process itself stood still, so that pings may wait unread. */
+    excuse(stallMs: number): void {
+        this.heardAtMs += stallMs;
+    }
+
     verdict(nowMs: number): "alive" | "suspect" | "silent" {
         const lateMs = nowMs - this.heardAtMs - this.intervalMs;
         if (lateMs >= this.silentAfterMs) {
--- a/links/endpoint/test/heartbeat.test.ts
+++ b/links/endpoint/test/heartbeat.test.ts
@@ -76,6 +76,8 @@
     assert.equal(watch.verdict(2000), "alive");
     assert.equal(watch.verdict(2300), "suspect");
     assert.equal(watch.verdict(2400), "silent");
+    watch.excuse(300);
+    assert.equal(watch.verdict(2400), "alive");
     watch.onPing(2401, INTERVAL_MS);
     assert.equal(watch.verdict(2450), "alive");
     assert.equal(watch.verdict(2560), "suspect");
