--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -18,11 +18,8 @@
 import { createLinkEndpoint } from "@knapweedwood/daemons.common/createLinkEndpoint";
 import { cacheChangeNotification } from "@knapweedwood/daemons.inference/cacheChangeNotification";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
-<<<<<<< HEAD
 import { PlannerRole } from "@knapweedwood/placement.planner/plannerRole";
-=======
 import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
->>>>>>> links
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
 import { AffinityChooser } from "@knapweedwood/routing.choice/affinityChooser";
