perf(admission): prefix index in blocks of 64 characters; learned costs as metrics

Cause: the expected prefill of batch items was half too large, so the learned cost of a prefill token was a third too small, and steps exceeded the objective. Change: finer blocks; the gate reports its load and learned costs once a second; the bench can dump its calls.

--- a/admission/gate/src/engineStreams.ts
+++ b/admission/gate/src/engineStreams.ts
@@ -38,6 +38,11 @@
         return this.model.costs;
     }
 
+    /** Mean share by which predictions of step times are off. */
+    get predictionError(): number {
+        return this.model.relativeError;
+    }
+
     /** How many there are. */
     get count(): number {
         return this.active.size;
--- a/admission/gate/src/gate.ts
+++ b/admission/gate/src/gate.ts
@@ -27,6 +27,7 @@
 
 const TICK_MS = 25;
 const DRAIN_CHECK_MS = 10;
+const LEARNED_REPORT_MS = 1000;
 const DEFAULT_MAX_ONLINE_WAITING = 256;
 const DEFAULT_OBJECTIVE: GateObjective = { tokenGapObjectiveMs: 50, batchBalance: 0.9 };
 
@@ -46,11 +47,12 @@
     private readonly puller: BatchPuller | undefined;
     private objective: GateObjective;
     private isLeaving = false;
+    private learnedReportedMs = 0;
     private ticker: Timer | undefined;
     private pendingDecision: Timer | undefined;
 
     constructor(opts: GateOptions) {
-        const { clock, engine, batchSource: source, logger, metrics } = opts;
+        const { clock, engine, batchSource: source, logger } = opts;
         this.opts = opts;
         this.clock = clock;
         this.policy = opts.policy ?? new OnlineFirstPolicy();
@@ -77,7 +79,6 @@
             logger,
             onItems: items => this.takePulled(items),
         });
-        metrics.gauge("gate.objective_ms", this.objective.tokenGapObjectiveMs);
     }
 
     /** Starts the batch loop and the reading of the engine's load. */
@@ -219,10 +220,31 @@
 
     private tick(): void {
         this.batch?.giveBackStale();
+        this.reportLearned();
         this.decide();
         this.ticker = this.clock.setTimer(TICK_MS, () => this.tick());
     }
 
+    private reportLearned(): void {
+        const nowMs = this.clock.nowMs();
+        if (nowMs - this.learnedReportedMs < LEARNED_REPORT_MS) {
+            return;
+        }
+        this.learnedReportedMs = nowMs;
+        const { metrics } = this.opts;
+        const { fixedMs, perSequenceMs, perPrefillTokenMs } = this.streams.costs;
+        const load = this.load();
+        metrics.gauge("gate.online_running", load.onlineRunning);
+        metrics.gauge("gate.online_queued", load.onlineQueued);
+        metrics.gauge("gate.batch_running", load.batchRunning);
+        metrics.gauge("gate.batch_queued", load.batchQueued);
+        metrics.gauge("gate.step_fixed_ms", fixedMs);
+        metrics.gauge("gate.step_per_sequence_ms", perSequenceMs);
+        metrics.gauge("gate.step_per_prefill_token_ms", perPrefillTokenMs);
+        metrics.gauge("gate.step_prediction_error", this.streams.predictionError);
+        metrics.gauge("gate.stretched_gap_share", this.streams.stretchedGapShare);
+    }
+
     /** Decides once for events that come together. */
     private decideSoon(): void {
         this.pendingDecision ??= this.clock.setTimer(0, () => {
--- a/admission/gate/src/prefixIndex.ts
+++ b/admission/gate/src/prefixIndex.ts
@@ -1,7 +1,7 @@
 import { textHash } from "@knapweedwood/core.hashing/textHash";
 
-const BLOCK_CHARACTERS = 256;
-const MAX_BLOCKS = 8192;
+const BLOCK_CHARACTERS = 64;
+const MAX_BLOCKS = 32_768;
 
 /** Approximate index of the prompt prefixes that an engine holds, from what was sent to it. */
 export class PrefixIndex {
--- a/bench/mixed/src/main.ts
+++ b/bench/mixed/src/main.ts
@@ -1,5 +1,5 @@
 import { writeReport } from "@knapweedwood/bench.load/writeReport";
-import { mkdtemp } from "node:fs/promises";
+import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { parseArgs } from "node:util";
@@ -8,7 +8,7 @@
 import { runMixed } from "./runMixed.js";
 import { steepStepModel } from "./steepStepModel.js";
 
-// node main.js [--json FILE] [--html FILE] [--seconds N] [--seed N] [--arms abcd] [--balance SHARE] [--steep]
+// node main.js [--json FILE] [--html FILE] [--seconds N] [--seed N] [--arms abcd] [--balance SHARE] [--steep] [--slices FILE] [--metrics PORT]
 const MS_PER_SECOND = 1000;
 
 const { values } = parseArgs({
@@ -19,6 +19,8 @@
         seed: { type: "string", default: "1" },
         arms: { type: "string", default: "abcd" },
         balance: { type: "string", default: "1" },
+        slices: { type: "string" },
+        metrics: { type: "string" },
         steep: { type: "boolean", default: false },
     },
 });
@@ -28,6 +30,7 @@
     durationMs: Number(values.seconds) * MS_PER_SECOND,
     batchBalance: Number(values.balance),
     stepModel: values.steep ? steepStepModel : undefined,
+    metricsPort: values.metrics === undefined ? undefined : Number(values.metrics),
     arms: [...values.arms] as ArmName[],
 });
 await writeReport({
@@ -37,4 +40,7 @@
     jsonFile: values.json,
     htmlFile: values.html,
 });
+if (values.slices !== undefined) {
+    await writeFile(values.slices, JSON.stringify(slices));
+}
 process.stdout.write(`${JSON.stringify(report, undefined, 4)}\n`);
--- a/bench/mixed/src/mixedOptions.ts
+++ b/bench/mixed/src/mixedOptions.ts
@@ -12,6 +12,8 @@
     stepModel?: StepModel;
     tokenGapObjectiveMs?: number;
     batchBalance?: number;
+    /** Port on this machine that the sides send their metrics to. */
+    metricsPort?: number;
     /** The arms to run; all where undefined. */
     arms?: ArmName[];
 }
--- a/bench/mixed/src/mixedTestBed.ts
+++ b/bench/mixed/src/mixedTestBed.ts
@@ -37,6 +37,7 @@
         tokenGapObjectiveMs: number;
         batchBalance: number;
         models: string[];
+        metricsPort: number | undefined;
     };
     private readonly processes: LaunchedProcess[] = [];
     private readonly engineUrls: string[] = [];
@@ -150,6 +151,9 @@
                     link: { host: HOST, port },
                     service: group.service,
                     admissionPolicy: group.admissionPolicy,
+                    metrics: this.opts.metricsPort === undefined
+                        ? undefined
+                        : { host: HOST, port: this.opts.metricsPort },
                     upstream: { kind: "model-engine", url: this.engineUrls[index] },
                     platform: { instanceListUrl: this.platform.instanceListUrl },
                 },
--- a/bench/mixed/src/onlineCaller.ts
+++ b/bench/mixed/src/onlineCaller.ts
@@ -1,4 +1,5 @@
 import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
+import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
 import { serverSentEvents } from "@knapweedwood/engines.model-engine/serverSentEvents";
 import { Agent, request } from "undici";
 import type { CallRecord } from "./callRecord.js";
@@ -20,6 +21,7 @@
     /** @param dueMs when the call was to be sent, by `performance.now()`; its wait counts from then */
     async call(body: JsonObject, dueMs: number): Promise<CallRecord> {
         this.turn += 1;
+        const promptCharacters = promptTextOf(body).length;
         const tokenTimesMs: number[] = [];
         try {
             const answer = await request(
@@ -33,7 +35,13 @@
             );
             if (answer.statusCode !== OK) {
                 const text = await answer.body.text();
-                return { dueMs, tokenTimesMs, isWhole: false, failure: `${answer.statusCode} ${text}` };
+                return {
+                    dueMs,
+                    promptCharacters,
+                    tokenTimesMs,
+                    isWhole: false,
+                    failure: `${answer.statusCode} ${text}`,
+                };
             }
             let isWhole = false;
             for await (const data of serverSentEvents(answer.body)) {
@@ -42,10 +50,10 @@
                     tokenTimesMs.push(performance.now());
                 }
             }
-            return { dueMs, tokenTimesMs, isWhole, failure: undefined };
+            return { dueMs, promptCharacters, tokenTimesMs, isWhole, failure: undefined };
         }
         catch (thrown) {
-            return { dueMs, tokenTimesMs, isWhole: false, failure: String(thrown) };
+            return { dueMs, promptCharacters, tokenTimesMs, isWhole: false, failure: String(thrown) };
         }
     }
 
--- a/bench/mixed/src/runMixed.ts
+++ b/bench/mixed/src/runMixed.ts
@@ -31,7 +31,13 @@
         batchBalance: opts.batchBalance ?? 1,
     };
     const models = [...new Set(arms.flatMap(arm => [arm.onlineModel, arm.batchModel ?? arm.onlineModel]))];
-    const testBed = new MixedTestBed({ ...settings, models, folder: opts.folder, seed: opts.seed });
+    const testBed = new MixedTestBed({
+        ...settings,
+        models,
+        folder: opts.folder,
+        seed: opts.seed,
+        metricsPort: opts.metricsPort,
+    });
     try {
         await testBed.start();
         const slices = await runRounds(testBed, arms, opts);
