--- a/config/distribution/src/neighbours.ts
+++ b/config/distribution/src/neighbours.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { Link } from "@knapweedwood/links.calls/link";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
@@ -10,6 +11,10 @@
 
 const NOWHERE: DistributionPlace = { isWatcher: false, parents: [], siblings: [] };
 const PARENTS_ADDED_PER_TRY = 2;
+const MAX_PARENTS_TRIED = 16;
+const TRY_MORE_PERIOD_MS = 300;
+/** How old the instance list may be for a process whose preferred parent answers. */
+const SETTLED_REFRESH_PERIOD_MS = 20_000;
 
 /** The links to the processes beside and above this one, kept in step with the instance list. */
 export class Neighbours {
@@ -18,10 +23,22 @@
     private readonly instanceList: InstanceList;
     private readonly logger: Logger;
     private readonly opened = new Map<string, Link>();
+    private readonly clock: Clock;
+    private refreshedAtMs = 0;
+    private triedMoreAtMs = 0;
     private parentsTried = PARENTS_ADDED_PER_TRY;
     private currentPlace: DistributionPlace = NOWHERE;
 
-    constructor(opts: { identity: PeerIdentity; endpoint: LinkEndpoint; instanceList: InstanceList; logger: Logger; }) {
+    constructor(
+        opts: {
+            identity: PeerIdentity;
+            endpoint: LinkEndpoint;
+            instanceList: InstanceList;
+            clock: Clock;
+            logger: Logger;
+        },
+    ) {
+        this.clock = opts.clock;
         this.identity = opts.identity;
         this.endpoint = opts.endpoint;
         this.instanceList = opts.instanceList;
@@ -32,8 +49,18 @@
         return this.currentPlace;
     }
 
+    /** Reads the instance list: often while this process watches, or finds no parent, and seldom otherwise. */
+    async refreshWhereDue(): Promise<void> {
+        const nowMs = this.clock.nowMs();
+        const isFresh = this.isSettled() && nowMs - this.refreshedAtMs < SETTLED_REFRESH_PERIOD_MS;
+        if (!isFresh) {
+            this.refreshedAtMs = nowMs;
+            await this.refresh();
+        }
+    }
+
     /** Reads the instance list and takes the place that follows from it; keeps the old place where it is away. */
-    async refresh(): Promise<void> {
+    private async refresh(): Promise<void> {
         try {
             const instances = await this.instanceList.list();
             const inRegion = instances.filter(instance => instance.region === this.identity.region);
@@ -62,10 +89,7 @@
             }
             links.push(link);
         }
-        this.parentsTried = Math.min(
-            Math.max(this.currentPlace.parents.length, PARENTS_ADDED_PER_TRY),
-            this.parentsTried + PARENTS_ADDED_PER_TRY,
-        );
+        this.tryMoreParents();
         return this.openEntries();
     }
 
@@ -86,6 +110,19 @@
         return links.find(link => link.state === "open") ?? links.at(0);
     }
 
+    private tryMoreParents(): void {
+        const nowMs = this.clock.nowMs();
+        if (nowMs - this.triedMoreAtMs >= TRY_MORE_PERIOD_MS) {
+            this.triedMoreAtMs = nowMs;
+            this.parentsTried = Math.min(MAX_PARENTS_TRIED, this.parentsTried + PARENTS_ADDED_PER_TRY);
+        }
+    }
+
+    private isSettled(): boolean {
+        const [parent] = this.currentPlace.parents;
+        return parent !== undefined && this.opened.get(parent.address)?.state === "open";
+    }
+
     /** Where no parent is known, such as when the instance list is away, any entry that has linked to this process. */
     private openEntries(): Link[] {
         return this.currentPlace.isWatcher
