perf(routing): the choice of upstream weighs the prefill backlog

Cause: a call that lands behind another's long prompt waits for its whole prefill; the choice counted requests only. Change: a side's status tells the prompt tokens of online calls still to process; 128 of them weigh as one request.

--- a/daemons/entry/src/toCandidate.ts
+++ b/daemons/entry/src/toCandidate.ts
@@ -1,6 +1,9 @@
 import type { UpstreamCandidate } from "@knapweedwood/routing.choice/upstreamCandidate";
 import type { SideHandle } from "./sideHandle.js";
 
+/** A backlog of so many prompt tokens weighs as much as one more request. */
+const PREFILL_TOKENS_A_REQUEST = 128;
+
 /** A side as the choice of an upstream sees it. */
 export function toCandidate(side: SideHandle): UpstreamCandidate {
     return {
@@ -9,7 +12,7 @@
         state: side.status?.state ?? side.record.state,
         linkState: side.link.state,
         running: side.status?.onlineRunning ?? 0,
-        queued: side.status?.onlineQueued ?? 0,
+        queued: (side.status?.onlineQueued ?? 0) + (side.status?.onlinePrefillTokens ?? 0) / PREFILL_TOKENS_A_REQUEST,
         countedAtMs: side.statusAtMs,
         role: side.status?.role,
     };
--- a/daemons/inference/src/sideStatus.ts
+++ b/daemons/inference/src/sideStatus.ts
@@ -14,6 +14,8 @@
     role: "any" | "prefill" | "decode";
     onlineRunning: number;
     onlineQueued: number;
+    /** Prompt tokens of online calls that the upstream has still to process, where it is a model engine. */
+    onlinePrefillTokens?: number;
     batchRunning: number;
     batchQueued: number;
     revision: number;
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -223,6 +223,7 @@
             role: this.monitor.role,
             onlineRunning: load?.onlineRunning ?? this.handlers.runningCalls,
             onlineQueued: load?.onlineQueued ?? 0,
+            onlinePrefillTokens: load?.onlinePrefillTokens,
             batchRunning: load?.batchRunning ?? 0,
             batchQueued: load?.batchQueued ?? 0,
             revision: this.configuration.current()?.revision ?? 0,
