--- a/bench/capacity/src/capacityOptions.ts
+++ b/bench/capacity/src/capacityOptions.ts
@@ -1,7 +1,7 @@
 /** Options of {@link runCapacity}. */
 export interface CapacityOptions {
-    /** Where the report goes. */
-    jsonFile: string;
+    /** Where the report goes; nowhere where undefined. */
+    jsonFile?: string | undefined;
     /** The page whose tables are filled; left alone where undefined. */
     pageFile?: string | undefined;
     /** Fewer and smaller sizes, for a first look. */
--- a/bench/capacity/src/runCapacity.ts
+++ b/bench/capacity/src/runCapacity.ts
@@ -48,7 +48,9 @@
     }
     const rows = capacityRows(measurements);
     const report = { measuredAt: new Date().toISOString(), measurements, rows, keyValueTotals: keyValueTotals(rows) };
-    await writeFile(opts.jsonFile, `${JSON.stringify(report, undefined, 4)}\n`);
+    if (opts.jsonFile !== undefined) {
+        await writeFile(opts.jsonFile, `${JSON.stringify(report, undefined, 4)}\n`);
+    }
     if (opts.pageFile !== undefined) {
         const page = await readFile(opts.pageFile, "utf8");
         await writeFile(opts.pageFile, fillPage(page, renderTables({ ...report, totals: report.keyValueTotals })));
