--- a/config/distribution/src/distributedConfiguration.ts
+++ b/config/distribution/src/distributedConfiguration.ts
@@ -7,9 +7,7 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { Revision } from "@knapweedwood/core.ids/revision";
-import type { Link } from "@knapweedwood/links.calls/link";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
-import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
 import { announceNotification } from "./announceNotification.js";
 import { beatNotification } from "./beatNotification.js";
 import { chunksBeyond } from "./chunksBeyond.js";
@@ -17,13 +15,12 @@
 import { deltaNotification } from "./deltaNotification.js";
 import { handleDistributionCalls } from "./distributionHandlers.js";
 import type { DistributionOptions } from "./distributionOptions.js";
-import { fetchRootCall } from "./fetchRootCall.js";
 import { InForceQuery } from "./inForceQuery.js";
 import type { InForceReport } from "./inForceReport.js";
-import { LinkChunkSource } from "./linkChunkSource.js";
 import { MemberReports } from "./memberReports.js";
 import type { MemberRevision } from "./memberRevision.js";
 import { Neighbours } from "./neighbours.js";
+import { RevisionFetcher } from "./revisionFetcher.js";
 import { RootWatcher } from "./rootWatcher.js";
 
 const BEAT_PERIOD_MS = 2_000;
@@ -34,7 +31,6 @@
 const REPORT_DELAY_MS = 20;
 const REFRESH_PERIOD_MS = 2_000;
 const ORPHAN_AFTER_MS = 5_000;
-const FETCH_TIMEOUT_MS = 5_000;
 const MAX_DELTA_CHARACTERS = 64 * 1024;
 
 /**
@@ -47,10 +43,10 @@
     private readonly holder: ConfigurationHolder;
     private readonly reports = new MemberReports({ expiryMs: REPORT_EXPIRY_MS });
     private readonly neighbours: Neighbours;
+    private readonly fetcher: RevisionFetcher;
     private readonly watcher: RootWatcher | undefined;
     private readonly keyValueSource: ChunkSource | undefined;
     private readonly stopped = new AbortController();
-    private readonly fetching = new Set<InstanceId>();
     private isReportPlanned = false;
     private heardFromParentAtMs: number;
     private heardParent: InstanceId | undefined;
@@ -59,6 +55,12 @@
         this.opts = opts;
         this.holder = new ConfigurationHolder({ onAdopted: adopted => this.handleAdopted(adopted) });
         this.neighbours = new Neighbours(opts);
+        this.fetcher = new RevisionFetcher({
+            holder: this.holder,
+            linkTo: peer => this.neighbours.linkTo(peer),
+            logger: opts.logger,
+            stopped: this.stopped.signal,
+        });
         this.heardFromParentAtMs = opts.clock.nowMs();
         if (opts.keyValue !== undefined) {
             this.keyValueSource = new KeyValueChunkSource({ keyValue: opts.keyValue });
@@ -71,7 +73,7 @@
         handleDistributionCalls({ endpoint: opts.endpoint, holder: this.holder, members: () => this.members() });
         opts.endpoint.receive(beatNotification, (beat, peer) => this.handleBeat(beat, peer));
         opts.endpoint.receive(announceNotification, (message, peer) => this.handleAnnounce(message.revision, peer));
-        opts.endpoint.receive(deltaNotification, (delta, peer) => this.handleDelta(delta, peer));
+        opts.endpoint.receive(deltaNotification, (delta, peer) => this.fetcher.takeDelta(delta, peer));
     }
 
     /** Starts following; resolves at once, whether or not a configuration has been found. */
@@ -194,7 +196,7 @@
         }
         const announcement = { revision: this.holder.revision, digest: this.holder.root?.digest ?? "" };
         this.neighbours.linkTo(peer)?.notify(announceNotification, announcement);
-        this.fetchWhereNewer(beat.revision, peer);
+        this.fetcher.fetchWhereNewer(beat.revision, peer);
     }
 
     private handleAnnounce(revision: Revision, peer: PeerIdentity): void {
@@ -202,52 +204,12 @@
             this.heardFromParentAtMs = this.opts.clock.nowMs();
         }
         this.heardParent = peer.instanceId;
-        this.fetchWhereNewer(revision, peer);
-    }
-
-    private handleDelta(
-        delta: { root: ConfigurationRoot; chunks: { reference: string; text: string; }[]; },
-        peer: PeerIdentity,
-    ): void {
-        const link = this.neighbours.linkTo(peer);
-        if (link !== undefined) {
-            const delivered = delta.chunks as Parameters<typeof chunksSource>[1];
-            this.adopt(delta.root, chunksSource(link, delivered));
-        }
+        this.fetcher.fetchWhereNewer(revision, peer);
     }
 
     private handleRoot(root: ConfigurationRoot): void {
         if (this.keyValueSource !== undefined) {
-            this.adopt(root, this.keyValueSource);
-        }
-    }
-
-    private adopt(root: ConfigurationRoot, source: ChunkSource): void {
-        if (this.stopped.signal.aborted) {
-            return;
-        }
-        this.holder.adopt(root, source).catch((thrown: unknown) => {
-            this.opts.logger.debug("configuration.adopt-failed", { revision: root.revision, error: String(thrown) });
-        });
-    }
-
-    private fetchWhereNewer(revision: Revision, peer: PeerIdentity): void {
-        const link = this.neighbours.linkTo(peer);
-        if (revision > this.holder.revision && link !== undefined && !this.fetching.has(peer.instanceId)) {
-            this.fetching.add(peer.instanceId);
-            void this.fetchFrom(link).finally(() => this.fetching.delete(peer.instanceId));
-        }
-    }
-
-    private async fetchFrom(link: Link): Promise<void> {
-        try {
-            const { root } = await singleFrame(link.call(fetchRootCall, {}, { timeoutMs: FETCH_TIMEOUT_MS }));
-            if (root !== undefined && !this.stopped.signal.aborted) {
-                await this.holder.adopt(root, chunksSource(link, []));
-            }
-        }
-        catch (thrown) {
-            this.opts.logger.debug("configuration.fetch-failed", { error: String(thrown) });
+            void this.fetcher.adopt(root, this.keyValueSource);
         }
     }
 
@@ -288,10 +250,3 @@
         });
     }
 }
-
-function chunksSource(
-    link: Link,
-    delivered: ConstructorParameters<typeof LinkChunkSource>[0]["delivered"],
-): LinkChunkSource {
-    return new LinkChunkSource({ link, timeoutMs: FETCH_TIMEOUT_MS, delivered });
-}
