--- a/bench/capacity/src/capacityRows.ts
+++ b/bench/capacity/src/capacityRows.ts
@@ -1,24 +1,35 @@
 import type { CapacityRow } from "./capacityRow.js";
 import { fleetSize } from "./fleetSize.js";
 import type { Measurement } from "./measurement.js";
+import { valueAt } from "./valueAt.js";
 
 const SECONDS_PER_DAY = 86_400;
 const FAN_OUT = 16;
 const BYTES_PER_MEGABYTE = 1_000_000;
 const COPIES = 2;
+/** The size of the configuration that relays were measured with is below this. */
+const MEASURED_TEAMS = 100;
 const CHANGES_PER_SECOND = fleetSize.changesPerDay / SECONDS_PER_DAY;
 
 /** Works out each role's cost from the measured slopes. */
 export function capacityRows(measurements: Measurement[]): CapacityRow[] {
     const cost = costsOf(measurements);
-    return [entryRow(cost), sideRow(cost), relayRow(cost), ownerRow(cost), keeperRow(cost), plannerRow(cost)];
+    const [entry, relay] = [entryRow(cost), relayRow(cost)];
+    return [
+        entry,
+        sideRow(cost),
+        relay,
+        ownerRow(cost),
+        keeperRow(cost),
+        plannerRow(cost),
+        sumOf("entry and relay together", [entry, relay]),
+    ];
 }
 
 interface Costs {
     slope: (name: string) => number;
     /** Value at the largest size measured. */
     largest: (name: string) => number;
-    /** Value on the fitted line, never below zero. */
     at: (name: string, size: number) => number;
     configurationHeapBytes: number;
     /** Of one process, for following the configuration. */
@@ -36,7 +47,7 @@
     };
     const slope = (name: string) => Math.max(0, find(name).slope);
     const largest = (name: string) => Math.max(0, find(name).values.at(-1) ?? 0);
-    const at = (name: string, size: number) => Math.max(0, find(name).intercept + find(name).slope * size);
+    const at = (name: string, size: number) => valueAt(find(name), size);
     return {
         slope,
         largest,
@@ -57,9 +68,9 @@
         role: "entry",
         state: `configuration of ${fleetSize.teams} teams; ${links} links with the load of their sides`,
         messages: "heartbeats and load of each linked side; beats to one parent; a delta for each change",
-        cpuMsPerSecond: links * cost.slope("links.cpu") + cost.followCpuMsPerSecond,
+        cpuMsPerSecond: cost.at("links.cpu", links) + cost.followCpuMsPerSecond,
         heapBytes: cost.configurationHeapBytes + links * cost.slope("links.heap"),
-        bytesPerSecond: links * cost.slope("links.sent") + cost.followBytesPerSecond,
+        bytesPerSecond: cost.at("links.sent", links) + cost.followBytesPerSecond,
         keyValueCallsPerSecond: cost.slope("batch.idle-calls"),
         mechanism: "subset of upstreams (routing/choice); tree of relays (config/distribution)",
     };
@@ -71,9 +82,9 @@
         role: "side",
         state: `configuration of ${fleetSize.teams} teams; ${links.toFixed(1)} links of entries`,
         messages: "heartbeats and own load to each linked entry; beats to one parent; a delta for each change",
-        cpuMsPerSecond: links * cost.slope("links.cpu") + cost.followCpuMsPerSecond,
+        cpuMsPerSecond: cost.at("links.cpu", links) + cost.followCpuMsPerSecond,
         heapBytes: cost.configurationHeapBytes + links * cost.slope("links.heap"),
-        bytesPerSecond: links * cost.slope("links.sent") + cost.followBytesPerSecond,
+        bytesPerSecond: cost.at("links.sent", links) + cost.followBytesPerSecond,
         keyValueCallsPerSecond: 0,
         mechanism: "subset of upstreams (routing/choice); tree of relays (config/distribution)",
     };
@@ -94,9 +105,23 @@
     };
 }
 
+function sumOf(role: string, rows: CapacityRow[]): CapacityRow {
+    const total = (value: (row: CapacityRow) => number) => rows.reduce((sum, row) => sum + value(row), 0);
+    return {
+        role,
+        state: "as above",
+        messages: "as above",
+        cpuMsPerSecond: total(row => row.cpuMsPerSecond),
+        heapBytes: total(row => row.heapBytes),
+        bytesPerSecond: total(row => row.bytesPerSecond),
+        keyValueCallsPerSecond: total(row => row.keyValueCallsPerSecond),
+        mechanism: "as above",
+    };
+}
+
 /** How much larger a delta is with all teams than with the few of the measurement. */
 function deltaGrowth(cost: Costs): number {
-    return cost.at("configuration.written", fleetSize.teams) / cost.at("configuration.written", 0);
+    return cost.at("configuration.written", fleetSize.teams) / cost.at("configuration.written", MEASURED_TEAMS);
 }
 
 function ownerRow(cost: Costs): CapacityRow {
--- a/bench/capacity/test/capacity.test.ts
+++ b/bench/capacity/test/capacity.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { createMeasurement } from "../src/createMeasurement.js";
 import { fillPage } from "../src/fillPage.js";
+import { valueAt } from "../src/valueAt.js";
 
 test("the slope of points on a line is that of the line", () => {
     const points = [10, 40, 160].map(size => ({ size, value: 3 + 2 * size }));
@@ -17,3 +18,10 @@
     assert.doesNotMatch(filled, /old|absent/u);
     assert.equal(fillPage(filled, tables), filled);
 });
+
+test("values are interpolated between sizes, and extended beyond them", () => {
+    const points = [{ size: 10, value: 10 }, { size: 40, value: 40 }, { size: 160, value: 64 }];
+    const measured = createMeasurement({ name: "n", sizeUnit: "s", unit: "u", conditions: "c", points });
+    assert.deepEqual([5, 10, 25, 100, 160].map(size => valueAt(measured, size)), [5, 10, 25, 52, 64]);
+    assert.equal(valueAt(measured, 170), 64 + 10 * measured.slope);
+});
