--- a/cli/knapweed/src/commands/bench/config.ts
+++ b/cli/knapweed/src/commands/bench/config.ts
@@ -5,31 +5,24 @@
 import path from "node:path";
 import { BenchCommand } from "../../benchCommand.js";
 
-const DEFAULT_PROCESSES = 60;
-const DEFAULT_PUBLISHES = 200;
-const DEFAULT_PUBLISH_INTERVAL_MS = 500;
-
-/** Publishes under churn on real processes. */
+/** Measures: configuration in force under churn. */
 export default class BenchConfig extends BenchCommand {
-    static override description = "measure how soon configurations are in force everywhere under churn";
+    static override description = "configuration in force under churn";
     static override flags = {
-        processes: Flags.integer({ description: "daemons, a fifth of them entries", default: DEFAULT_PROCESSES }),
-        publishes: Flags.integer({ description: "number of publishes", default: DEFAULT_PUBLISHES }),
-        interval: Flags.integer({
-            description: "milliseconds between two publishes, on average",
-            default: DEFAULT_PUBLISH_INTERVAL_MS,
-        }),
+        processes: Flags.integer({ description: "daemons, a fifth of them entries", default: 60 }),
+        publishes: Flags.integer({ description: "publishes", default: 200 }),
+        "publish-interval": Flags.integer({ description: "mean milliseconds between two publishes", default: 500 }),
     };
 
     async run(): Promise<void> {
         const { flags } = await this.parse(BenchConfig);
-        const folder = await mkdtemp(path.join(tmpdir(), "knapweed-bench-config-"));
+        const folder = await mkdtemp(path.join(tmpdir(), "knapweed-config-"));
         const report = await runConfigChurn({
             folder,
             seed: Number(flags["seed"]),
             processes: flags.processes,
             publishes: flags.publishes,
-            publishIntervalMs: flags.interval,
+            publishIntervalMs: flags["publish-interval"],
             onProgress: message => this.logToStderr(message),
         });
         await this.finish(flags, report);
