--- a/batch/owner/src/decideAfterAttempt.ts
+++ b/batch/owner/src/decideAfterAttempt.ts
@@ -9,7 +9,7 @@
 const MAX_LOST_UPSTREAMS = 3;
 const MAX_OVERDUE_INSTANCE_FAILURES = 20;
 const BACKOFF_BASE_MS = 500;
-const BACKOFF_LIMIT_MS = 60_000;
+const BACKOFF_LIMIT_MS = 10_000;
 
 /**
  * Decides whether an item is tried again. Failures that an instance caused do not count against the item, until the
