fix(links): ping within the interval last announced

Cause: when the last call on a link ended, the next ping came only after the idle interval, while the accepting end still expected it within the busy one; it took the link for silent and had it replaced. Ruled out: stalls of the event loop (each end excuses its own) and load of the machine (the times follow the ends of calls). Change: a ping is due at the earlier of the interval announced and the one wanted now. Conclusion: mended; the property covers both ends with calls that begin and end at any time.

--- a/links/endpoint/src/heartbeatMonitor.ts
+++ b/links/endpoint/src/heartbeatMonitor.ts
@@ -27,6 +27,8 @@
     private sequence = 0;
     private lastPingAtMs = Number.NEGATIVE_INFINITY;
     private nextTickAtMs = Number.POSITIVE_INFINITY;
+    /** Interval announced with the last ping: the other end expects the next one within it. */
+    private announcedIntervalMs = Number.POSITIVE_INFINITY;
 
     constructor(opts: HeartbeatMonitorOptions) {
         this.opts = opts;
@@ -39,10 +41,11 @@
     tick(nowMs: number, isBusy: boolean): HeartbeatDecision {
         this.excuseStall(nowMs);
         const intervalMs = isBusy ? this.opts.intervalMs : this.opts.idleIntervalMs;
-        const ping = nowMs - this.lastPingAtMs >= intervalMs - TIMER_TOLERANCE_MS
-            ? this.sendPing(nowMs, intervalMs * (1 + ALIGNMENT_SHARE))
+        const dueAfterMs = Math.min(intervalMs, this.announcedIntervalMs);
+        const ping = nowMs - this.lastPingAtMs >= dueAfterMs - TIMER_TOLERANCE_MS
+            ? this.sendPing(nowMs, intervalMs)
             : undefined;
-        const nextTickMs = this.nextTickMs(nowMs, intervalMs);
+        const nextTickMs = this.nextTickMs(nowMs, Math.min(intervalMs, this.announcedIntervalMs));
         this.nextTickAtMs = nowMs + nextTickMs;
         return { verdict: this.verdict(nowMs), ping, nextTickMs };
     }
@@ -50,8 +53,9 @@
     private sendPing(nowMs: number, intervalMs: number): { sequence: number; intervalMs: number; } {
         this.sequence += 1;
         this.lastPingAtMs = nowMs;
+        this.announcedIntervalMs = intervalMs;
         this.unanswered.push({ sequence: this.sequence, sentAtMs: nowMs });
-        return { sequence: this.sequence, intervalMs };
+        return { sequence: this.sequence, intervalMs: intervalMs * (1 + ALIGNMENT_SHARE) };
     }
 
     private verdict(nowMs: number): HeartbeatDecision["verdict"] {
--- a/links/endpoint/test/heartbeat.test.ts
+++ b/links/endpoint/test/heartbeat.test.ts
@@ -64,6 +64,41 @@
     assert.notEqual(monitor.tick(200, true).ping, undefined);
 });
 
+test("a connection that answers is never silent, at either end, however often calls begin and end", () => {
+    const changes = fc.array(fc.integer({ min: 1, max: 2500 }), { minLength: 1, maxLength: 20 });
+    fc.assert(
+        fc.property(fc.nat(999), changes, (phaseMs, changesMs) => {
+            const monitor = createMonitor(phaseMs);
+            const watch = new PingWatch({ silentAfterMs: SILENT_AFTER_MS }, 0);
+            let isBusy = false;
+            let nowMs = 0;
+            let nextTickAtMs = 0;
+            const beat = () => {
+                const decision = monitor.tick(nowMs, isBusy);
+                assert.equal(decision.verdict, "alive");
+                if (decision.ping !== undefined) {
+                    watch.onPing(nowMs, decision.ping.intervalMs);
+                    monitor.onPong(decision.ping.sequence);
+                }
+                nextTickAtMs = nowMs + decision.nextTickMs;
+            };
+            changesMs.forEach(afterMs => {
+                const changeAtMs = nowMs + afterMs;
+                while (nextTickAtMs <= changeAtMs) {
+                    nowMs = nextTickAtMs;
+                    assert.notEqual(watch.verdict(nowMs), "silent");
+                    beat();
+                }
+                nowMs = changeAtMs;
+                assert.notEqual(watch.verdict(nowMs), "silent");
+                isBusy = !isBusy;
+                beat();
+            });
+        }),
+        { seed: SEED },
+    );
+});
+
 test("time in which this process stood still is not held against the connection", () => {
     const monitor = createMonitor(1);
     const { nextTickMs } = monitor.tick(0, true);
