--- a/daemons/entry/src/upstreamDirectory.ts
+++ b/daemons/entry/src/upstreamDirectory.ts
@@ -29,7 +29,7 @@
         opts.watcher.subscribe(records => this.takeList(records));
     }
 
-    /** Sides of a service that may be given new work, shape [sides]. */
+    /** Sides of a service that may be given new work, those with a suspect link included, shape [sides]. */
     candidates(service: ServiceName, model?: ModelName): SideHandle[] {
         return [...this.sides.values()].filter(side => isUsable(side, service, model));
     }
@@ -88,7 +88,7 @@
     const { status } = side;
     return side.record.service === service
         && side.record.state === "live"
-        && side.link.state === "open"
+        && (side.link.state === "open" || side.link.state === "suspect")
         && status !== undefined
         && status.state === "live"
         && status.isHealthy
