fix(admission): no batch item waits for ever at balance 0

Cause: at balance 0 no batch item ever fitted the limit of a step, so a due job would never have ended. Conclusion: due work goes on at every balance.

--- a/admission/gate/src/batchRoom.ts
+++ b/admission/gate/src/batchRoom.ts
@@ -48,7 +48,7 @@
         }
         return this.onlineSequences + this.batchSequences > this.state.limits.maxSequences
             || this.onlineKvTokens + this.batchKvTokens > this.state.limits.kvTokens
-            || this.isStepExceeded(0)
+            || (this.isStepExceeded(0) && !this.isOnlySequence)
             || this.hasLongPrefill
             || (this.blockingPrefills > 0 && this.onlinePrefillTokens > 0);
     }
@@ -60,11 +60,9 @@
 
     /** Sequences that batch work could add. */
     get freeSequences(): number {
-        const { costs, limits } = this.state;
-        const slots = limits.maxSequences - this.reservedSequences - this.onlineSequences - this.batchSequences;
         const stepRoomMs = this.limitMs - this.stepMs(0);
-        const byStep = stepRoomMs / Math.max(costs.perSequenceMs, Number.EPSILON);
-        return Math.max(0, Math.floor(Math.min(slots, byStep)));
+        const byStep = stepRoomMs / Math.max(this.state.costs.perSequenceMs, Number.EPSILON);
+        return Math.max(0, Math.floor(Math.min(this.freeSlots, byStep)));
     }
 
     /** Gives back what a cancelled item held. @returns true */
@@ -88,15 +86,29 @@
         return true;
     }
 
-    /** Takes the room for an item whose prefill alone exceeds a step. @returns whether a sequence was free */
+    /**
+     * Takes the room for an item that exceeds the limit of a step: one at a time, so that no item waits for ever.
+     *
+     * @returns whether there was a slot
+     */
     takeOversized(item: WorkSize): boolean {
-        if (this.freeSequences === 0 || !this.hasKvTokens(item) || this.onlinePrefillTokens > 0) {
+        const hasSequence = this.batchSequences === 0 ? this.freeSlots > 0 : this.freeSequences > 0;
+        if (!hasSequence || !this.hasKvTokens(item) || this.onlinePrefillTokens > 0) {
             return false;
         }
         this.hold(item);
         return true;
     }
 
+    private get freeSlots(): number {
+        return this.state.limits.maxSequences - this.reservedSequences - this.onlineSequences - this.batchSequences;
+    }
+
+    /** Whether a single batch sequence runs whose prefill is over; it may stay whatever the limit of a step. */
+    private get isOnlySequence(): boolean {
+        return this.batchSequences === 1 && this.batchPrefillTokens === 0;
+    }
+
     private hold(item: WorkSize): void {
         this.batchSequences += 1;
         this.batchPrefillTokens += item.prefillTokens;
--- a/admission/gate/test/onlineFirstPolicy.test.ts
+++ b/admission/gate/test/onlineFirstPolicy.test.ts
@@ -110,6 +110,14 @@
     assert.deepEqual([startedAt(0), startedAt(0.2), startedAt(1)], [0, 6, 16]);
 });
 
+test("at balance 0 one item at a time runs, and stays beside online calls", () => {
+    const waiting = [{ waitingSinceMs: NOW_MS - 60_000 }, { waitingSinceMs: NOW_MS - 60_000 }];
+    const online = { running: 8 };
+    assert.deepEqual(policy.decide(stateOf({ waiting, online, balance: 0 })).start, ["w0"]);
+    const later = stateOf({ running: [{}], waiting, online, balance: 0 });
+    assert.deepEqual([policy.decide(later).preempt, policy.decide(later).start], [[], []]);
+});
+
 const sizes = { prefillTokens: fc.integer({ min: 1, max: 2000 }), kvTokens: fc.integer({ min: 1, max: 600 }) };
 const states = fc.record({
     online: fc.record({
