--- a/admission/gate/src/gate.ts
+++ b/admission/gate/src/gate.ts
@@ -9,13 +9,15 @@
 import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
 import type { ActiveStream } from "./activeStream.js";
 import type { AdmissionPolicy } from "./admissionPolicy.js";
-import { ArrivalStatistics } from "./arrivalStatistics.js";
+import { ArrivalRate } from "./arrivalRate.js";
 import { BatchLane } from "./batchLane.js";
 import { BatchPuller } from "./batchPuller.js";
+import { batchStateOf } from "./batchStateOf.js";
 import { EmbeddingRunner } from "./embeddingRunner.js";
 import { EngineLimits } from "./engineLimits.js";
 import { EngineStreams } from "./engineStreams.js";
 import { FailureJudge } from "./failureJudge.js";
+import { GateGauges } from "./gateGauges.js";
 import type { GateLoad } from "./gateLoad.js";
 import type { GateObjective } from "./gateObjective.js";
 import type { GateOptions } from "./gateOptions.js";
@@ -27,7 +29,6 @@
 
 const TICK_MS = 25;
 const DRAIN_CHECK_MS = 10;
-const LEARNED_REPORT_MS = 1000;
 const DEFAULT_MAX_ONLINE_WAITING = 256;
 const DEFAULT_OBJECTIVE: GateObjective = { tokenGapObjectiveMs: 50, batchBalance: 0.9 };
 
@@ -37,17 +38,17 @@
     private readonly clock: Clock;
     private readonly policy: AdmissionPolicy;
     private readonly estimator = new WorkEstimator();
-    private readonly arrivals = new ArrivalStatistics();
+    private readonly arrivals = new ArrivalRate();
     private readonly judge = new FailureJudge();
     private readonly streams: EngineStreams;
     private readonly limits: EngineLimits;
     private readonly online: OnlineQueue;
+    private readonly gauges: GateGauges;
     private readonly reporter: ResultReporter | undefined;
     private readonly batch: BatchLane | undefined;
     private readonly puller: BatchPuller | undefined;
     private objective: GateObjective;
     private isLeaving = false;
-    private learnedReportedMs = 0;
     private ticker: Timer | undefined;
     private pendingDecision: Timer | undefined;
 
@@ -67,6 +68,7 @@
                 this.decideSoon();
             },
         });
+        this.gauges = new GateGauges({ metrics: opts.metrics, streams: this.streams });
         this.limits = new EngineLimits({ clock, engine, ownSequences: () => this.streams.count });
         if (source === undefined) {
             return;
@@ -187,7 +189,7 @@
         opts: { signal: AbortSignal; deadlineMs?: number; },
     ): Promise<ActiveStream> {
         const size = this.estimator.sizeOf(request);
-        this.arrivals.add(this.clock.nowMs(), size.prefillTokens);
+        this.arrivals.add(this.clock.nowMs());
         const running = this.streams.of("online").length;
         const entered = this.online.enter({ size, running, signal: opts.signal, deadlineMs: opts.deadlineMs });
         this.decide();
@@ -220,31 +222,11 @@
 
     private tick(): void {
         this.batch?.giveBackStale();
-        this.reportLearned();
+        this.gauges.send(this.clock.nowMs(), () => this.load());
         this.decide();
         this.ticker = this.clock.setTimer(TICK_MS, () => this.tick());
     }
 
-    private reportLearned(): void {
-        const nowMs = this.clock.nowMs();
-        if (nowMs - this.learnedReportedMs < LEARNED_REPORT_MS) {
-            return;
-        }
-        this.learnedReportedMs = nowMs;
-        const { metrics } = this.opts;
-        const { fixedMs, perSequenceMs, perPrefillTokenMs } = this.streams.costs;
-        const load = this.load();
-        metrics.gauge("gate.online_running", load.onlineRunning);
-        metrics.gauge("gate.online_queued", load.onlineQueued);
-        metrics.gauge("gate.batch_running", load.batchRunning);
-        metrics.gauge("gate.batch_queued", load.batchQueued);
-        metrics.gauge("gate.step_fixed_ms", fixedMs);
-        metrics.gauge("gate.step_per_sequence_ms", perSequenceMs);
-        metrics.gauge("gate.step_per_prefill_token_ms", perPrefillTokenMs);
-        metrics.gauge("gate.step_prediction_error", this.streams.predictionError);
-        metrics.gauge("gate.stretched_gap_share", this.streams.stretchedGapShare);
-    }
-
     /** Decides once for events that come together. */
     private decideSoon(): void {
         this.pendingDecision ??= this.clock.setTimer(0, () => {
@@ -269,7 +251,6 @@
     private state(): GateState {
         const nowMs = this.clock.nowMs();
         const online = this.streams.of("online");
-        const items = this.batch?.items ?? [];
         return {
             nowMs,
             objective: this.objective,
@@ -282,25 +263,8 @@
                 prefillTokens: prefillTokensOf(online.filter(stream => !stream.hasFirstToken)),
                 waiting: this.online.waiting.map(({ size, arrivedAtMs }) => ({ ...size, waitingSinceMs: arrivedAtMs })),
                 arrivalsPerSecond: this.arrivals.perSecond(nowMs),
-                meanPrefillTokens: this.arrivals.meanPrefillTokens,
-                lastArrivalMs: this.arrivals.lastArrivalMs,
-            },
-            batch: {
-                running: items.flatMap(({ key, item, size, run }) =>
-                    run === undefined || run.stopReason !== undefined ? [] : {
-                        key,
-                        ...size,
-                        producedTokens: run.producedTokens,
-                        dueAtMs: item.dueAtMs,
-                        isPending: this.streams.isPending(run.stream),
-                        isPrefilling: !run.stream.hasFirstToken && !this.streams.isPending(run.stream),
-                    }
-                ),
-                waiting: items.flatMap(({ key, item, size, run, waitingSinceMs, isResumed }) =>
-                    run === undefined ? { key, ...size, dueAtMs: item.dueAtMs, waitingSinceMs, isResumed } : []
-                ),
-                stretchedGapShare: this.streams.stretchedGapShare,
             },
+            batch: batchStateOf(this.batch?.items ?? [], this.streams),
         };
     }
 }
--- a/admission/gate/src/gateState.ts
+++ b/admission/gate/src/gateState.ts
@@ -51,13 +51,9 @@
         waiting: WaitingOnlineCall[];
         /** Recent arrivals, per second. */
         arrivalsPerSecond: number;
-        meanPrefillTokens: number;
-        lastArrivalMs: number;
     };
     batch: {
         running: RunningBatchItem[];
         waiting: WaitingBatchItem[];
-        /** Share of recent online token gaps that batch work stretched beyond the objective. */
-        stretchedGapShare: number;
     };
 }
--- a/admission/gate/test/onlineFirstPolicy.test.ts
+++ b/admission/gate/test/onlineFirstPolicy.test.ts
@@ -28,8 +28,6 @@
             prefillTokens: 0,
             waiting: [],
             arrivalsPerSecond: 0,
-            meanPrefillTokens: 100,
-            lastArrivalMs: 0,
             ...parts.online,
         },
         batch: {
@@ -52,7 +50,6 @@
                 isResumed: false,
                 ...item,
             })),
-            stretchedGapShare: 0,
         },
     };
 }
