--- a/daemons/entry/src/entryProcess.ts
+++ b/daemons/entry/src/entryProcess.ts
@@ -16,8 +16,10 @@
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import { createLinkEndpoint } from "@knapweedwood/daemons.common/createLinkEndpoint";
+import { cacheChangeNotification } from "@knapweedwood/daemons.inference/cacheChangeNotification";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import { PlannerRole } from "@knapweedwood/placement.planner/plannerRole";
+import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
 import { AffinityChooser } from "@knapweedwood/routing.choice/affinityChooser";
@@ -97,17 +99,19 @@
             selectSubset: records => linkedSubset(records, { entryId: identity.instanceId, zone: identity.zone }),
         });
         const retryBudget = new RetryBudget({ maxSaved: MAX_SAVED_RETRIES });
+        const choosers = new ServiceChoosers({
+            create: () =>
+                new AffinityChooser({
+                    entryId: identity.instanceId,
+                    zone: identity.zone,
+                    random,
+                    subsetSize: LINKED_SUBSET_SIZE,
+                }),
+        });
+        this.endpoint.receive(cacheChangeNotification, change => choosers.of(change.service).onCacheChange?.(change));
         this.dispatcher = new Dispatcher({
             directory: this.directory,
-            choosers: new ServiceChoosers({
-                create: () =>
-                    new AffinityChooser({
-                        entryId: identity.instanceId,
-                        zone: identity.zone,
-                        random,
-                        subsetSize: LINKED_SUBSET_SIZE,
-                    }),
-            }),
+            choosers,
             retryPolicy: new BudgetedRetryPolicy({ budget: retryBudget, random, maxAttempts: MAX_ATTEMPTS }),
             retryBudget,
             bodyStreams: new BodyStreams({ endpoint: this.endpoint }),
@@ -117,7 +121,7 @@
         });
         this.shares = new DemandShares({
             entryId: identity.instanceId,
-            entryCount: () => this.liveEntryCount(),
+            entryCount: () => this.liveEntries().length,
             reportIntervalMs: DEMAND_REPORT_INTERVAL_MS,
         });
         this.usageExchange = new UsageExchange({
@@ -125,6 +129,7 @@
             shares: this.shares,
             clock,
             reportIntervalMs: DEMAND_REPORT_INTERVAL_MS,
+            entries: () => this.liveEntries(),
         });
         this.planner = new PlannerRole({
             keyValue,
@@ -191,9 +196,8 @@
         logger.info("entry.stopped");
     }
 
-    private liveEntryCount(): number {
-        const live = this.watcher.current().filter(record => record.kind === "entry" && record.state === "live");
-        return Math.max(1, live.length);
+    private liveEntries(): InstanceRecord[] {
+        return this.watcher.current().filter(record => record.kind === "entry" && record.state === "live");
     }
 
     private createClaims(segmentStore: SegmentStore, address: string): ClaimService {
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -19,6 +19,7 @@
 import { ConvergerTask } from "@knapweedwood/placement.orders/convergerTask";
 import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
 import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import { CacheChangeReporter } from "./cacheChangeReporter.js";
 import { CallHandlers } from "./callHandlers.js";
 import { PlainGate } from "./plainGate.js";
 import { PlainUpstream } from "./plainUpstream.js";
@@ -45,6 +46,7 @@
     private readonly monitor: UpstreamMonitor;
     private readonly handlers: CallHandlers;
     private readonly reporter: StatusReporter;
+    private readonly cacheReporter: CacheChangeReporter | undefined;
     private announcer: InstanceAnnouncer | undefined;
     private isLeaving = false;
 
@@ -84,6 +86,12 @@
             isLeaving: () => this.isLeaving,
         });
         this.reporter = new StatusReporter({ endpoint: this.endpoint, clock, status: () => this.status() });
+        this.cacheReporter = this.engine === undefined ? undefined : new CacheChangeReporter({
+            endpoint: this.endpoint,
+            clock,
+            engine: this.engine,
+            service: this.service,
+        });
         this.endpoint.receive(cancelJobNotification, ({ jobId }) => this.cancelJob(jobId));
         this.configuration.subscribe(view => this.applyService(view.service(this.service)));
     }
@@ -98,6 +106,7 @@
         this.plainGate?.start();
         this.converger?.start();
         this.reporter.start();
+        this.cacheReporter?.start();
         this.announcer = this.createAnnouncer(address);
         await this.announcer.start();
         this.opts.logger.info("side.started", { address, service: this.service });
@@ -117,6 +126,7 @@
         await this.drain(settings.shutdownGraceMs);
         await this.announcer?.stop();
         await this.reporter.stop();
+        await this.cacheReporter?.stop();
         await this.configuration.stop();
         await this.watcher.stop();
         await this.monitor.stop();
@@ -130,6 +140,7 @@
     async crash(): Promise<void> {
         await this.announcer?.abandon();
         await this.reporter.stop();
+        await this.cacheReporter?.stop();
         await this.endpoint.close(0);
         await this.configuration.stop();
         await this.watcher.stop();
