--- a/bench/mixed/src/runMixed.ts
+++ b/bench/mixed/src/runMixed.ts
@@ -9,6 +9,7 @@
 import { OnlineCaller } from "./onlineCaller.js";
 import { runSlice } from "./runSlice.js";
 import type { SliceRecord } from "./sliceRecord.js";
+import { workloadRates } from "./workloadRates.js";
 
 const DEFAULT_ENGINES = 6;
 const DEFAULT_OBJECTIVE_MS = 70;
@@ -19,7 +20,6 @@
 /** The baselines are run in every third round only: their figures are far from those of the others. */
 const BASELINE_EVERY_ROUNDS = 3;
 const SEED_STRIDE = 1000;
-const WORKLOAD = { baseRatePerSecond: 20, burstFactor: 3, burstEveryMs: 5000, burstDurationMs: 1500 };
 
 /** Runs the experiment and returns its figures with the slices they come from. */
 export async function runMixed(opts: MixedOptions): Promise<{ report: MixedReport; slices: SliceRecord[]; }> {
@@ -59,7 +59,7 @@
                 arm,
                 round,
                 durationMs: SLICE_MS,
-                workload: { ...WORKLOAD, seed, textSeed: seed * SEED_STRIDE + slices.length },
+                workload: { ...workloadRates, seed, textSeed: seed * SEED_STRIDE + slices.length },
                 testBed,
                 caller,
             }),
--- /dev/null
+++ b/bench/mixed/src/workloadRates.ts
@@ -0,0 +1,7 @@
+/** Rates of the experiment's workload. */
+export const workloadRates = {
+    baseRatePerSecond: 20,
+    burstFactor: 3,
+    burstEveryMs: 5000,
+    burstDurationMs: 1500,
+};
