--- a/standins/engine/src/engineServerOptions.ts
+++ b/standins/engine/src/engineServerOptions.ts
@@ -9,6 +9,8 @@
     models: { model: string; version: string; }[];
     /** Whether orders with an old fencing number are refused. */
     checksFencing: boolean;
+    /** Accepts orders and carries none out, for experiments in which several sides share an engine. */
+    ignoresOrders?: boolean;
     stepModel?: Partial<StepModel>;
     /** How long an order to load a model or an adapter takes. */
     loadDurationMs?: number;
--- a/standins/engine/src/loadedModels.ts
+++ b/standins/engine/src/loadedModels.ts
@@ -49,7 +49,9 @@
             return false;
         }
         this.highestFencingNumber = Math.max(this.highestFencingNumber, order.fencingNumber);
-        this.carryOut(order.action);
+        if (this.opts.ignoresOrders !== true) {
+            this.carryOut(order.action);
+        }
         return true;
     }
 
