--- a/batch/owner/src/findLostFlights.ts
+++ b/batch/owner/src/findLostFlights.ts
@@ -1,3 +1,5 @@
+import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import type { FailedAttempt } from "./failedAttempt.js";
 import type { ItemFlight } from "./itemFlight.js";
@@ -12,7 +14,7 @@
     peers: PeerIdentity[];
 }): { index: number; attempt: FailedAttempt; }[] {
     const { nowMs } = opts;
-    const incarnations = new Map(opts.peers.map(peer => [peer.instanceId, peer.incarnation]));
+    const incarnations = newestIncarnations(opts.peers);
     return opts.flights.flatMap(flight => {
         const incarnation = incarnations.get(flight.peer);
         flight.peerLostSinceMs = incarnation === undefined ? flight.peerLostSinceMs ?? nowMs : undefined;
@@ -32,3 +34,12 @@
         return [{ index: flight.item.index, attempt }];
     });
 }
+
+/** A link of an earlier process may linger beside that of its successor. */
+function newestIncarnations(peers: PeerIdentity[]): Map<InstanceId, Incarnation> {
+    const newest = new Map<InstanceId, Incarnation>();
+    peers
+        .filter(peer => peer.incarnation > (newest.get(peer.instanceId) ?? Number.NEGATIVE_INFINITY))
+        .forEach(peer => newest.set(peer.instanceId, peer.incarnation));
+    return newest;
+}
--- /dev/null
+++ b/bench/faults/src/apiClient.ts
@@ -0,0 +1,108 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { FormData, request } from "undici";
+
+const MAX_ATTEMPTS = 200;
+const RETRY_MS = 250;
+const TIMEOUT_MS = 15_000;
+
+/** Calls the callers' API of any entry, as a client that resends until it is answered. */
+export class ApiClient {
+    private readonly opts: { entryUrls: string[]; key: string; clock: Clock; };
+    private turn = 0;
+
+    constructor(opts: ApiClient["opts"]) {
+        this.opts = opts;
+    }
+
+    /** Uploads a batch input file. @returns its id */
+    async upload(text: string): Promise<string> {
+        const file = await this.insist<{ id: string; }>("POST", "/v1/files", () => {
+            const form = new FormData();
+            form.append("purpose", "batch");
+            form.append("file", new Blob([text]), "input.jsonl");
+            return { body: form };
+        });
+        return file.id;
+    }
+
+    /** Creates a batch under an idempotency key; resends go to other entries. */
+    async createBatch(opts: { inputFileId: string; endpoint: string; idempotencyKey: string; }): Promise<string> {
+        const batch = await this.insist<{ id: string; }>("POST", "/v1/batches", () => ({
+            headers: { "content-type": "application/json", "idempotency-key": opts.idempotencyKey },
+            body: JSON.stringify({
+                input_file_id: opts.inputFileId,
+                endpoint: opts.endpoint,
+                completion_window: "24h",
+            }),
+        }));
+        return batch.id;
+    }
+
+    batch(id: string): Promise<BatchAnswer> {
+        return this.insist("GET", `/v1/batches/${id}`, () => ({}));
+    }
+
+    /** The lines of a file, shape [lines]; none where there is no file. */
+    async lines(fileId: string | undefined | null): Promise<OutputLine[]> {
+        if (fileId === undefined || fileId === null) {
+            return [];
+        }
+        const text = await this.insistText("GET", `/v1/files/${fileId}/content`, () => ({}));
+        return text.trimEnd().split("\n").map(line => JSON.parse(line) as OutputLine);
+    }
+
+    private async insist<Answer>(method: "GET" | "POST", path: string, content: () => Content): Promise<Answer> {
+        return JSON.parse(await this.insistText(method, path, content)) as Answer;
+    }
+
+    private async insistText(method: "GET" | "POST", path: string, content: () => Content): Promise<string> {
+        let reason = "";
+        for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+            try {
+                return await this.send(method, path, content());
+            }
+            catch (error) {
+                reason = String(error);
+            }
+            await sleep(this.opts.clock, RETRY_MS);
+        }
+        throw new KnapweedError("BENCH_CALL_FAILED", `${method} ${path}: ${reason}`);
+    }
+
+    private async send(method: "GET" | "POST", path: string, content: Content): Promise<string> {
+        const { entryUrls, key } = this.opts;
+        const answer = await request(`${entryUrls[this.turn++ % entryUrls.length]}${path}`, {
+            method,
+            headers: { authorization: `Bearer ${key}`, ...content.headers },
+            body: content.body,
+            headersTimeout: TIMEOUT_MS,
+            bodyTimeout: TIMEOUT_MS,
+        });
+        const text = await answer.body.text();
+        if (answer.statusCode !== 200) {
+            throw new KnapweedError("BENCH_STATUS", `${answer.statusCode}: ${text}`);
+        }
+        return text;
+    }
+}
+
+interface Content {
+    headers?: { [name: string]: string; };
+    body?: string | FormData;
+}
+
+interface BatchAnswer {
+    status: string;
+    output_file_id?: string | null;
+    error_file_id?: string | null;
+    request_counts: { total: number; completed: number; failed: number; };
+    errors?: unknown;
+}
+
+interface OutputLine {
+    custom_id: string;
+    response: { status_code: number; body: { [field: string]: unknown; }; } | null;
+    error: { code: string; message: string; } | null;
+}
--- /dev/null
+++ b/bench/faults/src/batchWork.ts
@@ -0,0 +1,58 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { ApiClient } from "./apiClient.js";
+
+const CHECK_MS = 500;
+const MAX_WAIT_MS = 600_000;
+
+/** One job of the experiment and what came out of it. */
+export class BatchWork {
+    readonly name: string;
+    readonly itemCount: number;
+    private readonly opts: { api: ApiClient; clock: Clock; endpoint: string; bodyOf: (marker: string) => object; };
+    private id: string | undefined;
+
+    constructor(opts: BatchWork["opts"] & { name: string; itemCount: number; }) {
+        this.opts = opts;
+        this.name = opts.name;
+        this.itemCount = opts.itemCount;
+    }
+
+    markerOf(index: number): string {
+        return `${this.name}-${index}`;
+    }
+
+    async submit(): Promise<void> {
+        const { api, endpoint, bodyOf } = this.opts;
+        const lines = Array.from({ length: this.itemCount }, (_, index) => {
+            const marker = this.markerOf(index);
+            return `${JSON.stringify({ custom_id: marker, method: "POST", url: endpoint, body: bodyOf(marker) })}\n`;
+        });
+        const inputFileId = await api.upload(lines.join(""));
+        this.id = await api.createBatch({ inputFileId, endpoint, idempotencyKey: this.name });
+        const again = await api.createBatch({ inputFileId, endpoint, idempotencyKey: this.name });
+        if (again !== this.id) {
+            throw new KnapweedError("BENCH_RESEND_DIFFERS", `${this.name}: ${this.id} and ${again}`);
+        }
+    }
+
+    /** Waits for the end of the job. @returns the lines of its output and error files */
+    async finish(): Promise<{ output: Lines; errors: Lines; }> {
+        const { api, clock } = this.opts;
+        const endMs = clock.nowMs() + MAX_WAIT_MS;
+        while (clock.nowMs() < endMs) {
+            const batch = await api.batch(this.id ?? "");
+            if (batch.status === "completed") {
+                return { output: await api.lines(batch.output_file_id), errors: await api.lines(batch.error_file_id) };
+            }
+            if (batch.status === "failed" || batch.status === "cancelled") {
+                throw new KnapweedError("BENCH_JOB_FAILED", JSON.stringify(batch));
+            }
+            await sleep(clock, CHECK_MS);
+        }
+        throw new KnapweedError("BENCH_JOB_STUCK", JSON.stringify(await api.batch(this.id ?? "")));
+    }
+}
+
+type Lines = Awaited<ReturnType<ApiClient["lines"]>>;
--- /dev/null
+++ b/bench/faults/src/managedProcess.ts
@@ -0,0 +1,48 @@
+import type { LaunchedProcess } from "@knapweedwood/bench.load/launchedProcess";
+import type { LaunchOptions } from "@knapweedwood/bench.load/launchOptions";
+import { launchProcess } from "@knapweedwood/bench.load/launchProcess";
+
+/** A process of the fleet that is started again after a loss. */
+export class ManagedProcess {
+    readonly instanceId: string;
+    private readonly opts: LaunchOptions;
+    private launched: LaunchedProcess | undefined;
+    private isBusy = false;
+
+    constructor(opts: LaunchOptions) {
+        this.instanceId = opts.name;
+        this.opts = opts;
+    }
+
+    /** Whether it runs, neither lost nor paused. */
+    get isRunning(): boolean {
+        return this.launched !== undefined && !this.isBusy && !this.launched.hasExited;
+    }
+
+    async start(): Promise<void> {
+        this.launched = await launchProcess(this.opts);
+    }
+
+    /** Kills the process and starts it again after `downMs`. */
+    async lose(downMs: number, sleep: (ms: number) => Promise<void>): Promise<void> {
+        this.isBusy = true;
+        await this.launched?.kill();
+        await sleep(downMs);
+        await this.start();
+        this.isBusy = false;
+    }
+
+    /** Stops it from running for `durationMs`. */
+    async pause(durationMs: number, sleep: (ms: number) => Promise<void>): Promise<void> {
+        this.isBusy = true;
+        this.launched?.pause();
+        await sleep(durationMs);
+        this.launched?.resume();
+        this.isBusy = false;
+    }
+
+    async stop(): Promise<void> {
+        this.launched?.resume();
+        await this.launched?.stop();
+    }
+}
--- /dev/null
+++ b/bench/faults/src/ownershipProbe.ts
@@ -0,0 +1,50 @@
+import { partitionKeys } from "@knapweedwood/batch.ownership/partitionKeys";
+import type { PartitionRecord } from "@knapweedwood/batch.ownership/partitionRecord";
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+
+const PROBE_INTERVAL_MS = 100;
+const MAX_WAIT_MS = 30_000;
+const PARTITION_COUNT = 16;
+
+/** Watches who owns the batch partitions. */
+export class OwnershipProbe {
+    private readonly opts: { keyValue: KeyValueService; clock: Clock; };
+
+    constructor(opts: OwnershipProbe["opts"]) {
+        this.opts = opts;
+    }
+
+    /** @returns when each partition had an owner of another incarnation than the lost one; undefined where none did */
+    async waitUntilOwned(lostInstanceId: string): Promise<number | undefined> {
+        const { clock } = this.opts;
+        const endMs = clock.nowMs() + MAX_WAIT_MS;
+        const before = await this.revisionsOf(lostInstanceId);
+        while (before !== undefined && clock.nowMs() < endMs) {
+            const owners = await this.owners();
+            const isLeft = owners?.some(owner => before.has(owner.modRevision)) ?? true;
+            if (!isLeft && owners?.length === PARTITION_COUNT) {
+                return clock.nowMs();
+            }
+            await sleep(clock, PROBE_INTERVAL_MS);
+        }
+        return undefined;
+    }
+
+    private async revisionsOf(instanceId: string): Promise<Set<number> | undefined> {
+        const owners = await this.owners();
+        return owners && new Set(
+            owners.filter(owner => owner.instanceId === instanceId).map(owner => owner.modRevision),
+        );
+    }
+
+    private async owners(): Promise<{ instanceId: string; modRevision: number; }[] | undefined> {
+        const entries = await this.opts.keyValue.list(partitionKeys.owners("batch")).catch(() => undefined);
+        return entries?.map(entry => ({
+            instanceId: decodeRecord<PartitionRecord>(entry.value).instanceId,
+            modRevision: entry.modRevision,
+        }));
+    }
+}
--- /dev/null
+++ b/bench/faults/src/runRecords.ts
@@ -0,0 +1,51 @@
+import { request } from "undici";
+
+interface ServiceCall {
+    marker?: string;
+    bodyDigest: string;
+}
+
+/** The upstreams' own record of what ran. */
+export class RunRecords {
+    private readonly engineStarts = new Map<string, number>();
+    private readonly serviceCalls: ServiceCall[] = [];
+
+    static async read(opts: { engineUrls: string[]; serviceUrls: string[]; }): Promise<RunRecords> {
+        const records = new RunRecords();
+        for (const url of opts.engineUrls) {
+            const counts = await read<{ [marker: string]: { started: number; }; }>(url);
+            Object.entries(counts).forEach(([marker, { started }]) =>
+                records.engineStarts.set(marker, started + records.engineStartsOf(marker))
+            );
+        }
+        for (const url of opts.serviceUrls) {
+            records.serviceCalls.push(...(await read<{ calls: ServiceCall[]; }>(url)).calls);
+        }
+        return records;
+    }
+
+    engineStartsOf(marker: string): number {
+        return this.engineStarts.get(marker) ?? 0;
+    }
+
+    /** How often each marker was run by a plain service. */
+    countsByMarker(): Map<string, number> {
+        return countBy(this.serviceCalls.flatMap(call => call.marker ?? []));
+    }
+
+    /** How often each body without a marker was run by a plain service. */
+    countsByBody(): Map<string, number> {
+        return countBy(this.serviceCalls.filter(call => call.marker === undefined).map(call => call.bodyDigest));
+    }
+}
+
+async function read<Answer>(url: string): Promise<Answer> {
+    const answer = await request(`${url}/__record`);
+    return await answer.body.json() as Answer;
+}
+
+function countBy(names: string[]): Map<string, number> {
+    const counts = new Map<string, number>();
+    names.forEach(name => counts.set(name, (counts.get(name) ?? 0) + 1));
+    return counts;
+}
