--- a/placement/planner/src/planRegion.ts
+++ b/placement/planner/src/planRegion.ts
@@ -21,7 +21,7 @@
     const members = input.upstreams.filter(upstream => upstream.service === service.name);
     const chosen = chooseReplicas({
         key: `placement/${service.name}`,
-        count: service.replicas,
+        count: service.replicas ?? members.length,
         candidates: members,
         previous: new Set(input.previous.filter(plan => plan.models.length > 0).map(plan => plan.instanceId)),
     });
@@ -36,12 +36,17 @@
         model,
         byUpstream: planModel({ model, chosen, members, budget }),
     }));
-    return members.map(upstream => {
+    return members.flatMap((upstream): UpstreamPlan[] => {
+        if (upstream.engine === undefined) {
+            // Nothing is known of it, so that nothing is changed.
+            const before = previous.get(upstream.instanceId);
+            return before === undefined ? [] : [before];
+        }
         const models = versions.flatMap(({ model, byUpstream }) =>
             (byUpstream.get(upstream.instanceId) ?? []).map(version => ({ model: model.name, version }))
         );
         const { role, roleSinceMs } = roles.get(upstream.instanceId) ?? keptRole(upstream, previous, input.nowMs);
-        return { instanceId: upstream.instanceId, models, adapters: adaptersOf(service, models), role, roleSinceMs };
+        return [{ instanceId: upstream.instanceId, models, adapters: adaptersOf(service, models), role, roleSinceMs }];
     });
 }
 
