fix(claims): keep recorded answers through a compaction after a second reading

Cause: compaction tells entries by identity, and a second reading of the log left those of the first in the table, so that a recorded answer was dropped and its key granted again.

--- a/batch/claims/src/claimShard.ts
+++ b/batch/claims/src/claimShard.ts
@@ -45,7 +45,7 @@
 export class ClaimShard {
     private readonly opts: ClaimShardOptions;
     private readonly log: ClaimLog;
-    private readonly table = new ClaimTable();
+    private table = new ClaimTable();
     /** Claims that a running write decides, by claim id. */
     private readonly deciding = new Map<string, Promise<void>>();
     private pending: PendingEntry[] = [];
@@ -61,7 +61,11 @@
     /** Reads the shard's log; again where a first time failed. */
     async load(): Promise<void> {
         this.loading ??= this.log.load().then(
-            entries => entries.forEach(entry => this.table.apply(entry)),
+            entries => {
+                // Compaction tells entries by identity: those of an earlier reading must not stay.
+                this.table = new ClaimTable();
+                entries.forEach(entry => this.table.apply(entry));
+            },
             (error: unknown) => {
                 this.loading = undefined;
                 throw error;
