--- a/batch/owner/src/jobRun.ts
+++ b/batch/owner/src/jobRun.ts
@@ -4,19 +4,19 @@
 import type { JobManifest } from "@knapweedwood/batch.jobs/jobManifest";
 import type { JobProgress } from "@knapweedwood/batch.jobs/jobProgress";
 import type { StoredRecord } from "@knapweedwood/batch.records/storedRecord";
-import type { ItemIndex } from "@knapweedwood/core.ids/itemIndex";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import { createOutputLine } from "./createOutputLine.js";
 import { decideAfterAttempt } from "./decideAfterAttempt.js";
 import type { FailedAttempt } from "./failedAttempt.js";
+import { indexesOf } from "./indexesOf.js";
 import { ItemQueue } from "./itemQueue.js";
 import { JobInput } from "./jobInput.js";
 import type { JobRunOptions } from "./jobRunOptions.js";
 import { parseInputLine } from "./parseInputLine.js";
-import type { PendingItem } from "./pendingItem.js";
 import { resolveService } from "./resolveService.js";
 import { ResultBuffer } from "./resultBuffer.js";
+import { toBatchItem } from "./toBatchItem.js";
 
 const READ_AHEAD_ITEMS = 512;
 const REFILL_BELOW_ITEMS = 256;
@@ -121,7 +121,7 @@
         if (!item.service.repeatable && !this.claimed.has(item.index)) {
             this.claims.add(item.index);
         }
-        return this.toBatchItem(item);
+        return toBatchItem(item, this.manifest);
     }
 
     /** Takes back items that were not handed out after all. */
@@ -292,25 +292,4 @@
     private async customIdOf(index: number): Promise<string> {
         return parseInputLine(await this.input.lineAt(index), this.manifest.endpoint).customId;
     }
-
-    private toBatchItem(item: PendingItem): BatchItem {
-        return {
-            jobId: this.manifest.jobId,
-            itemIndex: item.index as ItemIndex,
-            attempt: item.attemptCount,
-            teamId: this.manifest.teamId,
-            service: item.service.name,
-            endpoint: item.line.url as BatchItem["endpoint"],
-            body: item.line.body,
-            dueAtMs: this.manifest.dueAtMs,
-            repeatable: item.service.repeatable,
-            resumeFrom: item.resumeFrom,
-        };
-    }
-}
-
-function indexesOf(ranges: JobProgress["finished"]): number[] {
-    return ranges.flatMap(range =>
-        Array.from({ length: range.last - range.first + 1 }, (_, offset) => range.first + offset)
-    );
 }
--- a/batch/ownership/src/decideOwnership.ts
+++ b/batch/ownership/src/decideOwnership.ts
@@ -33,6 +33,6 @@
     const rank = rendezvousRank(partition.partitionId, view.liveEntries).indexOf(view.instanceId);
     const rankMs = RANK_DELAY_MS * (rank === -1 ? MAX_RANK_DELAYS : Math.min(rank, MAX_RANK_DELAYS));
     const { lastHolder } = partition;
-    const mayReturn = view.hadOutage && lastHolder !== undefined && view.liveEntries.includes(lastHolder);
+    const mayReturn = partition.wasFreedByOutage && lastHolder !== undefined && view.liveEntries.includes(lastHolder);
     return rankMs + (mayReturn ? OUTAGE_GRACE_MS : 0);
 }
--- a/batch/ownership/src/ownershipView.ts
+++ b/batch/ownership/src/ownershipView.ts
@@ -8,8 +8,6 @@
     instanceId: InstanceId;
     /** Entry instances that are not leaving, as the lagging list has them. */
     liveEntries: InstanceId[];
-    /** Whether the key-value service was away lately: all leases may have lapsed while their holders live. */
-    hadOutage: boolean;
     partitions: {
         partitionId: PartitionId;
         state: OwnershipState;
@@ -19,6 +17,8 @@
         lastHolder: InstanceId | undefined;
         /** Since when this instance has seen the partition free; undefined where it is held. */
         freeSinceMs: number | undefined;
+        /** Whether it was found free at the end of an outage, in which leases lapse while their holders live. */
+        wasFreedByOutage: boolean;
         /** Since when another instance has ranked first for a partition held here. */
         misplacedSinceMs: number | undefined;
     }[];
--- a/batch/ownership/src/partitionOwnership.ts
+++ b/batch/ownership/src/partitionOwnership.ts
@@ -21,8 +21,6 @@
 const LEASE_TTL_MS = 2500;
 const TICK_MS = 400;
 const KEEP_ALIVE_INTERVAL_MS = 700;
-/** How long after an outage the holders of lapsed leases come first. */
-const OUTAGE_MEMORY_MS = 15_000;
 const MAX_BACKOFF_MS = 4000;
 
 interface PartitionStatus {
@@ -31,6 +29,7 @@
     holder: InstanceId | undefined;
     holderAddress: string | undefined;
     lastHolder: InstanceId | undefined;
+    wasFreedByOutage: boolean;
     freeSinceMs: number | undefined;
     misplacedSinceMs: number | undefined;
 }
@@ -44,7 +43,6 @@
     private loop: Promise<void> | undefined;
     private stopped: Promise<void> | undefined;
     private failureCount = 0;
-    private lastFailureAtMs = Number.NEGATIVE_INFINITY;
     private lastKeptAtMs = Number.NEGATIVE_INFINITY;
     private writeCount = 0;
 
@@ -57,6 +55,7 @@
                 holder: undefined,
                 holderAddress: undefined,
                 lastHolder: undefined,
+                wasFreedByOutage: false,
                 freeSinceMs: undefined,
                 misplacedSinceMs: undefined,
             }]),
@@ -103,7 +102,6 @@
             }
             catch (error) {
                 this.failureCount += 1;
-                this.lastFailureAtMs = clock.nowMs();
                 logger.warn("partition ownership unchanged", { code: toKnapweedError(error).code });
             }
             const delayMs = Math.min(MAX_BACKOFF_MS, TICK_MS * 2 ** Math.min(this.failureCount, 4));
@@ -118,7 +116,6 @@
             nowMs: this.opts.clock.nowMs(),
             instanceId: this.opts.instanceId,
             liveEntries: await this.opts.liveEntries(),
-            hadOutage: this.opts.clock.nowMs() - this.lastFailureAtMs < OUTAGE_MEMORY_MS,
             partitions: [...this.statuses].map(([partitionId, status]) => ({ partitionId, ...status })),
         });
         for (const partitionId of decision.acquire) {
@@ -169,6 +166,9 @@
         status.holder = record?.value.instanceId;
         status.lastHolder = status.holder ?? status.lastHolder;
         status.holderAddress = record?.value.address;
+        const isNewlyFree = record === undefined && status.freeSinceMs === undefined;
+        status.wasFreedByOutage = record === undefined
+            && (isNewlyFree ? this.failureCount > 0 : status.wasFreedByOutage);
         status.freeSinceMs = record === undefined ? status.freeSinceMs ?? nowMs : undefined;
         const isPreferred =
             (rendezvousRank(partitionId, liveEntries)[0] ?? this.opts.instanceId) === this.opts.instanceId;
