test(links): the reloaded certificate is tried until the connection opens in time

Change: up to 30 calls; the test still fails where certificates are not reloaded, since then none is let in.

--- a/links/endpoint/test/linkTls.test.ts
+++ b/links/endpoint/test/linkTls.test.ts
@@ -1,4 +1,5 @@
 import { defineCall } from "@knapweedwood/links.calls/defineCall";
+import type { Link } from "@knapweedwood/links.calls/link";
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -7,6 +8,7 @@
 
 const echoCall = defineCall<{ text: string; }, { text: string; }>("test.echo");
 const { first, second } = testCertificates;
+const MAX_ATTEMPTS = 30;
 const limits = { openTimeoutMs: 300 };
 
 test("links run over mutual TLS", async context => {
@@ -34,10 +36,23 @@
     });
     server.reloadTls(second);
     stranger.reloadTls(second);
-    const answer = await singleFrame(stranger.connect(address).call(echoCall, { text: "hello" }, { timeoutMs: 5000 }));
-    assert.deepEqual(answer, { text: "hello" });
+    assert.deepEqual(await firstAnswer(() => stranger.connect(address)), { text: "hello" });
 });
 
+/** A call may be given up before the connection is open, which takes longer on a busy machine. */
+async function firstAnswer(connect: () => Link): Promise<{ text: string; }> {
+    for (let attempt = 1;; attempt += 1) {
+        try {
+            return await singleFrame(connect().call(echoCall, { text: "hello" }));
+        }
+        catch (error) {
+            if (attempt === MAX_ATTEMPTS) {
+                throw error;
+            }
+        }
+    }
+}
+
 test("a plain connection gets nothing from an end with TLS", async context => {
     const server = createTestEndpoint(context, "server", { tls: first });
     const client = createTestEndpoint(context, "client", { limits });
