--- a/bench/mixed/src/onlineCaller.ts
+++ b/bench/mixed/src/onlineCaller.ts
@@ -1,6 +1,6 @@
 import type { JsonObject } from "@knapweedwood/engines.model-engine/jsonObject";
 import { promptTextOf } from "@knapweedwood/engines.model-engine/promptTextOf";
-import { serverSentEvents } from "@knapweedwood/engines.model-engine/serverSentEvents";
+import { ServerSentEventReader } from "@knapweedwood/engines.model-engine/serverSentEventReader";
 import { Agent, request } from "undici";
 import type { CallRecord } from "./callRecord.js";
 
@@ -44,11 +44,13 @@
                 };
             }
             let isWhole = false;
-            for await (const data of serverSentEvents(answer.body)) {
-                isWhole ||= data === END_OF_STREAM;
-                if (data.includes(TOKEN_MARK)) {
-                    tokenTimesMs.push(performance.now());
-                }
+            const reader = new ServerSentEventReader();
+            for await (const bytes of answer.body as AsyncIterable<Uint8Array>) {
+                const events = reader.read(bytes);
+                isWhole ||= events.includes(END_OF_STREAM);
+                events
+                    .filter(data => data.includes(TOKEN_MARK))
+                    .forEach(() => tokenTimesMs.push(performance.now()));
             }
             return { dueMs, promptCharacters, tokenTimesMs, isWhole, failure: undefined };
         }
--- /dev/null
+++ b/daemons/entry/src/createDispatcher.ts
@@ -0,0 +1,35 @@
+import { cacheChangeNotification } from "@knapweedwood/daemons.inference/cacheChangeNotification";
+import { AffinityChooser } from "@knapweedwood/routing.choice/affinityChooser";
+import { BudgetedRetryPolicy } from "@knapweedwood/routing.retries/budgetedRetryPolicy";
+import { RetryBudget } from "@knapweedwood/routing.retries/retryBudget";
+import { BodyStreams } from "./bodyStreams.js";
+import { Dispatcher } from "./dispatcher.js";
+import type { EntryParts } from "./entryParts.js";
+import { LINKED_SUBSET_SIZE } from "./linkedSubset.js";
+import { ServiceChoosers } from "./serviceChoosers.js";
+import type { UpstreamDirectory } from "./upstreamDirectory.js";
+
+const MAX_ATTEMPTS = 4;
+/** Retries that may be used at once, such as when a side with many calls in progress is lost. */
+const MAX_SAVED_RETRIES = 64;
+
+/** The dispatcher of an entry, with its choice of upstreams and its retries. */
+export function createDispatcher(parts: EntryParts, directory: UpstreamDirectory): Dispatcher {
+    const { endpoint, random, clock, metrics, tracer } = parts;
+    const { instanceId, zone } = endpoint.identity;
+    const retryBudget = new RetryBudget({ maxSaved: MAX_SAVED_RETRIES });
+    const choosers = new ServiceChoosers({
+        create: () => new AffinityChooser({ entryId: instanceId, zone, random, subsetSize: LINKED_SUBSET_SIZE }),
+    });
+    endpoint.receive(cacheChangeNotification, change => choosers.of(change.service).onCacheChange?.(change));
+    return new Dispatcher({
+        directory,
+        choosers,
+        retryPolicy: new BudgetedRetryPolicy({ budget: retryBudget, random, maxAttempts: MAX_ATTEMPTS }),
+        retryBudget,
+        bodyStreams: new BodyStreams({ endpoint }),
+        clock,
+        metrics,
+        tracer,
+    });
+}
--- /dev/null
+++ b/daemons/entry/src/sharedRoles.ts
@@ -0,0 +1,50 @@
+import { ClaimService } from "@knapweedwood/batch.claims/claimService";
+import { BatchRole } from "@knapweedwood/batch.owner/batchRole";
+import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
+import { PlannerRole } from "@knapweedwood/placement.planner/plannerRole";
+import { configuredServices } from "./configuredServices.js";
+import type { EntryParts } from "./entryParts.js";
+
+/** The roles that entries share by lease: owner of batch partitions and of claims, planner of the region. */
+export class SharedRoles {
+    readonly claims: ClaimService;
+    private readonly batchRole: BatchRole;
+    private readonly planner: PlannerRole;
+
+    /** @param opts.address where this entry accepts links, as `host:port` */
+    constructor(parts: EntryParts, opts: { segmentStore: SegmentStore; address: string; }) {
+        const { settings, configuration, endpoint, watcher } = parts;
+        const shared = {
+            ...parts,
+            instanceId: endpoint.identity.instanceId,
+            address: () => opts.address,
+            segmentStore: opts.segmentStore,
+        };
+        this.batchRole = new BatchRole({
+            ...shared,
+            partitionCount: settings.batch.partitionCount,
+            services: configuredServices(configuration),
+            teamWeight: teamId => configuration.current()?.team(teamId)?.weight ?? 1,
+        });
+        this.claims = new ClaimService({ ...shared, shardCount: settings.batch.partitionCount });
+        this.planner = new PlannerRole({
+            ...parts,
+            instances: () => watcher.current(),
+            demands: () => [],
+            maxConcurrentLoads: settings.placement.maxConcurrentLoads,
+        });
+    }
+
+    start(): void {
+        this.batchRole.start();
+        this.claims.start();
+        this.planner.start();
+    }
+
+    /** Hands the roles over. */
+    async stop(): Promise<void> {
+        await this.batchRole.stop();
+        await this.claims.stop();
+        await this.planner.stop();
+    }
+}
--- /dev/null
+++ b/daemons/entry/src/teamMeter.ts
@@ -0,0 +1,60 @@
+import type { CallAdmission } from "@knapweedwood/api.callers/callAdmission";
+import { UsageMeter } from "@knapweedwood/api.operators/usageMeter";
+import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import { DemandShares } from "@knapweedwood/routing.limits/demandShares";
+import { SharedLimiter } from "@knapweedwood/routing.limits/sharedLimiter";
+import { UsageExchange } from "@knapweedwood/routing.limits/usageExchange";
+import type { EntryParts } from "./entryParts.js";
+import { LimitedAdmission } from "./limitedAdmission.js";
+
+const DEMAND_REPORT_INTERVAL_MS = 500;
+
+/** Limits of teams shared with the other entries, and what teams use. */
+export class TeamMeter {
+    readonly admission: CallAdmission;
+    readonly usage: UsageMeter;
+    private readonly exchange: UsageExchange;
+    private readonly parts: EntryParts;
+
+    constructor(parts: EntryParts) {
+        this.parts = parts;
+        const { endpoint, clock, metrics } = parts;
+        const { instanceId, incarnation, region } = endpoint.identity;
+        const shares = new DemandShares({
+            entryId: instanceId,
+            entryCount: () => this.liveEntries().length,
+            reportIntervalMs: DEMAND_REPORT_INTERVAL_MS,
+        });
+        this.exchange = new UsageExchange({
+            endpoint,
+            shares,
+            clock,
+            reportIntervalMs: DEMAND_REPORT_INTERVAL_MS,
+            entries: () => this.liveEntries(),
+        });
+        this.usage = new UsageMeter({ ...parts, region, processName: `${instanceId}-${incarnation}` });
+        this.admission = new LimitedAdmission({
+            limiter: new SharedLimiter({ shares }),
+            usage: this.usage,
+            clock,
+            metrics,
+        });
+    }
+
+    start(): void {
+        this.exchange.start();
+        this.usage.start();
+    }
+
+    /** Writes what teams have used since the last write. */
+    async stop(): Promise<void> {
+        this.exchange.stop();
+        await this.usage.stop().catch((error: unknown) => {
+            this.parts.logger.warn("usage.not-written", { error: String(error) });
+        });
+    }
+
+    private liveEntries(): InstanceRecord[] {
+        return this.parts.watcher.current().filter(record => record.kind === "entry" && record.state === "live");
+    }
+}
