--- a/batch/jobs/src/jobAcceptance.ts
+++ b/batch/jobs/src/jobAcceptance.ts
@@ -3,6 +3,7 @@
 import { readRecord } from "@knapweedwood/batch.records/readRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
@@ -17,6 +18,7 @@
 import type { StoredFile } from "./storedFile.js";
 import { toJobRecord } from "./toJobRecord.js";
 
+const FIRST_SERVER_ERROR = 500;
 const DEFAULT_DUE_MS = 24 * 60 * 60 * 1000;
 
 type AcceptOptions = Parameters<BatchService["createJob"]>[0] & { file: StoredFile; };
@@ -62,7 +64,7 @@
                 { kind: "put", key: batchKeys.teamJob(opts.teamId, jobId), value: encodeRecord({ jobId }) },
             ],
         });
-        const record = result.succeeded ? toJobRecord(manifest, progress) : await this.accepted(opts);
+        const record = result.succeeded ? toJobRecord(manifest, progress) : await this.acceptedByOther(opts);
         if (record === undefined) {
             throw new KnapweedError("JOB_NOT_ACCEPTED", "The job was removed while it was accepted", {
                 outcome: "not-run",
@@ -72,6 +74,25 @@
         return record;
     }
 
+    /** Another request has won the key: its job stands, so that a failure to read it is not "not run". */
+    private async acceptedByOther(opts: AcceptOptions): Promise<JobRecord | undefined> {
+        try {
+            return await this.accepted(opts);
+        }
+        catch (thrown) {
+            const error = toKnapweedError(thrown);
+            if (error.statusCode !== undefined && error.statusCode < FIRST_SERVER_ERROR) {
+                throw error;
+            }
+            throw new KnapweedError("JOB_OUTCOME_UNKNOWN", "A job was accepted under the key, and could not be read", {
+                cause: error,
+                outcome: "unknown",
+                statusCode: 503,
+                hint: "Send the request again with the same idempotency key",
+            });
+        }
+    }
+
     /** The job that was accepted under the same idempotency key before. */
     private async accepted(opts: AcceptOptions): Promise<JobRecord | undefined> {
         const { keyValue } = this.opts;
