feat(settings): retention of ended jobs; test of receipts in batches

Cause: the batch role's retention could not be set; batch items of plain services were untested on the whole path.

--- a/config/settings/src/entrySettingsSchema.ts
+++ b/config/settings/src/entrySettingsSchema.ts
@@ -33,6 +33,8 @@
     }).default({ maxConcurrentLoads: DEFAULT_MAX_CONCURRENT_LOADS }),
     batch: z.strictObject({
         partitionCount: z.int().min(1).max(MAX_PARTITION_COUNT).default(DEFAULT_PARTITION_COUNT),
+        /** How long jobs that have ended are kept, whole with their results; without end where it is left out. */
+        retentionMs: z.int().positive().optional(),
         /** Where items and results are kept; the same on every entry of a deployment. */
         segmentStore: z.enum(["key-value", "data-folders"]).default("key-value"),
     }).default({ partitionCount: DEFAULT_PARTITION_COUNT, segmentStore: "key-value" }),
--- a/daemons/embedded/test/plainService.test.ts
+++ b/daemons/embedded/test/plainService.test.ts
@@ -69,3 +69,49 @@
 function countRuns(): number {
     return demo.deployment.services.flatMap(service => service.record).filter(record => record.method !== "GET").length;
 }
+
+const RECEIPT_COUNT = 20;
+const POLL_MS = 100;
+
+test("a batch job of receipts runs each of them exactly once", async () => {
+    const lines = Array.from({ length: RECEIPT_COUNT }, (_, index) =>
+        JSON.stringify({
+            custom_id: `receipt-${index}`,
+            method: "POST",
+            url: "/services/ledger/batch-receipts",
+            body: { lot: index },
+        }));
+    const form = new FormData();
+    form.set("purpose", "batch");
+    form.set("file", new Blob([lines.join("\n")]), "receipts.jsonl");
+    const file = await api("POST", "/v1/files", form) as { id: string; };
+    const job = { input_file_id: file.id, endpoint: "/services/ledger/batch-receipts" };
+    const created = await api("POST", "/v1/batches", JSON.stringify(job)) as Batch;
+    let batch = created;
+    while (!["completed", "failed"].includes(batch.status)) {
+        await new Promise(resolve => setTimeout(resolve, POLL_MS));
+        batch = await api("GET", `/v1/batches/${created.id}`) as Batch;
+    }
+    assert.deepEqual(batch.request_counts, { total: RECEIPT_COUNT, completed: RECEIPT_COUNT, failed: 0 });
+    const digests = demo.deployment.services
+        .flatMap(service => service.record)
+        .filter(record => record.path.endsWith("/batch-receipts"))
+        .map(record => record.bodyDigest);
+    assert.equal(digests.length, RECEIPT_COUNT);
+    assert.equal(new Set(digests).size, RECEIPT_COUNT);
+});
+
+interface Batch {
+    id: string;
+    status: string;
+    request_counts: { total: number; completed: number; failed: number; };
+}
+
+async function api(method: string, path: string, body?: string | FormData): Promise<unknown> {
+    const answer = await fetch(`${demo.deployment.url()}${path}`, {
+        method,
+        headers: { authorization: `Bearer ${KEY}` },
+        body,
+    });
+    return answer.json();
+}
--- a/daemons/entry/src/sharedRoles.ts
+++ b/daemons/entry/src/sharedRoles.ts
@@ -23,6 +23,7 @@
         this.batchRole = new BatchRole({
             ...shared,
             partitionCount: settings.batch.partitionCount,
+            retentionMs: settings.batch.retentionMs,
             services: configuredServices(configuration),
             teamWeight: teamId => configuration.current()?.team(teamId)?.weight ?? 1,
         });
