--- a/bench/mixed/src/runSlice.ts
+++ b/bench/mixed/src/runSlice.ts
@@ -52,9 +52,7 @@
             records.push(await caller.call(arrivals[index]?.request.body ?? {}, dueMs));
         },
     });
-    const sampled = sampleTotals(testBed, durationMs);
-    await calls;
-    const samples = await sampled;
+    const [samples] = await Promise.all([sampleTotals(testBed, durationMs), calls]);
     await job?.cancel();
     await sleep(SETTLE_MS);
     const first = samples[0];
