feat(gate): a request of one token tells a broken engine from items that fail

Cause: three failures in a row were held against the instance; where a job's last items are the ones that can't complete, nothing else runs between them, so that they were tried until the job was overdue. Change: an engine under suspicion is sent one harmless request; where it answers, the items are blamed.

--- a/admission/gate/src/batchLane.ts
+++ b/admission/gate/src/batchLane.ts
@@ -12,6 +12,7 @@
 import type { BatchKey } from "./batchKey.js";
 import type { BatchRun } from "./batchRun.js";
 import { CancelledJobs } from "./cancelledJobs.js";
+import { EngineCanary } from "./engineCanary.js";
 import type { EngineStreams } from "./engineStreams.js";
 import type { FailureJudge } from "./failureJudge.js";
 import { GenerationRun } from "./generationRun.js";
@@ -32,8 +33,11 @@
     private readonly cancelledJobs = new CancelledJobs();
     private readonly held = new Map<BatchKey, HeldItem>();
 
+    private readonly canary: EngineCanary;
+
     constructor(opts: BatchLaneOptions) {
         this.opts = opts;
+        this.canary = new EngineCanary(opts);
     }
 
     /** All items held here, running ones among them, shape [items]. */
@@ -181,6 +185,9 @@
         const { judge, engine } = this.opts;
         judge.failed();
         const isReachable = await engine.load().then(() => true, () => false);
+        if (isReachable && judge.isInstanceSuspect && await this.canary.answers(held.item.body["model"])) {
+            judge.began();
+        }
         const outcome = judge.judge(failure.error, isReachable);
         if (outcome.kind === "failed" && outcome.blame === "instance") {
             this.opts.onEngineTrouble();
--- a/admission/gate/src/failureJudge.ts
+++ b/admission/gate/src/failureJudge.ts
@@ -20,6 +20,11 @@
         this.failuresInARow += 1;
     }
 
+    /** Whether so many attempts have failed in a row that the instance itself may be at fault. */
+    get isInstanceSuspect(): boolean {
+        return this.failuresInARow >= SUSPECT_FAILURES;
+    }
+
     /** @param isEngineReachable what a probe since the failure has found */
     judge(error: KnapweedError, isEngineReachable: boolean): FailedOutcome {
         const { code, message, statusCode } = error;
@@ -29,7 +34,7 @@
         if (error.outcome === "not-run") {
             return { kind: "failed", code, message, blame: "instance", mayHaveRun: false };
         }
-        const isItemSuspect = isEngineReachable && this.failuresInARow < SUSPECT_FAILURES;
+        const isItemSuspect = isEngineReachable && !this.isInstanceSuspect;
         return { kind: "failed", code, message, blame: isItemSuspect ? "item" : "instance", mayHaveRun: true };
     }
 }
