--- a/batch/owner/src/itemQueue.ts
+++ b/batch/owner/src/itemQueue.ts
@@ -1,4 +1,5 @@
 import type { ItemHistory } from "@knapweedwood/batch.jobs/itemHistory";
+import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import type { ItemFlight } from "./itemFlight.js";
@@ -7,11 +8,20 @@
 /** How long a failed item waits for an upstream that has not failed it yet. */
 const OTHER_UPSTREAM_WAIT_MS = 10_000;
 
+/** How long after its last pull a gate counts as there. */
+const RECENT_PULL_MS = 5_000;
+
+interface Pull {
+    service: ServiceName;
+    atMs: number;
+}
+
 /** The items of a job that wait or are at a gate. */
 export class ItemQueue {
     private waiting: PendingItem[] = [];
     private readonly flights = new Map<number, ItemFlight>();
     private readonly histories = new Map<number, ItemHistory>();
+    private readonly pulls = new Map<InstanceId, Pull>();
 
     constructor(histories: ItemHistory[]) {
         histories.forEach(history => this.histories.set(history.index, history));
@@ -60,6 +70,7 @@
 
     /** Takes the next item of `service` that may run at this gate's upstream. */
     take(service: ServiceName, peer: PeerIdentity, nowMs: number): PendingItem | undefined {
+        this.pulls.set(peer.instanceId, { service, atMs: nowMs });
         const position = this.waiting.findIndex(item =>
             item.service.name === service && item.notBeforeMs <= nowMs && this.isAllowed(item, peer, nowMs)
         );
@@ -104,11 +115,20 @@
             return true;
         }
         const isSuspect = history.lostUpstreams.length > 0;
-        const hasFailedHere = [...history.upstreams, ...history.lostUpstreams].includes(peer.instanceId);
-        const hasWaited = nowMs - item.notBeforeMs >= OTHER_UPSTREAM_WAIT_MS;
+        const failedAt = [...history.upstreams, ...history.lostUpstreams];
+        const hasFailedHere = failedAt.includes(peer.instanceId);
+        const hasWaited = nowMs - item.notBeforeMs >= OTHER_UPSTREAM_WAIT_MS
+            || !this.isAnotherThere(item.service.name, failedAt, nowMs);
         return !(isSuspect && this.hasSuspectAt(peer)) && (!hasFailedHere || hasWaited);
     }
 
+    /** Whether an upstream that has not failed the item has pulled of late. */
+    private isAnotherThere(service: ServiceName, failedAt: InstanceId[], nowMs: number): boolean {
+        return [...this.pulls].some(([instanceId, pull]) =>
+            pull.service === service && nowMs - pull.atMs < RECENT_PULL_MS && !failedAt.includes(instanceId)
+        );
+    }
+
     private hasSuspectAt(peer: PeerIdentity): boolean {
         return [...this.flights.values()].some(flight =>
             flight.peer === peer.instanceId
