fix(side): an item's call to a plain service ends at its service's deadline

Cause: a plain service that went silent held a batch item for ever, and the side's stop with it. Change: the item's call is given up after the service's deadlineMs; its outcome then is unknown. Measured: a test with a silent service; without the time-out its stop never resolves. Conclusion: mended.

--- a/daemons/side/src/plainGate.ts
+++ b/daemons/side/src/plainGate.ts
@@ -19,6 +19,7 @@
 const BATCH_SHARE = 0.5;
 const COME_BACK_MS = 500;
 const SERVICE_UNAVAILABLE = 503;
+const DEFAULT_ITEM_TIMEOUT_MS = 60_000;
 
 interface RunningItem {
     item: BatchItem;
@@ -27,11 +28,17 @@
 
 /** The gate in front of a plain service: online calls up to an adaptive limit, batch items in a part of what is left. */
 export class PlainGate {
-    private readonly opts: { upstream: PlainUpstream; batchSource: BatchSource; clock: Clock; logger: Logger; };
+    private readonly opts: {
+        upstream: Pick<PlainUpstream, "call">;
+        batchSource: BatchSource;
+        clock: Clock;
+        logger: Logger;
+    };
     private readonly limit = new GradientConcurrencyLimit();
     private readonly stopping = new AbortController();
     private readonly items = new Set<RunningItem>();
     private onlineRunning = 0;
+    private itemTimeoutMs = DEFAULT_ITEM_TIMEOUT_MS;
     private loop: Promise<void> = Promise.resolve();
 
     constructor(opts: PlainGate["opts"]) {
@@ -42,6 +49,11 @@
         this.loop = this.run();
     }
 
+    /** @param timeoutMs longest time that an item's call may take; after it, its outcome counts as unknown */
+    setItemTimeout(timeoutMs: number): void {
+        this.itemTimeoutMs = timeoutMs;
+    }
+
     /** Pulls no more and waits for the items in progress, which may not be repeated. */
     async stop(): Promise<void> {
         this.stopping.abort();
@@ -103,9 +115,11 @@
     private async runItem(item: BatchItem): Promise<void> {
         const running = { item, controller: new AbortController() };
         this.items.add(running);
+        const timer = this.opts.clock.setTimer(this.itemTimeoutMs, () => running.controller.abort());
         const request = plainItemCall(item);
         const frames = this.opts.upstream.call(request, { body: request.body, signal: running.controller.signal });
         const outcome = await plainItemOutcome(frames);
+        timer.cancel();
         this.items.delete(running);
         const { jobId, itemIndex, attempt } = item;
         await this.opts.batchSource.report([{ jobId, itemIndex, attempt, outcome }]);
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -216,6 +216,7 @@
 
     private applyService(service: ServiceDefinition | undefined): void {
         if (service !== undefined) {
+            this.plainGate?.setItemTimeout(service.deadlineMs);
             this.gate?.setObjective({
                 tokenGapObjectiveMs: service.tokenGapObjectiveMs,
                 batchBalance: service.batchBalance,
--- /dev/null
+++ b/daemons/side/test/plainGate.test.ts
@@ -0,0 +1,60 @@
+import type { BatchItem } from "@knapweedwood/batch.items/batchItem";
+import type { BatchResult } from "@knapweedwood/batch.items/batchResult";
+import type { BatchSource } from "@knapweedwood/batch.items/batchSource";
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { ItemIndex } from "@knapweedwood/core.ids/itemIndex";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { PlainGate } from "../src/plainGate.js";
+import type { PlainUpstream } from "../src/plainUpstream.js";
+
+const ITEM_TIMEOUT_MS = 5000;
+
+const receipt: BatchItem = {
+    jobId: "job" as JobId,
+    itemIndex: 0 as ItemIndex,
+    attempt: 1,
+    teamId: "team" as TeamId,
+    service: "ledger" as ServiceName,
+    endpoint: "/services/ledger/receipts",
+    body: {},
+    dueAtMs: 0,
+    repeatable: false,
+};
+
+/** Takes a call and never answers it. */
+const silentUpstream: Pick<PlainUpstream, "call"> = {
+    // eslint-disable-next-line require-yield
+    async *call(_request, { signal }) {
+        await new Promise(resolve => signal.addEventListener("abort", resolve));
+        throw new KnapweedError("UPSTREAM_FAILED", "given up", { outcome: "unknown" });
+    },
+};
+
+test("a receipt that a silent service took is reported as one that may have run, and a stop does not hang", async () => {
+    const clock = new ManualClock();
+    const results: BatchResult[] = [];
+    const items = [receipt];
+    const batchSource: BatchSource = {
+        pull: count => Promise.resolve(items.splice(0, count)),
+        report: reported => {
+            results.push(...reported);
+            return Promise.resolve();
+        },
+    };
+    const gate = new PlainGate({ upstream: silentUpstream, batchSource, clock, logger: silentLogger });
+    gate.setItemTimeout(ITEM_TIMEOUT_MS);
+    gate.start();
+    await clock.advance(ITEM_TIMEOUT_MS - 1);
+    assert.equal(results.length, 0);
+    const stopped = gate.stop();
+    await clock.advance(1);
+    await stopped;
+    const [result] = results;
+    assert.ok(result?.outcome.kind === "failed" && result.outcome.mayHaveRun);
+});
