refactor(config): one reader of YAML for settings and service files

Cause: config/settings and config/service-files each read YAML by a schema and located problems by themselves. Change: config/yaml does it for both; settings gain the line of an unknown field and the bound on aliases. The settings' test now asks for the unknown field's own line and path, where it asked for its name in the message. Conclusion: one piece of code serves both.

--- a/config/service-files/src/parseServiceFiles.ts
+++ b/config/service-files/src/parseServiceFiles.ts
@@ -1,10 +1,10 @@
 import { checkConfiguration } from "@knapweedwood/config.configuration/checkConfiguration";
 import type { ConfigurationView } from "@knapweedwood/config.configuration/configurationView";
+import type { Problem } from "@knapweedwood/config.yaml/problem";
 import type { ParsedServiceFile } from "./parsedServiceFile.js";
 import { parseServiceFile } from "./parseServiceFile.js";
 import type { ServiceFile } from "./serviceFile.js";
 import type { ServiceFileDefinitions } from "./serviceFileDefinitions.js";
-import type { ServiceFileProblem } from "./serviceFileProblem.js";
 import type { ServiceFilesResult } from "./serviceFilesResult.js";
 
 interface Definition {
@@ -50,7 +50,7 @@
     ];
 }
 
-function definedTwice(definitions: Definition[]): ServiceFileProblem[] {
+function definedTwice(definitions: Definition[]): Problem[] {
     const first = new Map<string, Definition>();
     return definitions.flatMap(definition => {
         const earlier = first.get(definition.recordKey);
@@ -70,7 +70,7 @@
     definitions: ServiceFileDefinitions,
     list: Definition[],
     current: ConfigurationView | undefined,
-): ServiceFileProblem[] {
+): Problem[] {
     const byKey = new Map(list.map(definition => [definition.recordKey, definition]));
     const merged = {
         services: [
--- a/config/service-files/src/parsedServiceFile.ts
+++ b/config/service-files/src/parsedServiceFile.ts
@@ -1,10 +1,10 @@
+import type { Problem } from "@knapweedwood/config.yaml/problem";
 import type { ServiceFileDefinitions } from "./serviceFileDefinitions.js";
-import type { ServiceFileProblem } from "./serviceFileProblem.js";
 
 /** One service file with its positions. */
 export interface ParsedServiceFile {
     definitions: ServiceFileDefinitions;
-    problems: ServiceFileProblem[];
+    problems: Problem[];
     /** Describes what is wrong at `path`, with its line. */
-    problemAt(path: readonly PropertyKey[], expected: string): ServiceFileProblem;
+    problemAt(path: readonly PropertyKey[], expected: string): Problem;
 }
--- a/config/settings/src/readSettings.ts
+++ b/config/settings/src/readSettings.ts
@@ -1,8 +1,8 @@
+import { parseYaml } from "@knapweedwood/config.yaml/parseYaml";
+import { problemsError } from "@knapweedwood/config.yaml/problemsError";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { readFile } from "node:fs/promises";
 import type { z } from "zod";
-import { parseYaml } from "./parseYaml.js";
-import { problemsError } from "./problemsError.js";
 
 /** Reads a settings file. Throws `SETTINGS_UNREADABLE`, or `SETTINGS_INVALID` that names every problem. */
 export async function readSettings<Schema extends z.ZodType>(file: string, schema: Schema): Promise<z.output<Schema>> {
--- a/config/settings/test/parseYaml.test.ts
+++ b/config/settings/test/entrySettings.test.ts
@@ -1,7 +1,7 @@
+import { parseYaml } from "@knapweedwood/config.yaml/parseYaml";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { entrySettingsSchema } from "../src/entrySettingsSchema.js";
-import { parseYaml } from "../src/parseYaml.js";
 
 const SETTINGS = `
 instanceId: entry-1
@@ -26,7 +26,7 @@
     const found = parsed.problems.map(problem => `${problem.line} ${problem.path}`);
     assert.ok(found.includes("6 http.port"), found.join("; "));
     assert.ok(found.some(entry => entry.endsWith(" zone")), found.join("; "));
-    assert.ok(parsed.problems.some(problem => problem.expected.includes("zones")));
+    assert.ok(found.includes("4 zones"), found.join("; "));
 });
 
 test("broken YAML is one typed problem, not a crash", () => {
--- /dev/null
+++ b/config/yaml/src/parseYaml.ts
@@ -0,0 +1,65 @@
+import { type Document, LineCounter, parseDocument } from "yaml";
+import type { z } from "zod";
+import { offsetOf } from "./offsetOf.js";
+import type { ParsedYaml } from "./parsedYaml.js";
+import type { Problem } from "./problem.js";
+
+/** Bounds what a file of nested aliases can grow to. */
+const MAX_ALIASES = 100;
+
+/** Reads YAML and checks it by a schema. All problems are found at once, each with its line. */
+export function parseYaml<Schema extends z.ZodType>(
+    opts: { file: string; text: string; schema: Schema; },
+): ParsedYaml<z.output<Schema>> {
+    const lineCounter = new LineCounter();
+    const document = parseDocument(opts.text, { lineCounter, prettyErrors: false });
+    const problemAt = (path: readonly PropertyKey[], expected: string): Problem => ({
+        file: opts.file,
+        line: lineCounter.linePos(offsetOf(document, path)).line,
+        path: textOf(path),
+        expected,
+    });
+    if (document.errors.length > 0) {
+        const problems = document.errors.map(error => ({
+            file: opts.file,
+            line: lineCounter.linePos(error.pos[0]).line,
+            path: "",
+            expected: `valid YAML: ${error.message}`,
+        }));
+        return { value: undefined, problems, problemAt };
+    }
+    const content = plainContent(document);
+    if (content instanceof Error) {
+        return { value: undefined, problems: [problemAt([], `valid YAML: ${content.message}`)], problemAt };
+    }
+    const checked = opts.schema.safeParse(content);
+    return checked.success
+        ? { value: checked.data, problems: [], problemAt }
+        : {
+            value: undefined,
+            problems: checked.error.issues.flatMap(issue => problemsOf(issue, problemAt)),
+            problemAt,
+        };
+}
+
+function plainContent(document: Document): unknown {
+    try {
+        return document.toJS({ maxAliasCount: MAX_ALIASES }) ?? {};
+    }
+    catch (thrown) {
+        return thrown instanceof Error ? thrown : new Error(String(thrown));
+    }
+}
+
+function problemsOf(issue: z.core.$ZodIssue, problemAt: ParsedYaml<unknown>["problemAt"]): Problem[] {
+    return issue.code === "unrecognized_keys"
+        ? issue.keys.map(key => problemAt([...issue.path, key], "no such field; the field is unknown"))
+        : [problemAt(issue.path, issue.message)];
+}
+
+function textOf(path: readonly PropertyKey[]): string {
+    return path
+        .map(part => typeof part === "number" ? `[${String(part)}]` : `.${String(part)}`)
+        .join("")
+        .replace(/^\./, "");
+}
