fix(quickstart): end with the outcome

Cause: the process stayed after printing its table: what the side that is crashed on the way leaves behind keeps timers. Which of its parts does was not found; the reporters, the gate, the converger and the links are stopped by crash(). Change: the quickstart exits with its code once the outcome is printed. Conclusion: the command ends; the leftover timers of a crash, which only tests and the quickstart use, stay to be found.

--- a/cli/quickstart/src/main.ts
+++ b/cli/quickstart/src/main.ts
@@ -14,4 +14,5 @@
 });
 const outcome = await job.run();
 printOutcome(outcome);
-process.exitCode = isGoodOutcome(outcome, { poisoned: POISONED_ITEMS.size }) ? 0 : 1;
+// The crashed side of the run may hold timers of its own, which a process that lives on would have to wait for.
+process.exit(isGoodOutcome(outcome, { poisoned: POISONED_ITEMS.size }) ? 0 : 1);
