--- a/core/ids/src/callerId.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-import type { Brand } from "./brand.js";
-
-export type CallerId = Brand<string, "CallerId">;
