--- a/platform/key-value-etcd/src/etcdCallError.ts
+++ b/adapters/key-value-etcd/src/etcdCallError.ts
@@ -1,6 +1,6 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import { answerLostError } from "@knapweedwood/platform.key-value/answerLostError";
-import { unavailableError } from "@knapweedwood/platform.key-value/unavailableError";
+import { answerLostError } from "@knapweedwood/core.key-value/answerLostError";
+import { unavailableError } from "@knapweedwood/core.key-value/unavailableError";
 import type { EtcdError } from "./etcdError.js";
 
 const INVALID_ARGUMENT = 3;
--- a/platform/key-value-etcd/src/etcdWatch.ts
+++ b/adapters/key-value-etcd/src/etcdWatch.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
-import { unavailableError } from "@knapweedwood/platform.key-value/unavailableError";
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import { unavailableError } from "@knapweedwood/core.key-value/unavailableError";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { Client, type Dispatcher } from "undici";
 import { etcdCallError } from "./etcdCallError.js";
 import type { EtcdStreamMessage } from "./etcdStreamMessage.js";
--- a/platform/key-value-etcd/src/toEntry.ts
+++ b/adapters/key-value-etcd/src/toEntry.ts
@@ -1,4 +1,4 @@
-import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import { decodeBytes } from "./decodeBytes.js";
 import type { EtcdKeyValue } from "./etcdKeyValue.js";
 
--- a/platform/key-value-etcd/src/toTransactionRequest.ts
+++ b/adapters/key-value-etcd/src/toTransactionRequest.ts
@@ -1,5 +1,5 @@
-import type { KeyValueCompare } from "@knapweedwood/platform.key-value/keyValueCompare";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import { encodeBytes } from "./encodeBytes.js";
 import type { EtcdRequestOperation } from "./etcdRequestOperation.js";
 import type { EtcdTransactionRequest } from "./etcdTransactionRequest.js";
--- a/platform/key-value-etcd/src/toWatchBatches.ts
+++ b/adapters/key-value-etcd/src/toWatchBatches.ts
@@ -1,4 +1,4 @@
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { decodeBytes } from "./decodeBytes.js";
 import type { EtcdEvent } from "./etcdEvent.js";
 import { toEntry } from "./toEntry.js";
--- a/api/operators/src/fleetInstance.ts
+++ b/api/operators/src/fleetInstance.ts
@@ -1,4 +1,4 @@
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 
 /** One instance with its link, as seen from this process. */
 export interface FleetInstance extends InstanceRecord {
--- a/batch/claims/src/claimLog.ts
+++ b/batch/claims/src/claimLog.ts
@@ -5,9 +5,9 @@
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { Random } from "@knapweedwood/core.random/random";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
 import type { ClaimEntry } from "./claimEntry.js";
 import type { ClaimTable } from "./claimTable.js";
 
--- a/batch/claims/src/claimServiceOptions.ts
+++ b/batch/claims/src/claimServiceOptions.ts
@@ -1,12 +1,12 @@
 import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
-import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { InstanceList } from "@knapweedwood/routing.instance-list/instanceList";
 
 /** Options of {@link ClaimService}. */
 export interface ClaimServiceOptions {
--- a/batch/jobs/src/jobChart.ts
+++ b/batch/jobs/src/jobChart.ts
@@ -1,6 +1,7 @@
 import { Chart } from "@knapweedwood/core.charts/chart";
+import definition from "../charts/job.json" with { type: "json" };
 import type { JobEvent } from "./jobEvent.js";
 import type { JobState } from "./jobState.js";
 
 /** The states of a job. */
-export const jobChart = Chart.read<JobState, JobEvent>(new URL("../../charts/job.json", import.meta.url));
+export const jobChart = new Chart<JobState, JobEvent>(definition);
--- a/batch/owner/src/finalizeJob.ts
+++ b/batch/owner/src/finalizeJob.ts
@@ -9,8 +9,8 @@
 import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { FileId } from "@knapweedwood/core.ids/fileId";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import type { Random } from "@knapweedwood/core.random/random";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
 import type { PlannedWrite } from "./plannedWrite.js";
 import { writeOutputs } from "./writeOutputs.js";
 
--- a/batch/owner/src/jobRetention.ts
+++ b/batch/owner/src/jobRetention.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 
 /** Removes jobs of owned partitions once they have been final for the retention time: whole, with their results. */
 export class JobRetention {
--- a/batch/owner/src/partitionOwnerOptions.ts
+++ b/batch/owner/src/partitionOwnerOptions.ts
@@ -4,11 +4,11 @@
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
 import type { ServiceLookup } from "./serviceLookup.js";
 
 /** Options of {@link PartitionOwner}. */
--- a/batch/owner/src/plannedWrite.ts
+++ b/batch/owner/src/plannedWrite.ts
@@ -1,5 +1,5 @@
 import type { JobProgress } from "@knapweedwood/batch.jobs/jobProgress";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 
 /** The next progress of a job, with what is written in the same transaction. */
 export interface PlannedWrite {
--- a/batch/owner/src/readReferences.ts
+++ b/batch/owner/src/readReferences.ts
@@ -6,7 +6,7 @@
 import { listRecords } from "@knapweedwood/batch.records/listRecords";
 import { readRecord } from "@knapweedwood/batch.records/readRecord";
 import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 
 /** Segments that files and open jobs need, by the id of the file or job. */
 export async function readReferences(keyValue: KeyValueService): Promise<Map<string, SegmentDigest[]>> {
--- a/batch/owner/src/segmentSweep.ts
+++ b/batch/owner/src/segmentSweep.ts
@@ -4,9 +4,9 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
 import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
 import { readReferences } from "./readReferences.js";
 import type { SweepReport } from "./sweepReport.js";
 
--- a/batch/ownership/src/partitionOwnershipOptions.ts
+++ b/batch/ownership/src/partitionOwnershipOptions.ts
@@ -1,10 +1,10 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { PartitionId } from "@knapweedwood/core.ids/partitionId";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
 import type { OwnedPartition } from "./ownedPartition.js";
 
 /** Options of {@link PartitionOwnership}. */
--- a/batch/records/src/commitTransaction.ts
+++ b/batch/records/src/commitTransaction.ts
@@ -1,11 +1,11 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
+import type { TransactionResult } from "@knapweedwood/core.key-value/transactionResult";
 import type { Random } from "@knapweedwood/core.random/random";
-import type { KeyValueCompare } from "@knapweedwood/platform.key-value/keyValueCompare";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
-import type { TransactionResult } from "@knapweedwood/platform.key-value/transactionResult";
 
 const RETRY_DELAY_MS = 50;
 const MAX_RETRY_DELAY_MS = 2000;
--- a/batch/records/src/listRecords.ts
+++ b/batch/records/src/listRecords.ts
@@ -1,5 +1,5 @@
-import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { decodeRecord } from "./decodeRecord.js";
 import type { StoredRecord } from "./storedRecord.js";
 
--- a/batch/records/src/readRecord.ts
+++ b/batch/records/src/readRecord.ts
@@ -1,4 +1,4 @@
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { decodeRecord } from "./decodeRecord.js";
 import type { StoredRecord } from "./storedRecord.js";
 
--- a/bench/capacity/src/createMember.ts
+++ b/bench/capacity/src/createMember.ts
@@ -1,11 +1,11 @@
 import { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
-import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { InstanceList } from "@knapweedwood/routing.instance-list/instanceList";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import { createEndpoint } from "./createEndpoint.js";
 import type { Member } from "./member.js";
 
--- a/bench/capacity/src/member.ts
+++ b/bench/capacity/src/member.ts
@@ -1,6 +1,6 @@
 import type { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
 import type { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 
 /** A library-level process that follows the configuration. */
 export interface Member {
--- a/bench/capacity/src/relayChildrenMain.ts
+++ b/bench/capacity/src/relayChildrenMain.ts
@@ -1,5 +1,5 @@
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import { MemoryInstanceList } from "@knapweedwood/standins.instance-list/memoryInstanceList";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import { createMember } from "./createMember.js";
--- a/bench/faults/src/ownershipProbe.ts
+++ b/bench/faults/src/ownershipProbe.ts
@@ -3,7 +3,7 @@
 import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 
 const PROBE_INTERVAL_MS = 100;
 const MAX_WAIT_MS = 30_000;
--- a/bench/faults/src/runFaults.ts
+++ b/bench/faults/src/runFaults.ts
@@ -1,6 +1,6 @@
+import { EtcdKeyValueService } from "@knapweedwood/adapters.key-value-etcd/etcdKeyValueService";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
-import { EtcdKeyValueService } from "@knapweedwood/platform.key-value-etcd/etcdKeyValueService";
 import { expectedText } from "@knapweedwood/standins.engine/expectedText";
 import { mkdtemp } from "node:fs/promises";
 import { cpus, loadavg, tmpdir } from "node:os";
--- a/config/distribution/src/distributionOptions.ts
+++ b/config/distribution/src/distributionOptions.ts
@@ -1,11 +1,11 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
-import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { InstanceList } from "@knapweedwood/routing.instance-list/instanceList";
 
 /** What a {@link DistributedConfiguration} is made of. */
 export interface DistributionOptions {
--- a/config/distribution/src/distributionPlace.ts
+++ b/config/distribution/src/distributionPlace.ts
@@ -1,4 +1,4 @@
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 
 /** Where a process stands in the distribution of configurations. */
 export interface DistributionPlace {
--- a/config/distribution/src/neighbours.ts
+++ b/config/distribution/src/neighbours.ts
@@ -4,8 +4,8 @@
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceList } from "@knapweedwood/routing.instance-list/instanceList";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import type { DistributionPlace } from "./distributionPlace.js";
 import { planDistribution } from "./planDistribution.js";
 
--- a/config/distribution/src/planDistribution.ts
+++ b/config/distribution/src/planDistribution.ts
@@ -1,6 +1,6 @@
 import { rendezvousRank } from "@knapweedwood/core.hashing/rendezvousRank";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import type { DistributionPlace } from "./distributionPlace.js";
 import { watchersOfZone } from "./watchersOfZone.js";
 
--- a/config/distribution/src/rootWatcher.ts
+++ b/config/distribution/src/rootWatcher.ts
@@ -2,10 +2,10 @@
 import type { ConfigurationRoot } from "@knapweedwood/config.publishing/configurationRoot";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
 
 const SWEEP_PERIOD_MS = 1_000;
 const SWEEP_JITTER_MS = 200;
--- a/config/distribution/src/watchersOfZone.ts
+++ b/config/distribution/src/watchersOfZone.ts
@@ -1,6 +1,6 @@
 import { rendezvousRank } from "@knapweedwood/core.hashing/rendezvousRank";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 
 const WATCHERS_PER_ZONE = 2;
 
--- a/config/distribution/test/fakeFleet.ts
+++ b/config/distribution/test/fakeFleet.ts
@@ -7,7 +7,7 @@
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import { MemoryInstanceList } from "@knapweedwood/standins.instance-list/memoryInstanceList";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import { DistributedConfiguration } from "../src/distributedConfiguration.js";
--- a/config/publishing/src/configurationPublisher.ts
+++ b/config/publishing/src/configurationPublisher.ts
@@ -4,7 +4,7 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import type { Revision } from "@knapweedwood/core.ids/revision";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { ConfigurationChange } from "./configurationChange.js";
 import { ConfigurationStore } from "./configurationStore.js";
 import { ConfigurationTree } from "./configurationTree.js";
--- a/config/publishing/src/configurationStore.ts
+++ b/config/publishing/src/configurationStore.ts
@@ -1,8 +1,8 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import type { Revision } from "@knapweedwood/core.ids/revision";
-import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { configurationKeys } from "./configurationKeys.js";
 import type { ConfigurationRoot } from "./configurationRoot.js";
 import { ConfigurationTree } from "./configurationTree.js";
--- a/config/publishing/src/keyValueChunkSource.ts
+++ b/config/publishing/src/keyValueChunkSource.ts
@@ -1,5 +1,5 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { ChunkReference } from "./chunkReference.js";
 import type { ChunkSource } from "./chunkSource.js";
 import { configurationKeys } from "./configurationKeys.js";
--- a/core/charts/src/chart.ts
+++ b/core/charts/src/chart.ts
@@ -1,21 +1,15 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import { readFileSync } from "node:fs";
 import { type AnyStateMachine, createMachine, transition } from "xstate";
 import type { ChartDefinition } from "./chartDefinition.js";
 
-/** A flat state chart, interpreted from a JSON file. */
+/** A flat state chart, interpreted from its definition in a JSON file. */
 export class Chart<State extends string, Event extends string> {
     private readonly machine: AnyStateMachine;
     private readonly definition: ChartDefinition;
 
     constructor(definition: ChartDefinition) {
         this.definition = definition;
-        this.machine = createMachine(definition);
-    }
-
-    /** Reads the chart in the file at `url`. */
-    static read<State extends string, Event extends string>(url: URL): Chart<State, Event> {
-        return new Chart(JSON.parse(readFileSync(url, "utf8")) as ChartDefinition);
+        this.machine = createMachine(definition as Parameters<typeof createMachine>[0]);
     }
 
     get initial(): State {
--- a/core/charts/src/chartDefinition.ts
+++ b/core/charts/src/chartDefinition.ts
@@ -3,6 +3,7 @@
     id: string;
     initial: string;
     states: {
-        [state: string]: { type?: "final"; on?: { [event: string]: { target: string; }; }; };
+        /** `type` is "final" where the chart ends in the state. */
+        [state: string]: { type?: string; on?: { [event: string]: { target: string; }; }; };
     };
 }
--- /dev/null
+++ b/core/ids/src/instanceName.ts
@@ -0,0 +1,4 @@
+import type { Brand } from "./brand.js";
+
+/** Name of an instance that runs a process of the fleet; stays the same over restarts. */
+export type InstanceName = Brand<string, "InstanceName">;
--- /dev/null
+++ b/core/ids/src/upstreamId.ts
@@ -0,0 +1,3 @@
+import type { Brand } from "./brand.js";
+
+export type UpstreamId = Brand<string, "UpstreamId">;
--- a/daemons/entry/src/createSegmentStore.ts
+++ b/daemons/entry/src/createSegmentStore.ts
@@ -4,7 +4,7 @@
 import { ReplicatedSegmentStore } from "@knapweedwood/batch.segments/replicatedSegmentStore";
 import type { SegmentStore } from "@knapweedwood/batch.segments/segmentStore";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
-import type { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import type { InstanceWatcher } from "@knapweedwood/routing.instance-watch/instanceWatcher";
 import type { EntryProcessOptions } from "./entryProcessOptions.js";
 
 /** The segment store that the settings choose; with a data folder, this entry also keeps segments for others. */
--- a/daemons/entry/src/entryParts.ts
+++ b/daemons/entry/src/entryParts.ts
@@ -1,6 +1,6 @@
 import type { DistributedConfiguration } from "@knapweedwood/config.distribution/distributedConfiguration";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
-import type { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import type { InstanceWatcher } from "@knapweedwood/routing.instance-watch/instanceWatcher";
 import type { EntryProcessOptions } from "./entryProcessOptions.js";
 
 /** What the parts of an entry are made of, besides its options. */
--- a/daemons/entry/src/linkedFleet.ts
+++ b/daemons/entry/src/linkedFleet.ts
@@ -2,7 +2,7 @@
 import type { FleetUpstream } from "@knapweedwood/api.operators/fleetUpstream";
 import type { FleetView } from "@knapweedwood/api.operators/fleetView";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
-import type { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import type { InstanceWatcher } from "@knapweedwood/routing.instance-watch/instanceWatcher";
 import type { SideHandle } from "./sideHandle.js";
 import type { UpstreamDirectory } from "./upstreamDirectory.js";
 
--- a/daemons/entry/src/linkedSubset.ts
+++ b/daemons/entry/src/linkedSubset.ts
@@ -1,7 +1,7 @@
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
 import { RendezvousSubset } from "@knapweedwood/routing.choice/rendezvousSubset";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 
 /** Upstreams of one service that an entry links to, in its own zone and as many in all others together. */
 export const LINKED_SUBSET_SIZE = 24;
--- a/daemons/entry/src/main.ts
+++ b/daemons/entry/src/main.ts
@@ -1,3 +1,4 @@
+import { EtcdKeyValueService } from "@knapweedwood/adapters.key-value-etcd/etcdKeyValueService";
 import { entrySettingsSchema } from "@knapweedwood/config.settings/entrySettingsSchema";
 import { readSettings } from "@knapweedwood/config.settings/readSettings";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
@@ -5,8 +6,7 @@
 import { createObservers } from "@knapweedwood/daemons.common/createObservers";
 import { runDaemon } from "@knapweedwood/daemons.common/runDaemon";
 import { settingsFileOf } from "@knapweedwood/daemons.common/settingsFileOf";
-import { HttpInstanceList } from "@knapweedwood/platform.instance-list/httpInstanceList";
-import { EtcdKeyValueService } from "@knapweedwood/platform.key-value-etcd/etcdKeyValueService";
+import { HttpInstanceList } from "@knapweedwood/routing.instance-list/httpInstanceList";
 import { randomInt } from "node:crypto";
 import { EntryProcess } from "./entryProcess.js";
 
--- a/daemons/entry/src/sideHandle.ts
+++ b/daemons/entry/src/sideHandle.ts
@@ -1,6 +1,6 @@
 import type { SideStatus } from "@knapweedwood/daemons.inference/sideStatus";
 import type { Link } from "@knapweedwood/links.calls/link";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 
 /** A side that this entry is linked to. */
 export interface SideHandle {
--- a/daemons/entry/src/teamMeter.ts
+++ b/daemons/entry/src/teamMeter.ts
@@ -1,6 +1,6 @@
 import type { CallAdmission } from "@knapweedwood/api.callers/callAdmission";
 import { UsageMeter } from "@knapweedwood/api.operators/usageMeter";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import { DemandShares } from "@knapweedwood/routing.limits/demandShares";
 import { SharedLimiter } from "@knapweedwood/routing.limits/sharedLimiter";
 import { UsageExchange } from "@knapweedwood/routing.limits/usageExchange";
--- a/daemons/entry/src/upstreamDirectory.ts
+++ b/daemons/entry/src/upstreamDirectory.ts
@@ -5,8 +5,8 @@
 import type { SideStatus } from "@knapweedwood/daemons.inference/sideStatus";
 import { sideStatusNotification } from "@knapweedwood/daemons.inference/sideStatusNotification";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
-import type { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
+import type { InstanceWatcher } from "@knapweedwood/routing.instance-watch/instanceWatcher";
 import type { SideHandle } from "./sideHandle.js";
 
 const UNLISTED_LINK_KEPT_MS = 10_000;
--- /dev/null
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -0,0 +1,112 @@
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { GatewayContext } from "@knapweedwood/fleet.gateway/gatewayContext";
+import { GatewayServer } from "@knapweedwood/fleet.gateway/gatewayServer";
+import { JobRoutes } from "@knapweedwood/fleet.gateway/jobRoutes";
+import { ReadinessServer } from "@knapweedwood/fleet.gateway/readinessServer";
+import { JobAcceptor } from "@knapweedwood/fleet.jobs/jobAcceptor";
+import { FewestOnlinePlacement } from "@knapweedwood/fleet.load/fewestOnlinePlacement";
+import { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
+import { WaitingRoom } from "@knapweedwood/fleet.load/waitingRoom";
+import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
+import { FleetProcess } from "./fleetProcess.js";
+import { LinkJobReader } from "./linkJobReader.js";
+
+/** Time in which the balancer notices that a process isn't ready any more, in milliseconds. */
+const BALANCER_NOTICE_MS = 2500;
+/** Time left for the end of the process after its requests, in milliseconds. */
+const STOP_MARGIN_MS = 700;
+const STOP_POLL_MS = 50;
+const WAITING_CHECK_INTERVAL_MS = 20;
+
+/** The program that takes callers' requests. */
+export class GatewayProgram {
+    private readonly settings: ProcessSettings;
+    private readonly fleet: FleetProcess;
+    private readonly server: GatewayServer;
+    private readonly readiness: ReadinessServer;
+    private readonly waitingRoom: WaitingRoom;
+    private isStopping = false;
+
+    constructor(settings: ProcessSettings, logger: Logger) {
+        this.settings = settings;
+        const protocol = new PlatformCallerProtocol();
+        this.fleet = new FleetProcess({
+            settings,
+            role: "gateway",
+            logger,
+            onLoadChanged: () => this.waitingRoom.pump(),
+            waiting: () => this.waitingRoom.waiting(),
+            onConfiguration: () => this.server.applyLimits(this.fleet.configuration.current!.limits),
+            onJobsWritten: () => undefined,
+            onLead: () => undefined,
+        });
+        const { clock, random, board, configuration, connections, health } = this.fleet;
+        const holdTimes = new HoldTimes();
+        this.waitingRoom = new WaitingRoom({
+            clock,
+            random,
+            board,
+            holdTimes,
+            placement: new FewestOnlinePlacement({ board, random }),
+            usable: service => this.fleet.usableUpstreams(service),
+        });
+        const context: GatewayContext = {
+            clock,
+            random,
+            logger,
+            configuration,
+            connections,
+            board,
+            health,
+            holdTimes,
+            waitingRoom: this.waitingRoom,
+            headers: protocol.headers,
+            onLoadChanged: () => this.fleet.markLoadChanged(),
+            isStopping: () => this.isStopping,
+        };
+        const jobs = new JobRoutes({
+            logger,
+            protocol,
+            acceptor: new JobAcceptor({ service: this.fleet.store, clock, logger }),
+            reader: new LinkJobReader({
+                endpoint: this.fleet.links,
+                leader: () => this.fleet.leadership.leader,
+            }),
+            onAccepted: revision => this.fleet.markJobsWritten(revision),
+        });
+        this.server = new GatewayServer({ context, protocol, jobs });
+        this.readiness = new ReadinessServer({
+            path: protocol.readinessPath,
+            isReady: () => this.fleet.isInformed && !this.isStopping,
+        });
+    }
+
+    async start(): Promise<void> {
+        await this.fleet.start();
+        await this.server.listen(this.settings.callersAddress!);
+        await this.readiness.listen(this.settings.readinessAddress!);
+        this.watchWaitingRoom();
+    }
+
+    /** Takes no new callers, answers those it has, and ends. */
+    async stop(): Promise<void> {
+        const { clock } = this.fleet;
+        this.isStopping = true;
+        const endAtMs = clock.nowMs() + this.settings.stopGraceMs - STOP_MARGIN_MS;
+        await sleep(clock, Math.min(BALANCER_NOTICE_MS, this.settings.stopGraceMs / 3));
+        this.server.stopAccepting();
+        while (this.server.openRequestCount > 0 && clock.nowMs() < endAtMs) {
+            await sleep(clock, STOP_POLL_MS);
+        }
+        this.server.close();
+        this.readiness.close();
+        await this.fleet.stop();
+    }
+
+    private watchWaitingRoom(): void {
+        this.waitingRoom.pump();
+        this.fleet.clock.setTimer(WAITING_CHECK_INTERVAL_MS, () => this.watchWaitingRoom());
+    }
+}
--- /dev/null
+++ b/daemons/fleet/src/linkJobReader.ts
@@ -0,0 +1,47 @@
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { ItemId } from "@knapweedwood/core.ids/itemId";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { JobReader } from "@knapweedwood/fleet.gateway/jobReader";
+import { itemBodyCall } from "@knapweedwood/fleet.jobs/itemBodyCall";
+import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
+import type { ResultsPage } from "@knapweedwood/fleet.jobs/resultsPage";
+import type { LeaderRecord } from "@knapweedwood/fleet.sync/leaderRecord";
+import type { Link } from "@knapweedwood/links.calls/link";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
+
+/** Time for a call beyond its wait, in milliseconds. */
+const CALL_SLACK_MS = 700;
+/** Longest wait for a result; callers leave somewhat later. */
+const MAX_WAIT_MS = 900;
+
+/** Reads jobs from the process that runs them, over a link. */
+export class LinkJobReader implements JobReader {
+    private readonly endpoint: LinkEndpoint;
+    private readonly leader: () => LeaderRecord | undefined;
+
+    constructor(opts: { endpoint: LinkEndpoint; leader: () => LeaderRecord | undefined; }) {
+        this.endpoint = opts.endpoint;
+        this.leader = opts.leader;
+    }
+
+    async results(opts: { jobId: JobId; after: number; waitMs: number; }): Promise<ResultsPage | undefined> {
+        const waitMs = Math.min(opts.waitMs, MAX_WAIT_MS);
+        const request = { jobId: opts.jobId, after: opts.after, waitMs };
+        const frame = await singleFrame(this.link().call(resultsCall, request, { timeoutMs: waitMs + CALL_SLACK_MS }));
+        return frame.page;
+    }
+
+    async itemBody(jobId: JobId, itemId: ItemId): Promise<Uint8Array | undefined> {
+        const call = this.link().call(itemBodyCall, { jobId, itemId }, { timeoutMs: CALL_SLACK_MS });
+        return (await singleFrame(call)).body;
+    }
+
+    private link(): Link {
+        const leader = this.leader();
+        if (leader === undefined) {
+            throw new KnapweedError("JOBS_NOT_LED", "No process runs jobs now", { outcome: "not-run" });
+        }
+        return this.endpoint.connect(`${leader.host}:${leader.linkPort}`);
+    }
+}
--- /dev/null
+++ b/daemons/fleet/src/runProgram.ts
@@ -0,0 +1,54 @@
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
+import { JsonLogger } from "@knapweedwood/observability.logs/jsonLogger";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { openBoundedOutput } from "@knapweedwood/observability.logs/openBoundedOutput";
+import { readSettings } from "./readSettings.js";
+
+const EXIT_SETTINGS = 2;
+const EXIT_FAILED = 1;
+
+/** A program that can be stopped. */
+interface Program {
+    stop(): Promise<void>;
+}
+
+/** Runs a program from its settings until SIGTERM, and ends the process with its outcome. */
+export async function runProgram(
+    name: string,
+    start: (settings: ProcessSettings, logger: Logger) => Promise<Program>,
+): Promise<void> {
+    const output = openBoundedOutput("info");
+    const rootLogger = new JsonLogger({ clock: new SystemClock(), level: "info", target: output.target });
+    const exit = (code: number) => {
+        output.flush();
+        process.exit(code);
+    };
+    let logger: Logger = rootLogger;
+    try {
+        const settings = readSettings(process.env);
+        logger = rootLogger.child({ program: name, instance: settings.instanceName });
+        const program = await start(settings, logger);
+        logger.info("started", { zone: settings.zone, pid: process.pid });
+        process.once("SIGTERM", () => {
+            logger.info("stopping");
+            void program.stop().then(
+                () => {
+                    logger.info("stopped");
+                    exit(0);
+                },
+                (error: unknown) => {
+                    logger.error("stop-failed", { message: toKnapweedError(error).message });
+                    exit(EXIT_FAILED);
+                },
+            );
+        });
+        process.on("SIGHUP", () => logger.info("reload-requested"));
+    }
+    catch (thrown) {
+        const error = toKnapweedError(thrown);
+        logger.error("start-failed", { code: error.code, message: error.message });
+        exit(error.code.startsWith("ERR_KNAPWEED_SETTINGS") ? EXIT_SETTINGS : EXIT_FAILED);
+    }
+}
--- a/daemons/side/src/main.ts
+++ b/daemons/side/src/main.ts
@@ -5,7 +5,7 @@
 import { createObservers } from "@knapweedwood/daemons.common/createObservers";
 import { runDaemon } from "@knapweedwood/daemons.common/runDaemon";
 import { settingsFileOf } from "@knapweedwood/daemons.common/settingsFileOf";
-import { HttpInstanceList } from "@knapweedwood/platform.instance-list/httpInstanceList";
+import { HttpInstanceList } from "@knapweedwood/routing.instance-list/httpInstanceList";
 import { randomInt } from "node:crypto";
 import { SideProcess } from "./sideProcess.js";
 
--- a/daemons/side/src/sideProcess.ts
+++ b/daemons/side/src/sideProcess.ts
@@ -17,8 +17,8 @@
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { PeerIdentity } from "@knapweedwood/links.calls/peerIdentity";
 import { ConvergerTask } from "@knapweedwood/placement.orders/convergerTask";
-import { InstanceAnnouncer } from "@knapweedwood/platform.instance-watch/instanceAnnouncer";
-import { InstanceWatcher } from "@knapweedwood/platform.instance-watch/instanceWatcher";
+import { InstanceAnnouncer } from "@knapweedwood/routing.instance-watch/instanceAnnouncer";
+import { InstanceWatcher } from "@knapweedwood/routing.instance-watch/instanceWatcher";
 import { CacheChangeReporter } from "./cacheChangeReporter.js";
 import { CallHandlers } from "./callHandlers.js";
 import { PlainGate } from "./plainGate.js";
--- a/daemons/side/src/sideProcessOptions.ts
+++ b/daemons/side/src/sideProcessOptions.ts
@@ -4,7 +4,7 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
 import type { Tracer } from "@knapweedwood/observability.traces/tracer";
-import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
+import type { InstanceList } from "@knapweedwood/routing.instance-list/instanceList";
 
 /** What a side works with. */
 export interface SideProcessOptions {
--- /dev/null
+++ b/fleet/gateway/src/bufferedAnswerWriter.ts
@@ -0,0 +1,56 @@
+import type { AnswerHead } from "@knapweedwood/fleet.upstreams/answerHead";
+import type { ServerResponse } from "node:http";
+import type { AnswerWriter } from "./answerWriter.js";
+
+/** Holds an answer until it is whole, so that a broken one can be replaced by that of another upstream. */
+export class BufferedAnswerWriter implements AnswerWriter {
+    readonly hasBegun = false;
+    readonly lastEventId = undefined;
+    private readonly response: ServerResponse;
+    private head: AnswerHead | undefined;
+    private isStopping: () => boolean = () => false;
+    private chunks: Buffer[] = [];
+
+    constructor(opts: { response: ServerResponse; }) {
+        this.response = opts.response;
+    }
+
+    get statusCode(): number {
+        return this.head?.statusCode ?? 0;
+    }
+
+    onHead(head: AnswerHead, isStopping: () => boolean): void {
+        this.head = head;
+        this.isStopping = isStopping;
+    }
+
+    onData(chunk: Buffer): boolean {
+        this.chunks.push(chunk);
+        return true;
+    }
+
+    isWhole(): boolean {
+        return this.head !== undefined;
+    }
+
+    end(): void {
+        const head = this.head!;
+        const body = Buffer.concat(this.chunks);
+        const headers = dropHeader(head.headers, "content-length");
+        headers.push("content-length", String(body.length));
+        if (this.isStopping()) {
+            headers.push("connection", "close");
+        }
+        this.response.writeHead(head.statusCode, headers);
+        this.response.end(body);
+    }
+
+    restart(): void {
+        this.head = undefined;
+        this.chunks = [];
+    }
+}
+
+function dropHeader(headers: string[], dropped: string): string[] {
+    return headers.filter((_, index) => headers[index - index % 2] !== dropped);
+}
--- /dev/null
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -0,0 +1,28 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
+import type { LoadBoard } from "@knapweedwood/fleet.load/loadBoard";
+import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import type { WaitingRoom } from "@knapweedwood/fleet.load/waitingRoom";
+import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
+import type { ConfigurationInForce } from "@knapweedwood/fleet.view/configurationInForce";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { CallHeaders } from "./callHeaders.js";
+
+/** What requests of one gateway share. */
+export interface GatewayContext {
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    configuration: ConfigurationInForce;
+    connections: UpstreamConnections;
+    board: LoadBoard;
+    health: UpstreamHealth;
+    holdTimes: HoldTimes;
+    waitingRoom: WaitingRoom;
+    headers: CallHeaders;
+    /** Tells the other processes that the load has changed. */
+    onLoadChanged: () => void;
+    /** Whether answers ask callers to close their connections. */
+    isStopping: () => boolean;
+}
--- /dev/null
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -0,0 +1,131 @@
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { CallerLimits } from "@knapweedwood/fleet.view/callerLimits";
+import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { CallerProtocol } from "./callerProtocol.js";
+import type { GatewayContext } from "./gatewayContext.js";
+import type { JobRoutes } from "./jobRoutes.js";
+import { OnlineCall } from "./onlineCall.js";
+import { readBody } from "./readBody.js";
+import { sendFailure } from "./sendFailure.js";
+
+const CONNECTIONS_CHECK_INTERVAL_MS = 500;
+const NO_CONFIGURATION_RETRY_MS = 300;
+const DEFAULT_LIMITS: CallerLimits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 4_194_304,
+    headerTimeoutMs: 3000,
+    idleTimeoutMs: 15_000,
+};
+
+/** The HTTP server for callers. */
+export class GatewayServer {
+    private readonly context: GatewayContext;
+    private readonly protocol: CallerProtocol;
+    private readonly jobs: JobRoutes;
+    private readonly server: Server;
+    private openRequests = 0;
+
+    constructor(opts: { context: GatewayContext; protocol: CallerProtocol; jobs: JobRoutes; }) {
+        this.context = opts.context;
+        this.protocol = opts.protocol;
+        this.jobs = opts.jobs;
+        this.server = createServer(
+            { connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true },
+            (request, response) => void this.onRequest(request, response),
+        );
+        this.applyLimits(DEFAULT_LIMITS);
+    }
+
+    /** Requests that have not been answered yet. */
+    get openRequestCount(): number {
+        return this.openRequests;
+    }
+
+    async listen(address: HostPort): Promise<void> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(address.port, address.host, resolve);
+        });
+    }
+
+    /** Applies limits to connections from now on. */
+    applyLimits(limits: CallerLimits): void {
+        this.server.keepAliveTimeout = limits.idleTimeoutMs;
+        this.server.headersTimeout = limits.headerTimeoutMs;
+        // Read by the server for each new connection.
+        (this.server as Server & { maxHeaderSize: number; }).maxHeaderSize = limits.maxHeaderBytes;
+    }
+
+    /** Accepts no more connections; open ones go on. */
+    stopAccepting(): void {
+        this.server.close();
+    }
+
+    closeIdleConnections(): void {
+        this.server.closeIdleConnections();
+    }
+
+    close(): void {
+        this.server.closeAllConnections();
+    }
+
+    private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        this.openRequests += 1;
+        response.sendDate = false;
+        response.on("close", () => {
+            this.openRequests -= 1;
+        });
+        response.on("error", () => response.destroy());
+        if (this.context.isStopping()) {
+            response.setHeader("connection", "close");
+        }
+        try {
+            await this.serve(request, response);
+        }
+        catch (thrown) {
+            const error = toKnapweedError(thrown);
+            this.context.logger.warn("request-not-read", { code: error.code, message: error.message });
+            sendFailure(response, { statusCode: error.statusCode ?? 400, message: error.message, mustClose: true });
+        }
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const { clock, configuration } = this.context;
+        const arrivedAtMs = clock.nowMs();
+        const limits = configuration.current?.limits ?? DEFAULT_LIMITS;
+        const body = await readBody(request, limits.maxBodyBytes);
+        if (configuration.current === undefined) {
+            const message = "No configuration is known yet";
+            sendFailure(response, { statusCode: 503, message, retryAfterMs: NO_CONFIGURATION_RETRY_MS });
+            return;
+        }
+        const jobCall = this.protocol.parseJobCall(request);
+        if (jobCall !== undefined) {
+            await this.jobs.answer(jobCall, response);
+            return;
+        }
+        const path = (request.url ?? "/").split("?", 1)[0]!;
+        const route = configuration.match(request.headers.host ?? "", path);
+        if (route === undefined) {
+            this.logUnrouted(request);
+            sendFailure(response, { statusCode: 404, message: "No route" });
+            return;
+        }
+        if (route.kind === "batch") {
+            const jobId = String(request.headers[this.protocol.headers.requestId] ?? "");
+            await this.jobs.submit(route, jobId, body, response);
+            return;
+        }
+        new OnlineCall({ context: this.context, route, request, response, body, arrivedAtMs }).start();
+    }
+
+    private logUnrouted(request: IncomingMessage): void {
+        this.context.logger.info("call-unrouted", {
+            requestId: request.headers[this.protocol.headers.requestId],
+            host: request.headers.host,
+            path: request.url,
+            configuration: this.context.configuration.version,
+        });
+    }
+}
--- /dev/null
+++ b/fleet/gateway/src/onlineCall.ts
@@ -0,0 +1,347 @@
+import type { Timer } from "@knapweedwood/core.clock/timer";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { WaitingCall } from "@knapweedwood/fleet.load/waitingCall";
+import type { AnswerHead } from "@knapweedwood/fleet.upstreams/answerHead";
+import { connectionHeaders } from "@knapweedwood/fleet.upstreams/connectionHeaders";
+import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
+import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
+import type { HeaderList } from "@knapweedwood/fleet.upstreams/headerList";
+import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { type AnswerWriter } from "./answerWriter.js";
+import { BufferedAnswerWriter } from "./bufferedAnswerWriter.js";
+import { chooseService } from "./chooseService.js";
+import type { GatewayContext } from "./gatewayContext.js";
+import { sendFailure } from "./sendFailure.js";
+import { StreamAnswerWriter } from "./streamAnswerWriter.js";
+
+const HTTP_MULTIPLE_CHOICES = 300;
+const HTTP_MISDIRECTED = 421;
+/** Callers of streams leave when nothing arrives for this long, in milliseconds. */
+const STREAM_PATIENCE_MS = 1950;
+/** Share of the route's timeout below which a request counts as one that came back. */
+const RETURNED_SHARE = 0.97;
+/** Time without any answer after which an upstream counts as failing, in milliseconds. */
+const MIN_STALL_MS = 350;
+const MAX_STALL_MS = 1000;
+const STALL_OBJECTIVES = 2.5;
+const MIN_REMAINING_MS = 1;
+const RETRY_AFTER_FAILURE_MS = 100;
+
+interface Attempt {
+    upstream: Upstream;
+    exchange: Exchange;
+    startedAtMs: number;
+    stallTimer: Timer;
+    hasAnswered: boolean;
+    isNotRun: boolean;
+}
+
+/** One online request, from its arrival to its answer. */
+export class OnlineCall implements WaitingCall {
+    readonly service: ServiceName;
+    readonly priority: number;
+    readonly arrivedAtMs: number;
+    readonly objectiveAtMs: number;
+    readonly giveUpAtMs: number;
+    readonly isReturned: boolean;
+    readonly excluded = new Set<UpstreamId>();
+    private readonly context: GatewayContext;
+    private readonly route: Route;
+    private readonly request: IncomingMessage;
+    private readonly response: ServerResponse;
+    private readonly body: Buffer;
+    private readonly requestId: string;
+    private readonly deadlineAtMs: number;
+    private readonly deadlineTimer: Timer;
+    private readonly writer: AnswerWriter;
+    private attempt: Attempt | undefined;
+    private attempts = 0;
+    private mayHaveRun = false;
+    private isDone = false;
+
+    constructor(opts: {
+        context: GatewayContext;
+        route: Route;
+        request: IncomingMessage;
+        response: ServerResponse;
+        body: Buffer;
+        arrivedAtMs: number;
+    }) {
+        const { context, route, request } = opts;
+        this.context = context;
+        this.route = route;
+        this.request = request;
+        this.response = opts.response;
+        this.body = opts.body;
+        this.arrivedAtMs = opts.arrivedAtMs;
+        this.requestId = headerOf(request, context.headers.requestId) ?? "";
+        this.service = chooseService(route, context.random) ?? ("" as ServiceName);
+        this.priority = route.priority;
+        const remainingMs = Number(headerOf(request, context.headers.remainingMs) ?? route.timeoutMs);
+        this.isReturned = remainingMs < route.timeoutMs * RETURNED_SHARE;
+        this.objectiveAtMs = this.arrivedAtMs + route.objectiveMs;
+        this.deadlineAtMs = this.arrivedAtMs + Math.min(remainingMs, route.timeoutMs);
+        this.giveUpAtMs = route.kind === "stream"
+            ? Math.min(this.deadlineAtMs, this.arrivedAtMs + STREAM_PATIENCE_MS)
+            : this.deadlineAtMs;
+        this.writer = route.kind === "stream"
+            ? new StreamAnswerWriter({ response: opts.response, isResumable: route.isResumable })
+            : new BufferedAnswerWriter({ response: opts.response });
+        this.deadlineTimer = context.clock.setTimer(this.deadlineAtMs - context.clock.nowMs(), () => this.onDeadline());
+        opts.response.on("close", () => this.onCallerGone());
+    }
+
+    start(): void {
+        this.context.waitingRoom.enter(this);
+    }
+
+    onPlaced(upstream: Upstream): void {
+        const nowMs = this.context.clock.nowMs();
+        this.attempts += 1;
+        this.excluded.add(upstream.id);
+        this.context.board.count(upstream.id, "online", 1);
+        this.context.onLoadChanged();
+        this.log("call-placed", {
+            upstream: upstream.id,
+            attempt: this.attempts,
+            waitedMs: Math.round(nowMs - this.arrivedAtMs),
+            online: this.context.board.online(upstream.id),
+            configuration: this.context.configuration.version,
+        });
+        const attempt: Attempt = {
+            upstream,
+            startedAtMs: nowMs,
+            hasAnswered: false,
+            isNotRun: false,
+            stallTimer: this.context.clock.setTimer(this.stallMs(), () => this.onStall(attempt)),
+            exchange: { abort: () => undefined, pause: () => undefined, resume: () => undefined },
+        };
+        this.attempt = attempt;
+        const headers = this.upstreamHeaders(upstream, nowMs);
+        attempt.exchange = this.context.connections.send(upstream, {
+            method: this.request.method ?? "GET",
+            path: this.request.url ?? "/",
+            headers,
+            body: this.body.length === 0 ? undefined : this.body,
+            requestId: this.requestId,
+        }, {
+            onHead: head => this.onHead(attempt, head),
+            onData: chunk => this.onData(attempt, chunk),
+            onEnd: () => this.onEnd(attempt),
+            onFailure: failure => this.onFailure(attempt, failure),
+        });
+    }
+
+    onRefused(retryAfterMs: number, reason: string): void {
+        this.finish("call-refused", {
+            reason,
+            retryAfterMs: Math.round(retryAfterMs),
+            statusCode: this.refusalStatus(),
+        });
+        if (this.writer.hasBegun) {
+            this.response.destroy();
+            return;
+        }
+        sendFailure(this.response, {
+            statusCode: this.refusalStatus(),
+            message: reason,
+            ...this.mayHaveRun ? {} : { retryAfterMs },
+        });
+    }
+
+    /** 503 says that the request has not run; it is never said where it may have. */
+    private refusalStatus(): number {
+        return this.mayHaveRun ? 502 : 503;
+    }
+
+    private onHead(attempt: Attempt, head: AnswerHead): void {
+        if (attempt !== this.attempt) {
+            return;
+        }
+        const { headers } = this.context;
+        if (head.header(headers.notRun) !== undefined || head.statusCode === HTTP_MISDIRECTED) {
+            attempt.isNotRun = true;
+            this.log("upstream-not-run", { upstream: attempt.upstream.id, statusCode: head.statusCode });
+            return;
+        }
+        attempt.hasAnswered = true;
+        if (head.header(headers.upstreamProof) === undefined && head.statusCode < HTTP_MULTIPLE_CHOICES) {
+            attempt.exchange.abort();
+            this.onFailure(attempt, { mayHaveRun: true, isUnreachable: false, code: "ANSWER_WITHOUT_PROOF" });
+            return;
+        }
+        this.writer.onHead(head, () => this.context.isStopping());
+    }
+
+    private onData(attempt: Attempt, chunk: Buffer): void {
+        if (attempt !== this.attempt || attempt.isNotRun) {
+            return;
+        }
+        attempt.stallTimer.cancel();
+        if (!this.writer.onData(chunk)) {
+            attempt.exchange.pause();
+            this.response.once("drain", () => attempt.exchange.resume());
+        }
+    }
+
+    private onEnd(attempt: Attempt): void {
+        if (attempt !== this.attempt) {
+            return;
+        }
+        if (attempt.isNotRun) {
+            this.release(attempt);
+            this.retryOrRefuse("upstreams did not run it");
+            return;
+        }
+        if (!this.writer.isWhole()) {
+            this.onFailure(attempt, { mayHaveRun: true, isUnreachable: false, code: "ANSWER_CUT" });
+            return;
+        }
+        this.release(attempt);
+        this.context.health.onSuccess(attempt.upstream.id);
+        this.context.holdTimes.record(this.service, this.context.clock.nowMs() - attempt.startedAtMs);
+        this.finish("call-answered", {
+            upstream: attempt.upstream.id,
+            statusCode: this.writer.statusCode,
+            durationMs: Math.round(this.context.clock.nowMs() - this.arrivedAtMs),
+        });
+        this.writer.end();
+    }
+
+    private onFailure(attempt: Attempt, failure: ExchangeFailure): void {
+        if (attempt !== this.attempt) {
+            return;
+        }
+        this.release(attempt);
+        const nowMs = this.context.clock.nowMs();
+        const isEjected = this.context.health.onFailure(attempt.upstream.id, nowMs);
+        this.log("upstream-failed", { upstream: attempt.upstream.id, ...failure, isEjected });
+        if (!failure.mayHaveRun) {
+            this.attempts -= 1;
+            this.enterAgain();
+            return;
+        }
+        this.mayHaveRun = true;
+        if (this.isRepeatable()) {
+            this.retryOrRefuse("the upstream broke off");
+            return;
+        }
+        this.fail(502, "The upstream broke off");
+    }
+
+    private isRepeatable(): boolean {
+        return this.route.kind === "idempotent" || (this.route.kind === "stream" && this.route.isResumable);
+    }
+
+    private retryOrRefuse(reason: string): void {
+        if (this.attempts < this.route.maxAttempts) {
+            this.enterAgain();
+            return;
+        }
+        this.onRefused(RETRY_AFTER_FAILURE_MS, reason);
+    }
+
+    private enterAgain(): void {
+        this.writer.restart();
+        this.context.waitingRoom.enter(this);
+    }
+
+    private onStall(attempt: Attempt): void {
+        if (attempt !== this.attempt || attempt.hasAnswered) {
+            return;
+        }
+        if (this.isRepeatable() && this.attempts < this.route.maxAttempts) {
+            attempt.exchange.abort();
+            this.onFailure(attempt, { mayHaveRun: true, isUnreachable: false, code: "UPSTREAM_SILENT" });
+            return;
+        }
+        const isEjected = this.context.health.onFailure(attempt.upstream.id, this.context.clock.nowMs());
+        this.log("upstream-silent", { upstream: attempt.upstream.id, isEjected });
+    }
+
+    private onDeadline(): void {
+        if (this.isDone) {
+            return;
+        }
+        const { attempt } = this;
+        if (attempt === undefined) {
+            this.context.waitingRoom.leave(this);
+            this.onRefused(0, "the caller's time is up");
+            return;
+        }
+        this.abort(attempt);
+        this.fail(504, "No answer in time");
+    }
+
+    private onCallerGone(): void {
+        if (this.isDone) {
+            return;
+        }
+        this.context.waitingRoom.leave(this);
+        if (this.attempt !== undefined) {
+            this.abort(this.attempt);
+        }
+        this.finish("caller-gone", {});
+    }
+
+    private fail(statusCode: number, message: string): void {
+        this.finish("call-failed", { statusCode, message });
+        sendFailure(this.response, { statusCode, message });
+    }
+
+    private abort(attempt: Attempt): void {
+        attempt.exchange.abort();
+        this.release(attempt);
+    }
+
+    private release(attempt: Attempt): void {
+        attempt.stallTimer.cancel();
+        this.attempt = undefined;
+        this.context.board.count(attempt.upstream.id, "online", -1);
+        this.context.onLoadChanged();
+        // After the caller of this method is done with the request itself.
+        queueMicrotask(() => this.context.waitingRoom.pump());
+    }
+
+    private finish(event: string, fields: { [field: string]: unknown; }): void {
+        this.isDone = true;
+        this.deadlineTimer.cancel();
+        this.log(event, fields);
+    }
+
+    private log(event: string, fields: { [field: string]: unknown; }): void {
+        this.context.logger.info(event, { requestId: this.requestId, route: this.route.name, ...fields });
+    }
+
+    private stallMs(): number {
+        return Math.min(MAX_STALL_MS, Math.max(MIN_STALL_MS, this.route.objectiveMs * STALL_OBJECTIVES));
+    }
+
+    private upstreamHeaders(upstream: Upstream, nowMs: number): HeaderList {
+        const { headers } = this.context;
+        const own = [headers.remainingMs, headers.expectedUpstream, "content-length"];
+        const { lastEventId } = this.writer;
+        const replaced = lastEventId === undefined ? own : [...own, headers.lastEventId];
+        const raw = this.request.rawHeaders;
+        const kept = raw.flatMap((name, index) => {
+            const lowerName = name.toLowerCase();
+            const isName = index % 2 === 0;
+            return isName && !replaced.includes(lowerName) && !connectionHeaders.has(lowerName)
+                ? [name, raw[index + 1]!]
+                : [];
+        });
+        const remainingMs = Math.max(MIN_REMAINING_MS, Math.floor(this.deadlineAtMs - nowMs));
+        kept.push(headers.remainingMs, String(remainingMs), headers.expectedUpstream, upstream.id);
+        if (lastEventId !== undefined) {
+            kept.push(headers.lastEventId, String(lastEventId));
+        }
+        return kept;
+    }
+}
+
+function headerOf(request: IncomingMessage, name: string): string | undefined {
+    return [request.headers[name] ?? []].flat()[0];
+}
--- /dev/null
+++ b/fleet/gateway/src/sendFailure.ts
@@ -0,0 +1,24 @@
+import type { ServerResponse } from "node:http";
+
+const MS_PER_SECOND = 1000;
+const RETRY_AFTER_DIGITS = 3;
+
+/** Answers with a failure of this process's own. */
+export function sendFailure(
+    response: ServerResponse,
+    opts: { statusCode: number; message: string; retryAfterMs?: number; mustClose?: boolean; },
+): void {
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    const body = JSON.stringify({ error: opts.message });
+    if (opts.retryAfterMs !== undefined) {
+        response.setHeader("retry-after", (opts.retryAfterMs / MS_PER_SECOND).toFixed(RETRY_AFTER_DIGITS));
+    }
+    if (opts.mustClose === true) {
+        response.setHeader("connection", "close");
+    }
+    response.writeHead(opts.statusCode, { "content-type": "application/json", "content-length": body.length });
+    response.end(body);
+}
--- /dev/null
+++ b/fleet/gateway/src/streamAnswerWriter.ts
@@ -0,0 +1,94 @@
+import type { AnswerHead } from "@knapweedwood/fleet.upstreams/answerHead";
+import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
+import type { ServerResponse } from "node:http";
+import type { AnswerWriter } from "./answerWriter.js";
+
+const HTTP_OK = 200;
+const EVENT_END = "\n\n";
+
+/**
+ * Passes a stream on as its parts arrive. Where the stream may be resumed, only whole events are passed on, so that
+ * another run can go on after the last one within the same answer.
+ */
+export class StreamAnswerWriter implements AnswerWriter {
+    hasBegun = false;
+    lastEventId: number | undefined;
+    private readonly response: ServerResponse;
+    private readonly isResumable: boolean;
+    private head: AnswerHead | undefined;
+    private isStopping: () => boolean = () => false;
+    private splitter = new EventSplitter();
+    private tail = "";
+
+    constructor(opts: { response: ServerResponse; isResumable: boolean; }) {
+        this.response = opts.response;
+        this.isResumable = opts.isResumable;
+    }
+
+    get statusCode(): number {
+        return this.head?.statusCode ?? 0;
+    }
+
+    onHead(head: AnswerHead, isStopping: () => boolean): void {
+        this.head = head;
+        this.isStopping = isStopping;
+    }
+
+    onData(chunk: Buffer): boolean {
+        if (this.isResumable && this.statusCode === HTTP_OK) {
+            return this.passEvents(chunk);
+        }
+        this.tail = (this.tail + chunk.toString("latin1")).slice(-EVENT_END.length);
+        return this.write(chunk);
+    }
+
+    isWhole(): boolean {
+        if (this.head === undefined) {
+            return false;
+        }
+        if (this.statusCode !== HTTP_OK) {
+            return true;
+        }
+        return this.isResumable ? !this.splitter.hasPartialEvent : this.tail === EVENT_END;
+    }
+
+    end(): void {
+        this.begin();
+        this.response.end();
+    }
+
+    restart(): void {
+        if (!this.hasBegun) {
+            this.head = undefined;
+        }
+        this.splitter = new EventSplitter();
+        this.tail = "";
+    }
+
+    private passEvents(chunk: Buffer): boolean {
+        // A run that ignores the id to resume from would repeat events that the caller has.
+        const events = this.splitter
+            .push(chunk)
+            .filter(event => event.id === undefined || this.lastEventId === undefined || event.id > this.lastEventId);
+        this.lastEventId = events.at(-1)?.id ?? this.lastEventId;
+        return events.length === 0 || this.write(Buffer.concat(events.map(event => event.bytes)));
+    }
+
+    private write(chunk: Buffer): boolean {
+        this.begin();
+        return this.response.write(chunk);
+    }
+
+    /** The head goes out with the first part, so that a run that breaks before it can be replaced. */
+    private begin(): void {
+        if (this.hasBegun) {
+            return;
+        }
+        this.hasBegun = true;
+        const headers = [...this.head!.headers];
+        if (this.isStopping()) {
+            headers.push("connection", "close");
+        }
+        this.response.writeHead(this.head!.statusCode, headers);
+    }
+}
--- /dev/null
+++ b/fleet/jobs/src/itemProgress.ts
@@ -0,0 +1,8 @@
+/** How far an item has come. */
+export interface ItemProgress {
+    /** Data of the events so far, shape [events]. */
+    events: string[];
+    /** Id of the last event; 0 where there is none. */
+    lastEventId: number;
+    failedAttempts: number;
+}
--- /dev/null
+++ b/fleet/jobs/src/itemRun.ts
@@ -0,0 +1,140 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Timer } from "@knapweedwood/core.clock/timer";
+import type { AnswerHead } from "@knapweedwood/fleet.upstreams/answerHead";
+import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
+import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
+import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { ItemRunHeaders } from "./itemRunHeaders.js";
+import type { ItemRunOutcome } from "./itemRunOutcome.js";
+import type { JobItem } from "./jobItem.js";
+
+const HTTP_OK = 200;
+const HTTP_MISDIRECTED = 421;
+const HTTP_UNPROCESSABLE = 422;
+/** Time without an event after which a run counts as broken, in milliseconds. */
+const STALL_MS = 1500;
+
+/** One run of an item at an upstream. Its events are added to the item as they arrive. */
+export class ItemRun {
+    readonly item: JobItem;
+    readonly upstream: Upstream;
+    readonly startedAtMs: number;
+    private readonly clock: Clock;
+    private readonly headers: ItemRunHeaders;
+    private readonly onEnded: (outcome: ItemRunOutcome) => void;
+    private readonly splitter = new EventSplitter();
+    private exchange: Exchange | undefined;
+    private head: AnswerHead | undefined;
+    private stallTimer: Timer | undefined;
+    private isEnded = false;
+
+    constructor(opts: {
+        clock: Clock;
+        headers: ItemRunHeaders;
+        item: JobItem;
+        upstream: Upstream;
+        onEnded: (outcome: ItemRunOutcome) => void;
+    }) {
+        this.clock = opts.clock;
+        this.headers = opts.headers;
+        this.item = opts.item;
+        this.upstream = opts.upstream;
+        this.onEnded = opts.onEnded;
+        this.startedAtMs = opts.clock.nowMs();
+    }
+
+    start(connections: UpstreamConnections, opts: { host: string; body: Buffer; }): void {
+        const { item, headers } = this;
+        const list = ["host", opts.host, ...item.record.headers.flatMap(header => [header.name, header.value])];
+        list.push(headers.requestId, item.id, headers.expectedUpstream, this.upstream.id);
+        if (item.lastEventId > 0) {
+            list.push(headers.lastEventId, String(item.lastEventId));
+        }
+        this.watchForStall();
+        this.exchange = connections.send(this.upstream, {
+            method: "POST",
+            path: item.record.path,
+            headers: list,
+            body: opts.body,
+            requestId: item.id,
+        }, {
+            onHead: head => {
+                this.head = head;
+            },
+            onData: chunk => this.onData(chunk),
+            onEnd: () => this.onEnd(),
+            onFailure: failure =>
+                this.end({ kind: "broken", code: failure.code, isUnreachable: failure.isUnreachable }),
+        });
+    }
+
+    /** Ends the run at the upstream; the item keeps what has come. */
+    abort(): void {
+        this.isEnded = true;
+        this.stallTimer?.cancel();
+        this.exchange?.abort();
+    }
+
+    private onData(chunk: Buffer): void {
+        if (this.isEnded || this.head?.statusCode !== HTTP_OK) {
+            return;
+        }
+        this.watchForStall();
+        this.splitter.push(chunk).forEach(event => {
+            if (this.isEnded) {
+                return;
+            }
+            if (event.id !== this.item.lastEventId + 1) {
+                this.abort();
+                this.onEnded({ kind: "garbled", code: "EVENT_OUT_OF_ORDER" });
+                return;
+            }
+            this.item.lastEventId = event.id;
+            this.item.events.push(event.data);
+        });
+    }
+
+    private onEnd(): void {
+        const { head } = this;
+        if (head === undefined || this.isEnded) {
+            return;
+        }
+        this.end(this.outcomeOf(head));
+    }
+
+    private outcomeOf(head: AnswerHead): ItemRunOutcome {
+        if (head.header(this.headers.notRun) !== undefined || head.statusCode === HTTP_MISDIRECTED) {
+            return { kind: "not-run" };
+        }
+        if (head.statusCode === HTTP_UNPROCESSABLE) {
+            return { kind: "impossible" };
+        }
+        if (head.statusCode !== HTTP_OK) {
+            return { kind: "failed" };
+        }
+        if (head.header(this.headers.upstreamProof) === undefined || this.item.lastEventId === 0) {
+            return { kind: "garbled", code: "ANSWER_WITHOUT_PROOF" };
+        }
+        return this.splitter.hasPartialEvent
+            ? { kind: "broken", code: "ANSWER_CUT", isUnreachable: false }
+            : { kind: "completed" };
+    }
+
+    private watchForStall(): void {
+        this.stallTimer?.cancel();
+        this.stallTimer = this.clock.setTimer(STALL_MS, () => {
+            this.exchange?.abort();
+            this.end({ kind: "broken", code: "UPSTREAM_SILENT", isUnreachable: false });
+        });
+    }
+
+    private end(outcome: ItemRunOutcome): void {
+        if (this.isEnded) {
+            return;
+        }
+        this.isEnded = true;
+        this.stallTimer?.cancel();
+        this.onEnded(outcome);
+    }
+}
--- /dev/null
+++ b/fleet/jobs/src/itemRunOutcome.ts
@@ -0,0 +1,13 @@
+/** How a run of an item ended. */
+export type ItemRunOutcome =
+    | { kind: "completed"; }
+    /** The upstream says that the item can never be done. */
+    | { kind: "impossible"; }
+    /** The upstream ran it and failed. */
+    | { kind: "failed"; }
+    /** The upstream did not run it. */
+    | { kind: "not-run"; }
+    /** The run broke off; what has come is kept. */
+    | { kind: "broken"; code: string; isUnreachable: boolean; }
+    /** What came can't be trusted; the item begins anew. */
+    | { kind: "garbled"; code: string; };
--- /dev/null
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -0,0 +1,198 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
+import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
+import { decodeRecord } from "@knapweedwood/fleet.sync/decodeRecord";
+import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
+import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { randomUUID } from "node:crypto";
+import type { Acceptance } from "./acceptance.js";
+import { jobKeys } from "./jobKeys.js";
+import type { JobRecord } from "./jobRecord.js";
+import type { JobSubmission } from "./jobSubmission.js";
+import type { WaitingTokens } from "./waitingTokens.js";
+
+/** Size of a part of a job's bodies; the key-value service takes values of up to 1 MiB. */
+const PART_BYTES = 700_000;
+const MAX_CONFLICTS = 6;
+const DEFAULT_DUE_MS = 60_000;
+const DEFAULT_RETENTION_MS = 600_000;
+const RETRY_AFTER_MS = 700;
+
+/** Accepts and cancels jobs: each is one conditional write, so that a job sent to many instances is kept once. */
+export class JobAcceptor {
+    private readonly service: KeyValueService;
+    private readonly clock: Clock;
+    private readonly logger: Logger;
+    private readonly limits = new Map<string, KeyValueEntry>();
+    private readonly acceptedIds = new Set<JobId>();
+
+    constructor(opts: { service: KeyValueService; clock: Clock; logger: Logger; }) {
+        this.service = opts.service;
+        this.clock = opts.clock;
+        this.logger = opts.logger;
+    }
+
+    async accept(route: Route, submission: JobSubmission): Promise<Acceptance> {
+        const { jobId } = submission;
+        if (this.acceptedIds.has(jobId)) {
+            return { kind: "accepted", revision: 0 };
+        }
+        const acceptance = await this.tryAccept(route, submission);
+        if (acceptance.kind === "accepted") {
+            this.acceptedIds.add(jobId);
+        }
+        this.logger.info("job-submitted", { jobId, route: route.name, items: submission.items.length, ...acceptance });
+        return acceptance;
+    }
+
+    /** @returns whether the job exists; throws where that isn't known */
+    async cancel(jobId: JobId): Promise<boolean> {
+        const record = await this.service.get(jobKeys.record(jobId));
+        if (record === undefined) {
+            return false;
+        }
+        await settleTransaction({
+            service: this.service,
+            clock: this.clock,
+            compares: [{ key: jobKeys.cancellation(jobId), modRevision: 0 }],
+            operations: [{ kind: "put", key: jobKeys.cancellation(jobId), value: encodeRecord({ cancelled: true }) }],
+            witnessKey: jobKeys.cancellation(jobId),
+        });
+        this.logger.info("job-cancelled", { jobId });
+        return true;
+    }
+
+    private async tryAccept(route: Route, submission: JobSubmission): Promise<Acceptance> {
+        try {
+            for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts += 1) {
+                const acceptance = await this.writeOnce(route, submission);
+                if (acceptance !== undefined) {
+                    return acceptance;
+                }
+            }
+            return { kind: "refused", reason: "store-away", retryAfterMs: RETRY_AFTER_MS };
+        }
+        catch (thrown) {
+            const error = toKnapweedError(thrown);
+            this.logger.warn("job-write-failed", { jobId: submission.jobId, code: error.code, message: error.message });
+            return error.outcome === "not-run"
+                ? { kind: "refused", reason: "store-away", retryAfterMs: RETRY_AFTER_MS }
+                : { kind: "unknown" };
+        }
+    }
+
+    /** @returns undefined where another job was accepted meanwhile and the write has to be made anew */
+    private async writeOnce(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
+        const recordKey = jobKeys.record(submission.jobId);
+        const plan = this.planWrite(route, submission);
+        if (plan === undefined) {
+            return this.refuseOverLimit(route, submission);
+        }
+        const result = await settleTransaction({
+            service: this.service,
+            clock: this.clock,
+            compares: plan.compares,
+            operations: plan.operations,
+            witnessKey: recordKey,
+        });
+        if (result.kind === "succeeded") {
+            return { kind: "accepted", revision: result.revision };
+        }
+        if (result.kind === "unknown") {
+            const entry = await this.service.get(recordKey);
+            return entry === undefined ? { kind: "unknown" } : { kind: "accepted", revision: entry.modRevision };
+        }
+        const existing = result.current.find(entry => entry.key === recordKey);
+        if (existing !== undefined) {
+            return { kind: "accepted", revision: existing.modRevision };
+        }
+        this.learnLimit(route, result.current);
+        return undefined;
+    }
+
+    private planWrite(
+        route: Route,
+        submission: JobSubmission,
+    ): { compares: KeyValueCompare[]; operations: KeyValueOperation[]; } | undefined {
+        const record = this.toRecord(route, submission);
+        const compares = [{ key: jobKeys.record(record.jobId), modRevision: 0 }];
+        const operations = operationsOf(record, Buffer.concat(submission.items.map(item => item.body)));
+        if (route.maxWaitingTokens === undefined) {
+            return { compares, operations };
+        }
+        const key = jobKeys.waitingTokens(route.name);
+        const known = this.limits.get(route.name);
+        const jobs = known === undefined ? [] : decodeRecord<WaitingTokens>(known.value).jobs;
+        const tokens = submission.items.reduce((sum, item) => sum + item.tokens, 0);
+        if (jobs.reduce((sum, job) => sum + job.tokens, tokens) > route.maxWaitingTokens) {
+            return undefined;
+        }
+        const waiting: WaitingTokens = { jobs: [...jobs, { jobId: record.jobId, tokens }] };
+        return {
+            compares: [...compares, { key, modRevision: known?.modRevision ?? 0 }],
+            operations: [...operations, { kind: "put", key, value: encodeRecord(waiting) }],
+        };
+    }
+
+    /** The record known here may be old: a refusal is only made on the newest. */
+    private async refuseOverLimit(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
+        const [existing, newest] = await Promise.all([
+            this.service.get(jobKeys.record(submission.jobId)),
+            this.service.get(jobKeys.waitingTokens(route.name)),
+        ]);
+        if (existing !== undefined) {
+            return { kind: "accepted", revision: existing.modRevision };
+        }
+        if (newest?.modRevision !== this.limits.get(route.name)?.modRevision) {
+            this.learnLimit(route, newest === undefined ? [] : [newest]);
+            return undefined;
+        }
+        return { kind: "refused", reason: "over-limit", retryAfterMs: RETRY_AFTER_MS };
+    }
+
+    private learnLimit(route: Route, current: readonly KeyValueEntry[]): void {
+        const entry = current.find(candidate => candidate.key === jobKeys.waitingTokens(route.name));
+        if (entry === undefined) {
+            this.limits.delete(route.name);
+            return;
+        }
+        this.limits.set(route.name, entry);
+    }
+
+    private toRecord(route: Route, submission: JobSubmission): JobRecord {
+        const acceptedAtMs = this.clock.nowMs();
+        let bodyOffset = 0;
+        const items = submission.items.map(({ id, path, headers, tokens, body }) => {
+            const item = { id, path, headers, tokens, bodyOffset, bodyBytes: body.length };
+            bodyOffset += body.length;
+            return item;
+        });
+        return {
+            jobId: submission.jobId,
+            routeName: route.name,
+            host: route.host,
+            acceptedAtMs,
+            dueAtMs: acceptedAtMs + (route.jobDueMs ?? DEFAULT_DUE_MS),
+            expiresAtMs: acceptedAtMs + (route.jobRetentionMs ?? DEFAULT_RETENTION_MS),
+            maxAttempts: route.maxAttempts,
+            partCount: Math.ceil(bodyOffset / PART_BYTES),
+            items,
+            nonce: randomUUID(),
+        };
+    }
+}
+
+function operationsOf(record: JobRecord, bodies: Buffer): KeyValueOperation[] {
+    const parts = Array.from({ length: record.partCount }, (_, index) => ({
+        kind: "put" as const,
+        key: jobKeys.part(record.jobId, index),
+        value: bodies.subarray(index * PART_BYTES, (index + 1) * PART_BYTES),
+    }));
+    return [{ kind: "put", key: jobKeys.record(record.jobId), value: encodeRecord(record) }, ...parts];
+}
--- /dev/null
+++ b/fleet/jobs/src/jobItem.ts
@@ -0,0 +1,14 @@
+import type { ItemId } from "@knapweedwood/core.ids/itemId";
+import type { ItemProgress } from "./itemProgress.js";
+import type { JobItemRecord } from "./jobItemRecord.js";
+
+/** An item of an open job, as the runner knows it. */
+export interface JobItem extends ItemProgress {
+    readonly record: JobItemRecord;
+    readonly id: ItemId;
+    /** Position among the job's items. */
+    readonly index: number;
+    state: "pending" | "running" | "finished" | "listed";
+    /** Before this time the item is not started again. */
+    notBeforeMs: number;
+}
--- /dev/null
+++ b/fleet/jobs/src/jobKeys.ts
@@ -0,0 +1,23 @@
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+
+const JOBS_PREFIX = "knapweed/jobs/";
+const RESULTS_PREFIX = "knapweed/results/";
+const POSITION_DIGITS = 6;
+
+/** Keys of batch jobs. */
+export const jobKeys = {
+    /** Accepted jobs: what gateways write and the runner follows. */
+    jobsPrefix: JOBS_PREFIX,
+    /** What the runner writes. */
+    resultsPrefix: RESULTS_PREFIX,
+    /** All entries of one job. */
+    jobPrefix: (jobId: JobId) => `${JOBS_PREFIX}${jobId}/`,
+    record: (jobId: JobId) => `${JOBS_PREFIX}${jobId}/record`,
+    part: (jobId: JobId, index: number) => `${JOBS_PREFIX}${jobId}/part/${index}`,
+    cancellation: (jobId: JobId) => `${JOBS_PREFIX}${jobId}/cancelled`,
+    result: (jobId: JobId, position: number) =>
+        `${RESULTS_PREFIX}${jobId}/at/${String(position).padStart(POSITION_DIGITS, "0")}`,
+    progress: (jobId: JobId, itemIndex: number) => `${RESULTS_PREFIX}${jobId}/progress/${itemIndex}`,
+    /** Tokens that wait on a route. */
+    waitingTokens: (routeName: string) => `knapweed/waiting-tokens/${routeName}`,
+} as const;
--- /dev/null
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -0,0 +1,29 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { SnapshotKeyValueService } from "@knapweedwood/core.key-value/snapshotKeyValueService";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { LoadBoard } from "@knapweedwood/fleet.load/loadBoard";
+import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import type { Leadership } from "@knapweedwood/fleet.sync/leadership";
+import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
+import type { ConfigurationInForce } from "@knapweedwood/fleet.view/configurationInForce";
+import type { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { ItemRunHeaders } from "./itemRunHeaders.js";
+
+/** What a {@link JobRunner} works with. */
+export interface JobRunnerOptions {
+    service: SnapshotKeyValueService;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    leadership: Leadership;
+    configuration: ConfigurationInForce;
+    directory: UpstreamDirectory;
+    connections: UpstreamConnections;
+    board: LoadBoard;
+    health: UpstreamHealth;
+    headers: ItemRunHeaders;
+    /** How long an ended job stays readable. */
+    resultRetentionMs: number;
+    onLoadChanged: () => void;
+}
--- /dev/null
+++ b/fleet/jobs/src/jobSubmission.ts
@@ -0,0 +1,8 @@
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { SubmittedItem } from "./submittedItem.js";
+
+/** A batch job as a caller submits it. */
+export interface JobSubmission {
+    jobId: JobId;
+    items: SubmittedItem[];
+}
--- /dev/null
+++ b/fleet/jobs/src/jobTable.ts
@@ -0,0 +1,77 @@
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import { decodeRecord } from "@knapweedwood/fleet.sync/decodeRecord";
+import type { ItemProgress } from "./itemProgress.js";
+import type { ItemResult } from "./itemResult.js";
+import { jobKeys } from "./jobKeys.js";
+import type { JobRecord } from "./jobRecord.js";
+import { OpenJob } from "./openJob.js";
+
+/** The jobs that the key-value service holds, put together from their entries. */
+export class JobTable {
+    private readonly jobs = new Map<JobId, OpenJob>();
+    /** Entries whose job has not arrived yet. */
+    private waiting: KeyValueEntry[] = [];
+
+    all(): OpenJob[] {
+        return [...this.jobs.values()];
+    }
+
+    get(jobId: JobId): OpenJob | undefined {
+        return this.jobs.get(jobId);
+    }
+
+    clear(): void {
+        this.jobs.clear();
+        this.waiting = [];
+    }
+
+    delete(jobId: JobId): void {
+        this.jobs.delete(jobId);
+    }
+
+    /** Takes in entries of accepted jobs. @returns jobs that were cancelled by them, shape [jobs] */
+    apply(entries: readonly KeyValueEntry[]): OpenJob[] {
+        const keyed = [...this.waiting, ...entries].map(entry => ({ entry, ...parseKey(entry.key) }));
+        keyed.filter(({ part }) => part === "record").forEach(({ entry, jobId }) => {
+            if (!this.jobs.has(jobId)) {
+                this.jobs.set(jobId, new OpenJob(decodeRecord<JobRecord>(entry.value)));
+            }
+        });
+        this.waiting = keyed.filter(({ jobId }) => !this.jobs.has(jobId)).map(({ entry }) => entry);
+        return keyed.flatMap(({ entry, jobId, part }) => {
+            const job = this.jobs.get(jobId);
+            if (job === undefined) {
+                return [];
+            }
+            if (part.startsWith("part/")) {
+                job.setPart(Number(part.slice("part/".length)), entry.value);
+            }
+            if (part !== "cancelled" || job.isCancelled) {
+                return [];
+            }
+            job.isCancelled = true;
+            return [job];
+        });
+    }
+
+    /** Takes in stored results and progress; results come in the order of their keys. */
+    applyResults(entries: readonly KeyValueEntry[]): void {
+        entries.forEach(entry => {
+            const [jobId, kind, number] = entry.key.slice(jobKeys.resultsPrefix.length).split("/");
+            const job = this.jobs.get(jobId as JobId);
+            if (kind === "at") {
+                job?.list(Number(number), decodeRecord<ItemResult>(entry.value));
+            }
+            else {
+                job?.restoreProgress(Number(number), decodeRecord<ItemProgress>(entry.value));
+            }
+        });
+    }
+}
+
+function parseKey(key: string): { jobId: JobId; part: string; } {
+    const rest = key.slice(jobKeys.jobsPrefix.length);
+    const slash = rest.indexOf("/");
+    return { jobId: rest.slice(0, slash) as JobId, part: rest.slice(slash + 1) };
+}
--- /dev/null
+++ b/fleet/jobs/src/openJob.ts
@@ -0,0 +1,102 @@
+import type { ItemId } from "@knapweedwood/core.ids/itemId";
+import type { ItemProgress } from "./itemProgress.js";
+import type { ItemResult } from "./itemResult.js";
+import type { JobItem } from "./jobItem.js";
+import type { JobRecord } from "./jobRecord.js";
+import type { ResultsPage } from "./resultsPage.js";
+
+/** Largest output of one page, in characters. */
+const MAX_PAGE_LENGTH = 600_000;
+
+/** A job that this process runs or whose results it serves. */
+export class OpenJob {
+    readonly record: JobRecord;
+    readonly items: JobItem[];
+    isCancelled = false;
+    private readonly parts: (Buffer | undefined)[];
+    private readonly listed: ItemResult[] = [];
+    private waiters: (() => void)[] = [];
+
+    constructor(record: JobRecord) {
+        this.record = record;
+        this.parts = Array.from({ length: record.partCount }, () => undefined);
+        this.items = record.items.map((item, index) => ({
+            record: item,
+            id: item.id,
+            index,
+            state: "pending",
+            events: [],
+            lastEventId: 0,
+            failedAttempts: 0,
+            notBeforeMs: 0,
+        }));
+    }
+
+    /** Whether all bodies have arrived. */
+    get isLoaded(): boolean {
+        return this.parts.every(part => part !== undefined);
+    }
+
+    /** Whether every item has a result or the job was cancelled. */
+    get isEnded(): boolean {
+        return this.isCancelled || this.listed.length === this.items.length;
+    }
+
+    get resultCount(): number {
+        return this.listed.length;
+    }
+
+    setPart(index: number, bytes: Uint8Array): void {
+        this.parts[index] = Buffer.from(bytes);
+    }
+
+    bodyOf(item: JobItem): Buffer {
+        const { bodyOffset, bodyBytes } = item.record;
+        return Buffer.concat(this.parts.map(part => part ?? Buffer.alloc(0))).subarray(
+            bodyOffset,
+            bodyOffset + bodyBytes,
+        );
+    }
+
+    item(id: ItemId): JobItem | undefined {
+        return this.items.find(item => item.id === id);
+    }
+
+    restoreProgress(index: number, progress: ItemProgress): void {
+        const item = this.items[index];
+        if (item !== undefined && item.state === "pending") {
+            Object.assign(item, progress);
+        }
+    }
+
+    /** Takes in a result that is stored at `position`. Positions come in order. */
+    list(position: number, result: ItemResult): void {
+        if (position !== this.listed.length) {
+            return;
+        }
+        this.listed.push(result);
+        const item = this.item(result.itemId);
+        if (item !== undefined) {
+            item.state = "listed";
+            item.events = [];
+        }
+        this.waiters.splice(0).forEach(wake => wake());
+    }
+
+    page(after: number): ResultsPage {
+        let length = 0;
+        const results = this.listed.slice(after).filter((result, index) => {
+            length += result.output.length;
+            return index === 0 || length <= MAX_PAGE_LENGTH;
+        });
+        return { total: this.items.length, results, next: after + results.length };
+    }
+
+    /** Calls `wake` once, at the next result. @returns a function that takes it back */
+    onResult(wake: () => void): () => void {
+        this.waiters.push(wake);
+        return () => {
+            this.waiters = this.waiters.filter(other => other !== wake);
+        };
+    }
+}
--- /dev/null
+++ b/fleet/jobs/src/resultCommitter.ts
@@ -0,0 +1,143 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
+import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
+import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
+import type { Leadership } from "@knapweedwood/fleet.sync/leadership";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { ItemResult } from "./itemResult.js";
+import { jobKeys } from "./jobKeys.js";
+import type { OpenJob } from "./openJob.js";
+
+/** Results that one write carries; the key-value service takes 32 entries. */
+const MAX_RESULTS = 30;
+const MAX_WRITE_LENGTH = 500_000;
+const RETRY_DELAY_MS = 250;
+
+interface PendingResult {
+    job: OpenJob;
+    result: ItemResult;
+}
+
+interface PlacedResult extends PendingResult {
+    position: number;
+}
+
+/** Writes results one batch at a time under the leader's fencing number; a result counts once it is written. */
+export class ResultCommitter {
+    private readonly opts: {
+        service: KeyValueService;
+        clock: Clock;
+        logger: Logger;
+        leadership: Leadership;
+        onListed: (job: OpenJob) => void;
+    };
+    private pending: PendingResult[] = [];
+    private isWriting = false;
+
+    constructor(opts: {
+        service: KeyValueService;
+        clock: Clock;
+        logger: Logger;
+        leadership: Leadership;
+        onListed: (job: OpenJob) => void;
+    }) {
+        this.opts = opts;
+    }
+
+    add(job: OpenJob, result: ItemResult): void {
+        this.pending.push({ job, result });
+        void this.drain();
+    }
+
+    /** Drops what has not been written: another process leads now. */
+    reset(): void {
+        this.pending = [];
+    }
+
+    /** Resolves when all results are written, or at once where this process doesn't lead. */
+    async flush(): Promise<void> {
+        while (this.pending.length > 0 && this.opts.leadership.fence() !== undefined) {
+            await this.drain();
+            await sleep(this.opts.clock, 10);
+        }
+    }
+
+    private async drain(): Promise<void> {
+        if (this.isWriting) {
+            return;
+        }
+        this.isWriting = true;
+        try {
+            while (this.pending.length > 0 && this.opts.leadership.fence() !== undefined) {
+                await this.writeBatch(this.takeBatch());
+            }
+        }
+        finally {
+            this.isWriting = false;
+        }
+    }
+
+    private takeBatch(): PlacedResult[] {
+        let length = 0;
+        const batch = this.pending.slice(0, MAX_RESULTS).filter(({ result }, index) => {
+            length += result.output.length;
+            return index === 0 || length <= MAX_WRITE_LENGTH;
+        });
+        this.pending = this.pending.slice(batch.length);
+        return batch.map((pending, index) => ({
+            ...pending,
+            position: pending.job.resultCount
+                + batch.slice(0, index).filter(other => other.job === pending.job).length,
+        }));
+    }
+
+    /** Repeats the write until its outcome is known or the lead is lost. */
+    private async writeBatch(batch: PlacedResult[]): Promise<void> {
+        for (let fence = this.opts.leadership.fence(); fence !== undefined; fence = this.opts.leadership.fence()) {
+            const operations: KeyValueOperation[] = batch.map(({ job, result, position }) => ({
+                kind: "put",
+                key: jobKeys.result(job.record.jobId, position),
+                value: encodeRecord(result),
+            }));
+            const witnessKey = operations[0]!.key;
+            try {
+                const settled = await settleTransaction({
+                    service: this.opts.service,
+                    clock: this.opts.clock,
+                    compares: [fence, { key: witnessKey, modRevision: 0 }],
+                    operations,
+                    witnessKey,
+                });
+                if (settled.kind === "succeeded") {
+                    this.list(batch);
+                    return;
+                }
+                if (settled.kind === "failed") {
+                    this.opts.leadership.lose("write-fenced");
+                    return;
+                }
+            }
+            catch (thrown) {
+                const error = toKnapweedError(thrown);
+                this.opts.logger.debug("result-write-failed", { code: error.code, message: error.message });
+            }
+            await sleep(this.opts.clock, RETRY_DELAY_MS);
+        }
+    }
+
+    private list(batch: PlacedResult[]): void {
+        batch.forEach(({ job, result, position }) => {
+            job.list(position, result);
+            this.opts.logger.info("item-listed", {
+                jobId: job.record.jobId,
+                itemId: result.itemId,
+                state: result.state,
+                position,
+            });
+        });
+        [...new Set(batch.map(({ job }) => job))].forEach(job => this.opts.onListed(job));
+    }
+}
--- /dev/null
+++ b/fleet/load/src/decideAdmission.ts
@@ -0,0 +1,27 @@
+import type { AdmissionDecision } from "./admissionDecision.js";
+import type { AdmissionInputs } from "./admissionInputs.js";
+
+/** Time from the start at an upstream to the first event, in milliseconds. */
+const FIRST_ANSWER_MS = 60;
+const MIN_RETRY_AFTER_MS = 150;
+/** Longest wait after which a caller is told to come back, in milliseconds. */
+const MAX_RETRY_AFTER_MS = 1600;
+
+/**
+ * Answers lasting overload: a request that can't be on time is refused at once, with the time after which a slot is
+ * likely free; one that has come back waits as long as its caller does, since it would not come a third time.
+ */
+export function decideAdmission(inputs: AdmissionInputs): AdmissionDecision {
+    const expectedWaitMs = expectedWaitOf(inputs);
+    const allowedMs = inputs.isReturned ? inputs.patienceLeftMs : inputs.objectiveLeftMs;
+    if (inputs.slots > 0 && expectedWaitMs + FIRST_ANSWER_MS <= allowedMs) {
+        return { kind: "wait", expectedWaitMs };
+    }
+    const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, expectedWaitMs));
+    return { kind: "refuse", expectedWaitMs, retryAfterMs };
+}
+
+/** Slots come free one after the other, each after a share of the mean hold. */
+function expectedWaitOf(inputs: AdmissionInputs): number {
+    return inputs.slots === 0 ? MAX_RETRY_AFTER_MS : (inputs.waitingAhead + 1) * inputs.meanHoldMs / inputs.slots;
+}
--- /dev/null
+++ b/fleet/load/src/fewestOnlinePlacement.ts
@@ -0,0 +1,38 @@
+import type { Random } from "@knapweedwood/core.random/random";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { LoadBoard } from "./loadBoard.js";
+import type { PlacementPolicy } from "./placementPolicy.js";
+
+/** A batch run gives way, at the price of a resume; hence it weighs little beside an online request. */
+const BATCH_WEIGHT = 0.1;
+/** Breaks ties between upstreams of equal load. */
+const RANDOM_WEIGHT = 0.05;
+
+/**
+ * Answers bursts: an online request goes to the upstream with the fewest of them and never behind as many as there are
+ * slots. Batch runs count little, because they are ended when their slot is wanted.
+ */
+export class FewestOnlinePlacement implements PlacementPolicy {
+    private readonly board: LoadBoard;
+    private readonly random: Random;
+
+    constructor(opts: { board: LoadBoard; random: Random; }) {
+        this.board = opts.board;
+        this.random = opts.random;
+    }
+
+    placeOnline(candidates: readonly Upstream[]): Upstream | undefined {
+        return candidates
+            .filter(upstream => this.board.online(upstream.id) < upstream.slots)
+            .map(upstream => ({ upstream, cost: this.costOf(upstream) }))
+            .reduce<{ upstream: Upstream; cost: number; } | undefined>(
+                (best, candidate) => best === undefined || candidate.cost < best.cost ? candidate : best,
+                undefined,
+            )?.upstream;
+    }
+
+    private costOf(upstream: Upstream): number {
+        const batch = this.board.batch(upstream.id) * BATCH_WEIGHT;
+        return this.board.online(upstream.id) + batch + this.random.next() * RANDOM_WEIGHT;
+    }
+}
--- /dev/null
+++ b/fleet/load/src/loadExchange.ts
@@ -0,0 +1,100 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Timer } from "@knapweedwood/core.clock/timer";
+import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { Packr } from "msgpackr";
+import { createSocket, type Socket } from "node:dgram";
+import type { LoadReport } from "./loadReport.js";
+
+/** Shortest time between two reports, in milliseconds. */
+const MIN_INTERVAL_MS = 15;
+/** Time between reports where nothing changes, in milliseconds. */
+const HEARTBEAT_INTERVAL_MS = 300;
+
+interface LoadExchangeOptions {
+    clock: Clock;
+    logger: Logger;
+    host: string;
+    port: number;
+    /** The other processes. */
+    peers: () => HostPort[];
+    /** The report to send now. */
+    createReport: () => LoadReport;
+    onReport: (report: LoadReport) => void;
+}
+
+/**
+ * Tells the other processes of this one's load by datagram. Each report is whole, so that a lost one is made good by
+ * the next.
+ */
+export class LoadExchange {
+    private readonly opts: LoadExchangeOptions;
+    private readonly packr = new Packr({ useRecords: false });
+    private socket: Socket | undefined;
+    private timer: Timer | undefined;
+    private sentAtMs = -Infinity;
+    private isDirty = false;
+
+    constructor(opts: LoadExchangeOptions) {
+        this.opts = opts;
+    }
+
+    async listen(): Promise<void> {
+        const socket = createSocket("udp4");
+        this.socket = socket;
+        socket.on("message", bytes => this.onMessage(bytes));
+        await new Promise<void>((resolve, reject) => {
+            socket.once("error", reject);
+            socket.bind(this.opts.port, this.opts.host, resolve);
+        });
+        socket.removeAllListeners("error");
+        socket.on("error", error => this.opts.logger.warn("load-socket-failed", { message: error.message }));
+        this.schedule(0);
+    }
+
+    /** Sends a report soon. */
+    markChanged(): void {
+        if (!this.isDirty) {
+            this.isDirty = true;
+            this.schedule(Math.max(0, this.sentAtMs + MIN_INTERVAL_MS - this.opts.clock.nowMs()));
+        }
+    }
+
+    close(): void {
+        this.timer?.cancel();
+        this.socket?.close();
+        this.socket = undefined;
+    }
+
+    private schedule(delayMs: number): void {
+        this.timer?.cancel();
+        this.timer = this.opts.clock.setTimer(delayMs, () => this.send());
+    }
+
+    private send(): void {
+        const { socket } = this;
+        if (socket === undefined) {
+            return;
+        }
+        this.isDirty = false;
+        this.sentAtMs = this.opts.clock.nowMs();
+        const bytes = this.packr.pack(this.opts.createReport());
+        this.opts.peers().forEach(peer =>
+            socket.send(bytes, peer.port, peer.host, error => {
+                if (error !== null) {
+                    this.opts.logger.debug("load-report-unsent", { peer: peer.host, message: error.message });
+                }
+            })
+        );
+        this.schedule(HEARTBEAT_INTERVAL_MS);
+    }
+
+    private onMessage(bytes: Buffer): void {
+        try {
+            this.opts.onReport(this.packr.unpack(bytes) as LoadReport);
+        }
+        catch (error) {
+            this.opts.logger.warn("load-report-unreadable", { message: (error as Error).message });
+        }
+    }
+}
--- /dev/null
+++ b/fleet/load/src/loadReport.ts
@@ -0,0 +1,20 @@
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamCount } from "./upstreamCount.js";
+
+/** What a process tells the others of its load and of how far it knows the keys that all follow. */
+export interface LoadReport {
+    instanceName: InstanceName;
+    /** Start of the process, Unix ms; a report of an earlier start is dropped. */
+    startedAtMs: number;
+    /** Grows with each report of a start. */
+    sequence: number;
+    /** Upstreams with requests of this process, shape [upstreams]. */
+    counts: UpstreamCount[];
+    /** Online requests that wait for a slot, shape [services]. */
+    waiting: { service: ServiceName; count: number; }[];
+    /** Version of the configuration in force. */
+    configurationVersion: number;
+    /** Revision of the key-value service up to which jobs were written by this process. */
+    jobsRevision: number;
+}
--- /dev/null
+++ b/fleet/load/src/upstreamHealth.ts
@@ -0,0 +1,50 @@
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+
+const FAILURES_TO_EJECT = 2;
+const FIRST_EJECTION_MS = 400;
+const MAX_EJECTION_MS = 4000;
+/** Requests that an upstream gets at a time after an ejection, until one succeeds. */
+const TRIAL_REQUESTS = 1;
+
+interface HealthRecord {
+    failures: number;
+    ejections: number;
+    ejectedUntilMs: number;
+    isOnTrial: boolean;
+}
+
+/** Judges upstreams by what became of the requests that this process sent them. */
+export class UpstreamHealth {
+    private readonly records = new Map<UpstreamId, HealthRecord>();
+
+    onSuccess(id: UpstreamId): void {
+        this.records.delete(id);
+    }
+
+    /** @returns whether the upstream is ejected by this failure */
+    onFailure(id: UpstreamId, nowMs: number): boolean {
+        const record = this.records.get(id) ?? { failures: 0, ejections: 0, ejectedUntilMs: 0, isOnTrial: false };
+        this.records.set(id, record);
+        record.failures += 1;
+        if (nowMs < record.ejectedUntilMs || (!record.isOnTrial && record.failures < FAILURES_TO_EJECT)) {
+            return false;
+        }
+        record.ejectedUntilMs = nowMs + Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** record.ejections);
+        record.ejections += 1;
+        record.isOnTrial = true;
+        return true;
+    }
+
+    forget(id: UpstreamId): void {
+        this.records.delete(id);
+    }
+
+    /** Whether a new request may go to the upstream, which runs `ownRequests` of this process. */
+    isUsable(id: UpstreamId, nowMs: number, ownRequests: number): boolean {
+        const record = this.records.get(id);
+        if (record === undefined || !record.isOnTrial) {
+            return true;
+        }
+        return nowMs >= record.ejectedUntilMs && ownRequests < TRIAL_REQUESTS;
+    }
+}
--- /dev/null
+++ b/fleet/sync/src/leadership.ts
@@ -0,0 +1,148 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Timer } from "@knapweedwood/core.clock/timer";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
+import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { decodeRecord } from "./decodeRecord.js";
+import { encodeRecord } from "./encodeRecord.js";
+import { fleetKeys } from "./fleetKeys.js";
+import type { LeaderRecord } from "./leaderRecord.js";
+import type { ProcessLease } from "./processLease.js";
+
+/** Spread of the candidates' attempts, so that one of them mostly is alone, in milliseconds. */
+const ATTEMPT_SPREAD_MS = 60;
+const RETRY_DELAY_MS = 300;
+
+interface LeadershipOptions {
+    service: KeyValueService;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    lease: ProcessLease;
+    self: LeaderRecord;
+    /** Whether this process takes the lead where nobody has it. */
+    isCandidate: boolean;
+    onGained(): void;
+    onLost(): void;
+}
+
+/**
+ * One process leads at a time: the one that wrote the leader's key, which goes with its lease. The revision of that key
+ * is the fencing number: writes that compare it fail once another process has led.
+ */
+export class Leadership {
+    private readonly opts: LeadershipOptions;
+    private seen: KeyValueEntry | undefined;
+    private heldRevision: number | undefined;
+    private attemptTimer: Timer | undefined;
+    private isResigned = false;
+
+    constructor(opts: LeadershipOptions) {
+        this.opts = opts;
+    }
+
+    /** Whether this process certainly leads now. */
+    isLeading(): boolean {
+        return this.heldRevision !== undefined && this.opts.lease.isHeld();
+    }
+
+    /** The condition that every write of the leader carries; undefined where this process doesn't lead. */
+    fence(): KeyValueCompare | undefined {
+        return this.heldRevision === undefined
+            ? undefined
+            : { key: fleetKeys.jobsLeader, modRevision: this.heldRevision };
+    }
+
+    /** Takes in the leader's key as the service has it at `revision`; undefined where it is absent. */
+    observe(entry: KeyValueEntry | undefined, revision: number): void {
+        this.seen = entry;
+        // What was read before this process wrote the key tells nothing of it.
+        const isCurrent = this.heldRevision !== undefined && revision >= this.heldRevision;
+        if (isCurrent && entry?.modRevision !== this.heldRevision) {
+            this.lose("key-changed");
+        }
+        if (entry === undefined && this.heldRevision === undefined && this.opts.isCandidate) {
+            this.scheduleAttempt(this.opts.random.next() * ATTEMPT_SPREAD_MS);
+        }
+    }
+
+    /** Gives the lead up and takes no part any more. */
+    async resign(): Promise<void> {
+        this.isResigned = true;
+        this.attemptTimer?.cancel();
+        const fence = this.fence();
+        if (fence === undefined) {
+            return;
+        }
+        this.lose("resigned");
+        await this.opts.service.transact([fence], [{ kind: "delete", key: fleetKeys.jobsLeader }]);
+    }
+
+    /** Called when a fenced write was refused. */
+    lose(reason: string): void {
+        if (this.heldRevision === undefined) {
+            return;
+        }
+        this.opts.logger.warn("leadership-lost", { reason, fencingNumber: this.heldRevision });
+        this.heldRevision = undefined;
+        this.opts.onLost();
+    }
+
+    private scheduleAttempt(delayMs: number): void {
+        if (this.attemptTimer !== undefined || this.isResigned) {
+            return;
+        }
+        this.attemptTimer = this.opts.clock.setTimer(delayMs, () => {
+            this.attemptTimer = undefined;
+            void this.attempt();
+        });
+    }
+
+    private async attempt(): Promise<void> {
+        const leaseId = this.opts.lease.heldId;
+        if (this.seen !== undefined || this.isResigned || this.heldRevision !== undefined) {
+            return;
+        }
+        if (leaseId === undefined) {
+            this.scheduleAttempt(RETRY_DELAY_MS);
+            return;
+        }
+        try {
+            await this.write(leaseId);
+        }
+        catch (thrown) {
+            const error = toKnapweedError(thrown);
+            this.opts.logger.info("leadership-attempt-failed", { code: error.code, message: error.message });
+            this.scheduleAttempt(RETRY_DELAY_MS);
+        }
+    }
+
+    private async write(leaseId: string): Promise<void> {
+        const key = fleetKeys.jobsLeader;
+        const result = await settleTransaction({
+            service: this.opts.service,
+            clock: this.opts.clock,
+            compares: [{ key, modRevision: 0 }],
+            operations: [{ kind: "put", key, value: encodeRecord(this.opts.self), leaseId }],
+            witnessKey: key,
+        });
+        if (result.kind === "succeeded" && !this.isResigned) {
+            this.heldRevision = result.revision;
+            this.opts.logger.info("leadership-gained", { fencingNumber: result.revision, leaseId });
+            this.opts.onGained();
+            return;
+        }
+        if (result.kind === "unknown" || (result.kind === "failed" && result.current.length === 0)) {
+            this.scheduleAttempt(RETRY_DELAY_MS);
+        }
+    }
+
+    /** The leader as last seen, this process or another; undefined where none is known. */
+    get leader(): LeaderRecord | undefined {
+        return this.seen === undefined ? undefined : decodeRecord<LeaderRecord>(this.seen.value);
+    }
+}
--- /dev/null
+++ b/fleet/sync/src/memberTable.ts
@@ -0,0 +1,49 @@
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import { decodeRecord } from "./decodeRecord.js";
+import { fleetKeys } from "./fleetKeys.js";
+import type { MemberRecord } from "./memberRecord.js";
+
+/** Time for which a process whose entry lapsed is still told of loads, in milliseconds. */
+const FORGET_AFTER_MS = 10_000;
+
+interface Member {
+    record: MemberRecord;
+    /** When its entry lapsed; undefined while it is listed. */
+    lapsedAtMs: number | undefined;
+}
+
+/** The processes of the fleet. A lapsed entry is kept for a while: an outage of the service lapses those of the living. */
+export class MemberTable {
+    private readonly members = new Map<InstanceName, Member>();
+
+    put(entry: KeyValueEntry): void {
+        const record = decodeRecord<MemberRecord>(entry.value);
+        this.members.set(record.instanceName, { record, lapsedAtMs: undefined });
+    }
+
+    lapse(key: string, nowMs: number): void {
+        const member = this.members.get(key.slice(fleetKeys.membersPrefix.length) as InstanceName);
+        if (member !== undefined) {
+            member.lapsedAtMs ??= nowMs;
+        }
+    }
+
+    /** Lapses all members whose keys are not among `entries`, and puts those that are. */
+    replace(entries: readonly KeyValueEntry[], nowMs: number): void {
+        const listed = new Set(entries.map(entry => entry.key));
+        [...this.members.keys()]
+            .map(name => fleetKeys.member(name))
+            .filter(key => !listed.has(key))
+            .forEach(key => this.lapse(key, nowMs));
+        entries.forEach(entry => this.put(entry));
+    }
+
+    /** Processes that listen, as far as this one knows, shape [members]. */
+    list(nowMs: number): MemberRecord[] {
+        [...this.members]
+            .filter(([, member]) => member.lapsedAtMs !== undefined && nowMs > member.lapsedAtMs + FORGET_AFTER_MS)
+            .forEach(([name]) => this.members.delete(name));
+        return [...this.members.values()].map(member => member.record);
+    }
+}
--- /dev/null
+++ b/fleet/sync/src/prefixMirror.ts
@@ -0,0 +1,108 @@
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { PrefixMirrorOptions } from "./prefixMirrorOptions.js";
+
+const MIN_RETRY_DELAY_MS = 100;
+const MAX_RETRY_DELAY_MS = 800;
+const COMPACTED_CODE = "ERR_KNAPWEED_KEY_VALUE_COMPACTED";
+
+/** Keeps the keys under a prefix in step: one listing, then watches, and a new listing where history was dropped. */
+export class PrefixMirror {
+    private readonly opts: PrefixMirrorOptions;
+    private currentRevision = 0;
+    private rereadController = new AbortController();
+    private failures = 0;
+
+    constructor(opts: PrefixMirrorOptions) {
+        this.opts = opts;
+    }
+
+    /** Revision of the service up to which this process knows the prefix; 0 before the first listing. */
+    get revision(): number {
+        return this.currentRevision;
+    }
+
+    get isInTouch(): boolean {
+        return this.failures === 0 && this.currentRevision > 0;
+    }
+
+    /** Lists the prefix again if the mirror is behind `revision`. */
+    catchUp(revision: number): void {
+        if (this.currentRevision > 0 && revision > this.currentRevision) {
+            this.opts.logger.info("mirror-behind", {
+                prefix: this.opts.prefix,
+                revision: this.currentRevision,
+                peerRevision: revision,
+            });
+            this.currentRevision = 0;
+            this.rereadController.abort();
+        }
+    }
+
+    /** Runs until `signal` is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        signal.addEventListener("abort", () => this.rereadController.abort(), { once: true });
+        while (!signal.aborted) {
+            this.rereadController = new AbortController();
+            try {
+                await this.follow(this.rereadController.signal);
+            }
+            catch (error) {
+                if (!signal.aborted && !this.rereadController.signal.aborted) {
+                    await this.onFailure(error, signal);
+                }
+            }
+        }
+    }
+
+    private async follow(signal: AbortSignal): Promise<void> {
+        if (this.currentRevision === 0) {
+            const snapshot = await this.opts.service.snapshot(this.opts.prefix);
+            this.onAnswer();
+            this.currentRevision = snapshot.revision;
+            this.opts.onSnapshot(snapshot.entries, snapshot.revision);
+        }
+        const watch = this.opts.service.watch(this.opts.prefix, { afterRevision: this.currentRevision, signal });
+        for await (const batch of watch) {
+            this.onAnswer();
+            this.currentRevision = Math.max(this.currentRevision, batch.revision);
+            if (batch.puts.length > 0 || batch.deletedKeys.length > 0) {
+                this.opts.onChange(batch);
+            }
+        }
+    }
+
+    private onAnswer(): void {
+        if (this.failures === 0) {
+            return;
+        }
+        this.opts.logger.info("key-value-regained", { prefix: this.opts.prefix, failures: this.failures });
+        this.failures = 0;
+        this.opts.onRegained?.();
+    }
+
+    private async onFailure(thrown: unknown, signal: AbortSignal): Promise<void> {
+        const error = toKnapweedError(thrown);
+        if (error.code === COMPACTED_CODE) {
+            this.opts.logger.info("mirror-compacted", { prefix: this.opts.prefix, revision: this.currentRevision });
+            this.currentRevision = 0;
+            return;
+        }
+        this.failures += 1;
+        if (this.failures === 1) {
+            this.opts.logger.warn("key-value-lost", {
+                prefix: this.opts.prefix,
+                revision: this.currentRevision,
+                code: error.code,
+                message: error.message,
+            });
+        }
+        await sleep(this.opts.clock, this.retryDelayMs(), signal);
+    }
+
+    /** Grows with the failures and is spread, so that processes don't return in a wave. */
+    private retryDelayMs(): number {
+        const ceilingMs = Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** this.failures);
+        return ceilingMs * (0.5 + this.opts.random.next() / 2);
+    }
+}
--- /dev/null
+++ b/fleet/upstreams/src/connectionHeaders.ts
@@ -0,0 +1,13 @@
+/** Headers that concern one connection and are not passed on, in lower case. */
+export const connectionHeaders: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+]);
--- /dev/null
+++ b/fleet/upstreams/src/toAnswerHead.ts
@@ -0,0 +1,15 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { AnswerHead } from "./answerHead.js";
+import { connectionHeaders } from "./connectionHeaders.js";
+
+/** Keeps the headers of an answer that are passed on. */
+export function toAnswerHead(statusCode: number, headers: IncomingHttpHeaders): AnswerHead {
+    const list = Object.entries(headers)
+        .filter(([name]) => !connectionHeaders.has(name))
+        .flatMap(([name, value]) => [value ?? []].flat().flatMap(single => [name, single]));
+    return {
+        statusCode,
+        headers: list,
+        header: name => [headers[name] ?? []].flat()[0],
+    };
+}
--- a/fuzz/promises/src/gatedKeyValueService.ts
+++ b/fuzz/promises/src/gatedKeyValueService.ts
@@ -1,5 +1,5 @@
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import type { InstanceGate } from "./instanceGate.js";
 
 /** The key-value service as an instance reaches it: neither calls nor answers pass while the instance is paused. */
--- a/fuzz/promises/src/simulationOptions.ts
+++ b/fuzz/promises/src/simulationOptions.ts
@@ -1,5 +1,5 @@
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
 
 /** What tests may change about a simulation, mutants among it. */
 export interface SimulationOptions {
--- a/fuzz/promises/test/mutantKeyValueService.ts
+++ b/fuzz/promises/test/mutantKeyValueService.ts
@@ -1,10 +1,10 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import type { KeyValueCompare } from "@knapweedwood/platform.key-value/keyValueCompare";
-import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
-import type { TransactionResult } from "@knapweedwood/platform.key-value/transactionResult";
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
+import type { TransactionResult } from "@knapweedwood/core.key-value/transactionResult";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 
 interface Mutation {
     /** Comparisons of keys that contain one of these are dropped. */
--- /dev/null
+++ b/observability/logs/src/openBoundedOutput.ts
@@ -0,0 +1,42 @@
+import loglevel from "loglevel";
+import { SonicBoom } from "sonic-boom";
+
+const STANDARD_OUTPUT = 1;
+/** Output that waits for a slow reader; lines beyond it are dropped and counted. */
+const MAX_WAITING_BYTES = 1024 * 1024;
+/** Lines are gathered into writes of about this size. */
+const MIN_WRITE_BYTES = 4096;
+const FLUSH_INTERVAL_MS = 250;
+
+/**
+ * A log target on standard output that never blocks: a reader that stops reading costs lines, not time.
+ *
+ * @returns the target, and a function that writes out what waits
+ */
+export function openBoundedOutput(level: loglevel.LogLevelDesc): { target: loglevel.Logger; flush: () => void; } {
+    const output = new SonicBoom({
+        fd: STANDARD_OUTPUT,
+        sync: false,
+        minLength: MIN_WRITE_BYTES,
+        maxLength: MAX_WAITING_BYTES,
+        periodicFlush: FLUSH_INTERVAL_MS,
+    });
+    let dropped = 0;
+    output.on("drop", () => {
+        dropped += 1;
+    });
+    output.on("error", () => {
+        dropped += 1;
+    });
+    const target = loglevel.getLogger(Symbol("knapweedwood-output"));
+    target.methodFactory = () => line => {
+        if (dropped > 0) {
+            const count = dropped;
+            dropped = 0;
+            output.write(`${JSON.stringify({ level: "warn", event: "log-lines-dropped", count })}\n`);
+        }
+        output.write(`${String(line)}\n`);
+    };
+    target.setLevel(level, false);
+    return { target, flush: () => output.flushSync() };
+}
--- a/placement/planner/src/planStore.ts
+++ b/placement/planner/src/planStore.ts
@@ -1,6 +1,6 @@
 import type { FencingNumber } from "@knapweedwood/core.ids/fencingNumber";
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { placementKeys } from "./placementKeys.js";
 import type { RegionPlan } from "./regionPlan.js";
 
--- a/placement/planner/src/plannerLease.ts
+++ b/placement/planner/src/plannerLease.ts
@@ -2,7 +2,7 @@
 import type { FencingNumber } from "@knapweedwood/core.ids/fencingNumber";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { placementKeys } from "./placementKeys.js";
 
 const LEASE_TTL_MS = 10_000;
--- a/placement/planner/src/plannerRole.ts
+++ b/placement/planner/src/plannerRole.ts
@@ -4,7 +4,7 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { EngineState } from "@knapweedwood/engines.model-engine/engineState";
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import { isDeepStrictEqual } from "node:util";
 import { exchangePlanCall } from "./exchangePlanCall.js";
 import { PlannerLease } from "./plannerLease.js";
--- a/placement/planner/src/plannerRoleOptions.ts
+++ b/placement/planner/src/plannerRoleOptions.ts
@@ -1,9 +1,9 @@
 import type { ConfigurationSource } from "@knapweedwood/config.configuration/configurationSource";
 import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import type { RoleDemand } from "./roleDemand.js";
 
 /** What a {@link PlannerRole} works with. */
--- a/platform/weight-store/src/httpWeightStore.ts
+++ b/placement/weight-store/src/httpWeightStore.ts
@@ -1,8 +1,8 @@
+import { callJson } from "@knapweedwood/adapters.http/callJson";
+import type { HttpCall } from "@knapweedwood/adapters.http/httpCall";
+import { PlatformHttpClient } from "@knapweedwood/adapters.http/platformHttpClient";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
-import { callJson } from "@knapweedwood/platform.http/callJson";
-import type { HttpCall } from "@knapweedwood/platform.http/httpCall";
-import { PlatformHttpClient } from "@knapweedwood/platform.http/platformHttpClient";
 import type { WeightLoadRequest } from "./weightLoadRequest.js";
 import type { WeightLoadReservation } from "./weightLoadReservation.js";
 import type { WeightStore } from "./weightStore.js";
--- a/platform/instance-list/src/httpInstanceList.ts
+++ b/routing/instance-list/src/httpInstanceList.ts
@@ -1,9 +1,9 @@
+import { callJson } from "@knapweedwood/adapters.http/callJson";
+import type { HttpCall } from "@knapweedwood/adapters.http/httpCall";
+import { PlatformHttpClient } from "@knapweedwood/adapters.http/platformHttpClient";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
-import { callJson } from "@knapweedwood/platform.http/callJson";
-import type { HttpCall } from "@knapweedwood/platform.http/httpCall";
-import { PlatformHttpClient } from "@knapweedwood/platform.http/platformHttpClient";
 import type { InstanceList } from "./instanceList.js";
 import type { InstanceRecord } from "./instanceRecord.js";
 
--- a/platform/instance-watch/src/instanceAnnouncer.ts
+++ b/routing/instance-watch/src/instanceAnnouncer.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceList } from "@knapweedwood/routing.instance-list/instanceList";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 
 const ANNOUNCE_INTERVAL_MS = 2000;
 
--- a/platform/instance-watch/src/instanceWatcher.ts
+++ b/routing/instance-watch/src/instanceWatcher.ts
@@ -2,8 +2,8 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceList } from "@knapweedwood/routing.instance-list/instanceList";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 
 const DEFAULT_INTERVAL_MS = 1000;
 const JITTER_SHARE = 0.2;
--- a/scripts/newPackage.mjs
+++ b/scripts/newPackage.mjs
@@ -17,7 +17,7 @@
     description,
     license: "Apache-2.0",
     type: "module",
-    exports: { "./*": "./dist/src/*.js" },
+    exports: { "./*": { source: "./src/*.ts", default: "./dist/src/*.js" } },
     dependencies: Object.fromEntries(
         dependencies
             .map(dependency =>
--- a/scripts/updateReferences.mjs
+++ b/scripts/updateReferences.mjs
@@ -34,7 +34,7 @@
     write(path.join(root, folder, "tsconfig.json"), {
         extends: "../../tsconfig.base.json",
         compilerOptions: { rootDir: ".", outDir: "dist" },
-        include: ["src", "test"],
+        include: ["src", "test", ...existsSync(path.join(root, folder, "charts")) ? ["charts/*.json"] : []],
         references: internal.map(target => ({ path: path.relative(folder, target) })),
     });
 });
--- a/standins/instance-list/src/instanceListServer.ts
+++ b/standins/instance-list/src/instanceListServer.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import { HttpStandin } from "@knapweedwood/standins.http/httpStandin";
 import { readJson } from "@knapweedwood/standins.http/readJson";
 import { sendJson } from "@knapweedwood/standins.http/sendJson";
--- a/standins/instance-list/src/memoryInstanceList.ts
+++ b/standins/instance-list/src/memoryInstanceList.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
-import type { InstanceList } from "@knapweedwood/platform.instance-list/instanceList";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceList } from "@knapweedwood/routing.instance-list/instanceList";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 
 const DEFAULT_LAG_MS = 1000;
 const DEFAULT_TTL_MS = 10_000;
--- a/standins/instance-list/test/memoryInstanceList.test.ts
+++ b/standins/instance-list/test/memoryInstanceList.test.ts
@@ -2,7 +2,7 @@
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import type { RegionName } from "@knapweedwood/core.ids/regionName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
-import type { InstanceRecord } from "@knapweedwood/platform.instance-list/instanceRecord";
+import type { InstanceRecord } from "@knapweedwood/routing.instance-list/instanceRecord";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemoryInstanceList } from "../src/memoryInstanceList.js";
--- a/standins/key-value/src/changeHistory.ts
+++ b/standins/key-value/src/changeHistory.ts
@@ -1,4 +1,4 @@
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 
 const MAX_BATCHES = 20_000;
 const MAX_SIZE_BYTES = 64_000_000;
--- a/standins/key-value/src/etcdRefusal.ts
+++ b/standins/key-value/src/etcdRefusal.ts
@@ -1,5 +1,5 @@
+import type { EtcdError } from "@knapweedwood/adapters.key-value-etcd/etcdError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
-import type { EtcdError } from "@knapweedwood/platform.key-value-etcd/etcdError";
 
 interface EtcdRefusal {
     statusCode: number;
--- a/standins/key-value/src/keyValueStore.ts
+++ b/standins/key-value/src/keyValueStore.ts
@@ -1,11 +1,11 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import type { KeyValueCompare } from "@knapweedwood/platform.key-value/keyValueCompare";
-import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
-import { MAX_VALUE_SIZE_BYTES } from "@knapweedwood/platform.key-value/maxValueSizeBytes";
-import type { TransactionResult } from "@knapweedwood/platform.key-value/transactionResult";
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import { MAX_VALUE_SIZE_BYTES } from "@knapweedwood/core.key-value/maxValueSizeBytes";
+import type { TransactionResult } from "@knapweedwood/core.key-value/transactionResult";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { LeaseTable } from "./leaseTable.js";
 import { SortedKeys } from "./sortedKeys.js";
 
--- a/standins/key-value/src/keyValueWatcher.ts
+++ b/standins/key-value/src/keyValueWatcher.ts
@@ -1,5 +1,5 @@
 import type { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 
 /** Changes under one prefix, queued for one reader. */
 export class KeyValueWatcher {
--- a/standins/key-value/src/memoryKeyValueService.ts
+++ b/standins/key-value/src/memoryKeyValueService.ts
@@ -1,22 +1,23 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import { answerLostError } from "@knapweedwood/platform.key-value/answerLostError";
-import type { KeyValueCompare } from "@knapweedwood/platform.key-value/keyValueCompare";
-import type { KeyValueCounters } from "@knapweedwood/platform.key-value/keyValueCounters";
-import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
-import type { TransactionResult } from "@knapweedwood/platform.key-value/transactionResult";
-import { unavailableError } from "@knapweedwood/platform.key-value/unavailableError";
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import { answerLostError } from "@knapweedwood/core.key-value/answerLostError";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { KeyValueCounters } from "@knapweedwood/core.key-value/keyValueCounters";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { KeyValueSnapshot } from "@knapweedwood/core.key-value/keyValueSnapshot";
+import type { SnapshotKeyValueService } from "@knapweedwood/core.key-value/snapshotKeyValueService";
+import type { TransactionResult } from "@knapweedwood/core.key-value/transactionResult";
+import { unavailableError } from "@knapweedwood/core.key-value/unavailableError";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { ChangeHistory } from "./changeHistory.js";
 import { KeyValueFaults } from "./keyValueFaults.js";
 import { KeyValueStore } from "./keyValueStore.js";
 import { KeyValueWatcher } from "./keyValueWatcher.js";
 
 /** A key-value service in memory, with the faults of the real one. */
-export class MemoryKeyValueService implements KeyValueService {
+export class MemoryKeyValueService implements SnapshotKeyValueService {
     readonly faults = new KeyValueFaults({
         onOutage: () => this.loseWatches(),
         onLapse: leaseId => this.store.endLease(leaseId),
@@ -49,6 +50,11 @@
         return this.read(() => this.store.list(prefix, opts));
     }
 
+    snapshot(prefix: string): Promise<KeyValueSnapshot> {
+        this.counters.reads += 1;
+        return this.read(() => ({ entries: this.store.list(prefix, {}), revision: this.store.revision }));
+    }
+
     transact(compares: KeyValueCompare[], operations: KeyValueOperation[]): Promise<TransactionResult> {
         this.counters.writes += 1;
         return this.write(() => this.store.transact(compares, operations));
--- a/standins/key-value/src/streamWatch.ts
+++ b/standins/key-value/src/streamWatch.ts
@@ -1,11 +1,11 @@
+import { encodeBytes } from "@knapweedwood/adapters.key-value-etcd/encodeBytes";
+import type { EtcdEvent } from "@knapweedwood/adapters.key-value-etcd/etcdEvent";
+import type { EtcdWatchRequest } from "@knapweedwood/adapters.key-value-etcd/etcdWatchRequest";
+import type { EtcdWatchResponse } from "@knapweedwood/adapters.key-value-etcd/etcdWatchResponse";
+import { prefixOfRange } from "@knapweedwood/adapters.key-value-etcd/prefixOfRange";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
-import { encodeBytes } from "@knapweedwood/platform.key-value-etcd/encodeBytes";
-import type { EtcdEvent } from "@knapweedwood/platform.key-value-etcd/etcdEvent";
-import type { EtcdWatchRequest } from "@knapweedwood/platform.key-value-etcd/etcdWatchRequest";
-import type { EtcdWatchResponse } from "@knapweedwood/platform.key-value-etcd/etcdWatchResponse";
-import { prefixOfRange } from "@knapweedwood/platform.key-value-etcd/prefixOfRange";
-import { unavailableError } from "@knapweedwood/platform.key-value/unavailableError";
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import { unavailableError } from "@knapweedwood/core.key-value/unavailableError";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import type { ServerResponse } from "node:http";
 import { etcdRefusal } from "./etcdRefusal.js";
 import type { MemoryKeyValueService } from "./memoryKeyValueService.js";
--- a/standins/key-value/src/toKeyValue.ts
+++ b/standins/key-value/src/toKeyValue.ts
@@ -1,6 +1,6 @@
-import { encodeBytes } from "@knapweedwood/platform.key-value-etcd/encodeBytes";
-import type { EtcdKeyValue } from "@knapweedwood/platform.key-value-etcd/etcdKeyValue";
-import type { KeyValueEntry } from "@knapweedwood/platform.key-value/keyValueEntry";
+import { encodeBytes } from "@knapweedwood/adapters.key-value-etcd/encodeBytes";
+import type { EtcdKeyValue } from "@knapweedwood/adapters.key-value-etcd/etcdKeyValue";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 
 /** An entry as etcd sends it. */
 export function toKeyValue(entry: KeyValueEntry): EtcdKeyValue {
--- a/standins/key-value/test/keyValueModel.test.ts
+++ b/standins/key-value/test/keyValueModel.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
-import type { KeyValueCompare } from "@knapweedwood/platform.key-value/keyValueCompare";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
--- a/standins/key-value/test/keyValueServer.test.ts
+++ b/standins/key-value/test/keyValueServer.test.ts
@@ -1,7 +1,7 @@
+import { EtcdKeyValueService } from "@knapweedwood/adapters.key-value-etcd/etcdKeyValueService";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
-import { EtcdKeyValueService } from "@knapweedwood/platform.key-value-etcd/etcdKeyValueService";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, test } from "node:test";
 import { KeyValueServer } from "../src/keyValueServer.js";
--- a/standins/key-value/test/memoryKeyValueService.test.ts
+++ b/standins/key-value/test/memoryKeyValueService.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
-import type { KeyValueOperation } from "@knapweedwood/platform.key-value/keyValueOperation";
-import type { WatchBatch } from "@knapweedwood/platform.key-value/watchBatch";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemoryKeyValueService } from "../src/memoryKeyValueService.js";
--- a/standins/key-value/test/settleTransaction.test.ts
+++ b/standins/key-value/test/settleTransaction.test.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
-import { CountingKeyValueService } from "@knapweedwood/platform.key-value/countingKeyValueService";
-import type { KeyValueService } from "@knapweedwood/platform.key-value/keyValueService";
-import { settleTransaction } from "@knapweedwood/platform.key-value/settleTransaction";
+import { CountingKeyValueService } from "@knapweedwood/core.key-value/countingKeyValueService";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
+import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemoryKeyValueService } from "../src/memoryKeyValueService.js";
--- a/standins/weight-store/src/memoryWeightStore.ts
+++ b/standins/weight-store/src/memoryWeightStore.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import type { WeightLoadRequest } from "@knapweedwood/platform.weight-store/weightLoadRequest";
-import type { WeightLoadReservation } from "@knapweedwood/platform.weight-store/weightLoadReservation";
-import type { WeightStore } from "@knapweedwood/platform.weight-store/weightStore";
+import type { WeightLoadRequest } from "@knapweedwood/placement.weight-store/weightLoadRequest";
+import type { WeightLoadReservation } from "@knapweedwood/placement.weight-store/weightLoadReservation";
+import type { WeightStore } from "@knapweedwood/placement.weight-store/weightStore";
 
 const DEFAULT_BYTES_PER_S = 1_000_000_000;
 const MS_PER_S = 1000;
--- a/standins/weight-store/src/weightStoreServer.ts
+++ b/standins/weight-store/src/weightStoreServer.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
-import type { WeightLoadRequest } from "@knapweedwood/platform.weight-store/weightLoadRequest";
+import type { WeightLoadRequest } from "@knapweedwood/placement.weight-store/weightLoadRequest";
 import { HttpStandin } from "@knapweedwood/standins.http/httpStandin";
 import { readJson } from "@knapweedwood/standins.http/readJson";
 import { sendJson } from "@knapweedwood/standins.http/sendJson";
--- a/standins/weight-store/test/weightStoreServer.test.ts
+++ b/standins/weight-store/test/weightStoreServer.test.ts
@@ -2,7 +2,7 @@
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import type { ModelName } from "@knapweedwood/core.ids/modelName";
 import type { ModelVersion } from "@knapweedwood/core.ids/modelVersion";
-import { HttpWeightStore } from "@knapweedwood/platform.weight-store/httpWeightStore";
+import { HttpWeightStore } from "@knapweedwood/placement.weight-store/httpWeightStore";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { WeightStoreServer } from "../src/weightStoreServer.js";
