fix(fleet): jobs and upstreams stay known over an outage of the key-value service

Ruled out: the store's own lapses. Items keep what they had produced over a lost and regained lead. Mirrors list again only where the watch lags by 300 ms.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -34,8 +34,6 @@
 
 const MAX_SEED = 2 ** 31;
 const HOUSEKEEPING_INTERVAL_MS = 100;
-/** How far a peer's configuration may be ahead before this process reads it again, in milliseconds. */
-const CATCH_UP_DELAY_MS = 300;
 /** Links are quiet for long stretches here: a less frequent heartbeat costs less. */
 const LINK_LIMITS = { heartbeatIntervalMs: 250, idleHeartbeatIntervalMs: 2000, silentAfterMs: 700 };
 
@@ -77,7 +75,7 @@
     private readonly closing = new AbortController();
     private sequence = 0;
     private jobsRevision = 0;
-    private behindSinceMs: number | undefined;
+    private configurationRevision = 0;
 
     constructor(opts: FleetProcessOptions) {
         this.opts = opts;
@@ -248,7 +246,7 @@
             sequence: this.sequence,
             counts: this.board.ownCounts(),
             waiting: this.opts.waiting(),
-            configurationVersion: this.configuration.version,
+            configurationRevision: this.configurationRevision,
             jobsRevision: this.jobsRevision,
         };
     }
@@ -261,29 +259,17 @@
         if (report.jobsRevision > 0) {
             this.opts.onJobsWritten(report.jobsRevision);
         }
-        this.compareConfiguration(report.configurationVersion, nowMs);
+        this.configurationMirror.catchUp(report.configurationRevision);
         this.opts.onLoadChanged();
     }
 
-    /** A peer that stays ahead shows that this process's watch is broken. */
-    private compareConfiguration(version: number, nowMs: number): void {
-        if (version <= this.configuration.version) {
-            this.behindSinceMs = undefined;
-            return;
-        }
-        this.behindSinceMs ??= nowMs;
-        if (nowMs > this.behindSinceMs + CATCH_UP_DELAY_MS) {
-            this.behindSinceMs = undefined;
-            this.configurationMirror.catchUp(Infinity);
-        }
-    }
-
     private onConfigurationEntry(entry: KeyValueEntry): void {
         if (entry.key !== wireKeys.configuration) {
             return;
         }
         try {
             const configuration = decodeConfiguration(entry.value);
+            this.configurationRevision = Math.max(this.configurationRevision, entry.modRevision);
             if (this.configuration.adopt(configuration, this.clock.nowMs())) {
                 this.opts.logger.info("configuration-in-force", {
                     version: configuration.version,
--- a/fleet/jobs/src/itemProgress.ts
+++ b/fleet/jobs/src/itemProgress.ts
@@ -5,4 +5,6 @@
     /** Id of the last event; 0 where there is none. */
     lastEventId: number;
     failedAttempts: number;
+    /** Whether the events are the whole output. */
+    isComplete: boolean;
 }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -17,6 +17,7 @@
 import { JobTable } from "./jobTable.js";
 import type { OpenJob } from "./openJob.js";
 import { orderOfItems } from "./orderOfItems.js";
+import { progressOf } from "./progressOf.js";
 import { releaseWaitingTokens } from "./releaseWaitingTokens.js";
 import { ResultCommitter } from "./resultCommitter.js";
 import type { ResultsPage } from "./resultsPage.js";
@@ -48,6 +49,8 @@
     private leading: AbortController | undefined;
     private mirror: PrefixMirror | undefined;
     private isLoaded = false;
+    /** Open jobs as this process knew them when it last lost the lead. */
+    private earlierJobs: OpenJob[] = [];
     private pumpTimer: Timer | undefined;
     private readonly routeGoneSinceMs = new Map<JobId, number>();
 
@@ -78,7 +81,7 @@
         this.pumpTimer?.cancel();
         this.flights.forEach(flight => this.end(flight));
         this.committer.reset();
-        this.table.clear();
+        this.earlierJobs = this.table.clear();
     }
 
     /** Stores how far the items have come, so that the next leader goes on from there. */
@@ -87,11 +90,10 @@
         this.flights.forEach(flight => this.end(flight));
         this.isLoaded = false;
         await this.committer.flush();
-        const entries = this.table.all().filter(job => !job.isEnded).flatMap(job =>
-            job.items
-                .filter(item => item.state === "pending" && (item.lastEventId > 0 || item.failedAttempts > 0))
-                .map(item => ({ job, item }))
-        );
+        const entries = this.table
+            .all()
+            .filter(job => !job.isEnded)
+            .flatMap(job => job.begunItems().map(item => ({ job, item })));
         for (let start = 0; start < entries.length; start += MAX_PROGRESS_ENTRIES) {
             const fence = this.opts.leadership.fence();
             if (fence === undefined) {
@@ -102,11 +104,7 @@
                 entries.slice(start, start + MAX_PROGRESS_ENTRIES).map(({ job, item }) => ({
                     kind: "put",
                     key: jobKeys.progress(job.record.jobId, item.index),
-                    value: encodeRecord({
-                        events: item.events,
-                        lastEventId: item.lastEventId,
-                        failedAttempts: item.failedAttempts,
-                    }),
+                    value: encodeRecord(progressOf(item)),
                 })),
             );
         }
@@ -115,11 +113,11 @@
 
     /** Starts items where there is room and ends runs where online requests want the slots. */
     pump(): void {
-        if (!this.isLoaded || !this.opts.leadership.isLeading()) {
-            return;
-        }
         this.endDisplacedRuns();
-        this.startItems();
+        // A run does no harm where another process leads already; a result counts only once it is written.
+        if (this.isLoaded && this.opts.leadership.fence() !== undefined) {
+            this.startItems();
+        }
     }
 
     /** Makes sure that jobs written up to `revision` are known. */
@@ -199,6 +197,9 @@
                     return;
                 }
                 this.table.applyResults(results.entries);
+                this.table.restoreFrom(this.earlierJobs);
+                this.earlierJobs = [];
+                this.finishComplete();
                 this.isLoaded = true;
                 this.opts.logger.info("jobs-loaded", {
                     jobs: this.table.all().length,
@@ -381,8 +382,18 @@
         }
     }
 
+    /** Finishes items whose whole output was carried over. */
+    private finishComplete(): void {
+        this.table.all().filter(job => !job.isEnded).forEach(job =>
+            job.items
+                .filter(item => item.state === "pending" && item.isComplete)
+                .forEach(item => this.finish(job, item, "completed"))
+        );
+    }
+
     private finish(job: OpenJob, item: JobItem, state: "completed" | "given-up"): void {
         item.state = "finished";
+        item.isComplete = state === "completed";
         const output = state === "completed" ? item.events.join("\n") : "";
         this.committer.add(job, { itemId: item.id, state, output });
     }
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -21,9 +21,20 @@
         return this.jobs.get(jobId);
     }
 
-    clear(): void {
+    /** Forgets all. @returns the jobs that were open, shape [jobs] */
+    clear(): OpenJob[] {
+        const open = this.all().filter(job => !job.isEnded);
         this.jobs.clear();
         this.waiting = [];
+        return open;
+    }
+
+    /** Takes over how far items have come from what this process knew before. */
+    restoreFrom(earlier: readonly OpenJob[]): void {
+        earlier.forEach(job => {
+            const current = this.jobs.get(job.record.jobId);
+            job.begunItems().forEach(item => current?.restoreProgress(item.index, item));
+        });
     }
 
     delete(jobId: JobId): void {
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -3,6 +3,7 @@
 import type { ItemResult } from "./itemResult.js";
 import type { JobItem } from "./jobItem.js";
 import type { JobRecord } from "./jobRecord.js";
+import { progressOf } from "./progressOf.js";
 import type { ResultsPage } from "./resultsPage.js";
 
 /** Largest output of one page, in characters. */
@@ -28,6 +29,7 @@
             events: [],
             lastEventId: 0,
             failedAttempts: 0,
+            isComplete: false,
             notBeforeMs: 0,
         }));
     }
@@ -64,11 +66,18 @@
 
     restoreProgress(index: number, progress: ItemProgress): void {
         const item = this.items[index];
-        if (item !== undefined && item.state === "pending") {
-            Object.assign(item, progress);
+        if (item !== undefined && item.state === "pending" && progress.lastEventId >= item.lastEventId) {
+            Object.assign(item, progressOf(progress));
         }
     }
 
+    /** Items without a stored result that have come some way, shape [items]. */
+    begunItems(): JobItem[] {
+        return this.items
+            .filter(item => item.state !== "listed")
+            .filter(item => item.lastEventId > 0 || item.failedAttempts > 0);
+    }
+
     /** Takes in a result that is stored at `position`. Positions come in order. */
     list(position: number, result: ItemResult): void {
         if (position !== this.listed.length) {
--- a/fleet/jobs/src/resultCommitter.ts
+++ b/fleet/jobs/src/resultCommitter.ts
@@ -5,7 +5,7 @@
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
 import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
-import type { Leadership } from "@knapweedwood/fleet.sync/leadership";
+import type { FencedLead } from "@knapweedwood/fleet.sync/fencedLead";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { ItemResult } from "./itemResult.js";
 import { jobKeys } from "./jobKeys.js";
@@ -31,7 +31,7 @@
         service: KeyValueService;
         clock: Clock;
         logger: Logger;
-        leadership: Leadership;
+        leadership: FencedLead;
         onListed: (job: OpenJob) => void;
     };
     private pending: PendingResult[] = [];
@@ -41,7 +41,7 @@
         service: KeyValueService;
         clock: Clock;
         logger: Logger;
-        leadership: Leadership;
+        leadership: FencedLead;
         onListed: (job: OpenJob) => void;
     }) {
         this.opts = opts;
@@ -94,15 +94,16 @@
         }));
     }
 
-    /** Repeats the write until its outcome is known or the lead is lost. */
+    /** Repeats the write until its outcome is known or the lead under which its positions were given is lost. */
     private async writeBatch(batch: PlacedResult[]): Promise<void> {
-        for (let fence = this.opts.leadership.fence(); fence !== undefined; fence = this.opts.leadership.fence()) {
-            const operations: KeyValueOperation[] = batch.map(({ job, result, position }) => ({
-                kind: "put",
-                key: jobKeys.result(job.record.jobId, position),
-                value: encodeRecord(result),
-            }));
-            const witnessKey = operations[0]!.key;
+        const fence = this.opts.leadership.fence();
+        const operations: KeyValueOperation[] = batch.map(({ job, result, position }) => ({
+            kind: "put",
+            key: jobKeys.result(job.record.jobId, position),
+            value: encodeRecord(result),
+        }));
+        const witnessKey = operations[0]!.key;
+        while (fence !== undefined && this.opts.leadership.fence()?.modRevision === fence.modRevision) {
             try {
                 const settled = await settleTransaction({
                     service: this.opts.service,
@@ -111,12 +112,11 @@
                     operations,
                     witnessKey,
                 });
-                if (settled.kind === "succeeded") {
-                    this.list(batch);
-                    return;
-                }
                 if (settled.kind === "failed") {
-                    this.opts.leadership.lose("write-fenced");
+                    this.opts.leadership.abandon("write-refused");
+                }
+                if (settled.kind === "succeeded" && this.opts.leadership.fence()?.modRevision === fence.modRevision) {
+                    this.list(batch);
                     return;
                 }
             }
--- /dev/null
+++ b/fleet/jobs/test/resultCommitter.test.ts
@@ -0,0 +1,84 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { FencedLead } from "@knapweedwood/fleet.sync/fencedLead";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { ItemResult } from "../src/itemResult.js";
+import { jobKeys } from "../src/jobKeys.js";
+import { OpenJob } from "../src/openJob.js";
+import { ResultCommitter } from "../src/resultCommitter.js";
+import { jobOf } from "./jobOf.js";
+
+const LEADER_KEY = "leader";
+
+class TestLead implements FencedLead {
+    held: KeyValueCompare | undefined;
+    abandoned = 0;
+
+    isLeading(): boolean {
+        return this.held !== undefined;
+    }
+
+    fence(): KeyValueCompare | undefined {
+        return this.held;
+    }
+
+    abandon(): void {
+        this.abandoned += 1;
+        this.held = undefined;
+    }
+}
+
+async function setUp() {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const lead = new TestLead();
+    const takeLead = async () => {
+        const put = { kind: "put", key: LEADER_KEY, value: Buffer.from(String(Math.random())) } as const;
+        const { revision } = await service.transact([], [put]);
+        lead.held = { key: LEADER_KEY, modRevision: revision };
+    };
+    await takeLead();
+    const committer = new ResultCommitter({
+        service,
+        clock,
+        logger: silentLogger,
+        leadership: lead,
+        onListed: () => undefined,
+    });
+    const job = new OpenJob(jobOf({ id: "j", itemCount: 3 }));
+    const result = (index: number): ItemResult => ({ itemId: job.items[index]!.id, state: "completed", output: "x" });
+    return { clock, service, lead, takeLead, committer, job, result };
+}
+
+test("results get positions in the order in which they are added", async () => {
+    const { clock, service, committer, job, result } = await setUp();
+    [2, 0, 1].forEach(index => committer.add(job, result(index)));
+    await clock.advance(1000);
+    assert.deepEqual(job.page(0).results.map(({ itemId }) => itemId), ["j-2", "j-0", "j-1"]);
+    assert.equal((await service.list(jobKeys.resultsPrefix)).length, 3);
+});
+
+test("a write that was under way when the lead was lost is not repeated under the next lead", async () => {
+    const { clock, service, committer, job, result, lead, takeLead } = await setUp();
+    service.faults.outage = true;
+    committer.add(job, result(0));
+    await clock.advance(300);
+    committer.reset();
+    lead.held = undefined;
+    service.faults.outage = false;
+    await takeLead();
+    await clock.advance(3000);
+    assert.equal((await service.list(jobKeys.resultsPrefix)).length, 0);
+});
+
+test("a position that is taken gives the lead up, so that the results are read anew", async () => {
+    const { clock, service, committer, job, result, lead } = await setUp();
+    await service.transact([], [{ kind: "put", key: jobKeys.result(job.record.jobId, 0), value: Buffer.from("{}") }]);
+    committer.add(job, result(0));
+    await clock.advance(1000);
+    assert.equal(lead.abandoned, 1);
+    assert.equal(job.resultCount, 0);
+});
--- a/fleet/load/src/loadReport.ts
+++ b/fleet/load/src/loadReport.ts
@@ -13,8 +13,8 @@
     counts: UpstreamCount[];
     /** Online requests that wait for a slot, shape [services]. */
     waiting: { service: ServiceName; count: number; }[];
-    /** Version of the configuration in force. */
-    configurationVersion: number;
+    /** Revision of the key-value service at which the configuration in force was written. */
+    configurationRevision: number;
     /** Revision of the key-value service up to which jobs were written by this process. */
     jobsRevision: number;
 }
--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
@@ -9,6 +10,7 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { decodeRecord } from "./decodeRecord.js";
 import { encodeRecord } from "./encodeRecord.js";
+import type { FencedLead } from "./fencedLead.js";
 import { fleetKeys } from "./fleetKeys.js";
 import type { LeaderRecord } from "./leaderRecord.js";
 import type { ProcessLease } from "./processLease.js";
@@ -34,7 +36,7 @@
  * One process leads at a time: the one that wrote the leader's key, which goes with its lease. The revision of that key
  * is the fencing number: writes that compare it fail once another process has led.
  */
-export class Leadership {
+export class Leadership implements FencedLead {
     private readonly opts: LeadershipOptions;
     private seen: KeyValueEntry | undefined;
     private heldRevision: number | undefined;
@@ -82,16 +84,36 @@
         await this.opts.service.transact([fence], [{ kind: "delete", key: fleetKeys.jobsLeader }]);
     }
 
-    /** Called when a fenced write was refused. */
-    lose(reason: string): void {
-        if (this.heldRevision === undefined) {
-            return;
+    /** Gives the lead up after a write was refused; whoever takes it next, this process perhaps, reads all anew. */
+    abandon(reason: string): void {
+        const fence = this.fence();
+        if (fence !== undefined) {
+            this.lose(reason);
+            void this.removeKey(fence);
         }
+    }
+
+    private lose(reason: string): void {
         this.opts.logger.warn("leadership-lost", { reason, fencingNumber: this.heldRevision });
         this.heldRevision = undefined;
         this.opts.onLost();
     }
 
+    /** Removes the key that this process wrote, until it is certainly gone. */
+    private async removeKey(fence: KeyValueCompare): Promise<void> {
+        for (let isGone = false; !isGone;) {
+            try {
+                await this.opts.service.transact([fence], [{ kind: "delete", key: fence.key }]);
+                isGone = true;
+            }
+            catch (thrown) {
+                const error = toKnapweedError(thrown);
+                this.opts.logger.info("leader-key-not-removed", { code: error.code, message: error.message });
+                await sleep(this.opts.clock, RETRY_DELAY_MS);
+            }
+        }
+    }
+
     private scheduleAttempt(delayMs: number): void {
         if (this.attemptTimer !== undefined || this.isResigned) {
             return;
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -1,9 +1,12 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { Timer } from "@knapweedwood/core.clock/timer";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { PrefixMirrorOptions } from "./prefixMirrorOptions.js";
 
 const MIN_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 800;
+/** How long the watch may take to bring a change that another process tells of, in milliseconds. */
+const CATCH_UP_DELAY_MS = 300;
 const COMPACTED_CODE = "ERR_KNAPWEED_KEY_VALUE_COMPACTED";
 
 /** Keeps the keys under a prefix in step: one listing, then watches, and a new listing where history was dropped. */
@@ -12,6 +15,7 @@
     private currentRevision = 0;
     private rereadController = new AbortController();
     private failures = 0;
+    private catchUpTimer: Timer | undefined;
 
     constructor(opts: PrefixMirrorOptions) {
         this.opts = opts;
@@ -26,22 +30,25 @@
         return this.failures === 0 && this.currentRevision > 0;
     }
 
-    /** Lists the prefix again if the mirror is behind `revision`. */
+    /** Lists the prefix again if the watch does not bring `revision` soon. */
     catchUp(revision: number): void {
-        if (this.currentRevision > 0 && revision > this.currentRevision) {
-            this.opts.logger.info("mirror-behind", {
-                prefix: this.opts.prefix,
-                revision: this.currentRevision,
-                peerRevision: revision,
-            });
-            this.currentRevision = 0;
-            this.rereadController.abort();
+        if (revision <= this.currentRevision || this.catchUpTimer !== undefined) {
+            return;
         }
+        this.catchUpTimer = this.opts.clock.setTimer(CATCH_UP_DELAY_MS, () => {
+            this.catchUpTimer = undefined;
+            if (this.currentRevision > 0 && revision > this.currentRevision) {
+                this.listAgain(revision);
+            }
+        });
     }
 
     /** Runs until `signal` is aborted. */
     async run(signal: AbortSignal): Promise<void> {
-        signal.addEventListener("abort", () => this.rereadController.abort(), { once: true });
+        signal.addEventListener("abort", () => {
+            this.catchUpTimer?.cancel();
+            this.rereadController.abort();
+        }, { once: true });
         while (!signal.aborted) {
             this.rereadController = new AbortController();
             try {
@@ -55,6 +62,16 @@
         }
     }
 
+    private listAgain(peerRevision: number): void {
+        this.opts.logger.info("mirror-behind", {
+            prefix: this.opts.prefix,
+            revision: this.currentRevision,
+            peerRevision,
+        });
+        this.currentRevision = 0;
+        this.rereadController.abort();
+    }
+
     private async follow(signal: AbortSignal): Promise<void> {
         if (this.currentRevision === 0) {
             const snapshot = await this.opts.service.snapshot(this.opts.prefix);
--- /dev/null
+++ b/fleet/sync/test/leadership.test.ts
@@ -0,0 +1,77 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { fleetKeys } from "../src/fleetKeys.js";
+import { Leadership } from "../src/leadership.js";
+import { ProcessLease } from "../src/processLease.js";
+
+function candidate(opts: { service: MemoryKeyValueService; clock: ManualClock; name: string; signal: AbortSignal; }) {
+    const tools = { service: opts.service, clock: opts.clock, random: new SeededRandom(1), logger: silentLogger };
+    const lease = new ProcessLease({ ...tools, minLeaseMs: 1000, onGranted: () => Promise.resolve() });
+    const events: string[] = [];
+    const leadership = new Leadership({
+        ...tools,
+        lease,
+        self: { instanceName: opts.name as InstanceName, host: "h", linkPort: 1, startedAtMs: 1 },
+        isCandidate: true,
+        onGained: () => events.push("gained"),
+        onLost: () => events.push("lost"),
+    });
+    void lease.run(opts.signal);
+    return { leadership, lease, events };
+}
+
+async function leaderOf(service: MemoryKeyValueService) {
+    return service.get(fleetKeys.jobsLeader);
+}
+
+test("of two candidates one leads", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const { signal, abort } = abortable();
+    const candidates = ["a", "b"].map(name => candidate({ service, clock, name, signal }));
+    candidates.forEach(({ leadership }) => leadership.observe(undefined, 1));
+    await clock.advance(1000);
+    assert.equal(candidates.filter(({ leadership }) => leadership.isLeading()).length, 1);
+    abort();
+});
+
+test("a leader whose write was refused removes its key and can be elected again", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const { signal, abort } = abortable();
+    const { leadership, events } = candidate({ service, clock, name: "a", signal });
+    leadership.observe(undefined, 1);
+    await clock.advance(1000);
+    const first = leadership.fence();
+    leadership.observe(await leaderOf(service), service.revision);
+    leadership.abandon("test");
+    await clock.advance(100);
+    assert.equal(await leaderOf(service), undefined);
+    leadership.observe(undefined, service.revision);
+    await clock.advance(1000);
+    assert.deepEqual(events, ["gained", "lost", "gained"]);
+    assert.notEqual(leadership.fence()!.modRevision, first!.modRevision);
+    abort();
+});
+
+test("an old observation does not end a newer lead", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const { signal, abort } = abortable();
+    const { leadership, events } = candidate({ service, clock, name: "a", signal });
+    leadership.observe(undefined, 1);
+    await clock.advance(1000);
+    leadership.observe(undefined, leadership.fence()!.modRevision - 1);
+    assert.deepEqual(events, ["gained"]);
+    abort();
+});
+
+function abortable() {
+    const controller = new AbortController();
+    return { signal: controller.signal, abort: () => controller.abort() };
+}
--- /dev/null
+++ b/fleet/view/test/upstreamDirectory.test.ts
@@ -0,0 +1,59 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Upstream } from "../src/upstream.js";
+import { UpstreamDirectory } from "../src/upstreamDirectory.js";
+
+const service = "s" as ServiceName;
+
+function upstream(id: string, change: Partial<Upstream> = {}): Upstream {
+    return {
+        id: id as UpstreamId,
+        service,
+        address: { host: "h", port: 1 },
+        zone: "z" as ZoneName,
+        slots: 8,
+        state: "ready",
+        startedAtMs: 1,
+        ...change,
+    };
+}
+
+function directoryOf(count: number): UpstreamDirectory {
+    const directory = new UpstreamDirectory();
+    Array.from({ length: count }, (_, index) => upstream(String(index))).forEach(one => directory.put(one));
+    return directory;
+}
+
+test("an upstream that disappears in calm gets nothing more", () => {
+    const directory = directoryOf(8);
+    assert.deepEqual(directory.remove(["0" as UpstreamId], 10_000).map(change => change.kind), ["left"]);
+    assert.equal(directory.ready(service).length, 7);
+});
+
+test("entries that lapse around an outage stay for a grace period", () => {
+    const directory = directoryOf(8);
+    directory.onRegained(10_000);
+    assert.deepEqual(directory.remove(["0" as UpstreamId], 10_500), []);
+    assert.equal(directory.ready(service).length, 8);
+    directory.put(upstream("0"));
+    assert.deepEqual(directory.expire(20_000), []);
+    directory.remove(["1" as UpstreamId], 10_600);
+    assert.equal(directory.expire(20_000).length, 1);
+});
+
+test("most upstreams of a service disappear at once only by a lapse", () => {
+    const directory = directoryOf(8);
+    const ids = directory.ids().slice(0, 5);
+    assert.deepEqual(directory.remove(ids, 10_000), []);
+    assert.equal(directory.ready(service).length, 8);
+});
+
+test("a draining upstream takes no new requests; another start of an id is news", () => {
+    const directory = directoryOf(2);
+    assert.equal(directory.put(upstream("0", { state: "draining" }))?.kind, "changed");
+    assert.equal(directory.ready(service).length, 1);
+    assert.equal(directory.put(upstream("0", { startedAtMs: 2 }))?.kind, "joined");
+});
