--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -19,6 +19,7 @@
 import { ProcessLease } from "@knapweedwood/fleet.sync/processLease";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ConfigurationInForce } from "@knapweedwood/fleet.view/configurationInForce";
+import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { UpstreamChange } from "@knapweedwood/fleet.view/upstreamChange";
@@ -120,7 +121,8 @@
             logger,
             host: settings.host,
             port: this.self().loadPort,
-            peers: () => this.peers(),
+            peers: () => this.peers().filter(member => this.actsOnLoad(member)),
+            distantPeers: () => this.peers().filter(member => !this.actsOnLoad(member)),
             createReport: () => this.createReport(),
             onReport: report => this.onReport(report),
         });
@@ -231,11 +233,16 @@
         }]);
     }
 
-    private peers() {
+    private peers(): (MemberRecord & HostPort)[] {
         return this.members
             .list(this.clock.nowMs())
             .filter(member => member.instanceName !== this.opts.settings.instanceName)
-            .map(member => ({ host: member.host, port: member.loadPort }));
+            .map(member => ({ ...member, port: member.loadPort }));
+    }
+
+    /** Gateways place requests, the leading runner places items; the other runners stand by. */
+    private actsOnLoad(member: MemberRecord): boolean {
+        return member.role === "gateway" || member.instanceName === this.leadership.leader?.instanceName;
     }
 
     private createReport(): LoadReport {
--- /dev/null
+++ b/fleet/gateway/test/gatewayBed.ts
@@ -0,0 +1,163 @@
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { FewestOnlinePlacement } from "@knapweedwood/fleet.load/fewestOnlinePlacement";
+import { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
+import { LoadBoard } from "@knapweedwood/fleet.load/loadBoard";
+import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import { WaitingRoom } from "@knapweedwood/fleet.load/waitingRoom";
+import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
+import { ConfigurationInForce } from "@knapweedwood/fleet.view/configurationInForce";
+import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { CallerProtocol } from "../src/callerProtocol.js";
+import type { GatewayContext } from "../src/gatewayContext.js";
+import { GatewayServer } from "../src/gatewayServer.js";
+import type { JobRoutes } from "../src/jobRoutes.js";
+
+const headers = {
+    requestId: "x-request-id",
+    remainingMs: "x-remaining",
+    expectedUpstream: "x-expected",
+    notRun: "x-not-run",
+    upstreamProof: "x-proof",
+    lastEventId: "last-event-id",
+    waitMs: "x-wait",
+    retryAfter: "retry-after",
+};
+
+const defaultRoute: Route = {
+    name: "r",
+    host: "host.example",
+    prefix: "/a/",
+    kind: "idempotent",
+    services: [{ service: "s" as Upstream["service"], weight: 1 }],
+    timeoutMs: 2000,
+    objectiveMs: 300,
+    maxAttempts: 1,
+    priority: 0,
+    isResumable: false,
+    maxEventGapMs: undefined,
+    jobDueMs: undefined,
+    jobRetentionMs: undefined,
+    maxWaitingTokens: undefined,
+};
+
+/** A whole answer as a caller saw it. */
+interface SeenAnswer {
+    statusCode: number;
+    headers: IncomingMessage["headers"];
+    body: string;
+    /** Whether the answer ended as HTTP wants it. */
+    isComplete: boolean;
+}
+
+/** A gateway before stand-ins of upstreams. */
+export class GatewayBed {
+    readonly connections = new UpstreamConnections();
+    readonly board = new LoadBoard();
+    isStopping = false;
+    private readonly server: GatewayServer;
+    private port = 0;
+
+    constructor(
+        opts: { upstreams: Upstream[]; route: Partial<Route>; maxBodyBytes?: number; isConfigured?: boolean; },
+    ) {
+        const clock = new SystemClock();
+        const random = new SeededRandom(1);
+        const configuration = new ConfigurationInForce();
+        if (opts.isConfigured !== false) {
+            const limits = {
+                maxHeaderBytes: 4096,
+                maxBodyBytes: opts.maxBodyBytes ?? 100_000,
+                headerTimeoutMs: 3000,
+                idleTimeoutMs: 5000,
+            };
+            configuration.adopt({ version: 1, routes: [{ ...defaultRoute, ...opts.route }], services: [], limits }, 0);
+        }
+        const { board, connections } = this;
+        const holdTimes = new HoldTimes();
+        const waitingRoom = new WaitingRoom({
+            clock,
+            random,
+            board,
+            holdTimes,
+            placement: new FewestOnlinePlacement({ board, random }),
+            usable: () => opts.upstreams,
+        });
+        const context: GatewayContext = {
+            clock,
+            random,
+            logger: silentLogger,
+            configuration,
+            connections,
+            board,
+            health: new UpstreamHealth(),
+            holdTimes,
+            waitingRoom,
+            headers,
+            onLoadChanged: () => undefined,
+            isStopping: () => this.isStopping,
+        };
+        const protocol = { headers, readinessPath: "/ready", parseJobCall: () => undefined } as Partial<CallerProtocol>;
+        this.server = new GatewayServer({
+            context,
+            protocol: protocol as CallerProtocol,
+            jobs: {} as JobRoutes,
+        });
+    }
+
+    async listen(): Promise<void> {
+        this.port = await freePort();
+        await this.server.listen({ host: "127.0.0.1", port: this.port });
+    }
+
+    open(opts: { path?: string; body?: string; headers?: { [name: string]: string; }; } = {}): ClientRequest {
+        const request = sendRequest({
+            host: "127.0.0.1",
+            port: this.port,
+            path: opts.path ?? "/a/x?q=1",
+            method: "POST",
+            headers: { "host": "host.example", "x-request-id": "id-1", "x-remaining": "1500", ...opts.headers },
+        });
+        request.on("error", () => undefined);
+        request.end(opts.body ?? "");
+        return request;
+    }
+
+    send(opts: Parameters<GatewayBed["open"]>[0] = {}): Promise<SeenAnswer> {
+        return new Promise((resolve, reject) => {
+            const request = this.open(opts);
+            request.on("error", reject);
+            request.on("response", response => {
+                const chunks: Buffer[] = [];
+                response.on("data", (chunk: Buffer) => chunks.push(chunk));
+                response.on("error", () => undefined);
+                response.on("close", () =>
+                    resolve({
+                        statusCode: response.statusCode ?? 0,
+                        headers: response.headers,
+                        body: Buffer.concat(chunks).toString("utf8"),
+                        isComplete: response.complete,
+                    }));
+            });
+        });
+    }
+
+    close(): void {
+        this.server.stopAccepting();
+        this.server.close();
+        this.connections.close();
+    }
+}
+
+async function freePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
--- a/fleet/load/src/loadExchange.ts
+++ b/fleet/load/src/loadExchange.ts
@@ -2,22 +2,26 @@
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import { Packr } from "msgpackr";
 import { createSocket, type Socket } from "node:dgram";
 import type { LoadReport } from "./loadReport.js";
+import { LoadReportCodec } from "./loadReportCodec.js";
 
 /** Shortest time between two reports, in milliseconds. */
 const MIN_INTERVAL_MS = 15;
 /** Time between reports where nothing changes, in milliseconds. */
 const HEARTBEAT_INTERVAL_MS = 300;
+/** Time between reports to processes that don't act on them, in milliseconds. */
+const DISTANT_INTERVAL_MS = 1000;
 
 interface LoadExchangeOptions {
     clock: Clock;
     logger: Logger;
     host: string;
     port: number;
-    /** The other processes. */
+    /** The processes that act on this one's load. */
     peers: () => HostPort[];
+    /** Processes that only have to know that this one lives, and how far it is. */
+    distantPeers: () => HostPort[];
     /** The report to send now. */
     createReport: () => LoadReport;
     onReport: (report: LoadReport) => void;
@@ -29,10 +33,11 @@
  */
 export class LoadExchange {
     private readonly opts: LoadExchangeOptions;
-    private readonly packr = new Packr({ useRecords: false });
+    private readonly codec = new LoadReportCodec();
     private socket: Socket | undefined;
     private timer: Timer | undefined;
     private sentAtMs = -Infinity;
+    private distantSentAtMs = -Infinity;
     private isDirty = false;
 
     constructor(opts: LoadExchangeOptions) {
@@ -78,20 +83,27 @@
         }
         this.isDirty = false;
         this.sentAtMs = this.opts.clock.nowMs();
-        const bytes = this.packr.pack(this.opts.createReport());
-        this.opts.peers().forEach(peer =>
-            socket.send(bytes, peer.port, peer.host, error => {
-                if (error !== null) {
-                    this.opts.logger.debug("load-report-unsent", { peer: peer.host, message: error.message });
-                }
-            })
-        );
+        const bytes = this.codec.encode(this.opts.createReport());
+        const isDistantDue = this.sentAtMs >= this.distantSentAtMs + DISTANT_INTERVAL_MS;
+        if (isDistantDue) {
+            this.distantSentAtMs = this.sentAtMs;
+        }
+        const peers = isDistantDue ? [...this.opts.peers(), ...this.opts.distantPeers()] : this.opts.peers();
+        peers.forEach(peer => this.sendTo(socket, bytes, peer));
         this.schedule(HEARTBEAT_INTERVAL_MS);
     }
 
+    private sendTo(socket: Socket, bytes: Buffer, peer: HostPort): void {
+        socket.send(bytes, peer.port, peer.host, error => {
+            if (error !== null) {
+                this.opts.logger.debug("load-report-unsent", { peer: peer.host, message: error.message });
+            }
+        });
+    }
+
     private onMessage(bytes: Buffer): void {
         try {
-            this.opts.onReport(this.packr.unpack(bytes) as LoadReport);
+            this.opts.onReport(this.codec.decode(bytes));
         }
         catch (error) {
             this.opts.logger.warn("load-report-unreadable", { message: (error as Error).message });
--- /dev/null
+++ b/fleet/load/test/upstreamHealth.test.ts
@@ -0,0 +1,26 @@
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { UpstreamHealth } from "../src/upstreamHealth.js";
+
+const id = "u" as UpstreamId;
+
+test("one failure is forgiven, two in a row take the upstream out for a while", () => {
+    const health = new UpstreamHealth();
+    assert.equal(health.onFailure(id, 0), false);
+    health.onSuccess(id);
+    assert.equal(health.onFailure(id, 10), false);
+    assert.equal(health.onFailure(id, 20), true);
+    assert.equal(health.isUsable(id, 100, 0), false);
+    assert.equal(health.isUsable(id, 500, 0), true);
+});
+
+test("after an ejection one request at a time shows whether it is back", () => {
+    const health = new UpstreamHealth();
+    [0, 1].forEach(nowMs => health.onFailure(id, nowMs));
+    assert.equal(health.isUsable(id, 500, 1), false);
+    health.onFailure(id, 500);
+    assert.equal(health.isUsable(id, 1000, 0), false, "a failed trial takes it out for longer");
+    health.onSuccess(id);
+    assert.equal(health.isUsable(id, 1000, 5), true);
+});
--- /dev/null
+++ b/fleet/load/test/waitingRoom.test.ts
@@ -0,0 +1,111 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FewestOnlinePlacement } from "../src/fewestOnlinePlacement.js";
+import { HoldTimes } from "../src/holdTimes.js";
+import { LoadBoard } from "../src/loadBoard.js";
+import type { WaitingCall } from "../src/waitingCall.js";
+import { WaitingRoom } from "../src/waitingRoom.js";
+import { upstreamOf } from "./upstreamOf.js";
+
+interface TestCall extends WaitingCall {
+    placedAt: Upstream | undefined;
+    refusedForMs: number | undefined;
+}
+
+function setUp(upstreams: Upstream[]) {
+    const clock = new ManualClock();
+    const random = new SeededRandom(1);
+    const board = new LoadBoard();
+    const room = new WaitingRoom({
+        clock,
+        random,
+        board,
+        holdTimes: new HoldTimes(),
+        placement: new FewestOnlinePlacement({ board, random }),
+        usable: () => upstreams,
+    });
+    const call = (change: Partial<WaitingCall> = {}): TestCall => {
+        const made: TestCall = {
+            service: "s" as ServiceName,
+            priority: 0,
+            arrivedAtMs: clock.nowMs(),
+            objectiveAtMs: clock.nowMs() + 300,
+            giveUpAtMs: clock.nowMs() + 2000,
+            isReturned: false,
+            excluded: new Set(),
+            placedAt: undefined,
+            refusedForMs: undefined,
+            onPlaced: upstream => {
+                made.placedAt = upstream;
+                board.count(upstream.id, "online", 1);
+            },
+            onRefused: retryAfterMs => {
+                made.refusedForMs = retryAfterMs;
+            },
+            ...change,
+        };
+        return made;
+    };
+    const finish = (finished: TestCall) => {
+        board.count(finished.placedAt!.id, "online", -1);
+        room.pump();
+    };
+    return { clock, board, room, call, finish };
+}
+
+function enterMany(room: WaitingRoom, calls: TestCall[]): TestCall[] {
+    calls.forEach(call => room.enter(call));
+    return calls;
+}
+
+test("a burst spreads over the upstreams and never goes beyond their slots", () => {
+    const { board, room, call } = setUp(["a", "b", "c"].map(id => upstreamOf(id)));
+    const calls = enterMany(room, Array.from({ length: 7 }, () => call()));
+    assert.equal(calls.filter(one => one.placedAt !== undefined).length, 6);
+    ["a", "b", "c"].forEach(id => assert.equal(board.online(upstreamOf(id).id), 2));
+});
+
+test("what can't be on time is refused at once, with a time after which a slot is likely free", () => {
+    const { room, call } = setUp([upstreamOf("a", 1)]);
+    const [running, late] = enterMany(room, [call(), call()]);
+    assert.notEqual(running!.placedAt, undefined);
+    assert.ok(late!.refusedForMs! >= 500, `told to return after ${late!.refusedForMs} ms`);
+});
+
+test("a request that has come back waits and goes first", () => {
+    const { room, call, finish } = setUp([upstreamOf("a", 8)]);
+    const running = enterMany(room, Array.from({ length: 8 }, () => call()));
+    const [fresh, returned] = enterMany(room, [call(), call({ isReturned: true })]);
+    assert.deepEqual([fresh!.placedAt, returned!.placedAt], [undefined, undefined]);
+    finish(running[0]!);
+    assert.deepEqual([fresh!.placedAt?.id, returned!.placedAt?.id], [undefined, "a"]);
+});
+
+test("a less urgent request never passes a more urgent one of its service", () => {
+    const { room, call, finish } = setUp([upstreamOf("a", 8)]);
+    const running = enterMany(room, Array.from({ length: 8 }, () => call()));
+    const [low, high] = enterMany(room, [call({ priority: 2, isReturned: true }), call()]);
+    finish(running[0]!);
+    assert.deepEqual([low!.placedAt?.id, high!.placedAt?.id], [undefined, "a"]);
+});
+
+test("a waiting request is refused when its caller gives up, not later", async () => {
+    const { clock, room, call } = setUp([upstreamOf("a", 1)]);
+    const [, waiting] = enterMany(room, [call(), call({ isReturned: true })]);
+    await clock.advance(1999);
+    room.pump();
+    assert.equal(waiting!.refusedForMs, undefined);
+    await clock.advance(1);
+    room.pump();
+    assert.notEqual(waiting!.refusedForMs, undefined);
+});
+
+test("an upstream that must not get the request again is left out", () => {
+    const { room, call } = setUp([upstreamOf("a"), upstreamOf("b")]);
+    const [retried] = enterMany(room, [call({ excluded: new Set([upstreamOf("a").id]) })]);
+    assert.equal(retried!.placedAt?.id, "b");
+});
