--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -59,6 +59,7 @@
     private readonly writer: AnswerWriter;
     private attempt: Attempt | undefined;
     private attempts = 0;
+    private firstPartAtMs: number | undefined;
     private mayHaveRun = false;
     private isDone = false;
 
@@ -181,6 +182,7 @@
             return;
         }
         attempt.stallTimer.cancel();
+        this.firstPartAtMs ??= this.context.clock.nowMs();
         if (!this.writer.onData(chunk)) {
             attempt.exchange.pause();
             this.response.once("drain", () => attempt.exchange.resume());
@@ -201,11 +203,12 @@
             return;
         }
         this.release(attempt);
-        this.context.health.onSuccess(attempt.upstream.id);
+        this.context.health.onSuccess(attempt.upstream.id, this.context.clock.nowMs());
         this.context.holdTimes.record(this.service, this.context.clock.nowMs() - attempt.startedAtMs);
         this.finish("call-answered", {
             upstream: attempt.upstream.id,
             statusCode: this.writer.statusCode,
+            firstPartMs: Math.round((this.firstPartAtMs ?? this.context.clock.nowMs()) - this.arrivedAtMs),
             durationMs: Math.round(this.context.clock.nowMs() - this.arrivedAtMs),
         });
         this.writer.end();
@@ -258,7 +261,8 @@
             this.onFailure(attempt, { mayHaveRun: true, isUnreachable: false, code: "UPSTREAM_SILENT" });
             return;
         }
-        const isEjected = this.context.health.onFailure(attempt.upstream.id, this.context.clock.nowMs());
+        const nowMs = this.context.clock.nowMs();
+        const isEjected = this.context.health.onSilence(attempt.upstream.id, attempt.startedAtMs, nowMs);
         this.log("upstream-silent", { upstream: attempt.upstream.id, isEjected });
     }
 
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -350,7 +350,7 @@
             this.opts.health.onFailure(run.upstream.id, nowMs);
         }
         else {
-            this.opts.health.onSuccess(run.upstream.id);
+            this.opts.health.onSuccess(run.upstream.id, nowMs);
         }
         this.settle(job, item, outcome, nowMs);
         this.pump();
--- a/fleet/load/src/upstreamHealth.ts
+++ b/fleet/load/src/upstreamHealth.ts
@@ -16,9 +16,22 @@
 /** Judges upstreams by what became of the requests that this process sent them. */
 export class UpstreamHealth {
     private readonly records = new Map<UpstreamId, HealthRecord>();
+    private readonly answeredAtMs = new Map<UpstreamId, number>();
 
-    onSuccess(id: UpstreamId): void {
+    onSuccess(id: UpstreamId, nowMs: number): void {
         this.records.delete(id);
+        this.answeredAtMs.set(id, nowMs);
+    }
+
+    /**
+     * Judges a request that has no answer yet. It counts as a failure only where the upstream has answered nothing else
+     * since the request was sent: some requests are long.
+     *
+     * @returns whether the upstream is ejected
+     */
+    onSilence(id: UpstreamId, sentAtMs: number, nowMs: number): boolean {
+        const hasAnswered = (this.answeredAtMs.get(id) ?? -Infinity) >= sentAtMs;
+        return !hasAnswered && this.onFailure(id, nowMs);
     }
 
     /** @returns whether the upstream is ejected by this failure */
@@ -37,6 +50,7 @@
 
     forget(id: UpstreamId): void {
         this.records.delete(id);
+        this.answeredAtMs.delete(id);
     }
 
     /** Whether a new request may go to the upstream, which runs `ownRequests` of this process. */
--- a/fleet/load/test/upstreamHealth.test.ts
+++ b/fleet/load/test/upstreamHealth.test.ts
@@ -8,7 +8,7 @@
 test("one failure is forgiven, two in a row take the upstream out for a while", () => {
     const health = new UpstreamHealth();
     assert.equal(health.onFailure(id, 0), false);
-    health.onSuccess(id);
+    health.onSuccess(id, 5);
     assert.equal(health.onFailure(id, 10), false);
     assert.equal(health.onFailure(id, 20), true);
     assert.equal(health.isUsable(id, 100, 0), false);
@@ -21,6 +21,14 @@
     assert.equal(health.isUsable(id, 500, 1), false);
     health.onFailure(id, 500);
     assert.equal(health.isUsable(id, 1000, 0), false, "a failed trial takes it out for longer");
-    health.onSuccess(id);
+    health.onSuccess(id, 900);
     assert.equal(health.isUsable(id, 1000, 5), true);
 });
+
+test("long requests don't take out an upstream that answers others meanwhile", () => {
+    const health = new UpstreamHealth();
+    health.onSuccess(id, 500);
+    [100, 200, 300].forEach(sentAtMs => assert.equal(health.onSilence(id, sentAtMs, 900), false));
+    assert.equal(health.isUsable(id, 1000, 5), true);
+    assert.deepEqual([600, 700].map(sentAtMs => health.onSilence(id, sentAtMs, 1500)), [false, true]);
+});
