--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -1,3 +1,4 @@
+import { sleep } from "@knapweedwood/core.clock/sleep";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
@@ -35,6 +36,7 @@
 
 const MAX_SEED = 2 ** 31;
 const HOUSEKEEPING_INTERVAL_MS = 100;
+const INFORMED_POLL_MS = 5;
 /** Links are quiet for long stretches here: a less frequent heartbeat costs less. */
 const LINK_LIMITS = { heartbeatIntervalMs: 250, idleHeartbeatIntervalMs: 2000, silentAfterMs: 700 };
 
@@ -148,6 +150,14 @@
         return this.configuration.current !== undefined && this.upstreamMirror.revision > 0;
     }
 
+    /** Resolves once the process is informed, or after `maxMs`. */
+    async whenInformed(maxMs: number): Promise<void> {
+        const giveUpAtMs = this.clock.nowMs() + maxMs;
+        while (!this.isInformed && this.clock.nowMs() < giveUpAtMs) {
+            await sleep(this.clock, INFORMED_POLL_MS);
+        }
+    }
+
     async start(): Promise<void> {
         await this.exchange.listen();
         if (this.opts.role === "runner") {
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -18,6 +18,8 @@
 /** Time left for the end of the process after its requests, in milliseconds. */
 const STOP_MARGIN_MS = 700;
 const STOP_POLL_MS = 50;
+/** How long the first requests wait for the configuration after a start, in milliseconds. */
+const MAX_START_WAIT_MS = 400;
 const WAITING_CHECK_INTERVAL_MS = 20;
 
 /** The program that takes callers' requests. */
@@ -64,6 +66,7 @@
             waitingRoom: this.waitingRoom,
             headers: protocol.headers,
             onLoadChanged: () => this.fleet.markLoadChanged(),
+            whenInformed: () => this.fleet.whenInformed(MAX_START_WAIT_MS),
             isStopping: () => this.isStopping,
         };
         const jobs = new JobRoutes({
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -23,6 +23,8 @@
     headers: CallHeaders;
     /** Tells the other processes that the load has changed. */
     onLoadChanged: () => void;
+    /** Resolves once configuration and upstreams are known, or after a short while without them. */
+    whenInformed: () => Promise<void>;
     /** Whether answers ask callers to close their connections. */
     isStopping: () => boolean;
 }
--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -95,6 +95,7 @@
         const arrivedAtMs = clock.nowMs();
         const limits = configuration.current?.limits ?? DEFAULT_LIMITS;
         const body = await readBody(request, limits.maxBodyBytes);
+        await this.context.whenInformed();
         if (configuration.current === undefined) {
             const message = "No configuration is known yet";
             sendFailure(response, { statusCode: 503, message, retryAfterMs: NO_CONFIGURATION_RETRY_MS });
--- a/fleet/gateway/test/gatewayBed.ts
+++ b/fleet/gateway/test/gatewayBed.ts
@@ -100,6 +100,7 @@
             waitingRoom,
             headers,
             onLoadChanged: () => undefined,
+            whenInformed: () => Promise.resolve(),
             isStopping: () => this.isStopping,
         };
         const protocol = { headers, readinessPath: "/ready", parseJobCall: () => undefined } as Partial<CallerProtocol>;
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -3,7 +3,6 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { ItemId } from "@knapweedwood/core.ids/itemId";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { BatchCandidate } from "./batchCandidate.js";
@@ -17,7 +16,7 @@
 import { JobTable } from "./jobTable.js";
 import type { OpenJob } from "./openJob.js";
 import { orderOfItems } from "./orderOfItems.js";
-import { progressOf } from "./progressOf.js";
+import { ProgressKeeper } from "./progressKeeper.js";
 import { releaseWaitingTokens } from "./releaseWaitingTokens.js";
 import { ResultCommitter } from "./resultCommitter.js";
 import type { ResultsPage } from "./resultsPage.js";
@@ -29,8 +28,10 @@
 const NOT_RUN_DELAY_MS = 50;
 /** Time for which a route has to be gone before its items are given up, in milliseconds. */
 const ROUTE_GONE_MS = 3000;
-/** Progress entries that one write carries; the key-value service takes 32 entries. */
-const MAX_PROGRESS_ENTRIES = 30;
+/** How often the progress of running items is stored, in milliseconds. */
+const CHECKPOINT_INTERVAL_MS = 1500;
+/** Progress below this is cheaper to make again than to store, in events. */
+const MIN_CHECKPOINT_EVENTS = 25;
 
 interface Flight {
     job: OpenJob;
@@ -45,6 +46,7 @@
     private readonly opts: JobRunnerOptions;
     private readonly table = new JobTable();
     private readonly committer: ResultCommitter;
+    private readonly progress: ProgressKeeper;
     private flights: Flight[] = [];
     private leading: AbortController | undefined;
     private mirror: PrefixMirror | undefined;
@@ -52,11 +54,13 @@
     /** Open jobs as this process knew them when it last lost the lead. */
     private earlierJobs: OpenJob[] = [];
     private pumpTimer: Timer | undefined;
+    private checkpointTimer: Timer | undefined;
     private readonly routeGoneSinceMs = new Map<JobId, number>();
 
     constructor(opts: JobRunnerOptions) {
         this.opts = opts;
         this.committer = new ResultCommitter({ ...opts, onListed: job => void this.onListed(job) });
+        this.progress = new ProgressKeeper({ service: opts.service, lead: opts.leadership });
     }
 
     /** Begins to run jobs: called when this process has gained the lead. */
@@ -71,6 +75,7 @@
         });
         void this.mirror.run(leading.signal);
         this.schedulePump();
+        this.scheduleCheckpoint();
     }
 
     /** Ends all runs: called when this process has lost the lead. */
@@ -79,6 +84,7 @@
         this.leading = undefined;
         this.isLoaded = false;
         this.pumpTimer?.cancel();
+        this.checkpointTimer?.cancel();
         this.flights.forEach(flight => this.end(flight));
         this.committer.reset();
         this.earlierJobs = this.table.clear();
@@ -87,28 +93,12 @@
     /** Stores how far the items have come, so that the next leader goes on from there. */
     async handOver(): Promise<void> {
         this.pumpTimer?.cancel();
+        this.checkpointTimer?.cancel();
         this.flights.forEach(flight => this.end(flight));
         this.isLoaded = false;
         await this.committer.flush();
-        const entries = this.table
-            .all()
-            .filter(job => !job.isEnded)
-            .flatMap(job => job.begunItems().map(item => ({ job, item })));
-        for (let start = 0; start < entries.length; start += MAX_PROGRESS_ENTRIES) {
-            const fence = this.opts.leadership.fence();
-            if (fence === undefined) {
-                return;
-            }
-            await this.opts.service.transact(
-                [fence],
-                entries.slice(start, start + MAX_PROGRESS_ENTRIES).map(({ job, item }) => ({
-                    kind: "put",
-                    key: jobKeys.progress(job.record.jobId, item.index),
-                    value: encodeRecord(progressOf(item)),
-                })),
-            );
-        }
-        this.opts.logger.info("jobs-handed-over", { items: entries.length });
+        const items = await this.progress.saveAll(this.table.all());
+        this.opts.logger.info("jobs-handed-over", { items });
     }
 
     /** Starts items where there is room and ends runs where online requests want the slots. */
@@ -233,6 +223,26 @@
         });
     }
 
+    private scheduleCheckpoint(): void {
+        this.checkpointTimer = this.opts.clock.setTimer(CHECKPOINT_INTERVAL_MS, () => {
+            this.scheduleCheckpoint();
+            void this.checkpoint();
+        });
+    }
+
+    private async checkpoint(): Promise<void> {
+        if (!this.isLoaded || !this.opts.leadership.isLeading()) {
+            return;
+        }
+        try {
+            await this.progress.saveFurthest(this.table.all(), MIN_CHECKPOINT_EVENTS);
+        }
+        catch (thrown) {
+            const error = toKnapweedError(thrown);
+            this.opts.logger.debug("progress-not-stored", { code: error.code, message: error.message });
+        }
+    }
+
     private endDisplacedRuns(): void {
         const runs = this.flights.map(flight => ({
             flight,
--- /dev/null
+++ b/fleet/jobs/test/progressKeeper.test.ts
@@ -0,0 +1,54 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
+import type { FencedLead } from "@knapweedwood/fleet.sync/fencedLead";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { jobKeys } from "../src/jobKeys.js";
+import { JobTable } from "../src/jobTable.js";
+import { OpenJob } from "../src/openJob.js";
+import { ProgressKeeper } from "../src/progressKeeper.js";
+import { jobOf } from "./jobOf.js";
+
+async function setUp() {
+    const service = new MemoryKeyValueService({ clock: new ManualClock() });
+    const { revision } = await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("a") }]);
+    const lead: FencedLead = {
+        isLeading: () => true,
+        fence: () => ({ key: "leader", modRevision: revision }),
+        abandon: () => undefined,
+    };
+    const job = new OpenJob(jobOf({ id: "j", itemCount: 3 }));
+    job.items.forEach((item, index) => {
+        item.state = "running";
+        item.lastEventId = index * 10;
+        item.events = Array.from({ length: index * 10 }, (_, event) => `e${event}`);
+    });
+    return { service, job, keeper: new ProgressKeeper({ service, lead }) };
+}
+
+test("the next leader goes on from what was stored", async () => {
+    const { service, job, keeper } = await setUp();
+    await keeper.saveFurthest([job], 5);
+    const table = new JobTable();
+    const record = { key: jobKeys.record(job.record.jobId), value: encodeRecord(job.record) };
+    table.apply([{ ...record, modRevision: 1, leaseId: undefined }]);
+    table.applyResults(await service.list(jobKeys.resultsPrefix));
+    assert.deepEqual(table.get(job.record.jobId)!.items.map(item => item.lastEventId), [0, 10, 20]);
+    assert.equal(table.get(job.record.jobId)!.items[2]!.events.at(-1), "e19");
+});
+
+test("what was stored is not stored again before it has grown", async () => {
+    const { service, job, keeper } = await setUp();
+    await keeper.saveFurthest([job], 5);
+    const writes = service.counters.writes;
+    await keeper.saveFurthest([job], 5);
+    assert.equal(service.counters.writes, writes);
+});
+
+test("a former leader stores nothing", async () => {
+    const { service, job, keeper } = await setUp();
+    await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("b") }]);
+    await keeper.saveAll([job]);
+    assert.deepEqual(await service.list(jobKeys.resultsPrefix), []);
+});
--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -67,11 +67,28 @@
         if (isCurrent && entry?.modRevision !== this.heldRevision) {
             this.lose("key-changed");
         }
+        if (entry !== undefined) {
+            this.endPredecessor(entry);
+        }
         if (entry === undefined && this.heldRevision === undefined && this.opts.isCandidate) {
             this.scheduleAttempt(this.opts.random.next() * ATTEMPT_SPREAD_MS);
         }
     }
 
+    /** A lead of an earlier start of this very process need not be waited out: its lease is ended. */
+    private endPredecessor(entry: KeyValueEntry): void {
+        const { instanceName, startedAtMs } = decodeRecord<LeaderRecord>(entry.value);
+        const { self } = this.opts;
+        const isPredecessor = instanceName === self.instanceName && startedAtMs < self.startedAtMs;
+        if (!isPredecessor || entry.leaseId === undefined) {
+            return;
+        }
+        this.opts.logger.info("predecessor-ended", { leaseId: entry.leaseId, fencingNumber: entry.modRevision });
+        this.opts.service.revokeLease(entry.leaseId).catch((thrown: unknown) => {
+            this.opts.logger.info("predecessor-not-ended", { code: toKnapweedError(thrown).code });
+        });
+    }
+
     /** Gives the lead up and takes no part any more. */
     async resign(): Promise<void> {
         this.isResigned = true;
--- a/fleet/sync/test/leadership.test.ts
+++ b/fleet/sync/test/leadership.test.ts
@@ -71,6 +71,24 @@
     abort();
 });
 
+test("a restarted leader does not wait for the lease of its earlier start", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const lease = await service.grantLease(60_000);
+    const record = { instanceName: "a", host: "h", linkPort: 1, startedAtMs: 0 };
+    const value = Buffer.from(JSON.stringify(record));
+    await service.transact([], [{ kind: "put", key: fleetKeys.jobsLeader, value, leaseId: lease }]);
+    const { signal, abort } = abortable();
+    const { leadership } = candidate({ service, clock, name: "a", signal });
+    leadership.observe(await leaderOf(service), service.revision);
+    await clock.advance(10);
+    assert.equal(await leaderOf(service), undefined);
+    leadership.observe(undefined, service.revision);
+    await clock.advance(200);
+    assert.equal(leadership.isLeading(), true);
+    abort();
+});
+
 function abortable() {
     const controller = new AbortController();
     return { signal: controller.signal, abort: () => controller.abort() };
