--- a/batch/segments/src/folderSegmentStore.ts
+++ b/batch/segments/src/folderSegmentStore.ts
@@ -27,7 +27,7 @@
 
     /** Creates the folder and removes files that an earlier instance had not finished. */
     async prepare(): Promise<void> {
-        await mkdir(this.folder, { recursive: true });
+        await this.makeFolder(this.folder);
         const names = await readdir(this.folder, { recursive: true });
         await Promise.all(
             names.filter(name => name.endsWith(PARTIAL_SUFFIX)).map(name => rm(path.join(this.folder, name))),
@@ -39,7 +39,7 @@
         const file = this.fileOf(digest);
         const partial = `${file}.${process.pid}.${this.partialCount++}${PARTIAL_SUFFIX}`;
         try {
-            await mkdir(path.dirname(file), { recursive: true });
+            await this.makeFolder(path.dirname(file));
             await writeSynced(partial, bytes);
             await rename(partial, file);
             await syncFolder(path.dirname(file));
@@ -79,8 +79,7 @@
 
     /** Removes segments that are not in `referenced` and were written before `beforeMs`. @returns how many */
     async removeUnreferenced(referenced: ReadonlySet<SegmentDigest>, beforeMs: number): Promise<number> {
-        const names = await readdir(this.folder, { recursive: true });
-        const digests = names.map(name => path.basename(name)).filter(name => DIGEST.test(name)) as SegmentDigest[];
+        const digests = await this.list();
         let removedCount = 0;
         for (const digest of digests.filter(candidate => !referenced.has(candidate))) {
             const found = await stat(this.fileOf(digest)).catch(() => undefined);
@@ -92,6 +91,20 @@
         return removedCount;
     }
 
+    /** Digests of all segments in the folder, shape [segments]. */
+    async list(): Promise<SegmentDigest[]> {
+        const names = await readdir(this.folder, { recursive: true });
+        return names.map(name => path.basename(name)).filter(name => DIGEST.test(name)) as SegmentDigest[];
+    }
+
+    /** A new folder lasts only once its parent is synced. */
+    private async makeFolder(folder: string): Promise<void> {
+        const firstMade = await mkdir(folder, { recursive: true });
+        for (let made = folder; firstMade !== undefined && made.length >= firstMade.length; made = path.dirname(made)) {
+            await syncFolder(path.dirname(made));
+        }
+    }
+
     private fileOf(digest: SegmentDigest): string {
         if (!DIGEST.test(digest)) {
             throw new KnapweedError("SEGMENT_DIGEST_INVALID", "Not a segment digest", { statusCode: 400 });
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -30,6 +30,7 @@
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
 import { decodeConfiguration } from "@knapweedwood/platform.adapter/decodeConfiguration";
 import { decodeUpstream } from "@knapweedwood/platform.adapter/decodeUpstream";
+import { emptyingRequestOf } from "@knapweedwood/platform.adapter/emptyingRequestOf";
 import { PlatformKeyValueService } from "@knapweedwood/platform.adapter/platformKeyValueService";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import { randomInt } from "node:crypto";
@@ -37,6 +38,8 @@
 const MAX_SEED = 2 ** 31;
 const HOUSEKEEPING_INTERVAL_MS = 100;
 const INFORMED_POLL_MS = 5;
+/** Time after an outage in which held jobs are written, in milliseconds. */
+const SETTLE_MS = 4000;
 /** Links are quiet for long stretches here: a less frequent heartbeat costs less. */
 const LINK_LIMITS = { heartbeatIntervalMs: 250, idleHeartbeatIntervalMs: 2000, silentAfterMs: 700 };
 
@@ -51,6 +54,8 @@
     onConfiguration(): void;
     /** Called with the revision up to which another process has written jobs. */
     onJobsWritten(revision: number): void;
+    /** Called when the operators want this instance emptied, perhaps more than once. */
+    onEmptyingRequested(): void;
     /** Called when this process gains or loses the run of batch jobs; only where it is a runner. */
     onLead(isLeading: boolean): void;
 }
@@ -101,9 +106,9 @@
         });
         this.configurationMirror = new PrefixMirror({
             ...tools,
-            prefix: wireKeys.configuration,
-            onSnapshot: entries => entries.forEach(entry => this.onConfigurationEntry(entry)),
-            onChange: batch => batch.puts.forEach(entry => this.onConfigurationEntry(entry)),
+            prefix: wireKeys.operators,
+            onSnapshot: entries => entries.forEach(entry => this.onOperatorsEntry(entry)),
+            onChange: batch => batch.puts.forEach(entry => this.onOperatorsEntry(entry)),
         });
         this.upstreamMirror = new PrefixMirror({
             ...tools,
@@ -169,6 +174,19 @@
         this.housekeep();
     }
 
+    /** Whether jobs that were held during an outage of the key-value service have been written by now. */
+    get isSettled(): boolean {
+        return this.clock.nowMs() > this.fleetMirror.inTouchSinceMs + SETTLE_MS;
+    }
+
+    /** Where runners accept links, shape [runners]. */
+    runners(): HostPort[] {
+        return this.members
+            .list(this.clock.nowMs())
+            .filter(member => member.role === "runner")
+            .map(({ host, linkPort }) => ({ host, port: linkPort }));
+    }
+
     /** Tells the others that the load of this process has changed. */
     markLoadChanged(): void {
         this.exchange.markChanged();
@@ -280,10 +298,16 @@
         this.opts.onLoadChanged();
     }
 
-    private onConfigurationEntry(entry: KeyValueEntry): void {
-        if (entry.key !== wireKeys.configuration) {
-            return;
+    private onOperatorsEntry(entry: KeyValueEntry): void {
+        if (entry.key === wireKeys.configuration) {
+            this.onConfigurationEntry(entry);
+        }
+        if (emptyingRequestOf(entry.key) === this.opts.settings.instanceName) {
+            this.opts.onEmptyingRequested();
         }
+    }
+
+    private onConfigurationEntry(entry: KeyValueEntry): void {
         try {
             const configuration = decodeConfiguration(entry.value);
             this.configurationRevision = Math.max(this.configurationRevision, entry.modRevision);
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -11,6 +11,7 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
 import { FleetProcess } from "./fleetProcess.js";
+import { LinkJobHolder } from "./linkJobHolder.js";
 import { LinkJobReader } from "./linkJobReader.js";
 
 /** Time in which the balancer notices that a process isn't ready any more, in milliseconds. */
@@ -42,6 +43,7 @@
             waiting: () => this.waitingRoom.waiting(),
             onConfiguration: () => this.server.applyLimits(this.fleet.configuration.current!.limits),
             onJobsWritten: () => undefined,
+            onEmptyingRequested: () => undefined,
             onLead: () => undefined,
         });
         const { clock, random, board, configuration, connections, health } = this.fleet;
@@ -72,7 +74,18 @@
         const jobs = new JobRoutes({
             logger,
             protocol,
-            acceptor: new JobAcceptor({ service: this.fleet.store, clock, logger }),
+            acceptor: new JobAcceptor({
+                service: this.fleet.store,
+                clock,
+                logger,
+                holder: new LinkJobHolder({
+                    endpoint: this.fleet.links,
+                    logger,
+                    runners: () => this.fleet.runners(),
+                    copies: settings.tolerableLosses + 1,
+                }),
+                isSettled: () => this.fleet.isSettled,
+            }),
             reader: new LinkJobReader({
                 endpoint: this.fleet.links,
                 leader: () => this.fleet.leadership.leader,
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -1,17 +1,36 @@
+import { FolderSegmentStore } from "@knapweedwood/batch.segments/folderSegmentStore";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { HeldJobs } from "@knapweedwood/fleet.jobs/heldJobs";
+import { holdJobCall } from "@knapweedwood/fleet.jobs/holdJobCall";
 import { itemBodyCall } from "@knapweedwood/fleet.jobs/itemBodyCall";
 import { JobRunner } from "@knapweedwood/fleet.jobs/jobRunner";
 import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { emptyingProgressOperation } from "@knapweedwood/platform.adapter/emptyingProgressOperation";
 import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
 import { FleetProcess } from "./fleetProcess.js";
 
-/** The program that runs batch jobs, on one instance at a time; the others stand by. */
+const EMPTYING_RETRY_MS = 200;
+
+/** The program that runs batch jobs, on one instance at a time; the others stand by and hold jobs during outages. */
 export class RunnerProgram {
+    private readonly settings: ProcessSettings;
+    private readonly logger: Logger;
     private readonly fleet: FleetProcess;
     private readonly runner: JobRunner;
+    private readonly held: HeldJobs;
+    private readonly closing = new AbortController();
+    private isEmptying = false;
 
     constructor(settings: ProcessSettings, logger: Logger) {
+        this.settings = settings;
+        this.logger = logger;
+        if (settings.dataFolder === undefined) {
+            throw new KnapweedError("SETTINGS_INVALID", "A runner needs a data folder");
+        }
         this.fleet = new FleetProcess({
             settings,
             role: "runner",
@@ -20,38 +39,102 @@
             waiting: () => [],
             onConfiguration: () => this.runner.pump(),
             onJobsWritten: revision => this.runner.catchUp(revision),
+            onEmptyingRequested: () => void this.empty(),
             onLead: isLeading => isLeading ? this.runner.begin() : this.runner.stop(),
         });
+        this.held = new HeldJobs({
+            ...this.fleetTools(),
+            logger,
+            segments: new FolderSegmentStore({ dataFolder: settings.dataFolder }),
+            onHeld: job => this.runner.onHeld(job),
+        });
         this.runner = new JobRunner({
             ...this.fleetTools(),
             logger,
             headers: wireHeaders,
             resultRetentionMs: settings.resultRetentionMs,
             onLoadChanged: () => this.fleet.markLoadChanged(),
+            heldJobs: () => this.held.all(),
         });
-        const { runner } = this;
-        this.fleet.links.handle(resultsCall, async function*(request, context) {
-            const page = await runner.results({ ...request, signal: context.signal });
-            yield page === undefined ? {} : { page };
-        });
-        this.fleet.links.handle(itemBodyCall, async function*(request) {
-            const body = await runner.itemBody(request.jobId, request.itemId);
-            yield body === undefined ? {} : { body };
-        });
+        this.handleCalls();
     }
 
     async start(): Promise<void> {
         await this.fleet.start();
+        this.held.run(this.closing.signal).catch((thrown: unknown) => {
+            const error = toKnapweedError(thrown);
+            this.logger.error("held-jobs-failed", { code: error.code, message: error.message });
+        });
     }
 
     /** Hands the jobs over and ends. */
     async stop(): Promise<void> {
-        await this.runner.handOver();
-        await this.fleet.leadership.resign();
+        await this.handOver();
+        this.closing.abort();
         await this.fleet.links.close(0);
         await this.fleet.stop();
     }
 
+    private async handOver(): Promise<void> {
+        await this.runner.handOver();
+        await this.fleet.leadership.resign();
+    }
+
+    /** Leaves nothing on this instance that is not stored elsewhere, and tells the operators. */
+    private async empty(): Promise<void> {
+        if (this.isEmptying) {
+            return;
+        }
+        this.isEmptying = true;
+        this.logger.info("emptying-requested");
+        await this.until(() => this.reportEmptying(false));
+        await this.until(() => this.handOver());
+        while (this.held.count > 0) {
+            await sleep(this.fleet.clock, EMPTYING_RETRY_MS);
+        }
+        await this.until(() => this.reportEmptying(true));
+        this.logger.info("emptied");
+    }
+
+    private async reportEmptying(isEmpty: boolean): Promise<void> {
+        await this.fleet.store.transact([], [emptyingProgressOperation(this.settings.instanceName, isEmpty)]);
+    }
+
+    /** Repeats a step until it succeeds. */
+    private async until(step: () => Promise<void>): Promise<void> {
+        for (let isDone = false; !isDone;) {
+            try {
+                await step();
+                isDone = true;
+            }
+            catch (thrown) {
+                const error = toKnapweedError(thrown);
+                this.logger.info("emptying-step-failed", { code: error.code, message: error.message });
+                await sleep(this.fleet.clock, EMPTYING_RETRY_MS);
+            }
+        }
+    }
+
+    private handleCalls(): void {
+        const { runner, held } = this;
+        this.fleet.links.handle(resultsCall, async function*(request, context) {
+            const page = await runner.results({ ...request, signal: context.signal });
+            yield page === undefined ? {} : { page };
+        });
+        this.fleet.links.handle(itemBodyCall, async function*(request) {
+            const body = await runner.itemBody(request.jobId, request.itemId);
+            yield body === undefined ? {} : { body };
+        });
+        const isEmptying = () => this.isEmptying;
+        this.fleet.links.handle(holdJobCall, async function*(job) {
+            const isHeld = !isEmptying();
+            if (isHeld) {
+                await held.hold(job);
+            }
+            yield { isHeld };
+        });
+    }
+
     private fleetTools() {
         const { store: service, clock, random, leadership, configuration, directory, connections, board, health } =
             this.fleet;
--- /dev/null
+++ b/fleet/jobs/src/heldJobs.ts
@@ -0,0 +1,119 @@
+import type { FolderSegmentStore } from "@knapweedwood/batch.segments/folderSegmentStore";
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
+import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
+import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { Packr } from "msgpackr";
+import type { HeldJob } from "./heldJob.js";
+import { jobKeys } from "./jobKeys.js";
+import { jobWriteOf } from "./jobWriteOf.js";
+
+/** Pause between attempts to write held jobs to the key-value service, in milliseconds. */
+const WRITE_INTERVAL_MS = 250;
+
+interface HeldJobsOptions {
+    segments: FolderSegmentStore;
+    service: KeyValueService;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    /** Called with each job that is held, so that it can run before it is written. */
+    onHeld: (job: HeldJob) => void;
+}
+
+/** The jobs on this instance's disk that have yet to be written to the key-value service. */
+export class HeldJobs {
+    private readonly opts: HeldJobsOptions;
+    private readonly packr = new Packr({ useRecords: false });
+    private readonly jobs = new Map<SegmentDigest, HeldJob>();
+    private holding = 0;
+
+    constructor(opts: HeldJobsOptions) {
+        this.opts = opts;
+    }
+
+    /** Jobs that are held, those that are being written to disk among them. */
+    get count(): number {
+        return this.jobs.size + this.holding;
+    }
+
+    all(): HeldJob[] {
+        return [...this.jobs.values()];
+    }
+
+    /** Reads what an earlier start of the process held, then writes held jobs until `signal` is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        await this.load();
+        while (!signal.aborted) {
+            await sleep(this.opts.clock, WRITE_INTERVAL_MS * (1 + this.opts.random.next()), signal);
+            await this.writeAll();
+        }
+    }
+
+    /** Resolves once the job is synced to disk. Throws `SEGMENT_NOT_KEPT`. */
+    async hold(job: HeldJob): Promise<void> {
+        this.holding += 1;
+        try {
+            const digest = await this.opts.segments.put(this.packr.pack(job));
+            this.jobs.set(digest, job);
+        }
+        finally {
+            this.holding -= 1;
+        }
+        this.opts.logger.info("job-held", { jobId: job.record.jobId });
+        this.opts.onHeld(job);
+    }
+
+    private async load(): Promise<void> {
+        await this.opts.segments.prepare();
+        for (const digest of await this.opts.segments.list()) {
+            try {
+                const job = this.packr.unpack(await this.opts.segments.get(digest)) as HeldJob;
+                this.jobs.set(digest, job);
+                this.opts.onHeld(job);
+            }
+            catch (thrown) {
+                this.opts.logger.warn("held-job-unreadable", { digest, code: toKnapweedError(thrown).code });
+            }
+        }
+    }
+
+    private async writeAll(): Promise<void> {
+        for (const [digest, job] of this.jobs) {
+            try {
+                await this.write(job);
+                await this.opts.segments.remove(digest);
+                this.jobs.delete(digest);
+                this.opts.logger.info("held-job-written", { jobId: job.record.jobId });
+            }
+            catch (thrown) {
+                const error = toKnapweedError(thrown);
+                this.opts.logger.debug("held-job-kept", { jobId: job.record.jobId, code: error.code });
+                return;
+            }
+        }
+    }
+
+    /** Writes the job unless it is stored already. Throws where that isn't certain. */
+    private async write(job: HeldJob): Promise<void> {
+        const { service, clock } = this.opts;
+        const key = jobKeys.record(job.record.jobId);
+        if (await service.get(key) !== undefined) {
+            return;
+        }
+        const settled = await settleTransaction({
+            service,
+            clock,
+            compares: [{ key, modRevision: 0 }],
+            operations: jobWriteOf(job),
+            witnessKey: key,
+        });
+        if (settled.kind !== "succeeded" && await service.get(key) === undefined) {
+            throw toKnapweedError(new Error("the write is not settled"));
+        }
+    }
+}
--- /dev/null
+++ b/fleet/jobs/src/holdJobCall.ts
@@ -0,0 +1,5 @@
+import { defineCall } from "@knapweedwood/links.calls/defineCall";
+import type { HeldJob } from "./heldJob.js";
+
+/** Keeps a job on a runner's disk until it can be written to the key-value service; answers once it is synced. */
+export const holdJobCall = defineCall<HeldJob, { isHeld: boolean; }>("jobs.hold");
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -1,4 +1,6 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
@@ -12,30 +14,47 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { randomUUID } from "node:crypto";
 import type { Acceptance } from "./acceptance.js";
+import type { JobHolder } from "./jobHolder.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobRecord } from "./jobRecord.js";
 import type { JobSubmission } from "./jobSubmission.js";
+import { jobWriteOf } from "./jobWriteOf.js";
+import { PART_BYTES } from "./partBytes.js";
 import type { WaitingTokens } from "./waitingTokens.js";
 
-/** Size of a part of a job's bodies; the key-value service takes values of up to 1 MiB. */
-const PART_BYTES = 700_000;
 const MAX_CONFLICTS = 6;
 const DEFAULT_DUE_MS = 60_000;
 const DEFAULT_RETENTION_MS = 600_000;
 const RETRY_AFTER_MS = 700;
+/** Time that a write may take before the job is kept on disks as well, in milliseconds. */
+const HOLD_AFTER_MS = 200;
 
 /** Accepts and cancels jobs: each is one conditional write, so that a job sent to many instances is kept once. */
 export class JobAcceptor {
     private readonly service: KeyValueService;
     private readonly clock: Clock;
     private readonly logger: Logger;
+    private readonly holder: JobHolder;
+    private readonly isSettled: () => boolean;
     private readonly limits = new Map<string, KeyValueEntry>();
     private readonly acceptedIds = new Set<JobId>();
 
-    constructor(opts: { service: KeyValueService; clock: Clock; logger: Logger; }) {
+    /**
+     * @param opts.holder keeps jobs while the service is away
+     * @param opts.isSettled whether jobs that were held during an outage have been written by now
+     */
+    constructor(opts: {
+        service: KeyValueService;
+        clock: Clock;
+        logger: Logger;
+        holder: JobHolder;
+        isSettled: () => boolean;
+    }) {
         this.service = opts.service;
         this.clock = opts.clock;
         this.logger = opts.logger;
+        this.holder = opts.holder;
+        this.isSettled = opts.isSettled;
     }
 
     async accept(route: Route, submission: JobSubmission): Promise<Acceptance> {
@@ -43,7 +62,7 @@
         if (this.acceptedIds.has(jobId)) {
             return { kind: "accepted", revision: 0 };
         }
-        const acceptance = await this.tryAccept(route, submission);
+        const acceptance = await this.writeOrHold(route, submission);
         if (acceptance.kind === "accepted") {
             this.acceptedIds.add(jobId);
         }
@@ -54,6 +73,9 @@
     /** @returns whether the job exists; throws where that isn't known */
     async cancel(jobId: JobId): Promise<boolean> {
         const record = await this.service.get(jobKeys.record(jobId));
+        if (record === undefined && !this.isSettled()) {
+            throw new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet");
+        }
         if (record === undefined) {
             return false;
         }
@@ -68,6 +90,25 @@
         return true;
     }
 
+    /** Writes the job; where that takes long or fails, keeps it on disks until it can be written. */
+    private async writeOrHold(route: Route, submission: JobSubmission): Promise<Acceptance> {
+        const writing = this.tryAccept(route, submission);
+        const written = await Promise.race([writing, sleep(this.clock, HOLD_AFTER_MS)]);
+        if (written !== undefined && isFinal(written)) {
+            return written;
+        }
+        const held = await this.holder.hold({
+            record: this.toRecord(route, submission),
+            bodies: bodiesOf(submission),
+        });
+        if (held === "held") {
+            return { kind: "accepted", revision: 0 };
+        }
+        const late = await writing;
+        // A copy on one disk may be written later on.
+        return held === "unknown" && late.kind === "refused" ? { kind: "unknown" } : late;
+    }
+
     private async tryAccept(route: Route, submission: JobSubmission): Promise<Acceptance> {
         try {
             for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts += 1) {
@@ -122,7 +163,7 @@
     ): { compares: KeyValueCompare[]; operations: KeyValueOperation[]; } | undefined {
         const record = this.toRecord(route, submission);
         const compares = [{ key: jobKeys.record(record.jobId), modRevision: 0 }];
-        const operations = operationsOf(record, Buffer.concat(submission.items.map(item => item.body)));
+        const operations = jobWriteOf({ record, bodies: bodiesOf(submission) });
         if (route.maxWaitingTokens === undefined) {
             return { compares, operations };
         }
@@ -188,11 +229,10 @@
     }
 }
 
-function operationsOf(record: JobRecord, bodies: Buffer): KeyValueOperation[] {
-    const parts = Array.from({ length: record.partCount }, (_, index) => ({
-        kind: "put" as const,
-        key: jobKeys.part(record.jobId, index),
-        value: bodies.subarray(index * PART_BYTES, (index + 1) * PART_BYTES),
-    }));
-    return [{ kind: "put", key: jobKeys.record(record.jobId), value: encodeRecord(record) }, ...parts];
+function isFinal(acceptance: Acceptance): boolean {
+    return acceptance.kind === "accepted" || (acceptance.kind === "refused" && acceptance.reason === "over-limit");
+}
+
+function bodiesOf(submission: JobSubmission): Buffer {
+    return Buffer.concat(submission.items.map(item => item.body));
 }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -8,6 +8,7 @@
 import type { BatchCandidate } from "./batchCandidate.js";
 import { chooseBatchUpstream } from "./chooseBatchUpstream.js";
 import { chooseRunsToEnd } from "./chooseRunsToEnd.js";
+import type { HeldJob } from "./heldJob.js";
 import { ItemRun } from "./itemRun.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
 import type { JobItem } from "./jobItem.js";
@@ -25,6 +26,8 @@
 const PUMP_INTERVAL_MS = 50;
 /** Pause before an item that failed runs again, in milliseconds. */
 const RETRY_DELAY_MS = 300;
+/** Time after an outage in which jobs that were held on disks are written, in milliseconds. */
+const HELD_JOBS_SETTLE_MS = 4000;
 const NOT_RUN_DELAY_MS = 50;
 /** Time for which a route has to be gone before its items are given up, in milliseconds. */
 const ROUTE_GONE_MS = 3000;
@@ -115,6 +118,14 @@
         this.mirror?.catchUp(revision);
     }
 
+    /** Runs a job that is held on disk and can't be stored yet. */
+    onHeld(job: HeldJob): void {
+        if (this.leading !== undefined) {
+            this.table.applyHeld(job);
+            this.pump();
+        }
+    }
+
     /**
      * Reads results, waiting up to `waitMs` for the first. @returns undefined where there certainly is no such job
      *
@@ -150,6 +161,7 @@
         // The watch may lag behind an acceptance.
         const record = await this.opts.service.get(jobKeys.record(jobId));
         if (record === undefined) {
+            this.assertSettled();
             return undefined;
         }
         const { entries } = await this.opts.service.snapshot(jobKeys.jobPrefix(jobId));
@@ -158,6 +170,16 @@
         return this.table.get(jobId);
     }
 
+    /** After an outage jobs that were held on disks are written within moments. */
+    private assertSettled(): void {
+        const inTouchSinceMs = this.mirror?.inTouchSinceMs ?? Infinity;
+        if (this.opts.clock.nowMs() < inTouchSinceMs + HELD_JOBS_SETTLE_MS) {
+            throw new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet", {
+                outcome: "not-run",
+            });
+        }
+    }
+
     private assertLeading(): void {
         if (!this.isLoaded || !this.opts.leadership.isLeading()) {
             throw new KnapweedError("JOBS_NOT_LED", "This process does not run jobs now", { outcome: "not-run" });
@@ -187,6 +209,7 @@
                     return;
                 }
                 this.table.applyResults(results.entries);
+                this.opts.heldJobs().forEach(job => this.table.applyHeld(job));
                 this.table.restoreFrom(this.earlierJobs);
                 this.earlierJobs = [];
                 this.finishComplete();
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationInForce } from "@knapweedwood/fleet.view/configurationInForce";
 import type { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { HeldJob } from "./heldJob.js";
 import type { ItemRunHeaders } from "./itemRunHeaders.js";
 
 /** What a {@link JobRunner} works with. */
@@ -26,4 +27,6 @@
     /** How long an ended job stays readable. */
     resultRetentionMs: number;
     onLoadChanged: () => void;
+    /** Jobs on this instance's disk that are not stored yet. */
+    heldJobs: () => HeldJob[];
 }
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -1,17 +1,20 @@
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import { decodeRecord } from "@knapweedwood/fleet.sync/decodeRecord";
+import type { HeldJob } from "./heldJob.js";
 import type { ItemProgress } from "./itemProgress.js";
 import type { ItemResult } from "./itemResult.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobRecord } from "./jobRecord.js";
 import { OpenJob } from "./openJob.js";
+import { PART_BYTES } from "./partBytes.js";
 
 /** The jobs that the key-value service holds, put together from their entries. */
 export class JobTable {
     private readonly jobs = new Map<JobId, OpenJob>();
     /** Entries whose job has not arrived yet. */
     private waiting: KeyValueEntry[] = [];
+    private waitingResults: KeyValueEntry[] = [];
 
     all(): OpenJob[] {
         return [...this.jobs.values()];
@@ -26,6 +29,7 @@
         const open = this.all().filter(job => !job.isEnded);
         this.jobs.clear();
         this.waiting = [];
+        this.waitingResults = [];
         return open;
     }
 
@@ -49,6 +53,7 @@
                 this.jobs.set(jobId, new OpenJob(decodeRecord<JobRecord>(entry.value)));
             }
         });
+        this.retryWaitingResults();
         this.waiting = keyed.filter(({ jobId }) => !this.jobs.has(jobId)).map(({ entry }) => entry);
         return keyed.flatMap(({ entry, jobId, part }) => {
             const job = this.jobs.get(jobId);
@@ -71,14 +76,33 @@
         entries.forEach(entry => {
             const [jobId, kind, number] = entry.key.slice(jobKeys.resultsPrefix.length).split("/");
             const job = this.jobs.get(jobId as JobId);
-            if (kind === "at") {
-                job?.list(Number(number), decodeRecord<ItemResult>(entry.value));
+            if (job === undefined) {
+                this.waitingResults.push(entry);
+            }
+            else if (kind === "at") {
+                job.list(Number(number), decodeRecord<ItemResult>(entry.value));
             }
             else {
-                job?.restoreProgress(Number(number), decodeRecord<ItemProgress>(entry.value));
+                job.restoreProgress(Number(number), decodeRecord<ItemProgress>(entry.value));
             }
         });
     }
+
+    /** Takes in a job that is held on disk and may not be stored yet. */
+    applyHeld({ record, bodies }: HeldJob): void {
+        if (this.jobs.has(record.jobId)) {
+            return;
+        }
+        const job = new OpenJob(record);
+        Array.from({ length: record.partCount }, (_, index) => index)
+            .forEach(index => job.setPart(index, bodies.subarray(index * PART_BYTES, (index + 1) * PART_BYTES)));
+        this.jobs.set(record.jobId, job);
+        this.retryWaitingResults();
+    }
+
+    private retryWaitingResults(): void {
+        this.applyResults(this.waitingResults.splice(0));
+    }
 }
 
 function parseKey(key: string): { jobId: JobId; part: string; } {
--- /dev/null
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -0,0 +1,88 @@
+import { FolderSegmentStore } from "@knapweedwood/batch.segments/folderSegmentStore";
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { test } from "node:test";
+import type { HeldJob } from "../src/heldJob.js";
+import { HeldJobs } from "../src/heldJobs.js";
+import { jobKeys } from "../src/jobKeys.js";
+import { jobOf } from "./jobOf.js";
+
+const job: HeldJob = { record: { ...jobOf({ id: "j", itemCount: 1 }), partCount: 1 }, bodies: Buffer.from("body") };
+
+async function withFolder(action: (folder: string) => Promise<void>): Promise<void> {
+    const folder = await mkdtemp(path.join(tmpdir(), "held-"));
+    try {
+        await action(folder);
+    }
+    finally {
+        await rm(folder, { recursive: true });
+    }
+}
+
+function start(opts: { folder: string; service: MemoryKeyValueService; clock: ManualClock; signal: AbortSignal; }) {
+    const seen: HeldJob[] = [];
+    const held = new HeldJobs({
+        segments: new FolderSegmentStore({ dataFolder: opts.folder }),
+        service: opts.service,
+        clock: opts.clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        onHeld: one => seen.push(one),
+    });
+    void held.run(opts.signal);
+    return { held, seen };
+}
+
+/** Lets work on real files end between steps of the manual clock. */
+async function settle(clock: ManualClock): Promise<void> {
+    for (let step = 0; step < 20; step += 1) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+        await clock.advance(200);
+    }
+}
+
+test("a job held during an outage is written when the service is back, also by a later start", async () => {
+    await withFolder(async folder => {
+        const clock = new ManualClock();
+        const service = new MemoryKeyValueService({ clock });
+        service.faults.outage = true;
+        const first = new AbortController();
+        const { held } = start({ folder, service, clock, signal: first.signal });
+        await settle(clock);
+        await held.hold(job);
+        first.abort();
+
+        const second = new AbortController();
+        const restarted = start({ folder, service, clock, signal: second.signal });
+        await settle(clock);
+        assert.deepEqual(restarted.seen.map(one => one.record.jobId), ["j"]);
+        service.faults.outage = false;
+        await settle(clock);
+        assert.notEqual(await service.get(jobKeys.record(job.record.jobId)), undefined);
+        assert.equal(Buffer.from((await service.get(jobKeys.part(job.record.jobId, 0)))!.value).toString(), "body");
+        assert.equal(restarted.held.count, 0);
+        second.abort();
+    });
+});
+
+test("a job that is stored already is not written again", async () => {
+    await withFolder(async folder => {
+        const clock = new ManualClock();
+        const service = new MemoryKeyValueService({ clock });
+        await service.transact([], [{ kind: "put", key: jobKeys.record(job.record.jobId), value: Buffer.from("{}") }]);
+        const controller = new AbortController();
+        const { held } = start({ folder, service, clock, signal: controller.signal });
+        await settle(clock);
+        await held.hold(job);
+        await settle(clock);
+        assert.equal(held.count, 0);
+        assert.equal(Buffer.from((await service.get(jobKeys.record(job.record.jobId)))!.value).toString(), "{}");
+        controller.abort();
+    });
+});
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -15,6 +15,7 @@
     private currentRevision = 0;
     private rereadController = new AbortController();
     private failures = 0;
+    private regainedAtMs = Infinity;
     private catchUpTimer: Timer | undefined;
 
     constructor(opts: PrefixMirrorOptions) {
@@ -26,8 +27,9 @@
         return this.currentRevision;
     }
 
-    get isInTouch(): boolean {
-        return this.failures === 0 && this.currentRevision > 0;
+    /** Since when the service has answered without a failure; infinity while it doesn't. */
+    get inTouchSinceMs(): number {
+        return this.failures === 0 ? this.regainedAtMs : Infinity;
     }
 
     /** Lists the prefix again if the watch does not bring `revision` soon. */
@@ -91,8 +93,10 @@
 
     private onAnswer(): void {
         if (this.failures === 0) {
+            this.regainedAtMs = Math.min(this.regainedAtMs, this.opts.clock.nowMs());
             return;
         }
+        this.regainedAtMs = this.opts.clock.nowMs();
         this.opts.logger.info("key-value-regained", { prefix: this.opts.prefix, failures: this.failures });
         this.failures = 0;
         this.opts.onRegained?.();
--- a/fleet/view/src/processSettings.ts
+++ b/fleet/view/src/processSettings.ts
@@ -22,6 +22,10 @@
     minLeaseMs: number;
     /** Time within which a new configuration has to be in force everywhere. */
     configurationMs: number;
+    /** Folder for data on this instance's disk; undefined where it has none. */
+    dataFolder: string | undefined;
+    /** Instances with disks that may be lost at the same time. */
+    tolerableLosses: number;
     /** Time that a process has between SIGTERM and SIGKILL. */
     stopGraceMs: number;
     /** How long the results of an ended job stay readable. */
