--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -179,6 +179,13 @@
         return this.clock.nowMs() > this.fleetMirror.inTouchSinceMs + SETTLE_MS;
     }
 
+    /** Where the process that runs jobs accepts links; undefined where none is known. */
+    leadingRunner(): HostPort | undefined {
+        const leader = this.leadership.leader;
+        const member = this.members.list(this.clock.nowMs()).find(one => one.instanceName === leader?.instanceName);
+        return member === undefined ? undefined : { host: member.host, port: member.linkPort };
+    }
+
     /** Where runners accept links, shape [runners]. */
     runners(): HostPort[] {
         return this.members
@@ -283,6 +290,7 @@
             waiting: this.opts.waiting(),
             configurationRevision: this.configurationRevision,
             jobsRevision: this.jobsRevision,
+            leader: this.leadership.leader,
         };
     }
 
@@ -291,6 +299,9 @@
         if (!this.board.receive(report, nowMs)) {
             return;
         }
+        if (report.leader !== undefined) {
+            this.leadership.learn(report.leader);
+        }
         if (report.jobsRevision > 0) {
             this.opts.onJobsWritten(report.jobsRevision);
         }
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -88,7 +88,7 @@
             }),
             reader: new LinkJobReader({
                 endpoint: this.fleet.links,
-                leader: () => this.fleet.leadership.leader,
+                leader: () => this.fleet.leadingRunner(),
             }),
             onAccepted: revision => this.fleet.markJobsWritten(revision),
         });
--- a/daemons/fleet/src/linkJobReader.ts
+++ b/daemons/fleet/src/linkJobReader.ts
@@ -5,7 +5,7 @@
 import { itemBodyCall } from "@knapweedwood/fleet.jobs/itemBodyCall";
 import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
 import type { ResultsPage } from "@knapweedwood/fleet.jobs/resultsPage";
-import type { LeaderRecord } from "@knapweedwood/fleet.sync/leaderRecord";
+import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { Link } from "@knapweedwood/links.calls/link";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
@@ -18,9 +18,9 @@
 /** Reads jobs from the process that runs them, over a link. */
 export class LinkJobReader implements JobReader {
     private readonly endpoint: LinkEndpoint;
-    private readonly leader: () => LeaderRecord | undefined;
+    private readonly leader: () => HostPort | undefined;
 
-    constructor(opts: { endpoint: LinkEndpoint; leader: () => LeaderRecord | undefined; }) {
+    constructor(opts: { endpoint: LinkEndpoint; leader: () => HostPort | undefined; }) {
         this.endpoint = opts.endpoint;
         this.leader = opts.leader;
     }
@@ -42,6 +42,6 @@
         if (leader === undefined) {
             throw new KnapweedError("JOBS_NOT_LED", "No process runs jobs now", { outcome: "not-run" });
         }
-        return this.endpoint.connect(`${leader.host}:${leader.linkPort}`);
+        return this.endpoint.connect(`${leader.host}:${leader.port}`);
     }
 }
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -165,6 +165,9 @@
         const { headers } = this.context;
         if (head.header(headers.notRun) !== undefined || head.statusCode === HTTP_MISDIRECTED) {
             attempt.isNotRun = true;
+            if (head.statusCode === HTTP_MISDIRECTED) {
+                this.context.health.onMisdirected(attempt.upstream.id, this.context.clock.nowMs());
+            }
             this.log("upstream-not-run", { upstream: attempt.upstream.id, statusCode: head.statusCode });
             return;
         }
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -105,7 +105,7 @@
 
     private outcomeOf(head: AnswerHead): ItemRunOutcome {
         if (head.header(this.headers.notRun) !== undefined || head.statusCode === HTTP_MISDIRECTED) {
-            return { kind: "not-run" };
+            return { kind: "not-run", isMisdirected: head.statusCode === HTTP_MISDIRECTED };
         }
         if (head.statusCode === HTTP_UNPROCESSABLE) {
             return { kind: "impossible" };
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -379,14 +379,21 @@
             events: item.lastEventId,
             ...outcome,
         });
+        this.judge(run.upstream, outcome, nowMs);
+        this.settle(job, item, outcome, nowMs);
+        this.pump();
+    }
+
+    private judge(upstream: Upstream, outcome: ItemRunOutcome, nowMs: number): void {
         if (outcome.kind === "broken" || outcome.kind === "garbled") {
-            this.opts.health.onFailure(run.upstream.id, nowMs);
+            this.opts.health.onFailure(upstream.id, nowMs);
+        }
+        else if (outcome.kind === "not-run" && outcome.isMisdirected) {
+            this.opts.health.onMisdirected(upstream.id, nowMs);
         }
         else {
-            this.opts.health.onSuccess(run.upstream.id, nowMs);
+            this.opts.health.onSuccess(upstream.id, nowMs);
         }
-        this.settle(job, item, outcome, nowMs);
-        this.pump();
     }
 
     private settle(job: OpenJob, item: JobItem, outcome: ItemRunOutcome, nowMs: number): void {
--- a/fleet/load/src/loadReport.ts
+++ b/fleet/load/src/loadReport.ts
@@ -15,6 +15,8 @@
     waiting: { service: ServiceName; count: number; }[];
     /** Revision of the key-value service at which the configuration in force was written. */
     configurationRevision: number;
+    /** The process that runs jobs, as far as this one knows; undefined where it knows none. */
+    leader: { instanceName: InstanceName; fencingNumber: number; } | undefined;
     /** Revision of the key-value service up to which jobs were written by this process. */
     jobsRevision: number;
 }
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -13,8 +13,13 @@
     waiting: (string | number)[],
     configurationRevision: number,
     jobsRevision: number,
+    leaderName: string,
+    leaderFencingNumber: number,
 ];
 
+/** Position of the first revision in a packed report. */
+const REVISIONS_AT = 5;
+
 /** Packs load reports into datagrams. */
 export class LoadReportCodec {
     private readonly packr = new Packr({ useRecords: false });
@@ -28,14 +33,19 @@
             report.waiting.flatMap(waiting => [waiting.service, waiting.count]),
             report.configurationRevision,
             report.jobsRevision,
+            report.leader?.instanceName ?? "",
+            report.leader?.fencingNumber ?? 0,
         ];
         return this.packr.pack(packed);
     }
 
     /** Throws where the bytes are no report. */
     decode(bytes: Buffer): LoadReport {
-        const [instanceName, startedAtMs, sequence, counts, waiting, configurationRevision, jobsRevision] = this.packr
-            .unpack(bytes) as PackedReport;
+        const packed = this.packr.unpack(bytes) as PackedReport;
+        const [instanceName, startedAtMs, sequence, counts, waiting] = packed;
+        const [configurationRevision, jobsRevision, leaderName, fencingNumber] = packed.slice(
+            REVISIONS_AT,
+        ) as [number, number, string, number];
         return {
             instanceName: instanceName as InstanceName,
             startedAtMs,
@@ -51,6 +61,7 @@
             })),
             configurationRevision,
             jobsRevision,
+            leader: fencingNumber === 0 ? undefined : { instanceName: leaderName as InstanceName, fencingNumber },
         };
     }
 }
--- a/fleet/load/src/upstreamHealth.ts
+++ b/fleet/load/src/upstreamHealth.ts
@@ -48,6 +48,14 @@
         return true;
     }
 
+    /** Another process answers at the upstream's address: it gets nothing until its entry may have been removed. */
+    onMisdirected(id: UpstreamId, nowMs: number): void {
+        const record = this.records.get(id) ?? { failures: 0, ejections: 0, ejectedUntilMs: 0, isOnTrial: true };
+        record.isOnTrial = true;
+        record.ejectedUntilMs = nowMs + MAX_EJECTION_MS;
+        this.records.set(id, record);
+    }
+
     forget(id: UpstreamId): void {
         this.records.delete(id);
         this.answeredAtMs.delete(id);
--- a/fleet/load/test/loadBoard.test.ts
+++ b/fleet/load/test/loadBoard.test.ts
@@ -16,6 +16,7 @@
         waiting: [],
         configurationRevision: 0,
         jobsRevision: 0,
+        leader: undefined,
         ...change,
     };
 }
--- a/fleet/load/test/loadReportCodec.test.ts
+++ b/fleet/load/test/loadReportCodec.test.ts
@@ -17,6 +17,7 @@
     waiting: [{ service: "s" as ServiceName, count: 2 }],
     configurationRevision: 12,
     jobsRevision: 40,
+    leader: { instanceName: "runner-1" as InstanceName, fencingNumber: 31 },
 };
 
 test("a report comes back as it was", () => {
--- a/fleet/load/test/upstreamHealth.test.ts
+++ b/fleet/load/test/upstreamHealth.test.ts
@@ -32,3 +32,10 @@
     assert.equal(health.isUsable(id, 1000, 5), true);
     assert.deepEqual([600, 700].map(sentAtMs => health.onSilence(id, sentAtMs, 1500)), [false, true]);
 });
+
+test("an upstream whose address another process has taken gets nothing at once", () => {
+    const health = new UpstreamHealth();
+    health.onMisdirected(id, 0);
+    assert.equal(health.isUsable(id, 1000, 0), false);
+    assert.equal(health.isUsable(id, 5000, 0), true);
+});
--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -12,6 +12,7 @@
 import { encodeRecord } from "./encodeRecord.js";
 import type { FencedLead } from "./fencedLead.js";
 import { fleetKeys } from "./fleetKeys.js";
+import type { KnownLeader } from "./knownLeader.js";
 import type { LeaderRecord } from "./leaderRecord.js";
 import type { ProcessLease } from "./processLease.js";
 
@@ -39,6 +40,7 @@
 export class Leadership implements FencedLead {
     private readonly opts: LeadershipOptions;
     private seen: KeyValueEntry | undefined;
+    private told: KnownLeader | undefined;
     private heldRevision: number | undefined;
     private attemptTimer: Timer | undefined;
     private isResigned = false;
@@ -180,8 +182,22 @@
         }
     }
 
-    /** The leader as last seen, this process or another; undefined where none is known. */
-    get leader(): LeaderRecord | undefined {
-        return this.seen === undefined ? undefined : decodeRecord<LeaderRecord>(this.seen.value);
+    /** The newest leader that this process knows of, itself perhaps; undefined where none is known. */
+    get leader(): KnownLeader | undefined {
+        const seen = this.seen === undefined ? undefined : {
+            instanceName: decodeRecord<LeaderRecord>(this.seen.value).instanceName,
+            fencingNumber: this.seen.modRevision,
+        };
+        return (this.told?.fencingNumber ?? 0) > (seen?.fencingNumber ?? 0) ? this.told : seen;
+    }
+
+    /** Takes in what another process knows: this one may be cut off from the key-value service. */
+    learn(leader: KnownLeader): void {
+        if (leader.fencingNumber > (this.told?.fencingNumber ?? 0)) {
+            this.told = leader;
+        }
+        if (this.heldRevision !== undefined && leader.fencingNumber > this.heldRevision) {
+            this.lose("superseded");
+        }
     }
 }
--- a/fleet/sync/test/leadership.test.ts
+++ b/fleet/sync/test/leadership.test.ts
@@ -59,6 +59,22 @@
     abort();
 });
 
+test("a leader that is cut off from the service stops when another process knows a newer one", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const { signal, abort } = abortable();
+    const { leadership, events } = candidate({ service, clock, name: "a", signal });
+    leadership.observe(undefined, 1);
+    await clock.advance(1000);
+    const fencingNumber = leadership.fence()!.modRevision;
+    leadership.learn({ instanceName: "a" as InstanceName, fencingNumber });
+    assert.deepEqual(events, ["gained"]);
+    leadership.learn({ instanceName: "b" as InstanceName, fencingNumber: fencingNumber + 1 });
+    assert.deepEqual(events, ["gained", "lost"]);
+    assert.equal(leadership.leader?.instanceName, "b");
+    abort();
+});
+
 test("an old observation does not end a newer lead", async () => {
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
