fix(gateway): a gateway that alone is cut off from the key-value service sends new callers elsewhere

Load reports say whether the service answers; a process that is out of reach while another isn't reports itself not ready. Where all are out of reach, all stay.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -38,6 +38,8 @@
 const MAX_SEED = 2 ** 31;
 const HOUSEKEEPING_INTERVAL_MS = 100;
 const INFORMED_POLL_MS = 5;
+/** Age of the last renewed lease from which the key-value service counts as out of reach, in milliseconds. */
+const IN_TOUCH_MS = 1800;
 /** Time after an outage in which held jobs are written, in milliseconds. */
 const SETTLE_MS = 4000;
 /** Links are quiet for long stretches here: a less frequent heartbeat costs less. */
@@ -84,6 +86,7 @@
     private sequence = 0;
     private jobsRevision = 0;
     private configurationRevision = 0;
+    private upstreamsRevision = 0;
 
     constructor(opts: FleetProcessOptions) {
         this.opts = opts;
@@ -174,6 +177,11 @@
         this.housekeep();
     }
 
+    /** Whether the key-value service answers others but not this process: callers are better off elsewhere. */
+    get isIsolated(): boolean {
+        return !this.lease.hasAnswered(IN_TOUCH_MS) && this.board.isAnyoneInTouch();
+    }
+
     /** Whether jobs that were held during an outage of the key-value service have been written by now. */
     get isSettled(): boolean {
         return this.clock.nowMs() > this.fleetMirror.inTouchSinceMs + SETTLE_MS;
@@ -286,10 +294,12 @@
             instanceName: this.opts.settings.instanceName,
             startedAtMs: this.startedAtMs,
             sequence: this.sequence,
+            isInTouch: this.lease.hasAnswered(IN_TOUCH_MS),
             counts: this.board.ownCounts(),
             waiting: this.opts.waiting(),
             configurationRevision: this.configurationRevision,
             jobsRevision: this.jobsRevision,
+            upstreamsRevision: this.upstreamsRevision,
             leader: this.leadership.leader,
         };
     }
@@ -306,6 +316,7 @@
             this.opts.onJobsWritten(report.jobsRevision);
         }
         this.configurationMirror.catchUp(report.configurationRevision);
+        this.upstreamMirror.catchUp(report.upstreamsRevision);
         this.opts.onLoadChanged();
     }
 
@@ -344,6 +355,7 @@
     }
 
     private onUpstreamChange(batch: WatchBatch): void {
+        this.upstreamsRevision = Math.max(this.upstreamsRevision, batch.revision);
         batch.puts.forEach(entry => this.onUpstreamEntry(entry));
         const gone = batch.deletedKeys.map(key => key.slice(wireKeys.upstreams.length) as UpstreamId);
         this.onUpstreamChanges(this.directory.remove(gone, this.clock.nowMs()));
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -53,7 +53,7 @@
             random,
             board,
             holdTimes,
-            placement: new FewestOnlinePlacement({ board, random }),
+            placement: new FewestOnlinePlacement({ board, random, zone: settings.zone }),
             usable: service => this.fleet.usableUpstreams(service),
         });
         const context: GatewayContext = {
@@ -95,7 +95,7 @@
         this.server = new GatewayServer({ context, protocol, jobs });
         this.readiness = new ReadinessServer({
             path: protocol.readinessPath,
-            isReady: () => this.fleet.isInformed && !this.isStopping,
+            isReady: () => this.fleet.isInformed && !this.fleet.isIsolated && !this.isStopping,
         });
     }
 
--- a/fleet/gateway/test/gatewayBed.ts
+++ b/fleet/gateway/test/gatewayBed.ts
@@ -85,7 +85,7 @@
             random,
             board,
             holdTimes,
-            placement: new FewestOnlinePlacement({ board, random }),
+            placement: new FewestOnlinePlacement({ board, random, zone: "z" as Upstream["zone"] }),
             usable: () => opts.upstreams,
         });
         const context: GatewayContext = {
--- a/fleet/load/src/fewestOnlinePlacement.ts
+++ b/fleet/load/src/fewestOnlinePlacement.ts
@@ -1,3 +1,4 @@
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { LoadBoard } from "./loadBoard.js";
@@ -5,6 +6,8 @@
 
 /** A batch run gives way, at the price of a resume; hence it weighs little beside an online request. */
 const BATCH_WEIGHT = 0.1;
+/** An upstream in another zone costs the way there; it is chosen where it has fewer requests. */
+const OTHER_ZONE_WEIGHT = 0.6;
 /** Breaks ties between upstreams of equal load. */
 const RANDOM_WEIGHT = 0.05;
 
@@ -15,9 +18,12 @@
 export class FewestOnlinePlacement implements PlacementPolicy {
     private readonly board: LoadBoard;
     private readonly random: Random;
+    private readonly zone: ZoneName;
 
-    constructor(opts: { board: LoadBoard; random: Random; }) {
+    /** @param opts.zone the zone of this process */
+    constructor(opts: { board: LoadBoard; random: Random; zone: ZoneName; }) {
         this.board = opts.board;
+        this.zone = opts.zone;
         this.random = opts.random;
     }
 
@@ -33,6 +39,7 @@
 
     private costOf(upstream: Upstream): number {
         const batch = this.board.batch(upstream.id) * BATCH_WEIGHT;
-        return this.board.online(upstream.id) + batch + this.random.next() * RANDOM_WEIGHT;
+        const zone = upstream.zone === this.zone ? 0 : OTHER_ZONE_WEIGHT;
+        return this.board.online(upstream.id) + batch + zone + this.random.next() * RANDOM_WEIGHT;
     }
 }
--- a/fleet/load/src/loadBoard.ts
+++ b/fleet/load/src/loadBoard.ts
@@ -69,6 +69,11 @@
             .reduce((sum, waiting) => sum + waiting.count, 0);
     }
 
+    /** Whether another process says that the key-value service answers it. */
+    isAnyoneInTouch(): boolean {
+        return [...this.reports.values()].some(received => received.report.isInTouch);
+    }
+
     private sumOthers(): void {
         this.others.clear();
         [...this.reports.values()].flatMap(received => received.report.counts).forEach(count => {
--- a/fleet/load/src/loadReport.ts
+++ b/fleet/load/src/loadReport.ts
@@ -9,12 +9,16 @@
     startedAtMs: number;
     /** Grows with each report of a start. */
     sequence: number;
+    /** Whether the key-value service answers this process. */
+    isInTouch: boolean;
     /** Upstreams with requests of this process, shape [upstreams]. */
     counts: UpstreamCount[];
     /** Online requests that wait for a slot, shape [services]. */
     waiting: { service: ServiceName; count: number; }[];
     /** Revision of the key-value service at which the configuration in force was written. */
     configurationRevision: number;
+    /** Revision of the last change of an upstream's entry that this process knows. */
+    upstreamsRevision: number;
     /** The process that runs jobs, as far as this one knows; undefined where it knows none. */
     leader: { instanceName: InstanceName; fencingNumber: number; } | undefined;
     /** Revision of the key-value service up to which jobs were written by this process. */
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -13,8 +13,10 @@
     waiting: (string | number)[],
     configurationRevision: number,
     jobsRevision: number,
+    upstreamsRevision: number,
     leaderName: string,
     leaderFencingNumber: number,
+    isInTouch: boolean,
 ];
 
 /** Position of the first revision in a packed report. */
@@ -33,8 +35,10 @@
             report.waiting.flatMap(waiting => [waiting.service, waiting.count]),
             report.configurationRevision,
             report.jobsRevision,
+            report.upstreamsRevision,
             report.leader?.instanceName ?? "",
             report.leader?.fencingNumber ?? 0,
+            report.isInTouch,
         ];
         return this.packr.pack(packed);
     }
@@ -43,13 +47,13 @@
     decode(bytes: Buffer): LoadReport {
         const packed = this.packr.unpack(bytes) as PackedReport;
         const [instanceName, startedAtMs, sequence, counts, waiting] = packed;
-        const [configurationRevision, jobsRevision, leaderName, fencingNumber] = packed.slice(
-            REVISIONS_AT,
-        ) as [number, number, string, number];
+        const [configurationRevision, jobsRevision, upstreamsRevision, leaderName, fencingNumber, isInTouch] = packed
+            .slice(REVISIONS_AT) as [number, number, number, string, number, boolean];
         return {
             instanceName: instanceName as InstanceName,
             startedAtMs,
             sequence,
+            isInTouch,
             counts: groupsOf(counts, 3).map(([upstreamId, online, batch]) => ({
                 upstreamId: upstreamId as UpstreamId,
                 online: online as number,
@@ -61,6 +65,7 @@
             })),
             configurationRevision,
             jobsRevision,
+            upstreamsRevision,
             leader: fencingNumber === 0 ? undefined : { instanceName: leaderName as InstanceName, fencingNumber },
         };
     }
--- a/fleet/load/test/loadBoard.test.ts
+++ b/fleet/load/test/loadBoard.test.ts
@@ -12,10 +12,12 @@
         instanceName: "other" as InstanceName,
         startedAtMs: 1,
         sequence: 1,
+        isInTouch: true,
         counts: [{ upstreamId: id, online: 3, batch: 1 }],
         waiting: [],
         configurationRevision: 0,
         jobsRevision: 0,
+        upstreamsRevision: 0,
         leader: undefined,
         ...change,
     };
@@ -44,3 +46,14 @@
     board.expire(5000);
     assert.equal(board.online(id), 0);
 });
+
+test("a process knows whether the key-value service answers others", () => {
+    const board = new LoadBoard();
+    assert.equal(board.isAnyoneInTouch(), false);
+    board.receive(reportOf({ isInTouch: false }), 0);
+    assert.equal(board.isAnyoneInTouch(), false);
+    board.receive(reportOf({ instanceName: "third" as InstanceName }), 0);
+    assert.equal(board.isAnyoneInTouch(), true);
+    board.expire(5000);
+    assert.equal(board.isAnyoneInTouch(), false);
+});
--- a/fleet/load/test/loadReportCodec.test.ts
+++ b/fleet/load/test/loadReportCodec.test.ts
@@ -10,6 +10,7 @@
     instanceName: "entry-1" as InstanceName,
     startedAtMs: 1_777_167_943_056,
     sequence: 7,
+    isInTouch: true,
     counts: [
         { upstreamId: "u-1" as UpstreamId, online: 3, batch: 4 },
         { upstreamId: "u-2" as UpstreamId, online: 0, batch: 1 },
@@ -17,6 +18,7 @@
     waiting: [{ service: "s" as ServiceName, count: 2 }],
     configurationRevision: 12,
     jobsRevision: 40,
+    upstreamsRevision: 38,
     leader: { instanceName: "runner-1" as InstanceName, fencingNumber: 31 },
 };
 
--- a/fleet/load/test/waitingRoom.test.ts
+++ b/fleet/load/test/waitingRoom.test.ts
@@ -25,7 +25,7 @@
         random,
         board,
         holdTimes: new HoldTimes(),
-        placement: new FewestOnlinePlacement({ board, random }),
+        placement: new FewestOnlinePlacement({ board, random, zone: "z" as Upstream["zone"] }),
         usable: () => upstreams,
     });
     const call = (change: Partial<WaitingCall> = {}): TestCall => {
@@ -109,3 +109,11 @@
     const [retried] = enterMany(room, [call({ excluded: new Set([upstreamOf("a").id]) })]);
     assert.equal(retried!.placedAt?.id, "b");
 });
+
+test("a request stays in its zone while no upstream elsewhere has fewer", () => {
+    const away = { ...upstreamOf("away", 8), zone: "y" as Upstream["zone"] };
+    const { board, room, call } = setUp([away, upstreamOf("near", 8)]);
+    const calls = enterMany(room, Array.from({ length: 3 }, () => call()));
+    assert.deepEqual(calls.map(one => one.placedAt?.id), ["near", "away", "near"]);
+    assert.equal(board.online(away.id), 1);
+});
--- a/fleet/sync/src/processLease.ts
+++ b/fleet/sync/src/processLease.ts
@@ -49,6 +49,11 @@
         return this.leaseId !== undefined && elapsedMs < this.ttlMs;
     }
 
+    /** Whether the key-value service has answered a renewal within `maxAgeMs`. */
+    hasAnswered(maxAgeMs: number): boolean {
+        return this.opts.clock.nowMs() - this.renewedAtMs < maxAgeMs;
+    }
+
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             const delayMs = await this.renewOnce();
