--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -41,12 +41,13 @@
             logger,
             onLoadChanged: () => this.waitingRoom.pump(),
             waiting: () => this.waitingRoom.waiting(),
-            onConfiguration: () => this.server.applyLimits(this.fleet.configuration.current!.limits),
+            onConfiguration: () => this.server.applyLimits(this.fleet.operators.configuration.current!.limits),
             onJobsWritten: () => undefined,
             onEmptyingRequested: () => undefined,
             onLead: () => undefined,
         });
-        const { clock, random, board, configuration, connections, health } = this.fleet;
+        const { clock, random, board, connections, health } = this.fleet;
+        const { configuration } = this.fleet.operators;
         const holdTimes = new HoldTimes();
         this.waitingRoom = new WaitingRoom({
             clock,
@@ -54,7 +55,7 @@
             board,
             holdTimes,
             placement: new FewestOnlinePlacement({ board, random, zone: settings.zone }),
-            usable: service => this.fleet.usableUpstreams(service),
+            usable: service => this.fleet.upstreams.usable(service),
         });
         const context: GatewayContext = {
             clock,
@@ -81,14 +82,14 @@
                 holder: new LinkJobHolder({
                     endpoint: this.fleet.links,
                     logger,
-                    runners: () => this.fleet.runners(),
+                    runners: () => this.fleet.peers.runners(),
                     copies: settings.tolerableLosses + 1,
                 }),
                 isSettled: () => this.fleet.isSettled,
             }),
             reader: new LinkJobReader({
                 endpoint: this.fleet.links,
-                leader: () => this.fleet.leadingRunner(),
+                leader: () => this.fleet.peers.leadingRunner(),
             }),
             onAccepted: revision => this.fleet.markJobsWritten(revision),
         });
--- /dev/null
+++ b/daemons/fleet/src/operatorsFollower.ts
@@ -0,0 +1,69 @@
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
+import { ConfigurationInForce } from "@knapweedwood/fleet.view/configurationInForce";
+import { decodeConfiguration } from "@knapweedwood/platform.adapter/decodeConfiguration";
+import { emptyingRequestOf } from "@knapweedwood/platform.adapter/emptyingRequestOf";
+import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
+import type { FollowerTools } from "./followerTools.js";
+
+interface OperatorsFollowerOptions extends FollowerTools {
+    instanceName: InstanceName;
+    /** Called when a newer configuration is in force. */
+    onConfiguration: () => void;
+    /** Called when the operators want this instance emptied, perhaps more than once. */
+    onEmptyingRequested: () => void;
+}
+
+/** Follows what the operators write. */
+export class OperatorsFollower {
+    readonly configuration = new ConfigurationInForce();
+    readonly mirror: PrefixMirror;
+    private readonly opts: OperatorsFollowerOptions;
+    private writtenRevision = 0;
+
+    constructor(opts: OperatorsFollowerOptions) {
+        this.opts = opts;
+        this.mirror = new PrefixMirror({
+            ...opts,
+            prefix: wireKeys.operators,
+            onSnapshot: entries => entries.forEach(entry => this.onEntry(entry)),
+            onChange: batch => batch.puts.forEach(entry => this.onEntry(entry)),
+        });
+    }
+
+    /** Revision of the key-value service at which the configuration in force was written. */
+    get configurationRevision(): number {
+        return this.writtenRevision;
+    }
+
+    private onEntry(entry: KeyValueEntry): void {
+        if (entry.key === wireKeys.configuration) {
+            this.onConfigurationEntry(entry);
+        }
+        if (emptyingRequestOf(entry.key) === this.opts.instanceName) {
+            this.opts.onEmptyingRequested();
+        }
+    }
+
+    private onConfigurationEntry(entry: KeyValueEntry): void {
+        try {
+            const configuration = decodeConfiguration(entry.value);
+            this.writtenRevision = Math.max(this.writtenRevision, entry.modRevision);
+            if (this.configuration.adopt(configuration, this.opts.clock.nowMs())) {
+                this.opts.logger.info("configuration-in-force", {
+                    version: configuration.version,
+                    routes: configuration.routes.length,
+                    revision: entry.modRevision,
+                });
+                this.opts.onConfiguration();
+            }
+        }
+        catch (error) {
+            this.opts.logger.error("configuration-unreadable", {
+                revision: entry.modRevision,
+                message: (error as Error).message,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/daemons/fleet/src/peerFollower.ts
@@ -0,0 +1,113 @@
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
+import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
+import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
+import { Leadership } from "@knapweedwood/fleet.sync/leadership";
+import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
+import { MemberTable } from "@knapweedwood/fleet.sync/memberTable";
+import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
+import { ProcessLease } from "@knapweedwood/fleet.sync/processLease";
+import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
+import type { FollowerTools } from "./followerTools.js";
+
+interface PeerFollowerOptions extends FollowerTools {
+    self: MemberRecord;
+    minLeaseMs: number;
+    /** Called when this process gains or loses the run of batch jobs; only where it is a runner. */
+    onLead: (isLeading: boolean) => void;
+}
+
+/** Announces this process under its lease and follows the others, the leader among them. */
+export class PeerFollower {
+    readonly mirror: PrefixMirror;
+    readonly lease: ProcessLease;
+    readonly leadership: Leadership;
+    private readonly opts: PeerFollowerOptions;
+    private readonly members = new MemberTable();
+
+    constructor(opts: PeerFollowerOptions) {
+        this.opts = opts;
+        const { instanceName, host, linkPort, startedAtMs, role } = opts.self;
+        this.lease = new ProcessLease({ ...opts, onGranted: leaseId => this.announce(leaseId) });
+        this.leadership = new Leadership({
+            ...opts,
+            lease: this.lease,
+            self: { instanceName, host, linkPort, startedAtMs },
+            isCandidate: role === "runner",
+            onGained: () => opts.onLead(true),
+            onLost: () => opts.onLead(false),
+        });
+        this.mirror = new PrefixMirror({
+            ...opts,
+            prefix: fleetKeys.prefix,
+            onSnapshot: (entries, revision) => this.onSnapshot(entries, revision),
+            onChange: batch => this.onChange(batch),
+        });
+    }
+
+    /** Where processes that place by load expect reports, shape [processes]. */
+    placingPeers(): HostPort[] {
+        return this.others().filter(member => this.placesByLoad(member)).map(toLoadAddress);
+    }
+
+    /** Where the other processes expect reports, shape [processes]. */
+    distantPeers(): HostPort[] {
+        return this.others().filter(member => !this.placesByLoad(member)).map(toLoadAddress);
+    }
+
+    /** Where runners accept links, shape [runners]. */
+    runners(): HostPort[] {
+        return this.list().filter(member => member.role === "runner").map(toLinkAddress);
+    }
+
+    /** Where the process that runs jobs accepts links; undefined where none is known. */
+    leadingRunner(): HostPort | undefined {
+        const leader = this.leadership.leader;
+        const member = this.list().find(one => one.instanceName === leader?.instanceName);
+        return member === undefined ? undefined : toLinkAddress(member);
+    }
+
+    /** Gateways place requests, the leading runner places items; the other runners stand by. */
+    private placesByLoad(member: MemberRecord): boolean {
+        return member.role === "gateway" || member.instanceName === this.leadership.leader?.instanceName;
+    }
+
+    private others(): MemberRecord[] {
+        return this.list().filter(member => member.instanceName !== this.opts.self.instanceName);
+    }
+
+    private list(): MemberRecord[] {
+        return this.members.list(this.opts.clock.nowMs());
+    }
+
+    private async announce(leaseId: string): Promise<void> {
+        const { self } = this.opts;
+        const key = fleetKeys.member(self.instanceName);
+        await this.opts.service.transact([], [{ kind: "put", key, value: encodeRecord(self), leaseId }]);
+    }
+
+    private onSnapshot(entries: readonly KeyValueEntry[], revision: number): void {
+        const members = entries.filter(entry => entry.key.startsWith(fleetKeys.membersPrefix));
+        this.members.replace(members, this.opts.clock.nowMs());
+        this.leadership.observe(entries.find(entry => entry.key === fleetKeys.jobsLeader), revision);
+    }
+
+    private onChange(batch: WatchBatch): void {
+        batch.deletedKeys.forEach(key => this.members.lapse(key, this.opts.clock.nowMs()));
+        batch.puts
+            .filter(entry => entry.key.startsWith(fleetKeys.membersPrefix))
+            .forEach(entry => this.members.put(entry));
+        const leader = batch.puts.find(entry => entry.key === fleetKeys.jobsLeader);
+        if (leader !== undefined || batch.deletedKeys.includes(fleetKeys.jobsLeader)) {
+            this.leadership.observe(leader, batch.revision);
+        }
+    }
+}
+
+function toLoadAddress({ host, loadPort }: MemberRecord): HostPort {
+    return { host, port: loadPort };
+}
+
+function toLinkAddress({ host, linkPort }: MemberRecord): HostPort {
+    return { host, port: linkPort };
+}
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -77,7 +77,7 @@
 
     private async handOver(): Promise<void> {
         await this.runner.handOver();
-        await this.fleet.leadership.resign();
+        await this.fleet.peers.leadership.resign();
     }
 
     /** Leaves nothing on this instance that is not stored elsewhere, and tells the operators. */
@@ -118,11 +118,11 @@
     private handleCalls(): void {
         const { runner, held } = this;
         this.fleet.links.handle(resultsCall, async function*(request, context) {
-            const page = await runner.results({ ...request, signal: context.signal });
+            const page = await runner.reads.results({ ...request, signal: context.signal });
             yield page === undefined ? {} : { page };
         });
         this.fleet.links.handle(itemBodyCall, async function*(request) {
-            const body = await runner.itemBody(request.jobId, request.itemId);
+            const body = await runner.reads.itemBody(request.jobId, request.itemId);
             yield body === undefined ? {} : { body };
         });
         const isEmptying = () => this.isEmptying;
@@ -136,8 +136,10 @@
     }
 
     private fleetTools() {
-        const { store: service, clock, random, leadership, configuration, directory, connections, board, health } =
-            this.fleet;
+        const { store: service, clock, random, connections, board, health } = this.fleet;
+        const { leadership } = this.fleet.peers;
+        const { configuration } = this.fleet.operators;
+        const { directory } = this.fleet.upstreams;
         return { service, clock, random, leadership, configuration, directory, connections, board, health };
     }
 }
--- /dev/null
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -0,0 +1,111 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
+import type { LoadBoard } from "@knapweedwood/fleet.load/loadBoard";
+import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
+import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { UpstreamChange } from "@knapweedwood/fleet.view/upstreamChange";
+import { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
+import { decodeUpstream } from "@knapweedwood/platform.adapter/decodeUpstream";
+import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
+import type { FollowerTools } from "./followerTools.js";
+
+interface UpstreamFollowerOptions extends FollowerTools {
+    board: LoadBoard;
+    health: UpstreamHealth;
+    connections: UpstreamConnections;
+    /** Called when the set of upstreams or a state has changed. */
+    onChanged: () => void;
+}
+
+/** Follows what upstreams announce of themselves. */
+export class UpstreamFollower {
+    readonly directory = new UpstreamDirectory();
+    readonly mirror: PrefixMirror;
+    private readonly opts: UpstreamFollowerOptions;
+    private lastChangeRevision = 0;
+
+    constructor(opts: UpstreamFollowerOptions) {
+        this.opts = opts;
+        this.mirror = new PrefixMirror({
+            ...opts,
+            prefix: wireKeys.upstreams,
+            onSnapshot: entries => this.onSnapshot(entries),
+            onChange: batch => this.onChange(batch),
+            onRegained: () => this.directory.onRegained(opts.clock.nowMs()),
+        });
+    }
+
+    /** Revision of the last change that this process knows. */
+    get changeRevision(): number {
+        return this.lastChangeRevision;
+    }
+
+    /** Upstreams of a service that may get online requests now, shape [upstreams]. */
+    usable(service: ServiceName): Upstream[] {
+        const nowMs = this.opts.clock.nowMs();
+        const ready = this.directory.ready(service);
+        const usable = ready.filter(({ id }) => this.opts.health.isUsable(id, nowMs, this.opts.board.ownOnline(id)));
+        // A judgement over most of a service is more likely wrong than right.
+        return usable.length * 2 > ready.length ? usable : ready;
+    }
+
+    /** Drops upstreams whose entries lapsed and did not come back. */
+    expire(): void {
+        this.onChanges(this.directory.expire(this.opts.clock.nowMs()));
+    }
+
+    private onSnapshot(entries: readonly KeyValueEntry[]): void {
+        const listed = new Set(entries.map(entry => entry.key));
+        const gone = this.directory.ids().filter(id => !listed.has(`${wireKeys.upstreams}${id}`));
+        this.onChanges(this.directory.remove(gone, this.opts.clock.nowMs()));
+        entries.forEach(entry => this.onEntry(entry));
+    }
+
+    private onChange(batch: WatchBatch): void {
+        this.lastChangeRevision = Math.max(this.lastChangeRevision, batch.revision);
+        batch.puts.forEach(entry => this.onEntry(entry));
+        const gone = batch.deletedKeys.map(upstreamIdOf);
+        this.onChanges(this.directory.remove(gone, this.opts.clock.nowMs()));
+    }
+
+    private onEntry(entry: KeyValueEntry): void {
+        try {
+            const change = this.directory.put(decodeUpstream(entry.key, entry.value));
+            this.onChanges(change === undefined ? [] : [change]);
+        }
+        catch (error) {
+            this.opts.logger.warn("upstream-unreadable", { key: entry.key, message: (error as Error).message });
+            this.onChanges(this.directory.remove([upstreamIdOf(entry.key)], this.opts.clock.nowMs()));
+        }
+    }
+
+    private onChanges(changes: readonly UpstreamChange[]): void {
+        changes.forEach(({ kind, upstream }) => {
+            this.opts.logger.info("upstream-changed", {
+                change: kind,
+                upstream: upstream.id,
+                service: upstream.service,
+                state: upstream.state,
+                startedAtMs: upstream.startedAtMs,
+                revision: this.mirror.revision,
+            });
+            if (kind !== "changed") {
+                this.opts.health.forget(upstream.id);
+            }
+            if (kind === "left") {
+                this.opts.connections.forget(upstream);
+            }
+        });
+        if (changes.length > 0) {
+            this.opts.onChanged();
+        }
+    }
+}
+
+function upstreamIdOf(key: string): UpstreamId {
+    return key.slice(wireKeys.upstreams.length) as UpstreamId;
+}
--- a/fleet/jobs/src/jobKeys.ts
+++ b/fleet/jobs/src/jobKeys.ts
@@ -15,6 +15,8 @@
     record: (jobId: JobId) => `${JOBS_PREFIX}${jobId}/record`,
     part: (jobId: JobId, index: number) => `${JOBS_PREFIX}${jobId}/part/${index}`,
     cancellation: (jobId: JobId) => `${JOBS_PREFIX}${jobId}/cancelled`,
+    /** All results and progress of one job. */
+    jobResultsPrefix: (jobId: JobId) => `${RESULTS_PREFIX}${jobId}/`,
     result: (jobId: JobId, position: number) =>
         `${RESULTS_PREFIX}${jobId}/at/${String(position).padStart(POSITION_DIGITS, "0")}`,
     progress: (jobId: JobId, itemIndex: number) => `${RESULTS_PREFIX}${jobId}/progress/${itemIndex}`,
--- /dev/null
+++ b/fleet/jobs/src/jobSweep.ts
@@ -0,0 +1,96 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { SnapshotKeyValueService } from "@knapweedwood/core.key-value/snapshotKeyValueService";
+import type { FencedLead } from "@knapweedwood/fleet.sync/fencedLead";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { jobKeys } from "./jobKeys.js";
+import type { JobTable } from "./jobTable.js";
+import type { OpenJob } from "./openJob.js";
+import { releaseWaitingTokens } from "./releaseWaitingTokens.js";
+
+/** Keys that one write removes; the key-value service takes 32. */
+const MAX_REMOVALS = 32;
+
+interface JobSweepOptions {
+    clock: Clock;
+    service: SnapshotKeyValueService;
+    logger: Logger;
+    lead: FencedLead;
+    table: JobTable;
+    /** How long an ended job stays readable. */
+    resultRetentionMs: number;
+}
+
+/** Clears up after ended jobs: frees the tokens that they kept waiting, and removes them after their retention. */
+export class JobSweep {
+    private readonly opts: JobSweepOptions;
+    /** Ended jobs whose tokens may still count as waiting. */
+    private readonly unreleased = new Set<OpenJob>();
+    private isRunning = false;
+
+    constructor(opts: JobSweepOptions) {
+        this.opts = opts;
+    }
+
+    /** Notes that a job has ended. */
+    onEnded(job: OpenJob): void {
+        this.unreleased.add(job);
+    }
+
+    /** Forgets what a lost lead left to do: the next leader finds it anew. */
+    reset(): void {
+        this.unreleased.clear();
+    }
+
+    /** Does what is due. A step that fails is done at a later run. */
+    async run(): Promise<void> {
+        if (this.isRunning || !this.opts.lead.isLeading()) {
+            return;
+        }
+        this.isRunning = true;
+        try {
+            await this.releaseTokens();
+            await this.removeExpired();
+        }
+        catch (thrown) {
+            const error = toKnapweedError(thrown);
+            this.opts.logger.debug("job-sweep-failed", { code: error.code, message: error.message });
+        }
+        finally {
+            this.isRunning = false;
+        }
+    }
+
+    private async releaseTokens(): Promise<void> {
+        for (const routeName of new Set([...this.unreleased].map(job => job.record.routeName))) {
+            const jobs = [...this.unreleased].filter(job => job.record.routeName === routeName);
+            await releaseWaitingTokens(this.opts.service, routeName, jobs.map(job => job.record.jobId));
+            jobs.forEach(job => this.unreleased.delete(job));
+        }
+    }
+
+    private async removeExpired(): Promise<void> {
+        const expiredBeforeMs = this.opts.clock.nowMs() - this.opts.resultRetentionMs;
+        const expired = this.opts.table.all().find(job => job.isEnded && job.record.acceptedAtMs < expiredBeforeMs);
+        const fence = this.opts.lead.fence();
+        if (expired !== undefined && fence !== undefined) {
+            await this.remove(expired, fence);
+        }
+    }
+
+    private async remove(job: OpenJob, fence: KeyValueCompare): Promise<void> {
+        const { jobId } = job.record;
+        const results = await this.opts.service.snapshot(jobKeys.jobResultsPrefix(jobId));
+        const parts = await this.opts.service.snapshot(jobKeys.jobPrefix(jobId));
+        // The record goes last: while it is there, a removal that breaks off is begun again.
+        const keys = [...results.entries, ...parts.entries].map(entry => entry.key);
+        keys.sort((left, right) => Number(left === jobKeys.record(jobId)) - Number(right === jobKeys.record(jobId)));
+        for (let start = 0; start < keys.length; start += MAX_REMOVALS) {
+            const removals = keys.slice(start, start + MAX_REMOVALS).map(key => ({ kind: "delete" as const, key }));
+            await this.opts.service.transact([fence], removals);
+        }
+        this.opts.table.delete(jobId);
+        this.opts.logger.info("job-removed", { jobId, keys: keys.length });
+    }
+}
--- a/fleet/jobs/src/releaseWaitingTokens.ts
+++ b/fleet/jobs/src/releaseWaitingTokens.ts
@@ -1,19 +1,21 @@
+import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { decodeRecord } from "@knapweedwood/fleet.sync/decodeRecord";
 import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import { jobKeys } from "./jobKeys.js";
-import type { JobRecord } from "./jobRecord.js";
 import type { WaitingTokens } from "./waitingTokens.js";
 
-const MAX_CONFLICTS = 5;
-
-/** Takes an ended job out of the tokens that wait on its route. Does nothing where it is not counted. */
-export async function releaseWaitingTokens(service: KeyValueService, record: JobRecord): Promise<void> {
-    const key = jobKeys.waitingTokens(record.routeName);
-    for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts += 1) {
+/** Takes ended jobs out of the tokens that wait on a route. Throws where the service fails. */
+export async function releaseWaitingTokens(
+    service: KeyValueService,
+    routeName: string,
+    ended: readonly JobId[],
+): Promise<void> {
+    const key = jobKeys.waitingTokens(routeName);
+    for (let isDone = false; !isDone;) {
         const entry = await service.get(key);
         const jobs = entry === undefined ? [] : decodeRecord<WaitingTokens>(entry.value).jobs;
-        const left = jobs.filter(job => job.jobId !== record.jobId);
+        const left = jobs.filter(job => !ended.includes(job.jobId));
         if (entry === undefined || left.length === jobs.length) {
             return;
         }
@@ -21,8 +23,7 @@
             [{ key, modRevision: entry.modRevision }],
             [{ kind: "put", key, value: encodeRecord({ jobs: left }) }],
         );
-        if (result.succeeded) {
-            return;
-        }
+        // Another process changed the record meanwhile.
+        isDone = result.succeeded;
     }
 }
--- /dev/null
+++ b/fleet/jobs/test/jobSweep.test.ts
@@ -0,0 +1,66 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
+import type { FencedLead } from "@knapweedwood/fleet.sync/fencedLead";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { jobKeys } from "../src/jobKeys.js";
+import { JobSweep } from "../src/jobSweep.js";
+import { JobTable } from "../src/jobTable.js";
+import { jobOf } from "./jobOf.js";
+
+const record = jobOf({ id: "j", itemCount: 40 });
+
+async function setUp() {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const { revision } = await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("a") }]);
+    const lead: FencedLead = {
+        isLeading: () => true,
+        fence: () => ({ key: "leader", modRevision: revision }),
+        abandon: () => undefined,
+    };
+    const results = record.items.map((item, position) => ({
+        kind: "put" as const,
+        key: jobKeys.result(record.jobId, position),
+        value: encodeRecord({ itemId: item.id, state: "completed", output: "x" }),
+    }));
+    await service.transact([], [
+        ...results,
+        { kind: "put", key: jobKeys.record(record.jobId), value: encodeRecord(record) },
+        {
+            kind: "put",
+            key: jobKeys.waitingTokens(record.routeName),
+            value: encodeRecord({ jobs: [{ jobId: record.jobId, tokens: 5 }, { jobId: "other", tokens: 7 }] }),
+        },
+    ]);
+    const table = new JobTable();
+    table.apply(await service.list(jobKeys.jobsPrefix));
+    table.applyResults(await service.list(jobKeys.resultsPrefix));
+    const sweep = new JobSweep({ clock, service, logger: silentLogger, lead, table, resultRetentionMs: 1000 });
+    return { clock, service, table, sweep };
+}
+
+test("an ended job's tokens no longer wait, whenever the service answers again", async () => {
+    const { service, table, sweep } = await setUp();
+    sweep.onEnded(table.get(record.jobId)!);
+    service.faults.outage = true;
+    await sweep.run();
+    service.faults.outage = false;
+    await sweep.run();
+    const entry = await service.get(jobKeys.waitingTokens(record.routeName));
+    assert.deepEqual(JSON.parse(Buffer.from(entry!.value).toString()), { jobs: [{ jobId: "other", tokens: 7 }] });
+});
+
+test("an ended job is removed after its retention, not before", async () => {
+    const { clock, service, table, sweep } = await setUp();
+    await clock.advance(900);
+    await sweep.run();
+    assert.notEqual(await service.get(jobKeys.record(record.jobId)), undefined);
+    await clock.advance(200);
+    await sweep.run();
+    assert.deepEqual(await service.list("knapweed/jobs/"), []);
+    assert.deepEqual(await service.list("knapweed/results/"), []);
+    assert.equal(table.get(record.jobId), undefined);
+});
--- a/fleet/load/src/loadBoard.ts
+++ b/fleet/load/src/loadBoard.ts
@@ -56,6 +56,11 @@
         return (this.own.get(upstreamId)?.batch ?? 0) + (this.others.get(upstreamId)?.batch ?? 0);
     }
 
+    /** Online requests of this process at an upstream. */
+    ownOnline(upstreamId: UpstreamId): number {
+        return this.own.get(upstreamId)?.online ?? 0;
+    }
+
     /** Requests of this process, shape [upstreams]. */
     ownCounts(): UpstreamCount[] {
         return [...this.own.values()];
