--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -12,9 +12,10 @@
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
+import { PageMetrics } from "@knapweedwood/observability.metrics/pageMetrics";
 import { PlatformKeyValueService } from "@knapweedwood/platform.adapter/platformKeyValueService";
 import { randomInt } from "node:crypto";
+import { MetricsServer } from "./metricsServer.js";
 import { OperatorsFollower } from "./operatorsFollower.js";
 import { PeerFollower } from "./peerFollower.js";
 import { UpstreamFollower } from "./upstreamFollower.js";
@@ -50,6 +51,7 @@
 export class FleetProcess {
     readonly clock = new SystemClock();
     readonly random = new SeededRandom(randomInt(MAX_SEED));
+    readonly metrics = new PageMetrics();
     readonly connections = new UpstreamConnections();
     readonly board = new LoadBoard();
     readonly health = new UpstreamHealth();
@@ -61,6 +63,7 @@
     private readonly opts: FleetProcessOptions;
     private readonly self: MemberRecord;
     private readonly exchange: LoadExchange;
+    private readonly metricsServer: MetricsServer;
     private readonly closing = new AbortController();
     private sequence = 0;
     private jobsRevision = 0;
@@ -70,7 +73,8 @@
         const { settings, logger } = opts;
         const { clock, random, board, health, connections } = this;
         this.self = describeSelf(settings, opts.role);
-        this.store = new PlatformKeyValueService({ clock, address: settings.keyValueAddress });
+        this.metricsServer = new MetricsServer({ metrics: this.metrics, host: settings.host });
+        this.store = new PlatformKeyValueService({ clock, address: settings.keyValueAddress, metrics: this.metrics });
         const tools = { service: this.store, clock, random, logger };
         this.peers = new PeerFollower({
             ...tools,
@@ -105,7 +109,7 @@
             },
             clock,
             logger,
-            metrics: silentMetrics,
+            metrics: this.metrics,
             host: settings.host,
             port: this.self.linkPort,
             limits: LINK_LIMITS,
@@ -137,6 +141,7 @@
 
     async start(): Promise<void> {
         await this.exchange.listen();
+        await this.metricsServer.listen();
         if (this.opts.role === "runner") {
             await this.links.listen();
         }
@@ -160,6 +165,7 @@
     async stop(): Promise<void> {
         this.closing.abort();
         this.exchange.close();
+        this.metricsServer.close();
         this.connections.close();
         await this.peers.lease.end().catch((error: unknown) => {
             this.opts.logger.warn("lease-not-ended", { message: (error as Error).message });
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -46,7 +46,7 @@
             onEmptyingRequested: () => undefined,
             onLead: () => undefined,
         });
-        const { clock, random, board, connections, health } = this.fleet;
+        const { clock, random, board, connections, health, metrics } = this.fleet;
         const { configuration } = this.fleet.operators;
         const holdTimes = new HoldTimes();
         this.waitingRoom = new WaitingRoom({
@@ -61,6 +61,7 @@
             clock,
             random,
             logger,
+            metrics,
             configuration,
             connections,
             board,
--- /dev/null
+++ b/daemons/fleet/src/metricsServer.ts
@@ -0,0 +1,53 @@
+import type { PageMetrics } from "@knapweedwood/observability.metrics/pageMetrics";
+import { createServer, type Server } from "node:http";
+import { monitorEventLoopDelay } from "node:perf_hooks";
+
+/** Port and path, as the deploy file names them. */
+const PORT = 9464;
+const PATH = "/metrics";
+const EVENT_LOOP_RESOLUTION_MS = 20;
+const NS_PER_MS = 1e6;
+
+/** Serves the metrics of this process as text. */
+export class MetricsServer {
+    private readonly metrics: PageMetrics;
+    private readonly host: string;
+    private readonly server: Server;
+    private readonly eventLoopDelay = monitorEventLoopDelay({ resolution: EVENT_LOOP_RESOLUTION_MS });
+
+    constructor(opts: { metrics: PageMetrics; host: string; }) {
+        this.metrics = opts.metrics;
+        this.host = opts.host;
+        this.server = createServer((request, response) => {
+            if (request.url !== PATH) {
+                response.writeHead(404).end();
+                return;
+            }
+            void this.render().then(page => {
+                response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+                response.end(page);
+            });
+        });
+    }
+
+    async listen(): Promise<void> {
+        this.eventLoopDelay.enable();
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(PORT, this.host, resolve);
+        });
+    }
+
+    close(): void {
+        this.eventLoopDelay.disable();
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private render(): Promise<string> {
+        this.metrics.gauge("memory_bytes", process.memoryUsage().rss);
+        this.metrics.gauge("event_loop_delay_max_ms", this.eventLoopDelay.max / NS_PER_MS);
+        this.eventLoopDelay.reset();
+        return this.metrics.render();
+    }
+}
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -7,6 +7,7 @@
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ConfigurationInForce } from "@knapweedwood/fleet.view/configurationInForce";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
 import type { CallHeaders } from "./callHeaders.js";
 
 /** What requests of one gateway share. */
@@ -14,6 +15,7 @@
     clock: Clock;
     random: Random;
     logger: Logger;
+    metrics: Metrics;
     configuration: ConfigurationInForce;
     connections: UpstreamConnections;
     board: LoadBoard;
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -105,6 +105,7 @@
         this.excluded.add(upstream.id);
         this.context.board.count(upstream.id, "online", 1);
         this.context.onLoadChanged();
+        this.context.metrics.timing("placement_wait_ms", nowMs - this.arrivedAtMs, { kind: this.route.kind });
         this.log("call-placed", {
             upstream: upstream.id,
             attempt: this.attempts,
@@ -224,6 +225,7 @@
         this.release(attempt);
         const nowMs = this.context.clock.nowMs();
         const isEjected = this.context.health.onFailure(attempt.upstream.id, nowMs);
+        this.context.metrics.increment("upstream_failures_total", { code: failure.code });
         this.log("upstream-failed", { upstream: attempt.upstream.id, ...failure, isEjected });
         if (!failure.mayHaveRun) {
             this.attempts -= 1;
@@ -316,6 +318,12 @@
     private finish(event: string, fields: { [field: string]: unknown; }): void {
         this.isDone = true;
         this.deadlineTimer.cancel();
+        this.context.metrics.increment("calls_total", { kind: this.route.kind, outcome: event });
+        if (this.firstPartAtMs !== undefined) {
+            this.context.metrics.timing("first_part_ms", this.firstPartAtMs - this.arrivedAtMs, {
+                kind: this.route.kind,
+            });
+        }
         this.log(event, fields);
     }
 
--- a/fleet/gateway/test/gatewayBed.ts
+++ b/fleet/gateway/test/gatewayBed.ts
@@ -10,6 +10,7 @@
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
@@ -92,6 +93,7 @@
             clock,
             random,
             logger: silentLogger,
+            metrics: silentMetrics,
             configuration,
             connections,
             board,
--- a/fleet/jobs/src/itemFlights.ts
+++ b/fleet/jobs/src/itemFlights.ts
@@ -14,7 +14,7 @@
 
 type FlightOptions = Pick<
     JobRunnerOptions,
-    "clock" | "logger" | "board" | "connections" | "headers" | "onLoadChanged"
+    "clock" | "logger" | "metrics" | "board" | "connections" | "headers" | "onLoadChanged"
 >;
 
 /** The items that run at upstreams now. An ended run leaves its item waiting to be resumed. */
@@ -74,6 +74,7 @@
                     online: this.opts.board.online(flight.run.upstream.id),
                     events: flight.run.item.lastEventId,
                 });
+                this.opts.metrics.increment("items_displaced_total");
                 this.end(flight);
             });
     }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -255,6 +255,7 @@
             events: item.lastEventId,
             ...outcome,
         });
+        this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
         this.judge(upstream, outcome, nowMs);
         const settled = settleRun(item, outcome, { nowMs, maxAttempts: job.record.maxAttempts });
         if (settled !== "again") {
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationInForce } from "@knapweedwood/fleet.view/configurationInForce";
 import type { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
 import type { HeldJob } from "./heldJob.js";
 import type { ItemRunHeaders } from "./itemRunHeaders.js";
 
@@ -17,6 +18,7 @@
     clock: Clock;
     random: Random;
     logger: Logger;
+    metrics: Metrics;
     leadership: Leadership;
     configuration: ConfigurationInForce;
     directory: UpstreamDirectory;
