--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -1,3 +1,4 @@
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
@@ -10,6 +11,8 @@
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { FollowerTools } from "./followerTools.js";
 
+const ANNOUNCE_RETRY_MS = 500;
+
 interface PeerFollowerOptions extends FollowerTools {
     self: MemberRecord;
     minLeaseMs: number;
@@ -45,6 +48,10 @@
         });
     }
 
+    private get ownKey(): string {
+        return fleetKeys.member(this.opts.self.instanceName);
+    }
+
     /** Where processes that place by load expect reports, shape [processes]. */
     placingPeers(): HostPort[] {
         return this.others().filter(member => this.placesByLoad(member)).map(toLoadAddress);
@@ -81,14 +88,29 @@
     }
 
     private async announce(leaseId: string): Promise<void> {
-        const { self } = this.opts;
-        const key = fleetKeys.member(self.instanceName);
-        await this.opts.service.transact([], [{ kind: "put", key, value: encodeRecord(self), leaseId }]);
+        const value = encodeRecord(this.opts.self);
+        await this.opts.service.transact([], [{ kind: "put", key: this.ownKey, value, leaseId }]);
+    }
+
+    /** An announcement that took effect late, under a lease that has ended since, takes the entry of the living with it. */
+    private announceAgain(): void {
+        const leaseId = this.lease.heldId;
+        if (leaseId === undefined) {
+            return;
+        }
+        this.opts.logger.info("announced-again", { leaseId });
+        this.announce(leaseId).catch((thrown: unknown) => {
+            this.opts.logger.warn("announcement-failed", { code: toKnapweedError(thrown).code });
+            this.opts.clock.setTimer(ANNOUNCE_RETRY_MS, () => this.announceAgain());
+        });
     }
 
     private onSnapshot(entries: readonly KeyValueEntry[], revision: number): void {
         const members = entries.filter(entry => entry.key.startsWith(fleetKeys.membersPrefix));
         this.members.replace(members, this.opts.clock.nowMs());
+        if (!members.some(entry => entry.key === this.ownKey)) {
+            this.announceAgain();
+        }
         this.leadership.observe(entries.find(entry => entry.key === fleetKeys.jobsLeader), revision);
     }
 
@@ -97,6 +119,9 @@
         batch.puts
             .filter(entry => entry.key.startsWith(fleetKeys.membersPrefix))
             .forEach(entry => this.members.put(entry));
+        if (batch.deletedKeys.includes(this.ownKey)) {
+            this.announceAgain();
+        }
         const leader = batch.puts.find(entry => entry.key === fleetKeys.jobsLeader);
         if (leader !== undefined || batch.deletedKeys.includes(fleetKeys.jobsLeader)) {
             this.leadership.observe(leader, batch.revision);
--- /dev/null
+++ b/daemons/fleet/test/peerFollower.test.ts
@@ -0,0 +1,56 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
+import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { PeerFollower } from "../src/peerFollower.js";
+
+function memberOf(name: string, role: MemberRecord["role"]): MemberRecord {
+    return {
+        instanceName: name as InstanceName,
+        role,
+        zone: "z" as ZoneName,
+        host: name,
+        loadPort: 1,
+        linkPort: 2,
+        startedAtMs: 1,
+    };
+}
+
+function start(opts: { service: MemoryKeyValueService; clock: ManualClock; self: MemberRecord; signal: AbortSignal; }) {
+    const follower = new PeerFollower({
+        service: opts.service,
+        clock: opts.clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        self: opts.self,
+        minLeaseMs: 1000,
+        onLead: () => undefined,
+    });
+    void follower.mirror.run(opts.signal);
+    void follower.lease.run(opts.signal);
+    return follower;
+}
+
+test("a process whose entry was removed although it lives announces itself again", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const controller = new AbortController();
+    const { signal } = controller;
+    const gateway = start({ service, clock, self: memberOf("gateway", "gateway"), signal });
+    start({ service, clock, self: memberOf("runner", "runner"), signal });
+    await clock.advance(1000);
+    assert.deepEqual(gateway.runners(), [{ host: "runner", port: 2 }]);
+
+    // An announcement under an earlier lease took effect late, and that lease has ended.
+    await service.transact([], [{ kind: "delete", key: fleetKeys.member("runner" as InstanceName) }]);
+    await clock.advance(15_000);
+    assert.deepEqual(gateway.runners(), [{ host: "runner", port: 2 }]);
+    assert.deepEqual(gateway.leadingRunner(), { host: "runner", port: 2 });
+    controller.abort();
+});
