--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -19,6 +19,7 @@
 
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
+const HTTP_SERVER_ERROR = 500;
 /** Callers of streams leave when nothing arrives for this long, in milliseconds. */
 const STREAM_PATIENCE_MS = 1950;
 /** Share of the route's timeout below which a request counts as one that came back. */
@@ -207,7 +208,7 @@
             return;
         }
         this.release(attempt);
-        this.context.health.onSuccess(attempt.upstream.id, this.context.clock.nowMs());
+        this.judge(attempt);
         this.context.holdTimes.record(this.service, this.context.clock.nowMs() - attempt.startedAtMs);
         this.finish("call-answered", {
             upstream: attempt.upstream.id,
@@ -218,6 +219,17 @@
         this.writer.end();
     }
 
+    /** An upstream that answers with failures of its own fails some callers while it looks alive. */
+    private judge(attempt: Attempt): void {
+        const nowMs = this.context.clock.nowMs();
+        if (this.writer.statusCode < HTTP_SERVER_ERROR) {
+            this.context.health.onSuccess(attempt.upstream.id, nowMs);
+            return;
+        }
+        const isEjected = this.context.health.onFailure(attempt.upstream.id, nowMs);
+        this.log("upstream-error", { upstream: attempt.upstream.id, statusCode: this.writer.statusCode, isEjected });
+    }
+
     private onFailure(attempt: Attempt, failure: ExchangeFailure): void {
         if (attempt !== this.attempt) {
             return;
