fix(view): an upstream that leaves soon after an outage gets nothing beyond the drain time

The time now counts from the end of the outage, 2.2 s; entries that disappear together without an outage are kept 1.8 s.

--- a/fleet/view/src/upstreamDirectory.ts
+++ b/fleet/view/src/upstreamDirectory.ts
@@ -3,8 +3,10 @@
 import type { Upstream } from "./upstream.js";
 import type { UpstreamChange } from "./upstreamChange.js";
 
-/** Time in which entries that lapsed during an outage of the key-value service come back, in milliseconds. */
-const LAPSE_GRACE_MS = 2500;
+/** Time after an outage of the key-value service in which entries that lapsed come back, in milliseconds. */
+const LAPSE_GRACE_MS = 2200;
+/** Time for which entries that disappear together are kept where no outage was noticed, in milliseconds. */
+const MASS_LAPSE_GRACE_MS = 1800;
 /** Share of a service's upstreams that disappear together only when their entries have lapsed. */
 const MASS_LAPSE_SHARE = 0.5;
 
@@ -41,13 +43,14 @@
     /** Handles entries that are no longer listed. @returns what was dropped at once, shape [changes] */
     remove(ids: readonly UpstreamId[], nowMs: number): UpstreamChange[] {
         const known = ids.filter(id => this.entries.has(id));
-        const isLapse = nowMs < this.outageEndedAtMs + LAPSE_GRACE_MS || this.isMassLapse(known);
-        if (!isLapse) {
+        // Counted from the outage, not from the removal: an upstream that really left must not be kept for longer.
+        const lapseEndsAtMs = this.outageEndedAtMs + LAPSE_GRACE_MS;
+        const dropAtMs = this.isMassLapse(known) ? Math.max(lapseEndsAtMs, nowMs + MASS_LAPSE_GRACE_MS) : lapseEndsAtMs;
+        if (dropAtMs <= nowMs) {
             return known.map(id => this.drop(id));
         }
         known.forEach(id => {
-            const entry = this.entries.get(id)!;
-            entry.dropAtMs ??= Math.max(nowMs, this.outageEndedAtMs) + LAPSE_GRACE_MS;
+            this.entries.get(id)!.dropAtMs ??= dropAtMs;
         });
         return [];
     }
--- a/fleet/view/test/upstreamDirectory.test.ts
+++ b/fleet/view/test/upstreamDirectory.test.ts
@@ -57,3 +57,16 @@
     assert.equal(directory.ready(service).length, 1);
     assert.equal(directory.put(upstream("0", { startedAtMs: 2 }))?.kind, "joined");
 });
+
+test("an upstream removed soon after an outage is not kept beyond the time in which lapsed entries come back", () => {
+    const directory = directoryOf(8);
+    directory.onRegained(10_000);
+    directory.remove(["0" as UpstreamId], 11_400);
+    assert.equal(directory.expire(12_300).length, 1);
+});
+
+test("where half of a service disappears without an outage, it gets nothing after two seconds", () => {
+    const directory = directoryOf(8);
+    directory.remove(directory.ids().slice(0, 5), 10_000);
+    assert.equal(directory.expire(12_000).length, 5);
+});
