--- /dev/null
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -0,0 +1,88 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { ItemId } from "@knapweedwood/core.ids/itemId";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { Route } from "@knapweedwood/fleet.view/route";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Acceptance } from "../src/acceptance.js";
+import { JobAcceptor } from "../src/jobAcceptor.js";
+import type { JobHolder } from "../src/jobHolder.js";
+import { jobKeys } from "../src/jobKeys.js";
+import type { JobSubmission } from "../src/jobSubmission.js";
+
+const route = { name: "r", host: "h", prefix: "/p/", kind: "batch", maxAttempts: 3, maxWaitingTokens: 100 } as Route;
+
+function submissionOf(id: string, tokens = 40): JobSubmission {
+    return {
+        jobId: id as JobId,
+        items: [{ id: `${id}-0` as ItemId, path: "/p/", headers: [], body: Buffer.from("b"), tokens }],
+    };
+}
+
+function setUp(held: Awaited<ReturnType<JobHolder["hold"]>> = "not-held") {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const acceptor = () =>
+        new JobAcceptor({
+            service,
+            clock,
+            logger: silentLogger,
+            holder: { hold: () => Promise.resolve(held) },
+            isSettled: () => true,
+        });
+    const settle = async (pending: Promise<Acceptance>): Promise<Acceptance> => {
+        await clock.advance(10_000);
+        return pending;
+    };
+    return { clock, service, acceptor, settle };
+}
+
+test("a job that is sent again, to any instance, is kept once and accepted each time", async () => {
+    const { service, acceptor, settle } = setUp();
+    const first = acceptor();
+    assert.equal((await settle(first.accept(route, submissionOf("j")))).kind, "accepted");
+    assert.equal((await settle(first.accept(route, submissionOf("j")))).kind, "accepted");
+    assert.equal((await settle(acceptor().accept(route, submissionOf("j")))).kind, "accepted");
+    assert.equal((await service.list(jobKeys.jobsPrefix)).filter(entry => entry.key.endsWith("/record")).length, 1);
+});
+
+test("the tokens that wait stay under the limit over all instances", async () => {
+    const { acceptor, settle } = setUp();
+    const [first, second] = [acceptor(), acceptor()];
+    assert.equal((await settle(first.accept(route, submissionOf("a")))).kind, "accepted");
+    assert.equal((await settle(second.accept(route, submissionOf("b")))).kind, "accepted");
+    const refused = await settle(first.accept(route, submissionOf("c")));
+    assert.deepEqual([refused.kind, refused.kind === "refused" && refused.reason], ["refused", "over-limit"]);
+});
+
+test("a lost answer is settled: the job is accepted once", async () => {
+    const { service, acceptor, settle } = setUp();
+    service.faults.loseNextAnswers(1);
+    assert.equal((await settle(acceptor().accept(route, submissionOf("j")))).kind, "accepted");
+});
+
+test("during an outage a job is accepted where enough disks hold it", async () => {
+    const { service, acceptor, settle } = setUp("held");
+    service.faults.outage = true;
+    assert.equal((await settle(acceptor().accept(route, submissionOf("j")))).kind, "accepted");
+});
+
+test("a job that no disk can hold is refused, one that a disk may hold is not", async () => {
+    const refusing = setUp("not-held");
+    refusing.service.faults.outage = true;
+    assert.equal((await refusing.settle(refusing.acceptor().accept(route, submissionOf("j")))).kind, "refused");
+    const unsure = setUp("unknown");
+    unsure.service.faults.outage = true;
+    assert.equal((await unsure.settle(unsure.acceptor().accept(route, submissionOf("j")))).kind, "unknown");
+});
+
+test("cancelling is acknowledged each time, and denied only for jobs that certainly don't exist", async () => {
+    const { acceptor, settle } = setUp();
+    const one = acceptor();
+    await settle(one.accept(route, submissionOf("j")));
+    assert.equal(await one.cancel("j" as JobId), true);
+    assert.equal(await one.cancel("j" as JobId), true);
+    assert.equal(await one.cancel("none" as JobId), false);
+});
--- /dev/null
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -0,0 +1,82 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { PrefixMirror } from "../src/prefixMirror.js";
+
+function put(key: string) {
+    return { kind: "put", key, value: Buffer.from("v") } as const;
+}
+
+function setUp() {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const controller = new AbortController();
+    const keys = new Set<string>();
+    let regained = 0;
+    let snapshots = 0;
+    const mirror = new PrefixMirror({
+        service,
+        clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        prefix: "a/",
+        onSnapshot: entries => {
+            snapshots += 1;
+            keys.clear();
+            entries.forEach(entry => keys.add(entry.key));
+        },
+        onChange: batch => {
+            batch.puts.forEach(entry => keys.add(entry.key));
+            batch.deletedKeys.forEach(key => keys.delete(key));
+        },
+        onRegained: () => {
+            regained += 1;
+        },
+    });
+    void mirror.run(controller.signal);
+    return { clock, service, mirror, keys, counts: () => ({ regained, snapshots }), stop: () => controller.abort() };
+}
+
+test("changes during an outage are there when the service is back, and the return is told", async () => {
+    const { clock, service, keys, counts, stop } = setUp();
+    await service.transact([], [put("a/1")]);
+    await clock.advance(100);
+    service.faults.outage = true;
+    await clock.advance(3000);
+    service.faults.outage = false;
+    await service.transact([], [put("a/2"), { kind: "delete", key: "a/1" }]);
+    await clock.advance(2000);
+    assert.deepEqual([...keys], ["a/2"]);
+    assert.equal(counts().regained, 1);
+    stop();
+});
+
+test("a mirror that a peer is ahead of lists again, but not where the watch brings the change", async () => {
+    const { clock, service, mirror, counts, stop } = setUp();
+    await clock.advance(100);
+    await service.transact([], [put("a/1")]);
+    mirror.catchUp(service.revision);
+    await clock.advance(1000);
+    assert.equal(counts().snapshots, 1);
+    mirror.catchUp(service.revision + 1);
+    await clock.advance(1000);
+    assert.equal(counts().snapshots, 2);
+    stop();
+});
+
+test("an outage ends the time in touch", async () => {
+    const { clock, service, mirror, stop } = setUp();
+    await clock.advance(100);
+    assert.ok(mirror.inTouchSinceMs <= 100);
+    service.faults.outage = true;
+    await clock.advance(1000);
+    assert.equal(mirror.inTouchSinceMs, Infinity);
+    service.faults.outage = false;
+    await service.transact([], [put("a/1")]);
+    await clock.advance(2000);
+    assert.ok(mirror.inTouchSinceMs >= 1100);
+    stop();
+});
