--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -75,7 +75,8 @@
     }
 
     private async follow(signal: AbortSignal): Promise<void> {
-        if (this.currentRevision === 0) {
+        // A watch that is sent while the service is silent hangs for its whole wait; a listing shows sooner that it is back.
+        if (this.currentRevision === 0 || this.failures > 0) {
             const snapshot = await this.opts.service.snapshot(this.opts.prefix);
             this.onAnswer();
             this.currentRevision = snapshot.revision;
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -1,4 +1,6 @@
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
+import { answerLostError } from "@knapweedwood/core.key-value/answerLostError";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
@@ -6,6 +8,9 @@
 import { test } from "node:test";
 import { PrefixMirror } from "../src/prefixMirror.js";
 
+const LOST_CALL_MS = 600;
+const LOST_WATCH_MS = 4700;
+
 function put(key: string) {
     return { kind: "put", key, value: Buffer.from("v") } as const;
 }
@@ -80,3 +85,57 @@
     assert.ok(mirror.inTouchSinceMs >= 1100);
     stop();
 });
+
+/** A service that answers nothing for a while: calls that were sent meanwhile are lost, watches hang. */
+class SilentSpell extends MemoryKeyValueService {
+    isSilent = false;
+    private readonly testClock: ManualClock;
+
+    constructor(clock: ManualClock) {
+        super({ clock });
+        this.testClock = clock;
+    }
+
+    override async snapshot(prefix: string) {
+        if (this.isSilent) {
+            await sleep(this.testClock, LOST_CALL_MS);
+            throw answerLostError("silent");
+        }
+        return super.snapshot(prefix);
+    }
+
+    override async *watch(prefix: string, opts: { afterRevision: number; signal: AbortSignal; }) {
+        if (this.isSilent) {
+            await sleep(this.testClock, LOST_WATCH_MS, opts.signal);
+            throw answerLostError("silent");
+        }
+        yield* super.watch(prefix, opts);
+    }
+}
+
+test("a change made at the end of a silent spell is known within two seconds", async () => {
+    const clock = new ManualClock();
+    const service = new SilentSpell(clock);
+    const controller = new AbortController();
+    const keys = new Set<string>();
+    const mirror = new PrefixMirror({
+        service,
+        clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        prefix: "a/",
+        onSnapshot: entries => entries.forEach(entry => keys.add(entry.key)),
+        onChange: batch => batch.puts.forEach(entry => keys.add(entry.key)),
+    });
+    void mirror.run(controller.signal);
+    await clock.advance(100);
+    service.isSilent = true;
+    service.faults.outage = true;
+    service.faults.outage = false;
+    await clock.advance(1000);
+    service.isSilent = false;
+    await service.transact([], [put("a/1")]);
+    await clock.advance(2000);
+    assert.deepEqual([...keys], ["a/1"]);
+    controller.abort();
+});
