refactor(fleet): call what the project already had; drop state that nothing reads

Cause, found by reading the whole change: records were encoded by a second pair of functions (batch/records has them), the list of hop-by-hop headers stood twice, and so did the time after an outage in which held jobs are written. Dead: the age of the configuration, the leader's address in its record, a settings field. The bodies of a job were joined anew at each start of an item; they are joined once. A gateway kept the id of each job it ever accepted; the key-value service knows them.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -3,6 +3,7 @@
 import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { HELD_JOBS_SETTLE_MS } from "@knapweedwood/fleet.jobs/heldJobsSettleMs";
 import { LoadBoard } from "@knapweedwood/fleet.load/loadBoard";
 import { LoadExchange } from "@knapweedwood/fleet.load/loadExchange";
 import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
@@ -25,8 +26,6 @@
 const INFORMED_POLL_MS = 5;
 /** Age of the last renewed lease from which the key-value service counts as out of reach, in milliseconds. */
 const IN_TOUCH_MS = 1800;
-/** Time after an outage in which held jobs are written, in milliseconds. */
-const SETTLE_MS = 4000;
 /** Links are quiet for long stretches here: a less frequent heartbeat costs less. */
 const LINK_LIMITS = { heartbeatIntervalMs: 250, idleHeartbeatIntervalMs: 2000, silentAfterMs: 700 };
 
@@ -128,7 +127,7 @@
 
     /** Whether jobs that were held during an outage of the key-value service have been written by now. */
     get isSettled(): boolean {
-        return this.clock.nowMs() > this.peers.mirror.inTouchSinceMs + SETTLE_MS;
+        return this.clock.nowMs() > this.peers.mirror.inTouchSinceMs + HELD_JOBS_SETTLE_MS;
     }
 
     /** Resolves once the process is informed, or after `maxMs`. */
--- a/daemons/fleet/src/operatorsFollower.ts
+++ b/daemons/fleet/src/operatorsFollower.ts
@@ -50,7 +50,7 @@
         try {
             const configuration = decodeConfiguration(entry.value);
             this.writtenRevision = Math.max(this.writtenRevision, entry.modRevision);
-            if (this.configuration.adopt(configuration, this.opts.clock.nowMs())) {
+            if (this.configuration.adopt(configuration)) {
                 this.opts.logger.info("configuration-in-force", {
                     version: configuration.version,
                     routes: configuration.routes.length,
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -1,7 +1,7 @@
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
 import { Leadership } from "@knapweedwood/fleet.sync/leadership";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
@@ -30,12 +30,12 @@
 
     constructor(opts: PeerFollowerOptions) {
         this.opts = opts;
-        const { instanceName, host, linkPort, startedAtMs, role } = opts.self;
+        const { instanceName, startedAtMs, role } = opts.self;
         this.lease = new ProcessLease({ ...opts, onGranted: leaseId => this.announce(leaseId) });
         this.leadership = new Leadership({
             ...opts,
             lease: this.lease,
-            self: { instanceName, host, linkPort, startedAtMs },
+            self: { instanceName, startedAtMs },
             isCandidate: role === "runner",
             onGained: () => opts.onLead(true),
             onLost: () => opts.onLead(false),
--- a/daemons/inference/src/forwardableHeaders.ts
+++ b/daemons/inference/src/forwardableHeaders.ts
@@ -1,17 +1,6 @@
 import type { HeaderField } from "./headerField.js";
+import { hopByHopHeaders } from "./hopByHopHeaders.js";
 
-const HOP_BY_HOP = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-]);
 const PAIR_LENGTH = 2;
 
 /**
@@ -33,5 +22,5 @@
         .filter(field => field.name === "connection")
         .flatMap(field => field.value.split(",").map(name => name.trim().toLowerCase()));
     const dropped = new Set([...named, ...opts.drop ?? []]);
-    return fields.filter(field => !HOP_BY_HOP.has(field.name) && !dropped.has(field.name));
+    return fields.filter(field => !hopByHopHeaders.has(field.name) && !dropped.has(field.name));
 }
--- a/fleet/upstreams/src/connectionHeaders.ts
+++ b/daemons/inference/src/hopByHopHeaders.ts
@@ -1,5 +1,5 @@
 /** Headers that concern one connection and are not passed on, in lower case. */
-export const connectionHeaders: ReadonlySet<string> = new Set([
+export const hopByHopHeaders: ReadonlySet<string> = new Set([
     "connection",
     "keep-alive",
     "proxy-authenticate",
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -1,9 +1,9 @@
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import { hopByHopHeaders } from "@knapweedwood/daemons.inference/hopByHopHeaders";
 import type { WaitingCall } from "@knapweedwood/fleet.load/waitingCall";
 import type { AnswerHead } from "@knapweedwood/fleet.upstreams/answerHead";
-import { connectionHeaders } from "@knapweedwood/fleet.upstreams/connectionHeaders";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
 import type { HeaderList } from "@knapweedwood/fleet.upstreams/headerList";
@@ -356,7 +356,7 @@
         const kept = raw.flatMap((name, index) => {
             const lowerName = name.toLowerCase();
             const isName = index % 2 === 0;
-            return isName && !replaced.includes(lowerName) && !connectionHeaders.has(lowerName)
+            return isName && !replaced.includes(lowerName) && !hopByHopHeaders.has(lowerName)
                 ? [name, raw[index + 1]!]
                 : [];
         });
--- a/fleet/gateway/test/gatewayBed.ts
+++ b/fleet/gateway/test/gatewayBed.ts
@@ -77,7 +77,7 @@
                 headerTimeoutMs: 3000,
                 idleTimeoutMs: 5000,
             };
-            configuration.adopt({ version: 1, routes: [{ ...defaultRoute, ...opts.route }], services: [], limits }, 0);
+            configuration.adopt({ version: 1, routes: [{ ...defaultRoute, ...opts.route }], services: [], limits });
         }
         const { board, connections } = this;
         const holdTimes = new HoldTimes();
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -1,3 +1,5 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
@@ -8,8 +10,6 @@
 import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
-import { decodeRecord } from "@knapweedwood/fleet.sync/decodeRecord";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { randomUUID } from "node:crypto";
@@ -37,7 +37,6 @@
     private readonly holder: JobHolder;
     private readonly isSettled: () => boolean;
     private readonly limits = new Map<string, KeyValueEntry>();
-    private readonly acceptedIds = new Set<JobId>();
 
     /**
      * @param opts.holder keeps jobs while the service is away
@@ -59,13 +58,7 @@
 
     async accept(route: Route, submission: JobSubmission): Promise<Acceptance> {
         const { jobId } = submission;
-        if (this.acceptedIds.has(jobId)) {
-            return { kind: "accepted", revision: 0 };
-        }
         const acceptance = await this.writeOrHold(route, submission);
-        if (acceptance.kind === "accepted") {
-            this.acceptedIds.add(jobId);
-        }
         this.logger.info("job-submitted", { jobId, route: route.name, items: submission.items.length, ...acceptance });
         return acceptance;
     }
--- a/fleet/jobs/src/jobReads.ts
+++ b/fleet/jobs/src/jobReads.ts
@@ -4,14 +4,12 @@
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { SnapshotKeyValueService } from "@knapweedwood/core.key-value/snapshotKeyValueService";
+import { HELD_JOBS_SETTLE_MS } from "./heldJobsSettleMs.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobTable } from "./jobTable.js";
 import type { OpenJob } from "./openJob.js";
 import type { ResultsPage } from "./resultsPage.js";
 
-/** Time after an outage in which jobs that were held on disks are written, in milliseconds. */
-const HELD_JOBS_SETTLE_MS = 4000;
-
 interface JobReadsOptions {
     clock: Clock;
     service: SnapshotKeyValueService;
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -1,6 +1,6 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
-import { decodeRecord } from "@knapweedwood/fleet.sync/decodeRecord";
 import type { HeldJob } from "./heldJob.js";
 import type { ItemProgress } from "./itemProgress.js";
 import type { ItemResult } from "./itemResult.js";
--- a/fleet/jobs/src/jobWriteOf.ts
+++ b/fleet/jobs/src/jobWriteOf.ts
@@ -1,5 +1,5 @@
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import type { HeldJob } from "./heldJob.js";
 import { jobKeys } from "./jobKeys.js";
 import { PART_BYTES } from "./partBytes.js";
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -15,6 +15,8 @@
     readonly items: JobItem[];
     isCancelled = false;
     private readonly parts: (Buffer | undefined)[];
+    /** All parts as one; undefined until a body is wanted. */
+    private joinedParts: Buffer | undefined;
     private readonly listed: ItemResult[] = [];
     private waiters: (() => void)[] = [];
 
@@ -50,14 +52,13 @@
 
     setPart(index: number, bytes: Uint8Array): void {
         this.parts[index] = Buffer.from(bytes);
+        this.joinedParts = undefined;
     }
 
     bodyOf(item: JobItem): Buffer {
         const { bodyOffset, bodyBytes } = item.record;
-        return Buffer.concat(this.parts.map(part => part ?? Buffer.alloc(0))).subarray(
-            bodyOffset,
-            bodyOffset + bodyBytes,
-        );
+        this.joinedParts ??= Buffer.concat(this.parts.map(part => part ?? Buffer.alloc(0)));
+        return this.joinedParts.subarray(bodyOffset, bodyOffset + bodyBytes);
     }
 
     item(id: ItemId): JobItem | undefined {
--- a/fleet/jobs/src/progressKeeper.ts
+++ b/fleet/jobs/src/progressKeeper.ts
@@ -1,5 +1,5 @@
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import type { FencedLead } from "@knapweedwood/fleet.sync/fencedLead";
 import type { JobItem } from "./jobItem.js";
 import { jobKeys } from "./jobKeys.js";
--- a/fleet/jobs/src/releaseWaitingTokens.ts
+++ b/fleet/jobs/src/releaseWaitingTokens.ts
@@ -1,7 +1,7 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
-import { decodeRecord } from "@knapweedwood/fleet.sync/decodeRecord";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import { jobKeys } from "./jobKeys.js";
 import type { WaitingTokens } from "./waitingTokens.js";
 
--- a/fleet/jobs/src/resultCommitter.ts
+++ b/fleet/jobs/src/resultCommitter.ts
@@ -1,10 +1,10 @@
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import type { FencedLead } from "@knapweedwood/fleet.sync/fencedLead";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { ItemResult } from "./itemResult.js";
--- a/fleet/jobs/test/jobSweep.test.ts
+++ b/fleet/jobs/test/jobSweep.test.ts
@@ -1,5 +1,5 @@
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import type { FencedLead } from "@knapweedwood/fleet.sync/fencedLead";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
--- a/fleet/jobs/test/jobTable.test.ts
+++ b/fleet/jobs/test/jobTable.test.ts
@@ -1,5 +1,5 @@
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { jobKeys } from "../src/jobKeys.js";
--- a/fleet/jobs/test/progressKeeper.test.ts
+++ b/fleet/jobs/test/progressKeeper.test.ts
@@ -1,5 +1,5 @@
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
-import { encodeRecord } from "@knapweedwood/fleet.sync/encodeRecord";
 import type { FencedLead } from "@knapweedwood/fleet.sync/fencedLead";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
--- a/fleet/sync/src/leaderRecord.ts
+++ b/fleet/sync/src/leaderRecord.ts
@@ -3,8 +3,6 @@
 /** Who runs batch jobs. */
 export interface LeaderRecord {
     instanceName: InstanceName;
-    host: string;
-    linkPort: number;
     /** Start of the process, Unix ms. */
     startedAtMs: number;
 }
--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -1,3 +1,5 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
@@ -8,8 +10,6 @@
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import { decodeRecord } from "./decodeRecord.js";
-import { encodeRecord } from "./encodeRecord.js";
 import type { FencedLead } from "./fencedLead.js";
 import { fleetKeys } from "./fleetKeys.js";
 import type { KnownLeader } from "./knownLeader.js";
--- a/fleet/sync/src/memberTable.ts
+++ b/fleet/sync/src/memberTable.ts
@@ -1,6 +1,6 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
-import { decodeRecord } from "./decodeRecord.js";
 import { fleetKeys } from "./fleetKeys.js";
 import type { MemberRecord } from "./memberRecord.js";
 
--- a/fleet/sync/test/leadership.test.ts
+++ b/fleet/sync/test/leadership.test.ts
@@ -16,7 +16,7 @@
     const leadership = new Leadership({
         ...tools,
         lease,
-        self: { instanceName: opts.name as InstanceName, host: "h", linkPort: 1, startedAtMs: 1 },
+        self: { instanceName: opts.name as InstanceName, startedAtMs: 1 },
         isCandidate: true,
         onGained: () => events.push("gained"),
         onLost: () => events.push("lost"),
@@ -91,7 +91,7 @@
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
     const lease = await service.grantLease(60_000);
-    const record = { instanceName: "a", host: "h", linkPort: 1, startedAtMs: 0 };
+    const record = { instanceName: "a", startedAtMs: 0 };
     const value = Buffer.from(JSON.stringify(record));
     await service.transact([], [{ kind: "put", key: fleetKeys.jobsLeader, value, leaseId: lease }]);
     const { signal, abort } = abortable();
--- a/fleet/upstreams/src/toAnswerHead.ts
+++ b/fleet/upstreams/src/toAnswerHead.ts
@@ -1,11 +1,11 @@
+import { hopByHopHeaders } from "@knapweedwood/daemons.inference/hopByHopHeaders";
 import type { IncomingHttpHeaders } from "node:http";
 import type { AnswerHead } from "./answerHead.js";
-import { connectionHeaders } from "./connectionHeaders.js";
 
 /** Keeps the headers of an answer that are passed on. */
 export function toAnswerHead(statusCode: number, headers: IncomingHttpHeaders): AnswerHead {
     const list = Object.entries(headers)
-        .filter(([name]) => !connectionHeaders.has(name))
+        .filter(([name]) => !hopByHopHeaders.has(name))
         .flatMap(([name, value]) => [value ?? []].flat().flatMap(single => [name, single]));
     return {
         statusCode,
--- a/fleet/view/src/configurationInForce.ts
+++ b/fleet/view/src/configurationInForce.ts
@@ -6,7 +6,6 @@
 export class ConfigurationInForce {
     private configuration: FleetConfiguration | undefined;
     private table: RouteTable | undefined;
-    private adoptedAtMs = 0;
 
     get current(): FleetConfiguration | undefined {
         return this.configuration;
@@ -17,21 +16,15 @@
     }
 
     /** @returns whether the configuration is newer and now in force */
-    adopt(configuration: FleetConfiguration, nowMs: number): boolean {
+    adopt(configuration: FleetConfiguration): boolean {
         if (configuration.version <= this.version) {
             return false;
         }
         this.configuration = configuration;
         this.table = new RouteTable(configuration);
-        this.adoptedAtMs = nowMs;
         return true;
     }
 
-    /** Time since the configuration came into force, in milliseconds. */
-    ageMs(nowMs: number): number {
-        return nowMs - this.adoptedAtMs;
-    }
-
     match(host: string, path: string): Route | undefined {
         return this.table?.match(host, path);
     }
--- a/fleet/view/src/processSettings.ts
+++ b/fleet/view/src/processSettings.ts
@@ -20,8 +20,6 @@
     keyValueAddress: HostPort;
     /** Shortest time to live that the key-value service grants a lease. */
     minLeaseMs: number;
-    /** Time within which a new configuration has to be in force everywhere. */
-    configurationMs: number;
     /** Folder for data on this instance's disk; undefined where it has none. */
     dataFolder: string | undefined;
     /** Instances with disks that may be lost at the same time. */
--- a/fleet/view/test/routeTable.test.ts
+++ b/fleet/view/test/routeTable.test.ts
@@ -15,7 +15,7 @@
 
 test("the longest prefix of the host wins", () => {
     const inForce = new ConfigurationInForce();
-    inForce.adopt(configurationOf(1, route("short", "/a/"), route("long", "/a/b/"), route("root", "/")), 0);
+    inForce.adopt(configurationOf(1, route("short", "/a/"), route("long", "/a/b/"), route("root", "/")));
     const matches = ["/a/b/c", "/a/b/", "/a/b", "/a/x", "/x"].map(path => inForce.match("A.example:80", path)?.name);
     assert.deepEqual(matches, ["long", "long", "short", "short", "root"]);
     assert.equal(inForce.match("b.example", "/a/"), undefined);
@@ -23,7 +23,7 @@
 
 test("an older version never replaces a newer one", () => {
     const inForce = new ConfigurationInForce();
-    assert.equal(inForce.adopt(configurationOf(7, route("new", "/a/")), 0), true);
-    assert.equal(inForce.adopt(configurationOf(5, route("old", "/a/")), 0), false);
+    assert.equal(inForce.adopt(configurationOf(7, route("new", "/a/"))), true);
+    assert.equal(inForce.adopt(configurationOf(5, route("old", "/a/"))), false);
     assert.equal(inForce.match("a.example", "/a/")?.name, "new");
 });
