fix(jobs): jobs held on disks count against the limit of waiting tokens

Cause: a job accepted while the key-value service is away is kept on two disks. Nothing compared it with the limit of its route then, and its late write did not count its tokens either, so that the limit was open by all that was held, also afterwards.

Change: the leading runner, which knows what waits, has the first word and may answer "over-limit", upon which no other disk is asked; the late write counts the tokens, and a job that ended before its late write is released after it.

Measured: unit tests of all three (the late write failed before).

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -82,7 +82,9 @@
                 logger,
                 holder: new LinkJobHolder({
                     endpoint: this.fleet.links,
+                    clock,
                     logger,
+                    leader: () => this.fleet.peers.leadingRunner(),
                     runners: () => this.fleet.peers.runners(),
                     copies: settings.tolerableLosses + 1,
                 }),
--- a/daemons/fleet/src/linkJobHolder.ts
+++ b/daemons/fleet/src/linkJobHolder.ts
@@ -1,6 +1,9 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { HeldJob } from "@knapweedwood/fleet.jobs/heldJob";
 import { holdJobCall } from "@knapweedwood/fleet.jobs/holdJobCall";
+import type { HoldOutcome } from "@knapweedwood/fleet.jobs/holdOutcome";
 import type { JobHolder } from "@knapweedwood/fleet.jobs/jobHolder";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
@@ -8,26 +11,42 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 
 const CALL_TIMEOUT_MS = 1000;
+/** How long the leader has the first word on the limit of waiting tokens, in milliseconds. */
+const LEADER_FIRST_MS = 120;
 
-type HoldOutcome = "held" | "not-held" | "unknown";
+interface LinkJobHolderOptions {
+    endpoint: LinkEndpoint;
+    clock: Clock;
+    logger: Logger;
+    /** Where runners accept links. */
+    runners: () => HostPort[];
+    /** Where the runner that leads accepts links; it knows how many tokens wait. */
+    leader: () => HostPort | undefined;
+    /** Copies that have to be synced. */
+    copies: number;
+}
 
 /** Keeps jobs on the disks of the runners, over links. */
 export class LinkJobHolder implements JobHolder {
-    private readonly opts: {
-        endpoint: LinkEndpoint;
-        logger: Logger;
-        /** Where runners accept links. */
-        runners: () => HostPort[];
-        /** Copies that have to be synced. */
-        copies: number;
-    };
+    private readonly opts: LinkJobHolderOptions;
 
-    constructor(opts: { endpoint: LinkEndpoint; logger: Logger; runners: () => HostPort[]; copies: number; }) {
+    constructor(opts: LinkJobHolderOptions) {
         this.opts = opts;
     }
 
     async hold(job: HeldJob): Promise<HoldOutcome> {
-        const runners = this.opts.runners();
+        const leader = this.opts.leader();
+        const atLeader = leader === undefined ? undefined : this.holdAt(leader, job);
+        const first = await Promise.race([atLeader, sleep(this.opts.clock, LEADER_FIRST_MS)]);
+        if (first === "over-limit") {
+            return first;
+        }
+        const others = this.opts.runners().filter(runner => !isSame(runner, leader));
+        return this.combine([...atLeader === undefined ? [] : [atLeader], ...others.map(one => this.holdAt(one, job))]);
+    }
+
+    /** Resolves as soon as there are enough copies, or when all runners have answered. */
+    private combine(pending: readonly Promise<HoldOutcome>[]): Promise<HoldOutcome> {
         return new Promise(resolve => {
             const outcomes: HoldOutcome[] = [];
             const add = (outcome: HoldOutcome) => {
@@ -35,14 +54,14 @@
                 if (outcomes.filter(one => one === "held").length >= this.opts.copies) {
                     resolve("held");
                 }
-                else if (outcomes.length === runners.length) {
-                    resolve(outcomes.every(one => one === "not-held") ? "not-held" : "unknown");
+                else if (outcomes.length === pending.length) {
+                    resolve(outcomes.some(one => one === "held" || one === "unknown") ? "unknown" : "not-held");
                 }
             };
-            if (runners.length === 0) {
+            if (pending.length === 0) {
                 resolve("not-held");
             }
-            runners.forEach(runner => void this.holdAt(runner, job).then(add));
+            pending.forEach(one => void one.then(add));
         });
     }
 
@@ -50,7 +69,7 @@
         try {
             const link = this.opts.endpoint.connect(`${runner.host}:${runner.port}`);
             const frame = await singleFrame(link.call(holdJobCall, job, { timeoutMs: CALL_TIMEOUT_MS }));
-            return frame.isHeld ? "held" : "not-held";
+            return frame.outcome;
         }
         catch (thrown) {
             const error = toKnapweedError(thrown);
@@ -64,3 +83,7 @@
         }
     }
 }
+
+function isSame(left: HostPort, right: HostPort | undefined): boolean {
+    return left.host === right?.host && left.port === right.port;
+}
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -2,11 +2,14 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { HeldJob } from "@knapweedwood/fleet.jobs/heldJob";
 import { HeldJobs } from "@knapweedwood/fleet.jobs/heldJobs";
 import { holdJobCall } from "@knapweedwood/fleet.jobs/holdJobCall";
+import type { HoldOutcome } from "@knapweedwood/fleet.jobs/holdOutcome";
 import { itemBodyCall } from "@knapweedwood/fleet.jobs/itemBodyCall";
 import { JobRunner } from "@knapweedwood/fleet.jobs/jobRunner";
 import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
+import { tokensOf } from "@knapweedwood/fleet.jobs/tokensOf";
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { emptyingProgressOperation } from "@knapweedwood/platform.adapter/emptyingProgressOperation";
@@ -116,7 +119,7 @@
     }
 
     private handleCalls(): void {
-        const { runner, held } = this;
+        const { runner } = this;
         this.fleet.links.handle(resultsCall, async function*(request, context) {
             const page = await runner.reads.results({ ...request, signal: context.signal });
             yield page === undefined ? {} : { page };
@@ -125,16 +128,26 @@
             const body = await runner.reads.itemBody(request.jobId, request.itemId);
             yield body === undefined ? {} : { body };
         });
-        const isEmptying = () => this.isEmptying;
+        const holdJob = (job: HeldJob) => this.holdJob(job);
         this.fleet.links.handle(holdJobCall, async function*(job) {
-            const isHeld = !isEmptying();
-            if (isHeld) {
-                await held.hold(job);
-            }
-            yield { isHeld };
+            yield { outcome: await holdJob(job) };
         });
     }
 
+    private async holdJob(job: HeldJob): Promise<HoldOutcome> {
+        const { record, maxWaitingTokens = Infinity } = job;
+        const waitingTokens = this.runner.waitingTokens(record.routeName, record.jobId) ?? 0;
+        if (this.isEmptying) {
+            return "not-held";
+        }
+        if (waitingTokens + tokensOf(record) > maxWaitingTokens) {
+            this.logger.info("job-over-limit", { jobId: record.jobId, waitingTokens, maxWaitingTokens });
+            return "over-limit";
+        }
+        await this.held.hold(job);
+        return "held";
+    }
+
     private fleetTools() {
         const { store: service, clock, random, connections, board, health, metrics } = this.fleet;
         const { leadership } = this.fleet.peers;
--- /dev/null
+++ b/daemons/fleet/test/linkJobHolder.test.ts
@@ -0,0 +1,70 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { HeldJob } from "@knapweedwood/fleet.jobs/heldJob";
+import type { HoldOutcome } from "@knapweedwood/fleet.jobs/holdOutcome";
+import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { LinkJobHolder } from "../src/linkJobHolder.js";
+
+const job = { record: { jobId: "j" } } as unknown as HeldJob;
+
+/** What a runner answers; a silent one never does, a dark one is out of reach. */
+type RunnerAnswer = HoldOutcome | "silent" | "dark";
+
+function start(answers: { [host: string]: RunnerAnswer; }) {
+    const clock = new ManualClock();
+    const asked: string[] = [];
+    const endpoint = {
+        connect: (address: string) => ({
+            call: async function*() {
+                const host = address.split(":")[0]!;
+                asked.push(host);
+                const answer = answers[host]!;
+                if (answer === "silent") {
+                    await new Promise(() => undefined);
+                }
+                if (answer === "dark") {
+                    throw new KnapweedError("LINK_CLOSED", "out of reach", { outcome: "not-run" });
+                }
+                yield { outcome: answer };
+            },
+        }),
+    } as unknown as LinkEndpoint;
+    const hosts = Object.keys(answers);
+    const holder = new LinkJobHolder({
+        endpoint,
+        clock,
+        logger: silentLogger,
+        runners: () => hosts.map(host => ({ host, port: 1 })),
+        leader: () => ({ host: hosts[0]!, port: 1 }),
+        copies: 2,
+    });
+    return { clock, asked, holder };
+}
+
+async function outcomeOf(answers: { [host: string]: RunnerAnswer; }) {
+    const { clock, asked, holder } = start(answers);
+    const pending = holder.hold(job);
+    await clock.advance(2000);
+    return { outcome: await pending, asked };
+}
+
+test("a job over the limit is held by nobody, since the leader has the first word", async () => {
+    assert.deepEqual(await outcomeOf({ a: "over-limit", b: "held", c: "held" }), {
+        outcome: "over-limit",
+        asked: ["a"],
+    });
+});
+
+test("a leader that doesn't answer holds nothing up", async () => {
+    assert.equal((await outcomeOf({ a: "silent", b: "held", c: "held" })).outcome, "held");
+    assert.equal((await outcomeOf({ a: "dark", b: "held", c: "held" })).outcome, "held");
+});
+
+test("a job counts as held with enough copies, and as not held only where there can be none", async () => {
+    assert.equal((await outcomeOf({ a: "held", b: "held", c: "dark" })).outcome, "held");
+    assert.equal((await outcomeOf({ a: "held", b: "dark", c: "dark" })).outcome, "unknown");
+    assert.equal((await outcomeOf({ a: "dark", b: "not-held", c: "dark" })).outcome, "not-held");
+});
--- a/fleet/jobs/src/heldJob.ts
+++ b/fleet/jobs/src/heldJob.ts
@@ -5,4 +5,6 @@
     record: JobRecord;
     /** All bodies, one after the other. */
     bodies: Uint8Array;
+    /** Most tokens that may wait on the job's route; undefined for no limit. */
+    maxWaitingTokens: number | undefined;
 }
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -1,6 +1,7 @@
 import type { FolderSegmentStore } from "@knapweedwood/batch.segments/folderSegmentStore";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
@@ -10,10 +11,12 @@
 import { Packr } from "msgpackr";
 import type { HeldJob } from "./heldJob.js";
 import { jobKeys } from "./jobKeys.js";
-import { jobWriteOf } from "./jobWriteOf.js";
+import { planJobWrite } from "./planJobWrite.js";
 
 /** Pause between attempts to write held jobs to the key-value service, in milliseconds. */
 const WRITE_INTERVAL_MS = 250;
+/** Attempts to write one job beside others that change the waiting tokens of its route. */
+const MAX_CONFLICTS = 8;
 
 interface HeldJobsOptions {
     segments: FolderSegmentStore;
@@ -101,19 +104,18 @@
     /** Writes the job unless it is stored already. Throws where that isn't certain. */
     private async write(job: HeldJob): Promise<void> {
         const { service, clock } = this.opts;
-        const key = jobKeys.record(job.record.jobId);
-        if (await service.get(key) !== undefined) {
-            return;
-        }
-        const settled = await settleTransaction({
-            service,
-            clock,
-            compares: [{ key, modRevision: 0 }],
-            operations: jobWriteOf(job),
-            witnessKey: key,
-        });
-        if (settled.kind !== "succeeded" && await service.get(key) === undefined) {
-            throw toKnapweedError(new Error("the write is not settled"));
+        const recordKey = jobKeys.record(job.record.jobId);
+        for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts += 1) {
+            if (await service.get(recordKey) !== undefined) {
+                return;
+            }
+            const known = await service.get(jobKeys.waitingTokens(job.record.routeName));
+            const { compares, operations } = planJobWrite(job, known);
+            const settled = await settleTransaction({ service, clock, compares, operations, witnessKey: recordKey });
+            if (settled.kind === "succeeded") {
+                return;
+            }
         }
+        throw new KnapweedError("JOB_UNSETTLED", "Other writes came between each attempt", { outcome: "unknown" });
     }
 }
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -1,26 +1,24 @@
-import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
-import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
-import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { randomUUID } from "node:crypto";
 import type { Acceptance } from "./acceptance.js";
+import type { HeldJob } from "./heldJob.js";
+import type { HoldOutcome } from "./holdOutcome.js";
 import type { JobHolder } from "./jobHolder.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobRecord } from "./jobRecord.js";
 import type { JobSubmission } from "./jobSubmission.js";
-import { jobWriteOf } from "./jobWriteOf.js";
 import { PART_BYTES } from "./partBytes.js";
-import type { WaitingTokens } from "./waitingTokens.js";
+import { planJobWrite } from "./planJobWrite.js";
 
 const MAX_CONFLICTS = 6;
 const DEFAULT_DUE_MS = 60_000;
@@ -90,16 +88,8 @@
         if (written !== undefined && isFinal(written)) {
             return written;
         }
-        const held = await this.holder.hold({
-            record: this.toRecord(route, submission),
-            bodies: bodiesOf(submission),
-        });
-        if (held === "held") {
-            return { kind: "accepted", revision: 0 };
-        }
-        const late = await writing;
-        // A copy on one disk may be written later on.
-        return held === "unknown" && late.kind === "refused" ? { kind: "unknown" } : late;
+        const held = await this.holder.hold(this.toJob(route, submission));
+        return held === "held" ? { kind: "accepted", revision: 0 } : combine(await writing, held);
     }
 
     private async tryAccept(route: Route, submission: JobSubmission): Promise<Acceptance> {
@@ -124,8 +114,8 @@
     /** @returns undefined where another job was accepted meanwhile and the write has to be made anew */
     private async writeOnce(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
         const recordKey = jobKeys.record(submission.jobId);
-        const plan = this.planWrite(route, submission);
-        if (plan === undefined) {
+        const plan = planJobWrite(this.toJob(route, submission), this.limits.get(route.name));
+        if (plan.waitingTokens > (route.maxWaitingTokens ?? Infinity)) {
             return this.refuseOverLimit(route, submission);
         }
         const result = await settleTransaction({
@@ -150,30 +140,6 @@
         return undefined;
     }
 
-    private planWrite(
-        route: Route,
-        submission: JobSubmission,
-    ): { compares: KeyValueCompare[]; operations: KeyValueOperation[]; } | undefined {
-        const record = this.toRecord(route, submission);
-        const compares = [{ key: jobKeys.record(record.jobId), modRevision: 0 }];
-        const operations = jobWriteOf({ record, bodies: bodiesOf(submission) });
-        if (route.maxWaitingTokens === undefined) {
-            return { compares, operations };
-        }
-        const key = jobKeys.waitingTokens(route.name);
-        const known = this.limits.get(route.name);
-        const jobs = known === undefined ? [] : decodeRecord<WaitingTokens>(known.value).jobs;
-        const tokens = submission.items.reduce((sum, item) => sum + item.tokens, 0);
-        if (jobs.reduce((sum, job) => sum + job.tokens, tokens) > route.maxWaitingTokens) {
-            return undefined;
-        }
-        const waiting: WaitingTokens = { jobs: [...jobs, { jobId: record.jobId, tokens }] };
-        return {
-            compares: [...compares, { key, modRevision: known?.modRevision ?? 0 }],
-            operations: [...operations, { kind: "put", key, value: encodeRecord(waiting) }],
-        };
-    }
-
     /** The record known here may be old: a refusal is only made on the newest. */
     private async refuseOverLimit(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
         const [existing, newest] = await Promise.all([
@@ -199,6 +165,11 @@
         this.limits.set(route.name, entry);
     }
 
+    private toJob(route: Route, submission: JobSubmission): HeldJob {
+        const { maxWaitingTokens } = route;
+        return { record: this.toRecord(route, submission), bodies: bodiesOf(submission), maxWaitingTokens };
+    }
+
     private toRecord(route: Route, submission: JobSubmission): JobRecord {
         const acceptedAtMs = this.clock.nowMs();
         let bodyOffset = 0;
@@ -226,6 +197,22 @@
     return acceptance.kind === "accepted" || (acceptance.kind === "refused" && acceptance.reason === "over-limit");
 }
 
+/** What is known of a job that could not be held, from the end of its write. */
+function combine(written: Acceptance, held: HoldOutcome): Acceptance {
+    if (written.kind !== "refused") {
+        return written;
+    }
+    switch (held) {
+        case "unknown":
+            // A copy on one disk may be written later on.
+            return { kind: "unknown" };
+        case "over-limit":
+            return { ...written, reason: "over-limit" };
+        default:
+            return written;
+    }
+}
+
 function bodiesOf(submission: JobSubmission): Buffer {
     return Buffer.concat(submission.items.map(item => item.body));
 }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -126,6 +126,13 @@
         }
     }
 
+    /** Tokens that wait on a route beside those of one job; undefined where this process doesn't know. */
+    waitingTokens(routeName: string, exceptJobId: JobId): number | undefined {
+        return this.isLoaded && this.opts.leadership.fence() !== undefined
+            ? this.table.waitingTokens(routeName, exceptJobId)
+            : undefined;
+    }
+
     private pause(): void {
         this.isLoaded = false;
         this.pumpTimer?.cancel();
@@ -171,6 +178,8 @@
             this.flights.endJob(job);
             this.onListed(job);
         });
+        // A job that ended while it was held on disks counts as waiting from its late write on.
+        this.table.endedAmong(entries).forEach(job => this.sweep.onEnded(job));
         this.pump();
     }
 
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -100,6 +100,24 @@
         this.retryWaitingResults();
     }
 
+    /** Tokens on a route of the items without a result, but those of one job. */
+    waitingTokens(routeName: string, exceptJobId: JobId): number {
+        return this.all()
+            .filter(({ record, isEnded }) => record.routeName === routeName && record.jobId !== exceptJobId && !isEnded)
+            .flatMap(job => job.items)
+            .filter(item => item.state === "pending" || item.state === "running")
+            .reduce((sum, item) => sum + item.record.tokens, 0);
+    }
+
+    /** Jobs whose record is among `entries` and that have ended, shape [jobs]. */
+    endedAmong(entries: readonly KeyValueEntry[]): OpenJob[] {
+        return entries
+            .map(entry => parseKey(entry.key))
+            .filter(({ part }) => part === "record")
+            .flatMap(({ jobId }) => this.jobs.get(jobId) ?? [])
+            .filter(job => job.isEnded);
+    }
+
     private retryWaitingResults(): void {
         this.applyResults(this.waitingResults.splice(0));
     }
--- a/fleet/jobs/test/heldJobs.test.ts
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -1,3 +1,4 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { FolderSegmentStore } from "@knapweedwood/batch.segments/folderSegmentStore";
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
@@ -11,9 +12,14 @@
 import type { HeldJob } from "../src/heldJob.js";
 import { HeldJobs } from "../src/heldJobs.js";
 import { jobKeys } from "../src/jobKeys.js";
+import type { WaitingTokens } from "../src/waitingTokens.js";
 import { jobOf } from "./jobOf.js";
 
-const job: HeldJob = { record: { ...jobOf({ id: "j", itemCount: 1 }), partCount: 1 }, bodies: Buffer.from("body") };
+const job: HeldJob = {
+    record: { ...jobOf({ id: "j", itemCount: 1 }), partCount: 1 },
+    bodies: Buffer.from("body"),
+    maxWaitingTokens: 1000,
+};
 
 async function withFolder(action: (folder: string) => Promise<void>): Promise<void> {
     const folder = await mkdtemp(path.join(tmpdir(), "held-"));
@@ -67,6 +73,8 @@
         assert.notEqual(await service.get(jobKeys.record(job.record.jobId)), undefined);
         assert.equal(Buffer.from((await service.get(jobKeys.part(job.record.jobId, 0)))!.value).toString(), "body");
         assert.equal(restarted.held.count, 0);
+        const waiting = decodeRecord<WaitingTokens>((await service.get(jobKeys.waitingTokens("route")))!.value);
+        assert.deepEqual(waiting, { jobs: [{ jobId: "j", tokens: 100 }] }, "its tokens count as waiting from then on");
         second.abort();
     });
 });
--- a/fleet/jobs/test/jobAcceptor.test.ts
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -78,6 +78,13 @@
     assert.equal((await unsure.settle(unsure.acceptor().accept(route, submissionOf("j")))).kind, "unknown");
 });
 
+test("during an outage a job over the limit is refused as such", async () => {
+    const { service, acceptor, settle } = setUp("over-limit");
+    service.faults.outage = true;
+    const refused = await settle(acceptor().accept(route, submissionOf("j")));
+    assert.deepEqual([refused.kind, refused.kind === "refused" && refused.reason], ["refused", "over-limit"]);
+});
+
 test("cancelling is acknowledged each time, and denied only for jobs that certainly don't exist", async () => {
     const { acceptor, settle } = setUp();
     const one = acceptor();
--- a/fleet/jobs/test/jobTable.test.ts
+++ b/fleet/jobs/test/jobTable.test.ts
@@ -1,4 +1,5 @@
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -45,3 +46,29 @@
     assert.equal(table.get(record.jobId)!.items[0]!.state, "listed");
     assert.deepEqual(table.get(record.jobId)!.page(0).results, [stored]);
 });
+
+test("tokens wait while their items have no result, those of held jobs too", () => {
+    const table = new JobTable();
+    table.applyHeld({ record: jobOf({ id: "a", itemCount: 2 }), bodies: Buffer.alloc(0), maxWaitingTokens: 1000 });
+    table.applyHeld({ record: jobOf({ id: "b", itemCount: 3 }), bodies: Buffer.alloc(0), maxWaitingTokens: 1000 });
+    const [first] = table.all();
+    first!.items[0]!.state = "finished";
+    assert.equal(table.waitingTokens("route", "b" as JobId), 100);
+    assert.equal(table.waitingTokens("route", "none" as JobId), 400);
+    assert.equal(table.waitingTokens("other", "none" as JobId), 0);
+});
+
+test("a job that ended before its record was stored is told once the record comes", () => {
+    const table = new JobTable();
+    const record = jobOf({ id: "a", itemCount: 1 });
+    table.applyHeld({ record, bodies: Buffer.alloc(0), maxWaitingTokens: 1000 });
+    table.get(record.jobId)!.list(0, { itemId: record.items[0]!.id, state: "completed", output: "" });
+    const entry = {
+        key: jobKeys.record(record.jobId),
+        value: encodeRecord(record),
+        modRevision: 1,
+        leaseId: undefined,
+    };
+    table.apply([entry]);
+    assert.deepEqual(table.endedAmong([entry]).map(job => job.record.jobId), ["a"]);
+});
