feat(jobs): of more lots than fit, those run first that can still be in time

Change: a mean of how long items run is learned; items that would be late even if they started now come after all others and are the first to give way.

--- a/fleet/jobs/src/itemFlights.ts
+++ b/fleet/jobs/src/itemFlights.ts
@@ -3,6 +3,7 @@
 import { chooseRunsToEnd } from "./chooseRunsToEnd.js";
 import { ItemRun } from "./itemRun.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
+import type { ItemRunTimes } from "./itemRunTimes.js";
 import type { JobItem } from "./jobItem.js";
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
 import type { OpenJob } from "./openJob.js";
@@ -12,10 +13,12 @@
     run: ItemRun;
 }
 
-type FlightOptions = Pick<
-    JobRunnerOptions,
-    "clock" | "logger" | "metrics" | "board" | "connections" | "headers" | "onLoadChanged"
->;
+type FlightOptions =
+    & Pick<
+        JobRunnerOptions,
+        "clock" | "logger" | "metrics" | "board" | "connections" | "headers" | "onLoadChanged"
+    >
+    & { runTimes: ItemRunTimes; };
 
 /** The items that run at upstreams now. An ended run leaves its item waiting to be resumed. */
 export class ItemFlights {
@@ -58,11 +61,13 @@
 
     /** Ends runs where online requests want their slots. */
     endDisplaced(): void {
+        const nowMs = this.opts.clock.nowMs();
         const runs = this.flights.map(flight => ({
             flight,
             upstreamId: flight.run.upstream.id,
             dueAtMs: flight.job.record.dueAtMs,
             startedAtMs: flight.run.startedAtMs,
+            isLate: nowMs + this.opts.runTimes.remainingMs(flight.run.item) > flight.job.record.dueAtMs,
         }));
         [...new Set(this.flights.map(flight => flight.run.upstream))]
             .flatMap(upstream => chooseRunsToEnd(this.candidateOf(upstream), runs))
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -28,6 +28,7 @@
     private head: AnswerHead | undefined;
     private stallTimer: Timer | undefined;
     private isEnded = false;
+    private producedEvents = 0;
 
     constructor(opts: {
         clock: Clock;
@@ -69,6 +70,11 @@
         });
     }
 
+    /** Events of this run so far. */
+    get eventCount(): number {
+        return this.producedEvents;
+    }
+
     /** Ends the run at the upstream; the item keeps what has come. */
     abort(): void {
         this.isEnded = true;
@@ -92,6 +98,7 @@
             }
             this.item.lastEventId = event.id;
             this.item.events.push(event.data);
+            this.producedEvents += 1;
         });
     }
 
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -10,6 +10,7 @@
 import { ItemFlights } from "./itemFlights.js";
 import type { ItemRun } from "./itemRun.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
+import { ItemRunTimes } from "./itemRunTimes.js";
 import type { JobItem } from "./jobItem.js";
 import { jobKeys } from "./jobKeys.js";
 import { JobReads } from "./jobReads.js";
@@ -41,6 +42,7 @@
     readonly reads: JobReads;
     private readonly opts: JobRunnerOptions;
     private readonly table = new JobTable();
+    private readonly runTimes = new ItemRunTimes();
     private readonly flights: ItemFlights;
     private readonly committer: ResultCommitter;
     private readonly progress: ProgressKeeper;
@@ -58,7 +60,12 @@
         this.opts = opts;
         const { leadership: lead } = opts;
         const { table } = this;
-        this.flights = new ItemFlights({ ...opts, onEnded: (job, run, outcome) => this.onRunEnded(job, run, outcome) });
+        const { runTimes } = this;
+        this.flights = new ItemFlights({
+            ...opts,
+            runTimes,
+            onEnded: (job, run, outcome) => this.onRunEnded(job, run, outcome),
+        });
         this.committer = new ResultCommitter({ ...opts, onListed: job => this.onListed(job) });
         this.progress = new ProgressKeeper({ service: opts.service, lead });
         this.sweep = new JobSweep({ ...opts, lead, table });
@@ -215,7 +222,8 @@
     private startItems(): void {
         const nowMs = this.opts.clock.nowMs();
         const full = new Set<ServiceName>();
-        orderOfItems(this.table.all(), nowMs).forEach(({ job, item }) => {
+        const remainingMs = (item: JobItem) => this.runTimes.remainingMs(item);
+        orderOfItems(this.table.all(), { nowMs, remainingMs }).forEach(({ job, item }) => {
             const service = this.serviceOf(job, item);
             if (service === undefined || full.has(service)) {
                 return;
@@ -266,6 +274,7 @@
         });
         this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
         this.judge(upstream, outcome, nowMs);
+        this.runTimes.recordRun(run.eventCount, nowMs - run.startedAtMs);
         const settled = settleRun(item, outcome, { nowMs, maxAttempts: job.record.maxAttempts });
         if (settled !== "again") {
             this.finish(job, item, settled);
@@ -297,6 +306,9 @@
     private finish(job: OpenJob, item: JobItem, state: "completed" | "given-up"): void {
         item.state = "finished";
         item.isComplete = state === "completed";
+        if (item.isComplete) {
+            this.runTimes.recordOutput(item.lastEventId);
+        }
         const output = state === "completed" ? item.events.join("\n") : "";
         this.committer.add(job, { itemId: item.id, state, output });
     }
--- a/fleet/jobs/src/orderOfItems.ts
+++ b/fleet/jobs/src/orderOfItems.ts
@@ -6,18 +6,32 @@
     item: JobItem;
 }
 
-/** Items that may start now: by due time, those that are late already last, begun ones first. */
-export function orderOfItems(jobs: readonly OpenJob[], nowMs: number): WaitingItem[] {
+interface RankedItem extends WaitingItem {
+    /** Whether it would be late even if it started now. */
+    isLate: boolean;
+}
+
+/**
+ * Items that may start now: by due time, begun ones first. Answers more lots than fit: items that can't be in time any
+ * more come last, since each of them would make another one late.
+ */
+export function orderOfItems(
+    jobs: readonly OpenJob[],
+    opts: { nowMs: number; remainingMs: (item: JobItem) => number; },
+): WaitingItem[] {
     return jobs
         .filter(job => !job.isEnded && job.isLoaded)
         .flatMap(job => job.items.map(item => ({ job, item })))
-        .filter(({ item }) => item.state === "pending" && item.notBeforeMs <= nowMs)
-        .sort((left, right) => compare(left, right, nowMs));
+        .filter(({ item }) => item.state === "pending" && item.notBeforeMs <= opts.nowMs)
+        .map(waiting => ({
+            ...waiting,
+            isLate: opts.nowMs + opts.remainingMs(waiting.item) > waiting.job.record.dueAtMs,
+        }))
+        .sort(compare);
 }
 
-function compare(left: WaitingItem, right: WaitingItem, nowMs: number): number {
-    const isLate = (waiting: WaitingItem) => Number(waiting.job.record.dueAtMs < nowMs);
-    return isLate(left) - isLate(right)
+function compare(left: RankedItem, right: RankedItem): number {
+    return Number(left.isLate) - Number(right.isLate)
         || left.job.record.dueAtMs - right.job.record.dueAtMs
         || right.item.lastEventId - left.item.lastEventId;
 }
--- a/fleet/jobs/src/runningItem.ts
+++ b/fleet/jobs/src/runningItem.ts
@@ -5,4 +5,6 @@
     upstreamId: UpstreamId;
     dueAtMs: number;
     startedAtMs: number;
+    /** Whether it will be late even if it goes on. */
+    isLate: boolean;
 }
--- a/fleet/jobs/test/batchChoices.test.ts
+++ b/fleet/jobs/test/batchChoices.test.ts
@@ -6,6 +6,7 @@
 import type { BatchCandidate } from "../src/batchCandidate.js";
 import { chooseBatchUpstream } from "../src/chooseBatchUpstream.js";
 import { chooseRunsToEnd } from "../src/chooseRunsToEnd.js";
+import { ItemRunTimes } from "../src/itemRunTimes.js";
 import { OpenJob } from "../src/openJob.js";
 import { orderOfItems } from "../src/orderOfItems.js";
 import { jobOf } from "./jobOf.js";
@@ -29,16 +30,19 @@
 });
 
 test("a burst ends as many runs as it displaces: those due last, then those started last", () => {
-    const run = (name: string, dueAtMs: number, startedAtMs: number) => ({
+    const run = (name: string, dueAtMs: number, startedAtMs: number, isLate = false) => ({
         name,
         upstreamId: "a" as UpstreamId,
         dueAtMs,
         startedAtMs,
+        isLate,
     });
     const runs = [run("early", 10, 0), run("old", 20, 1), run("new", 20, 2)];
     const ended = chooseRunsToEnd(candidate("a", 7, 3), runs).map(({ name }) => name);
     assert.deepEqual(ended, ["new", "old"]);
     assert.deepEqual(chooseRunsToEnd(candidate("a", 5, 3), runs), []);
+    const withLate = [...runs, run("late", 5, 0, true)];
+    assert.deepEqual(chooseRunsToEnd(candidate("a", 5, 4), withLate).map(({ name }) => name), ["late"]);
 });
 
 test("items run by due time, begun ones first, jobs that are late already last", () => {
@@ -48,6 +52,55 @@
         new OpenJob(jobOf({ id: "near", itemCount: 2, dueAtMs: 2000 })),
     ];
     jobs[2]!.items[1]!.lastEventId = 3;
-    const order = orderOfItems(jobs, 1000).map(({ item }) => item.id);
+    const order = orderOfItems(jobs, { nowMs: 1000, remainingMs: () => 0 }).map(({ item }) => item.id);
     assert.deepEqual(order, ["near-1", "near-0", "far-0", "late-0"]);
 });
+
+test("of more lots than fit, the items that can still be in time run first", () => {
+    const jobs = [
+        new OpenJob(jobOf({ id: "hopeless", itemCount: 1, dueAtMs: 4000 })),
+        new OpenJob(jobOf({ id: "begun", itemCount: 1, dueAtMs: 4000 })),
+        new OpenJob(jobOf({ id: "near", itemCount: 1, dueAtMs: 7000 })),
+        new OpenJob(jobOf({ id: "far", itemCount: 1, dueAtMs: 9000 })),
+    ];
+    jobs[1]!.items[0]!.lastEventId = 60;
+    const times = new ItemRunTimes();
+    times.recordRun(100, 5000);
+    times.recordOutput(100);
+    const order = orderOfItems(jobs, { nowMs: 1000, remainingMs: item => times.remainingMs(item) });
+    assert.deepEqual(order.map(({ item }) => item.id), ["begun-0", "near-0", "far-0", "hopeless-0"]);
+});
+
+/** Plays lots that come at once before a fixed number of slots. @returns items that were in time */
+function playOverload(times: ItemRunTimes): number {
+    const slots = 8;
+    const runMs = 5000;
+    const stepMs = 500;
+    const jobs: OpenJob[] = [];
+    const running: { item: OpenJob["items"][number]; endMs: number; dueAtMs: number; }[] = [];
+    let inTime = 0;
+    for (let nowMs = 0; nowMs < 60_000; nowMs += stepMs) {
+        if (nowMs < 30_000 && nowMs % 2000 === 0) {
+            jobs.push(new OpenJob(jobOf({ id: `j${nowMs}`, itemCount: 10, dueAtMs: nowMs + 18_000 })));
+        }
+        running.filter(run => run.endMs <= nowMs && run.item.state === "running").forEach(run => {
+            run.item.state = "listed";
+            inTime += run.endMs <= run.dueAtMs ? 1 : 0;
+        });
+        const free = slots - running.filter(run => run.item.state === "running").length;
+        orderOfItems(jobs, { nowMs, remainingMs: item => times.remainingMs(item) }).slice(0, free).forEach(one => {
+            one.item.state = "running";
+            running.push({ item: one.item, endMs: nowMs + runMs, dueAtMs: one.job.record.dueAtMs });
+        });
+    }
+    return inTime;
+}
+
+test("lots at three times the capacity: nearly all that fits is in time, not just late", () => {
+    const learned = new ItemRunTimes();
+    learned.recordRun(100, 5000);
+    learned.recordOutput(100);
+    const capacity = 8 * 48 / 5;
+    assert.ok(playOverload(learned) >= capacity * 0.9, `${playOverload(learned)} of ${capacity}`);
+    assert.ok(playOverload(new ItemRunTimes()) < capacity * 0.6, "without it, items run although they will be late");
+});
