feat(gateway): a resumable stream that falls silent midway goes on elsewhere

Cause: an upstream that goes dark within a stream closes nothing; the caller waited until it left. Only streams without any event were given up before.

Change: after twice the longest pause that is on time the attempt is ended and the stream goes on after its last event within the same answer. A caller that reads slowly doesn't count as a pause. Headers that Connection names are dropped in both directions; forwardableHeaders moves to core/http-headers, where the fleet doesn't reach into a daemon for it.

Tests: both fail before.

--- a/api/callers/src/inferenceBackend.ts
+++ b/api/callers/src/inferenceBackend.ts
@@ -1,5 +1,5 @@
 import type { ServiceDefinition } from "@knapweedwood/config.configuration/serviceDefinition";
-import type { HeaderField } from "@knapweedwood/daemons.inference/headerField";
+import type { HeaderField } from "@knapweedwood/core.http-headers/headerField";
 import type { PlainFrame } from "@knapweedwood/daemons.inference/plainFrame";
 import type { GenerateEvent } from "@knapweedwood/engines.model-engine/generateEvent";
 import type { GenerateRequest } from "@knapweedwood/engines.model-engine/generateRequest";
--- a/api/callers/src/recordedAnswer.ts
+++ b/api/callers/src/recordedAnswer.ts
@@ -1,4 +1,4 @@
-import type { HeaderField } from "@knapweedwood/daemons.inference/headerField";
+import type { HeaderField } from "@knapweedwood/core.http-headers/headerField";
 
 /** A whole answer, kept under the call's idempotency key. */
 export interface RecordedAnswer {
--- a/daemons/inference/src/plainCallRequest.ts
+++ b/daemons/inference/src/plainCallRequest.ts
@@ -1,5 +1,5 @@
+import type { HeaderField } from "@knapweedwood/core.http-headers/headerField";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
-import type { HeaderField } from "./headerField.js";
 
 /** A call of a plain service. */
 export interface PlainCallRequest {
--- a/daemons/inference/src/plainFrame.ts
+++ b/daemons/inference/src/plainFrame.ts
@@ -1,4 +1,4 @@
-import type { HeaderField } from "./headerField.js";
+import type { HeaderField } from "@knapweedwood/core.http-headers/headerField";
 
 /** A part of a plain service's answer: first the head, then the body. */
 export type PlainFrame =
--- a/daemons/side/src/plainUpstream.ts
+++ b/daemons/side/src/plainUpstream.ts
@@ -1,5 +1,5 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
-import { forwardableHeaders } from "@knapweedwood/daemons.inference/forwardableHeaders";
+import { forwardableHeaders } from "@knapweedwood/core.http-headers/forwardableHeaders";
 import type { PlainCallRequest } from "@knapweedwood/daemons.inference/plainCallRequest";
 import type { PlainFrame } from "@knapweedwood/daemons.inference/plainFrame";
 import { type Dispatcher, Pool } from "undici";
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -1,12 +1,10 @@
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
-import { hopByHopHeaders } from "@knapweedwood/daemons.inference/hopByHopHeaders";
 import type { WaitingCall } from "@knapweedwood/fleet.load/waitingCall";
 import type { AnswerHead } from "@knapweedwood/fleet.upstreams/answerHead";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
-import type { HeaderList } from "@knapweedwood/fleet.upstreams/headerList";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -16,6 +14,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { sendFailure } from "./sendFailure.js";
 import { StreamAnswerWriter } from "./streamAnswerWriter.js";
+import { upstreamHeadersOf } from "./upstreamHeadersOf.js";
 
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
@@ -28,7 +27,8 @@
 const MIN_STALL_MS = 350;
 const MAX_STALL_MS = 1000;
 const STALL_OBJECTIVES = 2.5;
-const MIN_REMAINING_MS = 1;
+/** Pauses between events of a stream, in units of the longest that is on time, after which it counts as broken. */
+const STALL_EVENT_GAPS = 2;
 const RETRY_AFTER_FAILURE_MS = 100;
 
 interface Attempt {
@@ -37,6 +37,8 @@
     startedAtMs: number;
     stallTimer: Timer;
     hasAnswered: boolean;
+    /** When the newest part of the answer came; undefined before the first. */
+    lastPartAtMs: number | undefined;
     isNotRun: boolean;
 }
 
@@ -118,12 +120,19 @@
             upstream,
             startedAtMs: nowMs,
             hasAnswered: false,
+            lastPartAtMs: undefined,
             isNotRun: false,
             stallTimer: this.context.clock.setTimer(this.stallMs(), () => this.onStall(attempt)),
             exchange: { abort: () => undefined, pause: () => undefined, resume: () => undefined },
         };
         this.attempt = attempt;
-        const headers = this.upstreamHeaders(upstream, nowMs);
+        const headers = upstreamHeadersOf({
+            rawHeaders: this.request.rawHeaders,
+            names: this.context.headers,
+            upstreamId: upstream.id,
+            remainingMs: this.deadlineAtMs - nowMs,
+            lastEventId: this.writer.lastEventId,
+        });
         attempt.exchange = this.context.connections.send(upstream, {
             method: this.request.method ?? "GET",
             path: this.request.url ?? "/",
@@ -186,8 +195,8 @@
         if (attempt !== this.attempt || attempt.isNotRun) {
             return;
         }
-        attempt.stallTimer.cancel();
-        this.firstPartAtMs ??= this.context.clock.nowMs();
+        attempt.lastPartAtMs = this.context.clock.nowMs();
+        this.firstPartAtMs ??= attempt.lastPartAtMs;
         if (!this.writer.onData(chunk)) {
             attempt.exchange.pause();
             this.response.once("drain", () => attempt.exchange.resume());
@@ -270,7 +279,14 @@
     }
 
     private onStall(attempt: Attempt): void {
-        if (attempt !== this.attempt || attempt.hasAnswered) {
+        if (attempt !== this.attempt) {
+            return;
+        }
+        if (attempt.lastPartAtMs !== undefined) {
+            this.onPause(attempt, attempt.lastPartAtMs);
+            return;
+        }
+        if (attempt.hasAnswered) {
             return;
         }
         if (this.isRepeatable() && this.attempts < this.route.maxAttempts) {
@@ -283,6 +299,26 @@
         this.log("upstream-silent", { upstream: attempt.upstream.id, isEjected });
     }
 
+    /** The answer has begun: where it can go on elsewhere, a long pause ends this attempt. */
+    private onPause(attempt: Attempt, lastPartAtMs: number): void {
+        const canGoOn = this.route.kind === "stream" && this.isRepeatable() && this.attempts < this.route.maxAttempts;
+        if (!canGoOn) {
+            return;
+        }
+        const { clock } = this.context;
+        const longestPauseMs = this.longestPauseMs();
+        // A caller that reads too slowly holds the upstream up.
+        const pauseLeftMs = this.response.writableNeedDrain
+            ? longestPauseMs
+            : lastPartAtMs + longestPauseMs - clock.nowMs();
+        if (pauseLeftMs > 0) {
+            attempt.stallTimer = clock.setTimer(pauseLeftMs, () => this.onStall(attempt));
+            return;
+        }
+        attempt.exchange.abort();
+        this.onFailure(attempt, { mayHaveRun: true, isUnreachable: false, code: "UPSTREAM_PAUSED" });
+    }
+
     private onDeadline(): void {
         if (this.isDone) {
             return;
@@ -343,29 +379,12 @@
         this.context.logger.info(event, { requestId: this.requestId, route: this.route.name, ...fields });
     }
 
-    private stallMs(): number {
-        return Math.min(MAX_STALL_MS, Math.max(MIN_STALL_MS, this.route.objectiveMs * STALL_OBJECTIVES));
+    private longestPauseMs(): number {
+        return Math.max(MIN_STALL_MS, (this.route.maxEventGapMs ?? MAX_STALL_MS) * STALL_EVENT_GAPS);
     }
 
-    private upstreamHeaders(upstream: Upstream, nowMs: number): HeaderList {
-        const { headers } = this.context;
-        const own = [headers.remainingMs, headers.expectedUpstream, "content-length"];
-        const { lastEventId } = this.writer;
-        const replaced = lastEventId === undefined ? own : [...own, headers.lastEventId];
-        const raw = this.request.rawHeaders;
-        const kept = raw.flatMap((name, index) => {
-            const lowerName = name.toLowerCase();
-            const isName = index % 2 === 0;
-            return isName && !replaced.includes(lowerName) && !hopByHopHeaders.has(lowerName)
-                ? [name, raw[index + 1]!]
-                : [];
-        });
-        const remainingMs = Math.max(MIN_REMAINING_MS, Math.floor(this.deadlineAtMs - nowMs));
-        kept.push(headers.remainingMs, String(remainingMs), headers.expectedUpstream, upstream.id);
-        if (lastEventId !== undefined) {
-            kept.push(headers.lastEventId, String(lastEventId));
-        }
-        return kept;
+    private stallMs(): number {
+        return Math.min(MAX_STALL_MS, Math.max(MIN_STALL_MS, this.route.objectiveMs * STALL_OBJECTIVES));
     }
 }
 
--- /dev/null
+++ b/fleet/gateway/src/upstreamHeadersOf.ts
@@ -0,0 +1,28 @@
+import { forwardableHeaders } from "@knapweedwood/core.http-headers/forwardableHeaders";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { HeaderList } from "@knapweedwood/fleet.upstreams/headerList";
+import type { CallHeaders } from "./callHeaders.js";
+
+const MIN_REMAINING_MS = 1;
+
+/** The headers of a caller's request as an upstream gets them: its own, and the terms of this attempt. */
+export function upstreamHeadersOf(opts: {
+    /** Names and values in turn. */
+    rawHeaders: readonly string[];
+    names: CallHeaders;
+    upstreamId: UpstreamId;
+    remainingMs: number;
+    /** Id of the event after which the attempt goes on; undefined where it begins from the start. */
+    lastEventId: number | undefined;
+}): HeaderList {
+    const { names, lastEventId } = opts;
+    const own = [names.remainingMs, names.expectedUpstream, "content-length"];
+    const drop = lastEventId === undefined ? own : [...own, names.lastEventId];
+    const kept = forwardableHeaders(opts.rawHeaders, { drop }).flatMap(field => [field.name, field.value]);
+    const remainingMs = Math.max(MIN_REMAINING_MS, Math.floor(opts.remainingMs));
+    kept.push(names.remainingMs, String(remainingMs), names.expectedUpstream, opts.upstreamId);
+    if (lastEventId !== undefined) {
+        kept.push(names.lastEventId, String(lastEventId));
+    }
+    return kept;
+}
--- a/fleet/gateway/test/forwarding.test.ts
+++ b/fleet/gateway/test/forwarding.test.ts
@@ -1,4 +1,5 @@
 import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import assert from "node:assert/strict";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createServer, type Socket } from "node:net";
@@ -206,3 +207,32 @@
         await new Promise(resolve => setTimeout(resolve, 5));
     }
 }
+
+test("headers that concern one connection are not passed on, those that Connection names among them", async () => {
+    const answer: Answer = (_request, response) =>
+        response.writeHead(200, { ...PROOF, "connection": "x-hop", "x-hop": "1", "x-end": "2" }).end("hello");
+    await withGateway({ answers: [answer] }, async (bed, [standin]) => {
+        const seen = await bed.send({
+            headers: { "connection": "x-local, keep-alive", "x-local": "1", "te": "trailers" },
+        });
+        const got = standin!.requests[0]!.headers;
+        assert.deepEqual([got["x-local"], got.te], [undefined, undefined]);
+        assert.deepEqual([seen.headers["x-hop"], seen.headers["x-end"]], [undefined, "2"]);
+    });
+});
+
+test("a resumable stream that falls silent midway goes on at another upstream", async () => {
+    const silent: Answer = (_request, response) => {
+        response.writeHead(200, PROOF);
+        events(response, 1, 3);
+    };
+    const route = { kind: "stream", isResumable: true, maxAttempts: 2, maxEventGapMs: 100 } as const;
+    await withGateway({ answers: [silent, wholeStream(4, 6)], route }, async (bed, standins) => {
+        bed.board.count("u-1" as Upstream["id"], "online", 1);
+        const seen = await bed.send();
+        const ids = [...seen.body.matchAll(/^id: (\d+)$/gmu)].map(match => Number(match[1]));
+        assert.deepEqual([ids, seen.isComplete], [[1, 2, 3, 4, 5, 6], true]);
+        assert.equal(standins[1]!.requests[0]!.headers["last-event-id"], "3");
+        assert.equal(standins[0]!.closedEarlyCount, 1, "the silent run is ended");
+    });
+});
--- a/fleet/upstreams/src/toAnswerHead.ts
+++ b/fleet/upstreams/src/toAnswerHead.ts
@@ -1,15 +1,14 @@
-import { hopByHopHeaders } from "@knapweedwood/daemons.inference/hopByHopHeaders";
+import { forwardableHeaders } from "@knapweedwood/core.http-headers/forwardableHeaders";
 import type { IncomingHttpHeaders } from "node:http";
 import type { AnswerHead } from "./answerHead.js";
 
 /** Keeps the headers of an answer that are passed on. */
 export function toAnswerHead(statusCode: number, headers: IncomingHttpHeaders): AnswerHead {
-    const list = Object.entries(headers)
-        .filter(([name]) => !hopByHopHeaders.has(name))
+    const raw = Object.entries(headers)
         .flatMap(([name, value]) => [value ?? []].flat().flatMap(single => [name, single]));
     return {
         statusCode,
-        headers: list,
+        headers: forwardableHeaders(raw).flatMap(field => [field.name, field.value]),
         header: name => [headers[name] ?? []].flat()[0],
     };
 }
