feat(fleet): settings are read again when they change; a process keeps to its share of connections

Cause: SIGHUP only logged, and a silent change of the settings file waited for the next start. The connections that an upstream accepts were decoded and then not looked at: with many processes each could open as many as it has requests.

Change: the file is read again on SIGHUP and every 2 s; grace, tolerable losses and the retention of results are in force at once, and a line names what waits for the next start. A process has at most its share of an upstream's connections in use.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -1,18 +1,20 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { GatewayContext } from "@knapweedwood/fleet.gateway/gatewayContext";
 import { GatewayServer } from "@knapweedwood/fleet.gateway/gatewayServer";
 import { JobRoutes } from "@knapweedwood/fleet.gateway/jobRoutes";
 import { ReadinessServer } from "@knapweedwood/fleet.gateway/readinessServer";
 import { JobAcceptor } from "@knapweedwood/fleet.jobs/jobAcceptor";
+import { connectionShareOf } from "@knapweedwood/fleet.load/connectionShareOf";
 import { FewestOnlinePlacement } from "@knapweedwood/fleet.load/fewestOnlinePlacement";
 import { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
 import { WaitingRoom } from "@knapweedwood/fleet.load/waitingRoom";
-import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
 import { FleetProcess } from "./fleetProcess.js";
 import { LinkJobHolder } from "./linkJobHolder.js";
 import { LinkJobReader } from "./linkJobReader.js";
+import type { SettingsInForce } from "./settingsInForce.js";
 
 /** Time in which the balancer notices that a process isn't ready any more, in milliseconds. */
 const BALANCER_NOTICE_MS = 2500;
@@ -25,15 +27,16 @@
 
 /** The program that takes callers' requests. */
 export class GatewayProgram {
-    private readonly settings: ProcessSettings;
+    private readonly settings: SettingsInForce;
     private readonly fleet: FleetProcess;
     private readonly server: GatewayServer;
     private readonly readiness: ReadinessServer;
     private readonly waitingRoom: WaitingRoom;
     private isStopping = false;
 
-    constructor(settings: ProcessSettings, logger: Logger) {
-        this.settings = settings;
+    constructor(settingsInForce: SettingsInForce, logger: Logger) {
+        this.settings = settingsInForce;
+        const settings = settingsInForce.current;
         const protocol = new PlatformCallerProtocol();
         this.fleet = new FleetProcess({
             settings,
@@ -54,7 +57,12 @@
             random,
             board,
             holdTimes,
-            placement: new FewestOnlinePlacement({ board, random, zone: settings.zone }),
+            placement: new FewestOnlinePlacement({
+                board,
+                random,
+                zone: settings.zone,
+                connectionShare: service => this.connectionShare(service),
+            }),
             usable: service => this.fleet.upstreams.usable(service),
         });
         const context: GatewayContext = {
@@ -86,7 +94,7 @@
                     logger,
                     leader: () => this.fleet.peers.leadingRunner(),
                     runners: () => this.fleet.peers.runners(),
-                    copies: settings.tolerableLosses + 1,
+                    copies: () => settingsInForce.current.tolerableLosses + 1,
                 }),
                 isSettled: () => this.fleet.isSettled,
             }),
@@ -105,17 +113,19 @@
 
     async start(): Promise<void> {
         await this.fleet.start();
-        await this.server.listen(this.settings.callersAddress!);
-        await this.readiness.listen(this.settings.readinessAddress!);
+        const { callersAddress, readinessAddress } = this.settings.current;
+        await this.server.listen(callersAddress!);
+        await this.readiness.listen(readinessAddress!);
         this.watchWaitingRoom();
     }
 
     /** Takes no new callers, answers those it has, and ends. */
     async stop(): Promise<void> {
         const { clock } = this.fleet;
+        const { stopGraceMs } = this.settings.current;
         this.isStopping = true;
-        const endAtMs = clock.nowMs() + this.settings.stopGraceMs - STOP_MARGIN_MS;
-        await sleep(clock, Math.min(BALANCER_NOTICE_MS, this.settings.stopGraceMs / 3));
+        const endAtMs = clock.nowMs() + stopGraceMs - STOP_MARGIN_MS;
+        await sleep(clock, Math.min(BALANCER_NOTICE_MS, stopGraceMs / 3));
         this.server.stopAccepting();
         while (this.server.openRequestCount > 0 && clock.nowMs() < endAtMs) {
             await sleep(clock, STOP_POLL_MS);
@@ -125,6 +135,13 @@
         await this.fleet.stop();
     }
 
+    private connectionShare(service: ServiceName): number {
+        return connectionShareOf({
+            maxConnections: this.fleet.operators.configuration.maxConnections(service),
+            processes: this.fleet.peers.placingPeers().length + 1,
+        });
+    }
+
     private watchWaitingRoom(): void {
         this.waitingRoom.pump();
         this.fleet.clock.setTimer(WAITING_CHECK_INTERVAL_MS, () => this.watchWaitingRoom());
--- a/daemons/fleet/src/linkJobHolder.ts
+++ b/daemons/fleet/src/linkJobHolder.ts
@@ -23,7 +23,7 @@
     /** Where the runner that leads accepts links; it knows how many tokens wait. */
     leader: () => HostPort | undefined;
     /** Copies that have to be synced. */
-    copies: number;
+    copies: () => number;
 }
 
 /** Keeps jobs on the disks of the runners, over links. */
@@ -51,7 +51,7 @@
             const outcomes: HoldOutcome[] = [];
             const add = (outcome: HoldOutcome) => {
                 outcomes.push(outcome);
-                if (outcomes.filter(one => one === "held").length >= this.opts.copies) {
+                if (outcomes.filter(one => one === "held").length >= this.opts.copies()) {
                     resolve("held");
                 }
                 else if (outcomes.length === pending.length) {
--- a/daemons/fleet/src/runProgram.ts
+++ b/daemons/fleet/src/runProgram.ts
@@ -1,13 +1,15 @@
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
-import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import { JsonLogger } from "@knapweedwood/observability.logs/jsonLogger";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { openBoundedOutput } from "@knapweedwood/observability.logs/openBoundedOutput";
-import { readSettings } from "./readSettings.js";
+import { readSettingsText } from "./readSettingsText.js";
+import { SettingsInForce } from "./settingsInForce.js";
 
 const EXIT_SETTINGS = 2;
 const EXIT_FAILED = 1;
+/** The settings file may change without a signal. */
+const SETTINGS_CHECK_INTERVAL_MS = 2000;
 
 /** A program that can be stopped. */
 interface Program {
@@ -17,7 +19,7 @@
 /** Runs a program from its settings until SIGTERM, and ends the process with its outcome. */
 export async function runProgram(
     name: string,
-    start: (settings: ProcessSettings, logger: Logger) => Promise<Program>,
+    start: (settings: SettingsInForce, logger: Logger) => Promise<Program>,
 ): Promise<void> {
     const output = openBoundedOutput("info");
     const rootLogger = new JsonLogger({ clock: new SystemClock(), level: "info", target: output.target });
@@ -27,10 +29,11 @@
     };
     let logger: Logger = rootLogger;
     try {
-        const settings = readSettings(process.env);
-        logger = rootLogger.child({ program: name, instance: settings.instanceName });
+        const settings = new SettingsInForce(() => readSettingsText(process.env));
+        const { instanceName, zone } = settings.current;
+        logger = rootLogger.child({ program: name, instance: instanceName });
         const program = await start(settings, logger);
-        logger.info("started", { zone: settings.zone, pid: process.pid });
+        logger.info("started", { zone, pid: process.pid });
         process.once("SIGTERM", () => {
             logger.info("stopping");
             void program.stop().then(
@@ -44,7 +47,11 @@
                 },
             );
         });
-        process.on("SIGHUP", () => logger.info("reload-requested"));
+        process.on("SIGHUP", () => {
+            logger.info("reload-requested");
+            settings.reload(logger);
+        });
+        setInterval(() => settings.reload(logger), SETTINGS_CHECK_INTERVAL_MS).unref();
     }
     catch (thrown) {
         const error = toKnapweedError(thrown);
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -10,17 +10,17 @@
 import { JobRunner } from "@knapweedwood/fleet.jobs/jobRunner";
 import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
 import { tokensOf } from "@knapweedwood/fleet.jobs/tokensOf";
-import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { emptyingProgressOperation } from "@knapweedwood/platform.adapter/emptyingProgressOperation";
 import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
 import { FleetProcess } from "./fleetProcess.js";
+import type { SettingsInForce } from "./settingsInForce.js";
 
 const EMPTYING_RETRY_MS = 200;
 
 /** The program that runs batch jobs, on one instance at a time; the others stand by and hold jobs during outages. */
 export class RunnerProgram {
-    private readonly settings: ProcessSettings;
+    private readonly settings: SettingsInForce;
     private readonly logger: Logger;
     private readonly fleet: FleetProcess;
     private readonly runner: JobRunner;
@@ -28,8 +28,9 @@
     private readonly closing = new AbortController();
     private isEmptying = false;
 
-    constructor(settings: ProcessSettings, logger: Logger) {
-        this.settings = settings;
+    constructor(settingsInForce: SettingsInForce, logger: Logger) {
+        this.settings = settingsInForce;
+        const settings = settingsInForce.current;
         this.logger = logger;
         if (settings.dataFolder === undefined) {
             throw new KnapweedError("SETTINGS_INVALID", "A runner needs a data folder");
@@ -55,7 +56,7 @@
             ...this.fleetTools(),
             logger,
             headers: wireHeaders,
-            resultRetentionMs: settings.resultRetentionMs,
+            resultRetentionMs: () => settingsInForce.current.resultRetentionMs,
             onLoadChanged: () => this.fleet.markLoadChanged(),
             heldJobs: () => this.held.all(),
         });
@@ -100,7 +101,8 @@
     }
 
     private async reportEmptying(isEmpty: boolean): Promise<void> {
-        await this.fleet.store.transact([], [emptyingProgressOperation(this.settings.instanceName, isEmpty)]);
+        const { instanceName } = this.settings.current;
+        await this.fleet.store.transact([], [emptyingProgressOperation(instanceName, isEmpty)]);
     }
 
     /** Repeats a step until it succeeds. */
--- /dev/null
+++ b/daemons/fleet/src/settingsInForce.ts
@@ -0,0 +1,55 @@
+import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { decodeSettings } from "@knapweedwood/platform.adapter/decodeSettings";
+
+/** Fields that take effect while the process runs; a change of any other waits for the next start. */
+const LIVE_FIELDS: readonly string[] = [
+    "tolerableLosses",
+    "stopGraceMs",
+    "resultRetentionMs",
+] satisfies (keyof ProcessSettings)[];
+
+/** The settings of this process, read again when they change. */
+export class SettingsInForce {
+    private readonly readText: () => string;
+    private text: string;
+    private settings: ProcessSettings;
+
+    /** Throws `SETTINGS_MISSING` or `SETTINGS_INVALID`. */
+    constructor(readText: () => string) {
+        this.readText = readText;
+        this.text = readText();
+        this.settings = decodeSettings(this.text);
+    }
+
+    get current(): ProcessSettings {
+        return this.settings;
+    }
+
+    /** Takes in the file as it is now; one that can't be used changes nothing. */
+    reload(logger: Logger): void {
+        try {
+            const text = this.readText();
+            if (text === this.text) {
+                return;
+            }
+            this.text = text;
+            this.adopt(decodeSettings(text), logger);
+        }
+        catch (thrown) {
+            const error = toKnapweedError(thrown);
+            logger.warn("settings-kept", { code: error.code, message: error.message });
+        }
+    }
+
+    private adopt(settings: ProcessSettings, logger: Logger): void {
+        const fields = Object.keys(settings) as (keyof ProcessSettings)[];
+        const changed = fields.filter(name => JSON.stringify(settings[name]) !== JSON.stringify(this.settings[name]));
+        this.settings = settings;
+        logger.info("settings-reloaded", {
+            inForce: changed.filter(name => LIVE_FIELDS.includes(name)),
+            afterRestart: changed.filter(name => !LIVE_FIELDS.includes(name)),
+        });
+    }
+}
--- a/daemons/fleet/test/linkJobHolder.test.ts
+++ b/daemons/fleet/test/linkJobHolder.test.ts
@@ -39,7 +39,7 @@
         logger: silentLogger,
         runners: () => hosts.map(host => ({ host, port: 1 })),
         leader: () => ({ host: hosts[0]!, port: 1 }),
-        copies: 2,
+        copies: () => 2,
     });
     return { clock, asked, holder };
 }
--- a/fleet/gateway/test/gatewayBed.ts
+++ b/fleet/gateway/test/gatewayBed.ts
@@ -86,7 +86,12 @@
             random,
             board,
             holdTimes,
-            placement: new FewestOnlinePlacement({ board, random, zone: "z" as Upstream["zone"] }),
+            placement: new FewestOnlinePlacement({
+                board,
+                random,
+                zone: "z" as Upstream["zone"],
+                connectionShare: () => Infinity,
+            }),
             usable: () => opts.upstreams,
         });
         const context: GatewayContext = {
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -27,7 +27,7 @@
     health: UpstreamHealth;
     headers: ItemRunHeaders;
     /** How long an ended job stays readable. */
-    resultRetentionMs: number;
+    resultRetentionMs: () => number;
     onLoadChanged: () => void;
     /** Jobs on this instance's disk that are not stored yet. */
     heldJobs: () => HeldJob[];
--- a/fleet/jobs/src/jobSweep.ts
+++ b/fleet/jobs/src/jobSweep.ts
@@ -19,7 +19,7 @@
     lead: FencedLead;
     table: JobTable;
     /** How long an ended job stays readable. */
-    resultRetentionMs: number;
+    resultRetentionMs: () => number;
 }
 
 /** Clears up after ended jobs: frees the tokens that they kept waiting, and removes them after their retention. */
@@ -71,7 +71,7 @@
     }
 
     private async removeExpired(): Promise<void> {
-        const expiredBeforeMs = this.opts.clock.nowMs() - this.opts.resultRetentionMs;
+        const expiredBeforeMs = this.opts.clock.nowMs() - this.opts.resultRetentionMs();
         const expired = this.opts.table.all().find(job => job.isEnded && job.record.acceptedAtMs < expiredBeforeMs);
         const fence = this.opts.lead.fence();
         if (expired !== undefined && fence !== undefined) {
--- a/fleet/jobs/test/jobSweep.test.ts
+++ b/fleet/jobs/test/jobSweep.test.ts
@@ -38,7 +38,7 @@
     const table = new JobTable();
     table.apply(await service.list(jobKeys.jobsPrefix));
     table.applyResults(await service.list(jobKeys.resultsPrefix));
-    const sweep = new JobSweep({ clock, service, logger: silentLogger, lead, table, resultRetentionMs: 1000 });
+    const sweep = new JobSweep({ clock, service, logger: silentLogger, lead, table, resultRetentionMs: () => 1000 });
     return { clock, service, table, sweep };
 }
 
--- a/fleet/load/src/fewestOnlinePlacement.ts
+++ b/fleet/load/src/fewestOnlinePlacement.ts
@@ -1,3 +1,4 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
@@ -19,10 +20,20 @@
     private readonly board: LoadBoard;
     private readonly random: Random;
     private readonly zone: ZoneName;
+    private readonly connectionShare: (service: ServiceName) => number;
 
-    /** @param opts.zone the zone of this process */
-    constructor(opts: { board: LoadBoard; random: Random; zone: ZoneName; }) {
+    /**
+     * @param opts.zone the zone of this process
+     * @param opts.connectionShare requests that this process may have at one upstream of a service
+     */
+    constructor(opts: {
+        board: LoadBoard;
+        random: Random;
+        zone: ZoneName;
+        connectionShare: (service: ServiceName) => number;
+    }) {
         this.board = opts.board;
+        this.connectionShare = opts.connectionShare;
         this.zone = opts.zone;
         this.random = opts.random;
     }
@@ -30,6 +41,7 @@
     placeOnline(candidates: readonly Upstream[]): Upstream | undefined {
         return candidates
             .filter(upstream => this.board.online(upstream.id) < upstream.slots)
+            .filter(upstream => this.board.ownOnline(upstream.id) < this.connectionShare(upstream.service))
             .map(upstream => ({ upstream, cost: this.costOf(upstream) }))
             .reduce<{ upstream: Upstream; cost: number; } | undefined>(
                 (best, candidate) => best === undefined || candidate.cost < best.cost ? candidate : best,
--- a/fleet/load/test/waitingRoom.test.ts
+++ b/fleet/load/test/waitingRoom.test.ts
@@ -4,6 +4,7 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { connectionShareOf } from "../src/connectionShareOf.js";
 import { FewestOnlinePlacement } from "../src/fewestOnlinePlacement.js";
 import { HoldTimes } from "../src/holdTimes.js";
 import { LoadBoard } from "../src/loadBoard.js";
@@ -25,7 +26,12 @@
         random,
         board,
         holdTimes: new HoldTimes(),
-        placement: new FewestOnlinePlacement({ board, random, zone: "z" as Upstream["zone"] }),
+        placement: new FewestOnlinePlacement({
+            board,
+            random,
+            zone: "z" as Upstream["zone"],
+            connectionShare: () => Infinity,
+        }),
         usable: () => upstreams,
     });
     const call = (change: Partial<WaitingCall> = {}): TestCall => {
@@ -117,3 +123,21 @@
     assert.deepEqual(calls.map(one => one.placedAt?.id), ["near", "away", "near"]);
     assert.equal(board.online(away.id), 1);
 });
+
+test("a process never takes more than its share of an upstream's connections", () => {
+    const board = new LoadBoard();
+    const placement = new FewestOnlinePlacement({
+        board,
+        random: new SeededRandom(1),
+        zone: "z" as Upstream["zone"],
+        connectionShare: () => connectionShareOf({ maxConnections: 10, processes: 4 }),
+    });
+    const upstream = upstreamOf("a", 8);
+    const placed = Array.from({ length: 4 }, () => {
+        const chosen = placement.placeOnline([upstream]);
+        board.count(upstream.id, "online", chosen === undefined ? -1 : 1);
+        return chosen !== undefined;
+    });
+    assert.deepEqual(placed.slice(0, 3), [true, true, false]);
+    assert.equal(connectionShareOf({ maxConnections: 2, processes: 40 }), 1, "a fleet that is too large still serves");
+});
