--- a/bench/silent-links/src/runSilentLinks.ts
+++ b/bench/silent-links/src/runSilentLinks.ts
@@ -64,7 +64,7 @@
 }
 
 async function openLink(port: number): Promise<LinkUnderTest> {
-    const relay = new TcpRelay(port);
+    const relay = new TcpRelay({ host: "127.0.0.1", port });
     const endpoint = createBenchEndpoint(`caller-${port}`);
     const link = endpoint.connect(await relay.listen());
     await singleFrame(link.call(runCountsCall, {}));
--- /dev/null
+++ b/fuzz/soak/src/callerConnection.ts
@@ -0,0 +1,86 @@
+import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
+import { Agent, type IncomingMessage, request as sendRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { SoakGateway } from "./soakGateway.js";
+import { CALLERS_HOST } from "./soakNames.js";
+
+interface ConnectionAnswer {
+    statusCode: number;
+    isComplete: boolean;
+    body: string;
+    hasProof: boolean;
+}
+
+/** One connection of a caller, used until the gateway closes it. */
+export class CallerConnection {
+    readonly gateway: SoakGateway;
+    isClosed = false;
+    private socket: Socket | undefined;
+    private readonly agent = new Agent({ keepAlive: true, maxSockets: 1 });
+
+    constructor(gateway: SoakGateway) {
+        this.gateway = gateway;
+    }
+
+    /** Sends a request and resolves when its answer has ended, however it did; status 0 stands for no answer. */
+    send(opts: {
+        method: string;
+        path: string;
+        id: string;
+        body: string;
+        timeoutMs: number;
+        headers?: { [name: string]: string; };
+    }): Promise<ConnectionAnswer> {
+        return new Promise(resolve => {
+            const request = sendRequest({
+                agent: this.agent,
+                host: this.gateway.host,
+                port: this.gateway.callersPort,
+                method: opts.method,
+                path: opts.path,
+                headers: {
+                    "host": CALLERS_HOST,
+                    "content-length": Buffer.byteLength(opts.body),
+                    [wireHeaders.requestId]: opts.id,
+                    [wireHeaders.remainingMs]: String(opts.timeoutMs),
+                    ...opts.headers,
+                },
+            });
+            const timer = setTimeout(() => request.destroy(), opts.timeoutMs);
+            const finish = (answer: ConnectionAnswer) => {
+                clearTimeout(timer);
+                resolve(answer);
+            };
+            request.on("socket", socket => this.watch(socket));
+            request.on("error", () => finish({ statusCode: 0, isComplete: false, body: "", hasProof: false }));
+            request.on("response", response => this.read(response, finish));
+            request.end(opts.body);
+        });
+    }
+
+    close(): void {
+        this.isClosed = true;
+        this.agent.destroy();
+    }
+
+    private watch(socket: Socket): void {
+        if (this.socket !== socket) {
+            this.socket = socket;
+            socket.once("close", () => this.close());
+        }
+    }
+
+    private read(response: IncomingMessage, finish: (answer: ConnectionAnswer) => void): void {
+        const chunks: Buffer[] = [];
+        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("error", () => undefined);
+        response.on("close", () => {
+            finish({
+                statusCode: response.statusCode ?? 0,
+                isComplete: response.complete,
+                body: Buffer.concat(chunks).toString("utf8"),
+                hasProof: response.headers[wireHeaders.upstreamProof] !== undefined,
+            });
+        });
+    }
+}
--- /dev/null
+++ b/fuzz/soak/src/checkJobs.ts
@@ -0,0 +1,60 @@
+import { expectedEvents } from "./expectedEvents.js";
+import type { JobRecord } from "./jobRecord.js";
+import type { SoakRecord } from "./soakRecord.js";
+import type { Violation } from "./violation.js";
+
+/** How long after its end was acknowledged an item of a job may still begin to run. */
+const CANCEL_MS = 3000;
+const CONTACT_MS = 3000;
+/** Time after its acceptance in which a job may not be found yet. */
+const SETTLE_MS = 1000;
+
+/** Accepted jobs are kept and end, each item once, with its whole text, at a position that stays. */
+export function checkJobs(record: SoakRecord): Violation[] {
+    return record.jobs
+        .filter(job => job.acceptedAtMs !== undefined)
+        .flatMap(job => [...checkResults(job), ...checkEnd(job, record), ...checkCancellation(job, record)]);
+}
+
+function checkResults(job: JobRecord): Violation[] {
+    const seen = new Set<string>();
+    const wrong = job.results.flatMap((result, position): Violation[] => {
+        const item = job.items.find(one => one.id === result.itemId);
+        const where = `${job.id} position ${position} item ${result.itemId}`;
+        if (item === undefined || seen.has(result.itemId)) {
+            return [{ promise: "item-once", detail: where }];
+        }
+        seen.add(result.itemId);
+        if (result.state !== "completed") {
+            return [{ promise: "given-up-only-when-allowed", detail: `${where}: ${result.state}` }];
+        }
+        const isWhole = result.output === expectedEvents(item.body).join("\n");
+        return isWhole ? [] : [{ promise: "item-text-whole", detail: `${where}: ${result.output.slice(0, 200)}` }];
+    });
+    const moved = job.contradictions.map(detail => ({ promise: "positions-stay", detail: `${job.id}: ${detail}` }));
+    return [...wrong, ...moved];
+}
+
+function checkEnd(job: JobRecord, record: SoakRecord): Violation[] {
+    const missed = job.missedAtMs
+        .filter(atMs => atMs > job.acceptedAtMs! + SETTLE_MS && record.isCalm(atMs, atMs, { slackMs: CONTACT_MS }))
+        .map(atMs => ({ promise: "job-kept", detail: `${job.id} not found at ${atMs}` }));
+    const isOpen = job.cancelledAtMs === undefined && job.results.length < job.items.length;
+    return record.endedAtMs !== undefined && isOpen
+        ? [...missed, {
+            promise: "job-ends",
+            detail: `${job.id}: ${job.results.length} of ${job.items.length} results`,
+        }]
+        : missed;
+}
+
+function checkCancellation(job: JobRecord, record: SoakRecord): Violation[] {
+    const { cancelledAtMs } = job;
+    if (cancelledAtMs === undefined) {
+        return [];
+    }
+    return record.runs
+        .filter(run => job.items.some(item => item.id === run.callId) && run.atMs > cancelledAtMs + CANCEL_MS)
+        .filter(run => record.isCalm(cancelledAtMs, run.atMs, { slackMs: CONTACT_MS }))
+        .map(run => ({ promise: "cancelled-stays", detail: `${run.callId} ran ${run.atMs - cancelledAtMs} ms after` }));
+}
--- /dev/null
+++ b/fuzz/soak/src/checkStops.ts
@@ -0,0 +1,35 @@
+import type { CallRecord } from "./callRecord.js";
+import type { SoakRecord } from "./soakRecord.js";
+import type { Violation } from "./violation.js";
+
+const CONTACT_MS = 3000;
+/** Requests that are sent later after the signal may meet the end of the process's grace. */
+const SENT_WITHIN_MS = 3000;
+
+/** A planned stop cuts off no request that was passed on, and no process ends by itself. */
+export function checkStops(record: SoakRecord): Violation[] {
+    const exits = record.exits.map(exit => ({
+        promise: "no-exit-of-its-own",
+        detail: `${exit.process} at ${exit.atMs} with code ${exit.code} and signal ${exit.signal}`,
+    }));
+    const cut = record.faults.filter(fault => fault.kind === "stop").flatMap(stop =>
+        record.calls
+            .filter(call => call.gateway === stop.target && call.endedAtMs !== undefined && !call.isComplete)
+            .filter(call => call.sentAtMs < stop.fromMs + SENT_WITHIN_MS && call.endedAtMs! >= stop.fromMs)
+            .filter(call => call.sentAtMs < stop.toMs && wasPassedOn(call, record))
+            .filter(call =>
+                record.isCalm(call.sentAtMs, call.endedAtMs!, { slackMs: CONTACT_MS, ignoresPlanned: true })
+            )
+            .map(call => ({
+                promise: "stop-cuts-nothing",
+                detail: `${call.id} ${call.kind} at ${call.gateway}: sent ${call.sentAtMs}, cut ${call.endedAtMs},`
+                    + ` stop from ${stop.fromMs} to ${stop.toMs}`,
+            }))
+    );
+    return [...exits, ...cut];
+}
+
+function wasPassedOn(call: CallRecord, record: SoakRecord): boolean {
+    const runs = record.runs.filter(run => run.callId === call.id);
+    return runs.length > 0 && !runs.some(run => run.isSpoiled);
+}
--- /dev/null
+++ b/fuzz/soak/src/faultInjector.ts
@@ -0,0 +1,259 @@
+import type { FaultRecord } from "./faultRecord.js";
+import type { PlannedFault } from "./plannedFault.js";
+import type { SoakFleet } from "./soakFleet.js";
+import type { SoakProcess } from "./soakProcess.js";
+import type { SoakRecord } from "./soakRecord.js";
+import type { SoakUpstream } from "./soakUpstream.js";
+import type { UpstreamMood } from "./upstreamMood.js";
+
+const RESTART_MS = 400;
+const SLOW_STORE_MS = 250;
+const LINK_DELAY_MS = 150;
+const LOST_ANSWERS = 5;
+/** Time after which the entry of an upstream that crashed goes. */
+const ENTRY_LAPSE_MS = 3600;
+/** Time for which an upstream goes on after it announced that it leaves. */
+const DRAIN_MS = 3200;
+/** Time that a process needs to be at work again after its start. */
+const START_MS = 1500;
+
+/** Makes the planned trouble, and notes when it lasted. */
+export class FaultInjector {
+    private readonly fleet: SoakFleet;
+    private readonly record: SoakRecord;
+    private readonly nowMs: () => number;
+    private readonly busy = new Set<SoakProcess | SoakUpstream | "store">();
+    private readonly pending = new Set<Promise<void>>();
+
+    constructor(opts: { fleet: SoakFleet; record: SoakRecord; nowMs: () => number; }) {
+        this.fleet = opts.fleet;
+        this.record = opts.record;
+        this.nowMs = opts.nowMs;
+    }
+
+    /** Begins the trouble; what is in trouble already is left alone. */
+    strike(fault: PlannedFault): void {
+        const done = this.begin(fault);
+        this.pending.add(done);
+        void done.finally(() => this.pending.delete(done));
+    }
+
+    /** Resolves when all trouble is over. */
+    async settled(): Promise<void> {
+        await Promise.all(this.pending);
+    }
+
+    private async begin(fault: PlannedFault): Promise<void> {
+        const [family, detail = ""] = splitOnce(fault.kind);
+        switch (family) {
+            case "kill":
+                await (detail === "all" ? this.killAll() : this.onProcess(fault, process => this.restart(process)));
+                return;
+            case "wipe":
+            case "tear":
+                await this.onProcess(fault, async process => {
+                    await process.kill();
+                    await pause(RESTART_MS);
+                    process[family === "wipe" ? "wipeDisk" : "tearNewestFile"]();
+                    process.start();
+                    await pause(START_MS);
+                });
+                return;
+            case "pause":
+                await this.onProcess(fault, async process => {
+                    process.signal("SIGSTOP");
+                    await pause(fault.durationMs);
+                    process.signal("SIGCONT");
+                });
+                return;
+            case "stop":
+                await this.onProcess(fault, async process => {
+                    await process.stop();
+                    await pause(RESTART_MS);
+                    process.start();
+                    await pause(START_MS);
+                }, { isPlanned: true });
+                return;
+            case "reload":
+                await this.onProcess(fault, async process => process.signal("SIGHUP"), { isPlanned: true });
+                return;
+            case "store":
+                await this.troubleStore(fault, detail);
+                return;
+            case "upstream":
+                await this.onUpstream(
+                    fault,
+                    upstream =>
+                        detail === "crash"
+                            ? this.crash(upstream, fault.durationMs)
+                            : this.upset(upstream, detail, fault),
+                );
+                return;
+            case "link":
+                await this.onUpstream(fault, upstream => this.troubleLink(upstream, detail, fault.durationMs));
+                return;
+            default:
+                await this.onUpstream(fault, upstream => this.drain(upstream), { isPlanned: true });
+        }
+    }
+
+    private async restart(process: SoakProcess): Promise<void> {
+        await process.kill();
+        await pause(RESTART_MS);
+        process.start();
+        await pause(START_MS);
+    }
+
+    private async killAll(): Promise<void> {
+        const processes = this.fleet.members.map(member => member.process).filter(process => !this.busy.has(process));
+        await this.during("kill-all", "all", processes, false, async () => {
+            await Promise.all(processes.map(process => this.restart(process)));
+        });
+    }
+
+    private async troubleStore(fault: PlannedFault, detail: string): Promise<void> {
+        if (detail.startsWith("cut")) {
+            await this.onProcess(fault, (_process, relay) => this.cut(relay, detail === "cut-one-way", fault));
+            return;
+        }
+        if (this.busy.has("store")) {
+            return;
+        }
+        const { store, memory } = this.fleet;
+        await this.during(fault.kind, "store", ["store"], false, async () => {
+            switch (detail) {
+                case "slow":
+                    store.delayMs = SLOW_STORE_MS;
+                    break;
+                case "lost-answers":
+                    store.answersToLose = LOST_ANSWERS;
+                    break;
+                case "compacted":
+                    memory.compact();
+                    return;
+                default:
+                    store.mode = detail as "busy" | "silent" | "reset";
+            }
+            await pause(fault.durationMs);
+            store.mode = "normal";
+            store.delayMs = 0;
+            store.answersToLose = 0;
+        });
+    }
+
+    private async cut(relay: SoakUpstream["relay"], isOneWay: boolean, fault: PlannedFault): Promise<void> {
+        const oneWay = fault.target < 0.5 ? "forward" as const : "backward" as const;
+        const directions = isOneWay ? [oneWay] : ["forward" as const, "backward" as const];
+        relay.silence(...directions);
+        relay.silenceNew(...directions);
+        await pause(fault.durationMs);
+        relay.silenceNew();
+    }
+
+    private async troubleLink(upstream: SoakUpstream, detail: string, durationMs: number): Promise<void> {
+        const { relay } = upstream;
+        if (detail === "reset") {
+            relay.cut();
+            return;
+        }
+        if (detail === "delay") {
+            relay.delay(LINK_DELAY_MS);
+            await pause(durationMs);
+            relay.delay(0);
+            return;
+        }
+        await this.cut(relay, detail === "one-way", { kind: "link-silent", atMs: 0, durationMs, target: 0.9 });
+    }
+
+    private async upset(upstream: SoakUpstream, mood: string, fault: PlannedFault): Promise<void> {
+        upstream.mood = mood as UpstreamMood;
+        await pause(fault.durationMs);
+        upstream.mood = "healthy";
+    }
+
+    private async crash(upstream: SoakUpstream, durationMs: number): Promise<void> {
+        upstream.close();
+        const replacing = pause(durationMs).then(() => this.replace(upstream));
+        await pause(ENTRY_LAPSE_MS);
+        await this.fleet.operator.remove(upstream);
+        await replacing;
+    }
+
+    private async drain(upstream: SoakUpstream): Promise<void> {
+        await this.replace(upstream);
+        upstream.startDraining();
+        await this.fleet.operator.announce(upstream);
+        await pause(DRAIN_MS);
+        await this.fleet.operator.remove(upstream);
+        upstream.close();
+    }
+
+    private async replace(upstream: SoakUpstream): Promise<void> {
+        const successor = await this.fleet.createUpstream(upstream.announced.service);
+        this.fleet.upstreams[this.fleet.upstreams.indexOf(upstream)] = successor;
+    }
+
+    private async onProcess(
+        fault: PlannedFault,
+        action: (process: SoakProcess, relay: SoakUpstream["relay"]) => Promise<void>,
+        opts: { isPlanned?: boolean; } = {},
+    ): Promise<void> {
+        const needsRunner = /runner|disk|file/u.test(fault.kind);
+        const isAny = /^store|^reload/u.test(fault.kind);
+        const { members, gateways, runners } = this.fleet;
+        const candidates = isAny ? members : needsRunner ? runners : gateways;
+        const { process, storeRelay } = pick(candidates, fault.target);
+        if (!this.busy.has(process)) {
+            await this.during(
+                fault.kind,
+                process.name,
+                [process],
+                opts.isPlanned ?? false,
+                () => action(process, storeRelay),
+            );
+        }
+    }
+
+    private async onUpstream(
+        fault: PlannedFault,
+        action: (upstream: SoakUpstream) => Promise<void>,
+        opts: { isPlanned?: boolean; } = {},
+    ): Promise<void> {
+        const upstream = pick(this.fleet.upstreams, fault.target);
+        if (!this.busy.has(upstream)) {
+            await this.during(fault.kind, upstream.id, [upstream], opts.isPlanned ?? false, () => action(upstream));
+        }
+    }
+
+    private async during(
+        kind: string,
+        target: string,
+        things: (SoakProcess | SoakUpstream | "store")[],
+        isPlanned: boolean,
+        action: () => Promise<void>,
+    ): Promise<void> {
+        const fault: FaultRecord = { kind, target, fromMs: this.nowMs(), toMs: Infinity, isPlanned };
+        this.record.faults.push(fault);
+        things.forEach(thing => this.busy.add(thing));
+        try {
+            await action();
+        }
+        finally {
+            fault.toMs = this.nowMs();
+            things.forEach(thing => this.busy.delete(thing));
+        }
+    }
+}
+
+function pick<Value>(values: readonly Value[], target: number): Value {
+    return values[Math.floor(target * values.length)]!;
+}
+
+function splitOnce(kind: string): string[] {
+    const dash = kind.indexOf("-");
+    return dash < 0 ? [kind] : [kind.slice(0, dash), kind.slice(dash + 1)];
+}
+
+function pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/fuzz/soak/src/groupBy.ts
@@ -0,0 +1,9 @@
+/** Groups values by a key, each group in the order of the values. */
+export function groupBy<Value, Key>(values: readonly Value[], keyOf: (value: Value) => Key): Map<Key, Value[]> {
+    const groups = new Map<Key, Value[]>();
+    values.forEach(value => {
+        const key = keyOf(value);
+        groups.set(key, [...groups.get(key) ?? [], value]);
+    });
+    return groups;
+}
--- /dev/null
+++ b/fuzz/soak/src/jobResult.ts
@@ -0,0 +1,6 @@
+/** A result of an item as a caller read it. */
+export interface JobResult {
+    itemId: string;
+    state: string;
+    output: string;
+}
--- /dev/null
+++ b/fuzz/soak/src/oracle.ts
@@ -0,0 +1,22 @@
+import { checkAnswers } from "./checkAnswers.js";
+import { checkConfiguration } from "./checkConfiguration.js";
+import { checkDraining } from "./checkDraining.js";
+import { checkJobs } from "./checkJobs.js";
+import { checkRecovery } from "./checkRecovery.js";
+import { checkRuns } from "./checkRuns.js";
+import { checkStops } from "./checkStops.js";
+import type { SoakRecord } from "./soakRecord.js";
+import type { Violation } from "./violation.js";
+
+/** All promises that what was seen breaks, shape [violations]. */
+export function oracle(record: SoakRecord): Violation[] {
+    return [
+        checkAnswers,
+        checkRuns,
+        checkJobs,
+        checkConfiguration,
+        checkDraining,
+        checkStops,
+        checkRecovery,
+    ].flatMap(check => check(record));
+}
--- /dev/null
+++ b/fuzz/soak/src/runSoak.ts
@@ -0,0 +1,99 @@
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { FaultInjector } from "./faultInjector.js";
+import { oracle } from "./oracle.js";
+import { planFaults } from "./planFaults.js";
+import { SoakBalancer } from "./soakBalancer.js";
+import { SoakCaller } from "./soakCaller.js";
+import { SoakFleet } from "./soakFleet.js";
+import { SoakJobClient } from "./soakJobClient.js";
+import type { SoakOptions } from "./soakOptions.js";
+import { SoakRecord } from "./soakRecord.js";
+import type { SoakReport } from "./soakReport.js";
+
+const CALLERS = 16;
+const PROBERS = 2;
+const JOB_INTERVAL_MS = 900;
+const CONFIGURATION_INTERVAL_MS = 4000;
+const CANCELLED_SHARE = 0.15;
+const CHECK_INTERVAL_MS = 1000;
+const START_MS = 3000;
+const WARM_UP_MS = 2000;
+/** Time for recovery and a look at it. */
+const RECOVERY_MS = 16_000;
+/** Time in which all jobs end once nothing stands in their way. */
+const FINISH_MS = 18_000;
+const SUBNETS = 200;
+const FIRST_SUBNET = 20;
+/** Small seeds of the generator begin alike. */
+const SEED_FACTOR = 7919;
+
+/** Runs the real programs through drawn trouble and checks the promises while it lasts. */
+export async function runSoak(opts: SoakOptions): Promise<SoakReport> {
+    const clock = new SystemClock();
+    const nowMs = () => clock.nowMs();
+    const record = new SoakRecord();
+    const randomOf = (stream: number) => new SeededRandom(opts.seed * SEED_FACTOR + stream);
+    const subnet = FIRST_SUBNET + opts.seed % SUBNETS;
+    const fleet = new SoakFleet({ ...opts, subnet, record, random: randomOf(1), nowMs });
+    await fleet.start();
+    await pause(START_MS);
+
+    const balancer = new SoakBalancer({ gateways: fleet.addresses, random: randomOf(2) });
+    const [calling, submitting] = [new AbortController(), new AbortController()];
+    const shared = { balancer, record, nowMs, newestVersion: () => fleet.operator.newestVersion };
+    const callers = Array.from(
+        { length: CALLERS + PROBERS },
+        (_, index) => new SoakCaller({ ...shared, name: `c${index}`, random: randomOf(10 + index) }),
+    );
+    callers.slice(PROBERS).forEach(caller => void caller.run(calling.signal));
+    callers.slice(0, PROBERS).forEach(prober => void prober.probe(fleet.addresses, calling.signal));
+    const jobs = new SoakJobClient({ ...shared, name: "j", random: randomOf(3), cancelledShare: CANCELLED_SHARE });
+    void jobs.run(JOB_INTERVAL_MS, submitting.signal);
+    const configuring = setInterval(() => void fleet.operator.writeNext(), CONFIGURATION_INTERVAL_MS);
+
+    const injector = new FaultInjector({ fleet, record, nowMs });
+    const timers = planFaults(randomOf(4), { fromMs: WARM_UP_MS, toMs: WARM_UP_MS + opts.faultMs })
+        .map(fault => setTimeout(() => injector.strike(fault), fault.atMs));
+    const isBroken = () => oracle(record).length > 0;
+    await until(isBroken, WARM_UP_MS + opts.faultMs);
+    timers.forEach(timer => clearTimeout(timer));
+    await injector.settled();
+    fleet.heal();
+    record.healedAtMs = nowMs();
+    submitting.abort();
+    await until(isBroken, RECOVERY_MS);
+    calling.abort();
+    clearInterval(configuring);
+    await until(() => isBroken() || record.jobs.every(job => isOver(job)), FINISH_MS);
+    jobs.stop();
+    await jobs.readAll();
+    record.endedAtMs = nowMs();
+    const violations = oracle(record);
+    balancer.close();
+    await fleet.close();
+    return {
+        seed: opts.seed,
+        violations,
+        faults: record.faults.map(fault => `${Math.round(fault.fromMs)} ${fault.kind} ${fault.target}`),
+        calls: record.calls.length,
+        served: record.calls.filter(call => call.statusCode === 200 && call.isComplete).length,
+        jobs: record.jobs.filter(job => job.acceptedAtMs !== undefined).length,
+        items: record.jobs.reduce((sum, job) => sum + job.results.length, 0),
+    };
+}
+
+function isOver(job: SoakRecord["jobs"][number]): boolean {
+    return job.acceptedAtMs === undefined || job.cancelledAtMs !== undefined || job.results.length === job.items.length;
+}
+
+/** Resolves when the condition holds, or after `maxMs`. */
+async function until(condition: () => boolean, maxMs: number): Promise<void> {
+    for (let leftMs = maxMs; leftMs > 0 && !condition(); leftMs -= CHECK_INTERVAL_MS) {
+        await pause(Math.min(leftMs, CHECK_INTERVAL_MS));
+    }
+}
+
+function pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/fuzz/soak/src/soakCaller.ts
@@ -0,0 +1,101 @@
+import type { Random } from "@knapweedwood/core.random/random";
+import { CallerConnection } from "./callerConnection.js";
+import type { CallKind } from "./callKind.js";
+import type { CallRecord } from "./callRecord.js";
+import type { SoakBalancer } from "./soakBalancer.js";
+import type { SoakGateway } from "./soakGateway.js";
+import type { SoakRecord } from "./soakRecord.js";
+
+const MAX_PAUSE_MS = 150;
+const PAUSE_AFTER_FAILURE_MS = 100;
+const TIMEOUT_MS = 4000;
+const MAX_EVENTS = 20;
+const PATHS: { [kind in Exclude<CallKind, "probe">]: string; } = {
+    "idempotent": "/fetch/x",
+    "once": "/book/x",
+    "stream": "/stream/x",
+    "stream-once": "/stream-once/x",
+};
+const KINDS = Object.keys(PATHS) as (keyof typeof PATHS)[];
+
+/** A caller that sends one request after the other, on its open connection as long as it lasts. */
+export class SoakCaller {
+    private readonly opts: {
+        name: string;
+        balancer: SoakBalancer;
+        record: SoakRecord;
+        random: Random;
+        nowMs: () => number;
+        newestVersion: () => number;
+    };
+    private connection: CallerConnection | undefined;
+    private callCount = 0;
+
+    constructor(opts: SoakCaller["opts"]) {
+        this.opts = opts;
+    }
+
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const kind = KINDS[this.opts.random.nextInteger(KINDS.length)]!;
+            const body = JSON.stringify({
+                events: 1 + this.opts.random.nextInteger(MAX_EVENTS),
+                caller: this.opts.name,
+            });
+            const call = await this.send({ kind, path: PATHS[kind], body });
+            const pauseMs = call.statusCode === 0 ? PAUSE_AFTER_FAILURE_MS : this.opts.random.nextInteger(MAX_PAUSE_MS);
+            await new Promise(resolve => setTimeout(resolve, pauseMs));
+        }
+        this.connection?.close();
+    }
+
+    /** Asks each gateway for the route that only the newest, or the last but one, configuration has. */
+    async probe(gateways: SoakGateway[], signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await new Promise(resolve => setTimeout(resolve, MAX_PAUSE_MS));
+            const version = Math.max(1, this.opts.newestVersion() - this.opts.random.nextInteger(2));
+            const gateway = gateways[this.opts.random.nextInteger(gateways.length)]!;
+            this.connection = new CallerConnection(gateway);
+            await this.send({
+                kind: "probe",
+                path: `/only-${version}/x`,
+                body: JSON.stringify({ events: 1 }),
+                version,
+            });
+            this.connection.close();
+        }
+    }
+
+    private async send(opts: Pick<CallRecord, "kind" | "path" | "body"> & { version?: number; }): Promise<CallRecord> {
+        const connection = this.openConnection();
+        const { gateway } = connection;
+        const call: CallRecord = {
+            ...opts,
+            id: `${this.opts.name}-${this.callCount++}`,
+            gateway: gateway.name,
+            startNumber: gateway.startNumber(),
+            sentAtMs: this.opts.nowMs(),
+            endedAtMs: undefined,
+            statusCode: 0,
+            isComplete: false,
+            answer: "",
+            hasProof: false,
+            version: opts.version,
+        };
+        this.opts.record.calls.push(call);
+        const answer = await connection.send({ ...call, method: "POST", timeoutMs: TIMEOUT_MS });
+        call.statusCode = answer.statusCode;
+        call.isComplete = answer.isComplete;
+        call.answer = answer.body;
+        call.hasProof = answer.hasProof;
+        call.endedAtMs = this.opts.nowMs();
+        return call;
+    }
+
+    private openConnection(): CallerConnection {
+        if (this.connection === undefined || this.connection.isClosed) {
+            this.connection = new CallerConnection(this.opts.balancer.pick());
+        }
+        return this.connection;
+    }
+}
--- /dev/null
+++ b/fuzz/soak/src/soakFleet.ts
@@ -0,0 +1,166 @@
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import type { RegionName } from "@knapweedwood/core.ids/regionName";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import type { Random } from "@knapweedwood/core.random/random";
+import { parseHostPort } from "@knapweedwood/fleet.view/parseHostPort";
+import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
+import { PlatformStoreServer } from "@knapweedwood/platform.standins/platformStoreServer";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import { TcpRelay } from "@knapweedwood/standins.network/tcpRelay";
+import path from "node:path";
+import type { SoakGateway } from "./soakGateway.js";
+import { ANSWER_SERVICE, MODEL_SERVICE } from "./soakNames.js";
+import { SoakOperator } from "./soakOperator.js";
+import { SoakProcess } from "./soakProcess.js";
+import type { SoakRecord } from "./soakRecord.js";
+import { SoakUpstream } from "./soakUpstream.js";
+
+const CALLERS_PORT = 8144;
+const READINESS_PORT = 8140;
+const PEER_PORTS = [7660, 7661, 7662];
+const ZONES = ["a", "b", "c"];
+const RUNNERS = 3;
+const MODEL_UPSTREAMS = 4;
+const ANSWER_UPSTREAMS = 3;
+const STOP_GRACE_MS = 8000;
+const RETENTION_MS = 120_000;
+const MIN_LEASE_MS = 1000;
+
+/** A process with the relay that stands between it and the key-value service. */
+interface FleetMember {
+    process: SoakProcess;
+    storeRelay: TcpRelay;
+}
+
+interface SoakFleetOptions {
+    root: string;
+    folder: string;
+    /** Second number of the loopback addresses, so that fleets can run beside each other. */
+    subnet: number;
+    processes: number;
+    record: SoakRecord;
+    random: Random;
+    nowMs: () => number;
+}
+
+/** The processes of one soak, with the key-value service and the upstreams around them. */
+export class SoakFleet {
+    readonly memory = new MemoryKeyValueService({ clock: new SystemClock() });
+    readonly store = new PlatformStoreServer(this.memory);
+    readonly operator: SoakOperator;
+    readonly gateways: FleetMember[] = [];
+    readonly runners: FleetMember[] = [];
+    readonly upstreams: SoakUpstream[] = [];
+    private readonly opts: SoakFleetOptions;
+    private upstreamCount = 0;
+
+    constructor(opts: SoakFleetOptions) {
+        this.opts = opts;
+        this.operator = new SoakOperator({ ...opts, service: this.memory });
+    }
+
+    get members(): FleetMember[] {
+        return [...this.gateways, ...this.runners];
+    }
+
+    /** Gateways as callers see them. */
+    get addresses(): SoakGateway[] {
+        return this.gateways.map(({ process }) => ({
+            name: process.name,
+            host: process.settings.host,
+            callersPort: CALLERS_PORT,
+            readinessPort: READINESS_PORT,
+            startNumber: () => process.startNumber,
+        }));
+    }
+
+    async start(): Promise<void> {
+        const storePort = await this.store.listen(this.hostOf(4, 1));
+        await this.operator.writeNext();
+        const services = [
+            ...Array.from({ length: MODEL_UPSTREAMS }, () => MODEL_SERVICE),
+            ...Array.from({ length: ANSWER_UPSTREAMS }, () => ANSWER_SERVICE),
+        ];
+        for (const service of services) {
+            this.upstreams.push(await this.createUpstream(service));
+        }
+        const gatewayCount = Math.max(2, this.opts.processes - RUNNERS);
+        for (let index = 0; index < gatewayCount; index++) {
+            this.gateways.push(await this.createMember("gateway", index, storePort));
+        }
+        for (let index = 0; index < RUNNERS; index++) {
+            this.runners.push(await this.createMember("runner", index, storePort));
+        }
+        this.members.forEach(({ process }) => process.start());
+    }
+
+    /** Starts an upstream and announces it. */
+    async createUpstream(service: string): Promise<SoakUpstream> {
+        const number = this.upstreamCount++;
+        const upstream = new SoakUpstream(`u-${number}`, {
+            ...this.opts,
+            service,
+            zone: ZONES[number % ZONES.length]!,
+        });
+        await upstream.listen(this.hostOf(3, 1 + number % 250));
+        await this.operator.announce(upstream);
+        return upstream;
+    }
+
+    /** Starts what is not running, and ends all faults. */
+    heal(): void {
+        this.store.mode = "normal";
+        this.store.delayMs = 0;
+        this.store.answersToLose = 0;
+        this.members.forEach(({ process, storeRelay }) => {
+            process.signal("SIGCONT");
+            storeRelay.silenceNew();
+            storeRelay.delay(0);
+            if (!process.isRunning) {
+                process.start();
+            }
+        });
+        this.upstreams.forEach(upstream => {
+            upstream.mood = "healthy";
+            upstream.relay.silenceNew();
+            upstream.relay.delay(0);
+        });
+    }
+
+    async close(): Promise<void> {
+        await Promise.all(this.members.map(({ process }) => process.kill()));
+        this.members.forEach(({ storeRelay }) => storeRelay.close());
+        this.upstreams.forEach(upstream => upstream.close());
+        await this.store.close();
+        this.memory.close();
+    }
+
+    private async createMember(program: "gateway" | "runner", index: number, storePort: number): Promise<FleetMember> {
+        const host = this.hostOf(program === "gateway" ? 1 : 2, index + 1);
+        const storeRelay = new TcpRelay({ host: this.hostOf(4, 1), port: storePort });
+        const name = `${program}-${index}`;
+        const folder = path.join(this.opts.folder, name);
+        const isGateway = program === "gateway";
+        const settings: ProcessSettings = {
+            instanceName: name as InstanceName,
+            zone: ZONES[index % ZONES.length] as ZoneName,
+            region: "r" as RegionName,
+            host,
+            callersAddress: isGateway ? { host, port: CALLERS_PORT } : undefined,
+            readinessAddress: isGateway ? { host, port: READINESS_PORT } : undefined,
+            peerPorts: PEER_PORTS,
+            keyValueAddress: parseHostPort(await storeRelay.listen(this.hostOf(4, 2))),
+            minLeaseMs: MIN_LEASE_MS,
+            dataFolder: isGateway ? undefined : path.join(folder, "data"),
+            tolerableLosses: 1,
+            stopGraceMs: STOP_GRACE_MS,
+            resultRetentionMs: RETENTION_MS,
+        };
+        return { process: new SoakProcess({ ...this.opts, folder, program, settings }), storeRelay };
+    }
+
+    private hostOf(group: number, number: number): string {
+        return `127.${this.opts.subnet}.${group}.${number}`;
+    }
+}
--- /dev/null
+++ b/fuzz/soak/src/soakOperator.ts
@@ -0,0 +1,96 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { FleetConfiguration } from "@knapweedwood/fleet.view/fleetConfiguration";
+import type { RequestPolicy } from "@knapweedwood/fleet.view/requestPolicy";
+import type { Route } from "@knapweedwood/fleet.view/route";
+import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
+import { encodeConfiguration } from "@knapweedwood/platform.standins/encodeConfiguration";
+import { encodeUpstream } from "@knapweedwood/platform.standins/encodeUpstream";
+import type { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import { ANSWER_SERVICE, CALLERS_HOST, MODEL_SERVICE } from "./soakNames.js";
+import type { SoakRecord } from "./soakRecord.js";
+import type { SoakUpstream } from "./soakUpstream.js";
+
+const TIMEOUT_MS = 2500;
+const OBJECTIVE_MS = 300;
+const JOB_DUE_MS = 18_000;
+const JOB_RETENTION_MS = 600_000;
+const MAX_CONNECTIONS = 200;
+
+/** Writes configurations and the entries of upstreams, as the operators and the upstreams do. */
+export class SoakOperator {
+    private readonly service: MemoryKeyValueService;
+    private readonly record: SoakRecord;
+    private readonly nowMs: () => number;
+    private version = 0;
+
+    constructor(opts: { service: MemoryKeyValueService; record: SoakRecord; nowMs: () => number; }) {
+        this.service = opts.service;
+        this.record = opts.record;
+        this.nowMs = opts.nowMs;
+    }
+
+    /** The newest version written. */
+    get newestVersion(): number {
+        return this.version;
+    }
+
+    /** Puts the next configuration in force: its only change is the route that names its version. */
+    async writeNext(): Promise<void> {
+        this.version += 1;
+        const { version } = this;
+        const writtenAtMs = this.nowMs();
+        const value = encodeConfiguration(this.configurationOf(version));
+        await this.service.transact([], [{ kind: "put", key: wireKeys.configuration, value }]);
+        this.record.versions.push({ version, writtenAtMs, ackedAtMs: this.nowMs() });
+    }
+
+    async announce(upstream: SoakUpstream): Promise<void> {
+        const key = `${wireKeys.upstreams}${upstream.id}`;
+        await this.service.transact([], [{ kind: "put", key, value: encodeUpstream(upstream.announced) }]);
+        if (upstream.announced.state === "draining") {
+            this.record.drains.push({ upstreamId: upstream.id, ackedAtMs: this.nowMs() });
+        }
+    }
+
+    async remove(upstream: SoakUpstream): Promise<void> {
+        await this.service.transact([], [{ kind: "delete", key: `${wireKeys.upstreams}${upstream.id}` }]);
+    }
+
+    private configurationOf(version: number): FleetConfiguration {
+        return {
+            version,
+            routes: [
+                this.routeOf("fetch", "idempotent", ANSWER_SERVICE, {}),
+                this.routeOf("book", "non-idempotent", ANSWER_SERVICE, {}),
+                this.routeOf("stream", "stream", MODEL_SERVICE, { isResumable: true, maxEventGapMs: 250 }),
+                this.routeOf("stream-once", "stream", MODEL_SERVICE, { maxEventGapMs: 250 }),
+                this.routeOf("job", "batch", MODEL_SERVICE, { jobDueMs: JOB_DUE_MS, jobRetentionMs: JOB_RETENTION_MS }),
+                this.routeOf(`only-${version}`, "idempotent", ANSWER_SERVICE, {}),
+            ],
+            services: [MODEL_SERVICE, ANSWER_SERVICE]
+                .map(name => ({ name: name as ServiceName, maxConnections: MAX_CONNECTIONS })),
+            limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 10_000 },
+        };
+    }
+
+    private routeOf(name: string, kind: RequestPolicy, service: string, change: Partial<Route>): Route {
+        this.record.servicesOfPrefix.set(`/${name}/`, service);
+        return {
+            name,
+            host: CALLERS_HOST,
+            prefix: `/${name}/`,
+            kind,
+            services: [{ service: service as ServiceName, weight: 1 }],
+            timeoutMs: TIMEOUT_MS,
+            objectiveMs: OBJECTIVE_MS,
+            maxAttempts: 3,
+            priority: 0,
+            isResumable: false,
+            maxEventGapMs: undefined,
+            jobDueMs: undefined,
+            jobRetentionMs: undefined,
+            maxWaitingTokens: undefined,
+            ...change,
+        };
+    }
+}
--- /dev/null
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -0,0 +1,198 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import type { Random } from "@knapweedwood/core.random/random";
+import { parseHostPort } from "@knapweedwood/fleet.view/parseHostPort";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
+import { TcpRelay } from "@knapweedwood/standins.network/tcpRelay";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { expectedEvents } from "./expectedEvents.js";
+import type { RunRecord } from "./runRecord.js";
+import type { SoakRecord } from "./soakRecord.js";
+import type { UpstreamMood } from "./upstreamMood.js";
+
+const EVENT_MS = 8;
+const ANSWER_MS = 15;
+const SLOW_FACTOR = 5;
+const SLOTS = 8;
+/** Requests that wait for a slot beside those that run. */
+const MAX_QUEUED = 8;
+const SPOILED_SHARE = 0.4;
+
+/** An upstream that runs what it gets, notes it, and misbehaves on request. Reached through a relay. */
+export class SoakUpstream {
+    readonly id: UpstreamId;
+    mood: UpstreamMood = "healthy";
+    relay!: TcpRelay;
+    private readonly opts: { service: string; zone: string; record: SoakRecord; random: Random; nowMs: () => number; };
+    private readonly server: Server;
+    private upstream!: Upstream;
+    private running = 0;
+    private waiting: (() => void)[] = [];
+
+    constructor(id: string, opts: SoakUpstream["opts"]) {
+        this.id = id as UpstreamId;
+        this.opts = opts;
+        this.server = createServer((request, response) => void this.answer(request, response));
+        this.server.keepAliveTimeout = 0;
+    }
+
+    /** What it announces of itself. */
+    get announced(): Upstream {
+        return this.upstream;
+    }
+
+    async listen(host: string): Promise<void> {
+        await new Promise<void>(resolve => this.server.listen(0, host, resolve));
+        this.relay = new TcpRelay({ host, port: (this.server.address() as AddressInfo).port });
+        this.upstream = {
+            id: this.id,
+            service: this.opts.service as ServiceName,
+            address: parseHostPort(await this.relay.listen(host)),
+            zone: this.opts.zone as ZoneName,
+            slots: SLOTS,
+            state: "ready",
+            startedAtMs: Date.now(),
+        };
+    }
+
+    startDraining(): void {
+        this.upstream = { ...this.upstream, state: "draining" };
+    }
+
+    /** Ends at once, cutting off what runs. */
+    close(): void {
+        this.relay.close();
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        response.on("error", () => undefined);
+        const body = await readText(request).catch(() => undefined);
+        const callId = String(request.headers[wireHeaders.requestId] ?? "");
+        if (body === undefined) {
+            return;
+        }
+        response.setHeader(wireHeaders.requestId, callId);
+        if (request.headers[wireHeaders.expectedUpstream] !== this.id) {
+            this.refuse(response, 421);
+            return;
+        }
+        if (this.running >= SLOTS && this.waiting.length >= MAX_QUEUED) {
+            this.refuse(response, 503);
+            return;
+        }
+        await this.takeSlot();
+        try {
+            if (!response.destroyed) {
+                await this.run(request, response, { body, callId });
+            }
+        }
+        finally {
+            this.leaveSlot();
+        }
+    }
+
+    private async run(
+        request: IncomingMessage,
+        response: ServerResponse,
+        call: { body: string; callId: string; },
+    ): Promise<void> {
+        const isSpoiled = this.mood !== "healthy" && this.mood !== "slow" && this.opts.random.next() < SPOILED_SHARE;
+        const run: RunRecord = {
+            ...call,
+            upstreamId: this.id,
+            service: this.opts.service,
+            method: request.method ?? "",
+            path: request.url ?? "",
+            atMs: this.opts.nowMs(),
+            lastEventId: Number(request.headers[wireHeaders.lastEventId] ?? 0),
+            isSpoiled,
+        };
+        this.opts.record.runs.push(run);
+        const events = expectedEvents(call.body).slice(run.lastEventId);
+        if (!run.isSpoiled || !await this.spoil(response, events)) {
+            response.setHeader(wireHeaders.upstreamProof, `proof-${this.id}`);
+            const isStream = /^\/(?:stream|job)/u.test(run.path);
+            await (isStream ? this.stream(response, events, run.lastEventId) : this.reply(response, events));
+        }
+    }
+
+    /** @returns whether the answer is done with */
+    private async spoil(response: ServerResponse, events: string[]): Promise<boolean> {
+        switch (this.mood) {
+            case "errors":
+                response.setHeader(wireHeaders.upstreamProof, `proof-${this.id}`);
+                response.writeHead(500, { "content-length": 0 }).end();
+                return true;
+            case "cut":
+                response.writeHead(200, { [wireHeaders.upstreamProof]: `proof-${this.id}` });
+                response.write(`id: 1\ndata: ${events[0]?.slice(0, 4)}`);
+                await pause(EVENT_MS);
+                response.destroy();
+                return true;
+            case "garble":
+                response.writeHead(200, { "content-length": 7 }).end("garbled");
+                return true;
+            case "hang":
+                await Promise.race([pause(EVENT_MS * 1000), new Promise(resolve => response.once("close", resolve))]);
+                response.destroy();
+                return true;
+            default:
+                return false;
+        }
+    }
+
+    private async reply(response: ServerResponse, events: string[]): Promise<void> {
+        await pause(ANSWER_MS * this.slowness());
+        const text = events.join(",");
+        response.writeHead(200, { "content-length": Buffer.byteLength(text) }).end(text);
+    }
+
+    private async stream(response: ServerResponse, events: string[], lastEventId: number): Promise<void> {
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        for (const [index, data] of events.entries()) {
+            await pause(EVENT_MS * this.slowness());
+            if (response.destroyed) {
+                return;
+            }
+            response.write(`id: ${lastEventId + index + 1}\ndata: ${data}\n\n`);
+        }
+        response.end();
+    }
+
+    private slowness(): number {
+        return this.mood === "slow" ? SLOW_FACTOR : 1;
+    }
+
+    private refuse(response: ServerResponse, statusCode: number): void {
+        response.writeHead(statusCode, { [wireHeaders.notRun]: "1", "content-length": 0 }).end();
+    }
+
+    private async takeSlot(): Promise<void> {
+        if (this.running >= SLOTS) {
+            await new Promise<void>(resolve => this.waiting.push(resolve));
+        }
+        this.running += 1;
+    }
+
+    private leaveSlot(): void {
+        this.running -= 1;
+        this.waiting.shift()?.();
+    }
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+function pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/fuzz/soak/test/brokenGateway.ts
@@ -0,0 +1,230 @@
+import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
+import {
+    createServer,
+    type IncomingMessage,
+    request as sendRequest,
+    type Server,
+    type ServerResponse,
+} from "node:http";
+import { ANSWER_SERVICE, MODEL_SERVICE } from "../src/soakNames.js";
+import type { SoakUpstream } from "../src/soakUpstream.js";
+
+/** What the gateway does wrong; `nothing` serves as it should. */
+export type Breakage =
+    | "nothing"
+    | "swaps-answers"
+    | "runs-twice"
+    | "lies-about-runs"
+    | "changes-bodies"
+    | "drops-events"
+    | "mixes-services"
+    | "goes-back"
+    | "keeps-old-routes"
+    | "ignores-draining"
+    | "cuts-when-stopping"
+    | "forgets-jobs"
+    | "cuts-texts"
+    | "gives-items-up"
+    | "moves-results"
+    | "runs-cancelled-items"
+    | "runs-refused-jobs"
+    | "serves-nobody";
+
+interface WireItem {
+    id: string;
+    path: string;
+    body: string;
+}
+
+interface Job {
+    items: WireItem[];
+    results: { id: string; state: string; output: string; }[];
+    isCancelled: boolean;
+}
+
+const PROBE = /^\/only-(\d+)\//u;
+const READY_PATH = "/api/ready";
+/** Later than a cancelled job may still begin to run. */
+const LATE_RUN_MS = 4200;
+const JOBS_PATH = "/api/lots/";
+
+/** A simple gateway in this process that breaks one promise on purpose. */
+export class BrokenGateway {
+    version = 1;
+    isStopping = false;
+    private readonly breakage: Breakage;
+    private readonly upstreams: SoakUpstream[];
+    private readonly servers: Server[] = [];
+    private readonly jobs = new Map<string, Job>();
+    private readonly draining = new Set<SoakUpstream>();
+    private lastAnswer = "";
+    private requestCount = 0;
+
+    constructor(opts: { breakage: Breakage; upstreams: SoakUpstream[]; }) {
+        this.breakage = opts.breakage;
+        this.upstreams = opts.upstreams;
+    }
+
+    async listen(host: string, ports: number[]): Promise<void> {
+        for (const port of ports) {
+            const server = createServer((request, response) => void this.answer(request, response));
+            this.servers.push(server);
+            await new Promise<void>(resolve => server.listen(port, host, resolve));
+        }
+    }
+
+    drain(upstream: SoakUpstream): void {
+        this.draining.add(upstream);
+    }
+
+    stop(): void {
+        this.isStopping = true;
+        if (this.breakage === "cuts-when-stopping") {
+            this.servers.forEach(server => server.closeAllConnections());
+        }
+    }
+
+    close(): void {
+        this.servers.forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
+    }
+
+    private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        response.on("error", () => undefined);
+        const url = request.url ?? "";
+        const body = await readText(request).catch(() => "");
+        if (url === READY_PATH) {
+            response.writeHead(200).end();
+            return;
+        }
+        if (url.startsWith(JOBS_PATH) || url.startsWith("/job/")) {
+            this.answerJob(request, response, body);
+            return;
+        }
+        if (!this.isInForce(url) || this.breakage === "serves-nobody") {
+            response.writeHead(this.breakage === "serves-nobody" ? 503 : 404, { "content-length": 0 }).end();
+            return;
+        }
+        await this.forward(request, response, body);
+    }
+
+    /** Whether a probe's route is there. */
+    private isInForce(url: string): boolean {
+        const version = PROBE.exec(url)?.[1];
+        this.requestCount += 1;
+        if (version === undefined) {
+            return true;
+        }
+        const goesBack = this.breakage === "goes-back" && this.requestCount % 2 === 0;
+        return this.breakage === "keeps-old-routes"
+            ? Number(version) === 1
+            : Number(version) === this.version - (goesBack ? 1 : 0);
+    }
+
+    private async forward(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+        const id = String(request.headers[wireHeaders.requestId]);
+        const path = request.url ?? "";
+        const sent = this.breakage === "changes-bodies" ? body.replace("caller", "callee") : body;
+        if (this.breakage === "runs-twice") {
+            await this.run({ id, path, body: sent });
+        }
+        const answer = await this.run({ id, path, body: sent });
+        const text = this.spoil(answer.text);
+        this.lastAnswer = answer.text;
+        const statusCode = this.breakage === "lies-about-runs" ? 503 : answer.statusCode;
+        response.writeHead(statusCode, {
+            "content-length": Buffer.byteLength(text),
+            [wireHeaders.upstreamProof]: "proof",
+        });
+        response.end(text);
+    }
+
+    private spoil(text: string): string {
+        if (this.breakage === "swaps-answers") {
+            return this.lastAnswer;
+        }
+        return this.breakage === "drops-events" ? text.replace(/^id: 2\n.*\n\n/mu, "") : text;
+    }
+
+    private answerJob(request: IncomingMessage, response: ServerResponse, body: string): void {
+        const url = new URL(request.url ?? "", "http://gateway");
+        const jobId = url.pathname.startsWith(JOBS_PATH)
+            ? url.pathname.slice(JOBS_PATH.length)
+            : String(request.headers[wireHeaders.requestId]);
+        if (url.pathname.startsWith("/job/")) {
+            this.submit(jobId, body);
+            response.writeHead(this.breakage === "runs-refused-jobs" ? 429 : 202, { "content-length": 0 }).end();
+            return;
+        }
+        const job = this.breakage === "forgets-jobs" ? undefined : this.jobs.get(jobId);
+        if (job !== undefined && request.method === "DELETE") {
+            job.isCancelled = true;
+        }
+        const after = Number(url.searchParams.get("after") ?? 0);
+        const page = { total: job?.items.length, results: job?.results.slice(after) };
+        const text = JSON.stringify(page);
+        response.writeHead(job === undefined ? 404 : 200, { "content-length": Buffer.byteLength(text) }).end(text);
+    }
+
+    private submit(jobId: string, body: string): void {
+        if (this.jobs.has(jobId)) {
+            return;
+        }
+        const { items } = JSON.parse(body) as { items: WireItem[]; };
+        const job: Job = { items, results: [], isCancelled: false };
+        this.jobs.set(jobId, job);
+        void this.runJob(job);
+    }
+
+    private async runJob(job: Job): Promise<void> {
+        await Promise.all(job.items.map(async item => {
+            const isLate = this.breakage === "runs-cancelled-items";
+            await new Promise(resolve => setTimeout(resolve, isLate ? LATE_RUN_MS : 0));
+            if (job.isCancelled && !isLate) {
+                return;
+            }
+            const { text } = await this.run({ ...item, body: Buffer.from(item.body, "base64").toString("utf8") });
+            const output = [...text.matchAll(/^data: (.*)$/gmu)].map(match => match[1]).join("\n");
+            const result = {
+                id: item.id,
+                state: this.breakage === "gives-items-up" ? "dead_letter" : "completed",
+                output: this.breakage === "cuts-texts" ? output.slice(0, -1) : output,
+            };
+            job.results.splice(this.breakage === "moves-results" ? 0 : job.results.length, 0, result);
+        }));
+    }
+
+    private run(call: { id: string; path: string; body: string; }): Promise<{ statusCode: number; text: string; }> {
+        const isAnswer = /^\/(?:fetch|book|only-\d+)\//u.test(call.path) !== (this.breakage === "mixes-services");
+        const service = isAnswer ? ANSWER_SERVICE : MODEL_SERVICE;
+        const candidates = this.upstreams
+            .filter(upstream => upstream.announced.service === service)
+            .filter(upstream => this.breakage === "ignores-draining" || !this.draining.has(upstream));
+        const upstream = candidates[this.requestCount++ % candidates.length]!;
+        return new Promise(resolve => {
+            const request = sendRequest({
+                ...upstream.announced.address,
+                agent: false,
+                method: "POST",
+                path: call.path,
+                headers: { [wireHeaders.requestId]: call.id, [wireHeaders.expectedUpstream]: upstream.id },
+            }, response => {
+                void readText(response).catch(() => "").then(text =>
+                    resolve({ statusCode: response.statusCode ?? 0, text })
+                );
+            });
+            request.on("error", () => resolve({ statusCode: 502, text: "" }));
+            request.end(call.body);
+        });
+    }
+}
+
+async function readText(message: IncomingMessage): Promise<string> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
--- /dev/null
+++ b/fuzz/soak/test/oracle.test.ts
@@ -0,0 +1,118 @@
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { oracle } from "../src/oracle.js";
+import { SoakBalancer } from "../src/soakBalancer.js";
+import { SoakCaller } from "../src/soakCaller.js";
+import type { SoakGateway } from "../src/soakGateway.js";
+import { SoakJobClient } from "../src/soakJobClient.js";
+import { ANSWER_SERVICE, MODEL_SERVICE } from "../src/soakNames.js";
+import { SoakRecord } from "../src/soakRecord.js";
+import { SoakUpstream } from "../src/soakUpstream.js";
+import { type Breakage, BrokenGateway } from "./brokenGateway.js";
+
+const CALLERS_PORT = 8144;
+const READINESS_PORT = 8140;
+const BEFORE_CHANGES_MS = 500;
+const AFTER_CHANGES_MS = 4500;
+/** Time for the last jobs to end. */
+const LAST_JOBS_MS = 2500;
+const FIRST_SUBNET = 221;
+const RECOVERED_LONG_AGO_MS = 20_000;
+
+/** Lets callers, jobs and probes run against a gateway that breaks one promise. @returns the promises found broken */
+async function promisesBrokenBy(breakage: Breakage, subnet: number): Promise<string[]> {
+    const clock = new SystemClock();
+    const nowMs = () => clock.nowMs();
+    const record = new SoakRecord();
+    const random = new SeededRandom(12_345);
+    const upstreams = [MODEL_SERVICE, MODEL_SERVICE, ANSWER_SERVICE, ANSWER_SERVICE]
+        .map((service, index) => new SoakUpstream(`u-${index}`, { service, zone: "a", record, random, nowMs }));
+    const host = `127.${subnet}.1.1`;
+    await Promise.all(upstreams.map(upstream => upstream.listen(host)));
+    const gateway = new BrokenGateway({ breakage, upstreams });
+    await gateway.listen(host, [CALLERS_PORT, READINESS_PORT]);
+    ["fetch", "book", "only-1", "only-2"].forEach(name => record.servicesOfPrefix.set(`/${name}/`, ANSWER_SERVICE));
+    ["stream", "stream-once", "job"].forEach(name => record.servicesOfPrefix.set(`/${name}/`, MODEL_SERVICE));
+    record.versions.push({ version: 1, writtenAtMs: nowMs(), ackedAtMs: nowMs() });
+    record.healedAtMs = nowMs() - RECOVERED_LONG_AGO_MS;
+
+    const address: SoakGateway = {
+        name: "g",
+        host,
+        callersPort: CALLERS_PORT,
+        readinessPort: READINESS_PORT,
+        startNumber: () => 1,
+    };
+    const balancer = new SoakBalancer({ gateways: [address], random });
+    const controller = new AbortController();
+    const shared = { balancer, record, random, nowMs, newestVersion: () => gateway.version };
+    const callers = Array.from({ length: 4 }, (_, index) => new SoakCaller({ ...shared, name: `c${index}` }));
+    const running = [
+        ...callers.slice(1).map(caller => caller.run(controller.signal)),
+        callers[0]!.probe([address], controller.signal),
+    ];
+    const cancelledShare = breakage === "runs-cancelled-items" ? 1 : 0;
+    const jobs = new SoakJobClient({ ...shared, name: "j", cancelledShare });
+    const submitting = new AbortController();
+    running.push(jobs.run(400, submitting.signal));
+    await pause(BEFORE_CHANGES_MS);
+
+    gateway.version = 2;
+    record.versions.push({ version: 2, writtenAtMs: nowMs(), ackedAtMs: nowMs() });
+    gateway.drain(upstreams[0]!);
+    record.drains.push({ upstreamId: upstreams[0]!.id, ackedAtMs: nowMs() });
+    if (breakage === "nothing" || breakage === "cuts-when-stopping") {
+        record.faults.push({ kind: "stop", target: "g", fromMs: nowMs(), toMs: nowMs(), isPlanned: true });
+        gateway.stop();
+    }
+    await pause(AFTER_CHANGES_MS - LAST_JOBS_MS);
+    submitting.abort();
+    await pause(LAST_JOBS_MS);
+    controller.abort();
+    await Promise.all(running);
+    jobs.stop();
+    await jobs.readAll();
+    record.endedAtMs = nowMs();
+    balancer.close();
+    gateway.close();
+    upstreams.forEach(upstream => upstream.close());
+    return [...new Set(oracle(record).map(violation => violation.promise))];
+}
+
+const cases: { breakage: Breakage; promise: string; }[] = [
+    { breakage: "swaps-answers", promise: "answer-belongs" },
+    { breakage: "runs-twice", promise: "run-once" },
+    { breakage: "lies-about-runs", promise: "not-run-is-true" },
+    { breakage: "changes-bodies", promise: "unchanged" },
+    { breakage: "drops-events", promise: "events-in-order" },
+    { breakage: "mixes-services", promise: "right-service" },
+    { breakage: "goes-back", promise: "configuration-never-back" },
+    { breakage: "keeps-old-routes", promise: "configuration-in-force" },
+    { breakage: "ignores-draining", promise: "drained" },
+    { breakage: "cuts-when-stopping", promise: "stop-cuts-nothing" },
+    { breakage: "forgets-jobs", promise: "job-kept" },
+    { breakage: "cuts-texts", promise: "item-text-whole" },
+    { breakage: "gives-items-up", promise: "given-up-only-when-allowed" },
+    { breakage: "moves-results", promise: "positions-stay" },
+    { breakage: "runs-cancelled-items", promise: "cancelled-stays" },
+    { breakage: "runs-refused-jobs", promise: "refused-job-never-runs" },
+    { breakage: "serves-nobody", promise: "recovers" },
+];
+
+test("the oracle finds nothing where nothing is broken", async () => {
+    assert.deepEqual(await promisesBrokenBy("nothing", FIRST_SUBNET - 1), []);
+});
+
+test("the oracle finds each promise that is broken on purpose", async () => {
+    const found = await Promise.all(cases.map(async ({ breakage, promise }, index) => ({
+        breakage,
+        isFound: (await promisesBrokenBy(breakage, FIRST_SUBNET + index)).includes(promise),
+    })));
+    assert.deepEqual(found.filter(one => !one.isFound), []);
+});
+
+function pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- a/links/endpoint/test/linkFaults.test.ts
+++ b/links/endpoint/test/linkFaults.test.ts
@@ -54,7 +54,7 @@
     server.handle(countCall, request => counter.handle(request));
     client.handle(countCall, request => backCounter.handle(request));
     const serverPort = Number((await server.listen()).split(":")[1]);
-    const relay = new TcpRelay(serverPort);
+    const relay = new TcpRelay({ host: "127.0.0.1", port: serverPort });
     context.after(() => relay.close());
     const link = client.connect(await relay.listen());
     await collectFrames(link.call(countCall, { ...slowCount, count: 1 }));
--- a/standins/key-value/src/changeHistory.ts
+++ b/standins/key-value/src/changeHistory.ts
@@ -27,6 +27,13 @@
         return this.batches.filter(batch => batch.revision > revision);
     }
 
+    /** Drops all changes up to now. */
+    forget(): void {
+        this.droppedRevision = this.batches.at(-1)?.revision ?? this.droppedRevision;
+        this.batches = [];
+        this.sizeBytes = 0;
+    }
+
     private dropOlderHalf(): void {
         const dropped = this.batches.splice(0, Math.ceil(this.batches.length / 2));
         this.droppedRevision = dropped.at(-1)?.revision ?? this.droppedRevision;
--- a/standins/key-value/src/memoryKeyValueService.ts
+++ b/standins/key-value/src/memoryKeyValueService.ts
@@ -95,6 +95,12 @@
         }
     }
 
+    /** Drops the history and cuts all watches. */
+    compact(): void {
+        this.history.forget();
+        this.loseWatches();
+    }
+
     /** Stops the timers of leases and of delays, and ends all watches. */
     close(): void {
         this.closing.abort();
--- a/standins/network/src/tcpRelay.ts
+++ b/standins/network/src/tcpRelay.ts
@@ -9,20 +9,32 @@
 
 /** A TCP relay that can cut its connections, or let them go silent in either direction while new ones work. */
 export class TcpRelay {
-    private readonly targetPort: number;
+    private readonly target: { host: string; port: number; };
     private readonly server: Server;
     private readonly pairs: RelayedConnection[] = [];
     private cutAfterBytes = Number.POSITIVE_INFINITY;
+    private silentFromStart: NetworkDirection[] = [];
+    private delayMs = 0;
 
-    constructor(targetPort: number) {
-        this.targetPort = targetPort;
+    constructor(target: { host: string; port: number; }) {
+        this.target = target;
         this.server = createServer({ noDelay: true }, near => this.onConnection(near));
     }
 
     /** @returns the address of the relay, as `host:port` */
-    async listen(): Promise<string> {
-        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
-        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    async listen(host = "127.0.0.1"): Promise<string> {
+        await new Promise<void>(resolve => this.server.listen(0, host, resolve));
+        return `${host}:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** From now on new connections go silent at once, too. */
+    silenceNew(...directions: NetworkDirection[]): void {
+        this.silentFromStart = directions;
+    }
+
+    /** What is carried from now on arrives so much later. */
+    delay(delayMs: number): void {
+        this.delayMs = delayMs;
     }
 
     /** Connections accepted so far. */
@@ -53,11 +65,11 @@
     }
 
     private onConnection(near: Socket): void {
-        const far = connect({ port: this.targetPort, host: "127.0.0.1", noDelay: true });
-        const silent = new Set<NetworkDirection>();
+        const far = connect({ ...this.target, noDelay: true });
+        const silent = new Set<NetworkDirection>(this.silentFromStart);
         let carriedBytes = 0;
         this.pairs.push({ near, far, silent });
-        near.on("data", data => silent.has("forward") || far.write(data));
+        near.on("data", data => silent.has("forward") || this.carry(far, data));
         far.on("data", data => {
             carriedBytes += data.length;
             if (carriedBytes > this.cutAfterBytes) {
@@ -65,7 +77,7 @@
                 far.destroy();
             }
             else if (!silent.has("backward")) {
-                near.write(data);
+                this.carry(near, data);
             }
         });
         near.on("close", () => silent.has("forward") || far.destroy());
@@ -73,4 +85,12 @@
         near.on("error", () => undefined);
         far.on("error", () => undefined);
     }
+
+    private carry(socket: Socket, data: Buffer): void {
+        if (this.delayMs === 0) {
+            socket.write(data);
+            return;
+        }
+        setTimeout(() => socket.writable && socket.write(data), this.delayMs);
+    }
 }
