feat(cli): knapweed explain, and check and status for the platform

Cause: from an id to its cause took a grep over all logs, and what a process believed then had to be searched by hand. There was no command for the settings file, nor for the state of a deployment.

Change: observability/explain puts the lines of many processes together into the timeline of a request, job or item, with the newest state of each process concerned and the verdicts on its upstreams. `knapweed explain ID LOGFILE…`, `knapweed platform check FILE`, `knapweed platform status HOST…`.

--- /dev/null
+++ b/cli/knapweed/test/summarizeMetrics.test.ts
@@ -0,0 +1,21 @@
+import { PageMetrics } from "@knapweedwood/observability.metrics/pageMetrics";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { summarizeMetrics } from "../src/summarizeMetrics.js";
+
+test("figures are summed over kinds, and absent ones are zero", async () => {
+    const metrics = new PageMetrics();
+    metrics.increment("calls_total", { kind: "stream", outcome: "call-answered" }, 3);
+    metrics.increment("calls_total", { kind: "idempotent", outcome: "call-answered" }, 4);
+    metrics.increment("calls_total", { kind: "stream", outcome: "call-refused" });
+    metrics.increment("key_value_calls_total", { method: "GET", outcome: "lost" }, 2);
+    metrics.gauge("memory_bytes", 5e7);
+    assert.deepEqual(summarizeMetrics(await metrics.render()), {
+        answered: 7,
+        refused: 1,
+        failed: 0,
+        storeCallsLost: 2,
+        memoryBytes: 5e7,
+        loopDelayMs: 0,
+    });
+});
--- /dev/null
+++ b/observability/explain/src/logLine.ts
@@ -0,0 +1,9 @@
+/** One structured log line. */
+export interface LogLine {
+    timeMs: number;
+    level: string;
+    event: string;
+    instance: string;
+    /** All other fields. */
+    fields: { [field: string]: unknown; };
+}
