perf(sync): watches wait longer in large fleets, and changes that come together take one call

Change: a watch may wait 500 ms for each process of the fleet, 4 s at least, 20 s at most; what a silent one misses is told by the reports of the others, and a process that reports and isn't known is looked up. Changes of upstreams are gathered for 200 ms, of processes for 100 ms.

Small fleets wait as before.

--- a/core/key-value/src/keyValueService.ts
+++ b/core/key-value/src/keyValueService.ts
@@ -20,6 +20,13 @@
     /** @returns the time to live left in milliseconds; 0 where the lease has lapsed */
     keepLeaseAlive(leaseId: string): Promise<number>;
     revokeLease(leaseId: string): Promise<void>;
-    /** Reports changes under `prefix` after `afterRevision`, until aborted. Throws when the watch is lost. */
-    watch(prefix: string, opts: { afterRevision: number; signal: AbortSignal; }): AsyncIterable<WatchBatch>;
+    /**
+     * Reports changes under `prefix` after `afterRevision`, until aborted. Throws when the watch is lost.
+     *
+     * @param opts.waitMs how long one call may wait for a change where the service is asked by calls
+     */
+    watch(
+        prefix: string,
+        opts: { afterRevision: number; signal: AbortSignal; waitMs?: number; },
+    ): AsyncIterable<WatchBatch>;
 }
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -9,6 +9,7 @@
 import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
+import { watchWaitOf } from "@knapweedwood/fleet.sync/watchWaitOf";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
@@ -74,7 +75,8 @@
         this.self = describeSelf(settings, opts.role);
         this.metricsServer = new MetricsServer({ metrics: this.metrics, host: settings.host });
         this.store = new PlatformKeyValueService({ clock, address: settings.keyValueAddress, metrics: this.metrics });
-        const tools = { service: this.store, clock, random, logger };
+        const watchWaitMs = () => watchWaitOf(this.peers.count);
+        const tools = { service: this.store, clock, random, logger, watchWaitMs };
         this.peers = new PeerFollower({
             ...tools,
             self: this.self,
@@ -205,6 +207,7 @@
         if (!this.board.receive(report, this.clock.nowMs())) {
             return;
         }
+        this.peers.meet(report.instanceName);
         if (report.leader !== undefined) {
             this.peers.leadership.learn(report.leader);
         }
--- a/daemons/fleet/src/followerTools.ts
+++ b/daemons/fleet/src/followerTools.ts
@@ -9,4 +9,5 @@
     clock: Clock;
     random: Random;
     logger: Logger;
+    watchWaitMs: () => number;
 }
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -1,5 +1,6 @@
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
@@ -12,6 +13,10 @@
 import type { FollowerTools } from "./followerTools.js";
 
 const ANNOUNCE_RETRY_MS = 500;
+/** A process that can't announce itself is looked for this often, in milliseconds. */
+const MEET_INTERVAL_MS = 5000;
+/** Processes start and end in groups, in milliseconds. */
+const GATHER_MS = 100;
 
 interface PeerFollowerOptions extends FollowerTools {
     self: MemberRecord;
@@ -27,6 +32,7 @@
     readonly leadership: Leadership;
     private readonly opts: PeerFollowerOptions;
     private readonly members = new MemberTable();
+    private metAtMs = -Infinity;
 
     constructor(opts: PeerFollowerOptions) {
         this.opts = opts;
@@ -43,6 +49,7 @@
         this.mirror = new PrefixMirror({
             ...opts,
             prefix: fleetKeys.prefix,
+            gatherMs: GATHER_MS,
             onSnapshot: (entries, revision) => this.onSnapshot(entries, revision),
             onChange: batch => this.onChange(batch),
         });
@@ -62,6 +69,20 @@
         return this.others().filter(member => !this.placesByLoad(member)).map(toLoadAddress);
     }
 
+    /** Processes known, this one among them. */
+    get count(): number {
+        return this.list().length;
+    }
+
+    /** Makes sure that a process which sends reports is known: a silent watch may have missed its entry. */
+    meet(instanceName: InstanceName): void {
+        const nowMs = this.opts.clock.nowMs();
+        if (nowMs >= this.metAtMs + MEET_INTERVAL_MS && !this.list().some(one => one.instanceName === instanceName)) {
+            this.metAtMs = nowMs;
+            this.mirror.catchUp(this.mirror.revision + 1);
+        }
+    }
+
     /** Where runners accept links, shape [runners]. */
     runners(): HostPort[] {
         return this.list().filter(member => member.role === "runner").map(toLinkAddress);
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -13,6 +13,9 @@
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import type { FollowerTools } from "./followerTools.js";
 
+/** Upstreams change in groups: many start, leave or lapse together, in milliseconds. */
+const GATHER_MS = 200;
+
 interface UpstreamFollowerOptions extends FollowerTools {
     board: LoadBoard;
     health: UpstreamHealth;
@@ -33,6 +36,7 @@
         this.mirror = new PrefixMirror({
             ...opts,
             prefix: wireKeys.upstreams,
+            gatherMs: GATHER_MS,
             onSnapshot: entries => this.onSnapshot(entries),
             onChange: batch => this.onChange(batch),
             onRegained: () => this.directory.onRegained(opts.clock.nowMs()),
--- a/daemons/fleet/test/peerFollower.test.ts
+++ b/daemons/fleet/test/peerFollower.test.ts
@@ -28,6 +28,7 @@
         clock: opts.clock,
         random: new SeededRandom(1),
         logger: silentLogger,
+        watchWaitMs: () => 4000,
         self: opts.self,
         minLeaseMs: 1000,
         onLead: () => undefined,
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -82,12 +82,15 @@
             this.currentRevision = snapshot.revision;
             this.opts.onSnapshot(snapshot.entries, snapshot.revision);
         }
-        const watch = this.opts.service.watch(this.opts.prefix, { afterRevision: this.currentRevision, signal });
-        for await (const batch of watch) {
+        const { service, clock, prefix, watchWaitMs, gatherMs = 0 } = this.opts;
+        const waitMs = watchWaitMs?.();
+        const opts = { afterRevision: this.currentRevision, signal, ...waitMs === undefined ? {} : { waitMs } };
+        for await (const batch of service.watch(prefix, opts)) {
             this.onAnswer();
             this.currentRevision = Math.max(this.currentRevision, batch.revision);
             if (batch.puts.length > 0 || batch.deletedKeys.length > 0) {
                 this.opts.onChange(batch);
+                await sleep(clock, gatherMs, signal);
             }
         }
     }
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -7,6 +7,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { PrefixMirror } from "../src/prefixMirror.js";
+import { watchWaitOf } from "../src/watchWaitOf.js";
 
 const LOST_CALL_MS = 600;
 const LOST_WATCH_MS = 4700;
@@ -139,3 +140,35 @@
     assert.deepEqual([...keys], ["a/1"]);
     controller.abort();
 });
+
+test("changes that come together take one more call, and calls wait longer in a large fleet", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const controller = new AbortController();
+    const batches: number[] = [];
+    const waits: (number | undefined)[] = [];
+    const inner = service.watch.bind(service);
+    service.watch = (prefix: string, opts: { afterRevision: number; signal: AbortSignal; waitMs?: number; }) => {
+        waits.push(opts.waitMs);
+        return inner(prefix, opts);
+    };
+    const mirror = new PrefixMirror({
+        service,
+        clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        prefix: "a/",
+        watchWaitMs: () => watchWaitOf(39),
+        gatherMs: 200,
+        onSnapshot: () => undefined,
+        onChange: batch => batches.push(batch.puts.length),
+    });
+    void mirror.run(controller.signal);
+    await clock.advance(100);
+    await service.transact([], [put("a/1")]);
+    await clock.advance(50);
+    assert.deepEqual(batches, [1], "the first is known at once");
+    await clock.advance(1000);
+    controller.abort();
+    assert.deepEqual([waits, watchWaitOf(7), watchWaitOf(500)], [[19_500], 4000, 20_000]);
+});
