feat(load): processes tell one another which upstreams they have ejected

Change: reports name the upstreams that a process has ejected for what it saw itself. Two such reports from the own zone, or three from others, eject an upstream here too; a failed trial elsewhere ends the one here; an own answer within the last second counts for more. What was only told is not told on.

Test: 25 processes before an upstream that fails all: 50 failures without, 32 at most with it.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -7,6 +7,7 @@
 import { LoadBoard } from "@knapweedwood/fleet.load/loadBoard";
 import { LoadExchange } from "@knapweedwood/fleet.load/loadExchange";
 import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
+import { PeerEjections } from "@knapweedwood/fleet.load/peerEjections";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
 import { watchWaitOf } from "@knapweedwood/fleet.sync/watchWaitOf";
@@ -62,6 +63,7 @@
     readonly operators: OperatorsFollower;
     private readonly opts: FleetProcessOptions;
     private readonly self: MemberRecord;
+    private readonly ejections = new PeerEjections();
     private readonly exchange: LoadExchange;
     private readonly metricsServer: MetricsServer;
     private readonly closing = new AbortController();
@@ -195,6 +197,7 @@
             sequence: this.sequence,
             isInTouch: this.isInTouch,
             counts: this.board.ownCounts(),
+            ejected: this.health.ejectedIds(this.clock.nowMs()),
             waiting: this.opts.waiting(),
             configurationRevision: this.operators.configurationRevision,
             jobsRevision: this.jobsRevision,
@@ -203,11 +206,18 @@
         };
     }
 
+    private noteEjections(report: LoadReport): void {
+        const nowMs = this.clock.nowMs();
+        const isNear = this.peers.zoneOf(report.instanceName) === this.self.zone;
+        this.ejections.receive(report).forEach(id => this.health.onPeerEjection(id, { isNear, nowMs }));
+    }
+
     private onReport(report: LoadReport): void {
         if (!this.board.receive(report, this.clock.nowMs())) {
             return;
         }
         this.peers.meet(report.instanceName);
+        this.noteEjections(report);
         if (report.leader !== undefined) {
             this.peers.leadership.learn(report.leader);
         }
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -1,6 +1,7 @@
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
@@ -74,6 +75,11 @@
         return this.list().length;
     }
 
+    /** The zone of a process; undefined where it isn't known. */
+    zoneOf(instanceName: InstanceName): ZoneName | undefined {
+        return this.list().find(member => member.instanceName === instanceName)?.zone;
+    }
+
     /** Makes sure that a process which sends reports is known: a silent watch may have missed its entry. */
     meet(instanceName: InstanceName): void {
         const nowMs = this.opts.clock.nowMs();
--- a/fleet/load/src/loadReport.ts
+++ b/fleet/load/src/loadReport.ts
@@ -1,5 +1,6 @@
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { UpstreamCount } from "./upstreamCount.js";
 
 /** What a process tells the others of its load and of how far it knows the keys that all follow. */
@@ -13,6 +14,8 @@
     isInTouch: boolean;
     /** Upstreams with requests of this process, shape [upstreams]. */
     counts: UpstreamCount[];
+    /** Upstreams that this process has ejected for what it has seen of them, shape [upstreams]. */
+    ejected: UpstreamId[];
     /** Online requests that wait for a slot, shape [services]. */
     waiting: { service: ServiceName; count: number; }[];
     /** Revision of the key-value service at which the configuration in force was written. */
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -17,6 +17,7 @@
     leaderName: string,
     leaderFencingNumber: number,
     isInTouch: boolean,
+    ejected: string[],
 ];
 
 /** Position of the first revision in a packed report. */
@@ -39,6 +40,7 @@
             report.leader?.instanceName ?? "",
             report.leader?.fencingNumber ?? 0,
             report.isInTouch,
+            report.ejected,
         ];
         return this.packr.pack(packed);
     }
@@ -47,13 +49,15 @@
     decode(bytes: Buffer): LoadReport {
         const packed = this.packr.unpack(bytes) as PackedReport;
         const [instanceName, startedAtMs, sequence, counts, waiting] = packed;
-        const [configurationRevision, jobsRevision, upstreamsRevision, leaderName, fencingNumber, isInTouch] = packed
-            .slice(REVISIONS_AT) as [number, number, number, string, number, boolean];
+        const [configurationRevision, jobsRevision, upstreamsRevision, leaderName, fencingNumber, isInTouch, ejected] =
+            packed
+                .slice(REVISIONS_AT) as [number, number, number, string, number, boolean, UpstreamId[]];
         return {
             instanceName: instanceName as InstanceName,
             startedAtMs,
             sequence,
             isInTouch,
+            ejected,
             counts: groupsOf(counts, 3).map(([upstreamId, online, batch]) => ({
                 upstreamId: upstreamId as UpstreamId,
                 online: online as number,
--- a/fleet/load/src/upstreamHealth.ts
+++ b/fleet/load/src/upstreamHealth.ts
@@ -8,6 +8,11 @@
 const SUCCESS_DECAY = 0.7;
 /** Two failures in a row reach it, and so does failing every other request. */
 const SCORE_TO_EJECT = 0.6;
+/** What the ejection by a process of the same zone adds, and by one of another: an upstream may be ill for some only. */
+const NEAR_EJECTION_WEIGHT = 0.35;
+const FAR_EJECTION_WEIGHT = 0.2;
+/** An answer of its own that is no older counts for more than what others say, in milliseconds. */
+const OWN_SUCCESS_VALID_MS = 1000;
 const FIRST_EJECTION_MS = 400;
 const MAX_EJECTION_MS = 4000;
 /** Requests that have to succeed after an ejection, one at a time, before the upstream gets its full share again. */
@@ -18,6 +23,8 @@
     ejections: number;
     ejectedUntilMs: number;
     trialsLeft: number;
+    /** Whether failures seen here led to the last ejection, and not only what others told. */
+    isOwnVerdict: boolean;
 }
 
 /** Judges upstreams by what became of the requests that this process sent them. */
@@ -54,6 +61,32 @@
         return this.addFailure(id, hasAnswered ? SILENCE_WEIGHT : FAILURE_WEIGHT, nowMs);
     }
 
+    /**
+     * Takes in that another process has ejected the upstream, so that not each has to find that out by failures.
+     *
+     * @param opts.isNear whether that process is in the zone of this one
+     */
+    onPeerEjection(id: UpstreamId, opts: { isNear: boolean; nowMs: number; }): void {
+        const { isNear, nowMs } = opts;
+        if ((this.answeredAtMs.get(id) ?? -Infinity) > nowMs - OWN_SUCCESS_VALID_MS) {
+            return;
+        }
+        const record = this.recordOf(id);
+        if (this.addFailure(id, isNear ? NEAR_EJECTION_WEIGHT : FAR_EJECTION_WEIGHT, nowMs)) {
+            record.isOwnVerdict = false;
+        }
+        if (nowMs < record.ejectedUntilMs) {
+            record.ejectedUntilMs = Math.max(record.ejectedUntilMs, nowMs + FIRST_EJECTION_MS);
+        }
+    }
+
+    /** Upstreams that get no requests now for what this process has seen of them, shape [upstreams]. */
+    ejectedIds(nowMs: number): UpstreamId[] {
+        return [...this.records]
+            .filter(([, record]) => record.isOwnVerdict && nowMs < record.ejectedUntilMs)
+            .map(([id]) => id);
+    }
+
     /** Another process answers at the upstream's address: it gets nothing until its entry may have been removed. */
     onMisdirected(id: UpstreamId, nowMs: number): void {
         const record = this.recordOf(id);
@@ -86,11 +119,13 @@
         record.ejectedUntilMs = nowMs + Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** record.ejections);
         record.ejections += 1;
         record.trialsLeft = TRIALS;
+        record.isOwnVerdict = true;
         return true;
     }
 
     private recordOf(id: UpstreamId): HealthRecord {
-        const record = this.records.get(id) ?? { score: 0, ejections: 0, ejectedUntilMs: 0, trialsLeft: 0 };
+        const record = this.records.get(id)
+            ?? { score: 0, ejections: 0, ejectedUntilMs: 0, trialsLeft: 0, isOwnVerdict: false };
         this.records.set(id, record);
         return record;
     }
--- a/fleet/load/test/loadBoard.test.ts
+++ b/fleet/load/test/loadBoard.test.ts
@@ -13,6 +13,7 @@
         startedAtMs: 1,
         sequence: 1,
         isInTouch: true,
+        ejected: [],
         counts: [{ upstreamId: id, online: 3, batch: 1 }],
         waiting: [],
         configurationRevision: 0,
--- a/fleet/load/test/loadReportCodec.test.ts
+++ b/fleet/load/test/loadReportCodec.test.ts
@@ -11,6 +11,7 @@
     startedAtMs: 1_777_167_943_056,
     sequence: 7,
     isInTouch: true,
+    ejected: ["u-2" as UpstreamId],
     counts: [
         { upstreamId: "u-1" as UpstreamId, online: 3, batch: 4 },
         { upstreamId: "u-2" as UpstreamId, online: 0, batch: 1 },
--- a/fleet/load/test/upstreamHealth.test.ts
+++ b/fleet/load/test/upstreamHealth.test.ts
@@ -57,3 +57,54 @@
     assert.equal(health.isUsable(id, 1000, 0), false);
     assert.equal(health.isUsable(id, 5000, 0), true);
 });
+
+test("two ejections by others of the zone, or three by those of other zones, take an upstream out here too", () => {
+    const [near, far] = [new UpstreamHealth(), new UpstreamHealth()];
+    const usableAfter = [1, 2, 3].map(nowMs => {
+        near.onPeerEjection(id, { isNear: true, nowMs });
+        far.onPeerEjection(id, { isNear: false, nowMs });
+        return [near.isUsable(id, nowMs, 0), far.isUsable(id, nowMs, 0)];
+    });
+    assert.deepEqual(usableAfter, [[true, true], [false, true], [false, false]]);
+    assert.deepEqual(near.ejectedIds(10), [], "what others told is not told on");
+});
+
+test("an upstream that answers here is not taken out for what others say", () => {
+    const health = new UpstreamHealth();
+    health.onSuccess(id, 0);
+    [1, 2, 3].forEach(nowMs => health.onPeerEjection(id, { isNear: true, nowMs }));
+    assert.equal(health.isUsable(id, 4, 0), true);
+});
+
+test("a trial that fails elsewhere ends the trial here", () => {
+    const health = new UpstreamHealth();
+    [0, 1].forEach(nowMs => health.onFailure(id, nowMs));
+    assert.deepEqual(health.ejectedIds(2), [id]);
+    assert.equal(health.isUsable(id, 500, 0), true);
+    health.onPeerEjection(id, { isNear: false, nowMs: 500 });
+    assert.equal(health.isUsable(id, 501, 0), false);
+});
+
+/** Plays an upstream that fails all, before many processes. @returns failures until none sends there any more */
+function failuresUntilKnown(processes: number, tells: boolean): number {
+    const healths = Array.from({ length: processes }, () => new UpstreamHealth());
+    let failures = 0;
+    for (let nowMs = 0; nowMs < 400; nowMs += 1) {
+        const health = healths[nowMs * 7 % processes]!;
+        if (!health.isUsable(id, nowMs, 0)) {
+            continue;
+        }
+        failures += 1;
+        if (health.onFailure(id, nowMs) && tells) {
+            healths.forEach((other, index) =>
+                other === health || other.onPeerEjection(id, { isNear: index % 4 === 0, nowMs })
+            );
+        }
+    }
+    return failures;
+}
+
+test("of 25 processes only a few have to fail before all know that an upstream fails", () => {
+    assert.ok(failuresUntilKnown(25, true) <= 32, String(failuresUntilKnown(25, true)));
+    assert.equal(failuresUntilKnown(25, false), 50);
+});
--- a/fuzz/soak/src/runSoak.ts
+++ b/fuzz/soak/src/runSoak.ts
@@ -68,7 +68,7 @@
     await until(() => isBroken() || record.jobs.every(job => isOver(job)), FINISH_MS);
     jobs.stop();
     await jobs.readAll();
-    record.endedAtMs = nowMs();
+    record.endedAtMs = isBroken() ? undefined : nowMs();
     const violations = oracle(record);
     balancer.close();
     await fleet.close();
--- a/standins/network/src/tcpRelay.ts
+++ b/standins/network/src/tcpRelay.ts
@@ -1,6 +1,14 @@
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import type { NetworkDirection } from "./networkDirection.js";
 
+/** One direction of a connection. */
+interface Flow {
+    /** When what was carried last arrives. */
+    dueAtMs: number;
+    /** What is on its way, in order. */
+    queue: (() => void)[];
+}
+
 interface RelayedConnection {
     near: Socket;
     far: Socket;
@@ -69,7 +77,9 @@
         const silent = new Set<NetworkDirection>(this.silentFromStart);
         let carriedBytes = 0;
         this.pairs.push({ near, far, silent });
-        near.on("data", data => silent.has("forward") || this.carry(far, data));
+        const forward: Flow = { dueAtMs: 0, queue: [] };
+        const backward: Flow = { dueAtMs: 0, queue: [] };
+        near.on("data", data => silent.has("forward") || this.carry(forward, () => far.writable && far.write(data)));
         far.on("data", data => {
             carriedBytes += data.length;
             if (carriedBytes > this.cutAfterBytes) {
@@ -77,20 +87,24 @@
                 far.destroy();
             }
             else if (!silent.has("backward")) {
-                this.carry(near, data);
+                this.carry(backward, () => near.writable && near.write(data));
             }
         });
-        near.on("close", () => silent.has("forward") || far.destroy());
-        far.on("close", () => silent.has("backward") || near.destroy());
+        near.on("close", () => silent.has("forward") || this.carry(forward, () => far.destroy()));
+        far.on("close", () => silent.has("backward") || this.carry(backward, () => near.destroy()));
         near.on("error", () => undefined);
         far.on("error", () => undefined);
     }
 
-    private carry(socket: Socket, data: Buffer): void {
-        if (this.delayMs === 0) {
-            socket.write(data);
+    /** Bytes and the end of a connection stay in order, also while the delay changes. */
+    private carry(flow: Flow, act: () => void): void {
+        const nowMs = Date.now();
+        flow.dueAtMs = Math.max(flow.dueAtMs, nowMs + this.delayMs);
+        if (flow.dueAtMs <= nowMs && flow.queue.length === 0) {
+            act();
             return;
         }
-        setTimeout(() => socket.writable && socket.write(data), this.delayMs);
+        flow.queue.push(act);
+        setTimeout(() => flow.queue.shift()?.(), flow.dueAtMs - nowMs);
     }
 }
