fix(jobs): an item that an upstream has failed goes to another one

The upstream with the most room was chosen each time.

Change: an upstream that has failed the item is chosen only where no other has room.

Test: fails before.

--- a/fleet/jobs/src/jobItem.ts
+++ b/fleet/jobs/src/jobItem.ts
@@ -1,4 +1,5 @@
 import type { ItemId } from "@knapweedwood/core.ids/itemId";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { ItemProgress } from "./itemProgress.js";
 import type { JobItemRecord } from "./jobItemRecord.js";
 
@@ -11,4 +12,6 @@
     state: "pending" | "running" | "finished" | "listed";
     /** Before this time the item is not started again. */
     notBeforeMs: number;
+    /** Upstreams that ran the item and failed, as far as this process saw it. */
+    failedAt: UpstreamId[];
 }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -5,6 +5,7 @@
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { BatchCandidate } from "./batchCandidate.js";
 import { chooseBatchUpstream } from "./chooseBatchUpstream.js";
 import type { HeldJob } from "./heldJob.js";
 import { ItemFlights } from "./itemFlights.js";
@@ -228,7 +229,8 @@
             if (service === undefined || full.has(service)) {
                 return;
             }
-            const upstream = this.chooseUpstream(service, nowMs);
+            const candidates = this.candidates(service, nowMs);
+            const upstream = chooseBatchUpstream(candidates, item.failedAt)?.upstream;
             if (upstream === undefined) {
                 full.add(service);
                 return;
@@ -238,15 +240,14 @@
     }
 
     /** No item starts while an online request of the service waits. */
-    private chooseUpstream(service: ServiceName, nowMs: number): Upstream | undefined {
+    private candidates(service: ServiceName, nowMs: number): BatchCandidate[] {
         if (this.opts.board.waitingElsewhere(service) > 0) {
-            return undefined;
+            return [];
         }
-        const candidates = this.opts.directory
+        return this.opts.directory
             .ready(service)
             .filter(upstream => this.opts.health.isUsable(upstream.id, nowMs, this.flights.countAt(upstream)))
             .map(upstream => this.flights.candidateOf(upstream));
-        return chooseBatchUpstream(candidates)?.upstream;
     }
 
     private serviceOf(job: OpenJob, item: JobItem): ServiceName | undefined {
@@ -275,6 +276,9 @@
         this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
         this.judge(upstream, outcome, nowMs);
         this.runTimes.recordRun(run.eventCount, nowMs - run.startedAtMs);
+        if (outcome.kind === "failed") {
+            item.failedAt.push(upstream.id);
+        }
         const settled = settleRun(item, outcome, { nowMs, maxAttempts: job.record.maxAttempts });
         if (settled !== "again") {
             this.finish(job, item, settled);
--- a/fleet/jobs/test/batchChoices.test.ts
+++ b/fleet/jobs/test/batchChoices.test.ts
@@ -30,6 +30,13 @@
     assert.equal(chooseBatchUpstream([candidate("a", 4, 3), candidate("b", 8, 0)]), undefined);
 });
 
+test("an item that an upstream has failed goes to another, and back only where none else has room", () => {
+    const candidates = [candidate("ill", 0, 0), candidate("well", 5, 0)];
+    const failedAt = ["ill" as UpstreamId];
+    assert.equal(chooseBatchUpstream(candidates, failedAt)?.upstream.id, "well");
+    assert.equal(chooseBatchUpstream([candidate("ill", 0, 0), candidate("well", 8, 0)], failedAt)?.upstream.id, "ill");
+});
+
 test("a burst ends as many runs as it displaces: those due last, then those started last", () => {
     const run = (name: string, dueAtMs: number, startedAtMs: number, isLate = false) => ({
         name,
--- a/fuzz/soak/src/checkStops.ts
+++ b/fuzz/soak/src/checkStops.ts
@@ -31,5 +31,5 @@
 
 function wasPassedOn(call: CallRecord, record: SoakRecord): boolean {
     const runs = record.runs.filter(run => run.callId === call.id);
-    return runs.length > 0 && !runs.some(run => run.isSpoiled);
+    return runs.length > 0 && !runs.some(run => run.spoiledBy !== undefined);
 }
--- a/fuzz/soak/src/runRecord.ts
+++ b/fuzz/soak/src/runRecord.ts
@@ -1,3 +1,5 @@
+import type { UpstreamMood } from "./upstreamMood.js";
+
 /** A request that an upstream began to work on. */
 export interface RunRecord {
     /** Id of the call or of the batch item. */
@@ -9,6 +11,6 @@
     body: string;
     atMs: number;
     lastEventId: number;
-    /** Whether the upstream broke off, failed or spoiled it on purpose. */
-    isSpoiled: boolean;
+    /** How the upstream spoiled it on purpose; undefined where it did not. */
+    spoiledBy: UpstreamMood | undefined;
 }
