test(standins): the stand-in's closing signal may have many listeners

Traced to the key-value stand-in: one abort listener for each delayed call, 11 and more at a time in the tests of config/distribution; each is removed with its call, so nothing leaks. Change: no limit on that signal, with the reason. Measured: tests of config/: the warning is gone.

--- a/standins/key-value/src/memoryKeyValueService.ts
+++ b/standins/key-value/src/memoryKeyValueService.ts
@@ -11,6 +11,7 @@
 import type { TransactionResult } from "@knapweedwood/core.key-value/transactionResult";
 import { unavailableError } from "@knapweedwood/core.key-value/unavailableError";
 import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
+import { setMaxListeners } from "node:events";
 import { ChangeHistory } from "./changeHistory.js";
 import { KeyValueFaults } from "./keyValueFaults.js";
 import { KeyValueStore } from "./keyValueStore.js";
@@ -32,6 +33,8 @@
 
     constructor(opts: { clock: Clock; }) {
         this.clock = opts.clock;
+        // One listener for each delayed call, and there may be many at a time.
+        setMaxListeners(0, this.closing.signal);
         this.store = new KeyValueStore({ clock: opts.clock, onChange: batch => this.publish(batch) });
     }
 
