feat(load): of waiting requests those go first that can be on time; a simulation of the decisions

Change: among equals of a priority those that can still be on time go first, fresh ones before returned ones, late ones last; of the requests that wait elsewhere the same share is taken to be ahead as of those here.

--- /dev/null
+++ b/bench/decisions/src/boardReporter.ts
@@ -0,0 +1,33 @@
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import { LoadBoard } from "@knapweedwood/fleet.load/loadBoard";
+import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
+
+/** The load board of one process, and its reports to the others. */
+export class BoardReporter {
+    readonly board = new LoadBoard();
+    private readonly name: InstanceName;
+    private readonly waiting: () => LoadReport["waiting"];
+    private sequence = 0;
+
+    constructor(name: string, waiting: () => LoadReport["waiting"]) {
+        this.name = name as InstanceName;
+        this.waiting = waiting;
+    }
+
+    createReport(): LoadReport {
+        this.sequence += 1;
+        return {
+            instanceName: this.name,
+            startedAtMs: 0,
+            sequence: this.sequence,
+            isInTouch: true,
+            counts: this.board.ownCounts().map(count => ({ ...count })),
+            ejected: [],
+            waiting: this.waiting(),
+            configurationRevision: 0,
+            upstreamsRevision: 0,
+            jobsRevision: 0,
+            leader: undefined,
+        };
+    }
+}
--- /dev/null
+++ b/bench/decisions/src/callOutcome.ts
@@ -0,0 +1,8 @@
+/** What became of one caller. */
+export interface CallOutcome {
+    arrivedAtMs: number;
+    firstEventAtMs: number | undefined;
+    /** When it asked last. */
+    askedAtMs: number;
+    refusals: number;
+}
--- /dev/null
+++ b/bench/decisions/src/callOutcomes.ts
@@ -0,0 +1,75 @@
+import type { CallOutcome } from "./callOutcome.js";
+import type { DecisionFigures } from "./decisionFigures.js";
+import type { LoadPattern } from "./loadPattern.js";
+
+const OBJECTIVE_MS = 300;
+/** What a late answer is worth beside one on time. */
+const LATE_VALUE = 0.15;
+const WINDOW_MS = 2000;
+const RECOVERY_WINDOW_MS = 500;
+const MS_PER_SECOND = 1000;
+
+/** What became of all callers. */
+export class CallOutcomes {
+    private readonly outcomes: CallOutcome[] = [];
+
+    add(outcome: CallOutcome): void {
+        this.outcomes.push(outcome);
+    }
+
+    /** Figures over the span of a load. */
+    figures(load: LoadPattern): Omit<DecisionFigures, "policy" | "load" | "itemsOnTimeShare"> {
+        const calls = this.between(load.fromMs, load.toMs);
+        const onTime = calls.filter(isOnTime);
+        const served = calls.filter(call => call.firstEventAtMs !== undefined);
+        const windows = Array.from(
+            { length: (load.toMs - load.fromMs) / WINDOW_MS },
+            (_, index) => this.onTimeShare(load.fromMs + index * WINDOW_MS, WINDOW_MS),
+        );
+        return {
+            calls: calls.length,
+            meanValue: calls.reduce((sum, call) => sum + valueOf(call), 0) / calls.length,
+            onTimeShare: onTime.length / calls.length,
+            lateShare: (served.length - onTime.length) / calls.length,
+            unservedShare: (calls.length - served.length) / calls.length,
+            refusedShare: calls.filter(call => call.refusals > 0).length / calls.length,
+            worstWindowShare: Math.min(...windows),
+            goodputPerSecond: onTime.length * MS_PER_SECOND / (load.toMs - load.fromMs),
+            recoveryMs: this.recoveryMs(load),
+        };
+    }
+
+    private recoveryMs(load: LoadPattern): number {
+        for (let fromMs = load.toMs; fromMs < load.durationMs - WINDOW_MS; fromMs += RECOVERY_WINDOW_MS) {
+            if (this.onTimeShare(fromMs, RECOVERY_WINDOW_MS) === 1) {
+                return fromMs - load.toMs;
+            }
+        }
+        return Infinity;
+    }
+
+    private onTimeShare(fromMs: number, lengthMs: number): number {
+        const calls = this.between(fromMs, fromMs + lengthMs);
+        return calls.length === 0 ? 1 : calls.filter(isOnTime).length / calls.length;
+    }
+
+    private between(fromMs: number, toMs: number): CallOutcome[] {
+        return this.outcomes.filter(call => call.arrivedAtMs >= fromMs && call.arrivedAtMs < toMs);
+    }
+}
+
+/** On time at once counts fully, on time after a refusal and a return half as if late, late a little. */
+function valueOf(call: CallOutcome): number {
+    if (call.firstEventAtMs === undefined) {
+        return 0;
+    }
+    if (isOnTime(call)) {
+        return 1;
+    }
+    const isReturnOnTime = call.refusals > 0 && call.firstEventAtMs - call.askedAtMs <= OBJECTIVE_MS;
+    return isReturnOnTime ? (1 + LATE_VALUE) / 2 : LATE_VALUE;
+}
+
+function isOnTime(call: CallOutcome): boolean {
+    return call.firstEventAtMs !== undefined && call.firstEventAtMs - call.arrivedAtMs <= OBJECTIVE_MS;
+}
--- /dev/null
+++ b/bench/decisions/src/compareDecisions.ts
@@ -0,0 +1,27 @@
+import type { DecisionFigures } from "./decisionFigures.js";
+import type { DecisionPolicy } from "./decisionPolicy.js";
+import { loadPatterns } from "./loadPatterns.js";
+import { simulateDecisions } from "./simulateDecisions.js";
+
+const POLICIES: DecisionPolicy[] = ["ours", "first-come", "forwarder"];
+
+/** Plays all loads against all policies; figures are means over the seeds. */
+export function compareDecisions(opts: { seed: number; seeds: number; }): DecisionFigures[] {
+    return loadPatterns.flatMap(load =>
+        POLICIES.map(policy => {
+            const runs = Array.from(
+                { length: opts.seeds },
+                (_, index) => simulateDecisions({ policy, load, seed: opts.seed + index }),
+            );
+            return { ...runs[0]!, ...meansOf(runs) };
+        })
+    );
+}
+
+function meansOf(runs: DecisionFigures[]): Partial<DecisionFigures> {
+    const names = Object.keys(runs[0]!) as (keyof DecisionFigures)[];
+    const numbers = names.filter(name => typeof runs[0]![name] === "number");
+    return Object.fromEntries(
+        numbers.map(name => [name, runs.reduce((sum, run) => sum + (run[name] as number), 0) / runs.length]),
+    );
+}
--- /dev/null
+++ b/bench/decisions/src/jobSimulation.ts
@@ -0,0 +1,164 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { ItemId } from "@knapweedwood/core.ids/itemId";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { Random } from "@knapweedwood/core.random/random";
+import { chooseBatchUpstream } from "@knapweedwood/fleet.jobs/chooseBatchUpstream";
+import { chooseRunsToEnd } from "@knapweedwood/fleet.jobs/chooseRunsToEnd";
+import { ItemRunTimes } from "@knapweedwood/fleet.jobs/itemRunTimes";
+import type { JobItem } from "@knapweedwood/fleet.jobs/jobItem";
+import { OpenJob } from "@knapweedwood/fleet.jobs/openJob";
+import { orderOfItems } from "@knapweedwood/fleet.jobs/orderOfItems";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import { BoardReporter } from "./boardReporter.js";
+import type { EngineRun } from "./engineRun.js";
+import type { LoadPattern } from "./loadPattern.js";
+import type { SimulatedEngine } from "./simulatedEngine.js";
+
+const ITEMS_PER_JOB = 10;
+const MEAN_JOB_GAP_MS = 2100;
+const DUE_MS = 18_000;
+const ITEM_MS = 4800;
+const ITEM_EVENTS = 223;
+
+interface RunningItem {
+    job: OpenJob;
+    item: JobItem;
+    engine: SimulatedEngine;
+    run: EngineRun;
+    startedAtMs: number;
+}
+
+/** The process that runs items: the decisions of the real one, without its connections and records. */
+export class JobSimulation {
+    readonly reporter = new BoardReporter("runner", () => []);
+    private readonly opts: { clock: Clock; random: Random; engines: () => SimulatedEngine[]; service: ServiceName; };
+    private readonly jobs: OpenJob[] = [];
+    private readonly times = new ItemRunTimes();
+    private readonly endedAtMs = new Map<JobItem, number>();
+    private running: RunningItem[] = [];
+
+    constructor(opts: JobSimulation["opts"]) {
+        this.opts = opts;
+        this.submitLater();
+    }
+
+    /** Ends runs that online requests displace, and starts items where there is room. */
+    pump(): void {
+        this.endDisplaced();
+        const { clock, service } = this.opts;
+        if (this.reporter.board.waitingElsewhere(service) > 0) {
+            return;
+        }
+        const open = this.jobs.filter(job => job.items.some(item => item.state === "pending"));
+        const order = orderOfItems(open, { nowMs: clock.nowMs(), remainingMs: item => this.times.remainingMs(item) });
+        order.every(({ job, item }) => this.startWhereThereIsRoom(job, item));
+    }
+
+    /** Items due within the span of a load that were done by then, as a share. */
+    onTimeShare(load: LoadPattern): number {
+        const due = this.jobs.filter(job => job.record.dueAtMs >= load.fromMs && job.record.dueAtMs < load.toMs);
+        const items = due.flatMap(job => job.items.map(item => ({ job, item })));
+        const onTime = items.filter(({ job, item }) => (this.endedAtMs.get(item) ?? Infinity) <= job.record.dueAtMs);
+        return items.length === 0 ? 1 : onTime.length / items.length;
+    }
+
+    private submitLater(): void {
+        const gapMs = -Math.log(1 - this.opts.random.next()) * MEAN_JOB_GAP_MS;
+        this.opts.clock.setTimer(gapMs, () => {
+            this.jobs.push(this.createJob(`j${this.jobs.length}`));
+            this.submitLater();
+        });
+    }
+
+    private createJob(id: string): OpenJob {
+        const acceptedAtMs = this.opts.clock.nowMs();
+        return new OpenJob({
+            jobId: id as JobId,
+            routeName: "jobs",
+            host: "h",
+            acceptedAtMs,
+            dueAtMs: acceptedAtMs + DUE_MS,
+            expiresAtMs: Infinity,
+            maxAttempts: 3,
+            partCount: 0,
+            items: Array.from({ length: ITEMS_PER_JOB }, (_, index) => ({
+                id: `${id}-${index}` as ItemId,
+                path: "/",
+                headers: [],
+                tokens: 1,
+                bodyOffset: 0,
+                bodyBytes: 0,
+            })),
+            nonce: id,
+        });
+    }
+
+    private startWhereThereIsRoom(job: OpenJob, item: JobItem): boolean {
+        const engines = this.opts.engines();
+        const chosen = chooseBatchUpstream(engines.map(engine => this.candidateOf(engine.upstream)))?.upstream;
+        if (chosen === undefined) {
+            return false;
+        }
+        this.start(job, item, engines.find(engine => engine.upstream === chosen)!);
+        return true;
+    }
+
+    private start(job: OpenJob, item: JobItem, engine: SimulatedEngine): void {
+        const { clock } = this.opts;
+        const startedAtMs = clock.nowMs();
+        const run: EngineRun = {
+            firstEventMs: 0,
+            holdMs: ITEM_MS * (1 - item.lastEventId / ITEM_EVENTS),
+            onFirstEvent: () => undefined,
+            onEnd: () => {
+                this.times.recordRun(ITEM_EVENTS - item.lastEventId, clock.nowMs() - startedAtMs);
+                this.times.recordOutput(ITEM_EVENTS);
+                item.state = "listed";
+                this.endedAtMs.set(item, clock.nowMs());
+                this.release(one => one.run === run);
+            },
+        };
+        if (engine.submit(run)) {
+            item.state = "running";
+            this.reporter.board.count(engine.upstream.id, "batch", 1);
+            this.running.push({ job, item, engine, run, startedAtMs });
+        }
+    }
+
+    private endDisplaced(): void {
+        const { clock } = this.opts;
+        const runs = this.running.map(one => ({
+            one,
+            upstreamId: one.engine.upstream.id as UpstreamId,
+            dueAtMs: one.job.record.dueAtMs,
+            startedAtMs: one.startedAtMs,
+            isLate: clock.nowMs() + this.times.remainingMs(one.item) > one.job.record.dueAtMs,
+        }));
+        [...new Set(this.running.map(one => one.engine.upstream))]
+            .flatMap(upstream => chooseRunsToEnd(this.candidateOf(upstream), runs))
+            .forEach(({ one }) => this.end(one));
+    }
+
+    private end(one: RunningItem): void {
+        const ranMs = this.opts.clock.nowMs() - one.startedAtMs;
+        one.engine.abort(one.run);
+        one.item.lastEventId = Math.min(
+            ITEM_EVENTS - 1,
+            one.item.lastEventId + Math.floor(ranMs * ITEM_EVENTS / ITEM_MS),
+        );
+        one.item.state = "pending";
+        this.release(other => other === one);
+    }
+
+    private release(matches: (one: RunningItem) => boolean): void {
+        this.running.filter(matches).forEach(one => this.reporter.board.count(one.engine.upstream.id, "batch", -1));
+        this.running = this.running.filter(one => !matches(one));
+    }
+
+    private candidateOf(upstream: Upstream) {
+        const { board } = this.reporter;
+        return { upstream, online: board.online(upstream.id), batch: board.batch(upstream.id) };
+    }
+}
--- /dev/null
+++ b/bench/decisions/src/loadPatterns.ts
@@ -0,0 +1,35 @@
+import type { LoadPattern } from "./loadPattern.js";
+
+const DURATION_MS = 40_000;
+const FROM_MS = 10_000;
+const TO_MS = 30_000;
+const BURST_PERIOD_MS = 5200;
+const BURST_MS = 2200;
+
+const isWithin = (nowMs: number) => nowMs >= FROM_MS && nowMs < TO_MS;
+const isBurst = (nowMs: number) => nowMs % BURST_PERIOD_MS < BURST_MS;
+
+/** Regular bursts as the usual load has them, around a mean of 1. */
+const usual = (nowMs: number) => isBurst(nowMs) ? 1.8 : 0.4;
+
+function patternOf(
+    name: string,
+    rateFactor: (nowMs: number) => number,
+    engineShare: (nowMs: number) => number = () => 1,
+): LoadPattern {
+    return { name, durationMs: DURATION_MS, fromMs: FROM_MS, toMs: TO_MS, rateFactor, engineShare };
+}
+
+/** The loads that policies are compared on. */
+export const loadPatterns: readonly LoadPattern[] = [
+    patternOf("usual", usual),
+    patternOf("twice the usual", nowMs => usual(nowMs) * (isWithin(nowMs) ? 2 : 1)),
+    patternOf("four times the usual", nowMs => usual(nowMs) * (isWithin(nowMs) ? 4 : 1)),
+    patternOf("steady at the capacity", nowMs => isWithin(nowMs) ? 2.3 : 1),
+    patternOf("a third of the engines lost", usual, nowMs => isWithin(nowMs) ? 2 / 3 : 1),
+    patternOf(
+        "twice the usual, a third of the engines lost",
+        nowMs => usual(nowMs) * (isWithin(nowMs) ? 2 : 1),
+        nowMs => isWithin(nowMs) ? 2 / 3 : 1,
+    ),
+];
--- /dev/null
+++ b/bench/decisions/src/simulateDecisions.ts
@@ -0,0 +1,73 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import { CallOutcomes } from "./callOutcomes.js";
+import type { DecisionFigures } from "./decisionFigures.js";
+import type { DecisionPolicy } from "./decisionPolicy.js";
+import { JobSimulation } from "./jobSimulation.js";
+import type { LoadPattern } from "./loadPattern.js";
+import { SimulatedCaller } from "./simulatedCaller.js";
+import { SimulatedEngine } from "./simulatedEngine.js";
+import { SimulatedGateway } from "./simulatedGateway.js";
+import { SimulationClock } from "./simulationClock.js";
+
+const SERVICE = "model" as ServiceName;
+const ZONES = ["a", "b", "c"] as ZoneName[];
+const ENGINES = 8;
+const SLOTS = 8;
+const GATEWAYS = 4;
+/** Online requests a second at the usual load. */
+const RATE_PER_SECOND = 39;
+const REPORT_INTERVAL_MS = 15;
+const SEED_FACTOR = 7919;
+const MS_PER_SECOND = 1000;
+
+/** Plays one load against one policy. The same seed gives the same arrivals for every policy. */
+export function simulateDecisions(opts: { policy: DecisionPolicy; load: LoadPattern; seed: number; }): DecisionFigures {
+    const { policy, load } = opts;
+    const clock = new SimulationClock();
+    const randomOf = (stream: number) => new SeededRandom(opts.seed * SEED_FACTOR + stream);
+    const engines = Array.from(
+        { length: ENGINES },
+        (_, index) =>
+            new SimulatedEngine({ clock, id: `e${index}`, service: SERVICE, zone: ZONES[index % 3]!, slots: SLOTS }),
+    );
+    const usable = () => engines.slice(0, Math.round(ENGINES * load.engineShare(clock.nowMs())));
+    const upstreams = (): Upstream[] => usable().map(engine => engine.upstream);
+    const gateways = Array.from(
+        { length: GATEWAYS },
+        (_, index) =>
+            new SimulatedGateway({
+                clock,
+                random: randomOf(10 + index),
+                policy,
+                zone: ZONES[index % 3]!,
+                index,
+                upstreams,
+            }),
+    );
+    const outcomes = new CallOutcomes();
+    const jobs = new JobSimulation({ clock, random: randomOf(2), engines: usable, service: SERVICE });
+    const boards = [...gateways.map(gateway => gateway.reporter), jobs.reporter];
+
+    const exchange = () => {
+        boards.forEach(sender => {
+            const report = sender.createReport();
+            boards.filter(other => other !== sender).forEach(other => other.board.receive(report, clock.nowMs()));
+        });
+        gateways.forEach(gateway => gateway.queue.pump());
+        jobs.pump();
+        clock.setTimer(REPORT_INTERVAL_MS, exchange);
+    };
+    const random = randomOf(1);
+    const arrive = () => {
+        const gapMs = -Math.log(1 - random.next()) * MS_PER_SECOND / (RATE_PER_SECOND * load.rateFactor(clock.nowMs()));
+        clock.setTimer(gapMs, arrive);
+        new SimulatedCaller({ clock, random, gateways, engines, outcomes }).start();
+    };
+    exchange();
+    arrive();
+    clock.runUntil(load.durationMs);
+    return { policy, load: load.name, ...outcomes.figures(load), itemsOnTimeShare: jobs.onTimeShare(load) };
+}
--- /dev/null
+++ b/bench/decisions/src/simulatedCaller.ts
@@ -0,0 +1,109 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { WaitingCall } from "@knapweedwood/fleet.load/waitingCall";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { CallOutcome } from "./callOutcome.js";
+import type { CallOutcomes } from "./callOutcomes.js";
+import type { EngineRun } from "./engineRun.js";
+import type { SimulatedEngine } from "./simulatedEngine.js";
+import type { SimulatedGateway } from "./simulatedGateway.js";
+
+const OBJECTIVE_MS = 300;
+/** A caller leaves when nothing comes for so long, and comes back once after a refusal. */
+const PATIENCE_MS = 1950;
+const MEAN_HOLD_MS = 720;
+const FIRST_EVENT_MS = 40;
+/** Way between caller, gateway and engine and back. */
+const WAY_MS = 8;
+
+/** One caller: asks, comes back once if refused, leaves when its patience ends. */
+export class SimulatedCaller {
+    private readonly opts: {
+        clock: Clock;
+        random: Random;
+        gateways: SimulatedGateway[];
+        engines: SimulatedEngine[];
+        outcomes: CallOutcomes;
+    };
+    private readonly outcome: CallOutcome;
+    private readonly holdMs: number;
+    private attempts = 0;
+
+    constructor(opts: SimulatedCaller["opts"]) {
+        this.opts = opts;
+        this.outcome = {
+            arrivedAtMs: opts.clock.nowMs(),
+            askedAtMs: opts.clock.nowMs(),
+            firstEventAtMs: undefined,
+            refusals: 0,
+        };
+        this.holdMs = MEAN_HOLD_MS * (0.5 + opts.random.next());
+    }
+
+    start(): void {
+        this.opts.outcomes.add(this.outcome);
+        this.ask();
+    }
+
+    private ask(): void {
+        const { clock, random, gateways } = this.opts;
+        this.attempts += 1;
+        const gateway = gateways[random.nextInteger(gateways.length)]!;
+        const nowMs = clock.nowMs();
+        this.outcome.askedAtMs = nowMs;
+        const call: WaitingCall = {
+            service: "model" as ServiceName,
+            priority: 0,
+            arrivedAtMs: nowMs,
+            objectiveAtMs: nowMs + OBJECTIVE_MS,
+            giveUpAtMs: nowMs + PATIENCE_MS,
+            isReturned: this.attempts > 1,
+            excluded: new Set<UpstreamId>(),
+            onPlaced: upstream => this.run(gateway, upstream),
+            onRefused: retryAfterMs => this.onRefused(retryAfterMs),
+        };
+        gateway.queue.enter(call);
+    }
+
+    private run(gateway: SimulatedGateway, upstream: Upstream): void {
+        const { clock, engines } = this.opts;
+        const engine = engines.find(one => one.upstream.id === upstream.id)!;
+        const { board } = gateway.reporter;
+        board.count(upstream.id, "online", 1);
+        const startedAtMs = clock.nowMs();
+        const leaveSlot = () => {
+            board.count(upstream.id, "online", -1);
+            gateway.queue.pump();
+        };
+        const patience = clock.setTimer(PATIENCE_MS, () => {
+            engine.abort(run);
+            leaveSlot();
+        });
+        const run: EngineRun = {
+            firstEventMs: FIRST_EVENT_MS + WAY_MS,
+            holdMs: this.holdMs,
+            onFirstEvent: () => {
+                patience.cancel();
+                this.outcome.firstEventAtMs = clock.nowMs();
+            },
+            onEnd: () => {
+                gateway.holdTimes.record(upstream.service, clock.nowMs() - startedAtMs);
+                leaveSlot();
+            },
+        };
+        if (!engine.submit(run)) {
+            patience.cancel();
+            leaveSlot();
+            this.onRefused(0);
+        }
+    }
+
+    private onRefused(retryAfterMs: number): void {
+        this.outcome.refusals += 1;
+        if (this.attempts === 1) {
+            this.opts.clock.setTimer(retryAfterMs + WAY_MS, () => this.ask());
+        }
+    }
+}
--- /dev/null
+++ b/bench/decisions/src/simulatedEngine.ts
@@ -0,0 +1,71 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Timer } from "@knapweedwood/core.clock/timer";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { EngineRun } from "./engineRun.js";
+
+/** Requests that wait in the engine, out of reach, before it refuses. */
+const MAX_QUEUED = 24;
+
+/** An engine that admits requests in order of their arrival. */
+export class SimulatedEngine {
+    readonly upstream: Upstream;
+    private readonly clock: Clock;
+    private readonly running = new Map<EngineRun, Timer[]>();
+    private queue: EngineRun[] = [];
+
+    constructor(opts: { clock: Clock; id: string; service: ServiceName; zone: ZoneName; slots: number; }) {
+        this.clock = opts.clock;
+        this.upstream = {
+            id: opts.id as UpstreamId,
+            service: opts.service,
+            address: { host: opts.id, port: 1 },
+            zone: opts.zone,
+            slots: opts.slots,
+            state: "ready",
+            startedAtMs: 0,
+        };
+    }
+
+    /** @returns whether the engine took the work in */
+    submit(run: EngineRun): boolean {
+        if (this.running.size < this.upstream.slots) {
+            this.start(run);
+            return true;
+        }
+        if (this.queue.length >= MAX_QUEUED) {
+            return false;
+        }
+        this.queue.push(run);
+        return true;
+    }
+
+    /** Ends work whose sender has left. */
+    abort(run: EngineRun): void {
+        this.queue = this.queue.filter(other => other !== run);
+        this.running.get(run)?.forEach(timer => timer.cancel());
+        if (this.running.delete(run)) {
+            this.startNext();
+        }
+    }
+
+    private start(run: EngineRun): void {
+        this.running.set(run, [
+            this.clock.setTimer(run.firstEventMs, () => run.onFirstEvent()),
+            this.clock.setTimer(run.holdMs, () => {
+                this.running.delete(run);
+                this.startNext();
+                run.onEnd();
+            }),
+        ]);
+    }
+
+    private startNext(): void {
+        const next = this.queue.shift();
+        if (next !== undefined) {
+            this.start(next);
+        }
+    }
+}
--- /dev/null
+++ b/bench/decisions/src/simulatedGateway.ts
@@ -0,0 +1,44 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import type { Random } from "@knapweedwood/core.random/random";
+import { FewestOnlinePlacement } from "@knapweedwood/fleet.load/fewestOnlinePlacement";
+import { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
+import { WaitingRoom } from "@knapweedwood/fleet.load/waitingRoom";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import { BoardReporter } from "./boardReporter.js";
+import type { CallQueue } from "./callQueue.js";
+import type { DecisionPolicy } from "./decisionPolicy.js";
+import { ForwardAtOnce } from "./forwardAtOnce.js";
+import { WaitInOrder } from "./waitInOrder.js";
+
+/** One gateway: the decisions of the real one, without its connections. */
+export class SimulatedGateway {
+    readonly queue: CallQueue;
+    readonly reporter: BoardReporter;
+    readonly holdTimes = new HoldTimes();
+
+    constructor(opts: {
+        clock: Clock;
+        random: Random;
+        policy: DecisionPolicy;
+        zone: ZoneName;
+        index: number;
+        upstreams: () => Upstream[];
+    }) {
+        const { clock, random, zone, upstreams } = opts;
+        this.reporter = new BoardReporter(`gateway-${opts.index}`, () => room.waiting());
+        const { board } = this.reporter;
+        const placement = new FewestOnlinePlacement({ board, random, zone, connectionShare: () => Infinity });
+        const room = new WaitingRoom({ clock, random, board, holdTimes: this.holdTimes, placement, usable: upstreams });
+        switch (opts.policy) {
+            case "ours":
+                this.queue = room;
+                break;
+            case "first-come":
+                this.queue = new WaitInOrder(room);
+                break;
+            case "forwarder":
+                this.queue = new ForwardAtOnce({ board, upstreams });
+        }
+    }
+}
--- /dev/null
+++ b/bench/decisions/test/simulateDecisions.test.ts
@@ -0,0 +1,38 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { compareDecisions } from "../src/compareDecisions.js";
+import type { DecisionFigures } from "../src/decisionFigures.js";
+import { loadPatterns } from "../src/loadPatterns.js";
+import { simulateDecisions } from "../src/simulateDecisions.js";
+
+const figures = compareDecisions({ seed: 1, seeds: 3 });
+
+function figuresOf(load: string, policy: DecisionFigures["policy"]): DecisionFigures {
+    return figures.find(one => one.load === load && one.policy === policy)!;
+}
+
+test("no load leaves callers worse off than a plain forwarder or first come, first served", () => {
+    const worse = loadPatterns.flatMap(({ name }) =>
+        ["first-come", "forwarder"].filter(policy =>
+            figuresOf(name, policy).meanValue > figuresOf(name, "ours").meanValue
+        )
+    );
+    assert.deepEqual(worse, []);
+});
+
+test("after an overload all are on time again within two seconds", () => {
+    const slow = figures.filter(one => one.policy === "ours" && one.recoveryMs > 2000);
+    assert.deepEqual(slow, []);
+});
+
+test("late requests do not make others late: under overload more are on time than first come, first served", () => {
+    ["twice the usual", "four times the usual", "twice the usual, a third of the engines lost"].forEach(load => {
+        assert.ok(figuresOf(load, "ours").onTimeShare > figuresOf(load, "first-come").onTimeShare, load);
+    });
+});
+
+test("the same seed gives the same figures", () => {
+    const [load] = loadPatterns;
+    const play = () => simulateDecisions({ policy: "ours", load: load!, seed: 7 });
+    assert.deepEqual(play(), play());
+});
--- a/fleet/load/src/waitingRoom.ts
+++ b/fleet/load/src/waitingRoom.ts
@@ -8,6 +8,8 @@
 import type { PlacementPolicy } from "./placementPolicy.js";
 import type { WaitingCall } from "./waitingCall.js";
 
+/** Time from the start at an upstream to the first event, in milliseconds. */
+const FIRST_ANSWER_MS = 60;
 /** Spread of the times at which refused callers come back, as a share. */
 const RETRY_SPREAD = 0.3;
 
@@ -35,7 +37,10 @@
 
     /** Places the request, lets it wait or refuses it. */
     enter(call: WaitingCall): void {
-        const isFirstInLine = !this.calls.some(other => other.service === call.service && compare(other, call) < 0);
+        const nowMs = this.opts.clock.nowMs();
+        const isFirstInLine = !this.calls.some(other =>
+            other.service === call.service && compare(other, call, nowMs) < 0
+        );
         const upstream = isFirstInLine ? this.place(call) : undefined;
         if (upstream !== undefined) {
             call.onPlaced(upstream);
@@ -47,7 +52,6 @@
             return;
         }
         this.calls.push(call);
-        this.calls.sort(compare);
     }
 
     /** Takes out a request whose caller left. */
@@ -64,6 +68,7 @@
         });
         // A service without a free place can't take a later request either.
         const full = new Set<ServiceName>();
+        this.calls.sort((left, right) => compare(left, right, nowMs));
         [...this.calls].forEach(call => {
             const upstream = full.has(call.service) ? undefined : this.place(call);
             if (upstream === undefined) {
@@ -90,9 +95,12 @@
 
     private inputsOf(call: WaitingCall) {
         const nowMs = this.opts.clock.nowMs();
-        const ahead = this.calls.filter(other => other.service === call.service && compare(other, call) <= 0);
+        const same = this.calls.filter(other => other.service === call.service);
+        const ahead = same.filter(other => compare(other, call, nowMs) <= 0);
+        // The others tell how many wait, not which; they are taken to be as those here.
+        const shareAhead = same.length === 0 ? 1 : ahead.length / same.length;
         return {
-            waitingAhead: ahead.length + this.opts.board.waitingElsewhere(call.service),
+            waitingAhead: ahead.length + this.opts.board.waitingElsewhere(call.service) * shareAhead,
             slots: this.opts.usable(call.service).reduce((sum, upstream) => sum + upstream.slots, 0),
             meanHoldMs: this.opts.holdTimes.meanMs(call.service),
             objectiveLeftMs: call.objectiveAtMs - nowMs,
@@ -106,9 +114,14 @@
     }
 }
 
-/** The urgent first; among equals those that came back, then the earlier ones. */
-function compare(left: WaitingCall, right: WaitingCall): number {
+/**
+ * The urgent first; among equals those that can still be on time, then those that came back, then the earlier ones. Late
+ * requests ahead of the others would make each of these late in turn.
+ */
+function compare(left: WaitingCall, right: WaitingCall, nowMs: number): number {
+    const isLate = (call: WaitingCall) => Number(nowMs + FIRST_ANSWER_MS > call.objectiveAtMs);
     return left.priority - right.priority
-        || Number(right.isReturned) - Number(left.isReturned)
+        || isLate(left) - isLate(right)
+        || Number(left.isReturned) - Number(right.isReturned)
         || left.arrivedAtMs - right.arrivedAtMs;
 }
