fix(jobs): after an outage the leading runner decides on the limit of waiting tokens

Change: until these are written, jobs of a limited route go to the disks first, where the leader has the first word; a runner that doesn't lead counts what it holds and what the gateway has seen stored. A job that was accepted is accepted again although the route is full, and one that a single disk may hold is never said to be refused.

--- a/daemons/fleet/src/linkJobHolder.ts
+++ b/daemons/fleet/src/linkJobHolder.ts
@@ -1,9 +1,9 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
-import type { HeldJob } from "@knapweedwood/fleet.jobs/heldJob";
 import { holdJobCall } from "@knapweedwood/fleet.jobs/holdJobCall";
 import type { HoldOutcome } from "@knapweedwood/fleet.jobs/holdOutcome";
+import type { HoldRequest } from "@knapweedwood/fleet.jobs/holdRequest";
 import type { JobHolder } from "@knapweedwood/fleet.jobs/jobHolder";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
@@ -34,15 +34,18 @@
         this.opts = opts;
     }
 
-    async hold(job: HeldJob): Promise<HoldOutcome> {
+    async hold(request: HoldRequest): Promise<HoldOutcome> {
         const leader = this.opts.leader();
-        const atLeader = leader === undefined ? undefined : this.holdAt(leader, job);
+        const atLeader = leader === undefined ? undefined : this.holdAt(leader, request);
         const first = await Promise.race([atLeader, sleep(this.opts.clock, LEADER_FIRST_MS)]);
         if (first === "over-limit") {
             return first;
         }
         const others = this.opts.runners().filter(runner => !isSame(runner, leader));
-        return this.combine([...atLeader === undefined ? [] : [atLeader], ...others.map(one => this.holdAt(one, job))]);
+        return this.combine([
+            ...atLeader === undefined ? [] : [atLeader],
+            ...others.map(one => this.holdAt(one, request)),
+        ]);
     }
 
     /** Resolves as soon as there are enough copies, or when all runners have answered. */
@@ -65,16 +68,16 @@
         });
     }
 
-    private async holdAt(runner: HostPort, job: HeldJob): Promise<HoldOutcome> {
+    private async holdAt(runner: HostPort, request: HoldRequest): Promise<HoldOutcome> {
         try {
             const link = this.opts.endpoint.connect(`${runner.host}:${runner.port}`);
-            const frame = await singleFrame(link.call(holdJobCall, job, { timeoutMs: CALL_TIMEOUT_MS }));
+            const frame = await singleFrame(link.call(holdJobCall, request, { timeoutMs: CALL_TIMEOUT_MS }));
             return frame.outcome;
         }
         catch (thrown) {
             const error = toKnapweedError(thrown);
             this.opts.logger.info("job-not-held", {
-                jobId: job.record.jobId,
+                jobId: request.job.record.jobId,
                 runner: runner.host,
                 code: error.code,
                 outcome: error.outcome,
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -2,10 +2,10 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
-import type { HeldJob } from "@knapweedwood/fleet.jobs/heldJob";
 import { HeldJobs } from "@knapweedwood/fleet.jobs/heldJobs";
 import { holdJobCall } from "@knapweedwood/fleet.jobs/holdJobCall";
 import type { HoldOutcome } from "@knapweedwood/fleet.jobs/holdOutcome";
+import type { HoldRequest } from "@knapweedwood/fleet.jobs/holdRequest";
 import { itemBodyCall } from "@knapweedwood/fleet.jobs/itemBodyCall";
 import { JobRunner } from "@knapweedwood/fleet.jobs/jobRunner";
 import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
@@ -130,20 +130,23 @@
             const body = await runner.reads.itemBody(request.jobId, request.itemId);
             yield body === undefined ? {} : { body };
         });
-        const holdJob = (job: HeldJob) => this.holdJob(job);
-        this.fleet.links.handle(holdJobCall, async function*(job) {
-            yield { outcome: await holdJob(job) };
+        const holdJob = (request: HoldRequest) => this.holdJob(request);
+        this.fleet.links.handle(holdJobCall, async function*(request) {
+            yield { outcome: await holdJob(request) };
         });
     }
 
-    private async holdJob(job: HeldJob): Promise<HoldOutcome> {
+    private async holdJob({ job, storedTokens }: HoldRequest): Promise<HoldOutcome> {
         const { record, maxWaitingTokens = Infinity } = job;
-        const waitingTokens = this.runner.waitingTokens(record.routeName, record.jobId) ?? 0;
+        const { routeName, jobId } = record;
+        const waitingTokens = this.runner.waitingTokens(routeName, jobId)
+            ?? storedTokens + this.held.waitingTokens(routeName, jobId);
         if (this.isEmptying) {
             return "not-held";
         }
-        if (waitingTokens + tokensOf(record) > maxWaitingTokens) {
-            this.logger.info("job-over-limit", { jobId: record.jobId, waitingTokens, maxWaitingTokens });
+        const isAccepted = this.runner.knows(jobId) || this.held.has(jobId);
+        if (!isAccepted && waitingTokens + tokensOf(record) > maxWaitingTokens) {
+            this.logger.info("job-over-limit", { jobId, waitingTokens, maxWaitingTokens });
             return "over-limit";
         }
         await this.held.hold(job);
--- a/daemons/fleet/test/linkJobHolder.test.ts
+++ b/daemons/fleet/test/linkJobHolder.test.ts
@@ -8,7 +8,7 @@
 import { test } from "node:test";
 import { LinkJobHolder } from "../src/linkJobHolder.js";
 
-const job = { record: { jobId: "j" } } as unknown as HeldJob;
+const request = { job: { record: { jobId: "j" } } as unknown as HeldJob, storedTokens: 0 };
 
 /** What a runner answers; a silent one never does, a dark one is out of reach. */
 type RunnerAnswer = HoldOutcome | "silent" | "dark";
@@ -46,7 +46,7 @@
 
 async function outcomeOf(answers: { [host: string]: RunnerAnswer; }) {
     const { clock, asked, holder } = start(answers);
-    const pending = holder.hold(job);
+    const pending = holder.hold(request);
     await clock.advance(2000);
     return { outcome: await pending, asked };
 }
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -3,6 +3,7 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
@@ -12,6 +13,7 @@
 import type { HeldJob } from "./heldJob.js";
 import { jobKeys } from "./jobKeys.js";
 import { planJobWrite } from "./planJobWrite.js";
+import { tokensOf } from "./tokensOf.js";
 
 /** Pause between attempts to write held jobs to the key-value service, in milliseconds. */
 const WRITE_INTERVAL_MS = 250;
@@ -48,6 +50,17 @@
         return [...this.jobs.values()];
     }
 
+    has(jobId: JobId): boolean {
+        return this.all().some(job => job.record.jobId === jobId);
+    }
+
+    /** Tokens of the jobs of a route that are held here, but those of one job. */
+    waitingTokens(routeName: string, exceptJobId: JobId): number {
+        return this.all()
+            .filter(({ record }) => record.routeName === routeName && record.jobId !== exceptJobId)
+            .reduce((sum, { record }) => sum + tokensOf(record), 0);
+    }
+
     /** Reads what an earlier start of the process held, then writes held jobs until `signal` is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         await this.load();
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -1,3 +1,4 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
@@ -19,6 +20,7 @@
 import type { JobSubmission } from "./jobSubmission.js";
 import { PART_BYTES } from "./partBytes.js";
 import { planJobWrite } from "./planJobWrite.js";
+import type { WaitingTokens } from "./waitingTokens.js";
 
 const MAX_CONFLICTS = 6;
 const DEFAULT_DUE_MS = 60_000;
@@ -81,17 +83,56 @@
         return true;
     }
 
-    /** Writes the job; where that takes long or fails, keeps it on disks until it can be written. */
+    /**
+     * While jobs that were held during an outage are still being written, the stored count of waiting tokens is too low:
+     * the disks come first then, where the leading runner knows all.
+     */
     private async writeOrHold(route: Route, submission: JobSubmission): Promise<Acceptance> {
+        const isCountUncertain = route.maxWaitingTokens !== undefined && !this.isSettled();
+        const held = isCountUncertain ? await this.hold(route, submission) : "not-held";
+        switch (held) {
+            case "held":
+                return { kind: "accepted", revision: 0 };
+            case "over-limit":
+                return await this.findAccepted(submission.jobId)
+                    ?? { kind: "refused", reason: "over-limit", retryAfterMs: RETRY_AFTER_MS };
+            default:
+                return combine(await this.writeThenHold(route, submission), held);
+        }
+    }
+
+    /** Writes the job; where that takes long or fails, keeps it on disks until it can be written. */
+    private async writeThenHold(route: Route, submission: JobSubmission): Promise<Acceptance> {
         const writing = this.tryAccept(route, submission);
         const written = await Promise.race([writing, sleep(this.clock, HOLD_AFTER_MS)]);
         if (written !== undefined && isFinal(written)) {
             return written;
         }
-        const held = await this.holder.hold(this.toJob(route, submission));
+        const held = await this.hold(route, submission);
         return held === "held" ? { kind: "accepted", revision: 0 } : combine(await writing, held);
     }
 
+    /** A job that was accepted before is accepted again, however many wait. */
+    private async findAccepted(jobId: JobId): Promise<Acceptance | undefined> {
+        try {
+            const existing = await this.service.get(jobKeys.record(jobId));
+            return existing === undefined ? undefined : { kind: "accepted", revision: existing.modRevision };
+        }
+        catch (thrown) {
+            this.logger.debug("job-not-looked-up", { jobId, code: toKnapweedError(thrown).code });
+            return undefined;
+        }
+    }
+
+    private hold(route: Route, submission: JobSubmission): Promise<HoldOutcome> {
+        const known = this.limits.get(route.name);
+        const stored = known === undefined ? [] : decodeRecord<WaitingTokens>(known.value).jobs;
+        const storedTokens = stored
+            .filter(job => job.jobId !== submission.jobId)
+            .reduce((sum, job) => sum + job.tokens, 0);
+        return this.holder.hold({ job: this.toJob(route, submission), storedTokens });
+    }
+
     private async tryAccept(route: Route, submission: JobSubmission): Promise<Acceptance> {
         try {
             for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts += 1) {
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -134,6 +134,11 @@
         }
     }
 
+    /** Whether the job is known to be accepted. */
+    knows(jobId: JobId): boolean {
+        return this.table.get(jobId) !== undefined;
+    }
+
     /** Tokens that wait on a route beside those of one job; undefined where this process doesn't know. */
     waitingTokens(routeName: string, exceptJobId: JobId): number | undefined {
         return this.isLoaded && this.opts.leadership.fence() !== undefined
--- a/fleet/jobs/test/jobAcceptor.test.ts
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -7,8 +7,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Acceptance } from "../src/acceptance.js";
+import type { HoldOutcome } from "../src/holdOutcome.js";
 import { JobAcceptor } from "../src/jobAcceptor.js";
-import type { JobHolder } from "../src/jobHolder.js";
 import { jobKeys } from "../src/jobKeys.js";
 import type { JobSubmission } from "../src/jobSubmission.js";
 
@@ -21,7 +21,7 @@
     };
 }
 
-function setUp(held: Awaited<ReturnType<JobHolder["hold"]>> = "not-held") {
+function setUp(held: HoldOutcome = "not-held", isSettled = true) {
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
     const acceptor = () =>
@@ -30,7 +30,7 @@
             clock,
             logger: silentLogger,
             holder: { hold: () => Promise.resolve(held) },
-            isSettled: () => true,
+            isSettled: () => isSettled,
         });
     const settle = async (pending: Promise<Acceptance>): Promise<Acceptance> => {
         await clock.advance(10_000);
@@ -93,3 +93,26 @@
     assert.equal(await one.cancel("j" as JobId), true);
     assert.equal(await one.cancel("none" as JobId), false);
 });
+
+test("while held jobs are still being written, the leading runner decides on the limit", async () => {
+    const full = setUp("over-limit", false);
+    const refused = await full.settle(full.acceptor().accept(route, submissionOf("j")));
+    assert.deepEqual([refused.kind, refused.kind === "refused" && refused.reason], ["refused", "over-limit"]);
+    assert.deepEqual(await full.service.list(jobKeys.jobsPrefix), [], "nothing was written past it");
+    const withRoom = setUp("held", false);
+    assert.equal((await withRoom.settle(withRoom.acceptor().accept(route, submissionOf("j")))).kind, "accepted");
+    const without = setUp("not-held", false);
+    assert.equal((await without.settle(without.acceptor().accept(route, submissionOf("j")))).kind, "accepted");
+});
+
+test("a job that was accepted is accepted again, also when the route is full by then", async () => {
+    const { service, acceptor, settle } = setUp("over-limit", false);
+    await service.transact([], [{ kind: "put", key: jobKeys.record("j" as JobId), value: Buffer.from("{}") }]);
+    assert.equal((await settle(acceptor().accept(route, submissionOf("j")))).kind, "accepted");
+});
+
+test("a job that one disk may hold is not said to be refused, whatever the write says then", async () => {
+    const { acceptor, settle } = setUp("unknown", false);
+    const tooLarge = submissionOf("j", 1000);
+    assert.equal((await settle(acceptor().accept(route, tooLarge))).kind, "unknown");
+});
