--- a/fleet/gateway/src/callerProtocol.ts
+++ b/fleet/gateway/src/callerProtocol.ts
@@ -1,7 +1,7 @@
 import type { JobSubmission } from "@knapweedwood/fleet.jobs/jobSubmission";
 import type { ResultsPage } from "@knapweedwood/fleet.jobs/resultsPage";
+import type { CallHeaders } from "@knapweedwood/fleet.view/callHeaders";
 import type { IncomingMessage } from "node:http";
-import type { CallHeaders } from "./callHeaders.js";
 import type { JobCall } from "./jobCall.js";
 
 /** How callers' requests are spelled. */
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -5,10 +5,10 @@
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import type { WaitingRoom } from "@knapweedwood/fleet.load/waitingRoom";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
+import type { CallHeaders } from "@knapweedwood/fleet.view/callHeaders";
 import type { ConfigurationInForce } from "@knapweedwood/fleet.view/configurationInForce";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
-import type { CallHeaders } from "./callHeaders.js";
 
 /** What requests of one gateway share. */
 export interface GatewayContext {
--- a/fleet/gateway/src/upstreamHeadersOf.ts
+++ b/fleet/gateway/src/upstreamHeadersOf.ts
@@ -1,7 +1,7 @@
 import { forwardableHeaders } from "@knapweedwood/core.http-headers/forwardableHeaders";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { HeaderList } from "@knapweedwood/fleet.upstreams/headerList";
-import type { CallHeaders } from "./callHeaders.js";
+import type { CallHeaders } from "@knapweedwood/fleet.view/callHeaders";
 
 const MIN_REMAINING_MS = 1;
 
--- a/fleet/jobs/src/itemRunHeaders.ts
+++ b/fleet/jobs/src/itemRunHeaders.ts
@@ -1,8 +1,7 @@
-/** Names of the headers that a run of an item uses, in lower case. */
-export interface ItemRunHeaders {
-    requestId: string;
-    expectedUpstream: string;
-    lastEventId: string;
-    notRun: string;
-    upstreamProof: string;
-}
+import type { CallHeaders } from "@knapweedwood/fleet.view/callHeaders";
+
+/** The headers that a run of an item uses. */
+export type ItemRunHeaders = Pick<
+    CallHeaders,
+    "requestId" | "expectedUpstream" | "lastEventId" | "notRun" | "upstreamProof"
+>;
--- a/fuzz/soak/src/faultInjector.ts
+++ b/fuzz/soak/src/faultInjector.ts
@@ -1,4 +1,5 @@
 import type { FaultRecord } from "./faultRecord.js";
+import { pause } from "./pause.js";
 import type { PlannedFault } from "./plannedFault.js";
 import type { SoakFleet } from "./soakFleet.js";
 import type { SoakProcess } from "./soakProcess.js";
@@ -253,7 +254,3 @@
     const dash = kind.indexOf("-");
     return dash < 0 ? [kind] : [kind.slice(0, dash), kind.slice(dash + 1)];
 }
-
-function pause(durationMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/fuzz/soak/src/runSoak.ts
+++ b/fuzz/soak/src/runSoak.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { FaultInjector } from "./faultInjector.js";
 import { oracle } from "./oracle.js";
+import { pause } from "./pause.js";
 import { planFaults } from "./planFaults.js";
 import { SoakBalancer } from "./soakBalancer.js";
 import { SoakCaller } from "./soakCaller.js";
@@ -93,7 +94,3 @@
         await pause(Math.min(leftMs, CHECK_INTERVAL_MS));
     }
 }
-
-function pause(durationMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/fuzz/soak/src/soakCaller.ts
+++ b/fuzz/soak/src/soakCaller.ts
@@ -2,6 +2,7 @@
 import { CallerConnection } from "./callerConnection.js";
 import type { CallKind } from "./callKind.js";
 import type { CallRecord } from "./callRecord.js";
+import { pause } from "./pause.js";
 import type { SoakBalancer } from "./soakBalancer.js";
 import type { SoakGateway } from "./soakGateway.js";
 import type { SoakRecord } from "./soakRecord.js";
@@ -44,7 +45,7 @@
             });
             const call = await this.send({ kind, path: PATHS[kind], body });
             const pauseMs = call.statusCode === 0 ? PAUSE_AFTER_FAILURE_MS : this.opts.random.nextInteger(MAX_PAUSE_MS);
-            await new Promise(resolve => setTimeout(resolve, pauseMs));
+            await pause(pauseMs);
         }
         this.connection?.close();
     }
@@ -52,7 +53,7 @@
     /** Asks each gateway for the route that only the newest, or the last but one, configuration has. */
     async probe(gateways: SoakGateway[], signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await new Promise(resolve => setTimeout(resolve, MAX_PAUSE_MS));
+            await pause(MAX_PAUSE_MS);
             const version = Math.max(1, this.opts.newestVersion() - this.opts.random.nextInteger(2));
             const gateway = gateways[this.opts.random.nextInteger(gateways.length)]!;
             this.connection = new CallerConnection(gateway);
--- a/fuzz/soak/src/soakJobClient.ts
+++ b/fuzz/soak/src/soakJobClient.ts
@@ -2,6 +2,7 @@
 import { CallerConnection } from "./callerConnection.js";
 import type { JobRecord } from "./jobRecord.js";
 import type { JobResult } from "./jobResult.js";
+import { pause } from "./pause.js";
 import type { SoakBalancer } from "./soakBalancer.js";
 import type { SoakRecord } from "./soakRecord.js";
 
@@ -156,7 +157,3 @@
         return answer;
     }
 }
-
-function pause(durationMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -5,10 +5,12 @@
 import { parseHostPort } from "@knapweedwood/fleet.view/parseHostPort";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
+import { readBody } from "@knapweedwood/standins.http/readBody";
 import { TcpRelay } from "@knapweedwood/standins.network/tcpRelay";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { expectedEvents } from "./expectedEvents.js";
+import { pause } from "./pause.js";
 import type { RunRecord } from "./runRecord.js";
 import type { SoakRecord } from "./soakRecord.js";
 import type { UpstreamMood } from "./upstreamMood.js";
@@ -71,7 +73,7 @@
 
     private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
         response.on("error", () => undefined);
-        const body = await readText(request).catch(() => undefined);
+        const body = await readBody(request).then(bytes => bytes.toString("utf8"), () => undefined);
         const callId = String(request.headers[wireHeaders.requestId] ?? "");
         if (body === undefined) {
             return;
@@ -184,15 +186,3 @@
         this.waiting.shift()?.();
     }
 }
-
-async function readText(request: IncomingMessage): Promise<string> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-}
-
-function pause(durationMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/fuzz/soak/test/brokenGateway.ts
+++ b/fuzz/soak/test/brokenGateway.ts
@@ -1,4 +1,5 @@
 import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
+import { readBody } from "@knapweedwood/standins.http/readBody";
 import {
     createServer,
     type IncomingMessage,
@@ -222,9 +223,5 @@
 }
 
 async function readText(message: IncomingMessage): Promise<string> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks).toString("utf8");
+    return (await readBody(message)).toString("utf8");
 }
--- a/fuzz/soak/test/oracle.test.ts
+++ b/fuzz/soak/test/oracle.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { oracle } from "../src/oracle.js";
+import { pause } from "../src/pause.js";
 import { SoakBalancer } from "../src/soakBalancer.js";
 import { SoakCaller } from "../src/soakCaller.js";
 import type { SoakGateway } from "../src/soakGateway.js";
@@ -112,7 +113,3 @@
     })));
     assert.deepEqual(found.filter(one => !one.isFound), []);
 });
-
-function pause(durationMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, durationMs));
-}
