fix(logs): a process whose log reader has stopped ends all the same

Cause: measuring the price of a line before a reader that doesn't read, the process never ended: the last lines were written synchronously, and an ordinary exit joins the thread that is blocked in the write. A stop would have lasted until SIGKILL.

Change: the last lines have 200 ms; where the reader doesn't take them the process ends itself at once. sonic-boom is imported so that the built package runs without the bundle, too.

--- a/daemons/fleet/src/runProgram.ts
+++ b/daemons/fleet/src/runProgram.ts
@@ -23,8 +23,11 @@
 ): Promise<void> {
     const output = openBoundedOutput("info");
     const rootLogger = new JsonLogger({ clock: new SystemClock(), level: "info", target: output.target });
-    const exit = (code: number) => {
-        output.flush();
+    const exit = async (code: number) => {
+        if (!await output.flush()) {
+            // An ordinary exit would wait for the write that the reader doesn't take.
+            process.kill(process.pid, "SIGKILL");
+        }
         process.exit(code);
     };
     let logger: Logger = rootLogger;
@@ -39,11 +42,11 @@
             void program.stop().then(
                 () => {
                     logger.info("stopped");
-                    exit(0);
+                    void exit(0);
                 },
                 (error: unknown) => {
                     logger.error("stop-failed", { message: toKnapweedError(error).message });
-                    exit(EXIT_FAILED);
+                    void exit(EXIT_FAILED);
                 },
             );
         });
@@ -56,6 +59,6 @@
     catch (thrown) {
         const error = toKnapweedError(thrown);
         logger.error("start-failed", { code: error.code, message: error.message });
-        exit(error.code.startsWith("ERR_KNAPWEED_SETTINGS") ? EXIT_SETTINGS : EXIT_FAILED);
+        await exit(error.code.startsWith("ERR_KNAPWEED_SETTINGS") ? EXIT_SETTINGS : EXIT_FAILED);
     }
 }
--- a/observability/logs/src/openBoundedOutput.ts
+++ b/observability/logs/src/openBoundedOutput.ts
@@ -1,5 +1,5 @@
 import loglevel from "loglevel";
-import { SonicBoom } from "sonic-boom";
+import sonicBoom from "sonic-boom";
 
 const STANDARD_OUTPUT = 1;
 /** Output that waits for a slow reader; lines beyond it are dropped and counted. */
@@ -7,14 +7,18 @@
 /** Lines are gathered into writes of about this size. */
 const MIN_WRITE_BYTES = 4096;
 const FLUSH_INTERVAL_MS = 250;
+/** How long the end of a process waits for its last lines to be read. */
+const MAX_FLUSH_MS = 200;
 
 /**
  * A log target on standard output that never blocks: a reader that stops reading costs lines, not time.
  *
- * @returns the target, and a function that writes out what waits
+ * @returns the target, and a function that writes out what waits and tells whether the reader took it within a moment
  */
-export function openBoundedOutput(level: loglevel.LogLevelDesc): { target: loglevel.Logger; flush: () => void; } {
-    const output = new SonicBoom({
+export function openBoundedOutput(
+    level: loglevel.LogLevelDesc,
+): { target: loglevel.Logger; flush: () => Promise<boolean>; } {
+    const output = new sonicBoom.SonicBoom({
         fd: STANDARD_OUTPUT,
         sync: false,
         minLength: MIN_WRITE_BYTES,
@@ -38,5 +42,10 @@
         output.write(`${String(line)}\n`);
     };
     target.setLevel(level, false);
-    return { target, flush: () => output.flushSync() };
+    const flush = () =>
+        new Promise<boolean>(resolve => {
+            setTimeout(() => resolve(false), MAX_FLUSH_MS);
+            output.flush(() => resolve(true));
+        });
+    return { target, flush };
 }
