docs(fleet): comments that say what a time is for

Cause: read as a newcomer, four comments named the reason but not the thing. Change: comments only. Measured: the bundled programs are the same, byte by byte.

--- a/daemons/fleet/src/followerTools.ts
+++ b/daemons/fleet/src/followerTools.ts
@@ -9,5 +9,6 @@
     clock: Clock;
     random: Random;
     logger: Logger;
+    /** How long one watch call may wait for a change. */
     watchWaitMs: () => number;
 }
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -14,9 +14,9 @@
 import type { FollowerTools } from "./followerTools.js";
 
 const ANNOUNCE_RETRY_MS = 500;
-/** A process that can't announce itself is looked for this often, in milliseconds. */
+/** How often the entry of a process that sends reports without one is looked for, in milliseconds. */
 const MEET_INTERVAL_MS = 5000;
-/** Processes start and end in groups, in milliseconds. */
+/** How long changes are gathered, since processes start and end in groups, in milliseconds. */
 const GATHER_MS = 100;
 
 interface PeerFollowerOptions extends FollowerTools {
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -13,7 +13,7 @@
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import type { FollowerTools } from "./followerTools.js";
 
-/** Upstreams change in groups: many start, leave or lapse together, in milliseconds. */
+/** How long changes are gathered, since many upstreams start, leave or lapse together, in milliseconds. */
 const GATHER_MS = 200;
 
 interface UpstreamFollowerOptions extends FollowerTools {
--- a/fleet/jobs/src/itemRunTimes.ts
+++ b/fleet/jobs/src/itemRunTimes.ts
@@ -4,7 +4,7 @@
 const NEWEST_WEIGHT = 0.05;
 /** Runs with fewer events say little about the pace. */
 const MIN_EVENTS = 5;
-/** Items give way to online requests on their way, which costs them more time than they run. */
+/** Items give way to online requests and are resumed: from start to end they take longer than they run. */
 const GIVING_WAY_FACTOR = 1.3;
 
 /** How long items run, learned from those that ran: tells which items can still be in time. */
