--- a/scripts/updateReferences.mjs
+++ b/scripts/updateReferences.mjs
@@ -14,6 +14,8 @@
 const folderByName = new Map(packages.map(folder => [readJson(path.join(root, folder, "package.json")).name, folder]));
 
 const stale = [];
+/** Imports without a dependency: such a package builds or not by the order of the others. */
+const undeclared = [];
 const write = (file, value) => {
     const text = `${JSON.stringify(value, undefined, 4)}\n`;
     if (existsSync(file) && readFileSync(file, "utf8") === text) {
@@ -25,12 +27,27 @@
     }
 };
 
+/** Packages of this workspace that the sources of one import, shape [names]. */
+const importedBy = folder =>
+    ["src", "test"]
+        .map(part => path.join(root, folder, part))
+        .filter(existsSync)
+        .flatMap(part => readdirSync(part, { recursive: true }).map(file => path.join(part, file)))
+        .filter(file => file.endsWith(".ts"))
+        .flatMap(file =>
+            [...readFileSync(file, "utf8").matchAll(/"(@knapweedwood\/[a-z.-]+)\//gu)].map(match => match[1])
+        );
+
 packages.forEach(folder => {
     const manifest = readJson(path.join(root, folder, "package.json"));
     const internal = Object.keys({ ...manifest.dependencies, ...manifest.devDependencies })
         .filter(name => folderByName.has(name))
         .map(name => folderByName.get(name))
         .sort();
+    const missing = new Set(
+        importedBy(folder).filter(name => name !== manifest.name && !internal.includes(folderByName.get(name))),
+    );
+    undeclared.push(...[...missing].map(name => `${folder} imports ${name}`));
     write(path.join(root, folder, "tsconfig.json"), {
         extends: "../../tsconfig.base.json",
         compilerOptions: { rootDir: ".", outDir: "dist" },
@@ -40,6 +57,10 @@
 });
 write(path.join(root, "tsconfig.json"), { files: [], references: packages.map(folder => ({ path: folder })) });
 
+if (undeclared.length > 0) {
+    console.error(`Declare in package.json: ${undeclared.join(", ")}`);
+    process.exit(1);
+}
 if (check && stale.length > 0) {
     console.error(`Stale, run node scripts/updateReferences.mjs: ${stale.join(", ")}`);
     process.exit(1);
