refactor(soak): the platform's spelling stays in platform/

Cause: read as a newcomer: the soak spelled paths and bodies of the platform's callers itself, and "lots" stood in comments where the project says jobs. One run of "the oracle finds nothing where nothing is broken" failed on the way: the gateway of that test took a 503 of a full upstream for an item's text.

Change: platform/standins has the callers' paths, submissions and pages of results; that gateway runs an item again while upstreams are full. The check is as it was.

--- a/fleet/jobs/src/orderOfItems.ts
+++ b/fleet/jobs/src/orderOfItems.ts
@@ -12,7 +12,7 @@
 }
 
 /**
- * Items that may start now: by due time, begun ones first. Answers more lots than fit: items that can't be in time any
+ * Items that may start now: by due time, begun ones first. Answers more jobs than fit: items that can't be in time any
  * more come last, since each of them would make another one late.
  */
 export function orderOfItems(
--- a/fleet/jobs/test/batchChoices.test.ts
+++ b/fleet/jobs/test/batchChoices.test.ts
@@ -67,7 +67,7 @@
 /** Items of 100 events that take 5 s. */
 const remainingOfFiveSeconds = (item: { lastEventId: number; }) => (100 - item.lastEventId) * 50;
 
-test("of more lots than fit, the items that can still be in time run first", () => {
+test("of more jobs than fit, the items that can still be in time run first", () => {
     const jobs = [
         new OpenJob(jobOf({ id: "hopeless", itemCount: 1, dueAtMs: 4000 })),
         new OpenJob(jobOf({ id: "begun", itemCount: 1, dueAtMs: 4000 })),
@@ -79,7 +79,7 @@
     assert.deepEqual(order.map(({ item }) => item.id), ["begun-0", "near-0", "far-0", "hopeless-0"]);
 });
 
-/** Plays lots that come at once before a fixed number of slots. @returns items that were in time */
+/** Plays jobs that come at once before a fixed number of slots. @returns items that were in time */
 function playOverload(remainingMs: (item: JobItem) => number): number {
     const slots = 8;
     const runMs = 5000;
@@ -104,7 +104,7 @@
     return inTime;
 }
 
-test("lots at three times the capacity: nearly all that fits is in time, not just late", () => {
+test("jobs at three times the capacity: nearly all that fits is in time, not just late", () => {
     const capacity = 8 * 48 / 5;
     const inTime = playOverload(remainingOfFiveSeconds);
     assert.ok(inTime >= capacity * 0.9, `${inTime} of ${capacity}`);
--- a/fuzz/soak/src/soakBalancer.ts
+++ b/fuzz/soak/src/soakBalancer.ts
@@ -1,4 +1,5 @@
 import type { Random } from "@knapweedwood/core.random/random";
+import { callerPaths } from "@knapweedwood/platform.standins/callerPaths";
 import { get } from "node:http";
 import type { SoakGateway } from "./soakGateway.js";
 
@@ -6,7 +7,6 @@
 const CHECK_TIMEOUT_MS = 400;
 const MISSES_OUT = 2;
 const HTTP_OK = 200;
-const READINESS_PATH = "/api/ready";
 
 /** Gives new connections to the gateways that say that they are ready; open ones stay where they are. */
 export class SoakBalancer {
@@ -39,7 +39,7 @@
             {
                 host: gateway.host,
                 port: gateway.readinessPort,
-                path: READINESS_PATH,
+                path: callerPaths.readiness,
                 timeout: CHECK_TIMEOUT_MS,
                 agent: false,
             },
--- a/fuzz/soak/src/soakJobClient.ts
+++ b/fuzz/soak/src/soakJobClient.ts
@@ -1,4 +1,7 @@
 import type { Random } from "@knapweedwood/core.random/random";
+import { callerPaths } from "@knapweedwood/platform.standins/callerPaths";
+import { decodeResultsPage } from "@knapweedwood/platform.standins/decodeResultsPage";
+import { encodeSubmission } from "@knapweedwood/platform.standins/encodeSubmission";
 import { CallerConnection } from "./callerConnection.js";
 import type { JobRecord } from "./jobRecord.js";
 import type { JobResult } from "./jobResult.js";
@@ -8,7 +11,6 @@
 
 const SUBMIT_PATH = "/job/submit";
 const ITEM_PATH = "/job/item";
-const JOBS_PATH = "/api/lots/";
 const MAX_ITEMS = 8;
 const MIN_EVENTS = 20;
 const MAX_EVENTS = 120;
@@ -94,15 +96,9 @@
     }
 
     private async submit(job: JobRecord): Promise<void> {
-        const items = job.items.map(item => ({
-            id: item.id,
-            path: ITEM_PATH,
-            headers: {},
-            body: Buffer.from(item.body).toString("base64"),
-            tokenCount: ITEM_TOKENS,
-        }));
+        const body = encodeSubmission(job.items, { path: ITEM_PATH, tokensEach: ITEM_TOKENS });
         while (job.acceptedAtMs === undefined && job.attemptStatuses.length < MAX_ATTEMPTS) {
-            const answer = await this.call("POST", SUBMIT_PATH, job.id, JSON.stringify({ items }));
+            const answer = await this.call("POST", SUBMIT_PATH, job.id, body);
             job.attemptStatuses.push(answer.statusCode);
             if (answer.statusCode === HTTP_ACCEPTED) {
                 job.acceptedAtMs = this.opts.nowMs();
@@ -112,7 +108,7 @@
     }
 
     private async cancel(job: JobRecord): Promise<void> {
-        const answer = await this.call("DELETE", `${JOBS_PATH}${job.id}`, `${job.id}-cancel`, "");
+        const answer = await this.call("DELETE", `${callerPaths.jobs}${job.id}`, `${job.id}-cancel`, "");
         if (answer.statusCode === HTTP_OK) {
             job.cancelledAtMs = this.opts.nowMs();
         }
@@ -120,7 +116,7 @@
 
     /** Reads results from a position on; later answers have to say the same as earlier ones. */
     private async read(job: JobRecord, after: number): Promise<void> {
-        const path = `${JOBS_PATH}${job.id}?after=${after}`;
+        const path = `${callerPaths.jobs}${job.id}?after=${after}`;
         const answer = await this.call("GET", path, `${job.id}-read-${after}`, "");
         if (NOT_FOUND_STATUSES.includes(answer.statusCode)) {
             job.missedAtMs.push(this.opts.nowMs());
@@ -128,16 +124,11 @@
         if (answer.statusCode !== HTTP_OK || !answer.isComplete) {
             return;
         }
-        const page = JSON.parse(answer.body) as {
-            total: number;
-            results: { id: string; state: string; output: string; }[];
-        };
+        const page = decodeResultsPage(answer.body);
         if (page.total !== job.items.length) {
             job.contradictions.push(`total ${page.total}`);
         }
-        page.results.forEach(({ id, state, output }, index) =>
-            this.note(job, after + index, { itemId: id, state, output })
-        );
+        page.results.forEach((result, index) => this.note(job, after + index, result));
     }
 
     private note(job: JobRecord, position: number, result: JobResult): void {
--- a/fuzz/soak/test/brokenGateway.ts
+++ b/fuzz/soak/test/brokenGateway.ts
@@ -1,4 +1,5 @@
 import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
+import { callerPaths } from "@knapweedwood/platform.standins/callerPaths";
 import { readBody } from "@knapweedwood/standins.http/readBody";
 import {
     createServer,
@@ -44,10 +45,10 @@
 }
 
 const PROBE = /^\/only-(\d+)\//u;
-const READY_PATH = "/api/ready";
+const HTTP_UNAVAILABLE = 503;
+const FULL_PAUSE_MS = 20;
 /** Later than a cancelled job may still begin to run. */
 const LATE_RUN_MS = 4200;
-const JOBS_PATH = "/api/lots/";
 
 /** A simple gateway in this process that breaks one promise on purpose. */
 export class BrokenGateway {
@@ -96,11 +97,11 @@
         response.on("error", () => undefined);
         const url = request.url ?? "";
         const body = await readText(request).catch(() => "");
-        if (url === READY_PATH) {
+        if (url === callerPaths.readiness) {
             response.writeHead(200).end();
             return;
         }
-        if (url.startsWith(JOBS_PATH) || url.startsWith("/job/")) {
+        if (url.startsWith(callerPaths.jobs) || url.startsWith("/job/")) {
             this.answerJob(request, response, body);
             return;
         }
@@ -151,8 +152,8 @@
 
     private answerJob(request: IncomingMessage, response: ServerResponse, body: string): void {
         const url = new URL(request.url ?? "", "http://gateway");
-        const jobId = url.pathname.startsWith(JOBS_PATH)
-            ? url.pathname.slice(JOBS_PATH.length)
+        const jobId = url.pathname.startsWith(callerPaths.jobs)
+            ? url.pathname.slice(callerPaths.jobs.length)
             : String(request.headers[wireHeaders.requestId]);
         if (url.pathname.startsWith("/job/")) {
             this.submit(jobId, body);
@@ -186,7 +187,7 @@
             if (job.isCancelled && !isLate) {
                 return;
             }
-            const { text } = await this.run({ ...item, body: Buffer.from(item.body, "base64").toString("utf8") });
+            const text = await this.runItem(item);
             const output = [...text.matchAll(/^data: (.*)$/gmu)].map(match => match[1]).join("\n");
             const result = {
                 id: item.id,
@@ -197,6 +198,17 @@
         }));
     }
 
+    /** Runs an item again while upstreams are full. */
+    private async runItem(item: WireItem): Promise<string> {
+        const call = { ...item, body: Buffer.from(item.body, "base64").toString("utf8") };
+        let answer = await this.run(call);
+        while (answer.statusCode === HTTP_UNAVAILABLE) {
+            await new Promise(resolve => setTimeout(resolve, FULL_PAUSE_MS));
+            answer = await this.run(call);
+        }
+        return answer.text;
+    }
+
     private run(call: { id: string; path: string; body: string; }): Promise<{ statusCode: number; text: string; }> {
         const isAnswer = /^\/(?:fetch|book|only-\d+)\//u.test(call.path) !== (this.breakage === "mixes-services");
         const service = isAnswer ? ANSWER_SERVICE : MODEL_SERVICE;
