refactor: read once more: one copy of what stood twice, and less work on hot paths

Found in the reading of the whole change: - FIRST_ANSWER_MS stood in decideAdmission and in waitingRoom: one constant. - Each placement filtered the list of members once for each candidate to get its share of connections, and each load report built that list two or three times: the share is taken once a placement, members are looked up by name, the zone only where a report names a new ejection. - knapweed explain made the span, instances and upstreams of the story anew for each log line: taken once. - The kinds of trouble of the soak stood as a type and as a list: the type is derived. - Gaps between arrivals were written out again: bench/load exponentialGap serves the simulation and burstArrivals.

Not mended: fleet/gateway readBody and api/http readBody are near twins, but the latter refuses by the announced length, which would change answers.

--- a/bench/decisions/src/jobSimulation.ts
+++ b/bench/decisions/src/jobSimulation.ts
@@ -1,3 +1,4 @@
+import { exponentialGap } from "@knapweedwood/bench.load/exponentialGap";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { ItemId } from "@knapweedwood/core.ids/itemId";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
@@ -65,7 +66,7 @@
     }
 
     private submitLater(): void {
-        const gapMs = -Math.log(1 - this.opts.random.next()) * MEAN_JOB_GAP_MS;
+        const gapMs = exponentialGap(this.opts.random, MEAN_JOB_GAP_MS);
         this.opts.clock.setTimer(gapMs, () => {
             this.jobs.push(this.createJob(`j${this.jobs.length}`));
             this.submitLater();
--- a/bench/decisions/src/simulateDecisions.ts
+++ b/bench/decisions/src/simulateDecisions.ts
@@ -1,3 +1,4 @@
+import { exponentialGap } from "@knapweedwood/bench.load/exponentialGap";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
@@ -17,11 +18,10 @@
 const ENGINES = 8;
 const SLOTS = 8;
 const GATEWAYS = 4;
-/** Online requests a second at the usual load. */
-const RATE_PER_SECOND = 39;
+/** Mean time between online requests at the usual load: 39 come a second. */
+const MEAN_GAP_MS = 1000 / 39;
 const REPORT_INTERVAL_MS = 15;
 const SEED_FACTOR = 7919;
-const MS_PER_SECOND = 1000;
 
 /** Plays one load against one policy. The same seed gives the same arrivals for every policy. */
 export function simulateDecisions(opts: { policy: DecisionPolicy; load: LoadPattern; seed: number; }): DecisionFigures {
@@ -62,7 +62,7 @@
     };
     const random = randomOf(1);
     const arrive = () => {
-        const gapMs = -Math.log(1 - random.next()) * MS_PER_SECOND / (RATE_PER_SECOND * load.rateFactor(clock.nowMs()));
+        const gapMs = exponentialGap(random, MEAN_GAP_MS / load.rateFactor(clock.nowMs()));
         clock.setTimer(gapMs, arrive);
         new SimulatedCaller({ clock, random, gateways, engines, outcomes }).start();
     };
--- a/bench/load/src/burstArrivals.ts
+++ b/bench/load/src/burstArrivals.ts
@@ -1,4 +1,5 @@
 import type { BurstArrivalsOptions } from "./burstArrivalsOptions.js";
+import { exponentialGap } from "./exponentialGap.js";
 import { poissonArrivals } from "./poissonArrivals.js";
 
 /**
@@ -12,7 +13,7 @@
     let isOn = false;
     while (startMs < opts.durationMs) {
         const meanMs = isOn ? opts.meanOnMs : opts.meanOffMs;
-        const periodMs = -Math.log(1 - opts.random.next()) * meanMs;
+        const periodMs = exponentialGap(opts.random, meanMs);
         const durationMs = Math.min(periodMs, opts.durationMs - startMs);
         const ratePerS = isOn ? opts.onRatePerS : opts.offRatePerS;
         const offsetMs = startMs;
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -208,8 +208,10 @@
 
     private noteEjections(report: LoadReport): void {
         const nowMs = this.clock.nowMs();
-        const isNear = this.peers.zoneOf(report.instanceName) === this.self.zone;
-        this.ejections.receive(report).forEach(id => this.health.onPeerEjection(id, { isNear, nowMs }));
+        this.ejections.receive(report).forEach(id => {
+            const isNear = this.peers.zoneOf(report.instanceName) === this.self.zone;
+            this.health.onPeerEjection(id, { isNear, nowMs });
+        });
     }
 
     private onReport(report: LoadReport): void {
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -77,13 +77,13 @@
 
     /** The zone of a process; undefined where it isn't known. */
     zoneOf(instanceName: InstanceName): ZoneName | undefined {
-        return this.list().find(member => member.instanceName === instanceName)?.zone;
+        return this.members.get(instanceName)?.zone;
     }
 
     /** Makes sure that a process which sends reports is known: a silent watch may have missed its entry. */
     meet(instanceName: InstanceName): void {
         const nowMs = this.opts.clock.nowMs();
-        if (nowMs >= this.metAtMs + MEET_INTERVAL_MS && !this.list().some(one => one.instanceName === instanceName)) {
+        if (nowMs >= this.metAtMs + MEET_INTERVAL_MS && this.members.get(instanceName) === undefined) {
             this.metAtMs = nowMs;
             this.mirror.catchUp(this.mirror.revision + 1);
         }
--- a/fleet/load/src/decideAdmission.ts
+++ b/fleet/load/src/decideAdmission.ts
@@ -1,8 +1,7 @@
 import type { AdmissionDecision } from "./admissionDecision.js";
 import type { AdmissionInputs } from "./admissionInputs.js";
+import { FIRST_ANSWER_MS } from "./firstAnswerMs.js";
 
-/** Time from the start at an upstream to the first event, in milliseconds. */
-const FIRST_ANSWER_MS = 60;
 const MIN_RETRY_AFTER_MS = 150;
 /** Longest wait after which a caller is told to come back, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 1600;
--- a/fleet/load/src/fewestOnlinePlacement.ts
+++ b/fleet/load/src/fewestOnlinePlacement.ts
@@ -39,9 +39,10 @@
     }
 
     placeOnline(candidates: readonly Upstream[]): Upstream | undefined {
+        const service = candidates[0]?.service;
+        const share = service === undefined ? 0 : this.connectionShare(service);
         return candidates
-            .filter(upstream => this.board.online(upstream.id) < upstream.slots)
-            .filter(upstream => this.board.ownOnline(upstream.id) < this.connectionShare(upstream.service))
+            .filter(({ id, slots }) => this.board.online(id) < slots && this.board.ownOnline(id) < share)
             .map(upstream => ({ upstream, cost: this.costOf(upstream) }))
             .reduce<{ upstream: Upstream; cost: number; } | undefined>(
                 (best, candidate) => best === undefined || candidate.cost < best.cost ? candidate : best,
--- a/fleet/load/src/waitingRoom.ts
+++ b/fleet/load/src/waitingRoom.ts
@@ -3,13 +3,12 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { decideAdmission } from "./decideAdmission.js";
+import { FIRST_ANSWER_MS } from "./firstAnswerMs.js";
 import type { HoldTimes } from "./holdTimes.js";
 import type { LoadBoard } from "./loadBoard.js";
 import type { PlacementPolicy } from "./placementPolicy.js";
 import type { WaitingCall } from "./waitingCall.js";
 
-/** Time from the start at an upstream to the first event, in milliseconds. */
-const FIRST_ANSWER_MS = 60;
 /** Spread of the times at which refused callers come back, as a share. */
 const RETRY_SPREAD = 0.3;
 
--- a/fleet/sync/src/memberTable.ts
+++ b/fleet/sync/src/memberTable.ts
@@ -22,6 +22,10 @@
         this.members.set(record.instanceName, { record, lapsedAtMs: undefined });
     }
 
+    get(instanceName: InstanceName): MemberRecord | undefined {
+        return this.members.get(instanceName)?.record;
+    }
+
     lapse(key: string, nowMs: number): void {
         const member = this.members.get(key.slice(fleetKeys.membersPrefix.length) as InstanceName);
         if (member !== undefined) {
--- a/fuzz/soak/src/planFaults.ts
+++ b/fuzz/soak/src/planFaults.ts
@@ -1,38 +1,8 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { FaultKind } from "./faultKind.js";
+import { faultKinds } from "./faultKinds.js";
 import type { PlannedFault } from "./plannedFault.js";
 
-const KINDS: FaultKind[] = [
-    "kill-gateway",
-    "kill-runner",
-    "kill-all",
-    "pause-gateway",
-    "pause-runner",
-    "wipe-disk",
-    "tear-file",
-    "store-busy",
-    "store-silent",
-    "store-reset",
-    "store-slow",
-    "store-lost-answers",
-    "store-compacted",
-    "store-cut-one",
-    "store-cut-one-way",
-    "upstream-crash",
-    "upstream-slow",
-    "upstream-errors",
-    "upstream-cut",
-    "upstream-hang",
-    "upstream-garble",
-    "link-silent",
-    "link-one-way",
-    "link-delay",
-    "link-reset",
-    "stop",
-    "stop-runner",
-    "reload",
-    "drain",
-];
 /** Kinds that lose a disk, or a part of it. */
 const DISK_KINDS: FaultKind[] = ["wipe-disk", "tear-file"];
 /** Time after which the loss of one disk may be followed by that of another. */
@@ -50,7 +20,7 @@
     const faults: PlannedFault[] = [];
     let diskLostAtMs = -Infinity;
     for (let atMs = opts.fromMs; atMs < opts.toMs; atMs += nextGapMs(random)) {
-        const kind = KINDS[random.nextInteger(KINDS.length)]!;
+        const kind = faultKinds[random.nextInteger(faultKinds.length)]!;
         const durationMs = MIN_DURATION_MS + random.nextInteger(MAX_DURATION_MS - MIN_DURATION_MS);
         const fault = { kind, atMs, durationMs: Math.min(durationMs, opts.toMs - atMs), target: random.next() };
         if (!DISK_KINDS.includes(kind)) {
--- a/observability/explain/src/timeline.ts
+++ b/observability/explain/src/timeline.ts
@@ -21,6 +21,14 @@
 /** Time around the story in which what is told of its upstreams matters, in milliseconds. */
 const AROUND_MS = 5000;
 
+/** What a story is about, for the choice of the beliefs that matter to it. */
+interface StoryScope {
+    startMs: number;
+    endMs: number;
+    instances: Set<string>;
+    upstreams: Set<unknown>;
+}
+
 /**
  * Gathers the story of one id from the lines of many processes, then what these processes believed meanwhile. Lines are
  * given twice, first all to `addStory`, then all to `addBelief`, so that logs need not fit into memory.
@@ -29,6 +37,8 @@
     private readonly id: string;
     private readonly story: LogLine[] = [];
     private readonly beliefs: LogLine[] = [];
+    /** Taken once, when the whole story is known. */
+    private scope: StoryScope | undefined;
     private readonly newestBefore = new Map<string, LogLine>();
 
     constructor(id: string) {
@@ -36,21 +46,22 @@
     }
 
     addStory(line: LogLine): void {
-        if (ID_FIELDS.some(field => line.fields[field] === this.id)) {
+        if (this.isStory(line)) {
             this.story.push(line);
         }
     }
 
     addBelief(line: LogLine): void {
-        if (this.story.includes(line) || this.story.length === 0 || this.isStory(line)) {
+        if (this.story.length === 0 || this.isStory(line)) {
             return;
         }
+        this.scope ??= scopeOf(this.story);
         const state = STATE_EVENTS[line.event];
-        if (state !== undefined && this.instances().has(line.instance)) {
-            this.addState(line, state);
+        if (state !== undefined && this.scope.instances.has(line.instance)) {
+            this.addState(line, state, this.scope);
         }
         else if (
-            this.upstreams().has(String(line.fields.upstream)) && this.isAround(line, AROUND_MS) && isVerdict(line)
+            this.scope.upstreams.has(line.fields.upstream) && isAround(this.scope, line, AROUND_MS) && isVerdict(line)
         ) {
             this.beliefs.push(line);
         }
@@ -70,36 +81,31 @@
         return ID_FIELDS.some(field => line.fields[field] === this.id);
     }
 
-    private addState(line: LogLine, state: string): void {
-        if (this.isAround(line, 0)) {
+    private addState(line: LogLine, state: string, scope: StoryScope): void {
+        if (isAround(scope, line, 0)) {
             this.beliefs.push(line);
             return;
         }
         const key = `${line.instance} ${state}`;
         const known = this.newestBefore.get(key);
-        if (line.timeMs < this.startMs() && line.timeMs >= (known?.timeMs ?? 0)) {
+        if (line.timeMs < scope.startMs && line.timeMs >= (known?.timeMs ?? 0)) {
             this.newestBefore.set(key, line);
         }
     }
+}
 
-    private isAround(line: LogLine, marginMs: number): boolean {
-        const times = this.story.map(one => one.timeMs);
-        return line.timeMs >= Math.min(...times) - marginMs && line.timeMs <= Math.max(...times) + marginMs;
-    }
-
-    private startMs(): number {
-        return Math.min(...this.story.map(line => line.timeMs));
-    }
-
-    private instances(): Set<string> {
-        return new Set(this.story.map(line => line.instance));
-    }
+function scopeOf(story: readonly LogLine[]): StoryScope {
+    const times = story.map(line => line.timeMs);
+    return {
+        startMs: Math.min(...times),
+        endMs: Math.max(...times),
+        instances: new Set(story.map(line => line.instance)),
+        upstreams: new Set(story.flatMap(line => line.fields.upstream ?? [])),
+    };
+}
 
-    private upstreams(): Set<string> {
-        return new Set(
-            this.story.flatMap(line => line.fields.upstream === undefined ? [] : [String(line.fields.upstream)]),
-        );
-    }
+function isAround(scope: StoryScope, line: LogLine, marginMs: number): boolean {
+    return line.timeMs >= scope.startMs - marginMs && line.timeMs <= scope.endMs + marginMs;
 }
 
 /** Lines on an upstream that are not just another request there. */
