feat(fleet): log when a process runs late, with the processor time it used

Change: the housekeeping timer measures its own delay; over 250 ms it logs event-loop-delayed (delayMs, processorMs, periodMs), at most each 2 s.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -18,6 +18,7 @@
 import { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { PlatformKeyValueService } from "@knapweedwood/platform.adapter/platformKeyValueService";
 import { randomInt } from "node:crypto";
+import { EventLoopMonitor } from "./eventLoopMonitor.js";
 import { MetricsServer } from "./metricsServer.js";
 import { OperatorsFollower } from "./operatorsFollower.js";
 import { PeerFollower } from "./peerFollower.js";
@@ -25,6 +26,7 @@
 
 const SEED_LIMIT = 2 ** 31;
 const HOUSEKEEPING_INTERVAL_MS = 100;
+const MICROSECONDS_PER_MS = 1000;
 const INITIALIZATION_POLL_MS = 5;
 /** Maximum age of the last lease renewal with which the key-value service counts as reachable, in milliseconds. */
 const KEY_VALUE_REACHABLE_MS = 1800;
@@ -70,6 +72,7 @@
     private readonly ejections = new PeerEjections();
     private readonly exchange: LoadExchange;
     private readonly metricsServer: MetricsServer;
+    private readonly eventLoop: EventLoopMonitor;
     private readonly closing = new AbortController();
     private sequence = 0;
     private jobsRevision = 0;
@@ -79,7 +82,12 @@
         const { settings, logger } = opts;
         const { clock, random, loadTracker, health, connections } = this;
         this.self = createMemberRecord(settings, opts.role);
-        this.metricsServer = new MetricsServer({ metrics: this.metrics, host: settings.host });
+        this.eventLoop = new EventLoopMonitor({ clock, logger, processorMs });
+        this.metricsServer = new MetricsServer({
+            metrics: this.metrics,
+            host: settings.host,
+            eventLoop: this.eventLoop,
+        });
         this.keyValueService = new PlatformKeyValueService({
             clock,
             address: settings.keyValueAddress,
@@ -202,7 +210,11 @@
         }
         this.loadTracker.expire(this.clock.nowMs());
         this.upstreams.expire();
-        this.clock.setTimer(HOUSEKEEPING_INTERVAL_MS, () => this.housekeep());
+        const dueAtMs = this.clock.nowMs() + HOUSEKEEPING_INTERVAL_MS;
+        this.clock.setTimer(HOUSEKEEPING_INTERVAL_MS, () => {
+            this.eventLoop.record(dueAtMs);
+            this.housekeep();
+        });
     }
 
     private createReport(): LoadReport {
@@ -253,3 +265,9 @@
     const [loadPort, linkPort] = peerPorts;
     return { instanceName, role, zone, host, loadPort: loadPort!, linkPort: linkPort!, startedAtMs: Date.now() };
 }
+
+/** Returns the processor time that this process has used, in milliseconds. */
+function processorMs(): number {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / MICROSECONDS_PER_MS;
+}
--- a/daemons/fleet/src/metricsServer.ts
+++ b/daemons/fleet/src/metricsServer.ts
@@ -1,22 +1,21 @@
 import type { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { createServer, type Server } from "node:http";
-import { monitorEventLoopDelay } from "node:perf_hooks";
+import type { EventLoopMonitor } from "./eventLoopMonitor.js";
 
 /** Port and path must match the deployment file. */
 const PORT = 9464;
 const PATH = "/metrics";
-const EVENT_LOOP_RESOLUTION_MS = 20;
-const NS_PER_MS = 1e6;
 
 /** Serves the metrics of this process over HTTP in the text format 0.0.4. */
 export class MetricsServer {
     private readonly metrics: PrometheusMetrics;
     private readonly host: string;
     private readonly server: Server;
-    private readonly eventLoopDelay = monitorEventLoopDelay({ resolution: EVENT_LOOP_RESOLUTION_MS });
+    private readonly eventLoop: EventLoopMonitor;
 
-    constructor(opts: { metrics: PrometheusMetrics; host: string; }) {
+    constructor(opts: { metrics: PrometheusMetrics; host: string; eventLoop: EventLoopMonitor; }) {
         this.metrics = opts.metrics;
+        this.eventLoop = opts.eventLoop;
         this.host = opts.host;
         this.server = createServer((request, response) => {
             if (request.url !== PATH) {
@@ -32,7 +31,6 @@
 
     /** Starts to serve metrics. Rejects if the port can't be opened. */
     async listen(): Promise<void> {
-        this.eventLoopDelay.enable();
         await new Promise<void>((resolve, reject) => {
             this.server.once("error", reject);
             this.server.listen(PORT, this.host, resolve);
@@ -40,15 +38,13 @@
     }
 
     close(): void {
-        this.eventLoopDelay.disable();
         this.server.close();
         this.server.closeAllConnections();
     }
 
     private render(): Promise<string> {
         this.metrics.gauge("memory_bytes", process.memoryUsage().rss);
-        this.metrics.gauge("event_loop_delay_max_ms", this.eventLoopDelay.max / NS_PER_MS);
-        this.eventLoopDelay.reset();
+        this.metrics.gauge("event_loop_delay_max_ms", this.eventLoop.takeMaxDelayMs());
         return this.metrics.render();
     }
 }
