--- a/bench/decisions/src/jobSimulation.ts
+++ b/bench/decisions/src/jobSimulation.ts
@@ -62,6 +62,7 @@
         const order = orderStartableItems(open, {
             nowMs: clock.nowMs(),
             remainingMs: item => this.runTimeEstimator.remainingMs(item),
+            hasFreeSlot: () => true,
         });
         order.every(({ job, item }) => this.startOnFreeEngine(job, item));
     }
--- /dev/null
+++ b/fleet/jobs/src/batchSlots.ts
@@ -0,0 +1,63 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { BatchCandidate } from "./batchCandidate.js";
+import { chooseBatchUpstream } from "./chooseBatchUpstream.js";
+import { freeBatchSlots } from "./freeBatchSlots.js";
+
+interface BatchSlotsOptions {
+    /** Returns the upstreams of a service, shape [upstreams]. */
+    upstreamsOf: (service: ServiceName) => Upstream[];
+    /** Returns an upstream with its current load; undefined if it may not run another item now. */
+    candidateOf: (upstream: Upstream) => BatchCandidate | undefined;
+}
+
+/**
+ * The slots that batch items may take during one dispatch. Each upstream is looked at once, and once more after each
+ * item that it gets, so that a dispatch without a free slot costs little however many items wait.
+ */
+export class BatchSlots {
+    private readonly opts: BatchSlotsOptions;
+    private readonly free = new Map<ServiceName, BatchCandidate[]>();
+    /** The upstream of the last item, whose load has changed since. */
+    private changed: Upstream | undefined;
+
+    constructor(opts: BatchSlotsOptions) {
+        this.opts = opts;
+    }
+
+    hasFree(service: ServiceName): boolean {
+        return this.freeOf(service).length > 0;
+    }
+
+    /**
+     * Chooses the upstream for an item, which has to be started before the next call.
+     *
+     * @returns undefined if the service has no free slot
+     */
+    take(service: ServiceName, failedUpstreamIds: readonly UpstreamId[]): Upstream | undefined {
+        const chosen = chooseBatchUpstream(this.freeOf(service), failedUpstreamIds)?.upstream;
+        this.changed = chosen;
+        return chosen;
+    }
+
+    private freeOf(service: ServiceName): BatchCandidate[] {
+        const { changed } = this;
+        const known = this.free.get(service);
+        if (known !== undefined && changed?.service !== service) {
+            return known;
+        }
+        const others = known?.filter(candidate => candidate.upstream !== changed);
+        const upstreams = others === undefined || changed === undefined ? this.opts.upstreamsOf(service) : [changed];
+        const free = [...others ?? [], ...this.findFree(upstreams)];
+        this.free.set(service, free);
+        this.changed = undefined;
+        return free;
+    }
+
+    private findFree(upstreams: readonly Upstream[]): BatchCandidate[] {
+        return upstreams
+            .flatMap(upstream => this.opts.candidateOf(upstream) ?? [])
+            .filter(candidate => freeBatchSlots(candidate) > 0);
+    }
+}
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -1,3 +1,4 @@
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { chooseRunsToPreempt } from "./chooseRunsToPreempt.js";
@@ -24,7 +25,7 @@
 export class InFlightItems {
     private readonly opts: InFlightItemsOptions;
     private readonly onEnded: (job: OpenJob, run: ItemRun, outcome: ItemRunOutcome) => void;
-    private inFlight: InFlightItem[] = [];
+    private readonly byUpstream = new Map<UpstreamId, InFlightItem[]>();
 
     /** @param opts.onEnded called when a run ends by itself, not when this class ends it */
     constructor(
@@ -49,7 +50,7 @@
             },
         });
         const inFlightItem: InFlightItem = { job, run };
-        this.inFlight.push(inFlightItem);
+        this.byUpstream.set(upstream.id, [...this.at(upstream.id), inFlightItem]);
         this.opts.logger.info("item-started", {
             jobId: job.record.jobId,
             itemId: item.id,
@@ -63,43 +64,33 @@
 
     /** Ends runs whose slots online requests need. */
     preemptForOnline(): void {
-        const nowMs = this.opts.clock.nowMs();
-        const runs = this.inFlight.map(inFlightItem => ({
-            inFlightItem,
-            upstreamId: inFlightItem.run.upstream.id,
-            dueAtMs: inFlightItem.job.record.dueAtMs,
-            startedAtMs: inFlightItem.run.startedAtMs,
-            isLate:
-                nowMs + this.opts.runTimeEstimator.remainingMs(inFlightItem.run.item) > inFlightItem.job.record.dueAtMs,
-        }));
-        [...new Set(this.inFlight.map(inFlightItem => inFlightItem.run.upstream))]
-            .flatMap(upstream => chooseRunsToPreempt(this.candidateOf(upstream), runs))
-            .forEach(({ inFlightItem }) => {
-                this.opts.logger.info("item-displaced", {
-                    jobId: inFlightItem.job.record.jobId,
-                    itemId: inFlightItem.run.item.id,
-                    upstream: inFlightItem.run.upstream.id,
-                    online: this.opts.loadTracker.onlineCount(inFlightItem.run.upstream.id),
-                    events: inFlightItem.run.item.lastEventId,
-                });
-                this.opts.metrics.increment("items_displaced_total");
-                this.end(inFlightItem);
+        [...this.byUpstream.values()].flatMap(inFlight => this.runsToPreempt(inFlight)).forEach(inFlightItem => {
+            const { job, run } = inFlightItem;
+            this.opts.logger.info("item-displaced", {
+                jobId: job.record.jobId,
+                itemId: run.item.id,
+                upstream: run.upstream.id,
+                online: this.opts.loadTracker.onlineCount(run.upstream.id),
+                events: run.item.lastEventId,
             });
+            this.opts.metrics.increment("items_displaced_total");
+            this.end(inFlightItem);
+        });
     }
 
     /** Ends all runs of a job. */
     endJob(job: OpenJob): void {
-        this.inFlight.filter(inFlightItem => inFlightItem.job === job).forEach(inFlightItem => this.end(inFlightItem));
+        this.all().filter(inFlightItem => inFlightItem.job === job).forEach(inFlightItem => this.end(inFlightItem));
     }
 
     /** Ends all runs of this process. */
     endAll(): void {
-        this.inFlight.forEach(inFlightItem => this.end(inFlightItem));
+        this.all().forEach(inFlightItem => this.end(inFlightItem));
     }
 
     /** Returns how many items this process runs at an upstream. */
     countAt(upstream: Upstream): number {
-        return this.inFlight.filter(inFlightItem => inFlightItem.run.upstream.id === upstream.id).length;
+        return this.at(upstream.id).length;
     }
 
     /** Returns the upstream with its current load over all processes. */
@@ -111,20 +102,49 @@
         };
     }
 
+    private all(): InFlightItem[] {
+        return [...this.byUpstream.values()].flat();
+    }
+
+    private at(upstreamId: UpstreamId): InFlightItem[] {
+        return this.byUpstream.get(upstreamId) ?? [];
+    }
+
+    /** Returns the runs to end among those at one upstream, shape [runs]. */
+    private runsToPreempt(inFlight: readonly InFlightItem[]): InFlightItem[] {
+        const candidate = this.candidateOf(inFlight[0]!.run.upstream);
+        if (candidate.online + candidate.batch <= candidate.upstream.slots) {
+            return [];
+        }
+        const nowMs = this.opts.clock.nowMs();
+        const runs = inFlight.map(inFlightItem => {
+            const { job: { record: { dueAtMs } }, run: { item, startedAtMs } } = inFlightItem;
+            const isLate = nowMs + this.opts.runTimeEstimator.remainingMs(item) > dueAtMs;
+            return { inFlightItem, upstreamId: candidate.upstream.id, dueAtMs, startedAtMs, isLate };
+        });
+        return chooseRunsToPreempt(candidate, runs).map(({ inFlightItem }) => inFlightItem);
+    }
+
     private end(inFlightItem: InFlightItem): void {
         inFlightItem.run.abort();
         this.release(inFlightItem);
     }
 
     private release(inFlightItem: InFlightItem): void {
-        if (!this.inFlight.includes(inFlightItem)) {
+        const { upstream, item } = inFlightItem.run;
+        const inFlight = this.at(upstream.id);
+        const others = inFlight.filter(other => other !== inFlightItem);
+        if (others.length === inFlight.length) {
             return;
         }
-        this.inFlight = this.inFlight.filter(other => other !== inFlightItem);
-        this.opts.loadTracker.count(inFlightItem.run.upstream.id, "batch", -1);
+        this.byUpstream.set(upstream.id, others);
+        if (others.length === 0) {
+            this.byUpstream.delete(upstream.id);
+        }
+        this.opts.loadTracker.count(upstream.id, "batch", -1);
         this.opts.onLoadChanged();
-        if (inFlightItem.run.item.state === "running") {
-            inFlightItem.run.item.state = "pending";
+        if (item.state === "running") {
+            item.state = "pending";
         }
     }
 }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -7,9 +7,10 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { applyRunOutcome } from "./applyRunOutcome.js";
 import type { BatchCandidate } from "./batchCandidate.js";
-import { chooseBatchUpstream } from "./chooseBatchUpstream.js";
+import { BatchSlots } from "./batchSlots.js";
 import type { HeldJob } from "./heldJob.js";
 import { InFlightItems } from "./inFlightItems.js";
+import { ItemRoutes } from "./itemRoutes.js";
 import type { ItemRun } from "./itemRun.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
 import { ItemRunTimeEstimator } from "./itemRunTimeEstimator.js";
@@ -26,6 +27,8 @@
 
 /** Interval at which items are dispatched when no event triggers it, in milliseconds. */
 const DISPATCH_INTERVAL_MS = 50;
+/** Time for which triggers are gathered into one dispatch, in milliseconds. Load reports come from every process. */
+const DISPATCH_DELAY_MS = 5;
 /** Pause before stored results are read again after a failure, in milliseconds. */
 const LOAD_RETRY_DELAY_MS = 300;
 /** Time for which a route has to be missing before its items are abandoned, in milliseconds. */
@@ -54,14 +57,16 @@
     /** The open jobs of this process at the time when it last lost leadership. */
     private previousJobs: OpenJob[] = [];
     private dispatchTimer: Timer | undefined;
+    private requestedDispatchTimer: Timer | undefined;
     private checkpointTimer: Timer | undefined;
-    private readonly routeMissingSinceMs = new Map<JobId, number>();
+    private readonly routes: ItemRoutes;
 
     constructor(opts: JobRunnerOptions) {
         this.opts = opts;
         const { leadership } = opts;
         const { table } = this;
         const { runTimeEstimator } = this;
+        this.routes = new ItemRoutes(opts);
         this.inFlightItems = new InFlightItems({
             ...opts,
             runTimeEstimator,
@@ -90,7 +95,7 @@
             onChange: batch => this.apply(batch.puts),
         });
         void this.mirror.run(controller.signal);
-        this.scheduleDispatch();
+        this.schedulePeriodicDispatch();
         this.scheduleCheckpoint();
     }
 
@@ -112,12 +117,13 @@
         this.opts.logger.info("jobs-handed-over", { items });
     }
 
-    /** Ends runs whose slots online requests need, and starts items in free slots. */
-    dispatch(): void {
-        this.inFlightItems.preemptForOnline();
-        // A run is harmless even if another process already is the leader: a result counts only once it is written.
-        if (this.isLoaded && this.opts.leadership.fence() !== undefined) {
-            this.startItems();
+    /** Ends runs whose slots online requests need, and starts items in free slots, within `DISPATCH_DELAY_MS`. */
+    requestDispatch(): void {
+        if (this.leadershipController !== undefined && this.requestedDispatchTimer === undefined) {
+            this.requestedDispatchTimer = this.opts.clock.setTimer(DISPATCH_DELAY_MS, () => {
+                this.requestedDispatchTimer = undefined;
+                this.dispatch();
+            });
         }
     }
 
@@ -130,7 +136,7 @@
     onHeld(job: HeldJob): void {
         if (this.leadershipController !== undefined) {
             this.table.applyHeld(job);
-            this.dispatch();
+            this.requestDispatch();
         }
     }
 
@@ -149,6 +155,8 @@
     private pause(): void {
         this.isLoaded = false;
         this.dispatchTimer?.cancel();
+        this.requestedDispatchTimer?.cancel();
+        this.requestedDispatchTimer = undefined;
         this.checkpointTimer?.cancel();
         this.inFlightItems.endAll();
     }
@@ -169,7 +177,7 @@
                 await new Promise<void>(resolve => this.opts.clock.setTimer(LOAD_RETRY_DELAY_MS, resolve));
             }
         }
-        this.dispatch();
+        this.requestDispatch();
     }
 
     private onLoaded(results: KeyValueEntry[]): void {
@@ -193,14 +201,14 @@
         });
         // The tokens of a job that ended while it was held count as waiting once its delayed write arrives.
         this.table.findEnded(entries).forEach(job => this.cleanup.onEnded(job));
-        this.dispatch();
+        this.requestDispatch();
     }
 
-    private scheduleDispatch(): void {
+    private schedulePeriodicDispatch(): void {
         this.dispatchTimer = this.opts.clock.setTimer(DISPATCH_INTERVAL_MS, () => {
             this.abandonExpired();
             this.dispatch();
-            this.scheduleDispatch();
+            this.schedulePeriodicDispatch();
         });
     }
 
@@ -225,47 +233,41 @@
         await this.cleanup.run();
     }
 
+    private dispatch(): void {
+        this.inFlightItems.preemptForOnline();
+        // A run is harmless even if another process already is the leader: a result counts only once it is written.
+        if (this.isLoaded && this.opts.leadership.fence() !== undefined) {
+            this.startItems();
+        }
+    }
+
     private startItems(): void {
         const nowMs = this.opts.clock.nowMs();
-        const full = new Set<ServiceName>();
+        const slots = new BatchSlots({
+            upstreamsOf: service => this.upstreamsForItems(service),
+            candidateOf: upstream => this.candidateOf(upstream, nowMs),
+        });
         const remainingMs = (item: JobItem) => this.runTimeEstimator.remainingMs(item);
-        orderStartableItems(this.table.all(), { nowMs, remainingMs }).forEach(({ job, item }) => {
-            const service = this.serviceOf(job, item);
-            if (service === undefined || full.has(service)) {
-                return;
+        const hasFreeSlot = (job: OpenJob, item: JobItem) => {
+            const service = this.routes.serviceOf(job, item);
+            return service !== undefined && slots.hasFree(service);
+        };
+        orderStartableItems(this.table.all(), { nowMs, remainingMs, hasFreeSlot }).forEach(({ job, item }) => {
+            const upstream = slots.take(this.routes.serviceOf(job, item)!, item.failedUpstreamIds);
+            if (upstream !== undefined) {
+                this.inFlightItems.start(job, item, upstream);
             }
-            const candidates = this.candidates(service, nowMs);
-            const upstream = chooseBatchUpstream(candidates, item.failedUpstreamIds)?.upstream;
-            if (upstream === undefined) {
-                full.add(service);
-                return;
-            }
-            this.inFlightItems.start(job, item, upstream);
         });
     }
 
-    /** Returns the upstreams that may run more items. There are none while an online request of the service waits. */
-    private candidates(service: ServiceName, nowMs: number): BatchCandidate[] {
-        if (this.opts.loadTracker.waitingAtPeers(service) > 0) {
-            return [];
-        }
-        return this.opts.directory
-            .ready(service)
-            .filter(upstream => this.opts.health.isUsable(upstream.id, nowMs, this.inFlightItems.countAt(upstream)))
-            .map(upstream => this.inFlightItems.candidateOf(upstream));
+    /** Returns the upstreams that may run items. There are none while an online request of the service waits. */
+    private upstreamsForItems(service: ServiceName): Upstream[] {
+        return this.opts.loadTracker.waitingAtPeers(service) > 0 ? [] : this.opts.directory.ready(service);
     }
 
-    private serviceOf(job: OpenJob, item: JobItem): ServiceName | undefined {
-        const path = item.record.path.split("?", 1)[0]!;
-        const route = this.opts.configuration.match(job.record.host, path);
-        if (route?.kind === "batch") {
-            this.routeMissingSinceMs.delete(job.record.jobId);
-            return route.services[0]?.service;
-        }
-        if (this.opts.configuration.current !== undefined && !this.routeMissingSinceMs.has(job.record.jobId)) {
-            this.routeMissingSinceMs.set(job.record.jobId, this.opts.clock.nowMs());
-        }
-        return undefined;
+    private candidateOf(upstream: Upstream, nowMs: number): BatchCandidate | undefined {
+        const isUsable = this.opts.health.isUsable(upstream.id, nowMs, this.inFlightItems.countAt(upstream));
+        return isUsable ? this.inFlightItems.candidateOf(upstream) : undefined;
     }
 
     private onRunEnded(job: OpenJob, run: ItemRun, outcome: ItemRunOutcome): void {
@@ -288,7 +290,7 @@
         if (decision !== "retry") {
             this.finish(job, item, decision);
         }
-        this.dispatch();
+        this.requestDispatch();
     }
 
     private recordUpstreamHealth(upstream: Upstream, outcome: ItemRunOutcome, nowMs: number): void {
@@ -326,7 +328,7 @@
     private abandonExpired(): void {
         const nowMs = this.opts.clock.nowMs();
         this.table.all().filter(job => !job.isEnded).forEach(job => {
-            const missingSinceMs = this.routeMissingSinceMs.get(job.record.jobId) ?? Infinity;
+            const missingSinceMs = this.routes.missingSinceMs(job.record.jobId);
             if (nowMs > job.record.expiresAtMs || nowMs > missingSinceMs + ROUTE_MISSING_TIMEOUT_MS) {
                 job.items.filter(item => item.state === "pending").forEach(item => this.finish(job, item, "given-up"));
             }
@@ -335,7 +337,7 @@
 
     private onResultsStored(job: OpenJob): void {
         if (job.isEnded) {
-            this.routeMissingSinceMs.delete(job.record.jobId);
+            this.routes.forget(job.record.jobId);
             this.cleanup.onEnded(job);
         }
     }
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -3,7 +3,7 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
-import type { Leadership } from "@knapweedwood/fleet.sync/leadership";
+import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
@@ -19,7 +19,7 @@
     random: Random;
     logger: Logger;
     metrics: Metrics;
-    leadership: Leadership;
+    leadership: FencedLeadership;
     configuration: ActiveConfiguration;
     directory: UpstreamDirectory;
     connections: UpstreamConnections;
--- a/fleet/jobs/src/orderStartableItems.ts
+++ b/fleet/jobs/src/orderStartableItems.ts
@@ -17,12 +17,21 @@
  */
 export function orderStartableItems(
     jobs: readonly OpenJob[],
-    opts: { nowMs: number; remainingMs: (item: JobItem) => number; },
+    opts: {
+        nowMs: number;
+        remainingMs: (item: JobItem) => number;
+        /** Whether a slot is free for the item. */
+        hasFreeSlot: (job: OpenJob, item: JobItem) => boolean;
+    },
 ): StartableItem[] {
     return jobs
         .filter(job => !job.isEnded && job.isLoaded)
-        .flatMap(job => job.items.map(item => ({ job, item })))
-        .filter(({ item }) => item.state === "pending" && item.notBeforeMs <= opts.nowMs)
+        .flatMap(job =>
+            job.items
+                .filter(item => item.state === "pending" && item.notBeforeMs <= opts.nowMs)
+                .filter(item => opts.hasFreeSlot(job, item))
+                .map(item => ({ job, item }))
+        )
         .map(waiting => ({
             ...waiting,
             isLate: opts.nowMs + opts.remainingMs(waiting.item) > waiting.job.record.dueAtMs,
--- a/fleet/jobs/test/batchChoices.test.ts
+++ b/fleet/jobs/test/batchChoices.test.ts
@@ -63,7 +63,9 @@
         new OpenJob(createJobRecord({ id: "near", itemCount: 2, dueAtMs: 2000 })),
     ];
     jobs[2]!.items[1]!.lastEventId = 3;
-    const order = orderStartableItems(jobs, { nowMs: 1000, remainingMs: () => 0 }).map(({ item }) => item.id);
+    const order = orderStartableItems(jobs, { nowMs: 1000, remainingMs: () => 0, hasFreeSlot: () => true }).map((
+        { item },
+    ) => item.id);
     assert.deepEqual(order, ["near-1", "near-0", "far-0", "late-0"]);
 });
 
@@ -78,7 +80,11 @@
         new OpenJob(createJobRecord({ id: "far", itemCount: 1, dueAtMs: 9000 })),
     ];
     jobs[1]!.items[0]!.lastEventId = 60;
-    const order = orderStartableItems(jobs, { nowMs: 1000, remainingMs: remainingOfFiveSecondItem });
+    const order = orderStartableItems(jobs, {
+        nowMs: 1000,
+        remainingMs: remainingOfFiveSecondItem,
+        hasFreeSlot: () => true,
+    });
     assert.deepEqual(order.map(({ item }) => item.id), ["started-0", "near-0", "far-0", "too-late-0"]);
 });
 
@@ -99,7 +105,7 @@
             inTime += run.endMs <= run.dueAtMs ? 1 : 0;
         });
         const free = slots - running.filter(run => run.item.state === "running").length;
-        orderStartableItems(jobs, { nowMs, remainingMs }).slice(0, free).forEach(one => {
+        orderStartableItems(jobs, { nowMs, remainingMs, hasFreeSlot: () => true }).slice(0, free).forEach(one => {
             one.item.state = "running";
             running.push({ item: one.item, endMs: nowMs + runMs, dueAtMs: one.job.record.dueAtMs });
         });
--- a/fleet/load/src/loadTracker.ts
+++ b/fleet/load/src/loadTracker.ts
@@ -16,7 +16,9 @@
 export class LoadTracker {
     private readonly own = new Map<UpstreamId, UpstreamCount>();
     private readonly reports = new Map<InstanceName, ReceivedReport>();
+    /** Sums over the valid reports, kept up to date by differences: reports arrive far more often than they expire. */
     private readonly peerCounts = new Map<UpstreamId, UpstreamCount>();
+    private readonly waitingCounts = new Map<ServiceName, number>();
 
     /** Adds a request of this process at an upstream; a `change` of -1 removes it. */
     count(upstreamId: UpstreamId, kind: "online" | "batch", change: 1 | -1): void {
@@ -39,17 +41,21 @@
             return false;
         }
         this.reports.set(report.instanceName, { report, atMs: nowMs });
-        this.sumPeerCounts();
+        this.addToSums(report, 1);
+        if (previous !== undefined) {
+            this.addToSums(previous, -1);
+        }
         return true;
     }
 
     /** Drops reports that are no longer valid. */
     expire(nowMs: number): void {
-        const stale = [...this.reports].filter(([, received]) => received.atMs + REPORT_VALID_MS < nowMs);
-        stale.forEach(([name]) => this.reports.delete(name));
-        if (stale.length > 0) {
-            this.sumPeerCounts();
-        }
+        [...this.reports]
+            .filter(([, received]) => received.atMs + REPORT_VALID_MS < nowMs)
+            .forEach(([name, { report }]) => {
+                this.reports.delete(name);
+                this.addToSums(report, -1);
+            });
     }
 
     /** Returns the number of online requests at an upstream over all processes. */
@@ -74,10 +80,7 @@
 
     /** Returns the number of online requests of a service that are queued at peers. */
     waitingAtPeers(service: ServiceName): number {
-        return [...this.reports.values()]
-            .flatMap(received => received.report.waiting)
-            .filter(waiting => waiting.service === service)
-            .reduce((sum, waiting) => sum + waiting.count, 0);
+        return this.waitingCounts.get(service) ?? 0;
     }
 
     /** Returns whether any peer reports that it can reach the key-value service. */
@@ -85,14 +88,30 @@
         return [...this.reports.values()].some(received => received.report.isKeyValueReachable);
     }
 
-    private sumPeerCounts(): void {
-        this.peerCounts.clear();
-        [...this.reports.values()].flatMap(received => received.report.counts).forEach(count => {
-            const sum = this.peerCounts.get(count.upstreamId) ?? { upstreamId: count.upstreamId, online: 0, batch: 0 };
-            sum.online += count.online;
-            sum.batch += count.batch;
-            this.peerCounts.set(count.upstreamId, sum);
-        });
+    /** Adds the load of a report to the sums; a `sign` of -1 subtracts it. */
+    private addToSums(report: LoadReport, sign: 1 | -1): void {
+        report.counts.forEach(({ upstreamId, online, batch }) =>
+            this.addCount(upstreamId, sign * online, sign * batch)
+        );
+        report.waiting.forEach(({ service, count }) => this.addWaiting(service, sign * count));
+    }
+
+    private addCount(upstreamId: UpstreamId, online: number, batch: number): void {
+        const sum = this.peerCounts.get(upstreamId) ?? { upstreamId, online: 0, batch: 0 };
+        sum.online += online;
+        sum.batch += batch;
+        this.peerCounts.set(upstreamId, sum);
+        if (sum.online === 0 && sum.batch === 0) {
+            this.peerCounts.delete(upstreamId);
+        }
+    }
+
+    private addWaiting(service: ServiceName, change: number): void {
+        const count = (this.waitingCounts.get(service) ?? 0) + change;
+        this.waitingCounts.set(service, count);
+        if (count === 0) {
+            this.waitingCounts.delete(service);
+        }
     }
 }
 
