feat(jobs): a gateway reads results from the key-value service while the leader can't be reached

Change: FallbackJobReader asks the leader first and then StoredJobReader, which reads record and results by two calls and never says that a job doesn't exist (it may be held on disks only). Tests: storedJobReader.test.ts, fallbackJobReader.test.ts.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -1,10 +1,12 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import { FallbackJobReader } from "@knapweedwood/fleet.gateway/fallbackJobReader";
 import type { GatewayContext } from "@knapweedwood/fleet.gateway/gatewayContext";
 import { GatewayServer } from "@knapweedwood/fleet.gateway/gatewayServer";
 import { JobRoutes } from "@knapweedwood/fleet.gateway/jobRoutes";
 import { ReadinessServer } from "@knapweedwood/fleet.gateway/readinessServer";
 import { JobAcceptor } from "@knapweedwood/fleet.jobs/jobAcceptor";
+import { StoredJobReader } from "@knapweedwood/fleet.jobs/storedJobReader";
 import { connectionShareOf } from "@knapweedwood/fleet.load/connectionShareOf";
 import { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
 import { LeastLoadedPlacement } from "@knapweedwood/fleet.load/leastLoadedPlacement";
@@ -98,9 +100,13 @@
                 }),
                 areHeldJobsWritten: () => this.fleet.areHeldJobsWritten,
             }),
-            reader: new LinkJobReader({
-                endpoint: this.fleet.links,
-                leader: () => this.fleet.peers.leaderAddress(),
+            reader: new FallbackJobReader({
+                logger,
+                leader: new LinkJobReader({
+                    endpoint: this.fleet.links,
+                    leader: () => this.fleet.peers.leaderAddress(),
+                }),
+                stored: new StoredJobReader({ service: this.fleet.keyValueService }),
             }),
             onAccepted: revision => this.fleet.markJobsWritten(revision),
         });
--- a/fleet/jobs/src/jobKeys.ts
+++ b/fleet/jobs/src/jobKeys.ts
@@ -17,6 +17,8 @@
     cancellation: (jobId: JobId) => `${JOBS_PREFIX}${jobId}/cancelled`,
     /** All results and progress of one job. */
     jobResultsPrefix: (jobId: JobId) => `${RESULTS_PREFIX}${jobId}/`,
+    /** All results of one job, without progress. */
+    resultsOnlyPrefix: (jobId: JobId) => `${RESULTS_PREFIX}${jobId}/at/`,
     result: (jobId: JobId, position: number) =>
         `${RESULTS_PREFIX}${jobId}/at/${String(position).padStart(POSITION_DIGITS, "0")}`,
     progress: (jobId: JobId, itemIndex: number) => `${RESULTS_PREFIX}${jobId}/progress/${itemIndex}`,
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -1,4 +1,5 @@
 import type { ItemId } from "@knapweedwood/core.ids/itemId";
+import { cutResultsPage } from "./cutResultsPage.js";
 import type { ItemProgress } from "./itemProgress.js";
 import type { ItemResult } from "./itemResult.js";
 import type { JobItem } from "./jobItem.js";
@@ -6,9 +7,6 @@
 import { pickProgress } from "./pickProgress.js";
 import type { ResultsPage } from "./resultsPage.js";
 
-/** Maximum total output of one page, in characters. A single larger result still gets a page. */
-const MAX_PAGE_LENGTH = 600_000;
-
 /** A job that this process runs or whose results it serves. Keeps the state of its items. */
 export class OpenJob {
     readonly record: JobRecord;
@@ -97,12 +95,7 @@
 
     /** Returns the results from position `after` on, as many as fit in a page. */
     page(after: number): ResultsPage {
-        let length = 0;
-        const results = this.storedResults.slice(after).filter((result, index) => {
-            length += result.output.length;
-            return index === 0 || length <= MAX_PAGE_LENGTH;
-        });
-        return { total: this.items.length, results, next: after + results.length };
+        return cutResultsPage(this.storedResults.slice(after), { total: this.items.length, after });
     }
 
     /** Calls `wake` once, at the next result. Returns a function that removes the subscription. */
