fix(jobs): held jobs stay within the limit of their route while the leader changes

Where the leader didn't answer, gateways wrote the job by the stored count, which lacks what is held. Change: HoldAdmission states who counts. Only the leader approves jobs of a route with a limit; a new one first collects the held jobs of all runners but as many as may be lost, and by answering these promise to hold nothing more that an earlier leader approves. While held jobs may be unwritten, a gateway no longer falls back to the stored count: it answers 503, or 504 where a copy may exist. Cancelling reports its revision as accepting does, and isn't acknowledged while its outcome is unknown. One check of jobAcceptor.test.ts was wrong: it wanted a job that no disk holds to be written by the stored count while that is too low; it now wants a refusal and no write.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -108,7 +108,7 @@
                 }),
                 stored: new StoredJobReader({ service: this.fleet.keyValueService }),
             }),
-            onAccepted: revision => this.fleet.markJobsWritten(revision),
+            onJobWritten: revision => this.fleet.markJobsWritten(revision),
         });
         this.server = new GatewayServer({ context, protocol, jobs });
         this.readiness = new ReadinessServer({
--- a/daemons/fleet/src/linkJobHolder.ts
+++ b/daemons/fleet/src/linkJobHolder.ts
@@ -1,18 +1,21 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
-import { sleep } from "@knapweedwood/core.clock/sleep";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { rendezvousRank } from "@knapweedwood/core.hashing/rendezvousRank";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
 import { holdJobCall } from "@knapweedwood/fleet.jobs/holdJobCall";
 import type { HoldOutcome } from "@knapweedwood/fleet.jobs/holdOutcome";
 import type { HoldRequest } from "@knapweedwood/fleet.jobs/holdRequest";
+import type { HoldResponse } from "@knapweedwood/fleet.jobs/holdResponse";
 import type { JobHolder } from "@knapweedwood/fleet.jobs/jobHolder";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import { singleFrame } from "@knapweedwood/links.calls/singleFrame";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { CopyCollector } from "./copyCollector.js";
 
 const CALL_TIMEOUT_MS = 1000;
-/** Time for which the leader may reject a job over the limit before other runners are called, in milliseconds. */
-const LEADER_WAIT_MS = 120;
+/** Time after which one runner more is asked than copies are missing, in milliseconds. */
+const HEDGE_DELAY_MS = 120;
 
 interface LinkJobHolderOptions {
     endpoint: LinkEndpoint;
@@ -26,7 +29,7 @@
     copies: () => number;
 }
 
-/** Holds jobs on the disks of the runners, over links. */
+/** Holds jobs on the disks of the leader and of a few other runners, chosen by rendezvous rank, over links. */
 export class LinkJobHolder implements JobHolder {
     private readonly opts: LinkJobHolderOptions;
 
@@ -35,44 +38,50 @@
     }
 
     async hold(request: HoldRequest): Promise<HoldOutcome> {
+        return request.job.maxWaitingTokens === undefined
+            ? this.holdAtRunners(request, this.askLeader(request))
+            : this.holdApproved(request);
+    }
+
+    /** Holds a job of a route with a limit, which the leader has to approve before other runners make copies. */
+    private async holdApproved(request: HoldRequest): Promise<HoldOutcome> {
+        const response = await this.askLeader(request);
+        const { approvedBy } = response;
+        return response.outcome !== "held" || approvedBy === undefined
+            ? response.outcome
+            : this.holdAtRunners({ ...request, approvedBy }, Promise.resolve(response));
+    }
+
+    private async holdAtRunners(request: HoldRequest, leader: Promise<HoldResponse>): Promise<HoldOutcome> {
+        const { clock } = this.opts;
+        const collector = new CopyCollector({
+            copies: this.opts.copies(),
+            runners: this.rankOthers(request.job.record.jobId),
+            askRunner: async runner => (await this.askRunner(runner, request)).outcome,
+        });
+        const hedgeTimer = clock.setTimer(HEDGE_DELAY_MS, () => collector.hedge());
+        const outcome = await collector.collect([leader.then(response => response.outcome)]);
+        hedgeTimer.cancel();
+        return outcome;
+    }
+
+    /** Returns the runners without the leader, in the order in which they are asked to hold the job. */
+    private rankOthers(jobId: JobId): HostPort[] {
         const leader = this.opts.leader();
-        const leaderOutcome = leader === undefined ? undefined : this.holdAt(leader, request);
-        const first = await Promise.race([leaderOutcome, sleep(this.opts.clock, LEADER_WAIT_MS)]);
-        if (first === "over-limit") {
-            return first;
-        }
         const others = this.opts.runners().filter(runner => !isSameAddress(runner, leader));
-        return this.combineOutcomes([
-            ...leaderOutcome === undefined ? [] : [leaderOutcome],
-            ...others.map(runner => this.holdAt(runner, request)),
-        ]);
+        const byAddress = new Map(others.map(runner => [`${runner.host}:${runner.port}`, runner]));
+        return rendezvousRank(jobId, [...byAddress.keys()]).map(address => byAddress.get(address)!);
     }
 
-    /** Resolves once there are enough copies or all runners have responded. */
-    private combineOutcomes(pending: readonly Promise<HoldOutcome>[]): Promise<HoldOutcome> {
-        return new Promise(resolve => {
-            const outcomes: HoldOutcome[] = [];
-            const add = (outcome: HoldOutcome) => {
-                outcomes.push(outcome);
-                if (outcomes.filter(other => other === "held").length >= this.opts.copies()) {
-                    resolve("held");
-                }
-                else if (outcomes.length === pending.length) {
-                    resolve(outcomes.some(other => other === "held" || other === "unknown") ? "unknown" : "not-held");
-                }
-            };
-            if (pending.length === 0) {
-                resolve("not-held");
-            }
-            pending.forEach(promise => void promise.then(add));
-        });
+    private async askLeader(request: HoldRequest): Promise<HoldResponse> {
+        const leader = this.opts.leader();
+        return leader === undefined ? { outcome: "not-held" } : this.askRunner(leader, request);
     }
 
-    private async holdAt(runner: HostPort, request: HoldRequest): Promise<HoldOutcome> {
+    private async askRunner(runner: HostPort, request: HoldRequest): Promise<HoldResponse> {
         try {
             const link = this.opts.endpoint.connect(`${runner.host}:${runner.port}`);
-            const frame = await singleFrame(link.call(holdJobCall, request, { timeoutMs: CALL_TIMEOUT_MS }));
-            return frame.outcome;
+            return await singleFrame(link.call(holdJobCall, request, { timeoutMs: CALL_TIMEOUT_MS }));
         }
         catch (thrown) {
             const error = toKnapweedError(thrown);
@@ -82,7 +91,7 @@
                 code: error.code,
                 outcome: error.outcome,
             });
-            return error.outcome === "not-run" ? "not-held" : "unknown";
+            return { outcome: error.outcome === "not-run" ? "not-held" : "unknown" };
         }
     }
 }
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -94,6 +94,11 @@
         return this.list().filter(member => member.role === "runner").map(toLinkAddress);
     }
 
+    /** Returns the addresses on which the runners without this process accept links, shape [runners]. */
+    otherRunners(): HostPort[] {
+        return this.others().filter(member => member.role === "runner").map(toLinkAddress);
+    }
+
     /** Returns the address on which the leader accepts links; undefined if there is no known leader. */
     leaderAddress(): HostPort | undefined {
         const leader = this.leadership.leader;
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -2,11 +2,13 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { collectHeldCall } from "@knapweedwood/fleet.jobs/collectHeldCall";
 import { countJobTokens } from "@knapweedwood/fleet.jobs/countJobTokens";
 import { HeldJobs } from "@knapweedwood/fleet.jobs/heldJobs";
+import { HoldAdmission } from "@knapweedwood/fleet.jobs/holdAdmission";
 import { holdJobCall } from "@knapweedwood/fleet.jobs/holdJobCall";
-import type { HoldOutcome } from "@knapweedwood/fleet.jobs/holdOutcome";
 import type { HoldRequest } from "@knapweedwood/fleet.jobs/holdRequest";
+import type { HoldResponse } from "@knapweedwood/fleet.jobs/holdResponse";
 import { itemBodyCall } from "@knapweedwood/fleet.jobs/itemBodyCall";
 import { JobRunner } from "@knapweedwood/fleet.jobs/jobRunner";
 import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
@@ -15,6 +17,7 @@
 import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
 import type { ActiveSettings } from "./activeSettings.js";
 import { FleetProcess } from "./fleetProcess.js";
+import { HeldJobsCollector } from "./heldJobsCollector.js";
 
 const RETRY_DELAY_MS = 200;
 
@@ -28,6 +31,8 @@
     private readonly fleet: FleetProcess;
     private readonly runner: JobRunner;
     private readonly held: HeldJobs;
+    private readonly holdAdmission = new HoldAdmission();
+    private readonly collector: HeldJobsCollector;
     private readonly closing = new AbortController();
     private isDraining = false;
 
@@ -49,11 +54,18 @@
             onDrainRequested: () => void this.drain(),
             onLeadershipChanged: isLeading => isLeading ? this.runner.start() : this.runner.stop(),
         });
+        this.collector = new HeldJobsCollector({
+            endpoint: this.fleet.links,
+            logger,
+            otherRunners: () => this.fleet.peers.otherRunners(),
+            tolerableLosses: () => activeSettings.current.tolerableLosses,
+        });
         this.held = new HeldJobs({
             ...this.sharedOptions(),
             logger,
             segments: new FolderSegmentStore({ dataFolder: settings.dataFolder }),
             onHeld: job => this.runner.onHeld(job),
+            isLeading: () => this.fleet.peers.leadership.isLeading(),
         });
         this.runner = new JobRunner({
             ...this.sharedOptions(),
@@ -62,6 +74,7 @@
             resultRetentionMs: () => activeSettings.current.resultRetentionMs,
             onLoadChanged: () => this.fleet.markLoadChanged(),
             heldJobs: () => this.held.all(),
+            collectHeldJobs: fencingNumber => this.collector.collect(fencingNumber),
         });
         this.handleCalls();
     }
@@ -137,27 +150,38 @@
             const body = await runner.reader.itemBody(request.jobId, request.itemId);
             yield body === undefined ? {} : { body };
         });
+        const { held, holdAdmission } = this;
+        this.fleet.links.handle(collectHeldCall, async function*({ fencingNumber }) {
+            holdAdmission.promise(fencingNumber);
+            yield* held.all().map(job => ({ job }));
+        });
         const holdJob = (request: HoldRequest) => this.holdJob(request);
         this.fleet.links.handle(holdJobCall, async function*(request) {
-            yield { outcome: await holdJob(request) };
+            yield await holdJob(request);
         });
     }
 
-    private async holdJob({ job, storedTokens }: HoldRequest): Promise<HoldOutcome> {
-        const { record, maxWaitingTokens = Infinity } = job;
+    private async holdJob({ job, approvedBy }: HoldRequest): Promise<HoldResponse> {
+        const { record, maxWaitingTokens } = job;
         const { routeName, jobId } = record;
-        const waitingTokens = this.runner.waitingTokens(routeName, jobId)
-            ?? storedTokens + this.held.waitingTokens(routeName, jobId);
-        if (this.isDraining) {
-            return "not-held";
+        const leaderCount = this.runner.leaderCount(routeName, jobId);
+        const decision = this.holdAdmission.decide({
+            tokens: countJobTokens(record),
+            maxWaitingTokens,
+            isKnown: this.runner.has(jobId) || this.held.has(jobId),
+            approvedBy,
+            newestLeader: this.fleet.peers.leadership.leader?.fencingNumber ?? 0,
+            leaderCount,
+        });
+        if (this.isDraining || decision.kind === "reject") {
+            return { outcome: "not-held" };
         }
-        const isAccepted = this.runner.has(jobId) || this.held.has(jobId);
-        if (!isAccepted && waitingTokens + countJobTokens(record) > maxWaitingTokens) {
-            this.logger.info("job-over-limit", { jobId, waitingTokens, maxWaitingTokens });
-            return "over-limit";
+        if (decision.kind === "over-limit") {
+            this.logger.info("job-over-limit", { jobId, maxWaitingTokens, ...leaderCount });
+            return { outcome: "over-limit" };
         }
         await this.held.hold(job);
-        return "held";
+        return { outcome: "held", ...decision.approvedBy === undefined ? {} : { approvedBy: decision.approvedBy } };
     }
 
     private sharedOptions() {
--- a/fleet/gateway/src/jobRoutes.ts
+++ b/fleet/gateway/src/jobRoutes.ts
@@ -19,16 +19,16 @@
         protocol: CallerProtocol;
         acceptor: JobAcceptor;
         reader: RemoteJobReader;
-        onAccepted: (revision: number) => void;
+        onJobWritten: (revision: number) => void;
     };
 
-    /** @param opts.onAccepted called with the revision at which a job was written; 0 if it is held on disks */
+    /** @param opts.onJobWritten called with the revision at which a job was written or cancelled; 0 if there is none */
     constructor(opts: {
         logger: Logger;
         protocol: CallerProtocol;
         acceptor: JobAcceptor;
         reader: RemoteJobReader;
-        onAccepted: (revision: number) => void;
+        onJobWritten: (revision: number) => void;
     }) {
         this.opts = opts;
     }
@@ -73,8 +73,9 @@
                 return;
             }
             case "cancel": {
-                const exists = await this.opts.acceptor.cancel(call.jobId);
-                this.send(response, exists ? "{}" : undefined);
+                const revision = await this.opts.acceptor.cancel(call.jobId);
+                this.opts.onJobWritten(revision ?? 0);
+                this.send(response, revision === undefined ? undefined : "{}");
             }
         }
     }
@@ -91,7 +92,7 @@
     private sendAcceptance(acceptance: Acceptance, response: ServerResponse): void {
         switch (acceptance.kind) {
             case "accepted":
-                this.opts.onAccepted(acceptance.revision);
+                this.opts.onJobWritten(acceptance.revision);
                 response.writeHead(202, { "content-type": "application/json", "content-length": 2 });
                 response.end("{}");
                 return;
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -10,13 +10,14 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { Packr } from "msgpackr";
-import { countJobTokens } from "./countJobTokens.js";
 import type { HeldJob } from "./heldJob.js";
 import { jobKeys } from "./jobKeys.js";
 import { planJobWrite } from "./planJobWrite.js";
 
 /** Minimum pause between attempts to write held jobs to the key-value service, in milliseconds. */
 const WRITE_INTERVAL_MS = 250;
+/** Time that the leader has to write a job before another runner does, in milliseconds. */
+const LEADER_WRITE_MS = 1500;
 /** Attempts to write one job while other writes change the waiting tokens of its route. */
 const MAX_CONFLICTS = 8;
 
@@ -28,6 +29,8 @@
     logger: Logger;
     /** Called with each held job, so that it can run before it is written. */
     onHeld: (job: HeldJob) => void;
+    /** Whether this process leads. The leader writes held jobs first, so that the runners don't contend. */
+    isLeading: () => boolean;
 }
 
 /** The jobs held on this instance's disk until they are written to the key-value service. */
@@ -36,6 +39,8 @@
     private readonly packr = new Packr({ useRecords: false });
     private readonly jobs = new Map<SegmentDigest, HeldJob>();
     private pendingHolds = 0;
+    /** Time at which the key-value service first answered since it last failed, on the clock; undefined while it fails. */
+    private reachableSinceMs: number | undefined;
 
     constructor(opts: HeldJobsOptions) {
         this.opts = opts;
@@ -54,13 +59,6 @@
         return this.all().some(job => job.record.jobId === jobId);
     }
 
-    /** Returns the tokens of all jobs of a route held here, without those of `exceptJobId`. */
-    waitingTokens(routeName: string, exceptJobId: JobId): number {
-        return this.all()
-            .filter(({ record }) => record.routeName === routeName && record.jobId !== exceptJobId)
-            .reduce((sum, { record }) => sum + countJobTokens(record), 0);
-    }
-
     /**
      * Loads jobs held by an earlier start of the process, then writes held jobs until `signal` is aborted. Rejects if
      * the disk can't be read.
@@ -104,32 +102,45 @@
     private async writeAll(): Promise<void> {
         for (const [digest, job] of this.jobs) {
             try {
-                await this.write(job);
-                await this.opts.segments.remove(digest);
-                this.jobs.delete(digest);
-                this.opts.logger.info("held-job-written", { jobId: job.record.jobId });
+                if (await this.isStored(job) || await this.write(job)) {
+                    await this.opts.segments.remove(digest);
+                    this.jobs.delete(digest);
+                }
             }
             catch (thrown) {
                 const error = toKnapweedError(thrown);
                 this.opts.logger.debug("held-job-kept", { jobId: job.record.jobId, code: error.code });
+                this.reachableSinceMs = undefined;
                 return;
             }
         }
     }
 
-    /** Writes the job unless it is already stored. Rejects if the outcome is uncertain. */
-    private async write(job: HeldJob): Promise<void> {
+    private async isStored(job: HeldJob): Promise<boolean> {
+        const record = await this.opts.service.get(jobKeys.record(job.record.jobId));
+        this.reachableSinceMs ??= this.opts.clock.nowMs();
+        return record !== undefined;
+    }
+
+    /**
+     * Writes a job that isn't stored yet. Rejects if the outcome is uncertain.
+     *
+     * @returns false if the leader still has time to write it
+     */
+    private async write(job: HeldJob): Promise<boolean> {
         const { service, clock } = this.opts;
+        const leaderEndsAtMs = (this.reachableSinceMs ?? Infinity) + LEADER_WRITE_MS;
+        if (!this.opts.isLeading() && clock.nowMs() < leaderEndsAtMs) {
+            return false;
+        }
         const recordKey = jobKeys.record(job.record.jobId);
         for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts += 1) {
-            if (await service.get(recordKey) !== undefined) {
-                return;
-            }
             const waitingTokensEntry = await service.get(jobKeys.waitingTokens(job.record.routeName));
             const { compares, operations } = planJobWrite(job, waitingTokensEntry);
             const result = await settleTransaction({ service, clock, compares, operations, witnessKey: recordKey });
-            if (result.kind === "succeeded") {
-                return;
+            if (result.kind === "succeeded" || await this.isStored(job)) {
+                this.opts.logger.info("held-job-written", { jobId: job.record.jobId });
+                return true;
             }
         }
         throw new KnapweedError("JOB_UNSETTLED", "Every attempt to store the job conflicted with another write", {
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -1,4 +1,3 @@
-import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
@@ -20,7 +19,6 @@
 import type { JobSubmission } from "./jobSubmission.js";
 import { PART_BYTES } from "./partBytes.js";
 import { planJobWrite } from "./planJobWrite.js";
-import type { WaitingTokens } from "./waitingTokens.js";
 
 const MAX_CONFLICTS = 6;
 const DEFAULT_DUE_MS = 60_000;
@@ -65,43 +63,56 @@
     }
 
     /**
-     * Cancels a job. Returns whether the job exists. Rejects if that is uncertain: with `JOBS_NOT_SETTLED` if it may be
-     * a held job that is not written yet, otherwise with the error of the key-value service.
+     * Cancels a job. Rejects with `JOBS_NOT_SETTLED` if the job may be a held one that is not written yet, with
+     * `JOB_UNSETTLED` if it is uncertain whether it is cancelled, otherwise with the error of the key-value service.
+     *
+     * @returns the revision at which it was cancelled; undefined if there is no such job
      */
-    async cancel(jobId: JobId): Promise<boolean> {
+    async cancel(jobId: JobId): Promise<number | undefined> {
         const record = await this.service.get(jobKeys.record(jobId));
         if (record === undefined && !this.areHeldJobsWritten()) {
             throw new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet");
         }
         if (record === undefined) {
-            return false;
+            return undefined;
         }
-        await settleTransaction({
+        const key = jobKeys.cancellation(jobId);
+        const result = await settleTransaction({
             service: this.service,
             clock: this.clock,
-            compares: [{ key: jobKeys.cancellation(jobId), modRevision: 0 }],
-            operations: [{ kind: "put", key: jobKeys.cancellation(jobId), value: encodeRecord({ cancelled: true }) }],
-            witnessKey: jobKeys.cancellation(jobId),
+            compares: [{ key, modRevision: 0 }],
+            operations: [{ kind: "put", key, value: encodeRecord({ cancelled: true }) }],
+            witnessKey: key,
         });
+        if (result.kind === "unknown") {
+            throw new KnapweedError("JOB_UNSETTLED", "It is not known whether the job is cancelled", {
+                outcome: "unknown",
+            });
+        }
         this.logger.info("job-cancelled", { jobId });
-        return true;
+        return result.kind === "succeeded" ? result.revision : result.current[0]?.modRevision;
     }
 
     /**
-     * While jobs held during an outage are still being written, the stored count of waiting tokens is too low. Then the
-     * job is held first, because the leader has the complete count.
+     * While jobs held during an outage are still being written, the stored count of waiting tokens is too low. Then a job
+     * of a route with a limit is only held, because the leader has the complete count.
      */
     private async writeOrHold(route: Route, submission: JobSubmission): Promise<Acceptance> {
-        const isCountUncertain = route.maxWaitingTokens !== undefined && !this.areHeldJobsWritten();
-        const held = isCountUncertain ? await this.hold(route, submission) : "not-held";
+        if (route.maxWaitingTokens === undefined || this.areHeldJobsWritten()) {
+            return this.writeThenHold(route, submission);
+        }
+        const held = await this.hold(route, submission);
         switch (held) {
             case "held":
                 return { kind: "accepted", revision: 0 };
-            case "over-limit":
-                return await this.findAccepted(submission.jobId)
-                    ?? { kind: "refused", reason: "over-limit", retryAfterMs: RETRY_AFTER_MS };
+            case "unknown":
+                return { kind: "unknown" };
             default:
-                return mergeHoldOutcome(await this.writeThenHold(route, submission), held);
+                return await this.findAccepted(submission.jobId) ?? {
+                    kind: "refused",
+                    reason: held === "over-limit" ? "over-limit" : "store-away",
+                    retryAfterMs: RETRY_AFTER_MS,
+                };
         }
     }
 
@@ -129,12 +140,7 @@
     }
 
     private hold(route: Route, submission: JobSubmission): Promise<HoldOutcome> {
-        const cachedEntry = this.waitingTokensEntries.get(route.name);
-        const stored = cachedEntry === undefined ? [] : decodeRecord<WaitingTokens>(cachedEntry.value).jobs;
-        const storedTokens = stored
-            .filter(job => job.jobId !== submission.jobId)
-            .reduce((sum, job) => sum + job.tokens, 0);
-        return this.holder.hold({ job: this.toJob(route, submission), storedTokens });
+        return this.holder.hold({ job: this.toJob(route, submission) });
     }
 
     private async tryWrite(route: Route, submission: JobSubmission): Promise<Acceptance> {
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -1,3 +1,4 @@
+import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
@@ -20,6 +21,7 @@
 import { JobReader } from "./jobReader.js";
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
 import { JobTable } from "./jobTable.js";
+import type { LeaderCount } from "./leaderCount.js";
 import type { OpenJob } from "./openJob.js";
 import { orderStartableItems } from "./orderStartableItems.js";
 import { ProgressWriter } from "./progressWriter.js";
@@ -29,7 +31,7 @@
 const DISPATCH_INTERVAL_MS = 50;
 /** Time for which triggers are gathered into one dispatch, in milliseconds. Load reports come from every process. */
 const DISPATCH_DELAY_MS = 5;
-/** Pause before stored results are read again after a failure, in milliseconds. */
+/** Pause before stored results are read, or held jobs collected, again after a failure, in milliseconds. */
 const LOAD_RETRY_DELAY_MS = 300;
 /** Time for which a route has to be missing before its items are abandoned, in milliseconds. */
 const ROUTE_MISSING_TIMEOUT_MS = 3000;
@@ -54,6 +56,8 @@
     private leadershipController: AbortController | undefined;
     private mirror: PrefixMirror | undefined;
     private isLoaded = false;
+    /** Whether the table contains every accepted job, also those that are only held on the disks of other runners. */
+    private knowsHeldJobs = false;
     /** The open jobs of this process at the time when it last lost leadership. */
     private previousJobs: OpenJob[] = [];
     private dispatchTimer: Timer | undefined;
@@ -145,15 +149,20 @@
         return this.table.get(jobId) !== undefined;
     }
 
-    /** Returns the waiting tokens of a route, without those of `exceptJobId`; undefined if they aren't loaded here. */
-    waitingTokens(routeName: string, exceptJobId: JobId): number | undefined {
-        return this.isLoaded && this.opts.leadership.fence() !== undefined
-            ? this.table.waitingTokens(routeName, exceptJobId)
+    /** Returns what this process counts as the leader for a job; undefined unless it leads and knows all jobs. */
+    leaderCount(routeName: string, exceptJobId: JobId): LeaderCount | undefined {
+        const fence = this.opts.leadership.fence();
+        return this.isLoaded && this.knowsHeldJobs && fence !== undefined
+            ? {
+                fencingNumber: fence.modRevision,
+                waitingTokens: this.table.waitingTokens(routeName, exceptJobId),
+            }
             : undefined;
     }
 
     private pause(): void {
         this.isLoaded = false;
+        this.knowsHeldJobs = false;
         this.dispatchTimer?.cancel();
         this.requestedDispatchTimer?.cancel();
         this.requestedDispatchTimer = undefined;
@@ -169,12 +178,13 @@
                 const results = await this.opts.service.snapshot(jobKeys.resultsPrefix);
                 if (!signal.aborted) {
                     this.onLoaded(results.entries);
+                    void this.collectHeldJobs(signal);
                 }
             }
             catch (thrown) {
                 const error = toKnapweedError(thrown);
                 this.opts.logger.warn("jobs-load-failed", { code: error.code, message: error.message });
-                await new Promise<void>(resolve => this.opts.clock.setTimer(LOAD_RETRY_DELAY_MS, resolve));
+                await sleep(this.opts.clock, LOAD_RETRY_DELAY_MS, signal);
             }
         }
         this.requestDispatch();
@@ -193,6 +203,22 @@
         this.opts.logger.info("jobs-loaded", { jobs, open: jobs - ended.length });
     }
 
+    private async collectHeldJobs(signal: AbortSignal): Promise<void> {
+        const fence = this.opts.leadership.fence();
+        while (fence !== undefined && !this.knowsHeldJobs && !signal.aborted) {
+            const { jobs, isComplete } = await this.opts.collectHeldJobs(fence.modRevision);
+            if (signal.aborted) {
+                return;
+            }
+            jobs.forEach(job => this.table.applyHeld(job));
+            this.knowsHeldJobs = isComplete;
+            this.requestDispatch();
+            if (!isComplete) {
+                await sleep(this.opts.clock, LOAD_RETRY_DELAY_MS, signal);
+            }
+        }
+    }
+
     private apply(entries: KeyValueEntry[]): void {
         this.table.apply(entries).forEach(job => {
             this.opts.logger.info("job-ended", { jobId: job.record.jobId, reason: "cancelled" });
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -31,4 +31,9 @@
     onLoadChanged: () => void;
     /** Returns the jobs on this instance's disk that are not in the key-value service yet, shape [jobs]. */
     heldJobs: () => HeldJob[];
+    /**
+     * Collects the held jobs of the other runners. `isComplete` tells whether every accepted one is certain to be among
+     * them and those of this instance.
+     */
+    collectHeldJobs: (fencingNumber: number) => Promise<{ jobs: HeldJob[]; isComplete: boolean; }>;
 }
--- a/fleet/jobs/test/heldJobs.test.ts
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -31,7 +31,15 @@
     }
 }
 
-function start(opts: { folder: string; service: MemoryKeyValueService; clock: ManualClock; signal: AbortSignal; }) {
+function start(
+    opts: {
+        folder: string;
+        service: MemoryKeyValueService;
+        clock: ManualClock;
+        signal: AbortSignal;
+        isLeading?: boolean;
+    },
+) {
     const seen: HeldJob[] = [];
     const held = new HeldJobs({
         segments: new FolderSegmentStore({ dataFolder: opts.folder }),
@@ -40,6 +48,7 @@
         random: new SeededRandom(1),
         logger: silentLogger,
         onHeld: one => seen.push(one),
+        isLeading: () => opts.isLeading ?? true,
     });
     void held.run(opts.signal);
     return { held, seen };
@@ -98,3 +107,26 @@
         controller.abort();
     });
 });
+
+// All runners wrote the same held jobs at once, and each write changed the count that the others' writes compared.
+test("a runner that doesn't lead gives the leader time to write a held job, and writes it if that doesn't", async () => {
+    await withFolder(async folder => {
+        const clock = new ManualClock();
+        const service = new MemoryKeyValueService({ clock });
+        const { signal, abort } = createAbortHandle();
+        const { held } = start({ folder, service, clock, signal, isLeading: false });
+        await new Promise(resolve => setTimeout(resolve, 50));
+        await held.hold(job);
+        await clock.advance(1200);
+        assert.equal(await service.get(jobKeys.record(job.record.jobId)), undefined);
+        await settle(clock);
+        assert.notEqual(await service.get(jobKeys.record(job.record.jobId)), undefined);
+        assert.equal(held.count, 0);
+        abort();
+    });
+});
+
+function createAbortHandle() {
+    const controller = new AbortController();
+    return { signal: controller.signal, abort: () => controller.abort() };
+}
--- a/fleet/jobs/test/jobAcceptor.test.ts
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -89,9 +89,10 @@
     const { acceptor, settle } = setUp();
     const one = acceptor();
     await settle(one.accept(route, submissionOf("j")));
-    assert.equal(await one.cancel("j" as JobId), true);
-    assert.equal(await one.cancel("j" as JobId), true);
-    assert.equal(await one.cancel("none" as JobId), false);
+    const revision = await one.cancel("j" as JobId);
+    assert.ok(revision !== undefined && revision > 0);
+    assert.equal(await one.cancel("j" as JobId), revision);
+    assert.equal(await one.cancel("none" as JobId), undefined);
 });
 
 test("while held jobs are still being written, the leader decides on the limit", async () => {
@@ -105,7 +106,9 @@
         "accepted",
     );
     const without = setUp("not-held", false);
-    assert.equal((await without.settle(without.acceptor().accept(route, submissionOf("j")))).kind, "accepted");
+    const unapproved = await without.settle(without.acceptor().accept(route, submissionOf("j")));
+    assert.deepEqual([unapproved.kind, unapproved.kind === "refused" && unapproved.reason], ["refused", "store-away"]);
+    assert.deepEqual(await without.service.list(jobKeys.jobsPrefix), [], "the stored count lacks the held jobs");
 });
 
 test("a job that was accepted is accepted again, even if the route is full", async () => {
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -82,6 +82,7 @@
         resultRetentionMs: () => 120_000,
         onLoadChanged: () => undefined,
         heldJobs: () => [],
+        collectHeldJobs: () => Promise.resolve({ jobs: [], isComplete: true }),
     });
     for (let index = 0; index < JOBS; index += 1) {
         const record = createJobRecord({ id: `job-${index}`, itemCount: ITEMS, dueAtMs: clock.nowMs() + 60_000 });
