fix(gateway): waiting requests are dropped when their callers leave, not after 1,950 ms

Cause (read in the code): a constant of 1,950 ms stood for the time after which callers of streams leave; they leave after the longest of 2 s, four objectives and eight event gaps. With gaps of 500 ms that is 4 s, so requests were dropped at half of it.

--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -9,6 +9,7 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { BufferedResponseWriter } from "./bufferedResponseWriter.js";
+import { callerPatienceMs } from "./callerPatienceMs.js";
 import { chooseService } from "./chooseService.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { type ResponseWriter } from "./responseWriter.js";
@@ -19,8 +20,8 @@
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
 const HTTP_SERVER_ERROR = 500;
-/** Time without data after which callers of streams disconnect, in milliseconds. */
-const STREAM_CALLER_TIMEOUT_MS = 1950;
+/** Time in which a response still reaches its caller, in milliseconds. */
+const RESPONSE_TRANSIT_MS = 50;
 /** Share of the route's timeout below which the remaining time identifies a request as a retry. */
 const RETRY_REMAINING_SHARE = 0.97;
 /** Bounds of the time without a response after which an upstream counts as failing, in milliseconds. */
@@ -89,9 +90,10 @@
         this.isRetry = remainingMs < route.timeoutMs * RETRY_REMAINING_SHARE;
         this.objectiveAtMs = this.arrivedAtMs + route.objectiveMs;
         this.deadlineAtMs = this.arrivedAtMs + Math.min(remainingMs, route.timeoutMs);
-        this.callerTimeoutAtMs = route.kind === "stream"
-            ? Math.min(this.deadlineAtMs, this.arrivedAtMs + STREAM_CALLER_TIMEOUT_MS)
-            : this.deadlineAtMs;
+        this.callerTimeoutAtMs = Math.min(
+            this.deadlineAtMs,
+            this.arrivedAtMs + callerPatienceMs(route) - RESPONSE_TRANSIT_MS,
+        );
         this.writer = route.kind === "stream"
             ? new StreamResponseWriter({ response: opts.response, isResumable: route.isResumable })
             : new BufferedResponseWriter({ response: opts.response });
