refactor(load): observed times and the caller's deadline in place of constants

Cause (read in the code): 60 ms stood for the time to the first data of any service, 1,600 ms for the longest Retry-After of any caller, and 500 ms weighed on the mean hold time of the first 40 requests of each service. Change: ServiceTimes follows both times as they are observed, by a mean whose first samples have equal weight; a rejected caller is told to return within a third of the time that it has left.

--- a/bench/decisions/src/simulatedCaller.ts
+++ b/bench/decisions/src/simulatedCaller.ts
@@ -14,6 +14,8 @@
 const OBJECTIVE_MS = 300;
 /** A caller abandons a call after this time without an event. */
 const CALLER_TIMEOUT_MS = 1950;
+/** Time from an attempt until its caller gives up for good. */
+const DEADLINE_MS = 5000;
 /** Mean time for which a call holds a slot of an engine. */
 const MEAN_HOLD_MS = 720;
 /** Time from the start on an engine to the first event, without the round trip. */
@@ -63,6 +65,7 @@
             arrivedAtMs: nowMs,
             objectiveAtMs: nowMs + OBJECTIVE_MS,
             callerTimeoutAtMs: nowMs + CALLER_TIMEOUT_MS,
+            deadlineAtMs: nowMs + DEADLINE_MS,
             isRetry: this.attempts > 1,
             excluded: new Set<UpstreamId>(),
             onPlaced: upstream => this.run(gateway, upstream),
@@ -93,7 +96,8 @@
                 this.outcome.firstEventAtMs = clock.nowMs();
             },
             onEnd: () => {
-                gateway.holdTimes.record(upstream.service, clock.nowMs() - startedAtMs);
+                gateway.serviceTimes.recordFirstData(upstream.service, FIRST_EVENT_MS + ROUND_TRIP_MS);
+                gateway.serviceTimes.recordHold(upstream.service, clock.nowMs() - startedAtMs);
                 releaseSlot();
             },
         };
--- a/bench/decisions/src/simulatedGateway.ts
+++ b/bench/decisions/src/simulatedGateway.ts
@@ -1,9 +1,9 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import type { Random } from "@knapweedwood/core.random/random";
-import { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
 import { LeastLoadedPlacement } from "@knapweedwood/fleet.load/leastLoadedPlacement";
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
+import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { CallQueue } from "./callQueue.js";
 import type { DecisionPolicy } from "./decisionPolicy.js";
@@ -15,7 +15,7 @@
 export class SimulatedGateway {
     readonly queue: CallQueue;
     readonly reporter: LoadReporter;
-    readonly holdTimes = new HoldTimes();
+    readonly serviceTimes = new ServiceTimes();
 
     constructor(opts: {
         clock: Clock;
@@ -38,7 +38,7 @@
             clock,
             random,
             loadTracker,
-            holdTimes: this.holdTimes,
+            serviceTimes: this.serviceTimes,
             placement,
             usableUpstreams: upstreams,
         });
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -8,9 +8,9 @@
 import { JobAcceptor } from "@knapweedwood/fleet.jobs/jobAcceptor";
 import { StoredJobReader } from "@knapweedwood/fleet.jobs/storedJobReader";
 import { connectionShareOf } from "@knapweedwood/fleet.load/connectionShareOf";
-import { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
 import { LeastLoadedPlacement } from "@knapweedwood/fleet.load/leastLoadedPlacement";
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
+import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
 import type { ActiveSettings } from "./activeSettings.js";
@@ -53,12 +53,12 @@
         });
         const { clock, random, loadTracker, connections, health, metrics } = this.fleet;
         const { configuration } = this.fleet.operators;
-        const holdTimes = new HoldTimes();
+        const serviceTimes = new ServiceTimes();
         this.requestQueue = new RequestQueue({
             clock,
             random,
             loadTracker,
-            holdTimes,
+            serviceTimes,
             placement: new LeastLoadedPlacement({
                 loadTracker,
                 random,
@@ -76,7 +76,7 @@
             connections,
             loadTracker,
             health,
-            holdTimes,
+            serviceTimes,
             requestQueue: this.requestQueue,
             headers: protocol.headers,
             onLoadChanged: () => this.fleet.markLoadChanged(),
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { Random } from "@knapweedwood/core.random/random";
-import type { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
 import type { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import type { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
+import type { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
@@ -20,7 +20,7 @@
     connections: UpstreamConnections;
     loadTracker: LoadTracker;
     health: UpstreamHealth;
-    holdTimes: HoldTimes;
+    serviceTimes: ServiceTimes;
     requestQueue: RequestQueue;
     headers: CallHeaderNames;
     /** Notifies the other processes that the load has changed. */
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -51,6 +51,7 @@
     readonly arrivedAtMs: number;
     readonly objectiveAtMs: number;
     readonly callerTimeoutAtMs: number;
+    readonly deadlineAtMs: number;
     readonly isRetry: boolean;
     readonly excluded = new Set<UpstreamId>();
     private readonly context: GatewayContext;
@@ -59,7 +60,6 @@
     private readonly response: ServerResponse;
     private readonly body: Buffer;
     private readonly requestId: string;
-    private readonly deadlineAtMs: number;
     private readonly deadlineTimer: Timer;
     private readonly writer: ResponseWriter;
     private attempt: Attempt | undefined;
@@ -199,7 +199,11 @@
         if (attempt !== this.attempt || attempt.isNotRun) {
             return;
         }
-        attempt.lastDataAtMs = this.context.clock.nowMs();
+        const nowMs = this.context.clock.nowMs();
+        if (attempt.lastDataAtMs === undefined) {
+            this.context.serviceTimes.recordFirstData(this.service, nowMs - attempt.startedAtMs);
+        }
+        attempt.lastDataAtMs = nowMs;
         this.firstDataAtMs ??= attempt.lastDataAtMs;
         if (!this.writer.onData(chunk)) {
             attempt.exchange.pause();
@@ -222,7 +226,7 @@
         }
         this.release(attempt);
         this.recordHealth(attempt);
-        this.context.holdTimes.record(this.service, this.context.clock.nowMs() - attempt.startedAtMs);
+        this.context.serviceTimes.recordHold(this.service, this.context.clock.nowMs() - attempt.startedAtMs);
         this.finish("call-answered", {
             upstream: attempt.upstream.id,
             statusCode: this.writer.statusCode,
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -1,9 +1,9 @@
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
-import { HoldTimes } from "@knapweedwood/fleet.load/holdTimes";
 import { LeastLoadedPlacement } from "@knapweedwood/fleet.load/leastLoadedPlacement";
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
+import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
@@ -80,12 +80,12 @@
             configuration.adopt({ version: 1, routes: [{ ...defaultRoute, ...opts.route }], services: [], limits });
         }
         const { loadTracker, connections } = this;
-        const holdTimes = new HoldTimes();
+        const serviceTimes = new ServiceTimes();
         const requestQueue = new RequestQueue({
             clock,
             random,
             loadTracker,
-            holdTimes,
+            serviceTimes,
             placement: new LeastLoadedPlacement({
                 loadTracker,
                 random,
@@ -103,7 +103,7 @@
             connections,
             loadTracker,
             health: new UpstreamHealth(),
-            holdTimes,
+            serviceTimes,
             requestQueue,
             headers,
             onLoadChanged: () => undefined,
--- a/fleet/load/src/admissionInputs.ts
+++ b/fleet/load/src/admissionInputs.ts
@@ -6,10 +6,14 @@
     slots: number;
     /** Mean time that a request holds a slot, in milliseconds. */
     meanHoldMs: number;
+    /** Mean time from the placement of a request to its first data, in milliseconds. */
+    meanFirstDataMs: number;
     /** Time left until a response misses the route's objective, in milliseconds; negative once it has. */
     objectiveLeftMs: number;
     /** Time left until the caller times out, in milliseconds. */
     callerTimeLeftMs: number;
+    /** Time left until the caller's deadline, in milliseconds. It may return until then. */
+    deadlineLeftMs: number;
     /** Whether the caller retries a request that was rejected before. */
     isRetry: boolean;
 }
--- a/fleet/load/src/decideAdmission.ts
+++ b/fleet/load/src/decideAdmission.ts
@@ -1,10 +1,9 @@
 import type { AdmissionDecision } from "./admissionDecision.js";
 import type { AdmissionInputs } from "./admissionInputs.js";
-import { FIRST_RESPONSE_MS } from "./firstResponseMs.js";
 
 const MIN_RETRY_AFTER_MS = 150;
-/** Longest retry delay that a rejected caller is given, in milliseconds. */
-const MAX_RETRY_AFTER_MS = 1600;
+/** Longest retry delay, as a share of the time that the caller has left. A caller that returns needs the rest. */
+const MAX_RETRY_SHARE = 1 / 3;
 
 /**
  * Decides whether a request waits, to limit the queue under sustained overload. A first attempt that would miss its
@@ -13,15 +12,19 @@
  */
 export function decideAdmission(inputs: AdmissionInputs): AdmissionDecision {
     const expectedWaitMs = expectedWaitOf(inputs);
+    const maxRetryAfterMs = inputs.deadlineLeftMs * MAX_RETRY_SHARE;
     const allowedMs = inputs.isRetry ? inputs.callerTimeLeftMs : inputs.objectiveLeftMs;
-    if (inputs.slots > 0 && expectedWaitMs + FIRST_RESPONSE_MS <= allowedMs) {
+    if (inputs.slots > 0 && expectedWaitMs + inputs.meanFirstDataMs <= allowedMs) {
         return { kind: "wait", expectedWaitMs };
     }
-    const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, expectedWaitMs));
+    const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(MIN_RETRY_AFTER_MS, expectedWaitMs));
     return { kind: "reject", expectedWaitMs, retryAfterMs };
 }
 
-/** Returns the expected wait in milliseconds, assuming that slots become free at even intervals of the mean hold. */
+/**
+ * Returns the expected wait in milliseconds, assuming that slots become free at even intervals of the mean hold;
+ * infinity without slots.
+ */
 function expectedWaitOf(inputs: AdmissionInputs): number {
-    return inputs.slots === 0 ? MAX_RETRY_AFTER_MS : (inputs.waitingAhead + 1) * inputs.meanHoldMs / inputs.slots;
+    return inputs.slots === 0 ? Infinity : (inputs.waitingAhead + 1) * inputs.meanHoldMs / inputs.slots;
 }
--- a/fleet/load/src/queuedRequest.ts
+++ b/fleet/load/src/queuedRequest.ts
@@ -12,6 +12,8 @@
     objectiveAtMs: number;
     /** Time at which the caller times out, on the same clock. */
     callerTimeoutAtMs: number;
+    /** The caller's deadline, on the same clock. The caller may return until then. */
+    deadlineAtMs: number;
     /** Whether the caller retries a request that was rejected before. */
     isRetry: boolean;
     /** Upstreams that must not receive the request again. */
--- a/fleet/load/src/requestQueue.ts
+++ b/fleet/load/src/requestQueue.ts
@@ -3,11 +3,10 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { decideAdmission } from "./decideAdmission.js";
-import { FIRST_RESPONSE_MS } from "./firstResponseMs.js";
-import type { HoldTimes } from "./holdTimes.js";
 import type { LoadTracker } from "./loadTracker.js";
 import type { PlacementPolicy } from "./placementPolicy.js";
 import type { QueuedRequest } from "./queuedRequest.js";
+import type { ServiceTimes } from "./serviceTimes.js";
 
 /** Maximum jitter added to the retry delay of rejected callers, as a share of the delay. */
 const RETRY_JITTER = 0.3;
@@ -16,7 +15,7 @@
     clock: Clock;
     random: Random;
     loadTracker: LoadTracker;
-    holdTimes: HoldTimes;
+    serviceTimes: ServiceTimes;
     placement: PlacementPolicy;
     /** Returns the upstreams of a service that may receive requests now, shape [upstreams]. */
     usableUpstreams: (service: ServiceName) => Upstream[];
@@ -38,7 +37,7 @@
     submit(request: QueuedRequest): void {
         const nowMs = this.opts.clock.nowMs();
         const isMostUrgent = !this.requests.some(other =>
-            other.service === request.service && compareByUrgency(other, request, nowMs) < 0
+            other.service === request.service && this.compareByUrgency(other, request, nowMs) < 0
         );
         const upstream = isMostUrgent ? this.place(request) : undefined;
         if (upstream !== undefined) {
@@ -67,7 +66,7 @@
         });
         // A service without a free slot can't run a less urgent request either.
         const full = new Set<ServiceName>();
-        this.requests.sort((left, right) => compareByUrgency(left, right, nowMs));
+        this.requests.sort((left, right) => this.compareByUrgency(left, right, nowMs));
         [...this.requests].forEach(request => {
             const upstream = full.has(request.service) ? undefined : this.place(request);
             if (upstream === undefined) {
@@ -97,15 +96,17 @@
     private inputsOf(request: QueuedRequest) {
         const nowMs = this.opts.clock.nowMs();
         const same = this.requests.filter(other => other.service === request.service);
-        const ahead = same.filter(other => compareByUrgency(other, request, nowMs) <= 0);
+        const ahead = same.filter(other => this.compareByUrgency(other, request, nowMs) <= 0);
         // Peers report only the number of their queued requests; the same mix as in this queue is assumed.
         const shareAhead = same.length === 0 ? 1 : ahead.length / same.length;
         return {
             waitingAhead: ahead.length + this.opts.loadTracker.waitingAtPeers(request.service) * shareAhead,
             slots: this.opts.usableUpstreams(request.service).reduce((sum, upstream) => sum + upstream.slots, 0),
-            meanHoldMs: this.opts.holdTimes.meanMs(request.service),
+            meanHoldMs: this.opts.serviceTimes.meanHoldMs(request.service),
+            meanFirstDataMs: this.opts.serviceTimes.meanFirstDataMs(request.service),
             objectiveLeftMs: request.objectiveAtMs - nowMs,
             callerTimeLeftMs: request.callerTimeoutAtMs - nowMs,
+            deadlineLeftMs: request.deadlineAtMs - nowMs,
             isRetry: request.isRetry,
         };
     }
@@ -113,16 +114,19 @@
     private reject(request: QueuedRequest, retryAfterMs: number, reason: string): void {
         request.onRejected(retryAfterMs * (1 + this.opts.random.next() * RETRY_JITTER), reason);
     }
-}
 
-/**
- * Compares requests by priority, then requests that can still meet their objective first, then first attempts before
- * retries, then by arrival. Late requests at the front of the queue would make the others late in turn.
- */
-function compareByUrgency(left: QueuedRequest, right: QueuedRequest, nowMs: number): number {
-    const isLate = (request: QueuedRequest) => Number(nowMs + FIRST_RESPONSE_MS > request.objectiveAtMs);
-    return left.priority - right.priority
-        || isLate(left) - isLate(right)
-        || Number(left.isRetry) - Number(right.isRetry)
-        || left.arrivedAtMs - right.arrivedAtMs;
+    /**
+     * Compares requests by priority, then requests that can still meet their objective first, then first attempts before
+     * retries, then by arrival. Late requests at the front of the queue would make the others late in turn.
+     */
+    private compareByUrgency(left: QueuedRequest, right: QueuedRequest, nowMs: number): number {
+        return left.priority - right.priority
+            || Number(this.isLate(left, nowMs)) - Number(this.isLate(right, nowMs))
+            || Number(left.isRetry) - Number(right.isRetry)
+            || left.arrivedAtMs - right.arrivedAtMs;
+    }
+
+    private isLate(request: QueuedRequest, nowMs: number): boolean {
+        return nowMs + this.opts.serviceTimes.meanFirstDataMs(request.service) > request.objectiveAtMs;
+    }
 }
--- a/fleet/load/test/requestQueue.test.ts
+++ b/fleet/load/test/requestQueue.test.ts
@@ -5,11 +5,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { connectionShareOf } from "../src/connectionShareOf.js";
-import { HoldTimes } from "../src/holdTimes.js";
 import { LeastLoadedPlacement } from "../src/leastLoadedPlacement.js";
 import { LoadTracker } from "../src/loadTracker.js";
 import type { QueuedRequest } from "../src/queuedRequest.js";
 import { RequestQueue } from "../src/requestQueue.js";
+import { ServiceTimes } from "../src/serviceTimes.js";
 import { upstreamOf } from "./upstreamOf.js";
 
 interface TestRequest extends QueuedRequest {
@@ -21,11 +21,13 @@
     const clock = new ManualClock();
     const random = new SeededRandom(1);
     const loadTracker = new LoadTracker();
+    const serviceTimes = new ServiceTimes();
+    serviceTimes.recordFirstData("s" as ServiceName, 60);
     const queue = new RequestQueue({
         clock,
         random,
         loadTracker,
-        holdTimes: new HoldTimes(),
+        serviceTimes,
         placement: new LeastLoadedPlacement({
             loadTracker,
             random,
@@ -41,6 +43,7 @@
             arrivedAtMs: clock.nowMs(),
             objectiveAtMs: clock.nowMs() + 300,
             callerTimeoutAtMs: clock.nowMs() + 2000,
+            deadlineAtMs: clock.nowMs() + 5000,
             isRetry: false,
             excluded: new Set(),
             placedAt: undefined,
