--- a/bench/decisions/src/jobSimulation.ts
+++ b/bench/decisions/src/jobSimulation.ts
@@ -125,7 +125,8 @@
             onFirstEvent: () => undefined,
             onEnd: () => {
                 this.runTimeEstimator.recordRun(ITEM_EVENTS - item.lastEventId, clock.nowMs() - startedAtMs);
-                this.runTimeEstimator.recordOutput(ITEM_EVENTS);
+                item.lastEventId = ITEM_EVENTS;
+                this.runTimeEstimator.recordOutput(item);
                 item.state = "stored";
                 this.endedAtMs.set(item, clock.nowMs());
                 this.removeRunning(runningItem => runningItem.run === run);
@@ -143,7 +144,7 @@
         const runs = this.running.map(runningItem => ({
             runningItem,
             upstreamId: runningItem.engine.upstream.id as UpstreamId,
-            dueAtMs: runningItem.job.record.dueAtMs,
+            latestStartAtMs: runningItem.job.record.dueAtMs - this.runTimeEstimator.remainingMs(runningItem.item),
             startedAtMs: runningItem.startedAtMs,
             isLate:
                 clock.nowMs() + this.runTimeEstimator.remainingMs(runningItem.item) > runningItem.job.record.dueAtMs,
--- a/fleet/jobs/src/itemRunTimeEstimator.ts
+++ b/fleet/jobs/src/itemRunTimeEstimator.ts
@@ -1,4 +1,4 @@
-import type { ItemProgress } from "./itemProgress.js";
+import type { JobItem } from "./jobItem.js";
 
 /** Weight of the newest sample in the moving averages. */
 const NEWEST_WEIGHT = 0.05;
@@ -9,7 +9,7 @@
 
 /** Estimates remaining run times of items from earlier runs, to find the items that can still finish in time. */
 export class ItemRunTimeEstimator {
-    private meanEventCount = 0;
+    private meanEventsPerToken = 0;
     private meanEventMs = 0;
 
     /** Records a run that produced `eventCount` events. */
@@ -19,14 +19,17 @@
         }
     }
 
-    /** Records the number of events in the complete output of an item. */
-    recordOutput(eventCount: number): void {
-        this.meanEventCount = updateMean(this.meanEventCount, eventCount);
+    /** Records a complete output. Its number of events grows with the tokens that the item may use. */
+    recordOutput({ record, lastEventId }: JobItem): void {
+        if (record.tokens > 0) {
+            this.meanEventsPerToken = updateMean(this.meanEventsPerToken, lastEventId / record.tokens);
+        }
     }
 
     /** Returns the expected time until the item is done if it runs from now on, in milliseconds; 0 without samples. */
-    remainingMs(item: ItemProgress): number {
-        return Math.max(0, this.meanEventCount - item.lastEventId) * this.meanEventMs * PREEMPTION_FACTOR;
+    remainingMs({ record, lastEventId }: JobItem): number {
+        const eventsLeft = Math.max(0, this.meanEventsPerToken * record.tokens - lastEventId);
+        return eventsLeft * this.meanEventMs * PREEMPTION_FACTOR;
     }
 }
 
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -344,7 +344,7 @@
         item.state = "finished";
         item.isComplete = state === "completed";
         if (item.isComplete) {
-            this.runTimeEstimator.recordOutput(item.lastEventId);
+            this.runTimeEstimator.recordOutput(item);
         }
         const output = state === "completed" ? item.events.join("\n") : "";
         this.committer.add(job, { itemId: item.id, state, output });
--- a/fleet/jobs/test/batchChoices.test.ts
+++ b/fleet/jobs/test/batchChoices.test.ts
@@ -40,11 +40,11 @@
     );
 });
 
-test("a burst preempts as many runs as exceed the slots: those due last first, then those started last", () => {
-    const run = (name: string, dueAtMs: number, startedAtMs: number, isLate = false) => ({
+test("a burst preempts as many runs as exceed the slots: those with the most time to spare first, then those started last", () => {
+    const run = (name: string, latestStartAtMs: number, startedAtMs: number, isLate = false) => ({
         name,
         upstreamId: "a" as UpstreamId,
-        dueAtMs,
+        latestStartAtMs,
         startedAtMs,
         isLate,
     });
@@ -56,7 +56,7 @@
     assert.deepEqual(chooseRunsToPreempt(candidate("a", 5, 4), withLate).map(({ name }) => name), ["late"]);
 });
 
-test("items run by due time, those with progress first, and jobs that are already late last", () => {
+test("items that have begun run first, the others by due time, and those that are already late last", () => {
     const jobs = [
         new OpenJob(createJobRecord({ id: "late", itemCount: 1, dueAtMs: 900 })),
         new OpenJob(createJobRecord({ id: "far", itemCount: 1, dueAtMs: 9000 })),
@@ -121,14 +121,54 @@
     assert.ok(simulateOverload(() => 0) < capacity * 0.6, "without an estimate, items run although they will be late");
 });
 
+/** Simulates more items than slots, every tenth of them large. Returns the shares that end in time by size. */
+function simulateSizes(): { large: number; all: number; } {
+    const slots = 8;
+    const stepMs = 100;
+    const [smallMs, largeMs] = [2500, 10_000];
+    const isLarge = (item: JobItem) => item.index % 10 === 0;
+    const runMsOf = (item: JobItem) => isLarge(item) ? largeMs : smallMs;
+    const remainingMs = (item: JobItem) => runMsOf(item) * (1 - item.lastEventId / 100);
+    const jobs: OpenJob[] = [];
+    const running: { item: JobItem; endMs: number; dueAtMs: number; }[] = [];
+    const inTime = new Set<JobItem>();
+    for (let nowMs = 0; nowMs < 80_000; nowMs += stepMs) {
+        if (nowMs < 60_000 && nowMs % 2000 === 0) {
+            jobs.push(new OpenJob(createJobRecord({ id: `j${nowMs}`, itemCount: 10, dueAtMs: nowMs + 18_000 })));
+        }
+        running.filter(run => run.endMs <= nowMs && run.item.state === "running").forEach(run => {
+            run.item.state = "stored";
+            if (run.endMs <= run.dueAtMs) {
+                inTime.add(run.item);
+            }
+        });
+        const free = slots - running.filter(run => run.item.state === "running").length;
+        orderStartableItems(jobs, { nowMs, remainingMs, hasFreeSlot: () => true }).slice(0, free).forEach(one => {
+            one.item.state = "running";
+            running.push({ item: one.item, endMs: nowMs + remainingMs(one.item), dueAtMs: one.job.record.dueAtMs });
+        });
+    }
+    const shareOf = (items: JobItem[]) => items.filter(item => inTime.has(item)).length / items.length;
+    const items = jobs.flatMap(job => job.items);
+    return { large: shareOf(items.filter(isLarge)), all: shareOf(items) };
+}
+
+// With two thirds too many items, one kind of request served its largest tenth less than half as often as the others.
+test("under overload, large items are served at least half as often as all items", () => {
+    const { large, all } = simulateSizes();
+    assert.ok(all > 0.5, `${all} of all items`);
+    assert.ok(large >= all / 2, `${large} of the large items, ${all} of all`);
+});
+
 test("the remaining time of an item follows earlier runs and allows for preemption", () => {
     const estimator = new ItemRunTimeEstimator();
     const item = new OpenJob(createJobRecord({ id: "a", itemCount: 1 })).items[0]!;
     assert.equal(estimator.remainingMs(item), 0, "there are no samples yet");
     estimator.recordRun(2, 9000);
     estimator.recordRun(100, 5000);
-    estimator.recordOutput(100);
+    estimator.recordOutput({ ...item, lastEventId: 100 });
     assert.equal(estimator.remainingMs(item), 6500);
+    assert.equal(estimator.remainingMs({ ...item, record: { ...item.record, tokens: 200 } }), 13_000);
     item.lastEventId = 60;
     assert.equal(estimator.remainingMs(item), 2600);
     item.lastEventId = 200;
