perf(load): relays hand on load reports in large fleets

Change: with more than 16 processes that act on the load, a process sends its report to a relay of its zone (a runner by rendezvous rank); the relay gathers the reports of 20 ms, sends them, several in a datagram, to its zone and to a relay of each other zone, which hands them on. No agreement: a process relays for those who send to it; who hears nothing from a relay for 250 ms takes the next, and sends to two until one is heard. RelayChoice and ReportRelay decide, LoadExchange and UdpChannel do the input and output. Test: loadExchange.test.ts, 40 gateways and 12 runners in 4 zones, each load changing ten times a second: a gateway receives 21 datagrams a second in place of 390 and sends 13 in place of 390, a relay sends 245; all know a change within 80 ms; with 5% loss and all runners of a zone killed one after the other every load is known after 1 s.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -8,6 +8,7 @@
 import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { PeerEjections } from "@knapweedwood/fleet.load/peerEjections";
+import { UdpChannel } from "@knapweedwood/fleet.load/udpChannel";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import { computeWatchWaitMs } from "@knapweedwood/fleet.sync/computeWatchWaitMs";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
@@ -19,6 +20,7 @@
 import { PlatformKeyValueService } from "@knapweedwood/platform.adapter/platformKeyValueService";
 import { randomInt } from "node:crypto";
 import { EventLoopMonitor } from "./eventLoopMonitor.js";
+import { isPreferredRelay } from "./isPreferredRelay.js";
 import { MetricsServer } from "./metricsServer.js";
 import { OperatorsFollower } from "./operatorsFollower.js";
 import { PeerFollower } from "./peerFollower.js";
@@ -117,10 +119,10 @@
         this.exchange = new LoadExchange({
             clock,
             logger,
-            host: settings.host,
-            port: this.self.loadPort,
-            peers: () => this.peers.placingPeers(),
-            distantPeers: () => this.peers.nonPlacingPeers(),
+            channel: new UdpChannel({ host: settings.host, port: this.self.loadPort, logger }),
+            self: { ...this.self, isPreferredRelay: isPreferredRelay(this.self) },
+            placesByLoad: () => this.peers.placesLoad,
+            peers: () => this.peers.loadPeers(),
             createReport: () => this.createReport(),
             onReport: report => this.onReport(report),
         });
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -145,7 +145,7 @@
     private connectionShare(service: ServiceName): number {
         return connectionShareOf({
             maxConnections: this.fleet.operators.configuration.maxConnections(service),
-            processes: this.fleet.peers.placingPeers().length + 1,
+            processes: this.fleet.peers.placingPeerCount + 1,
         });
     }
 
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -4,6 +4,7 @@
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
+import type { LoadPeer } from "@knapweedwood/fleet.load/loadPeer";
 import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
 import { Leadership } from "@knapweedwood/fleet.sync/leadership";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
@@ -12,6 +13,7 @@
 import { ProcessLease } from "@knapweedwood/fleet.sync/processLease";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { FollowerContext } from "./followerContext.js";
+import { isPreferredRelay } from "./isPreferredRelay.js";
 
 const ANNOUNCE_RETRY_MS = 500;
 /** Minimum time between lookups of the entries of unknown processes that send reports, in milliseconds. */
@@ -60,14 +62,25 @@
         return fleetKeys.member(this.opts.self.instanceName);
     }
 
-    /** Returns the load report addresses of the peers that place requests or items by load, shape [processes]. */
-    placingPeers(): HostPort[] {
-        return this.others().filter(member => this.placesByLoad(member)).map(toLoadAddress);
+    /** Returns the other processes as partners in the exchange of load, shape [processes]. */
+    loadPeers(): LoadPeer[] {
+        return this.others().map(member => ({
+            instanceName: member.instanceName,
+            zone: member.zone,
+            address: { host: member.host, port: member.loadPort },
+            placesByLoad: this.placesByLoad(member),
+            isPreferredRelay: isPreferredRelay(member),
+        }));
     }
 
-    /** Returns the load report addresses of all other peers, shape [processes]. */
-    nonPlacingPeers(): HostPort[] {
-        return this.others().filter(member => !this.placesByLoad(member)).map(toLoadAddress);
+    /** Number of other processes that place requests or items by load. */
+    get placingPeerCount(): number {
+        return this.others().filter(member => this.placesByLoad(member)).length;
+    }
+
+    /** Whether this process places requests or items by load. */
+    get placesLoad(): boolean {
+        return this.placesByLoad(this.opts.self);
     }
 
     /** Number of known processes, including this one. */
@@ -164,10 +177,6 @@
     }
 }
 
-function toLoadAddress({ host, loadPort }: MemberRecord): HostPort {
-    return { host, port: loadPort };
-}
-
 function toLinkAddress({ host, linkPort }: MemberRecord): HostPort {
     return { host, port: linkPort };
 }
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -2,6 +2,8 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import { Packr } from "msgpackr";
+import type { EncodedReport } from "./encodedReport.js";
+import type { LoadMessage } from "./loadMessage.js";
 import type { LoadReport } from "./loadReport.js";
 
 /** Values in their packed order. They are packed without names, since reports are frequent and cross zones. */
@@ -20,8 +22,13 @@
     ejected: string[],
 ];
 
+/** Reports that a relay hands on, each packed. The second value tells it from a report. */
+type PackedRelay = [sender: string, reports: Buffer[]];
+
 /** Index of the first revision in a packed report. */
 const REVISIONS_AT = 5;
+/** Maximum total size of the reports in one datagram. It fits an Ethernet frame, since one lost fragment loses all. */
+const MAX_RELAYED_BYTES = 1300;
 
 /** Encodes load reports as msgpack datagrams. */
 export class LoadReportCodec {
@@ -46,43 +53,74 @@
         return this.packr.pack(packed);
     }
 
-    /** Decodes a report. Throws if the bytes are not a report. */
-    decode(bytes: Buffer): LoadReport {
-        const packed = this.packr.unpack(bytes) as PackedReport;
-        const [instanceName, startedAtMs, sequence, counts, waiting] = packed;
-        const [
-            configurationRevision,
-            jobsRevision,
-            upstreamsRevision,
-            leaderName,
-            fencingNumber,
-            isKeyValueReachable,
-            ejected,
-        ] = packed
-            .slice(REVISIONS_AT) as [number, number, number, string, number, boolean, UpstreamId[]];
+    /** Encodes reports that a relay hands on, in as many datagrams as they need, at least one, shape [datagrams]. */
+    encodeRelayed(sender: InstanceName, reports: readonly EncodedReport[]): Buffer[] {
+        const groups: Buffer[][] = [[]];
+        let sizeBytes = 0;
+        reports.forEach(({ bytes }) => {
+            sizeBytes += bytes.length;
+            if (sizeBytes > MAX_RELAYED_BYTES && groups.at(-1)!.length > 0) {
+                groups.push([]);
+                sizeBytes = bytes.length;
+            }
+            groups.at(-1)!.push(bytes);
+        });
+        return groups.map(group => this.packr.pack([sender, group] satisfies PackedRelay));
+    }
+
+    /** Decodes a datagram. Throws if its bytes are neither a report nor relayed reports. */
+    decodeMessage(bytes: Buffer): LoadMessage {
+        const packed = this.packr.unpack(bytes) as PackedReport | PackedRelay;
+        if (!isRelay(packed)) {
+            return { kind: "direct", report: { report: toReport(packed), bytes } };
+        }
+        const [sender, reports] = packed;
         return {
-            instanceName: instanceName as InstanceName,
-            startedAtMs,
-            sequence,
-            isKeyValueReachable,
-            ejected,
-            counts: groupsOf(counts, 3).map(([upstreamId, online, batch]) => ({
-                upstreamId: upstreamId as UpstreamId,
-                online: online as number,
-                batch: batch as number,
-            })),
-            waiting: groupsOf(waiting, 2).map(([service, count]) => ({
-                service: service as ServiceName,
-                count: count as number,
-            })),
-            configurationRevision,
-            jobsRevision,
-            upstreamsRevision,
-            leader: fencingNumber === 0 ? undefined : { instanceName: leaderName as InstanceName, fencingNumber },
+            kind: "relayed",
+            sender: sender as InstanceName,
+            reports: reports.map(one => ({ report: toReport(this.packr.unpack(one) as PackedReport), bytes: one })),
         };
     }
 }
 
+function isRelay(packed: PackedReport | PackedRelay): packed is PackedRelay {
+    return Array.isArray(packed[1]);
+}
+
+function toReport(packed: PackedReport): LoadReport {
+    const [instanceName, startedAtMs, sequence, counts, waiting] = packed;
+    const [
+        configurationRevision,
+        jobsRevision,
+        upstreamsRevision,
+        leaderName,
+        fencingNumber,
+        isKeyValueReachable,
+        ejected,
+    ] = packed
+        .slice(REVISIONS_AT) as [number, number, number, string, number, boolean, UpstreamId[]];
+    return {
+        instanceName: instanceName as InstanceName,
+        startedAtMs,
+        sequence,
+        isKeyValueReachable,
+        ejected,
+        counts: groupsOf(counts, 3).map(([upstreamId, online, batch]) => ({
+            upstreamId: upstreamId as UpstreamId,
+            online: online as number,
+            batch: batch as number,
+        })),
+        waiting: groupsOf(waiting, 2).map(([service, count]) => ({
+            service: service as ServiceName,
+            count: count as number,
+        })),
+        configurationRevision,
+        jobsRevision,
+        upstreamsRevision,
+        leader: fencingNumber === 0 ? undefined : { instanceName: leaderName as InstanceName, fencingNumber },
+    };
+}
+
 function groupsOf<Value>(values: readonly Value[], size: number): Value[][] {
     return Array.from({ length: values.length / size }, (_, index) => values.slice(index * size, (index + 1) * size));
 }
--- a/fleet/load/test/loadReportCodec.test.ts
+++ b/fleet/load/test/loadReportCodec.test.ts
@@ -25,9 +25,27 @@
 
 test("decodes an encoded report unchanged", () => {
     const codec = new LoadReportCodec();
-    assert.deepEqual(codec.decode(codec.encode(report)), report);
+    const bytes = codec.encode(report);
+    const message = codec.decodeMessage(bytes);
+    assert.deepEqual(message.kind === "direct" && message.report.report, report);
+});
+
+test("decodes relayed reports unchanged, in datagrams that fit a frame", () => {
+    const codec = new LoadReportCodec();
+    const reports = Array.from({ length: 40 }, (_, sequence) => {
+        const one = { ...report, sequence };
+        return { report: one, bytes: codec.encode(one) };
+    });
+    const sender = "relay" as InstanceName;
+    const datagrams = codec.encodeRelayed(sender, reports);
+    assert.ok(datagrams.every(bytes => bytes.length <= 1400));
+    const messages = datagrams.map(bytes => codec.decodeMessage(bytes));
+    const decoded = messages.flatMap(message => message.kind === "relayed" ? message.reports : []);
+    assert.deepEqual(decoded.map(one => one.report), reports.map(one => one.report));
+    assert.deepEqual(decoded.map(one => one.bytes.toString("hex")), reports.map(one => one.bytes.toString("hex")));
+    assert.equal(codec.encodeRelayed(sender, []).length, 1, "a relay without reports still shows that it is running");
 });
 
 test("throws when the bytes are not a report", () => {
-    assert.throws(() => new LoadReportCodec().decode(Buffer.from([0x01])));
+    assert.throws(() => new LoadReportCodec().decodeMessage(Buffer.from([0x01])));
 });
--- /dev/null
+++ b/fleet/load/test/simulatedNetwork.ts
@@ -0,0 +1,50 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Random } from "@knapweedwood/core.random/random";
+import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
+import type { DatagramChannel } from "../src/datagramChannel.js";
+
+const DELAY_MS = 1;
+
+/** A network for tests that loses datagrams and counts them. */
+export class SimulatedNetwork {
+    /** Share of the datagrams that is lost. */
+    lossShare = 0;
+    /** Hosts whose datagrams are all lost, in both directions. */
+    readonly down = new Set<string>();
+    readonly sentBy = new Map<string, number>();
+    readonly receivedBy = new Map<string, number>();
+    private readonly receivers = new Map<string, (bytes: Buffer) => void>();
+    private readonly clock: Clock;
+    private readonly random: Random;
+
+    constructor(opts: { clock: Clock; random: Random; }) {
+        this.clock = opts.clock;
+        this.random = opts.random;
+    }
+
+    channelOf(host: string): DatagramChannel {
+        return {
+            open: onMessage => {
+                this.receivers.set(host, onMessage);
+                return Promise.resolve();
+            },
+            send: (bytes, target) => this.send(host, bytes, target),
+            close: () => this.receivers.delete(host),
+        };
+    }
+
+    private send(from: string, bytes: Buffer, target: HostPort): void {
+        countUp(this.sentBy, from);
+        if (this.down.has(from) || this.down.has(target.host) || this.random.next() < this.lossShare) {
+            return;
+        }
+        this.clock.setTimer(DELAY_MS, () => {
+            countUp(this.receivedBy, target.host);
+            this.receivers.get(target.host)?.(bytes);
+        });
+    }
+}
+
+function countUp(counts: Map<string, number>, host: string): void {
+    counts.set(host, (counts.get(host) ?? 0) + 1);
+}
