--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -14,6 +14,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { type ResponseWriter } from "./responseWriter.js";
 import { sendFailure } from "./sendFailure.js";
+import { StallDetector } from "./stallDetector.js";
 import { StreamResponseWriter } from "./streamResponseWriter.js";
 import { upstreamHeadersOf } from "./upstreamHeadersOf.js";
 
@@ -24,23 +25,13 @@
 const RESPONSE_TRANSIT_MS = 50;
 /** Share of the route's timeout below which the remaining time identifies a request as a retry. */
 const RETRY_REMAINING_SHARE = 0.97;
-/** Bounds of the time without a response after which an upstream counts as failing, in milliseconds. */
-const MIN_STALL_MS = 350;
-const MAX_STALL_MS = 1000;
-/** Time without a response after which an upstream counts as failing, in units of the route's objective. */
-const STALL_OBJECTIVE_FACTOR = 2.5;
-/** Gap between events after which a stream counts as broken, in units of the route's maximum event gap. */
-const STALL_EVENT_GAP_FACTOR = 2;
 const FAILED_RETRY_AFTER_MS = 100;
 
 interface Attempt {
     upstream: Upstream;
     exchange: Exchange;
     startedAtMs: number;
-    stallTimer: Timer;
-    hasResponded: boolean;
-    /** Arrival time of the latest response data; undefined before the first. */
-    lastDataAtMs: number | undefined;
+    stallDetector: StallDetector;
     isNotRun: boolean;
 }
 
@@ -123,10 +114,14 @@
         const attempt: Attempt = {
             upstream,
             startedAtMs: nowMs,
-            hasResponded: false,
-            lastDataAtMs: undefined,
             isNotRun: false,
-            stallTimer: this.context.clock.setTimer(this.stallMs(), () => this.onStall(attempt)),
+            stallDetector: new StallDetector({
+                clock: this.context.clock,
+                route: this.route,
+                isCallerSlow: () => this.response.writableNeedDrain,
+                onNoResponse: () => this.onNoResponse(attempt),
+                onPaused: () => this.onPaused(attempt),
+            }),
             exchange: { abort: () => undefined, pause: () => undefined, resume: () => undefined },
         };
         this.attempt = attempt;
@@ -186,7 +181,7 @@
             this.log("upstream-not-run", { upstream: attempt.upstream.id, statusCode: head.statusCode });
             return;
         }
-        attempt.hasResponded = true;
+        attempt.stallDetector.onHead();
         if (head.header(headers.upstreamProof) === undefined && head.statusCode < HTTP_MULTIPLE_CHOICES) {
             attempt.exchange.abort();
             this.onFailure(attempt, { mayHaveRun: true, isUnreachable: false, code: "ANSWER_WITHOUT_PROOF" });
@@ -200,11 +195,11 @@
             return;
         }
         const nowMs = this.context.clock.nowMs();
-        if (attempt.lastDataAtMs === undefined) {
+        if (!attempt.stallDetector.hasData) {
             this.context.serviceTimes.recordFirstData(this.service, nowMs - attempt.startedAtMs);
         }
-        attempt.lastDataAtMs = nowMs;
-        this.firstDataAtMs ??= attempt.lastDataAtMs;
+        attempt.stallDetector.onData();
+        this.firstDataAtMs ??= nowMs;
         if (!this.writer.onData(chunk)) {
             attempt.exchange.pause();
             this.response.once("drain", () => attempt.exchange.resume());
@@ -286,17 +281,10 @@
         this.context.requestQueue.submit(this);
     }
 
-    private onStall(attempt: Attempt): void {
+    private onNoResponse(attempt: Attempt): void {
         if (attempt !== this.attempt) {
             return;
         }
-        if (attempt.lastDataAtMs !== undefined) {
-            this.onEventGap(attempt, attempt.lastDataAtMs);
-            return;
-        }
-        if (attempt.hasResponded) {
-            return;
-        }
         if (this.isRepeatable() && this.attempts < this.route.maxAttempts) {
             attempt.exchange.abort();
             this.onFailure(attempt, { mayHaveRun: true, isUnreachable: false, code: "UPSTREAM_SILENT" });
@@ -307,24 +295,13 @@
         this.log("upstream-silent", { upstream: attempt.upstream.id, isEjected });
     }
 
-    /** Handles a gap in a started response: ends the attempt after a long gap if another upstream can resume it. */
-    private onEventGap(attempt: Attempt, lastDataAtMs: number): void {
+    /** Goes on at another upstream if that can resume the response. */
+    private onPaused(attempt: Attempt): void {
         const canResume = this.route.kind === "stream" && this.isRepeatable() && this.attempts < this.route.maxAttempts;
-        if (!canResume) {
-            return;
-        }
-        const { clock } = this.context;
-        const stallGapMs = this.stallGapMs();
-        // A caller that reads too slowly delays the upstream, so the gap isn't the upstream's fault.
-        const gapLeftMs = this.response.writableNeedDrain
-            ? stallGapMs
-            : lastDataAtMs + stallGapMs - clock.nowMs();
-        if (gapLeftMs > 0) {
-            attempt.stallTimer = clock.setTimer(gapLeftMs, () => this.onStall(attempt));
-            return;
+        if (attempt === this.attempt && canResume) {
+            attempt.exchange.abort();
+            this.onFailure(attempt, { mayHaveRun: true, isUnreachable: false, code: "UPSTREAM_PAUSED" });
         }
-        attempt.exchange.abort();
-        this.onFailure(attempt, { mayHaveRun: true, isUnreachable: false, code: "UPSTREAM_PAUSED" });
     }
 
     private onDeadline(): void {
@@ -363,7 +340,7 @@
     }
 
     private release(attempt: Attempt): void {
-        attempt.stallTimer.cancel();
+        attempt.stallDetector.cancel();
         this.attempt = undefined;
         this.context.loadTracker.count(attempt.upstream.id, "online", -1);
         this.context.onLoadChanged();
@@ -386,14 +363,6 @@
     private log(event: string, fields: { [field: string]: unknown; }): void {
         this.context.logger.info(event, { requestId: this.requestId, route: this.route.name, ...fields });
     }
-
-    private stallGapMs(): number {
-        return Math.max(MIN_STALL_MS, (this.route.maxEventGapMs ?? MAX_STALL_MS) * STALL_EVENT_GAP_FACTOR);
-    }
-
-    private stallMs(): number {
-        return Math.min(MAX_STALL_MS, Math.max(MIN_STALL_MS, this.route.objectiveMs * STALL_OBJECTIVE_FACTOR));
-    }
 }
 
 function headerOf(request: IncomingMessage, name: string): string | undefined {
--- /dev/null
+++ b/fleet/gateway/test/stallDetector.test.ts
@@ -0,0 +1,50 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { StallDetector } from "../src/stallDetector.js";
+
+function start(opts: { objectiveMs: number; maxEventGapMs?: number; isCallerSlow?: boolean; }) {
+    const clock = new ManualClock();
+    const seen: string[] = [];
+    const detector = new StallDetector({
+        clock,
+        route: { objectiveMs: opts.objectiveMs, maxEventGapMs: opts.maxEventGapMs },
+        isCallerSlow: () => opts.isCallerSlow ?? false,
+        onNoResponse: () => seen.push(`no response at ${clock.nowMs()}`),
+        onPaused: () => seen.push(`paused at ${clock.nowMs()}`),
+    });
+    return { clock, seen, detector };
+}
+
+test("an upstream without a response is reported after two and a half objectives, within bounds", async () => {
+    const routes = [{ objectiveMs: 300 }, { objectiveMs: 100 }, { objectiveMs: 900 }].map(route => start(route));
+    await Promise.all(routes.map(({ clock }) => clock.advance(5000)));
+    assert.deepEqual(routes.flatMap(({ seen }) => seen), [
+        "no response at 750",
+        "no response at 350",
+        "no response at 1000",
+    ]);
+});
+
+test("a response that stops is reported after two event gaps, unless its caller reads too slowly", async () => {
+    for (const [isCallerSlow, expected] of [[false, ["paused at 1400"]], [true, []]] as const) {
+        const { clock, seen, detector } = start({ objectiveMs: 300, maxEventGapMs: 500, isCallerSlow });
+        detector.onHead();
+        await clock.advance(400);
+        detector.onData();
+        await clock.advance(5000);
+        assert.deepEqual(seen, expected);
+        detector.cancel();
+    }
+});
+
+test("a head without data doesn't count as silence, and nothing is reported after the end", async () => {
+    const begun = start({ objectiveMs: 300 });
+    begun.detector.onHead();
+    await begun.clock.advance(5000);
+    assert.deepEqual(begun.seen, []);
+    const ended = start({ objectiveMs: 300 });
+    ended.detector.cancel();
+    await ended.clock.advance(5000);
+    assert.deepEqual(ended.seen, []);
+});
