--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -10,6 +10,7 @@
 import { PeerEjections } from "@knapweedwood/fleet.load/peerEjections";
 import { UdpChannel } from "@knapweedwood/fleet.load/udpChannel";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import { computeCoalesceMs } from "@knapweedwood/fleet.sync/computeCoalesceMs";
 import { computeWatchWaitMs } from "@knapweedwood/fleet.sync/computeWatchWaitMs";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
@@ -96,7 +97,8 @@
             metrics: this.metrics,
         });
         const watchWaitMs = () => computeWatchWaitMs(this.peers.count);
-        const followerContext = { service: this.keyValueService, clock, random, logger, watchWaitMs };
+        const coalesceMs = () => computeCoalesceMs(this.peers.count);
+        const followerContext = { service: this.keyValueService, clock, random, logger, watchWaitMs, coalesceMs };
         this.peers = new PeerFollower({
             ...followerContext,
             self: this.self,
--- a/daemons/fleet/src/followerContext.ts
+++ b/daemons/fleet/src/followerContext.ts
@@ -11,4 +11,6 @@
     logger: Logger;
     /** Returns the time for which one watch call may wait for a change, in milliseconds. */
     watchWaitMs: () => number;
+    /** Returns the time for which changes that aren't urgent are gathered, in milliseconds. */
+    coalesceMs: () => number;
 }
--- a/daemons/fleet/src/operatorsFollower.ts
+++ b/daemons/fleet/src/operatorsFollower.ts
@@ -27,6 +27,8 @@
         this.mirror = new PrefixMirror({
             ...opts,
             prefix: wireKeys.operators,
+            // A configuration comes alone and is urgent.
+            coalesceMs: () => 0,
             onSnapshot: entries => entries.forEach(entry => this.onEntry(entry)),
             onChange: batch => batch.puts.forEach(entry => this.onEntry(entry)),
         });
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -18,8 +18,6 @@
 const ANNOUNCE_RETRY_MS = 500;
 /** Minimum time between lookups of the entries of unknown processes that send reports, in milliseconds. */
 const LOOKUP_INTERVAL_MS = 5000;
-/** Time for which changes are coalesced, in milliseconds. Processes often start and stop in groups. */
-const COALESCE_MS = 100;
 
 interface PeerFollowerOptions extends FollowerContext {
     self: MemberRecord;
@@ -52,7 +50,6 @@
         this.mirror = new PrefixMirror({
             ...opts,
             prefix: fleetKeys.prefix,
-            coalesceMs: COALESCE_MS,
             onSnapshot: (entries, revision) => this.onSnapshot(entries, revision),
             onChange: batch => this.onChange(batch),
         });
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -13,9 +13,6 @@
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import type { FollowerContext } from "./followerContext.js";
 
-/** Time for which changes are coalesced, in milliseconds. Upstreams often start, leave or expire in groups. */
-const COALESCE_MS = 200;
-
 interface UpstreamFollowerOptions extends FollowerContext {
     loadTracker: LoadTracker;
     health: UpstreamHealth;
@@ -36,7 +33,6 @@
         this.mirror = new PrefixMirror({
             ...opts,
             prefix: wireKeys.upstreams,
-            coalesceMs: COALESCE_MS,
             onSnapshot: entries => this.onSnapshot(entries),
             onChange: batch => this.onChange(batch),
             onRecovered: () => this.directory.onKeyValueReconnected(opts.clock.nowMs()),
--- a/daemons/fleet/test/peerFollower.test.ts
+++ b/daemons/fleet/test/peerFollower.test.ts
@@ -29,6 +29,7 @@
         random: new SeededRandom(1),
         logger: silentLogger,
         watchWaitMs: () => 4000,
+        coalesceMs: () => 100,
         self: opts.self,
         minLeaseMs: 1000,
         onLeadershipChanged: () => undefined,
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -35,12 +35,12 @@
         return this.failures === 0 ? this.recoveredAtMs : Infinity;
     }
 
-    /** Lists the prefix again if the watch does not deliver `revision` within `CATCH_UP_DELAY_MS`. */
+    /** Lists the prefix again if the watch does not deliver `revision` within `CATCH_UP_DELAY_MS` after the pause. */
     catchUp(revision: number): void {
         if (revision <= this.currentRevision || this.catchUpTimer !== undefined) {
             return;
         }
-        this.catchUpTimer = this.opts.clock.setTimer(CATCH_UP_DELAY_MS, () => {
+        this.catchUpTimer = this.opts.clock.setTimer(this.coalesceMs() + CATCH_UP_DELAY_MS, () => {
             this.catchUpTimer = undefined;
             if (this.currentRevision > 0 && revision > this.currentRevision) {
                 this.relist(revision);
@@ -67,6 +67,10 @@
         }
     }
 
+    private coalesceMs(): number {
+        return this.opts.coalesceMs?.() ?? 0;
+    }
+
     private relist(peerRevision: number): void {
         this.opts.logger.info("mirror-behind", {
             prefix: this.opts.prefix,
@@ -85,7 +89,7 @@
             this.currentRevision = snapshot.revision;
             this.opts.onSnapshot(snapshot.entries, snapshot.revision);
         }
-        const { service, clock, prefix, watchWaitMs, coalesceMs = 0 } = this.opts;
+        const { service, clock, prefix, watchWaitMs } = this.opts;
         const waitMs = watchWaitMs?.();
         const opts = { afterRevision: this.currentRevision, signal, ...waitMs === undefined ? {} : { waitMs } };
         for await (const batch of service.watch(prefix, opts)) {
@@ -93,7 +97,7 @@
             this.currentRevision = Math.max(this.currentRevision, batch.revision);
             if (batch.puts.length > 0 || batch.deletedKeys.length > 0) {
                 this.opts.onChange(batch);
-                await sleep(clock, coalesceMs, signal);
+                await sleep(clock, this.coalesceMs(), signal);
             }
         }
     }
--- a/fleet/sync/src/prefixMirrorOptions.ts
+++ b/fleet/sync/src/prefixMirrorOptions.ts
@@ -14,8 +14,8 @@
     prefix: string;
     /** Longest wait of one watch call, in milliseconds. Longer waits mean fewer calls but detect a dead watch later. */
     watchWaitMs?: () => number;
-    /** Pause after a change, in milliseconds, so that one call delivers several. Default 0, for urgent changes. */
-    coalesceMs?: number;
+    /** Returns the pause after a change, in milliseconds, so that one call delivers several. Default 0, for urgent changes. */
+    coalesceMs?: () => number;
     /** Called with all entries under the prefix. Earlier entries that are not among them were deleted. */
     onSnapshot(entries: KeyValueEntry[], revision: number): void;
     /** Called with the changes since the snapshot or the previous call. */
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -160,7 +160,7 @@
         logger: silentLogger,
         prefix: "a/",
         watchWaitMs: () => computeWatchWaitMs(39),
-        coalesceMs: 200,
+        coalesceMs: () => 200,
         onSnapshot: () => undefined,
         onChange: batch => batches.push(batch.puts.length),
     });
@@ -173,3 +173,33 @@
     controller.abort();
     assert.deepEqual([waits, computeWatchWaitMs(7), computeWatchWaitMs(500)], [[19_500], 4000, 20_000]);
 });
+
+// With a pause longer than the time that the watch has to catch up, each change would be listed by every process.
+test("a revision reported by a peer during the pause after a change causes no listing", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const controller = new AbortController();
+    let listings = 0;
+    const seen: string[] = [];
+    const mirror = new PrefixMirror({
+        service,
+        clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        prefix: "a/",
+        coalesceMs: () => 500,
+        onSnapshot: () => {
+            listings += 1;
+        },
+        onChange: batch => seen.push(...batch.puts.map(entry => entry.key)),
+    });
+    void mirror.run(controller.signal);
+    await clock.advance(100);
+    await service.transact([], [put("a/1")]);
+    await clock.advance(50);
+    const { revision } = await service.transact([], [put("a/2")]);
+    mirror.catchUp(revision);
+    await clock.advance(1500);
+    assert.deepEqual([listings, seen], [1, ["a/1", "a/2"]]);
+    controller.abort();
+});
