fix(jobs): items are abandoned only when their job has expired by every clock

A gateway sets the expiry by its own clock, which may be seconds behind the leader's; the leader then gave items up early (read in the code, not seen). It waits 5 s longer. Test: jobRunner.test.ts.

--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -35,6 +35,8 @@
 const LOAD_RETRY_DELAY_MS = 300;
 /** Time for which a route has to be missing before its items are abandoned, in milliseconds. */
 const ROUTE_MISSING_TIMEOUT_MS = 3000;
+/** Difference between the clocks of instances that is allowed for, in milliseconds. A gateway sets the expiry of a job. */
+const CLOCK_MARGIN_MS = 5000;
 /** Interval at which progress is stored and ended jobs are cleaned up, in milliseconds. */
 const CHECKPOINT_INTERVAL_MS = 1500;
 /** Minimum progress to store, in events. Less is cheaper to reproduce than to store. */
@@ -355,7 +357,7 @@
         const nowMs = this.opts.clock.nowMs();
         this.table.all().filter(job => !job.isEnded).forEach(job => {
             const missingSinceMs = this.routes.missingSinceMs(job.record.jobId);
-            if (nowMs > job.record.expiresAtMs || nowMs > missingSinceMs + ROUTE_MISSING_TIMEOUT_MS) {
+            if (nowMs > job.record.expiresAtMs + CLOCK_MARGIN_MS || nowMs > missingSinceMs + ROUTE_MISSING_TIMEOUT_MS) {
                 job.items.filter(item => item.state === "pending").forEach(item => this.finish(job, item, "given-up"));
             }
         });
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -15,6 +15,7 @@
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { jobKeys } from "../src/jobKeys.js";
 import { JobRunner } from "../src/jobRunner.js";
 import { planJobWrite } from "../src/planJobWrite.js";
 import { createJobRecord } from "./createJobRecord.js";
@@ -24,6 +25,8 @@
 const JOBS = 80;
 const ITEMS = 10;
 const PEERS = 88;
+/** As in the records of `createJobRecord`. */
+const EXPIRES_AT_MS = 60_000;
 const upstreamIds = Array.from({ length: 10 }, (_, index) => `u-${index}` as UpstreamId);
 
 /** Counts how often the routes of items are matched and the upstreams of a service are listed. */
@@ -49,7 +52,7 @@
 async function createBusyRunner() {
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
-    const fence = { key: "leader", modRevision: 1 };
+    const fence = { key: "leader", modRevision: 0 };
     const configuration = new CountingConfiguration();
     const route = { host: "host", prefix: "/p/", kind: "batch", services: [{ service: SERVICE, weight: 1 }] };
     configuration.adopt({ version: 1, routes: [route as unknown as Route], services: [] } as never);
@@ -112,7 +115,8 @@
     report(0);
     runner.start();
     await clock.advance(500);
-    return { clock, runner, configuration, directory, report };
+    const finishedResults = () => service.list(jobKeys.resultsPrefix);
+    return { clock, runner, configuration, directory, report, finishedResults };
 }
 
 // Load pattern: every process reports its load up to each 15 ms, and 800 items wait for a slot. A dispatch of 5 ms for
@@ -129,3 +133,19 @@
     assert.equal(directory.listings - listings, 1);
     runner.stop();
 });
+
+// Job records carry times of the gateway's clock, which may be seconds behind the leader's.
+test("items are abandoned only when their job has expired by every clock of the fleet", async () => {
+    const { clock, runner, report, finishedResults } = await createBusyRunner();
+    const advanceTo = async (atMs: number) => {
+        while (clock.nowMs() < atMs) {
+            report(0);
+            await clock.advance(1000);
+        }
+    };
+    await advanceTo(EXPIRES_AT_MS + 4000);
+    assert.deepEqual(await finishedResults(), []);
+    await advanceTo(EXPIRES_AT_MS + 9000);
+    assert.equal((await finishedResults()).length, JOBS * ITEMS);
+    runner.stop();
+});
