--- a/fleet/jobs/src/resultCommitter.ts
+++ b/fleet/jobs/src/resultCommitter.ts
@@ -1,6 +1,7 @@
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
+import type { Timer } from "@knapweedwood/core.clock/timer";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
@@ -16,6 +17,8 @@
 /** Maximum total output per write, in characters. */
 const MAX_WRITE_LENGTH = 500_000;
 const RETRY_DELAY_MS = 250;
+/** Time for which results are gathered into one write, in milliseconds. Callers ask for results twice a second. */
+const GATHER_MS = 150;
 
 interface PendingResult {
     job: OpenJob;
@@ -37,6 +40,7 @@
     };
     private pending: PendingResult[] = [];
     private isWriting = false;
+    private gatherTimer: Timer | undefined;
 
     constructor(opts: {
         service: KeyValueService;
@@ -50,7 +54,11 @@
 
     add(job: OpenJob, result: ItemResult): void {
         this.pending.push({ job, result });
-        void this.writePending();
+        if (this.pending.length >= MAX_RESULTS) {
+            void this.writePending();
+            return;
+        }
+        this.gatherTimer ??= this.opts.clock.setTimer(GATHER_MS, () => void this.writePending());
     }
 
     /** Drops unwritten results, because this process has lost leadership. */
@@ -67,6 +75,8 @@
     }
 
     private async writePending(): Promise<void> {
+        this.gatherTimer?.cancel();
+        this.gatherTimer = undefined;
         if (this.isWriting) {
             return;
         }
--- a/fleet/jobs/test/resultCommitter.test.ts
+++ b/fleet/jobs/test/resultCommitter.test.ts
@@ -82,3 +82,16 @@
     assert.equal(leadership.stepDownCount, 1);
     assert.equal(job.resultCount, 0);
 });
+
+// Dozens of upstreams finish an item each few milliseconds, and each result was a write of its own.
+test("results that come shortly after one another share a write", async () => {
+    const { clock, service, committer, job, result } = await setUp();
+    for (const index of [0, 1, 2]) {
+        committer.add(job, result(index));
+        await clock.advance(40);
+    }
+    await clock.advance(1000);
+    assert.equal(job.resultCount, 3);
+    const revisions = (await service.list(jobKeys.resultsPrefix)).map(entry => entry.modRevision);
+    assert.equal(new Set(revisions).size, 1, `revisions ${revisions.join(" ")}`);
+});
