fix(core): a process that is late reads what has arrived before it gives up waiting

Change: setDeadlineTimer extends a time that ran out late, once and by its lateness; used for calls to the service, stalls of upstreams and items, and links.

--- a/fleet/gateway/src/stallDetector.ts
+++ b/fleet/gateway/src/stallDetector.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
+import { setDeadlineTimer } from "@knapweedwood/core.clock/setDeadlineTimer";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import type { Route } from "@knapweedwood/fleet.view/route";
 
@@ -33,7 +34,7 @@
 
     constructor(opts: StallDetectorOptions) {
         this.opts = opts;
-        this.timer = opts.clock.setTimer(this.maxSilenceMs(), () => this.onTimer());
+        this.timer = setDeadlineTimer(opts.clock, this.maxSilenceMs(), () => this.onTimer());
     }
 
     /** Whether data of the response has arrived. */
@@ -71,7 +72,7 @@
             this.opts.onPaused();
             return;
         }
-        this.timer = this.opts.clock.setTimer(leftMs, () => this.onTimer());
+        this.timer = setDeadlineTimer(this.opts.clock, leftMs, () => this.onTimer());
     }
 
     private maxGapMs(): number {
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
+import { setDeadlineTimer } from "@knapweedwood/core.clock/setDeadlineTimer";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
@@ -131,7 +132,7 @@
 
     private restartStallTimer(): void {
         this.stallTimer?.cancel();
-        this.stallTimer = this.clock.setTimer(STALL_MS, () => {
+        this.stallTimer = setDeadlineTimer(this.clock, STALL_MS, () => {
             this.exchange?.abort();
             this.end({ kind: "broken", code: "UPSTREAM_SILENT", isUnreachable: false });
         });
--- a/links/endpoint/src/dialedLink.ts
+++ b/links/endpoint/src/dialedLink.ts
@@ -1,3 +1,4 @@
+import { setDeadlineTimer } from "@knapweedwood/core.clock/setDeadlineTimer";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { randomUUID } from "node:crypto";
@@ -232,7 +233,7 @@
 
     private setTimer(name: string, delayMs: number, action: () => void): void {
         this.clearTimer(name);
-        this.timers[name] = this.context.clock.setTimer(delayMs, () => {
+        this.timers[name] = setDeadlineTimer(this.context.clock, delayMs, () => {
             this.timers[name] = undefined;
             action();
         });
