perf(bundle): two modules that take long to load are left out

Cause: a restarted process takes most of its first second to load modules on the smallest instances; a profile with the code cache in place shows node:http2 at 12 of 85 ms, loaded by undici and not used. Change: it and msgpackr's native part are omitted from bundles.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -14,6 +14,25 @@
         onResolve({ filter: /^undici$/ }, () => ({ path: path.join(root, "scripts/undiciClients.mjs") })),
 };
 
+/**
+ * Modules that take long to load and that the programs do without. undici takes the first for a Node.js without HTTP/2,
+ * and msgpackr has the functions of the second in JavaScript.
+ */
+const omittedModules = {
+    "node:http2": "module.exports = { constants: {} };",
+    "msgpackr-extract": "throw new Error('Omitted from bundles');",
+};
+
+const omitModules = {
+    name: "omit-modules",
+    setup: ({ onResolve, onLoad }) => {
+        Object.keys(omittedModules).forEach(name =>
+            onResolve({ filter: new RegExp(`^${name}$`) }, () => ({ path: name, namespace: "omitted" }))
+        );
+        onLoad({ filter: /.*/, namespace: "omitted" }, ({ path: name }) => ({ contents: omittedModules[name] }));
+    },
+};
+
 mkdirSync(path.join(root, "target"), { recursive: true });
 await build({
     entryPoints: programs.map(program => path.join(root, "daemons/fleet/src", `${program}.ts`)),
@@ -24,7 +43,7 @@
     format: "cjs",
     target: "node20",
     conditions: ["source"],
-    plugins: [useUndiciClients],
+    plugins: [useUndiciClients, omitModules],
     minify: true,
     keepNames: true,
     logLevel: "warning",
