--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -12,6 +12,7 @@
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import { computeCoalesceMs } from "@knapweedwood/fleet.sync/computeCoalesceMs";
 import { computeWatchWaitMs } from "@knapweedwood/fleet.sync/computeWatchWaitMs";
+import type { FleetSnapshot } from "@knapweedwood/fleet.sync/fleetSnapshot";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
@@ -98,7 +99,15 @@
         });
         const watchWaitMs = () => computeWatchWaitMs(this.peers.count);
         const coalesceMs = () => computeCoalesceMs(this.peers.count);
-        const followerContext = { service: this.keyValueService, clock, random, logger, watchWaitMs, coalesceMs };
+        const followerContext = {
+            service: this.keyValueService,
+            clock,
+            random,
+            logger,
+            watchWaitMs,
+            coalesceMs,
+            keepsEntries: true,
+        } as const;
         this.peers = new PeerFollower({
             ...followerContext,
             self: this.self,
@@ -147,7 +156,7 @@
 
     /** Whether the configuration and the upstreams are loaded. */
     get isInitialized(): boolean {
-        return this.operators.configuration.current !== undefined && this.upstreams.mirror.revision > 0;
+        return this.operators.configuration.current !== undefined && this.upstreams.mirror.isInitialized;
     }
 
     /** Whether a peer can reach the key-value service but this process can't. Peers then serve callers better. */
@@ -160,6 +169,24 @@
         return this.clock.nowMs() > this.peers.mirror.reachableSinceMs + HELD_JOBS_WRITE_MS;
     }
 
+    /** What this process knows of the fleet; undefined before the configuration and the upstreams are loaded. */
+    snapshot(): FleetSnapshot | undefined {
+        return this.isInitialized
+            ? {
+                operators: this.operators.mirror.entries(),
+                upstreams: this.upstreams.mirror.entries(),
+                fleet: this.peers.mirror.entries(),
+            }
+            : undefined;
+    }
+
+    /** Uses what another process knows of the fleet where this one has not reached the key-value service yet. */
+    seed(snapshot: FleetSnapshot): void {
+        this.operators.mirror.seed(snapshot.operators);
+        this.upstreams.mirror.seed(snapshot.upstreams);
+        this.peers.mirror.seed(snapshot.fleet);
+    }
+
     /** Resolves once the configuration and the upstreams are loaded, or after `maxMs` milliseconds. */
     async whenInitialized(maxMs: number): Promise<void> {
         const timeoutAtMs = this.clock.nowMs() + maxMs;
--- a/daemons/fleet/src/followerContext.ts
+++ b/daemons/fleet/src/followerContext.ts
@@ -13,4 +13,6 @@
     watchWaitMs: () => number;
     /** Returns the time for which changes that aren't urgent are gathered, in milliseconds. */
     coalesceMs: () => number;
+    /** The entries are kept for processes that start during an outage. */
+    keepsEntries: true;
 }
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -17,6 +17,7 @@
 import { FleetProcess } from "./fleetProcess.js";
 import { LinkJobHolder } from "./linkJobHolder.js";
 import { LinkJobReader } from "./linkJobReader.js";
+import { SnapshotLoader } from "./snapshotLoader.js";
 
 /** Time in which the load balancer detects that a process is no longer ready, in milliseconds. */
 const BALANCER_DETECTION_MS = 2500;
@@ -34,6 +35,8 @@
     private readonly server: GatewayServer;
     private readonly readiness: ReadinessServer;
     private readonly requestQueue: RequestQueue;
+    private readonly snapshotLoader: SnapshotLoader;
+    private readonly closing = new AbortController();
     private isStopping = false;
 
     constructor(activeSettings: ActiveSettings, logger: Logger) {
@@ -110,6 +113,15 @@
             }),
             onJobWritten: revision => this.fleet.markJobsWritten(revision),
         });
+        const linkPort = settings.peerPorts[1]!;
+        this.snapshotLoader = new SnapshotLoader({
+            endpoint: this.fleet.links,
+            clock,
+            logger,
+            seeds: settings.seedHosts.map(host => ({ host, port: linkPort })),
+            isInitialized: () => this.fleet.isInitialized,
+            seed: snapshot => this.fleet.seed(snapshot),
+        });
         this.server = new GatewayServer({ context, protocol, jobs });
         this.readiness = new ReadinessServer({
             path: protocol.readinessPath,
@@ -120,6 +132,7 @@
     /** Starts to serve callers and the readiness check. Rejects if a port can't be opened. */
     async start(): Promise<void> {
         await this.fleet.start();
+        void this.snapshotLoader.run(this.closing.signal);
         const { callersAddress, readinessAddress } = this.settings.current;
         await this.server.listen(callersAddress!);
         await this.readiness.listen(readinessAddress!);
@@ -131,6 +144,7 @@
         const { clock } = this.fleet;
         const { stopGraceMs } = this.settings.current;
         this.isStopping = true;
+        this.closing.abort();
         const endAtMs = clock.nowMs() + stopGraceMs - STOP_MARGIN_MS;
         await sleep(clock, Math.min(BALANCER_DETECTION_MS, stopGraceMs / 3));
         this.server.stopAccepting();
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -12,12 +12,15 @@
 import { itemBodyCall } from "@knapweedwood/fleet.jobs/itemBodyCall";
 import { JobRunner } from "@knapweedwood/fleet.jobs/jobRunner";
 import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
+import { fleetSnapshotCall } from "@knapweedwood/fleet.sync/fleetSnapshotCall";
+import { FleetSnapshotFile } from "@knapweedwood/fleet.sync/fleetSnapshotFile";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { drainProgressOperation } from "@knapweedwood/platform.adapter/drainProgressOperation";
 import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
 import type { ActiveSettings } from "./activeSettings.js";
 import { FleetProcess } from "./fleetProcess.js";
 import { HeldJobsCollector } from "./heldJobsCollector.js";
+import { SnapshotKeeper } from "./snapshotKeeper.js";
 
 const RETRY_DELAY_MS = 200;
 
@@ -33,6 +36,7 @@
     private readonly held: HeldJobs;
     private readonly holdAdmission = new HoldAdmission();
     private readonly collector: HeldJobsCollector;
+    private readonly snapshots: SnapshotKeeper;
     private readonly closing = new AbortController();
     private isDraining = false;
 
@@ -76,12 +80,19 @@
             heldJobs: () => this.held.all(),
             collectHeldJobs: fencingNumber => this.collector.collect(fencingNumber),
         });
+        this.snapshots = new SnapshotKeeper({
+            clock: this.fleet.clock,
+            logger,
+            known: () => this.fleet.snapshot(),
+            file: new FleetSnapshotFile({ dataFolder: settings.dataFolder }),
+        });
         this.handleCalls();
     }
 
     /** Starts to follow the fleet, to serve links and to write held jobs. Rejects if a port can't be opened. */
     async start(): Promise<void> {
         await this.fleet.start();
+        void this.snapshots.run(this.closing.signal);
         this.held.run(this.closing.signal).catch((thrown: unknown) => {
             const error = toKnapweedError(thrown);
             this.logger.error("held-jobs-failed", { code: error.code, message: error.message });
@@ -141,7 +152,11 @@
     }
 
     private handleCalls(): void {
-        const { runner } = this;
+        const { runner, snapshots } = this;
+        this.fleet.links.handle(fleetSnapshotCall, async function*() {
+            const snapshot = snapshots.current();
+            yield snapshot === undefined ? {} : { snapshot };
+        });
         this.fleet.links.handle(resultsCall, async function*(request, context) {
             const page = await runner.reader.results({ ...request, signal: context.signal });
             yield page === undefined ? {} : { page };
--- a/daemons/fleet/test/peerFollower.test.ts
+++ b/daemons/fleet/test/peerFollower.test.ts
@@ -30,6 +30,7 @@
         logger: silentLogger,
         watchWaitMs: () => 4000,
         coalesceMs: () => 100,
+        keepsEntries: true,
         self: opts.self,
         minLeaseMs: 1000,
         onLeadershipChanged: () => undefined,
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -1,6 +1,7 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { PrefixMirrorOptions } from "./prefixMirrorOptions.js";
 
 const MIN_RETRY_DELAY_MS = 100;
@@ -20,6 +21,8 @@
     private failures = 0;
     private recoveredAtMs = Infinity;
     private catchUpTimer: Timer | undefined;
+    private readonly currentEntries = new Map<string, KeyValueEntry>();
+    private hasListed = false;
 
     constructor(opts: PrefixMirrorOptions) {
         this.opts = opts;
@@ -30,6 +33,24 @@
         return this.currentRevision;
     }
 
+    /** Whether the mirror has entries, listed or from a snapshot. */
+    get isInitialized(): boolean {
+        return this.hasListed || this.currentEntries.size > 0;
+    }
+
+    /** The mirrored entries if the mirror keeps them, shape [entries]. */
+    entries(): KeyValueEntry[] {
+        return [...this.currentEntries.values()];
+    }
+
+    /** Uses entries of another process until the first listing. Does nothing after it. */
+    seed(entries: readonly KeyValueEntry[]): void {
+        if (!this.isInitialized && entries.length > 0) {
+            this.replaceEntries(entries);
+            this.opts.onSnapshot([...entries], 0);
+        }
+    }
+
     /** Unix ms since which all calls succeed; infinity before the first response and while calls fail. */
     get reachableSinceMs(): number {
         return this.failures === 0 ? this.recoveredAtMs : Infinity;
@@ -67,6 +88,18 @@
         }
     }
 
+    private replaceEntries(entries: readonly KeyValueEntry[]): void {
+        this.currentEntries.clear();
+        this.applyToEntries({ puts: entries, deletedKeys: [] });
+    }
+
+    private applyToEntries(change: { puts: readonly KeyValueEntry[]; deletedKeys: readonly string[]; }): void {
+        if (this.opts.keepsEntries === true) {
+            change.deletedKeys.forEach(key => this.currentEntries.delete(key));
+            change.puts.forEach(entry => this.currentEntries.set(entry.key, entry));
+        }
+    }
+
     private coalesceMs(): number {
         return this.opts.coalesceMs?.() ?? 0;
     }
@@ -87,6 +120,8 @@
             const snapshot = await this.opts.service.snapshot(this.opts.prefix);
             this.onResponse();
             this.currentRevision = snapshot.revision;
+            this.hasListed = true;
+            this.replaceEntries(snapshot.entries);
             this.opts.onSnapshot(snapshot.entries, snapshot.revision);
         }
         const { service, clock, prefix, watchWaitMs } = this.opts;
@@ -95,6 +130,7 @@
         for await (const batch of service.watch(prefix, opts)) {
             this.onResponse();
             this.currentRevision = Math.max(this.currentRevision, batch.revision);
+            this.applyToEntries(batch);
             if (batch.puts.length > 0 || batch.deletedKeys.length > 0) {
                 this.opts.onChange(batch);
                 await sleep(clock, this.coalesceMs(), signal);
--- a/fleet/sync/src/prefixMirrorOptions.ts
+++ b/fleet/sync/src/prefixMirrorOptions.ts
@@ -16,6 +16,8 @@
     watchWaitMs?: () => number;
     /** Returns the pause after a change, in milliseconds, so that one call delivers several. Default 0, for urgent changes. */
     coalesceMs?: () => number;
+    /** Whether the mirror keeps the entries for {@link PrefixMirror.entries}. Default false, for large entries. */
+    keepsEntries?: boolean;
     /** Called with all entries under the prefix. Earlier entries that are not among them were deleted. */
     onSnapshot(entries: KeyValueEntry[], revision: number): void;
     /** Called with the changes since the snapshot or the previous call. */
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -203,3 +203,35 @@
     assert.deepEqual([listings, seen], [1, ["a/1", "a/2"]]);
     controller.abort();
 });
+
+test("entries of another process are used until the first listing, and never after it", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const controller = new AbortController();
+    const snapshots: string[][] = [];
+    const mirror = new PrefixMirror({
+        service,
+        clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        prefix: "a/",
+        keepsEntries: true,
+        onSnapshot: entries => snapshots.push(entries.map(entry => entry.key)),
+        onChange: () => undefined,
+    });
+    await service.transact([], [put("a/listed")]);
+    service.faults.outage = true;
+    void mirror.run(controller.signal);
+    await clock.advance(500);
+    const seeded = [{ key: "a/seeded", value: Buffer.from("s"), modRevision: 1, leaseId: undefined }];
+    assert.equal(mirror.isInitialized, false);
+    mirror.seed(seeded);
+    mirror.seed(seeded);
+    assert.deepEqual([mirror.isInitialized, mirror.revision, snapshots], [true, 0, [["a/seeded"]]]);
+    service.faults.outage = false;
+    await clock.advance(2000);
+    mirror.seed(seeded);
+    assert.deepEqual(snapshots, [["a/seeded"], ["a/listed"]]);
+    assert.deepEqual(mirror.entries().map(entry => entry.key), ["a/listed"]);
+    controller.abort();
+});
--- a/fleet/view/src/processSettings.ts
+++ b/fleet/view/src/processSettings.ts
@@ -19,6 +19,8 @@
      * second the TCP port for links.
      */
     peerPorts: number[];
+    /** Hosts of some runners, known without the key-value service; they may be outdated, shape [runners]. */
+    seedHosts: string[];
     /** Address of the key-value service. */
     keyValueAddress: HostPort;
     /** Shortest time to live that the key-value service grants a lease, in milliseconds. */
--- a/fuzz/soak/src/soakFleet.ts
+++ b/fuzz/soak/src/soakFleet.ts
@@ -152,6 +152,7 @@
             callersAddress: isGateway ? { host, port: CALLERS_PORT } : undefined,
             readinessAddress: isGateway ? { host, port: READINESS_PORT } : undefined,
             peerPorts: PEER_PORTS,
+            seedHosts: [this.hostOf(2, 1), this.hostOf(2, 2)],
             keyValueAddress: parseHostPort(await storeRelay.listen(this.hostOf(4, 2))),
             minLeaseMs: MIN_LEASE_MS,
             dataFolder: isGateway ? undefined : path.join(folder, "data"),
