fix(load): many gateways don't all choose the same upstream, and relays hand on within 8 ms

Change: relays wait 8 ms; the random part of an upstream's cost grows with the number of processes that place (0.05 to 2). Test: requestQueue.test.ts.

--- a/bench/decisions/src/simulateDecisions.ts
+++ b/bench/decisions/src/simulateDecisions.ts
@@ -45,6 +45,7 @@
                 zone: ZONES[index % 3]!,
                 index,
                 upstreams,
+                placingPeers: () => GATEWAYS - 1,
             }),
     );
     const outcomes = new CallOutcomes();
--- a/bench/decisions/src/simulatedGateway.ts
+++ b/bench/decisions/src/simulatedGateway.ts
@@ -24,6 +24,7 @@
         zone: ZoneName;
         index: number;
         upstreams: () => Upstream[];
+        placingPeers: () => number;
     }) {
         const { clock, random, zone, upstreams } = opts;
         this.reporter = new LoadReporter(`gateway-${opts.index}`, () => requestQueue.waitingCounts());
@@ -33,6 +34,7 @@
             random,
             zone,
             connectionShare: () => Infinity,
+            placingPeers: opts.placingPeers,
         });
         const requestQueue = new RequestQueue({
             clock,
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -67,6 +67,7 @@
                 random,
                 zone: settings.zone,
                 connectionShare: service => this.connectionShare(service),
+                placingPeers: () => this.fleet.peers.placingPeerCount,
             }),
             usableUpstreams: service => this.fleet.upstreams.usable(service),
         });
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -91,6 +91,7 @@
                 random,
                 zone: "z" as Upstream["zone"],
                 connectionShare: () => Infinity,
+                placingPeers: () => 0,
             }),
             usableUpstreams: () => opts.upstreams,
         });
--- a/fleet/load/src/leastLoadedPlacement.ts
+++ b/fleet/load/src/leastLoadedPlacement.ts
@@ -11,8 +11,14 @@
 const DISPLACEMENT_WEIGHT = 1.2;
 /** Cost of the network path to another zone. An upstream there is chosen if it has fewer requests. */
 const OTHER_ZONE_WEIGHT = 0.6;
-/** Breaks ties between upstreams of equal load. */
-const RANDOM_WEIGHT = 0.05;
+/**
+ * Random part of the cost, per other process that places requests. Processes that all choose the one least loaded
+ * upstream by the same reports fill it beyond its slots before the next report.
+ */
+const SPREAD_PER_PEER = 0.08;
+/** Bounds of the random part. The lower one breaks ties between upstreams of equal load. */
+const MIN_SPREAD = 0.05;
+const MAX_SPREAD = 2;
 
 /**
  * Spreads bursts of online requests: chooses the upstream with the lowest load, counted over all processes. Excludes
@@ -27,9 +33,11 @@
     private readonly random: Random;
     private readonly zone: ZoneName;
     private readonly connectionShare: (service: ServiceName) => number;
+    private readonly placingPeers: () => number;
 
     /**
      * @param opts.zone the availability zone of this process
+     * @param opts.placingPeers number of other processes that place requests
      * @param opts.connectionShare number of concurrent requests that this process may send to one upstream of a service
      */
     constructor(opts: {
@@ -37,9 +45,11 @@
         random: Random;
         zone: ZoneName;
         connectionShare: (service: ServiceName) => number;
+        placingPeers: () => number;
     }) {
         this.loadTracker = opts.loadTracker;
         this.connectionShare = opts.connectionShare;
+        this.placingPeers = opts.placingPeers;
         this.zone = opts.zone;
         this.random = opts.random;
     }
@@ -47,11 +57,12 @@
     placeOnline(candidates: readonly Upstream[]): Upstream | undefined {
         const service = candidates[0]?.service;
         const share = service === undefined ? 0 : this.connectionShare(service);
+        const spread = Math.min(MAX_SPREAD, Math.max(MIN_SPREAD, this.placingPeers() * SPREAD_PER_PEER));
         return candidates
             .filter(({ id, slots }) =>
                 this.loadTracker.onlineCount(id) < slots && this.loadTracker.ownOnlineCount(id) < share
             )
-            .map(upstream => ({ upstream, cost: this.costOf(upstream) }))
+            .map(upstream => ({ upstream, cost: this.costOf(upstream) + this.random.next() * spread }))
             .reduce<{ upstream: Upstream; cost: number; } | undefined>(
                 (best, candidate) => best === undefined || candidate.cost < best.cost ? candidate : best,
                 undefined,
@@ -64,6 +75,6 @@
         const online = this.loadTracker.onlineCount(upstream.id);
         const isFull = online + this.loadTracker.batchCount(upstream.id) >= upstream.slots;
         const displacement = isFull ? DISPLACEMENT_WEIGHT : 0;
-        return online + batch + displacement + zone + this.random.next() * RANDOM_WEIGHT;
+        return online + batch + displacement + zone;
     }
 }
--- a/fleet/load/src/loadExchange.ts
+++ b/fleet/load/src/loadExchange.ts
@@ -12,7 +12,7 @@
 
 /** Shortest time between two reports of this process, and between two messages of a relay, in milliseconds. */
 const MIN_INTERVAL_MS = 15;
-const MIN_RELAY_INTERVAL_MS = 20;
+const MIN_RELAY_INTERVAL_MS = 8;
 /** Time between reports while nothing changes, in milliseconds. */
 const HEARTBEAT_INTERVAL_MS = 300;
 /** Time between reports to processes that don't act on the load, and from them in a large fleet, in milliseconds. */
--- a/fleet/load/test/requestQueue.test.ts
+++ b/fleet/load/test/requestQueue.test.ts
@@ -33,6 +33,7 @@
             random,
             zone: "z" as Upstream["zone"],
             connectionShare: () => Infinity,
+            placingPeers: () => 0,
         }),
         usableUpstreams: () => upstreams,
     });
@@ -144,6 +145,25 @@
     assert.deepEqual(requests.map(one => one.placedAt?.id), ["free", "free", "full"]);
 });
 
+// Load pattern: a burst that reaches ten of 24 gateways between two reports. All of them see the same upstream idle.
+test("processes that place by the same reports don't fill one upstream beyond its slots", () => {
+    const peers = 23;
+    const upstreams = Array.from({ length: 24 }, (_, index) => upstreamOf(`u${index}`, 7));
+    const chosen = Array.from({ length: 10 }, (_, seed) => {
+        const loadTracker = new LoadTracker();
+        upstreams.slice(1).forEach(({ id }) => loadTracker.count(id, "online", 1));
+        return new LeastLoadedPlacement({
+            loadTracker,
+            random: new SeededRandom(seed),
+            zone: "z" as Upstream["zone"],
+            connectionShare: () => Infinity,
+            placingPeers: () => peers,
+        }).placeOnline(upstreams)!.id;
+    });
+    const most = Math.max(...upstreams.map(({ id }) => chosen.filter(other => other === id).length));
+    assert.ok(most <= 7, `${most} of ${chosen.length} requests at one upstream`);
+});
+
 test("never exceeds the process's share of an upstream's connections", () => {
     const loadTracker = new LoadTracker();
     const placement = new LeastLoadedPlacement({
@@ -151,6 +171,7 @@
         random: new SeededRandom(1),
         zone: "z" as Upstream["zone"],
         connectionShare: () => connectionShareOf({ maxConnections: 10, processes: 4 }),
+        placingPeers: () => 0,
     });
     const upstream = upstreamOf("a", 8);
     const placed = Array.from({ length: 4 }, () => {
