--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -1,4 +1,3 @@
-import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
@@ -18,6 +17,7 @@
 import { JobCleanup } from "./jobCleanup.js";
 import type { JobItem } from "./jobItem.js";
 import { jobKeys } from "./jobKeys.js";
+import { JobLoader } from "./jobLoader.js";
 import { JobReader } from "./jobReader.js";
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
 import { JobTable } from "./jobTable.js";
@@ -31,8 +31,6 @@
 const DISPATCH_INTERVAL_MS = 50;
 /** Time for which triggers are gathered into one dispatch, in milliseconds. Load reports come from every process. */
 const DISPATCH_DELAY_MS = 5;
-/** Pause before stored results are read, or held jobs collected, again after a failure, in milliseconds. */
-const LOAD_RETRY_DELAY_MS = 300;
 /** Time for which a route has to be missing before its items are abandoned, in milliseconds. */
 const ROUTE_MISSING_TIMEOUT_MS = 3000;
 /** Difference between the clocks of instances that is allowed for, in milliseconds. A gateway sets the expiry of a job. */
@@ -67,6 +65,7 @@
     private checkpointTimer: Timer | undefined;
     private isCheckpointing = false;
     private readonly routes: ItemRoutes;
+    private readonly loader: JobLoader;
 
     constructor(opts: JobRunnerOptions) {
         this.opts = opts;
@@ -74,6 +73,7 @@
         const { table } = this;
         const { runTimeEstimator } = this;
         this.routes = new ItemRoutes(opts);
+        this.loader = new JobLoader(opts);
         this.inFlightItems = new InFlightItems({
             ...opts,
             runTimeEstimator,
@@ -176,21 +176,11 @@
     /** Applies the stored jobs, then their stored results and the progress that this process has kept. */
     private async load(entries: KeyValueEntry[], signal: AbortSignal): Promise<void> {
         this.apply(entries);
-        while (!this.isLoaded && !signal.aborted) {
-            try {
-                const results = await this.opts.service.snapshot(jobKeys.resultsPrefix);
-                if (!signal.aborted) {
-                    this.onLoaded(results.entries);
-                    void this.collectHeldJobs(signal);
-                }
-            }
-            catch (thrown) {
-                const error = toKnapweedError(thrown);
-                this.opts.logger.warn("jobs-load-failed", { code: error.code, message: error.message });
-                await sleep(this.opts.clock, LOAD_RETRY_DELAY_MS, signal);
-            }
+        const results = this.isLoaded ? undefined : await this.loader.loadResults(signal);
+        if (results !== undefined && !this.isLoaded) {
+            this.onLoaded(results);
+            await this.collectHeldJobs(signal);
         }
-        this.requestDispatch();
     }
 
     private onLoaded(results: KeyValueEntry[]): void {
@@ -202,24 +192,25 @@
         const ended = this.table.all().filter(job => job.isEnded);
         ended.forEach(job => this.cleanup.onEnded(job));
         this.isLoaded = true;
+        this.requestDispatch();
         const jobs = this.table.all().length;
         this.opts.logger.info("jobs-loaded", { jobs, open: jobs - ended.length });
     }
 
     private async collectHeldJobs(signal: AbortSignal): Promise<void> {
-        const fence = this.opts.leadership.fence();
-        while (fence !== undefined && !this.knowsHeldJobs && !signal.aborted) {
-            const { jobs, isComplete } = await this.opts.collectHeldJobs(fence.modRevision);
-            if (signal.aborted) {
-                return;
-            }
-            jobs.forEach(job => this.table.applyHeld(job));
-            this.knowsHeldJobs = isComplete;
-            this.requestDispatch();
-            if (!isComplete) {
-                await sleep(this.opts.clock, LOAD_RETRY_DELAY_MS, signal);
-            }
+        const fencingNumber = this.opts.leadership.fence()?.modRevision;
+        if (fencingNumber === undefined) {
+            return;
         }
+        await this.loader.collectHeldJobs({
+            fencingNumber,
+            signal,
+            onCollected: (jobs, isComplete) => {
+                jobs.forEach(job => this.table.applyHeld(job));
+                this.knowsHeldJobs = isComplete;
+                this.requestDispatch();
+            },
+        });
     }
 
     private apply(entries: KeyValueEntry[]): void {
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -8,6 +8,7 @@
 import { test } from "node:test";
 import { computeWatchWaitMs } from "../src/computeWatchWaitMs.js";
 import { PrefixMirror } from "../src/prefixMirror.js";
+import type { PrefixMirrorOptions } from "../src/prefixMirrorOptions.js";
 
 /** Times after which calls and watches fail while the service is unresponsive, in milliseconds. */
 const LOST_CALL_MS = 600;
@@ -17,9 +18,11 @@
     return { kind: "put", key, value: Buffer.from("v") } as const;
 }
 
-function setUp() {
+/** Starts a mirror of `a/`. `keys` are those that it has reported. */
+function setUp(change: Partial<PrefixMirrorOptions> = {}, isDown = false) {
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
+    service.faults.outage = isDown;
     const controller = new AbortController();
     const keys = new Set<string>();
     let recoveries = 0;
@@ -42,6 +45,7 @@
         onRecovered: () => {
             recoveries += 1;
         },
+        ...change,
     });
     void mirror.run(controller.signal);
     return { clock, service, mirror, keys, counts: () => ({ recoveries, snapshots }), stop: () => controller.abort() };
@@ -176,62 +180,32 @@
 
 // With a pause longer than the time that the watch has to catch up, each change would be listed by every process.
 test("a revision reported by a peer during the pause after a change causes no listing", async () => {
-    const clock = new ManualClock();
-    const service = new MemoryKeyValueService({ clock });
-    const controller = new AbortController();
-    let listings = 0;
-    const seen: string[] = [];
-    const mirror = new PrefixMirror({
-        service,
-        clock,
-        random: new SeededRandom(1),
-        logger: silentLogger,
-        prefix: "a/",
-        coalesceMs: () => 500,
-        onSnapshot: () => {
-            listings += 1;
-        },
-        onChange: batch => seen.push(...batch.puts.map(entry => entry.key)),
-    });
-    void mirror.run(controller.signal);
+    const { clock, service, mirror, keys, counts, stop } = setUp({ coalesceMs: () => 500 });
     await clock.advance(100);
     await service.transact([], [put("a/1")]);
     await clock.advance(50);
     const { revision } = await service.transact([], [put("a/2")]);
     mirror.catchUp(revision);
     await clock.advance(1500);
-    assert.deepEqual([listings, seen], [1, ["a/1", "a/2"]]);
-    controller.abort();
+    assert.deepEqual([counts().snapshots, [...keys]], [1, ["a/1", "a/2"]]);
+    stop();
 });
 
 test("entries of another process are used until the first listing, and never after it", async () => {
-    const clock = new ManualClock();
-    const service = new MemoryKeyValueService({ clock });
-    const controller = new AbortController();
-    const snapshots: string[][] = [];
-    const mirror = new PrefixMirror({
-        service,
-        clock,
-        random: new SeededRandom(1),
-        logger: silentLogger,
-        prefix: "a/",
-        keepsEntries: true,
-        onSnapshot: entries => snapshots.push(entries.map(entry => entry.key)),
-        onChange: () => undefined,
-    });
-    await service.transact([], [put("a/listed")]);
-    service.faults.outage = true;
-    void mirror.run(controller.signal);
+    const { clock, service, mirror, keys, counts, stop } = setUp({ keepsEntries: true }, true);
     await clock.advance(500);
     const seeded = [{ key: "a/seeded", value: Buffer.from("s"), modRevision: 1, leaseId: undefined }];
     assert.equal(mirror.isInitialized, false);
     mirror.seed(seeded);
     mirror.seed(seeded);
-    assert.deepEqual([mirror.isInitialized, mirror.revision, snapshots], [true, 0, [["a/seeded"]]]);
+    assert.deepEqual([mirror.isInitialized, mirror.revision, counts().snapshots, [...keys]], [true, 0, 1, [
+        "a/seeded",
+    ]]);
     service.faults.outage = false;
+    await service.transact([], [put("a/listed")]);
     await clock.advance(2000);
     mirror.seed(seeded);
-    assert.deepEqual(snapshots, [["a/seeded"], ["a/listed"]]);
+    assert.deepEqual([counts().snapshots, [...keys]], [2, ["a/listed"]]);
     assert.deepEqual(mirror.entries().map(entry => entry.key), ["a/listed"]);
-    controller.abort();
+    stop();
 });
