--- a/daemons/fleet/src/operatorsFollower.ts
+++ b/daemons/fleet/src/operatorsFollower.ts
@@ -34,6 +34,11 @@
         });
     }
 
+    /** Returns the instances that the operators want drained, shape [instances]. */
+    drainRequests(): InstanceName[] {
+        return this.mirror.entries().flatMap(entry => parseDrainRequestKey(entry.key) ?? []);
+    }
+
     /** Revision of the key-value service at which the latest readable configuration was written; 0 before the first. */
     get configurationRevision(): number {
         return this.writtenRevision;
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -90,6 +90,11 @@
         return this.members.get(instanceName)?.zone;
     }
 
+    /** Whether a process of this instance is listed, or was a short time ago. */
+    hasProcess(instanceName: InstanceName): boolean {
+        return this.list().some(member => member.instanceName === instanceName);
+    }
+
     /** Lists the entries again if a process that sends reports is unknown. A silent watch may have missed its entry. */
     lookUpIfUnknown(instanceName: InstanceName): void {
         const nowMs = this.opts.clock.nowMs();
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -2,6 +2,7 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import { collectHeldCall } from "@knapweedwood/fleet.jobs/collectHeldCall";
 import { countJobTokens } from "@knapweedwood/fleet.jobs/countJobTokens";
 import { HeldJobs } from "@knapweedwood/fleet.jobs/heldJobs";
@@ -21,6 +22,7 @@
 import { FleetProcess } from "./fleetProcess.js";
 import { HeldJobsCollector } from "./heldJobsCollector.js";
 import { SnapshotKeeper } from "./snapshotKeeper.js";
+import { VacantInstanceDrains } from "./vacantInstanceDrains.js";
 
 const RETRY_DELAY_MS = 200;
 
@@ -37,6 +39,7 @@
     private readonly holdAdmission = new HoldAdmission();
     private readonly collector: HeldJobsCollector;
     private readonly snapshots: SnapshotKeeper;
+    private readonly vacantDrains: VacantInstanceDrains;
     private readonly closing = new AbortController();
     private isDraining = false;
 
@@ -86,6 +89,15 @@
             known: () => this.fleet.snapshot(),
             file: new FleetSnapshotFile({ dataFolder: settings.dataFolder }),
         });
+        const { peers, operators } = this.fleet;
+        this.vacantDrains = new VacantInstanceDrains({
+            clock: this.fleet.clock,
+            logger,
+            isLeading: () => peers.leadership.isLeading(),
+            requested: () => operators.drainRequests(),
+            hasProcess: instance => peers.hasProcess(instance),
+            report: instance => this.reportDrainProgress(instance, true),
+        });
         this.handleCalls();
     }
 
@@ -93,6 +105,7 @@
     async start(): Promise<void> {
         await this.fleet.start();
         void this.snapshots.run(this.closing.signal);
+        void this.vacantDrains.run(this.closing.signal);
         this.held.run(this.closing.signal).catch((thrown: unknown) => {
             const error = toKnapweedError(thrown);
             this.logger.error("held-jobs-failed", { code: error.code, message: error.message });
@@ -122,17 +135,17 @@
         }
         this.isDraining = true;
         this.logger.info("emptying-requested");
-        await this.retryUntilDone(() => this.reportDrainProgress(false));
+        const { instanceName } = this.settings.current;
+        await this.retryUntilDone(() => this.reportDrainProgress(instanceName, false));
         await this.retryUntilDone(() => this.handOver());
         while (this.held.count > 0) {
             await sleep(this.fleet.clock, RETRY_DELAY_MS);
         }
-        await this.retryUntilDone(() => this.reportDrainProgress(true));
+        await this.retryUntilDone(() => this.reportDrainProgress(instanceName, true));
         this.logger.info("emptied");
     }
 
-    private async reportDrainProgress(isDrained: boolean): Promise<void> {
-        const { instanceName } = this.settings.current;
+    private async reportDrainProgress(instanceName: InstanceName, isDrained: boolean): Promise<void> {
         await this.fleet.keyValueService.transact([], [drainProgressOperation(instanceName, isDrained)]);
     }
 
