fix(jobs): items go by the time at which they should have begun, whatever their progress

Change: both go by due time less the whole time that an item takes; progress breaks ties. Large items still begin early. Test: batchChoices.test.ts.

--- a/bench/decisions/src/jobSimulation.ts
+++ b/bench/decisions/src/jobSimulation.ts
@@ -62,6 +62,7 @@
         const order = orderStartableItems(open, {
             nowMs: clock.nowMs(),
             remainingMs: item => this.runTimeEstimator.remainingMs(item),
+            totalMs: item => this.runTimeEstimator.totalMs(item),
             hasFreeSlot: () => true,
         });
         order.every(({ job, item }) => this.startOnFreeEngine(job, item));
@@ -144,7 +145,7 @@
         const runs = this.running.map(runningItem => ({
             runningItem,
             upstreamId: runningItem.engine.upstream.id as UpstreamId,
-            latestStartAtMs: runningItem.job.record.dueAtMs - this.runTimeEstimator.remainingMs(runningItem.item),
+            beginByMs: runningItem.job.record.dueAtMs - this.runTimeEstimator.totalMs(runningItem.item),
             startedAtMs: runningItem.startedAtMs,
             isLate:
                 clock.nowMs() + this.runTimeEstimator.remainingMs(runningItem.item) > runningItem.job.record.dueAtMs,
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -119,9 +119,9 @@
         const nowMs = this.opts.clock.nowMs();
         const runs = inFlight.map(inFlightItem => {
             const { job: { record: { dueAtMs } }, run: { item, startedAtMs } } = inFlightItem;
-            const latestStartAtMs = dueAtMs - this.opts.runTimeEstimator.remainingMs(item);
-            const isLate = nowMs > latestStartAtMs;
-            return { inFlightItem, upstreamId: candidate.upstream.id, latestStartAtMs, startedAtMs, isLate };
+            const beginByMs = dueAtMs - this.opts.runTimeEstimator.totalMs(item);
+            const isLate = nowMs + this.opts.runTimeEstimator.remainingMs(item) > dueAtMs;
+            return { inFlightItem, upstreamId: candidate.upstream.id, beginByMs, startedAtMs, isLate };
         });
         return chooseRunsToPreempt(candidate, runs).map(({ inFlightItem }) => inFlightItem);
     }
--- a/fleet/jobs/src/itemRunTimeEstimator.ts
+++ b/fleet/jobs/src/itemRunTimeEstimator.ts
@@ -27,9 +27,21 @@
     }
 
     /** Returns the expected time until the item is done if it runs from now on, in milliseconds; 0 without samples. */
-    remainingMs({ record, lastEventId }: JobItem): number {
-        const eventsLeft = Math.max(0, this.meanEventsPerToken * record.tokens - lastEventId);
-        return eventsLeft * this.meanEventMs * PREEMPTION_FACTOR;
+    remainingMs(item: JobItem): number {
+        return this.timeFor(Math.max(0, this.expectedEvents(item) - item.lastEventId));
+    }
+
+    /** Returns the expected time that the item takes from its beginning, in milliseconds; 0 without samples. */
+    totalMs(item: JobItem): number {
+        return this.timeFor(this.expectedEvents(item));
+    }
+
+    private expectedEvents({ record }: JobItem): number {
+        return this.meanEventsPerToken * record.tokens;
+    }
+
+    private timeFor(eventCount: number): number {
+        return eventCount * this.meanEventMs * PREEMPTION_FACTOR;
     }
 }
 
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -270,11 +270,12 @@
             candidateOf: upstream => this.candidateOf(upstream, nowMs),
         });
         const remainingMs = (item: JobItem) => this.runTimeEstimator.remainingMs(item);
+        const totalMs = (item: JobItem) => this.runTimeEstimator.totalMs(item);
         const hasFreeSlot = (job: OpenJob, item: JobItem) => {
             const service = this.routes.serviceOf(job, item);
             return service !== undefined && slots.hasFree(service);
         };
-        orderStartableItems(this.table.all(), { nowMs, remainingMs, hasFreeSlot }).forEach(({ job, item }) => {
+        orderStartableItems(this.table.all(), { nowMs, remainingMs, totalMs, hasFreeSlot }).forEach(({ job, item }) => {
             const upstream = slots.take(this.routes.serviceOf(job, item)!, item.failedUpstreamIds);
             if (upstream !== undefined) {
                 this.inFlightItems.start(job, item, upstream);
--- a/fleet/jobs/src/orderStartableItems.ts
+++ b/fleet/jobs/src/orderStartableItems.ts
@@ -7,16 +7,16 @@
 }
 
 interface RankedItem extends StartableItem {
-    /** Latest start with which the item is expected to end in time, Unix ms. */
-    latestStartAtMs: number;
+    /** Latest time at which the item should have begun, Unix ms. */
+    beginByMs: number;
     /** Whether the item would be late even if it started now. */
     isLate: boolean;
 }
 
 /**
- * Returns the items that may start now: those that have begun by due time, then the others by their latest start, so
- * that large items begin early enough and are served like small ones. Under overload, items that can no longer finish in
- * time come last, since each of them would make another item late.
+ * Returns the items that may start now, ordered by the time at which they should have begun: their due time less the
+ * time that they take, so that large items are served like small ones. Items with more progress go first. Under
+ * overload, items that can no longer finish in time come last, since each of them would make another item late.
  *
  * Load pattern: more items than slots for longer than the time in which they are due.
  */
@@ -25,6 +25,7 @@
     opts: {
         nowMs: number;
         remainingMs: (item: JobItem) => number;
+        totalMs: (item: JobItem) => number;
         /** Whether a slot is free for the item. */
         hasFreeSlot: (job: OpenJob, item: JobItem) => boolean;
     },
@@ -38,19 +39,15 @@
                 .map(item => ({ job, item }))
         )
         .map(waiting => {
-            const latestStartAtMs = waiting.job.record.dueAtMs - opts.remainingMs(waiting.item);
-            return { ...waiting, latestStartAtMs, isLate: opts.nowMs > latestStartAtMs };
+            const { job: { record: { dueAtMs } }, item } = waiting;
+            const isLate = opts.nowMs + opts.remainingMs(item) > dueAtMs;
+            return { ...waiting, beginByMs: dueAtMs - opts.totalMs(item), isLate };
         })
         .sort(compare);
 }
 
 function compare(left: RankedItem, right: RankedItem): number {
     return Number(left.isLate) - Number(right.isLate)
-        || Number(hasBegun(right)) - Number(hasBegun(left))
-        || (hasBegun(left) ? left.job.record.dueAtMs - right.job.record.dueAtMs : 0)
-        || left.latestStartAtMs - right.latestStartAtMs;
-}
-
-function hasBegun({ item }: StartableItem): boolean {
-    return item.lastEventId > 0;
+        || left.beginByMs - right.beginByMs
+        || right.item.lastEventId - left.item.lastEventId;
 }
--- a/fleet/jobs/test/batchChoices.test.ts
+++ b/fleet/jobs/test/batchChoices.test.ts
@@ -40,11 +40,11 @@
     );
 });
 
-test("a burst preempts as many runs as exceed the slots: those with the most time to spare first, then those started last", () => {
-    const run = (name: string, latestStartAtMs: number, startedAtMs: number, isLate = false) => ({
+test("a burst preempts as many runs as exceed the slots: those that should have begun last first, then those started last", () => {
+    const run = (name: string, beginByMs: number, startedAtMs: number, isLate = false) => ({
         name,
         upstreamId: "a" as UpstreamId,
-        latestStartAtMs,
+        beginByMs,
         startedAtMs,
         isLate,
     });
@@ -56,14 +56,19 @@
     assert.deepEqual(chooseRunsToPreempt(candidate("a", 5, 4), withLate).map(({ name }) => name), ["late"]);
 });
 
-test("items that have begun run first, the others by due time, and those that are already late last", () => {
+test("items run by due time, those with progress first, and jobs that are already late last", () => {
     const jobs = [
         new OpenJob(createJobRecord({ id: "late", itemCount: 1, dueAtMs: 900 })),
         new OpenJob(createJobRecord({ id: "far", itemCount: 1, dueAtMs: 9000 })),
         new OpenJob(createJobRecord({ id: "near", itemCount: 2, dueAtMs: 2000 })),
     ];
     jobs[2]!.items[1]!.lastEventId = 3;
-    const order = orderStartableItems(jobs, { nowMs: 1000, remainingMs: () => 0, hasFreeSlot: () => true }).map((
+    const order = orderStartableItems(jobs, {
+        nowMs: 1000,
+        remainingMs: () => 0,
+        totalMs: () => 0,
+        hasFreeSlot: () => true,
+    }).map((
         { item },
     ) => item.id);
     assert.deepEqual(order, ["near-1", "near-0", "far-0", "late-0"]);
@@ -83,6 +88,7 @@
     const order = orderStartableItems(jobs, {
         nowMs: 1000,
         remainingMs: remainingOfFiveSecondItem,
+        totalMs: () => 5000,
         hasFreeSlot: () => true,
     });
     assert.deepEqual(order.map(({ item }) => item.id), ["started-0", "near-0", "far-0", "too-late-0"]);
@@ -105,10 +111,11 @@
             inTime += run.endMs <= run.dueAtMs ? 1 : 0;
         });
         const free = slots - running.filter(run => run.item.state === "running").length;
-        orderStartableItems(jobs, { nowMs, remainingMs, hasFreeSlot: () => true }).slice(0, free).forEach(one => {
-            one.item.state = "running";
-            running.push({ item: one.item, endMs: nowMs + runMs, dueAtMs: one.job.record.dueAtMs });
-        });
+        orderStartableItems(jobs, { nowMs, remainingMs, totalMs: () => runMs, hasFreeSlot: () => true }).slice(0, free)
+            .forEach(one => {
+                one.item.state = "running";
+                running.push({ item: one.item, endMs: nowMs + runMs, dueAtMs: one.job.record.dueAtMs });
+            });
     }
     return inTime;
 }
@@ -121,6 +128,17 @@
     assert.ok(simulateOverload(() => 0) < capacity * 0.6, "without an estimate, items run although they will be late");
 });
 
+// Items that had begun went before items of jobs due earlier, which were late after each burst that displaced some.
+test("an item of a job due later doesn't go first because it has begun", () => {
+    const jobs = [
+        new OpenJob(createJobRecord({ id: "early", itemCount: 1, dueAtMs: 9000 })),
+        new OpenJob(createJobRecord({ id: "later", itemCount: 1, dueAtMs: 12_000 })),
+    ];
+    jobs[1]!.items[0]!.lastEventId = 60;
+    const opts = { nowMs: 1000, remainingMs: remainingOfFiveSecondItem, totalMs: () => 5000, hasFreeSlot: () => true };
+    assert.deepEqual(orderStartableItems(jobs, opts).map(({ item }) => item.id), ["early-0", "later-0"]);
+});
+
 /** Simulates more items than slots, every tenth of them large. Returns the shares that end in time by size. */
 function simulateSizes(): { large: number; all: number; } {
     const slots = 8;
@@ -143,10 +161,11 @@
             }
         });
         const free = slots - running.filter(run => run.item.state === "running").length;
-        orderStartableItems(jobs, { nowMs, remainingMs, hasFreeSlot: () => true }).slice(0, free).forEach(one => {
-            one.item.state = "running";
-            running.push({ item: one.item, endMs: nowMs + remainingMs(one.item), dueAtMs: one.job.record.dueAtMs });
-        });
+        orderStartableItems(jobs, { nowMs, remainingMs, totalMs: runMsOf, hasFreeSlot: () => true }).slice(0, free)
+            .forEach(one => {
+                one.item.state = "running";
+                running.push({ item: one.item, endMs: nowMs + remainingMs(one.item), dueAtMs: one.job.record.dueAtMs });
+            });
     }
     const shareOf = (items: JobItem[]) => items.filter(item => inTime.has(item)).length / items.length;
     const items = jobs.flatMap(job => job.items);
@@ -169,6 +188,7 @@
     estimator.recordOutput({ ...item, lastEventId: 100 });
     assert.equal(estimator.remainingMs(item), 6500);
     assert.equal(estimator.remainingMs({ ...item, record: { ...item.record, tokens: 200 } }), 13_000);
+    assert.equal(estimator.totalMs({ ...item, lastEventId: 60 }), 6500);
     item.lastEventId = 60;
     assert.equal(estimator.remainingMs(item), 2600);
     item.lastEventId = 200;
