fix(jobs): a gateway that has seen no outage accepts jobs by the stored count at once after its start

Change: the count is incomplete only after an outage that the process has seen itself. Not found is still answered only 4 s after the start. Test: prefixMirror.test.ts.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -187,6 +187,14 @@
         this.peers.mirror.seed(snapshot.fleet);
     }
 
+    /**
+     * Whether the stored count of waiting tokens contains all jobs. It lacks those that were held during an outage and
+     * are not written yet. A process that reached the service at once after its start has seen no outage.
+     */
+    get isTokenCountComplete(): boolean {
+        return this.clock.nowMs() > this.peers.mirror.lastOutageEndedAtMs + HELD_JOBS_WRITE_MS;
+    }
+
     /** Resolves once the configuration and the upstreams are loaded, or after `maxMs` milliseconds. */
     async whenInitialized(maxMs: number): Promise<void> {
         const timeoutAtMs = this.clock.nowMs() + maxMs;
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -103,6 +103,7 @@
                     copies: () => activeSettings.current.tolerableLosses + 1,
                 }),
                 areHeldJobsWritten: () => this.fleet.areHeldJobsWritten,
+                isTokenCountComplete: () => this.fleet.isTokenCountComplete,
             }),
             reader: new FallbackJobReader({
                 logger,
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -34,11 +34,13 @@
     private readonly logger: Logger;
     private readonly holder: JobHolder;
     private readonly areHeldJobsWritten: () => boolean;
+    private readonly isTokenCountComplete: () => boolean;
     private readonly waitingTokensEntries = new Map<string, KeyValueEntry>();
 
     /**
      * @param opts.holder holds jobs while the key-value service is unavailable
-     * @param opts.areHeldJobsWritten whether jobs held during an outage have been written
+     * @param opts.areHeldJobsWritten whether jobs held during any outage are certain to have been written
+     * @param opts.isTokenCountComplete whether the stored count of waiting tokens contains all jobs
      */
     constructor(opts: {
         service: KeyValueService;
@@ -46,12 +48,14 @@
         logger: Logger;
         holder: JobHolder;
         areHeldJobsWritten: () => boolean;
+        isTokenCountComplete: () => boolean;
     }) {
         this.service = opts.service;
         this.clock = opts.clock;
         this.logger = opts.logger;
         this.holder = opts.holder;
         this.areHeldJobsWritten = opts.areHeldJobsWritten;
+        this.isTokenCountComplete = opts.isTokenCountComplete;
     }
 
     /** Stores the job, or holds it on disks. A job that was accepted before is accepted again. */
@@ -98,7 +102,7 @@
      * of a route with a limit is only held, because the leader has the complete count.
      */
     private async writeOrHold(route: Route, submission: JobSubmission): Promise<Acceptance> {
-        if (route.maxWaitingTokens === undefined || this.areHeldJobsWritten()) {
+        if (route.maxWaitingTokens === undefined || this.isTokenCountComplete()) {
             return this.writeThenHold(route, submission);
         }
         const held = await this.hold(route, submission);
--- a/fleet/jobs/test/jobAcceptor.test.ts
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -31,6 +31,7 @@
             logger: silentLogger,
             holder: { hold: () => Promise.resolve(held) },
             areHeldJobsWritten: () => areHeldJobsWritten,
+            isTokenCountComplete: () => areHeldJobsWritten,
         });
     const settle = async (pending: Promise<Acceptance>): Promise<Acceptance> => {
         await clock.advance(10_000);
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -20,6 +20,7 @@
     private relistController = new AbortController();
     private failures = 0;
     private recoveredAtMs = Infinity;
+    private outageEndedAtMs = -Infinity;
     private catchUpTimer: Timer | undefined;
     private readonly currentEntries = new Map<string, KeyValueEntry>();
     private hasListed = false;
@@ -56,6 +57,11 @@
         return this.failures === 0 ? this.recoveredAtMs : Infinity;
     }
 
+    /** Unix ms of the end of the last outage that this process has seen: infinity during one, -infinity if none. */
+    get lastOutageEndedAtMs(): number {
+        return this.failures === 0 ? this.outageEndedAtMs : Infinity;
+    }
+
     /** Lists the prefix again if the watch does not deliver `revision` within `CATCH_UP_DELAY_MS` after the pause. */
     catchUp(revision: number): void {
         if (revision <= this.currentRevision || this.catchUpTimer !== undefined) {
@@ -144,6 +150,7 @@
             return;
         }
         this.recoveredAtMs = this.opts.clock.nowMs();
+        this.outageEndedAtMs = this.recoveredAtMs;
         this.opts.logger.info("key-value-regained", { prefix: this.opts.prefix, failures: this.failures });
         this.failures = 0;
         this.opts.onRecovered?.();
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -52,16 +52,19 @@
 }
 
 test("changes made during an outage are mirrored after recovery, and the recovery is reported", async () => {
-    const { clock, service, keys, counts, stop } = setUp();
+    const { clock, service, mirror, keys, counts, stop } = setUp();
     await service.transact([], [put("a/1")]);
     await clock.advance(100);
+    assert.equal(mirror.lastOutageEndedAtMs, -Infinity, "no outage was seen");
     service.faults.outage = true;
     await clock.advance(3000);
+    assert.equal(mirror.lastOutageEndedAtMs, Infinity);
     service.faults.outage = false;
     await service.transact([], [put("a/2"), { kind: "delete", key: "a/1" }]);
     await clock.advance(2000);
     assert.deepEqual([...keys], ["a/2"]);
     assert.equal(counts().recoveries, 1);
+    assert.ok(mirror.lastOutageEndedAtMs >= 3100 && mirror.lastOutageEndedAtMs <= clock.nowMs());
     stop();
 });
 
