fix(jobs): a new leader makes the promise that it asks of the other runners

Read in the diff: its own disk could still take a copy that an earlier leader had approved, until its watch had shown it its own key. The test of HoldAdmission had it so already.

--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -81,7 +81,10 @@
             resultRetentionMs: () => activeSettings.current.resultRetentionMs,
             onLoadChanged: () => this.fleet.markLoadChanged(),
             heldJobs: () => this.held.all(),
-            collectHeldJobs: fencingNumber => this.collector.collect(fencingNumber),
+            collectHeldJobs: fencingNumber => {
+                this.holdAdmission.promise(fencingNumber);
+                return this.collector.collect(fencingNumber);
+            },
         });
         this.snapshots = new SnapshotKeeper({
             clock: this.fleet.clock,
