refactor(load): no loop over all processes for each request or relayed message

Cause (read in the diff): the placement counted all members twice for each request, and a relay looked through all peers for each message and tick. Change: the count is kept for 100 ms, the relay looks peers up by name and keeps its zone's addresses; comments that needed a second reading say it plainly.

--- a/bench/decisions/src/simulatedCaller.ts
+++ b/bench/decisions/src/simulatedCaller.ts
@@ -14,7 +14,7 @@
 const OBJECTIVE_MS = 300;
 /** A caller abandons a call after this time without an event. */
 const CALLER_TIMEOUT_MS = 1950;
-/** Time from an attempt until its caller gives up for good. */
+/** Time from an attempt to the deadline of its caller, in milliseconds. */
 const DEADLINE_MS = 5000;
 /** Mean time for which a call holds a slot of an engine. */
 const MEAN_HOLD_MS = 720;
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -18,6 +18,8 @@
 const ANNOUNCE_RETRY_MS = 500;
 /** Minimum time between lookups of the entries of unknown processes that send reports, in milliseconds. */
 const LOOKUP_INTERVAL_MS = 5000;
+/** Time for which a count of the processes is used, in milliseconds. */
+const COUNT_VALID_MS = 100;
 
 interface PeerFollowerOptions extends FollowerContext {
     self: MemberRecord;
@@ -34,6 +36,8 @@
     private readonly opts: PeerFollowerOptions;
     private readonly members = new MemberTable();
     private lookedUpAtMs = -Infinity;
+    private countedPlacingPeers = 0;
+    private countedAtMs = -Infinity;
 
     constructor(opts: PeerFollowerOptions) {
         this.opts = opts;
@@ -70,9 +74,14 @@
         }));
     }
 
-    /** Number of other processes that place requests or items by load. */
+    /** Number of other processes that place requests or items by load. Read for each request, so it is not recounted. */
     get placingPeerCount(): number {
-        return this.others().filter(member => this.placesByLoad(member)).length;
+        const nowMs = this.opts.clock.nowMs();
+        if (nowMs >= this.countedAtMs + COUNT_VALID_MS) {
+            this.countedAtMs = nowMs;
+            this.countedPlacingPeers = this.others().filter(member => this.placesByLoad(member)).length;
+        }
+        return this.countedPlacingPeers;
     }
 
     /** Whether this process places requests or items by load. */
--- a/daemons/fleet/test/vacantInstanceDrains.test.ts
+++ b/daemons/fleet/test/vacantInstanceDrains.test.ts
@@ -5,7 +5,7 @@
 import { test } from "node:test";
 import { VacantInstanceDrains } from "../src/vacantInstanceDrains.js";
 
-// Runners are on half of the storage instances. Nobody would report that the others may be taken away.
+// Half of the storage instances have no runner that could report them as drained.
 test("the leader reports an instance without a process as drained, once, and no other instance", async () => {
     const clock = new ManualClock();
     const controller = new AbortController();
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -295,7 +295,7 @@
         this.log("upstream-silent", { upstream: attempt.upstream.id, isEjected });
     }
 
-    /** Goes on at another upstream if that can resume the response. */
+    /** Ends the attempt and resumes the response at another upstream, if the route allows that. */
     private onPaused(attempt: Attempt): void {
         const canResume = this.route.kind === "stream" && this.isRepeatable() && this.attempts < this.route.maxAttempts;
         if (attempt === this.attempt && canResume) {
--- a/fleet/load/src/loadExchange.ts
+++ b/fleet/load/src/loadExchange.ts
@@ -56,10 +56,11 @@
     private peers: LoadPeer[] = [];
     private peersByName = new Map<InstanceName, LoadPeer>();
     private peersAtMs = -Infinity;
+    private isLarge = false;
 
     constructor(opts: LoadExchangeOptions) {
         this.opts = opts;
-        this.relay = new ReportRelay({ self: opts.self, peers: () => this.peers });
+        this.relay = new ReportRelay({ self: opts.self, peers: () => this.peersByName });
     }
 
     /** Opens the channel and starts to send reports. Rejects if the address can't be bound. */
@@ -99,17 +100,13 @@
         const report = this.opts.createReport();
         const encoded = { report, bytes: this.codec.encode(report) };
         this.updatePeers(this.sentAtMs);
-        if (this.isLarge()) {
+        if (this.isLarge) {
             this.sendToRelays(encoded);
         }
         else {
             this.sendDirectly(encoded);
         }
-        this.schedule(this.isLarge() && !this.opts.placesByLoad() ? DISTANT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS);
-    }
-
-    private isLarge(): boolean {
-        return this.peers.filter(peer => peer.placesByLoad).length > MAX_DIRECT_PEERS;
+        this.schedule(this.isLarge && !this.opts.placesByLoad() ? DISTANT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS);
     }
 
     private updatePeers(nowMs: number): void {
@@ -117,6 +114,7 @@
             this.peersAtMs = nowMs;
             this.peers = this.opts.peers();
             this.peersByName = new Map(this.peers.map(peer => [peer.instanceName, peer]));
+            this.isLarge = this.peers.filter(peer => peer.placesByLoad).length > MAX_DIRECT_PEERS;
         }
     }
 
@@ -202,7 +200,7 @@
     private onDirect(encoded: EncodedReport, nowMs: number): void {
         this.updatePeers(nowMs);
         const sender = this.peersByName.get(encoded.report.instanceName);
-        if (sender?.zone === this.opts.self.zone && this.isLarge()) {
+        if (sender?.zone === this.opts.self.zone && this.isLarge) {
             this.relay.addDirect(encoded, nowMs);
             this.scheduleRelay();
         }
--- a/fleet/load/src/relayChoice.ts
+++ b/fleet/load/src/relayChoice.ts
@@ -2,11 +2,11 @@
 
 /** Time without a message after which a relay counts as silent, in milliseconds. */
 const SILENT_AFTER_MS = 250;
-/** Time after which a silent relay is tried again, in milliseconds. */
-const RETRY_AFTER_MS = 2000;
+/** Time for which a silent relay is not chosen, in milliseconds. */
+const AVOID_SILENT_MS = 2000;
 
 interface RelayState {
-    /** Time of the first message sent to it since it was last heard or tried again. */
+    /** Time of the first message sent to the relay that it has not responded to; undefined if there is none. */
     awaitedSinceMs: number | undefined;
     heardAtMs: number;
     silentUntilMs: number;
@@ -16,7 +16,7 @@
  * Chooses the relays of a zone that this process sends to. No agreement is needed: a process relays for all who send
  * to it.
  *
- * Load pattern: relays are killed, cut off or started anew while load changes many times a second.
+ * Load pattern: a relay is killed, or its network is cut, while the load changes many times a second.
  */
 export class RelayChoice {
     private readonly states = new Map<InstanceName, RelayState>();
@@ -53,7 +53,7 @@
         const state = this.stateOf(name);
         const awaitedMs = nowMs - Math.max(state.awaitedSinceMs ?? nowMs, state.heardAtMs);
         if (awaitedMs >= SILENT_AFTER_MS) {
-            state.silentUntilMs = nowMs + RETRY_AFTER_MS;
+            state.silentUntilMs = nowMs + AVOID_SILENT_MS;
             state.awaitedSinceMs = undefined;
         }
         return nowMs < state.silentUntilMs;
--- a/fleet/load/src/reportRelay.ts
+++ b/fleet/load/src/reportRelay.ts
@@ -17,8 +17,8 @@
 
 interface ReportRelayOptions {
     self: Pick<LoadPeer, "instanceName" | "zone" | "isPreferredRelay">;
-    /** Returns all other processes, shape [processes]. */
-    peers: () => LoadPeer[];
+    /** Returns all other processes. The same map is returned until they may have changed. */
+    peers: () => ReadonlyMap<InstanceName, LoadPeer>;
 }
 
 /**
@@ -38,10 +38,13 @@
     private ofOtherZones = new Map<InstanceName, EncodedReport>();
     private relaysUntilMs = -Infinity;
     private relayedAtMs = -Infinity;
+    private knownPeers: ReadonlyMap<InstanceName, LoadPeer> | undefined;
+    /** Addresses of the processes of this zone that act on the load, among the known peers. */
+    private zoneTargets: HostPort[] = [];
 
     constructor(opts: ReportRelayOptions) {
         this.opts = opts;
-        this.ranking = new RelayRanking(() => [opts.self, ...opts.peers()]);
+        this.ranking = new RelayRanking(() => [opts.self, ...opts.peers().values()]);
     }
 
     /** Returns the relays of this zone to which this process sends its report, shape [relays]. May contain itself. */
@@ -63,7 +66,7 @@
     /** Adds reports that a relay has sent. Those of other zones are handed on in this zone. */
     addRelayed(sender: InstanceName, reports: readonly EncodedReport[], nowMs: number): void {
         this.choice.onHeard(sender, nowMs);
-        const zone = this.opts.peers().find(peer => peer.instanceName === sender)?.zone;
+        const zone = this.opts.peers().get(sender)?.zone;
         if (zone !== undefined && zone !== this.opts.self.zone) {
             reports.forEach(report => this.ofOtherZones.set(report.report.instanceName, report));
         }
@@ -99,17 +102,21 @@
     }
 
     private membersOfZone(): HostPort[] {
-        return this.opts.peers()
-            .filter(peer => peer.zone === this.opts.self.zone && peer.placesByLoad)
-            .map(peer => peer.address);
+        const peers = this.opts.peers();
+        if (peers !== this.knownPeers) {
+            this.knownPeers = peers;
+            this.zoneTargets = [...peers.values()]
+                .filter(peer => peer.zone === this.opts.self.zone && peer.placesByLoad)
+                .map(peer => peer.address);
+        }
+        return this.zoneTargets;
     }
 
     private relaysOfOtherZones(nowMs: number): HostPort[] {
-        const addresses = new Map(this.opts.peers().map(peer => [peer.instanceName, peer.address]));
         return [...this.ranking.byZone(nowMs)]
             .filter(([zone]) => zone !== this.opts.self.zone)
             .flatMap(([, ranked]) => this.choose(ranked, nowMs))
-            .flatMap(name => addresses.get(name) ?? []);
+            .flatMap(name => this.opts.peers().get(name)?.address ?? []);
     }
 
     private choose(ranked: readonly InstanceName[], nowMs: number): InstanceName[] {
--- a/fleet/load/test/loadTracker.test.ts
+++ b/fleet/load/test/loadTracker.test.ts
@@ -61,7 +61,7 @@
     assert.equal(tracker.isKeyValueReachableByPeer(), false);
 });
 
-// The sums follow reports by differences; one lost difference would leave an upstream full or empty for good.
+// Each report changes the sums by its difference from the one before. An error in one change would stay in the sums.
 test("the sums equal those over the last valid reports after any sequence of reports and expiries", () => {
     const upstreamIds = ["a", "b", "c"] as UpstreamId[];
     const service = "s" as ServiceName;
