test(soak): the oracle's test keeps its shape and only waits differently

The class that came with the new waits repeated what one function did. The function is back, with the waits for what it checks.

--- a/fuzz/soak/test/oracle.test.ts
+++ b/fuzz/soak/test/oracle.test.ts
@@ -24,125 +24,90 @@
 /** How long before the start of the test all faults ended. More than the recovery time that the oracle allows. */
 const FAULTS_ENDED_BEFORE_MS = 20_000;
 
-/** Callers, jobs and probes that run against a gateway with one breakage. */
-class BrokenFleet {
-    readonly record = new SoakRecord();
-    private readonly breakage: Breakage;
-    private readonly gateway: BrokenGateway;
-    private readonly upstreams: SoakUpstream[];
-    private readonly balancer: SoakBalancer;
-    private readonly jobs: SoakJobClient;
-    private readonly callersController = new AbortController();
-    private readonly submissionController = new AbortController();
-    private readonly address: SoakGateway;
-    private readonly random = new SeededRandom(12_345);
-    private readonly clock = new SystemClock();
-    private running: Promise<void>[] = [];
+/**
+ * Runs callers, jobs and probes against a gateway with one breakage until the oracle finds that `promise` is broken. With
+ * the breakage `nothing`, runs until all jobs have ended.
+ *
+ * @returns the promises found broken
+ */
+async function findBrokenPromises(breakage: Breakage, subnet: number, promise?: string): Promise<string[]> {
+    const clock = new SystemClock();
+    const nowMs = () => clock.nowMs();
+    const record = new SoakRecord();
+    const random = new SeededRandom(12_345);
+    const upstreams = [MODEL_SERVICE, MODEL_SERVICE, ANSWER_SERVICE, ANSWER_SERVICE]
+        .map((service, index) => new SoakUpstream(`u-${index}`, { service, zone: "a", record, random, nowMs }));
+    const host = `127.${subnet}.1.1`;
+    await Promise.all(upstreams.map(upstream => upstream.listen(host)));
+    const gateway = new BrokenGateway({ breakage, upstreams });
+    await gateway.listen(host, [CALLERS_PORT, READINESS_PORT]);
+    ["fetch", "book", "only-1", "only-2"].forEach(name => record.servicesOfPrefix.set(`/${name}/`, ANSWER_SERVICE));
+    ["stream", "stream-once", "job"].forEach(name => record.servicesOfPrefix.set(`/${name}/`, MODEL_SERVICE));
+    record.versions.push({ version: 1, writtenAtMs: nowMs(), ackedAtMs: nowMs() });
+    record.faultsEndedAtMs = nowMs() - FAULTS_ENDED_BEFORE_MS;
 
-    constructor(breakage: Breakage, subnet: number) {
-        const { record, random } = this;
-        const nowMs = () => this.clock.nowMs();
-        this.breakage = breakage;
-        this.upstreams = [MODEL_SERVICE, MODEL_SERVICE, ANSWER_SERVICE, ANSWER_SERVICE]
-            .map((service, index) => new SoakUpstream(`u-${index}`, { service, zone: "a", record, random, nowMs }));
-        this.gateway = new BrokenGateway({ breakage, upstreams: this.upstreams });
-        this.address = {
-            name: "g",
-            host: `127.${subnet}.1.1`,
-            callersPort: CALLERS_PORT,
-            readinessPort: READINESS_PORT,
-            startNumber: () => 1,
-        };
-        this.balancer = new SoakBalancer({ gateways: [this.address], random });
-        const cancelledShare = breakage === "runs-cancelled-items" ? 1 : 0;
-        this.jobs = new SoakJobClient({ record, random, nowMs, balancer: this.balancer, name: "j", cancelledShare });
-    }
-
-    async start(): Promise<void> {
-        const { record, random, balancer, gateway, address } = this;
-        const { host } = address;
-        const nowMs = () => this.clock.nowMs();
-        await Promise.all(this.upstreams.map(upstream => upstream.listen(host)));
-        await gateway.listen(host, [CALLERS_PORT, READINESS_PORT]);
-        ["fetch", "book", "only-1", "only-2"].forEach(name => record.servicesOfPrefix.set(`/${name}/`, ANSWER_SERVICE));
-        ["stream", "stream-once", "job"].forEach(name => record.servicesOfPrefix.set(`/${name}/`, MODEL_SERVICE));
-        record.versions.push({ version: 1, writtenAtMs: nowMs(), ackedAtMs: nowMs() });
-        record.faultsEndedAtMs = nowMs() - FAULTS_ENDED_BEFORE_MS;
-        const shared = { balancer, record, random, nowMs, newestVersion: () => gateway.version };
-        const callers = Array.from({ length: 4 }, (_, index) => new SoakCaller({ ...shared, name: `c${index}` }));
-        const { signal } = this.callersController;
-        this.running = [
-            ...callers.slice(1).map(caller => caller.run(signal)),
-            callers[0]!.probe([address], signal),
-            this.jobs.run(400, this.submissionController.signal),
-        ];
-    }
-
-    /** Writes a new configuration and drains an upstream. */
-    change(): void {
-        const nowMs = this.clock.nowMs();
-        this.gateway.version = 2;
-        this.record.versions.push({ version: 2, writtenAtMs: nowMs, ackedAtMs: nowMs });
-        this.gateway.drain(this.upstreams[0]!);
-        this.record.drains.push({ upstreamId: this.upstreams[0]!.id, ackedAtMs: nowMs });
-    }
-
-    /** Stops the gateway as planned. */
-    stopGateway(): void {
-        const nowMs = this.clock.nowMs();
-        this.record.faults.push({ kind: "stop", target: "g", fromMs: nowMs, toMs: nowMs, isPlanned: true });
-        this.gateway.stop();
-    }
+    const address: SoakGateway = {
+        name: "g",
+        host,
+        callersPort: CALLERS_PORT,
+        readinessPort: READINESS_PORT,
+        startNumber: () => 1,
+    };
+    const balancer = new SoakBalancer({ gateways: [address], random });
+    const controller = new AbortController();
+    const shared = { balancer, record, random, nowMs, newestVersion: () => gateway.version };
+    const callers = Array.from({ length: 4 }, (_, index) => new SoakCaller({ ...shared, name: `c${index}` }));
+    const running = [
+        ...callers.slice(1).map(caller => caller.run(controller.signal)),
+        callers[0]!.probe([address], controller.signal),
+    ];
+    const cancelledShare = breakage === "runs-cancelled-items" ? 1 : 0;
+    const jobs = new SoakJobClient({ ...shared, name: "j", cancelledShare });
+    const submitting = new AbortController();
+    const stopGateway = () => {
+        record.faults.push({ kind: "stop", target: "g", fromMs: nowMs(), toMs: nowMs(), isPlanned: true });
+        gateway.stop();
+    };
+    const brokenPromises = () => [...new Set(oracle(record).map(violation => violation.promise))];
+    running.push(jobs.run(400, submitting.signal));
+    await pause(BEFORE_CHANGES_MS);
 
-    /** Submits no more jobs and resolves when each submitted one has ended, or after `MAX_WAIT_MS`. */
-    async finishJobs(): Promise<void> {
-        this.submissionController.abort();
-        await this.waitUntil(() => this.record.jobs.every(job => job.results.length === job.items.length));
+    gateway.version = 2;
+    record.versions.push({ version: 2, writtenAtMs: nowMs(), ackedAtMs: nowMs() });
+    gateway.drain(upstreams[0]!);
+    record.drains.push({ upstreamId: upstreams[0]!.id, ackedAtMs: nowMs() });
+    if (breakage === "nothing") {
+        stopGateway();
+        await pause(AFTER_CHANGES_MS);
+        submitting.abort();
+        await waitUntil(() => record.jobs.every(job => job.results.length === job.items.length));
     }
-
-    /** Resolves when the oracle finds that `promise` is broken, or after `MAX_WAIT_MS`. */
-    async waitUntilBroken(promise: string): Promise<void> {
-        await this.waitUntil(async () => {
-            await this.jobs.readAllResults();
-            if (this.breakage === "cuts-when-stopping") {
-                this.stopGateway();
+    else {
+        await waitUntil(async () => {
+            await jobs.readAllResults();
+            if (breakage === "cuts-when-stopping") {
+                stopGateway();
             }
-            return this.brokenPromises().includes(promise);
+            return brokenPromises().includes(promise!);
         });
     }
-
-    /** Returns the promises that the oracle finds broken so far, shape [promises]. */
-    brokenPromises(): string[] {
-        return [...new Set(oracle(this.record).map(violation => violation.promise))];
-    }
-
-    /** Ends all callers and closes all servers. */
-    async close(): Promise<void> {
-        this.submissionController.abort();
-        this.callersController.abort();
-        await Promise.all(this.running);
-        this.jobs.stop();
-        await this.jobs.readAllResults();
-        this.record.endedAtMs = this.clock.nowMs();
-        this.balancer.close();
-        this.gateway.close();
-        this.upstreams.forEach(upstream => upstream.close());
-    }
-
-    private async waitUntil(isDone: () => boolean | Promise<boolean>): Promise<void> {
-        const endAtMs = this.clock.nowMs() + MAX_WAIT_MS;
-        while (!await isDone() && this.clock.nowMs() < endAtMs) {
-            await pause(CHECK_INTERVAL_MS);
-        }
-    }
+    submitting.abort();
+    controller.abort();
+    await Promise.all(running);
+    jobs.stop();
+    await jobs.readAllResults();
+    record.endedAtMs = nowMs();
+    balancer.close();
+    gateway.close();
+    upstreams.forEach(upstream => upstream.close());
+    return brokenPromises();
 }
 
-async function startAndChange(breakage: Breakage, subnet: number): Promise<BrokenFleet> {
-    const fleet = new BrokenFleet(breakage, subnet);
-    await fleet.start();
-    await pause(BEFORE_CHANGES_MS);
-    fleet.change();
-    return fleet;
+/** Resolves when `isDone` returns true, or after `MAX_WAIT_MS`. */
+async function waitUntil(isDone: () => boolean | Promise<boolean>): Promise<void> {
+    for (let waitedMs = 0; waitedMs < MAX_WAIT_MS && !await isDone(); waitedMs += CHECK_INTERVAL_MS) {
+        await pause(CHECK_INTERVAL_MS);
+    }
 }
 
 const cases: { breakage: Breakage; promise: string; }[] = [
@@ -166,20 +131,13 @@
 ];
 
 test("the oracle finds nothing where nothing is broken", async () => {
-    const fleet = await startAndChange("nothing", FIRST_SUBNET - 1);
-    fleet.stopGateway();
-    await pause(AFTER_CHANGES_MS);
-    await fleet.finishJobs();
-    await fleet.close();
-    assert.deepEqual(fleet.brokenPromises(), []);
+    assert.deepEqual(await findBrokenPromises("nothing", FIRST_SUBNET - 1), []);
 });
 
 test("the oracle finds each promise that is broken on purpose", async () => {
-    const found = await Promise.all(cases.map(async ({ breakage, promise }, index) => {
-        const fleet = await startAndChange(breakage, FIRST_SUBNET + index);
-        await fleet.waitUntilBroken(promise);
-        await fleet.close();
-        return { breakage, isFound: fleet.brokenPromises().includes(promise) };
-    }));
+    const found = await Promise.all(cases.map(async ({ breakage, promise }, index) => ({
+        breakage,
+        isFound: (await findBrokenPromises(breakage, FIRST_SUBNET + index, promise)).includes(promise),
+    })));
     assert.deepEqual(found.filter(entry => !entry.isFound), []);
 });
