--- a/fleet/jobs/test/batchChoices.test.ts
+++ b/fleet/jobs/test/batchChoices.test.ts
@@ -94,38 +94,47 @@
     assert.deepEqual(order.map(({ item }) => item.id), ["started-0", "near-0", "far-0", "too-late-0"]);
 });
 
-/** Simulates bursts of jobs on a fixed number of slots. Returns the number of items that finished in time. */
-function simulateOverload(remainingMs: (item: JobItem) => number): number {
+interface OverloadOptions {
+    submitUntilMs: number;
+    stepMs: number;
+    runMsOf: (item: JobItem) => number;
+    remainingMs: (item: JobItem) => number;
+}
+
+/** Simulates more jobs than eight slots can run in time. Returns all items, and those that finished in time. */
+function simulateOverload({ submitUntilMs, stepMs, runMsOf, remainingMs }: OverloadOptions) {
     const slots = 8;
-    const runMs = 5000;
-    const stepMs = 500;
     const jobs: OpenJob[] = [];
-    const running: { item: OpenJob["items"][number]; endMs: number; dueAtMs: number; }[] = [];
-    let inTime = 0;
-    for (let nowMs = 0; nowMs < 60_000; nowMs += stepMs) {
-        if (nowMs < 30_000 && nowMs % 2000 === 0) {
+    const running: { item: JobItem; endMs: number; dueAtMs: number; }[] = [];
+    const inTime = new Set<JobItem>();
+    for (let nowMs = 0; nowMs < submitUntilMs + 30_000; nowMs += stepMs) {
+        if (nowMs < submitUntilMs && nowMs % 2000 === 0) {
             jobs.push(new OpenJob(createJobRecord({ id: `j${nowMs}`, itemCount: 10, dueAtMs: nowMs + 18_000 })));
         }
         running.filter(run => run.endMs <= nowMs && run.item.state === "running").forEach(run => {
             run.item.state = "stored";
-            inTime += run.endMs <= run.dueAtMs ? 1 : 0;
+            if (run.endMs <= run.dueAtMs) {
+                inTime.add(run.item);
+            }
         });
         const free = slots - running.filter(run => run.item.state === "running").length;
-        orderStartableItems(jobs, { nowMs, remainingMs, totalMs: () => runMs, hasFreeSlot: () => true }).slice(0, free)
-            .forEach(one => {
-                one.item.state = "running";
-                running.push({ item: one.item, endMs: nowMs + runMs, dueAtMs: one.job.record.dueAtMs });
-            });
+        const opts = { nowMs, remainingMs, totalMs: runMsOf, hasFreeSlot: () => true };
+        orderStartableItems(jobs, opts).slice(0, free).forEach(({ job, item }) => {
+            item.state = "running";
+            running.push({ item, endMs: nowMs + runMsOf(item), dueAtMs: job.record.dueAtMs });
+        });
     }
-    return inTime;
+    return { items: jobs.flatMap(job => job.items), inTime };
 }
 
 test("at three times the capacity, nearly as many items finish in time as the slots allow", () => {
     // 8 slots, 30 s of submissions plus 18 s until they are due, and 5 s for each item.
     const capacity = 8 * 48 / 5;
-    const inTime = simulateOverload(remainingOfFiveSecondItem);
+    const inTimeWith = (remainingMs: OverloadOptions["remainingMs"]) =>
+        simulateOverload({ submitUntilMs: 30_000, stepMs: 500, runMsOf: () => 5000, remainingMs }).inTime.size;
+    const inTime = inTimeWith(remainingOfFiveSecondItem);
     assert.ok(inTime >= capacity * 0.9, `${inTime} of ${capacity}`);
-    assert.ok(simulateOverload(() => 0) < capacity * 0.6, "without an estimate, items run although they will be late");
+    assert.ok(inTimeWith(() => 0) < capacity * 0.6, "without an estimate, items run although they will be late");
 });
 
 // Items that had begun went before items of jobs due earlier, which were late after each burst that displaced some.
@@ -139,42 +148,13 @@
     assert.deepEqual(orderStartableItems(jobs, opts).map(({ item }) => item.id), ["early-0", "later-0"]);
 });
 
-/** Simulates more items than slots, every tenth of them large. Returns the shares that end in time by size. */
-function simulateSizes(): { large: number; all: number; } {
-    const slots = 8;
-    const stepMs = 100;
-    const [smallMs, largeMs] = [2500, 10_000];
-    const isLarge = (item: JobItem) => item.index % 10 === 0;
-    const runMsOf = (item: JobItem) => isLarge(item) ? largeMs : smallMs;
-    const remainingMs = (item: JobItem) => runMsOf(item) * (1 - item.lastEventId / 100);
-    const jobs: OpenJob[] = [];
-    const running: { item: JobItem; endMs: number; dueAtMs: number; }[] = [];
-    const inTime = new Set<JobItem>();
-    for (let nowMs = 0; nowMs < 80_000; nowMs += stepMs) {
-        if (nowMs < 60_000 && nowMs % 2000 === 0) {
-            jobs.push(new OpenJob(createJobRecord({ id: `j${nowMs}`, itemCount: 10, dueAtMs: nowMs + 18_000 })));
-        }
-        running.filter(run => run.endMs <= nowMs && run.item.state === "running").forEach(run => {
-            run.item.state = "stored";
-            if (run.endMs <= run.dueAtMs) {
-                inTime.add(run.item);
-            }
-        });
-        const free = slots - running.filter(run => run.item.state === "running").length;
-        orderStartableItems(jobs, { nowMs, remainingMs, totalMs: runMsOf, hasFreeSlot: () => true }).slice(0, free)
-            .forEach(one => {
-                one.item.state = "running";
-                running.push({ item: one.item, endMs: nowMs + remainingMs(one.item), dueAtMs: one.job.record.dueAtMs });
-            });
-    }
-    const shareOf = (items: JobItem[]) => items.filter(item => inTime.has(item)).length / items.length;
-    const items = jobs.flatMap(job => job.items);
-    return { large: shareOf(items.filter(isLarge)), all: shareOf(items) };
-}
-
 // With two thirds too many items, one kind of request served its largest tenth less than half as often as the others.
 test("under overload, large items are served at least half as often as all items", () => {
-    const { large, all } = simulateSizes();
+    const isLarge = (item: JobItem) => item.index % 10 === 0;
+    const runMsOf = (item: JobItem) => isLarge(item) ? 10_000 : 2500;
+    const { items, inTime } = simulateOverload({ submitUntilMs: 60_000, stepMs: 100, runMsOf, remainingMs: runMsOf });
+    const shareOf = (some: JobItem[]) => some.filter(item => inTime.has(item)).length / some.length;
+    const [large, all] = [shareOf(items.filter(isLarge)), shareOf(items)];
     assert.ok(all > 0.5, `${all} of all items`);
     assert.ok(large >= all / 2, `${large} of the large items, ${all} of all`);
 });
