--- a/fleet/jobs/test/heldJobs.test.ts
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -31,15 +31,9 @@
     }
 }
 
-function start(
-    opts: {
-        folder: string;
-        service: MemoryKeyValueService;
-        clock: ManualClock;
-        signal: AbortSignal;
-        isLeading?: boolean;
-    },
-) {
+type StartOptions = { folder: string; service: MemoryKeyValueService; clock: ManualClock; signal: AbortSignal; };
+
+function start(opts: StartOptions, isLeading = true) {
     const seen: HeldJob[] = [];
     const held = new HeldJobs({
         segments: new FolderSegmentStore({ dataFolder: opts.folder }),
@@ -48,7 +42,7 @@
         random: new SeededRandom(1),
         logger: silentLogger,
         onHeld: one => seen.push(one),
-        isLeading: () => opts.isLeading ?? true,
+        isLeading: () => isLeading,
     });
     void held.run(opts.signal);
     return { held, seen };
@@ -113,8 +107,8 @@
     await withFolder(async folder => {
         const clock = new ManualClock();
         const service = new MemoryKeyValueService({ clock });
-        const { signal, abort } = createAbortHandle();
-        const { held } = start({ folder, service, clock, signal, isLeading: false });
+        const controller = new AbortController();
+        const { held } = start({ folder, service, clock, signal: controller.signal }, false);
         await new Promise(resolve => setTimeout(resolve, 50));
         await held.hold(job);
         await clock.advance(1200);
@@ -122,11 +116,6 @@
         await settle(clock);
         assert.notEqual(await service.get(jobKeys.record(job.record.jobId)), undefined);
         assert.equal(held.count, 0);
-        abort();
+        controller.abort();
     });
 });
-
-function createAbortHandle() {
-    const controller = new AbortController();
-    return { signal: controller.signal, abort: () => controller.abort() };
-}
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -23,7 +23,6 @@
 const SLOTS = 7;
 const JOBS = 80;
 const ITEMS = 10;
-const REPORTS = 88;
 /** As in the records of `createJobRecord`. */
 const EXPIRES_AT_MS = 60_000;
 const upstreamIds = Array.from({ length: 10 }, (_, index) => `u-${index}` as UpstreamId);
@@ -66,11 +65,8 @@
     });
     for (let index = 0; index < JOBS; index += 1) {
         const record = createJobRecord({ id: `job-${index}`, itemCount: ITEMS, dueAtMs: clock.nowMs() + 60_000 });
-        const { operations } = planJobWrite(
-            { record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined },
-            undefined,
-        );
-        await service.transact([], operations);
+        const job = { record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined };
+        await service.transact([], planJobWrite(job, undefined).operations);
     }
     runner.start();
     await clock.advance(500);
@@ -84,7 +80,7 @@
     const { clock, runner, match, list } = await createBusyRunner();
     assert.equal(match.mock.callCount(), JOBS * ITEMS);
     const listings = list.mock.callCount();
-    Array.from({ length: REPORTS }).forEach(() => runner.requestDispatch());
+    Array.from({ length: 88 }).forEach(() => runner.requestDispatch());
     await clock.advance(10);
     assert.equal(match.mock.callCount(), JOBS * ITEMS);
     assert.equal(list.mock.callCount() - listings, 1);
--- a/fleet/load/test/loadTracker.test.ts
+++ b/fleet/load/test/loadTracker.test.ts
@@ -62,30 +62,25 @@
     });
     fc.assert(fc.property(fc.array(step, { maxLength: 40 }), steps => {
         const tracker = new LoadTracker();
-        const last = new Map<number, { sequence: number; atMs: number; online: number[]; waiting: number; }>();
+        const last = new Map<number, { report: LoadReport; atMs: number; }>();
         let nowMs = 0;
         steps.forEach(({ peer, sequence, elapsedMs, online, waiting }) => {
             nowMs += elapsedMs;
             tracker.expire(nowMs);
             [...last].filter(([, known]) => known.atMs + 1500 < nowMs).forEach(([name]) => last.delete(name));
-            const report = reportOf({
-                instanceName: `peer-${peer}` as InstanceName,
-                sequence,
-                counts: upstreamIds.map((upstreamId, index) => ({ upstreamId, online: online[index]!, batch: 1 })),
-                waiting: [{ service, count: waiting }],
-            });
+            const counts = upstreamIds.map((upstreamId, index) => ({ upstreamId, online: online[index]!, batch: 1 }));
+            const instanceName = `peer-${peer}` as InstanceName;
+            const report = reportOf({ instanceName, sequence, counts, waiting: [{ service, count: waiting }] });
             if (tracker.apply(report, nowMs)) {
-                last.set(peer, { sequence, atMs: nowMs, online, waiting });
+                last.set(peer, { report, atMs: nowMs });
             }
         });
-        const known = [...last.values()];
+        const reports = [...last.values()].map(({ report }) => report);
+        const sumOf = (values: number[]) => values.reduce((sum, value) => sum + value, 0);
         upstreamIds.forEach((upstreamId, index) => {
-            const expected = known.reduce((sum, report) => sum + report.online[index]!, 0);
-            assert.deepEqual([tracker.onlineCount(upstreamId), tracker.batchCount(upstreamId)], [
-                expected,
-                known.length,
-            ]);
+            const online = sumOf(reports.map(report => report.counts[index]!.online));
+            assert.deepEqual([tracker.onlineCount(upstreamId), tracker.batchCount(upstreamId)], [online, last.size]);
         });
-        assert.equal(tracker.waitingAtPeers(service), known.reduce((sum, report) => sum + report.waiting, 0));
+        assert.equal(tracker.waitingAtPeers(service), sumOf(reports.map(report => report.waiting[0]!.count)));
     }));
 });
--- a/fleet/load/test/requestQueue.test.ts
+++ b/fleet/load/test/requestQueue.test.ts
@@ -137,10 +137,8 @@
 test("displaces a batch run only where no upstream with about as few online requests has a free slot", () => {
     const [full, free] = [upstreamOf("full", 8), upstreamOf("free", 8)];
     const { loadTracker, queue, request } = setUp([full, free]);
-    const runBatch = (count: number, id: Upstream["id"]) =>
-        Array.from({ length: count }).forEach(() => loadTracker.count(id, "batch", 1));
-    runBatch(8, full.id);
-    runBatch(5, free.id);
+    [...Array.from({ length: 8 }, () => full), ...Array.from({ length: 5 }, () => free)]
+        .forEach(({ id }) => loadTracker.count(id, "batch", 1));
     const requests = submitAll(queue, Array.from({ length: 3 }, () => request()));
     assert.deepEqual(requests.map(one => one.placedAt?.id), ["free", "free", "full"]);
 });
