feat(logs): when and why items are given up

Change: items-given-up names the job, the reason, the number of items, how many results the process knows of the job, and whether it has loaded the stored results. Measured: none; it changes no behaviour.

--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -362,10 +362,28 @@
         const nowMs = this.opts.clock.nowMs();
         this.table.all().filter(job => !job.isEnded).forEach(job => {
             const missingSinceMs = this.routes.missingSinceMs(job.record.jobId);
-            if (nowMs > job.record.expiresAtMs + CLOCK_MARGIN_MS || nowMs > missingSinceMs + ROUTE_MISSING_TIMEOUT_MS) {
-                job.items.filter(item => item.state === "pending").forEach(item => this.finish(job, item, "given-up"));
+            if (nowMs > job.record.expiresAtMs + CLOCK_MARGIN_MS) {
+                this.abandon(job, "expired");
             }
+            if (nowMs > missingSinceMs + ROUTE_MISSING_TIMEOUT_MS) {
+                this.abandon(job, "route-missing");
+            }
+        });
+    }
+
+    private abandon(job: OpenJob, reason: string): void {
+        const items = job.items.filter(item => item.state === "pending");
+        if (items.length === 0) {
+            return;
+        }
+        this.opts.logger.info("items-given-up", {
+            jobId: job.record.jobId,
+            reason,
+            items: items.length,
+            results: job.resultCount,
+            hasLoadedResults: this.isLoaded,
         });
+        items.forEach(item => this.finish(job, item, "given-up"));
     }
 
     private onResultsStored(job: OpenJob): void {
