--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -1,3 +1,4 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
@@ -19,6 +20,7 @@
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
+import type { ItemResult } from "../src/itemResult.js";
 import { jobKeys } from "../src/jobKeys.js";
 import { JobRunner } from "../src/jobRunner.js";
 import { planJobWrite } from "../src/planJobWrite.js";
@@ -113,7 +115,7 @@
     runner.start();
     await clock.advance(500);
     const finishedResults = () => service.list(jobKeys.resultsPrefix);
-    return { clock, runner, match, list, finishedResults };
+    return { clock, service, runner, match, list, finishedResults };
 }
 
 // Load pattern: every process reports its load up to each 15 ms, and 800 items wait for a slot. A dispatch of 5 ms for
@@ -139,6 +141,23 @@
     runner.stop();
 });
 
+// A new leader gave up the items of expired jobs before it had read their results, and listed each item a second time.
+test("a new leader that reads the stored results late lists no item a second time", async () => {
+    const { clock, service, runner, finishedResults } = await createBusyRunner();
+    await clock.advance(EXPIRES_AT_MS + 10_000);
+    for (const responseDelayMs of [10, 60, 100, 140, 180, 220, 300]) {
+        runner.stop();
+        service.faults.responseDelayMs = responseDelayMs;
+        runner.start();
+        await clock.advance(5000);
+    }
+    service.faults.responseDelayMs = 0;
+    const results = (await finishedResults()).map(({ value }) => decodeRecord<ItemResult>(value));
+    assert.equal(results.length, JOBS * ITEMS);
+    assert.equal(new Set(results.map(({ itemId }) => itemId)).size, JOBS * ITEMS);
+    runner.stop();
+});
+
 function breakOff(handler: ExchangeHandler): void {
     handler.onFailure({ mayHaveRun: true, isUnreachable: false, isConnectionBroken: true, code: "ECONNRESET" });
 }
