fix(jobs): a new leader gives up no item before it has loaded the stored results

Cause: the timer that gives up the items of expired jobs ran from the moment at which the leader had the jobs. Until it had their results too, each item of an expired job looked as if it had none. If the results arrived while the given-up items waited for their write, they were listed at the next positions; if not, the write was refused and the leader stepped down. Change: nothing is given up until the results are loaded. The log field hasLoadedResults would always be true; it goes.

--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -357,8 +357,14 @@
         this.committer.add(job, { itemId: item.id, state, output });
     }
 
-    /** Abandons pending items of jobs that have expired or whose route has been missing for too long. */
+    /**
+     * Abandons pending items of jobs that have expired or whose route has been missing for too long. Until the stored
+     * results are loaded, an item with a result can't be told from one without.
+     */
     private abandonExpired(): void {
+        if (!this.isLoaded) {
+            return;
+        }
         const nowMs = this.opts.clock.nowMs();
         this.table.all().filter(job => !job.isEnded).forEach(job => {
             const missingSinceMs = this.routes.missingSinceMs(job.record.jobId);
@@ -381,7 +387,6 @@
             reason,
             items: items.length,
             results: job.resultCount,
-            hasLoadedResults: this.isLoaded,
         });
         items.forEach(item => this.finish(job, item, "given-up"));
     }
