test(jobs): results that the stored data should refuse, failing

The stored data of a job doesn't say which items have a result: a write compares the fencing number and the first of its positions only. So a second result of an item is stored if the leader's memory is wrong, and a write for several jobs may replace results of all but the first.

--- a/fleet/jobs/test/resultCommitter.test.ts
+++ b/fleet/jobs/test/resultCommitter.test.ts
@@ -1,4 +1,5 @@
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
@@ -50,7 +51,11 @@
     });
     const job = new OpenJob(createJobRecord({ id: "j", itemCount: 3 }));
     const result = (index: number): ItemResult => ({ itemId: job.items[index]!.id, state: "completed", output: "x" });
-    return { clock, service, leadership, gainLeadership, committer, job, result };
+    const storedResults = async () => {
+        const entries = await service.list(jobKeys.resultsPrefix);
+        return entries.filter(({ key }) => key.includes("/at/"));
+    };
+    return { clock, service, leadership, gainLeadership, committer, job, result, storedResults };
 }
 
 test("results get positions in the order in which they are added", async () => {
@@ -95,3 +100,47 @@
     const revisions = (await service.list(jobKeys.resultsPrefix)).map(entry => entry.modRevision);
     assert.equal(new Set(revisions).size, 1, `revisions ${revisions.join(" ")}`);
 });
+
+// An item was given up before its stored result was read, and was listed a second time behind the last position.
+test("an item that turns out to have a stored result while another waits for its write is not listed again", async () => {
+    const { clock, committer, job, result, storedResults } = await setUp();
+    committer.add(job, result(0));
+    await clock.advance(1000);
+    committer.add(job, { ...result(1), state: "given-up" });
+    job.addResult(1, result(1));
+    committer.add(job, result(2));
+    committer.add(job, result(2));
+    await clock.advance(1000);
+    assert.deepEqual(job.page(0).results.map(({ itemId }) => itemId), ["j-0", "j-1", "j-2"]);
+    assert.equal((await storedResults()).length, 2);
+});
+
+// Only the first position of a write was compared, so the results of further jobs in it replaced stored ones.
+test("a write for several jobs replaces no stored result of any of them", async () => {
+    const { clock, service, committer, job, result, leadership, storedResults } = await setUp();
+    const stored = { kind: "put", key: jobKeys.result("k" as JobId, 0), value: Buffer.from("stored") } as const;
+    await service.transact([], [stored]);
+    const unread = new OpenJob(createJobRecord({ id: "k", itemCount: 3 }));
+    committer.add(job, result(0));
+    committer.add(unread, { itemId: unread.items[0]!.id, state: "given-up", output: "" });
+    await clock.advance(1000);
+    assert.deepEqual((await storedResults()).map(({ value }) => Buffer.from(value).toString()), ["stored"]);
+    assert.equal(leadership.stepDownCount, 1);
+});
+
+// The position after the last known one is free where a leader has read fewer results than are stored, or more were added.
+test("a leader whose list of results is not the stored one adds none", async () => {
+    const { clock, committer, job, result, leadership, storedResults, service } = await setUp();
+    committer.add(job, result(0));
+    await clock.advance(1000);
+    const outdated = new OpenJob(job.record);
+    outdated.addResult(0, result(0));
+    committer.add(job, result(1));
+    await clock.advance(1000);
+    const [, second] = await storedResults();
+    await service.transact([], [{ kind: "delete", key: second!.key }]);
+    committer.add(outdated, { ...result(1), state: "given-up" });
+    await clock.advance(1000);
+    assert.equal((await storedResults()).length, 1);
+    assert.equal(leadership.stepDownCount, 1);
+});
