fix(jobs): results are added only to the stored list of results that the leader has read

Cause: a write of results compared the fencing number and the first of its positions. Which items have a result stood only in the memory of the leader, so one that was wrong about it stored a second result of an item, and a write for several jobs replaced results of all but the first. Change: each job has a stored list of the items that have a result. Each write of results compares the revision of the list and replaces it, so it is refused unless it was planned on the list as stored. The list bears a random id, by which a write whose response was lost is recognised. An item that has a result by the time of the write is dropped. The planning of a write is a class apart from the writing (ResultBatch). A job without a list, written by an earlier version, still compares its next position. Two tests count stored results without the list now.

--- a/fleet/jobs/src/jobKeys.ts
+++ b/fleet/jobs/src/jobKeys.ts
@@ -21,6 +21,8 @@
     resultsOnlyPrefix: (jobId: JobId) => `${RESULTS_PREFIX}${jobId}/at/`,
     result: (jobId: JobId, position: number) =>
         `${RESULTS_PREFIX}${jobId}/at/${String(position).padStart(POSITION_DIGITS, "0")}`,
+    /** The list of the items of one job that have a result. */
+    listedItems: (jobId: JobId) => `${RESULTS_PREFIX}${jobId}/listed`,
     progress: (jobId: JobId, itemIndex: number) => `${RESULTS_PREFIX}${jobId}/progress/${itemIndex}`,
     /** Waiting tokens of a route. */
     waitingTokens: (routeName: string) => `knapweed/waiting-tokens/${routeName}`,
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -82,6 +82,9 @@
             else if (kind === "at") {
                 job.addResult(Number(number), decodeRecord<ItemResult>(entry.value));
             }
+            else if (kind === "listed") {
+                job.listRevision = entry.modRevision;
+            }
             else {
                 job.restoreProgress(Number(number), decodeRecord<ItemProgress>(entry.value));
             }
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -12,10 +12,13 @@
     readonly record: JobRecord;
     readonly items: JobItem[];
     isCancelled = false;
+    /** Revision of the stored list of items with a result, as read or written last; 0 if there is none. */
+    listRevision = 0;
     private readonly parts: (Buffer | undefined)[];
     /** All parts concatenated; undefined until a body is requested. */
     private joinedParts: Buffer | undefined;
     private readonly storedResults: ItemResult[] = [];
+    private readonly listedItems = new Set<JobItem>();
     private waiters: (() => void)[] = [];
 
     constructor(record: JobRecord) {
@@ -42,7 +45,12 @@
 
     /** Whether every item has a result or the job was cancelled. */
     get isEnded(): boolean {
-        return this.isCancelled || this.storedResults.length === this.items.length;
+        return this.isCancelled || this.listedItems.size === this.items.length;
+    }
+
+    /** Indexes of the items with a stored result, in the order of their positions, shape [items]. */
+    get listedItemIndexes(): number[] {
+        return [...this.listedItems].map(item => item.index);
     }
 
     get resultCount(): number {
@@ -87,6 +95,7 @@
         this.storedResults.push(result);
         const item = this.item(result.itemId);
         if (item !== undefined) {
+            this.listedItems.add(item);
             item.state = "stored";
             item.events = [];
         }
--- a/fleet/jobs/src/resultCommitter.ts
+++ b/fleet/jobs/src/resultCommitter.ts
@@ -1,9 +1,8 @@
-import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
-import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
@@ -11,25 +10,16 @@
 import type { ItemResult } from "./itemResult.js";
 import { jobKeys } from "./jobKeys.js";
 import type { OpenJob } from "./openJob.js";
+import type { PendingResult } from "./pendingResult.js";
+import { ResultBatch } from "./resultBatch.js";
 
-/** Results per write; the key-value service accepts 32 entries. */
-const MAX_RESULTS = 30;
-/** Maximum total output per write, in characters. */
-const MAX_WRITE_LENGTH = 500_000;
+/** Number of pending results that are written without waiting for more. */
+const FULL_BATCH_RESULTS = 28;
 const RETRY_DELAY_MS = 250;
 /** Time for which results are gathered into one write, in milliseconds. Callers ask for results twice a second. */
 const GATHER_MS = 150;
 
-interface PendingResult {
-    job: OpenJob;
-    result: ItemResult;
-}
-
-interface PositionedResult extends PendingResult {
-    position: number;
-}
-
-/** Writes results one batch at a time, guarded by the leader's fencing number. A result counts once it is written. */
+/** Writes results one batch at a time. A result counts once it is written. */
 export class ResultCommitter {
     private readonly opts: {
         service: KeyValueService;
@@ -54,7 +44,7 @@
 
     add(job: OpenJob, result: ItemResult): void {
         this.pending.push({ job, result });
-        if (this.pending.length >= MAX_RESULTS) {
+        if (this.pending.length >= FULL_BATCH_RESULTS) {
             void this.writePending();
             return;
         }
@@ -82,8 +72,8 @@
         }
         this.isWriting = true;
         try {
-            while (this.pending.length > 0 && this.opts.leadership.fence() !== undefined) {
-                await this.writeBatch(this.takeBatch());
+            for (let fence = this.fenceIfPending(); fence !== undefined; fence = this.fenceIfPending()) {
+                await this.writeBatch(this.takeBatch(fence), fence);
             }
         }
         finally {
@@ -91,43 +81,49 @@
         }
     }
 
-    private takeBatch(): PositionedResult[] {
-        let length = 0;
-        const batch = this.pending.slice(0, MAX_RESULTS).filter(({ result }, index) => {
-            length += result.output.length;
-            return index === 0 || length <= MAX_WRITE_LENGTH;
+    private fenceIfPending(): KeyValueCompare | undefined {
+        return this.pending.length > 0 ? this.opts.leadership.fence() : undefined;
+    }
+
+    private takeBatch(fence: KeyValueCompare): ResultBatch {
+        const batch = new ResultBatch(fence);
+        let isFull = false;
+        this.pending = this.pending.filter(pending => {
+            if (this.isDuplicate(pending, batch)) {
+                return false;
+            }
+            isFull ||= !batch.add(pending);
+            return isFull;
         });
-        this.pending = this.pending.slice(batch.length);
-        return batch.map((pending, index) => ({
-            ...pending,
-            position: pending.job.resultCount
-                + batch.slice(0, index).filter(other => other.job === pending.job).length,
-        }));
+        return batch;
+    }
+
+    private isDuplicate(pending: PendingResult, batch: ResultBatch): boolean {
+        const { job, result: { itemId, state } } = pending;
+        const isDuplicate = job.item(itemId)?.state === "stored" || batch.has(pending);
+        if (isDuplicate) {
+            this.opts.logger.error("result-dropped", { jobId: job.record.jobId, itemId, state });
+        }
+        return isDuplicate;
     }
 
     /** Repeats the write until it succeeds or the leadership under which its positions were assigned is lost. */
-    private async writeBatch(batch: PositionedResult[]): Promise<void> {
-        const fence = this.opts.leadership.fence();
-        const operations: KeyValueOperation[] = batch.map(({ job, result, position }) => ({
-            kind: "put",
-            key: jobKeys.result(job.record.jobId, position),
-            value: encodeRecord(result),
-        }));
-        const witnessKey = operations[0]!.key;
-        while (fence !== undefined && this.opts.leadership.fence()?.modRevision === fence.modRevision) {
+    private async writeBatch(batch: ResultBatch, fence: KeyValueCompare): Promise<void> {
+        const { compares, operations, jobs } = batch;
+        if (jobs.length === 0) {
+            return;
+        }
+        const witnessKey = jobKeys.listedItems(jobs[0]!.record.jobId);
+        const isStillLeading = () => this.opts.leadership.fence()?.modRevision === fence.modRevision;
+        while (isStillLeading()) {
             try {
-                const settled = await settleTransaction({
-                    service: this.opts.service,
-                    clock: this.opts.clock,
-                    compares: [fence, { key: witnessKey, modRevision: 0 }],
-                    operations,
-                    witnessKey,
-                });
+                const { service, clock } = this.opts;
+                const settled = await settleTransaction({ service, clock, compares, operations, witnessKey });
                 if (settled.kind === "failed") {
                     this.opts.leadership.stepDown("write-refused");
                 }
-                if (settled.kind === "succeeded" && this.opts.leadership.fence()?.modRevision === fence.modRevision) {
-                    this.onStored(batch);
+                if (settled.kind === "succeeded" && isStillLeading()) {
+                    this.onStored(batch, settled.revision);
                     return;
                 }
             }
@@ -139,8 +135,8 @@
         }
     }
 
-    private onStored(batch: PositionedResult[]): void {
-        batch.forEach(({ job, result, position }) => {
+    private onStored(batch: ResultBatch, revision: number): void {
+        batch.results.forEach(({ job, result, position }) => {
             job.addResult(position, result);
             this.opts.logger.info("item-listed", {
                 jobId: job.record.jobId,
@@ -149,6 +145,9 @@
                 position,
             });
         });
-        [...new Set(batch.map(({ job }) => job))].forEach(job => this.opts.onResultsStored(job));
+        batch.jobs.forEach(job => {
+            job.listRevision = revision;
+            this.opts.onResultsStored(job);
+        });
     }
 }
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -114,7 +114,10 @@
     }
     runner.start();
     await clock.advance(500);
-    const finishedResults = () => service.list(jobKeys.resultsPrefix);
+    const finishedResults = async () => {
+        const entries = await service.list(jobKeys.resultsPrefix);
+        return entries.filter(({ key }) => key.includes("/at/"));
+    };
     return { clock, service, runner, match, list, finishedResults };
 }
 
--- a/fleet/jobs/test/resultCommitter.test.ts
+++ b/fleet/jobs/test/resultCommitter.test.ts
@@ -59,11 +59,11 @@
 }
 
 test("results get positions in the order in which they are added", async () => {
-    const { clock, service, committer, job, result } = await setUp();
+    const { clock, committer, job, result, storedResults } = await setUp();
     [2, 0, 1].forEach(index => committer.add(job, result(index)));
     await clock.advance(1000);
     assert.deepEqual(job.page(0).results.map(({ itemId }) => itemId), ["j-2", "j-0", "j-1"]);
-    assert.equal((await service.list(jobKeys.resultsPrefix)).length, 3);
+    assert.equal((await storedResults()).length, 3);
 });
 
 test("a write in progress when leadership is lost is not repeated under the next leadership", async () => {
