fix(jobs): an interrupted removal of a job leaves no item that looks as if it had no result

A leader that starts in between loads the record without its results, takes all items for items without one, and gives them up: a position holds another result than before. Change: the items on the job's stored list count as having a result, also where the result is removed already, and the list is removed together with the record, last. A removal has 31 keys a write, since the fence counts as an entry too.

--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -9,8 +9,8 @@
 import type { OpenJob } from "./openJob.js";
 import { releaseWaitingTokens } from "./releaseWaitingTokens.js";
 
-/** Keys removed by one write; the key-value service accepts 32. */
-const MAX_REMOVALS = 32;
+/** Keys removed by one write; the key-value service accepts 32 entries, of which one is the fence. */
+const MAX_REMOVALS = 31;
 
 interface JobCleanupOptions {
     clock: Clock;
@@ -83,14 +83,19 @@
         const { jobId } = job.record;
         const results = await this.opts.service.snapshot(jobKeys.jobResultsPrefix(jobId));
         const parts = await this.opts.service.snapshot(jobKeys.jobPrefix(jobId));
-        // The record is deleted last: an interrupted removal starts again while the record exists.
+        // An interrupted removal starts again while the record exists, and no item runs again while the list exists.
+        const lastKeys: string[] = [jobKeys.listedItems(jobId), jobKeys.record(jobId)];
         const keys = [...results.entries, ...parts.entries].map(entry => entry.key);
-        keys.sort((left, right) => Number(left === jobKeys.record(jobId)) - Number(right === jobKeys.record(jobId)));
+        await this.removeKeys(keys.filter(key => !lastKeys.includes(key)), fence);
+        await this.removeKeys(keys.filter(key => lastKeys.includes(key)), fence);
+        this.opts.table.delete(jobId);
+        this.opts.logger.info("job-removed", { jobId, keys: keys.length });
+    }
+
+    private async removeKeys(keys: readonly string[], fence: KeyValueCompare): Promise<void> {
         for (let start = 0; start < keys.length; start += MAX_REMOVALS) {
             const removals = keys.slice(start, start + MAX_REMOVALS).map(key => ({ kind: "delete" as const, key }));
             await this.opts.service.transact([fence], removals);
         }
-        this.opts.table.delete(jobId);
-        this.opts.logger.info("job-removed", { jobId, keys: keys.length });
     }
 }
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -6,6 +6,7 @@
 import type { ItemResult } from "./itemResult.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobRecord } from "./jobRecord.js";
+import type { ListedItems } from "./listedItems.js";
 import { OpenJob } from "./openJob.js";
 import { PART_BYTES } from "./partBytes.js";
 
@@ -83,7 +84,7 @@
                 job.addResult(Number(number), decodeRecord<ItemResult>(entry.value));
             }
             else if (kind === "listed") {
-                job.listRevision = entry.modRevision;
+                job.restoreList(entry.modRevision, decodeRecord<ListedItems>(entry.value));
             }
             else {
                 job.restoreProgress(Number(number), decodeRecord<ItemProgress>(entry.value));
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -4,6 +4,7 @@
 import type { ItemResult } from "./itemResult.js";
 import type { JobItem } from "./jobItem.js";
 import type { JobRecord } from "./jobRecord.js";
+import type { ListedItems } from "./listedItems.js";
 import { pickProgress } from "./pickProgress.js";
 import type { ResultsPage } from "./resultsPage.js";
 
@@ -53,8 +54,9 @@
         return [...this.listedItems].map(item => item.index);
     }
 
+    /** Number of positions that are taken. */
     get resultCount(): number {
-        return this.storedResults.length;
+        return Math.max(this.storedResults.length, this.listedItems.size);
     }
 
     setPart(index: number, bytes: Uint8Array): void {
@@ -87,6 +89,15 @@
             .filter(item => item.lastEventId > 0 || item.failedAttempts > 0);
     }
 
+    /**
+     * Applies the stored list of items that have a result. An item on it is never run or given up again, even if its result
+     * was removed already.
+     */
+    restoreList(modRevision: number, list: ListedItems): void {
+        this.listRevision = modRevision;
+        list.itemIndexes.flatMap(index => this.items[index] ?? []).forEach(item => this.markStored(item));
+    }
+
     /** Adds the result stored at `position`. Ignores positions that are out of order. */
     addResult(position: number, result: ItemResult): void {
         if (position !== this.storedResults.length) {
@@ -95,9 +106,7 @@
         this.storedResults.push(result);
         const item = this.item(result.itemId);
         if (item !== undefined) {
-            this.listedItems.add(item);
-            item.state = "stored";
-            item.events = [];
+            this.markStored(item);
         }
         this.waiters.splice(0).forEach(wake => wake());
     }
@@ -114,4 +123,10 @@
             this.waiters = this.waiters.filter(other => other !== wake);
         };
     }
+
+    private markStored(item: JobItem): void {
+        this.listedItems.add(item);
+        item.state = "stored";
+        item.events = [];
+    }
 }
--- a/fleet/jobs/test/jobCleanup.test.ts
+++ b/fleet/jobs/test/jobCleanup.test.ts
@@ -4,7 +4,7 @@
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import { JobCleanup } from "../src/jobCleanup.js";
 import { jobKeys } from "../src/jobKeys.js";
 import { JobTable } from "../src/jobTable.js";
@@ -28,6 +28,11 @@
     }));
     await service.transact([], [
         ...results,
+        {
+            kind: "put",
+            key: jobKeys.listedItems(record.jobId),
+            value: encodeRecord({ nonce: "n", itemIndexes: record.items.map((_, index) => index) }),
+        },
         { kind: "put", key: jobKeys.record(record.jobId), value: encodeRecord(record) },
         {
             kind: "put",
@@ -35,9 +40,13 @@
             value: encodeRecord({ jobs: [{ jobId: record.jobId, tokens: 5 }, { jobId: "other", tokens: 7 }] }),
         },
     ]);
-    const table = new JobTable();
-    table.apply(await service.list(jobKeys.jobsPrefix));
-    table.applyResults(await service.list(jobKeys.resultsPrefix));
+    const load = async () => {
+        const table = new JobTable();
+        table.apply(await service.list(jobKeys.jobsPrefix));
+        table.applyResults(await service.list(jobKeys.resultsPrefix));
+        return table;
+    };
+    const table = await load();
     const cleanup = new JobCleanup({
         clock,
         service,
@@ -46,7 +55,7 @@
         table,
         resultRetentionMs: () => 1000,
     });
-    return { clock, service, table, cleanup };
+    return { clock, service, table, load, cleanup };
 }
 
 test("the tokens of an ended job are released once the service responds again", async () => {
@@ -71,3 +80,21 @@
     assert.deepEqual(await service.list("knapweed/results/"), []);
     assert.equal(table.get(record.jobId), undefined);
 });
+
+// A new leader took the items whose results were removed already for items without one, and gave them all up.
+test("a job whose removal was interrupted has no item left to run or to give up", async () => {
+    const { clock, service, load, cleanup } = await setUp();
+    await clock.advance(1100);
+    const transact = service.transact.bind(service);
+    const writes = mock.method(service, "transact", (...args: Parameters<typeof transact>) => {
+        service.faults.outage = writes.mock.callCount() > 0;
+        return transact(...args);
+    });
+    await cleanup.run();
+    service.faults.outage = false;
+    const table = await load();
+    const job = table.get(record.jobId)!;
+    assert.ok(job.resultCount > 0 && (await service.list(jobKeys.resultsPrefix)).length < record.items.length);
+    assert.deepEqual(job.items.filter(item => item.state !== "stored"), []);
+    assert.ok(job.isEnded);
+});
