--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -8,6 +8,7 @@
 import { applyRunOutcome } from "./applyRunOutcome.js";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { BatchSlots } from "./batchSlots.js";
+import { giveUpReason } from "./giveUpReason.js";
 import type { HeldJob } from "./heldJob.js";
 import { InFlightItems } from "./inFlightItems.js";
 import { ItemRoutes } from "./itemRoutes.js";
@@ -32,10 +33,6 @@
 const DISPATCH_INTERVAL_MS = 50;
 /** Time for which triggers are gathered into one dispatch, in milliseconds. Load reports come from every process. */
 const DISPATCH_DELAY_MS = 5;
-/** Time for which a route has to be missing before its items are abandoned, in milliseconds. */
-const ROUTE_MISSING_TIMEOUT_MS = 3000;
-/** Difference between the clocks of instances that is allowed for, in milliseconds. A gateway sets the expiry of a job. */
-const CLOCK_MARGIN_MS = 5000;
 /** Interval at which progress is stored and ended jobs are cleaned up, in milliseconds. */
 const CHECKPOINT_INTERVAL_MS = 1500;
 /** Minimum progress to store, in events. Less is cheaper to reproduce than to store. */
@@ -229,7 +226,7 @@
 
     private schedulePeriodicDispatch(): void {
         this.dispatchTimer = this.opts.clock.setTimer(DISPATCH_INTERVAL_MS, () => {
-            this.abandonExpired();
+            this.giveUpItems();
             this.dispatch();
             this.schedulePeriodicDispatch();
         });
@@ -358,36 +355,27 @@
     }
 
     /**
-     * Abandons pending items of jobs that have expired or whose route has been missing for too long. Until the stored
-     * results are loaded, an item with a result can't be told from one without.
+     * Gives up items that can't be run any more. Until the stored results are loaded, an item with a result can't be told
+     * from one without.
      */
-    private abandonExpired(): void {
+    private giveUpItems(): void {
         if (!this.isLoaded) {
             return;
         }
         const nowMs = this.opts.clock.nowMs();
         this.table.all().filter(job => !job.isEnded).forEach(job => {
             const missingSinceMs = this.routes.missingSinceMs(job.record.jobId);
-            if (nowMs > job.record.expiresAtMs + CLOCK_MARGIN_MS) {
-                this.abandon(job, "expired");
-            }
-            if (nowMs > missingSinceMs + ROUTE_MISSING_TIMEOUT_MS) {
-                this.abandon(job, "route-missing");
+            const reason = giveUpReason(job.record, { nowMs, missingSinceMs });
+            const items = job.items.filter(item => item.state === "pending");
+            if (reason !== undefined && items.length > 0) {
+                this.giveUp(job, items, reason);
             }
         });
     }
 
-    private abandon(job: OpenJob, reason: string): void {
-        const items = job.items.filter(item => item.state === "pending");
-        if (items.length === 0) {
-            return;
-        }
-        this.opts.logger.info("items-given-up", {
-            jobId: job.record.jobId,
-            reason,
-            items: items.length,
-            results: job.resultCount,
-        });
+    private giveUp(job: OpenJob, items: readonly JobItem[], reason: string): void {
+        const { jobId } = job.record;
+        this.opts.logger.info("items-given-up", { jobId, reason, items: items.length, results: job.resultCount });
         items.forEach(item => this.finish(job, item, "given-up"));
     }
 
