--- a/fleet/jobs/test/resultCommitter.test.ts
+++ b/fleet/jobs/test/resultCommitter.test.ts
@@ -5,7 +5,7 @@
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import type { ItemResult } from "../src/itemResult.js";
 import { jobKeys } from "../src/jobKeys.js";
 import { OpenJob } from "../src/openJob.js";
@@ -144,3 +144,24 @@
     assert.equal((await storedResults()).length, 1);
     assert.equal(leadership.stepDownCount, 1);
 });
+
+// The key-value service refuses a write with more entries, and its results would never be stored.
+test("results of many jobs are stored by writes of 32 entries at most", async () => {
+    const { clock, service, committer, storedResults } = await setUp();
+    const writes = mock.method(service, "transact");
+    const jobs = Array.from(
+        { length: 40 },
+        (_, index) => new OpenJob(createJobRecord({ id: `job-${index}`, itemCount: 40 })),
+    );
+    for (const round of [0, 1]) {
+        jobs.forEach(job => committer.add(job, { itemId: job.items[round]!.id, state: "completed", output: "x" }));
+        await clock.advance(1000);
+    }
+    jobs[0]!.items.slice(2).forEach(({ id }) =>
+        committer.add(jobs[0]!, { itemId: id, state: "completed", output: "x" })
+    );
+    await clock.advance(1000);
+    const sizes = writes.mock.calls.map(({ arguments: [compares, operations] }) => compares.length + operations.length);
+    assert.ok(Math.max(...sizes) <= 32, `writes of ${sizes.join(" ")} entries`);
+    assert.equal((await storedResults()).length, 40 * 2 + 38);
+});
