feat(logs): which request broke off

Change: both lines bear a fingerprint, a hash of caller (Host and Authorization), method, path with query, shared prompt parts and body. Ids and deadlines differ between attempts and don't count. It is computed once a request, of an item when it is first needed. Measured: none; it changes no behaviour.

--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -1,10 +1,12 @@
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
+import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
 import type { RequestId } from "@knapweedwood/core.ids/requestId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { QueuedRequest } from "@knapweedwood/fleet.load/queuedRequest";
+import { fingerprintOf } from "@knapweedwood/fleet.quarantine/fingerprintOf";
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { Route } from "@knapweedwood/fleet.view/route";
@@ -56,6 +58,7 @@
     private readonly continuity: StreamContinuity | undefined;
     /** The parts of the prompt that other requests may share, shape [parts]. */
     private readonly promptParts: PromptPartId[];
+    private readonly fingerprint: RequestFingerprint;
     private readonly deadlineTimer: Timer;
     private readonly writer: ResponseWriter;
     private attempt: Attempt | undefined;
@@ -85,6 +88,14 @@
         this.service = chooseService(route, context.random) ?? ("" as ServiceName);
         this.priority = route.priority;
         this.promptParts = context.decodeSharedPromptParts(headerOf(request, context.headers.promptParts));
+        this.fingerprint = fingerprintOf({
+            host: headerOf(request, "host"),
+            authorization: headerOf(request, "authorization"),
+            method: request.method ?? "GET",
+            path: request.url ?? "/",
+            promptParts: this.promptParts,
+            body: this.body,
+        });
         const remainingMs = Number(headerOf(request, context.headers.remainingMs) ?? route.timeoutMs);
         this.isRetry = remainingMs < route.timeoutMs * RETRY_REMAINING_SHARE;
         this.objectiveAtMs = this.arrivedAtMs + route.objectiveMs;
@@ -280,6 +291,7 @@
             isEjected,
             hasBegun: attempt.stallDetector.hasData,
             promptParts: this.promptParts,
+            fingerprint: this.fingerprint,
         });
         if (!failure.mayHaveRun) {
             this.attempts -= 1;
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -14,6 +14,7 @@
 import type { ItemRun } from "./itemRun.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
 import { ItemRunTimeEstimator } from "./itemRunTimeEstimator.js";
+import { ItemTraits } from "./itemTraits.js";
 import { JobCleanup } from "./jobCleanup.js";
 import type { JobItem } from "./jobItem.js";
 import { jobKeys } from "./jobKeys.js";
@@ -25,7 +26,6 @@
 import type { OpenJob } from "./openJob.js";
 import { orderStartableItems } from "./orderStartableItems.js";
 import { ProgressWriter } from "./progressWriter.js";
-import { promptPartsOf } from "./promptPartsOf.js";
 import { ResultCommitter } from "./resultCommitter.js";
 
 /** Interval at which items are dispatched when no event triggers it, in milliseconds. */
@@ -52,6 +52,7 @@
     private readonly opts: JobRunnerOptions;
     private readonly table = new JobTable();
     private readonly runTimeEstimator = new ItemRunTimeEstimator();
+    private readonly traits: ItemTraits;
     private readonly inFlightItems: InFlightItems;
     private readonly committer: ResultCommitter;
     private readonly progress: ProgressWriter;
@@ -77,6 +78,7 @@
         const { runTimeEstimator } = this;
         this.routes = new ItemRoutes(opts);
         this.loader = new JobLoader(opts);
+        this.traits = new ItemTraits(opts);
         this.inFlightItems = new InFlightItems({
             ...opts,
             runTimeEstimator,
@@ -289,7 +291,7 @@
 
     private mayRun(service: ServiceName, item: JobItem): boolean {
         const { quarantine } = this.opts;
-        return !quarantine.isActive || quarantine.blockedForMs(service, promptPartsOf(item.record, this.opts)) === 0;
+        return !quarantine.isActive || quarantine.blockedForMs(service, this.traits.promptPartsOf(item)) === 0;
     }
 
     /** Returns the upstreams that may run items. There are none while an online request of the service waits. */
@@ -311,7 +313,12 @@
             upstream: upstream.id,
             events: item.lastEventId,
             ...outcome,
-            ...outcome.kind === "broken" ? { promptParts: promptPartsOf(item.record, this.opts) } : {},
+            ...outcome.kind === "broken"
+                ? {
+                    promptParts: this.traits.promptPartsOf(item),
+                    fingerprint: this.traits.fingerprintOf(job, item),
+                }
+                : {},
         });
         this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
         this.recordUpstreamHealth(upstream, outcome, nowMs);
