test(gateway,jobs): a request that comes again and an item crash upstream after upstream, failing

Callers of a service lost all of its upstreams every few seconds: a request without prompt parts came again, with another id, and ended each upstream that ran it (BUDGET). The bound is the rule's: three crashes, then three more retries. The runner's test bed now takes how an item is made bad; the existing test makes it as before. The gateway's test bed shows its directory and takes the host of a second caller.

--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -70,6 +70,7 @@
 export class GatewayTestBed {
     readonly connections = new UpstreamConnections();
     readonly loadTracker = new LoadTracker();
+    readonly directory = new UpstreamDirectory();
     isStopping = false;
     private readonly server: GatewayServer;
     private port = 0;
@@ -78,6 +79,8 @@
         opts: {
             upstreams: Upstream[];
             route: Partial<Route>;
+            /** Host of another caller, with a route of its own to the same service. */
+            otherHost?: string;
             maxBodyBytes?: number;
             isConfigured?: boolean;
             origins?: StreamOrigins;
@@ -94,10 +97,11 @@
                 headerTimeoutMs: 3000,
                 idleTimeoutMs: 5000,
             };
-            configuration.adopt({ version: 1, routes: [{ ...defaultRoute, ...opts.route }], services: [], limits });
+            const route = { ...defaultRoute, ...opts.route };
+            const otherRoutes = opts.otherHost === undefined ? [] : [{ ...route, name: "other", host: opts.otherHost }];
+            configuration.adopt({ version: 1, routes: [route, ...otherRoutes], services: [], limits });
         }
-        const { loadTracker, connections } = this;
-        const directory = new UpstreamDirectory();
+        const { loadTracker, connections, directory } = this;
         opts.upstreams.forEach(upstream => directory.put(upstream, clock.nowMs()));
         const serviceTimes = new ServiceTimes();
         const requestQueue = new RequestQueue({
--- a/fleet/gateway/test/upstreamStandin.ts
+++ b/fleet/gateway/test/upstreamStandin.ts
@@ -54,6 +54,10 @@
         };
     }
 
+    get isListening(): boolean {
+        return this.server.listening;
+    }
+
     close(): void {
         this.server.close();
         this.server.closeAllConnections();
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -21,6 +21,7 @@
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
 import type { ItemResult } from "../src/itemResult.js";
+import type { JobItemRecord } from "../src/jobItemRecord.js";
 import { jobKeys } from "../src/jobKeys.js";
 import { JobRunner } from "../src/jobRunner.js";
 import { planJobWrite } from "../src/planJobWrite.js";
@@ -31,6 +32,9 @@
 const SLOTS = 7;
 /** From the rule: a part that has ended five upstreams may reach three more. */
 const MAX_RUNS_AFTER_CRASHES = 3;
+/** From the rule: a request that has ended three upstreams may reach three more. */
+const MAX_RUNS_OF_REQUEST = 6;
+const BAD_PATH = "/p/bad/";
 const BAD_PART = "bad";
 const JOBS = 80;
 const ITEMS = 10;
@@ -43,7 +47,18 @@
     return createRunner({ busySlots: SLOTS, jobs: JOBS, connections: new UpstreamConnections() });
 }
 
-async function createRunner(opts: { busySlots: number; jobs: number; connections: UpstreamConnections; }) {
+/** Gives an item a prompt part that crashes upstreams. */
+function addBadPart(item: JobItemRecord): void {
+    item.headers.push({ name: "q", value: BAD_PART });
+}
+
+async function createRunner(opts: {
+    busySlots: number;
+    jobs: number;
+    connections: UpstreamConnections;
+    /** Makes an item one that crashes upstreams. Called for every other item. */
+    makeBad?: (item: JobItemRecord) => void;
+}) {
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
     const fence = { key: "leader", modRevision: 0 };
@@ -106,9 +121,7 @@
     });
     for (let index = 0; index < opts.jobs; index += 1) {
         const record = createJobRecord({ id: `job-${index}`, itemCount: ITEMS, dueAtMs: clock.nowMs() + 60_000 });
-        record.items.filter((_, item) => item % 2 === 1).forEach(item =>
-            item.headers.push({ name: "q", value: BAD_PART })
-        );
+        record.items.filter((_, item) => item % 2 === 1).forEach(item => (opts.makeBad ?? addBadPart)(item));
         const job = { record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined };
         await service.transact([], planJobWrite(job, undefined).operations);
     }
@@ -185,3 +198,30 @@
     assert.ok(runs - runsBefore <= MAX_RUNS_AFTER_CRASHES, `${runs - runsBefore} more runs`);
     runner.stop();
 });
+
+// The same for an item that has no prompt part in common with others.
+test("an item that crashes upstreams is not sent to one upstream after another", async () => {
+    const runs = new Map<string, number>();
+    const connections = new UpstreamConnections();
+    mock.method(connections, "send", (_upstream: unknown, request: ExchangeRequest, handler: ExchangeHandler) => {
+        const isBad = request.path.startsWith(BAD_PATH);
+        runs.set(request.path, (runs.get(request.path) ?? 0) + 1);
+        setImmediate(() => isBad ? breakOff(handler) : complete(handler));
+        return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    });
+    const makeBad = (item: JobItemRecord) => {
+        item.path = `${BAD_PATH}${item.id}`;
+    };
+    const { clock, runner, finishedResults } = await createRunner({
+        busySlots: SLOTS - 2,
+        jobs: 1,
+        connections,
+        makeBad,
+    });
+    await clock.advance(20_000);
+    const badRuns = [...runs].filter(([path]) => path.startsWith(BAD_PATH)).map(([, count]) => count);
+    assert.equal(badRuns.length, ITEMS / 2);
+    assert.ok(Math.max(...badRuns) <= MAX_RUNS_OF_REQUEST, `${badRuns.join(", ")} runs`);
+    assert.equal((await finishedResults()).length, ITEMS / 2, "the sound items are finished");
+    runner.stop();
+});
