fix(quarantine): a request that comes again is recognised and rejected

Callers of a service lost all of its upstreams every few seconds: one request without prompt parts came again with another id and ended each upstream that ran it (BUDGET); items that crash upstreams were resumed without limit. Cause: the quarantine knew the shared parts of prompts only, so each arrival and each run counted as something new. Change: the quarantine counts crashes for the traits of a request: its shared prompt parts, then its fingerprint. The table, its merging, datagrams and stored records stay as they were; a fingerprint stands where a part did, with a prefix that no part can have. The class names follow (RequestQuarantine, RequestSuspicions, RequestRun); Suspicion.part and the events of parts keep theirs, those of requests are request-quarantined, -released and -suspected. A fingerprint clears no part of its request: else each request with a bad part, repeated by us, would be convicted itself and the part never. A quarantined trait explains the crashes under those that more requests share. Where more than eight requests of the service were cut repeatedly within 10 s, a request takes five crashes. A process convicts a request by what its peers tell too, as the leader may know of no success. The reason of the rejection names both. New tests: random interleavings of eight processes and three upstreams (40 plays, at most three later retries, no unfounded rejection of a sound request); a part whose requests are repeated (20 runs if a fingerprint clears parts); requests that a network cuts three times (rejected without the rule of eight); a process that knows of no success.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -10,7 +10,7 @@
 import { PeerEjections } from "@knapweedwood/fleet.load/peerEjections";
 import { UdpChannel } from "@knapweedwood/fleet.load/udpChannel";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
-import { PromptQuarantine } from "@knapweedwood/fleet.quarantine/promptQuarantine";
+import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import { SuspicionExchange } from "@knapweedwood/fleet.quarantine/suspicionExchange";
 import { StreamOriginExchange } from "@knapweedwood/fleet.streams/streamOriginExchange";
 import { computeCoalesceMs } from "@knapweedwood/fleet.sync/computeCoalesceMs";
@@ -76,7 +76,7 @@
     readonly upstreams: UpstreamFollower;
     readonly operators: OperatorsFollower;
     readonly streamOrigins: StreamOriginExchange;
-    readonly quarantine: PromptQuarantine;
+    readonly quarantine: RequestQuarantine;
     private readonly opts: FleetProcessOptions;
     private readonly self: MemberRecord;
     private readonly ejections = new PeerEjections();
@@ -157,7 +157,7 @@
             peers: () => this.peers.streamPeers(name => this.loadTracker.isLive(name)),
         });
         const suspicionStore = new SuspicionStore({ service: this.keyValueService, clock, logger });
-        this.quarantine = new PromptQuarantine({
+        this.quarantine = new RequestQuarantine({
             clock,
             random,
             logger,
--- a/fleet/gateway/src/attempt.ts
+++ b/fleet/gateway/src/attempt.ts
@@ -1,4 +1,4 @@
-import type { PromptRun } from "@knapweedwood/fleet.quarantine/promptRun";
+import type { RequestRun } from "@knapweedwood/fleet.quarantine/requestRun";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { StallDetector } from "./stallDetector.js";
@@ -11,5 +11,5 @@
     stallDetector: StallDetector;
     /** Whether the upstream has responded that it doesn't run the request. */
     isNotRun: boolean;
-    promptRun: PromptRun;
+    requestRun: RequestRun;
 }
--- a/fleet/gateway/src/attemptOutcomes.ts
+++ b/fleet/gateway/src/attemptOutcomes.ts
@@ -26,7 +26,7 @@
         const { upstream } = attempt;
         this.context.serviceTimes.recordHold(upstream.service, nowMs - attempt.startedAtMs);
         if (statusCode === HTTP_OK) {
-            this.context.quarantine.onSuccess(attempt.promptRun);
+            this.context.quarantine.onSuccess(attempt.requestRun);
         }
         if (statusCode >= HTTP_SERVER_ERROR) {
             return this.context.health.onFailure(upstream.id, nowMs);
@@ -43,7 +43,7 @@
     onFailure(attempt: Attempt, failure: ExchangeFailure): boolean {
         this.context.metrics.increment("upstream_failures_total", { code: failure.code });
         if (failure.mayHaveRun && failure.isConnectionBroken) {
-            this.context.quarantine.onCrash(attempt.promptRun, attempt.upstream);
+            this.context.quarantine.onCrash(attempt.requestRun, attempt.upstream);
         }
         return this.context.health.onFailure(attempt.upstream.id, this.context.clock.nowMs());
     }
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -7,7 +7,7 @@
 import type { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import type { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
-import type { PromptQuarantine } from "@knapweedwood/fleet.quarantine/promptQuarantine";
+import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
@@ -28,7 +28,7 @@
     health: UpstreamHealth;
     serviceTimes: ServiceTimes;
     requestQueue: RequestQueue;
-    quarantine: PromptQuarantine;
+    quarantine: RequestQuarantine;
     /** What began the streams that callers may resume. */
     origins: StreamOrigins;
     /** Returns the one software version that is certain to have run a service since `sinceMs`, if there is one. */
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -2,6 +2,7 @@
 import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
 import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
 import type { RequestId } from "@knapweedwood/core.ids/requestId";
+import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
@@ -123,6 +124,11 @@
         return this.writer.hasStarted;
     }
 
+    /** What this request has in common with others, the most specific last, shape [traits]. */
+    private get traits(): RequestTraitId[] {
+        return [...this.promptParts, this.fingerprint];
+    }
+
     /** Submits the request to the request queue, a resumed stream once it is known what began it. */
     start(): void {
         if (this.continuity?.isResumption === true) {
@@ -148,7 +154,7 @@
     }
 
     blockedForMs(): number {
-        return this.context.quarantine.blockedForMs(this.service, this.promptParts);
+        return this.context.quarantine.blockedForMs(this.service, this.traits);
     }
 
     onPlaced(upstream: Upstream): void {
@@ -172,7 +178,7 @@
             upstream,
             startedAtMs: nowMs,
             isNotRun: false,
-            promptRun: this.context.quarantine.begin(this.service, this.promptParts),
+            requestRun: this.context.quarantine.begin(this.service, this.traits),
             stallDetector: new StallDetector({
                 clock: this.context.clock,
                 route: this.route,
--- a/fleet/gateway/test/crashingPrompt.test.ts
+++ b/fleet/gateway/test/crashingPrompt.test.ts
@@ -48,3 +48,27 @@
     assert.equal(crashing.at(-1), 503, "a request that didn't run is rejected as such");
     assert.deepEqual(sound.slice(-5), [200, 200, 200, 200, 200]);
 });
+
+// Each request with the part was repeated at other upstreams, and only its own repeats were convicted.
+test("a prompt part that crashes upstreams is found though each request with it is repeated", async () => {
+    const standins = Array.from({ length: UPSTREAMS }, createStandin);
+    const upstreams = await Promise.all(standins.map((standin, index) => standin.listen(`u-${index}`)));
+    const testBed = new GatewayTestBed({ upstreams, route: { kind: "stream", isResumable: true, maxAttempts: 3 } });
+    await testBed.listen();
+    const send = async (body: string, parts: string) => {
+        const received = await testBed.send({ body, headers: { "x-request-id": body, "x-parts": parts } });
+        return received.statusCode;
+    };
+    await send("sound", SOUND);
+    for (let index = 0; index < REQUESTS; index += 1) {
+        await send(`bad-${index}`, CRASHING);
+    }
+    const last = [await send("bad-last", CRASHING), await send("sound-last", SOUND)];
+    testBed.close();
+    standins.forEach(standin => standin.close());
+    const crashes = standins.flatMap(({ requests }) => requests).filter(({ headers }) =>
+        headers["x-parts"] === CRASHING
+    );
+    assert.ok(crashes.length <= MAX_CRASHES, `${crashes.length} requests with the part reached upstreams`);
+    assert.deepEqual(last, [503, 200]);
+});
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -7,7 +7,7 @@
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
-import { PromptQuarantine } from "@knapweedwood/fleet.quarantine/promptQuarantine";
+import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
@@ -132,7 +132,7 @@
             health: new UpstreamHealth(),
             serviceTimes,
             requestQueue,
-            quarantine: new PromptQuarantine({
+            quarantine: new RequestQuarantine({
                 clock,
                 random,
                 logger: silentLogger,
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -1,20 +1,20 @@
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
-import type { PromptRun } from "@knapweedwood/fleet.quarantine/promptRun";
+import type { RequestRun } from "@knapweedwood/fleet.quarantine/requestRun";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { chooseRunsToPreempt } from "./chooseRunsToPreempt.js";
 import { ItemRun } from "./itemRun.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
 import type { ItemRunTimeEstimator } from "./itemRunTimeEstimator.js";
+import type { ItemTraits } from "./itemTraits.js";
 import type { JobItem } from "./jobItem.js";
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
 import type { OpenJob } from "./openJob.js";
-import { promptPartsOf } from "./promptPartsOf.js";
 
 interface InFlightItem {
     job: OpenJob;
     run: ItemRun;
-    promptRun: PromptRun;
+    requestRun: RequestRun;
 }
 
 type InFlightItemsOptions =
@@ -27,11 +27,10 @@
         | "loadTracker"
         | "connections"
         | "headers"
-        | "decodeSharedPromptParts"
         | "quarantine"
         | "onLoadChanged"
     >
-    & { runTimeEstimator: ItemRunTimeEstimator; };
+    & { runTimeEstimator: ItemRunTimeEstimator; traits: ItemTraits; };
 
 /** The items that are running at upstreams. When a run is ended early, its item becomes pending and can be resumed. */
 export class InFlightItems {
@@ -59,12 +58,12 @@
             onLeaving: () => this.opts.directory.markLeaving(upstream, this.opts.clock.nowMs()),
             onEnded: outcome => {
                 this.release(inFlightItem);
-                this.recordPrompt(inFlightItem, outcome);
+                this.recordOutcome(inFlightItem, outcome);
                 this.onEnded(job, run, outcome);
             },
         });
-        const promptRun = this.opts.quarantine.begin(upstream.service, promptPartsOf(item.record, this.opts));
-        const inFlightItem: InFlightItem = { job, run, promptRun };
+        const requestRun = this.opts.quarantine.begin(upstream.service, this.opts.traits.of(job, item));
+        const inFlightItem: InFlightItem = { job, run, requestRun };
         this.byUpstream.set(upstream.id, [...this.at(upstream.id), inFlightItem]);
         this.opts.logger.info("item-started", {
             jobId: job.record.jobId,
@@ -142,12 +141,12 @@
         return chooseRunsToPreempt(candidate, runs).map(({ inFlightItem }) => inFlightItem);
     }
 
-    private recordPrompt({ run, promptRun }: InFlightItem, outcome: ItemRunOutcome): void {
+    private recordOutcome({ run, requestRun }: InFlightItem, outcome: ItemRunOutcome): void {
         if (outcome.kind === "completed") {
-            this.opts.quarantine.onSuccess(promptRun);
+            this.opts.quarantine.onSuccess(requestRun);
         }
         if (outcome.kind === "broken" && outcome.isConnectionBroken) {
-            this.opts.quarantine.onCrash(promptRun, run.upstream);
+            this.opts.quarantine.onCrash(requestRun, run.upstream);
         }
     }
 
--- a/fleet/jobs/src/itemTraits.ts
+++ b/fleet/jobs/src/itemTraits.ts
@@ -1,5 +1,6 @@
 import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
 import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
+import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import { fingerprintOf } from "@knapweedwood/fleet.quarantine/fingerprintOf";
 import type { JobItem } from "./jobItem.js";
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
@@ -16,6 +17,16 @@
         this.opts = opts;
     }
 
+    /** Returns the traits of an item, the most specific last, shape [traits]. */
+    of(job: OpenJob, item: JobItem): RequestTraitId[] {
+        return [...this.promptPartsOf(item), this.fingerprintOf(job, item)];
+    }
+
+    /** Returns those of the traits that are known without computing a fingerprint, shape [traits]. */
+    knownOf(item: JobItem): RequestTraitId[] {
+        return [...this.promptPartsOf(item), this.fingerprints.get(item) ?? []].flat();
+    }
+
     /** Returns the parts of the item's prompt that other requests may share, shape [parts]. */
     promptPartsOf(item: JobItem): PromptPartId[] {
         return promptPartsOf(item.record, this.opts);
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -82,6 +82,7 @@
         this.inFlightItems = new InFlightItems({
             ...opts,
             runTimeEstimator,
+            traits: this.traits,
             onEnded: (job, run, outcome) => this.onRunEnded(job, run, outcome),
         });
         this.committer = new ResultCommitter({ ...opts, onResultsStored: job => this.onResultsStored(job) });
@@ -283,7 +284,9 @@
         orderStartableItems(this.table.all(), { nowMs, remainingMs, totalMs, hasFreeSlot }).forEach(({ job, item }) => {
             const keepsEvents = remainingMs(item) < totalMs(item) * KEEP_REMAINING_SHARE;
             const upstream = slots.take(this.routes.serviceOf(job, item)!, item, keepsEvents);
-            if (upstream !== undefined) {
+            const isBlocked = upstream !== undefined
+                && this.opts.quarantine.blockedForMs(upstream.service, this.traits.of(job, item)) > 0;
+            if (upstream !== undefined && !isBlocked) {
                 this.inFlightItems.start(job, item, upstream);
             }
         });
@@ -291,7 +294,7 @@
 
     private mayRun(service: ServiceName, item: JobItem): boolean {
         const { quarantine } = this.opts;
-        return !quarantine.isActive || quarantine.blockedForMs(service, this.traits.promptPartsOf(item)) === 0;
+        return !quarantine.isActive || quarantine.blockedForMs(service, this.traits.knownOf(item)) === 0;
     }
 
     /** Returns the upstreams that may run items. There are none while an online request of the service waits. */
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -4,7 +4,7 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
-import type { PromptQuarantine } from "@knapweedwood/fleet.quarantine/promptQuarantine";
+import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
@@ -30,7 +30,7 @@
     headers: ItemRunHeaders;
     /** Decodes the parts of a prompt that other requests may share from the header that lists them, shape [parts]. */
     decodeSharedPromptParts: (value: string | undefined) => PromptPartId[];
-    quarantine: PromptQuarantine;
+    quarantine: RequestQuarantine;
     /** Returns how long an ended job stays readable after its acceptance, in milliseconds. */
     resultRetentionMs: () => number;
     onLoadChanged: () => void;
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -8,7 +8,7 @@
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
-import { PromptQuarantine } from "@knapweedwood/fleet.quarantine/promptQuarantine";
+import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { ExchangeHandler } from "@knapweedwood/fleet.upstreams/exchangeHandler";
 import type { ExchangeRequest } from "@knapweedwood/fleet.upstreams/exchangeRequest";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
@@ -106,7 +106,7 @@
             upstreamProof: "p",
         },
         decodeSharedPromptParts: value => value === undefined ? [] : [value as PromptPartId],
-        quarantine: new PromptQuarantine({
+        quarantine: new RequestQuarantine({
             clock,
             random: new SeededRandom(1),
             logger: silentLogger,
--- a/fleet/load/src/requestQueue.ts
+++ b/fleet/load/src/requestQueue.ts
@@ -131,7 +131,7 @@
         const blockedForMs = request.blockedForMs();
         if (blockedForMs > 0) {
             this.remove(request);
-            this.reject(request, blockedForMs, "a part of the prompt crashes upstreams");
+            this.reject(request, blockedForMs, "the request or a part of its prompt crashes upstreams");
         }
         return blockedForMs > 0;
     }
--- a/fleet/quarantine/src/promptQuarantine.ts
+++ b/fleet/quarantine/src/requestQuarantine.ts
@@ -1,15 +1,16 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
-import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
+import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { upstreamProcessKeyOf } from "@knapweedwood/fleet.view/upstreamProcessKeyOf";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import type { PromptRun } from "./promptRun.js";
-import { PromptSuspicions } from "./promptSuspicions.js";
+import { isFingerprint } from "./isFingerprint.js";
+import type { RequestRun } from "./requestRun.js";
+import { RequestSuspicions } from "./requestSuspicions.js";
 import type { Suspicion } from "./suspicion.js";
 
-interface PromptQuarantineOptions {
+interface RequestQuarantineOptions {
     clock: Clock;
     random: Random;
     logger: Logger;
@@ -17,42 +18,46 @@
     publish: (changed: readonly Suspicion[]) => void;
     /** Stores a suspicion that has become a quarantine, or is no longer one, for processes that no peer can tell. */
     store: (suspicion: Suspicion) => void;
-    /** Called when requests that wait may have to be rejected, or may run again.. */
+    /** Called when requests that wait may have to be rejected, or may run again. */
     onChanged: () => void;
 }
 
-/** Decides which requests must not run, because a part of their prompts crashes upstreams. */
-export class PromptQuarantine {
-    private readonly opts: PromptQuarantineOptions;
-    private readonly suspicions: PromptSuspicions;
-    /** Keys of the quarantined parts. */
+/** Decides which requests must not run, because they, or a part of their prompts, crash upstreams. */
+export class RequestQuarantine {
+    private readonly opts: RequestQuarantineOptions;
+    private readonly suspicions: RequestSuspicions;
+    /** Keys of the quarantined traits. */
     private readonly quarantined = new Set<string>();
 
-    constructor(opts: PromptQuarantineOptions) {
+    constructor(opts: RequestQuarantineOptions) {
         this.opts = opts;
-        this.suspicions = new PromptSuspicions({ jitter: opts.random.next() });
+        this.suspicions = new RequestSuspicions({ jitter: opts.random.next() });
     }
 
-    /** Whether any part is quarantined. */
+    /** Whether any request or part of prompts is quarantined. */
     get isActive(): boolean {
         return this.quarantined.size > 0;
     }
 
-    /** Records that a request with these parts begins to run at an upstream of the service. */
-    begin(service: ServiceName, parts: readonly PromptPartId[]): PromptRun {
-        const run = this.suspicions.observe(service, parts);
+    /**
+     * Records that a request begins to run at an upstream of the service.
+     *
+     * @param traits the shared parts of its prompt in their order, then its fingerprint, shape [traits]
+     */
+    begin(service: ServiceName, traits: readonly RequestTraitId[]): RequestRun {
+        const run = this.suspicions.observe(service, traits);
         this.onOwnChange(this.suspicions.onBegun(run, this.opts.clock.nowMs()), "probe");
         return run;
     }
 
     /** Records that an upstream broke off a run. */
-    onCrash(run: PromptRun, upstream: Upstream): void {
+    onCrash(run: RequestRun, upstream: Upstream): void {
         const process = upstreamProcessKeyOf(upstream);
         this.onOwnChange(this.suspicions.onCrash(run, process, this.opts.clock.nowMs()), "crash");
     }
 
     /** Records a complete response to a run. */
-    onSuccess(run: PromptRun): void {
+    onSuccess(run: RequestRun): void {
         this.onOwnChange(this.suspicions.onSuccess(run, this.opts.clock.nowMs()), "success");
     }
 
@@ -69,9 +74,9 @@
         this.onChange(changed, "peer");
     }
 
-    /** Returns the time for which requests with these parts must not run, in milliseconds; 0 if they may run now. */
-    blockedForMs(service: ServiceName, parts: readonly PromptPartId[]): number {
-        return this.suspicions.blockedForMs(service, parts, this.opts.clock.nowMs());
+    /** Returns the time for which requests with these traits must not run, in milliseconds; 0 if they may run now. */
+    blockedForMs(service: ServiceName, traits: readonly RequestTraitId[]): number {
+        return this.isActive ? this.suspicions.blockedForMs(service, traits, this.opts.clock.nowMs()) : 0;
     }
 
     /** Returns the suspicions that other processes may not know yet, shape [suspicions]. */
@@ -102,12 +107,14 @@
     }
 
     private log(suspicion: Suspicion, cause: string): void {
-        const { isQuarantined, ...fields } = suspicion;
+        const { isQuarantined, part, ...others } = suspicion;
+        const [kind, id] = isFingerprint(part) ? ["request", { fingerprint: part }] : ["prompt-part", { part }];
+        const fields = { ...id, ...others, cause };
         if (isQuarantined === this.quarantined.has(keyOf(suspicion))) {
-            this.opts.logger.debug("prompt-part-suspected", { ...fields, cause });
+            this.opts.logger.debug(`${kind}-suspected`, fields);
             return;
         }
-        this.opts.logger.warn(isQuarantined ? "prompt-part-quarantined" : "prompt-part-released", { ...fields, cause });
+        this.opts.logger.warn(isQuarantined ? `${kind}-quarantined` : `${kind}-released`, fields);
     }
 }
 
--- /dev/null
+++ b/fleet/quarantine/src/requestRun.ts
@@ -0,0 +1,9 @@
+import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+
+/** One run of a request at an upstream, with what was known of its traits when it began. */
+export interface RequestRun {
+    service: ServiceName;
+    /** From the trait that most requests share to that which the fewest share, shape [traits]. */
+    traits: { trait: RequestTraitId; disproofs: number; rounds: number; }[];
+}
--- a/fleet/quarantine/src/suspicion.ts
+++ b/fleet/quarantine/src/suspicion.ts
@@ -1,11 +1,12 @@
-import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
+import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
 
-/** What the fleet knows of a prompt part that may crash upstreams of a service. */
+/** What the fleet knows of a prompt part or a request that may crash upstreams of a service. */
 export interface Suspicion {
     service: ServiceName;
-    part: PromptPartId;
+    /** A part of prompts, or the fingerprint of a request. */
+    part: RequestTraitId;
     /**
      * Number of times that the suspicion was disproved: by a complete response to a request with the part, or by another
      * part that explains the crashes.
--- a/fleet/quarantine/src/suspicionCodec.ts
+++ b/fleet/quarantine/src/suspicionCodec.ts
@@ -1,4 +1,4 @@
-import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
+import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
 import { Packr } from "msgpackr";
@@ -51,7 +51,7 @@
         return z.array(packedSuspicion).parse(this.packr.unpack(bytes)).map(
             ([service, part, disproofs, crashes, rounds, hasSucceeded, isQuarantined, probes]) => ({
                 service: service as ServiceName,
-                part: part as PromptPartId,
+                part: part as RequestTraitId,
                 disproofs,
                 crashes: crashes as UpstreamProcessKey[],
                 rounds,
--- a/fleet/quarantine/test/simulatedQuarantineFleet.ts
+++ b/fleet/quarantine/test/simulatedQuarantineFleet.ts
@@ -1,13 +1,15 @@
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
+import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { SimulatedNetwork } from "@knapweedwood/standins.network/simulatedNetwork";
-import { PromptQuarantine } from "../src/promptQuarantine.js";
+import { RequestQuarantine } from "../src/requestQuarantine.js";
 import type { Suspicion } from "../src/suspicion.js";
 import { SuspicionExchange } from "../src/suspicionExchange.js";
+import { SimulatedUpstreams } from "./simulatedUpstreams.js";
 
 const SERVICE = "s" as ServiceName;
 const FIRST = "first" as PromptPartId;
@@ -15,15 +17,42 @@
 const CRASH_AFTER_MS = 60;
 const SOUND_RUN_MS = 40;
 const STORE_DELAY_MS = 30;
+const UPSTREAMS = 3;
+/** Time in which processes that are not cut off learn of a success, in milliseconds. */
+const CONTACT_MS = 3000;
+/** Number of crashes under a sound request from which on it can not be told from one that crashes upstreams. */
+const CONVICTING_CRASHES = 3;
+/** Longest run of a sound request that comes again, in milliseconds. */
+const MAX_SOUND_RUN_MS = 300;
+
+type SimulatedUpstream = NonNullable<ReturnType<SimulatedUpstreams["choose"]>>;
 
 interface SimulatedProcess {
-    quarantine: PromptQuarantine;
+    quarantine: RequestQuarantine;
     exchange: SuspicionExchange;
     /** Time of the last start or change of its connection to the others, in milliseconds. */
     disturbedAtMs: number;
     isCut: boolean;
 }
 
+/** A request that comes again with the same fingerprint, and what became of it. */
+interface RecurringRequest {
+    fingerprint: RequestFingerprint;
+    isBad: boolean;
+    /** Times at which it was broken off since it last succeeded, in milliseconds, shape [crashes]. */
+    cutAtMs: number[];
+    hasSucceeded: boolean;
+    /** Number of its runs in progress. */
+    runs: number;
+    /** Time until which processes may take it for one that crashes upstreams, in milliseconds. */
+    suspectUntilMs: number;
+    rejections: number;
+    /** Rejections by undisturbed processes while it could be told from a request that crashes upstreams. */
+    unfoundedRejections: number;
+}
+
+type Attempts = { request: RecurringRequest; index: number; excluded: Set<SimulatedUpstream>; };
+
 /** Processes that share suspicions over a simulated network, and their requests: some crash their upstreams. */
 export class SimulatedQuarantineFleet {
     readonly clock = new ManualClock();
@@ -34,8 +63,11 @@
     readonly badRuns: { atMs: number; undisturbedMs: number; }[] = [];
     /** Whether processes reach the key-value service. */
     hasStore = true;
+    /** Number of upstreams to which a request that comes again is sent for one arrival. */
+    maxAttempts = 3;
     /** Number of sound requests that were rejected. */
     soundRejections = 0;
+    private readonly upstreams: SimulatedUpstreams;
     private readonly random: SeededRandom;
     private readonly processes: SimulatedProcess[];
     /** What is in the key-value service, which processes reach that are cut off from each other. */
@@ -44,6 +76,7 @@
     constructor(opts: { processes: number; seed: number; }) {
         this.random = new SeededRandom(opts.seed);
         this.network = new SimulatedNetwork({ clock: this.clock, random: this.random });
+        this.upstreams = new SimulatedUpstreams({ clock: this.clock, random: this.random, count: UPSTREAMS });
         this.processes = Array.from({ length: opts.processes }, (_, index) => this.createProcess(index));
     }
 
@@ -96,13 +129,105 @@
         });
     }
 
+    /** Returns a request without prompt parts for `arrive`. */
+    createRequest(name: string, isBad: boolean): RecurringRequest {
+        const fingerprint = `request:${name}` as RequestFingerprint;
+        return {
+            fingerprint,
+            isBad,
+            cutAtMs: [],
+            hasSucceeded: false,
+            runs: 0,
+            suspectUntilMs: 0,
+            rejections: 0,
+            unfoundedRejections: 0,
+        };
+    }
+
+    /** Sends a request to a process, which repeats it at other upstreams like a gateway. */
+    arrive(index: number, request: RecurringRequest): void {
+        this.attempt({ request, index, excluded: new Set() });
+    }
+
+    /** Breaks off all runs at one of the upstreams, which takes some time to come back. */
+    crashUpstream(): void {
+        const upstream = this.upstreams.choose(new Set());
+        if (upstream !== undefined) {
+            this.upstreams.crash(upstream);
+        }
+    }
+
+    private attempt(attempts: Attempts): void {
+        const { request, index, excluded } = attempts;
+        const { quarantine } = this.processes[index]!;
+        if (quarantine.blockedForMs(SERVICE, [request.fingerprint]) > 0) {
+            this.onRejected(attempts);
+            return;
+        }
+        const upstream = excluded.size < this.maxAttempts ? this.upstreams.choose(excluded) : undefined;
+        if (upstream === undefined) {
+            return;
+        }
+        excluded.add(upstream);
+        this.run(attempts, upstream);
+    }
+
+    private run(attempts: Attempts, upstream: SimulatedUpstream): void {
+        const { request, index } = attempts;
+        const { quarantine } = this.processes[index]!;
+        const run = quarantine.begin(SERVICE, [request.fingerprint]);
+        request.runs += 1;
+        if (request.isBad) {
+            this.badRuns.push({ atMs: this.clock.nowMs(), undisturbedMs: this.undisturbedMs(index) });
+        }
+        const end = this.clock.setTimer(request.isBad ? CRASH_AFTER_MS : this.random.next() * MAX_SOUND_RUN_MS, () => {
+            upstream.runs.delete(cut);
+            if (request.isBad) {
+                this.crashesAtMs.push(this.clock.nowMs());
+                this.upstreams.crash(upstream);
+                cut();
+                return;
+            }
+            Object.assign(request, { cutAtMs: [], hasSucceeded: true, runs: request.runs - 1 });
+            if (this.undisturbedMs(index) >= CONTACT_MS) {
+                request.suspectUntilMs = Math.min(request.suspectUntilMs, this.clock.nowMs() + CONTACT_MS);
+            }
+            if (this.isRunning(index, quarantine)) {
+                quarantine.onSuccess(run);
+            }
+        });
+        const cut = () => {
+            end.cancel();
+            request.runs -= 1;
+            request.cutAtMs.push(this.clock.nowMs());
+            request.suspectUntilMs = request.cutAtMs.length < CONVICTING_CRASHES ? request.suspectUntilMs : Infinity;
+            if (this.isRunning(index, quarantine)) {
+                quarantine.onCrash(run, upstream.entry);
+                this.attempt(attempts);
+            }
+        };
+        upstream.runs.add(cut);
+    }
+
+    private onRejected({ request, index }: Attempts): void {
+        request.rejections += 1;
+        if (this.undisturbedMs(index) > 0 && this.clock.nowMs() > request.suspectUntilMs) {
+            request.unfoundedRejections += 1;
+        }
+    }
+
+    private undisturbedMs(index: number): number {
+        const { disturbedAtMs, isCut } = this.processes[index]!;
+        return isCut ? 0 : this.clock.nowMs() - disturbedAtMs;
+    }
+
     /** Whether every process rejects requests with the bad part. */
     isBadPartBlocked(): boolean {
         return this.processes.every(({ quarantine }) => quarantine.blockedForMs(SERVICE, [BAD]) > 0);
     }
 
     /** Whether a process has not been restarted since. */
-    private isRunning(index: number, quarantine: PromptQuarantine): boolean {
+    private isRunning(index: number, quarantine: RequestQuarantine): boolean {
         return this.processes[index]!.quarantine === quarantine;
     }
 
@@ -119,7 +244,7 @@
     private createProcess(index: number): SimulatedProcess {
         const { clock, random } = this;
         const host = String(index);
-        const quarantine: PromptQuarantine = new PromptQuarantine({
+        const quarantine: RequestQuarantine = new RequestQuarantine({
             clock,
             random,
             logger: silentLogger,
--- a/fleet/sync/src/fleetKeys.ts
+++ b/fleet/sync/src/fleetKeys.ts
@@ -1,5 +1,5 @@
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
-import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
+import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 
 const PREFIX = "knapweed/fleet/";
@@ -14,6 +14,6 @@
     suspicionsPrefix: SUSPICIONS_PREFIX,
     /** Written by the process that runs batch jobs. */
     jobsLeader: `${PREFIX}jobs-leader`,
-    suspicion: (service: ServiceName, part: PromptPartId) => `${SUSPICIONS_PREFIX}${service}/${part}`,
+    suspicion: (service: ServiceName, part: RequestTraitId) => `${SUSPICIONS_PREFIX}${service}/${part}`,
     member: (instanceName: InstanceName) => `${MEMBERS_PREFIX}${instanceName}`,
 } as const;
