fix(quarantine): requests that nobody sends any more are dropped, and a big crash creates bounded suspicions

Cause: a quarantined part was kept for good, in each process and in the key-value service, and repeated each 500 ms. Parts are few; requests are not. A crash of many upstreams would also create a suspicion for each request cut, without limit. Change: a quarantined request is dropped once no process was asked for it for ten minutes; the process that stored it removes the entry. It is repeated only by processes that were asked for it in the last minute, so that it doesn't come back from one that drops it later; parts are repeated as before. A process keeps at most 2,000 suspicions that are no quarantine and 500 quarantined requests, and repeats 60 at a time (ten datagrams), quarantines first, then going on with others. Open: the entry of a request whose storing process has ended stays in the key-value service until an operator deletes it.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -162,6 +162,7 @@
             random,
             logger,
             store: suspicion => suspicionStore.write(suspicion),
+            remove: suspicion => suspicionStore.remove(suspicion),
             publish: changed => this.suspicions.publish(changed),
             // Runs after the request whose outcome changed the quarantine has been handled.
             onChanged: () => queueMicrotask(() => opts.onLoadChanged()),
--- a/daemons/fleet/src/suspicionStore.ts
+++ b/daemons/fleet/src/suspicionStore.ts
@@ -13,8 +13,8 @@
 /** Writes the begin and the end of quarantines to the key-value service, where restarted processes find them. */
 export class SuspicionStore {
     private readonly opts: { service: KeyValueService; clock: Clock; logger: Logger; };
-    /** The newest suspicion of each key that is not written yet. */
-    private readonly pending = new Map<string, Suspicion>();
+    /** The newest suspicion of each key that is not written yet; undefined where the key is to be removed. */
+    private readonly pending = new Map<string, Suspicion | undefined>();
     private isWriting = false;
 
     constructor(opts: { service: KeyValueService; clock: Clock; logger: Logger; }) {
@@ -27,6 +27,12 @@
         void this.writePending();
     }
 
+    /** Removes the suspicion of a part or request. Retries like `write`. */
+    remove({ service, part }: Suspicion): void {
+        this.pending.set(fleetKeys.suspicion(service, part), undefined);
+        void this.writePending();
+    }
+
     private async writePending(): Promise<void> {
         if (this.isWriting) {
             return;
@@ -36,7 +42,11 @@
         try {
             await this.opts.service.transact(
                 [],
-                written.map(([key, suspicion]) => ({ kind: "put", key, value: encodeRecord(suspicion) })),
+                written.map(([key, suspicion]) =>
+                    suspicion === undefined
+                        ? { kind: "delete", key }
+                        : { kind: "put", key, value: encodeRecord(suspicion) }
+                ),
             );
             written
                 .filter(([key, suspicion]) => this.pending.get(key) === suspicion)
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -138,6 +138,7 @@
                 logger: silentLogger,
                 publish: () => undefined,
                 store: () => undefined,
+                remove: () => undefined,
                 onChanged: () => queueMicrotask(() => requestQueue.dispatch()),
             }),
             origins: opts.origins ?? unknownOrigins,
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -112,6 +112,7 @@
             logger: silentLogger,
             publish: () => undefined,
             store: () => undefined,
+            remove: () => undefined,
             onChanged: () => undefined,
         }),
         resultRetentionMs: () => 120_000,
--- a/fleet/quarantine/src/fingerprintOf.ts
+++ b/fleet/quarantine/src/fingerprintOf.ts
@@ -24,6 +24,6 @@
 }): RequestFingerprint {
     const { host = "", authorization = "", method, path, promptParts, body } = request;
     const head = JSON.stringify([host.toLowerCase(), authorization, method, path, promptParts]);
-    const hash = createHash("sha256").update(head).update(body).digest("hex");
+    const hash = createHash("blake2b512").update(head).update(body).digest("hex");
     return `${FINGERPRINT_PREFIX}${hash.slice(0, DIGITS)}` as RequestFingerprint;
 }
--- a/fleet/quarantine/src/requestQuarantine.ts
+++ b/fleet/quarantine/src/requestQuarantine.ts
@@ -18,6 +18,8 @@
     publish: (changed: readonly Suspicion[]) => void;
     /** Stores a suspicion that has become a quarantine, or is no longer one, for processes that no peer can tell. */
     store: (suspicion: Suspicion) => void;
+    /** Removes a stored suspicion that no process needs any more. */
+    remove: (suspicion: Suspicion) => void;
     /** Called when requests that wait may have to be rejected, or may run again. */
     onChanged: () => void;
 }
@@ -28,6 +30,8 @@
     private readonly suspicions: RequestSuspicions;
     /** Keys of the quarantined traits. */
     private readonly quarantined = new Set<string>();
+    /** Keys of the requests whose suspicions this process has stored. */
+    private readonly storedRequests = new Set<string>();
 
     constructor(opts: RequestQuarantineOptions) {
         this.opts = opts;
@@ -70,7 +74,7 @@
             this.opts.publish(vouchedFor);
         }
         const quarantines = new Set(received.filter(one => one.isQuarantined).map(keyOf));
-        changed.filter(one => !one.isQuarantined && quarantines.has(keyOf(one))).forEach(one => this.opts.store(one));
+        changed.filter(one => !one.isQuarantined && quarantines.has(keyOf(one))).forEach(one => this.store(one));
         this.onChange(changed, "peer");
     }
 
@@ -79,9 +83,28 @@
         return this.isActive ? this.suspicions.blockedForMs(service, traits, this.opts.clock.nowMs()) : 0;
     }
 
-    /** Returns the suspicions that other processes may not know yet, shape [suspicions]. */
+    /** Returns the suspicions that other processes may not know yet, shape [suspicions]. Drops outdated ones. */
     toRepeat(): Suspicion[] {
-        return this.suspicions.toRepeat(this.opts.clock.nowMs());
+        const nowMs = this.opts.clock.nowMs();
+        this.suspicions.dropOutdated(nowMs).forEach(dropped => this.onDropped(dropped));
+        return this.suspicions.toRepeat(nowMs);
+    }
+
+    private store(suspicion: Suspicion): void {
+        if (isFingerprint(suspicion.part)) {
+            this.storedRequests.add(keyOf(suspicion));
+        }
+        this.opts.store(suspicion);
+    }
+
+    private onDropped(dropped: Suspicion): void {
+        if (this.storedRequests.delete(keyOf(dropped))) {
+            this.opts.remove(dropped);
+        }
+        if (dropped.isQuarantined) {
+            this.log({ ...dropped, isQuarantined: false }, "not-asked-for");
+            this.quarantined.delete(keyOf(dropped));
+        }
     }
 
     private onOwnChange(changed: readonly Suspicion[], cause: string): void {
@@ -91,7 +114,7 @@
         this.opts.publish(changed);
         changed
             .filter(one => one.isQuarantined !== this.quarantined.has(keyOf(one)))
-            .forEach(one => this.opts.store(one));
+            .forEach(one => this.store(one));
         this.onChange(changed, cause);
     }
 
--- a/fleet/quarantine/src/requestSuspicions.ts
+++ b/fleet/quarantine/src/requestSuspicions.ts
@@ -26,9 +26,24 @@
 /** Time for which a change is repeated to peers, in milliseconds. It outlasts lost messages and restarts. */
 const REPEAT_MS = 10_000;
 
+/** Time for which the quarantine of a request is kept that no process is asked for, in milliseconds. */
+const REQUEST_RETENTION_MS = 600_000;
+/** Time after a request with a quarantined fingerprint in which this process repeats the quarantine, in milliseconds. */
+const ASKED_REPEAT_MS = 60_000;
+/** Number of suspicions above which those that are no quarantine are dropped early, the oldest first. */
+const MAX_SUSPICIONS = 2000;
+/** Number of quarantined requests above which those are dropped that were not asked for the longest. */
+const MAX_QUARANTINED_REQUESTS = 500;
+/** Number of suspicions in one repetition, which bounds the datagrams after a crash of many upstreams. */
+const MAX_REPEATED = 60;
+
 interface SuspicionState {
     suspicion: Suspicion;
     changedAtMs: number;
+    /** Time at which this process last rejected a request because of it, in milliseconds. */
+    askedAtMs: number;
+    /** Time at which this process last heard of it, in milliseconds. */
+    heardAtMs: number;
 }
 
 /**
@@ -47,7 +62,12 @@
  * or one request comes again and again, among sound ones that are cut along with it.
  */
 export class RequestSuspicions {
+    /** In order of the last change. */
     private readonly states = new Map<string, SuspicionState>();
+    /** Suspicions dropped early since the last call of `dropOutdated`. */
+    private droppedEarly: Suspicion[] = [];
+    /** Position in the suspicions to repeat at which the next repetition begins. */
+    private repeatOffset = 0;
     /** Successes of services and of parts of prompts. */
     private readonly successes = new RecentSuccesses();
     /** Those of single requests, apart, as they are many and would displace the others. */
@@ -113,25 +133,71 @@
 
     /** Merges suspicions of another process. Returns those that were news, shape [suspicions]. */
     merge(received: readonly Suspicion[], nowMs: number): Suspicion[] {
-        return received.flatMap(suspicion => this.mergeOne(suspicion, nowMs)).map(merged => this.review(merged, nowMs));
+        const changed = received.flatMap(suspicion => this.mergeOne(suspicion, nowMs));
+        received.filter(suspicion => suspicion.isQuarantined).forEach(({ service, part }) =>
+            this.statesOf(service, [part]).forEach(state => {
+                state.heardAtMs = nowMs;
+            })
+        );
+        return changed.map(merged => this.review(merged, nowMs));
     }
 
     /** Returns the time for which requests with these traits must not run, in milliseconds; 0 if they may run now. */
     blockedForMs(service: ServiceName, traits: readonly RequestTraitId[], nowMs: number): number {
-        const waitsMs = this.statesOf(service, traits)
-            .filter(isQuarantined)
-            .map(state => this.probeDueAtMs(state) - nowMs);
-        return Math.max(0, ...waitsMs);
+        const blocking = this.statesOf(service, traits).filter(isQuarantined);
+        blocking.forEach(state => {
+            state.askedAtMs = nowMs;
+        });
+        return Math.max(0, ...blocking.map(state => this.probeDueAtMs(state) - nowMs));
+    }
+
+    /** Number of suspicions that this process keeps. */
+    get size(): number {
+        return this.states.size;
+    }
+
+    /** Drops the suspicions that are outdated, and returns those dropped since the last call, shape [suspicions]. */
+    dropOutdated(nowMs: number): Suspicion[] {
+        const outdated = [...this.states.values()].filter(state => this.isOutdated(state, nowMs));
+        const unneeded = [...this.states.values()]
+            .filter(isQuarantinedRequest)
+            .sort((left, right) => neededAtMs(right) - neededAtMs(left))
+            .slice(MAX_QUARANTINED_REQUESTS);
+        const dropped = [...new Set([...outdated, ...unneeded])].map(({ suspicion }) => suspicion);
+        dropped.forEach(({ service, part }) => this.states.delete(keyOf(service, part)));
+        return [...this.droppedEarly.splice(0), ...dropped];
     }
 
-    /** Returns the suspicions that peers may not know yet, shape [suspicions]. Drops those that are outdated. */
+    /**
+     * Returns the suspicions that peers may not know yet, quarantines first, at most `MAX_REPEATED`, shape [suspicions].
+     * Where there are more, the next call goes on with others.
+     */
     toRepeat(nowMs: number): Suspicion[] {
-        [...this.states]
-            .filter(([, state]) => !isQuarantined(state) && nowMs > state.changedAtMs + SUSPICION_RETENTION_MS)
-            .forEach(([key]) => this.states.delete(key));
-        return [...this.states.values()]
-            .filter(state => isQuarantined(state) || nowMs < state.changedAtMs + REPEAT_MS)
-            .map(state => state.suspicion);
+        const states = [...this.states.values()].filter(state => this.isToRepeat(state, nowMs));
+        const quarantined = this.nextToRepeat(states.filter(isQuarantined), MAX_REPEATED);
+        const others = this.nextToRepeat(
+            states.filter(state => !isQuarantined(state)),
+            MAX_REPEATED - quarantined.length,
+        );
+        this.repeatOffset += MAX_REPEATED;
+        return [...quarantined, ...others].map(state => state.suspicion);
+    }
+
+    private isToRepeat(state: SuspicionState, nowMs: number): boolean {
+        return nowMs < state.changedAtMs + REPEAT_MS
+            || (isQuarantined(state) && !isFingerprint(state.suspicion.part))
+            || (isQuarantined(state) && nowMs < state.askedAtMs + ASKED_REPEAT_MS);
+    }
+
+    private nextToRepeat(states: readonly SuspicionState[], count: number): SuspicionState[] {
+        const offset = states.length > count ? this.repeatOffset % states.length : 0;
+        return [...states.slice(offset), ...states.slice(0, offset)].slice(0, count);
+    }
+
+    private isOutdated(state: SuspicionState, nowMs: number): boolean {
+        return isQuarantined(state)
+            ? isQuarantinedRequest(state) && nowMs > neededAtMs(state) + REQUEST_RETENTION_MS
+            : nowMs > state.changedAtMs + SUSPICION_RETENTION_MS;
     }
 
     private mergeOne(received: Suspicion, nowMs: number): Suspicion[] {
@@ -213,9 +279,43 @@
     }
 
     private set(suspicion: Suspicion, nowMs: number): Suspicion {
-        this.states.set(keyOf(suspicion.service, suspicion.part), { suspicion, changedAtMs: nowMs });
+        const key = keyOf(suspicion.service, suspicion.part);
+        const askedAtMs = this.states.get(key)?.askedAtMs ?? -Infinity;
+        this.states.delete(key);
+        if (this.states.size >= MAX_SUSPICIONS) {
+            this.dropEarly();
+        }
+        this.states.set(key, { suspicion, changedAtMs: nowMs, askedAtMs, heardAtMs: nowMs });
         return suspicion;
     }
+
+    /** Drops the oldest suspicion of a single crash, or else the oldest that is no quarantine. */
+    private dropEarly(): void {
+        const state = this.findFirst(one => !isQuarantined(one) && one.suspicion.crashes.length < 2)
+            ?? this.findFirst(one => !isQuarantined(one));
+        if (state !== undefined) {
+            this.states.delete(keyOf(state.suspicion.service, state.suspicion.part));
+            this.droppedEarly.push(state.suspicion);
+        }
+    }
+
+    private findFirst(matches: (state: SuspicionState) => boolean): SuspicionState | undefined {
+        // Stops at the first match, which mostly is the first state, where copying all of them would take long.
+        for (const state of this.states.values()) {
+            if (matches(state)) {
+                return state;
+            }
+        }
+        return undefined;
+    }
+}
+
+function isQuarantinedRequest(state: SuspicionState): boolean {
+    return isQuarantined(state) && isFingerprint(state.suspicion.part);
+}
+
+function neededAtMs({ askedAtMs, heardAtMs }: SuspicionState): number {
+    return Math.max(askedAtMs, heardAtMs);
 }
 
 function isQuarantined({ suspicion }: SuspicionState): boolean {
--- a/fleet/quarantine/test/recurringRequest.test.ts
+++ b/fleet/quarantine/test/recurringRequest.test.ts
@@ -12,6 +12,9 @@
 const STEP_MS = 40;
 const POLLS = 4;
 const WARM_UP_STEPS = 40;
+/** Time after which a quarantine that is not needed has been dropped, in milliseconds. */
+const DROPPED_AFTER_MS = 620_000;
+const ARRIVAL_INTERVAL_MS = 20_000;
 
 const step = fc.record({
     kind: fc.oneof(
@@ -112,3 +115,35 @@
     await fleet.clock.advance(CONTACT_MS);
     assert.deepEqual(requests.filter(request => request.rejections > 0), []);
 });
+
+async function playUntilQuarantined() {
+    const fleet = new SimulatedQuarantineFleet({ processes: PROCESSES, seed: 1 });
+    Array.from({ length: PROCESSES }).forEach((_, index) => fleet.arrive(index, fleet.createRequest("poll", false)));
+    await fleet.clock.advance(400);
+    const bad = fleet.createRequest("bad", true);
+    fleet.arrive(0, bad);
+    await fleet.clock.advance(CONTACT_MS);
+    return { fleet, bad };
+}
+
+// Each request that was ever quarantined would have stayed in all processes and in the key-value service.
+test("a quarantined request that nobody sends any more is dropped by all processes and from the key-value service", async () => {
+    const { fleet, bad } = await playUntilQuarantined();
+    assert.equal(fleet.storedCount, 1);
+    await fleet.clock.advance(DROPPED_AFTER_MS);
+    assert.equal(fleet.storedCount, 0);
+    assert.ok(!fleet.isBlocked(bad));
+    Array.from({ length: PROCESSES }).forEach((_, index) => fleet.restart(index));
+    await fleet.clock.advance(CONTACT_MS);
+    assert.ok(!fleet.isBlocked(bad));
+});
+
+test("a quarantined request that comes at one process only stays quarantined at all of them", async () => {
+    const { fleet, bad } = await playUntilQuarantined();
+    for (let passedMs = 0; passedMs < DROPPED_AFTER_MS; passedMs += ARRIVAL_INTERVAL_MS) {
+        fleet.arrive(0, bad);
+        await fleet.clock.advance(ARRIVAL_INTERVAL_MS);
+    }
+    assert.equal(fleet.storedCount, 1);
+    assert.ok(fleet.isBlocked(bad));
+});
--- a/fleet/quarantine/test/simulatedQuarantineFleet.ts
+++ b/fleet/quarantine/test/simulatedQuarantineFleet.ts
@@ -71,7 +71,7 @@
     private readonly random: SeededRandom;
     private readonly processes: SimulatedProcess[];
     /** What is in the key-value service, which processes reach that are cut off from each other. */
-    private readonly stored: Suspicion[] = [];
+    private stored: Suspicion[] = [];
 
     constructor(opts: { processes: number; seed: number; }) {
         this.random = new SeededRandom(opts.seed);
@@ -149,6 +149,16 @@
         this.attempt({ request, index, excluded: new Set() });
     }
 
+    /** Number of requests and parts of prompts of which the key-value service has an entry. */
+    get storedCount(): number {
+        return new Set(this.stored.map(({ part }) => part)).size;
+    }
+
+    /** Whether every process rejects a request. */
+    isBlocked({ fingerprint }: RecurringRequest): boolean {
+        return this.processes.every(({ quarantine }) => quarantine.blockedForMs(SERVICE, [fingerprint]) > 0);
+    }
+
     /** Breaks off all runs at one of the upstreams, which takes some time to come back. */
     crashUpstream(): void {
         const upstream = this.upstreams.choose(new Set());
@@ -250,6 +260,9 @@
             logger: silentLogger,
             publish: changed => exchange.publish(changed),
             store: suspicion => this.store(suspicion),
+            remove: ({ part }) => {
+                this.stored = this.stored.filter(suspicion => suspicion.part !== part);
+            },
             onChanged: () => undefined,
         });
         const exchange: SuspicionExchange = new SuspicionExchange({
