--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -15,6 +15,7 @@
 import type { ItemRun } from "./itemRun.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
 import { ItemRunTimeEstimator } from "./itemRunTimeEstimator.js";
+import { ItemTraits } from "./itemTraits.js";
 import { JobCleanup } from "./jobCleanup.js";
 import type { JobItem } from "./jobItem.js";
 import { jobKeys } from "./jobKeys.js";
@@ -26,7 +27,6 @@
 import type { OpenJob } from "./openJob.js";
 import { orderStartableItems } from "./orderStartableItems.js";
 import { ProgressWriter } from "./progressWriter.js";
-import { promptPartsOf } from "./promptPartsOf.js";
 import { ResultCommitter } from "./resultCommitter.js";
 
 /** Interval at which items are dispatched when no event triggers it, in milliseconds. */
@@ -49,6 +49,7 @@
     private readonly opts: JobRunnerOptions;
     private readonly table = new JobTable();
     private readonly runTimeEstimator = new ItemRunTimeEstimator();
+    private readonly traits: ItemTraits;
     private readonly inFlightItems: InFlightItems;
     private readonly committer: ResultCommitter;
     private readonly progress: ProgressWriter;
@@ -74,9 +75,11 @@
         const { runTimeEstimator } = this;
         this.routes = new ItemRoutes(opts);
         this.loader = new JobLoader(opts);
+        this.traits = new ItemTraits(opts);
         this.inFlightItems = new InFlightItems({
             ...opts,
             runTimeEstimator,
+            traits: this.traits,
             onEnded: (job, run, outcome) => this.onRunEnded(job, run, outcome),
         });
         this.committer = new ResultCommitter({ ...opts, onResultsStored: job => this.onResultsStored(job) });
@@ -278,7 +281,9 @@
         orderStartableItems(this.table.all(), { nowMs, remainingMs, totalMs, hasFreeSlot }).forEach(({ job, item }) => {
             const keepsEvents = remainingMs(item) < totalMs(item) * KEEP_REMAINING_SHARE;
             const upstream = slots.take(this.routes.serviceOf(job, item)!, item, keepsEvents);
-            if (upstream !== undefined) {
+            const isBlocked = upstream !== undefined
+                && this.opts.quarantine.blockedForMs(upstream.service, this.traits.of(job, item)) > 0;
+            if (upstream !== undefined && !isBlocked) {
                 this.inFlightItems.start(job, item, upstream);
             }
         });
@@ -286,7 +291,7 @@
 
     private mayRun(service: ServiceName, item: JobItem): boolean {
         const { quarantine } = this.opts;
-        return !quarantine.isActive || quarantine.blockedForMs(service, promptPartsOf(item.record, this.opts)) === 0;
+        return !quarantine.isActive || quarantine.blockedForMs(service, this.traits.knownOf(item)) === 0;
     }
 
     /** Returns the upstreams that may run items. There are none while an online request of the service waits. */
@@ -308,7 +313,12 @@
             upstream: upstream.id,
             events: item.lastEventId,
             ...outcome,
-            ...outcome.kind === "broken" ? { promptParts: promptPartsOf(item.record, this.opts) } : {},
+            ...outcome.kind === "broken"
+                ? {
+                    promptParts: this.traits.promptPartsOf(item),
+                    fingerprint: this.traits.fingerprintOf(job, item),
+                }
+                : {},
         });
         this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
         this.recordUpstreamHealth(upstream, outcome, nowMs);
