test(jobs): results under drawn interleavings of leaders, writes and runs

Cause: the faults of the results so far needed events in one order, and each test plays one order. A leader that had the jobs before their results listed items twice. Change: a simulated fleet of three runners with the real JobRunner, HeldJobs, Leadership and ProcessLease, each with a clock that can freeze and a view of one key-value service that can reject, stay silent, lose responses, delay reads and apply writes late. fast-check draws steps; what is stored, each page that a process serves and each run that begins are checked.

--- /dev/null
+++ b/fleet/jobs/test/simulatedJobFleet.ts
@@ -0,0 +1,262 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
+import type { LeaderRecord } from "@knapweedwood/fleet.sync/leaderRecord";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import { jobKeys } from "../src/jobKeys.js";
+import { planJobWrite } from "../src/planJobWrite.js";
+import { createJobRecord } from "./createJobRecord.js";
+import type { FleetStep } from "./fleetStep.js";
+import { MemorySegments } from "./memorySegments.js";
+import { ResultsObserver } from "./resultsObserver.js";
+import { SimulatedRunner } from "./simulatedRunner.js";
+import { SimulatedUpstreams } from "./simulatedUpstreams.js";
+
+const RUNNERS = 3;
+const DUE_MS = 20_000;
+/** Copies with which a held job is accepted. */
+const HELD_COPIES = 2;
+const HAND_OVER_MS = 2000;
+/** Time in which every item gets a result once nothing fails any more, in milliseconds. */
+const CALM_MS = 60_000;
+const CALM_CHECK_MS = 3000;
+/** Time for which the fleet runs on after the last result, in milliseconds. The margin for expired jobs is shorter. */
+const AFTERMATH_MS = 6000;
+
+type TargetStep = Extract<FleetStep, { target: unknown; }>;
+
+/** Several runner processes with one key-value service, whose results are observed while steps disturb them. */
+export class SimulatedJobFleet {
+    readonly observer: ResultsObserver;
+    private readonly clock = new ManualClock();
+    private readonly service = new MemoryKeyValueService({ clock: this.clock });
+    private readonly random: SeededRandom;
+    private readonly upstreams = new SimulatedUpstreams(this.clock);
+    private readonly disks = Array.from({ length: RUNNERS }, () => new MemorySegments());
+    private readonly runners: SimulatedRunner[];
+    private readonly submitted: JobId[] = [];
+    private readonly closing = new AbortController();
+
+    constructor(seed: number) {
+        this.random = new SeededRandom(seed);
+        this.observer = new ResultsObserver({ upstreams: this.upstreams });
+        this.runners = this.disks.map((_, index) => this.createRunner(index));
+        this.runners.forEach(runner => runner.start());
+        void this.observe();
+    }
+
+    /** Carries out a step and lets `waitMs` pass. */
+    async step(step: FleetStep, waitMs: number): Promise<void> {
+        switch (step.kind) {
+            case "submit":
+                await Promise.all(Array.from({ length: step.jobs }, () => this.submit(step)));
+                break;
+            case "cancel":
+                await this.cancel(this.submitted[step.job % this.submitted.length]);
+                break;
+            case "lose-power":
+                this.runners.forEach((_, index) => this.kill(index, step.downMs));
+                break;
+            case "end-lease":
+                await this.endLeaderLease();
+                break;
+            case "run":
+                this.upstreams.behaviours.push(...step.behaviours);
+                break;
+            case "wait":
+                break;
+            default:
+                await this.disturb(step);
+        }
+        await this.clock.advance(waitMs);
+        this.readAll();
+    }
+
+    /** Ends all disturbances, waits for all results, and checks that a further change of leaders adds none. */
+    async calmDown(): Promise<void> {
+        this.upstreams.behaviours = [];
+        this.runners.forEach((_, index) => this.repair(index));
+        for (let elapsedMs = 0; elapsedMs < CALM_MS && !this.isDone(); elapsedMs += CALM_CHECK_MS) {
+            await this.clock.advance(CALM_CHECK_MS);
+        }
+        this.observer.violations.push(...this.observer.itemsWithoutResult().map(itemId => `${itemId}: no result`));
+        this.runners.forEach((_, index) => this.kill(index, 1));
+        await this.clock.advance(AFTERMATH_MS);
+        this.readAll();
+        await this.clock.advance(CALM_CHECK_MS);
+    }
+
+    /** Ends all processes. */
+    close(): void {
+        this.runners.forEach(runner => runner.clock.kill());
+        this.closing.abort();
+        this.service.close();
+    }
+
+    private isDone(): boolean {
+        return this.observer.itemsWithoutResult().length === 0;
+    }
+
+    private createRunner(index: number): SimulatedRunner {
+        const runner: SimulatedRunner = new SimulatedRunner({
+            name: `runner-${index}`,
+            clock: this.clock,
+            service: this.service,
+            random: this.random,
+            upstreams: this.upstreams,
+            segments: this.disks[index]!,
+            others: () => this.runners.filter(other => other !== runner && !other.clock.isDead),
+            otherCount: RUNNERS - 1,
+            onRunBegun: (itemId, { connectedSinceMs }) =>
+                this.observer.onRunBegun(itemId, { nowMs: this.clock.nowMs(), connectedSinceMs }),
+        });
+        return runner;
+    }
+
+    private async observe(): Promise<void> {
+        const { signal } = this.closing;
+        for await (const batch of this.service.watch(jobKeys.resultsPrefix, { afterRevision: 0, signal })) {
+            this.observer.onStored(batch.puts, this.clock.nowMs());
+            this.observer.onRemoved(batch.deletedKeys);
+        }
+    }
+
+    private async submit(step: Extract<FleetStep, { kind: "submit"; }>): Promise<void> {
+        const nowMs = this.clock.nowMs();
+        const created = createJobRecord({
+            id: `job-${this.submitted.length}`,
+            itemCount: step.items,
+            dueAtMs: nowMs + DUE_MS,
+        });
+        const record = { ...created, acceptedAtMs: nowMs, expiresAtMs: nowMs + step.retentionMs };
+        const job = { record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined };
+        const holders = step.via === "store" ? [] : this.runners.filter(({ clock }) => clock.isRunning);
+        if (step.via === "held" && holders.length < HELD_COPIES) {
+            return;
+        }
+        this.submitted.push(record.jobId);
+        this.observer.onSubmitted(record);
+        await Promise.all(holders.map(({ held }) => held.hold(job)));
+        if (step.via !== "held") {
+            const { compares, operations } = planJobWrite(job, undefined);
+            const delayMs = step.via === "both" ? step.delayMs : 0;
+            this.clock.setTimer(delayMs, () => void this.service.transact(compares, operations));
+        }
+    }
+
+    private async cancel(jobId: JobId | undefined): Promise<void> {
+        if (jobId === undefined || await this.service.get(jobKeys.record(jobId)) === undefined) {
+            return;
+        }
+        const key = jobKeys.cancellation(jobId);
+        const value = encodeRecord({ cancelled: true });
+        await this.service.transact([{ key, modRevision: 0 }], [{ kind: "put", key, value }]);
+        this.observer.onCancelled(jobId, this.clock.nowMs());
+    }
+
+    private async endLeaderLease(): Promise<void> {
+        const leaseId = (await this.service.get(fleetKeys.jobsLeader))?.leaseId;
+        if (leaseId !== undefined) {
+            this.service.faults.expireLease(leaseId);
+        }
+    }
+
+    private async disturb(step: TargetStep): Promise<void> {
+        const index = await this.indexOf(step.target);
+        const runner = this.runners[index]!;
+        switch (step.kind) {
+            case "kill":
+                this.kill(index, step.downMs);
+                break;
+            case "replace":
+                runner.clock.run(() => void runner.handOver());
+                this.clock.setTimer(HAND_OVER_MS, () => this.kill(index, step.downMs, runner));
+                break;
+            case "freeze":
+                runner.clock.freeze(step.stopsClock);
+                runner.connectedSinceMs = Infinity;
+                this.clock.setTimer(step.durationMs, () => this.reconnect(runner, () => runner.clock.wake()));
+                break;
+            case "cut-off":
+                runner.connection.state = step.state;
+                runner.connectedSinceMs = Infinity;
+                this.clock.setTimer(step.durationMs, () =>
+                    this.reconnect(runner, () => {
+                        runner.connection.state = "connected";
+                    }));
+                break;
+            case "lose-responses":
+                runner.connection.responsesToLose = step.count;
+                break;
+            case "late-writes":
+                runner.connection.lateWriteDelaysMs = [...step.delaysMs];
+                break;
+            case "slow-reads":
+                runner.connection.maxReadDelayMs = step.maxDelayMs;
+                break;
+        }
+    }
+
+    private async indexOf(target: TargetStep["target"]): Promise<number> {
+        if (target !== "leader") {
+            return target % RUNNERS;
+        }
+        const entry = await this.service.get(fleetKeys.jobsLeader);
+        const name = entry === undefined ? "runner-0" : decodeRecord<LeaderRecord>(entry.value).instanceName;
+        return Number(name.split("-").at(-1));
+    }
+
+    /** Kills a runner and starts it again after `downMs`. Does nothing if it isn't `expected` any more. */
+    private kill(index: number, downMs: number, expected = this.runners[index]!): void {
+        const runner = this.runners[index]!;
+        if (runner !== expected || runner.clock.isDead) {
+            return;
+        }
+        runner.clock.kill();
+        this.clock.setTimer(downMs, () => this.restart(index, runner));
+    }
+
+    private restart(index: number, dead: SimulatedRunner): void {
+        if (this.runners[index] === dead) {
+            const runner = this.createRunner(index);
+            runner.connection.maxReadDelayMs = dead.connection.maxReadDelayMs;
+            this.runners[index] = runner;
+            runner.start();
+        }
+    }
+
+    /** Ends a disturbance. The process counts as connected again only if no other one lasts. */
+    private reconnect(runner: SimulatedRunner, end: () => void): void {
+        end();
+        const isConnected = runner.clock.isRunning && runner.connection.state === "connected";
+        runner.connectedSinceMs = isConnected ? this.clock.nowMs() : Infinity;
+    }
+
+    private repair(index: number): void {
+        const runner = this.runners[index]!;
+        if (runner.clock.isDead) {
+            this.restart(index, runner);
+            return;
+        }
+        runner.connection.state = "connected";
+        runner.connection.responsesToLose = 0;
+        runner.connection.lateWriteDelaysMs = [];
+        this.reconnect(runner, () => runner.clock.wake());
+    }
+
+    /** Reads all jobs at all running processes. One that isn't certain to lead rejects the read. */
+    private readAll(): void {
+        this.runners.filter(({ clock }) => clock.isRunning).forEach(({ runner }) =>
+            this.submitted.forEach(jobId => {
+                const { signal } = this.closing;
+                runner.reader.results({ jobId, after: 0, waitMs: 0, signal }).then(
+                    page => page === undefined ? undefined : this.observer.onPage(jobId, page.results),
+                    () => undefined,
+                );
+            })
+        );
+    }
+}
