test(jobs): a leader key that nobody leads with, failing

Cause: if the responses to all six attempts to write the leader key are lost and one took effect, the process doesn't know that it is the leader. It keeps the lease of the key alive, tries no more while the key exists, and revokes only the lease of an earlier start of itself. So nobody leads until the process ends. The test does the same with Leadership alone; it accepts a process that leads or one that removes the key.

--- /dev/null
+++ b/fleet/jobs/test/leadershipInterleavings.test.ts
@@ -0,0 +1,47 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
+import { Leadership } from "@knapweedwood/fleet.sync/leadership";
+import { ProcessLease } from "@knapweedwood/fleet.sync/processLease";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+
+/** Returns a candidate with a lease. Its leadership observes the leader key only where a test says so. */
+async function createCandidate() {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const common = { service, clock, random: new SeededRandom(1), logger: silentLogger };
+    const lease = new ProcessLease({ ...common, minLeaseMs: 0, onGranted: () => Promise.resolve() });
+    const events: string[] = [];
+    const leadership = new Leadership({
+        ...common,
+        lease,
+        self: { instanceName: "a" as InstanceName, startedAtMs: 1 },
+        isCandidate: true,
+        onGained: () => events.push("gained"),
+        onLost: () => events.push("lost"),
+    });
+    const controller = new AbortController();
+    void lease.run(controller.signal);
+    await clock.advance(10);
+    const observe = async () => leadership.observe(await service.get(fleetKeys.jobsLeader), service.revision);
+    return { clock, service, lease, leadership, events, observe, end: () => controller.abort() };
+}
+
+// The first write of the key took effect, but all responses were lost. The process kept the lease of the key without
+// leading, so that nobody could lead until it ended.
+test("no process keeps the leader key without leading after the responses to its writes were lost", async () => {
+    const { clock, service, leadership, observe, end } = await createCandidate();
+    service.faults.loseNextResponses(6);
+    leadership.observe(undefined, service.revision);
+    for (let checks = 0; checks < 50; checks += 1) {
+        await clock.advance(200);
+        await observe();
+    }
+    const entry = await service.get(fleetKeys.jobsLeader);
+    assert.ok(entry === undefined || leadership.isLeading(), "the key is held by a process that doesn't lead");
+    end();
+});
