test(jobs): a leadership that is gained twice, failing

Cause: an attempt to write the leader key ends its timer before it begins, so a further observation of a missing key starts a second attempt. If that one takes effect, the first one finds its own value at the key, as both write the same, and counts as succeeded. JobRunner is started twice without a stop: the first mirror of jobs and the first timers run on, also after the leadership is lost. The test does the same with Leadership alone.

--- a/fleet/jobs/test/leadershipInterleavings.test.ts
+++ b/fleet/jobs/test/leadershipInterleavings.test.ts
@@ -45,3 +45,17 @@
     assert.ok(entry === undefined || leadership.isLeading(), "the key is held by a process that doesn't lead");
     end();
 });
+
+// The key was seen missing again while an attempt to write it was still under way. The later attempt took effect; the
+// earlier one then found the same value and took it for its own, and the runner started twice without a stop.
+test("a leadership is gained once, also if two attempts overlap", async () => {
+    const { clock, service, leadership, events, end } = await createCandidate();
+    service.faults.delayMs = 200;
+    leadership.observe(undefined, service.revision);
+    await clock.advance(100);
+    service.faults.delayMs = 0;
+    leadership.observe(undefined, service.revision);
+    await clock.advance(1000);
+    assert.deepEqual(events, ["gained"]);
+    end();
+});
