test(jobs): a process that takes itself for the leader with another lease, failing

Cause: isLeading() asks whether the process holds a lease, not whether it is the one to which the leader key was bound. A process that was cut off gets a new lease as soon as it is back, possibly before its watch tells it that the key is gone. The test does the same with Leadership alone.

--- a/fleet/jobs/test/leadershipInterleavings.test.ts
+++ b/fleet/jobs/test/leadershipInterleavings.test.ts
@@ -59,3 +59,19 @@
     assert.deepEqual(events, ["gained"]);
     end();
 });
+
+// The lease of the leader key had ended, and the process had a new one before it heard of the end of its leadership. It
+// took itself for the certain leader again and served results from its memory while another process led.
+test("a process whose lease has ended doesn't lead with the next one", async () => {
+    const { clock, service, lease, leadership, events, end } = await createCandidate();
+    leadership.observe(undefined, service.revision);
+    await clock.advance(500);
+    assert.deepEqual(events, ["gained"]);
+    const firstLeaseId = lease.heldId;
+    service.faults.expireLease(firstLeaseId!);
+    await clock.advance(3000);
+    assert.notEqual(lease.heldId, firstLeaseId);
+    assert.equal(await service.get(fleetKeys.jobsLeader), undefined);
+    assert.equal(leadership.isLeading(), false);
+    end();
+});
