--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -4,6 +4,7 @@
 import type { ItemResult } from "./itemResult.js";
 import type { JobItem } from "./jobItem.js";
 import type { JobRecord } from "./jobRecord.js";
+import type { ListedItems } from "./listedItems.js";
 import { pickProgress } from "./pickProgress.js";
 import type { ResultsPage } from "./resultsPage.js";
 
@@ -12,10 +13,13 @@
     readonly record: JobRecord;
     readonly items: JobItem[];
     isCancelled = false;
+    /** Revision of the stored list of items with a result, as read or written last; 0 if there is none. */
+    listRevision = 0;
     private readonly parts: (Buffer | undefined)[];
     /** All parts concatenated; undefined until a body is requested. */
     private joinedParts: Buffer | undefined;
     private readonly storedResults: ItemResult[] = [];
+    private readonly listedItems = new Set<JobItem>();
     private waiters: (() => void)[] = [];
 
     constructor(record: JobRecord) {
@@ -42,11 +46,17 @@
 
     /** Whether every item has a result or the job was cancelled. */
     get isEnded(): boolean {
-        return this.isCancelled || this.storedResults.length === this.items.length;
+        return this.isCancelled || this.listedItems.size === this.items.length;
     }
 
+    /** Indexes of the items with a stored result, in the order of their positions, shape [items]. */
+    get listedItemIndexes(): number[] {
+        return [...this.listedItems].map(item => item.index);
+    }
+
+    /** Number of positions that are taken. */
     get resultCount(): number {
-        return this.storedResults.length;
+        return Math.max(this.storedResults.length, this.listedItems.size);
     }
 
     setPart(index: number, bytes: Uint8Array): void {
@@ -79,6 +89,15 @@
             .filter(item => item.lastEventId > 0 || item.failedAttempts > 0);
     }
 
+    /**
+     * Applies the stored list of items that have a result. An item on it is never run or given up again, even if its result
+     * was removed already.
+     */
+    restoreList(modRevision: number, list: ListedItems): void {
+        this.listRevision = modRevision;
+        list.itemIndexes.flatMap(index => this.items[index] ?? []).forEach(item => this.markStored(item));
+    }
+
     /** Adds the result stored at `position`. Ignores positions that are out of order. */
     addResult(position: number, result: ItemResult): void {
         if (position !== this.storedResults.length) {
@@ -87,8 +106,7 @@
         this.storedResults.push(result);
         const item = this.item(result.itemId);
         if (item !== undefined) {
-            item.state = "stored";
-            item.events = [];
+            this.markStored(item);
         }
         this.waiters.splice(0).forEach(wake => wake());
     }
@@ -105,4 +123,10 @@
             this.waiters = this.waiters.filter(other => other !== wake);
         };
     }
+
+    private markStored(item: JobItem): void {
+        this.listedItems.add(item);
+        item.state = "stored";
+        item.events = [];
+    }
 }
