test(jobs): drawn interleavings don't depend on how busy the machine is

Cause: ProcessLease reads the time of day besides its clock, so a busy machine could end leases in a simulated case. Change: the time of day is the simulated one while a simulated fleet runs.

--- a/fleet/jobs/test/simulatedJobFleet.ts
+++ b/fleet/jobs/test/simulatedJobFleet.ts
@@ -6,6 +6,7 @@
 import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
 import type { LeaderRecord } from "@knapweedwood/fleet.sync/leaderRecord";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import { mock } from "node:test";
 import { jobKeys } from "../src/jobKeys.js";
 import { planJobWrite } from "../src/planJobWrite.js";
 import { createJobRecord } from "./createJobRecord.js";
@@ -39,6 +40,8 @@
     private readonly runners: SimulatedRunner[];
     private readonly submitted: JobId[] = [];
     private readonly closing = new AbortController();
+    /** Leases ask for the time of day, too. With the simulated one a case doesn't depend on how busy the machine is. */
+    private readonly timeOfDay = mock.method(Date, "now", () => this.clock.nowMs());
 
     constructor(seed: number) {
         this.random = new SeededRandom(seed);
@@ -93,6 +96,7 @@
     close(): void {
         this.runners.forEach(runner => runner.clock.kill());
         this.closing.abort();
+        this.timeOfDay.mock.restore();
         this.service.close();
     }
 
