--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -10,7 +10,7 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
-import { PromptQuarantine } from "@knapweedwood/fleet.quarantine/promptQuarantine";
+import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
 import { Leadership } from "@knapweedwood/fleet.sync/leadership";
 import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
@@ -152,11 +152,12 @@
                 upstreamProof: "p",
             },
             decodeSharedPromptParts: () => [],
-            quarantine: new PromptQuarantine({
+            quarantine: new RequestQuarantine({
                 ...common,
                 logger: silentLogger,
                 publish: () => undefined,
                 store: () => undefined,
+                remove: () => undefined,
                 onChanged: () => undefined,
             }),
             resultRetentionMs: () => Infinity,
