fix(jobs): an item doesn't wait for a software version whose upstreams have all failed it

Cause, found by the random interleavings: an item with most of its output waits for an upstream of the version that wrote it as long as one runs, but an upstream that has failed it is taken only if no other has a free slot. So with one upstream of that version, which had failed it, the item waited until its job expired, with slots free. Change: it waits only for an upstream that hasn't failed it; otherwise it starts over at another version.

--- a/fleet/jobs/src/batchSlots.ts
+++ b/fleet/jobs/src/batchSlots.ts
@@ -1,5 +1,4 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
-import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { chooseBatchUpstream } from "./chooseBatchUpstream.js";
@@ -34,21 +33,24 @@
     /**
      * Chooses the upstream for an item, which has to be started before the next call.
      *
-     * @param keepsEvents whether the item waits for an upstream that can resume it, as long as there is one
+     * @param keepsEvents whether the item waits for an upstream that can resume it, as long as there is one that hasn't
+     * failed it
      * @returns undefined if the service has no free slot for the item
      */
     take(service: ServiceName, item: JobItem, keepsEvents: boolean): Upstream | undefined {
         const { failedUpstreamIds, softwareVersion } = item;
         const chosen = chooseBatchUpstream(this.freeOf(service), { failedUpstreamIds, softwareVersion })?.upstream;
-        if (keepsEvents && chosen?.softwareVersion !== softwareVersion && this.isRunning(service, softwareVersion)) {
+        if (keepsEvents && chosen?.softwareVersion !== softwareVersion && this.canResume(service, item)) {
             return undefined;
         }
         this.changed = chosen;
         return chosen;
     }
 
-    private isRunning(service: ServiceName, softwareVersion: SoftwareVersion | undefined): boolean {
-        return this.opts.upstreamsOf(service).some(upstream => upstream.softwareVersion === softwareVersion);
+    private canResume(service: ServiceName, { softwareVersion, failedUpstreamIds }: JobItem): boolean {
+        return this.opts.upstreamsOf(service).some(upstream =>
+            upstream.softwareVersion === softwareVersion && !failedUpstreamIds.includes(upstream.id)
+        );
     }
 
     private freeOf(service: ServiceName): BatchCandidate[] {
