fix(jobs): a job that arrives while the disk is being prepared is held after that

Cause: at its start a runner removes the files of interrupted writes. A job that arrived meanwhile was written to such a file, which was removed under it, and was refused (SEGMENT_NOT_KEPT, rename: ENOENT). Change: a write waits until the disk is prepared. Measured: the new test fails without the wait and passes with it.

--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -39,6 +39,8 @@
     private readonly packr = new Packr({ useRecords: false });
     private readonly jobs = new Map<SegmentDigest, HeldJob>();
     private pendingHolds = 0;
+    /** Resolves when files of interrupted writes have been removed; new writes have to wait for it. */
+    private prepared: Promise<void> = Promise.resolve();
     /** Time at which the key-value service first answered since it last failed, on the clock; undefined while it fails. */
     private reachableSinceMs: number | undefined;
 
@@ -75,6 +77,7 @@
     async hold(job: HeldJob): Promise<void> {
         this.pendingHolds += 1;
         try {
+            await this.prepared;
             const digest = await this.opts.segments.put(this.packr.pack(job));
             this.jobs.set(digest, job);
         }
@@ -86,7 +89,8 @@
     }
 
     private async load(): Promise<void> {
-        await this.opts.segments.prepare();
+        this.prepared = this.opts.segments.prepare();
+        await this.prepared;
         for (const digest of await this.opts.segments.list()) {
             try {
                 const job = this.packr.unpack(await this.opts.segments.get(digest)) as HeldJob;
--- a/fleet/jobs/test/heldJobs.test.ts
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -8,7 +8,7 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import path from "node:path";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import type { HeldJob } from "../src/heldJob.js";
 import { HeldJobs } from "../src/heldJobs.js";
 import { jobKeys } from "../src/jobKeys.js";
@@ -31,12 +31,18 @@
     }
 }
 
-type StartOptions = { folder: string; service: MemoryKeyValueService; clock: ManualClock; signal: AbortSignal; };
+type StartOptions = {
+    folder: string;
+    service: MemoryKeyValueService;
+    clock: ManualClock;
+    signal: AbortSignal;
+    segments?: FolderSegmentStore;
+};
 
 function start(opts: StartOptions, isLeading = true) {
     const seen: HeldJob[] = [];
     const held = new HeldJobs({
-        segments: new FolderSegmentStore({ dataFolder: opts.folder }),
+        segments: opts.segments ?? new FolderSegmentStore({ dataFolder: opts.folder }),
         service: opts.service,
         clock: opts.clock,
         random: new SeededRandom(1),
@@ -119,3 +125,28 @@
         controller.abort();
     });
 });
+
+// The removal of interrupted writes at the start took a write in progress for one of them, and the job was not held.
+test("a job that arrives while the disk is being prepared is held after that", async () => {
+    await withFolder(async folder => {
+        const clock = new ManualClock();
+        const segments = new FolderSegmentStore({ dataFolder: folder });
+        let finishPreparing = () => {};
+        const prepare = segments.prepare.bind(segments);
+        mock.method(segments, "prepare", async () => {
+            await new Promise<void>(resolve => finishPreparing = resolve);
+            await prepare();
+        });
+        const put = mock.method(segments, "put");
+        const controller = new AbortController();
+        const service = new MemoryKeyValueService({ clock });
+        const { held } = start({ folder, service, clock, signal: controller.signal, segments });
+        const holding = held.hold(job);
+        await new Promise(resolve => setTimeout(resolve, 20));
+        assert.equal(put.mock.callCount(), 0);
+        finishPreparing();
+        await holding;
+        assert.equal(put.mock.callCount(), 1);
+        controller.abort();
+    });
+});
