fix(leadership): a process whose lease has ended doesn't lead with the next one

Cause, found by the random interleavings: isLeading() asked whether the process holds a lease, not whether it holds the one to which the leader key is bound. A process that was cut off got a new lease before it heard that the key was gone, took itself for the certain leader, and served a result from its memory that was never stored, while another one led. Change: a leadership is certain only while the lease is held with which it was gained.

--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -43,6 +43,8 @@
     private observedEntry: KeyValueEntry | undefined;
     private reportedLeader: KnownLeader | undefined;
     private heldRevision: number | undefined;
+    /** Lease to which the key of the held leadership is bound. */
+    private heldLeaseId: string | undefined;
     private attemptTimer: Timer | undefined;
     private isResigned = false;
 
@@ -52,7 +54,7 @@
 
     /** Returns true only while this process is certain to be the leader. */
     isLeading(): boolean {
-        return this.heldRevision !== undefined && this.opts.lease.isHeld();
+        return this.heldRevision !== undefined && this.opts.lease.heldId === this.heldLeaseId;
     }
 
     /** Returns the compare that guards every write of the leader; undefined while this process is not the leader. */
@@ -174,6 +176,7 @@
         });
         if (result.kind === "succeeded" && !this.isResigned) {
             this.heldRevision = result.revision;
+            this.heldLeaseId = leaseId;
             this.opts.logger.info("leadership-gained", { fencingNumber: result.revision, leaseId });
             this.opts.onGained();
             return;
