fix(leadership): one attempt at a time to become leader

Cause, found by the random interleavings: an attempt ended its timer before it began, so a further observation of a missing key started a second one. If that took effect, the first found its own value at the key and counted as succeeded too: the runner was started twice without a stop, and its first timers and mirror ran on after the leadership was lost. Change: an observation during an attempt starts none; at its end a process that neither leads nor sees a leader tries again.

--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -46,6 +46,7 @@
     /** Lease to which the key of the held leadership is bound. */
     private heldLeaseId: string | undefined;
     private attemptTimer: Timer | undefined;
+    private isAttempting = false;
     private isResigned = false;
 
     constructor(opts: LeadershipOptions) {
@@ -148,19 +149,26 @@
 
     private async attempt(): Promise<void> {
         const leaseId = this.opts.lease.heldId;
-        if (this.observedEntry !== undefined || this.isResigned || this.heldRevision !== undefined) {
+        if (
+            this.isAttempting || this.observedEntry !== undefined || this.isResigned || this.heldRevision !== undefined
+        ) {
             return;
         }
         if (leaseId === undefined) {
             this.scheduleAttempt(RETRY_DELAY_MS);
             return;
         }
+        this.isAttempting = true;
         try {
             await this.write(leaseId);
         }
         catch (thrown) {
             const error = toKnapweedError(thrown);
             this.opts.logger.info("leadership-attempt-failed", { code: error.code, message: error.message });
+        }
+        this.isAttempting = false;
+        // A missing key that was observed during this attempt led to no other one.
+        if (this.heldRevision === undefined && this.observedEntry === undefined) {
             this.scheduleAttempt(RETRY_DELAY_MS);
         }
     }
@@ -179,10 +187,6 @@
             this.heldLeaseId = leaseId;
             this.opts.logger.info("leadership-gained", { fencingNumber: result.revision, leaseId });
             this.opts.onGained();
-            return;
-        }
-        if (result.kind === "unknown" || (result.kind === "failed" && result.current.length === 0)) {
-            this.scheduleAttempt(RETRY_DELAY_MS);
         }
     }
 
