fix(leadership): a process removes a leader key of its own that it doesn't lead with

Cause, found by the random interleavings: where the responses to all attempts to write the leader key were lost and one took effect, or one took effect seconds later, the process kept the lease of the key alive without leading, and tried no more while the key existed. Nobody led until it ended. Change: a process that sees its own key without leading removes it, so that a new election follows.

--- a/fleet/sync/src/leaderRecord.ts
+++ b/fleet/sync/src/leaderRecord.ts
@@ -5,4 +5,6 @@
     instanceName: InstanceName;
     /** Start of the process, Unix ms. */
     startedAtMs: number;
+    /** Lease to which the key is bound; undefined in records of earlier versions of this program. */
+    leaseId?: string;
 }
--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -47,6 +47,8 @@
     private heldLeaseId: string | undefined;
     private attemptTimer: Timer | undefined;
     private isAttempting = false;
+    /** Revision of the key that this process removed last, possibly still without a response. */
+    private removedRevision: number | undefined;
     private isResigned = false;
 
     constructor(opts: LeadershipOptions) {
@@ -75,6 +77,7 @@
         }
         if (entry !== undefined) {
             this.revokePredecessorLease(entry);
+            this.removeUnheldKey(entry);
         }
         if (entry === undefined && this.heldRevision === undefined && this.opts.isCandidate) {
             this.scheduleAttempt(this.opts.random.next() * ATTEMPT_SPREAD_MS);
@@ -95,6 +98,20 @@
         });
     }
 
+    /**
+     * Removes a key of this process that it doesn't lead with: the responses to the write were lost, or the write arrived
+     * late. Until it is removed, no process can lead.
+     */
+    private removeUnheldKey(entry: KeyValueEntry): void {
+        const { instanceName, startedAtMs } = decodeRecord<LeaderRecord>(entry.value);
+        const isOwn = instanceName === this.opts.self.instanceName && startedAtMs === this.opts.self.startedAtMs;
+        const isInUse = this.isAttempting || this.heldRevision !== undefined || this.isResigned;
+        if (isOwn && !isInUse && this.removedRevision !== entry.modRevision) {
+            this.opts.logger.info("leader-key-unheld", { fencingNumber: entry.modRevision });
+            void this.removeLeaderKey({ key: fleetKeys.jobsLeader, modRevision: entry.modRevision });
+        }
+    }
+
     /** Gives up leadership and makes no further attempts. Rejects if the key-value service fails. */
     async resign(): Promise<void> {
         this.isResigned = true;
@@ -124,6 +141,7 @@
 
     /** Removes the key that this process wrote. Retries until the removal is confirmed. */
     private async removeLeaderKey(fence: KeyValueCompare): Promise<void> {
+        this.removedRevision = fence.modRevision;
         for (let isRemoved = false; !isRemoved;) {
             try {
                 await this.opts.service.transact([fence], [{ kind: "delete", key: fence.key }]);
@@ -167,10 +185,19 @@
             this.opts.logger.info("leadership-attempt-failed", { code: error.code, message: error.message });
         }
         this.isAttempting = false;
-        // A missing key that was observed during this attempt led to no other one.
-        if (this.heldRevision === undefined && this.observedEntry === undefined) {
+        this.reviewObservation();
+    }
+
+    /** Does what an observation made during an attempt left undone. */
+    private reviewObservation(): void {
+        if (this.heldRevision !== undefined) {
+            return;
+        }
+        if (this.observedEntry === undefined) {
             this.scheduleAttempt(RETRY_DELAY_MS);
+            return;
         }
+        this.removeUnheldKey(this.observedEntry);
     }
 
     private async write(leaseId: string): Promise<void> {
@@ -179,7 +206,7 @@
             service: this.opts.service,
             clock: this.opts.clock,
             compares: [{ key, modRevision: 0 }],
-            operations: [{ kind: "put", key, value: encodeRecord(this.opts.self), leaseId }],
+            operations: [{ kind: "put", key, value: encodeRecord({ ...this.opts.self, leaseId }), leaseId }],
             witnessKey: key,
         });
         if (result.kind === "succeeded" && !this.isResigned) {
--- a/fleet/jobs/test/leadershipInterleavings.test.ts
+++ b/fleet/sync/test/leadershipWrites.test.ts
@@ -1,13 +1,14 @@
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
+import { answerLostError } from "@knapweedwood/core.key-value/answerLostError";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
-import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
-import { Leadership } from "@knapweedwood/fleet.sync/leadership";
-import { ProcessLease } from "@knapweedwood/fleet.sync/processLease";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
+import { fleetKeys } from "../src/fleetKeys.js";
+import { Leadership } from "../src/leadership.js";
+import { ProcessLease } from "../src/processLease.js";
 
 /** Returns a candidate with a lease. Its leadership observes the leader key only where a test says so. */
 async function createCandidate() {
@@ -75,3 +76,26 @@
     assert.equal(leadership.isLeading(), false);
     end();
 });
+
+// A write whose caller had given up on it took effect seconds later, while the key was missing, and nobody led.
+test("no process keeps the leader key without leading after its write took effect late", async () => {
+    const { clock, service, lease, leadership, observe, end } = await createCandidate();
+    const transact = service.transact.bind(service);
+    const lostCalls: Parameters<typeof transact>[] = [];
+    const writes = mock.method(service, "transact", (...args: Parameters<typeof transact>) => {
+        lostCalls.push(args);
+        return Promise.reject(answerLostError("lost"));
+    });
+    leadership.observe(undefined, service.revision);
+    await clock.advance(700);
+    writes.mock.restore();
+    assert.ok(lease.isHeld());
+    await transact(...lostCalls[0]!);
+    for (let checks = 0; checks < 50; checks += 1) {
+        await observe();
+        await clock.advance(200);
+    }
+    const entry = await service.get(fleetKeys.jobsLeader);
+    assert.ok(entry === undefined || leadership.isLeading(), "the key is held by a process that doesn't lead");
+    end();
+});
