fix(upstreams): bytes that are no response are not a crash of the upstream

Cause: an exchange counted as broken by the upstream whenever the HTTP client reported an error after sending. The HTTP client also reports one when it closes the connection itself: on bytes that aren't HTTP, on headers or trailers over 16 KiB, on an interim response 100. Prompts that such an upstream ran were suspected of crashing it.

Change: a connection is broken only if the upstream closed or reset it, or the network failed. The attempt still counts as a failure of the upstream.

Result: the four tests of endlessResponse failed before (isConnectionBroken true) and pass.

--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -25,6 +25,8 @@
     private isOpen = true;
     /** Code of the error that broke the connection; undefined while there is none. */
     private socketErrorCode: string | undefined;
+    /** Whether the upstream closed or reset the connection, or the network failed. */
+    private isClosedByPeer = false;
 
     /**
      * @param opts.onIdle called when an exchange has ended and the connection can carry another
@@ -104,7 +106,9 @@
             onResponseError: (_controller, error) => {
                 const wasSent = controller !== undefined;
                 const code = (error as { code?: string; }).code ?? error.message;
-                fail({ mayHaveRun: wasSent, isUnreachable: !wasSent, isConnectionBroken: wasSent, code });
+                // The HTTP client itself closes a connection on which it receives anything but a valid response.
+                const isConnectionBroken = wasSent && this.isClosedByPeer;
+                fail({ mayHaveRun: wasSent, isUnreachable: !wasSent, isConnectionBroken, code });
             },
         };
         this.client.dispatch(
@@ -131,8 +135,12 @@
         const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
         return (opts, callback) =>
             connect(opts, (...[error, socket]) => {
+                socket?.once("end", () => {
+                    this.isClosedByPeer = true;
+                });
                 socket?.once("error", (broken: NodeJS.ErrnoException) => {
                     this.socketErrorCode = broken.code ?? broken.message;
+                    this.isClosedByPeer ||= broken.syscall !== undefined;
                 });
                 callback(...[error, socket] as Parameters<buildConnector.Callback>);
             });
--- /dev/null
+++ b/fleet/upstreams/test/endlessResponse.test.ts
@@ -0,0 +1,63 @@
+// An upstream may send bytes that are no answer, also without end. The HTTP client notices some of them and closes the
+// connection. This looked like a crash of the upstream, for which the prompts that it ran were suspected.
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import { EndlessServer } from "@knapweedwood/standins.http/endlessServer";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { ExchangeFailure } from "../src/exchangeFailure.js";
+import { UpstreamConnections } from "../src/upstreamConnections.js";
+
+const TEST_TIMEOUT_MS = 30_000;
+const KIB = 1024;
+
+/** Resolves with the failure of an exchange with an upstream that sends `first` and then `repeated` without end. */
+async function failureOf(first: string, repeated: string): Promise<ExchangeFailure & { unboundedCount: number; }> {
+    const server = new EndlessServer({ first, repeated });
+    const address = { host: "127.0.0.1", port: await server.listen() };
+    const connections = new UpstreamConnections();
+    const request = { method: "GET", path: "/", headers: ["host", "h"], body: undefined, requestId: "r" };
+    const failure = await new Promise<ExchangeFailure>((resolve, reject) => {
+        connections.send({ id: "u", startedAtMs: 1, address } as Upstream, request, {
+            onHead: () => undefined,
+            onData: () => undefined,
+            onEnd: () => reject(new Error("complete")),
+            onFailure: resolve,
+        });
+    });
+    await server.whenEnded();
+    connections.close();
+    server.close();
+    return { ...failure, unboundedCount: server.unboundedCount };
+}
+
+async function assertClosed(first: string, repeated: string): Promise<void> {
+    const { mayHaveRun, isUnreachable, isConnectionBroken, unboundedCount } = await failureOf(first, repeated);
+    assert.deepEqual({ mayHaveRun, isUnreachable, isConnectionBroken, unboundedCount }, {
+        mayHaveRun: true,
+        isUnreachable: false,
+        isConnectionBroken: false,
+        unboundedCount: 0,
+    });
+}
+
+test("bytes that aren't HTTP close the connection and are no crash", { timeout: TEST_TIMEOUT_MS }, async () => {
+    await assertClosed("", "\u0000\u0001garbage".repeat(KIB));
+    await assertClosed("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "no chunk".repeat(KIB));
+});
+
+test("headers without end close the connection and are no crash", { timeout: TEST_TIMEOUT_MS }, async () => {
+    await assertClosed("HTTP/1.1 200 OK\r\n", "x-header: value\r\n".repeat(KIB));
+    await assertClosed("HTTP/1.1 200 OK\r\nx-long: ", "v".repeat(KIB));
+    await assertClosed("HTTP/1.1 200 OK\r\n", "n".repeat(KIB));
+});
+
+test("trailers without end close the connection and are no crash", { timeout: TEST_TIMEOUT_MS }, async () => {
+    const head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+    await assertClosed(head, "x-trailer: value\r\n".repeat(KIB));
+});
+
+test("interim responses that ask for more close the connection and are no crash", {
+    timeout: TEST_TIMEOUT_MS,
+}, async () => {
+    await assertClosed("", "HTTP/1.1 100 Continue\r\n\r\n".repeat(KIB));
+});
