fix(upstreams): a response whose bytes are neither head nor data is closed after 256 KiB

Cause: the HTTP client limits header names and values only. Line feeds before the status line, its reason, blanks before a header value, interim responses, chunk extensions, leading zeros of a chunk size, and line feeds after a complete response were skipped without end: the exchange kept its slot until the deadline of its request, the connection was read on.

Change: a connection fails with ANSWER_WITHOUT_END after 256 KiB without a head or data, counted at the socket. Reading of heads and trailers stops at 16 KiB as before, now by a named constant.

Result: before, each of the six kinds in a response, and line feeds after one, was read for more than 64 MB, where the test gives up; now none is. largeResponse passes before and after: 32 MiB with a length, 2 MiB in chunks of one byte, both to a reader that pauses, and 100 responses with large heads on one connection.

--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -1,5 +1,6 @@
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Exchange } from "./exchange.js";
 import type { ExchangeFailure } from "./exchangeFailure.js";
@@ -14,6 +15,13 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Idle time after which a connection is closed if the upstream sends no keep-alive timeout, in milliseconds. */
 const IDLE_TIMEOUT_MS = 4000;
+/** Size of the head or the trailers of a response above which the connection is closed, in bytes. */
+const MAX_HEAD_BYTES = 16_384;
+/**
+ * Bytes that may arrive without completing a head and without data, such as chunk extensions and interim responses. The
+ * bytes that the socket holds while the HTTP client reads none count too.
+ */
+const MAX_BYTES_WITHOUT_DATA = 262_144;
 /** Failure of an exchange whose response is not acceptable. */
 const INVALID = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
 const REQUEST_ID_HEADER = "x-request-id";
@@ -27,6 +35,10 @@
     private socketErrorCode: string | undefined;
     /** Whether the upstream closed or reset the connection, or the network failed. */
     private isClosedByPeer = false;
+    private socket: Socket | undefined;
+    /** Bytes that had been received on the connection when the last head or data arrived. */
+    private bytesAtLastData = 0;
+    private failExchange: (failure: ExchangeFailure) => void = () => undefined;
 
     /**
      * @param opts.onIdle called when an exchange has ended and the connection can carry another
@@ -39,6 +51,7 @@
             connect: this.createConnector(),
             headersTimeout: 0,
             bodyTimeout: 0,
+            maxHeaderSize: MAX_HEAD_BYTES,
             keepAliveTimeout: IDLE_TIMEOUT_MS,
         });
         const close = () => {
@@ -54,7 +67,8 @@
 
     /**
      * Sends a request; the handler receives the response. Fails with `mayHaveRun` and the code `RESENT` if the HTTP
-     * client sends the request a second time, `ANSWER_OF_ANOTHER_REQUEST` if the response has another request id.
+     * client sends the request a second time, `ANSWER_OF_ANOTHER_REQUEST` if the response has another request id,
+     * `ANSWER_WITHOUT_END` if the upstream sends too many bytes that are neither a head nor data.
      */
     send(request: ExchangeRequest, handler: ExchangeHandler): Exchange {
         let controller: Dispatcher.DispatchController | undefined;
@@ -66,6 +80,8 @@
                 handler.onFailure(failure);
             }
         };
+        this.failExchange = fail;
+        this.recordData();
         const dispatchHandler: Dispatcher.DispatchHandler = {
             onRequestStart: started => {
                 if (controller !== undefined) {
@@ -80,6 +96,7 @@
                 if (isEnded || statusCode < 200) {
                     return;
                 }
+                this.recordData();
                 if (!isResponseTo(request, headers)) {
                     fail({ ...INVALID, code: "ANSWER_OF_ANOTHER_REQUEST" });
                     return;
@@ -87,6 +104,7 @@
                 handler.onHead(toResponseHead(statusCode, headers));
             },
             onResponseData: (_controller, chunk) => {
+                this.recordData();
                 if (!isEnded) {
                     handler.onData(chunk);
                 }
@@ -135,6 +153,8 @@
         const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
         return (opts, callback) =>
             connect(opts, (...[error, socket]) => {
+                this.socket = socket ?? undefined;
+                socket?.on("readable", () => this.checkBytesWithoutData());
                 socket?.once("end", () => {
                     this.isClosedByPeer = true;
                 });
@@ -146,6 +166,18 @@
             });
     }
 
+    private recordData(): void {
+        this.bytesAtLastData = this.socket?.bytesRead ?? 0;
+    }
+
+    /** Closes the connection if too many bytes have arrived since the last head or data. */
+    private checkBytesWithoutData(): void {
+        if ((this.socket?.bytesRead ?? 0) - this.bytesAtLastData > MAX_BYTES_WITHOUT_DATA) {
+            this.failExchange({ ...INVALID, code: "ANSWER_WITHOUT_END" });
+            this.destroy();
+        }
+    }
+
     /** Closes the connection immediately. */
     destroy(): void {
         void this.client.destroy(new Error("connection closed"));
--- a/fleet/upstreams/test/endlessResponse.test.ts
+++ b/fleet/upstreams/test/endlessResponse.test.ts
@@ -61,3 +61,44 @@
 }, async () => {
     await assertClosed("", "HTTP/1.1 100 Continue\r\n\r\n".repeat(KIB));
 });
+
+// The HTTP client limits header names and values only. It skipped these bytes without end and without telling anyone, so
+// that the exchange kept its slot until the deadline of its request.
+test("bytes between the parts of a response that don't end close the connection", {
+    timeout: TEST_TIMEOUT_MS,
+}, async () => {
+    const chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    await assertClosed("", "\r\n".repeat(KIB));
+    await assertClosed("HTTP/1.1 200 ", "reason ".repeat(KIB));
+    await assertClosed("HTTP/1.1 200 OK\r\nx-blank:", " ".repeat(KIB));
+    await assertClosed("", "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n".repeat(KIB));
+    await assertClosed(`${chunked}1;x=`, "extension".repeat(KIB));
+    await assertClosed(chunked, "0".repeat(KIB));
+});
+
+test("bytes without end after a complete response close the connection and change nothing about the response", {
+    timeout: TEST_TIMEOUT_MS,
+}, async () => {
+    for (const repeated of ["\r\n", "garbage", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"]) {
+        const server = new EndlessServer({
+            first: "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole",
+            repeated: repeated.repeat(KIB),
+        });
+        const address = { host: "127.0.0.1", port: await server.listen() };
+        const connections = new UpstreamConnections();
+        const request = { method: "GET", path: "/", headers: ["host", "h"], body: undefined, requestId: "r" };
+        const chunks: Buffer[] = [];
+        await new Promise<void>((resolve, reject) => {
+            connections.send({ id: "u", startedAtMs: 1, address } as Upstream, request, {
+                onHead: () => undefined,
+                onData: chunk => chunks.push(chunk),
+                onEnd: resolve,
+                onFailure: failure => reject(new Error(failure.code)),
+            });
+        });
+        await server.whenEnded();
+        assert.deepEqual([Buffer.concat(chunks).toString(), server.unboundedCount], ["whole", 0]);
+        connections.close();
+        server.close();
+    }
+});
