fix(gateway): a buffered response over 16 MiB fails its attempt

Cause: the gateway kept the whole body of a response without a bound, until the deadline of the request, with one buffer for each chunk. The body of a response that says that the request didn't run was dropped, but read without a bound.

Change: over 16 MiB of body (1 MiB where the request didn't run), the connection is closed and the attempt fails with ANSWER_TOO_LARGE, which is no crash of the upstream: the request is repeated elsewhere where its route allows it, else it ends with 502. Many small chunks are joined.

Result: before, each body was read on for 64 MB, where the test gives up, and one without a length that then ended reached the caller as complete; now none is, and two such responses eject the upstream. A body of 12 MiB still reaches the caller unchanged.

--- a/fleet/gateway/src/attempt.ts
+++ b/fleet/gateway/src/attempt.ts
@@ -11,5 +11,7 @@
     stallDetector: StallDetector;
     /** Whether the upstream has responded that it doesn't run the request. */
     isNotRun: boolean;
+    /** Bytes of the body of a response that says that the upstream doesn't run the request. */
+    notRunBodyBytes: number;
     promptRun: PromptRun;
 }
--- a/fleet/gateway/src/bufferedResponseWriter.ts
+++ b/fleet/gateway/src/bufferedResponseWriter.ts
@@ -1,7 +1,11 @@
+import { ByteCollector } from "@knapweedwood/fleet.upstreams/byteCollector";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { ServerResponse } from "node:http";
 import type { ResponseWriter } from "./responseWriter.js";
 
+/** Maximum size of a body, in bytes. */
+const MAX_BODY_BYTES = 16_777_216;
+
 /** Buffers a response until it is complete, so that a truncated response can be replaced by another upstream's. */
 export class BufferedResponseWriter implements ResponseWriter {
     readonly hasStarted = false;
@@ -9,7 +13,7 @@
     private readonly response: ServerResponse;
     private head: ResponseHead | undefined;
     private isStopping: () => boolean = () => false;
-    private chunks: Buffer[] = [];
+    private readonly body = new ByteCollector();
 
     constructor(opts: { response: ServerResponse; }) {
         this.response = opts.response;
@@ -25,17 +29,21 @@
     }
 
     onData(chunk: Buffer): boolean {
-        this.chunks.push(chunk);
+        this.body.append(chunk);
         return true;
     }
 
+    isOverLimit(): boolean {
+        return this.body.sizeBytes > MAX_BODY_BYTES;
+    }
+
     isComplete(): boolean {
         return this.head !== undefined;
     }
 
     end(): void {
         const head = this.head!;
-        const body = Buffer.concat(this.chunks);
+        const body = this.body.toBuffer();
         const headers = dropHeader(head.headers, "content-length");
         headers.push("content-length", String(body.length));
         if (this.isStopping()) {
@@ -47,7 +55,7 @@
 
     restart(): void {
         this.head = undefined;
-        this.chunks = [];
+        this.body.clear();
     }
 }
 
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -34,6 +34,8 @@
 /** Failure of an attempt that this process has ended. */
 const ABORTED = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
 const FAILED_RETRY_AFTER_MS = 100;
+/** Maximum size of the body of a response that says that the upstream doesn't run the request, in bytes. */
+const MAX_NOT_RUN_BODY_BYTES = 1_048_576;
 
 /** Handles one online request from its arrival to its response, with retries at other upstreams. */
 export class OnlineCall implements QueuedRequest {
@@ -161,6 +163,7 @@
             upstream,
             startedAtMs: nowMs,
             isNotRun: false,
+            notRunBodyBytes: 0,
             promptRun: this.context.quarantine.begin(this.service, this.promptParts),
             stallDetector: new StallDetector({
                 clock: this.context.clock,
@@ -221,7 +224,14 @@
     }
 
     private onData(attempt: Attempt, chunk: Buffer): void {
-        if (attempt !== this.attempt || attempt.isNotRun) {
+        if (attempt !== this.attempt) {
+            return;
+        }
+        if (attempt.isNotRun) {
+            attempt.notRunBodyBytes += chunk.length;
+            if (attempt.notRunBodyBytes > MAX_NOT_RUN_BODY_BYTES) {
+                this.onTooLarge(attempt);
+            }
             return;
         }
         const nowMs = this.context.clock.nowMs();
@@ -235,11 +245,20 @@
             attempt.exchange.pause();
             this.response.once("drain", () => attempt.exchange.resume());
         }
+        if (this.writer.isOverLimit()) {
+            this.onTooLarge(attempt);
+            return;
+        }
         if (this.writer.hasStarted && this.writer.statusCode === HTTP_OK) {
             this.continuity?.onEventsSent(attempt.upstream);
         }
     }
 
+    private onTooLarge(attempt: Attempt): void {
+        attempt.exchange.abort();
+        this.onFailure(attempt, { ...ABORTED, code: "ANSWER_TOO_LARGE" });
+    }
+
     private onEnd(attempt: Attempt): void {
         if (attempt !== this.attempt) {
             return;
--- a/fleet/gateway/src/responseWriter.ts
+++ b/fleet/gateway/src/responseWriter.ts
@@ -12,6 +12,8 @@
     onHead(head: ResponseHead, isStopping: () => boolean): void;
     /** Returns false if the caller reads too slowly; its response emits `drain` when it has caught up. */
     onData(chunk: Buffer): boolean;
+    /** Returns whether more data has arrived than a response may have, so that the response can't be used. */
+    isOverLimit(): boolean;
     /** Returns whether the data received is a complete response, after the upstream has ended it. */
     isComplete(): boolean;
     /** Sends the remaining data and ends the response to the caller. */
--- a/fleet/gateway/src/streamResponseWriter.ts
+++ b/fleet/gateway/src/streamResponseWriter.ts
@@ -45,6 +45,10 @@
         return this.write(chunk);
     }
 
+    isOverLimit(): boolean {
+        return false;
+    }
+
     isComplete(): boolean {
         if (this.head === undefined) {
             return false;
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -70,6 +70,7 @@
 export class GatewayTestBed {
     readonly connections = new UpstreamConnections();
     readonly loadTracker = new LoadTracker();
+    readonly health = new UpstreamHealth();
     isStopping = false;
     private readonly server: GatewayServer;
     private port = 0;
@@ -125,7 +126,7 @@
             configuration,
             connections,
             loadTracker,
-            health: new UpstreamHealth(),
+            health: this.health,
             serviceTimes,
             requestQueue,
             quarantine: new PromptQuarantine({
--- a/standins/http/src/endlessServer.ts
+++ b/standins/http/src/endlessServer.ts
@@ -62,7 +62,7 @@
         }
         if (!socket.destroyed) {
             this.unboundedCount += 1;
-            socket.resetAndDestroy();
+            socket.destroy();
         }
     }
 }
