fix(gateway): an event over 1 MiB ends the run of its stream

Cause: an event that never ends was kept without a bound for a resumable stream, and forwarded without a bound for others, until the deadline of the request. Each chunk was appended to a copy of all that was pending, which was then searched from its start.

Change: over 1 MiB of one event (16 MiB of a response that isn't a stream), the connection is closed and the attempt fails with ANSWER_TOO_LARGE: a resumable stream goes on at another upstream after its last whole event, others break off. The length of a stream and the number of its events have no bound. Each byte is searched once.

A stream of 20 MB in 20,000 events passes before and after.

--- a/fleet/gateway/src/bufferedResponseWriter.ts
+++ b/fleet/gateway/src/bufferedResponseWriter.ts
@@ -1,11 +1,9 @@
 import { ByteCollector } from "@knapweedwood/fleet.upstreams/byteCollector";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { ServerResponse } from "node:http";
+import { maxBodyBytes } from "./maxBodyBytes.js";
 import type { ResponseWriter } from "./responseWriter.js";
 
-/** Maximum size of a body, in bytes. */
-const MAX_BODY_BYTES = 16_777_216;
-
 /** Buffers a response until it is complete, so that a truncated response can be replaced by another upstream's. */
 export class BufferedResponseWriter implements ResponseWriter {
     readonly hasStarted = false;
@@ -34,7 +32,7 @@
     }
 
     isOverLimit(): boolean {
-        return this.body.sizeBytes > MAX_BODY_BYTES;
+        return this.body.sizeBytes > maxBodyBytes;
     }
 
     isComplete(): boolean {
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -245,13 +245,12 @@
             attempt.exchange.pause();
             this.response.once("drain", () => attempt.exchange.resume());
         }
-        if (this.writer.isOverLimit()) {
-            this.onTooLarge(attempt);
-            return;
-        }
         if (this.writer.hasStarted && this.writer.statusCode === HTTP_OK) {
             this.continuity?.onEventsSent(attempt.upstream);
         }
+        if (this.writer.isOverLimit()) {
+            this.onTooLarge(attempt);
+        }
     }
 
     private onTooLarge(attempt: Attempt): void {
--- a/fleet/gateway/src/streamResponseWriter.ts
+++ b/fleet/gateway/src/streamResponseWriter.ts
@@ -1,6 +1,9 @@
+import { EventBoundaries } from "@knapweedwood/fleet.upstreams/eventBoundaries";
 import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
+import { maxEventBytes } from "@knapweedwood/fleet.upstreams/maxEventBytes";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { ServerResponse } from "node:http";
+import { maxBodyBytes } from "./maxBodyBytes.js";
 import type { ResponseWriter } from "./responseWriter.js";
 
 const HTTP_OK = 200;
@@ -19,7 +22,10 @@
     private head: ResponseHead | undefined;
     private isStopping: () => boolean = () => false;
     private splitter = new EventSplitter();
+    private boundaries = new EventBoundaries();
     private tail = "";
+    /** Bytes of a response that isn't a stream. */
+    private bodyBytes = 0;
 
     /** @param opts.mayBeEmpty whether the caller may have all events already */
     constructor(opts: { response: ServerResponse; isResumable: boolean; mayBeEmpty: boolean; }) {
@@ -41,12 +47,16 @@
         if (this.isResumable && this.statusCode === HTTP_OK) {
             return this.writeEvents(chunk);
         }
+        this.boundaries.push(chunk);
+        this.bodyBytes += chunk.length;
         this.tail = (this.tail + chunk.toString("latin1")).slice(-EVENT_END.length);
         return this.write(chunk);
     }
 
     isOverLimit(): boolean {
-        return false;
+        return this.statusCode === HTTP_OK
+            ? this.splitter.isOverLimit || this.boundaries.partialEventBytes > maxEventBytes
+            : this.bodyBytes > maxBodyBytes;
     }
 
     isComplete(): boolean {
@@ -70,7 +80,9 @@
             this.head = undefined;
         }
         this.splitter = new EventSplitter();
+        this.boundaries = new EventBoundaries();
         this.tail = "";
+        this.bodyBytes = 0;
     }
 
     private writeEvents(chunk: Buffer): boolean {
--- a/fleet/gateway/test/endlessResponses.test.ts
+++ b/fleet/gateway/test/endlessResponses.test.ts
@@ -18,13 +18,13 @@
 
 /** Sends requests to a gateway whose preferred upstream sends `first` and then `repeated` without end. */
 async function withEndless(
-    opts: { first: string; repeated: string; route: Partial<Route>; },
+    opts: { first: string; repeated: string; route: Partial<Route>; soundBody?: string; },
     action: (testBed: GatewayTestBed, endless: EndlessServer) => Promise<void>,
 ): Promise<void> {
     const endless = new EndlessServer(opts);
     const sound = new UpstreamStandin((_request, response) => {
         response.writeHead(200, { "x-proof": "p" });
-        response.end(SOUND_BODY);
+        response.end(opts.soundBody ?? SOUND_BODY);
     });
     const upstream = await sound.listen("u-1");
     const address = { host: "127.0.0.1", port: await endless.listen() };
@@ -87,6 +87,62 @@
     });
 });
 
+const EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const endlessEvents = [
+    { first: `${headOf(200)}${EVENTS}id: 3\ndata: `, repeated: "x".repeat(KIB) },
+    { first: `${headOf(200)}${EVENTS}`, repeated: `: ${"x".repeat(KIB)}\n` },
+    { first: `${headOf(200, CHUNKED)}${EVENTS.length.toString(16)}\r\n${EVENTS}\r\n`, repeated: CHUNK },
+];
+
+test("a stream goes on at another upstream when an event doesn't end", { timeout: TEST_TIMEOUT_MS }, async () => {
+    const route = { kind: "stream", isResumable: true, maxAttempts: 2 } as const;
+    const resumed = "id: 3\ndata: c\n\n";
+    for (const stream of endlessEvents) {
+        await withEndless({ ...stream, route, soundBody: resumed }, async testBed => {
+            const received = await testBed.send({ headers: remaining });
+            assert.deepEqual([received.body, received.isComplete], [EVENTS + resumed, true]);
+        });
+    }
+});
+
+test("a stream that can't be repeated breaks off when an event doesn't end", { timeout: TEST_TIMEOUT_MS }, async () => {
+    for (const stream of endlessEvents) {
+        await withEndless({ ...stream, route: { kind: "stream" } }, async testBed => {
+            const received = await testBed.send({ headers: remaining });
+            assert.deepEqual([received.isComplete, received.body.startsWith(EVENTS)], [false, true]);
+        });
+    }
+});
+
+test("a failure of a stream route whose body doesn't end breaks off", { timeout: TEST_TIMEOUT_MS }, async () => {
+    const body = { first: headOf(404, CHUNKED), repeated: CHUNK };
+    for (const isResumable of [false, true]) {
+        await withEndless({ ...body, route: { kind: "stream", isResumable } }, async testBed => {
+            assert.equal((await testBed.send({ headers: remaining })).isComplete, false);
+        });
+    }
+});
+
+test("a stream of many megabytes in small events reaches the caller unchanged", async () => {
+    const count = 20_000;
+    const events = Array.from({ length: count }, (_, index) => `id: ${index + 1}\ndata: ${"x".repeat(KIB)}\n\n`).join(
+        "",
+    );
+    for (const isResumable of [false, true]) {
+        const standin = new UpstreamStandin((_request, response) => {
+            response.writeHead(200, { "x-proof": "p" });
+            response.end(events);
+        });
+        const route = { kind: "stream", isResumable, timeoutMs: TEST_TIMEOUT_MS } as const;
+        const testBed = new GatewayTestBed({ upstreams: [await standin.listen("u-0")], route });
+        await testBed.listen();
+        const received = await testBed.send({ headers: remaining });
+        assert.ok(received.isComplete && received.body === events, `${received.body.length} bytes arrived`);
+        testBed.close();
+        standin.close();
+    }
+});
+
 test("a complete body of many megabytes reaches the caller unchanged", async () => {
     const large = "0123456789abcdef".repeat(12 * MIB / 16);
     const standin = new UpstreamStandin((_request, response) => {
--- a/fleet/upstreams/src/eventSplitter.ts
+++ b/fleet/upstreams/src/eventSplitter.ts
@@ -1,40 +1,57 @@
+import { ByteCollector } from "./byteCollector.js";
+import { EventBoundaries } from "./eventBoundaries.js";
+import { maxEventBytes } from "./maxEventBytes.js";
 import type { StreamEvent } from "./streamEvent.js";
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
-
-/** Splits the bytes of a server-sent event stream into complete events. */
+/**
+ * Splits the bytes of a server-sent event stream into complete events. Stops at an event that is larger than
+ * `maxEventBytes`.
+ */
 export class EventSplitter {
-    private pending: Buffer = Buffer.alloc(0);
+    /** Whether an event was too large. Neither it nor what follows is returned. */
+    isOverLimit = false;
+    private readonly boundaries = new EventBoundaries();
+    private readonly pending = new ByteCollector();
 
-    /** Whether bytes of an incomplete event have arrived. */
+    /** Whether bytes have arrived that belong to no event returned, such as those of an incomplete one. */
     get hasPartialEvent(): boolean {
-        return this.pending.length > 0;
+        return this.isOverLimit || this.pending.sizeBytes > 0;
     }
 
     /** Returns the events that `chunk` completes, shape [events]. */
     push(chunk: Buffer): StreamEvent[] {
-        const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-        const events: StreamEvent[] = [];
-        let start = 0;
-        for (let end = endOfEvent(bytes, start); end > 0; end = endOfEvent(bytes, start)) {
-            events.push(parseEvent(bytes.subarray(start, end)));
-            start = end;
+        if (this.isOverLimit) {
+            return [];
+        }
+        const ends = this.boundaries.push(chunk);
+        const events = ends.map((end, index) => chunk.subarray(ends[index - 1] ?? 0, end));
+        const rest = chunk.subarray(ends.at(-1) ?? 0);
+        const complete = events.map((part, index) => index === 0 ? this.takePending(part) : part);
+        if (rest.length > 0) {
+            this.pending.append(rest);
         }
-        this.pending = bytes.subarray(start);
-        return events;
+        return this.dropOverLimit(complete).map(parseEvent);
+    }
+
+    /** Returns the whole event that `lastPart` completes. */
+    private takePending(lastPart: Buffer): Buffer {
+        if (this.pending.sizeBytes === 0) {
+            return lastPart;
+        }
+        this.pending.append(lastPart);
+        const event = this.pending.toBuffer();
+        this.pending.clear();
+        return event;
     }
-}
 
-/** Returns the offset after the blank line that ends the event at `start`; 0 if the event is incomplete. */
-function endOfEvent(bytes: Buffer, start: number): number {
-    for (let feed = bytes.indexOf(LINE_FEED, start); feed >= 0; feed = bytes.indexOf(LINE_FEED, feed + 1)) {
-        const next = bytes[feed + 1] === CARRIAGE_RETURN ? feed + 2 : feed + 1;
-        if (bytes[next] === LINE_FEED) {
-            return next + 1;
+    private dropOverLimit(events: Buffer[]): Buffer[] {
+        const firstTooLarge = events.findIndex(event => event.length > maxEventBytes);
+        this.isOverLimit = firstTooLarge >= 0 || this.pending.sizeBytes > maxEventBytes;
+        if (this.isOverLimit) {
+            this.pending.clear();
         }
+        return firstTooLarge < 0 ? events : events.slice(0, firstTooLarge);
     }
-    return 0;
 }
 
 function parseEvent(bytes: Buffer): StreamEvent {
