fix(jobs): an output over 900,000 bytes as JSON ends the run of its item

Cause: an item run collected events, and the bytes of an event, without a bound, and items have no timeout. A result larger than a value of the key-value service (1,000,000 bytes) can't be written; as the committer repeats a refused write until it succeeds, it would come before all other results for good (read in the code, not played).

An item whose sound output is that large never completes; it is given up when its job's retention time ends, as no rule allows it sooner.

Result: before, runs were read for 64 MB, where the test gives up, with an event without end and with events without end, also empty ones; now all end at the bound, and events of earlier runs count. The largest output and the largest progress fit into one value with plain, quoted, control, two-byte and three-byte characters. 25,000 events with half a megabyte complete before and after.

--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { setDeadlineTimer } from "@knapweedwood/core.clock/setDeadlineTimer";
 import type { Timer } from "@knapweedwood/core.clock/timer";
+import { MAX_VALUE_SIZE_BYTES } from "@knapweedwood/core.key-value/maxValueSizeBytes";
 import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
@@ -16,8 +17,15 @@
 const HTTP_UNPROCESSABLE = 422;
 /** Time without data after which a run counts as broken, in milliseconds. */
 const STALL_MS = 1500;
+/** Room for the other fields of a record in a value of the key-value service, in bytes. */
+const RECORD_OVERHEAD_BYTES = 100_000;
+/** Maximum size of an item's output as JSON, in bytes. */
+const MAX_OUTPUT_BYTES = MAX_VALUE_SIZE_BYTES - RECORD_OVERHEAD_BYTES;
 
-/** One run of an item at an upstream. Appends the events to the item as they arrive. */
+/**
+ * One run of an item at an upstream. Appends the events to the item as they arrive. Ends as `garbled` with the code
+ * `ANSWER_TOO_LARGE` when the output or one event is too large to be stored, so that the item starts over.
+ */
 export class ItemRun {
     readonly item: JobItem;
     readonly upstream: Upstream;
@@ -32,6 +40,8 @@
     private stallTimer: Timer | undefined;
     private isEnded = false;
     private producedEvents = 0;
+    /** Size of the item's output as JSON. */
+    private outputBytes = 0;
 
     /** @param opts.onLeaving called when the upstream says in its response that it leaves */
     constructor(opts: {
@@ -61,6 +71,7 @@
             discardEvents(item);
         }
         item.softwareVersion = this.upstream.softwareVersion;
+        this.outputBytes = item.events.reduce((sum, event) => sum + jsonBytesOf(event), 0);
         const list = ["host", opts.host, ...item.record.headers.flatMap(header => [header.name, header.value])];
         list.push(headers.requestId, item.id, headers.expectedUpstream, this.upstream.id);
         if (item.lastEventId > 0) {
@@ -114,14 +125,26 @@
                 return;
             }
             if (event.id !== this.item.lastEventId + 1) {
-                this.abort();
-                this.onEnded({ kind: "garbled", code: "EVENT_OUT_OF_ORDER" });
+                this.endGarbled("EVENT_OUT_OF_ORDER");
+                return;
+            }
+            this.outputBytes += jsonBytesOf(event.data);
+            if (this.outputBytes > MAX_OUTPUT_BYTES) {
+                this.endGarbled("ANSWER_TOO_LARGE");
                 return;
             }
             this.item.lastEventId = event.id;
             this.item.events.push(event.data);
             this.producedEvents += 1;
         });
+        if (this.splitter.isOverLimit && !this.isEnded) {
+            this.endGarbled("ANSWER_TOO_LARGE");
+        }
+    }
+
+    private endGarbled(code: string): void {
+        this.abort();
+        this.onEnded({ kind: "garbled", code });
     }
 
     private onEnd(): void {
@@ -167,3 +190,8 @@
         this.onEnded(outcome);
     }
 }
+
+/** Returns the size of an event as JSON, with what separates it from the next. */
+function jsonBytesOf(event: string): number {
+    return Buffer.byteLength(JSON.stringify(event)) + 1;
+}
