fix(jobs): bytes that complete no event don't keep an item's run alive

Cause: each chunk restarted the timer that ends a silent run after 1.5 s. One byte a second of an event that never ends kept the run and its slot for as long as the upstream liked, as items have no timeout.

Change: only complete events restart the timer.

Result: the test, one byte each 100 ms on a manual clock, saw no end in 10 s before; now the run ends as UPSTREAM_SILENT and the item keeps its events. A run with one event a second goes on before and after.

--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -15,7 +15,7 @@
 const HTTP_OK = 200;
 const HTTP_MISDIRECTED = 421;
 const HTTP_UNPROCESSABLE = 422;
-/** Time without data after which a run counts as broken, in milliseconds. */
+/** Time without a complete event after which a run counts as broken, in milliseconds. */
 const STALL_MS = 1500;
 /** Room for the other fields of a record in a value of the key-value service, in bytes. */
 const RECORD_OVERHEAD_BYTES = 100_000;
@@ -119,8 +119,11 @@
         if (this.isEnded || this.head?.statusCode !== HTTP_OK) {
             return;
         }
-        this.restartStallTimer();
-        this.splitter.push(chunk).forEach(event => {
+        const events = this.splitter.push(chunk);
+        if (events.length > 0) {
+            this.restartStallTimer();
+        }
+        events.forEach(event => {
             if (this.isEnded) {
                 return;
             }
--- a/fleet/jobs/test/itemRunLimits.test.ts
+++ b/fleet/jobs/test/itemRunLimits.test.ts
@@ -129,3 +129,24 @@
     run.end();
     assert.deepEqual([run.outcomes, run.item.events.length], [[{ kind: "completed" }], count]);
 });
+
+test("a run that receives bytes but no events is silent", async () => {
+    const run = new PlayedRun();
+    run.send(eventOf(1, "a"));
+    run.send("id: 2\ndata: ");
+    for (let count = 0; count < 100 && run.outcomes.length === 0; count += 1) {
+        await run.clock.advance(100);
+        run.send("x");
+    }
+    const silent = { kind: "broken", code: "UPSTREAM_SILENT", isUnreachable: false, isConnectionBroken: false };
+    assert.deepEqual([run.outcomes, run.isAborted, run.item.events], [[silent], true, ["a"]]);
+});
+
+test("a run that receives events slowly goes on", async () => {
+    const run = new PlayedRun();
+    for (let id = 1; id <= 20; id += 1) {
+        await run.clock.advance(1000);
+        run.send(eventOf(id, "a"));
+    }
+    assert.deepEqual([run.outcomes, run.item.lastEventId], [[], 20]);
+});
