--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -71,6 +71,7 @@
     readonly connections = new UpstreamConnections();
     readonly loadTracker = new LoadTracker();
     readonly directory = new UpstreamDirectory();
+    readonly health = new UpstreamHealth();
     isStopping = false;
     private readonly server: GatewayServer;
     private port = 0;
@@ -129,7 +130,7 @@
             configuration,
             connections,
             loadTracker,
-            health: new UpstreamHealth(),
+            health: this.health,
             serviceTimes,
             requestQueue,
             quarantine: new RequestQuarantine({
