--- a/fuzz/soak/src/checkRuns.ts
+++ b/fuzz/soak/src/checkRuns.ts
@@ -28,7 +28,7 @@
         .map(job => ({ promise: "refused-job-never-runs", detail: job.id }));
     const changed = record.runs.flatMap(run => {
         const source = calls.get(run.callId) ?? items.get(run.callId)?.item;
-        const path = calls.get(run.callId)?.path ?? "/job/item";
+        const path = calls.get(run.callId)?.path ?? `/${items.get(run.callId)?.job.route.name}/item`;
         const prefix = `/${run.path.split("/")[1]}/`;
         const isUnchanged = source !== undefined && run.body === source.body && run.path === path
             && run.method === "POST";
--- a/fuzz/soak/src/faultInjector.ts
+++ b/fuzz/soak/src/faultInjector.ts
@@ -48,7 +48,7 @@
         const [family, variant = ""] = splitOnce(fault.kind);
         switch (family) {
             case "kill":
-                await (variant === "all" ? this.killAll() : this.runOnProcess(fault, process => this.restart(process)));
+                await this.kill(fault, variant);
                 return;
             case "wipe":
             case "tear":
@@ -105,11 +105,21 @@
         await pause(PROCESS_START_MS);
     }
 
-    private async killAll(): Promise<void> {
-        const processes = this.fleet.members.map(member => member.process).filter(process =>
-            !this.activeTargets.has(process)
-        );
-        await this.runRecorded("kill-all", "all", processes, false, async () => {
+    private async kill(fault: PlannedFault, variant: string): Promise<void> {
+        switch (variant) {
+            case "all":
+                return this.killTogether(fault.kind, variant, this.fleet.members);
+            case "runners":
+                return this.killTogether(fault.kind, variant, this.fleet.runners);
+            default:
+                return this.runOnProcess(fault, process => this.restart(process));
+        }
+    }
+
+    /** Kills these members at the same moment and starts them again. */
+    private async killTogether(kind: string, target: string, members: SoakFleet["members"]): Promise<void> {
+        const processes = members.map(member => member.process).filter(process => !this.activeTargets.has(process));
+        await this.runRecorded(kind, target, processes, false, async () => {
             await Promise.all(processes.map(process => this.restart(process)));
         });
     }
--- a/fuzz/soak/src/faultKinds.ts
+++ b/fuzz/soak/src/faultKinds.ts
@@ -5,6 +5,7 @@
 export const faultKinds = [
     "kill-gateway",
     "kill-runner",
+    "kill-runners",
     "kill-all",
     "pause-gateway",
     "pause-runner",
