test(soak): a request that ends each upstream that begins to run it

Change: in 7 of 10 seeds (--crashing SHARE) a caller sends the same request with new ids every 0.5 to 1.5 s at random gateways. The upstream that begins to run it closes its sockets and is back after 1 to 3 s with a new start time. Once the request has ended three upstreams, it may reach upstreams at most three more times later than 3 s after the third end, from gateways undisturbed for 3 s; a quarter of the sound requests to the same service must be served. Broken gateways that pass it on, or reject sound requests along with it, are found. The recovery check doesn't count the crashing calls. The addresses of the oracle's test depend on the process: two worktrees that ran it at the same time both used 127.225.1.1 (EADDRINUSE).

--- a/fuzz/soak/src/checkRecovery.ts
+++ b/fuzz/soak/src/checkRecovery.ts
@@ -14,7 +14,8 @@
         return [];
     }
     const calls = record.calls.filter(call =>
-        call.kind !== "probe" && call.endedAtMs !== undefined && call.sentAtMs > faultsEndedAtMs + RECOVERY_MS
+        call.kind !== "probe" && call.kind !== "crashing" && call.endedAtMs !== undefined
+        && call.sentAtMs > faultsEndedAtMs + RECOVERY_MS
     );
     const served = calls.filter(call => call.statusCode === 200 && call.isComplete);
     return calls.length < MIN_CALLS || served.length >= calls.length * MIN_SERVED_SHARE
--- a/fuzz/soak/src/main.ts
+++ b/fuzz/soak/src/main.ts
@@ -6,6 +6,7 @@
 
 const DEFAULT_MINUTES = "0.4";
 const DEFAULT_PROCESSES = "7";
+const DEFAULT_CRASHING_SHARE = "0.7";
 const MS_PER_MINUTE = 60_000;
 
 const { values } = parseArgs({
@@ -15,6 +16,8 @@
         seeds: { type: "string", default: "1" },
         processes: { type: "string", default: DEFAULT_PROCESSES },
         minutes: { type: "string", default: DEFAULT_MINUTES },
+        /** Share of the seeds with a request that ends upstreams; 0 leaves it out. */
+        crashing: { type: "string", default: DEFAULT_CRASHING_SHARE },
     },
 });
 const root = path.resolve(import.meta.dirname, "../../../..");
@@ -26,6 +29,7 @@
         folder,
         seed,
         processes: Number(values.processes),
+        crashingShare: Number(values.crashing),
         faultMs: Number(values.minutes) * MS_PER_MINUTE,
     });
     const { violations, faults, ...figures } = report;
--- a/fuzz/soak/src/oracle.ts
+++ b/fuzz/soak/src/oracle.ts
@@ -1,4 +1,5 @@
 import { checkConfiguration } from "./checkConfiguration.js";
+import { checkCrashingRequests } from "./checkCrashingRequests.js";
 import { checkDraining } from "./checkDraining.js";
 import { checkJobs } from "./checkJobs.js";
 import { checkRecovery } from "./checkRecovery.js";
@@ -15,6 +16,7 @@
         checkResponses,
         checkRuns,
         checkJobs,
+        checkCrashingRequests,
         checkConfiguration,
         checkDraining,
         checkSoftwareVersions,
--- a/fuzz/soak/src/runRecord.ts
+++ b/fuzz/soak/src/runRecord.ts
@@ -12,6 +12,6 @@
     atMs: number;
     /** Id of the event after which the stream is to resume; 0 for a stream from its start. */
     lastEventId: number;
-    /** The mode in which the upstream failed the request on purpose; undefined if it did not. */
-    faultMode: UpstreamMode | undefined;
+    /** How the upstream failed the request on purpose; undefined if it did not. `crash`: it ended during the run. */
+    faultMode: UpstreamMode | "crash" | undefined;
 }
--- a/fuzz/soak/src/runSoak.ts
+++ b/fuzz/soak/src/runSoak.ts
@@ -1,5 +1,6 @@
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { crashingRequest } from "./crashingRequest.js";
 import { FaultInjector } from "./faultInjector.js";
 import { oracle } from "./oracle.js";
 import { pause } from "./pause.js";
@@ -47,10 +48,14 @@
     const [callersAbort, jobsAbort] = [new AbortController(), new AbortController()];
     const shared = { balancer, record, nowMs, newestVersion: () => fleet.operator.newestVersion };
     const callers = Array.from(
-        { length: CALLERS + PROBERS },
+        { length: CALLERS + PROBERS + 1 },
         (_, index) => new SoakCaller({ ...shared, name: `c${index}`, random: randomOf(10 + index) }),
     );
-    callers.slice(PROBERS).forEach(caller => void caller.run(callersAbort.signal));
+    const hasCrashingRequest = randomOf(5).next() < opts.crashingShare;
+    callers.slice(PROBERS, -1).forEach(caller => void caller.run(callersAbort.signal));
+    callers.slice(hasCrashingRequest ? -1 : callers.length).forEach(caller =>
+        void caller.sendCrashing(callersAbort.signal)
+    );
     callers.slice(0, PROBERS).forEach(prober => void prober.probe(fleet.gatewayAddresses, callersAbort.signal));
     const jobs = new SoakJobClient({ ...shared, name: "j", random: randomOf(3), cancelledShare: CANCELLED_SHARE });
     void jobs.run(JOB_INTERVAL_MS, jobsAbort.signal);
@@ -82,6 +87,7 @@
     return {
         seed: opts.seed,
         violations,
+        crashes: record.runs.filter(run => run.body === crashingRequest.body).length,
         faults: record.faults.map(fault => `${Math.round(fault.fromMs)} ${fault.kind} ${fault.target}`),
         calls: record.calls.length,
         served: record.calls.filter(call => call.statusCode === 200 && call.isComplete).length,
--- a/fuzz/soak/src/soakCaller.ts
+++ b/fuzz/soak/src/soakCaller.ts
@@ -3,16 +3,19 @@
 import { CallerConnection } from "./callerConnection.js";
 import type { CallKind } from "./callKind.js";
 import type { CallRecord } from "./callRecord.js";
+import { crashingRequest } from "./crashingRequest.js";
 import { pause } from "./pause.js";
 import type { SoakBalancer } from "./soakBalancer.js";
 import type { SoakGateway } from "./soakGateway.js";
 import type { SoakRecord } from "./soakRecord.js";
 
 const MAX_PAUSE_MS = 150;
+const MIN_CRASHING_PAUSE_MS = 500;
+const MAX_CRASHING_PAUSE_MS = 1500;
 const PAUSE_AFTER_FAILURE_MS = 100;
 const TIMEOUT_MS = 4000;
 const MAX_EVENTS = 20;
-const PATHS: { [kind in Exclude<CallKind, "probe">]: string; } = {
+const PATHS: { [kind in Exclude<CallKind, "probe" | "crashing">]: string; } = {
     "idempotent": "/fetch/x",
     "once": "/book/x",
     "stream": "/stream/x",
@@ -73,6 +76,16 @@
         }
     }
 
+    /** Sends the crashing request again and again, each time at another random gateway, until `signal` is aborted. */
+    async sendCrashing(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const rangeMs = MAX_CRASHING_PAUSE_MS - MIN_CRASHING_PAUSE_MS;
+            await pause(MIN_CRASHING_PAUSE_MS + this.opts.random.nextInteger(rangeMs));
+            await this.send({ kind: "crashing", ...crashingRequest });
+            this.connection?.close();
+        }
+    }
+
     /** Resumes a stream that has been cut off after its first event, at another gateway where the balancer chooses one. */
     private async resume(call: CallRecord): Promise<void> {
         const events = [...call.responseBody.matchAll(/^id: (\d+)\ndata: .*\n\n/gmu)];
--- a/fuzz/soak/src/soakFleet.ts
+++ b/fuzz/soak/src/soakFleet.ts
@@ -108,6 +108,7 @@
             service,
             zone: ZONES[number % ZONES.length]!,
             softwareVersion: `v${number % SOFTWARE_VERSIONS}` as SoftwareVersion,
+            onRestart: restarted => this.operator.announce(restarted),
         });
         await upstream.listen(this.hostOf(3, 1 + number % 250));
         await this.operator.announce(upstream);
--- a/fuzz/soak/src/soakOptions.ts
+++ b/fuzz/soak/src/soakOptions.ts
@@ -7,6 +7,8 @@
     seed: number;
     /** Number of processes of the fleet. */
     processes: number;
+    /** Share of the seeds, in [0, 1], with a request that ends each upstream that begins to run it. */
+    crashingShare: number;
     /** Duration of the fault phase. */
     faultMs: number;
 }
--- a/fuzz/soak/src/soakReport.ts
+++ b/fuzz/soak/src/soakReport.ts
@@ -8,6 +8,8 @@
     faults: string[];
     /** Number of calls, including probes. */
     calls: number;
+    /** Number of times that the crashing request ended an upstream. */
+    crashes: number;
     /** Number of calls that got a complete response with status 200. */
     served: number;
     /** Number of accepted jobs. */
--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -10,6 +10,7 @@
 import { TcpRelay } from "@knapweedwood/standins.network/tcpRelay";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { crashingRequest } from "./crashingRequest.js";
 import { expectedEvents } from "./expectedEvents.js";
 import { pause } from "./pause.js";
 import type { RunRecord } from "./runRecord.js";
@@ -19,6 +20,8 @@
 const EVENT_INTERVAL_MS = 8;
 const RESPONSE_DELAY_MS = 15;
 const SLOW_FACTOR = 5;
+const MIN_RESTART_MS = 1000;
+const MAX_RESTART_MS = 3000;
 const SLOTS = 8;
 /** Maximum number of requests that wait for a slot, in addition to those that run. */
 const MAX_QUEUED = 8;
@@ -27,7 +30,7 @@
 
 /**
  * A stand-in for an upstream, reached through a relay. It records each request that it runs, and is slow or fails as
- * its mode says.
+ * its mode says. The crashing request ends it; it is back after a while, as a new process.
  */
 export class SoakUpstream {
     readonly id: UpstreamId;
@@ -40,28 +43,34 @@
         record: SoakRecord;
         random: Random;
         nowMs: () => number;
+        /** Called when the upstream serves again after a crash, at a new address. */
+        onRestart?: (upstream: SoakUpstream) => Promise<void>;
     };
-    private readonly server: Server;
-    private upstream!: Upstream;
+    private server!: Server;
+    private upstream: Upstream | undefined;
+    private isCrashed = false;
+    private isClosed = false;
+    private readonly active = new Set<RunRecord>();
     private running = 0;
     private waiting: (() => void)[] = [];
 
     constructor(id: string, opts: SoakUpstream["opts"]) {
         this.id = id as UpstreamId;
         this.opts = opts;
-        this.server = createServer((request, response) => void this.handle(request, response));
-        this.server.keepAliveTimeout = 0;
     }
 
     /** The entry that the upstream announces in the key-value service. */
     get announcement(): Upstream {
-        return this.upstream;
+        return this.upstream!;
     }
 
     /** Starts to listen behind a relay. `relay` and `announcement` are defined only afterwards. */
     async listen(host: string): Promise<void> {
+        this.server = createServer((request, response) => void this.handle(request, response));
+        this.server.keepAliveTimeout = 0;
         await new Promise<void>(resolve => this.server.listen(0, host, resolve));
         this.relay = new TcpRelay({ host, port: (this.server.address() as AddressInfo).port });
+        this.isCrashed = false;
         this.upstream = {
             id: this.id,
             service: this.opts.service as ServiceName,
@@ -69,22 +78,41 @@
             zone: this.opts.zone as ZoneName,
             softwareVersion: this.opts.softwareVersion,
             slots: SLOTS,
-            state: "ready",
+            state: this.upstream?.state ?? "ready",
             startedAtMs: Date.now(),
         };
     }
 
     startDraining(): void {
-        this.upstream = { ...this.upstream, state: "draining" };
+        this.upstream = { ...this.announcement, state: "draining" };
     }
 
     /** Closes at once and cuts off the running requests. */
     close(): void {
+        this.isClosed = true;
+        this.closeSockets();
+    }
+
+    private closeSockets(): void {
         this.relay.close();
         this.server.close();
         this.server.closeAllConnections();
     }
 
+    /** Cuts off the running requests and listens again after a random time, unless the upstream is closed meanwhile. */
+    private async crash(): Promise<void> {
+        this.isCrashed = true;
+        this.active.forEach(run => {
+            run.faultMode = "crash";
+        });
+        this.closeSockets();
+        await pause(MIN_RESTART_MS + this.opts.random.nextInteger(MAX_RESTART_MS - MIN_RESTART_MS));
+        if (!this.isClosed) {
+            await this.listen(this.announcement.address.host);
+            await this.opts.onRestart?.(this);
+        }
+    }
+
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         response.on("error", () => undefined);
         const body = await readBody(request).then(bytes => bytes.toString("utf8"), () => undefined);
@@ -103,7 +131,7 @@
         }
         await this.acquireSlot();
         try {
-            if (!response.destroyed) {
+            if (!response.destroyed && !this.isCrashed) {
                 await this.run(request, response, { body, callId });
             }
         }
@@ -130,6 +158,12 @@
             faultMode: isMisbehaving ? this.mode : undefined,
         };
         this.opts.record.runs.push(run);
+        this.active.add(run);
+        response.once("close", () => this.active.delete(run));
+        if (run.body === crashingRequest.body) {
+            void this.crash();
+            return;
+        }
         const events = expectedEvents(call.body).slice(run.lastEventId);
         if (!isMisbehaving || !await this.misbehave(response, events)) {
             response.setHeader(wireHeaders.upstreamProof, `proof-${this.id}`);
--- a/fuzz/soak/test/brokenGateway.ts
+++ b/fuzz/soak/test/brokenGateway.ts
@@ -8,6 +8,7 @@
     type Server,
     type ServerResponse,
 } from "node:http";
+import { crashingRequest } from "../src/crashingRequest.js";
 import { jobRoutes } from "../src/jobRoutes.js";
 import { ANSWER_SERVICE, MODEL_SERVICE } from "../src/soakNames.js";
 import type { SoakUpstream } from "../src/soakUpstream.js";
@@ -33,6 +34,8 @@
     | "lists-items-twice"
     | "runs-cancelled-items"
     | "runs-refused-jobs"
+    | "passes-crashing-requests"
+    | "rejects-sound-requests"
     | "serves-nobody";
 
 interface WireItem {
@@ -48,6 +51,8 @@
 }
 
 const PROBE = /^\/only-(\d+)\//u;
+/** Number of ended upstreams after which the crashing request is known. */
+const CRASHES_UNTIL_KNOWN = 3;
 const HTTP_UNAVAILABLE = 503;
 const RETRY_DELAY_MS = 20;
 /** Longer than the items of a cancelled job may still start to run. */
@@ -67,6 +72,7 @@
     private readonly draining = new Set<SoakUpstream>();
     private lastResponseText = "";
     private requestCount = 0;
+    private crashes = 0;
 
     constructor(opts: { breakage: Breakage; upstreams: SoakUpstream[]; }) {
         this.breakage = opts.breakage;
@@ -115,9 +121,20 @@
             response.writeHead(this.breakage === "serves-nobody" ? 503 : 404, { "content-length": 0 }).end();
             return;
         }
+        if (this.shouldReject(url, body)) {
+            response.writeHead(422, { "content-length": 0 }).end();
+            return;
+        }
         await this.forward(request, response, body);
     }
 
+    /** Returns whether the request has ended too many upstreams; by mistake, other requests of its route may count too. */
+    private shouldReject(url: string, body: string): boolean {
+        const isCrashing = body === crashingRequest.body;
+        const isKnown = this.crashes >= CRASHES_UNTIL_KNOWN && this.breakage !== "passes-crashing-requests";
+        return isKnown && (isCrashing || this.breakage === "rejects-sound-requests" && url.startsWith("/fetch/"));
+    }
+
     /** Returns whether the route of a URL exists. Only routes of probes may be missing. */
     private isActiveRoute(url: string): boolean {
         const version = PROBE.exec(url)?.[1];
@@ -242,7 +259,10 @@
                     resolve({ statusCode: response.statusCode ?? 0, text })
                 );
             });
-            request.on("error", () => resolve({ statusCode: 502, text: "" }));
+            request.on("error", (error: NodeJS.ErrnoException) => {
+                this.crashes += call.body === crashingRequest.body && error.code === "ECONNRESET" ? 1 : 0;
+                resolve({ statusCode: 502, text: "" });
+            });
             request.end(call.body);
         });
     }
--- a/fuzz/soak/test/oracle.test.ts
+++ b/fuzz/soak/test/oracle.test.ts
@@ -23,6 +23,10 @@
 /** Far longer than a loaded machine needs. A wait that reaches it fails the test. */
 const MAX_WAIT_MS = 120_000;
 const FIRST_SUBNET = 221;
+/** Tests that run at the same time on one machine have different addresses. */
+const MAX_HOST_NUMBER = 250;
+/** The breakages with a caller whose request ends upstreams. */
+const CRASHING_BREAKAGES: Breakage[] = ["nothing", "passes-crashing-requests", "rejects-sound-requests"];
 /** How long before the start of the test all faults ended. More than the recovery time that the oracle allows. */
 const FAULTS_ENDED_BEFORE_MS = 20_000;
 
@@ -42,7 +46,7 @@
         .map((service, index) =>
             new SoakUpstream(`u-${index}`, { service, zone: "a", softwareVersion, record, random, nowMs })
         );
-    const host = `127.${subnet}.1.1`;
+    const host = `127.${subnet}.${1 + process.pid % MAX_HOST_NUMBER}.1`;
     await Promise.all(upstreams.map(upstream => upstream.listen(host)));
     const gateway = new BrokenGateway({ breakage, upstreams });
     await gateway.listen(host, [CALLERS_PORT, READINESS_PORT]);
@@ -64,9 +68,13 @@
     const controller = new AbortController();
     const shared = { balancer, record, random, nowMs, newestVersion: () => gateway.version };
     const callers = Array.from({ length: 4 }, (_, index) => new SoakCaller({ ...shared, name: `c${index}` }));
+    const crashingCallers = CRASHING_BREAKAGES.includes(breakage)
+        ? [new SoakCaller({ ...shared, name: "crashing" })]
+        : [];
     const running = [
         ...callers.slice(1).map(caller => caller.run(controller.signal)),
         callers[0]!.probe([address], controller.signal),
+        ...crashingCallers.map(caller => caller.sendCrashing(controller.signal)),
     ];
     const cancelledShare = breakage === "runs-cancelled-items" ? 1 : 0;
     const jobs = new SoakJobClient({ ...shared, name: "j", cancelledShare });
@@ -136,6 +144,8 @@
     { breakage: "lists-items-twice", promise: "item-once" },
     { breakage: "runs-cancelled-items", promise: "cancelled-stays" },
     { breakage: "runs-refused-jobs", promise: "refused-job-never-runs" },
+    { breakage: "passes-crashing-requests", promise: "crashing-request-stopped" },
+    { breakage: "rejects-sound-requests", promise: "sound-requests-served" },
     { breakage: "serves-nobody", promise: "recovers" },
 ];
 
