--- a/fuzz/soak/test/brokenGateway.ts
+++ b/fuzz/soak/test/brokenGateway.ts
@@ -8,6 +8,8 @@
     type Server,
     type ServerResponse,
 } from "node:http";
+import { crashingRequest } from "../src/crashingRequest.js";
+import { jobRoutes } from "../src/jobRoutes.js";
 import { ANSWER_SERVICE, MODEL_SERVICE } from "../src/soakNames.js";
 import type { SoakUpstream } from "../src/soakUpstream.js";
 
@@ -29,8 +31,11 @@
     | "cuts-texts"
     | "gives-items-up"
     | "moves-results"
+    | "lists-items-twice"
     | "runs-cancelled-items"
     | "runs-refused-jobs"
+    | "passes-crashing-requests"
+    | "rejects-sound-requests"
     | "serves-nobody";
 
 interface WireItem {
@@ -46,11 +51,16 @@
 }
 
 const PROBE = /^\/only-(\d+)\//u;
+/** Number of ended upstreams after which the crashing request is known. */
+const CRASHES_UNTIL_KNOWN = 3;
 const HTTP_UNAVAILABLE = 503;
 const RETRY_DELAY_MS = 20;
 /** Longer than the items of a cancelled job may still start to run. */
 const LATE_RUN_MS = 4200;
 
+/** Time after the end of a job in which callers read all its results. */
+const RELIST_DELAY_MS = 2000;
+
 /** A simple in-process gateway that breaks one promise on purpose. */
 export class BrokenGateway {
     version = 1;
@@ -62,6 +72,7 @@
     private readonly draining = new Set<SoakUpstream>();
     private lastResponseText = "";
     private requestCount = 0;
+    private crashes = 0;
 
     constructor(opts: { breakage: Breakage; upstreams: SoakUpstream[]; }) {
         this.breakage = opts.breakage;
@@ -102,7 +113,7 @@
             response.writeHead(200).end();
             return;
         }
-        if (url.startsWith(callerPaths.jobs) || url.startsWith("/job/")) {
+        if (url.startsWith(callerPaths.jobs) || isSubmission(url)) {
             this.handleJob(request, response, body);
             return;
         }
@@ -110,9 +121,20 @@
             response.writeHead(this.breakage === "serves-nobody" ? 503 : 404, { "content-length": 0 }).end();
             return;
         }
+        if (this.shouldReject(url, body)) {
+            response.writeHead(422, { "content-length": 0 }).end();
+            return;
+        }
         await this.forward(request, response, body);
     }
 
+    /** Returns whether the request has ended too many upstreams; by mistake, other requests of its route may count too. */
+    private shouldReject(url: string, body: string): boolean {
+        const isCrashing = body === crashingRequest.body;
+        const isKnown = this.crashes >= CRASHES_UNTIL_KNOWN && this.breakage !== "passes-crashing-requests";
+        return isKnown && (isCrashing || this.breakage === "rejects-sound-requests" && url.startsWith("/fetch/"));
+    }
+
     /** Returns whether the route of a URL exists. Only routes of probes may be missing. */
     private isActiveRoute(url: string): boolean {
         const version = PROBE.exec(url)?.[1];
@@ -159,7 +181,7 @@
         const jobId = url.pathname.startsWith(callerPaths.jobs)
             ? url.pathname.slice(callerPaths.jobs.length)
             : String(request.headers[wireHeaders.requestId]);
-        if (url.pathname.startsWith("/job/")) {
+        if (isSubmission(url.pathname)) {
             this.submit(jobId, body);
             response.writeHead(this.breakage === "runs-refused-jobs" ? 429 : 202, { "content-length": 0 }).end();
             return;
@@ -200,6 +222,10 @@
             };
             job.results.splice(this.breakage === "moves-results" ? 0 : job.results.length, 0, result);
         }));
+        if (this.breakage === "lists-items-twice") {
+            await new Promise(resolve => setTimeout(resolve, RELIST_DELAY_MS));
+            job.results.push(...job.results.map(({ id }) => ({ id, state: "dead_letter", output: "" })));
+        }
     }
 
     /** Runs an item, and retries it while the upstreams are full. */
@@ -233,12 +259,19 @@
                     resolve({ statusCode: response.statusCode ?? 0, text })
                 );
             });
-            request.on("error", () => resolve({ statusCode: 502, text: "" }));
+            request.on("error", (error: NodeJS.ErrnoException) => {
+                this.crashes += call.body === crashingRequest.body && error.code === "ECONNRESET" ? 1 : 0;
+                resolve({ statusCode: 502, text: "" });
+            });
             request.end(call.body);
         });
     }
 }
 
+function isSubmission(path: string): boolean {
+    return jobRoutes.some(({ name }) => path.startsWith(`/${name}/`));
+}
+
 async function readText(message: IncomingMessage): Promise<string> {
     return (await readBody(message)).toString("utf8");
 }
