test(jobs): refused progress counts as stored, failing

ProgressWriter does not look at the result of its guarded write. The test lets another process take the leadership: 2 items count as stored, none is.

--- a/fleet/jobs/test/progressWriter.test.ts
+++ b/fleet/jobs/test/progressWriter.test.ts
@@ -3,7 +3,7 @@
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import { jobKeys } from "../src/jobKeys.js";
 import { JobTable } from "../src/jobTable.js";
 import { OpenJob } from "../src/openJob.js";
@@ -13,10 +13,12 @@
 async function setUp() {
     const service = new MemoryKeyValueService({ clock: new ManualClock() });
     const { revision } = await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("a") }]);
+    const term = { revision };
+    const stepDown = mock.fn();
     const leadership: FencedLeadership = {
         isLeading: () => true,
-        fence: () => ({ key: "leader", modRevision: revision }),
-        stepDown: () => undefined,
+        fence: () => ({ key: "leader", modRevision: term.revision }),
+        stepDown,
     };
     const job = new OpenJob(createJobRecord({ id: "j", itemCount: 3 }));
     job.items.forEach((item, index) => {
@@ -24,7 +26,7 @@
         item.lastEventId = index * 10;
         item.events = Array.from({ length: index * 10 }, (_, event) => `e${event}`);
     });
-    return { service, job, writer: new ProgressWriter({ service, leadership }) };
+    return { service, job, term, stepDown, writer: new ProgressWriter({ service, leadership }) };
 }
 
 test("the next leader continues from the stored progress", async () => {
@@ -65,3 +67,14 @@
     await writer.saveAll([job]);
     assert.deepEqual(await service.list(jobKeys.resultsPrefix), []);
 });
+
+// The result of the write was not looked at: refused progress counted as stored, and was not stored later.
+test("progress whose write is refused does not count as stored", async () => {
+    const { service, job, term, stepDown, writer } = await setUp();
+    const { revision } = await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("b") }]);
+    assert.equal(await writer.saveAll([job]), 0);
+    assert.equal(stepDown.mock.callCount(), 1);
+    term.revision = revision;
+    await writer.saveFurthest([job], 5);
+    assert.equal((await service.list(jobKeys.resultsPrefix)).length, 2);
+});
