fix(jobs): progress whose write is refused does not count as stored

Cause: ProgressWriter counted the entries of a guarded write as stored without its result. A leader that another process had replaced wrote them no more, and logged at the hand-over that it had stored them.

Change: only a write that succeeded counts. A refused one ends the leadership, as in ResultCommitter. saveAll returns the number of items stored.

--- a/fleet/jobs/src/progressWriter.ts
+++ b/fleet/jobs/src/progressWriter.ts
@@ -27,11 +27,9 @@
         this.leadership = opts.leadership;
     }
 
-    /** Stores the progress of the items of open jobs that have any. Returns the number of these items. */
-    async saveAll(jobs: readonly OpenJob[]): Promise<number> {
-        const items = this.itemsWithProgress(jobs);
-        await this.writeInParts(items);
-        return items.length;
+    /** Stores the progress of the items of open jobs that have any. Returns the number of items stored. */
+    saveAll(jobs: readonly OpenJob[]): Promise<number> {
+        return this.writeInParts(this.itemsWithProgress(jobs));
     }
 
     /**
@@ -46,10 +44,14 @@
         await this.writeInParts(furthest);
     }
 
-    private async writeInParts(items: readonly ItemWithProgress[]): Promise<void> {
+    /** Returns the number of items stored. */
+    private async writeInParts(items: readonly ItemWithProgress[]): Promise<number> {
+        let storedCount = 0;
         for (let start = 0; start < items.length; start += MAX_ENTRIES) {
-            await this.write(items.slice(start, start + MAX_ENTRIES));
+            const part = items.slice(start, start + MAX_ENTRIES);
+            storedCount += await this.write(part) ? part.length : 0;
         }
+        return storedCount;
     }
 
     private itemsWithProgress(jobs: readonly OpenJob[]): ItemWithProgress[] {
@@ -64,13 +66,14 @@
         return item.lastEventId < storedId ? item.lastEventId : item.lastEventId - storedId;
     }
 
-    private async write(items: readonly ItemWithProgress[]): Promise<void> {
+    /** Returns whether the progress was stored. */
+    private async write(items: readonly ItemWithProgress[]): Promise<boolean> {
         const fence = this.leadership.fence();
         if (fence === undefined) {
-            return;
+            return false;
         }
         const storedIds = items.map(({ item }) => item.lastEventId);
-        await this.service.transact(
+        const { succeeded } = await this.service.transact(
             [fence],
             items.map(({ job, item }) => ({
                 kind: "put",
@@ -78,6 +81,11 @@
                 value: encodeRecord(pickProgress(item)),
             })),
         );
+        if (!succeeded) {
+            this.leadership.stepDown("write-refused");
+            return false;
+        }
         items.forEach(({ item }, index) => this.storedEventIds.set(item, storedIds[index]!));
+        return true;
     }
 }
