test(jobs): a refused removal of a job counts as done, failing

JobCleanup does not look at the result of its guarded removals. The test lets another process take the leadership: the job leaves the table and is logged as removed while its record is still stored.

--- a/fleet/jobs/test/jobCleanup.test.ts
+++ b/fleet/jobs/test/jobCleanup.test.ts
@@ -4,7 +4,7 @@
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import { JobCleanup } from "../src/jobCleanup.js";
 import { jobKeys } from "../src/jobKeys.js";
 import { JobTable } from "../src/jobTable.js";
@@ -16,10 +16,11 @@
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
     const { revision } = await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("a") }]);
+    const stepDown = mock.fn();
     const leadership: FencedLeadership = {
         isLeading: () => true,
         fence: () => ({ key: "leader", modRevision: revision }),
-        stepDown: () => undefined,
+        stepDown,
     };
     const results = record.items.map((item, position) => ({
         kind: "put" as const,
@@ -46,7 +47,7 @@
         table,
         resultRetentionMs: () => 1000,
     });
-    return { clock, service, table, cleanup };
+    return { clock, service, table, stepDown, cleanup };
 }
 
 test("the tokens of an ended job are released once the service responds again", async () => {
@@ -71,3 +72,14 @@
     assert.deepEqual(await service.list("knapweed/results/"), []);
     assert.equal(table.get(record.jobId), undefined);
 });
+
+// The result of the removal was not looked at: a refused one counted as done.
+test("a job whose removal is refused stays in the table", async () => {
+    const { clock, service, table, stepDown, cleanup } = await setUp();
+    await clock.advance(1100);
+    await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("b") }]);
+    await cleanup.run();
+    assert.notEqual(await service.get(jobKeys.record(record.jobId)), undefined);
+    assert.notEqual(table.get(record.jobId), undefined);
+    assert.equal(stepDown.mock.callCount(), 1);
+});
