fix(jobs): a job whose removal is refused counts as stored

Cause: JobCleanup did not look at the results of its guarded removals. A leader that another process had replaced dropped the job from its table and logged job-removed while the job was still stored.

Change: a refused removal leaves the job in the table and ends the leadership, as in ResultCommitter.

--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -88,7 +88,11 @@
         keys.sort((left, right) => Number(left === jobKeys.record(jobId)) - Number(right === jobKeys.record(jobId)));
         for (let start = 0; start < keys.length; start += MAX_REMOVALS) {
             const removals = keys.slice(start, start + MAX_REMOVALS).map(key => ({ kind: "delete" as const, key }));
-            await this.opts.service.transact([fence], removals);
+            const { succeeded } = await this.opts.service.transact([fence], removals);
+            if (!succeeded) {
+                this.opts.leadership.stepDown("write-refused");
+                return;
+            }
         }
         this.opts.table.delete(jobId);
         this.opts.logger.info("job-removed", { jobId, keys: keys.length });
