--- a/daemons/fleet/src/operatorsFollower.ts
+++ b/daemons/fleet/src/operatorsFollower.ts
@@ -44,6 +44,17 @@
         return this.writtenRevision;
     }
 
+    /**
+     * Reads the stored configuration and makes it the active one if it is newer. Rejects with the error of the key-value
+     * service.
+     *
+     * @returns whether the active configuration is certain to be current: false if no readable one is stored
+     */
+    async refresh(): Promise<boolean> {
+        const entry = await this.opts.service.get(wireKeys.configuration);
+        return entry !== undefined && this.onConfigurationEntry(entry);
+    }
+
     private onEntry(entry: KeyValueEntry): void {
         if (entry.key === wireKeys.configuration) {
             this.onConfigurationEntry(entry);
@@ -53,7 +64,8 @@
         }
     }
 
-    private onConfigurationEntry(entry: KeyValueEntry): void {
+    /** Returns whether the configuration in the entry is readable. */
+    private onConfigurationEntry(entry: KeyValueEntry): boolean {
         try {
             const configuration = decodeConfiguration(entry.value);
             this.writtenRevision = Math.max(this.writtenRevision, entry.modRevision);
@@ -65,12 +77,14 @@
                 });
                 this.opts.onConfiguration();
             }
+            return true;
         }
         catch (error) {
             this.opts.logger.error("configuration-unreadable", {
                 revision: entry.modRevision,
                 message: (error as Error).message,
             });
+            return false;
         }
     }
 }
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -78,6 +78,7 @@
         this.runner = new JobRunner({
             ...this.sharedOptions(),
             logger,
+            refreshConfiguration: () => this.fleet.operators.refresh(),
             headers: wireHeaders,
             decodeSharedPromptParts,
             resultRetentionMs: () => activeSettings.current.resultRetentionMs,
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -23,6 +23,8 @@
     metrics: Metrics;
     leadership: FencedLeadership;
     configuration: ActiveConfiguration;
+    /** Makes the stored configuration the active one. Resolves to whether the active one is certain to be current. */
+    refreshConfiguration: () => Promise<boolean>;
     directory: UpstreamDirectory;
     connections: UpstreamConnections;
     loadTracker: LoadTracker;
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -73,6 +73,7 @@
         service,
         clock,
         configuration,
+        refreshConfiguration: () => Promise.resolve(true),
         directory,
         loadTracker,
         random: new SeededRandom(1),
