fix(claims): a response or release refused by a lost shard goes to the new owner

Cause: an owner that had lost its shard resolved record and release to false, and ClaimService ignored it. The caller had its response, but a repeated request got the outcome unknown; a call that had not run stayed claimed.

Change: a refused page rejects all its entries with CLAIM_SHARD_MOVED, as it did for claims, and ClaimService repeats the call at the new owner.

--- a/batch/claims/src/claimService.ts
+++ b/batch/claims/src/claimService.ts
@@ -109,12 +109,12 @@
     }
 
     /**
-     * Records the response of a claimed call. Resolves once the owner of the shard has responded. Repeated requests
-     * then receive the response, unless the token does not hold the claim or the owner has lost the shard. Rejects if
-     * no owner responds within RECORD_RETRY_TIMEOUT_MS.
+     * Records the response of a claimed call. Resolves once it is recorded: repeated requests then receive it. Rejects with
+     * `CLAIM_NOT_HELD` if the token does not hold the claim, and if no owner of the shard records the response within
+     * RECORD_RETRY_TIMEOUT_MS.
      */
     async record(token: ClaimToken, response: RecordedResponse): Promise<void> {
-        await this.callWithRetries(
+        const { recorded } = await this.callWithRetries(
             RECORD_RETRY_TIMEOUT_MS,
             recordAnswerCall,
             { token, answer: response },
@@ -122,6 +122,12 @@
                 recorded: await shard.record(token, response),
             }),
         );
+        if (!recorded) {
+            throw new KnapweedError(
+                "CLAIM_NOT_HELD",
+                "The response is not recorded: its token does not hold the claim",
+            );
+        }
     }
 
     /** Releases a claim. Only for a call that provably did not run. */
--- a/batch/claims/src/claimShard.ts
+++ b/batch/claims/src/claimShard.ts
@@ -40,7 +40,7 @@
 interface PendingEntry {
     entry: ClaimLogEntry;
     sizeBytes: number;
-    resolve: (isCommitted: boolean) => void;
+    resolve: () => void;
     reject: (error: unknown) => void;
 }
 
@@ -120,13 +120,16 @@
             this.undecidedClaims.delete(claimId)
         );
         this.undecidedClaims.set(claimId, decided);
-        if (!await decision) {
-            throw ownershipLostError();
-        }
+        await decision;
         return { kind: "granted", token: opts.token };
     }
 
-    /** Records a response under the granted token. @returns whether a response is recorded under this token */
+    /**
+     * Records a response under the granted token. Rejects with `CLAIM_SHARD_MOVED` (outcome `not-run`) if this instance no
+     * longer owns the shard.
+     *
+     * @returns whether a response is recorded under this token
+     */
     async record(token: ClaimToken, response: RecordedResponse): Promise<boolean> {
         await this.load();
         const current = this.table.find(token.claimId);
@@ -137,10 +140,16 @@
         const stored = await this.storeResponse(response);
         const atMs = this.opts.clock.nowMs();
         const { requestDigest } = current;
-        return await this.append({ kind: "recorded", claimId, tokenId, requestDigest, atMs, answer: stored });
+        await this.append({ kind: "recorded", claimId, tokenId, requestDigest, atMs, answer: stored });
+        return true;
     }
 
-    /** Releases the claim that the token holds. @returns whether the claim no longer exists */
+    /**
+     * Releases the claim that the token holds. Rejects with `CLAIM_SHARD_MOVED` (outcome `not-run`) if this instance no
+     * longer owns the shard.
+     *
+     * @returns whether the claim no longer exists
+     */
     async release(token: ClaimToken): Promise<boolean> {
         await this.load();
         const current = this.table.find(token.claimId);
@@ -148,7 +157,8 @@
             return current === undefined;
         }
         const { claimId, tokenId } = token;
-        return await this.append({ kind: "released", claimId, tokenId, atMs: this.opts.clock.nowMs() });
+        await this.append({ kind: "released", claimId, tokenId, atMs: this.opts.clock.nowMs() });
+        return true;
     }
 
     /** Waits until the pending entries are written; ignores failed writes. */
@@ -156,7 +166,8 @@
         await this.flushing?.catch(() => undefined);
     }
 
-    private append(entry: ClaimLogEntry): Promise<boolean> {
+    /** Resolves once the entry is committed. Rejects with `CLAIM_SHARD_MOVED` if this instance no longer owns the shard. */
+    private append(entry: ClaimLogEntry): Promise<void> {
         const bodyBytes = entry.kind === "recorded" ? entry.answer.body?.length ?? 0 : 0;
         return new Promise((resolve, reject) => {
             this.pending.push({ entry, sizeBytes: bodyBytes + ENTRY_OVERHEAD_BYTES, resolve, reject });
@@ -181,17 +192,14 @@
 
     private async commitPage(page: PendingEntry[]): Promise<void> {
         try {
-            const isCommitted = await this.log.append(page.map(pending => pending.entry));
-            if (isCommitted) {
-                page.forEach(pending => this.table.apply(pending.entry));
-            }
-            else {
-                this.loading = undefined;
+            if (!await this.log.append(page.map(pending => pending.entry))) {
+                throw ownershipLostError();
             }
-            page.forEach(pending => pending.resolve(isCommitted));
+            page.forEach(pending => this.table.apply(pending.entry));
+            page.forEach(pending => pending.resolve());
         }
         catch (error) {
-            // The page may have been written anyway, so the log is read again before the next decision.
+            // Another owner may have written, or this page was written anyway: the log is read again before the next decision.
             this.loading = undefined;
             page.forEach(pending => pending.reject(error));
         }
