test(jobs): a cancellation of a removed job stays behind, failing

JobAcceptor.cancel reads the record and writes the cancellation without comparing the record. The test removes the job between the two.

--- a/fleet/jobs/test/jobAcceptor.test.ts
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -5,7 +5,7 @@
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import type { Acceptance } from "../src/acceptance.js";
 import type { HoldOutcome } from "../src/holdOutcome.js";
 import { JobAcceptor } from "../src/jobAcceptor.js";
@@ -123,3 +123,21 @@
     const tooLarge = submissionOf("j", 1000);
     assert.equal((await settle(acceptor().accept(route, tooLarge))).kind, "unknown");
 });
+
+// The cancellation was written on the basis of an earlier read of the record. Its key stayed behind when the job was removed
+// in between, and a job sent again with the same id was cancelled from the start.
+test("a job that is removed during its cancellation leaves no cancellation behind", async () => {
+    const { clock, service, acceptor, settle } = setUp();
+    await settle(acceptor().accept(route, submissionOf("j")));
+    const record = jobKeys.record("j" as JobId);
+    const get = service.get.bind(service);
+    mock.method(service, "get", async (key: string) => {
+        const entry = await get(key);
+        await service.transact([], [{ kind: "delete", key: record }]);
+        return entry;
+    });
+    const cancelling = acceptor().cancel("j" as JobId);
+    await clock.advance(10_000);
+    assert.equal(await cancelling, undefined);
+    assert.deepEqual(await service.list(jobKeys.cancellation("j" as JobId)), []);
+});
