fix(jobs): a cancellation is written only for the record that was read

Cause: JobAcceptor.cancel wrote the cancellation of a job whose record it had read earlier, without comparing the record. Where the job was removed in between, the key stayed behind, and a job sent again with the same id was cancelled from the start.

Change: the write compares the record too.

--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -84,7 +84,7 @@
         const result = await settleTransaction({
             service: this.service,
             clock: this.clock,
-            compares: [{ key, modRevision: 0 }],
+            compares: [{ key, modRevision: 0 }, { key: record.key, modRevision: record.modRevision }],
             operations: [{ kind: "put", key, value: encodeRecord({ cancelled: true }) }],
             witnessKey: key,
         });
@@ -93,8 +93,14 @@
                 outcome: "unknown",
             });
         }
-        this.logger.info("job-cancelled", { jobId });
-        return result.kind === "succeeded" ? result.revision : result.current[0]?.modRevision;
+        const revision = result.kind === "succeeded"
+            ? result.revision
+            : result.current.find(entry => entry.key === key)?.modRevision;
+        // Without either, the job has been removed since its record was read.
+        if (revision !== undefined) {
+            this.logger.info("job-cancelled", { jobId });
+        }
+        return revision;
     }
 
     /**
