test(jobs): an interrupted removal opens the job again, failing

JobCleanup removes the results of a job in writes of 32 keys, the record last. Where the leader ends in between, the next one finds an expired job with items without results. The test stops after the first of two writes.

--- a/fleet/jobs/test/jobCleanup.test.ts
+++ b/fleet/jobs/test/jobCleanup.test.ts
@@ -83,3 +83,22 @@
     assert.notEqual(table.get(record.jobId), undefined);
     assert.equal(stepDown.mock.callCount(), 1);
 });
+
+// A removal of more than 32 keys takes several writes, results first. A leader that started in between saw the items without
+// results of an expired job, and gave them up.
+test("a removal that is interrupted does not open the job again", async () => {
+    const { clock, service, cleanup } = await setUp();
+    await clock.advance(1100);
+    const transact = service.transact.bind(service);
+    let writes = 0;
+    mock.method(service, "transact", (...args: Parameters<typeof transact>) => {
+        writes += 1;
+        return writes === 1 ? transact(...args) : Promise.reject(new Error("The key-value service is unavailable."));
+    });
+    await cleanup.run();
+    assert.ok(writes > 1);
+    const table = new JobTable();
+    table.apply(await service.list(jobKeys.jobsPrefix));
+    table.applyResults(await service.list(jobKeys.resultsPrefix));
+    assert.notEqual(table.get(record.jobId)?.isEnded, false);
+});
