--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -86,16 +86,25 @@
         // An interrupted removal starts again while the record exists, and no item runs again while the list exists.
         const lastKeys: string[] = [jobKeys.listedItems(jobId), jobKeys.record(jobId)];
         const keys = [...results.entries, ...parts.entries].map(entry => entry.key);
-        await this.removeKeys(keys.filter(key => !lastKeys.includes(key)), fence);
-        await this.removeKeys(keys.filter(key => lastKeys.includes(key)), fence);
+        const isRemoved = await this.removeKeys(keys.filter(key => !lastKeys.includes(key)), fence)
+            && await this.removeKeys(keys.filter(key => lastKeys.includes(key)), fence);
+        if (!isRemoved) {
+            this.opts.leadership.stepDown("write-refused");
+            return;
+        }
         this.opts.table.delete(jobId);
         this.opts.logger.info("job-removed", { jobId, keys: keys.length });
     }
 
-    private async removeKeys(keys: readonly string[], fence: KeyValueCompare): Promise<void> {
+    /** @returns false if a write was refused, because another process leads */
+    private async removeKeys(keys: readonly string[], fence: KeyValueCompare): Promise<boolean> {
         for (let start = 0; start < keys.length; start += MAX_REMOVALS) {
             const removals = keys.slice(start, start + MAX_REMOVALS).map(key => ({ kind: "delete" as const, key }));
-            await this.opts.service.transact([fence], removals);
+            const { succeeded } = await this.opts.service.transact([fence], removals);
+            if (!succeeded) {
+                return false;
+            }
         }
+        return true;
     }
 }
--- a/fleet/jobs/test/jobCleanup.test.ts
+++ b/fleet/jobs/test/jobCleanup.test.ts
@@ -16,10 +16,11 @@
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
     const { revision } = await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("a") }]);
+    const stepDown = mock.fn();
     const leadership: FencedLeadership = {
         isLeading: () => true,
         fence: () => ({ key: "leader", modRevision: revision }),
-        stepDown: () => undefined,
+        stepDown,
     };
     const results = record.items.map((item, position) => ({
         kind: "put" as const,
@@ -55,7 +56,7 @@
         table,
         resultRetentionMs: () => 1000,
     });
-    return { clock, service, table, load, cleanup };
+    return { clock, service, table, load, stepDown, cleanup };
 }
 
 test("the tokens of an ended job are released once the service responds again", async () => {
@@ -81,6 +82,17 @@
     assert.equal(table.get(record.jobId), undefined);
 });
 
+// The result of the removal was not looked at: a refused one counted as done.
+test("a job whose removal is refused stays in the table", async () => {
+    const { clock, service, table, stepDown, cleanup } = await setUp();
+    await clock.advance(1100);
+    await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("b") }]);
+    await cleanup.run();
+    assert.notEqual(await service.get(jobKeys.record(record.jobId)), undefined);
+    assert.notEqual(table.get(record.jobId), undefined);
+    assert.equal(stepDown.mock.callCount(), 1);
+});
+
 // A new leader took the items whose results were removed already for items without one, and gave them all up.
 test("a job whose removal was interrupted has no item left to run or to give up", async () => {
     const { clock, service, load, cleanup } = await setUp();
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -88,6 +88,7 @@
         service,
         clock,
         configuration,
+        refreshConfiguration: () => Promise.resolve(true),
         directory,
         loadTracker,
         random: new SeededRandom(1),
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -160,6 +160,7 @@
                 remove: () => undefined,
                 onChanged: () => undefined,
             }),
+            refreshConfiguration: () => Promise.resolve(true),
             resultRetentionMs: () => Infinity,
             onLoadChanged: () => undefined,
             heldJobs: () => this.held.all(),
