--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -29,7 +29,7 @@
     minLeaseMs: number;
     /** Called when this process becomes or is no longer the leader, which runs batch jobs. Only called on runners. */
     onLeadershipChanged: (isLeading: boolean) => void;
-    /** Called with the stored suspicions of prompt parts, shape [suspicions]. */
+    /** Called with the stored suspicions of requests and prompt parts, shape [suspicions]. */
     onSuspicions: (suspicions: Suspicion[]) => void;
 }
 
@@ -92,7 +92,7 @@
         );
     }
 
-    /** Returns the addresses at which the other processes receive suspicions of prompt parts, shape [processes]. */
+    /** Returns the addresses at which the other processes receive suspicions of requests and prompt parts, shape [processes]. */
     suspicionPeers(): HostPort[] {
         return this.others().flatMap(({ host, suspicionPort }) =>
             suspicionPort === undefined ? [] : [{ host, port: suspicionPort }]
--- a/fleet/gateway/src/attemptOutcomes.ts
+++ b/fleet/gateway/src/attemptOutcomes.ts
@@ -7,7 +7,7 @@
 
 type OutcomesContext = Pick<GatewayContext, "clock" | "health" | "metrics" | "quarantine" | "serviceTimes">;
 
-/** Records what the outcomes of attempts tell about upstreams and prompts. */
+/** Records what the outcomes of attempts tell about upstreams and requests. */
 export class AttemptOutcomes {
     private readonly context: OutcomesContext;
 
--- a/fleet/sync/src/fleetKeys.ts
+++ b/fleet/sync/src/fleetKeys.ts
@@ -10,7 +10,7 @@
 export const fleetKeys = {
     prefix: PREFIX,
     membersPrefix: MEMBERS_PREFIX,
-    /** Parts of prompts that are, or were, quarantined. */
+    /** Requests and parts of prompts that are, or were, quarantined. */
     suspicionsPrefix: SUSPICIONS_PREFIX,
     /** Written by the process that runs batch jobs. */
     jobsLeader: `${PREFIX}jobs-leader`,
--- a/fleet/sync/src/memberRecord.ts
+++ b/fleet/sync/src/memberRecord.ts
@@ -13,7 +13,7 @@
     linkPort: number;
     /** UDP port for messages about streams; undefined if the process keeps no origins of streams. */
     streamPort?: number;
-    /** UDP port for suspicions of prompt parts; undefined if the process keeps none. */
+    /** UDP port for suspicions of requests and prompt parts; undefined if the process keeps none. */
     suspicionPort?: number;
     /** Start of the process, Unix ms. */
     startedAtMs: number;
