test(gateway): the test of the recurring request waits until its upstreams are started again

Cause: it waited 10 ms, in which a busy machine may not have started them, so that sound requests would have been refused. Change: it waits for the starts. Its checks are the same.

--- a/fleet/gateway/test/crashingRequest.test.ts
+++ b/fleet/gateway/test/crashingRequest.test.ts
@@ -1,6 +1,5 @@
 // A request without prompt parts came again and again and ended all upstreams of its service each time, since each arrival
 // counted as a new request and was repeated at the next upstream.
-import { sleep } from "@knapweedwood/core.clock/sleep";
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -23,6 +22,7 @@
     crashes = 0;
     private standins: UpstreamStandin[] = [];
     private starts = 0;
+    private starting: Promise<void>[] = [];
     private sent = 0;
 
     async start(): Promise<void> {
@@ -37,6 +37,11 @@
         return received.statusCode;
     }
 
+    /** Resolves once all upstreams that ended have been started again. */
+    async whenStarted(): Promise<void> {
+        await Promise.all(this.starting.splice(0));
+    }
+
     close(): void {
         this.testBed.close();
         this.standins.forEach(standin => standin.close());
@@ -49,7 +54,7 @@
                 if (request.headers.host !== OTHER_HOST && body === BAD && standin.isListening) {
                     this.crashes += 1;
                     standin.close();
-                    void this.startUpstream(id);
+                    this.starting.push(this.startUpstream(id));
                     return;
                 }
                 response.writeHead(200, { "x-proof": "p" });
@@ -81,7 +86,7 @@
         const polls = Array.from({ length: UPSTREAMS }, () => service.send("poll"));
         crashing.push(await service.send(BAD));
         await Promise.all(polls);
-        await sleep(service.clock, RESPONSE_DELAY_MS);
+        await service.whenStarted();
         await sendSound(index);
     }
     service.close();
