--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -1,13 +1,9 @@
 import type { Timer } from "@knapweedwood/core.clock/timer";
-import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
-import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
 import type { RequestId } from "@knapweedwood/core.ids/requestId";
-import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { QueuedRequest } from "@knapweedwood/fleet.load/queuedRequest";
-import { fingerprintOf } from "@knapweedwood/fleet.quarantine/fingerprintOf";
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { Route } from "@knapweedwood/fleet.view/route";
@@ -15,17 +11,18 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Attempt } from "./attempt.js";
 import { AttemptOutcomes } from "./attemptOutcomes.js";
-import { BufferedResponseWriter } from "./bufferedResponseWriter.js";
 import { callerTimeoutAtMs } from "./callerTimeoutAtMs.js";
+import { CallTraits } from "./callTraits.js";
 import { chooseService } from "./chooseService.js";
+import { createAttempt } from "./createAttempt.js";
+import { createResponseWriter } from "./createResponseWriter.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { headerOf } from "./headerOf.js";
+import { isRepeatable } from "./isRepeatable.js";
 import { type ResponseWriter } from "./responseWriter.js";
 import type { ResumptionDecision } from "./resumptionDecision.js";
 import { sendFailure } from "./sendFailure.js";
-import { StallDetector } from "./stallDetector.js";
 import { StreamContinuity } from "./streamContinuity.js";
-import { StreamResponseWriter } from "./streamResponseWriter.js";
 import { upstreamRequestOf } from "./upstreamRequestOf.js";
 
 const HTTP_OK = 200;
@@ -59,9 +56,7 @@
     private readonly requestId: RequestId;
     /** Undefined unless the response is a stream that may be resumed. */
     private readonly continuity: StreamContinuity | undefined;
-    /** The parts of the prompt that other requests may share, shape [parts]. */
-    private readonly promptParts: PromptPartId[];
-    private readonly fingerprint: RequestFingerprint;
+    private readonly traits: CallTraits;
     private readonly deadlineTimer: Timer;
     private readonly writer: ResponseWriter;
     private attempt: Attempt | undefined;
@@ -90,15 +85,7 @@
         this.requestId = (headerOf(request, context.headers.requestId) ?? "") as RequestId;
         this.service = chooseService(route, context.random) ?? ("" as ServiceName);
         this.priority = route.priority;
-        this.promptParts = context.decodeSharedPromptParts(headerOf(request, context.headers.promptParts));
-        this.fingerprint = fingerprintOf({
-            host: headerOf(request, "host"),
-            authorization: headerOf(request, "authorization"),
-            method: request.method ?? "GET",
-            path: request.url ?? "/",
-            promptParts: this.promptParts,
-            body: this.body,
-        });
+        this.traits = new CallTraits(context, request, opts.body);
         const remainingMs = Number(headerOf(request, context.headers.remainingMs) ?? route.timeoutMs);
         this.isRetry = remainingMs < route.timeoutMs * RETRY_REMAINING_SHARE;
         this.objectiveAtMs = this.arrivedAtMs + route.objectiveMs;
@@ -107,13 +94,11 @@
         this.continuity = route.kind === "stream" && route.isResumable
             ? new StreamContinuity({ context, route, request, requestId: this.requestId })
             : undefined;
-        this.writer = route.kind === "stream"
-            ? new StreamResponseWriter({
-                response: opts.response,
-                isResumable: route.isResumable,
-                mayBeEmpty: this.continuity?.isResumption === true,
-            })
-            : new BufferedResponseWriter({ response: opts.response });
+        this.writer = createResponseWriter({
+            response: opts.response,
+            route,
+            mayBeEmpty: this.continuity?.isResumption === true,
+        });
         this.deadlineTimer = context.clock.setTimer(this.deadlineAtMs - context.clock.nowMs(), () => this.onDeadline());
         opts.response.on("close", () => this.onCallerDisconnected());
     }
@@ -126,11 +111,6 @@
         return this.writer.hasStarted;
     }
 
-    /** What this request has in common with others, the most specific last, shape [traits]. */
-    private get traits(): RequestTraitId[] {
-        return [...this.promptParts, this.fingerprint];
-    }
-
     /** Submits the request to the request queue, a resumed stream once it is known what began it. */
     start(): void {
         if (this.continuity?.isResumption === true) {
@@ -156,7 +136,7 @@
     }
 
     blockedForMs(): number {
-        return this.context.quarantine.blockedForMs(this.service, this.traits);
+        return this.context.quarantine.blockedForMs(this.service, this.traits.all);
     }
 
     onPlaced(upstream: Upstream): void {
@@ -176,21 +156,15 @@
             online: this.context.loadTracker.onlineCount(upstream.id),
             configuration: this.context.configuration.version,
         });
-        const attempt: Attempt = {
+        const attempt = createAttempt({
+            clock: this.context.clock,
+            route: this.route,
+            response: this.response,
             upstream,
-            startedAtMs: nowMs,
-            isNotRun: false,
-            notRunBodyBytes: 0,
-            requestRun: this.context.quarantine.begin(this.service, this.traits),
-            stallDetector: new StallDetector({
-                clock: this.context.clock,
-                route: this.route,
-                isCallerSlow: () => this.response.writableNeedDrain,
-                onNoResponse: () => this.onNoResponse(attempt),
-                onPaused: () => this.onPaused(attempt),
-            }),
-            exchange: { abort: () => undefined, pause: () => undefined, resume: () => undefined },
-        };
+            requestRun: this.context.quarantine.begin(this.service, this.traits.all),
+            onNoResponse: silent => this.onNoResponse(silent),
+            onPaused: paused => this.onPaused(paused),
+        });
         this.attempt = attempt;
         const request = upstreamRequestOf(this.request, {
             names: this.context.headers,
@@ -233,8 +207,7 @@
         }
         attempt.stallDetector.onHead();
         if (head.header(headers.upstreamProof) === undefined && head.statusCode < HTTP_MULTIPLE_CHOICES) {
-            attempt.exchange.abort();
-            this.onFailure(attempt, { ...ABORTED, code: "ANSWER_WITHOUT_PROOF" });
+            this.failAttempt(attempt, "ANSWER_WITHOUT_PROOF");
             return;
         }
         this.writer.onHead(head, () => this.context.isStopping());
@@ -247,7 +220,7 @@
         if (attempt.isNotRun) {
             attempt.notRunBodyBytes += chunk.length;
             if (attempt.notRunBodyBytes > MAX_NOT_RUN_BODY_BYTES) {
-                this.onTooLarge(attempt);
+                this.failAttempt(attempt, "ANSWER_TOO_LARGE");
             }
             return;
         }
@@ -266,13 +239,14 @@
             this.continuity?.onEventsSent(attempt.upstream);
         }
         if (this.writer.isOverLimit()) {
-            this.onTooLarge(attempt);
+            this.failAttempt(attempt, "ANSWER_TOO_LARGE");
         }
     }
 
-    private onTooLarge(attempt: Attempt): void {
+    /** Ends an attempt whose response can't be used, as a failure of its upstream. */
+    private failAttempt(attempt: Attempt, code: string): void {
         attempt.exchange.abort();
-        this.onFailure(attempt, { ...ABORTED, code: "ANSWER_TOO_LARGE" });
+        this.onFailure(attempt, { ...ABORTED, code });
     }
 
     private onEnd(attempt: Attempt): void {
@@ -314,8 +288,8 @@
             ...failure,
             isEjected,
             hasBegun: attempt.stallDetector.hasData,
-            promptParts: this.promptParts,
-            fingerprint: this.fingerprint,
+            promptParts: this.traits.promptParts,
+            fingerprint: this.traits.fingerprint,
         });
         if (!failure.mayHaveRun) {
             this.attempts -= 1;
@@ -323,17 +297,13 @@
             return;
         }
         this.mayHaveRun = true;
-        if (this.isRepeatable()) {
+        if (isRepeatable(this.route)) {
             this.retryOrReject("the upstream broke off");
             return;
         }
         this.fail(502, "The upstream broke off");
     }
 
-    private isRepeatable(): boolean {
-        return this.route.kind === "idempotent" || (this.route.kind === "stream" && this.route.isResumable);
-    }
-
     private retryOrReject(reason: string): void {
         if (this.attempts < this.route.maxAttempts) {
             this.requeue();
@@ -354,9 +324,8 @@
         if (attempt !== this.attempt) {
             return;
         }
-        if (this.isRepeatable() && this.attempts < this.route.maxAttempts) {
-            attempt.exchange.abort();
-            this.onFailure(attempt, { ...ABORTED, code: "UPSTREAM_SILENT" });
+        if (isRepeatable(this.route) && this.attempts < this.route.maxAttempts) {
+            this.failAttempt(attempt, "UPSTREAM_SILENT");
             return;
         }
         const nowMs = this.context.clock.nowMs();
@@ -366,10 +335,10 @@
 
     /** Ends the attempt and resumes the response at another upstream, if the route allows that. */
     private onPaused(attempt: Attempt): void {
-        const canResume = this.route.kind === "stream" && this.isRepeatable() && this.attempts < this.route.maxAttempts;
+        const canResume = this.route.kind === "stream" && isRepeatable(this.route)
+            && this.attempts < this.route.maxAttempts;
         if (attempt === this.attempt && canResume) {
-            attempt.exchange.abort();
-            this.onFailure(attempt, { ...ABORTED, code: "UPSTREAM_PAUSED" });
+            this.failAttempt(attempt, "UPSTREAM_PAUSED");
         }
     }
 
