--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -389,11 +389,11 @@
     private finish(event: string, fields: { [field: string]: unknown; }): void {
         this.isDone = true;
         this.deadlineTimer.cancel();
-        this.context.metrics.increment("calls_total", { kind: this.route.kind, outcome: event });
+        const { metrics } = this.context;
+        const { kind } = this.route;
+        metrics.increment("calls_total", { kind, outcome: event });
         if (this.firstDataAtMs !== undefined) {
-            this.context.metrics.timing("first_part_ms", this.firstDataAtMs - this.arrivedAtMs, {
-                kind: this.route.kind,
-            });
+            metrics.timing("first_part_ms", this.firstDataAtMs - this.arrivedAtMs, { kind });
         }
         this.log(event, fields);
     }
