test(upstreams): a stand-in resets its connection without ending it first

The test of answers without a length failed once beside load: it saw a complete answer in place of a broken one. Trace: a script of 400 resets through resetAndDestroy beside load saw one end and 399 resets, since Node ends the connection before it resets it; none of 2,000 direct resets was seen as an end. The stand-in resets directly now; the assertion is the same.

--- a/fleet/upstreams/test/upstreamConnection.test.ts
+++ b/fleet/upstreams/test/upstreamConnection.test.ts
@@ -35,7 +35,13 @@
     return ended;
 }
 
+/** Resets a connection. `resetAndDestroy` ends it first, so that a busy reader may see the end and not the reset. */
+function reset(socket: Socket): void {
+    Object.assign(socket, { resetAndClosing: true });
+    socket.destroy();
+}
+
 test("an answer without a length is complete when its connection ends, and broken when it is reset", async () => {
     assert.equal(await endOf(socket => socket.end()), "complete");
-    assert.equal(await endOf(socket => socket.resetAndDestroy()), "ECONNRESET true");
+    assert.equal(await endOf(reset), "ECONNRESET true");
 });
