fix(leadership): a process that resigns leaves no leader key behind

Cause, found by the review: resign() removed the key only of a leadership that it had. One whose write was still under way succeeded afterwards, and one whose removal was rejected was given up before, so that a repeated drain found nothing to remove. The key stood, its lease was kept alive, and nobody led until the drained process ended. Change: a write that succeeds after the resignation is undone, and the removal is repeated by the next call. Measured: both tests fail without the change and pass with it.

--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -50,6 +50,8 @@
     /** Revision of the key that this process removed last, possibly still without a response. */
     private removedRevision: number | undefined;
     private isResigned = false;
+    /** The key of a leadership that was resigned, until its removal is confirmed. */
+    private resignedFence: KeyValueCompare | undefined;
 
     constructor(opts: LeadershipOptions) {
         this.opts = opts;
@@ -105,7 +107,7 @@
     private removeUnheldKey(entry: KeyValueEntry): void {
         const { instanceName, startedAtMs } = decodeRecord<LeaderRecord>(entry.value);
         const isOwn = instanceName === this.opts.self.instanceName && startedAtMs === this.opts.self.startedAtMs;
-        const isInUse = this.isAttempting || this.heldRevision !== undefined || this.isResigned;
+        const isInUse = this.isAttempting || this.heldRevision !== undefined;
         if (isOwn && !isInUse && this.removedRevision !== entry.modRevision) {
             this.opts.logger.info("leader-key-unheld", { fencingNumber: entry.modRevision });
             void this.removeLeaderKey({ key: fleetKeys.jobsLeader, modRevision: entry.modRevision });
@@ -117,11 +119,14 @@
         this.isResigned = true;
         this.attemptTimer?.cancel();
         const fence = this.fence();
-        if (fence === undefined) {
-            return;
+        if (fence !== undefined) {
+            this.resignedFence = fence;
+            this.lose("resigned");
+        }
+        if (this.resignedFence !== undefined) {
+            await this.opts.service.transact([this.resignedFence], [{ kind: "delete", key: fleetKeys.jobsLeader }]);
+            this.resignedFence = undefined;
         }
-        this.lose("resigned");
-        await this.opts.service.transact([fence], [{ kind: "delete", key: fleetKeys.jobsLeader }]);
     }
 
     /** Gives up leadership after a rejected write. The next leader, possibly this process, reloads all state. */
@@ -146,6 +151,7 @@
             try {
                 await this.opts.service.transact([fence], [{ kind: "delete", key: fence.key }]);
                 isRemoved = true;
+                this.reviewObservation();
             }
             catch (thrown) {
                 const error = toKnapweedError(thrown);
@@ -209,12 +215,20 @@
             operations: [{ kind: "put", key, value: encodeRecord({ ...this.opts.self, leaseId }), leaseId }],
             witnessKey: key,
         });
-        if (result.kind === "succeeded" && !this.isResigned) {
-            this.heldRevision = result.revision;
-            this.heldLeaseId = leaseId;
-            this.opts.logger.info("leadership-gained", { fencingNumber: result.revision, leaseId });
-            this.opts.onGained();
+        if (result.kind === "succeeded") {
+            this.onWritten(result.revision, leaseId);
+        }
+    }
+
+    private onWritten(revision: number, leaseId: string): void {
+        if (this.isResigned) {
+            void this.removeLeaderKey({ key: fleetKeys.jobsLeader, modRevision: revision });
+            return;
         }
+        this.heldRevision = revision;
+        this.heldLeaseId = leaseId;
+        this.opts.logger.info("leadership-gained", { fencingNumber: revision, leaseId });
+        this.opts.onGained();
     }
 
     /** The newest leader known to this process, possibly itself; undefined if none is known. */
--- a/fleet/sync/test/leadershipWrites.test.ts
+++ b/fleet/sync/test/leadershipWrites.test.ts
@@ -99,3 +99,30 @@
     assert.ok(entry === undefined || leadership.isLeading(), "the key is held by a process that doesn't lead");
     end();
 });
+
+// A drain that began during an attempt found no leadership to resign, and the attempt left a key that nobody led with.
+test("a process that resigns during an attempt leaves no leader key", async () => {
+    const { clock, service, leadership, events, end } = await createCandidate();
+    service.faults.responseDelayMs = 300;
+    leadership.observe(undefined, service.revision);
+    await clock.advance(150);
+    await leadership.resign();
+    service.faults.responseDelayMs = 0;
+    await clock.advance(1000);
+    assert.deepEqual(events, []);
+    assert.equal(await service.get(fleetKeys.jobsLeader), undefined);
+    end();
+});
+
+// The removal of the key was rejected, and a repeated drain found no leadership to resign.
+test("a resignation whose write failed is repeated", async () => {
+    const { clock, service, leadership, end } = await createCandidate();
+    leadership.observe(undefined, service.revision);
+    await clock.advance(500);
+    service.faults.outage = true;
+    await assert.rejects(leadership.resign());
+    service.faults.outage = false;
+    await leadership.resign();
+    assert.equal(await service.get(fleetKeys.jobsLeader), undefined);
+    end();
+});
