fix(leadership): a leadership whose end was observed before its response is not gained

Cause, found by the review: the key was written, its lease ended, and the removal was observed before the response to the write arrived. The process then led without a key, beside the next leader, and stood still after its first refused write.

--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -41,6 +41,7 @@
 export class Leadership implements FencedLeadership {
     private readonly opts: LeadershipOptions;
     private observedEntry: KeyValueEntry | undefined;
+    private observedRevision = 0;
     private reportedLeader: KnownLeader | undefined;
     private heldRevision: number | undefined;
     /** Lease to which the key of the held leadership is bound. */
@@ -72,6 +73,7 @@
     /** Applies the state of the leader key at `revision`; `entry` is undefined if the key is absent. */
     observe(entry: KeyValueEntry | undefined, revision: number): void {
         this.observedEntry = entry;
+        this.observedRevision = revision;
         // A state from before this process wrote the key says nothing about its own leadership.
         const isCurrent = this.heldRevision !== undefined && revision >= this.heldRevision;
         if (isCurrent && entry?.modRevision !== this.heldRevision) {
@@ -225,6 +227,10 @@
             void this.removeLeaderKey({ key: fleetKeys.jobsLeader, modRevision: revision });
             return;
         }
+        // The key may have been removed with its lease before the response arrived.
+        if (this.observedRevision >= revision && this.observedEntry?.modRevision !== revision) {
+            return;
+        }
         this.heldRevision = revision;
         this.heldLeaseId = leaseId;
         this.opts.logger.info("leadership-gained", { fencingNumber: revision, leaseId });
--- a/fleet/sync/test/leadershipWrites.test.ts
+++ b/fleet/sync/test/leadershipWrites.test.ts
@@ -126,3 +126,19 @@
     assert.equal(await service.get(fleetKeys.jobsLeader), undefined);
     end();
 });
+
+// The key had been written, and removed with its lease, before the response arrived; the process led without a key.
+test("a leadership whose end was observed before the response to its write is not gained", async () => {
+    const { clock, service, lease, leadership, events, end } = await createCandidate();
+    service.faults.responseDelayMs = 400;
+    leadership.observe(undefined, service.revision);
+    await clock.advance(100);
+    service.faults.expireLease(lease.heldId!);
+    leadership.observe(undefined, service.revision);
+    await clock.advance(600);
+    assert.deepEqual(events, []);
+    service.faults.responseDelayMs = 0;
+    await clock.advance(4000);
+    assert.deepEqual(events, ["gained"]);
+    end();
+});
