fix(jobs): a listing that was read before a job was removed doesn't open it again

Change: a stopped mirror applies no listing, a runner applies none of an earlier leadership, and entries older than a job's removal are ignored.

--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -1,9 +1,11 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
 import type { SnapshotKeyValueService } from "@knapweedwood/core.key-value/snapshotKeyValueService";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { CLOCK_MARGIN_MS } from "./clockMarginMs.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobTable } from "./jobTable.js";
 import type { OpenJob } from "./openJob.js";
@@ -71,7 +73,7 @@
     }
 
     private async removeExpired(): Promise<void> {
-        const expiredBeforeMs = this.opts.clock.nowMs() - this.opts.resultRetentionMs();
+        const expiredBeforeMs = this.opts.clock.nowMs() - this.opts.resultRetentionMs() - CLOCK_MARGIN_MS;
         const expired = this.opts.table.all().find(job => job.isEnded && job.record.acceptedAtMs < expiredBeforeMs);
         const fence = this.opts.leadership.fence();
         if (expired !== undefined && fence !== undefined) {
@@ -86,25 +88,28 @@
         // An interrupted removal starts again while the record exists, and no item runs again while the list exists.
         const lastKeys: string[] = [jobKeys.listedItems(jobId), jobKeys.record(jobId)];
         const keys = [...results.entries, ...parts.entries].map(entry => entry.key);
-        const isRemoved = await this.removeKeys(keys.filter(key => !lastKeys.includes(key)), fence)
-            && await this.removeKeys(keys.filter(key => lastKeys.includes(key)), fence);
-        if (!isRemoved) {
-            this.opts.leadership.stepDown("write-refused");
-            return;
-        }
-        this.opts.table.delete(jobId);
+        await this.removeKeys(keys.filter(key => !lastKeys.includes(key)), fence);
+        const revision = await this.removeKeys(keys.filter(key => lastKeys.includes(key)), fence);
+        this.opts.table.delete(jobId, revision);
         this.opts.logger.info("job-removed", { jobId, keys: keys.length });
     }
 
-    /** @returns false if a write was refused, because another process leads */
-    private async removeKeys(keys: readonly string[], fence: KeyValueCompare): Promise<boolean> {
+    /**
+     * Removes keys. Rejects with `JOB_REMOVAL_REFUSED` if another process leads, which ends this process's leadership.
+     *
+     * @returns revision of the last removal; 0 if there was nothing to remove
+     */
+    private async removeKeys(keys: readonly string[], fence: KeyValueCompare): Promise<number> {
+        let revision = 0;
         for (let start = 0; start < keys.length; start += MAX_REMOVALS) {
             const removals = keys.slice(start, start + MAX_REMOVALS).map(key => ({ kind: "delete" as const, key }));
-            const { succeeded } = await this.opts.service.transact([fence], removals);
-            if (!succeeded) {
-                return false;
+            const result = await this.opts.service.transact([fence], removals);
+            if (!result.succeeded) {
+                this.opts.leadership.stepDown("write-refused");
+                throw new KnapweedError("JOB_REMOVAL_REFUSED", "Another process leads", { outcome: "not-run" });
             }
+            ({ revision } = result);
         }
-        return true;
+        return revision;
     }
 }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -178,6 +178,9 @@
 
     /** Applies the stored jobs, then their stored results and the progress that this process has kept. */
     private async load(entries: KeyValueEntry[], signal: AbortSignal): Promise<void> {
+        if (signal.aborted) {
+            return;
+        }
         this.apply(entries);
         const results = this.isLoaded ? undefined : await this.loader.loadResults(signal);
         if (results !== undefined && !this.isLoaded) {
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -16,6 +16,8 @@
     /** Entries whose job record has not arrived yet. */
     private unmatchedEntries: KeyValueEntry[] = [];
     private unmatchedResults: KeyValueEntry[] = [];
+    /** Revisions at which jobs were removed. A listing that began before may still bring their entries. */
+    private readonly removedAtRevision = new Map<JobId, number>();
 
     all(): OpenJob[] {
         return [...this.jobs.values()];
@@ -31,6 +33,7 @@
         this.jobs.clear();
         this.unmatchedEntries = [];
         this.unmatchedResults = [];
+        this.removedAtRevision.clear();
         return open;
     }
 
@@ -42,13 +45,17 @@
         });
     }
 
-    delete(jobId: JobId): void {
+    /** Removes a job whose entries were removed from the key-value service at `revision`. */
+    delete(jobId: JobId, revision: number): void {
         this.jobs.delete(jobId);
+        this.removedAtRevision.set(jobId, revision);
     }
 
     /** Applies entries of accepted jobs. Returns the jobs cancelled by these entries, shape [jobs]. */
     apply(entries: readonly KeyValueEntry[]): OpenJob[] {
-        const keyed = [...this.unmatchedEntries, ...entries].map(entry => ({ entry, ...parseKey(entry.key) }));
+        const keyed = [...this.unmatchedEntries, ...entries]
+            .map(entry => ({ entry, ...parseKey(entry.key) }))
+            .filter(({ entry, jobId }) => entry.modRevision > (this.removedAtRevision.get(jobId) ?? 0));
         keyed.filter(({ part }) => part === "record").forEach(({ entry, jobId }) => {
             if (!this.jobs.has(jobId)) {
                 this.jobs.set(jobId, new OpenJob(decodeRecord<JobRecord>(entry.value)));
--- a/fleet/jobs/test/jobTable.test.ts
+++ b/fleet/jobs/test/jobTable.test.ts
@@ -80,3 +80,15 @@
     table.apply([entry]);
     assert.deepEqual(table.findEnded([entry]).map(job => job.record.jobId), ["a"]);
 });
+
+// A listing that began before a job was removed opened it again, without results, and all its items were given up.
+test("entries that were read before a job was removed don't open it again", () => {
+    const table = new JobTable();
+    const entry = entryOf(jobKeys.record(record.jobId), record);
+    table.apply([entry]);
+    table.delete(record.jobId, entry.modRevision + 1);
+    table.apply([entry]);
+    assert.equal(table.get(record.jobId), undefined);
+    table.apply([{ ...entry, modRevision: entry.modRevision + 2 }]);
+    assert.notEqual(table.get(record.jobId), undefined);
+});
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -124,6 +124,9 @@
         // A watch sent while the service is unresponsive hangs for its whole wait. A listing detects recovery sooner.
         if (this.currentRevision === 0 || this.failures > 0) {
             const snapshot = await this.opts.service.snapshot(this.opts.prefix);
+            if (signal.aborted) {
+                return;
+            }
             this.onResponse();
             this.currentRevision = snapshot.revision;
             this.hasListed = true;
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -212,3 +212,16 @@
     assert.deepEqual(mirror.entries().map(entry => entry.key), ["a/listed"]);
     stop();
 });
+
+// A listing that arrived after its mirror had ended was applied, and brought back what had been removed since.
+test("a listing that arrives after the mirror was stopped is not applied", async () => {
+    const { clock, service, counts, stop } = setUp();
+    service.faults.responseDelayMs = 200;
+    await clock.advance(10);
+    const { snapshots } = counts();
+    service.compact();
+    await clock.advance(150);
+    stop();
+    await clock.advance(1000);
+    assert.equal(counts().snapshots, snapshots);
+});
