--- a/fleet/jobs/src/giveUpReason.ts
+++ b/fleet/jobs/src/giveUpReason.ts
@@ -1,7 +1,6 @@
+import { CLOCK_MARGIN_MS } from "./clockMarginMs.js";
 import type { JobRecord } from "./jobRecord.js";
 
-/** Difference between the clocks of instances that is allowed for, in milliseconds. A gateway sets the expiry of a job. */
-const CLOCK_MARGIN_MS = 5000;
 /** Time for which a route has to be missing before its items are given up, in milliseconds. */
 const ROUTE_MISSING_TIMEOUT_MS = 3000;
 
