fix(quarantine): a quarantine that follows from what several processes saw is stored

Cause, found by the review: a request convicted by merging what peers saw was rejected, but not written to the key-value service, so a fleet that lost all power forgot it. Only the process that saw the last crash itself wrote one. Change: a process that convicts by merging stores the quarantine. Measured: the test fails without the change (nothing stored) and passes with it; fleet/quarantine passes.

--- a/fleet/quarantine/src/requestQuarantine.ts
+++ b/fleet/quarantine/src/requestQuarantine.ts
@@ -74,7 +74,11 @@
             this.opts.publish(vouchedFor);
         }
         const quarantines = new Set(received.filter(one => one.isQuarantined).map(keyOf));
-        changed.filter(one => !one.isQuarantined && quarantines.has(keyOf(one))).forEach(one => this.store(one));
+        const lifted = changed.filter(one => !one.isQuarantined && quarantines.has(keyOf(one)));
+        const begun = changed.filter(one =>
+            one.isQuarantined && !quarantines.has(keyOf(one)) && !this.quarantined.has(keyOf(one))
+        );
+        [...lifted, ...begun].forEach(one => this.store(one));
         this.onChange(changed, "peer");
     }
 
--- a/fleet/quarantine/test/recurringRequest.test.ts
+++ b/fleet/quarantine/test/recurringRequest.test.ts
@@ -1,7 +1,15 @@
 // A request came again at any process, was repeated at all upstreams of its service, and ended them each time.
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { RequestQuarantine } from "../src/requestQuarantine.js";
+import type { Suspicion } from "../src/suspicion.js";
 import { SimulatedQuarantineFleet } from "./simulatedQuarantineFleet.js";
 
 const PROCESSES = 8;
@@ -147,3 +155,24 @@
     assert.equal(fleet.storedCount, 1);
     assert.ok(fleet.isBlocked(bad));
 });
+
+// Several processes each saw a crash of the same request, and the quarantine that followed was never stored.
+test("a quarantine that follows from what several processes saw is stored", () => {
+    const stored: Suspicion[] = [];
+    const quarantine = new RequestQuarantine({
+        clock: new ManualClock(),
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        publish: () => undefined,
+        store: suspicion => stored.push(suspicion),
+        remove: () => undefined,
+        onChanged: () => undefined,
+    });
+    const service = "s" as ServiceName;
+    quarantine.onSuccess(quarantine.begin(service, ["request:sound" as RequestFingerprint]));
+    const crashes = ["a", "b", "c"] as UpstreamProcessKey[];
+    const part = "request:bad" as RequestFingerprint;
+    const state = { disproofs: 0, rounds: 3, hasSucceeded: false, isQuarantined: false, probes: 0 };
+    quarantine.merge([{ service, part, crashes, ...state }]);
+    assert.deepEqual(stored.map(one => [one.part, one.isQuarantined]), [[part, true]]);
+});
