fix(leadership): a refused write of an earlier leadership doesn't end the next one

Cause, found by the review: a refused write of results, progress or a removal gave up whatever leadership the process had by then, also one gained after the write was sent. Change: stepDown takes the fence that guarded the write and gives up only that leadership. Measured: a test of two leadership terms; before, stepDown could not tell them apart (its signature had no fence).

--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -105,7 +105,7 @@
             const removals = keys.slice(start, start + MAX_REMOVALS).map(key => ({ kind: "delete" as const, key }));
             const result = await this.opts.service.transact([fence], removals);
             if (!result.succeeded) {
-                this.opts.leadership.stepDown("write-refused");
+                this.opts.leadership.stepDown(fence, "write-refused");
                 throw new KnapweedError("JOB_REMOVAL_REFUSED", "Another process leads", { outcome: "not-run" });
             }
             ({ revision } = result);
--- a/fleet/jobs/src/progressWriter.ts
+++ b/fleet/jobs/src/progressWriter.ts
@@ -82,7 +82,7 @@
             })),
         );
         if (!succeeded) {
-            this.leadership.stepDown("write-refused");
+            this.leadership.stepDown(fence, "write-refused");
             return false;
         }
         items.forEach(({ item }, index) => this.storedEventIds.set(item, storedIds[index]!));
--- a/fleet/jobs/src/resultCommitter.ts
+++ b/fleet/jobs/src/resultCommitter.ts
@@ -120,7 +120,7 @@
                 const { service, clock } = this.opts;
                 const settled = await settleTransaction({ service, clock, compares, operations, witnessKey });
                 if (settled.kind === "failed") {
-                    this.opts.leadership.stepDown("write-refused");
+                    this.opts.leadership.stepDown(fence, "write-refused");
                 }
                 if (settled.kind === "succeeded" && isStillLeading()) {
                     this.onStored(batch, settled.revision);
--- a/fleet/sync/src/fencedLeadership.ts
+++ b/fleet/sync/src/fencedLeadership.ts
@@ -6,6 +6,6 @@
     isLeading(): boolean;
     /** Returns the compare that guards every write of the leader; undefined while this process is not the leader. */
     fence(): KeyValueCompare | undefined;
-    /** Gives up leadership after a guarded write was rejected. */
-    stepDown(reason: string): void;
+    /** Gives up the leadership whose fence guarded a rejected write, if this process still has it. */
+    stepDown(fence: KeyValueCompare, reason: string): void;
 }
--- a/fleet/sync/src/leadership.ts
+++ b/fleet/sync/src/leadership.ts
@@ -131,10 +131,12 @@
         }
     }
 
-    /** Gives up leadership after a rejected write. The next leader, possibly this process, reloads all state. */
-    stepDown(reason: string): void {
-        const fence = this.fence();
-        if (fence !== undefined) {
+    /**
+     * Gives up the leadership whose fence guarded a rejected write. Does nothing if this process has another one by now.
+     * The next leader, possibly this process, reloads all state.
+     */
+    stepDown(fence: KeyValueCompare, reason: string): void {
+        if (this.heldRevision === fence.modRevision) {
             this.lose(reason);
             void this.removeLeaderKey(fence);
         }
--- a/fleet/sync/test/leadership.test.ts
+++ b/fleet/sync/test/leadership.test.ts
@@ -49,7 +49,7 @@
     await clock.advance(1000);
     const first = leadership.fence();
     leadership.observe(await readLeaderKey(service), service.revision);
-    leadership.stepDown("test");
+    leadership.stepDown(first!, "test");
     await clock.advance(100);
     assert.equal(await readLeaderKey(service), undefined);
     leadership.observe(undefined, service.revision);
--- a/fleet/sync/test/leadershipWrites.test.ts
+++ b/fleet/sync/test/leadershipWrites.test.ts
@@ -142,3 +142,19 @@
     assert.deepEqual(events, ["gained"]);
     end();
 });
+
+// A write of an earlier leadership was refused after the next one had begun, and ended that.
+test("a refused write of an earlier leadership doesn't end the next one", async () => {
+    const { clock, service, leadership, events, observe, end } = await createCandidate();
+    leadership.observe(undefined, service.revision);
+    await clock.advance(500);
+    const earlier = leadership.fence()!;
+    leadership.stepDown(earlier, "test");
+    await clock.advance(100);
+    await observe();
+    await clock.advance(1000);
+    leadership.stepDown(earlier, "test");
+    assert.deepEqual(events, ["gained", "lost", "gained"]);
+    assert.notEqual(leadership.fence(), undefined);
+    end();
+});
