fix(jobs): a job with two items of the same id is rejected

Cause, found by the review; a regression of the stored list of results: an item is listed once, so a job that names one id twice never ended, its tokens waited for good, and the second run of the item was dropped each time. Measured: the test fails without the check (the job was stored).

--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -58,9 +58,18 @@
         this.isTokenCountComplete = opts.isTokenCountComplete;
     }
 
-    /** Stores the job, or holds it on disks. A job that was accepted before is accepted again. */
+    /**
+     * Stores the job, or holds it on disks. A job that was accepted before is accepted again. Rejects with
+     * `JOB_ITEMS_NOT_UNIQUE` if two items have the same id, since an item has one result.
+     */
     async accept(route: Route, submission: JobSubmission): Promise<Acceptance> {
         const { jobId } = submission;
+        if (new Set(submission.items.map(({ id }) => id)).size < submission.items.length) {
+            throw new KnapweedError("JOB_ITEMS_NOT_UNIQUE", `Two items of job ${jobId} have the same id`, {
+                hint: "Give each item of a job an id of its own.",
+                outcome: "not-run",
+            });
+        }
         const acceptance = await this.writeOrHold(route, submission);
         this.logger.info("job-submitted", { jobId, route: route.name, items: submission.items.length, ...acceptance });
         return acceptance;
--- a/fleet/jobs/test/jobAcceptor.test.ts
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -141,3 +141,13 @@
     assert.equal(await cancelling, undefined);
     assert.deepEqual(await service.list(jobKeys.cancellation("j" as JobId)), []);
 });
+
+// Only one of two items with the same id can be listed, so the job never ended and its tokens waited for good.
+test("a job with two items of the same id is rejected and not stored", async () => {
+    const { service, acceptor } = setUp();
+    const { jobId, items } = submissionOf("j");
+    await assert.rejects(acceptor().accept(route, { jobId, items: [...items, ...items] }), {
+        code: "ERR_KNAPWEED_JOB_ITEMS_NOT_UNIQUE",
+    });
+    assert.deepEqual(await service.list(jobKeys.jobsPrefix), []);
+});
