fix(jobs): results behind removed ones are not read at their positions

Cause, found by the review: a gateway that reads results from the key-value service counted positions from the first result that it found, also while the earlier ones were being removed after the job's retention time. Change: a read whose first result is not the requested position is rejected as not settled. Measured: the new test reads position 1 as 0 without the check.

--- a/fleet/jobs/src/storedJobReader.ts
+++ b/fleet/jobs/src/storedJobReader.ts
@@ -36,6 +36,10 @@
         if (record === undefined) {
             throw notStored(jobId);
         }
+        if (entries.length > 0 && entries[0]!.key !== jobKeys.result(jobId, after)) {
+            // The results before were removed: the job's retention time is over.
+            throw notStored(jobId);
+        }
         const total = decodeRecord<JobRecord>(record.value).items.length;
         return cutResultsPage(entries.map(entry => decodeRecord<ItemResult>(entry.value)), { total, after });
     }
--- a/fleet/jobs/test/storedJobReader.test.ts
+++ b/fleet/jobs/test/storedJobReader.test.ts
@@ -31,7 +31,7 @@
         ...results.map((result, position) => put(jobKeys.result(jobId, position), result)),
         put(jobKeys.progress(jobId, 2), { lastEventId: 1 }),
     ]);
-    return { reader: new StoredJobReader({ service }), results };
+    return { service, reader: new StoredJobReader({ service }), results };
 }
 
 // After all power was lost, the leader was unreachable for 50 s and no gateway could read any job.
@@ -51,3 +51,10 @@
     await assert.rejects(reader.results({ jobId: unknown, after: 0 }), { code: "ERR_KNAPWEED_JOBS_NOT_SETTLED" });
     await assert.rejects(reader.itemBody(unknown, "i" as ItemId), { code: "ERR_KNAPWEED_JOBS_NOT_SETTLED" });
 });
+
+// While a job was being removed, its later results were read as if they stood at the first positions.
+test("results are not read at other positions while those before are removed", async () => {
+    const { service, reader } = await setUp();
+    await service.transact([], [{ kind: "delete", key: jobKeys.result(jobId, 0) }]);
+    await assert.rejects(reader.results({ jobId, after: 0 }), { code: "ERR_KNAPWEED_JOBS_NOT_SETTLED" });
+});
