refactor(jobs): taking a batch of results drops, takes and leaves in separate steps

A reviewer read the filter with its side effects twice. Comments that needed a second reading are reworded.

--- a/daemons/fleet/test/suspicionStore.test.ts
+++ b/daemons/fleet/test/suspicionStore.test.ts
@@ -1,4 +1,4 @@
-// The entry of a request that was quarantined once would have stayed in the key-value service for good.
+// The entry of a request that was quarantined once would have stayed in the key-value service forever.
 import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -54,7 +54,7 @@
         return [...this.listedItems].map(item => item.index);
     }
 
-    /** Number of positions that are taken. */
+    /** Number of positions that are taken, also by results that were removed already. */
     get resultCount(): number {
         return Math.max(this.storedResults.length, this.listedItems.size);
     }
--- a/fleet/jobs/src/resultBatch.ts
+++ b/fleet/jobs/src/resultBatch.ts
@@ -58,22 +58,25 @@
         ];
     }
 
-    /** Adds a result unless it needs another write. Returns whether it was added. */
+    /**
+     * Adds a result unless the write would become too large. A second result of an item is ignored.
+     *
+     * @returns false if the result has to wait for another write
+     */
     add({ job, result }: PendingResult): boolean {
+        const ofJob = this.resultsOf(job);
+        if (ofJob.some(other => other.result.itemId === result.itemId)) {
+            return true;
+        }
         const length = this.length + result.output.length;
         if (this.positioned.length > 0 && (length > MAX_LENGTH || this.entriesWith(job) > MAX_ENTRIES)) {
             return false;
         }
         this.length = length;
-        this.positioned.push({ job, result, position: job.resultCount + this.resultsOf(job).length });
+        this.positioned.push({ job, result, position: job.resultCount + ofJob.length });
         return true;
     }
 
-    /** Whether the batch has a result of the item. */
-    has({ job, result }: PendingResult): boolean {
-        return this.resultsOf(job).some(other => other.result.itemId === result.itemId);
-    }
-
     /** Returns the number of entries of the write with one more result of a job. */
     private entriesWith(job: OpenJob): number {
         const jobs = [...new Set([...this.jobs, job])];
@@ -84,7 +87,7 @@
     private comparesOf(job: OpenJob): KeyValueCompare[] {
         const { jobId } = job.record;
         const list = { key: jobKeys.listedItems(jobId), modRevision: job.listRevision };
-        // Results of earlier versions of this program have no list.
+        // A job without a list may have results of an earlier version of this program.
         return job.listRevision === 0
             ? [list, { key: jobKeys.result(jobId, job.resultCount), modRevision: 0 }]
             : [list];
--- a/fleet/jobs/src/resultCommitter.ts
+++ b/fleet/jobs/src/resultCommitter.ts
@@ -85,26 +85,19 @@
         return this.pending.length > 0 ? this.opts.leadership.fence() : undefined;
     }
 
+    /** Takes the oldest results that fit one write from the pending ones. */
     private takeBatch(fence: KeyValueCompare): ResultBatch {
+        const listed = this.pending.filter(({ job, result }) => job.item(result.itemId)?.state === "stored");
+        listed.forEach(dropped => this.logDropped(dropped));
+        const unlisted = this.pending.filter(pending => !listed.includes(pending));
         const batch = new ResultBatch(fence);
-        let isFull = false;
-        this.pending = this.pending.filter(pending => {
-            if (this.isDuplicate(pending, batch)) {
-                return false;
-            }
-            isFull ||= !batch.add(pending);
-            return isFull;
-        });
+        const firstLeft = unlisted.findIndex(pending => !batch.add(pending));
+        this.pending = firstLeft < 0 ? [] : unlisted.slice(firstLeft);
         return batch;
     }
 
-    private isDuplicate(pending: PendingResult, batch: ResultBatch): boolean {
-        const { job, result: { itemId, state } } = pending;
-        const isDuplicate = job.item(itemId)?.state === "stored" || batch.has(pending);
-        if (isDuplicate) {
-            this.opts.logger.error("result-dropped", { jobId: job.record.jobId, itemId, state });
-        }
-        return isDuplicate;
+    private logDropped({ job, result: { itemId, state } }: PendingResult): void {
+        this.opts.logger.error("result-dropped", { jobId: job.record.jobId, itemId, state });
     }
 
     /** Repeats the write until it succeeds or the leadership under which its positions were assigned is lost. */
--- a/fleet/quarantine/src/requestSuspicions.ts
+++ b/fleet/quarantine/src/requestSuspicions.ts
@@ -113,7 +113,7 @@
             return struck;
         }
         const others = struck.filter(suspicion => suspicion !== culprit);
-        // One request may have crashed them all by its repeats. That doesn't clear a part that other requests bear.
+        // One request may have crashed them all by its repeats. That doesn't clear a part that other requests have too.
         const isCleared = !isFingerprint(culprit.part);
         return [
             this.set({ ...culprit, isQuarantined: true }, nowMs),
@@ -170,7 +170,7 @@
 
     /**
      * Returns the suspicions that peers may not know yet, quarantines first, at most `MAX_REPEATED`, shape [suspicions].
-     * Where there are more, the next call goes on with others.
+     * Where there are more, the next call continues with the others.
      */
     toRepeat(nowMs: number): Suspicion[] {
         const states = [...this.states.values()].filter(state => this.isToRepeat(state, nowMs));
