--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -71,8 +71,7 @@
     constructor(opts: JobRunnerOptions) {
         this.opts = opts;
         const { leadership } = opts;
-        const { table } = this;
-        const { runTimeEstimator } = this;
+        const { table, runTimeEstimator } = this;
         this.routes = new ItemRoutes(opts);
         this.loader = new JobLoader(opts);
         this.traits = new ItemTraits(opts);
