--- a/fleet/jobs/test/jobAcceptor.test.ts
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -142,7 +142,7 @@
     assert.deepEqual(await service.list(jobKeys.cancellation("j" as JobId)), []);
 });
 
-// Only one of two items with the same id can be listed, so the job never ended and its tokens waited for good.
+// Only one of two items with the same id can be listed, so the job never ended and its tokens counted as waiting forever.
 test("a job with two items of the same id is rejected and not stored", async () => {
     const { service, acceptor } = setUp();
     const { jobId, items } = submissionOf("j");
