refactor(gateway): the log lines and metrics of an online call are written apart

Change: CallRecorder keeps the moments of the response and writes the log lines and metrics; events, fields and metrics are the same.

--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -12,6 +12,7 @@
 import type { Attempt } from "./attempt.js";
 import { AttemptOutcomes } from "./attemptOutcomes.js";
 import { callerTimeoutAtMs } from "./callerTimeoutAtMs.js";
+import { CallRecorder } from "./callRecorder.js";
 import { CallTraits } from "./callTraits.js";
 import { chooseService } from "./chooseService.js";
 import { createAttempt } from "./createAttempt.js";
@@ -49,6 +50,7 @@
     readonly excluded = new Set<UpstreamId>();
     private readonly context: GatewayContext;
     private readonly outcomes: AttemptOutcomes;
+    private readonly recorder: CallRecorder;
     private readonly route: Route;
     private readonly request: IncomingMessage;
     private readonly response: ServerResponse;
@@ -61,8 +63,6 @@
     private readonly writer: ResponseWriter;
     private attempt: Attempt | undefined;
     private attempts = 0;
-    private firstDataAtMs: number | undefined;
-    private lastDataAtMs = 0;
     private mayHaveRun = false;
     private isDone = false;
 
@@ -83,6 +83,7 @@
         this.body = opts.body;
         this.arrivedAtMs = opts.arrivedAtMs;
         this.requestId = (headerOf(request, context.headers.requestId) ?? "") as RequestId;
+        this.recorder = new CallRecorder({ ...opts, requestId: this.requestId });
         this.service = chooseService(route, context.random) ?? ("" as ServiceName);
         this.priority = route.priority;
         this.traits = new CallTraits(context, request, opts.body);
@@ -123,7 +124,7 @@
     private onResumptionDecided(decision: ResumptionDecision): void {
         const { resumedRequestId } = this.continuity!;
         this.context.metrics.increment("stream_resumptions_total", { outcome: decision.kind });
-        this.log("stream-resumption-decided", { ...decision, resumedRequestId });
+        this.recorder.log("stream-resumption-decided", { ...decision, resumedRequestId });
         if (this.isDone) {
             return;
         }
@@ -145,14 +146,12 @@
         this.excluded.add(upstream.id);
         this.context.loadTracker.count(upstream.id, "online", 1);
         this.context.onLoadChanged();
-        this.context.metrics.timing("placement_wait_ms", nowMs - this.arrivedAtMs, { kind: this.route.kind });
-        this.log("call-placed", {
+        this.recorder.onPlaced({
             upstream: upstream.id,
             softwareVersion: upstream.softwareVersion,
             attempt: this.attempts,
             resumedAfter: this.writer.lastEventId ?? headerOf(this.request, this.context.headers.lastEventId),
             resumedRequestId: this.continuity?.resumedRequestId,
-            waitedMs: Math.round(nowMs - this.arrivedAtMs),
             online: this.context.loadTracker.onlineCount(upstream.id),
             configuration: this.context.configuration.version,
         });
@@ -202,7 +201,7 @@
             if (head.statusCode === HTTP_MISDIRECTED) {
                 this.context.health.onMisdirected(attempt.upstream.id, this.context.clock.nowMs());
             }
-            this.log("upstream-not-run", { upstream: attempt.upstream.id, statusCode: head.statusCode });
+            this.recorder.log("upstream-not-run", { upstream: attempt.upstream.id, statusCode: head.statusCode });
             return;
         }
         attempt.stallDetector.onHead();
@@ -229,8 +228,7 @@
             this.context.serviceTimes.recordFirstData(this.service, nowMs - attempt.startedAtMs);
         }
         attempt.stallDetector.onData();
-        this.firstDataAtMs ??= nowMs;
-        this.lastDataAtMs = nowMs;
+        this.recorder.onData(nowMs);
         if (!this.writer.onData(chunk)) {
             attempt.exchange.pause();
             this.response.once("drain", () => attempt.exchange.resume());
@@ -266,13 +264,13 @@
         const { statusCode } = this.writer;
         const isEjected = this.outcomes.onResponse(attempt, statusCode);
         if (statusCode >= HTTP_SERVER_ERROR) {
-            this.log("upstream-error", { upstream: attempt.upstream.id, statusCode, isEjected });
+            this.recorder.log("upstream-error", { upstream: attempt.upstream.id, statusCode, isEjected });
         }
         this.finish("call-answered", {
             upstream: attempt.upstream.id,
             statusCode,
-            firstPartMs: Math.round((this.firstDataAtMs ?? this.context.clock.nowMs()) - this.arrivedAtMs),
-            durationMs: Math.round(this.context.clock.nowMs() - this.arrivedAtMs),
+            firstPartMs: this.recorder.firstPartMs(),
+            durationMs: this.recorder.elapsedMs(),
         });
         this.writer.end();
     }
@@ -283,7 +281,7 @@
         }
         this.release(attempt);
         const isEjected = this.outcomes.onFailure(attempt, failure);
-        this.log("upstream-failed", {
+        this.recorder.log("upstream-failed", {
             upstream: attempt.upstream.id,
             ...failure,
             isEjected,
@@ -315,7 +313,7 @@
     private requeue(): void {
         this.writer.restart();
         if (this.isStarted) {
-            this.callerTimeoutAtMs = callerTimeoutAtMs(this, this.route, this.lastDataAtMs);
+            this.callerTimeoutAtMs = callerTimeoutAtMs(this, this.route, this.recorder.lastDataAtMs);
         }
         this.context.requestQueue.submit(this);
     }
@@ -330,7 +328,7 @@
         }
         const nowMs = this.context.clock.nowMs();
         const isEjected = this.context.health.onNoResponse(attempt.upstream.id, attempt.startedAtMs, nowMs);
-        this.log("upstream-silent", { upstream: attempt.upstream.id, isEjected });
+        this.recorder.log("upstream-silent", { upstream: attempt.upstream.id, isEjected });
     }
 
     /** Ends the attempt and resumes the response at another upstream, if the route allows that. */
@@ -389,16 +387,6 @@
     private finish(event: string, fields: { [field: string]: unknown; }): void {
         this.isDone = true;
         this.deadlineTimer.cancel();
-        const { metrics } = this.context;
-        const { kind } = this.route;
-        metrics.increment("calls_total", { kind, outcome: event });
-        if (this.firstDataAtMs !== undefined) {
-            metrics.timing("first_part_ms", this.firstDataAtMs - this.arrivedAtMs, { kind });
-        }
-        this.log(event, fields);
-    }
-
-    private log(event: string, fields: { [field: string]: unknown; }): void {
-        this.context.logger.info(event, { requestId: this.requestId, route: this.route.name, ...fields });
+        this.recorder.end(event, fields);
     }
 }
