refactor(processes): load reports and the member record leave FleetProcess

Change: LoadReports creates and applies them, createMemberRecord has its own file. Nothing else changes.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -7,7 +7,6 @@
 import { LoadExchange } from "@knapweedwood/fleet.load/loadExchange";
 import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
-import { PeerEjections } from "@knapweedwood/fleet.load/peerEjections";
 import { UdpChannel } from "@knapweedwood/fleet.load/udpChannel";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
@@ -24,8 +23,10 @@
 import { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { PlatformKeyValueService } from "@knapweedwood/platform.adapter/platformKeyValueService";
 import { randomInt } from "node:crypto";
+import { createMemberRecord } from "./createMemberRecord.js";
 import { EventLoopMonitor } from "./eventLoopMonitor.js";
 import { isPreferredRelay } from "./isPreferredRelay.js";
+import { LoadReports } from "./loadReports.js";
 import { MetricsServer } from "./metricsServer.js";
 import { OperatorsFollower } from "./operatorsFollower.js";
 import { PeerFollower } from "./peerFollower.js";
@@ -79,14 +80,12 @@
     readonly quarantine: RequestQuarantine;
     private readonly opts: FleetProcessOptions;
     private readonly self: MemberRecord;
-    private readonly ejections = new PeerEjections();
+    private readonly loadReports: LoadReports;
     private readonly exchange: LoadExchange;
     private readonly suspicions: SuspicionExchange;
     private readonly metricsServer: MetricsServer;
     private readonly eventLoop: EventLoopMonitor;
     private readonly closing = new AbortController();
-    private sequence = 0;
-    private jobsRevision = 0;
 
     constructor(opts: FleetProcessOptions) {
         this.opts = opts;
@@ -136,6 +135,19 @@
             drainMs: () => opts.settings.upstreamDrainMs,
             onChanged: opts.onLoadChanged,
         });
+        this.loadReports = new LoadReports({
+            clock,
+            self: this.self,
+            loadTracker,
+            health,
+            peers: this.peers,
+            operators: this.operators,
+            upstreams: this.upstreams,
+            waiting: () => opts.waiting(),
+            isKeyValueReachable: () => this.isKeyValueReachable,
+            onJobsWritten: revision => opts.onJobsWritten(revision),
+            onLoadChanged: () => opts.onLoadChanged(),
+        });
         this.exchange = new LoadExchange({
             clock,
             logger,
@@ -143,8 +155,8 @@
             self: { ...this.self, isPreferredRelay: isPreferredRelay(this.self) },
             placesByLoad: () => this.peers.placesLoad,
             peers: () => this.peers.loadPeers(),
-            createReport: () => this.createReport(),
-            onReport: report => this.onReport(report),
+            createReport: () => this.loadReports.create(),
+            onReport: report => this.loadReports.apply(report),
         });
         this.streamOrigins = new StreamOriginExchange({
             clock,
@@ -264,7 +276,7 @@
 
     /** Notifies the peers of the revision at which this process last wrote a job. */
     markJobsWritten(revision: number): void {
-        this.jobsRevision = Math.max(this.jobsRevision, revision);
+        this.loadReports.recordJobsWritten(revision);
         this.exchange.markChanged();
     }
 
@@ -298,64 +310,6 @@
             this.housekeep();
         });
     }
-
-    private createReport(): LoadReport {
-        this.sequence += 1;
-        return {
-            instanceName: this.self.instanceName,
-            startedAtMs: this.self.startedAtMs,
-            sequence: this.sequence,
-            isKeyValueReachable: this.isKeyValueReachable,
-            counts: this.loadTracker.ownCounts(),
-            ejected: this.health.locallyEjectedIds(this.clock.nowMs()),
-            waiting: this.opts.waiting(),
-            configurationRevision: this.operators.configurationRevision,
-            jobsRevision: this.jobsRevision,
-            upstreamsRevision: this.upstreams.changeRevision,
-            leader: this.peers.leadership.leader,
-        };
-    }
-
-    private applyEjections(report: LoadReport): void {
-        const nowMs = this.clock.nowMs();
-        this.ejections.apply(report).forEach(id => {
-            const isSameZone = this.peers.zoneOf(report.instanceName) === this.self.zone;
-            this.health.onPeerEjection(id, { isSameZone, nowMs });
-        });
-    }
-
-    private onReport(report: LoadReport): void {
-        if (!this.loadTracker.apply(report, this.clock.nowMs())) {
-            return;
-        }
-        this.peers.lookUpIfUnknown(report.instanceName);
-        this.applyEjections(report);
-        if (report.leader !== undefined) {
-            this.peers.leadership.recordLeader(report.leader);
-        }
-        if (report.jobsRevision > 0) {
-            this.opts.onJobsWritten(report.jobsRevision);
-        }
-        this.operators.mirror.catchUp(report.configurationRevision);
-        this.upstreams.mirror.catchUp(report.upstreamsRevision);
-        this.opts.onLoadChanged();
-    }
-}
-
-function createMemberRecord(settings: ProcessSettings, role: MemberRecord["role"]): MemberRecord {
-    const { instanceName, zone, host, peerPorts } = settings;
-    const [loadPort, linkPort, streamPort, suspicionPort] = peerPorts;
-    return {
-        instanceName,
-        role,
-        zone,
-        host,
-        loadPort: loadPort!,
-        linkPort: linkPort!,
-        streamPort: streamPort!,
-        suspicionPort: suspicionPort!,
-        startedAtMs: Date.now(),
-    };
 }
 
 /** Returns the processor time that this process has used, in milliseconds. */
--- /dev/null
+++ b/daemons/fleet/src/loadReports.ts
@@ -0,0 +1,90 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
+import type { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
+import { PeerEjections } from "@knapweedwood/fleet.load/peerEjections";
+import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
+import type { OperatorsFollower } from "./operatorsFollower.js";
+import type { PeerFollower } from "./peerFollower.js";
+import type { UpstreamFollower } from "./upstreamFollower.js";
+
+interface LoadReportsOptions {
+    clock: Clock;
+    self: MemberRecord;
+    loadTracker: LoadTracker;
+    health: UpstreamHealth;
+    peers: PeerFollower;
+    operators: OperatorsFollower;
+    upstreams: UpstreamFollower;
+    /** Returns the number of online requests queued in this process, shape [services]. */
+    waiting: () => LoadReport["waiting"];
+    isKeyValueReachable: () => boolean;
+    /** Called with the revision at which another process last wrote a job. */
+    onJobsWritten: (revision: number) => void;
+    /** Called when a report has changed the known load. */
+    onLoadChanged: () => void;
+}
+
+/** Creates the load reports of this process, and applies those of its peers to what it knows of the fleet. */
+export class LoadReports {
+    private readonly opts: LoadReportsOptions;
+    private readonly ejections = new PeerEjections();
+    private sequence = 0;
+    private jobsRevision = 0;
+
+    constructor(opts: LoadReportsOptions) {
+        this.opts = opts;
+    }
+
+    /** Records the revision at which this process last wrote a job. */
+    recordJobsWritten(revision: number): void {
+        this.jobsRevision = Math.max(this.jobsRevision, revision);
+    }
+
+    /** Returns the next report of this process. */
+    create(): LoadReport {
+        const { self, clock, loadTracker, health, operators, upstreams, peers } = this.opts;
+        this.sequence += 1;
+        return {
+            instanceName: self.instanceName,
+            startedAtMs: self.startedAtMs,
+            sequence: this.sequence,
+            isKeyValueReachable: this.opts.isKeyValueReachable(),
+            counts: loadTracker.ownCounts(),
+            ejected: health.locallyEjectedIds(clock.nowMs()),
+            waiting: this.opts.waiting(),
+            configurationRevision: operators.configurationRevision,
+            jobsRevision: this.jobsRevision,
+            upstreamsRevision: upstreams.changeRevision,
+            leader: peers.leadership.leader,
+        };
+    }
+
+    /** Applies the report of a peer. One that is older than the last report of that peer is ignored. */
+    apply(report: LoadReport): void {
+        const { clock, loadTracker, operators, upstreams, peers } = this.opts;
+        if (!loadTracker.apply(report, clock.nowMs())) {
+            return;
+        }
+        peers.lookUpIfUnknown(report.instanceName);
+        this.applyEjections(report);
+        if (report.leader !== undefined) {
+            peers.leadership.recordLeader(report.leader);
+        }
+        if (report.jobsRevision > 0) {
+            this.opts.onJobsWritten(report.jobsRevision);
+        }
+        operators.mirror.catchUp(report.configurationRevision);
+        upstreams.mirror.catchUp(report.upstreamsRevision);
+        this.opts.onLoadChanged();
+    }
+
+    private applyEjections(report: LoadReport): void {
+        const { clock, self, health, peers } = this.opts;
+        const nowMs = clock.nowMs();
+        this.ejections.apply(report).forEach(id => {
+            const isSameZone = peers.zoneOf(report.instanceName) === self.zone;
+            health.onPeerEjection(id, { isSameZone, nowMs });
+        });
+    }
+}
