refactor(bench): measurements of several quantities are created in one place

Cause: five measurements repeated how points become series. Change: createMeasurements takes the points and the quantities; names, units and values are the same.

--- a/bench/capacity/src/measureBatch.ts
+++ b/bench/capacity/src/measureBatch.ts
@@ -12,7 +12,7 @@
 import { SimulatedEntry } from "@knapweedwood/fuzz.promises/simulatedEntry";
 import { SimulationPlatform } from "@knapweedwood/fuzz.promises/simulationPlatform";
 import { CpuMeter } from "./cpuMeter.js";
-import { createMeasurement } from "./createMeasurement.js";
+import { createMeasurements } from "./createMeasurements.js";
 import { heapAfterCollection } from "./heapAfterCollection.js";
 import type { Measurement } from "./measurement.js";
 
@@ -55,14 +55,17 @@
 }
 
 function measurementsOf(name: string, sizeUnit: string, points: BatchPoint[]): Measurement[] {
-    const common = { sizeUnit, conditions: CONDITIONS };
-    const pick = (value: (point: BatchPoint) => number) =>
-        points.map(point => ({ size: point.size, value: value(point) }));
-    return [
-        createMeasurement({ ...common, name: `${name}.cpu`, unit: "ms", points: pick(point => point.cpuMs) }),
-        createMeasurement({ ...common, name: `${name}.heap`, unit: "B", points: pick(point => point.heapBytes) }),
-        createMeasurement({ ...common, name: `${name}.calls`, unit: "calls", points: pick(point => point.calls) }),
-    ];
+    return createMeasurements({
+        sizeUnit,
+        conditions: CONDITIONS,
+        points,
+        sizeOf: point => point.size,
+        quantities: [
+            { name: `${name}.cpu`, unit: "ms", value: point => point.cpuMs },
+            { name: `${name}.heap`, unit: "B", value: point => point.heapBytes },
+            { name: `${name}.calls`, unit: "calls", value: point => point.calls },
+        ],
+    });
 }
 
 /** Runs jobs until they complete. The heap is measured when half of the items are done. */
--- a/bench/capacity/src/measureConfiguration.ts
+++ b/bench/capacity/src/measureConfiguration.ts
@@ -10,7 +10,7 @@
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import { randomUUID } from "node:crypto";
 import { CpuMeter } from "./cpuMeter.js";
-import { createMeasurement } from "./createMeasurement.js";
+import { createMeasurements } from "./createMeasurements.js";
 import { heapAfterCollection } from "./heapAfterCollection.js";
 import type { Measurement } from "./measurement.js";
 
@@ -34,26 +34,19 @@
     for (const teams of opts.sizes) {
         points.push(await measurePoint(teams));
     }
-    const common = { sizeUnit: "teams", conditions: CONDITIONS };
-    const pick = (value: (point: ConfigurationPoint) => number) =>
-        points.map(point => ({ size: point.teams, value: value(point) }));
-    return [
-        createMeasurement({ ...common, name: "configuration.heap", unit: "B", points: pick(p => p.heapBytes) }),
-        createMeasurement({
-            ...common,
-            name: "configuration.publish-cpu",
-            unit: "ms",
-            points: pick(p => p.publishCpuMs),
-        }),
-        createMeasurement({ ...common, name: "configuration.adopt-cpu", unit: "ms", points: pick(p => p.adoptCpuMs) }),
-        createMeasurement({ ...common, name: "configuration.written", unit: "B", points: pick(p => p.writtenBytes) }),
-        createMeasurement({
-            ...common,
-            name: "configuration.calls",
-            unit: "calls",
-            points: pick(p => p.keyValueCalls),
-        }),
-    ];
+    return createMeasurements({
+        sizeUnit: "teams",
+        conditions: CONDITIONS,
+        points,
+        sizeOf: point => point.teams,
+        quantities: [
+            { name: "configuration.heap", unit: "B", value: p => p.heapBytes },
+            { name: "configuration.publish-cpu", unit: "ms", value: p => p.publishCpuMs },
+            { name: "configuration.adopt-cpu", unit: "ms", value: p => p.adoptCpuMs },
+            { name: "configuration.written", unit: "B", value: p => p.writtenBytes },
+            { name: "configuration.calls", unit: "calls", value: p => p.keyValueCalls },
+        ],
+    });
 }
 
 async function measurePoint(teams: number): Promise<ConfigurationPoint> {
--- a/bench/capacity/src/measureDistribution.ts
+++ b/bench/capacity/src/measureDistribution.ts
@@ -9,7 +9,7 @@
 import { randomUUID } from "node:crypto";
 import { CpuMeter } from "./cpuMeter.js";
 import { createFleetMember } from "./createFleetMember.js";
-import { createMeasurement } from "./createMeasurement.js";
+import { createMeasurements } from "./createMeasurements.js";
 import type { FleetMember } from "./fleetMember.js";
 import type { Measurement } from "./measurement.js";
 import { SocketMeter } from "./socketMeter.js";
@@ -46,47 +46,20 @@
     for (const members of opts.sizes) {
         points.push(await measurePoint(members, opts.durationMs));
     }
-    const common = { sizeUnit: "processes of a zone", conditions: CONDITIONS };
-    const pick = (value: (point: DistributionPoint) => number) =>
-        points.map(point => ({ size: point.members, value: value(point) }));
-    return [
-        createMeasurement({
-            ...common,
-            name: "distribution.cpu",
-            unit: "ms/s a process",
-            points: pick(p => p.cpuMsPerSecond),
-        }),
-        createMeasurement({
-            ...common,
-            name: "distribution.sent",
-            unit: "B/s a process",
-            points: pick(p => p.sentBytesPerSecond),
-        }),
-        createMeasurement({
-            ...common,
-            name: "distribution.calls",
-            unit: "calls/s a zone",
-            points: pick(p => p.keyValueCallsPerSecond),
-        }),
-        createMeasurement({
-            ...common,
-            name: "distribution.publish-cpu",
-            unit: "ms a process and publish",
-            points: pick(p => p.cpuMsPerPublish),
-        }),
-        createMeasurement({
-            ...common,
-            name: "distribution.publish-sent",
-            unit: "B a process and publish",
-            points: pick(p => p.sentBytesPerPublish),
-        }),
-        createMeasurement({
-            ...common,
-            name: "distribution.in-force-p99",
-            unit: "ms",
-            points: pick(p => p.adoptionP99Ms),
-        }),
-    ];
+    return createMeasurements({
+        sizeUnit: "processes of a zone",
+        conditions: CONDITIONS,
+        points,
+        sizeOf: point => point.members,
+        quantities: [
+            { name: "distribution.cpu", unit: "ms/s a process", value: p => p.cpuMsPerSecond },
+            { name: "distribution.sent", unit: "B/s a process", value: p => p.sentBytesPerSecond },
+            { name: "distribution.calls", unit: "calls/s a zone", value: p => p.keyValueCallsPerSecond },
+            { name: "distribution.publish-cpu", unit: "ms a process and publish", value: p => p.cpuMsPerPublish },
+            { name: "distribution.publish-sent", unit: "B a process and publish", value: p => p.sentBytesPerPublish },
+            { name: "distribution.in-force-p99", unit: "ms", value: p => p.adoptionP99Ms },
+        ],
+    });
 }
 
 async function measurePoint(members: number, durationMs: number): Promise<DistributionPoint> {
--- a/bench/capacity/src/measureLinks.ts
+++ b/bench/capacity/src/measureLinks.ts
@@ -3,7 +3,7 @@
 import type { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
 import { CpuMeter } from "./cpuMeter.js";
 import { createBenchEndpoint } from "./createBenchEndpoint.js";
-import { createMeasurement } from "./createMeasurement.js";
+import { createMeasurements } from "./createMeasurements.js";
 import { heapAfterCollection } from "./heapAfterCollection.js";
 import type { Measurement } from "./measurement.js";
 import { SocketMeter } from "./socketMeter.js";
@@ -26,19 +26,17 @@
     for (const links of opts.sizes) {
         points.push(await measurePoint(links, opts.durationMs));
     }
-    const common = { sizeUnit: "links of a process", conditions: CONDITIONS };
-    const pick = (value: (point: LinksPoint) => number) =>
-        points.map(point => ({ size: point.links, value: value(point) }));
-    return [
-        createMeasurement({ ...common, name: "links.cpu", unit: "ms/s", points: pick(point => point.cpuMsPerSecond) }),
-        createMeasurement({
-            ...common,
-            name: "links.sent",
-            unit: "B/s",
-            points: pick(point => point.sentBytesPerSecond),
-        }),
-        createMeasurement({ ...common, name: "links.heap", unit: "B", points: pick(point => point.heapBytes) }),
-    ];
+    return createMeasurements({
+        sizeUnit: "links of a process",
+        conditions: CONDITIONS,
+        points,
+        sizeOf: point => point.links,
+        quantities: [
+            { name: "links.cpu", unit: "ms/s", value: point => point.cpuMsPerSecond },
+            { name: "links.sent", unit: "B/s", value: point => point.sentBytesPerSecond },
+            { name: "links.heap", unit: "B", value: point => point.heapBytes },
+        ],
+    });
 }
 
 async function measurePoint(links: number, durationMs: number): Promise<LinksPoint> {
--- a/bench/capacity/src/measureRelay.ts
+++ b/bench/capacity/src/measureRelay.ts
@@ -8,7 +8,7 @@
 import { once } from "node:events";
 import { CpuMeter } from "./cpuMeter.js";
 import { createFleetMember } from "./createFleetMember.js";
-import { createMeasurement } from "./createMeasurement.js";
+import { createMeasurements } from "./createMeasurements.js";
 import type { Measurement } from "./measurement.js";
 import { SocketMeter } from "./socketMeter.js";
 
@@ -33,25 +33,18 @@
     for (const children of opts.sizes) {
         points.push(await measurePoint(children, opts.durationMs));
     }
-    const common = { sizeUnit: "children of a relay", conditions: CONDITIONS };
-    const pick = (value: (point: RelayPoint) => number) =>
-        points.map(point => ({ size: point.children, value: value(point) }));
-    return [
-        createMeasurement({ ...common, name: "relay.cpu", unit: "ms/s", points: pick(p => p.cpuMsPerSecond) }),
-        createMeasurement({ ...common, name: "relay.sent", unit: "B/s", points: pick(p => p.sentBytesPerSecond) }),
-        createMeasurement({
-            ...common,
-            name: "relay.publish-cpu",
-            unit: "ms a publish",
-            points: pick(p => p.cpuMsPerPublish),
-        }),
-        createMeasurement({
-            ...common,
-            name: "relay.publish-sent",
-            unit: "B a publish",
-            points: pick(p => p.sentBytesPerPublish),
-        }),
-    ];
+    return createMeasurements({
+        sizeUnit: "children of a relay",
+        conditions: CONDITIONS,
+        points,
+        sizeOf: point => point.children,
+        quantities: [
+            { name: "relay.cpu", unit: "ms/s", value: p => p.cpuMsPerSecond },
+            { name: "relay.sent", unit: "B/s", value: p => p.sentBytesPerSecond },
+            { name: "relay.publish-cpu", unit: "ms a publish", value: p => p.cpuMsPerPublish },
+            { name: "relay.publish-sent", unit: "B a publish", value: p => p.sentBytesPerPublish },
+        ],
+    });
 }
 
 async function measurePoint(children: number, durationMs: number): Promise<RelayPoint> {
