fix(gateway): an outdated configuration doesn't answer 404

Cause: a gateway that the newest configuration had not reached answered 404 for a route that the operators had added. Callers take that as final. Change: 404 only while the mirror of the operators' entries is current: listed, its calls succeed, and no peer has reported a later revision. Otherwise 503 with Retry-After, as the request has not run. call-unrouted says isCurrent.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -77,6 +77,7 @@
             logger,
             metrics,
             configuration,
+            isConfigurationCurrent: () => this.fleet.operators.mirror.isCurrent,
             connections,
             loadTracker,
             health,
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -23,6 +23,8 @@
     logger: Logger;
     metrics: Metrics;
     configuration: ActiveConfiguration;
+    /** Returns whether this process knows of no newer configuration and follows changes of it without a failure. */
+    isConfigurationCurrent: () => boolean;
     connections: UpstreamConnections;
     loadTracker: LoadTracker;
     health: UpstreamHealth;
--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -111,8 +111,7 @@
         const path = (request.url ?? "/").split("?", 1)[0]!;
         const route = configuration.match(request.headers.host ?? "", path);
         if (route === undefined) {
-            this.logUnrouted(request);
-            sendFailure(response, { statusCode: 404, message: "No route" });
+            this.rejectUnrouted(request, response);
             return;
         }
         if (route.kind === "batch") {
@@ -123,12 +122,21 @@
         new OnlineCall({ context: this.context, route, request, response, body, arrivedAtMs }).start();
     }
 
-    private logUnrouted(request: IncomingMessage): void {
+    /** Responds with 404 only if the route is certain not to exist, since callers don't repeat a request after that. */
+    private rejectUnrouted(request: IncomingMessage, response: ServerResponse): void {
+        const isCurrent = this.context.isConfigurationCurrent();
         this.context.logger.info("call-unrouted", {
             requestId: request.headers[this.protocol.headers.requestId],
             host: request.headers.host,
             path: request.url,
             configuration: this.context.configuration.version,
+            isCurrent,
         });
+        if (isCurrent) {
+            sendFailure(response, { statusCode: 404, message: "No route" });
+            return;
+        }
+        const message = "No route in a configuration that may be outdated";
+        sendFailure(response, { statusCode: 503, message, retryAfterMs: NO_CONFIGURATION_RETRY_MS });
     }
 }
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -84,6 +84,7 @@
             otherHost?: string;
             maxBodyBytes?: number;
             isConfigured?: boolean;
+            isConfigurationCurrent?: boolean;
             origins?: StreamOrigins;
             soleVersion?: SoftwareVersion;
         },
@@ -128,6 +129,7 @@
             logger: silentLogger,
             metrics: silentMetrics,
             configuration,
+            isConfigurationCurrent: () => opts.isConfigurationCurrent ?? true,
             connections,
             loadTracker,
             health: this.health,
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -24,6 +24,8 @@
     private catchUpTimer: Timer | undefined;
     private readonly currentEntries = new Map<string, KeyValueEntry>();
     private hasListed = false;
+    /** Latest revision with a change under the prefix that another process has reported. */
+    private reportedRevision = 0;
 
     constructor(opts: PrefixMirrorOptions) {
         this.opts = opts;
@@ -39,6 +41,14 @@
         return this.hasListed || this.currentEntries.size > 0;
     }
 
+    /**
+     * Whether the mirror has listed the keys, its calls succeed, and no process has reported a revision that it lacks. A
+     * service that has just become unresponsive is noticed only when a call fails.
+     */
+    get isCurrent(): boolean {
+        return this.hasListed && this.failures === 0 && this.currentRevision >= this.reportedRevision;
+    }
+
     /** The mirrored entries if the mirror keeps them, shape [entries]. */
     entries(): KeyValueEntry[] {
         return [...this.currentEntries.values()];
@@ -64,6 +74,7 @@
 
     /** Lists the prefix again if the watch does not deliver `revision` within `CATCH_UP_DELAY_MS` after the pause. */
     catchUp(revision: number): void {
+        this.reportedRevision = Math.max(this.reportedRevision, revision);
         if (revision <= this.currentRevision || this.catchUpTimer !== undefined) {
             return;
         }
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -225,3 +225,19 @@
     await clock.advance(1000);
     assert.equal(counts().snapshots, snapshots);
 });
+
+test("a mirror is current unless its calls fail or another process has reported a revision that it lacks", async () => {
+    const { clock, service, mirror, stop } = setUp();
+    assert.equal(mirror.isCurrent, false, "nothing is listed yet");
+    await clock.advance(100);
+    assert.equal(mirror.isCurrent, true);
+    mirror.catchUp(mirror.revision + 1);
+    assert.equal(mirror.isCurrent, false, "a later revision is known");
+    await service.transact([], [put("a/1")]);
+    await clock.advance(1000);
+    assert.equal(mirror.isCurrent, true);
+    service.faults.outage = true;
+    await clock.advance(LOST_WATCH_MS + LOST_CALL_MS);
+    assert.equal(mirror.isCurrent, false, "the service is unresponsive");
+    stop();
+});
