--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -8,13 +8,15 @@
 import { applyRunOutcome } from "./applyRunOutcome.js";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { BatchSlots } from "./batchSlots.js";
-import { giveUpReason } from "./giveUpReason.js";
+import { findCompleteItems } from "./findCompleteItems.js";
+import { findItemsToGiveUp } from "./findItemsToGiveUp.js";
 import type { HeldJob } from "./heldJob.js";
 import { InFlightItems } from "./inFlightItems.js";
 import { ItemRoutes } from "./itemRoutes.js";
 import type { ItemRun } from "./itemRun.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
 import { ItemRunTimeEstimator } from "./itemRunTimeEstimator.js";
+import type { ItemsToGiveUp } from "./itemsToGiveUp.js";
 import { ItemTraits } from "./itemTraits.js";
 import { JobCleanup } from "./jobCleanup.js";
 import type { JobItem } from "./jobItem.js";
@@ -193,7 +195,7 @@
         this.opts.heldJobs().forEach(job => this.table.applyHeld(job));
         this.table.restoreFrom(this.previousJobs);
         this.previousJobs = [];
-        this.finishCompleteItems();
+        findCompleteItems(this.table.all()).forEach(({ job, item }) => this.finish(job, item, "completed"));
         const ended = this.table.all().filter(job => job.isEnded);
         ended.forEach(job => this.cleanup.onEnded(job));
         this.isLoaded = true;
@@ -347,15 +349,6 @@
         }
     }
 
-    /** Finishes items whose restored output is already complete. */
-    private finishCompleteItems(): void {
-        this.table.all().filter(job => !job.isEnded).forEach(job =>
-            job.items
-                .filter(item => item.state === "pending" && item.isComplete)
-                .forEach(item => this.finish(job, item, "completed"))
-        );
-    }
-
     private finish(job: OpenJob, item: JobItem, state: "completed" | "given-up"): void {
         item.state = "finished";
         item.isComplete = state === "completed";
@@ -374,18 +367,12 @@
         if (!this.isLoaded) {
             return;
         }
-        const nowMs = this.opts.clock.nowMs();
-        this.table.all().filter(job => !job.isEnded).forEach(job => {
-            const missingSinceMs = this.routes.missingSinceMs(job.record.jobId);
-            const reason = giveUpReason(job.record, { nowMs, missingSinceMs });
-            const items = job.items.filter(item => item.state === "pending");
-            if (reason !== undefined && items.length > 0) {
-                this.giveUp(job, items, reason);
-            }
-        });
+        const missingSinceMs = (job: OpenJob) => this.routes.missingSinceMs(job.record.jobId);
+        findItemsToGiveUp(this.table.all(), { nowMs: this.opts.clock.nowMs(), missingSinceMs })
+            .forEach(found => this.giveUp(found));
     }
 
-    private giveUp(job: OpenJob, items: readonly JobItem[], reason: string): void {
+    private giveUp({ job, items, reason }: ItemsToGiveUp): void {
         const { jobId } = job.record;
         this.opts.logger.info("items-given-up", { jobId, reason, items: items.length, results: job.resultCount });
         items.forEach(item => this.finish(job, item, "given-up"));
