fix(jobs): a held job that was removed is not written or opened again

Cause: callers saw other results at the first positions of a job after its retention time. A copy of the job on the disk of a runner that had been down until then was told from a job that was never stored by its missing record only, so it was written again, its items had expired and were given up. The leader also opened such copies, from its own disk or collected from others, and listed their items without any record.

Change: the write that removes a job's record leaves a tombstone. Each write of a job (by a gateway too, however late) and the first write of results of a job that is known only from a disk compare it. A held job older than the result retention is opened only once it is stored; one that was never stored is written as before, and its items are given up and listed once.

Measured: of the new tests in heldJobs (2), jobRunner, resultCommitter, jobAcceptor, jobTable and jobCleanup all seven failed with the sources of before; the test that a job that was never stored is written after its retention time passed before and after. Now all pass. Not covered: a job that an earlier version removed has no tombstone.

--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -10,9 +10,11 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { Packr } from "msgpackr";
+import { hasTombstone } from "./hasTombstone.js";
 import type { HeldJob } from "./heldJob.js";
 import { jobKeys } from "./jobKeys.js";
 import { planJobWrite } from "./planJobWrite.js";
+import { TOMBSTONE_RETENTION_MS } from "./tombstoneRetentionMs.js";
 
 /** Minimum pause between attempts to write held jobs to the key-value service, in milliseconds. */
 const WRITE_INTERVAL_MS = 250;
@@ -106,7 +108,7 @@
     private async writeAll(): Promise<void> {
         for (const [digest, job] of this.jobs) {
             try {
-                if (await this.isStored(job) || await this.write(job)) {
+                if (await this.isStored(job) || this.isOutdated(job) || await this.write(job)) {
                     await this.opts.segments.remove(digest);
                     this.jobs.delete(digest);
                 }
@@ -126,8 +128,17 @@
         return record !== undefined;
     }
 
+    /** Returns whether the job is so old that its tombstone may have been removed, if it had one. */
+    private isOutdated({ record }: HeldJob): boolean {
+        const isOutdated = this.opts.clock.nowMs() >= record.acceptedAtMs + TOMBSTONE_RETENTION_MS;
+        if (isOutdated) {
+            this.opts.logger.error("held-job-dropped", { jobId: record.jobId, reason: "outdated" });
+        }
+        return isOutdated;
+    }
+
     /**
-     * Writes a job that isn't stored yet. Rejects if the outcome is uncertain.
+     * Writes a job that isn't stored yet, unless it was removed. Rejects if the outcome is uncertain.
      *
      * @returns false if the leader still has time to write it
      */
@@ -142,6 +153,10 @@
             const waitingTokensEntry = await service.get(jobKeys.waitingTokens(job.record.routeName));
             const { compares, operations } = planJobWrite(job, waitingTokensEntry);
             const result = await settleTransaction({ service, clock, compares, operations, witnessKey: recordKey });
+            if (result.kind === "failed" && hasTombstone(result.current, job.record.jobId)) {
+                this.opts.logger.info("held-job-dropped", { jobId: job.record.jobId, reason: "removed" });
+                return true;
+            }
             if (result.kind === "succeeded" || await this.isStored(job)) {
                 this.opts.logger.info("held-job-written", { jobId: job.record.jobId });
                 return true;
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -202,7 +202,9 @@
             const entry = await this.service.get(recordKey);
             return entry === undefined ? { kind: "unknown" } : { kind: "accepted", revision: entry.modRevision };
         }
-        const existing = result.current.find(entry => entry.key === recordKey);
+        // A job that was removed after its retention time was accepted before, too.
+        const keys: string[] = [recordKey, jobKeys.tombstone(submission.jobId)];
+        const existing = result.current.find(entry => keys.includes(entry.key));
         if (existing !== undefined) {
             return { kind: "accepted", revision: existing.modRevision };
         }
--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -1,7 +1,9 @@
+import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import type { SnapshotKeyValueService } from "@knapweedwood/core.key-value/snapshotKeyValueService";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
@@ -10,6 +12,8 @@
 import type { JobTable } from "./jobTable.js";
 import type { OpenJob } from "./openJob.js";
 import { releaseWaitingTokens } from "./releaseWaitingTokens.js";
+import type { Tombstone } from "./tombstone.js";
+import { TombstoneSweep } from "./tombstoneSweep.js";
 
 /** Keys removed by one write; the key-value service accepts 32 entries, of which one is the fence. */
 const MAX_REMOVALS = 31;
@@ -29,10 +33,12 @@
     private readonly opts: JobCleanupOptions;
     /** Ended jobs whose tokens may still count as waiting. */
     private readonly unreleased = new Set<OpenJob>();
+    private readonly tombstones: TombstoneSweep;
     private isRunning = false;
 
     constructor(opts: JobCleanupOptions) {
         this.opts = opts;
+        this.tombstones = new TombstoneSweep(opts);
     }
 
     /** Records that a job has ended. */
@@ -43,6 +49,7 @@
     /** Drops the pending work after leadership was lost. The next leader finds it again. */
     reset(): void {
         this.unreleased.clear();
+        this.tombstones.reset();
     }
 
     /** Performs the pending cleanup. A failed step is repeated by a later run. */
@@ -89,27 +96,42 @@
         const lastKeys: string[] = [jobKeys.listedItems(jobId), jobKeys.record(jobId)];
         const keys = [...results.entries, ...parts.entries].map(entry => entry.key);
         await this.removeKeys(keys.filter(key => !lastKeys.includes(key)), fence);
-        const revision = await this.removeKeys(keys.filter(key => lastKeys.includes(key)), fence);
+        const last: KeyValueOperation[] = [
+            ...lastKeys.filter(key => keys.includes(key)).map(toRemoval),
+            { kind: "put", key: jobKeys.tombstone(jobId), value: encodeRecord(this.createTombstone()) },
+            ...await this.tombstones.operations(),
+        ];
+        const revision = await this.write(last, fence);
+        this.tombstones.onWritten(last);
         this.opts.table.delete(jobId, revision);
         this.opts.logger.info("job-removed", { jobId, keys: keys.length });
     }
 
+    private createTombstone(): Tombstone {
+        return { removedAtMs: this.opts.clock.nowMs() };
+    }
+
+    private async removeKeys(keys: readonly string[], fence: KeyValueCompare): Promise<void> {
+        for (let start = 0; start < keys.length; start += MAX_REMOVALS) {
+            await this.write(keys.slice(start, start + MAX_REMOVALS).map(toRemoval), fence);
+        }
+    }
+
     /**
-     * Removes keys. Rejects with `JOB_REMOVAL_REFUSED` if another process leads, which ends this process's leadership.
+     * Rejects with `JOB_REMOVAL_REFUSED` if another process leads, which ends this process's leadership.
      *
-     * @returns revision of the last removal; 0 if there was nothing to remove
+     * @returns revision of the write
      */
-    private async removeKeys(keys: readonly string[], fence: KeyValueCompare): Promise<number> {
-        let revision = 0;
-        for (let start = 0; start < keys.length; start += MAX_REMOVALS) {
-            const removals = keys.slice(start, start + MAX_REMOVALS).map(key => ({ kind: "delete" as const, key }));
-            const result = await this.opts.service.transact([fence], removals);
-            if (!result.succeeded) {
-                this.opts.leadership.stepDown(fence, "write-refused");
-                throw new KnapweedError("JOB_REMOVAL_REFUSED", "Another process leads", { outcome: "not-run" });
-            }
-            ({ revision } = result);
+    private async write(operations: KeyValueOperation[], fence: KeyValueCompare): Promise<number> {
+        const { succeeded, revision } = await this.opts.service.transact([fence], operations);
+        if (!succeeded) {
+            this.opts.leadership.stepDown(fence, "write-refused");
+            throw new KnapweedError("JOB_REMOVAL_REFUSED", "Another process leads", { outcome: "not-run" });
         }
         return revision;
     }
 }
+
+function toRemoval(key: string): KeyValueOperation {
+    return { kind: "delete", key };
+}
--- a/fleet/jobs/src/jobKeys.ts
+++ b/fleet/jobs/src/jobKeys.ts
@@ -1,6 +1,7 @@
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 
 const JOBS_PREFIX = "knapweed/jobs/";
+const TOMBSTONES_PREFIX = "knapweed/tombstones/";
 const RESULTS_PREFIX = "knapweed/results/";
 const POSITION_DIGITS = 6;
 
@@ -24,6 +25,9 @@
     /** The list of the items of one job that have a result. */
     listedItems: (jobId: JobId) => `${RESULTS_PREFIX}${jobId}/listed`,
     progress: (jobId: JobId, itemIndex: number) => `${RESULTS_PREFIX}${jobId}/progress/${itemIndex}`,
+    /** Traces of removed jobs. */
+    tombstonesPrefix: TOMBSTONES_PREFIX,
+    tombstone: (jobId: JobId) => `${TOMBSTONES_PREFIX}${jobId}`,
     /** Waiting tokens of a route. */
     waitingTokens: (routeName: string) => `knapweed/waiting-tokens/${routeName}`,
 } as const;
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -26,6 +26,7 @@
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
 import { JobTable } from "./jobTable.js";
 import type { LeaderCount } from "./leaderCount.js";
+import { mayBeRemoved } from "./mayBeRemoved.js";
 import type { OpenJob } from "./openJob.js";
 import { orderStartableItems } from "./orderStartableItems.js";
 import { ProgressWriter } from "./progressWriter.js";
@@ -146,7 +147,7 @@
     /** Runs a job that is held on disk and is not in the key-value service yet. */
     onHeld(job: HeldJob): void {
         if (this.leadershipController !== undefined) {
-            this.table.applyHeld(job);
+            this.openHeld([job]);
             this.requestDispatch();
         }
     }
@@ -192,7 +193,7 @@
 
     private onLoaded(results: KeyValueEntry[]): void {
         this.table.applyResults(results);
-        this.opts.heldJobs().forEach(job => this.table.applyHeld(job));
+        this.openHeld(this.opts.heldJobs());
         this.table.restoreFrom(this.previousJobs);
         this.previousJobs = [];
         findCompleteItems(this.table.all()).forEach(({ job, item }) => this.finish(job, item, "completed"));
@@ -213,13 +214,18 @@
             fencingNumber,
             signal,
             onCollected: (jobs, isComplete) => {
-                jobs.forEach(job => this.table.applyHeld(job));
+                this.openHeld(jobs);
                 this.knowsHeldJobs = isComplete;
                 this.requestDispatch();
             },
         });
     }
 
+    private openHeld(jobs: readonly HeldJob[]): void {
+        const opts = { nowMs: this.opts.clock.nowMs(), resultRetentionMs: this.opts.resultRetentionMs() };
+        jobs.filter(({ record }) => !mayBeRemoved(record, opts)).forEach(job => this.table.applyHeld(job));
+    }
+
     private apply(entries: KeyValueEntry[]): void {
         this.table.apply(entries).forEach(job => {
             this.opts.logger.info("job-ended", { jobId: job.record.jobId, reason: "cancelled" });
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -57,9 +57,9 @@
             .map(entry => ({ entry, ...parseKey(entry.key) }))
             .filter(({ entry, jobId }) => entry.modRevision > (this.removedAtRevision.get(jobId) ?? 0));
         keyed.filter(({ part }) => part === "record").forEach(({ entry, jobId }) => {
-            if (!this.jobs.has(jobId)) {
-                this.jobs.set(jobId, new OpenJob(decodeRecord<JobRecord>(entry.value)));
-            }
+            const job = this.jobs.get(jobId) ?? new OpenJob(decodeRecord<JobRecord>(entry.value));
+            job.isOnlyHeld = false;
+            this.jobs.set(jobId, job);
         });
         this.retryUnmatchedResults();
         this.unmatchedEntries = keyed.filter(({ jobId }) => !this.jobs.has(jobId)).map(({ entry }) => entry);
@@ -99,12 +99,13 @@
         });
     }
 
-    /** Adds a job that is held on disk and may not be in the key-value service yet. */
+    /** Adds a job that is held on disk and may not be in the key-value service yet. Ignores a removed one. */
     applyHeld({ record, bodies }: HeldJob): void {
-        if (this.jobs.has(record.jobId)) {
+        if (this.jobs.has(record.jobId) || this.removedAtRevision.has(record.jobId)) {
             return;
         }
         const job = new OpenJob(record);
+        job.isOnlyHeld = true;
         Array.from({ length: record.partCount }, (_, index) => index)
             .forEach(index => job.setPart(index, bodies.subarray(index * PART_BYTES, (index + 1) * PART_BYTES)));
         this.jobs.set(record.jobId, job);
--- a/fleet/jobs/src/planJobWrite.ts
+++ b/fleet/jobs/src/planJobWrite.ts
@@ -18,13 +18,16 @@
 }
 
 /**
- * Returns the conditional write that stores a job.
+ * Returns the conditional write that stores a job unless it is stored or was removed.
  *
  * @param waitingTokensEntry the route's entry of waiting tokens as last seen; the write fails if it has changed since
  */
 export function planJobWrite(job: HeldJob, waitingTokensEntry: KeyValueEntry | undefined): JobWrite {
     const { record } = job;
-    const compares = [{ key: jobKeys.record(record.jobId), modRevision: 0 }];
+    const compares = [
+        { key: jobKeys.record(record.jobId), modRevision: 0 },
+        { key: jobKeys.tombstone(record.jobId), modRevision: 0 },
+    ];
     const operations = createJobOperations(job);
     if (job.maxWaitingTokens === undefined) {
         return { compares, operations, waitingTokens: 0 };
--- a/fleet/jobs/src/resultBatch.ts
+++ b/fleet/jobs/src/resultBatch.ts
@@ -87,10 +87,14 @@
     private comparesOf(job: OpenJob): KeyValueCompare[] {
         const { jobId } = job.record;
         const list = { key: jobKeys.listedItems(jobId), modRevision: job.listRevision };
-        // A job without a list may have results of an earlier version of this program.
-        return job.listRevision === 0
-            ? [list, { key: jobKeys.result(jobId, job.resultCount), modRevision: 0 }]
-            : [list];
+        if (job.listRevision > 0) {
+            return [list];
+        }
+        // A job without a list may have results of an earlier version of this program, or may have been removed.
+        const position = { key: jobKeys.result(jobId, job.resultCount), modRevision: 0 };
+        return job.isOnlyHeld
+            ? [list, position, { key: jobKeys.tombstone(jobId), modRevision: 0 }]
+            : [list, position];
     }
 
     private listOf(job: OpenJob): ListedItems {
--- a/fleet/jobs/test/heldJobs.test.ts
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -9,14 +9,20 @@
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { mock, test } from "node:test";
+import { CLOCK_MARGIN_MS } from "../src/clockMarginMs.js";
 import type { HeldJob } from "../src/heldJob.js";
 import { HeldJobs } from "../src/heldJobs.js";
+import { JobCleanup } from "../src/jobCleanup.js";
 import { jobKeys } from "../src/jobKeys.js";
+import { JobTable } from "../src/jobTable.js";
+import { planJobWrite } from "../src/planJobWrite.js";
+import { TOMBSTONE_RETENTION_MS } from "../src/tombstoneRetentionMs.js";
 import type { WaitingTokens } from "../src/waitingTokens.js";
 import { createJobRecord } from "./createJobRecord.js";
 
 /** Rounds of `settle` after which a test no longer waits for a condition. */
 const MAX_ROUNDS = 50;
+const RESULT_RETENTION_MS = 120_000;
 const job: HeldJob = {
     record: { ...createJobRecord({ id: "j", itemCount: 1 }), partCount: 1 },
     bodies: Buffer.from("body"),
@@ -159,3 +165,81 @@
         controller.abort();
     });
 });
+
+// A runner was down until the job on its disk had been run and removed. Nothing told the job from one that was never
+// stored, so it was written again, its items were given up, and a reader saw other results at the first positions.
+test("a held job that was stored and removed since is not written again, and its file is removed", async () => {
+    await withFolder(async folder => {
+        const clock = new ManualClock();
+        const service = new MemoryKeyValueService({ clock });
+        const first = new AbortController();
+        service.faults.outage = true;
+        const { held } = start({ folder, service, clock, signal: first.signal });
+        await settle(clock);
+        await held.hold(job);
+        first.abort();
+        await settle(clock);
+        service.faults.outage = false;
+        const { compares, operations } = planJobWrite(job, undefined);
+        await service.transact(compares, operations);
+        const { revision } = await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("a") }]);
+        const table = new JobTable();
+        table.apply(await service.list(jobKeys.jobsPrefix));
+        table.get(job.record.jobId)!.isCancelled = true;
+        const fence = { key: "leader", modRevision: revision };
+        const cleanup = new JobCleanup({
+            clock,
+            service,
+            logger: silentLogger,
+            leadership: { isLeading: () => true, fence: () => fence, stepDown: () => undefined },
+            table,
+            resultRetentionMs: () => RESULT_RETENTION_MS,
+        });
+        await clock.advance(RESULT_RETENTION_MS + CLOCK_MARGIN_MS + 1);
+        await cleanup.run();
+        assert.equal(await service.get(jobKeys.record(job.record.jobId)), undefined);
+
+        const second = new AbortController();
+        const restarted = start({ folder, service, clock, signal: second.signal });
+        await settleUntil(clock, () => restarted.seen.length > 0 && restarted.held.count === 0);
+        second.abort();
+        assert.equal(restarted.seen.length, 1);
+        assert.equal(restarted.held.count, 0);
+        assert.equal(await service.get(jobKeys.record(job.record.jobId)), undefined);
+    });
+});
+
+// The caller was promised the results of a job that only disks hold, however long the key-value service was away.
+test("a held job that was never stored is written even after its retention time", async () => {
+    await withFolder(async folder => {
+        const clock = new ManualClock();
+        const service = new MemoryKeyValueService({ clock });
+        service.faults.outage = true;
+        const controller = new AbortController();
+        const { held } = start({ folder, service, clock, signal: controller.signal });
+        await settle(clock);
+        await held.hold(job);
+        await clock.advance(RESULT_RETENTION_MS);
+        service.faults.outage = false;
+        await settleUntil(clock, () => held.count === 0);
+        controller.abort();
+        assert.notEqual(await service.get(jobKeys.record(job.record.jobId)), undefined);
+    });
+});
+
+// Tombstones are kept for a day. Without one, a removed job can't be told from one that was never stored.
+test("a held job whose tombstone may have been removed already is dropped", async () => {
+    await withFolder(async folder => {
+        const clock = new ManualClock();
+        const service = new MemoryKeyValueService({ clock });
+        await clock.advance(TOMBSTONE_RETENTION_MS);
+        const controller = new AbortController();
+        const { held } = start({ folder, service, clock, signal: controller.signal });
+        await settle(clock);
+        await held.hold(job);
+        await settleUntil(clock, () => held.count === 0);
+        controller.abort();
+        assert.equal(held.count, 0);
+        assert.equal(await service.get(jobKeys.record(job.record.jobId)), undefined);
+    });
+});
--- a/fleet/jobs/test/jobAcceptor.test.ts
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -151,3 +151,11 @@
     });
     assert.deepEqual(await service.list(jobKeys.jobsPrefix), []);
 });
+
+// A write that was delayed beyond the retention time stored the job again after its removal.
+test("a job that was removed is accepted again as any other job sent again, and not stored", async () => {
+    const { service, acceptor, settle } = setUp();
+    await service.transact([], [{ kind: "put", key: jobKeys.tombstone("j" as JobId), value: Buffer.from("{}") }]);
+    assert.equal((await settle(acceptor().accept(route, submissionOf("j")))).kind, "accepted");
+    assert.deepEqual(await service.list(jobKeys.jobsPrefix), []);
+});
--- a/fleet/jobs/test/jobCleanup.test.ts
+++ b/fleet/jobs/test/jobCleanup.test.ts
@@ -1,5 +1,6 @@
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
@@ -8,6 +9,7 @@
 import { JobCleanup } from "../src/jobCleanup.js";
 import { jobKeys } from "../src/jobKeys.js";
 import { JobTable } from "../src/jobTable.js";
+import { TOMBSTONE_RETENTION_MS } from "../src/tombstoneRetentionMs.js";
 import { createJobRecord } from "./createJobRecord.js";
 
 const record = createJobRecord({ id: "j", itemCount: 40 });
@@ -111,3 +113,20 @@
     assert.deepEqual(job.items.filter(item => item.state !== "stored"), []);
     assert.ok(job.isEnded);
 });
+
+// The copies of a removed job on disks outlast it, but not for ever.
+test("a removed job has a tombstone for a day, which a later removal removes", async () => {
+    const { clock, service, cleanup } = await setUp();
+    const old = jobKeys.tombstone("old" as JobId);
+    const recent = jobKeys.tombstone("recent" as JobId);
+    const removedAtMs = clock.nowMs();
+    await clock.advance(TOMBSTONE_RETENTION_MS);
+    await service.transact([], [
+        { kind: "put", key: old, value: encodeRecord({ removedAtMs }) },
+        { kind: "put", key: recent, value: encodeRecord({ removedAtMs: clock.nowMs() }) },
+    ]);
+    await clock.advance(6000);
+    await cleanup.run();
+    const keys = (await service.list(jobKeys.tombstonesPrefix)).map(({ key }) => key);
+    assert.deepEqual(keys, [jobKeys.tombstone(record.jobId), recent]);
+});
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -20,6 +20,7 @@
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
+import type { HeldJob } from "../src/heldJob.js";
 import type { ItemResult } from "../src/itemResult.js";
 import type { JobItemRecord } from "../src/jobItemRecord.js";
 import { jobKeys } from "../src/jobKeys.js";
@@ -36,6 +37,7 @@
 const MAX_RUNS_OF_REQUEST = 6;
 const BAD_PATH = "/p/bad/";
 const BAD_PART = "bad";
+const RESULT_RETENTION_MS = 120_000;
 const JOBS = 80;
 const ITEMS = 10;
 /** As in the records of `createJobRecord`. */
@@ -58,6 +60,8 @@
     connections: UpstreamConnections;
     /** Makes an item one that crashes upstreams. Called for every other item. */
     makeBad?: (item: JobItemRecord) => void;
+    /** Jobs on the disks of this instance and of the other runners, shape [jobs]. */
+    heldJobs?: { own: HeldJob[]; others: HeldJob[]; };
 }) {
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
@@ -116,10 +120,10 @@
             remove: () => undefined,
             onChanged: () => undefined,
         }),
-        resultRetentionMs: () => 120_000,
+        resultRetentionMs: () => RESULT_RETENTION_MS,
         onLoadChanged: () => undefined,
-        heldJobs: () => [],
-        collectHeldJobs: () => Promise.resolve({ jobs: [], isComplete: true }),
+        heldJobs: () => opts.heldJobs?.own ?? [],
+        collectHeldJobs: () => Promise.resolve({ jobs: opts.heldJobs?.others ?? [], isComplete: true }),
     });
     for (let index = 0; index < opts.jobs; index += 1) {
         const record = createJobRecord({ id: `job-${index}`, itemCount: ITEMS, dueAtMs: clock.nowMs() + 60_000 });
@@ -230,3 +234,29 @@
     assert.equal((await finishedResults()).length, ITEMS / 2, "the sound items are finished");
     runner.stop();
 });
+
+// Copies of a job outlast its removal on the disks of runners that were down. The leader ran and gave up its items again.
+test("a held job that may have been removed is opened only once it is stored", async () => {
+    const [own, other, heldLater, young] = ["own", "other", "held-later", "young"].map((id): HeldJob => {
+        const acceptedAtMs = id === "young" ? 1 : 0;
+        const record = { ...createJobRecord({ id, itemCount: 1 }), acceptedAtMs };
+        return { record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined };
+    });
+    const { clock, service, runner } = await createRunner({
+        busySlots: SLOTS,
+        jobs: 0,
+        connections: new UpstreamConnections(),
+        heldJobs: { own: [own!, young!], others: [other!] },
+    });
+    runner.stop();
+    await clock.advance(RESULT_RETENTION_MS - clock.nowMs());
+    runner.start();
+    await clock.advance(0);
+    runner.onHeld(heldLater!);
+    const isOpen = (jobs: (HeldJob | undefined)[]) => jobs.map(job => runner.has(job!.record.jobId));
+    assert.deepEqual(isOpen([own, other, heldLater, young]), [false, false, false, true]);
+    await service.transact([], planJobWrite(own!, undefined).operations);
+    await clock.advance(1000);
+    assert.deepEqual(isOpen([own, other, heldLater]), [true, false, false]);
+    runner.stop();
+});
--- a/fleet/jobs/test/jobTable.test.ts
+++ b/fleet/jobs/test/jobTable.test.ts
@@ -92,3 +92,11 @@
     table.apply([{ ...entry, modRevision: entry.modRevision + 2 }]);
     assert.notEqual(table.get(record.jobId), undefined);
 });
+
+test("a copy of a job that this leader has removed doesn't open it again", () => {
+    const table = new JobTable();
+    table.apply([entryOf(jobKeys.record(record.jobId), record)]);
+    table.delete(record.jobId, 2);
+    table.applyHeld({ record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined });
+    assert.equal(table.get(record.jobId), undefined);
+});
--- a/fleet/jobs/test/resultCommitter.test.ts
+++ b/fleet/jobs/test/resultCommitter.test.ts
@@ -165,3 +165,14 @@
     assert.ok(Math.max(...sizes) <= 32, `writes of ${sizes.join(" ")} entries`);
     assert.equal((await storedResults()).length, 40 * 2 + 38);
 });
+
+// A leader that opened a copy of a removed job from a disk listed the items of the job again.
+test("no result is written for a held job that was removed", async () => {
+    const { clock, service, committer, job, result, leadership, storedResults } = await setUp();
+    job.isOnlyHeld = true;
+    await service.transact([], [{ kind: "put", key: jobKeys.tombstone(job.record.jobId), value: Buffer.from("{}") }]);
+    committer.add(job, result(0));
+    await clock.advance(1000);
+    assert.equal(leadership.stepDownCount, 1);
+    assert.deepEqual(await storedResults(), []);
+});
