fix(jobs): a cancelled job stays cancelled until its removal is complete

Cause: the removal of a job took its cancellation away with its results, before its record. A leader that loaded the job in between took it for an open one, ran the items that the caller had cancelled, and listed them.

Change: the cancellation goes with the list of results and the record, in one write.

Measured: the new test of jobCleanup failed before (the job had not ended), and passes now.

--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -92,8 +92,9 @@
         const { jobId } = job.record;
         const results = await this.opts.service.snapshot(jobKeys.jobResultsPrefix(jobId));
         const parts = await this.opts.service.snapshot(jobKeys.jobPrefix(jobId));
-        // An interrupted removal starts again while the record exists, and no item runs again while the list exists.
-        const lastKeys: string[] = [jobKeys.listedItems(jobId), jobKeys.record(jobId)];
+        // An interrupted removal starts again while the record exists. Until then the list of results and the cancellation
+        // keep the job ended.
+        const lastKeys: string[] = [jobKeys.listedItems(jobId), jobKeys.cancellation(jobId), jobKeys.record(jobId)];
         const keys = [...results.entries, ...parts.entries].map(entry => entry.key);
         await this.removeKeys(keys.filter(key => !lastKeys.includes(key)), fence);
         const last: KeyValueOperation[] = [
--- a/fleet/jobs/test/jobCleanup.test.ts
+++ b/fleet/jobs/test/jobCleanup.test.ts
@@ -96,10 +96,8 @@
     assert.equal(stepDown.mock.callCount(), 1);
 });
 
-// A new leader took the items whose results were removed already for items without one, and gave them all up.
-test("a job whose removal was interrupted has no item left to run or to give up", async () => {
-    const { clock, service, load, cleanup } = await setUp();
-    await clock.advance(6100);
+/** Carries out the first write of a removal and loses the connection for the rest. */
+async function interruptRemoval({ service, cleanup }: Awaited<ReturnType<typeof setUp>>): Promise<void> {
     const transact = service.transact.bind(service);
     const writes = mock.method(service, "transact", (...args: Parameters<typeof transact>) => {
         service.faults.outage = writes.mock.callCount() > 0;
@@ -107,6 +105,14 @@
     });
     await cleanup.run();
     service.faults.outage = false;
+}
+
+// A new leader took the items whose results were removed already for items without one, and gave them all up.
+test("a job whose removal was interrupted has no item left to run or to give up", async () => {
+    const testBed = await setUp();
+    const { clock, service, load } = testBed;
+    await clock.advance(6100);
+    await interruptRemoval(testBed);
     const table = await load();
     const job = table.get(record.jobId)!;
     assert.ok(job.resultCount > 0 && (await service.list(jobKeys.resultsPrefix)).length < record.items.length);
@@ -114,6 +120,29 @@
     assert.ok(job.isEnded);
 });
 
+// The cancellation went before the record, so a new leader ran the items that the job's caller had cancelled.
+test("a cancelled job whose removal was interrupted is still cancelled", async () => {
+    const testBed = await setUp();
+    const { clock, service, table, load } = testBed;
+    const cancellation = { key: jobKeys.cancellation(record.jobId), value: encodeRecord({ cancelled: true }) };
+    await service.transact(
+        [],
+        record.items.slice(1, 31).map((_, index) => ({
+            kind: "delete",
+            key: jobKeys.result(record.jobId, index + 1),
+        })),
+    );
+    await service.transact([], [
+        { kind: "put", ...cancellation },
+        { kind: "put", key: jobKeys.listedItems(record.jobId), value: encodeRecord({ nonce: "n", itemIndexes: [0] }) },
+    ]);
+    table.apply(await service.list(jobKeys.jobsPrefix));
+    await clock.advance(6100);
+    await interruptRemoval(testBed);
+    assert.notEqual(await service.get(jobKeys.record(record.jobId)), undefined);
+    assert.ok((await load()).get(record.jobId)!.isEnded);
+});
+
 // The copies of a removed job on disks outlast it, but not for ever.
 test("a removed job has a tombstone for a day, which a later removal removes", async () => {
     const { clock, service, cleanup } = await setUp();
