--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -30,7 +30,9 @@
 import type { OpenJob } from "./openJob.js";
 import { orderStartableItems } from "./orderStartableItems.js";
 import { ProgressWriter } from "./progressWriter.js";
+import { recordUpstreamHealth } from "./recordUpstreamHealth.js";
 import { ResultCommitter } from "./resultCommitter.js";
+import { WaitingItemsLog } from "./waitingItemsLog.js";
 
 /** Interval at which items are dispatched when no event triggers it, in milliseconds. */
 const DISPATCH_INTERVAL_MS = 50;
@@ -70,6 +72,7 @@
     private isCheckpointing = false;
     private readonly routes: ItemRoutes;
     private readonly loader: JobLoader;
+    private readonly waitingItems: WaitingItemsLog;
 
     constructor(opts: JobRunnerOptions) {
         this.opts = opts;
@@ -87,6 +90,12 @@
         this.committer = new ResultCommitter({ ...opts, onResultsStored: job => this.onResultsStored(job) });
         this.progress = new ProgressWriter({ service: opts.service, leadership });
         this.cleanup = new JobCleanup({ ...opts, leadership, table });
+        this.waitingItems = new WaitingItemsLog({
+            ...opts,
+            routes: this.routes,
+            candidateOf: (upstream, nowMs) => this.candidateOf(upstream, nowMs),
+            mayRun: (service, item) => this.mayRun(service, item),
+        });
         this.reader = new JobReader({
             ...opts,
             table,
@@ -241,6 +250,7 @@
         this.dispatchTimer = this.opts.clock.setTimer(DISPATCH_INTERVAL_MS, () => {
             this.giveUpItems();
             this.dispatch();
+            this.waitingItems.report(this.table.all());
             this.schedulePeriodicDispatch();
         });
     }
@@ -331,7 +341,7 @@
                 : {},
         });
         this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
-        this.recordUpstreamHealth(upstream, outcome, nowMs);
+        recordUpstreamHealth(this.opts.health, upstream.id, outcome, nowMs);
         this.runTimeEstimator.recordRun(run.eventCount, nowMs - run.startedAtMs);
         if (outcome.kind === "failed") {
             item.failedUpstreamIds.push(upstream.id);
@@ -343,18 +353,6 @@
         this.requestDispatch();
     }
 
-    private recordUpstreamHealth(upstream: Upstream, outcome: ItemRunOutcome, nowMs: number): void {
-        if (outcome.kind === "broken" || outcome.kind === "garbled") {
-            this.opts.health.onFailure(upstream.id, nowMs);
-        }
-        else if (outcome.kind === "not-run" && outcome.isMisdirected) {
-            this.opts.health.onMisdirected(upstream.id, nowMs);
-        }
-        else {
-            this.opts.health.onSuccess(upstream.id, nowMs);
-        }
-    }
-
     private finish(job: OpenJob, item: JobItem, state: "completed" | "given-up"): void {
         item.state = "finished";
         item.isComplete = state === "completed";
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -37,6 +37,7 @@
             failedAttempts: 0,
             isComplete: false,
             notBeforeMs: 0,
+            lastRunEndedAtMs: -Infinity,
             failedUpstreamIds: [],
         }));
     }
