fix(quarantine): a late write of a stored quarantine replaces no newer one

Cause: stored suspicions were written and removed without a condition. A write that the key-value service executed late, or that its process repeated after a lost response, replaced the newer entry of another process, so that a restarted process found a quarantine that had been lifted, or missed one that had begun.

Change: a write or a removal compares the revision of the entry that the process had mirrored when it decided. If another entry is stored, the failed write brings it along: the two are merged and written again after a second, at most five times; a removal is given up if the entry holds what the process didn't know. No read is added, and no call in the usual case; a transaction now holds 16 changes, as each has a comparison.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -156,7 +156,12 @@
             },
             peers: () => this.peers.streamPeers(name => this.loadTracker.isLive(name)),
         });
-        const suspicionStore = new SuspicionStore({ service: this.keyValueService, clock, logger });
+        const suspicionStore = new SuspicionStore({
+            service: this.keyValueService,
+            clock,
+            logger,
+            knownEntry: key => this.peers.mirror.entry(key),
+        });
         this.quarantine = new RequestQuarantine({
             clock,
             random,
--- a/daemons/fleet/src/suspicionStore.ts
+++ b/daemons/fleet/src/suspicionStore.ts
@@ -1,35 +1,57 @@
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import type { Suspicion } from "@knapweedwood/fleet.quarantine/suspicion";
 import { fleetKeys } from "@knapweedwood/fleet.sync/fleetKeys";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { rebaseSuspicionChange } from "./rebaseSuspicionChange.js";
+import type { SuspicionChange } from "./suspicionChange.js";
 
 const RETRY_DELAY_MS = 1000;
-/** Suspicions per write; the key-value service accepts 32 entries. */
-const MAX_ENTRIES = 30;
+/** Changes per write, each with a comparison; the key-value service accepts 32 entries. */
+const MAX_CHANGES = 16;
+/** Number of conflicts after which a change is given up. Each stored the newer suspicion of another process. */
+const MAX_CONFLICTS = 5;
 
-/** Writes the begin and the end of quarantines to the key-value service, where restarted processes find them. */
+interface SuspicionStoreOptions {
+    service: KeyValueService;
+    clock: Clock;
+    logger: Logger;
+    /** Returns the stored entry that this process has read last; undefined if it has read none. */
+    knownEntry: (key: string) => KeyValueEntry | undefined;
+}
+
+/**
+ * Writes the begin and the end of quarantines to the key-value service, where restarted processes find them. A write
+ * replaces only the entry that this process knew, so that one that arrives late replaces no newer entry.
+ */
 export class SuspicionStore {
-    private readonly opts: { service: KeyValueService; clock: Clock; logger: Logger; };
-    /** The newest suspicion of each key that is not written yet; undefined where the key is to be removed. */
-    private readonly pending = new Map<string, Suspicion | undefined>();
+    private readonly opts: SuspicionStoreOptions;
+    /** The newest change of each key that is not written yet. */
+    private readonly pending = new Map<string, SuspicionChange>();
     private isWriting = false;
 
-    constructor(opts: { service: KeyValueService; clock: Clock; logger: Logger; }) {
+    constructor(opts: SuspicionStoreOptions) {
         this.opts = opts;
     }
 
-    /** Writes a suspicion. Retries until it is written or replaced by a newer one of the same part. */
+    /** Writes a suspicion. Retries until it is written, part of a newer entry, or replaced by a newer one of the same part. */
     write(suspicion: Suspicion): void {
-        this.pending.set(fleetKeys.suspicion(suspicion.service, suspicion.part), suspicion);
-        void this.writePending();
+        this.add("put", suspicion);
+    }
+
+    /** Removes the suspicion of a part or request, unless another process has stored a newer one. Retries like `write`. */
+    remove(suspicion: Suspicion): void {
+        this.add("delete", suspicion);
     }
 
-    /** Removes the suspicion of a part or request. Retries like `write`. */
-    remove({ service, part }: Suspicion): void {
-        this.pending.set(fleetKeys.suspicion(service, part), undefined);
+    private add(kind: SuspicionChange["kind"], suspicion: Suspicion): void {
+        const key = fleetKeys.suspicion(suspicion.service, suspicion.part);
+        const replacedRevision = this.opts.knownEntry(key)?.modRevision ?? 0;
+        this.pending.set(key, { kind, suspicion, replacedRevision, conflicts: 0 });
         void this.writePending();
     }
 
@@ -38,19 +60,8 @@
             return;
         }
         this.isWriting = true;
-        const written = [...this.pending].slice(0, MAX_ENTRIES);
         try {
-            await this.opts.service.transact(
-                [],
-                written.map(([key, suspicion]) =>
-                    suspicion === undefined
-                        ? { kind: "delete", key }
-                        : { kind: "put", key, value: encodeRecord(suspicion) }
-                ),
-            );
-            written
-                .filter(([key, suspicion]) => this.pending.get(key) === suspicion)
-                .forEach(([key]) => this.pending.delete(key));
+            await this.transact([...this.pending].slice(0, MAX_CHANGES));
         }
         catch (thrown) {
             this.opts.logger.info("suspicion-not-stored", { code: toKnapweedError(thrown).code });
@@ -60,4 +71,37 @@
             this.opts.clock.setTimer(RETRY_DELAY_MS, () => void this.writePending());
         }
     }
+
+    private async transact(changes: readonly [string, SuspicionChange][]): Promise<void> {
+        const { succeeded, current } = await this.opts.service.transact(
+            changes.map(([key, { replacedRevision }]) => ({ key, modRevision: replacedRevision })),
+            changes.map(([key, change]) => operationOf(key, change)),
+        );
+        if (succeeded) {
+            changes
+                .filter(([key, change]) => this.pending.get(key) === change)
+                .forEach(([key]) => this.pending.delete(key));
+            return;
+        }
+        changes.forEach(([key, change]) => this.review(key, change, current.find(entry => entry.key === key)));
+    }
+
+    /** Rebases the pending change of a key after a write that failed, if its entry was the reason. */
+    private review(key: string, written: SuspicionChange, current: KeyValueEntry | undefined): void {
+        const pending = this.pending.get(key);
+        if (pending === undefined || written.replacedRevision === (current?.modRevision ?? 0)) {
+            return;
+        }
+        const rebased = rebaseSuspicionChange(pending, current);
+        if (rebased === undefined || rebased.conflicts > MAX_CONFLICTS) {
+            this.opts.logger.info("suspicion-superseded", { key, conflicts: pending.conflicts + 1 });
+            this.pending.delete(key);
+            return;
+        }
+        this.pending.set(key, rebased);
+    }
+}
+
+function operationOf(key: string, { kind, suspicion }: SuspicionChange): KeyValueOperation {
+    return kind === "delete" ? { kind, key } : { kind, key, value: encodeRecord(suspicion) };
 }
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -44,6 +44,11 @@
         return [...this.currentEntries.values()];
     }
 
+    /** Returns the mirrored entry of a key if the mirror keeps entries; undefined if there is none. */
+    entry(key: string): KeyValueEntry | undefined {
+        return this.currentEntries.get(key);
+    }
+
     /** Uses entries of another process until the first listing. Does nothing after it. */
     seed(entries: readonly KeyValueEntry[]): void {
         if (!this.isInitialized && entries.length > 0) {
