test(quarantine): requests and items that living upstreams broke off, both red

What callers see: a sound item whose runs three upstreams broke off waits as quarantined for 30 to 60 s beside free slots, and a request is rejected for as long, though the upstreams never crashed.

--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -14,6 +14,7 @@
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
@@ -36,6 +37,10 @@
 const MAX_RUNS_OF_REQUEST = 6;
 const BAD_PATH = "/p/bad/";
 const BAD_PART = "bad";
+const BROKEN_OFF_PATH = "/p/broken-off/";
+const BROKEN_OFF_ITEM = "job-0-1";
+const CONVICTING_CRASHES = 3;
+const RUN_MS = 100;
 const JOBS = 80;
 const ITEMS = 10;
 /** As in the records of `createJobRecord`. */
@@ -58,8 +63,9 @@
     connections: UpstreamConnections;
     /** Makes an item one that crashes upstreams. Called for every other item. */
     makeBad?: (item: JobItemRecord) => void;
+    clock?: ManualClock;
 }) {
-    const clock = new ManualClock();
+    const { clock = new ManualClock() } = opts;
     const service = new MemoryKeyValueService({ clock });
     const fence = { key: "leader", modRevision: 0 };
     const configuration = new ActiveConfiguration();
@@ -230,3 +236,32 @@
     assert.equal((await finishedResults()).length, ITEMS / 2, "the sound items are finished");
     runner.stop();
 });
+
+// A sound item that three upstreams broke off in a row waited as quarantined, beside free slots, until its callers gave up.
+test("an item that three living upstreams broke off is finished with the others", async () => {
+    const breaking = new Set<UpstreamId>();
+    const clock = new ManualClock();
+    const connections = new UpstreamConnections();
+    mock.method(connections, "send", ({ id }: Upstream, request: ExchangeRequest, handler: ExchangeHandler) => {
+        const isBrokenOff = request.path === BROKEN_OFF_PATH && breaking.size < CONVICTING_CRASHES;
+        if (isBrokenOff) {
+            breaking.add(id);
+        }
+        clock.setTimer(RUN_MS, () => isBrokenOff ? breakOff(handler) : complete(handler));
+        return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    });
+    const makeBad = (item: JobItemRecord) => {
+        item.path = item.id === BROKEN_OFF_ITEM ? BROKEN_OFF_PATH : item.path;
+    };
+    const { runner, finishedResults } = await createRunner({
+        busySlots: SLOTS - 2,
+        jobs: JOBS,
+        connections,
+        makeBad,
+        clock,
+    });
+    await clock.advance((JOBS * ITEMS / upstreamIds.length) * RUN_MS * 2);
+    assert.equal(breaking.size, CONVICTING_CRASHES);
+    assert.equal((await finishedResults()).length, JOBS * ITEMS);
+    runner.stop();
+});
--- a/fleet/quarantine/test/simulatedQuarantineFleet.ts
+++ b/fleet/quarantine/test/simulatedQuarantineFleet.ts
@@ -49,6 +49,8 @@
     rejections: number;
     /** Rejections by undisturbed processes while it could be told from a request that crashes upstreams. */
     unfoundedRejections: number;
+    /** Number of its next runs that upstreams break off though they live on. */
+    runsToBreakOff: number;
 }
 
 type Attempts = { request: RecurringRequest; index: number; excluded: Set<SimulatedUpstream>; };
@@ -141,6 +143,7 @@
             suspectUntilMs: 0,
             rejections: 0,
             unfoundedRejections: 0,
+            runsToBreakOff: 0,
         };
     }
 
@@ -187,6 +190,8 @@
         const { quarantine } = this.processes[index]!;
         const run = quarantine.begin(SERVICE, [request.fingerprint]);
         request.runs += 1;
+        const isBrokenOff = request.runsToBreakOff > 0;
+        request.runsToBreakOff -= isBrokenOff ? 1 : 0;
         if (request.isBad) {
             this.badRuns.push({ atMs: this.clock.nowMs(), undisturbedMs: this.undisturbedMs(index) });
         }
@@ -198,6 +203,10 @@
                 cut();
                 return;
             }
+            if (isBrokenOff) {
+                cut();
+                return;
+            }
             Object.assign(request, { cutAtMs: [], hasSucceeded: true, runs: request.runs - 1 });
             if (this.undisturbedMs(index) >= CONTACT_MS) {
                 request.suspectUntilMs = Math.min(request.suspectUntilMs, this.clock.nowMs() + CONTACT_MS);
