fix(quarantine): a crash is withdrawn once the same upstream process responds to a later run

Cause: a broken-off response counts as a crash of the upstream's process, and only a complete response to the very same request, which was not let through any more, could disprove it. Change: a process that completes a response to a run that began when the crash was known did not crash. The crash is withdrawn in all suspicions that name it, found by an index of the crashes by process; a quarantine with fewer than three crashes left is lifted at once. Withdrawn crashes are a set in the suspicion, united on merging, and win over crashes; a process that breaks off again after it was cleared counts again.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -164,6 +164,7 @@
             store: suspicion => suspicionStore.write(suspicion),
             remove: suspicion => suspicionStore.remove(suspicion),
             publish: changed => this.suspicions.publish(changed),
+            listedAtMs: upstream => this.upstreams.listedAtMs(upstream),
             // Runs after the request whose outcome changed the quarantine has been handled.
             onChanged: () => queueMicrotask(() => opts.onLoadChanged()),
         });
@@ -292,6 +293,7 @@
         }
         this.loadTracker.expire(this.clock.nowMs());
         this.upstreams.expire();
+        this.quarantine.withdrawCrashes();
         const dueAtMs = this.clock.nowMs() + HOUSEKEEPING_INTERVAL_MS;
         this.clock.setTimer(HOUSEKEEPING_INTERVAL_MS, () => {
             this.eventLoop.record(dueAtMs);
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -91,6 +91,11 @@
         return this.mirror.reachableSinceMs <= sinceMs ? this.directory.soleVersion(service, sinceMs) : undefined;
     }
 
+    /** Returns the time at which this process of an upstream was last known to be listed, Unix ms; -infinity if it isn't. */
+    listedAtMs(upstream: Upstream): number {
+        return this.directory.isListed(upstream) ? this.mirror.currentAtMs : -Infinity;
+    }
+
     /** Removes upstreams whose entries expired and were not restored in time. */
     expire(): void {
         this.onChanges(this.directory.dropExpired(this.opts.clock.nowMs()));
--- a/fleet/gateway/src/attemptOutcomes.ts
+++ b/fleet/gateway/src/attemptOutcomes.ts
@@ -26,7 +26,7 @@
         const { upstream } = attempt;
         this.context.serviceTimes.recordHold(upstream.service, nowMs - attempt.startedAtMs);
         if (statusCode === HTTP_OK) {
-            this.context.quarantine.onSuccess(attempt.requestRun);
+            this.context.quarantine.onSuccess(attempt.requestRun, upstream);
         }
         if (statusCode >= HTTP_SERVER_ERROR) {
             return this.context.health.onFailure(upstream.id, nowMs);
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -138,6 +138,7 @@
                 random,
                 logger: silentLogger,
                 publish: () => undefined,
+                listedAtMs: () => -Infinity,
                 store: () => undefined,
                 remove: () => undefined,
                 onChanged: () => queueMicrotask(() => requestQueue.dispatch()),
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -143,7 +143,7 @@
 
     private recordOutcome({ run, requestRun }: InFlightItem, outcome: ItemRunOutcome): void {
         if (outcome.kind === "completed") {
-            this.opts.quarantine.onSuccess(requestRun);
+            this.opts.quarantine.onSuccess(requestRun, run.upstream);
         }
         if (outcome.kind === "broken" && outcome.isConnectionBroken) {
             this.opts.quarantine.onCrash(requestRun, run.upstream);
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -41,6 +41,7 @@
 const BROKEN_OFF_ITEM = "job-0-1";
 const CONVICTING_CRASHES = 3;
 const RUN_MS = 100;
+const WITHDRAW_INTERVAL_MS = 500;
 const JOBS = 80;
 const ITEMS = 10;
 /** As in the records of `createJobRecord`. */
@@ -64,6 +65,8 @@
     /** Makes an item one that crashes upstreams. Called for every other item. */
     makeBad?: (item: JobItemRecord) => void;
     clock?: ManualClock;
+    /** Whether all processes of the upstreams live on, and the runner knows. */
+    areUpstreamsListed?: boolean;
 }) {
     const { clock = new ManualClock() } = opts;
     const service = new MemoryKeyValueService({ clock });
@@ -90,6 +93,23 @@
         }, 0);
         Array.from({ length: opts.busySlots }).forEach(() => loadTracker.count(id, "online", 1));
     });
+    const quarantine = new RequestQuarantine({
+        clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        publish: () => undefined,
+        listedAtMs: () => opts.areUpstreamsListed === true ? clock.nowMs() : -Infinity,
+        store: () => undefined,
+        remove: () => undefined,
+        onChanged: () => undefined,
+    });
+    const keepWithdrawing = () => {
+        clock.setTimer(WITHDRAW_INTERVAL_MS, () => {
+            quarantine.withdrawCrashes();
+            keepWithdrawing();
+        });
+    };
+    keepWithdrawing();
     const runner = new JobRunner({
         service,
         clock,
@@ -113,15 +133,7 @@
             upstreamProof: "p",
         },
         decodeSharedPromptParts: value => value === undefined ? [] : [value as PromptPartId],
-        quarantine: new RequestQuarantine({
-            clock,
-            random: new SeededRandom(1),
-            logger: silentLogger,
-            publish: () => undefined,
-            store: () => undefined,
-            remove: () => undefined,
-            onChanged: () => undefined,
-        }),
+        quarantine,
         resultRetentionMs: () => 120_000,
         onLoadChanged: () => undefined,
         heldJobs: () => [],
@@ -259,6 +271,7 @@
         connections,
         makeBad,
         clock,
+        areUpstreamsListed: true,
     });
     await clock.advance((JOBS * ITEMS / upstreamIds.length) * RUN_MS * 2);
     assert.equal(breaking.size, CONVICTING_CRASHES);
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -156,6 +156,7 @@
                 ...common,
                 logger: silentLogger,
                 publish: () => undefined,
+                listedAtMs: () => -Infinity,
                 store: () => undefined,
                 remove: () => undefined,
                 onChanged: () => undefined,
--- a/fleet/quarantine/src/requestQuarantine.ts
+++ b/fleet/quarantine/src/requestQuarantine.ts
@@ -8,7 +8,9 @@
 import { isFingerprint } from "./isFingerprint.js";
 import type { RequestRun } from "./requestRun.js";
 import { RequestSuspicions } from "./requestSuspicions.js";
+import { SurvivalProofs } from "./survivalProofs.js";
 import type { Suspicion } from "./suspicion.js";
+import { suspicionKeyOf } from "./suspicionKeyOf.js";
 
 interface RequestQuarantineOptions {
     clock: Clock;
@@ -20,6 +22,8 @@
     store: (suspicion: Suspicion) => void;
     /** Removes a stored suspicion that no process needs any more. */
     remove: (suspicion: Suspicion) => void;
+    /** Returns the time at which an upstream process was last known to be listed, in milliseconds; -infinity if it isn't. */
+    listedAtMs: (upstream: Upstream) => number;
     /** Called when requests that wait may have to be rejected, or may run again. */
     onChanged: () => void;
 }
@@ -28,6 +32,7 @@
 export class RequestQuarantine {
     private readonly opts: RequestQuarantineOptions;
     private readonly suspicions: RequestSuspicions;
+    private readonly survivals = new SurvivalProofs();
     /** Keys of the quarantined traits. */
     private readonly quarantined = new Set<string>();
     /** Keys of the requests whose suspicions this process has stored. */
@@ -60,23 +65,41 @@
         this.onOwnChange(this.suspicions.onCrash(run, process, this.opts.clock.nowMs()), "crash");
     }
 
-    /** Records a complete response to a run. */
-    onSuccess(run: RequestRun): void {
-        this.onOwnChange(this.suspicions.onSuccess(run, this.opts.clock.nowMs()), "success");
+    /** Records a complete response of an upstream to a run. */
+    onSuccess(run: RequestRun, upstream: Upstream): void {
+        const nowMs = this.opts.clock.nowMs();
+        if (this.suspicions.isSuspected(upstreamProcessKeyOf(upstream), run)) {
+            this.survivals.add(upstream, run.sequence, nowMs);
+        }
+        this.onOwnChange(this.suspicions.onSuccess(run, nowMs), "success");
+    }
+
+    /**
+     * Withdraws the crashes of upstream processes that have responded since and therefore didn't crash. Peers are told at once
+     * of quarantines that this lifts, and of the others by repetition.
+     */
+    withdrawCrashes(): void {
+        const nowMs = this.opts.clock.nowMs();
+        const changed = this.survivals
+            .takeCertain(this.opts.listedAtMs, nowMs)
+            .flatMap(({ process, sequence }) => this.suspicions.withdraw(process, sequence, nowMs));
+        const isLifted = (one: Suspicion) => !one.isQuarantined && this.quarantined.has(suspicionKeyOf(one));
+        this.onChange(changed.filter(one => !isLifted(one)), "survival");
+        this.onOwnChange(changed.filter(isLifted), "survival");
     }
 
     /** Merges what another process knows, and tells the others where it didn't know of a success. */
     merge(received: readonly Suspicion[]): void {
         const changed = this.suspicions.merge(received, this.opts.clock.nowMs());
-        const unaware = new Set(received.filter(one => !one.hasSucceeded).map(keyOf));
-        const vouchedFor = changed.filter(one => one.hasSucceeded && unaware.has(keyOf(one)));
+        const unaware = new Set(received.filter(one => !one.hasSucceeded).map(suspicionKeyOf));
+        const vouchedFor = changed.filter(one => one.hasSucceeded && unaware.has(suspicionKeyOf(one)));
         if (vouchedFor.length > 0) {
             this.opts.publish(vouchedFor);
         }
-        const quarantines = new Set(received.filter(one => one.isQuarantined).map(keyOf));
-        const lifted = changed.filter(one => !one.isQuarantined && quarantines.has(keyOf(one)));
+        const quarantines = new Set(received.filter(one => one.isQuarantined).map(suspicionKeyOf));
+        const lifted = changed.filter(one => !one.isQuarantined && quarantines.has(suspicionKeyOf(one)));
         const begun = changed.filter(one =>
-            one.isQuarantined && !quarantines.has(keyOf(one)) && !this.quarantined.has(keyOf(one))
+            one.isQuarantined && !quarantines.has(suspicionKeyOf(one)) && !this.quarantined.has(suspicionKeyOf(one))
         );
         [...lifted, ...begun].forEach(one => this.store(one));
         this.onChange(changed, "peer");
@@ -96,18 +119,18 @@
 
     private store(suspicion: Suspicion): void {
         if (isFingerprint(suspicion.part)) {
-            this.storedRequests.add(keyOf(suspicion));
+            this.storedRequests.add(suspicionKeyOf(suspicion));
         }
         this.opts.store(suspicion);
     }
 
     private onDropped(dropped: Suspicion): void {
-        if (this.storedRequests.delete(keyOf(dropped))) {
+        if (this.storedRequests.delete(suspicionKeyOf(dropped))) {
             this.opts.remove(dropped);
         }
         if (dropped.isQuarantined) {
             this.log({ ...dropped, isQuarantined: false }, "not-asked-for");
-            this.quarantined.delete(keyOf(dropped));
+            this.quarantined.delete(suspicionKeyOf(dropped));
         }
     }
 
@@ -117,7 +140,7 @@
         }
         this.opts.publish(changed);
         changed
-            .filter(one => one.isQuarantined !== this.quarantined.has(keyOf(one)))
+            .filter(one => one.isQuarantined !== this.quarantined.has(suspicionKeyOf(one)))
             .forEach(one => this.store(one));
         this.onChange(changed, cause);
     }
@@ -128,7 +151,7 @@
         }
         changed.forEach(suspicion => {
             this.log(suspicion, cause);
-            this.quarantined[suspicion.isQuarantined ? "add" : "delete"](keyOf(suspicion));
+            this.quarantined[suspicion.isQuarantined ? "add" : "delete"](suspicionKeyOf(suspicion));
         });
         this.opts.onChanged();
     }
@@ -137,14 +160,10 @@
         const { isQuarantined, part, ...others } = suspicion;
         const [kind, id] = isFingerprint(part) ? ["request", { fingerprint: part }] : ["prompt-part", { part }];
         const fields = { ...id, ...others, cause };
-        if (isQuarantined === this.quarantined.has(keyOf(suspicion))) {
+        if (isQuarantined === this.quarantined.has(suspicionKeyOf(suspicion))) {
             this.opts.logger.debug(`${kind}-suspected`, fields);
             return;
         }
         this.opts.logger.warn(isQuarantined ? `${kind}-quarantined` : `${kind}-released`, fields);
     }
 }
-
-function keyOf({ service, part }: Suspicion): string {
-    return `${service} ${part}`;
-}
--- a/fleet/quarantine/src/requestSuspicions.ts
+++ b/fleet/quarantine/src/requestSuspicions.ts
@@ -1,11 +1,15 @@
 import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
+import { crashId } from "./crashId.js";
 import { isFingerprint } from "./isFingerprint.js";
 import { mergeSuspicions } from "./mergeSuspicions.js";
 import { RecentSuccesses } from "./recentSuccesses.js";
 import type { RequestRun } from "./requestRun.js";
 import type { Suspicion } from "./suspicion.js";
+import { suspicionKeyOf } from "./suspicionKeyOf.js";
+import type { SuspicionState } from "./suspicionState.js";
+import { SuspicionTable } from "./suspicionTable.js";
 
 /** What convicts a trait: the crashes under it, and how many of them came one after the other. */
 const CONVICTION = { crashes: 3, rounds: 2 };
@@ -21,30 +25,6 @@
 const PROBE_BACKOFF = 4;
 /** Longest additional time to a probe of a process, as a share, so that not all processes probe at once. */
 const PROBE_JITTER = 1;
-/** Time for which a suspicion that is no quarantine is kept without a change, in milliseconds. */
-const SUSPICION_RETENTION_MS = 600_000;
-/** Time for which a change is repeated to peers, in milliseconds. It outlasts lost messages and restarts. */
-const REPEAT_MS = 10_000;
-
-/** Time for which the quarantine of a request is kept that no process is asked for, in milliseconds. */
-const REQUEST_RETENTION_MS = 600_000;
-/** Time after a request with a quarantined fingerprint in which this process repeats the quarantine, in milliseconds. */
-const ASKED_REPEAT_MS = 60_000;
-/** Number of suspicions above which those that are no quarantine are dropped early, the oldest first. */
-const MAX_SUSPICIONS = 2000;
-/** Number of quarantined requests above which those are dropped that were not asked for the longest. */
-const MAX_QUARANTINED_REQUESTS = 500;
-/** Number of suspicions in one repetition, which bounds the datagrams after a crash of many upstreams. */
-const MAX_REPEATED = 60;
-
-interface SuspicionState {
-    suspicion: Suspicion;
-    changedAtMs: number;
-    /** Time at which this process last rejected a request because of it, in milliseconds. */
-    askedAtMs: number;
-    /** Time at which this process last heard of it, in milliseconds. */
-    heardAtMs: number;
-}
 
 /**
  * Finds the requests and the parts of prompts that crash upstreams, from the outcomes of runs of all processes. A crash
@@ -55,19 +35,17 @@
  * suspect, the last one is taken, which the fewest requests share; it explains the crashes under the others. A fingerprint
  * does not clear the parts of its request, since the repeats of one request may be all that was seen so far.
  *
- * Suspicions are merged in any order, also repeatedly: a later disproof counts for more than crashes, and crashes add up.
- * Processes therefore agree without clocks or a leader, and restarted or late ones catch up.
+ * An upstream that breaks one response off and lives on has not crashed: once its process responds to a later run, the crash
+ * is withdrawn.
+ *
+ * Suspicions are merged in any order, also repeatedly: a later disproof counts for more than crashes; crashes add up, and so
+ * do withdrawn ones, which count for more. Processes therefore agree without clocks or a leader, and restarted or late ones catch up.
  *
  * Load pattern: requests with one part come at any gateway, no two alike, among sound ones with the same other parts;
  * or one request comes again and again, among sound ones that are cut along with it.
  */
 export class RequestSuspicions {
-    /** In order of the last change. */
-    private readonly states = new Map<string, SuspicionState>();
-    /** Suspicions dropped early since the last call of `dropOutdated`. */
-    private droppedEarly: Suspicion[] = [];
-    /** Position in the suspicions to repeat at which the next repetition begins. */
-    private repeatOffset = 0;
+    private readonly table = new SuspicionTable();
     /** Successes of services and of parts of prompts. */
     private readonly successes = new RecentSuccesses();
     /** Those of single requests, apart, as they are many and would displace the others. */
@@ -83,8 +61,9 @@
     observe(service: ServiceName, traits: readonly RequestTraitId[]): RequestRun {
         return {
             service,
+            sequence: this.table.crashes.nextSequence(),
             traits: traits.map(trait => {
-                const { disproofs, rounds } = this.suspicionOf(service, trait);
+                const { disproofs, rounds } = this.table.of(service, trait);
                 return { trait, disproofs, rounds };
             }),
         };
@@ -95,17 +74,17 @@
      * [suspicions].
      */
     onBegun({ service, traits }: RequestRun, nowMs: number): Suspicion[] {
-        return this.statesOf(service, traits.map(({ trait }) => trait))
+        return this.table.statesOf(service, traits.map(({ trait }) => trait))
             .filter(isQuarantined)
-            .map(({ suspicion }) => this.set({ ...suspicion, probes: suspicion.probes + 1 }, nowMs));
+            .map(({ suspicion }) => this.table.set({ ...suspicion, probes: suspicion.probes + 1 }, nowMs));
     }
 
     /** Records that an upstream process broke off a run. Returns the changed suspicions, shape [suspicions]. */
     onCrash(run: RequestRun, process: UpstreamProcessKey, nowMs: number): Suspicion[] {
-        const explained = run.traits.findLastIndex(({ trait }) => this.suspicionOf(run.service, trait).isQuarantined);
+        const explained = run.traits.findLastIndex(({ trait }) => this.table.of(run.service, trait).isQuarantined);
         const struck = run.traits.slice(explained + 1).flatMap(({ trait, disproofs, rounds }) => {
-            const known = this.suspicionOf(run.service, trait);
-            const crash = { ...known, crashes: [process], rounds: rounds + 1 };
+            const known = this.table.of(run.service, trait);
+            const crash = { ...known, crashes: [crashId.of(process, known.withdrawn ?? [])], rounds: rounds + 1 };
             return known.disproofs === disproofs ? this.mergeOne(crash, nowMs) : [];
         });
         const culprit = struck.filter(suspicion => this.isConvicted(suspicion, nowMs)).at(-1);
@@ -116,7 +95,7 @@
         // One request may have crashed them all by its repeats. That doesn't clear a part that other requests have too.
         const isCleared = !isFingerprint(culprit.part);
         return [
-            this.set({ ...culprit, isQuarantined: true }, nowMs),
+            this.table.set({ ...culprit, isQuarantined: true }, nowMs),
             ...isCleared ? others.map(suspicion => this.disprove(suspicion, nowMs)) : others,
         ];
     }
@@ -124,18 +103,35 @@
     /** Records a complete response to a run. Returns the changed suspicions, shape [suspicions]. */
     onSuccess({ service, traits }: RequestRun, nowMs: number): Suspicion[] {
         this.successes.add(service, nowMs);
-        traits.forEach(({ trait }) => this.successesOf(trait).add(keyOf(service, trait), nowMs));
+        traits.forEach(({ trait }) => this.successesOf(trait).add(suspicionKeyOf({ service, part: trait }), nowMs));
         return traits
-            .map(({ trait }) => this.suspicionOf(service, trait))
+            .map(({ trait }) => this.table.of(service, trait))
             .filter(known => known.crashes.length > 0)
             .map(known => this.disprove({ ...known, hasSucceeded: true }, nowMs));
     }
 
+    /** Whether a crash of the upstream process was known when a run began, so that a response to it withdraws the crash. */
+    isSuspected(process: UpstreamProcessKey, run: RequestRun): boolean {
+        return this.table.crashes.hasKnownBefore(process, run.sequence);
+    }
+
+    /**
+     * Withdraws the crashes of an upstream process that were known when a run began, as the process has responded to it. Lifts
+     * quarantines for which the others are not enough. Returns the changed suspicions, shape [suspicions].
+     */
+    withdraw(process: UpstreamProcessKey, sequence: number, nowMs: number): Suspicion[] {
+        return this.table.crashes.knownBefore(process, sequence).flatMap(({ key, crash }) => {
+            const known = this.table.get(key)!;
+            const merged = mergeSuspicions(known, { ...known, crashes: [], withdrawn: [crash] });
+            return merged === known ? [] : [this.liftIfUnfounded(this.table.set(merged, nowMs), nowMs)];
+        });
+    }
+
     /** Merges suspicions of another process. Returns those that were news, shape [suspicions]. */
     merge(received: readonly Suspicion[], nowMs: number): Suspicion[] {
         const changed = received.flatMap(suspicion => this.mergeOne(suspicion, nowMs));
         received.filter(suspicion => suspicion.isQuarantined).forEach(({ service, part }) =>
-            this.statesOf(service, [part]).forEach(state => {
+            this.table.statesOf(service, [part]).forEach(state => {
                 state.heardAtMs = nowMs;
             })
         );
@@ -144,7 +140,7 @@
 
     /** Returns the time for which requests with these traits must not run, in milliseconds; 0 if they may run now. */
     blockedForMs(service: ServiceName, traits: readonly RequestTraitId[], nowMs: number): number {
-        const blocking = this.statesOf(service, traits).filter(isQuarantined);
+        const blocking = this.table.statesOf(service, traits).filter(isQuarantined);
         blocking.forEach(state => {
             state.askedAtMs = nowMs;
         });
@@ -153,58 +149,24 @@
 
     /** Number of suspicions that this process keeps. */
     get size(): number {
-        return this.states.size;
+        return this.table.size;
     }
 
     /** Drops the suspicions that are outdated, and returns those dropped since the last call, shape [suspicions]. */
     dropOutdated(nowMs: number): Suspicion[] {
-        const outdated = [...this.states.values()].filter(state => this.isOutdated(state, nowMs));
-        const unneeded = [...this.states.values()]
-            .filter(isQuarantinedRequest)
-            .sort((left, right) => neededAtMs(right) - neededAtMs(left))
-            .slice(MAX_QUARANTINED_REQUESTS);
-        const dropped = [...new Set([...outdated, ...unneeded])].map(({ suspicion }) => suspicion);
-        dropped.forEach(({ service, part }) => this.states.delete(keyOf(service, part)));
-        return [...this.droppedEarly.splice(0), ...dropped];
+        return this.table.dropOutdated(nowMs);
     }
 
-    /**
-     * Returns the suspicions that peers may not know yet, quarantines first, at most `MAX_REPEATED`, shape [suspicions].
-     * Where there are more, the next call continues with the others.
-     */
+    /** Returns the suspicions that peers may not know yet, shape [suspicions]. */
     toRepeat(nowMs: number): Suspicion[] {
-        const states = [...this.states.values()].filter(state => this.isToRepeat(state, nowMs));
-        const quarantined = this.nextToRepeat(states.filter(isQuarantined), MAX_REPEATED);
-        const others = this.nextToRepeat(
-            states.filter(state => !isQuarantined(state)),
-            MAX_REPEATED - quarantined.length,
-        );
-        this.repeatOffset += MAX_REPEATED;
-        return [...quarantined, ...others].map(state => state.suspicion);
-    }
-
-    private isToRepeat(state: SuspicionState, nowMs: number): boolean {
-        return nowMs < state.changedAtMs + REPEAT_MS
-            || (isQuarantined(state) && !isFingerprint(state.suspicion.part))
-            || (isQuarantined(state) && nowMs < state.askedAtMs + ASKED_REPEAT_MS);
-    }
-
-    private nextToRepeat(states: readonly SuspicionState[], count: number): SuspicionState[] {
-        const offset = states.length > count ? this.repeatOffset % states.length : 0;
-        return [...states.slice(offset), ...states.slice(0, offset)].slice(0, count);
-    }
-
-    private isOutdated(state: SuspicionState, nowMs: number): boolean {
-        return isQuarantined(state)
-            ? isQuarantinedRequest(state) && nowMs > neededAtMs(state) + REQUEST_RETENTION_MS
-            : nowMs > state.changedAtMs + SUSPICION_RETENTION_MS;
+        return this.table.toRepeat(nowMs);
     }
 
     private mergeOne(received: Suspicion, nowMs: number): Suspicion[] {
-        const known = this.suspicionOf(received.service, received.part);
+        const known = this.table.of(received.service, received.part);
         const hasSucceeded = received.hasSucceeded || this.hasSucceeded(received);
         const merged = mergeSuspicions(known, { ...received, hasSucceeded });
-        return merged === known ? [] : [this.set(merged, nowMs)];
+        return merged === known ? [] : [this.table.set(merged, nowMs)];
     }
 
     private isConvicted(suspicion: Suspicion, nowMs: number): boolean {
@@ -225,17 +187,27 @@
     private review(merged: Suspicion, nowMs: number): Suspicion {
         if (merged.isQuarantined) {
             const isDoubtful = merged.probes === 0 && this.hasSucceeded(merged) && !this.isConvicted(merged, nowMs);
-            return isDoubtful
-                ? this.set({ ...merged, disproofs: merged.disproofs + 1, isQuarantined: false }, nowMs)
-                : merged;
+            return isDoubtful ? this.lift(merged, nowMs) : this.liftIfUnfounded(merged, nowMs);
         }
         return isFingerprint(merged.part) && this.isConvicted(merged, nowMs)
-            ? this.set({ ...merged, isQuarantined: true }, nowMs)
+            ? this.table.set({ ...merged, isQuarantined: true }, nowMs)
             : merged;
     }
 
+    /** Lifts a quarantine of whose crashes so many were withdrawn that the others convict nothing. */
+    private liftIfUnfounded(suspicion: Suspicion, nowMs: number): Suspicion {
+        const { isQuarantined: isInForce, withdrawn = [], crashes } = suspicion;
+        const isUnfounded = isInForce && withdrawn.length > 0 && crashes.length < CONVICTION.crashes;
+        return isUnfounded ? this.lift(suspicion, nowMs) : suspicion;
+    }
+
+    private lift(suspicion: Suspicion, nowMs: number): Suspicion {
+        const disproofs = suspicion.disproofs + 1;
+        return this.table.set({ ...suspicion, disproofs, isQuarantined: false, probes: 0 }, nowMs);
+    }
+
     private hasSucceeded({ service, part }: Suspicion): boolean {
-        return this.successesOf(part).has(keyOf(service, part));
+        return this.successesOf(part).has(suspicionKeyOf({ service, part }));
     }
 
     private successesOf(trait: RequestTraitId): RecentSuccesses {
@@ -244,7 +216,7 @@
 
     /** Whether so many requests have been broken off repeatedly a short time ago that the network may be the cause. */
     private isFailingBroadly(service: ServiceName, nowMs: number): boolean {
-        const repeatedlyCut = [...this.states.values()].filter(({ suspicion, changedAtMs }) =>
+        const repeatedlyCut = this.table.all().filter(({ suspicion, changedAtMs }) =>
             suspicion.service === service && isFingerprint(suspicion.part) && !suspicion.isQuarantined
             && suspicion.crashes.length > 1 && nowMs < changedAtMs + BROAD_FAILURE_MS
         );
@@ -252,76 +224,15 @@
     }
 
     private disprove(suspicion: Suspicion, nowMs: number): Suspicion {
-        const disproofs = suspicion.disproofs + 1;
-        return this.set({ ...suspicion, disproofs, crashes: [], rounds: 0, isQuarantined: false, probes: 0 }, nowMs);
+        const cleared = { crashes: [], withdrawn: [], rounds: 0 };
+        return this.lift({ ...suspicion, ...cleared }, nowMs);
     }
 
     private probeDueAtMs({ suspicion, changedAtMs }: SuspicionState): number {
         return changedAtMs + FIRST_PROBE_MS * PROBE_BACKOFF ** suspicion.probes * this.probeDelayFactor;
     }
-
-    private statesOf(service: ServiceName, parts: readonly RequestTraitId[]): SuspicionState[] {
-        return parts.flatMap(part => this.states.get(keyOf(service, part)) ?? []);
-    }
-
-    private suspicionOf(service: ServiceName, part: RequestTraitId): Suspicion {
-        return this.states.get(keyOf(service, part))?.suspicion
-            ?? {
-                service,
-                part,
-                disproofs: 0,
-                crashes: [],
-                rounds: 0,
-                hasSucceeded: false,
-                isQuarantined: false,
-                probes: 0,
-            };
-    }
-
-    private set(suspicion: Suspicion, nowMs: number): Suspicion {
-        const key = keyOf(suspicion.service, suspicion.part);
-        const askedAtMs = this.states.get(key)?.askedAtMs ?? -Infinity;
-        this.states.delete(key);
-        if (this.states.size >= MAX_SUSPICIONS) {
-            this.dropEarly();
-        }
-        this.states.set(key, { suspicion, changedAtMs: nowMs, askedAtMs, heardAtMs: nowMs });
-        return suspicion;
-    }
-
-    /** Drops the oldest suspicion of a single crash, or else the oldest that is no quarantine. */
-    private dropEarly(): void {
-        const state = this.findFirst(one => !isQuarantined(one) && one.suspicion.crashes.length < 2)
-            ?? this.findFirst(one => !isQuarantined(one));
-        if (state !== undefined) {
-            this.states.delete(keyOf(state.suspicion.service, state.suspicion.part));
-            this.droppedEarly.push(state.suspicion);
-        }
-    }
-
-    private findFirst(matches: (state: SuspicionState) => boolean): SuspicionState | undefined {
-        // Stops at the first match, which mostly is the first state, where copying all of them would take long.
-        for (const state of this.states.values()) {
-            if (matches(state)) {
-                return state;
-            }
-        }
-        return undefined;
-    }
-}
-
-function isQuarantinedRequest(state: SuspicionState): boolean {
-    return isQuarantined(state) && isFingerprint(state.suspicion.part);
-}
-
-function neededAtMs({ askedAtMs, heardAtMs }: SuspicionState): number {
-    return Math.max(askedAtMs, heardAtMs);
 }
 
 function isQuarantined({ suspicion }: SuspicionState): boolean {
     return suspicion.isQuarantined;
 }
-
-function keyOf(service: ServiceName, part: RequestTraitId): string {
-    return `${service} ${part}`;
-}
--- a/fleet/quarantine/src/suspicion.ts
+++ b/fleet/quarantine/src/suspicion.ts
@@ -12,8 +12,13 @@
      * part that explains the crashes.
      */
     disproofs: number;
-    /** Upstream processes that broke off requests with the part since the last disproof, shape [crashes]. */
+    /** Upstream processes that broke off requests with the part since the last disproof, named by `crashId`, shape [crashes]. */
     crashes: UpstreamProcessKey[];
+    /**
+     * Further ones that turned out not to have crashed, as the process responded to a later run, shape [crashes]; undefined if
+     * there are none.
+     */
+    withdrawn?: UpstreamProcessKey[];
     /** Number of these crashes of which each is under a request that began after the one before was known. */
     rounds: number;
     /** Whether any process remembers a complete response to a request with the part. */
--- a/fleet/quarantine/test/recurringRequest.test.ts
+++ b/fleet/quarantine/test/recurringRequest.test.ts
@@ -4,6 +4,7 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import fc from "fast-check";
 import assert from "node:assert/strict";
@@ -164,12 +165,14 @@
         random: new SeededRandom(1),
         logger: silentLogger,
         publish: () => undefined,
+        listedAtMs: () => -Infinity,
         store: suspicion => stored.push(suspicion),
         remove: () => undefined,
         onChanged: () => undefined,
     });
     const service = "s" as ServiceName;
-    quarantine.onSuccess(quarantine.begin(service, ["request:sound" as RequestFingerprint]));
+    const upstream = { id: "u", startedAtMs: 1 } as Upstream;
+    quarantine.onSuccess(quarantine.begin(service, ["request:sound" as RequestFingerprint]), upstream);
     const crashes = ["a", "b", "c"] as UpstreamProcessKey[];
     const part = "request:bad" as RequestFingerprint;
     const state = { disproofs: 0, rounds: 3, hasSucceeded: false, isQuarantined: false, probes: 0 };
--- a/fleet/quarantine/test/requestSuspicions.test.ts
+++ b/fleet/quarantine/test/requestSuspicions.test.ts
@@ -2,9 +2,12 @@
 import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
+import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { mergeSuspicions } from "../src/mergeSuspicions.js";
 import { RequestSuspicions } from "../src/requestSuspicions.js";
+import type { Suspicion } from "../src/suspicion.js";
 
 const SERVICE = "s" as ServiceName;
 const BAD = "request:bad" as RequestFingerprint;
@@ -35,3 +38,60 @@
     assert.ok(distinct.size > MAX_REPEATED * 19, "repetitions go on with others");
     assert.ok(suspicions.blockedForMs(SERVICE, [BAD], 5) > 0);
 });
+
+function suspicionOf(fingerprint: RequestFingerprint, crashes: string[], withdrawn: string[] = []): Suspicion {
+    return {
+        service: SERVICE,
+        part: fingerprint,
+        disproofs: 0,
+        crashes: crashes as UpstreamProcessKey[],
+        ...withdrawn.length > 0 ? { withdrawn: withdrawn as UpstreamProcessKey[] } : {},
+        rounds: crashes.length,
+        hasSucceeded: false,
+        isQuarantined: false,
+        probes: 0,
+    };
+}
+
+// A run in progress when a response breaks off may have been answered before its upstream crashed.
+test("only a response to a run that began after a crash was known withdraws the crash", () => {
+    const suspicions = new RequestSuspicions({ jitter: 0 });
+    const process = "u-1" as UpstreamProcessKey;
+    const before = suspicions.observe(SERVICE, []);
+    crash(suspicions, BAD, process, 1);
+    const after = suspicions.observe(SERVICE, []);
+    assert.ok(!suspicions.isSuspected(process, before));
+    assert.deepEqual(suspicions.withdraw(process, before.sequence, 2), []);
+    assert.ok(suspicions.isSuspected(process, after));
+    const [withdrawn] = suspicions.withdraw(process, after.sequence, 2);
+    assert.deepEqual([withdrawn?.crashes, withdrawn?.withdrawn], [[], [process]]);
+});
+
+test("an upstream that was cleared counts again once it breaks off another run", () => {
+    const suspicions = new RequestSuspicions({ jitter: 0 });
+    suspicions.onSuccess(suspicions.observe(SERVICE, []), 0);
+    crash(suspicions, BAD, "u-1", 1);
+    suspicions.withdraw("u-1" as UpstreamProcessKey, suspicions.observe(SERVICE, []).sequence, 2);
+    ["u-1", "u-2"].forEach(process => crash(suspicions, BAD, process, 3));
+    assert.equal(suspicions.blockedForMs(SERVICE, [BAD], 4), 0);
+    crash(suspicions, BAD, "u-3", 4);
+    assert.ok(suspicions.blockedForMs(SERVICE, [BAD], 5) > 0);
+});
+
+// Suspicions come late, repeatedly and in any order, also from processes of the version before, which withdraw nothing.
+test("suspicions with withdrawn crashes merge in any order, and a withdrawn crash stays withdrawn", () => {
+    const keys = fc.uniqueArray(fc.constantFrom("u-1 1", "u-2 1", "u-3 1", "u-1 1 #2"));
+    const known = fc.array(fc.tuple(keys, keys), { minLength: 2, maxLength: 4 });
+    const outcomeOf = (suspicions: readonly Suspicion[]) => {
+        const merged = [...suspicions, ...suspicions].reduce(mergeSuspicions);
+        return { crashes: new Set(merged.crashes), withdrawn: new Set(merged.withdrawn) };
+    };
+    fc.assert(fc.property(known, pairs => {
+        const suspicions = pairs.map(([crashes, withdrawn]) =>
+            suspicionOf(BAD, crashes.filter(one => !withdrawn.includes(one)), withdrawn)
+        );
+        const outcome = outcomeOf(suspicions);
+        assert.deepEqual(outcomeOf(suspicions.toReversed()), outcome);
+        assert.deepEqual([...outcome.crashes].filter(one => outcome.withdrawn.has(one)), []);
+    }));
+});
--- a/fleet/quarantine/test/simulatedQuarantineFleet.ts
+++ b/fleet/quarantine/test/simulatedQuarantineFleet.ts
@@ -2,8 +2,10 @@
 import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
 import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import { upstreamProcessKeyOf } from "@knapweedwood/fleet.view/upstreamProcessKeyOf";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { SimulatedNetwork } from "@knapweedwood/standins.network/simulatedNetwork";
 import { RequestQuarantine } from "../src/requestQuarantine.js";
@@ -17,6 +19,9 @@
 const CRASH_AFTER_MS = 60;
 const SOUND_RUN_MS = 40;
 const STORE_DELAY_MS = 30;
+/** Time after the start of an upstream at which its entry replaces that of the process before, in milliseconds. */
+const ENTRY_DELAY_MS = 500;
+const WITHDRAW_INTERVAL_MS = 500;
 const UPSTREAMS = 3;
 /** Time in which processes that are not cut off learn of a success, in milliseconds. */
 const CONTACT_MS = 3000;
@@ -33,6 +38,14 @@
     /** Time of the last start or change of its connection to the others, in milliseconds. */
     disturbedAtMs: number;
     isCut: boolean;
+    /** What it knows of the upstreams while it is cut off from the key-value service; undefined while it isn't. */
+    lastListing: Listing | undefined;
+}
+
+/** Entries of upstreams, and the time up to which they are current. */
+interface Listing {
+    entries: Map<UpstreamId, Upstream>;
+    atMs: number;
 }
 
 /** A request that comes again with the same fingerprint, and what became of it. */
@@ -51,6 +64,8 @@
     unfoundedRejections: number;
     /** Number of its next runs that upstreams break off though they live on. */
     runsToBreakOff: number;
+    /** The upstreams that broke it off, as its processes knew them, shape [crashes]. */
+    cutBy: Upstream[];
 }
 
 type Attempts = { request: RecurringRequest; index: number; excluded: Set<SimulatedUpstream>; };
@@ -69,7 +84,11 @@
     maxAttempts = 3;
     /** Number of sound requests that were rejected. */
     soundRejections = 0;
+    /** Share of the runs that upstreams break off though they live on. */
+    breakOffShare = 0;
     private readonly upstreams: SimulatedUpstreams;
+    /** The entries of the upstreams in the key-value service. */
+    private readonly listed = new Map<UpstreamId, Upstream>();
     private readonly random: SeededRandom;
     private readonly processes: SimulatedProcess[];
     /** What is in the key-value service, which processes reach that are cut off from each other. */
@@ -78,13 +97,19 @@
     constructor(opts: { processes: number; seed: number; }) {
         this.random = new SeededRandom(opts.seed);
         this.network = new SimulatedNetwork({ clock: this.clock, random: this.random });
-        this.upstreams = new SimulatedUpstreams({ clock: this.clock, random: this.random, count: UPSTREAMS });
+        this.upstreams = new SimulatedUpstreams({
+            clock: this.clock,
+            random: this.random,
+            count: UPSTREAMS,
+            onStarted: entry => this.list(entry),
+        });
         this.processes = Array.from({ length: opts.processes }, (_, index) => this.createProcess(index));
     }
 
     restart(index: number): void {
         this.processes[index]!.exchange.close();
-        this.processes[index] = { ...this.createProcess(index), isCut: this.processes[index]!.isCut };
+        const { isCut, lastListing } = this.processes[index]!;
+        this.processes[index] = { ...this.createProcess(index), isCut, lastListing };
     }
 
     setCut(index: number, isCut: boolean): void {
@@ -92,6 +117,15 @@
         Object.assign(this.processes[index]!, { isCut, disturbedAtMs: this.clock.nowMs() });
     }
 
+    /** Cuts a process off from the key-value service, or ends that. */
+    setCutFromStore(index: number, isCut: boolean): void {
+        const lastListing = isCut ? { entries: new Map(this.listed), atMs: this.clock.nowMs() } : undefined;
+        Object.assign(this.processes[index]!, { lastListing, disturbedAtMs: this.clock.nowMs() });
+        if (!isCut) {
+            this.processes[index]!.quarantine.merge(this.stored);
+        }
+    }
+
     /** Sends a request with the bad part; its upstream crashes unless it is rejected. */
     sendBad(index: number): void {
         const { quarantine, disturbedAtMs, isCut } = this.processes[index]!;
@@ -127,7 +161,7 @@
                 quarantine.onCrash(run, upstream);
                 return;
             }
-            quarantine.onSuccess(run);
+            quarantine.onSuccess(run, upstream);
         });
     }
 
@@ -144,6 +178,7 @@
             rejections: 0,
             unfoundedRejections: 0,
             runsToBreakOff: 0,
+            cutBy: [],
         };
     }
 
@@ -162,6 +197,16 @@
         return this.processes.every(({ quarantine }) => quarantine.blockedForMs(SERVICE, [fingerprint]) > 0);
     }
 
+    /** Whether any process rejects a request. */
+    isBlockedAnywhere({ fingerprint }: RecurringRequest): boolean {
+        return this.processes.some(({ quarantine }) => quarantine.blockedForMs(SERVICE, [fingerprint]) > 0);
+    }
+
+    /** Number of upstream processes that broke a request off and run no longer. */
+    endedUpstreams({ cutBy }: RecurringRequest): number {
+        return new Set(cutBy.filter(entry => !this.upstreams.isRunning(entry)).map(upstreamProcessKeyOf)).size;
+    }
+
     /** Breaks off all runs at one of the upstreams, which takes some time to come back. */
     crashUpstream(): void {
         const upstream = this.upstreams.choose(new Set());
@@ -189,9 +234,11 @@
         const { request, index } = attempts;
         const { quarantine } = this.processes[index]!;
         const run = quarantine.begin(SERVICE, [request.fingerprint]);
+        const entry = this.listingOf(index).entries.get(upstream.entry.id) ?? upstream.entry;
         request.runs += 1;
-        const isBrokenOff = request.runsToBreakOff > 0;
-        request.runsToBreakOff -= isBrokenOff ? 1 : 0;
+        const isBrokenOff = request.runsToBreakOff > 0
+            || (this.breakOffShare > 0 && this.random.next() < this.breakOffShare);
+        request.runsToBreakOff = Math.max(0, request.runsToBreakOff - 1);
         if (request.isBad) {
             this.badRuns.push({ atMs: this.clock.nowMs(), undisturbedMs: this.undisturbedMs(index) });
         }
@@ -212,16 +259,17 @@
                 request.suspectUntilMs = Math.min(request.suspectUntilMs, this.clock.nowMs() + CONTACT_MS);
             }
             if (this.isRunning(index, quarantine)) {
-                quarantine.onSuccess(run);
+                quarantine.onSuccess(run, entry);
             }
         });
         const cut = () => {
             end.cancel();
             request.runs -= 1;
             request.cutAtMs.push(this.clock.nowMs());
+            request.cutBy.push(entry);
             request.suspectUntilMs = request.cutAtMs.length < CONVICTING_CRASHES ? request.suspectUntilMs : Infinity;
             if (this.isRunning(index, quarantine)) {
-                quarantine.onCrash(run, upstream.entry);
+                quarantine.onCrash(run, entry);
                 this.attempt(attempts);
             }
         };
@@ -236,8 +284,8 @@
     }
 
     private undisturbedMs(index: number): number {
-        const { disturbedAtMs, isCut } = this.processes[index]!;
-        return isCut ? 0 : this.clock.nowMs() - disturbedAtMs;
+        const { disturbedAtMs, isCut, lastListing } = this.processes[index]!;
+        return isCut || lastListing !== undefined ? 0 : this.clock.nowMs() - disturbedAtMs;
     }
 
     /** Whether every process rejects requests with the bad part. */
@@ -256,7 +304,27 @@
         }
         this.clock.setTimer(STORE_DELAY_MS, () => {
             this.stored.push(suspicion);
-            this.processes.forEach(({ quarantine }) => quarantine.merge([suspicion]));
+            this.processes
+                .filter(({ lastListing }) => lastListing === undefined)
+                .forEach(({ quarantine }) => quarantine.merge([suspicion]));
+        });
+    }
+
+    private list(entry: Upstream): void {
+        this.clock.setTimer(this.listed.has(entry.id) ? ENTRY_DELAY_MS : 0, () => this.listed.set(entry.id, entry));
+    }
+
+    private listingOf(index: number): Listing {
+        return this.processes[index]!.lastListing ?? { entries: this.listed, atMs: this.clock.nowMs() };
+    }
+
+    /** Withdraws crashes again and again, like a running process. */
+    private keepWithdrawing(index: number, quarantine: RequestQuarantine): void {
+        this.clock.setTimer(WITHDRAW_INTERVAL_MS, () => {
+            if (this.isRunning(index, quarantine)) {
+                quarantine.withdrawCrashes();
+                this.keepWithdrawing(index, quarantine);
+            }
         });
     }
 
@@ -272,8 +340,13 @@
             remove: ({ part }) => {
                 this.stored = this.stored.filter(suspicion => suspicion.part !== part);
             },
+            listedAtMs: ({ id, startedAtMs }) => {
+                const { entries, atMs } = this.listingOf(index);
+                return entries.get(id)?.startedAtMs === startedAtMs ? atMs : -Infinity;
+            },
             onChanged: () => undefined,
         });
+        this.keepWithdrawing(index, quarantine);
         const exchange: SuspicionExchange = new SuspicionExchange({
             clock,
             random,
@@ -285,6 +358,6 @@
         });
         void exchange.listen();
         quarantine.merge(this.stored);
-        return { quarantine, exchange, disturbedAtMs: clock.nowMs(), isCut: false };
+        return { quarantine, exchange, disturbedAtMs: clock.nowMs(), isCut: false, lastListing: undefined };
     }
 }
--- a/fleet/quarantine/test/simulatedUpstreams.ts
+++ b/fleet/quarantine/test/simulatedUpstreams.ts
@@ -5,6 +5,7 @@
 const RESTART_MS = 2000;
 
 interface SimulatedUpstream {
+    /** Its entry, of which the processes learn late. */
     entry: Upstream;
     isUp: boolean;
     /** Called when the upstream crashes, one for each run at it. */
@@ -16,12 +17,14 @@
     private readonly clock: ManualClock;
     private readonly random: Random;
     private readonly upstreams: SimulatedUpstream[];
+    private readonly onStarted: (entry: Upstream) => void;
     private starts = 0;
 
-    constructor(opts: { clock: ManualClock; random: Random; count: number; }) {
+    constructor(opts: { clock: ManualClock; random: Random; count: number; onStarted: (entry: Upstream) => void; }) {
         this.clock = opts.clock;
         this.random = opts.random;
-        this.upstreams = Array.from({ length: opts.count }, () => this.started());
+        this.onStarted = opts.onStarted;
+        this.upstreams = Array.from({ length: opts.count }, (_, index) => this.start(index));
     }
 
     /** Returns any upstream that runs and is none of `excluded`; undefined if there is none. */
@@ -35,13 +38,19 @@
         upstream.isUp = false;
         [...upstream.runs].forEach(cut => cut());
         this.clock.setTimer(RESTART_MS, () => {
-            this.upstreams[index] = this.started();
+            this.upstreams[index] = this.start(index);
         });
     }
 
-    private started(): SimulatedUpstream {
+    /** Whether the process of an upstream that an entry describes is running. */
+    isRunning({ id, startedAtMs }: Upstream): boolean {
+        return this.upstreams.some(({ entry, isUp }) => isUp && entry.id === id && entry.startedAtMs === startedAtMs);
+    }
+
+    private start(index: number): SimulatedUpstream {
         this.starts += 1;
-        const entry = { id: `u-${this.starts}`, startedAtMs: this.starts } as Upstream;
+        const entry = { id: `upstream-${index}`, startedAtMs: this.starts } as Upstream;
+        this.onStarted(entry);
         return { entry, isUp: true, runs: new Set() };
     }
 }
--- a/fleet/quarantine/test/suspicionCodec.test.ts
+++ b/fleet/quarantine/test/suspicionCodec.test.ts
@@ -34,3 +34,16 @@
     const [bytes] = codec.encode(Array.from({ length: 6 }, () => convicted));
     assert.ok(bytes!.length <= MAX_DATAGRAM_BYTES, `${bytes!.length} bytes`);
 });
+
+// The version before knows of no withdrawn crashes. It must neither count them nor fail to read the rest of the datagram.
+test("withdrawn crashes reach this version, and are a part that no request has for the one before", () => {
+    const codec = new SuspicionCodec();
+    const withdrawn = Array.from({ length: 20 }, (_, index) => `u-${index} 1` as UpstreamProcessKey);
+    const other = { ...part, part: "91bd3f06" as PromptPartId };
+    const [first] = codec.encode([{ ...part, withdrawn }, other]);
+    assert.deepEqual(codec.decode(first!), [{ ...part, withdrawn }, other]);
+    const entries = new Packr({ useRecords: false }).unpack(first!) as unknown[][];
+    assert.ok(entries.every(entry => entry.length === 8), "the entries have the form of the version before");
+    const parts = entries.map(entry => String(entry[1]));
+    assert.deepEqual(parts.filter(one => !one.startsWith("withdrawn:")), [part.part, other.part]);
+});
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -20,6 +20,7 @@
     private relistController = new AbortController();
     private failures = 0;
     private recoveredAtMs = Infinity;
+    private respondedAtMs = -Infinity;
     private outageEndedAtMs = -Infinity;
     private catchUpTimer: Timer | undefined;
     private readonly currentEntries = new Map<string, KeyValueEntry>();
@@ -57,6 +58,11 @@
         return this.failures === 0 ? this.recoveredAtMs : Infinity;
     }
 
+    /** Unix ms of the last response of the service, up to which the mirror is current; -infinity before the first. */
+    get currentAtMs(): number {
+        return this.respondedAtMs;
+    }
+
     /** Unix ms of the end of the last outage that this process has seen: infinity during one, -infinity if none. */
     get lastOutageEndedAtMs(): number {
         return this.failures === 0 ? this.outageEndedAtMs : Infinity;
@@ -148,6 +154,7 @@
     }
 
     private onResponse(): void {
+        this.respondedAtMs = this.opts.clock.nowMs();
         if (this.failures === 0) {
             this.recoveredAtMs = Math.min(this.recoveredAtMs, this.opts.clock.nowMs());
             return;
--- a/fleet/view/src/upstreamDirectory.ts
+++ b/fleet/view/src/upstreamDirectory.ts
@@ -122,6 +122,12 @@
         return true;
     }
 
+    /** Whether the key-value service lists this process of an upstream, as far as is known. */
+    isListed({ id, startedAtMs }: Upstream): boolean {
+        const entry = this.entries.get(id);
+        return entry?.upstream.startedAtMs === startedAtMs && entry.dropAtMs === undefined;
+    }
+
     get(id: UpstreamId): Upstream | undefined {
         return this.entries.get(id)?.upstream;
     }
