fix(jobs): a quarantined item is tested after 10 s, since the leader alone runs it

What callers saw: an item that three upstreams broke off waited 30 to 60 s for the next test where no other request ran at these upstreams and showed that they live, longer than its job had. Cause: the first test of a quarantine is spread over 30 to 60 s, so that not all processes test a request at once. Items are run by the leader alone, which needs no spreading. Change: the first test of a quarantined item is due after 10 s, the next after 40 and 160 s more. Prompt parts, which others send too, keep their times.

--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -284,7 +284,7 @@
             const keepsEvents = remainingMs(item) < totalMs(item) * KEEP_REMAINING_SHARE;
             const upstream = slots.take(this.routes.serviceOf(job, item)!, item, keepsEvents);
             const isBlocked = upstream !== undefined
-                && this.opts.quarantine.blockedForMs(upstream.service, this.traits.of(job, item)) > 0;
+                && this.opts.quarantine.itemBlockedForMs(upstream.service, this.traits.of(job, item)) > 0;
             if (upstream !== undefined && !isBlocked) {
                 this.inFlightItems.start(job, item, upstream);
             }
@@ -293,7 +293,7 @@
 
     private mayRun(service: ServiceName, item: JobItem): boolean {
         const { quarantine } = this.opts;
-        return !quarantine.isActive || quarantine.blockedForMs(service, this.traits.knownOf(item)) === 0;
+        return !quarantine.isActive || quarantine.itemBlockedForMs(service, this.traits.knownOf(item)) === 0;
     }
 
     /** Returns the upstreams that may run items. There are none while an online request of the service waits. */
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -40,12 +40,16 @@
 const BROKEN_OFF_PATH = "/p/broken-off/";
 const BROKEN_OFF_ITEM = "job-0-1";
 const CONVICTING_CRASHES = 3;
+/** From the rule: runs of a request that begin later than this after the third crash. */
+const CONTACT_MS = 5000;
+const MAX_LATER_RUNS = 3;
 const RUN_MS = 100;
 const WITHDRAW_INTERVAL_MS = 500;
 const JOBS = 80;
 const ITEMS = 10;
 /** As in the records of `createJobRecord`. */
 const EXPIRES_AT_MS = 60_000;
+const DUE_WITHIN_MS = 18_000;
 const upstreamIds = Array.from({ length: 10 }, (_, index) => `u-${index}` as UpstreamId);
 
 /** Returns a leading runner with `JOBS` loaded jobs, at upstreams whose slots all run online requests. */
@@ -58,6 +62,11 @@
     item.headers.push({ name: "q", value: BAD_PART });
 }
 
+/** Gives one item the path of requests that are broken off. */
+function breakOffOne(item: JobItemRecord): void {
+    item.path = item.id === BROKEN_OFF_ITEM ? BROKEN_OFF_PATH : item.path;
+}
+
 async function createRunner(opts: {
     busySlots: number;
     jobs: number;
@@ -249,6 +258,59 @@
     runner.stop();
 });
 
+// The same until the job expires, with the runs that test whether the item still crashes upstreams.
+test("an item that crashes upstreams reaches a bounded number of them before its job expires", async () => {
+    const clock = new ManualClock();
+    const runsAtMs: number[] = [];
+    const crashing = new Map<UpstreamId, number>();
+    const connections = new UpstreamConnections();
+    mock.method(connections, "send", ({ id }: Upstream, request: ExchangeRequest, handler: ExchangeHandler) => {
+        const isBad = request.path === BROKEN_OFF_PATH;
+        if (isBad) {
+            runsAtMs.push(clock.nowMs());
+            crashing.set(id, crashing.get(id) ?? clock.nowMs());
+        }
+        setImmediate(() => isBad ? breakOff(handler) : complete(handler));
+        return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    });
+    const { runner } = await createRunner({
+        busySlots: SLOTS - 2,
+        jobs: 1,
+        connections,
+        makeBad: breakOffOne,
+        clock,
+    });
+    await clock.advance(EXPIRES_AT_MS * 2);
+    const countedFromMs = [...crashing.values()][CONVICTING_CRASHES - 1]! + CONTACT_MS;
+    const later = runsAtMs.filter(atMs => atMs > countedFromMs);
+    assert.ok(later.length <= MAX_LATER_RUNS, `${later.length} runs`);
+    runner.stop();
+});
+
+// Nothing else ran at the upstreams that could have shown that they live, and the job was due before the next test.
+test("an item that three upstreams broke off runs again before its job is due, though nothing else runs", async () => {
+    const breaking = new Set<UpstreamId>();
+    const connections = new UpstreamConnections();
+    mock.method(connections, "send", ({ id }: Upstream, request: ExchangeRequest, handler: ExchangeHandler) => {
+        const isBrokenOff = request.path === BROKEN_OFF_PATH && breaking.size < CONVICTING_CRASHES;
+        if (isBrokenOff) {
+            breaking.add(id);
+        }
+        setImmediate(() => isBrokenOff ? breakOff(handler) : complete(handler));
+        return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    });
+    const { clock, runner, finishedResults } = await createRunner({
+        busySlots: SLOTS - 2,
+        jobs: 1,
+        connections,
+        makeBad: breakOffOne,
+    });
+    await clock.advance(DUE_WITHIN_MS);
+    assert.equal(breaking.size, CONVICTING_CRASHES);
+    assert.equal((await finishedResults()).length, ITEMS);
+    runner.stop();
+});
+
 // A sound item that three upstreams broke off in a row waited as quarantined, beside free slots, until its callers gave up.
 test("an item that three living upstreams broke off is finished with the others", async () => {
     const breaking = new Set<UpstreamId>();
@@ -262,14 +324,11 @@
         clock.setTimer(RUN_MS, () => isBrokenOff ? breakOff(handler) : complete(handler));
         return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
     });
-    const makeBad = (item: JobItemRecord) => {
-        item.path = item.id === BROKEN_OFF_ITEM ? BROKEN_OFF_PATH : item.path;
-    };
     const { runner, finishedResults } = await createRunner({
         busySlots: SLOTS - 2,
         jobs: JOBS,
         connections,
-        makeBad,
+        makeBad: breakOffOne,
         clock,
         areUpstreamsListed: true,
     });
--- a/fleet/quarantine/src/requestQuarantine.ts
+++ b/fleet/quarantine/src/requestQuarantine.ts
@@ -107,7 +107,12 @@
 
     /** Returns the time for which requests with these traits must not run, in milliseconds; 0 if they may run now. */
     blockedForMs(service: ServiceName, traits: readonly RequestTraitId[]): number {
-        return this.isActive ? this.suspicions.blockedForMs(service, traits, this.opts.clock.nowMs()) : 0;
+        return this.blockedMs(service, traits, false);
+    }
+
+    /** The same for an item, which no other process runs. It is tested sooner than a request that may come anywhere. */
+    itemBlockedForMs(service: ServiceName, traits: readonly RequestTraitId[]): number {
+        return this.blockedMs(service, traits, true);
     }
 
     /** Returns the suspicions that other processes may not know yet, shape [suspicions]. Drops outdated ones. */
@@ -117,6 +122,11 @@
         return this.suspicions.toRepeat(nowMs);
     }
 
+    private blockedMs(service: ServiceName, traits: readonly RequestTraitId[], isSoleRunner: boolean): number {
+        const nowMs = this.opts.clock.nowMs();
+        return this.isActive ? this.suspicions.blockedForMs(service, traits, { nowMs, isSoleRunner }) : 0;
+    }
+
     private store(suspicion: Suspicion): void {
         if (isFingerprint(suspicion.part)) {
             this.storedRequests.add(suspicionKeyOf(suspicion));
--- a/fleet/quarantine/src/requestSuspicions.ts
+++ b/fleet/quarantine/src/requestSuspicions.ts
@@ -21,6 +21,8 @@
 const BROAD_FAILURE_MS = 10_000;
 /** Time after which one request with a quarantined trait is let through, in milliseconds. */
 const FIRST_PROBE_MS = 30_000;
+/** The same for a request that only one process of the fleet runs, so that no two can probe at once. */
+const FIRST_SOLE_PROBE_MS = 10_000;
 /** Factor by which the time to the next probe grows with each probe. */
 const PROBE_BACKOFF = 4;
 /** Longest additional time to a probe of a process, as a share, so that not all processes probe at once. */
@@ -138,13 +140,22 @@
         return changed.map(merged => this.review(merged, nowMs));
     }
 
-    /** Returns the time for which requests with these traits must not run, in milliseconds; 0 if they may run now. */
-    blockedForMs(service: ServiceName, traits: readonly RequestTraitId[], nowMs: number): number {
+    /**
+     * Returns the time for which requests with these traits must not run, in milliseconds; 0 if they may run now.
+     *
+     * @param opts.isSoleRunner whether no other process runs this very request
+     */
+    blockedForMs(
+        service: ServiceName,
+        traits: readonly RequestTraitId[],
+        opts: { nowMs: number; isSoleRunner: boolean; },
+    ): number {
+        const { nowMs, isSoleRunner } = opts;
         const blocking = this.table.statesOf(service, traits).filter(isQuarantined);
         blocking.forEach(state => {
             state.askedAtMs = nowMs;
         });
-        return Math.max(0, ...blocking.map(state => this.probeDueAtMs(state) - nowMs));
+        return Math.max(0, ...blocking.map(state => this.probeDueAtMs(state, isSoleRunner) - nowMs));
     }
 
     /** Number of suspicions that this process keeps. */
@@ -228,8 +239,11 @@
         return this.lift({ ...suspicion, ...cleared }, nowMs);
     }
 
-    private probeDueAtMs({ suspicion, changedAtMs }: SuspicionState): number {
-        return changedAtMs + FIRST_PROBE_MS * PROBE_BACKOFF ** suspicion.probes * this.probeDelayFactor;
+    private probeDueAtMs({ suspicion, changedAtMs }: SuspicionState, isSoleRunner: boolean): number {
+        const firstMs = isSoleRunner && isFingerprint(suspicion.part)
+            ? FIRST_SOLE_PROBE_MS
+            : FIRST_PROBE_MS * this.probeDelayFactor;
+        return changedAtMs + firstMs * PROBE_BACKOFF ** suspicion.probes;
     }
 }
 
--- a/fleet/quarantine/test/requestSuspicions.test.ts
+++ b/fleet/quarantine/test/requestSuspicions.test.ts
@@ -21,12 +21,16 @@
     suspicions.onCrash(run, process as UpstreamProcessKey, nowMs);
 }
 
+function blockedForMs(suspicions: RequestSuspicions, nowMs: number): number {
+    return suspicions.blockedForMs(SERVICE, [BAD], { nowMs, isSoleRunner: false });
+}
+
 test("a crash of many upstreams creates bounded suspicions and datagrams, and a quarantine outlasts it", () => {
     const suspicions = new RequestSuspicions({ jitter: 0 });
     const sound = suspicions.observe(SERVICE, ["request:sound" as RequestFingerprint]);
     suspicions.onSuccess(sound, 0);
     ["u-1", "u-2", "u-3"].forEach(process => crash(suspicions, BAD, process, 1));
-    assert.ok(suspicions.blockedForMs(SERVICE, [BAD], 2) > 0);
+    assert.ok(blockedForMs(suspicions, 2) > 0);
     Array.from({ length: BROKEN_OFF }).forEach((_, index) =>
         crash(suspicions, `request:${index}` as RequestFingerprint, `u-${index % 100}`, 3)
     );
@@ -36,7 +40,7 @@
     assert.ok(repetitions.every(repeated => repeated.some(({ part }) => part === BAD)));
     const distinct = new Set(repetitions.flat().map(({ part }) => part));
     assert.ok(distinct.size > MAX_REPEATED * 19, "repetitions go on with others");
-    assert.ok(suspicions.blockedForMs(SERVICE, [BAD], 5) > 0);
+    assert.ok(blockedForMs(suspicions, 5) > 0);
 });
 
 function suspicionOf(fingerprint: RequestFingerprint, crashes: string[], withdrawn: string[] = []): Suspicion {
@@ -73,9 +77,9 @@
     crash(suspicions, BAD, "u-1", 1);
     suspicions.withdraw("u-1" as UpstreamProcessKey, suspicions.observe(SERVICE, []).sequence, 2);
     ["u-1", "u-2"].forEach(process => crash(suspicions, BAD, process, 3));
-    assert.equal(suspicions.blockedForMs(SERVICE, [BAD], 4), 0);
+    assert.equal(blockedForMs(suspicions, 4), 0);
     crash(suspicions, BAD, "u-3", 4);
-    assert.ok(suspicions.blockedForMs(SERVICE, [BAD], 5) > 0);
+    assert.ok(blockedForMs(suspicions, 5) > 0);
 });
 
 // Suspicions come late, repeatedly and in any order, also from processes of the version before, which withdraw nothing.
