--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -14,6 +14,7 @@
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
@@ -38,10 +39,19 @@
 const BAD_PATH = "/p/bad/";
 const BAD_PART = "bad";
 const RESULT_RETENTION_MS = 120_000;
+const BROKEN_OFF_PATH = "/p/broken-off/";
+const BROKEN_OFF_ITEM = "job-0-1";
+const CONVICTING_CRASHES = 3;
+/** From the rule: runs of a request that begin later than this after the third crash. */
+const CONTACT_MS = 5000;
+const MAX_LATER_RUNS = 3;
+const RUN_MS = 100;
+const WITHDRAW_INTERVAL_MS = 500;
 const JOBS = 80;
 const ITEMS = 10;
 /** As in the records of `createJobRecord`. */
 const EXPIRES_AT_MS = 60_000;
+const DUE_WITHIN_MS = 18_000;
 const upstreamIds = Array.from({ length: 10 }, (_, index) => `u-${index}` as UpstreamId);
 
 /** Returns a leading runner with `JOBS` loaded jobs, at upstreams whose slots all run online requests. */
@@ -54,6 +64,11 @@
     item.headers.push({ name: "q", value: BAD_PART });
 }
 
+/** Gives one item the path of requests that are broken off. */
+function breakOffOne(item: JobItemRecord): void {
+    item.path = item.id === BROKEN_OFF_ITEM ? BROKEN_OFF_PATH : item.path;
+}
+
 async function createRunner(opts: {
     busySlots: number;
     jobs: number;
@@ -62,8 +77,11 @@
     makeBad?: (item: JobItemRecord) => void;
     /** Jobs on the disks of this instance and of the other runners, shape [jobs]. */
     heldJobs?: { own: HeldJob[]; others: HeldJob[]; };
+    clock?: ManualClock;
+    /** Whether all processes of the upstreams live on, and the runner knows. */
+    areUpstreamsListed?: boolean;
 }) {
-    const clock = new ManualClock();
+    const { clock = new ManualClock() } = opts;
     const service = new MemoryKeyValueService({ clock });
     const fence = { key: "leader", modRevision: 0 };
     const configuration = new ActiveConfiguration();
@@ -88,6 +106,23 @@
         }, 0);
         Array.from({ length: opts.busySlots }).forEach(() => loadTracker.count(id, "online", 1));
     });
+    const quarantine = new RequestQuarantine({
+        clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        publish: () => undefined,
+        listedAtMs: () => opts.areUpstreamsListed === true ? clock.nowMs() : -Infinity,
+        store: () => undefined,
+        remove: () => undefined,
+        onChanged: () => undefined,
+    });
+    const keepWithdrawing = () => {
+        clock.setTimer(WITHDRAW_INTERVAL_MS, () => {
+            quarantine.withdrawCrashes();
+            keepWithdrawing();
+        });
+    };
+    keepWithdrawing();
     const runner = new JobRunner({
         service,
         clock,
@@ -111,15 +146,7 @@
             upstreamProof: "p",
         },
         decodeSharedPromptParts: value => value === undefined ? [] : [value as PromptPartId],
-        quarantine: new RequestQuarantine({
-            clock,
-            random: new SeededRandom(1),
-            logger: silentLogger,
-            publish: () => undefined,
-            store: () => undefined,
-            remove: () => undefined,
-            onChanged: () => undefined,
-        }),
+        quarantine,
         resultRetentionMs: () => RESULT_RETENTION_MS,
         onLoadChanged: () => undefined,
         heldJobs: () => opts.heldJobs?.own ?? [],
@@ -260,3 +287,83 @@
     assert.deepEqual(isOpen([own, other, heldLater]), [true, false, false]);
     runner.stop();
 });
+
+// The same until the job expires, with the runs that test whether the item still crashes upstreams.
+test("an item that crashes upstreams reaches a bounded number of them before its job expires", async () => {
+    const clock = new ManualClock();
+    const runsAtMs: number[] = [];
+    const crashing = new Map<UpstreamId, number>();
+    const connections = new UpstreamConnections();
+    mock.method(connections, "send", ({ id }: Upstream, request: ExchangeRequest, handler: ExchangeHandler) => {
+        const isBad = request.path === BROKEN_OFF_PATH;
+        if (isBad) {
+            runsAtMs.push(clock.nowMs());
+            crashing.set(id, crashing.get(id) ?? clock.nowMs());
+        }
+        setImmediate(() => isBad ? breakOff(handler) : complete(handler));
+        return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    });
+    const { runner } = await createRunner({
+        busySlots: SLOTS - 2,
+        jobs: 1,
+        connections,
+        makeBad: breakOffOne,
+        clock,
+    });
+    await clock.advance(EXPIRES_AT_MS * 2);
+    const countedFromMs = [...crashing.values()][CONVICTING_CRASHES - 1]! + CONTACT_MS;
+    const later = runsAtMs.filter(atMs => atMs > countedFromMs);
+    assert.ok(later.length <= MAX_LATER_RUNS, `${later.length} runs`);
+    runner.stop();
+});
+
+// Nothing else ran at the upstreams that could have shown that they live, and the job was due before the next test.
+test("an item that three upstreams broke off runs again before its job is due, though nothing else runs", async () => {
+    const breaking = new Set<UpstreamId>();
+    const connections = new UpstreamConnections();
+    mock.method(connections, "send", ({ id }: Upstream, request: ExchangeRequest, handler: ExchangeHandler) => {
+        const isBrokenOff = request.path === BROKEN_OFF_PATH && breaking.size < CONVICTING_CRASHES;
+        if (isBrokenOff) {
+            breaking.add(id);
+        }
+        setImmediate(() => isBrokenOff ? breakOff(handler) : complete(handler));
+        return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    });
+    const { clock, runner, finishedResults } = await createRunner({
+        busySlots: SLOTS - 2,
+        jobs: 1,
+        connections,
+        makeBad: breakOffOne,
+    });
+    await clock.advance(DUE_WITHIN_MS);
+    assert.equal(breaking.size, CONVICTING_CRASHES);
+    assert.equal((await finishedResults()).length, ITEMS);
+    runner.stop();
+});
+
+// A sound item that three upstreams broke off in a row waited as quarantined, beside free slots, until its callers gave up.
+test("an item that three living upstreams broke off is finished with the others", async () => {
+    const breaking = new Set<UpstreamId>();
+    const clock = new ManualClock();
+    const connections = new UpstreamConnections();
+    mock.method(connections, "send", ({ id }: Upstream, request: ExchangeRequest, handler: ExchangeHandler) => {
+        const isBrokenOff = request.path === BROKEN_OFF_PATH && breaking.size < CONVICTING_CRASHES;
+        if (isBrokenOff) {
+            breaking.add(id);
+        }
+        clock.setTimer(RUN_MS, () => isBrokenOff ? breakOff(handler) : complete(handler));
+        return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    });
+    const { runner, finishedResults } = await createRunner({
+        busySlots: SLOTS - 2,
+        jobs: JOBS,
+        connections,
+        makeBad: breakOffOne,
+        clock,
+        areUpstreamsListed: true,
+    });
+    await clock.advance((JOBS * ITEMS / upstreamIds.length) * RUN_MS * 2);
+    assert.equal(breaking.size, CONVICTING_CRASHES);
+    assert.equal((await finishedResults()).length, JOBS * ITEMS);
+    runner.stop();
+});
