--- /dev/null
+++ b/fleet/jobs/test/heldJobsIncomplete.test.ts
@@ -0,0 +1,134 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { mock, test } from "node:test";
+import type { HeldJob } from "../src/heldJob.js";
+import { createJobRecord } from "./createJobRecord.js";
+import { MemorySegments } from "./memorySegments.js";
+import { SimulatedRunner } from "./simulatedRunner.js";
+import { SimulatedUpstreams } from "./simulatedUpstreams.js";
+
+const RUNNERS = 3;
+/** Time after which a leader counts all jobs that were held during an outage as written, with a margin. */
+const AFTER_HELD_JOBS_MS = 8000;
+
+/** Runners with disks of their own. A runner starts when it is asked for; dead ones keep their disks. */
+function createFleet() {
+    const clock = new ManualClock();
+    const timeOfDay = mock.method(Date, "now", () => clock.nowMs());
+    const service = new MemoryKeyValueService({ clock });
+    const random = new SeededRandom(1);
+    const upstreams = new SimulatedUpstreams(clock);
+    const disks = Array.from({ length: RUNNERS }, () => new MemorySegments());
+    const runners = new Map<number, SimulatedRunner>();
+    const start = (index: number) => {
+        const runner: SimulatedRunner = new SimulatedRunner({
+            name: `runner-${index}`,
+            clock,
+            service,
+            random,
+            upstreams,
+            segments: disks[index]!,
+            others: () => [...runners.values()].filter(other => other !== runner && !other.clock.isDead),
+            otherCount: RUNNERS - 1,
+            onRunBegun: () => undefined,
+        });
+        runners.set(index, runner);
+        runner.start();
+        return runner;
+    };
+    const close = () => {
+        [...runners.values()].forEach(runner => runner.clock.kill());
+        service.close();
+        timeOfDay.mock.restore();
+    };
+    return { clock, service, disks, start, close };
+}
+
+function createHeldJob(): HeldJob {
+    const record = createJobRecord({ id: "j", itemCount: 3, dueAtMs: 60_000 });
+    return { record, bodies: Buffer.alloc(0), maxWaitingTokens: 1000 };
+}
+
+// All machines lose power just after two runners have held a job, and those two start later than the third. It leads, knows
+// that it couldn't collect their held jobs, and yet answered that the job doesn't exist.
+test("a leader that couldn't collect the held jobs doesn't say that a job doesn't exist", async () => {
+    const { clock, service, start, close } = createFleet();
+    const { signal } = new AbortController();
+    const job = createHeldJob();
+    const holders = [start(0), start(1)];
+    await clock.advance(1000);
+    service.faults.outage = true;
+    await Promise.all(holders.map(({ held }) => held.hold(job)));
+    holders.forEach(holder => holder.clock.kill());
+    service.faults.outage = false;
+    const leader = start(2);
+    await clock.advance(AFTER_HELD_JOBS_MS);
+    assert.equal(leader.runner.leaderCount(job.record.routeName, "other" as never), undefined);
+    const read = async () => {
+        const reading = leader.runner.reader
+            .results({ jobId: job.record.jobId, after: 0, waitMs: 0, signal })
+            .catch((error: { code: string; }) => error.code);
+        await clock.advance(1000);
+        return reading;
+    };
+    const early = await read();
+    start(0);
+    await clock.advance(AFTER_HELD_JOBS_MS);
+    const late = await read();
+    close();
+    assert.ok(typeof late === "object" && late.total === 3, "the job exists once a runner that holds it is back");
+    assert.equal(early, "ERR_KNAPWEED_JOBS_NOT_SETTLED");
+});
+
+// A runner answered with no held jobs while it was still reading its disk after a start. The new leader took its collection
+// for complete, and approved jobs beyond the limit of a route.
+test("held jobs that a runner hasn't read from its disk yet aren't missing from what the leader counts", async () => {
+    const { clock, service, disks, start, close } = createFleet();
+    const job = createHeldJob();
+    const holders = [start(0), start(1)];
+    await clock.advance(1000);
+    service.faults.outage = true;
+    await Promise.all(holders.map(({ held }) => held.hold(job)));
+    holders.forEach(holder => holder.clock.kill());
+    service.faults.outage = false;
+    disks.slice(0, 2).forEach(disk => {
+        const list = disk.list.bind(disk);
+        mock.method(disk, "list", async () => {
+            await new Promise<void>(resolve => clock.setTimer(6000, resolve));
+            return await list();
+        });
+    });
+    const leader = start(2);
+    await clock.advance(3500);
+    start(0);
+    start(1);
+    await clock.advance(2000);
+    const count = leader.runner.leaderCount(job.record.routeName, "other" as never);
+    close();
+    assert.ok(count === undefined || count.waitingTokens === 300, `counts ${count?.waitingTokens} tokens of 300`);
+});
+
+// A runner that is to be emptied reports it as done, and its disk is removed, once it holds no job. Before it had read its
+// disk after a start, it took itself for empty.
+test("a runner doesn't count as empty before it has read its disk", async () => {
+    const { clock, service, disks, start, close } = createFleet();
+    const holder = start(0);
+    await clock.advance(1000);
+    service.faults.outage = true;
+    await holder.held.hold(createHeldJob());
+    holder.clock.kill();
+    const list = disks[0]!.list.bind(disks[0]);
+    mock.method(disks[0]!, "list", async () => {
+        await new Promise<void>(resolve => clock.setTimer(500, resolve));
+        return await list();
+    });
+    const restarted = start(0);
+    await clock.advance(400);
+    const early = restarted.held.count;
+    await clock.advance(400);
+    assert.equal(restarted.held.count, 1);
+    close();
+    assert.notEqual(early, 0);
+});
