test(jobs): a failing test of a cancellation of a job that runs, but isn't stored

Found by review, no fix here. The key-value service rejects the runners that hold a job. The leader collects the job and runs it, but doesn't store it. A gateway looks for the record only, and answers that there is no such job.

The fourth test of heldJobsIncomplete fails on: no such job, ten seconds after the job was held.

--- a/fleet/jobs/test/heldJobsIncomplete.test.ts
+++ b/fleet/jobs/test/heldJobsIncomplete.test.ts
@@ -1,9 +1,11 @@
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
 import type { HeldJob } from "../src/heldJob.js";
+import { JobAcceptor } from "../src/jobAcceptor.js";
 import { createJobRecord } from "./createJobRecord.js";
 import { MemorySegments } from "./memorySegments.js";
 import { SimulatedRunner } from "./simulatedRunner.js";
@@ -132,3 +134,37 @@
     close();
     assert.notEqual(early, 0);
 });
+
+// The service rejects the two runners that hold a job, and the third one leads. It collects the job and runs it, but only a
+// runner with the job on its disk stores it. Meanwhile a gateway answered to a cancellation that there is no such job.
+test("a job that the leader runs can be cancelled, also while the runners that hold it can't store it", async () => {
+    const { clock, service, start, close } = createFleet();
+    const job = createHeldJob();
+    const { jobId } = job.record;
+    const holders = [start(0), start(1)];
+    await clock.advance(3000);
+    holders.forEach(({ connection }) => connection.state = "rejected");
+    await Promise.all(holders.map(({ held }) => held.hold(job)));
+    const leader = start(2);
+    await clock.advance(9000);
+    const reading = leader.runner.reader.results({ jobId, after: 0, waitMs: 0, signal: new AbortController().signal });
+    await clock.advance(1000);
+    assert.equal((await reading)?.total, 3, "the leader runs the job");
+    const gateway = new JobAcceptor({
+        service,
+        clock,
+        logger: silentLogger,
+        holder: { hold: () => Promise.resolve("not-held") },
+        // This gateway has seen no outage.
+        areHeldJobsWritten: () => true,
+        isTokenCountComplete: () => true,
+    });
+    const cancelling = gateway.cancel(jobId).then(
+        revision => revision === undefined ? "no such job" : "cancelled",
+        (error: { code: string; }) => error.code,
+    );
+    await clock.advance(5000);
+    const answer = await cancelling;
+    close();
+    assert.notEqual(answer, "no such job");
+});
