test(jobs): failing tests of a limit that comes later and of a removal of a cancelled job

Found by review, no fix here. The tokens of a job are recorded only if its route has a limit at that time. A removal deletes a job's cancellation before its record; interrupted in between, it leaves a job that the next leader takes for an open one.

--- a/fleet/jobs/test/jobCleanupLost.test.ts
+++ b/fleet/jobs/test/jobCleanupLost.test.ts
@@ -95,3 +95,26 @@
     table.apply(listing);
     assert.equal(table.get(first.jobId), undefined);
 });
+
+// The removal of a cancelled job was interrupted after its cancellation was removed, before its record. The next leader took
+// the job for an open one.
+test("a cancelled job whose removal was interrupted doesn't become an open one", async () => {
+    const { service, lead } = await setUp();
+    const third = { ...createJobRecord({ id: "third", itemCount: 5 }), acceptedAtMs: -AFTER_RETENTION_MS };
+    const { jobId } = third;
+    await service.transact([], [
+        { kind: "put", key: jobKeys.record(jobId), value: encodeRecord(third) },
+        { kind: "put", key: jobKeys.cancellation(jobId), value: encodeRecord({ cancelled: true }) },
+    ]);
+    const { table, cleanup } = await lead();
+    records.forEach(record => table.delete(record.jobId, service.revision));
+    const transact = service.transact.bind(service);
+    const writes = mock.method(service, "transact", (...parameters: Parameters<typeof transact>) => {
+        service.faults.outage = writes.mock.callCount() > 0;
+        return transact(...parameters);
+    });
+    await cleanup.run();
+    service.faults.outage = false;
+    const job = (await lead()).table.get(jobId);
+    assert.ok(job === undefined || job.isEnded, "it has items that may run or be given up");
+});
--- a/fleet/jobs/test/waitingTokensOfBoth.test.ts
+++ b/fleet/jobs/test/waitingTokensOfBoth.test.ts
@@ -101,3 +101,17 @@
     const tokens = accepted.length * 60;
     assert.ok(tokens <= MAX_TOKENS * (1 + ALLOWED_EXCESS), `${tokens} tokens of ${MAX_TOKENS}`);
 });
+
+// The tokens of a job were recorded only if its route had a limit when it was accepted. After a change of the configuration
+// that adds one, the jobs that already waited didn't count.
+test("jobs that a route accepted while it had no limit count once it has one", async () => {
+    const { clock, connected, close } = await setUp();
+    const unlimited = { ...route, maxWaitingTokens: undefined } as unknown as Route;
+    const earlier = connected.accept(unlimited, submissionOf("earlier", 90));
+    await clock.advance(PAUSE_MS);
+    assert.equal((await earlier).kind, "accepted");
+    const later = connected.accept(route as unknown as Route, submissionOf("later", 60));
+    await clock.advance(2000);
+    close();
+    assert.equal((await later).kind, "refused", "150 tokens of 100");
+});
