fix(jobs): a job whose write may have taken effect is not refused

Cause: a write took effect, its response was lost, and the key-value service went down. settleTransaction said "unknown"; the lookup of the record that followed was rejected as "not-run", and tryWrite took that for the outcome of the write. Callers got 503 or 429 for a job that was stored and ran.

Change: a lookup that fails leaves the outcome unknown (findAccepted, which the path of held jobs uses already).

Measured: the two tests of jobAcceptorUncertain failed before (acceptance 'refused', record stored) and pass; all 15 tests of jobAcceptor* pass.

--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -199,8 +199,7 @@
             return { kind: "accepted", revision: result.revision };
         }
         if (result.kind === "unknown") {
-            const entry = await this.service.get(recordKey);
-            return entry === undefined ? { kind: "unknown" } : { kind: "accepted", revision: entry.modRevision };
+            return await this.findAccepted(submission.jobId) ?? { kind: "unknown" };
         }
         // A job that was removed after its retention time was accepted before, too.
         const keys: string[] = [recordKey, jobKeys.tombstone(submission.jobId)];
