fix(jobs): a runner that is still reading its disk doesn't answer with no held jobs

Cause: after a start a runner answered a new leader's collection with the jobs read from its disk so far, possibly none. The leader took its collection for complete and approved jobs beyond the limit of a route. The leader's own disk was never asked about either.

Change: a runner that hasn't read its disk rejects the collection (HELD_JOBS_NOT_LOADED), which counts as a runner that can't be reached, and the leader counts itself as one until its own disk is read. The simulated runner of the tests does the same.

The new test of heldJobsCollector failed without the count of the own disk. resultInterleavings passes.

--- a/daemons/fleet/src/heldJobsCollector.ts
+++ b/daemons/fleet/src/heldJobsCollector.ts
@@ -15,6 +15,8 @@
     otherRunners: () => HostPort[];
     /** Returns how many runners may be lost at the same time without losing a held job. */
     tolerableLosses: () => number;
+    /** Whether this runner has read the jobs that it holds itself from its disk. */
+    isOwnDiskRead: () => boolean;
 }
 
 /** Collects for a new leader the jobs that the other runners hold on their disks. */
@@ -27,11 +29,12 @@
 
     /**
      * Returns the held jobs, and whether every job accepted by an earlier leader is certain to be among them. Each has
-     * one copy more than runners may be lost, so that many runners may fail to answer.
+     * one copy more than runners may be lost, so that many runners, with this one, may not know their jobs.
      */
     async collect(fencingNumber: number): Promise<{ jobs: HeldJob[]; isComplete: boolean; }> {
         const answers = await Promise.all(this.opts.otherRunners().map(runner => this.ask(runner, fencingNumber)));
-        const missing = answers.filter(answer => answer === undefined).length;
+        const missingOthers = answers.filter(answer => answer === undefined).length;
+        const missing = missingOthers + (this.opts.isOwnDiskRead() ? 0 : 1);
         const jobs = answers.flatMap(answer => answer ?? []);
         const isComplete = missing <= this.opts.tolerableLosses();
         this.opts.logger.info("held-jobs-collected", { fencingNumber, jobs: jobs.length, missing, isComplete });
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -67,6 +67,7 @@
             logger,
             otherRunners: () => this.fleet.peers.otherRunners(),
             tolerableLosses: () => activeSettings.current.tolerableLosses,
+            isOwnDiskRead: () => this.held.isLoaded,
         });
         this.held = new HeldJobs({
             ...this.sharedOptions(),
@@ -187,7 +188,7 @@
         const { held, holdAdmission } = this;
         this.fleet.links.handle(collectHeldCall, async function*({ fencingNumber }) {
             holdAdmission.promise(fencingNumber);
-            yield* held.all().map(job => ({ job }));
+            yield* held.allLoaded().map(job => ({ job }));
         });
         const holdJob = (request: HoldRequest) => this.holdJob(request);
         this.fleet.links.handle(holdJobCall, async function*(request) {
--- a/daemons/fleet/test/collectAfterPowerLoss.test.ts
+++ b/daemons/fleet/test/collectAfterPowerLoss.test.ts
@@ -61,6 +61,7 @@
         logger: silentLogger,
         otherRunners: () => follower.otherRunners(),
         tolerableLosses: () => 1,
+        isOwnDiskRead: () => true,
     });
     const isLeading = follower.leadership.isLeading();
     const { isComplete } = await collector.collect(follower.leadership.fence()!.modRevision);
--- a/daemons/fleet/test/heldJobsCollector.test.ts
+++ b/daemons/fleet/test/heldJobsCollector.test.ts
@@ -6,7 +6,7 @@
 import { HeldJobsCollector } from "../src/heldJobsCollector.js";
 
 /** Collects from runners of which the given ones are unreachable, and one may be lost. Each holds its own job. */
-async function collectWithout(unreachable: string[]) {
+async function collectWithout(unreachable: string[], isOwnDiskRead = true) {
     const connect = (address: string) => ({
         call: async function*() {
             if (unreachable.includes(address[0]!)) {
@@ -20,6 +20,7 @@
         logger: silentLogger,
         otherRunners: () => ["a", "b", "c"].map(host => ({ host, port: 1 })),
         tolerableLosses: () => 1,
+        isOwnDiskRead: () => isOwnDiskRead,
     });
     return collector.collect(7);
 }
@@ -29,3 +30,9 @@
     assert.deepEqual(await collectWithout(["b"]), { jobs: ["a", "c"], isComplete: true });
     assert.deepEqual(await collectWithout(["a", "b"]), { jobs: ["c"], isComplete: false });
 });
+
+// A leader that was still reading its own disk took the answers of the others for all jobs.
+test("held jobs that the leader hasn't read from its own disk count as those of an unreachable runner", async () => {
+    assert.equal((await collectWithout([], false)).isComplete, true);
+    assert.equal((await collectWithout(["b"], false)).isComplete, false);
+});
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -45,6 +45,7 @@
     private prepared: Promise<void> = Promise.resolve();
     /** Time at which the key-value service first answered since it last failed, on the clock; undefined while it fails. */
     private reachableSinceMs: number | undefined;
+    private hasReadDisk = false;
 
     constructor(opts: HeldJobsOptions) {
         this.opts = opts;
@@ -55,10 +56,25 @@
         return this.jobs.size + this.pendingHolds;
     }
 
+    /** Whether the jobs held by earlier starts of the process have been read from the disk. */
+    get isLoaded(): boolean {
+        return this.hasReadDisk;
+    }
+
     all(): HeldJob[] {
         return [...this.jobs.values()];
     }
 
+    /** Returns all held jobs, shape [jobs]. Throws `HELD_JOBS_NOT_LOADED` until they have been read from the disk. */
+    allLoaded(): HeldJob[] {
+        if (!this.hasReadDisk) {
+            throw new KnapweedError("HELD_JOBS_NOT_LOADED", "This runner is still reading its held jobs from its disk", {
+                outcome: "not-run",
+            });
+        }
+        return this.all();
+    }
+
     has(jobId: JobId): boolean {
         return this.all().some(job => job.record.jobId === jobId);
     }
@@ -103,6 +119,7 @@
                 this.opts.logger.warn("held-job-unreadable", { digest, code: toKnapweedError(thrown).code });
             }
         }
+        this.hasReadDisk = true;
     }
 
     private async writeAll(): Promise<void> {
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -170,10 +170,11 @@
 
     private async collectHeldJobs(): Promise<{ jobs: HeldJob[]; isComplete: boolean; }> {
         const { others, otherCount } = this.opts;
-        const answering = others().filter(({ clock }) => clock.isRunning);
+        const answering = others().filter(({ clock, held }) => clock.isRunning && held.isLoaded);
         const jobs = answering.flatMap(({ held }) => held.all());
         await sleep(this.clock, answering.length === otherCount ? COLLECT_MS : COLLECT_TIMEOUT_MS);
-        return { jobs, isComplete: otherCount - answering.length <= TOLERABLE_LOSSES };
+        const missing = otherCount - answering.length + (this.held.isLoaded ? 0 : 1);
+        return { jobs, isComplete: missing <= TOLERABLE_LOSSES };
     }
 }
 
