fix(jobs): a runner isn't drained before it has read its disk

Cause: the number of held jobs was 0 until the disk was read, so a drain that was requested just after a start reported 'completed', and the disk with the only copies could be removed.

Change: the number is undefined until the disk is read; a drain waits for 0.

--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -145,7 +145,7 @@
         const { instanceName } = this.settings.current;
         await this.retryUntilDone(() => this.reportDrainProgress(instanceName, false));
         await this.retryUntilDone(() => this.handOver());
-        while (this.held.count > 0) {
+        while (this.held.count !== 0) {
             await sleep(this.fleet.clock, RETRY_DELAY_MS);
         }
         await this.retryUntilDone(() => this.reportDrainProgress(instanceName, true));
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -51,9 +51,9 @@
         this.opts = opts;
     }
 
-    /** Number of held jobs, including those still being written to disk. */
-    get count(): number {
-        return this.jobs.size + this.pendingHolds;
+    /** Number of held jobs, including those still being written to disk; undefined until the disk has been read. */
+    get count(): number | undefined {
+        return this.hasReadDisk ? this.jobs.size + this.pendingHolds : undefined;
     }
 
     /** Whether the jobs held by earlier starts of the process have been read from the disk. */
