fix(jobs): a leader without all held jobs doesn't say that a job doesn't exist

Cause: a read of a job that is neither in the leader's table nor stored was answered with 'no such job' from 4 s after an outage on, whether or not the leader had collected the held jobs. With both holders down the leader knows that its collection is incomplete, refuses jobs with a limit for that, and still answered 404 for an accepted job. A read that was under way while the collection ended also missed the job.

Change: JobReader asks whether the collection is complete, and answers with JOBS_NOT_SETTLED (503) until it is; the table is looked at again after the read of the record. A collection is complete while no more runners are missing than may be lost, so with one runner gone for good unknown jobs are still answered as such.

--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -68,7 +68,7 @@
     /** Returns all held jobs, shape [jobs]. Throws `HELD_JOBS_NOT_LOADED` until they have been read from the disk. */
     allLoaded(): HeldJob[] {
         if (!this.hasReadDisk) {
-            throw new KnapweedError("HELD_JOBS_NOT_LOADED", "This runner is still reading its held jobs from its disk", {
+            throw new KnapweedError("HELD_JOBS_NOT_LOADED", "Held jobs are still being read from the disk", {
                 outcome: "not-run",
             });
         }
--- a/fleet/jobs/src/jobReader.ts
+++ b/fleet/jobs/src/jobReader.ts
@@ -18,6 +18,8 @@
     isCurrent: () => boolean;
     /** Time since which the key-value service has responded without a failure, Unix ms. */
     reachableSinceMs: () => number;
+    /** Whether the table contains every job that was accepted under earlier leaders, also those only held on disks. */
+    knowsHeldJobs: () => boolean;
     /** Applies entries of a job that the watch has not delivered yet. */
     apply: (entries: KeyValueEntry[]) => void;
 }
@@ -67,8 +69,9 @@
         // The watch may lag behind an acceptance.
         const record = await this.opts.service.get(jobKeys.record(jobId));
         if (record === undefined) {
-            this.assertHeldJobsWritten();
-            return undefined;
+            this.assertHeldJobsKnown();
+            // Collected held jobs may have arrived during the read.
+            return this.opts.table.get(jobId);
         }
         const { entries } = await this.opts.service.snapshot(jobKeys.jobPrefix(jobId));
         this.opts.apply(entries);
@@ -76,9 +79,13 @@
         return this.opts.table.get(jobId);
     }
 
-    /** Throws `JOBS_NOT_SETTLED` for a short time after an outage, while held jobs are still being written. */
-    private assertHeldJobsWritten(): void {
-        if (this.opts.clock.nowMs() < this.opts.reachableSinceMs() + HELD_JOBS_WRITE_MS) {
+    /**
+     * Throws `JOBS_NOT_SETTLED` while too few runners have said which jobs they hold, and for a short time after an
+     * outage, while held jobs are still being written.
+     */
+    private assertHeldJobsKnown(): void {
+        const { clock, reachableSinceMs, knowsHeldJobs } = this.opts;
+        if (!knowsHeldJobs() || clock.nowMs() < reachableSinceMs() + HELD_JOBS_WRITE_MS) {
             throw new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet", {
                 outcome: "not-run",
             });
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -101,6 +101,7 @@
             table,
             isCurrent: () => this.isLoaded && leadership.isLeading(),
             reachableSinceMs: () => this.mirror?.reachableSinceMs ?? Infinity,
+            knowsHeldJobs: () => this.knowsHeldJobs,
             apply: entries => this.apply(entries),
         });
     }
