fix(fleet): a leader after a loss of all power asks the runners that aren't back yet

Cause: the runners that a new leader asks for held jobs were those with an entry bound to a lease. After a loss of all power for longer than the leases, the first runner back found no other, so none was missing, and it took its collection for complete: it approved jobs beyond the limit of a route, and said that accepted jobs don't exist.

Change: each runner also writes a record without a lease, in the write that announces it. The collection asks these runners too.

--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -1,5 +1,6 @@
 import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
@@ -17,6 +18,8 @@
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { FollowerContext } from "./followerContext.js";
 import { isPreferredRelay } from "./isPreferredRelay.js";
+import type { RunnerRecord } from "./runnerRecord.js";
+import { RunnerRecords } from "./runnerRecords.js";
 
 const ANNOUNCE_RETRY_MS = 500;
 /** Minimum time between lookups of the entries of unknown processes that send reports, in milliseconds. */
@@ -40,6 +43,8 @@
     readonly leadership: Leadership;
     private readonly opts: PeerFollowerOptions;
     private readonly members = new MemberTable();
+    private readonly runnerRecords = new RunnerRecords();
+    private isRetired = false;
     private lookedUpAtMs = -Infinity;
     private countedPlacingPeers = 0;
     private countedAtMs = -Infinity;
@@ -143,9 +148,45 @@
         return this.list().filter(member => member.role === "runner").map(toLinkAddress);
     }
 
-    /** Returns the addresses on which the runners without this process accept links, shape [runners]. */
+    /**
+     * Returns the addresses on which the runners without this process accept links, shape [runners]. Among them are those
+     * that have no process now and may have held jobs on their disks.
+     */
     otherRunners(): HostPort[] {
-        return this.others().filter(member => member.role === "runner").map(toLinkAddress);
+        const runners = [
+            ...this.runnerRecords.all().map(({ member }) => member),
+            ...this.list().filter(member => member.role === "runner"),
+        ];
+        const byName = new Map(runners.map(member => [member.instanceName, member]));
+        byName.delete(this.opts.self.instanceName);
+        return [...byName.values()].map(toLinkAddress);
+    }
+
+    /** Returns the records of the runners without a process, shape [runners]. */
+    absentRunners(): RunnerRecord[] {
+        return this.runnerRecords.all().filter(({ member }) => !this.hasProcess(member.instanceName));
+    }
+
+    /** Removes the record of a runner. Rejects if it has been written again, or if the key-value service fails. */
+    async removeRunner({ member, modRevision }: RunnerRecord): Promise<void> {
+        const key = fleetKeys.runner(member.instanceName);
+        const { succeeded } = await this.opts.service.transact([{ key, modRevision }], [{ kind: "delete", key }]);
+        if (!succeeded) {
+            throw new KnapweedError(
+                "RUNNER_RECORD_CHANGED",
+                "The record of the runner was written or removed meanwhile",
+                {
+                    outcome: "not-run",
+                },
+            );
+        }
+    }
+
+    /** Removes the record of this runner, which holds no jobs any more. Rejects if the key-value service fails. */
+    async retire(): Promise<void> {
+        this.isRetired = true;
+        const key = fleetKeys.runner(this.opts.self.instanceName);
+        await this.opts.service.transact([], [{ kind: "delete", key }]);
     }
 
     /** Returns the address on which the leader accepts links; undefined if there is no known leader. */
@@ -170,7 +211,13 @@
 
     private async announce(leaseId: string): Promise<void> {
         const value = encodeRecord(this.opts.self);
-        await this.opts.service.transact([], [{ kind: "put", key: this.ownKey, value, leaseId }]);
+        const { instanceName, role } = this.opts.self;
+        await this.opts.service.transact([], [
+            { kind: "put", key: this.ownKey, value, leaseId },
+            ...role === "runner" && !this.isRetired
+                ? [{ kind: "put", key: fleetKeys.runner(instanceName), value } as const]
+                : [],
+        ]);
     }
 
     /**
@@ -192,6 +239,7 @@
     private onSnapshot(entries: readonly KeyValueEntry[], revision: number): void {
         const members = entries.filter(entry => entry.key.startsWith(fleetKeys.membersPrefix));
         this.members.replace(members, this.opts.clock.nowMs());
+        this.runnerRecords.replace(entries);
         if (!members.some(entry => entry.key === this.ownKey)) {
             this.announceAgain();
         }
@@ -204,6 +252,7 @@
         batch.puts
             .filter(entry => entry.key.startsWith(fleetKeys.membersPrefix))
             .forEach(entry => this.members.put(entry));
+        this.runnerRecords.apply(batch);
         if (batch.deletedKeys.includes(this.ownKey)) {
             this.announceAgain();
         }
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -19,6 +19,7 @@
 import { decodeSharedPromptParts } from "@knapweedwood/platform.adapter/decodeSharedPromptParts";
 import { drainProgressOperation } from "@knapweedwood/platform.adapter/drainProgressOperation";
 import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
+import { AbsentRunnerSweep } from "./absentRunnerSweep.js";
 import type { ActiveSettings } from "./activeSettings.js";
 import { FleetProcess } from "./fleetProcess.js";
 import { HeldJobsCollector } from "./heldJobsCollector.js";
@@ -41,6 +42,7 @@
     private readonly collector: HeldJobsCollector;
     private readonly snapshots: SnapshotKeeper;
     private readonly vacantDrains: VacantInstanceDrains;
+    private readonly absentRunners: AbsentRunnerSweep;
     private readonly closing = new AbortController();
     private isDraining = false;
 
@@ -105,6 +107,15 @@
             hasProcess: instance => peers.hasProcess(instance),
             report: instance => this.reportDrainProgress(instance, true),
         });
+        this.absentRunners = new AbsentRunnerSweep({
+            clock: this.fleet.clock,
+            logger,
+            isLeading: () => peers.leadership.isLeading(),
+            knowsAllJobs: () => this.runner.knowsAllJobs && this.fleet.areHeldJobsWritten,
+            resultRetentionMs: () => activeSettings.current.resultRetentionMs,
+            absentRunners: () => peers.absentRunners(),
+            remove: runner => peers.removeRunner(runner),
+        });
         this.handleCalls();
     }
 
@@ -113,6 +124,7 @@
         await this.fleet.start();
         void this.snapshots.run(this.closing.signal);
         void this.vacantDrains.run(this.closing.signal);
+        void this.absentRunners.run(this.closing.signal);
         this.held.run(this.closing.signal).catch((thrown: unknown) => {
             const error = toKnapweedError(thrown);
             this.logger.error("held-jobs-failed", { code: error.code, message: error.message });
@@ -148,6 +160,7 @@
         while (this.held.count !== 0) {
             await sleep(this.fleet.clock, RETRY_DELAY_MS);
         }
+        await this.retryUntilDone(() => this.fleet.peers.retire());
         await this.retryUntilDone(() => this.reportDrainProgress(instanceName, true));
         this.logger.info("emptied");
     }
--- a/daemons/fleet/test/peerFollower.test.ts
+++ b/daemons/fleet/test/peerFollower.test.ts
@@ -58,3 +58,30 @@
     assert.deepEqual(gateway.leaderAddress(), { host: "runner", port: 2 });
     controller.abort();
 });
+
+// A drained runner whose record stayed would count as missing at each later change of leaders.
+test("a runner without a process is still asked for held jobs, unless it was drained or its record is removed", async () => {
+    const clock = new ManualClock();
+    const service = new MemoryKeyValueService({ clock });
+    const controllers = ["self", "drained", "gone"].map(() => new AbortController());
+    const [self, drained] = controllers.map(({ signal }, index) =>
+        start({ service, clock, self: memberOf(["self", "drained", "gone"][index]!, "runner"), signal })
+    );
+    await clock.advance(1000);
+    assert.equal(self!.otherRunners().length, 2);
+    await drained!.retire();
+    await drained!.lease.revoke();
+    // A process that still runs after its drain gets a new lease.
+    await clock.advance(3000);
+    assert.equal(self!.otherRunners().length, 2);
+    controllers.slice(1).forEach(controller => controller.abort());
+    await clock.advance(30_000);
+    assert.deepEqual(self!.runners().map(({ host }) => host), ["self"]);
+    assert.deepEqual(self!.otherRunners().map(({ host }) => host), ["gone"]);
+    const [absent] = self!.absentRunners();
+    await assert.rejects(self!.removeRunner({ ...absent!, modRevision: absent!.modRevision - 1 }));
+    await self!.removeRunner(absent!);
+    await clock.advance(1000);
+    assert.deepEqual(self!.otherRunners(), []);
+    controllers[0]!.abort();
+});
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -167,10 +167,15 @@
         return this.table.get(jobId) !== undefined;
     }
 
+    /** Whether this process has led since it loaded every accepted job, also those that other runners hold on disks. */
+    get knowsAllJobs(): boolean {
+        return this.isLoaded && this.knowsHeldJobs;
+    }
+
     /** Returns what this process counts as the leader for a job; undefined unless it leads and knows all jobs. */
     leaderCount(routeName: string, exceptJobId: JobId): LeaderCount | undefined {
         const fence = this.opts.leadership.fence();
-        return this.isLoaded && this.knowsHeldJobs && fence !== undefined
+        return this.knowsAllJobs && fence !== undefined
             ? {
                 fencingNumber: fence.modRevision,
                 waitingTokens: this.table.waitingTokens(routeName, exceptJobId),
