fix(jobs): a job is removed only after its tokens are released

Cause: a job that ended while the tokens of another route were being released was removed in the same run, before its own tokens were. If the leader was lost then, no later one knew the job, and its tokens counted against the limit of its route for good.

Change: a removal passes over jobs whose tokens aren't released yet; the next run takes them.

Measured: jobCleanupLost 'the tokens of a job that ends late are released' failed before (100 tokens of 'second' left) and passes.

--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -81,7 +81,10 @@
 
     private async removeExpired(): Promise<void> {
         const expiredBeforeMs = this.opts.clock.nowMs() - this.opts.resultRetentionMs() - CLOCK_MARGIN_MS;
-        const expired = this.opts.table.all().find(job => job.isEnded && job.record.acceptedAtMs < expiredBeforeMs);
+        // No later leader knows a removed job whose tokens still count. A job may have ended since `releaseTokens`.
+        const expired = this.opts.table.all().find(job =>
+            job.isEnded && !this.unreleased.has(job) && job.record.acceptedAtMs < expiredBeforeMs
+        );
         const fence = this.opts.leadership.fence();
         if (expired !== undefined && fence !== undefined) {
             await this.remove(expired, fence);
