fix(jobs): the leader stores held jobs that it runs, so that they can be cancelled

Cause: only runners with a job on their disks stored it. A leader that had collected it ran it, while its holders were cut off from the key-value service; a gateway that has seen no outage found no record and answered a cancellation with 'no such job'.

Change: the leader also writes the jobs that it has collected (HeldJobs.adopt), with the same conditional write. They are dropped when it no longer leads.

Measured: heldJobsIncomplete 'a job that the leader runs can be cancelled' failed before ('no such job') and passes; heldJobs and resultInterleavings pass.

What remains: between the collection and that write, a moment in a reachable store, a cancellation still finds no such job.

--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -87,9 +87,11 @@
             resultRetentionMs: () => activeSettings.current.resultRetentionMs,
             onLoadChanged: () => this.fleet.markLoadChanged(),
             heldJobs: () => this.held.all(),
-            collectHeldJobs: fencingNumber => {
+            collectHeldJobs: async fencingNumber => {
                 this.holdAdmission.promise(fencingNumber);
-                return this.collector.collect(fencingNumber);
+                const collected = await this.collector.collect(fencingNumber);
+                this.held.adopt(collected.jobs);
+                return collected;
             },
         });
         this.snapshots = new SnapshotKeeper({
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -40,6 +40,8 @@
     private readonly opts: HeldJobsOptions;
     private readonly packr = new Packr({ useRecords: false });
     private readonly jobs = new Map<SegmentDigest, HeldJob>();
+    /** Jobs that this process runs as the leader and that only other runners hold. */
+    private readonly adopted = new Map<JobId, HeldJob>();
     private pendingHolds = 0;
     /** Resolves when files of interrupted writes have been removed; new writes have to wait for it. */
     private prepared: Promise<void> = Promise.resolve();
@@ -106,6 +108,14 @@
         this.opts.onHeld(job);
     }
 
+    /**
+     * Also writes jobs that other runners hold, while this process leads. Those runners may be cut off from the key-value
+     * service, and a job that runs must be stored to be cancelled.
+     */
+    adopt(jobs: readonly HeldJob[]): void {
+        jobs.filter(({ record }) => !this.has(record.jobId)).forEach(job => this.adopted.set(job.record.jobId, job));
+    }
+
     private async load(): Promise<void> {
         this.prepared = this.opts.segments.prepare();
         await this.prepared;
@@ -123,11 +133,14 @@
     }
 
     private async writeAll(): Promise<void> {
-        for (const [digest, job] of this.jobs) {
+        if (!this.opts.isLeading()) {
+            this.adopted.clear();
+        }
+        const adopted = [...this.adopted.values()].map(job => [undefined, job] as const);
+        for (const [digest, job] of [...this.jobs, ...adopted]) {
             try {
                 if (await this.isStored(job) || this.isOutdated(job) || await this.write(job)) {
-                    await this.opts.segments.remove(digest);
-                    this.jobs.delete(digest);
+                    await this.drop(digest, job);
                 }
             }
             catch (thrown) {
@@ -139,6 +152,16 @@
         }
     }
 
+    /** @param digest names the file of the job; undefined if it is held by other runners only */
+    private async drop(digest: SegmentDigest | undefined, job: HeldJob): Promise<void> {
+        if (digest === undefined) {
+            this.adopted.delete(job.record.jobId);
+            return;
+        }
+        await this.opts.segments.remove(digest);
+        this.jobs.delete(digest);
+    }
+
     private async isStored(job: HeldJob): Promise<boolean> {
         const record = await this.opts.service.get(jobKeys.record(job.record.jobId));
         this.reachableSinceMs ??= this.opts.clock.nowMs();
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -173,6 +173,7 @@
         const answering = others().filter(({ clock, held }) => clock.isRunning && held.isLoaded);
         const jobs = answering.flatMap(({ held }) => held.all());
         await sleep(this.clock, answering.length === otherCount ? COLLECT_MS : COLLECT_TIMEOUT_MS);
+        this.held.adopt(jobs);
         const missing = otherCount - answering.length + (this.held.isLoaded ? 0 : 1);
         return { jobs, isComplete: missing <= TOLERABLE_LOSSES };
     }
