fix(jobs): held jobs that are being written to disk are not missing from a collection

The promise to hold nothing more of an earlier leader covers only decisions still to be made.

Change: the answer waits for the writes that have begun (HeldJobs.collect).

Measured: the new test of heldJobs failed without the wait and passes; heldJobs and resultInterleavings pass.

--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -203,7 +203,8 @@
         const { held, holdAdmission } = this;
         this.fleet.links.handle(collectHeldCall, async function*({ fencingNumber }) {
             holdAdmission.promise(fencingNumber);
-            yield* held.allLoaded().map(job => ({ job }));
+            const jobs = await held.collect();
+            yield* jobs.map(job => ({ job }));
         });
         const holdJob = (request: HoldRequest) => this.holdJob(request);
         this.fleet.links.handle(holdJobCall, async function*(request) {
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -42,7 +42,7 @@
     private readonly jobs = new Map<SegmentDigest, HeldJob>();
     /** Jobs that this process runs as the leader and that only other runners hold. */
     private readonly adopted = new Map<JobId, HeldJob>();
-    private pendingHolds = 0;
+    private readonly pendingHolds = new Set<Promise<void>>();
     /** Resolves when files of interrupted writes have been removed; new writes have to wait for it. */
     private prepared: Promise<void> = Promise.resolve();
     /** Time at which the key-value service first answered since it last failed, on the clock; undefined while it fails. */
@@ -55,7 +55,7 @@
 
     /** Number of held jobs, including those still being written to disk; undefined until the disk has been read. */
     get count(): number | undefined {
-        return this.hasReadDisk ? this.jobs.size + this.pendingHolds : undefined;
+        return this.hasReadDisk ? this.jobs.size + this.pendingHolds.size : undefined;
     }
 
     /** Whether the jobs held by earlier starts of the process have been read from the disk. */
@@ -67,13 +67,17 @@
         return [...this.jobs.values()];
     }
 
-    /** Returns all held jobs, shape [jobs]. Throws `HELD_JOBS_NOT_LOADED` until they have been read from the disk. */
-    allLoaded(): HeldJob[] {
+    /**
+     * Returns all held jobs for a new leader, shape [jobs], once those that are being written are on the disk. Rejects
+     * with `HELD_JOBS_NOT_LOADED` until the disk has been read.
+     */
+    async collect(): Promise<HeldJob[]> {
         if (!this.hasReadDisk) {
             throw new KnapweedError("HELD_JOBS_NOT_LOADED", "Held jobs are still being read from the disk", {
                 outcome: "not-run",
             });
         }
+        await Promise.allSettled(this.pendingHolds);
         return this.all();
     }
 
@@ -95,14 +99,13 @@
 
     /** Resolves once the job is synced to disk. Rejects with `SEGMENT_NOT_KEPT` if it can't be written there. */
     async hold(job: HeldJob): Promise<void> {
-        this.pendingHolds += 1;
+        const keeping = this.keep(job);
+        this.pendingHolds.add(keeping);
         try {
-            await this.prepared;
-            const digest = await this.opts.segments.put(this.packr.pack(job));
-            this.jobs.set(digest, job);
+            await keeping;
         }
         finally {
-            this.pendingHolds -= 1;
+            this.pendingHolds.delete(keeping);
         }
         this.opts.logger.info("job-held", { jobId: job.record.jobId });
         this.opts.onHeld(job);
@@ -116,6 +119,12 @@
         jobs.filter(({ record }) => !this.has(record.jobId)).forEach(job => this.adopted.set(job.record.jobId, job));
     }
 
+    private async keep(job: HeldJob): Promise<void> {
+        await this.prepared;
+        const digest = await this.opts.segments.put(this.packr.pack(job));
+        this.jobs.set(digest, job);
+    }
+
     private async load(): Promise<void> {
         this.prepared = this.opts.segments.prepare();
         await this.prepared;
--- a/fleet/jobs/test/heldJobs.test.ts
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -243,3 +243,33 @@
         assert.equal(await service.get(jobKeys.record(job.record.jobId)), undefined);
     });
 });
+
+// A runner answered a new leader while a job that the earlier leader had approved was still being written to its disk. The
+// job was accepted then, and missing from what the new leader counts.
+test("a runner tells a new leader also of jobs that are just being written to its disk", async () => {
+    await withFolder(async folder => {
+        const clock = new ManualClock();
+        const service = new MemoryKeyValueService({ clock });
+        const controller = new AbortController();
+        const segments = new FolderSegmentStore({ dataFolder: folder });
+        const { held } = start({ folder, service, clock, signal: controller.signal, segments });
+        await settleUntil(clock, () => held.isLoaded);
+        service.faults.outage = true;
+        const put = segments.put.bind(segments);
+        let finishWriting: () => void = () => undefined;
+        const written = new Promise<void>(resolve => {
+            finishWriting = resolve;
+        });
+        mock.method(segments, "put", async (bytes: Uint8Array) => {
+            await written;
+            return put(bytes);
+        });
+        const holding = held.hold(job);
+        const collecting = held.collect();
+        await settle(clock);
+        finishWriting();
+        await holding;
+        controller.abort();
+        assert.deepEqual((await collecting).map(({ record }) => record.jobId), [job.record.jobId]);
+    });
+});
