--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -19,6 +19,7 @@
 import { decodeSharedPromptParts } from "@knapweedwood/platform.adapter/decodeSharedPromptParts";
 import { drainProgressOperation } from "@knapweedwood/platform.adapter/drainProgressOperation";
 import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
+import { AbsentRunnerSweep } from "./absentRunnerSweep.js";
 import type { ActiveSettings } from "./activeSettings.js";
 import { FleetProcess } from "./fleetProcess.js";
 import { HeldJobsCollector } from "./heldJobsCollector.js";
@@ -41,6 +42,7 @@
     private readonly collector: HeldJobsCollector;
     private readonly snapshots: SnapshotKeeper;
     private readonly vacantDrains: VacantInstanceDrains;
+    private readonly absentRunners: AbsentRunnerSweep;
     private readonly closing = new AbortController();
     private isDraining = false;
 
@@ -67,6 +69,7 @@
             logger,
             otherRunners: () => this.fleet.peers.otherRunners(),
             tolerableLosses: () => activeSettings.current.tolerableLosses,
+            isOwnDiskRead: () => this.held.isLoaded,
         });
         this.held = new HeldJobs({
             ...this.sharedOptions(),
@@ -84,9 +87,11 @@
             resultRetentionMs: () => activeSettings.current.resultRetentionMs,
             onLoadChanged: () => this.fleet.markLoadChanged(),
             heldJobs: () => this.held.all(),
-            collectHeldJobs: fencingNumber => {
+            collectHeldJobs: async fencingNumber => {
                 this.holdAdmission.promise(fencingNumber);
-                return this.collector.collect(fencingNumber);
+                const collected = await this.collector.collect(fencingNumber);
+                this.held.adopt(collected.jobs);
+                return collected;
             },
         });
         this.snapshots = new SnapshotKeeper({
@@ -104,6 +109,15 @@
             hasProcess: instance => peers.hasProcess(instance),
             report: instance => this.reportDrainProgress(instance, true),
         });
+        this.absentRunners = new AbsentRunnerSweep({
+            clock: this.fleet.clock,
+            logger,
+            isLeading: () => peers.leadership.isLeading(),
+            knowsAllJobs: () => this.runner.knowsAllJobs && this.fleet.areHeldJobsWritten,
+            resultRetentionMs: () => activeSettings.current.resultRetentionMs,
+            absentRunners: () => peers.absentRunners(),
+            remove: runner => peers.removeRunner(runner),
+        });
         this.handleCalls();
     }
 
@@ -112,6 +126,7 @@
         await this.fleet.start();
         void this.snapshots.run(this.closing.signal);
         void this.vacantDrains.run(this.closing.signal);
+        void this.absentRunners.run(this.closing.signal);
         this.held.run(this.closing.signal).catch((thrown: unknown) => {
             const error = toKnapweedError(thrown);
             this.logger.error("held-jobs-failed", { code: error.code, message: error.message });
@@ -144,9 +159,10 @@
         const { instanceName } = this.settings.current;
         await this.retryUntilDone(() => this.reportDrainProgress(instanceName, false));
         await this.retryUntilDone(() => this.handOver());
-        while (this.held.count > 0) {
+        while (this.held.count !== 0) {
             await sleep(this.fleet.clock, RETRY_DELAY_MS);
         }
+        await this.retryUntilDone(() => this.fleet.peers.retire());
         await this.retryUntilDone(() => this.reportDrainProgress(instanceName, true));
         this.logger.info("emptied");
     }
@@ -187,7 +203,8 @@
         const { held, holdAdmission } = this;
         this.fleet.links.handle(collectHeldCall, async function*({ fencingNumber }) {
             holdAdmission.promise(fencingNumber);
-            yield* held.all().map(job => ({ job }));
+            const jobs = await held.collect();
+            yield* jobs.map(job => ({ job }));
         });
         const holdJob = (request: HoldRequest) => this.holdJob(request);
         this.fleet.links.handle(holdJobCall, async function*(request) {
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -40,25 +40,47 @@
     private readonly opts: HeldJobsOptions;
     private readonly packr = new Packr({ useRecords: false });
     private readonly jobs = new Map<SegmentDigest, HeldJob>();
-    private pendingHolds = 0;
+    /** Jobs that this process runs as the leader and that only other runners hold. */
+    private readonly adopted = new Map<JobId, HeldJob>();
+    private readonly pendingHolds = new Set<Promise<void>>();
     /** Resolves when files of interrupted writes have been removed; new writes have to wait for it. */
     private prepared: Promise<void> = Promise.resolve();
     /** Time at which the key-value service first answered since it last failed, on the clock; undefined while it fails. */
     private reachableSinceMs: number | undefined;
+    private hasReadDisk = false;
 
     constructor(opts: HeldJobsOptions) {
         this.opts = opts;
     }
 
-    /** Number of held jobs, including those still being written to disk. */
-    get count(): number {
-        return this.jobs.size + this.pendingHolds;
+    /** Number of held jobs, including those still being written to disk; undefined until the disk has been read. */
+    get count(): number | undefined {
+        return this.hasReadDisk ? this.jobs.size + this.pendingHolds.size : undefined;
+    }
+
+    /** Whether the jobs held by earlier starts of the process have been read from the disk. */
+    get isLoaded(): boolean {
+        return this.hasReadDisk;
     }
 
     all(): HeldJob[] {
         return [...this.jobs.values()];
     }
 
+    /**
+     * Returns all held jobs for a new leader, shape [jobs], once those that are being written are on the disk. Rejects
+     * with `HELD_JOBS_NOT_LOADED` until the disk has been read.
+     */
+    async collect(): Promise<HeldJob[]> {
+        if (!this.hasReadDisk) {
+            throw new KnapweedError("HELD_JOBS_NOT_LOADED", "Held jobs are still being read from the disk", {
+                outcome: "not-run",
+            });
+        }
+        await Promise.allSettled(this.pendingHolds);
+        return this.all();
+    }
+
     has(jobId: JobId): boolean {
         return this.all().some(job => job.record.jobId === jobId);
     }
@@ -77,19 +99,32 @@
 
     /** Resolves once the job is synced to disk. Rejects with `SEGMENT_NOT_KEPT` if it can't be written there. */
     async hold(job: HeldJob): Promise<void> {
-        this.pendingHolds += 1;
+        const keeping = this.keep(job);
+        this.pendingHolds.add(keeping);
         try {
-            await this.prepared;
-            const digest = await this.opts.segments.put(this.packr.pack(job));
-            this.jobs.set(digest, job);
+            await keeping;
         }
         finally {
-            this.pendingHolds -= 1;
+            this.pendingHolds.delete(keeping);
         }
         this.opts.logger.info("job-held", { jobId: job.record.jobId });
         this.opts.onHeld(job);
     }
 
+    /**
+     * Also writes jobs that other runners hold, while this process leads. Those runners may be cut off from the key-value
+     * service, and a job that runs must be stored to be cancelled.
+     */
+    adopt(jobs: readonly HeldJob[]): void {
+        jobs.filter(({ record }) => !this.has(record.jobId)).forEach(job => this.adopted.set(job.record.jobId, job));
+    }
+
+    private async keep(job: HeldJob): Promise<void> {
+        await this.prepared;
+        const digest = await this.opts.segments.put(this.packr.pack(job));
+        this.jobs.set(digest, job);
+    }
+
     private async load(): Promise<void> {
         this.prepared = this.opts.segments.prepare();
         await this.prepared;
@@ -103,14 +138,18 @@
                 this.opts.logger.warn("held-job-unreadable", { digest, code: toKnapweedError(thrown).code });
             }
         }
+        this.hasReadDisk = true;
     }
 
     private async writeAll(): Promise<void> {
-        for (const [digest, job] of this.jobs) {
+        if (!this.opts.isLeading()) {
+            this.adopted.clear();
+        }
+        const adopted = [...this.adopted.values()].map(job => [undefined, job] as const);
+        for (const [digest, job] of [...this.jobs, ...adopted]) {
             try {
                 if (await this.isStored(job) || this.isOutdated(job) || await this.write(job)) {
-                    await this.opts.segments.remove(digest);
-                    this.jobs.delete(digest);
+                    await this.drop(digest, job);
                 }
             }
             catch (thrown) {
@@ -122,6 +161,16 @@
         }
     }
 
+    /** @param digest names the file of the job; undefined if it is held by other runners only */
+    private async drop(digest: SegmentDigest | undefined, job: HeldJob): Promise<void> {
+        if (digest === undefined) {
+            this.adopted.delete(job.record.jobId);
+            return;
+        }
+        await this.opts.segments.remove(digest);
+        this.jobs.delete(digest);
+    }
+
     private async isStored(job: HeldJob): Promise<boolean> {
         const record = await this.opts.service.get(jobKeys.record(job.record.jobId));
         this.reachableSinceMs ??= this.opts.clock.nowMs();
