fix(logs): a stopping process waits for a log reader as long as it goes on reading

Cause: a stopping process gave its reader 200 ms for the whole buffer of up to 1 MB, and then killed itself. On a busy machine a reader that reads all the time takes longer, so the last lines were lost and the exit code was that of a kill.

Change: FlushWait decides: the wait begins anew with each write that the reader accepts, and ends after 1 s without one, or after 2 s in all. A timer that runs late because this process had no processor is extended once (setDeadlineTimer). A reader that has stopped now delays the exit by 1 s, before 0.2 s.

--- a/observability/logs/src/openBoundedOutput.ts
+++ b/observability/logs/src/openBoundedOutput.ts
@@ -1,5 +1,8 @@
+import { setDeadlineTimer } from "@knapweedwood/core.clock/setDeadlineTimer";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import loglevel from "loglevel";
 import sonicBoom from "sonic-boom";
+import { FlushWait } from "./flushWait.js";
 
 const STANDARD_OUTPUT = 1;
 /** Limit of output buffered for a slow reader; further lines are dropped and counted. */
@@ -7,14 +10,12 @@
 /** Lines are buffered into writes of about this size. */
 const MIN_WRITE_BYTES = 4096;
 const FLUSH_INTERVAL_MS = 250;
-/** Time that a stopping process waits until its last lines are read. */
-const FLUSH_TIMEOUT_MS = 200;
 
 /**
  * Opens a log target on standard output that never blocks. If the reader stops reading, lines are dropped.
  *
- * @returns the target, and a function that flushes the buffer and resolves to whether the reader accepted it within
- *     `FLUSH_TIMEOUT_MS`
+ * @returns the target, and a function that flushes the buffer and resolves to whether the reader accepted all of it; to
+ *     false once the reader accepts nothing more, or at the limit of `FlushWait`
  */
 export function openBoundedOutput(
     level: loglevel.LogLevelDesc,
@@ -43,10 +44,23 @@
         output.write(`${String(line)}\n`);
     };
     target.setLevel(level, false);
-    const flush = () =>
-        new Promise<boolean>(resolve => {
-            setTimeout(() => resolve(false), FLUSH_TIMEOUT_MS);
-            output.flush(() => resolve(true));
-        });
-    return { target, flush };
+    return { target, flush: () => flush(output) };
+}
+
+function flush(output: sonicBoom.SonicBoom): Promise<boolean> {
+    const clock = new SystemClock();
+    const wait = new FlushWait(clock.nowMs());
+    output.on("write", () => wait.onProgress(clock.nowMs()));
+    return new Promise(resolve => {
+        const check = () => {
+            const remainingMs = wait.remainingMs(clock.nowMs());
+            if (remainingMs === 0) {
+                resolve(false);
+                return;
+            }
+            setDeadlineTimer(clock, remainingMs, check);
+        };
+        check();
+        output.flush(() => resolve(true));
+    });
 }
--- a/observability/logs/test/boundedOutput.test.ts
+++ b/observability/logs/test/boundedOutput.test.ts
@@ -19,6 +19,9 @@
 process.exit(3);
 `;
 const MAX_END_MS = 5000;
+/** A pipe holds this much, so that a pause of the reader after each stops the program until the next read. */
+const READ_SIZE_BYTES = 65_536;
+const READ_PAUSE_MS = 30;
 
 function startProgram() {
     return spawn(process.execPath, ["--input-type=module", "-e", PROGRAM], { stdio: ["ignore", "pipe", "pipe"] });
@@ -45,3 +48,20 @@
     assert.equal(code, 3);
     assert.match(last, /numbered \d+/u);
 });
+
+// On a busy machine the reader takes longer for the whole output than a stopped reader is waited for. The process then
+// killed itself while its lines were being read.
+test("a reader that is slow but goes on reading receives the last lines", async () => {
+    const child = startProgram();
+    const closed = once(child, "close") as Promise<[number | null]>;
+    let last = "";
+    const read = () => {
+        const chunk = child.stdout.read(READ_SIZE_BYTES) as Buffer | null ?? child.stdout.read() as Buffer | null;
+        last = (last + (chunk?.toString("utf8") ?? "")).slice(-400);
+    };
+    const timer = setInterval(read, READ_PAUSE_MS);
+    const [code] = await closed;
+    clearInterval(timer);
+    assert.equal(code, 3);
+    assert.match(last, /numbered \d+/u);
+});
