feat(jobs): items that wait beside free slots are logged with the reason

Change: the leader looks once a second at the items without a run for over 5 s, and logs items-not-started at most every 10 s: the number by reason, and the one that has waited the longest for another reason than a free slot. WaitingItems decides, with clock and conditions passed in.

--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -166,6 +166,7 @@
         if (others.length === 0) {
             this.byUpstream.delete(upstream.id);
         }
+        item.lastRunEndedAtMs = this.opts.clock.nowMs();
         this.opts.loadTracker.count(upstream.id, "batch", -1);
         this.opts.onLoadChanged();
         if (item.state === "running") {
--- /dev/null
+++ b/fleet/jobs/src/itemConditions.ts
@@ -0,0 +1,16 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { JobItem } from "./jobItem.js";
+import type { OpenJob } from "./openJob.js";
+
+/** What decides whether an item may start now. */
+export interface ItemConditions {
+    serviceOf(job: OpenJob, item: JobItem): ServiceName | undefined;
+    /** Returns the ready upstreams of a service, shape [upstreams]. */
+    readyUpstreams(service: ServiceName): Upstream[];
+    /** Whether an online request of the service waits for an upstream. */
+    hasWaitingRequest(service: ServiceName): boolean;
+    /** Returns how many more items an upstream may start; undefined if it may not be used now. */
+    freeSlots(upstream: Upstream): number | undefined;
+    isQuarantined(service: ServiceName, item: JobItem): boolean;
+}
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -27,7 +27,9 @@
 import type { OpenJob } from "./openJob.js";
 import { orderStartableItems } from "./orderStartableItems.js";
 import { ProgressWriter } from "./progressWriter.js";
+import { recordUpstreamHealth } from "./recordUpstreamHealth.js";
 import { ResultCommitter } from "./resultCommitter.js";
+import { WaitingItemsLog } from "./waitingItemsLog.js";
 
 /** Interval at which items are dispatched when no event triggers it, in milliseconds. */
 const DISPATCH_INTERVAL_MS = 50;
@@ -67,6 +69,7 @@
     private isCheckpointing = false;
     private readonly routes: ItemRoutes;
     private readonly loader: JobLoader;
+    private readonly waitingItems: WaitingItemsLog;
 
     constructor(opts: JobRunnerOptions) {
         this.opts = opts;
@@ -84,6 +87,12 @@
         this.committer = new ResultCommitter({ ...opts, onResultsStored: job => this.onResultsStored(job) });
         this.progress = new ProgressWriter({ service: opts.service, leadership });
         this.cleanup = new JobCleanup({ ...opts, leadership, table });
+        this.waitingItems = new WaitingItemsLog({
+            ...opts,
+            routes: this.routes,
+            candidateOf: (upstream, nowMs) => this.candidateOf(upstream, nowMs),
+            mayRun: (service, item) => this.mayRun(service, item),
+        });
         this.reader = new JobReader({
             ...opts,
             table,
@@ -233,6 +242,7 @@
         this.dispatchTimer = this.opts.clock.setTimer(DISPATCH_INTERVAL_MS, () => {
             this.giveUpItems();
             this.dispatch();
+            this.waitingItems.report(this.table.all());
             this.schedulePeriodicDispatch();
         });
     }
@@ -323,7 +333,7 @@
                 : {},
         });
         this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
-        this.recordUpstreamHealth(upstream, outcome, nowMs);
+        recordUpstreamHealth(this.opts.health, upstream.id, outcome, nowMs);
         this.runTimeEstimator.recordRun(run.eventCount, nowMs - run.startedAtMs);
         if (outcome.kind === "failed") {
             item.failedUpstreamIds.push(upstream.id);
@@ -335,18 +345,6 @@
         this.requestDispatch();
     }
 
-    private recordUpstreamHealth(upstream: Upstream, outcome: ItemRunOutcome, nowMs: number): void {
-        if (outcome.kind === "broken" || outcome.kind === "garbled") {
-            this.opts.health.onFailure(upstream.id, nowMs);
-        }
-        else if (outcome.kind === "not-run" && outcome.isMisdirected) {
-            this.opts.health.onMisdirected(upstream.id, nowMs);
-        }
-        else {
-            this.opts.health.onSuccess(upstream.id, nowMs);
-        }
-    }
-
     /** Finishes items whose restored output is already complete. */
     private finishCompleteItems(): void {
         this.table.all().filter(job => !job.isEnded).forEach(job =>
