test(logs): the end of a process before a stopped reader isn't measured on the machine's clock

"a process whose reader has stopped still exits in time" failed once beside 16 busy processes (load 35): nothing was wrong with the process, which ended itself with SIGKILL as it should, but the three tests of the file took 22 s in that run, 10 s of them this one. Timing is not asserted in tests (CONTRIBUTING).

--- a/observability/logs/test/boundedOutput.test.ts
+++ b/observability/logs/test/boundedOutput.test.ts
@@ -27,15 +27,14 @@
     return spawn(process.execPath, ["--input-type=module", "-e", PROGRAM], { stdio: ["ignore", "pipe", "pipe"] });
 }
 
+// How long it waits for the reader is tested on a clock of its own, in flushWait.
 test("a process whose reader has stopped still exits in time", async () => {
     const child = startProgram();
     await once(child.stderr, "data");
-    const startedAtMs = Date.now();
     const timer = setTimeout(() => child.kill("SIGTERM"), MAX_END_MS);
     const [, signal] = await once(child, "exit") as [number | null, string | null];
     clearTimeout(timer);
     assert.equal(signal, "SIGKILL", "the process must end itself");
-    assert.ok(Date.now() - startedAtMs < MAX_END_MS);
 });
 
 test("an active reader receives the last lines", async () => {
