--- a/fleet/jobs/src/waitingItems.ts
+++ b/fleet/jobs/src/waitingItems.ts
@@ -77,7 +77,7 @@
         }
         const firstSeenAtMs = this.firstSeenAtMs.get(item) ?? nowMs;
         this.firstSeenAtMs.set(item, firstSeenAtMs);
-        return nowMs - Math.max(firstSeenAtMs, item.lastRunEndedAtMs);
+        return Math.round(nowMs - Math.max(firstSeenAtMs, item.lastRunEndedAtMs));
     }
 
     private reasonOf(
