fix(quarantine): a response is attributed after four seconds, when the entry of an upstream that ended has expired

Cause, found by reading the protocol again: an upstream that starts again under its id, and can't reach the key-value service itself, is listed as the process before until that entry expires, three intervals of its heartbeat (3.6 s) after the crash. A response attributed after two seconds could clear a request that had crashed it. Change: four seconds in place of two. Measured: the test of survivalProofs fails with two seconds.

--- a/fleet/quarantine/src/survivalProofs.ts
+++ b/fleet/quarantine/src/survivalProofs.ts
@@ -3,10 +3,10 @@
 import { upstreamProcessKeyOf } from "@knapweedwood/fleet.view/upstreamProcessKeyOf";
 
 /**
- * Time after a response within which the entry of a process that has started again under the same id is stored, in
- * milliseconds.
+ * Time after a response by which the entry of a process that had ended before it has expired or been replaced, in
+ * milliseconds. Upstreams renew their entries each second or so, and entries expire after three intervals.
  */
-const ENTRY_DELAY_MS = 2000;
+const ENTRY_DELAY_MS = 4000;
 /** Minimum time between two responses of a process that are kept, in milliseconds. */
 const SPACING_MS = 1000;
 /** Time after which a response that could not be attributed is dropped, in milliseconds. It outlasts a quiet watch. */
