fix(quarantine): each of two crashes of one process in a suspicion can be withdrawn

Cause, found in review: the index kept one crash for a process and a suspicion. Where a datagram came late, both a withdrawn crash and the next one of the process were counted for a while; the first then was not found again. Change: the index keeps each crash. A suspicion that was dropped to make room while others are withdrawn is passed over.

--- a/fleet/quarantine/src/crashIndex.ts
+++ b/fleet/quarantine/src/crashIndex.ts
@@ -11,7 +11,7 @@
 
 /** Finds the suspicions that count crashes of an upstream process, with the order in which they and the runs came. */
 export class CrashIndex {
-    /** For each process its crashes by suspicion, in the order in which they were learned. */
+    /** For each process its crashes, by crash and suspicion, in the order in which they were learned. */
     private readonly byProcess = new Map<UpstreamProcessKey, Map<string, IndexedCrash>>();
     private readonly crashesOf = new Map<string, readonly UpstreamProcessKey[]>();
     private sequence = 0;
@@ -25,7 +25,7 @@
     /** Replaces the crashes that a suspicion counts. */
     set(key: string, crashes: readonly UpstreamProcessKey[]): void {
         const known = this.crashesOf.get(key) ?? [];
-        known.filter(crash => !crashes.includes(crash)).forEach(crash => this.remove(key, crashId.processOf(crash)));
+        known.filter(crash => !crashes.includes(crash)).forEach(crash => this.remove(key, crash));
         const learned = crashes.filter(crash => !known.includes(crash));
         const sequence = learned.length > 0 ? this.nextSequence() : this.sequence;
         learned.forEach(crash => this.add({ key, crash, sequence }));
@@ -49,13 +49,13 @@
     private add(indexed: IndexedCrash): void {
         const process = crashId.processOf(indexed.crash);
         const crashes = this.byProcess.get(process) ?? new Map<string, IndexedCrash>();
-        crashes.delete(indexed.key);
-        this.byProcess.set(process, crashes.set(indexed.key, indexed));
+        this.byProcess.set(process, crashes.set(`${indexed.crash} ${indexed.key}`, indexed));
     }
 
-    private remove(key: string, process: UpstreamProcessKey): void {
+    private remove(key: string, crash: UpstreamProcessKey): void {
+        const process = crashId.processOf(crash);
         const crashes = this.byProcess.get(process);
-        crashes?.delete(key);
+        crashes?.delete(`${crash} ${key}`);
         if (crashes?.size === 0) {
             this.byProcess.delete(process);
         }
--- a/fleet/quarantine/src/requestSuspicions.ts
+++ b/fleet/quarantine/src/requestSuspicions.ts
@@ -123,7 +123,10 @@
      */
     withdraw(process: UpstreamProcessKey, sequence: number, nowMs: number): Suspicion[] {
         return this.table.crashes.knownBefore(process, sequence).flatMap(({ key, crash }) => {
-            const known = this.table.get(key)!;
+            const known = this.table.get(key);
+            if (known === undefined) {
+                return [];
+            }
             const merged = mergeSuspicions(known, { ...known, crashes: [], withdrawn: [crash] });
             return merged === known ? [] : [this.liftIfUnfounded(this.table.set(merged, nowMs), nowMs)];
         });
--- a/fleet/quarantine/test/requestSuspicions.test.ts
+++ b/fleet/quarantine/test/requestSuspicions.test.ts
@@ -82,6 +82,15 @@
     assert.ok(blockedForMs(suspicions, 5) > 0);
 });
 
+// The datagram that tells that the first crash was withdrawn may come after the one that tells of the second.
+test("two crashes of one process that are known at the same time are both withdrawn", () => {
+    const suspicions = new RequestSuspicions({ jitter: 0 });
+    suspicions.merge([suspicionOf(BAD, ["u-1 1", "u-1 1 #2"])], 1);
+    const { sequence } = suspicions.observe(SERVICE, []);
+    const changed = suspicions.withdraw("u-1 1" as UpstreamProcessKey, sequence, 2);
+    assert.deepEqual(changed.at(-1)?.crashes, []);
+});
+
 // Suspicions come late, repeatedly and in any order, also from processes of the version before, which withdraw nothing.
 test("suspicions with withdrawn crashes merge in any order, and a withdrawn crash stays withdrawn", () => {
     const keys = fc.uniqueArray(fc.constantFrom("u-1 1", "u-2 1", "u-3 1", "u-1 1 #2"));
