fix(sync): a change that arrives after a mirror was stopped, or must list again, is not applied

Cause: a runner that had been frozen lost its leadership when it woke, and then received a change that the watch had kept. The record of a job, without its cancellation, went into its table and stayed there: when it led again, the job had been cancelled and removed long before, and all 56 items were given up at positions 0 onwards. Found by reading beside it: such a change also set the revision of a mirror that was to list its prefix again, so that the listing was left out and the process stayed behind until the next change.

Change: batches of an aborted watch are ignored.

Measured: both new tests of prefixMirror failed before (\"a/late\" was applied; no listing, revision 1 instead of 3) and pass.

--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -137,6 +137,9 @@
         const waitMs = watchWaitMs?.();
         const opts = { afterRevision: this.currentRevision, signal, ...waitMs === undefined ? {} : { waitMs } };
         for await (const batch of service.watch(prefix, opts)) {
+            if (signal.aborted) {
+                return;
+            }
             this.onResponse();
             this.currentRevision = Math.max(this.currentRevision, batch.revision);
             this.applyToEntries(batch);
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -1,11 +1,12 @@
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import { answerLostError } from "@knapweedwood/core.key-value/answerLostError";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import { computeWatchWaitMs } from "../src/computeWatchWaitMs.js";
 import { PrefixMirror } from "../src/prefixMirror.js";
 import type { PrefixMirrorOptions } from "../src/prefixMirrorOptions.js";
@@ -225,3 +226,41 @@
     await clock.advance(1000);
     assert.equal(counts().snapshots, snapshots);
 });
+
+/** Makes watches deliver `batch` 1 s after their start, even when they were aborted in the meantime. */
+function delayWatches({ clock, service }: ReturnType<typeof setUp>, batch: WatchBatch): void {
+    mock.method(service, "watch", async function*() {
+        await sleep(clock, 1000);
+        yield batch;
+    });
+}
+
+// A process that had been frozen lost its leadership first and then received a change. The job of which it had only the
+// record stayed in its table until it led again.
+test("a change that arrives after the mirror was stopped is not applied", async () => {
+    const testBed = setUp({}, true);
+    const { clock, service, keys, stop } = testBed;
+    const late = { key: "a/late", value: Buffer.from("v"), modRevision: 1, leaseId: undefined };
+    delayWatches(testBed, { revision: 1, puts: [late], deletedKeys: [] });
+    service.faults.outage = false;
+    await clock.advance(600);
+    stop();
+    await clock.advance(2000);
+    assert.deepEqual([...keys], []);
+});
+
+// The change set the revision of the mirror, so that the listing was left out.
+test("a change that arrives when the prefix is to be listed again doesn't replace the listing", async () => {
+    const testBed = setUp({}, true);
+    const { clock, service, mirror, counts, stop } = testBed;
+    delayWatches(testBed, { revision: 1, puts: [], deletedKeys: [] });
+    service.faults.outage = false;
+    await service.transact([], [put("a/1")]);
+    await clock.advance(1200);
+    const { snapshots } = counts();
+    const { revision } = await service.transact([], [put("a/2")]);
+    mirror.catchUp(revision);
+    await clock.advance(1500);
+    assert.deepEqual([counts().snapshots - snapshots, mirror.revision], [1, revision]);
+    stop();
+});
