fix(jobs): a job that was looked up under an earlier leadership is not opened

Cause, found by reading beside the fault of the mirror, of the same class: a leader that looks up a job which its watch has not delivered applied what it had read even if it had lost and regained its leadership meanwhile. The job may have been removed by another leader since; it opened without results.

Change: the reader compares the fencing number and rejects with JOBS_NOT_LED.

--- a/fleet/jobs/src/jobReader.ts
+++ b/fleet/jobs/src/jobReader.ts
@@ -14,8 +14,8 @@
     clock: Clock;
     service: SnapshotKeyValueService;
     table: JobTable;
-    /** Whether the table is certain to match the stored jobs. */
-    isCurrent: () => boolean;
+    /** Returns the fencing number under which the table is certain to match the stored jobs; undefined if it isn't. */
+    currentFencingNumber: () => number | undefined;
     /** Time since which the key-value service has responded without a failure, Unix ms. */
     reachableSinceMs: () => number;
     /** Applies entries of a job that the watch has not delivered yet. */
@@ -59,7 +59,7 @@
     }
 
     private async find(jobId: JobId): Promise<OpenJob | undefined> {
-        this.assertCurrent();
+        const fencingNumber = this.assertCurrent();
         const job = this.opts.table.get(jobId);
         if (job?.isLoaded === true) {
             return job;
@@ -71,8 +71,11 @@
             return undefined;
         }
         const { entries } = await this.opts.service.snapshot(jobKeys.jobPrefix(jobId));
+        // Under another leadership the job may have been removed since.
+        if (this.assertCurrent() !== fencingNumber) {
+            throw notLed();
+        }
         this.opts.apply(entries);
-        this.assertCurrent();
         return this.opts.table.get(jobId);
     }
 
@@ -85,14 +88,13 @@
         }
     }
 
-    private assertCurrent(): void {
-        if (!this.opts.isCurrent()) {
-            throw new KnapweedError(
-                "JOBS_NOT_LED",
-                "This process is not the jobs leader or has not loaded the jobs yet",
-                { outcome: "not-run" },
-            );
+    /** Returns the fencing number of the present leadership. */
+    private assertCurrent(): number {
+        const fencingNumber = this.opts.currentFencingNumber();
+        if (fencingNumber === undefined) {
+            throw notLed();
         }
+        return fencingNumber;
     }
 
     private waitForResult(job: OpenJob, waitMs: number, signal: AbortSignal): Promise<void> {
@@ -109,3 +111,9 @@
         });
     }
 }
+
+function notLed(): KnapweedError {
+    return new KnapweedError("JOBS_NOT_LED", "This process is not the jobs leader or has not loaded the jobs yet", {
+        outcome: "not-run",
+    });
+}
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -90,7 +90,8 @@
         this.reader = new JobReader({
             ...opts,
             table,
-            isCurrent: () => this.isLoaded && leadership.isLeading(),
+            currentFencingNumber: () =>
+                this.isLoaded && leadership.isLeading() ? leadership.fence()?.modRevision : undefined,
             reachableSinceMs: () => this.mirror?.reachableSinceMs ?? Infinity,
             apply: entries => this.apply(entries),
         });
