fix(jobs): a late write of results leaves none behind for a removed job

Cause: a write of a job's first results whose response was lost and that arrived again seconds later, after the job had been removed, found neither list nor position and stored both again, under a job that nobody reads or removes.

Change: the first write of results of any job compares its tombstone, not only that of a job known from a disk, which needed a state of its own.

Measured: the test of resultCommitter, now for any job, failed before and passes.

--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -57,9 +57,9 @@
             .map(entry => ({ entry, ...parseKey(entry.key) }))
             .filter(({ entry, jobId }) => entry.modRevision > (this.removedAtRevision.get(jobId) ?? 0));
         keyed.filter(({ part }) => part === "record").forEach(({ entry, jobId }) => {
-            const job = this.jobs.get(jobId) ?? new OpenJob(decodeRecord<JobRecord>(entry.value));
-            job.isOnlyHeld = false;
-            this.jobs.set(jobId, job);
+            if (!this.jobs.has(jobId)) {
+                this.jobs.set(jobId, new OpenJob(decodeRecord<JobRecord>(entry.value)));
+            }
         });
         this.retryUnmatchedResults();
         this.unmatchedEntries = keyed.filter(({ jobId }) => !this.jobs.has(jobId)).map(({ entry }) => entry);
@@ -105,7 +105,6 @@
             return;
         }
         const job = new OpenJob(record);
-        job.isOnlyHeld = true;
         Array.from({ length: record.partCount }, (_, index) => index)
             .forEach(index => job.setPart(index, bodies.subarray(index * PART_BYTES, (index + 1) * PART_BYTES)));
         this.jobs.set(record.jobId, job);
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -13,8 +13,6 @@
     readonly record: JobRecord;
     readonly items: JobItem[];
     isCancelled = false;
-    /** Whether the job is known only from a disk, so that it may have been stored and removed already. */
-    isOnlyHeld = false;
     /** Revision of the stored list of items with a result, as read or written last; 0 if there is none. */
     listRevision = 0;
     private readonly parts: (Buffer | undefined)[];
--- a/fleet/jobs/src/resultBatch.ts
+++ b/fleet/jobs/src/resultBatch.ts
@@ -90,11 +90,13 @@
         if (job.listRevision > 0) {
             return [list];
         }
-        // A job without a list may have results of an earlier version of this program, or may have been removed.
-        const position = { key: jobKeys.result(jobId, job.resultCount), modRevision: 0 };
-        return job.isOnlyHeld
-            ? [list, position, { key: jobKeys.tombstone(jobId), modRevision: 0 }]
-            : [list, position];
+        // A job without a list may have results of an earlier version of this program. It may also have been removed, after it
+        // was opened from a disk, or before this write arrives.
+        return [
+            list,
+            { key: jobKeys.result(jobId, job.resultCount), modRevision: 0 },
+            { key: jobKeys.tombstone(jobId), modRevision: 0 },
+        ];
     }
 
     private listOf(job: OpenJob): ListedItems {
--- a/fleet/jobs/test/resultCommitter.test.ts
+++ b/fleet/jobs/test/resultCommitter.test.ts
@@ -166,10 +166,10 @@
     assert.equal((await storedResults()).length, 40 * 2 + 38);
 });
 
-// A leader that opened a copy of a removed job from a disk listed the items of the job again.
-test("no result is written for a held job that was removed", async () => {
+// A leader that opened a copy of a removed job from a disk listed the items of the job again. So did a write whose response
+// was lost and that arrived again after the removal.
+test("no result is written for a job that was removed", async () => {
     const { clock, service, committer, job, result, leadership, storedResults } = await setUp();
-    job.isOnlyHeld = true;
     await service.transact([], [{ kind: "put", key: jobKeys.tombstone(job.record.jobId), value: Buffer.from("{}") }]);
     committer.add(job, result(0));
     await clock.advance(1000);
