test(jobs): jobs are removed in the random interleavings

Why: the interleavings removed no jobs, so what happens after the retention time had directed tests only.

A job may be held and stored by two acceptances seconds apart. The observer takes a removal for a violation if the job is open or its retention time isn't over, and a record, result or run of a removed job likewise; every copy leaves its disk in the end. Results stored are also read by the reader of gateways, from drawn positions.

--- a/fleet/jobs/test/fleetStep.ts
+++ b/fleet/jobs/test/fleetStep.ts
@@ -10,15 +10,18 @@
     /** Items of each job. */
     items: number;
     retentionMs: number;
-    /** `held` keeps copies on the disks of the running runners; `both` also stores the job, `delayMs` later. */
-    via: "store" | "held" | "both";
+    /**
+     * `held` keeps copies on the disks of the running runners. `both` also stores the job, `delayMs` later; `resent` stores
+     * it first and keeps copies `delayMs` later. The later ones are accepted later.
+     */
+    via: "store" | "held" | "both" | "resent";
     delayMs: number;
+    /** Time for which a runner is down as soon as it holds a copy, which stays on its disk; undefined for none. */
+    holderDownMs: number | undefined;
 }
 
-/** One step of a simulation. Jobs are chosen by index, modulo their number; times are in milliseconds. */
-export type FleetStep =
-    | SubmitStep
-    | { kind: "cancel"; job: number; }
+/** A disturbance of one runner. */
+export type TargetStep =
     | { kind: "kill"; target: Target; downMs: number; }
     /** An orderly stop: the process hands over its jobs first. */
     | { kind: "replace"; target: Target; downMs: number; }
@@ -26,7 +29,15 @@
     | { kind: "cut-off"; target: Target; state: "rejected" | "silent"; durationMs: number; }
     | { kind: "lose-responses"; target: Target; count: number; }
     | { kind: "late-writes"; target: Target; delaysMs: number[]; }
-    | { kind: "slow-reads"; target: Target; maxDelayMs: number; }
+    | { kind: "slow-reads"; target: Target; maxDelayMs: number; };
+
+/** One step of a simulation. Jobs are chosen by index, modulo their number; times are in milliseconds. */
+export type FleetStep =
+    | SubmitStep
+    | TargetStep
+    | { kind: "cancel"; job: number; }
+    /** Disturbs a runner as soon as results of a job have been removed, while the job itself has not. */
+    | { kind: "at-removal"; disturbance: TargetStep; }
     | { kind: "lose-power"; downMs: number; }
     | { kind: "end-lease"; }
     | { kind: "run"; behaviours: RunBehaviour[]; }
--- a/fleet/jobs/test/resultsObserver.ts
+++ b/fleet/jobs/test/resultsObserver.ts
@@ -7,7 +7,7 @@
 import type { SimulatedUpstreams } from "./simulatedUpstreams.js";
 
 const SOFTWARE_VERSIONS = ["v1", "v2"];
-/** Time after a cancellation within which items of the job may still begin, in milliseconds. */
+/** Time after a cancellation or removal within which items of the job may still begin, in milliseconds. */
 const CANCELLATION_MS = 3000;
 
 /** Checks each result that is stored, each page that is read and each run that begins against the promises to callers. */
@@ -15,11 +15,14 @@
     readonly violations: string[] = [];
     readonly cancelledAtMs = new Map<JobId, number>();
     private readonly upstreams: SimulatedUpstreams;
+    private readonly resultRetentionMs: number;
     private readonly records = new Map<JobId, JobRecord>();
     private readonly results = new Map<JobId, ItemResult[]>();
+    private readonly removedAtMs = new Map<JobId, number>();
 
-    constructor(opts: { upstreams: SimulatedUpstreams; }) {
+    constructor(opts: { upstreams: SimulatedUpstreams; resultRetentionMs: number; }) {
         this.upstreams = opts.upstreams;
+        this.resultRetentionMs = opts.resultRetentionMs;
     }
 
     onSubmitted(record: JobRecord): void {
@@ -42,14 +45,32 @@
         });
     }
 
-    /** Checks removed keys. No retention time ends in the simulation, so no result may be removed. */
-    onRemoved(keys: readonly string[]): void {
-        keys.filter(key => key.includes("/at/")).forEach(key => this.violations.push(`${key} was removed`));
+    /** Checks removed keys under the prefix of the results. Returns whether results are among them. */
+    onResultsRemoved(keys: readonly string[], nowMs: number): boolean {
+        const resultKeys = keys.filter(key => key.includes("/at/"));
+        const jobIds = resultKeys.map(key => key.slice(jobKeys.resultsPrefix.length).split("/")[0] as JobId);
+        new Set(jobIds).forEach(jobId => this.checkRemoval(jobId, nowMs));
+        return resultKeys.length > 0;
     }
 
-    /** Checks a page that a process has served from position 0 on. */
-    onPage(jobId: JobId, page: readonly ItemResult[]): void {
-        const stored = this.results.get(jobId)!.slice(0, page.length);
+    /** Checks keys that were written under the prefix of the jobs. */
+    onJobsStored(keys: readonly string[]): void {
+        toJobIds(keys).filter(jobId => this.removedAtMs.has(jobId)).forEach(jobId =>
+            this.violations.push(`${jobId} is stored after its removal`)
+        );
+    }
+
+    /** Checks removed keys under the prefix of the jobs. */
+    onJobsRemoved(keys: readonly string[], nowMs: number): void {
+        toJobIds(keys).forEach(jobId => {
+            this.checkRemoval(jobId, nowMs);
+            this.removedAtMs.set(jobId, nowMs);
+        });
+    }
+
+    /** Checks a page that a process has served from position `after` on. */
+    onPage(jobId: JobId, after: number, page: readonly ItemResult[]): void {
+        const stored = this.results.get(jobId)!.slice(after, after + page.length);
         if (JSON.stringify(page.map(toText)) !== JSON.stringify(stored.map(toText))) {
             this.violations.push(`${jobId}: a page differs from the stored results`);
         }
@@ -58,9 +79,9 @@
     /** Checks an item that begins to run at a process, which has received all changes since `connectedSinceMs`. */
     onRunBegun(itemId: string, opts: { nowMs: number; connectedSinceMs: number; }): void {
         const jobId = itemId.slice(0, itemId.lastIndexOf("-")) as JobId;
-        const cancelledAtMs = this.cancelledAtMs.get(jobId) ?? Infinity;
-        if (opts.nowMs > Math.max(cancelledAtMs, opts.connectedSinceMs) + CANCELLATION_MS) {
-            this.violations.push(`${itemId} began at ${opts.nowMs}, cancelled at ${cancelledAtMs}`);
+        const endedAtMs = Math.min(this.cancelledAtMs.get(jobId) ?? Infinity, this.removedAtMs.get(jobId) ?? Infinity);
+        if (opts.nowMs > Math.max(endedAtMs, opts.connectedSinceMs) + CANCELLATION_MS) {
+            this.violations.push(`${itemId} began at ${opts.nowMs}, cancelled or removed at ${endedAtMs}`);
         }
     }
 
@@ -72,6 +93,15 @@
         });
     }
 
+    /** A result stays readable for the retention time after its job was accepted, and while the job is open. */
+    private checkRemoval(jobId: JobId, nowMs: number): void {
+        const { acceptedAtMs, items } = this.records.get(jobId)!;
+        const isOpen = this.results.get(jobId)!.length < items.length && !this.cancelledAtMs.has(jobId);
+        if (isOpen || nowMs < acceptedAtMs + this.resultRetentionMs) {
+            this.violations.push(`${jobId} is removed at ${nowMs}, accepted at ${acceptedAtMs}, open: ${isOpen}`);
+        }
+    }
+
     private checkResult(jobId: JobId, position: number, result: ItemResult, nowMs: number): void {
         const results = this.results.get(jobId)!;
         const { itemId, state } = result;
@@ -79,6 +109,9 @@
         if (position !== results.length) {
             this.violations.push(`${where}: ${results.length} positions were taken`);
         }
+        if (this.removedAtMs.has(jobId)) {
+            this.violations.push(`${where}: its job was removed`);
+        }
         if (results.some(other => other.itemId === itemId)) {
             this.violations.push(`${where}: has a result already`);
         }
@@ -96,6 +129,14 @@
     }
 }
 
+/** Returns the jobs whose record is among `keys`, shape [jobs]. */
+function toJobIds(keys: readonly string[]): JobId[] {
+    return keys
+        .map(key => key.slice(jobKeys.jobsPrefix.length).split("/"))
+        .filter(([, part]) => part === "record")
+        .map(([jobId]) => jobId as JobId);
+}
+
 function toText({ itemId, state, output }: ItemResult): string {
     return `${itemId} ${state} ${output}`;
 }
--- a/fleet/jobs/test/simulatedJobFleet.ts
+++ b/fleet/jobs/test/simulatedJobFleet.ts
@@ -7,10 +7,12 @@
 import type { LeaderRecord } from "@knapweedwood/fleet.sync/leaderRecord";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import { mock } from "node:test";
+import type { HeldJob } from "../src/heldJob.js";
 import { jobKeys } from "../src/jobKeys.js";
 import { planJobWrite } from "../src/planJobWrite.js";
+import type { ResultsPage } from "../src/resultsPage.js";
 import { createJobRecord } from "./createJobRecord.js";
-import type { FleetStep } from "./fleetStep.js";
+import type { FleetStep, TargetStep } from "./fleetStep.js";
 import { MemorySegments } from "./memorySegments.js";
 import { ResultsObserver } from "./resultsObserver.js";
 import { SimulatedRunner } from "./simulatedRunner.js";
@@ -24,11 +26,13 @@
 /** Time in which every item gets a result once nothing fails any more, in milliseconds. */
 const CALM_MS = 60_000;
 const CALM_CHECK_MS = 3000;
+/** Positions before this one are read. */
+const MAX_READ_POSITION = 40;
+/** Time for which ended jobs are removed after their retention time, in milliseconds. */
+const REMOVAL_MS = 20_000;
 /** Time for which the fleet runs on after the last result, in milliseconds. The margin for expired jobs is shorter. */
 const AFTERMATH_MS = 6000;
 
-type TargetStep = Extract<FleetStep, { target: unknown; }>;
-
 /** Several runner processes with one key-value service, whose results are observed while steps disturb them. */
 export class SimulatedJobFleet {
     readonly observer: ResultsObserver;
@@ -39,16 +43,25 @@
     private readonly disks = Array.from({ length: RUNNERS }, () => new MemorySegments());
     private readonly runners: SimulatedRunner[];
     private readonly submitted: JobId[] = [];
+    private readonly resultRetentionMs: number;
+    /** Time at which all submitted jobs have been accepted at all places, on the clock. */
+    private lastAcceptanceAtMs = 0;
+    /** Disturbances to come as soon as results of a job have been removed, shape [steps]. */
+    private readonly atRemoval: TargetStep[] = [];
     private readonly closing = new AbortController();
     /** Leases ask for the time of day, too. With the simulated one a case doesn't depend on how busy the machine is. */
     private readonly timeOfDay = mock.method(Date, "now", () => this.clock.nowMs());
 
-    constructor(seed: number) {
-        this.random = new SeededRandom(seed);
-        this.observer = new ResultsObserver({ upstreams: this.upstreams });
+    /** @param opts.resultRetentionMs time for which an ended job stays readable, in milliseconds */
+    constructor(opts: { seed: number; resultRetentionMs: number; }) {
+        const { resultRetentionMs } = opts;
+        this.resultRetentionMs = resultRetentionMs;
+        this.random = new SeededRandom(opts.seed);
+        this.observer = new ResultsObserver({ upstreams: this.upstreams, resultRetentionMs });
         this.runners = this.disks.map((_, index) => this.createRunner(index));
         this.runners.forEach(runner => runner.start());
-        void this.observe();
+        void this.observeResults();
+        void this.observeJobs();
     }
 
     /** Carries out a step and lets `waitMs` pass. */
@@ -60,6 +73,9 @@
             case "cancel":
                 await this.cancel(this.submitted[step.job % this.submitted.length]);
                 break;
+            case "at-removal":
+                this.atRemoval.push(step.disturbance);
+                break;
             case "lose-power":
                 this.runners.forEach((_, index) => this.kill(index, step.downMs));
                 break;
@@ -78,16 +94,25 @@
         this.readAll();
     }
 
-    /** Ends all disturbances, waits for all results, and checks that a further change of leaders adds none. */
+    /**
+     * Ends all disturbances, waits for all results and for jobs to be removed, and checks that a further change of leaders
+     * adds no results and opens no job again.
+     */
     async calmDown(): Promise<void> {
         this.upstreams.behaviours = [];
+        this.atRemoval.length = 0;
+        await this.clock.advance(Math.max(0, this.lastAcceptanceAtMs - this.clock.nowMs()));
         this.runners.forEach((_, index) => this.repair(index));
         for (let elapsedMs = 0; elapsedMs < CALM_MS && !this.isDone(); elapsedMs += CALM_CHECK_MS) {
             await this.clock.advance(CALM_CHECK_MS);
         }
         this.observer.violations.push(...this.observer.itemsWithoutResult().map(itemId => `${itemId}: no result`));
+        await this.clock.advance(Number.isFinite(this.resultRetentionMs) ? this.resultRetentionMs + REMOVAL_MS : 0);
         this.runners.forEach((_, index) => this.kill(index, 1));
         await this.clock.advance(AFTERMATH_MS);
+        this.observer.violations.push(
+            ...this.runners.filter(({ held }) => held.count > 0).map(({ name }) => `${name} still holds jobs`),
+        );
         this.readAll();
         await this.clock.advance(CALM_CHECK_MS);
     }
@@ -114,43 +139,90 @@
             segments: this.disks[index]!,
             others: () => this.runners.filter(other => other !== runner && !other.clock.isDead),
             otherCount: RUNNERS - 1,
+            resultRetentionMs: this.resultRetentionMs,
             onRunBegun: (itemId, { connectedSinceMs }) =>
                 this.observer.onRunBegun(itemId, { nowMs: this.clock.nowMs(), connectedSinceMs }),
         });
         return runner;
     }
 
-    private async observe(): Promise<void> {
+    private async observeResults(): Promise<void> {
         const { signal } = this.closing;
         for await (const batch of this.service.watch(jobKeys.resultsPrefix, { afterRevision: 0, signal })) {
             this.observer.onStored(batch.puts, this.clock.nowMs());
-            this.observer.onRemoved(batch.deletedKeys);
+            if (this.observer.onResultsRemoved(batch.deletedKeys, this.clock.nowMs())) {
+                await Promise.all(this.atRemoval.splice(0).map(step => this.disturb(step)));
+            }
+        }
+    }
+
+    private async observeJobs(): Promise<void> {
+        const { signal } = this.closing;
+        for await (const batch of this.service.watch(jobKeys.jobsPrefix, { afterRevision: 0, signal })) {
+            this.observer.onJobsStored(batch.puts.map(({ key }) => key));
+            this.observer.onJobsRemoved(batch.deletedKeys, this.clock.nowMs());
         }
     }
 
     private async submit(step: Extract<FleetStep, { kind: "submit"; }>): Promise<void> {
-        const nowMs = this.clock.nowMs();
-        const created = createJobRecord({
-            id: `job-${this.submitted.length}`,
-            itemCount: step.items,
-            dueAtMs: nowMs + DUE_MS,
-        });
-        const record = { ...created, acceptedAtMs: nowMs, expiresAtMs: nowMs + step.retentionMs };
-        const job = { record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined };
-        const holders = step.via === "store" ? [] : this.runners.filter(({ clock }) => clock.isRunning);
-        if (step.via === "held" && holders.length < HELD_COPIES) {
+        const hasHolders = this.runners.filter(({ clock }) => clock.isRunning).length >= HELD_COPIES;
+        if (step.via === "held" && !hasHolders) {
             return;
         }
-        this.submitted.push(record.jobId);
-        this.observer.onSubmitted(record);
+        const { via, delayMs } = step;
+        this.lastAcceptanceAtMs = Math.max(this.lastAcceptanceAtMs, this.clock.nowMs() + delayMs);
+        const job = this.createJob(step);
+        this.submitted.push(job.record.jobId);
+        this.observer.onSubmitted(job.record);
+        if (via === "held" || via === "both") {
+            await this.hold(job, step.holderDownMs);
+        }
+        if (via === "store" || via === "resent") {
+            this.store(job);
+        }
+        if (via === "both") {
+            this.clock.setTimer(delayMs, () => this.store(this.acceptLater(job, delayMs)));
+        }
+        if (via === "resent") {
+            this.clock.setTimer(delayMs, () => void this.hold(this.acceptLater(job, delayMs), step.holderDownMs));
+        }
+    }
+
+    private createJob({ items: itemCount, retentionMs }: Extract<FleetStep, { kind: "submit"; }>): HeldJob {
+        const acceptedAtMs = this.clock.nowMs();
+        const id = `job-${this.submitted.length}`;
+        const created = createJobRecord({ id, itemCount, dueAtMs: acceptedAtMs + DUE_MS });
+        const record = { ...created, acceptedAtMs, expiresAtMs: acceptedAtMs + retentionMs };
+        return { record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined };
+    }
+
+    /** Returns the job as another process accepts it later. */
+    private acceptLater(job: HeldJob, byMs: number): HeldJob {
+        const { acceptedAtMs, expiresAtMs, dueAtMs, nonce } = job.record;
+        const record = {
+            ...job.record,
+            acceptedAtMs: acceptedAtMs + byMs,
+            expiresAtMs: expiresAtMs + byMs,
+            dueAtMs: dueAtMs + byMs,
+            nonce: `${nonce}-later`,
+        };
+        return { ...job, record };
+    }
+
+    private async hold(job: HeldJob, holderDownMs: number | undefined): Promise<void> {
+        const holders = this.runners.filter(({ clock }) => clock.isRunning);
         await Promise.all(holders.map(({ held }) => held.hold(job)));
-        if (step.via !== "held") {
-            const { compares, operations } = planJobWrite(job, undefined);
-            const delayMs = step.via === "both" ? step.delayMs : 0;
-            this.clock.setTimer(delayMs, () => void this.service.transact(compares, operations));
+        if (holderDownMs !== undefined && holders.length > 0) {
+            const holder = holders[Math.floor(this.random.next() * holders.length)]!;
+            this.kill(this.runners.indexOf(holder), holderDownMs);
         }
     }
 
+    private store(job: HeldJob): void {
+        const { compares, operations } = planJobWrite(job, undefined);
+        void this.service.transact(compares, operations);
+    }
+
     private async cancel(jobId: JobId | undefined): Promise<void> {
         if (jobId === undefined || await this.service.get(jobKeys.record(jobId)) === undefined) {
             return;
@@ -253,14 +325,20 @@
 
     /** Reads all jobs at all running processes. One that isn't certain to lead rejects the read. */
     private readAll(): void {
-        this.runners.filter(({ clock }) => clock.isRunning).forEach(({ runner }) =>
+        const { signal } = this.closing;
+        this.runners.filter(({ clock }) => clock.isRunning).forEach(({ runner, storedReader }) =>
             this.submitted.forEach(jobId => {
-                const { signal } = this.closing;
-                runner.reader.results({ jobId, after: 0, waitMs: 0, signal }).then(
-                    page => page === undefined ? undefined : this.observer.onPage(jobId, page.results),
-                    () => undefined,
-                );
+                this.check(jobId, 0, runner.reader.results({ jobId, after: 0, waitMs: 0, signal }));
+                const after = Math.floor(this.random.next() * MAX_READ_POSITION);
+                this.check(jobId, after, storedReader.results({ jobId, after }));
             })
         );
     }
+
+    private check(jobId: JobId, after: number, page: Promise<ResultsPage | undefined>): void {
+        page.then(
+            read => read === undefined ? undefined : this.observer.onPage(jobId, after, read.results),
+            () => undefined,
+        );
+    }
 }
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -25,6 +25,7 @@
 import type { HeldJob } from "../src/heldJob.js";
 import { HeldJobs } from "../src/heldJobs.js";
 import { JobRunner } from "../src/jobRunner.js";
+import { StoredJobReader } from "../src/storedJobReader.js";
 import type { MemorySegments } from "./memorySegments.js";
 import { ProcessClock } from "./processClock.js";
 import { SimulatedConnection } from "./simulatedConnection.js";
@@ -49,15 +50,19 @@
     others: () => SimulatedRunner[];
     /** Number of the other runners, with the dead ones. */
     otherCount: number;
+    /** Time for which an ended job stays readable after its acceptance, in milliseconds. */
+    resultRetentionMs: number;
     onRunBegun: (itemId: string, runner: SimulatedRunner) => void;
 }
 
 /** One start of a runner process: the real runner, leadership and held jobs, with a clock and a connection of its own. */
 export class SimulatedRunner {
+    readonly name: string;
     readonly clock: ProcessClock;
     readonly connection: SimulatedConnection;
     readonly held: HeldJobs;
     readonly runner: JobRunner;
+    readonly storedReader: StoredJobReader;
     /** Time since which the process has been connected and not frozen, Unix ms; infinity while it isn't. */
     connectedSinceMs: number;
     private readonly opts: SimulatedRunnerOptions;
@@ -67,6 +72,7 @@
 
     constructor(opts: SimulatedRunnerOptions) {
         this.opts = opts;
+        this.name = opts.name;
         this.connectedSinceMs = opts.clock.nowMs();
         this.clock = new ProcessClock(opts.clock);
         const { clock } = this;
@@ -88,6 +94,7 @@
             isLeading: () => this.leadership.isLeading(),
         });
         this.runner = this.createRunner(common);
+        this.storedReader = new StoredJobReader(common);
     }
 
     /** Starts the process. */
@@ -161,7 +168,7 @@
                 onChanged: () => undefined,
             }),
             refreshConfiguration: () => Promise.resolve(true),
-            resultRetentionMs: () => Infinity,
+            resultRetentionMs: () => this.opts.resultRetentionMs,
             onLoadChanged: () => undefined,
             heldJobs: () => this.held.all(),
             collectHeldJobs: () => this.collectHeldJobs(),
