fix(jobs): failures of items outlast a change of leaders

Cause: an item that had failed as often as its job allows, or that an upstream said can't be done, ran again under the next leader if its result had not been written when the leadership was lost. A leader's own progress also replaced a higher stored number of failures, progress with fewer events dropped its failures, and failures were stored only along with 25 unstored events. Each leader more could add maxAttempts runs; the rule allows three times maxAttempts answers of 500, or three of 422.

Change: an item whose restored progress is final is given up without a run; restored failures are the higher number of both; \"impossible\" is part of the progress; a checkpoint stores failures that aren't stored, in the writes of 30 items that it makes anyway or one more each 1.5 s. The interleavings have jobs whose items all fail, and count runs beyond the rule as violations.

A leader killed within 1.5 s of a failure still takes the count with it.

--- a/fleet/jobs/src/applyRunOutcome.ts
+++ b/fleet/jobs/src/applyRunOutcome.ts
@@ -20,6 +20,7 @@
         case "completed":
             return "completed";
         case "impossible":
+            item.isImpossible = true;
             return "given-up";
         case "failed":
             item.failedAttempts += 1;
--- a/fleet/jobs/src/itemProgress.ts
+++ b/fleet/jobs/src/itemProgress.ts
@@ -9,6 +9,8 @@
     /** Software version of the upstreams that wrote the events; undefined if there is none, or it isn't known. */
     softwareVersion?: SoftwareVersion | undefined;
     failedAttempts: number;
+    /** Whether an upstream reported that the item can never be processed. */
+    isImpossible?: boolean | undefined;
     /** Whether the events are the whole output. */
     isComplete: boolean;
 }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -8,7 +8,7 @@
 import { applyRunOutcome } from "./applyRunOutcome.js";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { BatchSlots } from "./batchSlots.js";
-import { findCompleteItems } from "./findCompleteItems.js";
+import { findFinishedItems } from "./findFinishedItems.js";
 import { findItemsToGiveUp } from "./findItemsToGiveUp.js";
 import type { HeldJob } from "./heldJob.js";
 import { InFlightItems } from "./inFlightItems.js";
@@ -197,7 +197,7 @@
         this.openHeld(this.opts.heldJobs());
         this.table.restoreFrom(this.previousJobs);
         this.previousJobs = [];
-        findCompleteItems(this.table.all()).forEach(({ job, item }) => this.finish(job, item, "completed"));
+        findFinishedItems(this.table.all()).forEach(({ job, item, state }) => this.finish(job, item, state));
         const ended = this.table.all().filter(job => job.isEnded);
         ended.forEach(job => this.cleanup.onEnded(job));
         this.isLoaded = true;
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -74,19 +74,23 @@
         return this.items.find(item => item.id === id);
     }
 
-    /** Applies progress to a pending item unless the item is further ahead. */
+    /** Applies progress to a pending item: its events unless the item is further ahead, and the failures of both. */
     restoreProgress(index: number, progress: ItemProgress): void {
         const item = this.items[index];
-        if (item !== undefined && item.state === "pending" && progress.lastEventId >= item.lastEventId) {
-            Object.assign(item, pickProgress(progress));
+        if (item === undefined || item.state !== "pending") {
+            return;
         }
+        const failedAttempts = Math.max(item.failedAttempts, progress.failedAttempts);
+        const isImpossible = item.isImpossible === true || progress.isImpossible === true;
+        const furthest = progress.lastEventId >= item.lastEventId ? pickProgress(progress) : {};
+        Object.assign(item, furthest, { failedAttempts, isImpossible });
     }
 
-    /** Returns items without a stored result that have events or failed attempts, shape [items]. */
+    /** Returns items without a stored result that have events or failures, shape [items]. */
     itemsWithProgress(): JobItem[] {
         return this.items
             .filter(item => item.state !== "stored")
-            .filter(item => item.lastEventId > 0 || item.failedAttempts > 0);
+            .filter(item => item.lastEventId > 0 || item.failedAttempts > 0 || item.isImpossible === true);
     }
 
     /**
--- a/fleet/jobs/src/progressWriter.ts
+++ b/fleet/jobs/src/progressWriter.ts
@@ -11,6 +11,13 @@
 /** Writes per checkpoint. The next one continues with what is left. */
 const MAX_CHECKPOINT_WRITES = 10;
 
+/** What is stored of an item's progress. */
+interface StoredProgress {
+    lastEventId: number;
+    failedAttempts: number;
+    isImpossible: boolean;
+}
+
 interface ItemWithProgress {
     job: OpenJob;
     item: JobItem;
@@ -20,7 +27,7 @@
 export class ProgressWriter {
     private readonly service: KeyValueService;
     private readonly leadership: FencedLeadership;
-    private readonly storedEventIds = new WeakMap<JobItem, number>();
+    private readonly stored = new WeakMap<JobItem, StoredProgress>();
 
     constructor(opts: { service: KeyValueService; leadership: FencedLeadership; }) {
         this.service = opts.service;
@@ -33,12 +40,12 @@
     }
 
     /**
-     * Stores the progress of items with at least `minEvents` unstored events, also of those that were displaced. Items
-     * with the most unstored events go first.
+     * Stores the progress of items with at least `minEvents` unstored events or with unstored failures, also of those that
+     * were displaced. Items with the most unstored events go first.
      */
     async saveFurthest(jobs: readonly OpenJob[], minEvents: number): Promise<void> {
         const furthest = this.itemsWithProgress(jobs)
-            .filter(({ item }) => this.unstoredEvents(item) >= minEvents)
+            .filter(({ item }) => this.unstoredEvents(item) >= minEvents || this.hasUnstoredFailures(item))
             .sort((left, right) => this.unstoredEvents(right.item) - this.unstoredEvents(left.item))
             .slice(0, MAX_ENTRIES * MAX_CHECKPOINT_WRITES);
         await this.writeInParts(furthest);
@@ -61,18 +68,23 @@
     }
 
     private unstoredEvents(item: JobItem): number {
-        const storedId = this.storedEventIds.get(item) ?? 0;
+        const storedId = this.stored.get(item)?.lastEventId ?? 0;
         // An item that has started over has fewer events than are stored of its earlier runs.
         return item.lastEventId < storedId ? item.lastEventId : item.lastEventId - storedId;
     }
 
+    private hasUnstoredFailures(item: JobItem): boolean {
+        const { failedAttempts, isImpossible } = this.stored.get(item) ?? { failedAttempts: 0, isImpossible: false };
+        return item.failedAttempts > failedAttempts || (item.isImpossible === true && !isImpossible);
+    }
+
     /** Returns whether the progress was stored. */
     private async write(items: readonly ItemWithProgress[]): Promise<boolean> {
         const fence = this.leadership.fence();
         if (fence === undefined) {
             return false;
         }
-        const storedIds = items.map(({ item }) => item.lastEventId);
+        const written = items.map(({ item }) => toStored(item));
         const { succeeded } = await this.service.transact(
             [fence],
             items.map(({ job, item }) => ({
@@ -85,7 +97,11 @@
             this.leadership.stepDown(fence, "write-refused");
             return false;
         }
-        items.forEach(({ item }, index) => this.storedEventIds.set(item, storedIds[index]!));
+        items.forEach(({ item }, index) => this.stored.set(item, written[index]!));
         return true;
     }
 }
+
+function toStored({ lastEventId, failedAttempts, isImpossible }: JobItem): StoredProgress {
+    return { lastEventId, failedAttempts, isImpossible: isImpossible === true };
+}
--- a/fleet/jobs/test/fleetStep.ts
+++ b/fleet/jobs/test/fleetStep.ts
@@ -18,6 +18,8 @@
     delayMs: number;
     /** Time for which a runner is down as soon as it holds a copy, which stays on its disk; undefined for none. */
     holderDownMs: number | undefined;
+    /** How each run of the items goes, if none of them can be done; undefined otherwise. */
+    failsAs: "failed" | "impossible" | undefined;
 }
 
 /** A disturbance of one runner. */
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -65,7 +65,7 @@
 }) {
     const clock = new ManualClock();
     const service = new MemoryKeyValueService({ clock });
-    const fence = { key: "leader", modRevision: 0 };
+    const term = { fence: { key: "leader", modRevision: 0 } };
     const configuration = new ActiveConfiguration();
     const route = { host: "host", prefix: "/p/", kind: "batch", services: [{ service: SERVICE, weight: 1 }] };
     configuration.adopt({ version: 1, routes: [route as unknown as Route], services: [] } as never);
@@ -98,7 +98,7 @@
         random: new SeededRandom(1),
         logger: silentLogger,
         metrics: silentMetrics,
-        leadership: { isLeading: () => true, fence: () => fence, stepDown: () => undefined },
+        leadership: { isLeading: () => true, fence: () => term.fence, stepDown: () => undefined },
         connections: opts.connections,
         health: new UpstreamHealth(),
         headers: {
@@ -137,7 +137,14 @@
         const entries = await service.list(jobKeys.resultsPrefix);
         return entries.filter(({ key }) => key.includes("/at/"));
     };
-    return { clock, service, runner, match, list, finishedResults };
+    /** Loses the leadership and gains it again. */
+    const leadAgain = async () => {
+        runner.stop();
+        const { revision } = await service.transact([], [{ kind: "put", key: "leader", value: Buffer.from("a") }]);
+        term.fence = { key: "leader", modRevision: revision };
+        runner.start();
+    };
+    return { clock, service, runner, match, list, finishedResults, leadAgain };
 }
 
 // Load pattern: every process reports its load up to each 15 ms, and 800 items wait for a slot. A dispatch of 5 ms for
@@ -260,3 +267,38 @@
     assert.deepEqual(isOpen([own, other, heldLater]), [true, false, false]);
     runner.stop();
 });
+
+// A result that wasn't written when the leadership was lost is lost with it. The next leader sent an item that had failed as
+// often as its job allows, or that no upstream can do, to one upstream more.
+test("an item that is known to have failed for good is given up by the next leader without another run", async () => {
+    const sent: string[] = [];
+    const connections = new UpstreamConnections();
+    mock.method(connections, "send", (_upstream: unknown, request: ExchangeRequest, handler: ExchangeHandler) => {
+        sent.push(request.requestId);
+        const statusCode = request.requestId.endsWith("-0") ? 422 : 500;
+        setImmediate(() => {
+            handler.onHead({ statusCode, headers: [], header: () => undefined });
+            handler.onEnd();
+        });
+        return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    });
+    const { clock, service, runner, finishedResults, leadAgain } = await createRunner({
+        busySlots: 0,
+        jobs: 0,
+        connections,
+    });
+    const record = createJobRecord({ id: "j", itemCount: 2, dueAtMs: clock.nowMs() + 60_000 });
+    const job = { record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined };
+    await service.transact([], planJobWrite(job, undefined).operations);
+    service.faults.outage = true;
+    runner.onHeld(job);
+    await clock.advance(5000);
+    const runs = sent.length;
+    assert.equal(runs, 1 + record.maxAttempts);
+    service.faults.outage = false;
+    await leadAgain();
+    await clock.advance(5000);
+    assert.equal(sent.length, runs);
+    assert.equal((await finishedResults()).length, record.items.length);
+    runner.stop();
+});
--- a/fleet/jobs/test/jobTable.test.ts
+++ b/fleet/jobs/test/jobTable.test.ts
@@ -100,3 +100,23 @@
     table.applyHeld({ record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined });
     assert.equal(table.get(record.jobId), undefined);
 });
+
+// A process that led again overwrote the stored number of failures with its own, older one, so the item failed more often
+// than its job allows.
+test("restored progress never lowers the number of an item's failures, and raises it even if it has fewer events", () => {
+    const table = new JobTable();
+    const entry = entryOf(jobKeys.record(record.jobId), record);
+    table.apply([entry]);
+    Object.assign(table.get(record.jobId)!.items[0]!, { failedAttempts: 1 });
+    Object.assign(table.get(record.jobId)!.items[1]!, { failedAttempts: 2, events: [], lastEventId: 0 });
+    const earlier = table.clear();
+    table.apply([entry]);
+    const progress = { events: [], lastEventId: 0, failedAttempts: 2, isComplete: false };
+    table.applyResults([
+        entryOf(jobKeys.progress(record.jobId, 0), progress),
+        entryOf(jobKeys.progress(record.jobId, 1), { ...progress, events: ["a"], lastEventId: 1, failedAttempts: 0 }),
+    ]);
+    table.restoreFrom(earlier);
+    const items = table.get(record.jobId)!.items;
+    assert.deepEqual(items.map(item => [item.failedAttempts, item.lastEventId]), [[2, 0], [2, 1]]);
+});
--- a/fleet/jobs/test/progressWriter.test.ts
+++ b/fleet/jobs/test/progressWriter.test.ts
@@ -1,9 +1,11 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
+import type { ItemProgress } from "../src/itemProgress.js";
 import { jobKeys } from "../src/jobKeys.js";
 import { JobTable } from "../src/jobTable.js";
 import { OpenJob } from "../src/openJob.js";
@@ -78,3 +80,20 @@
     await writer.saveFurthest([job], 5);
     assert.equal((await service.list(jobKeys.resultsPrefix)).length, 2);
 });
+
+// Failures were stored only along with 25 events or more, so the next leader counted an item's failures from 0.
+test("a checkpoint stores failures that aren't stored yet, once, whatever the events", async () => {
+    const { service, job, writer } = await setUp();
+    const [failing] = job.items;
+    failing!.failedAttempts = 1;
+    await writer.saveFurthest([job], 25);
+    const key = jobKeys.progress(job.record.jobId, 0);
+    const entry = await service.get(key);
+    assert.equal(decodeRecord<ItemProgress>(entry!.value).failedAttempts, 1);
+    const { writes } = service.counters;
+    await writer.saveFurthest([job], 25);
+    assert.equal(service.counters.writes, writes);
+    failing!.failedAttempts = 2;
+    await writer.saveFurthest([job], 25);
+    assert.equal(service.counters.writes, writes + 1);
+});
--- a/fleet/jobs/test/resultInterleavings.test.ts
+++ b/fleet/jobs/test/resultInterleavings.test.ts
@@ -50,6 +50,13 @@
     via: fc.constantFrom<"store" | "held" | "both" | "resent">("store", "store", "held", "both", "resent"),
     delayMs: fc.integer({ min: 0, max: 4000 }),
     holderDownMs: fc.option(downMs, { nil: undefined, freq: 2 }),
+    failsAs: fc.constantFrom<"failed" | "impossible" | undefined>(
+        undefined,
+        undefined,
+        undefined,
+        "failed",
+        "impossible",
+    ),
 });
 const stopsClock = fc.boolean();
 const disturbance: fc.Arbitrary<TargetStep> = fc.oneof(
--- a/fleet/jobs/test/resultsObserver.ts
+++ b/fleet/jobs/test/resultsObserver.ts
@@ -10,6 +10,10 @@
 /** Time after a cancellation or removal within which items of the job may still begin, in milliseconds. */
 const CANCELLATION_MS = 3000;
 
+/** From the rule: an item may fail three times as often as its job allows, and be refused three times. */
+const FAILURES_FACTOR = 3;
+const MAX_REFUSALS = 3;
+
 /** Checks each result that is stored, each page that is read and each run that begins against the promises to callers. */
 export class ResultsObserver {
     readonly violations: string[] = [];
@@ -83,6 +87,14 @@
         if (opts.nowMs > Math.max(endedAtMs, opts.connectedSinceMs) + CANCELLATION_MS) {
             this.violations.push(`${itemId} began at ${opts.nowMs}, cancelled or removed at ${endedAtMs}`);
         }
+        const failures = this.upstreams.failures.get(itemId) ?? 0;
+        const refusals = this.upstreams.impossible.get(itemId) ?? 0;
+        const maxFailures = FAILURES_FACTOR * this.records.get(jobId)!.maxAttempts;
+        if (opts.connectedSinceMs <= opts.nowMs && (failures >= maxFailures || refusals >= MAX_REFUSALS)) {
+            this.violations.push(
+                `${itemId} began at ${opts.nowMs} after ${failures} failures and ${refusals} refusals`,
+            );
+        }
     }
 
     /** Returns the items of open jobs that have no result, shape [items]. */
--- a/fleet/jobs/test/simulatedJobFleet.ts
+++ b/fleet/jobs/test/simulatedJobFleet.ts
@@ -174,6 +174,10 @@
         const job = this.createJob(step);
         this.submitted.push(job.record.jobId);
         this.observer.onSubmitted(job.record);
+        if (step.failsAs !== undefined) {
+            const { failsAs } = step;
+            job.record.items.forEach(({ id }) => this.upstreams.failing.set(id, failsAs));
+        }
         if (via === "held" || via === "both") {
             await this.hold(job, step.holderDownMs);
         }
--- a/fleet/jobs/test/simulatedUpstreams.ts
+++ b/fleet/jobs/test/simulatedUpstreams.ts
@@ -17,8 +17,10 @@
 export class SimulatedUpstreams {
     /** Behaviours of the runs to come, shape [runs]. All further runs complete. */
     behaviours: RunBehaviour[] = [];
-    /** Items that an upstream said can't be done. */
-    readonly impossible = new Set<string>();
+    /** How each run of an item goes that can't be done, by the item. */
+    readonly failing = new Map<string, "failed" | "impossible">();
+    /** Numbers of runs after which an upstream said that the item can't be done, by item. */
+    readonly impossible = new Map<string, number>();
     /** Numbers of failed runs by item. */
     readonly failures = new Map<string, number>();
     private readonly clock: Clock;
@@ -34,8 +36,9 @@
 
     /** Runs an item for a process. */
     run(process: ProcessClock, upstream: Upstream, request: ExchangeRequest, handler: ExchangeHandler): Exchange {
-        const behaviour = this.behaviours.shift() ?? { kind: "completed", events: 0, eventMs: EVENT_MS };
         const itemId = request.requestId;
+        const drawn = this.behaviours.shift() ?? { kind: "completed", events: 0, eventMs: EVENT_MS };
+        const behaviour = { ...drawn, kind: this.failing.get(itemId) ?? drawn.kind };
         const idHeader = request.headers.indexOf(LAST_EVENT_ID_HEADER);
         const events = this.eventsOf(itemId, upstream.softwareVersion);
         const first = idHeader < 0 ? 0 : Number(request.headers[idHeader + 1]);
@@ -74,7 +77,7 @@
 
     private countOutcome({ kind }: RunBehaviour, itemId: string): void {
         if (kind === "impossible") {
-            this.impossible.add(itemId);
+            this.impossible.set(itemId, (this.impossible.get(itemId) ?? 0) + 1);
         }
         if (kind === "failed") {
             this.failures.set(itemId, (this.failures.get(itemId) ?? 0) + 1);
