--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -222,6 +222,7 @@
         });
     }
 
+    /** Opens held jobs, except those that may have been removed. These are opened once they are stored. */
     private openHeld(jobs: readonly HeldJob[]): void {
         const opts = { nowMs: this.opts.clock.nowMs(), resultRetentionMs: this.opts.resultRetentionMs() };
         jobs.filter(({ record }) => !mayBeRemoved(record, opts)).forEach(job => this.table.applyHeld(job));
