--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -8,7 +8,7 @@
 import { applyRunOutcome } from "./applyRunOutcome.js";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { BatchSlots } from "./batchSlots.js";
-import { findCompleteItems } from "./findCompleteItems.js";
+import { findFinishedItems } from "./findFinishedItems.js";
 import { findItemsToGiveUp } from "./findItemsToGiveUp.js";
 import type { HeldJob } from "./heldJob.js";
 import { InFlightItems } from "./inFlightItems.js";
@@ -99,7 +99,8 @@
         this.reader = new JobReader({
             ...opts,
             table,
-            isCurrent: () => this.isLoaded && leadership.isLeading(),
+            currentFencingNumber: () =>
+                this.isLoaded && leadership.isLeading() ? leadership.fence()?.modRevision : undefined,
             reachableSinceMs: () => this.mirror?.reachableSinceMs ?? Infinity,
             knowsHeldJobs: () => this.knowsHeldJobs,
             apply: entries => this.apply(entries),
@@ -211,7 +212,7 @@
         this.openHeld(this.opts.heldJobs());
         this.table.restoreFrom(this.previousJobs);
         this.previousJobs = [];
-        findCompleteItems(this.table.all()).forEach(({ job, item }) => this.finish(job, item, "completed"));
+        findFinishedItems(this.table.all()).forEach(({ job, item, state }) => this.finish(job, item, state));
         const ended = this.table.all().filter(job => job.isEnded);
         ended.forEach(job => this.cleanup.onEnded(job));
         this.isLoaded = true;
@@ -236,6 +237,7 @@
         });
     }
 
+    /** Opens held jobs, except those that may have been removed. These are opened once they are stored. */
     private openHeld(jobs: readonly HeldJob[]): void {
         const opts = { nowMs: this.opts.clock.nowMs(), resultRetentionMs: this.opts.resultRetentionMs() };
         jobs.filter(({ record }) => !mayBeRemoved(record, opts)).forEach(job => this.table.applyHeld(job));
--- a/fleet/jobs/test/heldJobsIncomplete.test.ts
+++ b/fleet/jobs/test/heldJobsIncomplete.test.ts
@@ -34,6 +34,7 @@
             segments: disks[index]!,
             others: () => [...runners.values()].filter(other => other !== runner && !other.clock.isDead),
             otherCount: RUNNERS - 1,
+            resultRetentionMs: Infinity,
             onRunBegun: () => undefined,
         });
         runners.set(index, runner);
--- a/fleet/jobs/test/waitingTokensOfBoth.test.ts
+++ b/fleet/jobs/test/waitingTokensOfBoth.test.ts
@@ -66,6 +66,7 @@
         segments: new MemorySegments(),
         others: () => [],
         otherCount: 0,
+        resultRetentionMs: Infinity,
         onRunBegun: () => undefined,
     });
     leader.start();
