test(jobs): the names of headers stand once

Cause: four test files repeated the names of the headers between runners and upstreams. Change: callHeaders. Result: itemRun, itemRunLimits, jobRunner and resultInterleavings pass.

--- /dev/null
+++ b/fleet/jobs/test/callHeaders.ts
@@ -0,0 +1,10 @@
+/** Names of the headers between runners and upstreams in tests. */
+export const callHeaders = {
+    requestId: "i",
+    expectedUpstream: "u",
+    lastEventId: "l",
+    notRun: "n",
+    leaving: "g",
+    promptParts: "q",
+    upstreamProof: "p",
+};
--- a/fleet/jobs/test/itemRun.test.ts
+++ b/fleet/jobs/test/itemRun.test.ts
@@ -9,17 +9,9 @@
 import { test } from "node:test";
 import { ItemRun } from "../src/itemRun.js";
 import { OpenJob } from "../src/openJob.js";
+import { callHeaders } from "./callHeaders.js";
 import { createJobRecord } from "./createJobRecord.js";
 
-const headers = {
-    requestId: "i",
-    expectedUpstream: "u",
-    lastEventId: "l",
-    notRun: "n",
-    leaving: "g",
-    promptParts: "q",
-    upstreamProof: "p",
-};
 const proof = { statusCode: 200, headers: [], header: (name: string) => name === "p" ? "proof" : undefined };
 
 test("an item that was begun by one software version starts over at another", () => {
@@ -39,7 +31,7 @@
         const upstream = { id: softwareVersion, softwareVersion: softwareVersion as SoftwareVersion } as never;
         const run = new ItemRun({
             clock: new ManualClock(),
-            headers,
+            headers: callHeaders,
             item,
             upstream,
             onLeaving: () => undefined,
--- a/fleet/jobs/test/itemRunLimits.test.ts
+++ b/fleet/jobs/test/itemRunLimits.test.ts
@@ -15,19 +15,11 @@
 import type { JobItem } from "../src/jobItem.js";
 import { OpenJob } from "../src/openJob.js";
 import { pickProgress } from "../src/pickProgress.js";
+import { callHeaders } from "./callHeaders.js";
 import { createJobRecord } from "./createJobRecord.js";
 
 const KIB = 1024;
 const MAX_SENT_BYTES = 64 * KIB * KIB;
-const headers = {
-    requestId: "i",
-    expectedUpstream: "u",
-    lastEventId: "l",
-    notRun: "n",
-    leaving: "g",
-    promptParts: "q",
-    upstreamProof: "p",
-};
 const proof = { statusCode: 200, headers: [], header: (name: string) => name === "p" ? "proof" : undefined };
 
 class PlayedRun {
@@ -42,7 +34,7 @@
         this.item = item ?? new OpenJob(createJobRecord({ id: "job", itemCount: 1, dueAtMs: 1000 })).items[0]!;
         const run = new ItemRun({
             clock: this.clock,
-            headers,
+            headers: callHeaders,
             item: this.item,
             upstream: { id: "a", softwareVersion: "v1" } as never,
             onLeaving: () => undefined,
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -27,6 +27,7 @@
 import { jobKeys } from "../src/jobKeys.js";
 import { JobRunner } from "../src/jobRunner.js";
 import { planJobWrite } from "../src/planJobWrite.js";
+import { callHeaders } from "./callHeaders.js";
 import { createJobRecord } from "./createJobRecord.js";
 
 const SERVICE = "s" as ServiceName;
@@ -136,15 +137,7 @@
         leadership: { isLeading: () => true, fence: () => term.fence, stepDown: () => undefined },
         connections: opts.connections,
         health: new UpstreamHealth(),
-        headers: {
-            requestId: "i",
-            expectedUpstream: "u",
-            lastEventId: "l",
-            notRun: "n",
-            leaving: "g",
-            promptParts: "q",
-            upstreamProof: "p",
-        },
+        headers: callHeaders,
         decodeSharedPromptParts: value => value === undefined ? [] : [value as PromptPartId],
         quarantine,
         resultRetentionMs: () => RESULT_RETENTION_MS,
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -26,6 +26,7 @@
 import { HeldJobs } from "../src/heldJobs.js";
 import { JobRunner } from "../src/jobRunner.js";
 import { StoredJobReader } from "../src/storedJobReader.js";
+import { callHeaders } from "./callHeaders.js";
 import type { MemorySegments } from "./memorySegments.js";
 import { ProcessClock } from "./processClock.js";
 import { SimulatedConnection } from "./simulatedConnection.js";
@@ -149,15 +150,7 @@
             connections,
             loadTracker: new LoadTracker(),
             health: new UpstreamHealth(),
-            headers: {
-                requestId: "i",
-                expectedUpstream: "u",
-                lastEventId: "l",
-                notRun: "n",
-                leaving: "g",
-                promptParts: "q",
-                upstreamProof: "p",
-            },
+            headers: callHeaders,
             decodeSharedPromptParts: () => [],
             quarantine: new RequestQuarantine({
                 ...common,
