fix(fleet): an instance without a process isn't drained while its disk may contain held jobs

Cause: the leader reported an instance as drained 2 s after it had seen no process there. A runner that had ended shortly before might have held the only copy in reach of an accepted job, and a drained instance loses its disk. Found by review, not seen in a run. Change: the report waits until the record of the instance's runner is removed (AbsentRunnerSweep): the leader knows all jobs and has had 5 s to write them, or their retention time is over. Result: the new test failed before (reported) and passes; the two others of the file pass.

--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -107,6 +107,7 @@
             isLeading: () => peers.leadership.isLeading(),
             requested: () => operators.drainRequests(),
             hasProcess: instance => peers.hasProcess(instance),
+            mayHoldJobs: instance => peers.absentRunners().some(({ member }) => member.instanceName === instance),
             report: instance => this.reportDrainProgress(instance, true),
         });
         this.absentRunners = new AbsentRunnerSweep({
--- a/daemons/fleet/src/vacantInstanceDrains.ts
+++ b/daemons/fleet/src/vacantInstanceDrains.ts
@@ -16,6 +16,8 @@
     requested: () => InstanceName[];
     /** Whether a process runs on the instance, or ran there a short time ago. */
     hasProcess: (instance: InstanceName) => boolean;
+    /** Whether the disk of the instance may contain held jobs that no other runner has written. */
+    mayHoldJobs: (instance: InstanceName) => boolean;
     /** Reports the instance as drained. Rejects if the key-value service fails. */
     report: (instance: InstanceName) => Promise<void>;
 }
@@ -40,8 +42,10 @@
 
     private findVacant(): InstanceName[] {
         const nowMs = this.opts.clock.nowMs();
-        const candidates = this.opts.requested()
-            .filter(instance => !this.reported.has(instance) && !this.opts.hasProcess(instance));
+        const { requested, hasProcess, mayHoldJobs } = this.opts;
+        const candidates = requested().filter(instance =>
+            !this.reported.has(instance) && !hasProcess(instance) && !mayHoldJobs(instance)
+        );
         [...this.vacantSinceMs.keys()]
             .filter(instance => !candidates.includes(instance))
             .forEach(instance => this.vacantSinceMs.delete(instance));
--- a/daemons/fleet/test/vacantInstanceDrains.test.ts
+++ b/daemons/fleet/test/vacantInstanceDrains.test.ts
@@ -6,7 +6,11 @@
 import { VacantInstanceDrains } from "../src/vacantInstanceDrains.js";
 
 /** Starts a runner on whose fleet the operators want two instances drained. Its first report fails. */
-function start(opts: { isLeading: () => boolean; hasProcess: (instance: string, nowMs: number) => boolean; }) {
+function start(opts: {
+    isLeading: () => boolean;
+    hasProcess: (instance: string, nowMs: number) => boolean;
+    mayHoldJobs?: () => boolean;
+}) {
     const clock = new ManualClock();
     const controller = new AbortController();
     const reports: string[] = [];
@@ -17,6 +21,7 @@
         isLeading: opts.isLeading,
         requested: () => ["vacant", "running"] as InstanceName[],
         hasProcess: instance => opts.hasProcess(instance, clock.nowMs()),
+        mayHoldJobs: () => opts.mayHoldJobs?.() ?? false,
         report: async instance => {
             failures -= 1;
             assert.ok(failures < 0, "The service is unavailable");
@@ -48,3 +53,19 @@
     assert.deepEqual(reports, []);
     stop();
 });
+
+// The disk of a runner that is down may contain the only copy of a job, and a drained instance loses its disk.
+test("an instance without a process is not reported while its disk may contain held jobs", async () => {
+    let mayHoldJobs = true;
+    const { clock, reports, stop } = start({
+        isLeading: () => true,
+        hasProcess: instance => instance === "running",
+        mayHoldJobs: () => mayHoldJobs,
+    });
+    await clock.advance(6000);
+    assert.deepEqual(reports, []);
+    mayHoldJobs = false;
+    await clock.advance(6000);
+    assert.deepEqual(reports, ["vacant"]);
+    stop();
+});
