fix(jobs): a runner whose disk can't be read acknowledges no jobs

Cause: a runner that could not list the held jobs on its disk gave up writing held jobs, and went on acknowledging new ones: accepted jobs that nobody ran. Found by review, not seen in a run. Change: a hold waits for the listing too, and rejects if it failed. Result: the new test of heldJobs failed before (the hold was acknowledged); heldJobs 15 and resultInterleavings pass.

--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -43,8 +43,11 @@
     /** Jobs that this process runs as the leader and that only other runners hold. */
     private readonly adopted = new Map<JobId, HeldJob>();
     private readonly pendingHolds = new Set<Promise<void>>();
-    /** Resolves when files of interrupted writes have been removed; new writes have to wait for it. */
-    private prepared: Promise<void> = Promise.resolve();
+    /**
+     * Resolves when files of interrupted writes have been removed and the others are listed; new writes have to wait for it.
+     * Rejects if the disk can't be read, so that no job is held that would never be written.
+     */
+    private prepared: Promise<unknown> = Promise.resolve();
     /** Time at which the key-value service first answered since it last failed, on the clock; undefined while it fails. */
     private reachableSinceMs: number | undefined;
     private hasReadDisk = false;
@@ -125,10 +128,15 @@
         this.jobs.set(digest, job);
     }
 
+    private async listPrepared(): Promise<SegmentDigest[]> {
+        await this.opts.segments.prepare();
+        return this.opts.segments.list();
+    }
+
     private async load(): Promise<void> {
-        this.prepared = this.opts.segments.prepare();
-        await this.prepared;
-        for (const digest of await this.opts.segments.list()) {
+        const listing = this.listPrepared();
+        this.prepared = listing;
+        for (const digest of await listing) {
             try {
                 const job = this.packr.unpack(await this.opts.segments.get(digest)) as HeldJob;
                 this.jobs.set(digest, job);
--- a/fleet/jobs/test/heldJobs.test.ts
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -273,3 +273,23 @@
         assert.deepEqual((await collecting).map(({ record }) => record.jobId), [job.record.jobId]);
     });
 });
+
+// The runner went on acknowledging jobs after it had given up writing them.
+test("a runner whose disk can't be listed at its start acknowledges no job", async () => {
+    await withFolder(async folder => {
+        const clock = new ManualClock();
+        const segments = new FolderSegmentStore({ dataFolder: folder });
+        mock.method(segments, "list", () => Promise.reject(new Error("The folder can't be read")));
+        const held = new HeldJobs({
+            segments,
+            service: new MemoryKeyValueService({ clock }),
+            clock,
+            random: new SeededRandom(1),
+            logger: silentLogger,
+            onHeld: () => undefined,
+            isLeading: () => true,
+        });
+        await assert.rejects(held.run(new AbortController().signal));
+        await assert.rejects(held.hold(job));
+    });
+});
