--- a/daemons/fleet/src/absentRunnerSweep.ts
+++ b/daemons/fleet/src/absentRunnerSweep.ts
@@ -26,7 +26,7 @@
 }
 
 /**
- * Removes the records of runners that are gone for good, so that a later leader doesn't wait for their held jobs. These
+ * Removes the records of runners that don't come back, so that a later leader doesn't wait for their held jobs. These
  * are known to the leader and have been written from other disks, or their retention time is over.
  */
 export class AbsentRunnerSweep {
--- a/fleet/jobs/src/waitingItems.ts
+++ b/fleet/jobs/src/waitingItems.ts
@@ -29,7 +29,7 @@
 
 /**
  * Finds the items that have waited for seconds although their service has free slots, with the reason for each. Items that
- * wait for a free slot are the usual case under load, and are counted only beside others.
+ * wait for a free slot are usual under load. They are counted only if some items wait for another reason.
  */
 export class WaitingItems {
     private readonly conditions: ItemConditions;
--- a/fleet/jobs/test/heldJobs.test.ts
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -209,7 +209,7 @@
     });
 });
 
-// The caller was promised the results of a job that only disks hold, however long the key-value service was away.
+// The caller was promised the results of a job that only disks hold, however long the key-value service was unavailable.
 test("a held job that was never stored is written even after its retention time", async () => {
     await withFolder(async folder => {
         const clock = new ManualClock();
--- a/observability/logs/src/flushWait.ts
+++ b/observability/logs/src/flushWait.ts
@@ -1,6 +1,6 @@
 /** Time without a line being read after which a stopping process no longer waits for its reader, in milliseconds. */
 const STALL_MS = 1000;
-/** Longest time that a stopping process waits for a reader that goes on reading, in milliseconds. */
+/** Longest time that a stopping process waits for a reader that is still reading, in milliseconds. */
 const MAX_WAIT_MS = 2000;
 
 /** Decides how long a stopping process waits until its last lines are read. */
@@ -18,7 +18,7 @@
         this.progressAtMs = nowMs;
     }
 
-    /** Returns the time for which the process goes on waiting, in milliseconds; 0 if it gives the reader up. */
+    /** Returns the time for which the process still waits, in milliseconds; 0 if it gives up. */
     remainingMs(nowMs: number): number {
         const endMs = Math.min(this.progressAtMs + STALL_MS, this.startedAtMs + MAX_WAIT_MS);
         return Math.max(0, endMs - nowMs);
