fix(bundle): writing the code cache doesn't kill itself on a busy machine

Cause: cacheCode.cjs runs a program without settings, which then ends itself; it overrides process.exit, but not process.kill, which the program calls where its last line isn't written within 200 ms. Change: process.kill is overridden too.

--- a/scripts/cacheCode.cjs
+++ b/scripts/cacheCode.cjs
@@ -7,10 +7,12 @@
 const program = process.argv[2];
 const cacheFile = path.join(target, `${program}.cache`);
 rmSync(cacheFile, { force: true });
-// Without settings the program calls process.exit. The cache contains the code that was compiled until then.
+// Without settings the program calls process.exit, or process.kill if its output isn't written in time. The cache contains the
+// code that was compiled until then.
 process.exit = () => {
     throw new Error("The program called process.exit");
 };
+process.kill = process.exit;
 process.on("unhandledRejection", () => undefined);
 const script = require(path.join(target, "launch.cjs"));
 setTimeout(() => {
