--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -122,7 +122,8 @@
     }
 
     /**
-     * Rejects with `JOB_REMOVAL_REFUSED` if another process leads, which ends this process's leadership.
+     * Writes under the fence of this leadership. Rejects with `JOB_REMOVAL_REFUSED` if another process leads, which ends this
+     * process's leadership.
      *
      * @returns revision of the write
      */
--- a/fleet/jobs/test/quarantinedItems.test.ts
+++ b/fleet/jobs/test/quarantinedItems.test.ts
@@ -138,7 +138,7 @@
     runner.stop();
 });
 
-// A sound item that three upstreams broke off in a row waited as quarantined, beside free slots, until its callers gave up.
+// A sound item whose runs three upstreams broke off stayed quarantined while slots were free, until its callers gave up.
 test("an item that three living upstreams broke off is finished with the others", async () => {
     const breaking = new Set<UpstreamId>();
     const clock = new ManualClock();
--- a/fleet/jobs/test/waitingItems.test.ts
+++ b/fleet/jobs/test/waitingItems.test.ts
@@ -22,7 +22,7 @@
     return new OpenJob(createJobRecord({ id: "j", itemCount }));
 }
 
-// Twenty items waited a minute beside free slots, and no log line told a quarantine from an ejection or a missing route.
+// Items waited for a minute although slots were free, and no log line said why: a quarantine, an ejection or a missing route.
 test("an item that waits for seconds beside free slots is reported with the reason", () => {
     const cases: [Partial<ItemConditions>, WaitReason][] = [
         [{ serviceOf: () => undefined }, "route-missing"],
