feat(upstreams): logs and metrics say what ended a response

A reset that is reported as an end is recognized by the peer's address, which is unknown then; the response still counts as complete, as before.

--- a/fleet/gateway/src/attemptOutcomes.ts
+++ b/fleet/gateway/src/attemptOutcomes.ts
@@ -1,4 +1,5 @@
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
+import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { Attempt } from "./attempt.js";
 import type { GatewayContext } from "./gatewayContext.js";
 
@@ -21,7 +22,8 @@
      *
      * @returns whether the upstream is ejected because of it
      */
-    onResponse(attempt: Attempt, statusCode: number): boolean {
+    onResponse(attempt: Attempt, statusCode: number, ending: ResponseEnding): boolean {
+        this.context.metrics.increment("upstream_responses_total", { ending });
         const nowMs = this.context.clock.nowMs();
         const { upstream } = attempt;
         this.context.serviceTimes.recordHold(upstream.service, nowMs - attempt.startedAtMs);
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -5,6 +5,7 @@
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { QueuedRequest } from "@knapweedwood/fleet.load/queuedRequest";
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
+import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
@@ -176,7 +177,7 @@
         attempt.exchange = this.context.connections.send(upstream, request, {
             onHead: head => this.onHead(attempt, head),
             onData: chunk => this.onData(attempt, chunk),
-            onEnd: () => this.onEnd(attempt),
+            onEnd: ending => this.onEnd(attempt, ending),
             onFailure: failure => this.onFailure(attempt, failure),
         });
     }
@@ -247,7 +248,7 @@
         this.onFailure(attempt, { ...ABORTED, code });
     }
 
-    private onEnd(attempt: Attempt): void {
+    private onEnd(attempt: Attempt, ending: ResponseEnding): void {
         if (attempt !== this.attempt) {
             return;
         }
@@ -262,13 +263,14 @@
         }
         this.release(attempt);
         const { statusCode } = this.writer;
-        const isEjected = this.outcomes.onResponse(attempt, statusCode);
+        const isEjected = this.outcomes.onResponse(attempt, statusCode, ending);
         if (statusCode >= HTTP_SERVER_ERROR) {
             this.recorder.log("upstream-error", { upstream: attempt.upstream.id, statusCode, isEjected });
         }
         this.finish("call-answered", {
             upstream: attempt.upstream.id,
             statusCode,
+            ending,
             firstPartMs: this.recorder.firstPartMs(),
             durationMs: this.recorder.elapsedMs(),
         });
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -4,6 +4,7 @@
 import { MAX_VALUE_SIZE_BYTES } from "@knapweedwood/core.key-value/maxValueSizeBytes";
 import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
+import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
@@ -30,6 +31,8 @@
     readonly item: JobItem;
     readonly upstream: Upstream;
     readonly startedAtMs: number;
+    /** What showed that the response had ended; undefined if it hasn't, or was broken off. */
+    ending: ResponseEnding | undefined;
     private readonly clock: Clock;
     private readonly headers: ItemRunHeaders;
     private readonly onLeaving: () => void;
@@ -92,7 +95,7 @@
                 }
             },
             onData: chunk => this.onData(chunk),
-            onEnd: () => this.onEnd(),
+            onEnd: ending => this.onEnd(ending),
             onFailure: failure =>
                 this.end({
                     kind: "broken",
@@ -150,8 +153,9 @@
         this.onEnded({ kind: "garbled", code });
     }
 
-    private onEnd(): void {
+    private onEnd(ending: ResponseEnding): void {
         const { head } = this;
+        this.ending = ending;
         if (head === undefined || this.isEnded) {
             return;
         }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -340,6 +340,7 @@
             itemId: item.id,
             upstream: upstream.id,
             events: item.lastEventId,
+            ending: run.ending,
             ...outcome,
             ...outcome.kind === "broken"
                 ? {
--- a/fleet/jobs/test/itemRunLimits.test.ts
+++ b/fleet/jobs/test/itemRunLimits.test.ts
@@ -68,7 +68,7 @@
     }
 
     end(): void {
-        this.handler!.onEnd();
+        this.handler!.onEnd("length");
     }
 }
 
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -96,7 +96,7 @@
         const statusCode = request.requestId.endsWith("-0") ? 422 : 500;
         setImmediate(() => {
             handler.onHead({ statusCode, headers: [], header: () => undefined });
-            handler.onEnd();
+            handler.onEnd("length");
         });
         return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
     });
--- a/fleet/jobs/test/quarantinedItems.test.ts
+++ b/fleet/jobs/test/quarantinedItems.test.ts
@@ -37,7 +37,7 @@
 function complete(handler: ExchangeHandler): void {
     handler.onHead({ statusCode: 200, headers: [], header: name => name === "p" ? "proof" : undefined });
     handler.onData(Buffer.from("id: 1\ndata: a\n\n"));
-    handler.onEnd();
+    handler.onEnd("length");
 }
 
 // An interrupted run doesn't count as a failure of its item, so an item that crashes upstreams went on and on.
--- a/fleet/jobs/test/simulatedUpstreams.ts
+++ b/fleet/jobs/test/simulatedUpstreams.ts
@@ -101,7 +101,7 @@
             default:
                 break;
         }
-        handler.onEnd();
+        handler.onEnd("length");
     }
 
     private eventsOf(itemId: string, softwareVersion: string): string[] {
--- a/fleet/upstreams/src/exchangeHandler.ts
+++ b/fleet/upstreams/src/exchangeHandler.ts
@@ -1,4 +1,5 @@
 import type { ExchangeFailure } from "./exchangeFailure.js";
+import type { ResponseEnding } from "./responseEnding.js";
 import type { ResponseHead } from "./responseHead.js";
 
 /**
@@ -8,6 +9,6 @@
 export interface ExchangeHandler {
     onHead(head: ResponseHead): void;
     onData(chunk: Buffer): void;
-    onEnd(): void;
+    onEnd(ending: ResponseEnding): void;
     onFailure(failure: ExchangeFailure): void;
 }
--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -6,6 +6,8 @@
 import type { ExchangeFailure } from "./exchangeFailure.js";
 import type { ExchangeHandler } from "./exchangeHandler.js";
 import type { ExchangeRequest } from "./exchangeRequest.js";
+import type { ResponseEnding } from "./responseEnding.js";
+import { type ResponseFraming, responseFraming } from "./responseFraming.js";
 import { toResponseHead } from "./toResponseHead.js";
 
 /**
@@ -35,6 +37,8 @@
     private socketErrorCode: string | undefined;
     /** Whether the upstream closed or reset the connection, or the network failed. */
     private isClosedByPeer = false;
+    /** Whether the connection was reset when its end was reported. */
+    private isResetAtEnd = false;
     private socket: Socket | undefined;
     /** Bytes that had been received on the connection when the last head or data arrived. */
     private bytesAtLastData = 0;
@@ -73,6 +77,7 @@
     send(request: ExchangeRequest, handler: ExchangeHandler): Exchange {
         let controller: Dispatcher.DispatchController | undefined;
         let isEnded = false;
+        let framing: ResponseFraming = "connection";
         const fail = (failure: ExchangeFailure) => {
             if (!isEnded) {
                 isEnded = true;
@@ -97,6 +102,7 @@
                     return;
                 }
                 this.recordData();
+                framing = responseFraming(request.method, statusCode, headers);
                 if (!isResponseTo(request, headers)) {
                     fail({ ...INVALID, code: "ANSWER_OF_ANOTHER_REQUEST" });
                     return;
@@ -118,7 +124,7 @@
                 if (!isEnded) {
                     isEnded = true;
                     this.onIdle();
-                    handler.onEnd();
+                    handler.onEnd(this.endingOf(framing));
                 }
             },
             onResponseError: (_controller, error) => {
@@ -157,6 +163,8 @@
                 socket?.on("readable", () => this.checkBytesWithoutData());
                 socket?.once("end", () => {
                     this.isClosedByPeer = true;
+                    // The peer's address is unknown once a reset has arrived.
+                    this.isResetAtEnd = socket.remoteAddress === undefined;
                 });
                 socket?.once("error", (broken: NodeJS.ErrnoException) => {
                     this.socketErrorCode = broken.code ?? broken.message;
@@ -166,6 +174,13 @@
             });
     }
 
+    private endingOf(framing: ResponseFraming): ResponseEnding {
+        if (framing !== "connection") {
+            return framing;
+        }
+        return this.isResetAtEnd ? "reset" : "close";
+    }
+
     private recordData(): void {
         this.bytesAtLastData = this.socket?.bytesRead ?? 0;
     }
--- a/fleet/upstreams/test/endlessResponse.test.ts
+++ b/fleet/upstreams/test/endlessResponse.test.ts
@@ -92,7 +92,7 @@
             connections.send({ id: "u", startedAtMs: 1, address } as Upstream, request, {
                 onHead: () => undefined,
                 onData: chunk => chunks.push(chunk),
-                onEnd: resolve,
+                onEnd: () => resolve(),
                 onFailure: failure => reject(new Error(failure.code)),
             });
         });
--- a/fleet/upstreams/test/largeResponse.test.ts
+++ b/fleet/upstreams/test/largeResponse.test.ts
@@ -33,7 +33,7 @@
                     setTimeout(() => exchange.resume(), READ_PAUSE_MS);
                 }
             },
-            onEnd: resolve,
+            onEnd: () => resolve(),
             onFailure: failure => reject(new Error(failure.code)),
         });
     });
@@ -75,7 +75,7 @@
             connections.send({ id: "u", startedAtMs: 1, address } as Upstream, request, {
                 onHead: () => undefined,
                 onData: () => undefined,
-                onEnd: resolve,
+                onEnd: () => resolve(),
                 onFailure: failure => reject(new Error(failure.code)),
             })
         );
