fix(upstreams): a response that is reset together with its last bytes isn't complete

Cause: a response without a length or chunks ends with its connection. A reset that arrives together with the last bytes is reported by Node.js as an orderly end: libuv reads less than its buffer, sees the hang-up and reports the end without asking the socket for its error.

Change: when the connection ends, the peer's address is unknown if a reset has arrived (the socket is closed), and known after a close; the exchange then fails with ECONNRESET. A close followed by a reset before it is seen counts as a reset: it can't be told apart, and is the safe side.

--- a/fleet/upstreams/src/responseEnding.ts
+++ b/fleet/upstreams/src/responseEnding.ts
@@ -1,5 +1,5 @@
 /**
- * What showed that a response had ended: its length, its last chunk, or, without either, that the upstream closed or
- * reset the connection.
+ * What shows that a response has ended: its length, its last chunk, or, without either, that the upstream closes the
+ * connection.
  */
-export type ResponseEnding = "length" | "last-chunk" | "close" | "reset";
+export type ResponseEnding = "length" | "last-chunk" | "close";
--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -7,7 +7,7 @@
 import type { ExchangeHandler } from "./exchangeHandler.js";
 import type { ExchangeRequest } from "./exchangeRequest.js";
 import type { ResponseEnding } from "./responseEnding.js";
-import { type ResponseFraming, responseFraming } from "./responseFraming.js";
+import { responseEndingOf } from "./responseEndingOf.js";
 import { toResponseHead } from "./toResponseHead.js";
 
 /**
@@ -26,6 +26,7 @@
 const MAX_BYTES_WITHOUT_DATA = 262_144;
 /** Failure of an exchange whose response is not acceptable. */
 const INVALID = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
+const RESET_CODE = "ECONNRESET";
 const REQUEST_ID_HEADER = "x-request-id";
 
 /** A connection to an upstream that carries one exchange at a time. */
@@ -77,7 +78,7 @@
     send(request: ExchangeRequest, handler: ExchangeHandler): Exchange {
         let controller: Dispatcher.DispatchController | undefined;
         let isEnded = false;
-        let framing: ResponseFraming = "connection";
+        let ending: ResponseEnding = "close";
         const fail = (failure: ExchangeFailure) => {
             if (!isEnded) {
                 isEnded = true;
@@ -102,7 +103,7 @@
                     return;
                 }
                 this.recordData();
-                framing = responseFraming(request.method, statusCode, headers);
+                ending = responseEndingOf(request.method, statusCode, headers);
                 if (!isResponseTo(request, headers)) {
                     fail({ ...INVALID, code: "ANSWER_OF_ANOTHER_REQUEST" });
                     return;
@@ -116,15 +117,16 @@
                 }
             },
             onResponseEnd: () => {
-                if (this.socketErrorCode !== undefined) {
+                const brokenBy = this.socketErrorCode ?? (this.isResetAtEnd ? RESET_CODE : undefined);
+                if (brokenBy !== undefined) {
                     // The HTTP client takes a reset for the end of a response without a length.
-                    fail({ ...INVALID, isConnectionBroken: true, code: this.socketErrorCode });
+                    fail({ ...INVALID, isConnectionBroken: true, code: brokenBy });
                     return;
                 }
                 if (!isEnded) {
                     isEnded = true;
                     this.onIdle();
-                    handler.onEnd(this.endingOf(framing));
+                    handler.onEnd(ending);
                 }
             },
             onResponseError: (_controller, error) => {
@@ -163,7 +165,8 @@
                 socket?.on("readable", () => this.checkBytesWithoutData());
                 socket?.once("end", () => {
                     this.isClosedByPeer = true;
-                    // The peer's address is unknown once a reset has arrived.
+                    // Node.js reports a reset that arrives together with the last bytes as an end. The peer's address is
+                    // unknown then.
                     this.isResetAtEnd = socket.remoteAddress === undefined;
                 });
                 socket?.once("error", (broken: NodeJS.ErrnoException) => {
@@ -174,13 +177,6 @@
             });
     }
 
-    private endingOf(framing: ResponseFraming): ResponseEnding {
-        if (framing !== "connection") {
-            return framing;
-        }
-        return this.isResetAtEnd ? "reset" : "close";
-    }
-
     private recordData(): void {
         this.bytesAtLastData = this.socket?.bytesRead ?? 0;
     }
