fix(upstreams): a response whose connection ends while it is paused doesn't end the process

Callers of a gateway saw all their connections cut: a caller that reads slowly pauses the response of its upstream; if that response has no length and its connection is closed or reset meanwhile, undici finishes its parser though it is paused, an assertion fails, and nothing catches it. A response with a length was lost if its connection was closed while it was paused, though all of it had arrived.

Cause: a socket of Node.js emits its end as soon as nothing is left in its buffer, also if its reader has paused within the last chunk. Change: HttpConnection stands between the socket and undici. It ends, or fails with an error of its own after a reset or another failure, only once its reader has read all and asks for more. A failed connection never looks like an end to undici, which takes ECONNRESET for one.

--- /dev/null
+++ b/core/http-connections/src/httpConnection.ts
@@ -0,0 +1,126 @@
+import type { Socket } from "node:net";
+import { Duplex } from "node:stream";
+import { ConnectionBrokenError } from "./connectionBrokenError.js";
+
+/** Maximum number of received bytes that are kept for a reader that has paused. */
+const READ_BUFFER_BYTES = 65_536;
+
+/**
+ * A TCP connection as undici needs it. It ends only if the peer has closed it in order, and once all data has been read;
+ * after a reset or another failure it is destroyed with `ConnectionBrokenError`, also once all data has been read.
+ *
+ * A socket of Node.js reports a reset that arrives together with the last bytes as an end, and ends while its reader has
+ * paused. Undici takes the one for the end of a response without a length; the other makes it fail an assertion.
+ */
+export class HttpConnection extends Duplex {
+    private readonly socket: Socket;
+    private brokenBy: Error | undefined;
+    /** Whether the socket has ended or failed, so that nothing more will be received. */
+    private isClosing = false;
+
+    /** @param socket a connected socket, from now on used by this connection only */
+    constructor(socket: Socket) {
+        super({ allowHalfOpen: false, highWaterMark: READ_BUFFER_BYTES });
+        this.socket = socket;
+        socket.on("data", (chunk: Buffer) => {
+            if (!this.push(chunk)) {
+                socket.pause();
+            }
+        });
+        socket.once("end", () => this.onSocketEnd());
+        socket.once("error", (error: NodeJS.ErrnoException) => this.breakOff(error));
+        socket.once("close", () => this.onSocketClose());
+        // Its user isn't told of a failure before it has received the connection.
+        this.on("error", () => undefined);
+    }
+
+    /** Number of bytes received, including those that are still to be read. */
+    get bytesReceived(): number {
+        return this.socket.bytesRead;
+    }
+
+    ref(): this {
+        this.socket.ref();
+        return this;
+    }
+
+    unref(): this {
+        this.socket.unref();
+        return this;
+    }
+
+    override read(sizeBytes?: number): unknown {
+        const chunk: unknown = super.read(sizeBytes);
+        // A read of size 0 is one of the stream itself. Undici reads until nothing is left, unless it has paused.
+        if (chunk === null && sizeBytes === undefined && this.isClosing) {
+            process.nextTick(() => this.finish());
+        }
+        return chunk;
+    }
+
+    override _read(): void {
+        this.socket.resume();
+    }
+
+    override _write(chunk: Buffer, encoding: BufferEncoding, callback: () => void): void {
+        // A failure is reported by the socket's error event.
+        this.socket.write(chunk, encoding, () => callback());
+    }
+
+    override _writev(chunks: { chunk: Buffer; encoding: BufferEncoding; }[], callback: () => void): void {
+        const last = chunks.pop()!;
+        this.socket.cork();
+        chunks.forEach(({ chunk, encoding }) => this.socket.write(chunk, encoding));
+        this._write(last.chunk, last.encoding, callback);
+        this.socket.uncork();
+    }
+
+    override _final(callback: () => void): void {
+        this.socket.end(() => callback());
+    }
+
+    override _destroy(error: Error | null, callback: (error: Error | null) => void): void {
+        this.socket.destroy();
+        callback(error);
+    }
+
+    private onSocketEnd(): void {
+        // The peer's address is unknown once a reset has arrived.
+        if (this.socket.remoteAddress === undefined) {
+            this.breakOff(Object.assign(new Error("read ECONNRESET"), { code: "ECONNRESET", syscall: "read" }));
+            return;
+        }
+        this.startClosing();
+    }
+
+    private onSocketClose(): void {
+        if (!this.isClosing) {
+            this.breakOff(new Error("closed"));
+        }
+    }
+
+    private breakOff(cause: NodeJS.ErrnoException): void {
+        this.brokenBy ??= new ConnectionBrokenError(cause);
+        this.startClosing();
+    }
+
+    /** Has the reader read what is left, after which the connection ends. */
+    private startClosing(): void {
+        this.isClosing = true;
+        if (!this.emit("readable")) {
+            this.finish();
+        }
+    }
+
+    private finish(): void {
+        if (this.readableLength > 0) {
+            return;
+        }
+        if (this.brokenBy === undefined) {
+            this.push(null);
+        }
+        else {
+            this.destroy(this.brokenBy);
+        }
+    }
+}
--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -1,7 +1,9 @@
+import { ConnectionBrokenError } from "@knapweedwood/core.http-connections/connectionBrokenError";
+import { createHttpConnector } from "@knapweedwood/core.http-connections/createHttpConnector";
+import type { HttpConnection } from "@knapweedwood/core.http-connections/httpConnection";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { IncomingHttpHeaders } from "node:http";
-import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import { Client, type Dispatcher } from "undici";
 import type { Exchange } from "./exchange.js";
 import type { ExchangeFailure } from "./exchangeFailure.js";
 import type { ExchangeHandler } from "./exchangeHandler.js";
@@ -26,7 +28,6 @@
 const MAX_BYTES_WITHOUT_DATA = 262_144;
 /** Failure of an exchange whose response is not acceptable. */
 const INVALID = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
-const RESET_CODE = "ECONNRESET";
 const REQUEST_ID_HEADER = "x-request-id";
 
 /** A connection to an upstream that carries one exchange at a time. */
@@ -34,13 +35,9 @@
     private readonly client: Client;
     private readonly onIdle: () => void;
     private isOpen = true;
-    /** Code of the error that broke the connection; undefined while there is none. */
-    private socketErrorCode: string | undefined;
     /** Whether the upstream closed or reset the connection, or the network failed. */
     private isClosedByPeer = false;
-    /** Whether the connection was reset when its end was reported. */
-    private isResetAtEnd = false;
-    private socket: Socket | undefined;
+    private connection: HttpConnection | undefined;
     /** Bytes that had been received on the connection when the last head or data arrived. */
     private bytesAtLastData = 0;
     private failExchange: (failure: ExchangeFailure) => void = () => undefined;
@@ -53,7 +50,10 @@
         this.onIdle = opts.onIdle;
         this.client = new Client(`http://${opts.address.host}:${opts.address.port}`, {
             pipelining: 1,
-            connect: this.createConnector(),
+            connect: createHttpConnector({
+                timeoutMs: CONNECT_TIMEOUT_MS,
+                onConnected: connection => this.onConnected(connection),
+            }),
             headersTimeout: 0,
             bodyTimeout: 0,
             maxHeaderSize: MAX_HEAD_BYTES,
@@ -112,17 +112,12 @@
             },
             onResponseData: (_controller, chunk) => {
                 this.recordData();
-                if (!isEnded) {
+                // Undici passes an empty chunk on when reading is resumed.
+                if (!isEnded && chunk.length > 0) {
                     handler.onData(chunk);
                 }
             },
             onResponseEnd: () => {
-                const brokenBy = this.socketErrorCode ?? (this.isResetAtEnd ? RESET_CODE : undefined);
-                if (brokenBy !== undefined) {
-                    // The HTTP client takes a reset for the end of a response without a length.
-                    fail({ ...INVALID, isConnectionBroken: true, code: brokenBy });
-                    return;
-                }
                 if (!isEnded) {
                     isEnded = true;
                     this.onIdle();
@@ -131,10 +126,9 @@
             },
             onResponseError: (_controller, error) => {
                 const wasSent = controller !== undefined;
-                const code = (error as { code?: string; }).code ?? error.message;
                 // The HTTP client itself closes a connection on which it receives anything but a valid response.
                 const isConnectionBroken = wasSent && this.isClosedByPeer;
-                fail({ mayHaveRun: wasSent, isUnreachable: !wasSent, isConnectionBroken, code });
+                fail({ mayHaveRun: wasSent, isUnreachable: !wasSent, isConnectionBroken, code: codeOf(error) });
             },
         };
         this.client.dispatch(
@@ -156,34 +150,25 @@
         };
     }
 
-    /** Returns a connector that records how a connection breaks, before the HTTP client reacts to it. */
-    private createConnector(): buildConnector.connector {
-        const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-        return (opts, callback) =>
-            connect(opts, (...[error, socket]) => {
-                this.socket = socket ?? undefined;
-                socket?.on("readable", () => this.checkBytesWithoutData());
-                socket?.once("end", () => {
-                    this.isClosedByPeer = true;
-                    // Node.js reports a reset that arrives together with the last bytes as an end. The peer's address is
-                    // unknown then.
-                    this.isResetAtEnd = socket.remoteAddress === undefined;
-                });
-                socket?.once("error", (broken: NodeJS.ErrnoException) => {
-                    this.socketErrorCode = broken.code ?? broken.message;
-                    this.isClosedByPeer ||= broken.syscall !== undefined;
-                });
-                callback(...[error, socket] as Parameters<buildConnector.Callback>);
-            });
+    /** Records how a connection ends, before the HTTP client reacts to it. */
+    private onConnected(connection: HttpConnection): void {
+        this.connection = connection;
+        connection.on("readable", () => this.checkBytesWithoutData());
+        connection.once("end", () => {
+            this.isClosedByPeer = true;
+        });
+        connection.once("error", error => {
+            this.isClosedByPeer ||= error instanceof ConnectionBrokenError && error.isBrokenByPeer;
+        });
     }
 
     private recordData(): void {
-        this.bytesAtLastData = this.socket?.bytesRead ?? 0;
+        this.bytesAtLastData = this.connection?.bytesReceived ?? 0;
     }
 
     /** Closes the connection if too many bytes have arrived since the last head or data. */
     private checkBytesWithoutData(): void {
-        if ((this.socket?.bytesRead ?? 0) - this.bytesAtLastData > MAX_BYTES_WITHOUT_DATA) {
+        if ((this.connection?.bytesReceived ?? 0) - this.bytesAtLastData > MAX_BYTES_WITHOUT_DATA) {
             this.failExchange({ ...INVALID, code: "ANSWER_WITHOUT_END" });
             this.destroy();
         }
@@ -195,6 +180,12 @@
     }
 }
 
+function codeOf(error: Error): string {
+    return error instanceof ConnectionBrokenError
+        ? error.causeCode
+        : (error as NodeJS.ErrnoException).code ?? error.message;
+}
+
 function isResponseTo(request: ExchangeRequest, headers: IncomingHttpHeaders): boolean {
     const echoed = headers[REQUEST_ID_HEADER];
     return echoed === undefined || echoed === request.requestId;
