fix: a reset isn't the end of a response for the other readers of responses

The readers used undici's pools, which take a reset for the end of a response without a length, at once or later.

A failed export of a cache has the engine's error codes.

--- a/adapters/http/src/platformHttpClient.ts
+++ b/adapters/http/src/platformHttpClient.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { createHttpConnector } from "@knapweedwood/core.http-connections/createHttpConnector";
 import { Pool } from "undici";
 import type { HttpCall } from "./httpCall.js";
 import type { HttpResponse } from "./httpResponse.js";
@@ -85,7 +86,7 @@
         return new Pool(this.baseUrl, {
             connections: this.maxConnections,
             pipelining: 1,
-            connect: { timeout: CONNECT_TIMEOUT_MS },
+            connect: createHttpConnector({ timeoutMs: CONNECT_TIMEOUT_MS }),
             headersTimeout: 0,
             bodyTimeout: 0,
         });
--- a/adapters/key-value-etcd/src/etcdWatch.ts
+++ b/adapters/key-value-etcd/src/etcdWatch.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { createHttpConnector } from "@knapweedwood/core.http-connections/createHttpConnector";
 import { unavailableError } from "@knapweedwood/core.key-value/unavailableError";
 import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { Client, type Dispatcher } from "undici";
@@ -50,7 +51,7 @@
     /** Yields the changes that one connection receives; ends when the connection is idle or the watch is aborted. */
     private async *stream(afterRevision: number, signal: AbortSignal): AsyncIterable<WatchBatch> {
         const client = new Client(this.baseUrl, {
-            connect: { timeout: this.connectTimeoutMs },
+            connect: createHttpConnector({ timeoutMs: this.connectTimeoutMs }),
             headersTimeout: 0,
             bodyTimeout: 0,
         });
--- a/daemons/side/src/plainUpstream.ts
+++ b/daemons/side/src/plainUpstream.ts
@@ -1,4 +1,5 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { createHttpConnector } from "@knapweedwood/core.http-connections/createHttpConnector";
 import { forwardableHeaders } from "@knapweedwood/core.http-headers/forwardableHeaders";
 import type { PlainCallRequest } from "@knapweedwood/daemons.inference/plainCallRequest";
 import type { PlainFrame } from "@knapweedwood/daemons.inference/plainFrame";
@@ -12,7 +13,11 @@
     private readonly pool: Pool;
 
     constructor(opts: { url: string; }) {
-        this.pool = new Pool(opts.url, { connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1, headersTimeout: 0 });
+        this.pool = new Pool(opts.url, {
+            connect: createHttpConnector({ timeoutMs: CONNECT_TIMEOUT_MS }),
+            pipelining: 1,
+            headersTimeout: 0,
+        });
     }
 
     /**
--- a/engines/model-engine/src/httpModelEngine.ts
+++ b/engines/model-engine/src/httpModelEngine.ts
@@ -1,4 +1,5 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import { createHttpConnector } from "@knapweedwood/core.http-connections/createHttpConnector";
 import { type Dispatcher, Pool } from "undici";
 import type { CacheEvent } from "./cacheEvent.js";
 import { CompletionChunkReader } from "./completionChunkReader.js";
@@ -44,7 +45,7 @@
         const { origin, pathname } = new URL(opts.baseUrl);
         this.pathPrefix = pathname.replace(/\/$/, "");
         this.pool = new Pool(origin, {
-            connect: { timeout: CONNECT_TIMEOUT_MS },
+            connect: createHttpConnector({ timeoutMs: CONNECT_TIMEOUT_MS }),
             headersTimeout: opts.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
             bodyTimeout: opts.chunkGapTimeoutMs ?? DEFAULT_CHUNK_GAP_TIMEOUT_MS,
             keepAliveTimeout: KEEP_ALIVE_MS,
@@ -123,7 +124,12 @@
             ...controlCall("POST", "/cache/export"),
             body: { requestId: engineRequestId },
         });
-        return new Uint8Array(await response.body.arrayBuffer());
+        try {
+            return new Uint8Array(await response.body.arrayBuffer());
+        }
+        catch (thrown) {
+            throw engineErrorOf(thrown, undefined);
+        }
     }
 
     async importCache(cache: Uint8Array): Promise<void> {
