fix: an empty response without a length isn't the rest of a stream

Callers saw a resumed stream framed as complete though its upstream had closed the connection before the first event, and an item that another run had begun was listed with a part of its output.

Cause: when a caller has events already, or a second upstream goes on within a response, an empty response was accepted, since nothing may be left to send. Without a length or chunks an empty response looks the same when it was broken off. Change: only a length or a last chunk makes an empty response complete. Otherwise a stream is tried at the next upstream and fails after the last one; an item starts over, so that it ends also where upstreams never send a length.

A caller that has all events and resumes at an upstream that never sends a length gets 502: nothing shows that it has all.

--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -257,7 +257,7 @@
             this.retryOrReject("upstreams did not run it");
             return;
         }
-        if (!this.writer.isComplete()) {
+        if (!this.writer.isComplete(ending)) {
             this.onFailure(attempt, { ...ABORTED, isConnectionBroken: true, code: "ANSWER_CUT" });
             return;
         }
--- a/fleet/gateway/src/responseWriter.ts
+++ b/fleet/gateway/src/responseWriter.ts
@@ -1,3 +1,4 @@
+import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 
 /** Forwards an upstream's response to the caller. */
@@ -14,8 +15,8 @@
     onData(chunk: Buffer): boolean;
     /** Returns whether more data has arrived than a response may have, so that the response can't be used. */
     isOverLimit(): boolean;
-    /** Returns whether the data received is a complete response, after the upstream has ended it. */
-    isComplete(): boolean;
+    /** Returns whether the data received is a complete response, after the upstream has ended it as `ending` says. */
+    isComplete(ending: ResponseEnding): boolean;
     /** Sends the remaining data and ends the response to the caller. */
     end(): void;
     /** Prepares for the response of another attempt. */
--- a/fleet/gateway/src/streamResponseWriter.ts
+++ b/fleet/gateway/src/streamResponseWriter.ts
@@ -1,6 +1,7 @@
 import { EventBoundaries } from "@knapweedwood/fleet.upstreams/eventBoundaries";
 import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
 import { maxEventBytes } from "@knapweedwood/fleet.upstreams/maxEventBytes";
+import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { ServerResponse } from "node:http";
 import { maxBodyBytes } from "./maxBodyBytes.js";
@@ -24,7 +25,7 @@
     private splitter = new EventSplitter();
     private boundaries = new EventBoundaries();
     private tail = "";
-    /** Bytes of a response that isn't a stream. */
+    /** Bytes received of the present attempt's body. */
     private bodyBytes = 0;
 
     /** @param opts.mayBeEmpty whether the caller may have all events already */
@@ -44,11 +45,11 @@
     }
 
     onData(chunk: Buffer): boolean {
+        this.bodyBytes += chunk.length;
         if (this.isResumable && this.statusCode === HTTP_OK) {
             return this.writeEvents(chunk);
         }
         this.boundaries.push(chunk);
-        this.bodyBytes += chunk.length;
         this.tail = (this.tail + chunk.toString("latin1")).slice(-EVENT_END.length);
         return this.write(chunk);
     }
@@ -59,13 +60,17 @@
             : this.bodyBytes > maxBodyBytes;
     }
 
-    isComplete(): boolean {
+    isComplete(ending: ResponseEnding): boolean {
         if (this.head === undefined) {
             return false;
         }
         if (this.statusCode !== HTTP_OK) {
             return true;
         }
+        if (this.bodyBytes === 0 && ending === "close") {
+            // It may have been broken off before its first event.
+            return false;
+        }
         const hasWholeEvents = this.isResumable ? !this.splitter.hasPartialEvent : this.tail === EVENT_END;
         return hasWholeEvents && (this.hasStarted || this.mayBeEmpty);
     }
--- a/fleet/gateway/test/brokenOffResponses.test.ts
+++ b/fleet/gateway/test/brokenOffResponses.test.ts
@@ -1,5 +1,6 @@
 // An upstream that broke off a response without a length reset its connection. The caller received what had arrived until
 // then as a complete response.
+import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { ConnectionEnding } from "@knapweedwood/standins.http/connectionEnding";
@@ -12,11 +13,17 @@
 const EVENT = "id: 1\ndata: a\n\n";
 const RESETS: ConnectionEnding[] = ["reset", "late-reset", "close-and-reset"];
 
-/** Returns what a caller receives from a route whose only upstream sends `sent` and ends the connection. */
-async function receive(opts: { sent: string; ending: ConnectionEnding; route: Partial<Route>; }) {
-    const server = new EndingServer(opts);
-    const upstream = {
-        id: "u-1",
+interface Case {
+    sent: string;
+    ending: ConnectionEnding;
+    route: Partial<Route>;
+    soleVersion?: SoftwareVersion;
+    headers?: { [name: string]: string; };
+}
+
+async function createUpstream(server: EndingServer, index = 0): Promise<Upstream> {
+    return {
+        id: `u-${index}`,
         service: "s",
         address: { host: "127.0.0.1", port: await server.listen() },
         zone: "z",
@@ -25,9 +32,14 @@
         state: "ready",
         startedAtMs: 1,
     } as Upstream;
-    const bed = new GatewayTestBed({ upstreams: [upstream], route: opts.route });
+}
+
+/** Returns what a caller receives from a route whose only upstream sends `sent` and ends the connection. */
+async function receive({ headers = {}, ...opts }: Case) {
+    const server = new EndingServer(opts);
+    const bed = new GatewayTestBed({ upstreams: [await createUpstream(server)], ...opts });
     await bed.listen();
-    const response = await bed.send();
+    const response = await bed.send({ headers });
     bed.close();
     server.close();
     return response;
@@ -68,3 +80,26 @@
         }
     }
 });
+
+test("a resumed stream without a length that its upstream closes before an event isn't complete for its caller", async () => {
+    const route = { kind: "stream" as const, isResumable: true };
+    const known = { soleVersion: "v1" as SoftwareVersion, headers: { "last-event-id": "1" } };
+    const cut = await receive({ sent: HEAD, ending: "close", route, ...known });
+    assert.equal(cut.statusCode, 502);
+    const sent = "HTTP/1.1 200 OK\r\nx-proof: p\r\ncontent-length: 0\r\n\r\n";
+    const complete = await receive({ sent, ending: "close", route, ...known });
+    assert.deepEqual([complete.statusCode, complete.isComplete, complete.body], [200, true, ""]);
+});
+
+test("a stream that goes on at an upstream that closes before an event isn't complete for its caller", async () => {
+    const servers = [`${HEAD}${EVENT}id: 2\nda`, HEAD].map(sent => new EndingServer({ sent, ending: "close" }));
+    const upstreams = await Promise.all(servers.map((server, index) => createUpstream(server, index)));
+    const route = { kind: "stream" as const, isResumable: true, maxAttempts: 2 };
+    const bed = new GatewayTestBed({ upstreams, route });
+    bed.loadTracker.count(upstreams[1]!.id, "online", 1);
+    await bed.listen();
+    const { isComplete, body } = await bed.send();
+    assert.deepEqual([isComplete, body, servers.map(({ connectionCount }) => connectionCount)], [false, EVENT, [1, 1]]);
+    bed.close();
+    servers.forEach(server => server.close());
+});
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -18,6 +18,12 @@
 const HTTP_UNPROCESSABLE = 422;
 /** Time without a complete event after which a run counts as broken, in milliseconds. */
 const STALL_MS = 1500;
+const CUT: ItemRunOutcome = {
+    kind: "broken",
+    code: "ANSWER_CUT",
+    isUnreachable: false,
+    isConnectionBroken: true,
+};
 /** Room for the other fields of a record in a value of the key-value service, in bytes. */
 const RECORD_OVERHEAD_BYTES = 100_000;
 /** Maximum size of an item's output as JSON, in bytes. */
@@ -159,10 +165,10 @@
         if (head === undefined || this.isEnded) {
             return;
         }
-        this.end(this.outcomeOf(head));
+        this.end(this.outcomeOf(head, ending));
     }
 
-    private outcomeOf(head: ResponseHead): ItemRunOutcome {
+    private outcomeOf(head: ResponseHead, ending: ResponseEnding): ItemRunOutcome {
         if (head.header(this.headers.notRun) !== undefined || head.statusCode === HTTP_MISDIRECTED) {
             return { kind: "not-run", isMisdirected: head.statusCode === HTTP_MISDIRECTED };
         }
@@ -172,12 +178,18 @@
         if (head.statusCode !== HTTP_OK) {
             return { kind: "failed" };
         }
-        if (head.header(this.headers.upstreamProof) === undefined || this.item.lastEventId === 0) {
+        if (head.header(this.headers.upstreamProof) === undefined) {
             return { kind: "garbled", code: "ANSWER_WITHOUT_PROOF" };
         }
-        return this.splitter.hasPartialEvent
-            ? { kind: "broken", code: "ANSWER_CUT", isUnreachable: false, isConnectionBroken: true }
-            : { kind: "completed" };
+        if (this.producedEvents === 0 && ending === "close") {
+            // It was broken off before its first event, or nothing is left to send. Starting over settles which.
+            discardEvents(this.item);
+            return CUT;
+        }
+        if (this.item.lastEventId === 0) {
+            return { kind: "garbled", code: "ANSWER_WITHOUT_EVENTS" };
+        }
+        return this.splitter.hasPartialEvent ? CUT : { kind: "completed" };
     }
 
     private restartStallTimer(): void {
--- a/fleet/jobs/test/itemRun.test.ts
+++ b/fleet/jobs/test/itemRun.test.ts
@@ -3,6 +3,7 @@
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { ExchangeHandler } from "@knapweedwood/fleet.upstreams/exchangeHandler";
 import type { ExchangeRequest } from "@knapweedwood/fleet.upstreams/exchangeRequest";
+import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import assert from "node:assert/strict";
@@ -45,3 +46,47 @@
     assert.equal(runAt("v2", "id: 1\ndata: v2\n\n"), undefined);
     assert.deepEqual([item.events, item.lastEventId], [["v2"], 1]);
 });
+
+// A response without a length that was closed before its first event counted as the rest of an item that another run had
+// begun, so that a part of its output was listed as all of it.
+test("an item whose resumed response without a length is empty starts over", () => {
+    const job = new OpenJob(createJobRecord({ id: "job", itemCount: 1, dueAtMs: 1000 }));
+    const item = job.items[0]!;
+    const runTo = (events: string, ending: ResponseEnding | "reset"): string => {
+        let outcome = "";
+        const connections = {
+            send: (_upstream: Upstream, _request: ExchangeRequest, handler: ExchangeHandler) => {
+                handler.onHead(proof);
+                handler.onData(Buffer.from(events));
+                if (ending === "reset") {
+                    handler.onFailure({
+                        mayHaveRun: true,
+                        isUnreachable: false,
+                        isConnectionBroken: true,
+                        code: "cut",
+                    });
+                }
+                else {
+                    handler.onEnd(ending);
+                }
+                return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+            },
+        };
+        const run = new ItemRun({
+            clock: new ManualClock(),
+            headers: callHeaders,
+            item,
+            upstream: { id: "u", softwareVersion: "v1" } as never,
+            onLeaving: () => undefined,
+            onEnded: ended => {
+                outcome = ended.kind;
+            },
+        });
+        run.start(connections as unknown as UpstreamConnections, { host: "h", body: Buffer.alloc(0) });
+        return outcome;
+    };
+    assert.deepEqual([runTo("id: 1\ndata: a\n\n", "reset"), item.lastEventId], ["broken", 1]);
+    assert.deepEqual([runTo("", "close"), item.lastEventId], ["broken", 0]);
+    assert.deepEqual([runTo("id: 1\ndata: a\n\nid: 2\nda", "close"), item.lastEventId], ["broken", 1]);
+    assert.deepEqual([runTo("", "last-chunk"), item.events], ["completed", ["a"]]);
+});
