fix(gateway): a stream that ends with CRLF, or with a further blank line, is complete

Callers of streams that can't be resumed got a broken stream where each line ended with CRLF; those of resumable streams where a blank line followed the last event. Whether an event is whole was judged in two ways: by the last two bytes, and by what is left of the event splitter. Now EventBoundaries says for both whether an event has begun and not ended; blank lines begin none.

--- a/fleet/gateway/src/streamResponseWriter.ts
+++ b/fleet/gateway/src/streamResponseWriter.ts
@@ -8,7 +8,6 @@
 import type { ResponseWriter } from "./responseWriter.js";
 
 const HTTP_OK = 200;
-const EVENT_END = "\n\n";
 
 /**
  * Forwards a stream as its data arrives. For a resumable stream it forwards only complete events, so that another run
@@ -24,7 +23,6 @@
     private isStopping: () => boolean = () => false;
     private splitter = new EventSplitter();
     private boundaries = new EventBoundaries();
-    private tail = "";
     /** Bytes received of the present attempt's body. */
     private bodyBytes = 0;
 
@@ -50,7 +48,6 @@
             return this.writeEvents(chunk);
         }
         this.boundaries.push(chunk);
-        this.tail = (this.tail + chunk.toString("latin1")).slice(-EVENT_END.length);
         return this.write(chunk);
     }
 
@@ -71,8 +68,7 @@
             // It may have been broken off before its first event.
             return false;
         }
-        const hasWholeEvents = this.isResumable ? !this.splitter.hasPartialEvent : this.tail === EVENT_END;
-        return hasWholeEvents && (this.hasStarted || this.mayBeEmpty);
+        return !this.hasPartialEvent() && (this.hasStarted || this.mayBeEmpty);
     }
 
     end(): void {
@@ -86,10 +82,13 @@
         }
         this.splitter = new EventSplitter();
         this.boundaries = new EventBoundaries();
-        this.tail = "";
         this.bodyBytes = 0;
     }
 
+    private hasPartialEvent(): boolean {
+        return this.splitter.hasPartialEvent || this.boundaries.isInsideEvent;
+    }
+
     private writeEvents(chunk: Buffer): boolean {
         // A run that ignores the id to resume from would repeat events that the caller has received.
         const events = this.splitter
--- a/fleet/gateway/test/brokenOffResponses.test.ts
+++ b/fleet/gateway/test/brokenOffResponses.test.ts
@@ -72,6 +72,22 @@
     }
 });
 
+// Whether an event is whole was judged in two ways, and only one took CRLF for the end of a line.
+test("a stream whose lines end with CRLF is complete for its caller", async () => {
+    const events = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
+    for (const isResumable of [false, true]) {
+        const route = { kind: "stream" as const, isResumable };
+        const { isComplete, body } = await receive({ sent: HEAD + events, ending: "close", route });
+        assert.deepEqual([isComplete, body], [true, events], `resumable ${isResumable}`);
+        const { isComplete: isCompleteWithBlankLine } = await receive({
+            sent: `${HEAD}${events}\r\n`,
+            ending: "close",
+            route,
+        });
+        assert.equal(isCompleteWithBlankLine, true, `a further blank line, resumable ${isResumable}`);
+    }
+});
+
 test("responses and streams without a length whose connection is closed are complete for their callers", async () => {
     for (const kind of ["idempotent", "stream"] as const) {
         for (const isResumable of [false, true]) {
--- a/fleet/upstreams/src/eventBoundaries.ts
+++ b/fleet/upstreams/src/eventBoundaries.ts
@@ -1,4 +1,5 @@
 const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 const BLANK_LINES = new Set(["", "\r"]);
 /** Number of bytes at the beginning of a line that tell whether it is blank. */
 const LINE_PREFIX_BYTES = 2;
@@ -7,6 +8,8 @@
 
 /** Finds where the events of a server-sent event stream end. Reads each byte once. */
 export class EventBoundaries {
+    /** Whether an event has begun but not ended. Blank lines between events begin none. */
+    isInsideEvent = false;
     /** Size of the event that has begun but not ended, in bytes. */
     partialEventBytes = 0;
     /** First bytes of the line that has begun but not ended. */
@@ -26,6 +29,8 @@
         }
         this.linePrefix = this.linePrefixOf(chunk, lineStart, chunk.length);
         const lastEnd = ends.at(-1);
+        const hasContent = chunk.subarray(lastEnd ?? 0).some(isContent);
+        this.isInsideEvent = hasContent || (this.isInsideEvent && lastEnd === undefined);
         this.partialEventBytes = lastEnd === undefined
             ? this.partialEventBytes + chunk.length
             : chunk.length - lastEnd;
@@ -37,3 +42,7 @@
         return this.linePrefix + chunk.toString("latin1", start, Math.min(end, start + missingBytes));
     }
 }
+
+function isContent(byte: number): boolean {
+    return byte !== LINE_FEED && byte !== CARRIAGE_RETURN;
+}
--- a/fleet/upstreams/src/eventSplitter.ts
+++ b/fleet/upstreams/src/eventSplitter.ts
@@ -13,9 +13,9 @@
     private readonly boundaries = new EventBoundaries();
     private readonly pending = new ByteCollector();
 
-    /** Whether bytes have arrived that belong to no event returned, such as those of an incomplete one. */
+    /** Whether a part of an event has arrived that isn't returned, since it is incomplete or too large. */
     get hasPartialEvent(): boolean {
-        return this.isOverLimit || this.pending.sizeBytes > 0;
+        return this.isOverLimit || this.boundaries.isInsideEvent;
     }
 
     /** Returns the events that `chunk` completes, shape [events]. */
