fix(gateway): a stream that went on at another upstream has no length of the first one

Callers of a resumable stream whose first upstream announced a length and broke off got that length, and the events of the second upstream, which may have other sizes: bytes past the length, or too few. Such a stream is now sent in chunks.

Measured: the new test fails before (the caller's parser finds bytes after the response), and passes now.

--- a/fleet/gateway/src/bufferedResponseWriter.ts
+++ b/fleet/gateway/src/bufferedResponseWriter.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from "node:http";
 import { maxBodyBytes } from "./maxBodyBytes.js";
 import type { ResponseWriter } from "./responseWriter.js";
+import { withoutHeader } from "./withoutHeader.js";
 
 /** Buffers a response until it is complete, so that a truncated response can be replaced by another upstream's. */
 export class BufferedResponseWriter implements ResponseWriter {
@@ -42,7 +43,7 @@
     end(): void {
         const head = this.head!;
         const body = this.body.toBuffer();
-        const headers = dropHeader(head.headers, "content-length");
+        const headers = withoutHeader(head.headers, "content-length");
         headers.push("content-length", String(body.length));
         if (this.isStopping()) {
             headers.push("connection", "close");
@@ -56,7 +57,3 @@
         this.body.clear();
     }
 }
-
-function dropHeader(headers: string[], dropped: string): string[] {
-    return headers.filter((_, index) => headers[index - index % 2] !== dropped);
-}
--- a/fleet/gateway/src/streamResponseWriter.ts
+++ b/fleet/gateway/src/streamResponseWriter.ts
@@ -6,6 +6,7 @@
 import type { ServerResponse } from "node:http";
 import { maxBodyBytes } from "./maxBodyBytes.js";
 import type { ResponseWriter } from "./responseWriter.js";
+import { withoutHeader } from "./withoutHeader.js";
 
 const HTTP_OK = 200;
 
@@ -109,7 +110,10 @@
             return;
         }
         this.hasStarted = true;
-        const headers = [...this.head!.headers];
+        // Another upstream may send events of other sizes.
+        const headers = this.isResumable && this.statusCode === HTTP_OK
+            ? withoutHeader(this.head!.headers, "content-length")
+            : [...this.head!.headers];
         if (this.isStopping()) {
             headers.push("connection", "close");
         }
--- a/fleet/gateway/test/brokenOffResponses.test.ts
+++ b/fleet/gateway/test/brokenOffResponses.test.ts
@@ -119,3 +119,31 @@
     bed.close();
     servers.forEach(server => server.close());
 });
+
+// The length of the first upstream's response was passed on, though the events of the second one may have other sizes.
+test("a stream that goes on at another upstream is complete, whatever length the first upstream announced", async () => {
+    const announced = `HTTP/1.1 200 OK\r\nx-proof: p\r\ncontent-length: ${2 * EVENT.length}\r\n\r\n`;
+    const longEvent = "id: 2\ndata: longer\n\n";
+    const servers = [announced + EVENT, HEAD + longEvent].map(sent => new EndingServer({ sent, ending: "close" }));
+    const upstreams = await Promise.all(servers.map((server, index) => createUpstream(server, index)));
+    const bed = new GatewayTestBed({ upstreams, route: { kind: "stream", isResumable: true, maxAttempts: 2 } });
+    bed.loadTracker.count(upstreams[1]!.id, "online", 1);
+    await bed.listen();
+    const { isComplete, body } = await bed.send();
+    assert.deepEqual([isComplete, body], [true, EVENT + longEvent]);
+    bed.close();
+    servers.forEach(server => server.close());
+});
+
+// To a caller with HTTP/1.0 the end of its connection is the end of its response.
+test("a caller with HTTP/1.0 whose stream is broken off sees a reset", async () => {
+    for (const ending of ["close", "reset"] as const) {
+        const server = new EndingServer({ sent: `${HEAD}${EVENT}id: 2`, ending });
+        const bed = new GatewayTestBed({ upstreams: [await createUpstream(server)], route: { kind: "stream" } });
+        await bed.listen();
+        const ended = await bed.sendWithoutChunks();
+        assert.deepEqual(ended, { code: "ECONNRESET", hasBody: true }, ending);
+        bed.close();
+        server.close();
+    }
+});
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -17,7 +17,7 @@
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import type { CallerProtocol } from "../src/callerProtocol.js";
 import type { GatewayContext } from "../src/gatewayContext.js";
@@ -201,6 +201,27 @@
         });
     }
 
+    /** Sends a request of HTTP/1.0. Returns the code of the error that ended its connection; undefined after a close. */
+    sendWithoutChunks(): Promise<{ code: string | undefined; hasBody: boolean; }> {
+        return new Promise(resolve => {
+            const socket = connect(this.port, "127.0.0.1");
+            let received = "";
+            let code: string | undefined;
+            socket.on("data", (chunk: Buffer) => {
+                received += chunk.toString("latin1");
+            });
+            socket.on("end", () => {
+                // A reset that arrives together with the last bytes is reported as an end without a peer.
+                code = socket.remoteAddress === undefined ? "ECONNRESET" : undefined;
+            });
+            socket.on("error", (error: NodeJS.ErrnoException) => {
+                code = error.code;
+            });
+            socket.on("close", () => resolve({ code, hasBody: received.includes("id: 1") }));
+            socket.write("POST /a/x HTTP/1.0\r\nhost: host.example\r\nx-request-id: id-1\r\ncontent-length: 0\r\n\r\n");
+        });
+    }
+
     close(): void {
         this.server.stopAccepting();
         this.server.close();
