--- a/api/http/src/writeError.ts
+++ b/api/http/src/writeError.ts
@@ -1,4 +1,5 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { breakOffResponse } from "@knapweedwood/core.http-connections/breakOffResponse";
 import type { ServerResponse } from "node:http";
 import { errorBody } from "./errorBody.js";
 import { statusCodeOf } from "./statusCodeOf.js";
@@ -12,7 +13,7 @@
 export function writeError(response: ServerResponse, thrown: unknown): void {
     const error = toKnapweedError(thrown);
     if (response.headersSent) {
-        response.destroy();
+        breakOffResponse(response);
         return;
     }
     const body = Buffer.from(JSON.stringify(errorBody(error)));
--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -1,4 +1,5 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { breakOffResponse } from "@knapweedwood/core.http-connections/breakOffResponse";
 import type { CallerLimits } from "@knapweedwood/fleet.view/callerLimits";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -24,7 +25,7 @@
     private readonly protocol: CallerProtocol;
     private readonly jobs: JobRoutes;
     private readonly server: Server;
-    private openRequests = 0;
+    private readonly openResponses = new Set<ServerResponse>();
 
     constructor(opts: { context: GatewayContext; protocol: CallerProtocol; jobs: JobRoutes; }) {
         this.context = opts.context;
@@ -39,7 +40,7 @@
 
     /** Number of requests whose responses are not complete. */
     get openRequestCount(): number {
-        return this.openRequests;
+        return this.openResponses.size;
     }
 
     /** Starts to accept connections. Rejects if the address can't be bound. */
@@ -69,15 +70,14 @@
 
     /** Closes all connections, including those with open requests. */
     close(): void {
+        this.openResponses.forEach(breakOffResponse);
         this.server.closeAllConnections();
     }
 
     private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        this.openRequests += 1;
+        this.openResponses.add(response);
         response.sendDate = false;
-        response.on("close", () => {
-            this.openRequests -= 1;
-        });
+        response.on("close", () => this.openResponses.delete(response));
         response.on("error", () => response.destroy());
         if (this.context.isStopping()) {
             response.setHeader("connection", "close");
--- a/fleet/gateway/src/sendFailure.ts
+++ b/fleet/gateway/src/sendFailure.ts
@@ -1,3 +1,4 @@
+import { breakOffResponse } from "@knapweedwood/core.http-connections/breakOffResponse";
 import type { ServerResponse } from "node:http";
 
 const MS_PER_SECOND = 1000;
@@ -14,7 +15,7 @@
     opts: { statusCode: number; message: string; retryAfterMs?: number; mustClose?: boolean; },
 ): void {
     if (response.headersSent || response.destroyed) {
-        response.destroy();
+        breakOffResponse(response);
         return;
     }
     const body = JSON.stringify({ error: opts.message });
