test(soak): upstreams send responses without length, and seeds draw the crashing request

The relay between passes a reset on as one, and a crash of an upstream or a reset link resets connections: a close between two events can't be told from the end.

The new kind of fault changes which faults a seed draws.

--- a/fuzz/soak/src/faultInjector.ts
+++ b/fuzz/soak/src/faultInjector.ts
@@ -173,7 +173,7 @@
     private async applyLinkFault(upstream: SoakUpstream, variant: string, durationMs: number): Promise<void> {
         const { relay } = upstream;
         if (variant === "reset") {
-            relay.cut();
+            relay.reset();
             return;
         }
         if (variant === "delay") {
--- a/fuzz/soak/src/faultKinds.ts
+++ b/fuzz/soak/src/faultKinds.ts
@@ -25,6 +25,7 @@
     "upstream-cut",
     "upstream-hang",
     "upstream-garble",
+    "upstream-unframed",
     "link-silent",
     "link-one-way",
     "link-delay",
--- a/fuzz/soak/src/runSoak.ts
+++ b/fuzz/soak/src/runSoak.ts
@@ -1,6 +1,7 @@
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { crashingRequest } from "./crashingRequest.js";
+import { drawsCrashingRequest } from "./drawsCrashingRequest.js";
 import { FaultInjector } from "./faultInjector.js";
 import { oracle } from "./oracle.js";
 import { pause } from "./pause.js";
@@ -51,7 +52,7 @@
         { length: CALLERS + PROBERS + 1 },
         (_, index) => new SoakCaller({ ...shared, name: `c${index}`, random: randomOf(10 + index) }),
     );
-    const hasCrashingRequest = randomOf(5).next() < opts.crashingShare;
+    const hasCrashingRequest = drawsCrashingRequest(randomOf(5), opts.crashingShare);
     callers.slice(PROBERS, -1).forEach(caller => void caller.run(callersAbort.signal));
     callers.slice(hasCrashingRequest ? -1 : callers.length).forEach(caller =>
         void caller.sendCrashing(callersAbort.signal)
--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -27,6 +27,9 @@
 const MAX_QUEUED = 8;
 /** Share of the requests that an upstream fails while its mode is neither `healthy` nor `slow`. */
 const MISBEHAVING_SHARE = 0.4;
+/** Share of the streams broken off that end inside an event, and share of these whose connection is closed, not reset. */
+const INSIDE_EVENT_SHARE = 0.5;
+const CLOSED_SHARE = 0.5;
 
 /**
  * A stand-in for an upstream, reached through a relay. It records each request that it runs, and is slow or fails as
@@ -94,6 +97,7 @@
     }
 
     private closeSockets(): void {
+        this.relay.reset();
         this.relay.close();
         this.server.close();
         this.server.closeAllConnections();
@@ -165,9 +169,16 @@
             return;
         }
         const events = expectedEvents(call.body).slice(run.lastEventId);
+        const isStream = /^\/(?:stream|job)/u.test(run.path);
+        if (this.mode === "unframed") {
+            omitFraming(response);
+        }
+        if (isMisbehaving && this.mode === "unframed") {
+            await this.breakOff(response, events, isStream ? run.lastEventId : undefined);
+            return;
+        }
         if (!isMisbehaving || !await this.misbehave(response, events)) {
             response.setHeader(wireHeaders.upstreamProof, `proof-${this.id}`);
-            const isStream = /^\/(?:stream|job)/u.test(run.path);
             await (isStream ? this.stream(response, events, run.lastEventId) : this.reply(response, events));
         }
     }
@@ -200,14 +211,50 @@
         }
     }
 
+    /**
+     * Sends a part of a response and breaks it off.
+     *
+     * @param lastEventId of the resumed stream; undefined if the response is none
+     */
+    private async breakOff(response: ServerResponse, events: string[], lastEventId: number | undefined): Promise<void> {
+        const { random } = this.opts;
+        const count = random.nextInteger(events.length);
+        response.setHeader(wireHeaders.upstreamProof, `proof-${this.id}`);
+        if (lastEventId === undefined) {
+            response.writeHead(200).write(events.slice(0, count).join(",") || " ");
+            response.socket?.resetAndDestroy();
+            return;
+        }
+        await this.writeEvents(response, events.slice(0, count), lastEventId);
+        const isInsideEvent = random.next() < INSIDE_EVENT_SHARE;
+        if (isInsideEvent) {
+            response.write(`id: ${lastEventId + count + 1}\ndata: ${events[count]?.slice(0, 4)}`);
+        }
+        if (isInsideEvent && random.next() < CLOSED_SHARE) {
+            response.destroy();
+            return;
+        }
+        response.socket?.resetAndDestroy();
+    }
+
     private async reply(response: ServerResponse, events: string[]): Promise<void> {
         await pause(RESPONSE_DELAY_MS * this.slowdownFactor());
         const text = events.join(",");
-        response.writeHead(200, { "content-length": Buffer.byteLength(text) }).end(text);
+        if (this.mode !== "unframed") {
+            response.setHeader("content-length", Buffer.byteLength(text));
+        }
+        response.writeHead(200).end(text);
     }
 
     private async stream(response: ServerResponse, events: string[], lastEventId: number): Promise<void> {
+        await this.writeEvents(response, events, lastEventId);
+        response.end();
+    }
+
+    /** Writes the head and the events of a stream, each after its time. */
+    private async writeEvents(response: ServerResponse, events: string[], lastEventId: number): Promise<void> {
         response.writeHead(200, { "content-type": "text/event-stream" });
+        response.flushHeaders();
         for (const [index, data] of events.entries()) {
             await pause(EVENT_INTERVAL_MS * this.slowdownFactor());
             if (response.destroyed) {
@@ -216,7 +263,6 @@
             const text = `${data}@${this.opts.softwareVersion}`;
             response.write(`id: ${lastEventId + index + 1}\ndata: ${text}\n\n`);
         }
-        response.end();
     }
 
     private slowdownFactor(): number {
@@ -239,3 +285,9 @@
         this.waiting.shift()?.();
     }
 }
+
+/** Has a response end with its connection: it gets neither a length nor chunks. */
+function omitFraming(response: ServerResponse): void {
+    response.removeHeader("content-length");
+    response.removeHeader("transfer-encoding");
+}
--- a/standins/network/src/tcpRelay.ts
+++ b/standins/network/src/tcpRelay.ts
@@ -13,6 +13,8 @@
     client: Socket;
     target: Socket;
     silent: Set<NetworkDirection>;
+    /** Whether the target reset its connection. */
+    isTargetReset: boolean;
 }
 
 /** A TCP relay that can cut its connections, delay them, or silence them in either direction while new ones work. */
@@ -67,6 +69,14 @@
         });
     }
 
+    /** Resets both sockets of each connection. */
+    reset(): void {
+        this.connections.forEach(({ client, target }) => {
+            client.resetAndDestroy();
+            target.resetAndDestroy();
+        });
+    }
+
     /** Cuts each connection when it has received more than `bytes` bytes from the target. */
     cutAfter(bytes: number): void {
         this.cutAfterBytes = bytes;
@@ -82,7 +92,8 @@
         const target = connect({ ...this.target, noDelay: true });
         const silent = new Set<NetworkDirection>(this.newSilentDirections);
         let backwardBytes = 0;
-        this.connections.push({ client, target, silent });
+        const connection = { client, target, silent, isTargetReset: false };
+        this.connections.push(connection);
         const forward: DirectionQueue = { dueAtMs: 0, deliveries: [] };
         const backward: DirectionQueue = { dueAtMs: 0, deliveries: [] };
         client.on(
@@ -100,9 +111,15 @@
             }
         });
         client.on("close", () => silent.has("forward") || this.deliver(forward, () => target.destroy()));
-        target.on("close", () => silent.has("backward") || this.deliver(backward, () => client.destroy()));
+        target.on("end", () => {
+            // A reset that arrives together with the last bytes is reported as an end; the peer is unknown then.
+            connection.isTargetReset ||= target.remoteAddress === undefined;
+        });
+        target.on("close", () => silent.has("backward") || this.deliver(backward, () => closeClient(connection)));
         client.on("error", () => undefined);
-        target.on("error", () => undefined);
+        target.on("error", () => {
+            connection.isTargetReset = true;
+        });
     }
 
     /** Runs a delivery after the delay. Data and the close of a connection stay in order when the delay changes. */
@@ -117,3 +134,12 @@
         setTimeout(() => queue.deliveries.shift()?.(), queue.dueAtMs - nowMs);
     }
 }
+
+/** Closes the socket of the client in the way in which the target closed its own. */
+function closeClient({ client, isTargetReset }: RelayedConnection): void {
+    if (isTargetReset) {
+        client.resetAndDestroy();
+        return;
+    }
+    client.destroy();
+}
