fix(jobs): items that a gateway accepts after suspensions aren't given up early

Callers whose job was accepted by a gateway whose instance had been suspended for over 5 s in all lost items before their retention time was over: the steady clock doesn't count suspensions, so the job's times were too early for a leader whose clock is right. The later of the steady time and the time of day is taken now; a time of day that is ahead keeps a job a little longer, one that is behind changes nothing.

Tried and reverted: counting the tokens of jobs also for routes without a limit (planJobWrite). The test of the limit that comes later passes with it, but the interleavings of results fail (job-1-0: no result, case 2): a removal waits for the release of tokens.

--- a/bench/mixed/src/runSlice.ts
+++ b/bench/mixed/src/runSlice.ts
@@ -20,6 +20,7 @@
 /** Clock by `performance.now()`. */
 const clock = {
     nowMs: () => performance.now(),
+    timeOfDayMs: () => Date.now(),
     setTimer: (delayMs: number, action: () => void) => {
         const handle = setTimeout(action, delayMs);
         return { cancel: () => clearTimeout(handle) };
--- a/core/clock/src/manualClock.ts
+++ b/core/clock/src/manualClock.ts
@@ -19,6 +19,10 @@
         return this.currentMs;
     }
 
+    timeOfDayMs(): number {
+        return this.currentMs;
+    }
+
     setTimer(delayMs: number, action: () => void): Timer {
         const timer: PendingTimer = { dueMs: this.currentMs + Math.max(0, delayMs), action };
         this.pending.push(timer);
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -246,7 +246,8 @@
     }
 
     private toRecord(route: Route, submission: JobSubmission): JobRecord {
-        const acceptedAtMs = this.clock.nowMs();
+        // The steady time lags after a suspension of the instance, and the job would end too early at the leader.
+        const acceptedAtMs = Math.max(this.clock.nowMs(), this.clock.timeOfDayMs());
         let bodyOffset = 0;
         const items = submission.items.map(({ id, path, headers, tokens, body }) => {
             const item = { id, path, headers, tokens, bodyOffset, bodyBytes: body.length };
--- a/fleet/jobs/test/processClock.ts
+++ b/fleet/jobs/test/processClock.ts
@@ -32,6 +32,10 @@
         return this.clock.nowMs() - this.stoppedMs;
     }
 
+    timeOfDayMs(): number {
+        return this.clock.timeOfDayMs();
+    }
+
     setTimer(delayMs: number, action: () => void): Timer {
         const dueAtMs = this.nowMs() + delayMs;
         let timer: Timer | undefined;
--- a/fuzz/promises/src/pausableClock.ts
+++ b/fuzz/promises/src/pausableClock.ts
@@ -14,6 +14,10 @@
         return this.opts.clock.nowMs();
     }
 
+    timeOfDayMs(): number {
+        return this.opts.clock.timeOfDayMs();
+    }
+
     /** Sets a timer, which never fires once the instance is dead. */
     setTimer(delayMs: number, action: () => void): Timer {
         let isCancelled = false;
