fix: only a connection that isn't being closed in order is reset

Soak runs hung after their report: Node.js can't reset a socket whose orderly close has begun (libuv returns EINVAL); it keeps the handle, and the process spins at its end, waiting for it.

--- a/fleet/gateway/test/brokenOffResponses.test.ts
+++ b/fleet/gateway/test/brokenOffResponses.test.ts
@@ -147,3 +147,14 @@
         server.close();
     }
 });
+
+test("a caller with HTTP/1.0 whose response is complete sees a close", async () => {
+    for (const kind of ["idempotent", "stream"] as const) {
+        const server = new EndingServer({ sent: HEAD + EVENT, ending: "close" });
+        const bed = new GatewayTestBed({ upstreams: [await createUpstream(server)], route: { kind } });
+        await bed.listen();
+        assert.deepEqual(await bed.sendWithoutChunks(), { code: undefined, hasBody: true }, kind);
+        bed.close();
+        server.close();
+    }
+});
--- a/standins/network/src/tcpRelay.ts
+++ b/standins/network/src/tcpRelay.ts
@@ -72,8 +72,8 @@
     /** Resets both sockets of each connection. */
     reset(): void {
         this.connections.forEach(({ client, target }) => {
-            client.resetAndDestroy();
-            target.resetAndDestroy();
+            resetSocket(client);
+            resetSocket(target);
         });
     }
 
@@ -138,8 +138,17 @@
 /** Closes the socket of the client in the way in which the target closed its own. */
 function closeClient({ client, isTargetReset }: RelayedConnection): void {
     if (isTargetReset) {
-        client.resetAndDestroy();
+        resetSocket(client);
         return;
     }
     client.destroy();
 }
+
+/** Resets a socket. One that is being closed in order can't be reset: Node.js would keep it, and the process, forever. */
+function resetSocket(socket: Socket): void {
+    if (socket.writableEnded) {
+        socket.destroy();
+        return;
+    }
+    socket.resetAndDestroy();
+}
