fix(gateway): a request that wasn't run is sent on, also if that response is reset

The head is enough: the request goes to the next upstream, and an item waits as after any response that it wasn't run.

A connection that has ended in order keeps that outcome: an error of its sending side afterwards no longer makes it a broken one (HttpConnection.startClosing, found by reading).

Measured: the new test fails without the change in onlineCall.ts (502) and passes now.

--- a/core/http-connections/src/httpConnection.ts
+++ b/core/http-connections/src/httpConnection.ts
@@ -14,7 +14,8 @@
  */
 export class HttpConnection extends Duplex {
     private readonly socket: Socket;
-    private brokenBy: Error | undefined;
+    /** Why the connection fails once all data has been read; undefined while it is sound, or if it ends in order. */
+    private brokenBy: ConnectionBrokenError | undefined;
     /** Whether the socket has ended or failed, so that nothing more will be received. */
     private isClosing = false;
 
@@ -28,9 +29,9 @@
             }
         });
         socket.once("end", () => this.onSocketEnd());
-        socket.once("error", (error: NodeJS.ErrnoException) => this.breakOff(error));
-        socket.once("close", () => this.onSocketClose());
-        // Its user isn't told of a failure before it has received the connection.
+        socket.once("error", (error: NodeJS.ErrnoException) => this.startClosing(new ConnectionBrokenError(error)));
+        socket.once("close", () => this.startClosing(new ConnectionBrokenError(new Error("closed"))));
+        // Undici listens only after it has received the connection.
         this.on("error", () => undefined);
     }
 
@@ -87,26 +88,20 @@
     private onSocketEnd(): void {
         // The peer's address is unknown once a reset has arrived.
         if (this.socket.remoteAddress === undefined) {
-            this.breakOff(Object.assign(new Error("read ECONNRESET"), { code: "ECONNRESET", syscall: "read" }));
+            const reset = Object.assign(new Error("read ECONNRESET"), { code: "ECONNRESET", syscall: "read" });
+            this.startClosing(new ConnectionBrokenError(reset));
             return;
         }
-        this.startClosing();
+        this.startClosing(undefined);
     }
 
-    private onSocketClose(): void {
-        if (!this.isClosing) {
-            this.breakOff(new Error("closed"));
+    /** Has the reader read what is left, after which the connection ends or fails. Only the first call has an effect. */
+    private startClosing(brokenBy: ConnectionBrokenError | undefined): void {
+        if (this.isClosing) {
+            return;
         }
-    }
-
-    private breakOff(cause: NodeJS.ErrnoException): void {
-        this.brokenBy ??= new ConnectionBrokenError(cause);
-        this.startClosing();
-    }
-
-    /** Has the reader read what is left, after which the connection ends. */
-    private startClosing(): void {
         this.isClosing = true;
+        this.brokenBy = brokenBy;
         if (!this.emit("readable")) {
             this.finish();
         }
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -282,6 +282,10 @@
             return;
         }
         this.release(attempt);
+        if (attempt.isNotRun && failure.isConnectionBroken) {
+            this.retryOrReject("upstreams did not run it");
+            return;
+        }
         const isEjected = this.outcomes.onFailure(attempt, failure);
         this.recorder.log("upstream-failed", {
             upstream: attempt.upstream.id,
--- a/fleet/gateway/test/brokenOffResponses.test.ts
+++ b/fleet/gateway/test/brokenOffResponses.test.ts
@@ -158,3 +158,17 @@
         server.close();
     }
 });
+
+// The head says it; what becomes of the body doesn't matter.
+test("a request that an upstream didn't run goes to the next one, also if the response is reset", async () => {
+    const servers = ["HTTP/1.1 503 S\r\nx-not-run: 1\r\n\r\nfu", HEAD + EVENT]
+        .map((sent, index) => new EndingServer({ sent, ending: index === 0 ? "reset" : "close" }));
+    const upstreams = await Promise.all(servers.map((server, index) => createUpstream(server, index)));
+    const bed = new GatewayTestBed({ upstreams, route: { kind: "non-idempotent", maxAttempts: 2 } });
+    bed.loadTracker.count(upstreams[1]!.id, "online", 1);
+    await bed.listen();
+    const { statusCode, body } = await bed.send();
+    assert.deepEqual([statusCode, body], [200, EVENT]);
+    bed.close();
+    servers.forEach(server => server.close());
+});
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -4,6 +4,7 @@
 import { MAX_VALUE_SIZE_BYTES } from "@knapweedwood/core.key-value/maxValueSizeBytes";
 import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
+import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
 import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
@@ -102,13 +103,7 @@
             },
             onData: chunk => this.onData(chunk),
             onEnd: ending => this.onEnd(ending),
-            onFailure: failure =>
-                this.end({
-                    kind: "broken",
-                    code: failure.code,
-                    isUnreachable: failure.isUnreachable,
-                    isConnectionBroken: failure.isConnectionBroken,
-                }),
+            onFailure: failure => this.end(this.outcomeOfFailure(failure)),
         });
     }
 
@@ -169,8 +164,8 @@
     }
 
     private outcomeOf(head: ResponseHead, ending: ResponseEnding): ItemRunOutcome {
-        if (head.header(this.headers.notRun) !== undefined || head.statusCode === HTTP_MISDIRECTED) {
-            return { kind: "not-run", isMisdirected: head.statusCode === HTTP_MISDIRECTED };
+        if (this.isNotRun(head)) {
+            return notRunOutcomeOf(head);
         }
         if (head.statusCode === HTTP_UNPROCESSABLE) {
             return { kind: "impossible" };
@@ -192,6 +187,17 @@
         return this.splitter.hasPartialEvent ? CUT : { kind: "completed" };
     }
 
+    private outcomeOfFailure(failure: ExchangeFailure): ItemRunOutcome {
+        const { code, isUnreachable, isConnectionBroken } = failure;
+        return this.head !== undefined && this.isNotRun(this.head)
+            ? notRunOutcomeOf(this.head)
+            : { kind: "broken", code, isUnreachable, isConnectionBroken };
+    }
+
+    private isNotRun(head: ResponseHead): boolean {
+        return head.header(this.headers.notRun) !== undefined || head.statusCode === HTTP_MISDIRECTED;
+    }
+
     private restartStallTimer(): void {
         this.stallTimer?.cancel();
         this.stallTimer = setDeadlineTimer(this.clock, STALL_MS, () => {
@@ -210,6 +216,10 @@
     }
 }
 
+function notRunOutcomeOf(head: ResponseHead): ItemRunOutcome {
+    return { kind: "not-run", isMisdirected: head.statusCode === HTTP_MISDIRECTED };
+}
+
 /** Returns the size of an event as JSON, with what separates it from the next. */
 function jsonBytesOf(event: string): number {
     return Buffer.byteLength(JSON.stringify(event)) + 1;
