fix(jobs): jobs that a route accepted while it had no limit count once it has one

Callers got more jobs accepted than a new limit allows (150 tokens of 100): the tokens of a job were counted only if its route had a limit at that moment. They are counted for each route now, until the entry of a route without a limit has half a megabyte, so that such a route goes on accepting jobs.

--- a/fleet/jobs/src/planJobWrite.ts
+++ b/fleet/jobs/src/planJobWrite.ts
@@ -3,20 +3,24 @@
 import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import { MAX_VALUE_SIZE_BYTES } from "@knapweedwood/core.key-value/maxValueSizeBytes";
 import { countJobTokens } from "./countJobTokens.js";
 import { createJobOperations } from "./createJobOperations.js";
 import type { HeldJob } from "./heldJob.js";
 import { jobKeys } from "./jobKeys.js";
 import type { WaitingTokens } from "./waitingTokens.js";
 
-/** The write that stores a job and, if its route has a limit, adds its tokens to the route's waiting tokens. */
+/** The write that stores a job and adds its tokens to the waiting tokens of its route, which may get a limit later. */
 interface JobWrite {
     compares: KeyValueCompare[];
     operations: KeyValueOperation[];
-    /** Waiting tokens of the route including this job; 0 if the route has no limit. */
+    /** Waiting tokens of the route including this job; 0 if they aren't counted. */
     waitingTokens: number;
 }
 
+/** Size of an entry of waiting tokens from which the jobs of a route without a limit aren't counted, in bytes. */
+const MAX_UNLIMITED_ENTRY_BYTES = MAX_VALUE_SIZE_BYTES / 2;
+
 /**
  * Returns the conditional write that stores a job unless it is stored or was removed.
  *
@@ -29,7 +33,8 @@
         { key: jobKeys.tombstone(record.jobId), modRevision: 0 },
     ];
     const operations = createJobOperations(job);
-    if (job.maxWaitingTokens === undefined) {
+    const entryBytes = waitingTokensEntry?.value.length ?? 0;
+    if (job.maxWaitingTokens === undefined && entryBytes > MAX_UNLIMITED_ENTRY_BYTES) {
         return { compares, operations, waitingTokens: 0 };
     }
     const key = jobKeys.waitingTokens(record.routeName);
--- a/fleet/jobs/test/simulatedJobFleet.ts
+++ b/fleet/jobs/test/simulatedJobFleet.ts
@@ -182,10 +182,10 @@
             await this.hold(job, step.holderDownMs);
         }
         if (via === "store" || via === "resent") {
-            this.store(job);
+            void this.store(job);
         }
         if (via === "both") {
-            this.clock.setTimer(delayMs, () => this.store(this.acceptLater(job, delayMs)));
+            this.clock.setTimer(delayMs, () => void this.store(this.acceptLater(job, delayMs)));
         }
         if (via === "resent") {
             this.clock.setTimer(delayMs, () => void this.hold(this.acceptLater(job, delayMs), step.holderDownMs));
@@ -222,9 +222,15 @@
         }
     }
 
-    private store(job: HeldJob): void {
-        const { compares, operations } = planJobWrite(job, undefined);
-        void this.service.transact(compares, operations);
+    /** Stores a job unless it is stored or was removed. */
+    private async store(job: HeldJob): Promise<void> {
+        const key = jobKeys.waitingTokens(job.record.routeName);
+        for (let isSettled = false; !isSettled;) {
+            const entry = await this.service.get(key);
+            const { compares, operations } = planJobWrite(job, entry);
+            const result = await this.service.transact(compares, operations);
+            isSettled = result.succeeded || result.current.some(other => other.key !== key);
+        }
     }
 
     private async cancel(jobId: JobId | undefined): Promise<void> {
