test(soak): a stand-in that closes a response inside an event sends that part of the event

The logs of the gateways show an orderly close (ending close): the stand-in wrote a part of an event and destroyed the response in the same turn, upon which Node.js drops what it hasn't written. What reached the gateway was a close between two events, which looks like the end of a response without a length. The part is now written with the end of the response.

--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -227,13 +227,12 @@
         }
         await this.writeEvents(response, events.slice(0, count), lastEventId);
         const isInsideEvent = random.next() < INSIDE_EVENT_SHARE;
-        if (isInsideEvent) {
-            response.write(`id: ${lastEventId + count + 1}\ndata: ${events[count]?.slice(0, 4)}`);
-        }
+        const part = isInsideEvent ? `id: ${lastEventId + count + 1}\ndata: ${events[count]?.slice(0, 4)}` : "";
         if (isInsideEvent && random.next() < CLOSED_SHARE) {
-            response.destroy();
+            response.end(part);
             return;
         }
+        response.write(part);
         response.socket?.resetAndDestroy();
     }
 
