--- a/daemons/side/test/plainUpstream.test.ts
+++ b/daemons/side/test/plainUpstream.test.ts
@@ -1,5 +1,4 @@
-// The response of a plain service, without a length, was broken off by a reset. Entries received it as complete, or the
-// side ended if an entry read slowly.
+// The response of a plain service, without a length, was broken off by a reset, and entries received it as complete.
 import type { PlainCallRequest } from "@knapweedwood/daemons.inference/plainCallRequest";
 import type { ConnectionEnding } from "@knapweedwood/standins.http/connectionEnding";
 import { EndingServer } from "@knapweedwood/standins.http/endingServer";
