feat(gateway): keys identify the teams of callers, and upstreams learn the team

The platform's configuration may contain teams. The key of each call was passed on to upstreams, the team wasn't sent, and withdrawn keys worked. Adds the team types, decodes them, identifies callers of online and submitting calls (401 only where the configuration is certain to be current) and sets the team's header. Without teams nothing changes.

--- a/bench/decisions/src/simulatedCaller.ts
+++ b/bench/decisions/src/simulatedCaller.ts
@@ -60,6 +60,8 @@
         const nowMs = clock.nowMs();
         this.outcome.lastAttemptAtMs = nowMs;
         const call: QueuedRequest = {
+            team: undefined,
+            promptParts: [],
             service: "model" as ServiceName,
             softwareVersion: undefined,
             isStarted: false,
--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -5,6 +5,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { CallerProtocol } from "./callerProtocol.js";
 import type { GatewayContext } from "./gatewayContext.js";
+import { headerOf } from "./headerOf.js";
+import { identifyCaller } from "./identifyCaller.js";
 import type { JobRoutes } from "./jobRoutes.js";
 import { OnlineCall } from "./onlineCall.js";
 import { readBody } from "./readBody.js";
@@ -111,7 +113,12 @@
         const path = (request.url ?? "/").split("?", 1)[0]!;
         const route = configuration.match(request.headers.host ?? "", path);
         if (route === undefined) {
-            this.rejectUnrouted(request, response);
+            this.rejectUnknown(request, response, { statusCode: 404, reason: "no route" });
+            return;
+        }
+        const caller = identifyCaller(configuration, route, headerOf(request, this.protocol.headers.key));
+        if (caller.kind === "unknown-key") {
+            this.rejectUnknown(request, response, { statusCode: 401, reason: "unknown key" });
             return;
         }
         if (route.kind === "batch") {
@@ -119,24 +126,33 @@
             await this.jobs.submit(route, jobId, body, response);
             return;
         }
-        new OnlineCall({ context: this.context, route, request, response, body, arrivedAtMs }).start();
+        new OnlineCall({ context: this.context, route, request, response, body, arrivedAtMs, team: caller.team })
+            .start();
     }
 
-    /** Responds with 404 only if the route is certain not to exist, since callers don't repeat a request after that. */
-    private rejectUnrouted(request: IncomingMessage, response: ServerResponse): void {
+    /**
+     * Responds with a status after which callers don't repeat a request only if the route or the key is certain not to
+     * exist.
+     */
+    private rejectUnknown(
+        request: IncomingMessage,
+        response: ServerResponse,
+        opts: { statusCode: 401 | 404; reason: string; },
+    ): void {
         const isCurrent = this.context.isConfigurationCurrent();
         this.context.logger.info("call-unrouted", {
             requestId: request.headers[this.protocol.headers.requestId],
             host: request.headers.host,
             path: request.url,
+            reason: opts.reason,
             configuration: this.context.configuration.version,
             isCurrent,
         });
         if (isCurrent) {
-            sendFailure(response, { statusCode: 404, message: "No route" });
+            sendFailure(response, { statusCode: opts.statusCode, message: opts.reason });
             return;
         }
-        const message = "No route in a configuration that may be outdated";
+        const message = `${opts.reason} in a configuration that may be outdated`;
         sendFailure(response, { statusCode: 503, message, retryAfterMs: NO_CONFIGURATION_RETRY_MS });
     }
 }
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -7,7 +7,9 @@
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
 import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
+import type { PromptPart } from "@knapweedwood/fleet.view/promptPart";
 import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Attempt } from "./attempt.js";
@@ -42,6 +44,8 @@
 /** Handles one online request from its arrival to its response, with retries at other upstreams. */
 export class OnlineCall implements QueuedRequest {
     service: ServiceName;
+    readonly team: Team | undefined;
+    readonly promptParts: readonly PromptPart[] = [];
     readonly priority: number;
     readonly arrivedAtMs: number;
     readonly objectiveAtMs: number;
@@ -74,6 +78,8 @@
         response: ServerResponse;
         body: Buffer;
         arrivedAtMs: number;
+        /** The team of the caller; undefined if callers need no key. */
+        team: Team | undefined;
     }) {
         const { context, route, request } = opts;
         this.context = context;
@@ -86,7 +92,8 @@
         this.requestId = (headerOf(request, context.headers.requestId) ?? "") as RequestId;
         this.recorder = new CallRecorder({ ...opts, requestId: this.requestId });
         this.service = chooseService(route, context.random) ?? ("" as ServiceName);
-        this.priority = route.priority;
+        this.team = opts.team;
+        this.priority = this.team?.priority ?? route.priority;
         this.traits = new CallTraits(context, request, opts.body);
         const remainingMs = Number(headerOf(request, context.headers.remainingMs) ?? route.timeoutMs);
         this.isRetry = remainingMs < route.timeoutMs * RETRY_REMAINING_SHARE;
@@ -170,6 +177,8 @@
             names: this.context.headers,
             body: this.body,
             requestId: this.requestId,
+            hasTeams: this.context.configuration.current?.teams !== undefined,
+            teamId: this.team?.id,
             upstreamId: upstream.id,
             remainingMs: this.deadlineAtMs - nowMs,
             lastEventId: this.writer.lastEventId,
--- a/fleet/gateway/src/upstreamRequestOf.ts
+++ b/fleet/gateway/src/upstreamRequestOf.ts
@@ -1,4 +1,5 @@
 import type { RequestId } from "@knapweedwood/core.ids/requestId";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { ExchangeRequest } from "@knapweedwood/fleet.upstreams/exchangeRequest";
 import type { CallHeaderNames } from "@knapweedwood/fleet.view/callHeaderNames";
@@ -12,6 +13,10 @@
         names: CallHeaderNames;
         body: Buffer;
         requestId: RequestId;
+        /** Whether the configuration has teams. */
+        hasTeams: boolean;
+        /** The team of the caller; undefined for none. */
+        teamId: TeamId | undefined;
         upstreamId: UpstreamId;
         remainingMs: number;
         /** Id of the event after which the attempt resumes; undefined if it starts from the beginning. */
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -30,6 +30,8 @@
     expectedUpstream: "x-expected",
     notRun: "x-not-run",
     leaving: "x-leaving",
+    key: "x-key",
+    team: "x-team",
     promptParts: "x-parts",
     upstreamProof: "x-proof",
     lastEventId: "last-event-id",
@@ -48,6 +50,7 @@
     objectiveMs: 300,
     maxAttempts: 1,
     priority: 0,
+    isAnonymous: false,
     isResumable: false,
     maxEventGapMs: undefined,
     jobDueMs: undefined,
@@ -101,7 +104,13 @@
             };
             const route = { ...defaultRoute, ...opts.route };
             const otherRoutes = opts.otherHost === undefined ? [] : [{ ...route, name: "other", host: opts.otherHost }];
-            configuration.adopt({ version: 1, routes: [route, ...otherRoutes], services: [], limits });
+            configuration.adopt({
+                version: 1,
+                routes: [route, ...otherRoutes],
+                services: [],
+                limits,
+                teams: undefined,
+            });
         }
         const { loadTracker, connections, directory } = this;
         opts.upstreams.forEach(upstream => directory.put(upstream, clock.nowMs()));
--- a/fleet/load/src/leastLoadedPlacement.ts
+++ b/fleet/load/src/leastLoadedPlacement.ts
@@ -4,6 +4,7 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { LoadTracker } from "./loadTracker.js";
 import type { PlacementPolicy } from "./placementPolicy.js";
+import type { PlacementRequest } from "./placementRequest.js";
 
 /** Weight of a batch run, relative to an online request. It is low since preempting a run costs only its resumption. */
 const BATCH_WEIGHT = 0.1;
@@ -54,7 +55,7 @@
         this.random = opts.random;
     }
 
-    placeOnline(candidates: readonly Upstream[]): Upstream | undefined {
+    placeOnline(candidates: readonly Upstream[], _request: PlacementRequest): Upstream | undefined {
         const service = candidates[0]?.service;
         const share = service === undefined ? 0 : this.connectionShare(service);
         const spread = Math.min(MAX_SPREAD, Math.max(MIN_SPREAD, this.placingPeers() * SPREAD_PER_PEER));
--- a/fleet/load/src/queuedRequest.ts
+++ b/fleet/load/src/queuedRequest.ts
@@ -1,18 +1,20 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { PlacementRequest } from "./placementRequest.js";
 
 /** An online request to be placed at an upstream. */
-export interface QueuedRequest {
+export interface QueuedRequest extends PlacementRequest {
+    /** The team of the caller; undefined if callers need no key. */
+    team: Team | undefined;
     service: ServiceName;
     /** The only software version that may run the request; undefined if any may. */
     softwareVersion: SoftwareVersion | undefined;
     /** 0 is the most urgent. */
     priority: number;
     arrivedAtMs: number;
-    /** Time until which a response meets the route's objective, on the clock of the queue in milliseconds. */
-    objectiveAtMs: number;
     /** Time at which the caller times out, on the same clock. */
     callerTimeoutAtMs: number;
     /** The caller's deadline, on the same clock. The caller may return until then. */
--- a/fleet/load/src/requestQueue.ts
+++ b/fleet/load/src/requestQueue.ts
@@ -98,7 +98,7 @@
     }
 
     private place(request: QueuedRequest): Upstream | undefined {
-        return this.opts.placement.placeOnline(this.candidatesOf(request));
+        return this.opts.placement.placeOnline(this.candidatesOf(request), request);
     }
 
     private candidatesOf(request: QueuedRequest): Upstream[] {
--- a/fleet/load/test/requestQueue.test.ts
+++ b/fleet/load/test/requestQueue.test.ts
@@ -44,6 +44,8 @@
     });
     const request = (change: Partial<QueuedRequest> = {}): TestRequest => {
         const made: TestRequest = {
+            team: undefined,
+            promptParts: [],
             service: "s" as ServiceName,
             softwareVersion: undefined,
             isStarted: false,
@@ -188,7 +190,7 @@
             zone: "z" as Upstream["zone"],
             connectionShare: () => Infinity,
             placingPeers: () => peers,
-        }).placeOnline(upstreams)!.id;
+        }).placeOnline(upstreams, { promptParts: [], objectiveAtMs: Infinity })!.id;
     });
     const most = Math.max(...upstreams.map(({ id }) => chosen.filter(other => other === id).length));
     assert.ok(most <= 7, `${most} of ${chosen.length} requests at one upstream`);
@@ -205,7 +207,7 @@
     });
     const upstream = upstreamOf("a", 8);
     const placed = Array.from({ length: 4 }, () => {
-        const chosen = placement.placeOnline([upstream]);
+        const chosen = placement.placeOnline([upstream], { promptParts: [], objectiveAtMs: Infinity });
         loadTracker.count(upstream.id, "online", chosen === undefined ? -1 : 1);
         return chosen !== undefined;
     });
--- a/fleet/view/src/activeConfiguration.ts
+++ b/fleet/view/src/activeConfiguration.ts
@@ -3,12 +3,14 @@
 import type { Route } from "./route.js";
 import { RouteTable } from "./routeTable.js";
 import type { ServiceDefinition } from "./serviceDefinition.js";
+import type { Team } from "./team.js";
 
 /** The configuration that this process applies. Its version never decreases. */
 export class ActiveConfiguration {
     private configuration: FleetConfiguration | undefined;
     private table: RouteTable | undefined;
     private services = new Map<ServiceName, ServiceDefinition>();
+    private teamsByKey = new Map<string, Team>();
 
     /** The active configuration; undefined before the first. */
     get current(): FleetConfiguration | undefined {
@@ -32,6 +34,7 @@
         this.configuration = configuration;
         this.table = new RouteTable(configuration);
         this.services = new Map(configuration.services.map(service => [service.name, service]));
+        this.teamsByKey = new Map((configuration.teams ?? []).flatMap(team => team.keys.map(key => [key, team])));
         return true;
     }
 
@@ -40,6 +43,11 @@
         return this.table?.match(host, path);
     }
 
+    /** Returns the team that holds a key; undefined if no team does. */
+    teamOf(key: string): Team | undefined {
+        return this.teamsByKey.get(key);
+    }
+
     /**
      * Returns the number of connections that an upstream of the service accepts from all processes together; infinite
      * for a service without a definition.
--- a/fleet/view/src/callHeaderNames.ts
+++ b/fleet/view/src/callHeaderNames.ts
@@ -11,6 +11,10 @@
     leaving: string;
     /** Present on all responses of upstreams that ran the request. */
     upstreamProof: string;
+    /** Carries the key of the caller. */
+    key: string;
+    /** Tells an upstream the team of the caller. */
+    team: string;
     /** Lists the parts of the prompt. */
     promptParts: string;
     /** Carries the id of the event after which a stream or an item resumes. */
--- a/fleet/view/src/fleetConfiguration.ts
+++ b/fleet/view/src/fleetConfiguration.ts
@@ -1,6 +1,7 @@
 import type { CallerLimits } from "./callerLimits.js";
 import type { Route } from "./route.js";
 import type { ServiceDefinition } from "./serviceDefinition.js";
+import type { Team } from "./team.js";
 
 /** A complete configuration as published by the operators. */
 export interface FleetConfiguration {
@@ -9,4 +10,6 @@
     routes: Route[];
     services: ServiceDefinition[];
     limits: CallerLimits;
+    /** The teams that may call, shape [teams]; undefined if callers need no key. */
+    teams: Team[] | undefined;
 }
--- a/fleet/view/src/route.ts
+++ b/fleet/view/src/route.ts
@@ -22,6 +22,8 @@
     maxAttempts: number;
     /** 0 is the most urgent. */
     priority: number;
+    /** Whether callers need no key although the configuration has teams. */
+    isAnonymous: boolean;
     /** Whether a broken stream may be resumed at another upstream. */
     isResumable: boolean;
     /** Longest gap between events that still meets the objective of a stream, in milliseconds; undefined if not set. */
--- a/fleet/view/test/routeTable.test.ts
+++ b/fleet/view/test/routeTable.test.ts
@@ -10,7 +10,7 @@
 }
 
 function configurationOf(version: number, ...routes: Route[]) {
-    return { version, routes, services: [], limits };
+    return { version, routes, services: [], limits, teams: undefined };
 }
 
 test("matches the route with the longest prefix on the host", () => {
--- a/fuzz/soak/src/soakOperator.ts
+++ b/fuzz/soak/src/soakOperator.ts
@@ -73,6 +73,7 @@
             services: [MODEL_SERVICE, ANSWER_SERVICE]
                 .map(name => ({ name: name as ServiceName, maxConnections: MAX_CONNECTIONS })),
             limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 10_000 },
+            teams: undefined,
         };
     }
 
@@ -88,6 +89,7 @@
             objectiveMs: OBJECTIVE_MS,
             maxAttempts: 3,
             priority: 0,
+            isAnonymous: false,
             isResumable: false,
             maxEventGapMs: undefined,
             jobDueMs: undefined,
