feat(gateway): what is held for slow callers is counted and limited

A gateway stopped reading from an upstream as soon as a caller read slowly, and the upstream then breaks the response off; a caller that took nothing after the end of its response was kept for good; bodies were limited one by one only.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -11,6 +11,8 @@
 import { LeastLoadedPlacement } from "@knapweedwood/fleet.load/leastLoadedPlacement";
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
+import { MemoryBudget } from "@knapweedwood/fleet.memory/memoryBudget";
+import { memoryBudgetBytes } from "@knapweedwood/fleet.memory/memoryBudgetBytes";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
 import type { ActiveSettings } from "./activeSettings.js";
@@ -83,6 +85,7 @@
             health,
             serviceTimes,
             requestQueue: this.requestQueue,
+            memory: new MemoryBudget({ limitBytes: memoryBudgetBytes(settings.memoryMb) }),
             quarantine: this.fleet.quarantine,
             origins: this.fleet.streamOrigins,
             onUpstreamLeaving: upstream => this.fleet.upstreams.onLeaving(upstream),
--- a/fleet/gateway/src/bufferedResponseWriter.ts
+++ b/fleet/gateway/src/bufferedResponseWriter.ts
@@ -22,6 +22,14 @@
         return this.head?.statusCode ?? 0;
     }
 
+    get unsentBytes(): number {
+        return this.body.sizeBytes;
+    }
+
+    get progress(): number {
+        return this.body.sizeBytes;
+    }
+
     onHead(head: ResponseHead, isStopping: () => boolean): void {
         this.head = head;
         this.isStopping = isStopping;
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -7,6 +7,7 @@
 import type { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import type { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import type { MemoryBudget } from "@knapweedwood/fleet.memory/memoryBudget";
 import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
@@ -30,6 +31,8 @@
     health: UpstreamHealth;
     serviceTimes: ServiceTimes;
     requestQueue: RequestQueue;
+    /** Bytes held for callers. */
+    memory: MemoryBudget;
     quarantine: RequestQuarantine;
     /** What began the streams that callers may resume. */
     origins: StreamOrigins;
--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -1,9 +1,11 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import { breakOffResponse } from "@knapweedwood/core.http-connections/breakOffResponse";
+import { MemoryReservation } from "@knapweedwood/fleet.memory/memoryReservation";
 import type { CallerLimits } from "@knapweedwood/fleet.view/callerLimits";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { CallerProtocol } from "./callerProtocol.js";
+import { cutOffStalledReader } from "./cutOffStalledReader.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { headerOf } from "./headerOf.js";
 import { identifyCaller } from "./identifyCaller.js";
@@ -14,6 +16,8 @@
 
 const CONNECTIONS_CHECK_INTERVAL_MS = 500;
 const NO_CONFIGURATION_RETRY_MS = 300;
+/** Time without progress after which a caller that doesn't read its response is cut off, in milliseconds. */
+const MAX_READER_STALL_MS = 5000;
 const DEFAULT_LIMITS: CallerLimits = {
     maxHeaderBytes: 16_384,
     maxBodyBytes: 4_194_304,
@@ -81,6 +85,10 @@
         response.sendDate = false;
         response.on("close", () => this.openResponses.delete(response));
         response.on("error", () => response.destroy());
+        cutOffStalledReader(response, {
+            maxStallMs: MAX_READER_STALL_MS,
+            onCutOff: () => this.onReaderStalled(request),
+        });
         if (this.context.isStopping()) {
             response.setHeader("connection", "close");
         }
@@ -90,7 +98,12 @@
         catch (thrown) {
             const error = toKnapweedError(thrown);
             this.context.logger.warn("request-not-read", { code: error.code, message: error.message });
-            sendFailure(response, { statusCode: error.statusCode ?? 400, message: error.message, mustClose: true });
+            sendFailure(response, {
+                statusCode: error.statusCode ?? 400,
+                message: error.message,
+                mustClose: true,
+                ...error.retryAfterMs === undefined ? {} : { retryAfterMs: error.retryAfterMs },
+            });
         }
     }
 
@@ -98,7 +111,8 @@
         const { clock, configuration } = this.context;
         const arrivedAtMs = clock.nowMs();
         const limits = configuration.current?.limits ?? DEFAULT_LIMITS;
-        const body = await readBody(request, limits.maxBodyBytes);
+        const memory = this.reserveMemory(request, response);
+        const body = await readBody(request, { maxBytes: limits.maxBodyBytes, memory });
         await this.context.whenInitialized();
         if (configuration.current === undefined) {
             const message = "No configuration is known yet";
@@ -126,8 +140,26 @@
             await this.jobs.submit(route, jobId, body, response);
             return;
         }
-        new OnlineCall({ context: this.context, route, request, response, body, arrivedAtMs, team: caller.team })
-            .start();
+        const { team } = caller;
+        new OnlineCall({ context: this.context, route, request, response, body, arrivedAtMs, team, memory }).start();
+    }
+
+    /** Begins to count what is held for a call, until its response is sent or broken off. */
+    private reserveMemory(request: IncomingMessage, response: ServerResponse): MemoryReservation {
+        const { configuration, memory } = this.context;
+        const key = headerOf(request, this.protocol.headers.key);
+        const teamId = key === undefined ? undefined : configuration.teamOf(key)?.id;
+        const reservation = new MemoryReservation({ budget: memory, teamId });
+        response.on("close", () => reservation.release());
+        return reservation;
+    }
+
+    private onReaderStalled(request: IncomingMessage): void {
+        this.context.metrics.increment("stalled_readers_total");
+        this.context.logger.info("caller-stalled", {
+            requestId: request.headers[this.protocol.headers.requestId],
+            heldBytes: this.context.memory.heldBytes,
+        });
     }
 
     /**
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -4,6 +4,7 @@
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { QueuedRequest } from "@knapweedwood/fleet.load/queuedRequest";
+import type { MemoryReservation } from "@knapweedwood/fleet.memory/memoryReservation";
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
 import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
@@ -23,6 +24,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { headerOf } from "./headerOf.js";
 import { isRepeatable } from "./isRepeatable.js";
+import { MAX_UNSENT_BYTES } from "./maxUnsentBytes.js";
 import { type ResponseWriter } from "./responseWriter.js";
 import type { ResumptionDecision } from "./resumptionDecision.js";
 import { sendFailure } from "./sendFailure.js";
@@ -63,6 +65,7 @@
     private readonly requestId: RequestId;
     /** Undefined unless the response is a stream that may be resumed. */
     private readonly continuity: StreamContinuity | undefined;
+    private readonly memory: MemoryReservation;
     private readonly traits: CallTraits;
     private readonly deadlineTimer: Timer;
     private readonly writer: ResponseWriter;
@@ -80,6 +83,7 @@
         arrivedAtMs: number;
         /** The team of the caller; undefined if callers need no key. */
         team: Team | undefined;
+        memory: MemoryReservation;
     }) {
         const { context, route, request } = opts;
         this.context = context;
@@ -88,6 +92,7 @@
         this.request = request;
         this.response = opts.response;
         this.body = opts.body;
+        this.memory = opts.memory;
         this.arrivedAtMs = opts.arrivedAtMs;
         this.requestId = (headerOf(request, context.headers.requestId) ?? "") as RequestId;
         this.recorder = new CallRecorder({ ...opts, requestId: this.requestId });
@@ -237,12 +242,11 @@
         if (!attempt.stallDetector.hasData) {
             this.context.serviceTimes.recordFirstData(this.service, nowMs - attempt.startedAtMs);
         }
-        attempt.stallDetector.onData();
+        const { progress } = this.writer;
         this.recorder.onData(nowMs);
-        if (!this.writer.onData(chunk)) {
-            attempt.exchange.pause();
-            this.response.once("drain", () => attempt.exchange.resume());
-        }
+        const isCallerSlow = !this.writer.onData(chunk);
+        attempt.stallDetector.onData(this.writer.progress !== progress);
+        this.holdUnsent(attempt, isCallerSlow);
         if (this.writer.hasStarted && this.writer.statusCode === HTTP_OK) {
             this.continuity?.onEventsSent(attempt.upstream);
         }
@@ -251,6 +255,21 @@
         }
     }
 
+    /** Counts what is not sent yet. Lets the upstream wait where that is too much, ends the call where it can't wait. */
+    private holdUnsent(attempt: Attempt, isCallerSlow: boolean): void {
+        const { unsentBytes } = this.writer;
+        const hasRoom = this.memory.trySetResponseBytes(unsentBytes);
+        if (!hasRoom && !isCallerSlow) {
+            this.abort(attempt);
+            this.fail(502, "The process holds as much for its callers as it may");
+            return;
+        }
+        if (isCallerSlow && (!hasRoom || unsentBytes > MAX_UNSENT_BYTES)) {
+            attempt.exchange.pause();
+            this.response.once("drain", () => attempt.exchange.resume());
+        }
+    }
+
     /** Ends an attempt whose response can't be used, as a failure of its upstream. */
     private failAttempt(attempt: Attempt, code: string): void {
         attempt.exchange.abort();
--- a/fleet/gateway/src/readBody.ts
+++ b/fleet/gateway/src/readBody.ts
@@ -1,20 +1,33 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
+import type { MemoryReservation } from "@knapweedwood/fleet.memory/memoryReservation";
 import type { IncomingMessage } from "node:http";
 
+/** Time after which the process is likely to have room for a body, in milliseconds. */
+const NO_MEMORY_RETRY_AFTER_MS = 500;
+
 /**
- * Reads the body of a request. Rejects with `BODY_TOO_LARGE` (status 413) above `maxBytes`, `BODY_BROKEN_OFF` if the
- * caller disconnects.
+ * Reads the body of a request. Rejects with `BODY_TOO_LARGE` (status 413) above `maxBytes`, with `MEMORY_LIMIT_REACHED`
+ * (status 503) if the process has no room for it, with `BODY_BROKEN_OFF` if the caller disconnects.
  */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
+export async function readBody(
+    request: IncomingMessage,
+    opts: { maxBytes: number; memory: MemoryReservation; },
+): Promise<Buffer> {
+    const { maxBytes, memory } = opts;
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
+    let hasRoom = true;
     try {
         for await (const chunk of request as AsyncIterable<Buffer>) {
             sizeBytes += chunk.length;
             if (sizeBytes > maxBytes) {
                 throw new KnapweedError("BODY_TOO_LARGE", `The body is over ${maxBytes} bytes`, { statusCode: 413 });
             }
-            chunks.push(chunk);
+            hasRoom &&= memory.tryAddRequestBytes(chunk.length);
+            // The rest is read and dropped, since a caller that is still sending would see a reset in place of the response.
+            if (hasRoom) {
+                chunks.push(chunk);
+            }
         }
     }
     catch (error) {
@@ -25,5 +38,12 @@
             cause: error,
         });
     }
+    if (!hasRoom) {
+        throw new KnapweedError("MEMORY_LIMIT_REACHED", "The process holds as much for its callers as it may", {
+            statusCode: 503,
+            outcome: "not-run",
+            retryAfterMs: NO_MEMORY_RETRY_AFTER_MS,
+        });
+    }
     return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 }
--- a/fleet/gateway/src/responseWriter.ts
+++ b/fleet/gateway/src/responseWriter.ts
@@ -9,6 +9,13 @@
     readonly statusCode: number;
     /** Id of the last event sent to the caller; undefined if a new attempt starts from the beginning. */
     readonly lastEventId: number | undefined;
+    /** Bytes of the response that have arrived and are not sent yet. */
+    readonly unsentBytes: number;
+    /**
+     * Measure of what has arrived of the present attempt's response: complete events of a stream, otherwise bytes. It stays
+     * the same while an upstream sends an event byte by byte.
+     */
+    readonly progress: number;
     /** @param isStopping whether the response has to ask the caller to close its connection */
     onHead(head: ResponseHead, isStopping: () => boolean): void;
     /** Returns false if the caller reads too slowly; its response emits `drain` when it has caught up. */
--- a/fleet/gateway/src/stallDetector.ts
+++ b/fleet/gateway/src/stallDetector.ts
@@ -47,9 +47,16 @@
         this.hasResponded = true;
     }
 
-    /** Records data of the response. */
-    onData(): void {
-        this.lastDataAtMs = this.opts.clock.nowMs();
+    /**
+     * Records data of the response.
+     *
+     * @param isProgress whether it completes an event of a stream. A response that only gets bytes of an event now and then
+     * has stopped.
+     */
+    onData(isProgress: boolean): void {
+        if (isProgress || this.lastDataAtMs === undefined) {
+            this.lastDataAtMs = this.opts.clock.nowMs();
+        }
     }
 
     cancel(): void {
--- a/fleet/gateway/src/streamResponseWriter.ts
+++ b/fleet/gateway/src/streamResponseWriter.ts
@@ -17,6 +17,7 @@
 export class StreamResponseWriter implements ResponseWriter {
     hasStarted = false;
     lastEventId: number | undefined;
+    progress = 0;
     private readonly response: ServerResponse;
     private readonly isResumable: boolean;
     private readonly mayBeEmpty: boolean;
@@ -38,6 +39,10 @@
         return this.head?.statusCode ?? 0;
     }
 
+    get unsentBytes(): number {
+        return this.response.writableLength;
+    }
+
     onHead(head: ResponseHead, isStopping: () => boolean): void {
         this.head = head;
         this.isStopping = isStopping;
@@ -48,7 +53,8 @@
         if (this.isResumable && this.statusCode === HTTP_OK) {
             return this.writeEvents(chunk);
         }
-        this.boundaries.push(chunk);
+        const events = this.boundaries.push(chunk).length;
+        this.progress += this.statusCode === HTTP_OK ? events : chunk.length;
         return this.write(chunk);
     }
 
@@ -84,6 +90,7 @@
         this.splitter = new EventSplitter();
         this.boundaries = new EventBoundaries();
         this.bodyBytes = 0;
+        this.progress = 0;
     }
 
     private hasPartialEvent(): boolean {
@@ -92,9 +99,11 @@
 
     private writeEvents(chunk: Buffer): boolean {
         // A run that ignores the id to resume from would repeat events that the caller has received.
-        const events = this.splitter
-            .push(chunk)
-            .filter(event => event.id === undefined || this.lastEventId === undefined || event.id > this.lastEventId);
+        const complete = this.splitter.push(chunk);
+        this.progress += complete.length;
+        const events = complete.filter(event =>
+            event.id === undefined || this.lastEventId === undefined || event.id > this.lastEventId
+        );
         this.lastEventId = events.at(-1)?.id ?? this.lastEventId;
         return events.length === 0 || this.write(Buffer.concat(events.map(event => event.bytes)));
     }
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -7,6 +7,7 @@
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import { MemoryBudget } from "@knapweedwood/fleet.memory/memoryBudget";
 import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
@@ -75,6 +76,7 @@
     readonly loadTracker = new LoadTracker();
     readonly directory = new UpstreamDirectory();
     readonly health = new UpstreamHealth();
+    readonly memory: MemoryBudget;
     isStopping = false;
     private readonly server: GatewayServer;
     private port = 0;
@@ -86,6 +88,8 @@
             /** Host of another caller, with a route of its own to the same service. */
             otherHost?: string;
             maxBodyBytes?: number;
+            /** Bytes that the gateway may hold for its callers. */
+            memoryBytes?: number;
             isConfigured?: boolean;
             isConfigurationCurrent?: boolean;
             origins?: StreamOrigins;
@@ -93,6 +97,7 @@
         },
     ) {
         const clock = new SystemClock();
+        this.memory = new MemoryBudget({ limitBytes: opts.memoryBytes ?? 10_000_000 });
         const random = new SeededRandom(1);
         const configuration = new ActiveConfiguration();
         if (opts.isConfigured !== false) {
@@ -144,6 +149,7 @@
             health: this.health,
             serviceTimes,
             requestQueue,
+            memory: this.memory,
             quarantine: new RequestQuarantine({
                 clock,
                 random,
@@ -176,6 +182,10 @@
         await this.server.listen({ host: "127.0.0.1", port: this.port });
     }
 
+    get listeningPort(): number {
+        return this.port;
+    }
+
     /** Sends a request and returns it without waiting for the response. */
     open(opts: { path?: string; body?: string; headers?: { [name: string]: string; }; } = {}): ClientRequest {
         const request = sendRequest({
--- a/fleet/gateway/test/stallDetector.test.ts
+++ b/fleet/gateway/test/stallDetector.test.ts
@@ -29,7 +29,7 @@
         const { clock, seen, detector } = start({ objectiveMs: 300, maxEventGapMs: 500, isCallerSlow });
         detector.onHead();
         await clock.advance(400);
-        detector.onData();
+        detector.onData(true);
         await clock.advance(5000);
         assert.deepEqual(seen, expected);
         detector.cancel();
@@ -46,3 +46,27 @@
     await ended.clock.advance(5000);
     assert.deepEqual(ended.seen, []);
 });
+
+// An upstream that sent single bytes of an event kept its stream until the caller's deadline, since each byte counted as data.
+test("a response that gets only parts of an event now and then is reported like one that stops", async () => {
+    const { clock, seen, detector } = start({ objectiveMs: 300, maxEventGapMs: 500 });
+    detector.onHead();
+    detector.onData(true);
+    for (let atMs = 0; atMs < 2000; atMs += 200) {
+        await clock.advance(200);
+        detector.onData(false);
+    }
+    assert.deepEqual(seen, ["paused at 1000"]);
+    detector.cancel();
+});
+
+test("a stream whose events come slowly but within two event gaps isn't reported", async () => {
+    const { clock, seen, detector } = start({ objectiveMs: 300, maxEventGapMs: 500 });
+    detector.onHead();
+    for (let atMs = 0; atMs < 6000; atMs += 900) {
+        detector.onData(true);
+        await clock.advance(900);
+    }
+    assert.deepEqual(seen, []);
+    detector.cancel();
+});
--- a/fleet/view/src/processSettings.ts
+++ b/fleet/view/src/processSettings.ts
@@ -29,6 +29,8 @@
     dataFolder: string | undefined;
     /** Number of instances with disks that may be lost at the same time. */
     tolerableLosses: number;
+    /** Memory of this instance, in MB; undefined if it isn't known. */
+    memoryMb: number | undefined;
     /** Time between SIGTERM and SIGKILL, in milliseconds. */
     stopGraceMs: number;
     /** Time for which an upstream serves requests after it has said that it leaves, in milliseconds. */
--- a/fuzz/soak/src/soakFleet.ts
+++ b/fuzz/soak/src/soakFleet.ts
@@ -164,6 +164,7 @@
             dataFolder: isGateway ? undefined : path.join(folder, "data"),
             tolerableLosses: 1,
             upstreamDrainMs: UPSTREAM_DRAIN_MS,
+            memoryMb: undefined,
             stopGraceMs: STOP_GRACE_MS,
             resultRetentionMs: RESULT_RETENTION_MS,
         };
