--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -1,5 +1,6 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
+import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { PrefixMirrorOptions } from "./prefixMirrorOptions.js";
@@ -8,6 +9,11 @@
 const MAX_RETRY_DELAY_MS = 800;
 /** Time that the watch has to deliver a change reported by another process, in milliseconds. */
 const CATCH_UP_DELAY_MS = 300;
+/**
+ * Time for which listings of a lower revision than the known one are refused, in milliseconds. They come from a replica
+ * that lags behind; a service restored from a backup returns them for good.
+ */
+const STALE_LISTING_REFUSAL_MS = 30_000;
 const COMPACTED_CODE = "ERR_KNAPWEED_KEY_VALUE_COMPACTED";
 
 /**
@@ -27,6 +33,10 @@
     private hasListed = false;
     /** Latest revision with a change under the prefix that another process has reported. */
     private reportedRevision = 0;
+    /** Highest revision of a listing, a change or entries of another process that was applied. */
+    private appliedRevision = 0;
+    private staleSinceMs: number | undefined;
+    private listedAtMs = Infinity;
 
     constructor(opts: PrefixMirrorOptions) {
         this.opts = opts;
@@ -37,6 +47,34 @@
         return this.currentRevision;
     }
 
+    /** Revision up to which the entries are known, listed or from another process; 0 before the first. */
+    get knownRevision(): number {
+        return this.appliedRevision;
+    }
+
+    /** Whether the service has answered a listing. */
+    get isListed(): boolean {
+        return this.hasListed;
+    }
+
+    /** Whether the service has answered a listing and no call has failed since its last response. */
+    get isReachable(): boolean {
+        return this.hasListed && this.failures === 0;
+    }
+
+    /** Latest revision with a change under the prefix that another process has reported; 0 before the first. */
+    get peersRevision(): number {
+        return this.reportedRevision;
+    }
+
+    /**
+     * Unix ms since which the mirror has received every change: the time of the last listing, as changes between two
+     * listings may have been missed. Infinity while calls fail or a change reported by a peer is missing.
+     */
+    get gaplessSinceMs(): number {
+        return this.isCurrent ? this.listedAtMs : Infinity;
+    }
+
     /** Whether the mirror has entries, listed or from a snapshot. */
     get isInitialized(): boolean {
         return this.hasListed || this.currentEntries.size > 0;
@@ -47,7 +85,7 @@
      * service that has just become unresponsive is noticed only when a call fails.
      */
     get isCurrent(): boolean {
-        return this.hasListed && this.failures === 0 && this.currentRevision >= this.reportedRevision;
+        return this.isReachable && this.currentRevision >= this.reportedRevision;
     }
 
     /** The mirrored entries if the mirror keeps them, shape [entries]. */
@@ -60,12 +98,21 @@
         return this.currentEntries.get(key);
     }
 
-    /** Uses entries of another process until the first listing. Does nothing after it. */
-    seed(entries: readonly KeyValueEntry[]): void {
-        if (!this.isInitialized && entries.length > 0) {
-            this.replaceEntries(entries);
-            this.opts.onSnapshot([...entries], 0);
+    /**
+     * Uses entries of another process until the first listing, unless newer ones are known. Does nothing after it.
+     *
+     * @param revision revision up to which the other process knew the entries
+     * @returns whether the entries are used
+     */
+    seed(entries: readonly KeyValueEntry[], revision: number): boolean {
+        const isNewer = !this.isInitialized || revision > this.appliedRevision;
+        if (this.hasListed || !isNewer || entries.length === 0) {
+            return false;
         }
+        this.appliedRevision = revision;
+        this.replaceEntries(entries);
+        this.opts.onSnapshot([...entries], 0);
+        return true;
     }
 
     /** Unix ms since which all calls succeed; infinity before the first response and while calls fail. */
@@ -149,9 +196,12 @@
             if (signal.aborted) {
                 return;
             }
+            this.refuseIfStale(snapshot.revision);
             this.onResponse();
             this.currentRevision = snapshot.revision;
+            this.appliedRevision = snapshot.revision;
             this.hasListed = true;
+            this.listedAtMs = this.opts.clock.nowMs();
             this.replaceEntries(snapshot.entries);
             this.opts.onSnapshot(snapshot.entries, snapshot.revision);
         }
@@ -164,6 +214,7 @@
             }
             this.onResponse();
             this.currentRevision = Math.max(this.currentRevision, batch.revision);
+            this.appliedRevision = Math.max(this.appliedRevision, batch.revision);
             this.applyToEntries(batch);
             if (batch.puts.length > 0 || batch.deletedKeys.length > 0) {
                 this.opts.onChange(batch);
@@ -172,6 +223,23 @@
         }
     }
 
+    /** Throws if a listing would bring back a state older than the known one. */
+    private refuseIfStale(revision: number): void {
+        const nowMs = this.opts.clock.nowMs();
+        if (revision >= this.appliedRevision) {
+            this.staleSinceMs = undefined;
+            return;
+        }
+        this.staleSinceMs ??= nowMs;
+        if (nowMs - this.staleSinceMs < STALE_LISTING_REFUSAL_MS) {
+            throw new KnapweedError(
+                "KEY_VALUE_STALE",
+                `The listing is of revision ${revision}, ${this.appliedRevision} is known`,
+                { outcome: "not-run" },
+            );
+        }
+    }
+
     private onResponse(): void {
         this.respondedAtMs = this.opts.clock.nowMs();
         if (this.failures === 0) {
--- a/fleet/sync/test/prefixMirror.test.ts
+++ b/fleet/sync/test/prefixMirror.test.ts
@@ -200,20 +200,59 @@
     await clock.advance(500);
     const seeded = [{ key: "a/seeded", value: Buffer.from("s"), modRevision: 1, leaseId: undefined }];
     assert.equal(mirror.isInitialized, false);
-    mirror.seed(seeded);
-    mirror.seed(seeded);
+    mirror.seed(seeded, 1);
+    mirror.seed(seeded, 1);
     assert.deepEqual([mirror.isInitialized, mirror.revision, counts().snapshots, [...keys]], [true, 0, 1, [
         "a/seeded",
     ]]);
     service.faults.outage = false;
     await service.transact([], [put("a/listed")]);
     await clock.advance(2000);
-    mirror.seed(seeded);
+    mirror.seed(seeded, 1);
     assert.deepEqual([counts().snapshots, [...keys]], [2, ["a/listed"]]);
     assert.deepEqual(mirror.entries().map(entry => entry.key), ["a/listed"]);
     stop();
 });
 
+// A process that restarted while a replica of the service lagged behind brought back upstreams that had left.
+test("a listing that is older than what is known is refused, unless the service stays at it", async () => {
+    const { clock, service, mirror, keys, stop } = setUp({ keepsEntries: true }, true);
+    const entryOf = (key: string) => ({ key, value: Buffer.from("s"), modRevision: 1, leaseId: undefined });
+    assert.deepEqual([[entryOf("a/older")], [entryOf("a/newer")]].map((one, index) => mirror.seed(one, 50 + index)), [
+        true,
+        true,
+    ]);
+    assert.equal(mirror.seed([entryOf("a/older")], 50), false);
+    service.faults.outage = false;
+    await service.transact([], [put("a/stale")]);
+    await clock.advance(20_000);
+    assert.deepEqual([[...keys], mirror.isCurrent, mirror.knownRevision], [["a/newer"], false, 51]);
+    await clock.advance(15_000);
+    assert.deepEqual([[...keys], mirror.isCurrent], [["a/stale"], true]);
+    stop();
+});
+
+// A listing shows no change that was undone since the one before it.
+test("a mirror is without a gap since its last listing only", async () => {
+    const { clock, service, mirror, stop } = setUp();
+    assert.equal(mirror.gaplessSinceMs, Infinity);
+    await clock.advance(100);
+    const listedAtMs = mirror.gaplessSinceMs;
+    await service.transact([], [put("a/1")]);
+    await clock.advance(1000);
+    assert.ok(listedAtMs <= 100 && mirror.gaplessSinceMs === listedAtMs);
+    mirror.catchUp(service.revision + 1);
+    assert.equal(mirror.gaplessSinceMs, Infinity);
+    await service.transact([], [put("a/2")]);
+    service.compact();
+    mirror.catchUp(service.revision + 1);
+    await clock.advance(1000);
+    await service.transact([], [put("a/3")]);
+    await clock.advance(1000);
+    assert.ok(mirror.gaplessSinceMs >= 1100 && mirror.gaplessSinceMs <= clock.nowMs());
+    stop();
+});
+
 // A listing that arrived after its mirror had ended was applied, and brought back what had been removed since.
 test("a listing that arrives after the mirror was stopped is not applied", async () => {
     const { clock, service, counts, stop } = setUp();
