feat(fleet): processes that the key-value service doesn't serve get the configuration from runners

Cause: an instance that the service rejects for 9 s kept its configuration all the time, with keys that had been withdrawn. SnapshotLoader waits for all seeds, uses the newest parts, and asks until the service has answered. Runners read their disk before the first listing and store only what is newer.

--- /dev/null
+++ b/daemons/fleet/src/configurationSource.ts
@@ -0,0 +1,7 @@
+/** Where a process has a configuration from that it didn't read from the key-value service. */
+export interface ConfigurationSource {
+    /** `peer` for a runner, `disk` for what an earlier start of this process stored. */
+    kind: "peer" | "disk";
+    /** Host of the runner, or the name of this instance. */
+    name: string;
+}
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -14,7 +14,6 @@
 import { StreamOriginExchange } from "@knapweedwood/fleet.streams/streamOriginExchange";
 import { computeCoalesceMs } from "@knapweedwood/fleet.sync/computeCoalesceMs";
 import { computeWatchWaitMs } from "@knapweedwood/fleet.sync/computeWatchWaitMs";
-import type { FleetSnapshot } from "@knapweedwood/fleet.sync/fleetSnapshot";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
@@ -23,8 +22,10 @@
 import { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { PlatformKeyValueService } from "@knapweedwood/platform.adapter/platformKeyValueService";
 import { randomInt } from "node:crypto";
+import { ConfigurationCatchUp } from "./configurationCatchUp.js";
 import { createMemberRecord } from "./createMemberRecord.js";
 import { EventLoopMonitor } from "./eventLoopMonitor.js";
+import { FleetKnowledge } from "./fleetKnowledge.js";
 import { isPreferredRelay } from "./isPreferredRelay.js";
 import { LoadReports } from "./loadReports.js";
 import { MetricsServer } from "./metricsServer.js";
@@ -37,6 +38,8 @@
 const HOUSEKEEPING_INTERVAL_MS = 100;
 const MICROSECONDS_PER_MS = 1000;
 const INITIALIZATION_POLL_MS = 5;
+/** Time after the start in which a runner may name a newer configuration before callers are served, in milliseconds. */
+const MAX_CONFIRMATION_MS = 400;
 /** Maximum age of the last lease renewal with which the key-value service counts as reachable, in milliseconds. */
 const KEY_VALUE_REACHABLE_MS = 1800;
 /** Links of the fleet are idle most of the time, so idle links send fewer heartbeats. */
@@ -78,6 +81,8 @@
     readonly operators: OperatorsFollower;
     readonly streamOrigins: StreamOriginExchange;
     readonly quarantine: RequestQuarantine;
+    readonly knowledge: FleetKnowledge;
+    private readonly configurationCatchUp: ConfigurationCatchUp;
     private readonly opts: FleetProcessOptions;
     private readonly self: MemberRecord;
     private readonly loadReports: LoadReports;
@@ -124,6 +129,7 @@
         this.operators = new OperatorsFollower({
             ...followerContext,
             instanceName: settings.instanceName,
+            metrics: this.metrics,
             onConfiguration: opts.onConfiguration,
             onDrainRequested: opts.onDrainRequested,
         });
@@ -146,6 +152,7 @@
             waiting: () => opts.waiting(),
             isKeyValueReachable: () => this.isKeyValueReachable,
             onJobsWritten: revision => opts.onJobsWritten(revision),
+            onNewerConfiguration: peer => this.configurationCatchUp.prefer(this.peers.runnerAddress(peer)),
             onLoadChanged: () => opts.onLoadChanged(),
         });
         this.exchange = new LoadExchange({
@@ -209,11 +216,33 @@
             port: this.self.linkPort,
             limits: LINK_LIMITS,
         });
+        this.knowledge = new FleetKnowledge(this);
+        const seeds = settings.seedHosts.map(host => ({ host, port: this.self.linkPort }));
+        this.configurationCatchUp = new ConfigurationCatchUp({
+            clock,
+            random,
+            logger,
+            endpoint: this.links,
+            operators: this.operators,
+            runners: () => [...seeds, ...this.peers.runners()],
+            ownAddress: { host: settings.host, port: this.self.linkPort },
+            isKeyValueReachable: () => this.isKeyValueReachable,
+        });
     }
 
-    /** Whether the configuration and the upstreams are loaded. */
+    /**
+     * Whether the configuration and the upstreams are loaded. With teams, a runner is given time to name a newer
+     * configuration than the first listing did, which may contain a withdrawn key.
+     */
     get isInitialized(): boolean {
-        return this.operators.configuration.current !== undefined && this.upstreams.mirror.isInitialized;
+        const hasTeams = this.operators.configuration.current?.teams !== undefined;
+        return this.knowledge.isLoaded && (!hasTeams || this.configurationCatchUp.isConfirmed(MAX_CONFIRMATION_MS));
+    }
+
+    /** Whether this process is certain that its configuration is the newest one. */
+    get isConfigurationCurrent(): boolean {
+        return this.operators.mirror.isCurrent && this.isKeyValueReachable
+            && this.configurationCatchUp.isConfirmed(Infinity);
     }
 
     /** Whether a peer can reach the key-value service but this process can't. Peers then serve callers better. */
@@ -226,24 +255,6 @@
         return this.clock.nowMs() > this.peers.mirror.reachableSinceMs + HELD_JOBS_WRITE_MS;
     }
 
-    /** What this process knows of the fleet; undefined before the configuration and the upstreams are loaded. */
-    snapshot(): FleetSnapshot | undefined {
-        return this.isInitialized
-            ? {
-                operators: this.operators.mirror.entries(),
-                upstreams: this.upstreams.mirror.entries(),
-                fleet: this.peers.mirror.entries(),
-            }
-            : undefined;
-    }
-
-    /** Uses what another process knows of the fleet where this one has not reached the key-value service yet. */
-    seed(snapshot: FleetSnapshot): void {
-        this.operators.mirror.seed(snapshot.operators);
-        this.upstreams.mirror.seed(snapshot.upstreams);
-        this.peers.mirror.seed(snapshot.fleet);
-    }
-
     /**
      * Whether the stored count of waiting tokens contains all jobs. It lacks those that were held during an outage and
      * are not written yet. A process that reached the service at once after its start has seen no outage.
@@ -310,6 +321,7 @@
         }
         this.loadTracker.expire(this.clock.nowMs());
         this.upstreams.expire();
+        this.configurationCatchUp.tick();
         this.quarantine.withdrawCrashes();
         const dueAtMs = this.clock.nowMs() + HOUSEKEEPING_INTERVAL_MS;
         this.clock.setTimer(HOUSEKEEPING_INTERVAL_MS, () => {
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -77,7 +77,7 @@
             logger,
             metrics,
             configuration,
-            isConfigurationCurrent: () => this.fleet.operators.mirror.isCurrent,
+            isConfigurationCurrent: () => this.fleet.isConfigurationCurrent,
             connections,
             loadTracker,
             health,
@@ -127,8 +127,8 @@
             clock,
             logger,
             seeds: settings.seedHosts.map(host => ({ host, port: linkPort })),
-            isInitialized: () => this.fleet.isInitialized,
-            seed: snapshot => this.fleet.seed(snapshot),
+            isListed: () => this.fleet.knowledge.isListed,
+            seed: (source, snapshot) => this.fleet.knowledge.seed(source, snapshot),
         });
         this.server = new GatewayServer({ context, protocol, jobs });
         this.readiness = new ReadinessServer({
--- a/daemons/fleet/src/loadReports.ts
+++ b/daemons/fleet/src/loadReports.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
 import type { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { PeerEjections } from "@knapweedwood/fleet.load/peerEjections";
@@ -21,6 +22,8 @@
     isKeyValueReachable: () => boolean;
     /** Called with the revision at which another process last wrote a job. */
     onJobsWritten: (revision: number) => void;
+    /** Called with a process that knows a newer configuration. */
+    onNewerConfiguration: (peer: InstanceName) => void;
     /** Called when a report has changed the known load. */
     onLoadChanged: () => void;
 }
@@ -74,6 +77,9 @@
         if (report.jobsRevision > 0) {
             this.opts.onJobsWritten(report.jobsRevision);
         }
+        if (report.configurationRevision > operators.configurationRevision) {
+            this.opts.onNewerConfiguration(report.instanceName);
+        }
         operators.mirror.catchUp(report.configurationRevision);
         upstreams.mirror.catchUp(report.upstreamsRevision);
         this.opts.onLoadChanged();
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -148,6 +148,12 @@
         return this.list().filter(member => member.role === "runner").map(toLinkAddress);
     }
 
+    /** Returns the address on which a runner accepts links; undefined if the process is unknown or a gateway. */
+    runnerAddress(instanceName: InstanceName): HostPort | undefined {
+        const member = this.members.get(instanceName);
+        return member?.role === "runner" ? toLinkAddress(member) : undefined;
+    }
+
     /**
      * Returns the addresses on which the runners without this process accept links, shape [runners]. Among them are those
      * that have no process now and may have held jobs on their disks.
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -24,6 +24,7 @@
 import { FleetProcess } from "./fleetProcess.js";
 import { HeldJobsCollector } from "./heldJobsCollector.js";
 import { SnapshotKeeper } from "./snapshotKeeper.js";
+import { snapshotResponseOf } from "./snapshotResponseOf.js";
 import { VacantInstanceDrains } from "./vacantInstanceDrains.js";
 
 const RETRY_DELAY_MS = 200;
@@ -97,7 +98,7 @@
         this.snapshots = new SnapshotKeeper({
             clock: this.fleet.clock,
             logger,
-            known: () => this.fleet.snapshot(),
+            known: () => this.fleet.knowledge.snapshot(),
             file: new FleetSnapshotFile({ dataFolder: settings.dataFolder }),
         });
         const { peers, operators } = this.fleet;
@@ -124,6 +125,10 @@
 
     /** Starts to follow the fleet, to serve links and to write held jobs. Rejects if a port can't be opened. */
     async start(): Promise<void> {
+        // Known before the first listing, so that a late replica of the key-value service brings back nothing older.
+        const stored = await this.snapshots.load();
+        const name = this.settings.current.instanceName;
+        this.fleet.operators.adoptFrom({ kind: "disk", name }, stored?.operators ?? []);
         await this.fleet.start();
         void this.snapshots.run(this.closing.signal);
         void this.vacantDrains.run(this.closing.signal);
@@ -189,8 +194,8 @@
 
     private handleCalls(): void {
         const { runner, snapshots } = this;
-        this.fleet.links.handle(fleetSnapshotCall, async function*() {
-            const snapshot = snapshots.current();
+        this.fleet.links.handle(fleetSnapshotCall, async function*(request) {
+            const snapshot = snapshotResponseOf(request, snapshots.current());
             yield snapshot === undefined ? {} : { snapshot };
         });
         this.fleet.links.handle(resultsCall, async function*(request, context) {
--- a/daemons/fleet/src/snapshotKeeper.ts
+++ b/daemons/fleet/src/snapshotKeeper.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { FleetSnapshot } from "@knapweedwood/fleet.sync/fleetSnapshot";
+import { mergeSnapshots } from "@knapweedwood/fleet.sync/mergeSnapshots";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 
 /** Time between checks whether the snapshot has changed, in milliseconds. */
@@ -24,14 +25,23 @@
         this.opts = opts;
     }
 
-    /** What this process knows of the fleet, or what an earlier start of it knew. */
+    /** The newest of what this process knows of the fleet and what an earlier start of it knew. */
     current(): FleetSnapshot | undefined {
-        return this.opts.known() ?? this.stored;
+        const known = this.opts.known();
+        return known === undefined || this.stored === undefined
+            ? known ?? this.stored
+            : mergeSnapshots(this.stored, known);
     }
 
-    /** Loads the stored snapshot, then stores changes until `signal` is aborted. */
-    async run(signal: AbortSignal): Promise<void> {
+    /** Loads and returns the snapshot that an earlier start has stored. Called before anything is known otherwise. */
+    async load(): Promise<FleetSnapshot | undefined> {
         this.stored = await this.opts.file.read();
+        this.storedVersion = this.stored === undefined ? "" : versionOf(this.stored);
+        return this.stored;
+    }
+
+    /** Stores changes until `signal` is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             await sleep(this.opts.clock, CHECK_INTERVAL_MS, signal);
             await this.storeIfChanged();
@@ -39,13 +49,14 @@
     }
 
     private async storeIfChanged(): Promise<void> {
-        const snapshot = this.opts.known();
+        const snapshot = this.current();
         const version = snapshot === undefined ? "" : versionOf(snapshot);
         if (snapshot === undefined || version === this.storedVersion) {
             return;
         }
         try {
             await this.opts.file.write(snapshot);
+            this.stored = snapshot;
             this.storedVersion = version;
         }
         catch (error) {
--- a/daemons/fleet/test/snapshotLoader.test.ts
+++ b/daemons/fleet/test/snapshotLoader.test.ts
@@ -32,9 +32,11 @@
         clock,
         logger: silentLogger,
         seeds: ["a", "b"].map(host => ({ host, port: 2 })),
-        isInitialized: () => seededAtMs !== undefined || clock.nowMs() >= keyValueMs,
+        isListed: () => clock.nowMs() >= keyValueMs,
         seed: () => {
-            seededAtMs = clock.nowMs();
+            const isFirst = seededAtMs === undefined;
+            seededAtMs ??= clock.nowMs();
+            return isFirst;
         },
     });
     void loader.run(controller.signal);
@@ -50,6 +52,43 @@
     assert.deepEqual([...new Set(asked)], ["a:2", "b:2"]);
 });
 
+// The first snapshot was used, and the seeds weren't asked again: a key that had been withdrawn was valid until the end of
+// the outage.
+test("the newest of what all seeds know is used, and they are asked until the service answers", async () => {
+    const clock = new ManualClock();
+    const entryOf = (modRevision: number) => ({ key: "k", value: Buffer.from("v"), modRevision, leaseId: undefined });
+    const revisions: { [address: string]: number; } = { "a:2": 4, "b:2": 7, "c:2": 5 };
+    const endpoint = {
+        connect: (address: string) => ({
+            call: async function*() {
+                yield { snapshot: { ...snapshot, operators: [entryOf(revisions[address]!)] } };
+            },
+        }),
+    } as unknown as LinkEndpoint;
+    const used: string[] = [];
+    let isListed = false;
+    const loader = new SnapshotLoader({
+        endpoint,
+        clock,
+        logger: silentLogger,
+        seeds: ["a", "b", "c"].map(host => ({ host, port: 2 })),
+        isListed: () => isListed,
+        seed: (source, { operators }) => {
+            used.push(`${source} ${operators[0]?.modRevision}`);
+            return true;
+        },
+    });
+    const controller = new AbortController();
+    void loader.run(controller.signal);
+    await clock.advance(1000);
+    revisions["c:2"] = 9;
+    await clock.advance(1000);
+    isListed = true;
+    await clock.advance(5000);
+    assert.deepEqual(used, ["b 7", "c 9"]);
+    controller.abort();
+});
+
 test("a process whose key-value service answers asks no runner", async () => {
     assert.deepEqual(await startProcess(300), { asked: [], seededAtMs: undefined });
 });
@@ -65,7 +104,9 @@
     };
     const keeper = () => new SnapshotKeeper({ clock, logger: silentLogger, known: () => known, file });
     const entryOf = (modRevision: number) => ({ key: "k", value: Buffer.from("v"), modRevision, leaseId: undefined });
-    void keeper().run(controller.signal);
+    const first = keeper();
+    assert.equal(await first.load(), undefined);
+    void first.run(controller.signal);
     await clock.advance(1500);
     assert.equal(written.length, 0);
     known = { ...snapshot, upstreams: [entryOf(1)] };
@@ -75,8 +116,7 @@
     assert.equal(written.length, 2);
     known = undefined;
     const restarted = keeper();
-    void restarted.run(controller.signal);
-    await clock.advance(10);
+    await restarted.load();
     assert.equal(restarted.current()?.upstreams[0]?.modRevision, 2);
     controller.abort();
 });
