fix(gateway): a stream of unknown origin goes on only where no other version can have begun it

Cause: the origin was assumed from the versions that a gateway had seen within two timeouts. Callers retry more often than that, so after a release and a kill of all gateways a stream went on at the new version. A listing after a failed call hides versions that came and left meanwhile, and a dead watch that was replaced by a listing did too.

--- a/daemons/fleet/src/configurationCatchUp.ts
+++ b/daemons/fleet/src/configurationCatchUp.ts
@@ -22,10 +22,8 @@
     logger: Logger;
     endpoint: LinkEndpoint;
     operators: Pick<OperatorsFollower, "adoptFrom" | "configurationRevision" | "isOutdated">;
-    /** Returns the addresses of the known runners, shape [runners]. May contain this process and duplicates. */
+    /** Returns the addresses of the runners without this process, shape [runners]. */
     runners: () => HostPort[];
-    /** Address on which this process accepts links, if it does. */
-    ownAddress: HostPort;
     /** Returns whether this process has reached the key-value service a short time ago. */
     isKeyValueReachable: () => boolean;
 }
@@ -62,7 +60,7 @@
     isConfirmed(maxWaitMs: number): boolean {
         const waitMs = Math.min(maxWaitMs, CONFIRMATION_WAIT_MS);
         return this.hasAnswer || this.opts.clock.nowMs() >= this.startedAtMs + waitMs
-            || this.otherRunners().length === 0;
+            || this.opts.runners().length === 0;
     }
 
     /** Asks a runner that is known to have a newer configuration before the others. */
@@ -86,7 +84,7 @@
 
     private async askNext(): Promise<void> {
         const preferred = this.mayPrefer ? this.preferred : undefined;
-        const runners = this.otherRunners();
+        const runners = this.opts.runners();
         const runner = preferred ?? runners[this.position % runners.length];
         if (runner === undefined) {
             return;
@@ -119,10 +117,4 @@
             return false;
         }
     }
-
-    private otherRunners(): HostPort[] {
-        const { host, port } = this.opts.ownAddress;
-        const others = this.opts.runners().filter(runner => runner.host !== host || runner.port !== port);
-        return [...new Map(others.map(runner => [`${runner.host}:${runner.port}`, runner])).values()];
-    }
 }
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -30,9 +30,11 @@
 import { LoadReports } from "./loadReports.js";
 import { MetricsServer } from "./metricsServer.js";
 import { OperatorsFollower } from "./operatorsFollower.js";
+import { otherRunners } from "./otherRunners.js";
 import { PeerFollower } from "./peerFollower.js";
 import { SuspicionStore } from "./suspicionStore.js";
 import { UpstreamFollower } from "./upstreamFollower.js";
+import { VersionRecordLoader } from "./versionRecordLoader.js";
 
 const SEED_LIMIT = 2 ** 31;
 const HOUSEKEEPING_INTERVAL_MS = 100;
@@ -83,6 +85,7 @@
     readonly quarantine: RequestQuarantine;
     readonly knowledge: FleetKnowledge;
     private readonly configurationCatchUp: ConfigurationCatchUp;
+    private readonly versionRecords: VersionRecordLoader;
     private readonly opts: FleetProcessOptions;
     private readonly self: MemberRecord;
     private readonly loadReports: LoadReports;
@@ -139,6 +142,7 @@
             health,
             connections,
             drainMs: () => opts.settings.upstreamDrainMs,
+            isKeyValueReachable: () => this.isKeyValueReachable,
             onChanged: opts.onLoadChanged,
         });
         this.loadReports = new LoadReports({
@@ -217,17 +221,21 @@
             limits: LINK_LIMITS,
         });
         this.knowledge = new FleetKnowledge(this);
-        const seeds = settings.seedHosts.map(host => ({ host, port: this.self.linkPort }));
-        this.configurationCatchUp = new ConfigurationCatchUp({
+        const port = this.self.linkPort;
+        const seeds = settings.seedHosts.map(host => ({ host, port }));
+        const linkContext = {
             clock,
             random,
             logger,
             endpoint: this.links,
+            runners: () => otherRunners([...seeds, ...this.peers.runners()], { host: settings.host, port }),
+        };
+        this.configurationCatchUp = new ConfigurationCatchUp({
+            ...linkContext,
             operators: this.operators,
-            runners: () => [...seeds, ...this.peers.runners()],
-            ownAddress: { host: settings.host, port: this.self.linkPort },
             isKeyValueReachable: () => this.isKeyValueReachable,
         });
+        this.versionRecords = new VersionRecordLoader({ ...linkContext, upstreams: this.upstreams });
     }
 
     /**
@@ -322,6 +330,7 @@
         this.loadTracker.expire(this.clock.nowMs());
         this.upstreams.expire();
         this.configurationCatchUp.tick();
+        this.versionRecords.tick();
         this.quarantine.withdrawCrashes();
         const dueAtMs = this.clock.nowMs() + HOUSEKEEPING_INTERVAL_MS;
         this.clock.setTimer(HOUSEKEEPING_INTERVAL_MS, () => {
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -26,6 +26,7 @@
 import { SnapshotKeeper } from "./snapshotKeeper.js";
 import { snapshotResponseOf } from "./snapshotResponseOf.js";
 import { VacantInstanceDrains } from "./vacantInstanceDrains.js";
+import { versionRecordCall } from "./versionRecordCall.js";
 
 const RETRY_DELAY_MS = 200;
 
@@ -198,6 +199,11 @@
             const snapshot = snapshotResponseOf(request, snapshots.current());
             yield snapshot === undefined ? {} : { snapshot };
         });
+        const { upstreams } = this.fleet;
+        this.fleet.links.handle(versionRecordCall, async function*() {
+            const record = upstreams.versionRecord();
+            yield record === undefined ? {} : { record };
+        });
         this.fleet.links.handle(resultsCall, async function*(request, context) {
             const page = await runner.reader.results({ ...request, signal: context.signal });
             yield page === undefined ? {} : { page };
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -10,6 +10,7 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { UpstreamChange } from "@knapweedwood/fleet.view/upstreamChange";
 import { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
+import type { VersionRecord } from "@knapweedwood/fleet.view/versionRecord";
 import { decodeUpstream } from "@knapweedwood/platform.adapter/decodeUpstream";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import type { FollowerContext } from "./followerContext.js";
@@ -22,6 +23,8 @@
     connections: UpstreamConnections;
     /** Time for which an upstream serves requests after it has said that it leaves, in milliseconds. */
     drainMs: () => number;
+    /** Returns whether this process has reached the key-value service a short time ago. */
+    isKeyValueReachable: () => boolean;
     /** Called when the set of upstreams or the state of an upstream has changed. */
     onChanged: () => void;
 }
@@ -32,6 +35,8 @@
     readonly mirror: PrefixMirror;
     private readonly opts: UpstreamFollowerOptions;
     private lastChangeRevision = 0;
+    /** Time since which peers have seen every change until this process did, and the time at which it began to. */
+    private inherited: { sinceMs: number; ownSinceMs: number; } | undefined;
 
     constructor(opts: UpstreamFollowerOptions) {
         this.opts = opts;
@@ -84,11 +89,55 @@
     }
 
     /**
-     * Returns the one software version that has run a service since `sinceMs`; undefined if there were others, or if this
-     * process has not followed the entries all the time.
+     * Returns the one software version that has run a service since `sinceMs`; undefined if there were others, or if
+     * changes of the upstreams since then may have been missed.
      */
     soleVersion(service: ServiceName, sinceMs: number): SoftwareVersion | undefined {
-        return this.mirror.reachableSinceMs <= sinceMs ? this.directory.soleVersion(service, sinceMs) : undefined;
+        return this.versionsKnownSinceMs <= sinceMs ? this.directory.soleVersion(service, sinceMs) : undefined;
+    }
+
+    /** Returns what this process has seen of the software versions; undefined while it may be missing changes. */
+    versionRecord(): VersionRecord | undefined {
+        const sinceMs = this.versionsKnownSinceMs;
+        const nowMs = this.opts.clock.nowMs();
+        if (sinceMs === Infinity) {
+            return undefined;
+        }
+        const sightings = this.directory.versionsSince(sinceMs, nowMs);
+        const latest = new Map(
+            sightings.map(one => [JSON.stringify([one.service, one.softwareVersion]), one] as const),
+        );
+        return {
+            coveredForMs: nowMs - sinceMs,
+            versions: [...latest.values()].map(({ service, softwareVersion, atMs }) => ({
+                service,
+                softwareVersion,
+                seenAgoMs: nowMs - atMs,
+            })),
+        };
+    }
+
+    /**
+     * Adds what a peer has seen of the software versions. Only a peer that was asked after this process had begun to
+     * receive every change has seen what came before without a gap.
+     */
+    adoptVersionRecord(record: VersionRecord, askedAtMs: number): void {
+        const nowMs = this.opts.clock.nowMs();
+        const ownSinceMs = this.mirror.gaplessSinceMs;
+        if (ownSinceMs > askedAtMs) {
+            return;
+        }
+        // The record is as old as its way here, so these times are later than the true ones, which is the safe side.
+        record.versions.forEach(({ service, softwareVersion, seenAgoMs }) =>
+            this.directory.recordVersion(service, softwareVersion, nowMs - seenAgoMs)
+        );
+        this.inherited = { sinceMs: Math.min(this.versionsKnownSinceMs, nowMs - record.coveredForMs), ownSinceMs };
+    }
+
+    /** Unix ms since which this process, or peers before it, have seen every change; infinity if it may miss some now. */
+    private get versionsKnownSinceMs(): number {
+        const ownSinceMs = this.opts.isKeyValueReachable() ? this.mirror.gaplessSinceMs : Infinity;
+        return this.inherited?.ownSinceMs === ownSinceMs ? this.inherited.sinceMs : ownSinceMs;
     }
 
     /** Returns the time at which this process of an upstream was last known to be listed, Unix ms; -infinity if it isn't. */
--- a/daemons/fleet/test/configurationProcess.ts
+++ b/daemons/fleet/test/configurationProcess.ts
@@ -11,6 +11,7 @@
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import { ConfigurationCatchUp } from "../src/configurationCatchUp.js";
 import { OperatorsFollower } from "../src/operatorsFollower.js";
+import { otherRunners } from "../src/otherRunners.js";
 import { SnapshotKeeper } from "../src/snapshotKeeper.js";
 import { snapshotResponseOf } from "../src/snapshotResponseOf.js";
 
@@ -91,8 +92,7 @@
             logger,
             endpoint: this.createEndpoint(),
             operators: this.operators,
-            runners: () => [...network.keys()].map(host => ({ host, port: 2 })),
-            ownAddress: { host: name, port: 2 },
+            runners: () => otherRunners([...network.keys()].map(host => ({ host, port: 2 })), this.address()),
             isKeyValueReachable: () => true,
         });
     }
--- a/daemons/fleet/test/fleetKnowledge.test.ts
+++ b/daemons/fleet/test/fleetKnowledge.test.ts
@@ -43,6 +43,7 @@
         health: new UpstreamHealth(),
         connections: new UpstreamConnections(),
         drainMs: () => 1000,
+        isKeyValueReachable: () => true,
         onChanged: () => undefined,
     });
     const peers = new PeerFollower({
--- /dev/null
+++ b/daemons/fleet/test/resumedStreams.test.ts
@@ -0,0 +1,177 @@
+// All gateways were killed at once, and nobody knew where the streams had begun that callers resumed. A gateway that had
+// started during a release took the version that it saw for theirs: callers got texts joined of two versions.
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { StreamContinuity } from "@knapweedwood/fleet.gateway/streamContinuity";
+import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
+import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
+import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
+import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { UpstreamFollower } from "../src/upstreamFollower.js";
+
+const TIMEOUT_MS = 5000;
+const service = "s" as ServiceName;
+/** Age of the oldest streams that callers still resume, in milliseconds: several tries of one timeout each. */
+const OLDEST_STREAM_MS = 25_000;
+
+/** A fleet whose upstreams register and leave at a key-value service. */
+class ReleasingFleet {
+    readonly clock = new ManualClock(1_000_000);
+    readonly keyValueService = new MemoryKeyValueService({ clock: this.clock });
+    private readonly controller = new AbortController();
+
+    async register(id: string, softwareVersion: string): Promise<void> {
+        const value = Buffer.from(JSON.stringify({
+            address: "h:1",
+            service,
+            zone: "z",
+            version: softwareVersion,
+            slots: 8,
+            state: "ready",
+            born: this.clock.nowMs(),
+        }));
+        await this.keyValueService.transact([], [{ kind: "put", key: `${wireKeys.upstreams}${id}`, value }]);
+    }
+
+    async remove(id: string): Promise<void> {
+        await this.keyValueService.transact([], [{ kind: "delete", key: `${wireKeys.upstreams}${id}` }]);
+    }
+
+    startProcess(): UpstreamFollower {
+        const follower = new UpstreamFollower({
+            service: this.keyValueService,
+            clock: this.clock,
+            random: new SeededRandom(1),
+            logger: silentLogger,
+            watchWaitMs: () => 4000,
+            coalesceMs: () => 0,
+            keepsEntries: true,
+            loadTracker: new LoadTracker(),
+            health: new UpstreamHealth(),
+            connections: new UpstreamConnections(),
+            drainMs: () => 1000,
+            isKeyValueReachable: () => true,
+            onChanged: () => undefined,
+        });
+        void follower.mirror.run(this.controller.signal);
+        return follower;
+    }
+
+    /** Returns the version at which a gateway lets a stream of unknown origin go on; undefined if it rejects it. */
+    async resumeAt(gateway: UpstreamFollower): Promise<string | undefined> {
+        const continuity = new StreamContinuity({
+            context: {
+                clock: this.clock,
+                headers: new PlatformCallerProtocol().headers,
+                origins: { record: () => undefined, lookUp: () => Promise.resolve(undefined) },
+                soleVersion: (name, sinceMs) => gateway.soleVersion(name, sinceMs),
+            },
+            route: { services: [{ service, weight: 1 }], timeoutMs: TIMEOUT_MS } as never,
+            request: { headers: { "last-event-id": "3" } } as never,
+            requestId: "r" as never,
+        });
+        await continuity.decideResumption();
+        return continuity.softwareVersion;
+    }
+
+    stop(): void {
+        this.controller.abort();
+    }
+}
+
+test("a gateway that started after a release doesn't take its version for that of older streams", async () => {
+    const fleet = new ReleasingFleet();
+    await fleet.register("a", "v1");
+    // Streams begin at v1 here, and all gateways are killed.
+    await fleet.remove("a");
+    await fleet.register("b", "v2");
+    const gateway = fleet.startProcess();
+    const beganAtMs = fleet.clock.nowMs();
+    while (fleet.clock.nowMs() < beganAtMs + OLDEST_STREAM_MS) {
+        assert.equal(await fleet.resumeAt(gateway), undefined, `after ${fleet.clock.nowMs() - beganAtMs} ms`);
+        await fleet.clock.advance(500);
+    }
+    await fleet.clock.advance(OLDEST_STREAM_MS);
+    assert.equal(await fleet.resumeAt(gateway), "v2", "no stream is as old as the release any more");
+    fleet.stop();
+});
+
+test("a version that came and left while a gateway missed changes isn't ruled out", async () => {
+    const fleet = new ReleasingFleet();
+    await fleet.register("a", "v1");
+    const gateway = fleet.startProcess();
+    await fleet.clock.advance(100_000);
+    assert.equal(await fleet.resumeAt(gateway), "v1");
+    // The gateway lists the upstreams again after a failed call, and doesn't learn what has come and gone since.
+    const { faults } = fleet.keyValueService;
+    faults.outage = true;
+    await fleet.clock.advance(10);
+    faults.outage = false;
+    await fleet.register("b", "v2");
+    await fleet.remove("b");
+    await fleet.clock.advance(OLDEST_STREAM_MS);
+    assert.equal(await fleet.resumeAt(gateway), undefined);
+    fleet.stop();
+});
+
+/** Lets `asking` learn from `runner` in `delayMs` what this has seen, as over a link. */
+async function askRunner(fleet: ReleasingFleet, asking: UpstreamFollower, runner: UpstreamFollower, delayMs = 20) {
+    const askedAtMs = fleet.clock.nowMs();
+    const record = runner.versionRecord();
+    await fleet.clock.advance(delayMs);
+    if (record !== undefined) {
+        asking.adoptVersionRecord(record, askedAtMs);
+    }
+}
+
+test("a gateway that has just started lets streams go on where a runner has only ever seen one version", async () => {
+    const fleet = new ReleasingFleet();
+    await fleet.register("a", "v1");
+    await fleet.register("b", "v1");
+    const runner = fleet.startProcess();
+    await fleet.clock.advance(60_000);
+    fleet.keyValueService.faults.responseDelayMs = 10;
+    const gateway = fleet.startProcess();
+    await askRunner(fleet, gateway, runner);
+    fleet.keyValueService.faults.responseDelayMs = 0;
+    assert.equal(
+        await fleet.resumeAt(gateway),
+        undefined,
+        "the runner was asked before the gateway had listed the upstreams",
+    );
+    await askRunner(fleet, gateway, runner);
+    assert.equal(await fleet.resumeAt(gateway), "v1");
+    const second = fleet.startProcess();
+    await fleet.clock.advance(100);
+    await askRunner(fleet, second, gateway);
+    assert.equal(await fleet.resumeAt(second), "v1", "a record is passed on");
+    fleet.stop();
+});
+
+test("a gateway that has just started rejects streams while a version that a runner has seen may have begun them", async () => {
+    const fleet = new ReleasingFleet();
+    await fleet.register("a", "v1");
+    const runner = fleet.startProcess();
+    await fleet.clock.advance(60_000);
+    await fleet.register("b", "v2");
+    await fleet.clock.advance(1000);
+    await fleet.remove("a");
+    await fleet.clock.advance(1000);
+    const gateway = fleet.startProcess();
+    const removedAtMs = fleet.clock.nowMs() - 1000;
+    await fleet.clock.advance(100);
+    await askRunner(fleet, gateway, runner);
+    while (fleet.clock.nowMs() < removedAtMs + OLDEST_STREAM_MS) {
+        assert.equal(await fleet.resumeAt(gateway), undefined);
+        await fleet.clock.advance(500);
+    }
+    await fleet.clock.advance(5500);
+    assert.equal(await fleet.resumeAt(gateway), "v2");
+    fleet.stop();
+});
--- a/fleet/gateway/src/streamContinuity.ts
+++ b/fleet/gateway/src/streamContinuity.ts
@@ -8,8 +8,11 @@
 import { headerOf } from "./headerOf.js";
 import type { ResumptionDecision } from "./resumptionDecision.js";
 
-/** Longest time from the beginning of a stream to its last resumption, in units of the route's timeout. */
-const LIFETIME_TIMEOUTS = 2;
+/**
+ * Longest time from the beginning of a stream to its last resumption, in units of the route's timeout. Callers try
+ * several times, each time for up to the timeout.
+ */
+const LIFETIME_TIMEOUTS = 6;
 /** Time after which another gateway may know what began the stream, in milliseconds. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 150;
 /** Time after which a route that has changed may lead back to a service, in milliseconds. */
--- a/fleet/view/src/upstreamDirectory.ts
+++ b/fleet/view/src/upstreamDirectory.ts
@@ -5,6 +5,8 @@
 import type { Upstream } from "./upstream.js";
 import type { UpstreamChange } from "./upstreamChange.js";
 import { upstreamProcessKeyOf } from "./upstreamProcessKeyOf.js";
+import type { VersionSighting } from "./versionSighting.js";
+import { VersionSightings } from "./versionSightings.js";
 
 /** Time after an outage of the key-value service within which upstreams restore expired entries, in milliseconds. */
 const EXPIRY_GRACE_MS = 2200;
@@ -12,8 +14,6 @@
 const MASS_EXPIRY_GRACE_MS = 1800;
 /** Minimum share of a service's upstreams whose simultaneous disappearance counts as expiry of their entries. */
 const MASS_EXPIRY_SHARE = 0.5;
-/** Time for which the versions of upstreams that have left are remembered, in milliseconds. */
-const DEPARTURE_RETENTION_MS = 120_000;
 /** Time for which an upstream that has said that it leaves is remembered, in milliseconds. */
 const ANNOUNCEMENT_RETENTION_MS = 600_000;
 
@@ -25,12 +25,6 @@
     leavingSinceMs: number | undefined;
 }
 
-interface Departure {
-    service: ServiceName;
-    softwareVersion: SoftwareVersion;
-    atMs: number;
-}
-
 /**
  * Stores the upstreams that may receive requests.
  *
@@ -40,7 +34,7 @@
 export class UpstreamDirectory {
     private readonly entries = new Map<UpstreamId, DirectoryEntry>();
     private outageEndedAtMs = -Infinity;
-    private departures: Departure[] = [];
+    private readonly departedVersions = new VersionSightings();
     /** Times at which processes of upstreams said in a response that they leave. Outlasts their entries. */
     private readonly announcedLeaving = new Map<UpstreamProcessKey, number>();
 
@@ -158,10 +152,24 @@
 
     /** Returns the one software version that has run a service since `sinceMs`; undefined if there were others. */
     soleVersion(service: ServiceName, sinceMs: number): SoftwareVersion | undefined {
-        const present = [...this.entries.values()].map(entry => entry.upstream);
-        const past = this.departures.filter(({ atMs }) => atMs >= sinceMs);
-        const versions = [...present, ...past].filter(one => one.service === service).map(one => one.softwareVersion);
-        return versions.every(version => version === versions[0]) ? versions[0] : undefined;
+        const sightings = this.versionsSince(sinceMs, sinceMs).filter(sighting => sighting.service === service);
+        const versions = new Set(sightings.map(({ softwareVersion }) => softwareVersion));
+        return versions.size === 1 ? sightings[0]!.softwareVersion : undefined;
+    }
+
+    /** Returns when the software versions were last seen, those present now and those seen since `sinceMs`, shape [versions]. */
+    versionsSince(sinceMs: number, nowMs: number): VersionSighting[] {
+        const present = [...this.entries.values()].map(({ upstream: { service, softwareVersion } }) => ({
+            service,
+            softwareVersion,
+            atMs: nowMs,
+        }));
+        return [...this.departedVersions.since(sinceMs), ...present];
+    }
+
+    /** Records that a software version ran a service at `atMs`, as another process has seen it. */
+    recordVersion(service: ServiceName, softwareVersion: SoftwareVersion, atMs: number): void {
+        this.departedVersions.record(service, softwareVersion, atMs);
     }
 
     private forgetAnnouncements(nowMs: number): void {
@@ -171,8 +179,8 @@
     }
 
     private recordDeparture({ service, softwareVersion }: Upstream, atMs: number): void {
-        this.departures = this.departures.filter(departure => departure.atMs >= atMs - DEPARTURE_RETENTION_MS);
-        this.departures.push({ service, softwareVersion, atMs });
+        this.departedVersions.forgetOld(atMs);
+        this.departedVersions.record(service, softwareVersion, atMs);
     }
 
     private drop(id: UpstreamId, nowMs: number): UpstreamChange {
