fix(streams): a runner keeps the origin of each stream, so that it outlasts all gateways

Cause: both processes that kept an origin could be gateways. After all gateways were killed at once, nobody knew it, and the callers' resumptions were rejected or guessed. No message has changed, and the number of messages for a stream stays the same.

--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -90,10 +90,16 @@
      * @param isLive whether a process was heard of a short time ago
      */
     streamPeers(isLive: (instanceName: InstanceName) => boolean): StreamPeer[] {
-        return this.others().flatMap(({ instanceName, zone, host, streamPort }) =>
+        return this.others().flatMap(({ instanceName, role, zone, host, streamPort }) =>
             streamPort === undefined
                 ? []
-                : [{ instanceName, zone, address: { host, port: streamPort }, isLive: isLive(instanceName) }]
+                : [{
+                    instanceName,
+                    zone,
+                    address: { host, port: streamPort },
+                    isLive: isLive(instanceName),
+                    isRunner: role === "runner",
+                }]
         );
     }
 
--- a/fleet/streams/test/simulatedStreamFleet.ts
+++ b/fleet/streams/test/simulatedStreamFleet.ts
@@ -15,9 +15,14 @@
     readonly network: SimulatedNetwork;
     private readonly names: InstanceName[];
     private readonly exchanges: StreamOriginExchange[] = [];
+    private readonly firstRunner: number;
+    /** Processes that the others have not heard of for a while, by index. */
+    readonly unheard = new Set<number>();
 
-    constructor(opts: { processes: number; seed: number; }) {
+    /** @param opts.runners number of processes, the last ones, that are runners */
+    constructor(opts: { processes: number; runners?: number; seed: number; }) {
         this.network = new SimulatedNetwork({ clock: this.clock, random: new SeededRandom(opts.seed) });
+        this.firstRunner = opts.processes - (opts.runners ?? 0);
         this.names = Array.from({ length: opts.processes }, (_, index) => `p-${index}` as InstanceName);
         this.names.forEach((_, index) => this.restart(index));
     }
@@ -40,7 +45,8 @@
                     instanceName: name,
                     zone: `z-${this.names.indexOf(name) % ZONES}` as ZoneName,
                     address: { host: name, port: PORT },
-                    isLive: true,
+                    isLive: !this.unheard.has(this.names.indexOf(name)),
+                    isRunner: this.names.indexOf(name) >= this.firstRunner,
                 })),
         });
         void exchange.listen();
--- a/fleet/streams/test/streamOrigins.test.ts
+++ b/fleet/streams/test/streamOrigins.test.ts
@@ -38,6 +38,25 @@
     );
 });
 
+// All gateways were killed at once. The origins of their streams were lost where gateways alone had kept them.
+test("the origins of all streams outlast all gateways, whoever was heard of since", async () => {
+    const gateways = 20;
+    const fleet = new SimulatedStreamFleet({ processes: 31, runners: 11, seed: 3 });
+    const streams = Array.from({ length: 200 }, (_, stream) => stream);
+    streams.forEach(stream => fleet.at(stream % gateways).record(idOf(stream), originOf(stream)));
+    await fleet.clock.advance(10);
+    Array.from({ length: gateways }, (_, index) => index).forEach(index => {
+        fleet.restart(index);
+        if (index % 2 === 0) {
+            fleet.unheard.add(index);
+        }
+    });
+    [22, 25, 27].forEach(index => fleet.unheard.add(index));
+    const found = streams.map(stream => fleet.at((stream + 7) % gateways).lookUp(idOf(stream)));
+    await fleet.clock.advance(LOOKUP_MS);
+    assert.deepEqual(await Promise.all(found), streams.map(originOf));
+});
+
 const step = fc.oneof(
     fc.record({ kind: fc.constant("begin" as const), process, stream: fc.nat(8) }),
     fc.record({ kind: fc.constant("resume" as const), process, stream: fc.nat(8) }),
