--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -118,6 +118,7 @@
         }
         const caller = identifyCaller(configuration, route, headerOf(request, this.protocol.headers.key));
         if (caller.kind === "unknown-key") {
+            this.context.metrics.increment("calls_unknown_key_total");
             this.rejectUnknown(request, response, { statusCode: 401, reason: "unknown key" });
             return;
         }
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -12,9 +12,12 @@
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
+import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import { connect, createServer } from "node:net";
@@ -90,6 +93,9 @@
             isConfigurationCurrent?: boolean;
             origins?: StreamOrigins;
             soleVersion?: SoftwareVersion;
+            teams?: Team[];
+            logger?: Logger;
+            metrics?: Metrics;
         },
     ) {
         const clock = new SystemClock();
@@ -109,7 +115,7 @@
                 routes: [route, ...otherRoutes],
                 services: [],
                 limits,
-                teams: undefined,
+                teams: opts.teams,
             });
         }
         const { loadTracker, connections, directory } = this;
@@ -135,8 +141,8 @@
         const context: GatewayContext = {
             clock,
             random,
-            logger: silentLogger,
-            metrics: silentMetrics,
+            logger: opts.logger ?? silentLogger,
+            metrics: opts.metrics ?? silentMetrics,
             configuration,
             isConfigurationCurrent: () => opts.isConfigurationCurrent ?? true,
             connections,
