fix(gateway): a stream of unknown origin isn't taken for one of a service that its route leads to only now

Cause: the origin was assumed from the route's present service, though the operators may have led the route to it while the stream ran. Change: the active configuration knows since when a route has led to its services, as far as the process has seen. Checked: the test 'a route that leads to another service may have streams of the one before' fails without the condition and passes with it; daemons/fleet, fleet/view and fleet/gateway pass, 107 tests.

--- a/daemons/fleet/src/operatorsFollower.ts
+++ b/daemons/fleet/src/operatorsFollower.ts
@@ -120,7 +120,7 @@
         try {
             const configuration = decodeConfiguration(entry.value);
             this.writtenRevision = Math.max(this.writtenRevision, entry.modRevision);
-            const isAdopted = this.configuration.adopt(configuration);
+            const isAdopted = this.configuration.adopt(configuration, this.opts.clock.nowMs());
             if (configuration.version === this.configuration.version) {
                 this.activeEntry = this.laterEntry(entry);
             }
--- a/daemons/fleet/test/resumedStreams.test.ts
+++ b/daemons/fleet/test/resumedStreams.test.ts
@@ -7,6 +7,7 @@
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
+import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
@@ -24,8 +25,19 @@
 class ReleasingFleet {
     readonly clock = new ManualClock(1_000_000);
     readonly keyValueService = new MemoryKeyValueService({ clock: this.clock });
+    private readonly configuration = new ActiveConfiguration();
     private readonly controller = new AbortController();
 
+    constructor() {
+        this.configure(1, service);
+    }
+
+    /** Lets the route lead to a service. */
+    configure(version: number, name: ServiceName): void {
+        const route = { host: "h", prefix: "/", services: [{ service: name, weight: 1 }], timeoutMs: TIMEOUT_MS };
+        this.configuration.adopt({ version, routes: [route], services: [] } as never, this.clock.nowMs());
+    }
+
     async register(id: string, softwareVersion: string): Promise<void> {
         const value = Buffer.from(JSON.stringify({
             address: "h:1",
@@ -68,11 +80,12 @@
         const continuity = new StreamContinuity({
             context: {
                 clock: this.clock,
+                configuration: this.configuration,
                 headers: new PlatformCallerProtocol().headers,
                 origins: { record: () => undefined, lookUp: () => Promise.resolve(undefined) },
                 soleVersion: (name, sinceMs) => gateway.soleVersion(name, sinceMs),
             },
-            route: { services: [{ service, weight: 1 }], timeoutMs: TIMEOUT_MS } as never,
+            route: this.configuration.current!.routes[0]!,
             request: { headers: { "last-event-id": "3" } } as never,
             requestId: "r" as never,
         });
@@ -120,6 +133,21 @@
     fleet.stop();
 });
 
+test("a route that leads to another service may have streams of the one before", async () => {
+    const fleet = new ReleasingFleet();
+    await fleet.register("a", "v1");
+    const gateway = fleet.startProcess();
+    fleet.configure(2, "before" as ServiceName);
+    await fleet.clock.advance(60_000);
+    fleet.configure(3, service);
+    await fleet.clock.advance(OLDEST_STREAM_MS);
+    assert.equal(await fleet.resumeAt(gateway), undefined);
+    fleet.configure(4, service);
+    await fleet.clock.advance(OLDEST_STREAM_MS);
+    assert.equal(await fleet.resumeAt(gateway), "v1");
+    fleet.stop();
+});
+
 /** Lets `asking` learn from `runner` in `delayMs` what this has seen, as over a link. */
 async function askRunner(fleet: ReleasingFleet, asking: UpstreamFollower, runner: UpstreamFollower, delayMs = 20) {
     const askedAtMs = fleet.clock.nowMs();
--- a/fleet/gateway/src/streamContinuity.ts
+++ b/fleet/gateway/src/streamContinuity.ts
@@ -19,7 +19,7 @@
 const OTHER_SERVICE_RETRY_AFTER_MS = 1000;
 
 interface StreamContinuityOptions {
-    context: Pick<GatewayContext, "clock" | "headers" | "origins" | "soleVersion">;
+    context: Pick<GatewayContext, "clock" | "configuration" | "headers" | "origins" | "soleVersion">;
     route: Route;
     request: IncomingMessage;
     requestId: RequestId;
@@ -81,7 +81,7 @@
         }
     }
 
-    /** Returns the only origin that a stream of this route can have, if one version has run its one service all the time. */
+    /** Returns the only origin that a stream of this route can have, if it has led to one service and one version has run that all the time. */
     private soleOrigin(): StreamOrigin | undefined {
         const { context, route } = this.opts;
         const [only, ...others] = route.services;
@@ -89,6 +89,9 @@
             return undefined;
         }
         const sinceMs = context.clock.nowMs() - route.timeoutMs * LIFETIME_TIMEOUTS;
+        if (context.configuration.servicesKnownSinceMs(route) > sinceMs) {
+            return undefined;
+        }
         const softwareVersion = context.soleVersion(only.service, sinceMs);
         return softwareVersion === undefined ? undefined : { service: only.service, softwareVersion };
     }
--- a/fleet/view/src/activeConfiguration.ts
+++ b/fleet/view/src/activeConfiguration.ts
@@ -11,6 +11,7 @@
     private table: RouteTable | undefined;
     private services = new Map<ServiceName, ServiceDefinition>();
     private teamsByKey = new Map<string, Team>();
+    private servicesSinceMs = new Map<string, number>();
 
     /** The active configuration; undefined before the first. */
     get current(): FleetConfiguration | undefined {
@@ -25,12 +26,14 @@
     /**
      * Replaces the active configuration if the given one is newer.
      *
+     * @param nowMs time from which the services of changed routes count as new, Unix ms; by default they always count as old
      * @returns whether it was replaced
      */
-    adopt(configuration: FleetConfiguration): boolean {
+    adopt(configuration: FleetConfiguration, nowMs = -Infinity): boolean {
         if (configuration.version <= this.version) {
             return false;
         }
+        this.servicesSinceMs = this.timeServices(configuration, nowMs);
         this.configuration = configuration;
         this.table = new RouteTable(configuration);
         this.services = new Map(configuration.services.map(service => [service.name, service]));
@@ -43,6 +46,14 @@
         return this.table?.match(host, path);
     }
 
+    /**
+     * Returns the time at which this process learned that the route leads to its services, Unix ms; -infinity if it has
+     * known no others.
+     */
+    servicesKnownSinceMs(route: Route): number {
+        return this.servicesSinceMs.get(placeOf(route)) ?? -Infinity;
+    }
+
     /** Returns the team that holds a key; undefined if no team does. */
     teamOf(key: string): Team | undefined {
         return this.teamsByKey.get(key);
@@ -55,4 +66,20 @@
     maxConnections(service: ServiceName): number {
         return this.services.get(service)?.maxConnections ?? Infinity;
     }
+
+    private timeServices({ routes }: FleetConfiguration, nowMs: number): Map<string, number> {
+        const previous = new Map(this.configuration?.routes.map(route => [placeOf(route), servicesOf(route)]));
+        return new Map(routes.map(route => {
+            const isUnchanged = this.configuration === undefined || previous.get(placeOf(route)) === servicesOf(route);
+            return [placeOf(route), isUnchanged ? this.servicesKnownSinceMs(route) : nowMs];
+        }));
+    }
+}
+
+function placeOf({ host, prefix }: Route): string {
+    return `${host} ${prefix}`;
+}
+
+function servicesOf({ services }: Route): string {
+    return services.map(({ service }) => service).sort().join();
 }
