--- a/daemons/fleet/test/configurationCatchUp.test.ts
+++ b/daemons/fleet/test/configurationCatchUp.test.ts
@@ -4,7 +4,8 @@
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { configurationOf, ConfigurationProcess, type InstanceDisk, LASTING_KEY } from "./configurationProcess.js";
+import { configurationOf } from "./configurationOf.js";
+import { ConfigurationProcess } from "./configurationProcess.js";
 
 /** Starts processes of these names that reach each other. Each starts with version 1, which contains `old`. */
 async function startFleet(names: string[]) {
@@ -33,7 +34,7 @@
     const asked = gateway.asked;
     await runner.write(2, ["new"]);
     await clock.advance(2000);
-    assert.deepEqual(["old", "new", LASTING_KEY].map(key => gateway.knows(key)), [false, true, true]);
+    assert.deepEqual(["old", "new", "lasting"].map(key => gateway.knows(key)), [false, true, true]);
     assert.equal(
         gateway.operators.mirror.isCurrent,
         false,
@@ -89,10 +90,10 @@
         upstreams: [],
         fleet: [],
     });
-    const disks: InstanceDisk[] = [
+    const disks = [
         { stored: snapshot(1, 5, ["old"]) },
         { stored: snapshot(2, 9, []) },
-        { stored: undefined },
+        { stored: undefined as ReturnType<typeof snapshot> | undefined },
     ];
     const processes = disks.map((disk, index) => {
         const process = new ConfigurationProcess({ clock, name: String(index), network, disk });
@@ -156,6 +157,6 @@
     const unreadableLines = runner.lines.filter(line => line.includes("configuration-unreadable"));
     assert.equal(unreadableLines.length, unreadable.length);
     const written = [...gateway.lines, ...runner.lines, ...gateway.metrics, ...runner.metrics].join("\n");
-    assert.doesNotMatch(written, /secret|key-that|"old"/u);
+    assert.doesNotMatch(written, /secret|lasting|"old"/u);
     processes.forEach(process => process.stop());
 });
--- a/daemons/fleet/test/configurationProcess.ts
+++ b/daemons/fleet/test/configurationProcess.ts
@@ -1,12 +1,12 @@
 import type { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
-import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import type { FleetSnapshot } from "@knapweedwood/fleet.sync/fleetSnapshot";
 import type { FleetSnapshotRequest } from "@knapweedwood/fleet.sync/fleetSnapshotRequest";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { LinkEndpoint } from "@knapweedwood/links.calls/linkEndpoint";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
+import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import { ConfigurationCatchUp } from "../src/configurationCatchUp.js";
@@ -14,22 +14,16 @@
 import { otherRunners } from "../src/otherRunners.js";
 import { SnapshotKeeper } from "../src/snapshotKeeper.js";
 import { snapshotResponseOf } from "../src/snapshotResponseOf.js";
+import { configurationOf } from "./configurationOf.js";
+import { createFollowerContext } from "./createFollowerContext.js";
 
 const TICK_MS = 100;
-const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-
-/** The key that every version of {@link configurationOf} contains. */
-export const LASTING_KEY = "key-that-lasts";
-
-/** Encodes a configuration of a version with a team that holds the keys and {@link LASTING_KEY}. */
-export function configurationOf(version: number, keys: string[]): Uint8Array {
-    const tenants = [{ name: "t", apiKeys: [LASTING_KEY, ...keys] }];
-    return Buffer.from(JSON.stringify({ version, routes: [], services: [], limits, tenants }));
-}
-
-/** Where an instance keeps its snapshot over restarts of its process. */
-export interface InstanceDisk {
-    stored: FleetSnapshot | undefined;
+interface ConfigurationProcessOptions {
+    clock: ManualClock;
+    name: string;
+    network: Map<string, ConfigurationProcess>;
+    /** Where the instance keeps its snapshot over restarts of its process. */
+    disk?: { stored: FleetSnapshot | undefined; };
 }
 
 /**
@@ -45,34 +39,20 @@
     readonly metrics: string[] = [];
     asked = 0;
     private readonly controller = new AbortController();
-    private readonly opts: ConfigurationProcess["parts"];
-    declare private readonly parts: {
-        clock: ManualClock;
-        name: string;
-        network: Map<string, ConfigurationProcess>;
-        disk?: InstanceDisk;
-        service?: MemoryKeyValueService;
-    };
+    private readonly opts: ConfigurationProcessOptions;
 
-    constructor(opts: ConfigurationProcess["parts"]) {
+    constructor(opts: ConfigurationProcessOptions) {
         this.opts = opts;
         const { clock, name, network, disk = { stored: undefined } } = opts;
-        const random = new SeededRandom(1);
-        const logger = this.createLogger();
-        this.service = opts.service ?? new MemoryKeyValueService({ clock });
+        this.service = new MemoryKeyValueService({ clock });
+        const context = createFollowerContext(clock, this.service, this.createLogger());
+        const { logger, random } = context;
         this.operators = new OperatorsFollower({
-            service: this.service,
-            clock,
-            random,
-            logger,
-            watchWaitMs: () => 4000,
-            coalesceMs: () => 0,
-            keepsEntries: true,
+            ...context,
             instanceName: name as InstanceName,
             metrics: {
+                ...silentMetrics,
                 increment: (metric, tags) => void this.metrics.push(`${metric} ${JSON.stringify(tags)}`),
-                gauge: () => undefined,
-                timing: () => undefined,
             },
             onConfiguration: () => undefined,
             onDrainRequested: () => undefined,
--- /dev/null
+++ b/daemons/fleet/test/createUpstreamFollower.ts
@@ -0,0 +1,18 @@
+import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
+import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
+import type { FollowerContext } from "../src/followerContext.js";
+import { UpstreamFollower } from "../src/upstreamFollower.js";
+
+/** Creates a follower of the upstreams for tests, of a process that reaches the key-value service. */
+export function createUpstreamFollower(context: FollowerContext): UpstreamFollower {
+    return new UpstreamFollower({
+        ...context,
+        loadTracker: new LoadTracker(),
+        health: new UpstreamHealth(),
+        connections: new UpstreamConnections(),
+        drainMs: () => 1000,
+        isKeyValueReachable: () => true,
+        onChanged: () => undefined,
+    });
+}
--- a/daemons/fleet/test/fleetKnowledge.test.ts
+++ b/daemons/fleet/test/fleetKnowledge.test.ts
@@ -2,13 +2,7 @@
 // had left and a key that was withdrawn.
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
-import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
-import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
-import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
-import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import type { FleetSnapshot } from "@knapweedwood/fleet.sync/fleetSnapshot";
-import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
-import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
@@ -16,20 +10,13 @@
 import { test } from "node:test";
 import { FleetKnowledge } from "../src/fleetKnowledge.js";
 import { OperatorsFollower } from "../src/operatorsFollower.js";
-import { PeerFollower } from "../src/peerFollower.js";
-import { UpstreamFollower } from "../src/upstreamFollower.js";
-import { configurationOf } from "./configurationProcess.js";
+import type { PeerFollower } from "../src/peerFollower.js";
+import { configurationOf } from "./configurationOf.js";
+import { createFollowerContext } from "./createFollowerContext.js";
+import { createUpstreamFollower } from "./createUpstreamFollower.js";
 
 function createKnowledge(clock: ManualClock, service: MemoryKeyValueService) {
-    const context = {
-        service,
-        clock,
-        random: new SeededRandom(1),
-        logger: silentLogger,
-        watchWaitMs: () => 4000,
-        coalesceMs: () => 0,
-        keepsEntries: true,
-    } as const;
+    const context = createFollowerContext(clock, service);
     const operators = new OperatorsFollower({
         ...context,
         instanceName: "gateway" as InstanceName,
@@ -37,30 +24,9 @@
         onConfiguration: () => undefined,
         onDrainRequested: () => undefined,
     });
-    const upstreams = new UpstreamFollower({
-        ...context,
-        loadTracker: new LoadTracker(),
-        health: new UpstreamHealth(),
-        connections: new UpstreamConnections(),
-        drainMs: () => 1000,
-        isKeyValueReachable: () => true,
-        onChanged: () => undefined,
-    });
-    const peers = new PeerFollower({
-        ...context,
-        self: {
-            instanceName: "gateway" as InstanceName,
-            role: "gateway",
-            zone: "z" as ZoneName,
-            host: "gateway",
-            loadPort: 1,
-            linkPort: 2,
-            startedAtMs: 1,
-        },
-        minLeaseMs: 1000,
-        onLeadershipChanged: () => undefined,
-        onSuspicions: () => undefined,
-    });
+    const upstreams = createUpstreamFollower(context);
+    const mirror = { seed: () => false, entries: () => [], knownRevision: 0 };
+    const peers = { mirror } as unknown as PeerFollower;
     return { operators, upstreams, knowledge: new FleetKnowledge({ operators, upstreams, peers }) };
 }
 
--- a/daemons/fleet/test/resumedStreams.test.ts
+++ b/daemons/fleet/test/resumedStreams.test.ts
@@ -2,19 +2,16 @@
 // started during a release took the version that it saw for theirs: callers got texts joined of two versions.
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
-import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { StreamContinuity } from "@knapweedwood/fleet.gateway/streamContinuity";
-import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
-import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
-import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
-import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { UpstreamFollower } from "../src/upstreamFollower.js";
+import type { UpstreamFollower } from "../src/upstreamFollower.js";
+import { createFollowerContext } from "./createFollowerContext.js";
+import { createUpstreamFollower } from "./createUpstreamFollower.js";
 
 const TIMEOUT_MS = 5000;
 const service = "s" as ServiceName;
@@ -56,21 +53,7 @@
     }
 
     startProcess(): UpstreamFollower {
-        const follower = new UpstreamFollower({
-            service: this.keyValueService,
-            clock: this.clock,
-            random: new SeededRandom(1),
-            logger: silentLogger,
-            watchWaitMs: () => 4000,
-            coalesceMs: () => 0,
-            keepsEntries: true,
-            loadTracker: new LoadTracker(),
-            health: new UpstreamHealth(),
-            connections: new UpstreamConnections(),
-            drainMs: () => 1000,
-            isKeyValueReachable: () => true,
-            onChanged: () => undefined,
-        });
+        const follower = createUpstreamFollower(createFollowerContext(this.clock, this.keyValueService));
         void follower.mirror.run(this.controller.signal);
         return follower;
     }
