--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -90,10 +90,16 @@
      * @param isLive whether a process was heard of a short time ago
      */
     streamPeers(isLive: (instanceName: InstanceName) => boolean): StreamPeer[] {
-        return this.others().flatMap(({ instanceName, zone, host, streamPort }) =>
+        return this.others().flatMap(({ instanceName, role, zone, host, streamPort }) =>
             streamPort === undefined
                 ? []
-                : [{ instanceName, zone, address: { host, port: streamPort }, isLive: isLive(instanceName) }]
+                : [{
+                    instanceName,
+                    zone,
+                    address: { host, port: streamPort },
+                    isLive: isLive(instanceName),
+                    isRunner: role === "runner",
+                }]
         );
     }
 
@@ -148,6 +154,12 @@
         return this.list().filter(member => member.role === "runner").map(toLinkAddress);
     }
 
+    /** Returns the address on which a runner accepts links; undefined if the process is unknown or a gateway. */
+    runnerAddress(instanceName: InstanceName): HostPort | undefined {
+        const member = this.members.get(instanceName);
+        return member?.role === "runner" ? toLinkAddress(member) : undefined;
+    }
+
     /**
      * Returns the addresses on which the runners without this process accept links, shape [runners]. Among them are those
      * that have no process now and may have held jobs on their disks.
--- a/fleet/gateway/src/streamContinuity.ts
+++ b/fleet/gateway/src/streamContinuity.ts
@@ -8,15 +8,18 @@
 import { headerOf } from "./headerOf.js";
 import type { ResumptionDecision } from "./resumptionDecision.js";
 
-/** Longest time from the beginning of a stream to its last resumption, in units of the route's timeout. */
-const LIFETIME_TIMEOUTS = 2;
+/**
+ * Longest time from the beginning of a stream to its last resumption, in units of the route's timeout. Callers try
+ * several times, each time for up to the timeout.
+ */
+const LIFETIME_TIMEOUTS = 6;
 /** Time after which another gateway may know what began the stream, in milliseconds. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 150;
 /** Time after which a route that has changed may lead back to a service, in milliseconds. */
 const OTHER_SERVICE_RETRY_AFTER_MS = 1000;
 
 interface StreamContinuityOptions {
-    context: Pick<GatewayContext, "clock" | "headers" | "origins" | "soleVersion">;
+    context: Pick<GatewayContext, "clock" | "configuration" | "headers" | "origins" | "soleVersion">;
     route: Route;
     request: IncomingMessage;
     requestId: RequestId;
@@ -78,7 +81,7 @@
         }
     }
 
-    /** Returns the only origin that a stream of this route can have, if one version has run its one service all the time. */
+    /** Returns the only origin that a stream of this route can have, if it has led to one service and one version has run that all the time. */
     private soleOrigin(): StreamOrigin | undefined {
         const { context, route } = this.opts;
         const [only, ...others] = route.services;
@@ -86,6 +89,9 @@
             return undefined;
         }
         const sinceMs = context.clock.nowMs() - route.timeoutMs * LIFETIME_TIMEOUTS;
+        if (context.configuration.servicesKnownSinceMs(route) > sinceMs) {
+            return undefined;
+        }
         const softwareVersion = context.soleVersion(only.service, sinceMs);
         return softwareVersion === undefined ? undefined : { service: only.service, softwareVersion };
     }
