fix(jobs): the stored count decides on jobs that the leader approves

Held jobs were counted by the leader and stored ones in the key-value service, and each count lacked the other's jobs for up to 0.5 s, so that 120 tokens of 100 were accepted. While a process reaches the service, the leader now approves a job of a limited route only by writing it, compared with the stored count and under its fence. If only others reach the service it rejects the job as not run; if no process is known to reach it, its own count decides as before. Jobs being written to the leader's disk count, too: two that came at once could both fit.

A gateway that has just started or regained the service trusts the stored count only once the leader has reached the service for 4 s, or after 13 s. Load reports say that the service isn't reachable as soon as the mirror's calls fail.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -3,7 +3,6 @@
 import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
-import { HELD_JOBS_WRITE_MS } from "@knapweedwood/fleet.jobs/heldJobsWriteMs";
 import { LoadExchange } from "@knapweedwood/fleet.load/loadExchange";
 import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
@@ -26,6 +25,7 @@
 import { createMemberRecord } from "./createMemberRecord.js";
 import { EventLoopMonitor } from "./eventLoopMonitor.js";
 import { isPreferredRelay } from "./isPreferredRelay.js";
+import { KeyValueReachability } from "./keyValueReachability.js";
 import { LoadReports } from "./loadReports.js";
 import { MetricsServer } from "./metricsServer.js";
 import { OperatorsFollower } from "./operatorsFollower.js";
@@ -37,8 +37,6 @@
 const HOUSEKEEPING_INTERVAL_MS = 100;
 const MICROSECONDS_PER_MS = 1000;
 const INITIALIZATION_POLL_MS = 5;
-/** Maximum age of the last lease renewal with which the key-value service counts as reachable, in milliseconds. */
-const KEY_VALUE_REACHABLE_MS = 1800;
 /** Links of the fleet are idle most of the time, so idle links send fewer heartbeats. */
 const LINK_LIMITS = { heartbeatIntervalMs: 250, idleHeartbeatIntervalMs: 2000, silentAfterMs: 700 };
 
@@ -78,6 +76,7 @@
     readonly operators: OperatorsFollower;
     readonly streamOrigins: StreamOriginExchange;
     readonly quarantine: RequestQuarantine;
+    readonly reachability: KeyValueReachability;
     private readonly opts: FleetProcessOptions;
     private readonly self: MemberRecord;
     private readonly loadReports: LoadReports;
@@ -135,6 +134,7 @@
             drainMs: () => opts.settings.upstreamDrainMs,
             onChanged: opts.onLoadChanged,
         });
+        this.reachability = new KeyValueReachability({ clock, peers: this.peers, loadTracker });
         this.loadReports = new LoadReports({
             clock,
             self: this.self,
@@ -144,7 +144,7 @@
             operators: this.operators,
             upstreams: this.upstreams,
             waiting: () => opts.waiting(),
-            isKeyValueReachable: () => this.isKeyValueReachable,
+            isKeyValueReachable: () => this.reachability.report(),
             onJobsWritten: revision => opts.onJobsWritten(revision),
             onLoadChanged: () => opts.onLoadChanged(),
         });
@@ -216,16 +216,6 @@
         return this.operators.configuration.current !== undefined && this.upstreams.mirror.isInitialized;
     }
 
-    /** Whether a peer can reach the key-value service but this process can't. Peers then serve callers better. */
-    get isIsolated(): boolean {
-        return !this.isKeyValueReachable && this.loadTracker.isKeyValueReachableByPeer();
-    }
-
-    /** Whether enough time has passed since an outage of the key-value service for all held jobs to be written. */
-    get areHeldJobsWritten(): boolean {
-        return this.clock.nowMs() > this.peers.mirror.reachableSinceMs + HELD_JOBS_WRITE_MS;
-    }
-
     /** What this process knows of the fleet; undefined before the configuration and the upstreams are loaded. */
     snapshot(): FleetSnapshot | undefined {
         return this.isInitialized
@@ -244,14 +234,6 @@
         this.peers.mirror.seed(snapshot.fleet);
     }
 
-    /**
-     * Whether the stored count of waiting tokens contains all jobs. It lacks those that were held during an outage and
-     * are not written yet. A process that reached the service at once after its start has seen no outage.
-     */
-    get isTokenCountComplete(): boolean {
-        return this.clock.nowMs() > this.peers.mirror.lastOutageEndedAtMs + HELD_JOBS_WRITE_MS;
-    }
-
     /** Resolves once the configuration and the upstreams are loaded, or after `maxMs` milliseconds. */
     async whenInitialized(maxMs: number): Promise<void> {
         const timeoutAtMs = this.clock.nowMs() + maxMs;
@@ -300,10 +282,6 @@
         await this.keyValueService.close();
     }
 
-    private get isKeyValueReachable(): boolean {
-        return this.peers.lease.wasRenewedWithin(KEY_VALUE_REACHABLE_MS);
-    }
-
     private housekeep(): void {
         if (this.closing.signal.aborted) {
             return;
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -108,8 +108,8 @@
                     runners: () => this.fleet.peers.runners(),
                     copies: () => activeSettings.current.tolerableLosses + 1,
                 }),
-                areHeldJobsWritten: () => this.fleet.areHeldJobsWritten,
-                isTokenCountComplete: () => this.fleet.isTokenCountComplete,
+                areHeldJobsWritten: () => this.fleet.reachability.areHeldJobsWritten,
+                isTokenCountComplete: () => this.fleet.reachability.isTokenCountComplete,
             }),
             reader: new FallbackJobReader({
                 logger,
@@ -133,7 +133,7 @@
         this.server = new GatewayServer({ context, protocol, jobs });
         this.readiness = new ReadinessServer({
             path: protocol.readinessPath,
-            isReady: () => this.fleet.isInitialized && !this.fleet.isIsolated && !this.isStopping,
+            isReady: () => this.fleet.isInitialized && !this.fleet.reachability.isIsolated && !this.isStopping,
         });
     }
 
--- a/daemons/fleet/src/linkJobHolder.ts
+++ b/daemons/fleet/src/linkJobHolder.ts
@@ -14,6 +14,8 @@
 import { CopyCollector } from "./copyCollector.js";
 
 const CALL_TIMEOUT_MS = 1000;
+/** Longer than the time for which the leader tries to write a job of a route with a limit, in milliseconds. */
+const APPROVAL_TIMEOUT_MS = 2500;
 /** Time after which one runner more is asked than copies are missing, in milliseconds. */
 const HEDGE_DELAY_MS = 120;
 
@@ -43,9 +45,12 @@
             : this.holdApproved(request);
     }
 
-    /** Holds a job of a route with a limit, which the leader has to approve before other runners make copies. */
+    /**
+     * Holds a job of a route with a limit, which the leader has to approve before other runners make copies. A job that the
+     * leader has stored needs none.
+     */
     private async holdApproved(request: HoldRequest): Promise<HoldOutcome> {
-        const response = await this.askLeader(request);
+        const response = await this.askLeader(request, APPROVAL_TIMEOUT_MS);
         const { approvedBy } = response;
         return response.outcome !== "held" || approvedBy === undefined
             ? response.outcome
@@ -73,15 +78,19 @@
         return rendezvousRank(jobId, [...byAddress.keys()]).map(address => byAddress.get(address)!);
     }
 
-    private async askLeader(request: HoldRequest): Promise<HoldResponse> {
+    private async askLeader(request: HoldRequest, timeoutMs = CALL_TIMEOUT_MS): Promise<HoldResponse> {
         const leader = this.opts.leader();
-        return leader === undefined ? { outcome: "not-held" } : this.askRunner(leader, request);
+        return leader === undefined ? { outcome: "not-held" } : this.askRunner(leader, request, timeoutMs);
     }
 
-    private async askRunner(runner: HostPort, request: HoldRequest): Promise<HoldResponse> {
+    private async askRunner(
+        runner: HostPort,
+        request: HoldRequest,
+        timeoutMs = CALL_TIMEOUT_MS,
+    ): Promise<HoldResponse> {
         try {
             const link = this.opts.endpoint.connect(`${runner.host}:${runner.port}`);
-            return await singleFrame(link.call(holdJobCall, request, { timeoutMs: CALL_TIMEOUT_MS }));
+            return await singleFrame(link.call(holdJobCall, request, { timeoutMs }));
         }
         catch (thrown) {
             const error = toKnapweedError(thrown);
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -4,13 +4,11 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import { collectHeldCall } from "@knapweedwood/fleet.jobs/collectHeldCall";
-import { countJobTokens } from "@knapweedwood/fleet.jobs/countJobTokens";
 import { HeldJobs } from "@knapweedwood/fleet.jobs/heldJobs";
 import { HoldAdmission } from "@knapweedwood/fleet.jobs/holdAdmission";
 import { holdJobCall } from "@knapweedwood/fleet.jobs/holdJobCall";
-import type { HoldRequest } from "@knapweedwood/fleet.jobs/holdRequest";
-import type { HoldResponse } from "@knapweedwood/fleet.jobs/holdResponse";
 import { itemBodyCall } from "@knapweedwood/fleet.jobs/itemBodyCall";
+import { JobHoldHandler } from "@knapweedwood/fleet.jobs/jobHoldHandler";
 import { JobRunner } from "@knapweedwood/fleet.jobs/jobRunner";
 import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
 import { fleetSnapshotCall } from "@knapweedwood/fleet.sync/fleetSnapshotCall";
@@ -114,7 +112,7 @@
             clock: this.fleet.clock,
             logger,
             isLeading: () => peers.leadership.isLeading(),
-            knowsAllJobs: () => this.runner.knowsAllJobs && this.fleet.areHeldJobsWritten,
+            knowsAllJobs: () => this.runner.knowsAllJobs && this.fleet.reachability.areHeldJobsWritten,
             resultRetentionMs: () => activeSettings.current.resultRetentionMs,
             absentRunners: () => peers.absentRunners(),
             remove: runner => peers.removeRunner(runner),
@@ -207,33 +205,25 @@
             const jobs = await held.collect();
             yield* jobs.map(job => ({ job }));
         });
-        const holdJob = (request: HoldRequest) => this.holdJob(request);
+        const holdHandler = this.createHoldHandler();
         this.fleet.links.handle(holdJobCall, async function*(request) {
-            yield await holdJob(request);
+            yield await holdHandler.handle(request);
         });
     }
 
-    private async holdJob({ job, approvedBy }: HoldRequest): Promise<HoldResponse> {
-        const { record, maxWaitingTokens } = job;
-        const { routeName, jobId } = record;
-        const leaderCount = this.runner.leaderCount(routeName, jobId);
-        const decision = this.holdAdmission.decide({
-            tokens: countJobTokens(record),
-            maxWaitingTokens,
-            isKnown: this.runner.has(jobId) || this.held.has(jobId),
-            approvedBy,
-            newestLeader: this.fleet.peers.leadership.leader?.fencingNumber ?? 0,
-            leaderCount,
+    private createHoldHandler(): JobHoldHandler {
+        const { leadership } = this.fleet.peers;
+        return new JobHoldHandler({
+            ...this.sharedOptions(),
+            logger: this.logger,
+            admission: this.holdAdmission,
+            held: this.held,
+            runner: this.runner,
+            fence: () => leadership.fence(),
+            newestLeader: () => leadership.leader?.fencingNumber ?? 0,
+            reachability: () => this.fleet.reachability.current,
+            isDraining: () => this.isDraining,
         });
-        if (this.isDraining || decision.kind === "reject") {
-            return { outcome: "not-held" };
-        }
-        if (decision.kind === "over-limit") {
-            this.logger.info("job-over-limit", { jobId, maxWaitingTokens, ...leaderCount });
-            return { outcome: "over-limit" };
-        }
-        await this.held.hold(job);
-        return { outcome: "held", ...decision.approvedBy === undefined ? {} : { approvedBy: decision.approvedBy } };
     }
 
     private sharedOptions() {
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -173,13 +173,13 @@
         return this.isLoaded && this.knowsHeldJobs;
     }
 
-    /** Returns what this process counts as the leader for a job; undefined unless it leads and knows all jobs. */
-    leaderCount(routeName: string, exceptJobId: JobId): LeaderCount | undefined {
+    /** Returns what this process counts as the leader without `except`; undefined unless it leads and knows all jobs. */
+    leaderCount(routeName: string, except: ReadonlySet<JobId>): LeaderCount | undefined {
         const fence = this.opts.leadership.fence();
         return this.knowsAllJobs && fence !== undefined
             ? {
                 fencingNumber: fence.modRevision,
-                waitingTokens: this.table.waitingTokens(routeName, exceptJobId),
+                waitingTokens: this.table.waitingTokens(routeName, except),
             }
             : undefined;
     }
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -111,10 +111,10 @@
         this.retryUnmatchedResults();
     }
 
-    /** Returns the tokens of all items of a route without a result, except those of `exceptJobId`. */
-    waitingTokens(routeName: string, exceptJobId: JobId): number {
+    /** Returns the tokens of all items of a route without a result, except those of the jobs of `except`. */
+    waitingTokens(routeName: string, except: ReadonlySet<JobId>): number {
         return this.all()
-            .filter(({ record, isEnded }) => record.routeName === routeName && record.jobId !== exceptJobId && !isEnded)
+            .filter(({ record, isEnded }) => record.routeName === routeName && !except.has(record.jobId) && !isEnded)
             .flatMap(job => job.items)
             .filter(item => item.state === "pending" || item.state === "running")
             .reduce((sum, item) => sum + item.record.tokens, 0);
--- a/fleet/jobs/src/leaderCount.ts
+++ b/fleet/jobs/src/leaderCount.ts
@@ -1,6 +1,6 @@
-/** What the leader counts for a job of a route with a limit. */
+/** What the leader counts on a route with a limit. */
 export interface LeaderCount {
     fencingNumber: number;
-    /** Waiting tokens on the route, without those of the job. */
+    /** Waiting tokens on the route, without those of the jobs that the caller excepts. */
     waitingTokens: number;
 }
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -24,6 +24,8 @@
 import { mock } from "node:test";
 import type { HeldJob } from "../src/heldJob.js";
 import { HeldJobs } from "../src/heldJobs.js";
+import { HoldAdmission } from "../src/holdAdmission.js";
+import { JobHoldHandler } from "../src/jobHoldHandler.js";
 import { JobRunner } from "../src/jobRunner.js";
 import { StoredJobReader } from "../src/storedJobReader.js";
 import { callHeaders } from "./callHeaders.js";
@@ -37,6 +39,8 @@
 const SLOTS = 4;
 const COLLECT_MS = 20;
 const COLLECT_TIMEOUT_MS = 1000;
+/** Maximum age of the last lease renewal with which the key-value service counts as reachable, in milliseconds. */
+const REACHABLE_MS = 1800;
 /** Runners that may be lost without losing a held job. */
 const TOLERABLE_LOSSES = 1;
 
@@ -69,6 +73,7 @@
     private readonly opts: SimulatedRunnerOptions;
     private readonly leadership: Leadership;
     private readonly lease: ProcessLease;
+    private readonly holdAdmission = new HoldAdmission();
     private readonly closing = new AbortController();
 
     constructor(opts: SimulatedRunnerOptions) {
@@ -133,6 +138,26 @@
         }
     }
 
+    /** @param isReachableByPeer whether another process reports that it reaches the key-value service */
+    createHoldHandler(isReachableByPeer: () => boolean): JobHoldHandler {
+        return new JobHoldHandler({
+            service: this.connection,
+            clock: this.clock,
+            logger: silentLogger,
+            admission: this.holdAdmission,
+            held: this.held,
+            runner: this.runner,
+            fence: () => this.leadership.fence(),
+            newestLeader: () => this.leadership.leader?.fencingNumber ?? 0,
+            reachability: () => ({
+                isReachable: this.lease.wasRenewedWithin(REACHABLE_MS),
+                isReachableByPeer: isReachableByPeer(),
+                lastReachedAtMs: this.lease.lastRenewedAtMs,
+            }),
+            isDraining: () => false,
+        });
+    }
+
     private createRunner(common: { service: SnapshotKeyValueService; clock: Clock; random: Random; }): JobRunner {
         const connections = new UpstreamConnections();
         const send: UpstreamConnections["send"] = (upstream, request, handler) => {
--- a/fleet/load/src/loadTracker.ts
+++ b/fleet/load/src/loadTracker.ts
@@ -93,6 +93,11 @@
         return [...this.reports.values()].some(received => received.report.isKeyValueReachable);
     }
 
+    /** Returns whether the last report of a peer, if it is valid, says that the peer can reach the key-value service. */
+    isKeyValueReachableBy(instanceName: InstanceName): boolean {
+        return this.reports.get(instanceName)?.report.isKeyValueReachable ?? false;
+    }
+
     /** Adds the load of a report to the sums; a `sign` of -1 subtracts it. */
     private addToSums(report: LoadReport, sign: 1 | -1): void {
         report.counts.forEach(({ upstreamId, online, batch }) =>
--- a/fleet/sync/src/processLease.ts
+++ b/fleet/sync/src/processLease.ts
@@ -49,6 +49,11 @@
         return this.leaseId !== undefined && elapsedMs < this.ttlMs;
     }
 
+    /** Time at which the last successful grant or renewal was sent, Unix ms; -Infinity before the first. */
+    get lastRenewedAtMs(): number {
+        return this.renewedAtMs;
+    }
+
     /** Returns whether a grant or renewal sent within the last `maxAgeMs` succeeded. */
     wasRenewedWithin(maxAgeMs: number): boolean {
         return this.opts.clock.nowMs() - this.renewedAtMs < maxAgeMs;
