fix(jobs): the leader doesn't count without jobs that gateways have reported

Drawn interleavings found 112 tokens of 100: while the service rejected all runners, a gateway went on writing jobs, and once it was cut off, too, the leader approved held jobs by a count without them. It now rejects a job as not run while it lacks a job revision of a load report.

--- a/fleet/jobs/src/jobHoldHandler.ts
+++ b/fleet/jobs/src/jobHoldHandler.ts
@@ -34,7 +34,7 @@
     logger: Logger;
     admission: HoldAdmission;
     held: Pick<HeldJobs, "has" | "hold">;
-    runner: Pick<JobRunner, "has" | "leaderCount" | "onHeld">;
+    runner: Pick<JobRunner, "has" | "leaderCount" | "lacksReportedJob" | "onHeld">;
     fence: () => KeyValueCompare | undefined;
     /** Returns the fencing number of the newest leader that this runner has heard of from others; 0 for none. */
     newestLeader: () => number;
@@ -123,10 +123,12 @@
 
     private async holdByOwnCount(job: HeldJob, mayBeStored: boolean): Promise<HoldResponse> {
         const decision = this.decide(job, undefined);
-        if (decision.kind !== "hold" && mayBeStored) {
+        // Gateways may have written jobs while only the leader was rejected, which its count lacks.
+        const isCountOutdated = decision.kind === "hold" && this.opts.runner.lacksReportedJob;
+        if (mayBeStored && (isCountOutdated || decision.kind !== "hold")) {
             return { outcome: "unknown" };
         }
-        return this.carryOut(job, decision);
+        return isCountOutdated ? { outcome: "not-held" } : this.carryOut(job, decision);
     }
 
     private async carryOut(job: HeldJob, decision: HoldDecision): Promise<HoldResponse> {
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -168,6 +168,11 @@
         return this.table.get(jobId) !== undefined;
     }
 
+    /** Whether a gateway has reported a job that this process has not received from the key-value service. */
+    get lacksReportedJob(): boolean {
+        return this.mirror?.lacksReportedChange ?? true;
+    }
+
     /** Whether this process has led since it loaded every accepted job, also those that other runners hold on disks. */
     get knowsAllJobs(): boolean {
         return this.isLoaded && this.knowsHeldJobs;
--- a/fleet/jobs/src/storedCountTrust.ts
+++ b/fleet/jobs/src/storedCountTrust.ts
@@ -1,8 +1,5 @@
 import { HELD_JOBS_WRITE_MS } from "./heldJobsWriteMs.js";
 
-/** Longest time for which the key-value service rejects some instances while it serves others, in milliseconds. */
-const MAX_PARTIAL_OUTAGE_MS = 9000;
-
 interface TrustInputs {
     nowMs: number;
     /** Whether this process reaches the key-value service. */
@@ -14,11 +11,8 @@
 /**
  * Decides in a gateway whether the stored count of waiting tokens contains all jobs. After an outage it lacks those that
  * runners hold, until the leader has written them. A process that has just started may have missed an outage.
- *
- * If the service keeps rejecting the leader, the count is trusted after the longest time of such a fault.
  */
 export class StoredCountTrust {
-    private reachableSinceMs: number | undefined;
     private leaderReachableSinceMs: number | undefined;
     private isTrusted = false;
 
@@ -26,15 +20,11 @@
     update({ nowMs, isReachable, isLeaderReachable }: TrustInputs): boolean {
         if (!isReachable) {
             this.isTrusted = false;
-            this.reachableSinceMs = undefined;
             this.leaderReachableSinceMs = undefined;
             return false;
         }
-        this.reachableSinceMs ??= nowMs;
         this.leaderReachableSinceMs = isLeaderReachable === false ? undefined : this.leaderReachableSinceMs ?? nowMs;
-        const mayBeUnwritten = (sinceMs: number) => nowMs <= sinceMs + HELD_JOBS_WRITE_MS;
-        this.isTrusted ||= this.leaderReachableSinceMs !== undefined && !mayBeUnwritten(this.leaderReachableSinceMs);
-        this.isTrusted ||= !mayBeUnwritten(this.reachableSinceMs + MAX_PARTIAL_OUTAGE_MS);
+        this.isTrusted ||= nowMs > (this.leaderReachableSinceMs ?? Infinity) + HELD_JOBS_WRITE_MS;
         return this.isTrusted;
     }
 }
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -73,6 +73,7 @@
     private readonly opts: SimulatedRunnerOptions;
     private readonly leadership: Leadership;
     private readonly lease: ProcessLease;
+    private mirror: PrefixMirror | undefined;
     private readonly holdAdmission = new HoldAdmission();
     private readonly closing = new AbortController();
 
@@ -106,7 +107,7 @@
     /** Starts the process. */
     start(): void {
         const { leadership, closing: { signal } } = this;
-        const mirror = new PrefixMirror({
+        this.mirror = new PrefixMirror({
             service: this.connection,
             clock: this.clock,
             random: this.opts.random,
@@ -122,7 +123,7 @@
             },
         });
         void this.lease.run(signal);
-        void mirror.run(signal);
+        void this.mirror.run(signal);
         void this.held.run(signal);
     }
 
@@ -138,6 +139,11 @@
         }
     }
 
+    /** Whether this process counts the key-value service as reachable. */
+    get isStoreReachable(): boolean {
+        return this.lease.wasRenewedWithin(REACHABLE_MS) && Number.isFinite(this.mirror?.reachableSinceMs);
+    }
+
     /** @param isReachableByPeer whether another process reports that it reaches the key-value service */
     createHoldHandler(isReachableByPeer: () => boolean): JobHoldHandler {
         return new JobHoldHandler({
@@ -150,7 +156,7 @@
             fence: () => this.leadership.fence(),
             newestLeader: () => this.leadership.leader?.fencingNumber ?? 0,
             reachability: () => ({
-                isReachable: this.lease.wasRenewedWithin(REACHABLE_MS),
+                isReachable: this.isStoreReachable,
                 isReachableByPeer: isReachableByPeer(),
                 lastReachedAtMs: this.lease.lastRenewedAtMs,
             }),
@@ -190,13 +196,14 @@
             resultRetentionMs: () => this.opts.resultRetentionMs,
             onLoadChanged: () => undefined,
             heldJobs: () => this.held.all(),
-            collectHeldJobs: () => this.collectHeldJobs(),
+            collectHeldJobs: fencingNumber => this.collectHeldJobs(fencingNumber),
         });
     }
 
-    private async collectHeldJobs(): Promise<{ jobs: HeldJob[]; isComplete: boolean; }> {
+    private async collectHeldJobs(fencingNumber: number): Promise<{ jobs: HeldJob[]; isComplete: boolean; }> {
         const { others, otherCount } = this.opts;
         const answering = others().filter(({ clock, held }) => clock.isRunning && held.isLoaded);
+        [this, ...answering].forEach(({ holdAdmission }) => holdAdmission.promise(fencingNumber));
         const jobs = answering.flatMap(({ held }) => held.all());
         await sleep(this.clock, answering.length === otherCount ? COLLECT_MS : COLLECT_TIMEOUT_MS);
         this.held.adopt(jobs);
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -50,6 +50,11 @@
         return this.hasListed && this.failures === 0 && this.currentRevision >= this.reportedRevision;
     }
 
+    /** Whether a process has reported a change that the mirror lacks. */
+    get lacksReportedChange(): boolean {
+        return this.currentRevision < this.reportedRevision;
+    }
+
     /** The mirrored entries if the mirror keeps them, shape [entries]. */
     entries(): KeyValueEntry[] {
         return [...this.currentEntries.values()];
