feat(jobs): a job records its team, and waiting tokens are counted by team and route

JobRecord and Tombstone get an optional team. The stored count, its release, the leader's table and the admission of held jobs group by team and route; a job without a team keeps the key and format of its count.

--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -13,6 +13,7 @@
 import { hasTombstone } from "./hasTombstone.js";
 import type { HeldJob } from "./heldJob.js";
 import { jobKeys } from "./jobKeys.js";
+import type { JobRecord } from "./jobRecord.js";
 import { planJobWrite } from "./planJobWrite.js";
 import { TOMBSTONE_RETENTION_MS } from "./tombstoneRetentionMs.js";
 
@@ -85,7 +86,12 @@
     }
 
     has(jobId: JobId): boolean {
-        return this.all().some(job => job.record.jobId === jobId);
+        return this.recordOf(jobId) !== undefined;
+    }
+
+    /** Returns the record of a held job; undefined if it isn't held here. */
+    recordOf(jobId: JobId): JobRecord | undefined {
+        return this.all().find(job => job.record.jobId === jobId)?.record;
     }
 
     /**
@@ -207,7 +213,7 @@
         }
         const recordKey = jobKeys.record(job.record.jobId);
         for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts += 1) {
-            const waitingTokensEntry = await service.get(jobKeys.waitingTokens(job.record.routeName));
+            const waitingTokensEntry = await service.get(jobKeys.waitingTokens(job.record.routeName, job.record.team));
             const { compares, operations } = planJobWrite(job, waitingTokensEntry);
             const result = await settleTransaction({ service, clock, compares, operations, witnessKey: recordKey });
             if (result.kind === "failed" && hasTombstone(result.current, job.record.jobId)) {
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -1,3 +1,4 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
@@ -13,10 +14,12 @@
 import type { Acceptance } from "./acceptance.js";
 import type { HeldJob } from "./heldJob.js";
 import type { HoldOutcome } from "./holdOutcome.js";
+import type { JobCaller } from "./jobCaller.js";
 import type { JobHolder } from "./jobHolder.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobRecord } from "./jobRecord.js";
 import type { JobSubmission } from "./jobSubmission.js";
+import { mayAccessJob } from "./mayAccessJob.js";
 import { PART_BYTES } from "./partBytes.js";
 import { planJobWrite } from "./planJobWrite.js";
 
@@ -79,14 +82,15 @@
      * Cancels a job. Rejects with `JOBS_NOT_SETTLED` if the job may be a held one that is not written yet, with
      * `JOB_UNSETTLED` if it is uncertain whether it is cancelled, otherwise with the error of the key-value service.
      *
-     * @returns the revision at which it was cancelled; undefined if there is no such job
+     * @param caller undefined while the configuration has no teams
+     * @returns the revision at which it was cancelled; undefined if the caller's team has no such job
      */
-    async cancel(jobId: JobId): Promise<number | undefined> {
+    async cancel(jobId: JobId, caller?: JobCaller): Promise<number | undefined> {
         const record = await this.service.get(jobKeys.record(jobId));
         if (record === undefined && !this.areHeldJobsWritten()) {
             throw new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet");
         }
-        if (record === undefined) {
+        if (record === undefined || !mayAccessJob(decodeRecord<JobRecord>(record.value), caller)) {
             return undefined;
         }
         const key = jobKeys.cancellation(jobId);
@@ -127,7 +131,7 @@
             case "unknown":
                 return { kind: "unknown" };
             default:
-                return await this.findAccepted(submission.jobId) ?? {
+                return await this.findAccepted(submission) ?? {
                     kind: "refused",
                     reason: held === "over-limit" ? "over-limit" : "store-away",
                     retryAfterMs: RETRY_AFTER_MS,
@@ -147,10 +151,11 @@
     }
 
     /** Returns an acceptance if the job was accepted before, regardless of the limit; otherwise undefined. */
-    private async findAccepted(jobId: JobId): Promise<Acceptance | undefined> {
+    private async findAccepted(submission: JobSubmission): Promise<Acceptance | undefined> {
+        const { jobId } = submission;
         try {
             const existing = await this.service.get(jobKeys.record(jobId));
-            return existing === undefined ? undefined : { kind: "accepted", revision: existing.modRevision };
+            return existing === undefined ? undefined : acceptanceOfExisting(existing, submission);
         }
         catch (thrown) {
             this.logger.debug("job-not-looked-up", { jobId, code: toKnapweedError(thrown).code });
@@ -184,7 +189,10 @@
     /** @returns undefined if another job was accepted in the meantime and the write has to be repeated */
     private async writeOnce(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
         const recordKey = jobKeys.record(submission.jobId);
-        const plan = planJobWrite(this.toJob(route, submission), this.waitingTokensEntries.get(route.name));
+        const plan = planJobWrite(
+            this.toJob(route, submission),
+            this.waitingTokensEntries.get(tokensKeyOf(route, submission)),
+        );
         if (plan.waitingTokens > (route.maxWaitingTokens ?? Infinity)) {
             return this.rejectOverLimit(route, submission);
         }
@@ -199,15 +207,15 @@
             return { kind: "accepted", revision: result.revision };
         }
         if (result.kind === "unknown") {
-            return await this.findAccepted(submission.jobId) ?? { kind: "unknown" };
+            return await this.findAccepted(submission) ?? { kind: "unknown" };
         }
         // A job that was removed after its retention time was accepted before, too.
         const keys: string[] = [recordKey, jobKeys.tombstone(submission.jobId)];
         const existing = result.current.find(entry => keys.includes(entry.key));
         if (existing !== undefined) {
-            return { kind: "accepted", revision: existing.modRevision };
+            return acceptanceOfExisting(existing, submission);
         }
-        this.updateWaitingTokensEntry(route, result.current);
+        this.updateWaitingTokensEntry(tokensKeyOf(route, submission), result.current);
         return undefined;
     }
 
@@ -219,25 +227,25 @@
     private async rejectOverLimit(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
         const [existing, newest] = await Promise.all([
             this.service.get(jobKeys.record(submission.jobId)),
-            this.service.get(jobKeys.waitingTokens(route.name)),
+            this.service.get(tokensKeyOf(route, submission)),
         ]);
         if (existing !== undefined) {
-            return { kind: "accepted", revision: existing.modRevision };
+            return acceptanceOfExisting(existing, submission);
         }
-        if (newest?.modRevision !== this.waitingTokensEntries.get(route.name)?.modRevision) {
-            this.updateWaitingTokensEntry(route, newest === undefined ? [] : [newest]);
+        if (newest?.modRevision !== this.waitingTokensEntries.get(tokensKeyOf(route, submission))?.modRevision) {
+            this.updateWaitingTokensEntry(tokensKeyOf(route, submission), newest === undefined ? [] : [newest]);
             return undefined;
         }
         return { kind: "refused", reason: "over-limit", retryAfterMs: RETRY_AFTER_MS };
     }
 
-    private updateWaitingTokensEntry(route: Route, current: readonly KeyValueEntry[]): void {
-        const entry = current.find(candidate => candidate.key === jobKeys.waitingTokens(route.name));
+    private updateWaitingTokensEntry(key: string, current: readonly KeyValueEntry[]): void {
+        const entry = current.find(candidate => candidate.key === key);
         if (entry === undefined) {
-            this.waitingTokensEntries.delete(route.name);
+            this.waitingTokensEntries.delete(key);
             return;
         }
-        this.waitingTokensEntries.set(route.name, entry);
+        this.waitingTokensEntries.set(key, entry);
     }
 
     private toJob(route: Route, submission: JobSubmission): HeldJob {
@@ -248,6 +256,7 @@
     private toRecord(route: Route, submission: JobSubmission): JobRecord {
         // The steady time lags after a suspension of the instance, and the job would end too early at the leader.
         const acceptedAtMs = Math.max(this.clock.nowMs(), this.clock.timeOfDayMs());
+        const team = submission.caller?.team;
         let bodyOffset = 0;
         const items = submission.items.map(({ id, path, headers, tokens, body }) => {
             const item = { id, path, headers, tokens, bodyOffset, bodyBytes: body.length };
@@ -257,6 +266,7 @@
         return {
             jobId: submission.jobId,
             routeName: route.name,
+            ...team === undefined ? {} : { team },
             host: route.host,
             acceptedAtMs,
             dueAtMs: acceptedAtMs + (route.jobDueMs ?? DEFAULT_DUE_MS),
@@ -270,7 +280,19 @@
 }
 
 function isFinal(acceptance: Acceptance): boolean {
-    return acceptance.kind === "accepted" || (acceptance.kind === "refused" && acceptance.reason === "over-limit");
+    return acceptance.kind === "accepted" || (acceptance.kind === "refused" && acceptance.reason !== "store-away");
+}
+
+/** @param existing the record or tombstone of a job with the same id, which another team may have submitted */
+function acceptanceOfExisting(existing: KeyValueEntry, { caller }: JobSubmission): Acceptance {
+    return mayAccessJob(decodeRecord<Pick<JobRecord, "team">>(existing.value), caller)
+        ? { kind: "accepted", revision: existing.modRevision }
+        : { kind: "refused", reason: "id-taken", retryAfterMs: RETRY_AFTER_MS };
+}
+
+/** Returns the key of the waiting tokens with which a job is counted. */
+function tokensKeyOf(route: Route, { caller }: JobSubmission): string {
+    return jobKeys.waitingTokens(route.name, caller?.team);
 }
 
 /** Combines the outcome of the write with that of a failed hold. */
--- a/fleet/jobs/src/jobCleanup.ts
+++ b/fleet/jobs/src/jobCleanup.ts
@@ -8,6 +8,7 @@
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { CLOCK_MARGIN_MS } from "./clockMarginMs.js";
+import { isSameTokenGroup } from "./isSameTokenGroup.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobTable } from "./jobTable.js";
 import type { OpenJob } from "./openJob.js";
@@ -72,9 +73,12 @@
     }
 
     private async releaseTokens(): Promise<void> {
-        for (const routeName of new Set([...this.unreleased].map(job => job.record.routeName))) {
-            const jobs = [...this.unreleased].filter(job => job.record.routeName === routeName);
-            await releaseWaitingTokens(this.opts.service, routeName, jobs.map(job => job.record.jobId));
+        const pending = [...this.unreleased];
+        while (pending.length > 0) {
+            const group = pending[0]!.record;
+            const jobs = pending.filter(({ record }) => isSameTokenGroup(record, group));
+            pending.splice(0, pending.length, ...pending.filter(job => !jobs.includes(job)));
+            await releaseWaitingTokens(this.opts.service, group, jobs.map(job => job.record.jobId));
             jobs.forEach(job => this.unreleased.delete(job));
         }
     }
@@ -102,7 +106,7 @@
         await this.removeKeys(keys.filter(key => !lastKeys.includes(key)), fence);
         const last: KeyValueOperation[] = [
             ...lastKeys.filter(key => keys.includes(key)).map(toRemoval),
-            { kind: "put", key: jobKeys.tombstone(jobId), value: encodeRecord(this.createTombstone()) },
+            { kind: "put", key: jobKeys.tombstone(jobId), value: encodeRecord(this.createTombstone(job)) },
             ...await this.tombstones.operations(),
         ];
         const revision = await this.write(last, fence);
@@ -111,8 +115,8 @@
         this.opts.logger.info("job-removed", { jobId, keys: keys.length });
     }
 
-    private createTombstone(): Tombstone {
-        return { removedAtMs: this.opts.clock.nowMs() };
+    private createTombstone({ record: { team } }: OpenJob): Tombstone {
+        return { removedAtMs: this.opts.clock.nowMs(), ...team === undefined ? {} : { team } };
     }
 
     private async removeKeys(keys: readonly string[], fence: KeyValueCompare): Promise<void> {
--- a/fleet/jobs/src/jobHoldHandler.ts
+++ b/fleet/jobs/src/jobHoldHandler.ts
@@ -11,6 +11,8 @@
 import type { HoldDecision } from "./holdDecision.js";
 import type { HoldRequest } from "./holdRequest.js";
 import type { HoldResponse } from "./holdResponse.js";
+import { isSameTokenGroup } from "./isSameTokenGroup.js";
+import type { JobRecord } from "./jobRecord.js";
 import type { JobRunner } from "./jobRunner.js";
 import type { LeaderCount } from "./leaderCount.js";
 import { LeaderJobWriter } from "./leaderJobWriter.js";
@@ -33,8 +35,8 @@
     clock: Clock;
     logger: Logger;
     admission: HoldAdmission;
-    held: Pick<HeldJobs, "has" | "hold">;
-    runner: Pick<JobRunner, "has" | "leaderCount" | "lacksReportedJob" | "onHeld">;
+    held: Pick<HeldJobs, "recordOf" | "hold">;
+    runner: Pick<JobRunner, "recordOf" | "leaderCount" | "lacksReportedJob" | "onHeld">;
     fence: () => KeyValueCompare | undefined;
     /** Returns the fencing number of the newest leader that this runner has heard of from others; 0 for none. */
     newestLeader: () => number;
@@ -65,7 +67,7 @@
     async handle({ job, approvedBy }: HoldRequest): Promise<HoldResponse> {
         const { jobId } = job.record;
         const decision = this.decide(job, approvedBy);
-        if (this.opts.isDraining() || decision.kind === "reject") {
+        if (this.opts.isDraining() || decision.kind === "reject" || this.isOfOtherTeam(job)) {
             return { outcome: "not-held" };
         }
         const needsApproval = job.maxWaitingTokens !== undefined && approvedBy === undefined && !this.isKnown(jobId);
@@ -172,19 +174,29 @@
     }
 
     private isKnown(jobId: JobId): boolean {
-        return this.opts.runner.has(jobId) || this.opts.held.has(jobId);
+        return this.knownRecord(jobId) !== undefined;
+    }
+
+    /** Whether another team has a job with this id. It must not be accepted as that of the caller's team. */
+    private isOfOtherTeam({ record }: HeldJob): boolean {
+        const known = this.knownRecord(record.jobId);
+        return known !== undefined && known.team !== record.team;
+    }
+
+    private knownRecord(jobId: JobId): JobRecord | undefined {
+        return this.opts.runner.recordOf(jobId) ?? this.opts.held.recordOf(jobId);
     }
 
     /** Returns the leader's count without the tokens of `job` and of the jobs of `except`. */
     private count(job: HeldJob, except: ReadonlySet<JobId>): LeaderCount | undefined {
-        const { jobId, routeName } = job.record;
+        const { jobId } = job.record;
         const left = new Set([...except, jobId]);
-        const count = this.opts.runner.leaderCount(routeName, left);
+        const count = this.opts.runner.leaderCount(job.record, left);
         // A job that is being written to the disk isn't in the runner's table yet.
         const approvedTokens = [...this.approved.values()]
             .map(({ record }) => record)
-            .filter(record => record.routeName === routeName && !left.has(record.jobId))
-            .filter(record => !this.opts.runner.has(record.jobId))
+            .filter(record => isSameTokenGroup(record, job.record) && !left.has(record.jobId))
+            .filter(record => this.opts.runner.recordOf(record.jobId) === undefined)
             .reduce((sum, record) => sum + countJobTokens(record), 0);
         return count === undefined ? undefined : { ...count, waitingTokens: count.waitingTokens + approvedTokens };
     }
--- a/fleet/jobs/src/jobKeys.ts
+++ b/fleet/jobs/src/jobKeys.ts
@@ -1,4 +1,5 @@
 import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
 
 const JOBS_PREFIX = "knapweed/jobs/";
 const TOMBSTONES_PREFIX = "knapweed/tombstones/";
@@ -28,6 +29,9 @@
     /** Traces of removed jobs. */
     tombstonesPrefix: TOMBSTONES_PREFIX,
     tombstone: (jobId: JobId) => `${TOMBSTONES_PREFIX}${jobId}`,
-    /** Waiting tokens of a route. */
-    waitingTokens: (routeName: string) => `knapweed/waiting-tokens/${routeName}`,
+    /** Waiting tokens of a route or, if the jobs have a team, of the team on the route. */
+    waitingTokens: (routeName: string, team?: TeamId) =>
+        team === undefined
+            ? `knapweed/waiting-tokens/${routeName}`
+            : `knapweed/team-waiting-tokens/${encodeURIComponent(team)}/${routeName}`,
 } as const;
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -23,6 +23,7 @@
 import { jobKeys } from "./jobKeys.js";
 import { JobLoader } from "./jobLoader.js";
 import { JobReader } from "./jobReader.js";
+import type { JobRecord } from "./jobRecord.js";
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
 import { JobTable } from "./jobTable.js";
 import type { LeaderCount } from "./leaderCount.js";
@@ -32,6 +33,7 @@
 import { ProgressWriter } from "./progressWriter.js";
 import { recordUpstreamHealth } from "./recordUpstreamHealth.js";
 import { ResultCommitter } from "./resultCommitter.js";
+import type { TokenGroup } from "./tokenGroup.js";
 import { WaitingItemsLog } from "./waitingItemsLog.js";
 
 /** Interval at which items are dispatched when no event triggers it, in milliseconds. */
@@ -163,9 +165,9 @@
         }
     }
 
-    /** Returns whether the job is in the table of this process, and so is certain to be accepted. */
-    has(jobId: JobId): boolean {
-        return this.table.get(jobId) !== undefined;
+    /** Returns the record of a job that is in the table of this process, and so is certain to be accepted. */
+    recordOf(jobId: JobId): JobRecord | undefined {
+        return this.table.get(jobId)?.record;
     }
 
     /** Whether a gateway has reported a job that this process has not received from the key-value service. */
@@ -179,12 +181,12 @@
     }
 
     /** Returns what this process counts as the leader without `except`; undefined unless it leads and knows all jobs. */
-    leaderCount(routeName: string, except: ReadonlySet<JobId>): LeaderCount | undefined {
+    leaderCount(group: TokenGroup, except: ReadonlySet<JobId>): LeaderCount | undefined {
         const fence = this.opts.leadership.fence();
         return this.knowsAllJobs && fence !== undefined
             ? {
                 fencingNumber: fence.modRevision,
-                waitingTokens: this.table.waitingTokens(routeName, except),
+                waitingTokens: this.table.waitingTokens(group, except),
             }
             : undefined;
     }
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -2,6 +2,7 @@
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { HeldJob } from "./heldJob.js";
+import { isSameTokenGroup } from "./isSameTokenGroup.js";
 import type { ItemProgress } from "./itemProgress.js";
 import type { ItemResult } from "./itemResult.js";
 import { jobKeys } from "./jobKeys.js";
@@ -9,6 +10,7 @@
 import type { ListedItems } from "./listedItems.js";
 import { OpenJob } from "./openJob.js";
 import { PART_BYTES } from "./partBytes.js";
+import type { TokenGroup } from "./tokenGroup.js";
 
 /** In-memory table of the stored jobs, assembled from their key-value entries. */
 export class JobTable {
@@ -111,10 +113,10 @@
         this.retryUnmatchedResults();
     }
 
-    /** Returns the tokens of all items of a route without a result, except those of the jobs of `except`. */
-    waitingTokens(routeName: string, except: ReadonlySet<JobId>): number {
+    /** Returns the tokens of all items of a route and team without a result, except those of the jobs of `except`. */
+    waitingTokens(group: TokenGroup, except: ReadonlySet<JobId>): number {
         return this.all()
-            .filter(({ record, isEnded }) => record.routeName === routeName && !except.has(record.jobId) && !isEnded)
+            .filter(({ record, isEnded }) => isSameTokenGroup(record, group) && !except.has(record.jobId) && !isEnded)
             .flatMap(job => job.items)
             .filter(item => item.state === "pending" || item.state === "running")
             .reduce((sum, item) => sum + item.record.tokens, 0);
--- a/fleet/jobs/src/leaderJobWriter.ts
+++ b/fleet/jobs/src/leaderJobWriter.ts
@@ -9,7 +9,9 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { HeldJob } from "./heldJob.js";
 import { jobKeys } from "./jobKeys.js";
+import type { JobRecord } from "./jobRecord.js";
 import type { LeaderWriteOutcome } from "./leaderWriteOutcome.js";
+import { mayAccessJob } from "./mayAccessJob.js";
 import { planJobWrite } from "./planJobWrite.js";
 import type { WaitingTokens } from "./waitingTokens.js";
 
@@ -63,7 +65,7 @@
         const { service, clock, fence } = this.opts;
         const { record, maxWaitingTokens } = job;
         const recordKey = jobKeys.record(record.jobId);
-        const entry = await service.get(jobKeys.waitingTokens(record.routeName));
+        const entry = await service.get(jobKeys.waitingTokens(record.routeName, record.team));
         const plan = planJobWrite(job, entry);
         const leaderKey = fence();
         const uncounted = this.opts.uncountedTokens(job, countedIn(entry));
@@ -71,13 +73,14 @@
             return "not-run";
         }
         if (plan.waitingTokens + uncounted > (maxWaitingTokens ?? Infinity)) {
-            return await service.get(recordKey) === undefined ? "over-limit" : "stored";
+            const existing = await service.get(recordKey);
+            return existing === undefined ? "over-limit" : outcomeOfExisting(existing, record);
         }
         const compares = [...plan.compares, leaderKey];
         const { operations } = plan;
         const result = await settleTransaction({ service, clock, compares, operations, witnessKey: recordKey });
         if (result.kind === "failed") {
-            return outcomeOfFailure(result.current, record.jobId, leaderKey);
+            return outcomeOfFailure(result.current, record, leaderKey);
         }
         return result.kind === "succeeded" ? "stored" : "unknown";
     }
@@ -88,15 +91,25 @@
     return new Set(jobs.map(({ jobId }) => jobId));
 }
 
+/** @param existing the record or tombstone of a job with this id, which another team may have submitted */
+function outcomeOfExisting(existing: KeyValueEntry, { team }: JobRecord): LeaderWriteOutcome {
+    const isOfTeam = mayAccessJob(
+        decodeRecord<Pick<JobRecord, "team">>(existing.value),
+        team === undefined ? {} : { team },
+    );
+    return isOfTeam ? "stored" : "not-run";
+}
+
 /** @returns undefined if only the count has changed */
 function outcomeOfFailure(
     current: readonly KeyValueEntry[],
-    jobId: JobId,
+    record: JobRecord,
     leaderKey: KeyValueCompare,
 ): LeaderWriteOutcome | undefined {
-    const jobOwnKeys: string[] = [jobKeys.record(jobId), jobKeys.tombstone(jobId)];
-    if (current.some(({ key }) => jobOwnKeys.includes(key))) {
-        return "stored";
+    const jobOwnKeys: string[] = [jobKeys.record(record.jobId), jobKeys.tombstone(record.jobId)];
+    const existing = current.find(({ key }) => jobOwnKeys.includes(key));
+    if (existing !== undefined) {
+        return outcomeOfExisting(existing, record);
     }
     const isStillLeader = current.some(({ key, modRevision }) =>
         key === leaderKey.key && modRevision === leaderKey.modRevision
--- a/fleet/jobs/src/planJobWrite.ts
+++ b/fleet/jobs/src/planJobWrite.ts
@@ -37,7 +37,7 @@
     if (job.maxWaitingTokens === undefined && entryBytes > MAX_UNLIMITED_ENTRY_BYTES) {
         return { compares, operations, waitingTokens: 0 };
     }
-    const key = jobKeys.waitingTokens(record.routeName);
+    const key = jobKeys.waitingTokens(record.routeName, record.team);
     const others = waitingTokensEntry === undefined ? [] : decodeRecord<WaitingTokens>(waitingTokensEntry.value).jobs;
     const jobs = [...others, { jobId: record.jobId, tokens: countJobTokens(record) }];
     return {
--- a/fleet/jobs/src/releaseWaitingTokens.ts
+++ b/fleet/jobs/src/releaseWaitingTokens.ts
@@ -3,15 +3,16 @@
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { jobKeys } from "./jobKeys.js";
+import type { TokenGroup } from "./tokenGroup.js";
 import type { WaitingTokens } from "./waitingTokens.js";
 
-/** Removes ended jobs from the waiting tokens of a route. Rejects if the key-value service fails. */
+/** Removes ended jobs from the waiting tokens of their route and team. Rejects if the key-value service fails. */
 export async function releaseWaitingTokens(
     service: KeyValueService,
-    routeName: string,
+    group: TokenGroup,
     ended: readonly JobId[],
 ): Promise<void> {
-    const key = jobKeys.waitingTokens(routeName);
+    const key = jobKeys.waitingTokens(group.routeName, group.team);
     for (let isDone = false; !isDone;) {
         const entry = await service.get(key);
         const jobs = entry === undefined ? [] : decodeRecord<WaitingTokens>(entry.value).jobs;
--- a/fleet/jobs/test/heldJobsIncomplete.test.ts
+++ b/fleet/jobs/test/heldJobsIncomplete.test.ts
@@ -68,7 +68,7 @@
     service.faults.outage = false;
     const leader = start(2);
     await clock.advance(AFTER_HELD_JOBS_MS);
-    assert.equal(leader.runner.leaderCount(job.record.routeName, "other" as never), undefined);
+    assert.equal(leader.runner.leaderCount(job.record, new Set()), undefined);
     const read = async () => {
         const reading = leader.runner.reader
             .results({ jobId: job.record.jobId, after: 0, waitMs: 0, signal })
@@ -108,7 +108,7 @@
     start(0);
     start(1);
     await clock.advance(2000);
-    const count = leader.runner.leaderCount(job.record.routeName, "other" as never);
+    const count = leader.runner.leaderCount(job.record, new Set());
     close();
     assert.ok(count === undefined || count.waitingTokens === 300, `counts ${count?.waitingTokens} tokens of 300`);
 });
--- a/fleet/jobs/test/jobRunner.test.ts
+++ b/fleet/jobs/test/jobRunner.test.ts
@@ -78,7 +78,7 @@
     runner.start();
     await clock.advance(0);
     runner.onHeld(heldLater!);
-    const isOpen = (jobs: (HeldJob | undefined)[]) => jobs.map(job => runner.has(job!.record.jobId));
+    const isOpen = (jobs: (HeldJob | undefined)[]) => jobs.map(job => runner.recordOf(job!.record.jobId) !== undefined);
     assert.deepEqual(isOpen([own, other, heldLater, young]), [false, false, false, true]);
     await service.transact([], planJobWrite(own!, undefined).operations);
     await clock.advance(1000);
--- a/fleet/jobs/test/jobTable.test.ts
+++ b/fleet/jobs/test/jobTable.test.ts
@@ -61,9 +61,9 @@
     });
     const [first] = table.all();
     first!.items[0]!.state = "finished";
-    assert.equal(table.waitingTokens("route", new Set(["b" as JobId])), 100);
-    assert.equal(table.waitingTokens("route", new Set(["none" as JobId])), 400);
-    assert.equal(table.waitingTokens("other", new Set(["none" as JobId])), 0);
+    assert.equal(table.waitingTokens({ routeName: "route" }, new Set(["b" as JobId])), 100);
+    assert.equal(table.waitingTokens({ routeName: "route" }, new Set(["none" as JobId])), 400);
+    assert.equal(table.waitingTokens({ routeName: "other" }, new Set(["none" as JobId])), 0);
 });
 
 test("a job that ended before its record was stored is found when the record arrives", () => {
