feat(jobs): reading, cancelling and running a job respect its team

Calls about jobs need a known key of the job's team where the configuration has teams and not all batch routes of the host are anonymous: 401 without one, 404 for another team's job, 503 for both while the configuration may be outdated. The leader and the reader of stored jobs check the record that they have; calls over links carry the team.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -120,6 +120,7 @@
                 stored: new StoredJobReader({ service: this.fleet.keyValueService }),
             }),
             onJobWritten: revision => this.fleet.markJobsWritten(revision),
+            isConfigurationCurrent: () => this.fleet.operators.mirror.isCurrent,
         });
         const linkPort = settings.peerPorts[1]!;
         this.snapshotLoader = new SnapshotLoader({
--- a/daemons/fleet/src/linkJobReader.ts
+++ b/daemons/fleet/src/linkJobReader.ts
@@ -3,6 +3,7 @@
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { RemoteJobReader } from "@knapweedwood/fleet.gateway/remoteJobReader";
 import { itemBodyCall } from "@knapweedwood/fleet.jobs/itemBodyCall";
+import type { JobCaller } from "@knapweedwood/fleet.jobs/jobCaller";
 import { resultsCall } from "@knapweedwood/fleet.jobs/resultsCall";
 import type { ResultsPage } from "@knapweedwood/fleet.jobs/resultsPage";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
@@ -25,15 +26,20 @@
         this.leader = opts.leader;
     }
 
-    async results(opts: { jobId: JobId; after: number; waitMs: number; }): Promise<ResultsPage | undefined> {
+    async results(
+        opts: { jobId: JobId; caller?: JobCaller; after: number; waitMs: number; },
+    ): Promise<ResultsPage | undefined> {
         const waitMs = Math.min(opts.waitMs, MAX_WAIT_MS);
-        const request = { jobId: opts.jobId, after: opts.after, waitMs };
+        const { jobId, after, caller } = opts;
+        const request = { jobId, after, waitMs, ...caller === undefined ? {} : { caller } };
         const frame = await singleFrame(this.link().call(resultsCall, request, { timeoutMs: waitMs + CALL_SLACK_MS }));
         return frame.page;
     }
 
-    async itemBody(jobId: JobId, itemId: ItemId): Promise<Uint8Array | undefined> {
-        const call = this.link().call(itemBodyCall, { jobId, itemId }, { timeoutMs: CALL_SLACK_MS });
+    async itemBody(opts: { jobId: JobId; itemId: ItemId; caller?: JobCaller; }): Promise<Uint8Array | undefined> {
+        const { jobId, itemId, caller } = opts;
+        const request = { jobId, itemId, ...caller === undefined ? {} : { caller } };
+        const call = this.link().call(itemBodyCall, request, { timeoutMs: CALL_SLACK_MS });
         return (await singleFrame(call)).body;
     }
 
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -196,7 +196,7 @@
             yield page === undefined ? {} : { page };
         });
         this.fleet.links.handle(itemBodyCall, async function*(request) {
-            const body = await runner.reader.itemBody(request.jobId, request.itemId);
+            const body = await runner.reader.itemBody(request);
             yield body === undefined ? {} : { body };
         });
         const { held, holdAdmission } = this;
--- a/fleet/gateway/src/fallbackJobReader.ts
+++ b/fleet/gateway/src/fallbackJobReader.ts
@@ -1,6 +1,7 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { ItemId } from "@knapweedwood/core.ids/itemId";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
+import type { JobCaller } from "@knapweedwood/fleet.jobs/jobCaller";
 import type { ResultsPage } from "@knapweedwood/fleet.jobs/resultsPage";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { RemoteJobReader } from "./remoteJobReader.js";
@@ -21,12 +22,14 @@
         this.opts = opts;
     }
 
-    results(opts: { jobId: JobId; after: number; waitMs: number; }): Promise<ResultsPage | undefined> {
+    results(
+        opts: { jobId: JobId; caller?: JobCaller; after: number; waitMs: number; },
+    ): Promise<ResultsPage | undefined> {
         return this.read(opts.jobId, reader => reader.results(opts));
     }
 
-    itemBody(jobId: JobId, itemId: ItemId): Promise<Uint8Array | undefined> {
-        return this.read(jobId, reader => reader.itemBody(jobId, itemId));
+    itemBody(opts: { jobId: JobId; itemId: ItemId; caller?: JobCaller; }): Promise<Uint8Array | undefined> {
+        return this.read(opts.jobId, reader => reader.itemBody(opts));
     }
 
     /** Rejects with the error of the stored read if both fail. */
--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -1,12 +1,16 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import { breakOffResponse } from "@knapweedwood/core.http-connections/breakOffResponse";
+import type { JobCaller } from "@knapweedwood/fleet.jobs/jobCaller";
 import type { CallerLimits } from "@knapweedwood/fleet.view/callerLimits";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { CallerProtocol } from "./callerProtocol.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { headerOf } from "./headerOf.js";
 import { identifyCaller } from "./identifyCaller.js";
+import { identifyJobCaller } from "./identifyJobCaller.js";
+import type { JobCall } from "./jobCall.js";
 import type { JobRoutes } from "./jobRoutes.js";
 import { OnlineCall } from "./onlineCall.js";
 import { readBody } from "./readBody.js";
@@ -107,7 +111,7 @@
         }
         const jobCall = this.protocol.parseJobCall(request);
         if (jobCall !== undefined) {
-            await this.jobs.handle(jobCall, response);
+            await this.serveJobCall(jobCall, request, response);
             return;
         }
         const path = (request.url ?? "/").split("?", 1)[0]!;
@@ -123,13 +127,31 @@
         }
         if (route.kind === "batch") {
             const jobId = String(request.headers[this.protocol.headers.requestId] ?? "");
-            await this.jobs.submit(route, jobId, body, response);
+            await this.jobs.submit(route, { jobId, body, caller: this.jobCallerOf(caller.team) }, response);
             return;
         }
         new OnlineCall({ context: this.context, route, request, response, body, arrivedAtMs, team: caller.team })
             .start();
     }
 
+    private async serveJobCall(call: JobCall, request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const key = headerOf(request, this.protocol.headers.key);
+        const caller = identifyJobCaller(this.context.configuration, request.headers.host ?? "", key);
+        if (caller.kind === "unknown-key") {
+            this.rejectUnknown(request, response, { statusCode: 401, reason: "unknown key" });
+            return;
+        }
+        await this.jobs.handle(call, this.jobCallerOf(caller.team), response);
+    }
+
+    /** Returns who calls about a job; undefined while the configuration has no teams. */
+    private jobCallerOf(team: Team | undefined): JobCaller | undefined {
+        if (this.context.configuration.current?.teams === undefined) {
+            return undefined;
+        }
+        return team === undefined ? {} : { team: team.id };
+    }
+
     /**
      * Responds with a status after which callers don't repeat a request only if the route or the key is certain not to
      * exist.
--- a/fleet/gateway/src/jobRoutes.ts
+++ b/fleet/gateway/src/jobRoutes.ts
@@ -2,6 +2,7 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { Acceptance } from "@knapweedwood/fleet.jobs/acceptance";
 import type { JobAcceptor } from "@knapweedwood/fleet.jobs/jobAcceptor";
+import type { JobCaller } from "@knapweedwood/fleet.jobs/jobCaller";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { ServerResponse } from "node:http";
@@ -11,6 +12,7 @@
 import { sendFailure } from "./sendFailure.js";
 
 const RETRY_AFTER_MS = 300;
+const STATUS_CODES = { "over-limit": 429, "store-away": 503, "id-taken": 400 };
 
 /** Handles the HTTP calls about batch jobs. */
 export class JobRoutes {
@@ -20,27 +22,40 @@
         acceptor: JobAcceptor;
         reader: RemoteJobReader;
         onJobWritten: (revision: number) => void;
+        isConfigurationCurrent: () => boolean;
     };
 
-    /** @param opts.onJobWritten called with the revision at which a job was written or cancelled; 0 if there is none */
+    /**
+     * @param opts.onJobWritten called with the revision at which a job was written or cancelled; 0 if there is none
+     * @param opts.isConfigurationCurrent whether the active configuration is certain to be the newest
+     */
     constructor(opts: {
         logger: Logger;
         protocol: CallerProtocol;
         acceptor: JobAcceptor;
         reader: RemoteJobReader;
         onJobWritten: (revision: number) => void;
+        isConfigurationCurrent: () => boolean;
     }) {
         this.opts = opts;
     }
 
     /**
      * Handles a submission. Responds with 202 once the job is stored, 504 if it is unknown whether it is, 429 or 503 if
-     * it was rejected, 400 if decoding or accepting it fails.
+     * it was rejected, 400 if decoding or accepting it fails or another team has a job with this id.
+     *
+     * @param opts.caller undefined while the configuration has no teams
      */
-    async submit(route: Route, jobId: string, body: Buffer, response: ServerResponse): Promise<void> {
+    async submit(
+        route: Route,
+        opts: { jobId: string; body: Buffer; caller: JobCaller | undefined; },
+        response: ServerResponse,
+    ): Promise<void> {
+        const { jobId, body, caller } = opts;
         try {
             const submission = this.opts.protocol.decodeSubmission(jobId, body);
-            this.sendAcceptance(await this.opts.acceptor.accept(route, submission), response);
+            const callerField = caller === undefined ? {} : { caller };
+            this.sendAcceptance(await this.opts.acceptor.accept(route, { ...submission, ...callerField }), response);
         }
         catch (thrown) {
             this.opts.logger.warn("job-rejected", { jobId, message: (thrown as Error).message });
@@ -48,10 +63,14 @@
         }
     }
 
-    /** Handles a call about an existing job; responds with 503 and a retry delay if it fails. */
-    async handle(call: JobCall, response: ServerResponse): Promise<void> {
+    /**
+     * Handles a call about an existing job; responds with 503 and a retry delay if it fails.
+     *
+     * @param caller undefined while the configuration has no teams
+     */
+    async handle(call: JobCall, caller: JobCaller | undefined, response: ServerResponse): Promise<void> {
         try {
-            await this.dispatch(call, response);
+            await this.dispatch(call, caller, response);
         }
         catch (thrown) {
             const error = toKnapweedError(thrown);
@@ -60,27 +79,42 @@
         }
     }
 
-    private async dispatch(call: JobCall, response: ServerResponse): Promise<void> {
+    private async dispatch(call: JobCall, caller: JobCaller | undefined, response: ServerResponse): Promise<void> {
+        const callerField = caller === undefined ? {} : { caller };
         switch (call.kind) {
             case "read-results": {
-                const page = await this.opts.reader.results(call);
-                this.send(response, page === undefined ? undefined : this.opts.protocol.encodeResultsPage(page));
+                const page = await this.opts.reader.results({ ...call, ...callerField });
+                this.send(
+                    response,
+                    caller,
+                    page === undefined ? undefined : this.opts.protocol.encodeResultsPage(page),
+                );
                 return;
             }
             case "read-item": {
-                const body = await this.opts.reader.itemBody(call.jobId, call.itemId);
-                this.send(response, body, "application/octet-stream");
+                const body = await this.opts.reader.itemBody({ ...call, ...callerField });
+                this.send(response, caller, body, "application/octet-stream");
                 return;
             }
             case "cancel": {
-                const revision = await this.opts.acceptor.cancel(call.jobId);
+                const revision = await this.opts.acceptor.cancel(call.jobId, caller);
                 this.opts.onJobWritten(revision ?? 0);
-                this.send(response, revision === undefined ? undefined : "{}");
+                this.send(response, caller, revision === undefined ? undefined : "{}");
             }
         }
     }
 
-    private send(response: ServerResponse, body: string | Uint8Array | undefined, type = "application/json"): void {
+    private send(
+        response: ServerResponse,
+        caller: JobCaller | undefined,
+        body: string | Uint8Array | undefined,
+        type = "application/json",
+    ): void {
+        if (body === undefined && caller !== undefined && !this.opts.isConfigurationCurrent()) {
+            const message = "No such job or item of the team in a configuration that may be outdated";
+            sendFailure(response, { statusCode: 503, message, retryAfterMs: RETRY_AFTER_MS });
+            return;
+        }
         if (body === undefined) {
             sendFailure(response, { statusCode: 404, message: "No such job or item" });
             return;
@@ -98,7 +132,7 @@
                 return;
             case "refused":
                 sendFailure(response, {
-                    statusCode: acceptance.reason === "over-limit" ? 429 : 503,
+                    statusCode: STATUS_CODES[acceptance.reason],
                     message: acceptance.reason,
                     retryAfterMs: acceptance.retryAfterMs,
                 });
--- a/fleet/gateway/test/fallbackJobReader.test.ts
+++ b/fleet/gateway/test/fallbackJobReader.test.ts
@@ -26,7 +26,7 @@
     const read = async (leader: RemoteJobReader) => {
         const reader = new FallbackJobReader({ logger: silentLogger, leader, stored: readerOf(2) });
         const page = await reader.results({ jobId, after: 0, waitMs: 0 });
-        return [page?.next, (await reader.itemBody(jobId, "i" as ItemId))?.toString()];
+        return [page?.next, (await reader.itemBody({ jobId: jobId, itemId: "i" as ItemId }))?.toString()];
     };
     assert.deepEqual(await read(unreachable), [2, "2"]);
     assert.deepEqual(await read(readerOf(1)), [1, "1"]);
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -23,6 +23,7 @@
         | "clock"
         | "logger"
         | "metrics"
+        | "configuration"
         | "directory"
         | "loadTracker"
         | "connections"
@@ -74,7 +75,10 @@
             online: this.opts.loadTracker.onlineCount(upstream.id),
             batch: this.opts.loadTracker.batchCount(upstream.id),
         });
-        run.start(this.opts.connections, { host: job.record.host, body: job.bodyOf(item) });
+        const { host, team } = job.record;
+        const hasTeams = team !== undefined || this.opts.configuration.current?.teams !== undefined;
+        const caller = hasTeams ? { ...team === undefined ? {} : { team } } : undefined;
+        run.start(this.opts.connections, { host, body: job.bodyOf(item), caller });
     }
 
     /** Ends runs whose slots online requests need. */
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -12,6 +12,7 @@
 import { discardEvents } from "./discardEvents.js";
 import type { ItemRunHeaders } from "./itemRunHeaders.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
+import type { JobCaller } from "./jobCaller.js";
 import type { JobItem } from "./jobItem.js";
 
 const HTTP_OK = 200;
@@ -74,16 +75,24 @@
     /**
      * Sends the item to the upstream. Asks it to resume after the last event received, if its software version wrote
      * the events; otherwise the item starts over.
+     *
+     * @param opts.caller who submitted the item, whose team its own headers can't set; undefined where there are no teams
      */
-    start(connections: UpstreamConnections, opts: { host: string; body: Buffer; }): void {
+    start(
+        connections: UpstreamConnections,
+        opts: { host: string; body: Buffer; caller?: JobCaller | undefined; },
+    ): void {
         const { item, headers } = this;
         if (item.softwareVersion !== this.upstream.softwareVersion) {
             discardEvents(item);
         }
         item.softwareVersion = this.upstream.softwareVersion;
         this.outputBytes = item.events.reduce((sum, event) => sum + jsonBytesOf(event), 0);
-        const list = ["host", opts.host, ...item.record.headers.flatMap(header => [header.name, header.value])];
+        const list = ["host", opts.host, ...this.ownHeaders(opts.caller !== undefined)];
         list.push(headers.requestId, item.id, headers.expectedUpstream, this.upstream.id);
+        if (opts.caller?.team !== undefined) {
+            list.push(headers.team, opts.caller.team);
+        }
         if (item.lastEventId > 0) {
             list.push(headers.lastEventId, String(item.lastEventId));
         }
@@ -119,6 +128,14 @@
         this.exchange?.abort();
     }
 
+    /** Returns alternating names and values of the headers that the caller gave the item. */
+    private ownHeaders(hasTeams: boolean): string[] {
+        const reserved = hasTeams ? [this.headers.key, this.headers.team] : [];
+        return this.item.record.headers
+            .filter(({ name }) => !reserved.includes(name.toLowerCase()))
+            .flatMap(({ name, value }) => [name, value]);
+    }
+
     private onData(chunk: Buffer): void {
         if (this.isEnded || this.head?.statusCode !== HTTP_OK) {
             return;
--- a/fleet/jobs/src/jobReader.ts
+++ b/fleet/jobs/src/jobReader.ts
@@ -5,8 +5,10 @@
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { SnapshotKeyValueService } from "@knapweedwood/core.key-value/snapshotKeyValueService";
 import { HELD_JOBS_WRITE_MS } from "./heldJobsWriteMs.js";
+import type { JobCaller } from "./jobCaller.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobTable } from "./jobTable.js";
+import { mayAccessJob } from "./mayAccessJob.js";
 import type { OpenJob } from "./openJob.js";
 import type { ResultsPage } from "./resultsPage.js";
 
@@ -33,17 +35,18 @@
     }
 
     /**
-     * Returns results of a job; undefined if the job certainly does not exist.
+     * Returns results of a job; undefined if the team of the caller certainly has no such job.
      *
+     * @param opts.caller undefined while the configuration has no teams
      * @param opts.after position of the first requested result
      * @param opts.waitMs time to wait if there is no such result yet, in milliseconds
      * @param opts.signal ends the wait
      */
     async results(
-        opts: { jobId: JobId; after: number; waitMs: number; signal: AbortSignal; },
+        opts: { jobId: JobId; caller?: JobCaller; after: number; waitMs: number; signal: AbortSignal; },
     ): Promise<ResultsPage | undefined> {
         const job = await this.find(opts.jobId);
-        if (job === undefined) {
+        if (job === undefined || !mayAccessJob(job.record, opts.caller)) {
             return undefined;
         }
         if (job.resultCount <= opts.after && !job.isEnded && opts.waitMs > 0) {
@@ -53,10 +56,14 @@
         return job.page(opts.after);
     }
 
-    /** Returns the body of an item; undefined if the item certainly does not exist. */
-    async itemBody(jobId: JobId, itemId: ItemId): Promise<Buffer | undefined> {
-        const job = await this.find(jobId);
-        const item = job?.item(itemId);
+    /**
+     * Returns the body of an item; undefined if the team of the caller certainly has no such item.
+     *
+     * @param opts.caller undefined while the configuration has no teams
+     */
+    async itemBody(opts: { jobId: JobId; itemId: ItemId; caller?: JobCaller; }): Promise<Buffer | undefined> {
+        const job = await this.find(opts.jobId);
+        const item = job !== undefined && mayAccessJob(job.record, opts.caller) ? job.item(opts.itemId) : undefined;
         return item === undefined ? undefined : job!.bodyOf(item);
     }
 
--- a/fleet/jobs/src/storedJobReader.ts
+++ b/fleet/jobs/src/storedJobReader.ts
@@ -5,14 +5,16 @@
 import type { SnapshotKeyValueService } from "@knapweedwood/core.key-value/snapshotKeyValueService";
 import { cutResultsPage } from "./cutResultsPage.js";
 import type { ItemResult } from "./itemResult.js";
+import type { JobCaller } from "./jobCaller.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobRecord } from "./jobRecord.js";
 import { JobTable } from "./jobTable.js";
+import { mayAccessJob } from "./mayAccessJob.js";
 import type { ResultsPage } from "./resultsPage.js";
 
 /**
- * Reads jobs from the key-value service, in any process. It never reports that a job doesn't exist: a job that isn't
- * stored yet may be held on disks, which only the leader knows.
+ * Reads jobs from the key-value service, in any process. It never reports that a job doesn't exist, only that a stored one
+ * belongs to another team: a job that isn't stored yet may be held on disks, which only the leader knows.
  */
 export class StoredJobReader {
     private readonly service: SnapshotKeyValueService;
@@ -22,11 +24,14 @@
     }
 
     /**
-     * Returns the stored results of a job. Does not wait for more.
+     * Returns the stored results of a job; undefined if it belongs to another team. Does not wait for more.
      *
+     * @param opts.caller undefined while the configuration has no teams
      * @param opts.after position of the first requested result
      */
-    async results(opts: { jobId: JobId; after: number; }): Promise<ResultsPage> {
+    async results(
+        opts: { jobId: JobId; caller?: JobCaller; after: number; },
+    ): Promise<ResultsPage | undefined> {
         const { jobId, after } = opts;
         const prefix = jobKeys.resultsOnlyPrefix(jobId);
         const [record, entries] = await Promise.all([
@@ -36,16 +41,25 @@
         if (record === undefined) {
             throw notStored(jobId);
         }
+        const job = decodeRecord<JobRecord>(record.value);
+        if (!mayAccessJob(job, opts.caller)) {
+            return undefined;
+        }
         if (entries.length > 0 && entries[0]!.key !== jobKeys.result(jobId, after)) {
             // The results before were removed: the job's retention time is over.
             throw notStored(jobId);
         }
-        const total = decodeRecord<JobRecord>(record.value).items.length;
-        return cutResultsPage(entries.map(entry => decodeRecord<ItemResult>(entry.value)), { total, after });
+        const results = entries.map(entry => decodeRecord<ItemResult>(entry.value));
+        return cutResultsPage(results, { total: job.items.length, after });
     }
 
-    /** Returns the body of an item; undefined if the stored job has no such item. */
-    async itemBody(jobId: JobId, itemId: ItemId): Promise<Buffer | undefined> {
+    /**
+     * Returns the body of an item; undefined if the stored job has no such item, or belongs to another team.
+     *
+     * @param opts.caller undefined while the configuration has no teams
+     */
+    async itemBody(opts: { jobId: JobId; itemId: ItemId; caller?: JobCaller; }): Promise<Buffer | undefined> {
+        const { jobId, itemId, caller } = opts;
         const { entries } = await this.service.snapshot(jobKeys.jobPrefix(jobId));
         const table = new JobTable();
         table.apply(entries);
@@ -53,7 +67,7 @@
         if (job?.isLoaded !== true) {
             throw notStored(jobId);
         }
-        const item = job.item(itemId);
+        const item = mayAccessJob(job.record, caller) ? job.item(itemId) : undefined;
         return item === undefined ? undefined : job.bodyOf(item);
     }
 }
--- a/fleet/jobs/test/callHeaders.ts
+++ b/fleet/jobs/test/callHeaders.ts
@@ -7,4 +7,6 @@
     leaving: "g",
     promptParts: "q",
     upstreamProof: "p",
+    key: "k",
+    team: "t",
 };
--- a/fleet/jobs/test/storedJobReader.test.ts
+++ b/fleet/jobs/test/storedJobReader.test.ts
@@ -40,8 +40,8 @@
     assert.deepEqual(await reader.results({ jobId, after: 0 }), { total: 3, results, next: 2 });
     assert.deepEqual(await reader.results({ jobId, after: 1 }), { total: 3, results: results.slice(1), next: 2 });
     assert.deepEqual(await reader.results({ jobId, after: 2 }), { total: 3, results: [], next: 2 });
-    assert.equal((await reader.itemBody(jobId, `${jobId}-1` as ItemId))?.toString(), "cde");
-    assert.equal(await reader.itemBody(jobId, "other" as ItemId), undefined);
+    assert.equal((await reader.itemBody({ jobId: jobId, itemId: `${jobId}-1` as ItemId }))?.toString(), "cde");
+    assert.equal(await reader.itemBody({ jobId: jobId, itemId: "other" as ItemId }), undefined);
 });
 
 // An accepted job may be held on disks only; a 404 for it would tell its caller that it is lost.
@@ -49,7 +49,9 @@
     const { reader } = await setUp();
     const unknown = "unknown" as JobId;
     await assert.rejects(reader.results({ jobId: unknown, after: 0 }), { code: "ERR_KNAPWEED_JOBS_NOT_SETTLED" });
-    await assert.rejects(reader.itemBody(unknown, "i" as ItemId), { code: "ERR_KNAPWEED_JOBS_NOT_SETTLED" });
+    await assert.rejects(reader.itemBody({ jobId: unknown, itemId: "i" as ItemId }), {
+        code: "ERR_KNAPWEED_JOBS_NOT_SETTLED",
+    });
 });
 
 // While a job was being removed, its later results were read as if they stood at the first positions.
--- a/fleet/view/src/activeConfiguration.ts
+++ b/fleet/view/src/activeConfiguration.ts
@@ -43,6 +43,11 @@
         return this.table?.match(host, path);
     }
 
+    /** Returns the routes of a host, shape [routes]. */
+    routesOn(host: string): Route[] {
+        return this.table?.routesOn(host) ?? [];
+    }
+
     /** Returns the team that holds a key; undefined if no team does. */
     teamOf(key: string): Team | undefined {
         return this.teamsByKey.get(key);
--- a/fleet/view/src/routeTable.ts
+++ b/fleet/view/src/routeTable.ts
@@ -14,6 +14,11 @@
         });
     }
 
+    /** Returns the routes of a host, shape [routes]. `host` may have a port. */
+    routesOn(host: string): Route[] {
+        return [...this.routesByHost.get(normalizeHost(host))?.values() ?? []];
+    }
+
     /**
      * Returns the matching route; undefined if there is none.
      *
