refactor(jobs): the dispatch of items and the outcomes of their runs leave JobRunner

ItemDispatcher starts items, ItemOutcomes applies the outcomes of runs, and createSubmittedJob builds the job of a submission.

--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -10,9 +10,8 @@
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import { randomUUID } from "node:crypto";
 import type { Acceptance } from "./acceptance.js";
-import type { HeldJob } from "./heldJob.js";
+import { createSubmittedJob } from "./createSubmittedJob.js";
 import type { HoldOutcome } from "./holdOutcome.js";
 import type { JobCaller } from "./jobCaller.js";
 import type { JobHolder } from "./jobHolder.js";
@@ -20,12 +19,9 @@
 import type { JobRecord } from "./jobRecord.js";
 import type { JobSubmission } from "./jobSubmission.js";
 import { mayAccessJob } from "./mayAccessJob.js";
-import { PART_BYTES } from "./partBytes.js";
 import { planJobWrite } from "./planJobWrite.js";
 
 const MAX_CONFLICTS = 6;
-const DEFAULT_DUE_MS = 60_000;
-const DEFAULT_RETENTION_MS = 600_000;
 const RETRY_AFTER_MS = 700;
 /** Time after which a job whose write is still pending is also held on disks, in milliseconds. */
 const HOLD_AFTER_MS = 200;
@@ -164,7 +160,7 @@
     }
 
     private hold(route: Route, submission: JobSubmission): Promise<HoldOutcome> {
-        return this.holder.hold({ job: this.toJob(route, submission) });
+        return this.holder.hold({ job: createSubmittedJob(route, submission, this.clock) });
     }
 
     private async tryWrite(route: Route, submission: JobSubmission): Promise<Acceptance> {
@@ -190,7 +186,7 @@
     private async writeOnce(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
         const recordKey = jobKeys.record(submission.jobId);
         const plan = planJobWrite(
-            this.toJob(route, submission),
+            createSubmittedJob(route, submission, this.clock),
             this.waitingTokensEntries.get(tokensKeyOf(route, submission)),
         );
         if (plan.waitingTokens > (route.maxWaitingTokens ?? Infinity)) {
@@ -247,36 +243,6 @@
         }
         this.waitingTokensEntries.set(key, entry);
     }
-
-    private toJob(route: Route, submission: JobSubmission): HeldJob {
-        const { maxWaitingTokens } = route;
-        return { record: this.toRecord(route, submission), bodies: bodiesOf(submission), maxWaitingTokens };
-    }
-
-    private toRecord(route: Route, submission: JobSubmission): JobRecord {
-        // The steady time lags after a suspension of the instance, and the job would end too early at the leader.
-        const acceptedAtMs = Math.max(this.clock.nowMs(), this.clock.timeOfDayMs());
-        const team = submission.caller?.team;
-        let bodyOffset = 0;
-        const items = submission.items.map(({ id, path, headers, tokens, body }) => {
-            const item = { id, path, headers, tokens, bodyOffset, bodyBytes: body.length };
-            bodyOffset += body.length;
-            return item;
-        });
-        return {
-            jobId: submission.jobId,
-            routeName: route.name,
-            ...team === undefined ? {} : { team },
-            host: route.host,
-            acceptedAtMs,
-            dueAtMs: acceptedAtMs + (route.jobDueMs ?? DEFAULT_DUE_MS),
-            expiresAtMs: acceptedAtMs + (route.jobRetentionMs ?? DEFAULT_RETENTION_MS),
-            maxAttempts: route.maxAttempts,
-            partCount: Math.ceil(bodyOffset / PART_BYTES),
-            items,
-            nonce: randomUUID(),
-        };
-    }
 }
 
 function isFinal(acceptance: Acceptance): boolean {
@@ -310,7 +276,3 @@
             return written;
     }
 }
-
-function bodiesOf(submission: JobSubmission): Buffer {
-    return Buffer.concat(submission.items.map(item => item.body));
-}
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -1,25 +1,17 @@
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
-import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
-import type { Upstream } from "@knapweedwood/fleet.view/upstream";
-import { applyRunOutcome } from "./applyRunOutcome.js";
-import type { BatchCandidate } from "./batchCandidate.js";
-import { BatchSlots } from "./batchSlots.js";
 import { findFinishedItems } from "./findFinishedItems.js";
-import { findItemsToGiveUp } from "./findItemsToGiveUp.js";
 import type { HeldJob } from "./heldJob.js";
 import { InFlightItems } from "./inFlightItems.js";
+import { ItemDispatcher } from "./itemDispatcher.js";
+import { ItemOutcomes } from "./itemOutcomes.js";
 import { ItemRoutes } from "./itemRoutes.js";
-import type { ItemRun } from "./itemRun.js";
-import type { ItemRunOutcome } from "./itemRunOutcome.js";
 import { ItemRunTimeEstimator } from "./itemRunTimeEstimator.js";
-import type { ItemsToGiveUp } from "./itemsToGiveUp.js";
 import { ItemTraits } from "./itemTraits.js";
 import { JobCleanup } from "./jobCleanup.js";
-import type { JobItem } from "./jobItem.js";
 import { jobKeys } from "./jobKeys.js";
 import { JobLoader } from "./jobLoader.js";
 import { JobReader } from "./jobReader.js";
@@ -29,9 +21,7 @@
 import type { LeaderCount } from "./leaderCount.js";
 import { mayBeRemoved } from "./mayBeRemoved.js";
 import type { OpenJob } from "./openJob.js";
-import { orderStartableItems } from "./orderStartableItems.js";
 import { ProgressWriter } from "./progressWriter.js";
-import { recordUpstreamHealth } from "./recordUpstreamHealth.js";
 import { ResultCommitter } from "./resultCommitter.js";
 import type { TokenGroup } from "./tokenGroup.js";
 import { WaitingItemsLog } from "./waitingItemsLog.js";
@@ -44,8 +34,6 @@
 const CHECKPOINT_INTERVAL_MS = 1500;
 /** Minimum progress to store, in events. Less is cheaper to reproduce than to store. */
 const MIN_CHECKPOINT_EVENTS = 25;
-/** Remaining share of an item's run time below which it waits to be resumed rather than start over elsewhere. */
-const KEEP_REMAINING_SHARE = 0.5;
 
 /**
  * Runs the items of all accepted jobs while this process is the leader. Pure functions decide which items start and
@@ -59,6 +47,8 @@
     private readonly traits: ItemTraits;
     private readonly inFlightItems: InFlightItems;
     private readonly committer: ResultCommitter;
+    private readonly dispatcher: ItemDispatcher;
+    private readonly outcomes: ItemOutcomes;
     private readonly progress: ProgressWriter;
     private readonly cleanup: JobCleanup;
     private leadershipController: AbortController | undefined;
@@ -87,16 +77,22 @@
             ...opts,
             runTimeEstimator,
             traits: this.traits,
-            onEnded: (job, run, outcome) => this.onRunEnded(job, run, outcome),
+            onEnded: (job, run, outcome) => {
+                this.outcomes.onRunEnded(job, run, outcome);
+                this.requestDispatch();
+            },
         });
         this.committer = new ResultCommitter({ ...opts, onResultsStored: job => this.onResultsStored(job) });
+        const shared = { ...opts, table, runTimeEstimator, routes: this.routes, traits: this.traits };
+        this.dispatcher = new ItemDispatcher({ ...shared, inFlightItems: this.inFlightItems });
+        this.outcomes = new ItemOutcomes({ ...shared, committer: this.committer });
         this.progress = new ProgressWriter({ service: opts.service, leadership });
         this.cleanup = new JobCleanup({ ...opts, leadership, table });
         this.waitingItems = new WaitingItemsLog({
             ...opts,
             routes: this.routes,
-            candidateOf: (upstream, nowMs) => this.candidateOf(upstream, nowMs),
-            mayRun: (service, item) => this.mayRun(service, item),
+            candidateOf: (upstream, nowMs) => this.dispatcher.candidateOf(upstream, nowMs),
+            mayRun: (service, item) => this.dispatcher.mayRun(service, item),
         });
         this.reader = new JobReader({
             ...opts,
@@ -219,7 +215,7 @@
         this.openHeld(this.opts.heldJobs());
         this.table.restoreFrom(this.previousJobs);
         this.previousJobs = [];
-        findFinishedItems(this.table.all()).forEach(({ job, item, state }) => this.finish(job, item, state));
+        findFinishedItems(this.table.all()).forEach(({ job, item, state }) => this.outcomes.finish(job, item, state));
         const ended = this.table.all().filter(job => job.isEnded);
         ended.forEach(job => this.cleanup.onEnded(job));
         this.isLoaded = true;
@@ -263,7 +259,9 @@
 
     private schedulePeriodicDispatch(): void {
         this.dispatchTimer = this.opts.clock.setTimer(DISPATCH_INTERVAL_MS, () => {
-            this.giveUpItems();
+            if (this.isLoaded) {
+                this.outcomes.giveUpItems();
+            }
             this.dispatch();
             this.waitingItems.report(this.table.all());
             this.schedulePeriodicDispatch();
@@ -297,107 +295,10 @@
         this.inFlightItems.preemptForOnline();
         // A run is harmless even if another process already is the leader: a result counts only once it is written.
         if (this.isLoaded && this.opts.leadership.fence() !== undefined) {
-            this.startItems();
+            this.dispatcher.startItems();
         }
     }
 
-    private startItems(): void {
-        const nowMs = this.opts.clock.nowMs();
-        const slots = new BatchSlots({
-            upstreamsOf: service => this.upstreamsForItems(service),
-            candidateOf: upstream => this.candidateOf(upstream, nowMs),
-        });
-        const remainingMs = (item: JobItem) => this.runTimeEstimator.remainingMs(item);
-        const totalMs = (item: JobItem) => this.runTimeEstimator.totalMs(item);
-        const hasFreeSlot = (job: OpenJob, item: JobItem) => {
-            const service = this.routes.serviceOf(job, item);
-            return service !== undefined && slots.hasFree(service) && this.mayRun(service, item);
-        };
-        orderStartableItems(this.table.all(), { nowMs, remainingMs, totalMs, hasFreeSlot }).forEach(({ job, item }) => {
-            const keepsEvents = remainingMs(item) < totalMs(item) * KEEP_REMAINING_SHARE;
-            const upstream = slots.take(this.routes.serviceOf(job, item)!, item, keepsEvents);
-            const isBlocked = upstream !== undefined
-                && this.opts.quarantine.itemBlockedForMs(upstream.service, this.traits.of(job, item)) > 0;
-            if (upstream !== undefined && !isBlocked) {
-                this.inFlightItems.start(job, item, upstream);
-            }
-        });
-    }
-
-    private mayRun(service: ServiceName, item: JobItem): boolean {
-        const { quarantine } = this.opts;
-        return !quarantine.isActive || quarantine.itemBlockedForMs(service, this.traits.knownOf(item)) === 0;
-    }
-
-    /** Returns the upstreams that may run items. There are none while an online request of the service waits. */
-    private upstreamsForItems(service: ServiceName): Upstream[] {
-        return this.opts.loadTracker.waitingAtPeers(service) > 0 ? [] : this.opts.directory.ready(service);
-    }
-
-    private candidateOf(upstream: Upstream, nowMs: number): BatchCandidate | undefined {
-        const isUsable = this.opts.health.isUsable(upstream.id, nowMs, this.inFlightItems.countAt(upstream));
-        return isUsable ? this.inFlightItems.candidateOf(upstream) : undefined;
-    }
-
-    private onRunEnded(job: OpenJob, run: ItemRun, outcome: ItemRunOutcome): void {
-        const { item, upstream } = run;
-        const nowMs = this.opts.clock.nowMs();
-        this.opts.logger.info("item-run-ended", {
-            jobId: job.record.jobId,
-            itemId: item.id,
-            upstream: upstream.id,
-            events: item.lastEventId,
-            ending: run.ending,
-            ...outcome,
-            ...outcome.kind === "broken"
-                ? {
-                    promptParts: this.traits.promptPartsOf(item),
-                    fingerprint: this.traits.fingerprintOf(job, item),
-                }
-                : {},
-        });
-        this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
-        recordUpstreamHealth(this.opts.health, upstream.id, outcome, nowMs);
-        this.runTimeEstimator.recordRun(run.eventCount, nowMs - run.startedAtMs);
-        if (outcome.kind === "failed") {
-            item.failedUpstreamIds.push(upstream.id);
-        }
-        const decision = applyRunOutcome(item, outcome, { nowMs, maxAttempts: job.record.maxAttempts });
-        if (decision !== "retry") {
-            this.finish(job, item, decision);
-        }
-        this.requestDispatch();
-    }
-
-    private finish(job: OpenJob, item: JobItem, state: "completed" | "given-up"): void {
-        item.state = "finished";
-        item.isComplete = state === "completed";
-        if (item.isComplete) {
-            this.runTimeEstimator.recordOutput(item);
-        }
-        const output = state === "completed" ? item.events.join("\n") : "";
-        this.committer.add(job, { itemId: item.id, state, output });
-    }
-
-    /**
-     * Gives up items that can't be run any more. Until the stored results are loaded, an item with a result can't be told
-     * from one without.
-     */
-    private giveUpItems(): void {
-        if (!this.isLoaded) {
-            return;
-        }
-        const missingSinceMs = (job: OpenJob) => this.routes.missingSinceMs(job.record.jobId);
-        findItemsToGiveUp(this.table.all(), { nowMs: this.opts.clock.nowMs(), missingSinceMs })
-            .forEach(found => this.giveUp(found));
-    }
-
-    private giveUp({ job, items, reason }: ItemsToGiveUp): void {
-        const { jobId } = job.record;
-        this.opts.logger.info("items-given-up", { jobId, reason, items: items.length, results: job.resultCount });
-        items.forEach(item => this.finish(job, item, "given-up"));
-    }
-
     private onResultsStored(job: OpenJob): void {
         if (job.isEnded) {
             this.routes.forget(job.record.jobId);
