--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -1,5 +1,4 @@
 import type { Timer } from "@knapweedwood/core.clock/timer";
-import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
@@ -11,6 +10,7 @@
 import { ItemRoutes } from "./itemRoutes.js";
 import { ItemRunTimeEstimator } from "./itemRunTimeEstimator.js";
 import { ItemTraits } from "./itemTraits.js";
+import { JobCheckpoints } from "./jobCheckpoints.js";
 import { JobCleanup } from "./jobCleanup.js";
 import { jobKeys } from "./jobKeys.js";
 import { JobLoader } from "./jobLoader.js";
@@ -30,10 +30,6 @@
 const DISPATCH_INTERVAL_MS = 50;
 /** Time for which triggers are gathered into one dispatch, in milliseconds. Load reports come from every process. */
 const DISPATCH_DELAY_MS = 5;
-/** Interval at which progress is stored and ended jobs are cleaned up, in milliseconds. */
-const CHECKPOINT_INTERVAL_MS = 1500;
-/** Minimum progress to store, in events. Less is cheaper to reproduce than to store. */
-const MIN_CHECKPOINT_EVENTS = 25;
 
 /**
  * Runs the items of all accepted jobs while this process is the leader. Pure functions decide which items start and
@@ -60,10 +56,9 @@
     private previousJobs: OpenJob[] = [];
     private dispatchTimer: Timer | undefined;
     private requestedDispatchTimer: Timer | undefined;
-    private checkpointTimer: Timer | undefined;
-    private isCheckpointing = false;
     private readonly routes: ItemRoutes;
     private readonly loader: JobLoader;
+    private readonly checkpoints: JobCheckpoints;
     private readonly waitingItems: WaitingItemsLog;
 
     constructor(opts: JobRunnerOptions) {
@@ -88,6 +83,13 @@
         this.outcomes = new ItemOutcomes({ ...shared, committer: this.committer });
         this.progress = new ProgressWriter({ service: opts.service, leadership });
         this.cleanup = new JobCleanup({ ...opts, leadership, table });
+        this.checkpoints = new JobCheckpoints({
+            ...opts,
+            table,
+            progress: this.progress,
+            cleanup: this.cleanup,
+            isActive: () => this.isLoaded && leadership.isLeading(),
+        });
         this.waitingItems = new WaitingItemsLog({
             ...opts,
             routes: this.routes,
@@ -117,7 +119,7 @@
         });
         void this.mirror.run(controller.signal);
         this.schedulePeriodicDispatch();
-        this.scheduleCheckpoint();
+        this.checkpoints.start();
     }
 
     /** Ends all runs. Called when this process has lost leadership. */
@@ -193,7 +195,7 @@
         this.dispatchTimer?.cancel();
         this.requestedDispatchTimer?.cancel();
         this.requestedDispatchTimer = undefined;
-        this.checkpointTimer?.cancel();
+        this.checkpoints.stop();
         this.inFlightItems.endAll();
     }
 
@@ -268,29 +270,6 @@
         });
     }
 
-    private scheduleCheckpoint(): void {
-        this.checkpointTimer = this.opts.clock.setTimer(CHECKPOINT_INTERVAL_MS, () => {
-            this.scheduleCheckpoint();
-            void this.checkpoint();
-        });
-    }
-
-    private async checkpoint(): Promise<void> {
-        if (this.isCheckpointing || !this.isLoaded || !this.opts.leadership.isLeading()) {
-            return;
-        }
-        this.isCheckpointing = true;
-        try {
-            await this.progress.saveFurthest(this.table.all(), MIN_CHECKPOINT_EVENTS);
-        }
-        catch (thrown) {
-            const error = toKnapweedError(thrown);
-            this.opts.logger.debug("progress-not-stored", { code: error.code, message: error.message });
-        }
-        await this.cleanup.run();
-        this.isCheckpointing = false;
-    }
-
     private dispatch(): void {
         this.inFlightItems.preemptForOnline();
         // A run is harmless even if another process already is the leader: a result counts only once it is written.
