--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -12,6 +12,7 @@
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
@@ -88,6 +89,9 @@
             maxBodyBytes?: number;
             isConfigured?: boolean;
             isConfigurationCurrent?: boolean;
+            teams?: Team[];
+            /** Handles calls about jobs; without it there are none. */
+            jobs?: { routes: JobRoutes; parse: CallerProtocol["parseJobCall"]; };
             origins?: StreamOrigins;
             soleVersion?: SoftwareVersion;
         },
@@ -109,7 +113,7 @@
                 routes: [route, ...otherRoutes],
                 services: [],
                 limits,
-                teams: undefined,
+                teams: opts.teams,
             });
         }
         const { loadTracker, connections, directory } = this;
@@ -163,11 +167,15 @@
             whenInitialized: () => Promise.resolve(),
             isStopping: () => this.isStopping,
         };
-        const protocol = { headers, readinessPath: "/ready", parseJobCall: () => undefined } as Partial<CallerProtocol>;
+        const protocol = {
+            headers,
+            readinessPath: "/ready",
+            parseJobCall: opts.jobs?.parse ?? (() => undefined),
+        } as Partial<CallerProtocol>;
         this.server = new GatewayServer({
             context,
             protocol: protocol as CallerProtocol,
-            jobs: {} as JobRoutes,
+            jobs: opts.jobs?.routes ?? {} as JobRoutes,
         });
     }
 
