feat(jobs): a log line for each decision on a request to hold a job

job-hold-decided names the job, its route and team, the outcome and who was known to reach the key-value service.

--- a/fleet/jobs/src/jobHoldHandler.ts
+++ b/fleet/jobs/src/jobHoldHandler.ts
@@ -64,7 +64,22 @@
     }
 
     /** Responds once the job is synced to the disk, or stored, or rejected. */
-    async handle({ job, approvedBy }: HoldRequest): Promise<HoldResponse> {
+    async handle(request: HoldRequest): Promise<HoldResponse> {
+        const startedAtMs = this.opts.clock.nowMs();
+        const response = await this.respond(request);
+        const { jobId, routeName, team } = request.job.record;
+        this.opts.logger.info("job-hold-decided", {
+            jobId,
+            routeName,
+            team,
+            ...response,
+            ...this.opts.reachability(),
+            durationMs: Math.round(this.opts.clock.nowMs() - startedAtMs),
+        });
+        return response;
+    }
+
+    private async respond({ job, approvedBy }: HoldRequest): Promise<HoldResponse> {
         const { jobId } = job.record;
         const decision = this.decide(job, approvedBy);
         if (this.opts.isDraining() || decision.kind === "reject" || this.isOfOtherTeam(job)) {
