--- a/fleet/jobs/test/waitingTokenInterleavings.test.ts
+++ b/fleet/jobs/test/waitingTokenInterleavings.test.ts
@@ -195,3 +195,28 @@
         await fleet.clock.advance(CALM_MS);
         assert.equal((await submit(fleet, 1, { id: "c", tokens: 40 })).kind, "accepted");
     }));
+
+// Found by the drawn cases: the leader approved held jobs by a count without those that a gateway had written meanwhile.
+test("jobs written while only the runners were rejected count once the service rejects all", () =>
+    withFleet(6, async fleet => {
+        await fleet.clock.advance(CALM_MS);
+        [0, 1, 2].forEach(index => fleet.setRunner(index, "rejected"));
+        await fleet.clock.advance(3000);
+        assert.equal((await submit(fleet, 0, { id: "a", tokens: 60 })).kind, "accepted");
+        fleet.setAll("rejected");
+        await fleet.clock.advance(3000);
+        assert.equal((await submit(fleet, 1, { id: "b", tokens: 60 })).kind, "refused");
+    }));
+
+test("a job that the leader can't write while another process could is rejected as not run", () =>
+    withFleet(7, async fleet => {
+        await fleet.clock.advance(CALM_MS);
+        fleet.setRunner(fleet.leader, "rejected");
+        fleet.setGateway(0, "rejected");
+        await fleet.clock.advance(300);
+        const rejected = await submit(fleet, 0, { id: "a", tokens: 60 });
+        assert.deepEqual([rejected.kind, rejected.kind === "refused" && rejected.reason], ["refused", "store-away"]);
+        fleet.setAll("connected");
+        await fleet.clock.advance(CALM_MS);
+        assert.deepEqual(await fleet.service.list("knapweed/jobs/"), [], "it doesn't run later");
+    }));
