--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -95,9 +95,11 @@
             memoryBytes?: number;
             isConfigured?: boolean;
             isConfigurationCurrent?: boolean;
+            teams?: Team[];
+            /** Handles calls about jobs; without it there are none. */
+            jobs?: { routes: JobRoutes; parse: CallerProtocol["parseJobCall"]; };
             origins?: StreamOrigins;
             soleVersion?: SoftwareVersion;
-            teams?: Team[];
             logger?: Logger;
             metrics?: Metrics;
         },
@@ -175,11 +177,15 @@
             whenInitialized: () => Promise.resolve(),
             isStopping: () => this.isStopping,
         };
-        const protocol = { headers, readinessPath: "/ready", parseJobCall: () => undefined } as Partial<CallerProtocol>;
+        const protocol = {
+            headers,
+            readinessPath: "/ready",
+            parseJobCall: opts.jobs?.parse ?? (() => undefined),
+        } as Partial<CallerProtocol>;
         this.server = new GatewayServer({
             context,
             protocol: protocol as CallerProtocol,
-            jobs: {} as JobRoutes,
+            jobs: opts.jobs?.routes ?? {} as JobRoutes,
         });
     }
 
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -1,3 +1,4 @@
+import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
@@ -9,20 +10,18 @@
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
-import { randomUUID } from "node:crypto";
 import type { Acceptance } from "./acceptance.js";
-import type { HeldJob } from "./heldJob.js";
+import { createSubmittedJob } from "./createSubmittedJob.js";
 import type { HoldOutcome } from "./holdOutcome.js";
+import type { JobCaller } from "./jobCaller.js";
 import type { JobHolder } from "./jobHolder.js";
 import { jobKeys } from "./jobKeys.js";
 import type { JobRecord } from "./jobRecord.js";
 import type { JobSubmission } from "./jobSubmission.js";
-import { PART_BYTES } from "./partBytes.js";
+import { mayAccessJob } from "./mayAccessJob.js";
 import { planJobWrite } from "./planJobWrite.js";
 
 const MAX_CONFLICTS = 6;
-const DEFAULT_DUE_MS = 60_000;
-const DEFAULT_RETENTION_MS = 600_000;
 const RETRY_AFTER_MS = 700;
 /** Time after which a job whose write is still pending is also held on disks, in milliseconds. */
 const HOLD_AFTER_MS = 200;
@@ -79,14 +78,15 @@
      * Cancels a job. Rejects with `JOBS_NOT_SETTLED` if the job may be a held one that is not written yet, with
      * `JOB_UNSETTLED` if it is uncertain whether it is cancelled, otherwise with the error of the key-value service.
      *
-     * @returns the revision at which it was cancelled; undefined if there is no such job
+     * @param caller undefined while the configuration has no teams
+     * @returns the revision at which it was cancelled; undefined if the caller's team has no such job
      */
-    async cancel(jobId: JobId): Promise<number | undefined> {
+    async cancel(jobId: JobId, caller?: JobCaller): Promise<number | undefined> {
         const record = await this.service.get(jobKeys.record(jobId));
         if (record === undefined && !this.areHeldJobsWritten()) {
             throw new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet");
         }
-        if (record === undefined) {
+        if (record === undefined || !mayAccessJob(decodeRecord<JobRecord>(record.value), caller)) {
             return undefined;
         }
         const key = jobKeys.cancellation(jobId);
@@ -127,7 +127,7 @@
             case "unknown":
                 return { kind: "unknown" };
             default:
-                return await this.findAccepted(submission.jobId) ?? {
+                return await this.findAccepted(submission) ?? {
                     kind: "refused",
                     reason: held === "over-limit" ? "over-limit" : "store-away",
                     retryAfterMs: RETRY_AFTER_MS,
@@ -147,10 +147,11 @@
     }
 
     /** Returns an acceptance if the job was accepted before, regardless of the limit; otherwise undefined. */
-    private async findAccepted(jobId: JobId): Promise<Acceptance | undefined> {
+    private async findAccepted(submission: JobSubmission): Promise<Acceptance | undefined> {
+        const { jobId } = submission;
         try {
             const existing = await this.service.get(jobKeys.record(jobId));
-            return existing === undefined ? undefined : { kind: "accepted", revision: existing.modRevision };
+            return existing === undefined ? undefined : acceptanceOfExisting(existing, submission);
         }
         catch (thrown) {
             this.logger.debug("job-not-looked-up", { jobId, code: toKnapweedError(thrown).code });
@@ -159,7 +160,7 @@
     }
 
     private hold(route: Route, submission: JobSubmission): Promise<HoldOutcome> {
-        return this.holder.hold({ job: this.toJob(route, submission) });
+        return this.holder.hold({ job: createSubmittedJob(route, submission, this.clock) });
     }
 
     private async tryWrite(route: Route, submission: JobSubmission): Promise<Acceptance> {
@@ -184,7 +185,10 @@
     /** @returns undefined if another job was accepted in the meantime and the write has to be repeated */
     private async writeOnce(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
         const recordKey = jobKeys.record(submission.jobId);
-        const plan = planJobWrite(this.toJob(route, submission), this.waitingTokensEntries.get(route.name));
+        const plan = planJobWrite(
+            createSubmittedJob(route, submission, this.clock),
+            this.waitingTokensEntries.get(tokensKeyOf(route, submission)),
+        );
         if (plan.waitingTokens > (route.maxWaitingTokens ?? Infinity)) {
             return this.rejectOverLimit(route, submission);
         }
@@ -199,15 +203,15 @@
             return { kind: "accepted", revision: result.revision };
         }
         if (result.kind === "unknown") {
-            return await this.findAccepted(submission.jobId) ?? { kind: "unknown" };
+            return await this.findAccepted(submission) ?? { kind: "unknown" };
         }
         // A job that was removed after its retention time was accepted before, too.
         const keys: string[] = [recordKey, jobKeys.tombstone(submission.jobId)];
         const existing = result.current.find(entry => keys.includes(entry.key));
         if (existing !== undefined) {
-            return { kind: "accepted", revision: existing.modRevision };
+            return acceptanceOfExisting(existing, submission);
         }
-        this.updateWaitingTokensEntry(route, result.current);
+        this.updateWaitingTokensEntry(tokensKeyOf(route, submission), result.current);
         return undefined;
     }
 
@@ -219,58 +223,42 @@
     private async rejectOverLimit(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
         const [existing, newest] = await Promise.all([
             this.service.get(jobKeys.record(submission.jobId)),
-            this.service.get(jobKeys.waitingTokens(route.name)),
+            this.service.get(tokensKeyOf(route, submission)),
         ]);
         if (existing !== undefined) {
-            return { kind: "accepted", revision: existing.modRevision };
+            return acceptanceOfExisting(existing, submission);
         }
-        if (newest?.modRevision !== this.waitingTokensEntries.get(route.name)?.modRevision) {
-            this.updateWaitingTokensEntry(route, newest === undefined ? [] : [newest]);
+        if (newest?.modRevision !== this.waitingTokensEntries.get(tokensKeyOf(route, submission))?.modRevision) {
+            this.updateWaitingTokensEntry(tokensKeyOf(route, submission), newest === undefined ? [] : [newest]);
             return undefined;
         }
         return { kind: "refused", reason: "over-limit", retryAfterMs: RETRY_AFTER_MS };
     }
 
-    private updateWaitingTokensEntry(route: Route, current: readonly KeyValueEntry[]): void {
-        const entry = current.find(candidate => candidate.key === jobKeys.waitingTokens(route.name));
+    private updateWaitingTokensEntry(key: string, current: readonly KeyValueEntry[]): void {
+        const entry = current.find(candidate => candidate.key === key);
         if (entry === undefined) {
-            this.waitingTokensEntries.delete(route.name);
+            this.waitingTokensEntries.delete(key);
             return;
         }
-        this.waitingTokensEntries.set(route.name, entry);
+        this.waitingTokensEntries.set(key, entry);
     }
+}
 
-    private toJob(route: Route, submission: JobSubmission): HeldJob {
-        const { maxWaitingTokens } = route;
-        return { record: this.toRecord(route, submission), bodies: bodiesOf(submission), maxWaitingTokens };
-    }
+function isFinal(acceptance: Acceptance): boolean {
+    return acceptance.kind === "accepted" || (acceptance.kind === "refused" && acceptance.reason !== "store-away");
+}
 
-    private toRecord(route: Route, submission: JobSubmission): JobRecord {
-        // The steady time lags after a suspension of the instance, and the job would end too early at the leader.
-        const acceptedAtMs = Math.max(this.clock.nowMs(), this.clock.timeOfDayMs());
-        let bodyOffset = 0;
-        const items = submission.items.map(({ id, path, headers, tokens, body }) => {
-            const item = { id, path, headers, tokens, bodyOffset, bodyBytes: body.length };
-            bodyOffset += body.length;
-            return item;
-        });
-        return {
-            jobId: submission.jobId,
-            routeName: route.name,
-            host: route.host,
-            acceptedAtMs,
-            dueAtMs: acceptedAtMs + (route.jobDueMs ?? DEFAULT_DUE_MS),
-            expiresAtMs: acceptedAtMs + (route.jobRetentionMs ?? DEFAULT_RETENTION_MS),
-            maxAttempts: route.maxAttempts,
-            partCount: Math.ceil(bodyOffset / PART_BYTES),
-            items,
-            nonce: randomUUID(),
-        };
-    }
+/** @param existing the record or tombstone of a job with the same id, which another team may have submitted */
+function acceptanceOfExisting(existing: KeyValueEntry, { caller }: JobSubmission): Acceptance {
+    return mayAccessJob(decodeRecord<Pick<JobRecord, "team">>(existing.value), caller)
+        ? { kind: "accepted", revision: existing.modRevision }
+        : { kind: "refused", reason: "id-taken", retryAfterMs: RETRY_AFTER_MS };
 }
 
-function isFinal(acceptance: Acceptance): boolean {
-    return acceptance.kind === "accepted" || (acceptance.kind === "refused" && acceptance.reason === "over-limit");
+/** Returns the key of the waiting tokens with which a job is counted. */
+function tokensKeyOf(route: Route, { caller }: JobSubmission): string {
+    return jobKeys.waitingTokens(route.name, caller?.team);
 }
 
 /** Combines the outcome of the write with that of a failed hold. */
@@ -288,7 +276,3 @@
             return written;
     }
 }
-
-function bodiesOf(submission: JobSubmission): Buffer {
-    return Buffer.concat(submission.items.map(item => item.body));
-}
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -24,6 +24,8 @@
 import { mock } from "node:test";
 import type { HeldJob } from "../src/heldJob.js";
 import { HeldJobs } from "../src/heldJobs.js";
+import { HoldAdmission } from "../src/holdAdmission.js";
+import { JobHoldHandler } from "../src/jobHoldHandler.js";
 import { JobRunner } from "../src/jobRunner.js";
 import { StoredJobReader } from "../src/storedJobReader.js";
 import { callHeaders } from "./callHeaders.js";
@@ -37,6 +39,8 @@
 const SLOTS = 4;
 const COLLECT_MS = 20;
 const COLLECT_TIMEOUT_MS = 1000;
+/** Maximum age of the last lease renewal with which the key-value service counts as reachable, in milliseconds. */
+const REACHABLE_MS = 1800;
 /** Runners that may be lost without losing a held job. */
 const TOLERABLE_LOSSES = 1;
 
@@ -69,6 +73,8 @@
     private readonly opts: SimulatedRunnerOptions;
     private readonly leadership: Leadership;
     private readonly lease: ProcessLease;
+    private mirror: PrefixMirror | undefined;
+    private readonly holdAdmission = new HoldAdmission();
     private readonly closing = new AbortController();
 
     constructor(opts: SimulatedRunnerOptions) {
@@ -101,7 +107,7 @@
     /** Starts the process. */
     start(): void {
         const { leadership, closing: { signal } } = this;
-        const mirror = new PrefixMirror({
+        this.mirror = new PrefixMirror({
             service: this.connection,
             clock: this.clock,
             random: this.opts.random,
@@ -117,7 +123,7 @@
             },
         });
         void this.lease.run(signal);
-        void mirror.run(signal);
+        void this.mirror.run(signal);
         void this.held.run(signal);
     }
 
@@ -133,6 +139,31 @@
         }
     }
 
+    /** Whether this process counts the key-value service as reachable. */
+    get isStoreReachable(): boolean {
+        return this.lease.wasRenewedWithin(REACHABLE_MS) && Number.isFinite(this.mirror?.reachableSinceMs);
+    }
+
+    /** @param isReachableByPeer whether another process reports that it reaches the key-value service */
+    createHoldHandler(isReachableByPeer: () => boolean): JobHoldHandler {
+        return new JobHoldHandler({
+            service: this.connection,
+            clock: this.clock,
+            logger: silentLogger,
+            admission: this.holdAdmission,
+            held: this.held,
+            runner: this.runner,
+            fence: () => this.leadership.fence(),
+            newestLeader: () => this.leadership.leader?.fencingNumber ?? 0,
+            reachability: () => ({
+                isReachable: this.isStoreReachable,
+                isReachableByPeer: isReachableByPeer(),
+                lastReachedAtMs: this.lease.lastRenewedAtMs,
+            }),
+            isDraining: () => false,
+        });
+    }
+
     private createRunner(common: { service: SnapshotKeyValueService; clock: Clock; random: Random; }): JobRunner {
         const connections = new UpstreamConnections();
         const send: UpstreamConnections["send"] = (upstream, request, handler) => {
@@ -165,13 +196,14 @@
             resultRetentionMs: () => this.opts.resultRetentionMs,
             onLoadChanged: () => undefined,
             heldJobs: () => this.held.all(),
-            collectHeldJobs: () => this.collectHeldJobs(),
+            collectHeldJobs: fencingNumber => this.collectHeldJobs(fencingNumber),
         });
     }
 
-    private async collectHeldJobs(): Promise<{ jobs: HeldJob[]; isComplete: boolean; }> {
+    private async collectHeldJobs(fencingNumber: number): Promise<{ jobs: HeldJob[]; isComplete: boolean; }> {
         const { others, otherCount } = this.opts;
         const answering = others().filter(({ clock, held }) => clock.isRunning && held.isLoaded);
+        [this, ...answering].forEach(({ holdAdmission }) => holdAdmission.promise(fencingNumber));
         const jobs = answering.flatMap(({ held }) => held.all());
         await sleep(this.clock, answering.length === otherCount ? COLLECT_MS : COLLECT_TIMEOUT_MS);
         this.held.adopt(jobs);
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -88,6 +88,11 @@
         return this.isReachable && this.currentRevision >= this.reportedRevision;
     }
 
+    /** Whether a process has reported a change that the mirror lacks. */
+    get lacksReportedChange(): boolean {
+        return this.currentRevision < this.reportedRevision;
+    }
+
     /** The mirrored entries if the mirror keeps them, shape [entries]. */
     entries(): KeyValueEntry[] {
         return [...this.currentEntries.values()];
