feat(load): upstreams' speeds are learned, and requests and items are placed by them

An upstream's load was counted in requests, so one that takes 7.6 times as long got as many as the others. Each process now learns the ratio of an upstream's times to the median of its service from its exchanges and its peers' load reports (element 13, two bytes an upstream, at most 24). Placement multiplies an upstream's load by it; expected waits follow the harmonic mean over usable upstreams; items go where they end in time. Without samples all upstreams count as equal, as before.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -9,6 +9,8 @@
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { UdpChannel } from "@knapweedwood/fleet.load/udpChannel";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import { UpstreamSpeedLog } from "@knapweedwood/fleet.load/upstreamSpeedLog";
+import { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import { SuspicionExchange } from "@knapweedwood/fleet.quarantine/suspicionExchange";
 import { StreamOriginExchange } from "@knapweedwood/fleet.streams/streamOriginExchange";
@@ -71,6 +73,7 @@
     readonly connections = new UpstreamConnections();
     readonly loadTracker = new LoadTracker();
     readonly health = new UpstreamHealth();
+    readonly speeds = new UpstreamSpeeds({ clock: this.clock });
     readonly keyValueService: PlatformKeyValueService;
     readonly links: WebSocketLinkEndpoint;
     readonly peers: PeerFollower;
@@ -85,18 +88,21 @@
     private readonly suspicions: SuspicionExchange;
     private readonly metricsServer: MetricsServer;
     private readonly eventLoop: EventLoopMonitor;
+    private readonly speedLog: UpstreamSpeedLog;
     private readonly closing = new AbortController();
 
     constructor(opts: FleetProcessOptions) {
         this.opts = opts;
         const { settings, logger } = opts;
-        const { clock, random, loadTracker, health, connections } = this;
+        const { clock, random, loadTracker, health, speeds, connections } = this;
+        this.speedLog = new UpstreamSpeedLog({ clock, logger, speeds });
         this.self = createMemberRecord(settings, opts.role);
         this.eventLoop = new EventLoopMonitor({ clock, logger, processorMs });
         this.metricsServer = new MetricsServer({
             metrics: this.metrics,
             host: settings.host,
             eventLoop: this.eventLoop,
+            speeds: this.speeds,
         });
         this.keyValueService = new PlatformKeyValueService({
             clock,
@@ -131,6 +137,7 @@
             ...followerContext,
             loadTracker,
             health,
+            speeds,
             connections,
             drainMs: () => opts.settings.upstreamDrainMs,
             onChanged: opts.onLoadChanged,
@@ -140,6 +147,7 @@
             self: this.self,
             loadTracker,
             health,
+            speeds,
             peers: this.peers,
             operators: this.operators,
             upstreams: this.upstreams,
@@ -310,10 +318,13 @@
         }
         this.loadTracker.expire(this.clock.nowMs());
         this.upstreams.expire();
+        this.speeds.expire();
+        this.speedLog.review();
         this.quarantine.withdrawCrashes();
         const dueAtMs = this.clock.nowMs() + HOUSEKEEPING_INTERVAL_MS;
         this.clock.setTimer(HOUSEKEEPING_INTERVAL_MS, () => {
             this.eventLoop.record(dueAtMs);
+            this.speeds.recordTimer(dueAtMs);
             this.housekeep();
         });
     }
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -9,6 +9,7 @@
 import { StoredJobReader } from "@knapweedwood/fleet.jobs/storedJobReader";
 import { connectionShareOf } from "@knapweedwood/fleet.load/connectionShareOf";
 import { LeastLoadedPlacement } from "@knapweedwood/fleet.load/leastLoadedPlacement";
+import { MeanSlowness } from "@knapweedwood/fleet.load/meanSlowness";
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
@@ -54,9 +55,11 @@
             onDrainRequested: () => undefined,
             onLeadershipChanged: () => undefined,
         });
-        const { clock, random, loadTracker, connections, health, metrics } = this.fleet;
+        const { clock, random, loadTracker, connections, health, speeds, metrics } = this.fleet;
         const { configuration } = this.fleet.operators;
-        const serviceTimes = new ServiceTimes();
+        const usableUpstreams = (service: ServiceName) => this.fleet.upstreams.usable(service, undefined);
+        const meanSlowness = new MeanSlowness({ clock, speeds, usableUpstreams });
+        const serviceTimes = new ServiceTimes({ meanSlowness: service => meanSlowness.of(service) });
         this.requestQueue = new RequestQueue({
             clock,
             random,
@@ -68,6 +71,7 @@
                 zone: settings.zone,
                 connectionShare: service => this.connectionShare(service),
                 placingPeers: () => this.fleet.peers.placingPeerCount,
+                speeds,
             }),
             usableUpstreams: (service, softwareVersion) => this.fleet.upstreams.usable(service, softwareVersion),
         });
@@ -82,6 +86,7 @@
             loadTracker,
             health,
             serviceTimes,
+            speeds,
             requestQueue: this.requestQueue,
             quarantine: this.fleet.quarantine,
             origins: this.fleet.streamOrigins,
@@ -173,6 +178,10 @@
 
     private dispatchPeriodically(): void {
         this.requestQueue.dispatch();
-        this.fleet.clock.setTimer(DISPATCH_INTERVAL_MS, () => this.dispatchPeriodically());
+        const dueAtMs = this.fleet.clock.nowMs() + DISPATCH_INTERVAL_MS;
+        this.fleet.clock.setTimer(DISPATCH_INTERVAL_MS, () => {
+            this.fleet.speeds.recordTimer(dueAtMs);
+            this.dispatchPeriodically();
+        });
     }
 }
--- a/daemons/fleet/src/loadReports.ts
+++ b/daemons/fleet/src/loadReports.ts
@@ -3,6 +3,7 @@
 import type { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { PeerEjections } from "@knapweedwood/fleet.load/peerEjections";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
 import type { OperatorsFollower } from "./operatorsFollower.js";
 import type { PeerFollower } from "./peerFollower.js";
@@ -13,6 +14,7 @@
     self: MemberRecord;
     loadTracker: LoadTracker;
     health: UpstreamHealth;
+    speeds: UpstreamSpeeds;
     peers: PeerFollower;
     operators: OperatorsFollower;
     upstreams: UpstreamFollower;
@@ -43,31 +45,34 @@
 
     /** Returns the next report of this process. */
     create(): LoadReport {
-        const { self, clock, loadTracker, health, operators, upstreams, peers } = this.opts;
+        const { self, clock, loadTracker, health, speeds, operators, upstreams, peers } = this.opts;
         this.sequence += 1;
+        const counts = loadTracker.ownCounts();
         return {
             instanceName: self.instanceName,
             startedAtMs: self.startedAtMs,
             sequence: this.sequence,
             isKeyValueReachable: this.opts.isKeyValueReachable(),
-            counts: loadTracker.ownCounts(),
+            counts,
             ejected: health.locallyEjectedIds(clock.nowMs()),
             waiting: this.opts.waiting(),
             configurationRevision: operators.configurationRevision,
             jobsRevision: this.jobsRevision,
             upstreamsRevision: upstreams.changeRevision,
             leader: peers.leadership.leader,
+            speeds: speeds.reported(counts),
         };
     }
 
     /** Applies the report of a peer. One that is older than the last report of that peer is ignored. */
     apply(report: LoadReport): void {
-        const { clock, loadTracker, operators, upstreams, peers } = this.opts;
+        const { clock, loadTracker, speeds, operators, upstreams, peers } = this.opts;
         if (!loadTracker.apply(report, clock.nowMs())) {
             return;
         }
         peers.lookUpIfUnknown(report.instanceName);
         this.applyEjections(report);
+        speeds.apply(report);
         if (report.leader !== undefined) {
             peers.leadership.recordLeader(report.leader);
         }
--- a/daemons/fleet/src/metricsServer.ts
+++ b/daemons/fleet/src/metricsServer.ts
@@ -1,3 +1,4 @@
+import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import type { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { createServer, type Server } from "node:http";
 import type { EventLoopMonitor } from "./eventLoopMonitor.js";
@@ -12,10 +13,14 @@
     private readonly host: string;
     private readonly server: Server;
     private readonly eventLoop: EventLoopMonitor;
+    private readonly speeds: UpstreamSpeeds;
 
-    constructor(opts: { metrics: PrometheusMetrics; host: string; eventLoop: EventLoopMonitor; }) {
+    constructor(
+        opts: { metrics: PrometheusMetrics; host: string; eventLoop: EventLoopMonitor; speeds: UpstreamSpeeds; },
+    ) {
         this.metrics = opts.metrics;
         this.eventLoop = opts.eventLoop;
+        this.speeds = opts.speeds;
         this.host = opts.host;
         this.server = createServer((request, response) => {
             if (request.url !== PATH) {
@@ -45,6 +50,16 @@
     private render(): Promise<string> {
         this.metrics.gauge("memory_bytes", process.memoryUsage().rss);
         this.metrics.gauge("event_loop_delay_max_ms", this.eventLoop.takeMaxDelayMs());
+        this.updateSpeeds();
         return this.metrics.render();
     }
+
+    /** Sets the learned speeds of the present upstreams only, so that replaced ones don't accumulate. */
+    private updateSpeeds(): void {
+        ["upstream_speed", "upstream_speed_age_ms"].forEach(name => this.metrics.resetGauge(name));
+        this.speeds.ids().forEach(id => {
+            this.metrics.gauge("upstream_speed", this.speeds.slownessOf(id), { upstream: id });
+            this.metrics.gauge("upstream_speed_age_ms", this.speeds.ageMs(id) ?? 0, { upstream: id });
+        });
+    }
 }
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -237,8 +237,17 @@
     }
 
     private sharedOptions() {
-        const { keyValueService: service, clock, random, connections, loadTracker, health, metrics, quarantine } =
-            this.fleet;
+        const {
+            keyValueService: service,
+            clock,
+            random,
+            connections,
+            loadTracker,
+            health,
+            speeds,
+            metrics,
+            quarantine,
+        } = this.fleet;
         const { leadership } = this.fleet.peers;
         const { configuration } = this.fleet.operators;
         const { directory } = this.fleet.upstreams;
@@ -253,6 +262,7 @@
             connections,
             loadTracker,
             health,
+            speeds,
             quarantine,
         };
     }
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -5,6 +5,7 @@
 import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import type { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
@@ -19,6 +20,7 @@
 interface UpstreamFollowerOptions extends FollowerContext {
     loadTracker: LoadTracker;
     health: UpstreamHealth;
+    speeds: UpstreamSpeeds;
     connections: UpstreamConnections;
     /** Time for which an upstream serves requests after it has said that it leaves, in milliseconds. */
     drainMs: () => number;
@@ -139,6 +141,7 @@
             });
             if (kind !== "changed") {
                 this.opts.health.forget(upstream.id);
+                this.opts.speeds.forget(upstream.id);
             }
             if (kind === "left") {
                 this.opts.connections.forget(upstream);
--- a/fleet/gateway/src/attempt.ts
+++ b/fleet/gateway/src/attempt.ts
@@ -1,6 +1,7 @@
 import type { RequestRun } from "@knapweedwood/fleet.quarantine/requestRun";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { ResponseSampler } from "./responseSampler.js";
 import type { StallDetector } from "./stallDetector.js";
 
 /** One attempt of an online request at an upstream. */
@@ -9,6 +10,7 @@
     exchange: Exchange;
     startedAtMs: number;
     stallDetector: StallDetector;
+    sampler: ResponseSampler;
     /** Whether the upstream has responded that it doesn't run the request. */
     isNotRun: boolean;
     /** Bytes of the body of a response that says that the upstream doesn't run the request. */
--- a/fleet/gateway/src/attemptOutcomes.ts
+++ b/fleet/gateway/src/attemptOutcomes.ts
@@ -28,6 +28,7 @@
         const { upstream } = attempt;
         this.context.serviceTimes.recordHold(upstream.service, nowMs - attempt.startedAtMs);
         if (statusCode === HTTP_OK) {
+            attempt.sampler.onEnd();
             this.context.quarantine.onSuccess(attempt.requestRun, upstream);
         }
         if (statusCode >= HTTP_SERVER_ERROR) {
--- a/fleet/gateway/src/createAttempt.ts
+++ b/fleet/gateway/src/createAttempt.ts
@@ -4,11 +4,13 @@
 import type { ServerResponse } from "node:http";
 import type { Attempt } from "./attempt.js";
 import type { GatewayContext } from "./gatewayContext.js";
+import { ResponseSampler } from "./responseSampler.js";
 import { StallDetector } from "./stallDetector.js";
 
 /** Returns an attempt that begins now; its exchange has no effect until it is replaced by that of the sent request. */
 export function createAttempt(opts: {
     clock: GatewayContext["clock"];
+    speeds: GatewayContext["speeds"];
     route: Route;
     response: ServerResponse;
     upstream: Upstream;
@@ -16,13 +18,14 @@
     onNoResponse: (attempt: Attempt) => void;
     onPaused: (attempt: Attempt) => void;
 }): Attempt {
-    const { clock, route, response, upstream, requestRun } = opts;
+    const { clock, speeds, route, response, upstream, requestRun } = opts;
     const attempt: Attempt = {
         upstream,
         startedAtMs: clock.nowMs(),
         isNotRun: false,
         notRunBodyBytes: 0,
         requestRun,
+        sampler: new ResponseSampler({ clock, speeds, upstream, isStream: route.kind === "stream" }),
         stallDetector: new StallDetector({
             clock,
             route,
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -7,6 +7,7 @@
 import type { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import type { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
@@ -29,6 +30,7 @@
     loadTracker: LoadTracker;
     health: UpstreamHealth;
     serviceTimes: ServiceTimes;
+    speeds: UpstreamSpeeds;
     requestQueue: RequestQueue;
     quarantine: RequestQuarantine;
     /** What began the streams that callers may resume. */
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -116,6 +116,10 @@
         return this.continuity?.softwareVersion;
     }
 
+    get maxEventGapMs(): number | undefined {
+        return this.route.maxEventGapMs;
+    }
+
     get isStarted(): boolean {
         return this.writer.hasStarted;
     }
@@ -165,6 +169,7 @@
         });
         const attempt = createAttempt({
             clock: this.context.clock,
+            speeds: this.context.speeds,
             route: this.route,
             response: this.response,
             upstream,
@@ -239,7 +244,11 @@
         }
         attempt.stallDetector.onData();
         this.recorder.onData(nowMs);
+        if (this.writer.statusCode === HTTP_OK) {
+            attempt.sampler.onData(chunk);
+        }
         if (!this.writer.onData(chunk)) {
+            attempt.sampler.onPaused();
             attempt.exchange.pause();
             this.response.once("drain", () => attempt.exchange.resume());
         }
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -7,6 +7,7 @@
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
@@ -143,6 +144,7 @@
             loadTracker,
             health: this.health,
             serviceTimes,
+            speeds: new UpstreamSpeeds({ clock }),
             requestQueue,
             quarantine: new RequestQuarantine({
                 clock,
--- a/fleet/jobs/src/batchCandidate.ts
+++ b/fleet/jobs/src/batchCandidate.ts
@@ -7,4 +7,6 @@
     online: number;
     /** Batch items at the upstream, of all processes. */
     batch: number;
+    /** Ratio of the time that an item takes there to that at the service's mean speed; 1 if missing. */
+    slowness?: number;
 }
--- a/fleet/jobs/src/batchSlots.ts
+++ b/fleet/jobs/src/batchSlots.ts
@@ -2,7 +2,9 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { chooseBatchUpstream } from "./chooseBatchUpstream.js";
+import { endsEarlierByWaiting } from "./endsEarlierByWaiting.js";
 import { freeBatchSlots } from "./freeBatchSlots.js";
+import type { ItemTimes } from "./itemTimes.js";
 import type { JobItem } from "./jobItem.js";
 
 interface BatchSlotsOptions {
@@ -21,6 +23,8 @@
     private readonly free = new Map<ServiceName, BatchCandidate[]>();
     /** The upstream of the last item, whose load has changed since. */
     private changed: Upstream | undefined;
+    /** Numbers of items that wait for a slot of a faster upstream. */
+    private readonly waiting = new Map<ServiceName, number>();
 
     constructor(opts: BatchSlotsOptions) {
         this.opts = opts;
@@ -35,11 +39,16 @@
      *
      * @param keepsEvents whether the item waits for an upstream that can resume it, as long as there is one that hasn't
      * failed it
-     * @returns undefined if the service has no free slot for the item
+     * @param times undefined if all upstreams count as fast enough
+     * @returns undefined if the service has no free slot for the item, or if it ends earlier by waiting for a faster one
      */
-    take(service: ServiceName, item: JobItem, keepsEvents: boolean): Upstream | undefined {
+    take(service: ServiceName, item: JobItem, keepsEvents: boolean, times?: ItemTimes): Upstream | undefined {
         const { failedUpstreamIds, softwareVersion } = item;
-        const chosen = chooseBatchUpstream(this.freeOf(service), { failedUpstreamIds, softwareVersion })?.upstream;
+        const candidate = chooseBatchUpstream(this.freeOf(service), { failedUpstreamIds, softwareVersion, times });
+        if (candidate !== undefined && times !== undefined && this.waitsForFaster(service, candidate, times)) {
+            return undefined;
+        }
+        const chosen = candidate?.upstream;
         if (keepsEvents && chosen?.softwareVersion !== softwareVersion && this.canResume(service, item)) {
             return undefined;
         }
@@ -47,6 +56,16 @@
         return chosen;
     }
 
+    private waitsForFaster(service: ServiceName, chosen: BatchCandidate, times: ItemTimes): boolean {
+        const others = () => this.opts.upstreamsOf(service).flatMap(upstream => this.opts.candidateOf(upstream) ?? []);
+        const itemsAhead = this.waiting.get(service) ?? 0;
+        const waits = endsEarlierByWaiting(chosen, others, { times, itemsAhead });
+        if (waits) {
+            this.waiting.set(service, itemsAhead + 1);
+        }
+        return waits;
+    }
+
     private canResume(service: ServiceName, { softwareVersion, failedUpstreamIds }: JobItem): boolean {
         return this.opts.upstreamsOf(service).some(upstream =>
             upstream.softwareVersion === softwareVersion && !failedUpstreamIds.includes(upstream.id)
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -25,6 +25,7 @@
         | "metrics"
         | "directory"
         | "loadTracker"
+        | "speeds"
         | "connections"
         | "headers"
         | "quarantine"
@@ -55,6 +56,7 @@
             headers: this.opts.headers,
             item,
             upstream,
+            ...this.opts.speeds === undefined ? {} : { speeds: this.opts.speeds },
             onLeaving: () => this.opts.directory.markLeaving(upstream, this.opts.clock.nowMs()),
             onEnded: outcome => {
                 this.release(inFlightItem);
@@ -114,9 +116,15 @@
             upstream,
             online: this.opts.loadTracker.onlineCount(upstream.id),
             batch: this.opts.loadTracker.batchCount(upstream.id),
+            slowness: this.slownessOf(upstream),
         };
     }
 
+    /** Returns the slowness of an upstream over the seconds that an item takes. */
+    slownessOf(upstream: Upstream): number {
+        return this.opts.speeds?.lastingSlownessOf(upstream.id) ?? 1;
+    }
+
     private all(): InFlightItem[] {
         return [...this.byUpstream.values()].flat();
     }
@@ -135,7 +143,7 @@
         const runs = inFlight.map(inFlightItem => {
             const { job: { record: { dueAtMs } }, run: { item, startedAtMs } } = inFlightItem;
             const beginByMs = dueAtMs - this.opts.runTimeEstimator.totalMs(item);
-            const isLate = nowMs + this.opts.runTimeEstimator.remainingMs(item) > dueAtMs;
+            const isLate = nowMs + this.opts.runTimeEstimator.remainingMs(item, candidate.slowness) > dueAtMs;
             return { inFlightItem, upstreamId: candidate.upstream.id, beginByMs, startedAtMs, isLate };
         });
         return chooseRunsToPreempt(candidate, runs).map(({ inFlightItem }) => inFlightItem);
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -2,6 +2,7 @@
 import { setDeadlineTimer } from "@knapweedwood/core.clock/setDeadlineTimer";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 import { MAX_VALUE_SIZE_BYTES } from "@knapweedwood/core.key-value/maxValueSizeBytes";
+import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
@@ -44,6 +45,8 @@
     private readonly headers: ItemRunHeaders;
     private readonly onLeaving: () => void;
     private readonly onEnded: (outcome: ItemRunOutcome) => void;
+    private readonly speeds: UpstreamSpeeds | undefined;
+    private lastEventsAtMs: number | undefined;
     private readonly splitter = new EventSplitter();
     private exchange: Exchange | undefined;
     private head: ResponseHead | undefined;
@@ -59,6 +62,8 @@
         headers: ItemRunHeaders;
         item: JobItem;
         upstream: Upstream;
+        /** Where samples of the upstream's speed are recorded; undefined for nowhere. */
+        speeds?: UpstreamSpeeds;
         onLeaving: () => void;
         onEnded: (outcome: ItemRunOutcome) => void;
     }) {
@@ -66,6 +71,7 @@
         this.headers = opts.headers;
         this.item = opts.item;
         this.upstream = opts.upstream;
+        this.speeds = opts.speeds;
         this.onLeaving = opts.onLeaving;
         this.onEnded = opts.onEnded;
         this.startedAtMs = opts.clock.nowMs();
@@ -126,6 +132,7 @@
         const events = this.splitter.push(chunk);
         if (events.length > 0) {
             this.restartStallTimer();
+            this.recordSpeed(events.length);
         }
         events.forEach(event => {
             if (this.isEnded) {
@@ -149,6 +156,16 @@
         }
     }
 
+    private recordSpeed(eventCount: number): void {
+        if (this.lastEventsAtMs === undefined) {
+            this.speeds?.recordFirstData(this.upstream, this.startedAtMs);
+        }
+        else {
+            this.speeds?.recordEvents(this.upstream, eventCount, this.lastEventsAtMs);
+        }
+        this.lastEventsAtMs = this.clock.nowMs();
+    }
+
     private endGarbled(code: string): void {
         this.abort();
         this.onEnded({ kind: "garbled", code });
--- a/fleet/jobs/src/itemRunTimeEstimator.ts
+++ b/fleet/jobs/src/itemRunTimeEstimator.ts
@@ -12,10 +12,10 @@
     private meanEventsPerToken = 0;
     private meanEventMs = 0;
 
-    /** Records a run that produced `eventCount` events. */
-    recordRun(eventCount: number, durationMs: number): void {
+    /** Records a run that produced `eventCount` events at an upstream of a slowness. */
+    recordRun(eventCount: number, durationMs: number, slowness = 1): void {
         if (eventCount >= MIN_EVENTS) {
-            this.meanEventMs = updateMean(this.meanEventMs, durationMs / eventCount);
+            this.meanEventMs = updateMean(this.meanEventMs, durationMs / eventCount / slowness);
         }
     }
 
@@ -26,9 +26,12 @@
         }
     }
 
-    /** Returns the expected time until the item is done if it runs from now on, in milliseconds; 0 without samples. */
-    remainingMs(item: JobItem): number {
-        return this.timeFor(Math.max(0, this.expectedEvents(item) - item.lastEventId));
+    /**
+     * Returns the expected time until the item is done if it runs from now on at an upstream of a slowness, in
+     * milliseconds; 0 without samples.
+     */
+    remainingMs(item: JobItem, slowness = 1): number {
+        return this.timeFor(Math.max(0, this.expectedEvents(item) - item.lastEventId)) * slowness;
     }
 
     /** Returns the expected time that the item takes from its beginning, in milliseconds; 0 without samples. */
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -308,7 +308,8 @@
         };
         orderStartableItems(this.table.all(), { nowMs, remainingMs, totalMs, hasFreeSlot }).forEach(({ job, item }) => {
             const keepsEvents = remainingMs(item) < totalMs(item) * KEEP_REMAINING_SHARE;
-            const upstream = slots.take(this.routes.serviceOf(job, item)!, item, keepsEvents);
+            const times = { remainingMs: remainingMs(item), leftMs: job.record.dueAtMs - nowMs };
+            const upstream = slots.take(this.routes.serviceOf(job, item)!, item, keepsEvents, times);
             const isBlocked = upstream !== undefined
                 && this.opts.quarantine.itemBlockedForMs(upstream.service, this.traits.of(job, item)) > 0;
             if (upstream !== undefined && !isBlocked) {
@@ -351,7 +352,8 @@
         });
         this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
         recordUpstreamHealth(this.opts.health, upstream.id, outcome, nowMs);
-        this.runTimeEstimator.recordRun(run.eventCount, nowMs - run.startedAtMs);
+        const slowness = this.inFlightItems.slownessOf(upstream);
+        this.runTimeEstimator.recordRun(run.eventCount, nowMs - run.startedAtMs, slowness);
         if (outcome.kind === "failed") {
             item.failedUpstreamIds.push(upstream.id);
         }
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -4,6 +4,7 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
@@ -29,6 +30,8 @@
     connections: UpstreamConnections;
     loadTracker: LoadTracker;
     health: UpstreamHealth;
+    /** The learned speeds; undefined if all upstreams count as equally fast. */
+    speeds?: UpstreamSpeeds;
     headers: ItemRunHeaders;
     /** Decodes the parts of a prompt that other requests may share from the header that lists them, shape [parts]. */
     decodeSharedPromptParts: (value: string | undefined) => PromptPartId[];
--- a/fleet/load/src/loadReport.ts
+++ b/fleet/load/src/loadReport.ts
@@ -2,6 +2,7 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { UpstreamCount } from "./upstreamCount.js";
+import type { UpstreamSpeed } from "./upstreamSpeed.js";
 
 /** Report of a process to its peers: its load, and the revisions up to which it has followed the shared keys. */
 export interface LoadReport {
@@ -26,4 +27,6 @@
     leader: { instanceName: InstanceName; fencingNumber: number; } | undefined;
     /** Revision of the key-value service at which this process last wrote a job. */
     jobsRevision: number;
+    /** Speeds that this process has observed itself and that differ from the mean, of upstreams in `counts`. */
+    speeds?: UpstreamSpeed[];
 }
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -5,6 +5,8 @@
 import type { EncodedReport } from "./encodedReport.js";
 import type { LoadMessage } from "./loadMessage.js";
 import type { LoadReport } from "./loadReport.js";
+import { slownessCode } from "./slownessCode.js";
+import type { UpstreamSpeed } from "./upstreamSpeed.js";
 
 /** Values in their packed order. They are packed without names, since reports are frequent and cross zones. */
 type PackedReport = [
@@ -20,6 +22,10 @@
     leaderFencingNumber: number,
     isKeyValueReachable: boolean,
     ejected: string[],
+    /** Reserved for the limits of teams. */
+    limits?: unknown[],
+    /** Pairs of an index in the counts and a code of the slowness; missing if there are none. */
+    speeds?: number[],
 ];
 
 /** Reports that a relay hands on, each packed. The second value tells it from a report. */
@@ -27,6 +33,8 @@
 
 /** Index of the first revision in a packed report. */
 const REVISIONS_AT = 5;
+/** Index of the speeds in a packed report. */
+const SPEEDS_AT = 13;
 /** Maximum total size of the reports in one datagram. It fits an Ethernet frame, since one lost fragment loses all. */
 const MAX_RELAYED_BYTES = 1300;
 
@@ -50,6 +58,10 @@
             report.isKeyValueReachable,
             report.ejected,
         ];
+        if (report.speeds !== undefined && report.speeds.length > 0) {
+            packed[SPEEDS_AT - 1] ??= [];
+            packed[SPEEDS_AT] = packedSpeedsOf(report);
+        }
         return this.packr.pack(packed);
     }
 
@@ -99,17 +111,19 @@
         ejected,
     ] = packed
         .slice(REVISIONS_AT) as [number, number, number, string, number, boolean, UpstreamId[]];
+    const upstreamCounts = groupsOf(counts, 3).map(([upstreamId, online, batch]) => ({
+        upstreamId: upstreamId as UpstreamId,
+        online: online as number,
+        batch: batch as number,
+    }));
+    const speeds = speedsOf(packed[SPEEDS_AT], upstreamCounts);
     return {
         instanceName: instanceName as InstanceName,
         startedAtMs,
         sequence,
         isKeyValueReachable,
         ejected,
-        counts: groupsOf(counts, 3).map(([upstreamId, online, batch]) => ({
-            upstreamId: upstreamId as UpstreamId,
-            online: online as number,
-            batch: batch as number,
-        })),
+        counts: upstreamCounts,
         waiting: groupsOf(waiting, 2).map(([service, count]) => ({
             service: service as ServiceName,
             count: count as number,
@@ -118,9 +132,26 @@
         jobsRevision,
         upstreamsRevision,
         leader: fencingNumber === 0 ? undefined : { instanceName: leaderName as InstanceName, fencingNumber },
+        ...speeds.length > 0 ? { speeds } : {},
     };
 }
 
+/** Returns the speeds of a report as pairs of an index in its counts and a code, shape [2 * speeds]. */
+function packedSpeedsOf({ counts, speeds = [] }: LoadReport): number[] {
+    const indexes = new Map(counts.map(({ upstreamId }, index) => [upstreamId, index]));
+    return speeds.flatMap(({ upstreamId, slowness }) => {
+        const index = indexes.get(upstreamId);
+        return index === undefined ? [] : [index, slownessCode.encode(slowness)];
+    });
+}
+
+function speedsOf(packed: readonly number[] | undefined, counts: LoadReport["counts"]): UpstreamSpeed[] {
+    return groupsOf(packed ?? [], 2).flatMap(([index, code]) => {
+        const count = counts[index!];
+        return count === undefined ? [] : [{ upstreamId: count.upstreamId, slowness: slownessCode.decode(code!) }];
+    });
+}
+
 function groupsOf<Value>(values: readonly Value[], size: number): Value[][] {
     return Array.from({ length: values.length / size }, (_, index) => values.slice(index * size, (index + 1) * size));
 }
--- a/fleet/load/src/placementRequest.ts
+++ b/fleet/load/src/placementRequest.ts
@@ -6,4 +6,6 @@
     promptParts: readonly PromptPart[];
     /** Time until which a response meets the route's objective, in milliseconds on the clock of the queue. */
     objectiveAtMs: number;
+    /** Longest gap between events that meets the objective of a stream, in milliseconds; undefined if there is none. */
+    maxEventGapMs?: number | undefined;
 }
--- a/observability/metrics/src/prometheusMetrics.ts
+++ b/observability/metrics/src/prometheusMetrics.ts
@@ -30,6 +30,11 @@
         gauge.set(this.registeredTags(name, tags), value);
     }
 
+    /** Removes the values of a gauge for all tags. */
+    resetGauge(name: string): void {
+        this.gauges.get(name)?.reset();
+    }
+
     timing(name: string, durationMs: number, tags: MetricTags = {}): void {
         const histogram = this.histograms.get(name)
             ?? new Histogram({ ...this.define(name, tags), buckets: DURATION_BUCKETS_MS });
