--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -165,6 +165,7 @@
             resumedAfter: this.writer.lastEventId ?? headerOf(this.request, this.context.headers.lastEventId),
             resumedRequestId: this.continuity?.resumedRequestId,
             online: this.context.loadTracker.onlineCount(upstream.id),
+            slowness: this.context.speeds.loggedSlownessOf(upstream.id),
             configuration: this.context.configuration.version,
         });
         const attempt = createAttempt({
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -75,6 +75,7 @@
             resumedAfter: item.lastEventId,
             online: this.opts.loadTracker.onlineCount(upstream.id),
             batch: this.opts.loadTracker.batchCount(upstream.id),
+            slowness: this.opts.speeds?.loggedSlownessOf(upstream.id),
         });
         run.start(this.opts.connections, { host: job.record.host, body: job.bodyOf(item) });
     }
--- a/fleet/load/src/leastLoadedPlacement.ts
+++ b/fleet/load/src/leastLoadedPlacement.ts
@@ -27,7 +27,7 @@
  * Cost of the request itself, as the time of this many requests at an upstream. The higher it is, the more requests a
  * fast upstream gets before a slow one gets its first.
  */
-const OWN_WEIGHT = 4;
+const OWN_WEIGHT = 3;
 /** Cost of an upstream at which the request misses its objective. It is chosen only if no other has room. */
 const LATE_WEIGHT = 1000;
 /** Slowness up to which no upstream counts as late, since it may be due to noise. */
--- a/fleet/load/src/medianTime.ts
+++ b/fleet/load/src/medianTime.ts
@@ -17,9 +17,13 @@
 
     /** Adds times of an upstream, in milliseconds. */
     add(id: UpstreamId, timeMs: number, weight: number, nowMs: number): void {
-        const mean = this.means.get(id) ?? new DecayedMean({ decayMs: MEAN_DECAY_MS });
+        const known = this.means.get(id);
+        const mean = known ?? new DecayedMean({ decayMs: MEAN_DECAY_MS });
         mean.add(timeMs, weight, nowMs);
-        this.means.set(id, mean);
+        if (known === undefined) {
+            this.means.set(id, mean);
+            this.computedAtMs = -Infinity;
+        }
     }
 
     /** Removes an upstream. */
--- a/fleet/load/src/upstreamSpeeds.ts
+++ b/fleet/load/src/upstreamSpeeds.ts
@@ -30,6 +30,7 @@
 const CATCH_UP_MS = 5;
 /** Time without samples after which a belief is dropped, in milliseconds. It is 1 by then. */
 const BELIEF_VALID_MS = 60_000;
+const HUNDREDTHS = 100;
 
 interface ServiceMedians {
     eventGap: MedianTime;
@@ -114,6 +115,12 @@
         return usedOf(this.beliefs.get(id)?.lastingSlowness(this.clock.nowMs()) ?? 1);
     }
 
+    /** Returns the slowness that a request meets now, in hundredths, for log lines; undefined if it is 1. */
+    loggedSlownessOf(id: UpstreamId): number | undefined {
+        const slowness = this.slownessOf(id);
+        return slowness === 1 ? undefined : Math.round(slowness * HUNDREDTHS) / HUNDREDTHS;
+    }
+
     /** Returns the age of the newest sample of an upstream in milliseconds; undefined without samples. */
     ageMs(id: UpstreamId): number | undefined {
         const belief = this.beliefs.get(id);
