--- a/daemons/fleet/test/createUpstreamFollower.ts
+++ b/daemons/fleet/test/createUpstreamFollower.ts
@@ -1,5 +1,6 @@
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { FollowerContext } from "../src/followerContext.js";
 import { UpstreamFollower } from "../src/upstreamFollower.js";
@@ -10,6 +11,7 @@
         ...context,
         loadTracker: new LoadTracker(),
         health: new UpstreamHealth(),
+        speeds: new UpstreamSpeeds({ clock: context.clock }),
         connections: new UpstreamConnections(),
         drainMs: () => 1000,
         isKeyValueReachable: () => true,
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -7,6 +7,7 @@
 import type { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import type { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
+import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import type { MemoryBudget } from "@knapweedwood/fleet.memory/memoryBudget";
 import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
@@ -30,6 +31,7 @@
     loadTracker: LoadTracker;
     health: UpstreamHealth;
     serviceTimes: ServiceTimes;
+    speeds: UpstreamSpeeds;
     requestQueue: RequestQueue;
     /** Bytes held for callers. */
     memory: MemoryBudget;
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -121,6 +121,10 @@
         return this.continuity?.softwareVersion;
     }
 
+    get maxEventGapMs(): number | undefined {
+        return this.route.maxEventGapMs;
+    }
+
     get isStarted(): boolean {
         return this.writer.hasStarted;
     }
@@ -166,10 +170,12 @@
             resumedAfter: this.writer.lastEventId ?? headerOf(this.request, this.context.headers.lastEventId),
             resumedRequestId: this.continuity?.resumedRequestId,
             online: this.context.loadTracker.onlineCount(upstream.id),
+            slowness: this.context.speeds.loggedSlownessOf(upstream.id),
             configuration: this.context.configuration.version,
         });
         const attempt = createAttempt({
             clock: this.context.clock,
+            speeds: this.context.speeds,
             route: this.route,
             response: this.response,
             upstream,
@@ -244,6 +250,9 @@
         }
         const { progress } = this.writer;
         this.recorder.onData(nowMs);
+        if (this.writer.statusCode === HTTP_OK) {
+            attempt.sampler.onData(chunk);
+        }
         const isCallerSlow = !this.writer.onData(chunk);
         attempt.stallDetector.onData(this.writer.progress !== progress);
         this.holdUnsent(attempt, isCallerSlow);
@@ -265,6 +274,7 @@
             return;
         }
         if (isCallerSlow && (!hasRoom || unsentBytes > MAX_UNSENT_BYTES)) {
+            attempt.sampler.onPaused();
             attempt.exchange.pause();
             this.response.once("drain", () => attempt.exchange.resume());
         }
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -26,6 +26,7 @@
         | "configuration"
         | "directory"
         | "loadTracker"
+        | "speeds"
         | "connections"
         | "headers"
         | "quarantine"
@@ -56,6 +57,7 @@
             headers: this.opts.headers,
             item,
             upstream,
+            ...this.opts.speeds === undefined ? {} : { speeds: this.opts.speeds },
             onLeaving: () => this.opts.directory.markLeaving(upstream, this.opts.clock.nowMs()),
             onEnded: outcome => {
                 this.release(inFlightItem);
@@ -74,6 +76,7 @@
             resumedAfter: item.lastEventId,
             online: this.opts.loadTracker.onlineCount(upstream.id),
             batch: this.opts.loadTracker.batchCount(upstream.id),
+            slowness: this.opts.speeds?.loggedSlownessOf(upstream.id),
         });
         const { host, team } = job.record;
         const hasTeams = team !== undefined || this.opts.configuration.current?.teams !== undefined;
@@ -118,9 +121,15 @@
             upstream,
             online: this.opts.loadTracker.onlineCount(upstream.id),
             batch: this.opts.loadTracker.batchCount(upstream.id),
+            slowness: this.slownessOf(upstream),
         };
     }
 
+    /** Returns the slowness of an upstream over the seconds that an item takes. */
+    slownessOf(upstream: Upstream): number {
+        return this.opts.speeds?.lastingSlownessOf(upstream.id) ?? 1;
+    }
+
     private all(): InFlightItem[] {
         return [...this.byUpstream.values()].flat();
     }
@@ -139,7 +148,7 @@
         const runs = inFlight.map(inFlightItem => {
             const { job: { record: { dueAtMs } }, run: { item, startedAtMs } } = inFlightItem;
             const beginByMs = dueAtMs - this.opts.runTimeEstimator.totalMs(item);
-            const isLate = nowMs + this.opts.runTimeEstimator.remainingMs(item) > dueAtMs;
+            const isLate = nowMs + this.opts.runTimeEstimator.remainingMs(item, candidate.slowness) > dueAtMs;
             return { inFlightItem, upstreamId: candidate.upstream.id, beginByMs, startedAtMs, isLate };
         });
         return chooseRunsToPreempt(candidate, runs).map(({ inFlightItem }) => inFlightItem);
--- a/fleet/jobs/src/itemDispatcher.ts
+++ b/fleet/jobs/src/itemDispatcher.ts
@@ -49,7 +49,8 @@
         orderStartableItems(this.opts.table.all(), { nowMs, remainingMs, totalMs, hasFreeSlot }).forEach(
             ({ job, item }) => {
                 const keepsEvents = remainingMs(item) < totalMs(item) * KEEP_REMAINING_SHARE;
-                const upstream = slots.take(this.opts.routes.serviceOf(job, item)!, item, keepsEvents);
+                const times = { remainingMs: remainingMs(item), leftMs: job.record.dueAtMs - nowMs };
+                const upstream = slots.take(this.opts.routes.serviceOf(job, item)!, item, keepsEvents, times);
                 const isBlocked = upstream !== undefined
                     && this.opts.quarantine.itemBlockedForMs(upstream.service, this.opts.traits.of(job, item)) > 0;
                 if (upstream !== undefined && !isBlocked) {
--- a/fleet/jobs/src/itemOutcomes.ts
+++ b/fleet/jobs/src/itemOutcomes.ts
@@ -1,3 +1,4 @@
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { applyRunOutcome } from "./applyRunOutcome.js";
 import { findItemsToGiveUp } from "./findItemsToGiveUp.js";
 import type { ItemRoutes } from "./itemRoutes.js";
@@ -19,6 +20,8 @@
     traits: ItemTraits;
     runTimeEstimator: ItemRunTimeEstimator;
     committer: ResultCommitter;
+    /** Returns how slow an upstream is now, relative to the others of its service. */
+    slownessOf: (upstream: Upstream) => number;
 };
 
 /** Applies the outcomes of runs to items, and commits the results of those that are finished or given up. */
@@ -49,7 +52,8 @@
         });
         this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
         recordUpstreamHealth(this.opts.health, upstream.id, outcome, nowMs);
-        this.opts.runTimeEstimator.recordRun(run.eventCount, nowMs - run.startedAtMs);
+        const slowness = this.opts.slownessOf(upstream);
+        this.opts.runTimeEstimator.recordRun(run.eventCount, nowMs - run.startedAtMs, slowness);
         if (outcome.kind === "failed") {
             item.failedUpstreamIds.push(upstream.id);
         }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -80,7 +80,11 @@
         this.committer = new ResultCommitter({ ...opts, onResultsStored: job => this.onResultsStored(job) });
         const shared = { ...opts, table, runTimeEstimator, routes: this.routes, traits: this.traits };
         this.dispatcher = new ItemDispatcher({ ...shared, inFlightItems: this.inFlightItems });
-        this.outcomes = new ItemOutcomes({ ...shared, committer: this.committer });
+        this.outcomes = new ItemOutcomes({
+            ...shared,
+            committer: this.committer,
+            slownessOf: upstream => this.inFlightItems.slownessOf(upstream),
+        });
         this.progress = new ProgressWriter({ service: opts.service, leadership });
         this.cleanup = new JobCleanup({ ...opts, leadership, table });
         this.checkpoints = new JobCheckpoints({
