--- a/routing/limits/src/leakyBucket.ts
+++ b/routing/limits/src/leakyBucket.ts
@@ -31,7 +31,8 @@
         this.level = Math.max(0, this.level + difference);
     }
 
-    private levelAt({ ratePerSecond }: RateLimit, nowMs: number): number {
+    /** Returns the amount that has not drained yet. */
+    levelAt({ ratePerSecond }: Pick<RateLimit, "ratePerSecond">, nowMs: number): number {
         const elapsedMs = Math.max(0, nowMs - this.updatedAtMs);
         return Math.max(0, this.level - elapsedMs * ratePerSecond / MS_PER_SECOND);
     }
