feat(load): load reports carry the requests of limited teams

Gateways need each other's counts within one report delay. Element 12 of a packed report carries the counts of teams that changed within the last 600 ms (in each report for 40 ms, then each 150 ms), and for 300 ms the levels once a gateway is new or was silent. It is empty without teams and optional when decoded. While requests of limited teams arrive anywhere, gateways report at least each 100 ms, and 300 ms as before otherwise.

--- a/bench/decisions/src/loadReporter.ts
+++ b/bench/decisions/src/loadReporter.ts
@@ -29,6 +29,7 @@
             upstreamsRevision: 0,
             jobsRevision: 0,
             leader: undefined,
+            teamUsage: { counts: [], levels: [], areLevelsComplete: false },
         };
     }
 }
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -22,6 +22,7 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { PlatformKeyValueService } from "@knapweedwood/platform.adapter/platformKeyValueService";
+import { FleetRateLimiter } from "@knapweedwood/routing.limits/fleetRateLimiter";
 import { randomInt } from "node:crypto";
 import { createMemberRecord } from "./createMemberRecord.js";
 import { EventLoopMonitor } from "./eventLoopMonitor.js";
@@ -78,6 +79,7 @@
     readonly operators: OperatorsFollower;
     readonly streamOrigins: StreamOriginExchange;
     readonly quarantine: RequestQuarantine;
+    readonly rateLimiter: FleetRateLimiter;
     private readonly opts: FleetProcessOptions;
     private readonly self: MemberRecord;
     private readonly loadReports: LoadReports;
@@ -135,6 +137,13 @@
             drainMs: () => opts.settings.upstreamDrainMs,
             onChanged: opts.onLoadChanged,
         });
+        this.rateLimiter = new FleetRateLimiter({
+            startedAtMs: clock.nowMs(),
+            isLimiting: () => this.operators.configuration.current?.teams !== undefined,
+            listedPeers: () => this.peers.otherGateways(),
+            teamOf: teamId => this.operators.configuration.teamWithId(teamId),
+            onActive: () => this.exchange.markChanged(),
+        });
         this.loadReports = new LoadReports({
             clock,
             self: this.self,
@@ -145,6 +154,7 @@
             upstreams: this.upstreams,
             waiting: () => opts.waiting(),
             isKeyValueReachable: () => this.isKeyValueReachable,
+            rateLimiter: this.rateLimiter,
             onJobsWritten: revision => opts.onJobsWritten(revision),
             onLoadChanged: () => opts.onLoadChanged(),
         });
@@ -157,6 +167,7 @@
             peers: () => this.peers.loadPeers(),
             createReport: () => this.loadReports.create(),
             onReport: report => this.loadReports.apply(report),
+            intervalMs: () => this.rateLimiter.reportIntervalMs(clock.nowMs()),
         });
         this.streamOrigins = new StreamOriginExchange({
             clock,
--- a/daemons/fleet/src/loadReports.ts
+++ b/daemons/fleet/src/loadReports.ts
@@ -4,6 +4,7 @@
 import { PeerEjections } from "@knapweedwood/fleet.load/peerEjections";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
+import type { FleetRateLimiter } from "@knapweedwood/routing.limits/fleetRateLimiter";
 import type { OperatorsFollower } from "./operatorsFollower.js";
 import type { PeerFollower } from "./peerFollower.js";
 import type { UpstreamFollower } from "./upstreamFollower.js";
@@ -19,6 +20,8 @@
     /** Returns the number of online requests queued in this process, shape [services]. */
     waiting: () => LoadReport["waiting"];
     isKeyValueReachable: () => boolean;
+    /** Meters the requests of limited teams. Runners admit none, and report none. */
+    rateLimiter: FleetRateLimiter;
     /** Called with the revision at which another process last wrote a job. */
     onJobsWritten: (revision: number) => void;
     /** Called when a report has changed the known load. */
@@ -57,17 +60,21 @@
             jobsRevision: this.jobsRevision,
             upstreamsRevision: upstreams.changeRevision,
             leader: peers.leadership.leader,
+            teamUsage: this.opts.rateLimiter.usageToReport(clock.nowMs()),
         };
     }
 
     /** Applies the report of a peer. One that is older than the last report of that peer is ignored. */
     apply(report: LoadReport): void {
-        const { clock, loadTracker, operators, upstreams, peers } = this.opts;
+        const { clock, self, loadTracker, operators, upstreams, peers } = this.opts;
         if (!loadTracker.apply(report, clock.nowMs())) {
             return;
         }
         peers.lookUpIfUnknown(report.instanceName);
         this.applyEjections(report);
+        if (self.role === "gateway") {
+            this.opts.rateLimiter.apply(report, clock.nowMs());
+        }
         if (report.leader !== undefined) {
             peers.leadership.recordLeader(report.leader);
         }
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -47,6 +47,7 @@
     private isRetired = false;
     private lookedUpAtMs = -Infinity;
     private countedPlacingPeers = 0;
+    private countedGateways: readonly InstanceName[] = [];
     private countedAtMs = -Infinity;
 
     constructor(opts: PeerFollowerOptions) {
@@ -104,13 +105,15 @@
         );
     }
 
+    /** Returns the names of the other gateways, shape [gateways]. The same array is returned until they are counted again. */
+    otherGateways(): readonly InstanceName[] {
+        this.countPeers();
+        return this.countedGateways;
+    }
+
     /** Number of other processes that place requests or items by load. Read for each request, so it is not recounted. */
     get placingPeerCount(): number {
-        const nowMs = this.opts.clock.nowMs();
-        if (nowMs >= this.countedAtMs + COUNT_VALID_MS) {
-            this.countedAtMs = nowMs;
-            this.countedPlacingPeers = this.others().filter(member => this.placesByLoad(member)).length;
-        }
+        this.countPeers();
         return this.countedPlacingPeers;
     }
 
@@ -201,6 +204,17 @@
         return member.role === "gateway" || member.instanceName === this.leadership.leader?.instanceName;
     }
 
+    private countPeers(): void {
+        const nowMs = this.opts.clock.nowMs();
+        if (nowMs >= this.countedAtMs + COUNT_VALID_MS) {
+            this.countedAtMs = nowMs;
+            const others = this.others();
+            this.countedPlacingPeers = others.filter(member => this.placesByLoad(member)).length;
+            this.countedGateways = others.filter(member => member.role === "gateway")
+                .map(member => member.instanceName);
+        }
+    }
+
     private others(): MemberRecord[] {
         return this.list().filter(member => member.instanceName !== this.opts.self.instanceName);
     }
--- a/fleet/load/src/loadExchange.ts
+++ b/fleet/load/src/loadExchange.ts
@@ -34,6 +34,8 @@
     /** Returns the current report. */
     createReport: () => LoadReport;
     onReport: (report: LoadReport) => void;
+    /** Returns the time until the next report while nothing changes, in milliseconds; 300 without this. */
+    intervalMs?: () => number;
 }
 
 /**
@@ -106,7 +108,11 @@
         else {
             this.sendDirectly(encoded);
         }
-        this.schedule(this.isLarge && !this.opts.placesByLoad() ? DISTANT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS);
+        this.schedule(this.isLarge && !this.opts.placesByLoad() ? DISTANT_INTERVAL_MS : this.intervalMs());
+    }
+
+    private intervalMs(): number {
+        return Math.min(HEARTBEAT_INTERVAL_MS, this.opts.intervalMs?.() ?? HEARTBEAT_INTERVAL_MS);
     }
 
     private updatePeers(nowMs: number): void {
--- a/fleet/load/src/loadReport.ts
+++ b/fleet/load/src/loadReport.ts
@@ -1,6 +1,7 @@
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { TeamUsage } from "@knapweedwood/routing.limits/teamUsage";
 import type { UpstreamCount } from "./upstreamCount.js";
 
 /** Report of a process to its peers: its load, and the revisions up to which it has followed the shared keys. */
@@ -26,4 +27,6 @@
     leader: { instanceName: InstanceName; fencingNumber: number; } | undefined;
     /** Revision of the key-value service at which this process last wrote a job. */
     jobsRevision: number;
+    /** Requests of limited teams that this process has admitted. Only gateways admit requests. */
+    teamUsage: TeamUsage;
 }
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -5,6 +5,7 @@
 import type { EncodedReport } from "./encodedReport.js";
 import type { LoadMessage } from "./loadMessage.js";
 import type { LoadReport } from "./loadReport.js";
+import { type PackedTeamUsage, teamUsageCodec } from "./teamUsageCodec.js";
 
 /** Values in their packed order. They are packed without names, since reports are frequent and cross zones. */
 type PackedReport = [
@@ -20,6 +21,7 @@
     leaderFencingNumber: number,
     isKeyValueReachable: boolean,
     ejected: string[],
+    teamUsage?: PackedTeamUsage,
 ];
 
 /** Reports that a relay hands on, each packed. The second value tells it from a report. */
@@ -49,6 +51,7 @@
             report.leader?.fencingNumber ?? 0,
             report.isKeyValueReachable,
             report.ejected,
+            teamUsageCodec.pack(report.teamUsage),
         ];
         return this.packr.pack(packed);
     }
@@ -97,8 +100,18 @@
         fencingNumber,
         isKeyValueReachable,
         ejected,
+        teamUsage,
     ] = packed
-        .slice(REVISIONS_AT) as [number, number, number, string, number, boolean, UpstreamId[]];
+        .slice(REVISIONS_AT) as [
+            number,
+            number,
+            number,
+            string,
+            number,
+            boolean,
+            UpstreamId[],
+            PackedTeamUsage | undefined,
+        ];
     return {
         instanceName: instanceName as InstanceName,
         startedAtMs,
@@ -118,6 +131,7 @@
         jobsRevision,
         upstreamsRevision,
         leader: fencingNumber === 0 ? undefined : { instanceName: leaderName as InstanceName, fencingNumber },
+        teamUsage: teamUsageCodec.unpack(teamUsage),
     };
 }
 
--- a/fleet/load/test/loadReportCodec.test.ts
+++ b/fleet/load/test/loadReportCodec.test.ts
@@ -1,6 +1,8 @@
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import { Packr } from "msgpackr";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { LoadReport } from "../src/loadReport.js";
@@ -21,6 +23,11 @@
     jobsRevision: 40,
     upstreamsRevision: 38,
     leader: { instanceName: "runner-1" as InstanceName, fencingNumber: 31 },
+    teamUsage: {
+        counts: [{ teamId: "team-1" as TeamId, admitted: 312, recentlyAdmitted: 4 }],
+        levels: [{ teamId: "team-2" as TeamId, level: 7.3 }],
+        areLevelsComplete: true,
+    },
 };
 
 test("decodes an encoded report unchanged", () => {
@@ -30,6 +37,15 @@
     assert.deepEqual(message.kind === "direct" && message.report.report, report);
 });
 
+test("decodes a report of a version without the usage of teams", () => {
+    const codec = new LoadReportCodec();
+    const packr = new Packr({ useRecords: false });
+    const packed = packr.unpack(codec.encode(report)) as unknown[];
+    const message = codec.decodeMessage(packr.pack(packed.slice(0, 12)));
+    const teamUsage = { counts: [], levels: [], areLevelsComplete: false };
+    assert.deepEqual(message.kind === "direct" && message.report.report, { ...report, teamUsage });
+});
+
 test("decodes relayed reports unchanged, in datagrams that fit a frame", () => {
     const codec = new LoadReportCodec();
     const reports = Array.from({ length: 40 }, (_, sequence) => {
--- a/fleet/load/test/loadReportOf.ts
+++ b/fleet/load/test/loadReportOf.ts
@@ -15,6 +15,7 @@
         jobsRevision: 0,
         upstreamsRevision: 0,
         leader: undefined,
+        teamUsage: { counts: [], levels: [], areLevelsComplete: false },
         ...change,
     };
 }
--- a/fleet/view/src/activeConfiguration.ts
+++ b/fleet/view/src/activeConfiguration.ts
@@ -1,4 +1,5 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
 import type { FleetConfiguration } from "./fleetConfiguration.js";
 import type { Route } from "./route.js";
 import { RouteTable } from "./routeTable.js";
@@ -11,6 +12,7 @@
     private table: RouteTable | undefined;
     private services = new Map<ServiceName, ServiceDefinition>();
     private teamsByKey = new Map<string, Team>();
+    private teamsById = new Map<TeamId, Team>();
 
     /** The active configuration; undefined before the first. */
     get current(): FleetConfiguration | undefined {
@@ -35,6 +37,7 @@
         this.table = new RouteTable(configuration);
         this.services = new Map(configuration.services.map(service => [service.name, service]));
         this.teamsByKey = new Map((configuration.teams ?? []).flatMap(team => team.keys.map(key => [key, team])));
+        this.teamsById = new Map((configuration.teams ?? []).map(team => [team.id, team]));
         return true;
     }
 
@@ -48,6 +51,11 @@
         return this.teamsByKey.get(key);
     }
 
+    /** Returns a team by its id; undefined if there is none. */
+    teamWithId(teamId: TeamId): Team | undefined {
+        return this.teamsById.get(teamId);
+    }
+
     /**
      * Returns the number of connections that an upstream of the service accepts from all processes together; infinite
      * for a service without a definition.
