feat(gateway): requests over the limit of their team are rejected with 429

The limits of teams were decoded but not applied. A call is metered once its caller is identified, before it takes a place in the queue, and its place is returned if it ends without having run. Calls on anonymous routes and about jobs aren't metered.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -84,6 +84,7 @@
             serviceTimes,
             requestQueue: this.requestQueue,
             quarantine: this.fleet.quarantine,
+            rateLimiter: this.fleet.rateLimiter,
             origins: this.fleet.streamOrigins,
             onUpstreamLeaving: upstream => this.fleet.upstreams.onLeaving(upstream),
             soleVersion: (service, sinceMs) => this.fleet.upstreams.soleVersion(service, sinceMs),
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -15,6 +15,7 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import type { FleetRateLimiter } from "@knapweedwood/routing.limits/fleetRateLimiter";
 
 /** State and services shared by the requests of one gateway. */
 export interface GatewayContext {
@@ -31,6 +32,8 @@
     serviceTimes: ServiceTimes;
     requestQueue: RequestQueue;
     quarantine: RequestQuarantine;
+    /** Meters the requests of limited teams. */
+    rateLimiter: FleetRateLimiter;
     /** What began the streams that callers may resume. */
     origins: StreamOrigins;
     /** Returns the one software version that is certain to have run a service since `sinceMs`, if there is one. */
--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -10,6 +10,7 @@
 import type { JobRoutes } from "./jobRoutes.js";
 import { OnlineCall } from "./onlineCall.js";
 import { readBody } from "./readBody.js";
+import { RequestLimits } from "./requestLimits.js";
 import { sendFailure } from "./sendFailure.js";
 
 const CONNECTIONS_CHECK_INTERVAL_MS = 500;
@@ -26,6 +27,7 @@
     private readonly context: GatewayContext;
     private readonly protocol: CallerProtocol;
     private readonly jobs: JobRoutes;
+    private readonly limits: RequestLimits;
     private readonly server: Server;
     private readonly openResponses = new Set<ServerResponse>();
 
@@ -33,6 +35,7 @@
         this.context = opts.context;
         this.protocol = opts.protocol;
         this.jobs = opts.jobs;
+        this.limits = new RequestLimits({ context: opts.context, limiter: opts.context.rateLimiter });
         this.server = createServer(
             { connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true },
             (request, response) => void this.onRequest(request, response),
@@ -126,7 +129,12 @@
             await this.jobs.submit(route, jobId, body, response);
             return;
         }
-        new OnlineCall({ context: this.context, route, request, response, body, arrivedAtMs, team: caller.team })
+        const call = { route, request, response, arrivedAtMs, team: caller.team };
+        const admission = this.limits.admit(call);
+        if (admission?.isAdmitted === false) {
+            return;
+        }
+        new OnlineCall({ ...call, context: this.context, body, onNotRun: () => this.limits.release(admission) })
             .start();
     }
 
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -60,6 +60,7 @@
     private readonly request: IncomingMessage;
     private readonly response: ServerResponse;
     private readonly body: Buffer;
+    private readonly onNotRun: () => void;
     private readonly requestId: RequestId;
     /** Undefined unless the response is a stream that may be resumed. */
     private readonly continuity: StreamContinuity | undefined;
@@ -80,6 +81,8 @@
         arrivedAtMs: number;
         /** The team of the caller; undefined if callers need no key. */
         team: Team | undefined;
+        /** Called once if the call ends without having run at an upstream. */
+        onNotRun: () => void;
     }) {
         const { context, route, request } = opts;
         this.context = context;
@@ -88,6 +91,7 @@
         this.request = request;
         this.response = opts.response;
         this.body = opts.body;
+        this.onNotRun = opts.onNotRun;
         this.arrivedAtMs = opts.arrivedAtMs;
         this.requestId = (headerOf(request, context.headers.requestId) ?? "") as RequestId;
         this.recorder = new CallRecorder({ ...opts, requestId: this.requestId });
@@ -194,6 +198,9 @@
     onRejected(retryAfterMs: number, reason: string): void {
         // Callers rely on 503 that the request has not run.
         const statusCode = this.mayHaveRun ? 502 : 503;
+        if (!this.mayHaveRun) {
+            this.onNotRun();
+        }
         this.finish("call-refused", { reason, retryAfterMs: Math.round(retryAfterMs), statusCode });
         sendFailure(this.response, { statusCode, message: reason, ...this.mayHaveRun ? {} : { retryAfterMs } });
     }
@@ -377,6 +384,9 @@
         if (this.attempt !== undefined) {
             this.abort(this.attempt);
         }
+        else if (!this.mayHaveRun) {
+            this.onNotRun();
+        }
         this.finish("caller-gone", {});
     }
 
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -12,10 +12,12 @@
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
+import { FleetRateLimiter } from "@knapweedwood/routing.limits/fleetRateLimiter";
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
@@ -24,6 +26,9 @@
 import { GatewayServer } from "../src/gatewayServer.js";
 import type { JobRoutes } from "../src/jobRoutes.js";
 
+/** Time since the start of the gateway. Just after it, buckets are full. */
+const STARTED_BEFORE_MS = 10_000;
+
 const headers = {
     requestId: "x-request-id",
     remainingMs: "x-remaining",
@@ -88,6 +93,7 @@
             maxBodyBytes?: number;
             isConfigured?: boolean;
             isConfigurationCurrent?: boolean;
+            teams?: Team[];
             origins?: StreamOrigins;
             soleVersion?: SoftwareVersion;
         },
@@ -109,7 +115,7 @@
                 routes: [route, ...otherRoutes],
                 services: [],
                 limits,
-                teams: undefined,
+                teams: opts.teams,
             });
         }
         const { loadTracker, connections, directory } = this;
@@ -154,6 +160,13 @@
                 remove: () => undefined,
                 onChanged: () => queueMicrotask(() => requestQueue.dispatch()),
             }),
+            rateLimiter: new FleetRateLimiter({
+                startedAtMs: clock.nowMs() - STARTED_BEFORE_MS,
+                isLimiting: () => opts.teams !== undefined,
+                listedPeers: () => [],
+                teamOf: teamId => configuration.teamWithId(teamId),
+                onActive: () => undefined,
+            }),
             origins: opts.origins ?? unknownOrigins,
             soleVersion: () => opts.soleVersion,
             onUpstreamLeaving: upstream => directory.markLeaving(upstream, clock.nowMs()),
