fix(limits): the share of a peer is withheld after 10 ms without a report

Each part drains its bucket until it withholds the shares of silent peers, so this begins after 10 ms in place of 60; it is returned with the peer's next report. The tolerance grows from 0.05 to 0.08 s of the rate to cover what is withheld meanwhile.

--- a/routing/limits/src/gatewayPresence.ts
+++ b/routing/limits/src/gatewayPresence.ts
@@ -16,8 +16,11 @@
 const ACTIVE_MS = 1000;
 /** Time after which an unheard peer counts as silent while no requests arrive: two of its intervals, in milliseconds. */
 const IDLE_SILENCE_MS = 600;
-/** The same while requests arrive, for the rate: the longest delay of a relayed report, in milliseconds. */
-const RATE_SILENCE_MS = 60;
+/**
+ * The same while requests arrive, for the rate, in milliseconds. Short, since cut off gateways drain their buckets as long;
+ * what is withheld from a peer that reports less often is returned with its next report.
+ */
+const RATE_SILENCE_MS = 10;
 /**
  * The same for the burst, in milliseconds: two intervals of 100 ms and the delay. A smaller burst rejects requests below
  * the limit. Also the longest silence after which the first report is sure to tell what the peer admitted meanwhile.
--- a/routing/limits/src/teamMeter.ts
+++ b/routing/limits/src/teamMeter.ts
@@ -18,7 +18,7 @@
  * when they are sent arrive with a jitter, and a lost report makes the bucket drain more slowly for a while.
  */
 const TOLERATED_REQUESTS = 1;
-const TOLERATED_RATE_S = 0.05;
+const TOLERATED_RATE_S = 0.08;
 const TOLERATED_BURST_SHARE = 0.05;
 const IDLE_MS = 20_000;
 
