--- a/bench/decisions/src/loadReporter.ts
+++ b/bench/decisions/src/loadReporter.ts
@@ -35,6 +35,7 @@
             jobsRevision: 0,
             leader: undefined,
             ...this.speeds === undefined ? {} : { speeds: this.speeds.reported(counts) },
+            teamUsage: { counts: [], levels: [], areLevelsComplete: false },
         };
     }
 }
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -22,6 +22,7 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { PlatformKeyValueService } from "@knapweedwood/platform.adapter/platformKeyValueService";
+import { FleetRateLimiter } from "@knapweedwood/routing.limits/fleetRateLimiter";
 import { randomInt } from "node:crypto";
 import { ConfigurationCatchUp } from "./configurationCatchUp.js";
 import { createMemberRecord } from "./createMemberRecord.js";
@@ -88,6 +89,7 @@
     private readonly configurationCatchUp: ConfigurationCatchUp;
     private readonly versionRecords: VersionRecordLoader;
     readonly reachability: KeyValueReachability;
+    readonly rateLimiter: FleetRateLimiter;
     private readonly opts: FleetProcessOptions;
     private readonly self: MemberRecord;
     private readonly loadReports: LoadReports;
@@ -152,6 +154,13 @@
             onChanged: opts.onLoadChanged,
         });
         this.reachability = new KeyValueReachability({ clock, peers: this.peers, loadTracker });
+        this.rateLimiter = new FleetRateLimiter({
+            startedAtMs: clock.nowMs(),
+            isLimiting: () => this.operators.configuration.current?.teams !== undefined,
+            listedPeers: () => this.peers.otherGateways(),
+            teamOf: teamId => this.operators.configuration.teamWithId(teamId),
+            onActive: () => this.exchange.markChanged(),
+        });
         this.loadReports = new LoadReports({
             clock,
             self: this.self,
@@ -163,6 +172,7 @@
             upstreams: this.upstreams,
             waiting: () => opts.waiting(),
             isKeyValueReachable: () => this.reachability.report(),
+            rateLimiter: this.rateLimiter,
             onJobsWritten: revision => opts.onJobsWritten(revision),
             onNewerConfiguration: peer => this.configurationCatchUp.prefer(this.peers.runnerAddress(peer)),
             onLoadChanged: () => opts.onLoadChanged(),
@@ -176,6 +186,7 @@
             peers: () => this.peers.loadPeers(),
             createReport: () => this.loadReports.create(),
             onReport: report => this.loadReports.apply(report),
+            intervalMs: () => this.rateLimiter.reportIntervalMs(clock.nowMs()),
         });
         this.streamOrigins = new StreamOriginExchange({
             clock,
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -92,6 +92,7 @@
             requestQueue: this.requestQueue,
             memory: new MemoryBudget({ limitBytes: memoryBudgetBytes(settings.memoryMb) }),
             quarantine: this.fleet.quarantine,
+            rateLimiter: this.fleet.rateLimiter,
             origins: this.fleet.streamOrigins,
             onUpstreamLeaving: upstream => this.fleet.upstreams.onLeaving(upstream),
             soleVersion: (service, sinceMs) => this.fleet.upstreams.soleVersion(service, sinceMs),
--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -16,6 +16,7 @@
 import type { JobRoutes } from "./jobRoutes.js";
 import { OnlineCall } from "./onlineCall.js";
 import { readBody } from "./readBody.js";
+import { RequestLimits } from "./requestLimits.js";
 import { sendFailure } from "./sendFailure.js";
 
 const CONNECTIONS_CHECK_INTERVAL_MS = 500;
@@ -34,6 +35,7 @@
     private readonly context: GatewayContext;
     private readonly protocol: CallerProtocol;
     private readonly jobs: JobRoutes;
+    private readonly limits: RequestLimits;
     private readonly server: Server;
     private readonly openResponses = new Set<ServerResponse>();
 
@@ -41,6 +43,7 @@
         this.context = opts.context;
         this.protocol = opts.protocol;
         this.jobs = opts.jobs;
+        this.limits = new RequestLimits({ context: opts.context, limiter: opts.context.rateLimiter });
         this.server = createServer(
             { connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true },
             (request, response) => void this.onRequest(request, response),
@@ -145,8 +148,13 @@
             await this.jobs.submit(route, { jobId, body, caller: this.jobCallerOf(caller.team) }, response);
             return;
         }
-        const { team } = caller;
-        new OnlineCall({ context: this.context, route, request, response, body, arrivedAtMs, team, memory }).start();
+        const call = { route, request, response, arrivedAtMs, team: caller.team };
+        const admission = this.limits.admit(call);
+        if (admission?.isAdmitted === false) {
+            return;
+        }
+        const onNotRun = () => this.limits.release(admission);
+        new OnlineCall({ ...call, context: this.context, body, memory, onNotRun }).start();
     }
 
     /** Begins to count what is held for a call, until its response is sent or broken off. */
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -21,6 +21,7 @@
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
 import { silentMetrics } from "@knapweedwood/observability.metrics/silentMetrics";
+import { FleetRateLimiter } from "@knapweedwood/routing.limits/fleetRateLimiter";
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
@@ -29,6 +30,9 @@
 import { GatewayServer } from "../src/gatewayServer.js";
 import type { JobRoutes } from "../src/jobRoutes.js";
 
+/** Time since the start of the gateway. Just after it, buckets are full. */
+const STARTED_BEFORE_MS = 10_000;
+
 const headers = {
     requestId: "x-request-id",
     remainingMs: "x-remaining",
@@ -170,6 +174,13 @@
                 remove: () => undefined,
                 onChanged: () => queueMicrotask(() => requestQueue.dispatch()),
             }),
+            rateLimiter: new FleetRateLimiter({
+                startedAtMs: clock.nowMs() - STARTED_BEFORE_MS,
+                isLimiting: () => opts.teams !== undefined,
+                listedPeers: () => [],
+                teamOf: teamId => configuration.teamWithId(teamId),
+                onActive: () => undefined,
+            }),
             origins: opts.origins ?? unknownOrigins,
             soleVersion: () => opts.soleVersion,
             onUpstreamLeaving: upstream => directory.markLeaving(upstream, clock.nowMs()),
--- a/fleet/load/src/loadReport.ts
+++ b/fleet/load/src/loadReport.ts
@@ -1,6 +1,7 @@
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { TeamUsage } from "@knapweedwood/routing.limits/teamUsage";
 import type { UpstreamCount } from "./upstreamCount.js";
 import type { UpstreamSpeed } from "./upstreamSpeed.js";
 
@@ -29,4 +30,6 @@
     jobsRevision: number;
     /** Speeds that this process has observed itself and that differ from the mean, of upstreams in `counts`. */
     speeds?: UpstreamSpeed[];
+    /** Requests of limited teams that this process has admitted. Only gateways admit requests. */
+    teamUsage: TeamUsage;
 }
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -6,6 +6,7 @@
 import type { LoadMessage } from "./loadMessage.js";
 import type { LoadReport } from "./loadReport.js";
 import { slownessCode } from "./slownessCode.js";
+import { type PackedTeamUsage, teamUsageCodec } from "./teamUsageCodec.js";
 import type { UpstreamSpeed } from "./upstreamSpeed.js";
 
 /** Values in their packed order. They are packed without names, since reports are frequent and cross zones. */
@@ -22,8 +23,7 @@
     leaderFencingNumber: number,
     isKeyValueReachable: boolean,
     ejected: string[],
-    /** Reserved for the limits of teams. */
-    limits?: unknown[],
+    teamUsage?: PackedTeamUsage,
     /** Pairs of an index in the counts and a code of the slowness; missing if there are none. */
     speeds?: number[],
 ];
@@ -57,9 +57,9 @@
             report.leader?.fencingNumber ?? 0,
             report.isKeyValueReachable,
             report.ejected,
+            teamUsageCodec.pack(report.teamUsage),
         ];
         if (report.speeds !== undefined && report.speeds.length > 0) {
-            packed[SPEEDS_AT - 1] ??= [];
             packed[SPEEDS_AT] = packedSpeedsOf(report);
         }
         return this.packr.pack(packed);
@@ -109,8 +109,18 @@
         fencingNumber,
         isKeyValueReachable,
         ejected,
+        teamUsage,
     ] = packed
-        .slice(REVISIONS_AT) as [number, number, number, string, number, boolean, UpstreamId[]];
+        .slice(REVISIONS_AT) as [
+            number,
+            number,
+            number,
+            string,
+            number,
+            boolean,
+            UpstreamId[],
+            PackedTeamUsage | undefined,
+        ];
     const upstreamCounts = groupsOf(counts, 3).map(([upstreamId, online, batch]) => ({
         upstreamId: upstreamId as UpstreamId,
         online: online as number,
@@ -133,6 +143,7 @@
         upstreamsRevision,
         leader: fencingNumber === 0 ? undefined : { instanceName: leaderName as InstanceName, fencingNumber },
         ...speeds.length > 0 ? { speeds } : {},
+        teamUsage: teamUsageCodec.unpack(teamUsage),
     };
 }
 
