feat(load): a request queue of streams by team, whose work doesn't grow with the waiting requests

Cause: the queue was one list that was sorted and filtered at each event, and all callers shared it first by urgency, so a team with many times its usual rate delayed every other team. Change: requests wait in counted trees by service, team and traits. Teams share a service's slots by start-time fair queueing, whose virtual time routing/limits now shares with the queue of the standing-alone product. Admission counts what is expected to be served before a request. With teams, a waiting request that is certain enough to miss its caller's timeout is rejected early. Calls log the team, the expected wait, the number ahead and the slots, and team_requests_total counts waiting and rejected requests by team.

--- a/bench/decisions/src/simulatedCaller.ts
+++ b/bench/decisions/src/simulatedCaller.ts
@@ -74,6 +74,7 @@
             excluded: new Set<UpstreamId>(),
             blockedForMs: () => 0,
             onPlaced: upstream => this.run(gateway, upstream),
+            onWaiting: () => undefined,
             onRejected: retryAfterMs => this.onRejected(retryAfterMs),
         };
         gateway.queue.submit(call);
--- a/bench/decisions/src/simulatedGateway.ts
+++ b/bench/decisions/src/simulatedGateway.ts
@@ -43,6 +43,7 @@
             serviceTimes: this.serviceTimes,
             placement,
             usableUpstreams: upstreams,
+            teams: () => undefined,
         });
         switch (opts.policy) {
             case "ours":
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -70,6 +70,7 @@
                 placingPeers: () => this.fleet.peers.placingPeerCount,
             }),
             usableUpstreams: (service, softwareVersion) => this.fleet.upstreams.usable(service, softwareVersion),
+            teams: () => configuration.current?.teams,
         });
         const context: GatewayContext = {
             clock,
--- a/fleet/gateway/src/callRecorder.ts
+++ b/fleet/gateway/src/callRecorder.ts
@@ -1,6 +1,9 @@
 import type { RequestId } from "@knapweedwood/core.ids/requestId";
+import type { QueueEstimate } from "@knapweedwood/fleet.load/queueEstimate";
 import type { Route } from "@knapweedwood/fleet.view/route";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { GatewayContext } from "./gatewayContext.js";
+import { queueFieldsOf } from "./queueFieldsOf.js";
 
 type RecorderContext = Pick<GatewayContext, "clock" | "logger" | "metrics">;
 
@@ -47,6 +50,19 @@
         this.log("call-placed", { ...fields, waitedMs: this.elapsedMs() });
     }
 
+    /** Records that the request waits for a slot. */
+    onWaiting(team: Team | undefined, estimate: QueueEstimate): void {
+        this.countForTeam(team, "waiting");
+        this.log("call-waiting", queueFieldsOf(team, estimate));
+    }
+
+    /** Records that the request is rejected, if `estimate` is given for want of a slot. */
+    onRejected(team: Team | undefined, estimate: QueueEstimate | undefined): void {
+        if (estimate !== undefined) {
+            this.countForTeam(team, "waiting_rejected");
+        }
+    }
+
     /** Records the end of the call, whose event says how it ended. */
     end(event: string, fields: { [field: string]: unknown; }): void {
         const { context: { metrics }, route: { kind }, arrivedAtMs } = this.opts;
@@ -62,4 +78,10 @@
         const { context: { logger }, route, requestId } = this.opts;
         logger.info(event, { requestId, route: route.name, ...fields });
     }
+
+    private countForTeam(team: Team | undefined, outcome: string): void {
+        if (team !== undefined) {
+            this.opts.context.metrics.increment("team_requests_total", { team: team.id, outcome });
+        }
+    }
 }
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -4,6 +4,7 @@
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { QueuedRequest } from "@knapweedwood/fleet.load/queuedRequest";
+import type { QueueEstimate } from "@knapweedwood/fleet.load/queueEstimate";
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
 import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
@@ -23,6 +24,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { headerOf } from "./headerOf.js";
 import { isRepeatable } from "./isRepeatable.js";
+import { queueFieldsOf } from "./queueFieldsOf.js";
 import { type ResponseWriter } from "./responseWriter.js";
 import type { ResumptionDecision } from "./resumptionDecision.js";
 import { sendFailure } from "./sendFailure.js";
@@ -191,10 +193,20 @@
         });
     }
 
-    onRejected(retryAfterMs: number, reason: string): void {
+    onWaiting(estimate: QueueEstimate): void {
+        this.recorder.onWaiting(this.team, estimate);
+    }
+
+    onRejected(retryAfterMs: number, reason: string, estimate?: QueueEstimate): void {
         // Callers rely on 503 that the request has not run.
         const statusCode = this.mayHaveRun ? 502 : 503;
-        this.finish("call-refused", { reason, retryAfterMs: Math.round(retryAfterMs), statusCode });
+        this.recorder.onRejected(this.team, estimate);
+        this.finish("call-refused", {
+            reason,
+            retryAfterMs: Math.round(retryAfterMs),
+            statusCode,
+            ...queueFieldsOf(this.team, estimate),
+        });
         sendFailure(this.response, { statusCode, message: reason, ...this.mayHaveRun ? {} : { retryAfterMs } });
     }
 
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -131,6 +131,7 @@
                 directory.ready(service).filter(upstream =>
                     [undefined, upstream.softwareVersion].includes(softwareVersion)
                 ),
+            teams: () => configuration.current?.teams,
         });
         const context: GatewayContext = {
             clock,
--- /dev/null
+++ b/fleet/load/src/fairShares.ts
@@ -0,0 +1,113 @@
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import { StartTags } from "@knapweedwood/routing.limits/startTags";
+import { RecentCounts } from "./recentCounts.js";
+import type { TeamWeights } from "./teamWeights.js";
+
+type TeamKey = TeamId | undefined;
+
+/** Iterations of the estimate of later arrivals, which converges geometrically. */
+const MAX_ITERATIONS = 8;
+
+/** The waiting requests of another team, seen from one request. */
+interface OtherTeam {
+    teamId: TeamKey;
+    /** Number of requests that are served before all requests of the class. */
+    ofBetterClass: number;
+    ofSameClass: number;
+}
+
+/** How teams share the slots of one service: start-time fair queueing, and how often each team was served recently. */
+export class FairShares {
+    private readonly weights: TeamWeights;
+    private readonly startTags = new StartTags<TeamKey>();
+    private readonly placements = new RecentCounts<TeamKey>();
+    private readonly unplaced = new RecentCounts<TeamKey>();
+
+    constructor(weights: TeamWeights) {
+        this.weights = weights;
+    }
+
+    /** Returns the virtual time at which serving the team's next request would start. The lowest is served next. */
+    startTagOf(teamId: TeamKey): number {
+        return this.startTags.startTagOf(teamId);
+    }
+
+    /** Records that a request of the team takes a slot, also if it hasn't waited. */
+    recordPlaced(teamId: TeamKey, nowMs: number): void {
+        this.startTags.advanceTo(this.startTags.assign(teamId, 1 / this.weights.weightOf(teamId)));
+        this.placements.add(teamId, nowMs);
+    }
+
+    /** Records that a request of the team found no free slot when it arrived. */
+    recordUnplaced(teamId: TeamKey, nowMs: number): void {
+        this.unplaced.add(teamId, nowMs);
+    }
+
+    /**
+     * Returns the expected number of requests that are served before one of a team: of the team those ahead of it, and of
+     * the others those that wait or arrive meanwhile, up to their fair shares of the time.
+     *
+     * @param opts.ownAhead number of requests of the same team ahead of it
+     * @param opts.others the other teams with waiting requests, shape [teams]
+     */
+    countAhead(opts: { teamId: TeamKey; ownAhead: number; others: OtherTeam[]; nowMs: number; }): number {
+        const { teamId, ownAhead, others, nowMs } = opts;
+        const startTag = this.startTagOf(teamId) + ownAhead / this.weights.weightOf(teamId);
+        const waitingAhead = others.reduce(
+            (sum, other) =>
+                sum + other.ofBetterClass + Math.min(other.ofSameClass, this.tagsUpTo(other.teamId, startTag)),
+            ownAhead,
+        );
+        const waiting = new Map(others.map(other => [other.teamId, other.ofSameClass]));
+        const arriving = this.placements.keys()
+            .filter(key => key !== teamId)
+            .map(key => ({
+                share: this.placements.shareOf(key, nowMs),
+                room: this.tagsBefore(key, startTag) - (waiting.get(key) ?? 0),
+            }))
+            .filter(({ room }) => room > 0);
+        return withArrivals(waitingAhead, arriving);
+    }
+
+    /**
+     * Returns the expected number of requests that are served before one of a team, of `count` that wait at peers whose
+     * teams are unknown. They are assumed to be of the teams whose requests recently found no slot here.
+     */
+    countAheadAtPeers(teamId: TeamKey, count: number, nowMs: number): number {
+        const own = count * this.unplaced.shareOf(teamId, nowMs);
+        const others = this.unplaced.keys().filter(key => key !== teamId);
+        const isKnown = [...others, teamId].some(key => this.unplaced.shareOf(key, nowMs) > 0);
+        if (!isKnown) {
+            return count;
+        }
+        const weight = this.weights.weightOf(teamId);
+        return others.reduce((sum, key) => {
+            const waiting = count * this.unplaced.shareOf(key, nowMs);
+            return sum + Math.min(waiting, own * this.weights.weightOf(key) / weight);
+        }, own);
+    }
+
+    /** Returns the number of requests of a team whose start tags are at most `startTag`. */
+    private tagsUpTo(teamId: TeamKey, startTag: number): number {
+        const difference = startTag - this.startTagOf(teamId);
+        return difference < 0 ? 0 : Math.floor(difference * this.weights.weightOf(teamId)) + 1;
+    }
+
+    /** Returns the mean number of requests of a team, in fractions, whose start tags are below `startTag`. */
+    private tagsBefore(teamId: TeamKey, startTag: number): number {
+        return Math.max(0, startTag - this.startTagOf(teamId)) * this.weights.weightOf(teamId);
+    }
+}
+
+/**
+ * Returns the number of requests ahead including those that arrive while they are served: each team has a share of the
+ * requests that are served meanwhile, and room for a number of them.
+ */
+function withArrivals(waitingAhead: number, arriving: { share: number; room: number; }[]): number {
+    let ahead = waitingAhead;
+    for (let iteration = 0; arriving.length > 0 && iteration < MAX_ITERATIONS; iteration += 1) {
+        ahead = waitingAhead
+            + arriving.reduce((sum, { share, room }) => sum + Math.min(share * (ahead + 1), room), 0);
+    }
+    return ahead;
+}
--- a/fleet/load/src/queuedRequest.ts
+++ b/fleet/load/src/queuedRequest.ts
@@ -4,6 +4,7 @@
 import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { PlacementRequest } from "./placementRequest.js";
+import type { QueueEstimate } from "./queueEstimate.js";
 
 /** An online request to be placed at an upstream. */
 export interface QueuedRequest extends PlacementRequest {
@@ -29,6 +30,12 @@
     blockedForMs(): number;
     /** Called when the request may be sent to the upstream. */
     onPlaced(upstream: Upstream): void;
-    /** Called when the request is rejected without having run. The caller may retry after `retryAfterMs`. */
-    onRejected(retryAfterMs: number, reason: string): void;
+    /** Called when the request starts to wait for a slot. */
+    onWaiting(estimate: QueueEstimate): void;
+    /**
+     * Called when the request is rejected without having run. The caller may retry after `retryAfterMs`.
+     *
+     * @param estimate what was expected for it; undefined if another reason rejected it
+     */
+    onRejected(retryAfterMs: number, reason: string, estimate?: QueueEstimate): void;
 }
--- a/fleet/load/src/requestQueue.ts
+++ b/fleet/load/src/requestQueue.ts
@@ -1,16 +1,33 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
+import type { TeamId } from "@knapweedwood/core.ids/teamId";
 import type { Random } from "@knapweedwood/core.random/random";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { AdmissionDecision } from "./admissionDecision.js";
+import { AdmissionEstimator } from "./admissionEstimator.js";
+import type { AdmissionInputs } from "./admissionInputs.js";
+import { CountedTree } from "./countedTree.js";
 import { decideAdmission } from "./decideAdmission.js";
+import { isUnreachable } from "./isUnreachable.js";
 import type { LoadTracker } from "./loadTracker.js";
 import type { PlacementPolicy } from "./placementPolicy.js";
+import { QueueCandidates } from "./queueCandidates.js";
 import type { QueuedRequest } from "./queuedRequest.js";
+import type { QueueEstimate } from "./queueEstimate.js";
+import { RequestStream } from "./requestStream.js";
+import { ServiceQueue } from "./serviceQueue.js";
 import type { ServiceTimes } from "./serviceTimes.js";
+import { TeamWeights } from "./teamWeights.js";
+import type { WaitingRequest } from "./waitingRequest.js";
 
 /** Maximum jitter added to the retry delay of rejected callers, as a share of the delay. */
 const RETRY_JITTER = 0.3;
+/** Number of waiting requests that are checked again in each dispatch, in turn. */
+const CHECKED_PER_DISPATCH = 8;
+const TREE_SEED = 1;
 
 interface RequestQueueOptions {
     clock: Clock;
@@ -23,6 +40,8 @@
      * version if one is given.
      */
     usableUpstreams: (service: ServiceName, softwareVersion: SoftwareVersion | undefined) => Upstream[];
+    /** Returns the teams of the configuration in force, shape [teams]; undefined if callers need no key. */
+    teams: () => readonly Team[] | undefined;
 }
 
 /**
@@ -31,10 +50,26 @@
  */
 export class RequestQueue {
     private readonly opts: RequestQueueOptions;
-    private requests: QueuedRequest[] = [];
+    private readonly weights: TeamWeights;
+    private readonly candidates: QueueCandidates;
+    private readonly estimator: AdmissionEstimator;
+    /** Has its own sequence, so that the form of a tree changes no decision that draws random numbers. */
+    private readonly treeRandom = new SeededRandom(TREE_SEED);
+    private readonly services = new Map<ServiceName, ServiceQueue>();
+    private readonly waiting = new Map<QueuedRequest, WaitingRequest>();
+    private readonly byTimeout = new CountedTree<WaitingRequest>({
+        compare: compareByTimeout,
+        random: this.treeRandom,
+    });
+    /** The request that was checked last. */
+    private lastChecked: WaitingRequest | undefined;
+    private sequence = 0;
 
     constructor(opts: RequestQueueOptions) {
         this.opts = opts;
+        this.weights = new TeamWeights(opts.teams);
+        this.candidates = new QueueCandidates(opts.usableUpstreams);
+        this.estimator = new AdmissionEstimator({ ...opts, candidates: this.candidates });
     }
 
     /** Places, queues or rejects the request. */
@@ -43,88 +78,145 @@
             return;
         }
         const nowMs = this.opts.clock.nowMs();
-        const isMostUrgent = !this.requests.some(other =>
-            needsSameSlots(other, request) && this.compareByUrgency(other, request, nowMs) < 0
-        );
-        const upstream = isMostUrgent ? this.place(request) : undefined;
+        const queue = this.queueOf(request.service);
+        if (this.weights.hasTeams) {
+            // What still waits afterwards can't use the free slots, and must not keep other teams from them.
+            this.dispatchService(queue);
+        }
+        const teamId = request.team?.id;
+        const urgency = this.estimator.urgencyOf(request, queue, nowMs);
+        const lateBeforeMs = this.estimator.lateBeforeMs(queue, nowMs);
+        const mustWait = queue.mustWait(urgency, teamId, request.softwareVersion, lateBeforeMs);
+        const upstream = mustWait ? undefined : this.place(request);
         if (upstream !== undefined) {
+            queue.recordPlaced(teamId, nowMs);
             request.onPlaced(upstream);
             return;
         }
-        const decision = decideAdmission(this.inputsOf(request));
+        const inputs = this.estimator.inputsOf(request, queue, { isQueued: false, nowMs });
+        const decision = decideAdmission(inputs);
+        const estimate = estimateOf(inputs, decision);
+        queue.recordUnplaced(teamId, nowMs);
         if (decision.kind === "reject") {
-            this.reject(request, decision.retryAfterMs, "no slot in time");
+            this.reject(request, decision.retryAfterMs, "no slot in time", estimate);
             return;
         }
-        this.requests.push(request);
+        this.add(request, queue);
+        request.onWaiting(estimate);
     }
 
     /** Removes a request whose caller has disconnected. */
     remove(request: QueuedRequest): void {
-        this.requests = this.requests.filter(other => other !== request);
+        const waiting = this.waiting.get(request);
+        if (waiting === undefined) {
+            return;
+        }
+        this.waiting.delete(request);
+        this.byTimeout.remove(waiting);
+        this.queueOf(request.service).remove(waiting);
     }
 
-    /** Places queued requests at upstreams with free slots and rejects the requests whose callers have timed out. */
+    /** Places queued requests at upstreams with free slots and rejects those that can't be served any more. */
     dispatch(): void {
-        const nowMs = this.opts.clock.nowMs();
-        this.requests.filter(request => request.callerTimeoutAtMs <= nowMs).forEach(request => {
-            this.remove(request);
-            this.reject(request, 0, "the caller's time is up");
-        });
-        // Where no slot is free for a request, a less urgent one can't run either.
-        const unplaced: QueuedRequest[] = [];
-        this.requests.sort((left, right) => this.compareByUrgency(left, right, nowMs));
-        [...this.requests].forEach(request => {
-            if (this.rejectIfBlocked(request) || unplaced.some(other => needsSameSlots(other, request))) {
-                return;
-            }
-            const upstream = this.place(request);
-            if (upstream === undefined) {
-                unplaced.push(request);
-                this.rejectIfImpossible(request);
-                return;
-            }
-            this.remove(request);
-            request.onPlaced(upstream);
-        });
+        this.rejectTimedOut();
+        [...this.services.values()].forEach(queue => this.dispatchService(queue));
+        this.checkSome();
     }
 
     /** Returns the number of queued requests by service, shape [services]. */
     waitingCounts(): { service: ServiceName; count: number; }[] {
-        return [...new Set(this.requests.map(request => request.service))].map(service => ({
-            service,
-            count: this.requests.filter(request => request.service === service).length,
-        }));
+        return [...this.services.values()]
+            .filter(queue => queue.size > 0)
+            .map(queue => ({ service: queue.service, count: queue.size }));
     }
 
-    private place(request: QueuedRequest): Upstream | undefined {
-        return this.opts.placement.placeOnline(this.candidatesOf(request), request);
+    private queueOf(service: ServiceName): ServiceQueue {
+        const queue = this.services.get(service)
+            ?? new ServiceQueue({ service, weights: this.weights, random: this.treeRandom });
+        this.services.set(service, queue);
+        return queue;
     }
 
-    private candidatesOf(request: QueuedRequest): Upstream[] {
-        return this.opts
-            .usableUpstreams(request.service, request.softwareVersion)
-            .filter(upstream => !request.excluded.has(upstream.id));
+    private add(request: QueuedRequest, queue: ServiceQueue): void {
+        this.sequence += 1;
+        const waiting: WaitingRequest = {
+            request,
+            teamId: request.team?.id,
+            streamKey: RequestStream.keyOf(request),
+            sequence: this.sequence,
+            arrivedAtMs: request.arrivedAtMs,
+            callerTimeoutAtMs: request.callerTimeoutAtMs,
+        };
+        this.waiting.set(request, waiting);
+        this.byTimeout.add(waiting);
+        queue.add(waiting);
     }
 
-    private inputsOf(request: QueuedRequest) {
+    private rejectTimedOut(): void {
         const nowMs = this.opts.clock.nowMs();
-        const same = this.requests.filter(other => other.service === request.service);
-        const ahead = same.filter(other => this.compareByUrgency(other, request, nowMs) <= 0);
-        // Peers report only the number of their queued requests; the same mix as in this queue is assumed.
-        const shareAhead = same.length === 0 ? 1 : ahead.length / same.length;
-        const waitingAhead = ahead.length + this.opts.loadTracker.waitingAtPeers(request.service) * shareAhead;
-        const slots = slotsOf(this.candidatesOf(request));
-        return {
-            waitingAhead: waitingAhead * this.shareOfSlots(request, slots),
-            slots,
-            meanHoldMs: this.opts.serviceTimes.meanHoldMs(request.service),
-            meanFirstDataMs: this.opts.serviceTimes.meanFirstDataMs(request.service),
-            objectiveLeftMs: request.objectiveAtMs - nowMs,
-            callerTimeLeftMs: request.callerTimeoutAtMs - nowMs,
-            deadlineLeftMs: request.deadlineAtMs - nowMs,
-            isRetry: request.isRetry || request.isStarted,
-        };
+        for (
+            let first = this.byTimeout.first();
+            first !== undefined && first.callerTimeoutAtMs <= nowMs;
+            first = this.byTimeout.first()
+        ) {
+            this.remove(first.request);
+            this.reject(first.request, 0, "the caller's time is up");
+        }
+    }
+
+    /** Places waiting requests of a service in their order, until none that may still be served finds a slot. */
+    private dispatchService(queue: ServiceQueue): void {
+        const fullVersions = new Set<SoftwareVersion>();
+        const skippedTeams = new Set<TeamId | undefined>();
+        const nowMs = this.opts.clock.nowMs();
+        while (queue.size > 0) {
+            const next = queue.first({
+                lateBeforeMs: this.estimator.lateBeforeMs(queue, nowMs),
+                mayServe: teamId => !skippedTeams.has(teamId),
+                mayUse: version => version === undefined || !fullVersions.has(version),
+            })?.waiting.request;
+            if (next === undefined) {
+                return;
+            }
+            if (this.rejectIfBlocked(next)) {
+                continue;
+            }
+            const upstream = this.place(next);
+            if (upstream !== undefined) {
+                this.remove(next);
+                queue.recordPlaced(next.team?.id, nowMs);
+                next.onPlaced(upstream);
+            }
+            else if (next.softwareVersion !== undefined) {
+                fullVersions.add(next.softwareVersion);
+                this.rejectIfImpossible(next);
+            }
+            else if (this.weights.hasTeams && next.excluded.size > 0) {
+                skippedTeams.add(next.team?.id);
+            }
+            else {
+                // Where no slot is free for a request, a less urgent one can't run either.
+                return;
+            }
+        }
+    }
+
+    /** Checks some of the waiting requests in turn, so that the work doesn't grow with their number. */
+    private checkSome(): void {
+        for (let checked = 0; checked < Math.min(CHECKED_PER_DISPATCH, this.byTimeout.size); checked += 1) {
+            const { lastChecked } = this;
+            const next = this.byTimeout.firstAfter(other =>
+                lastChecked !== undefined && compareByTimeout(other, lastChecked) <= 0
+            );
+            this.lastChecked = next;
+            if (next !== undefined && !this.rejectIfBlocked(next.request) && !this.rejectIfImpossible(next.request)) {
+                this.rejectIfUnreachable(next.request);
+            }
+        }
+    }
+
+    private place(request: QueuedRequest): Upstream | undefined {
+        return this.opts.placement.placeOnline(this.candidates.of(request), request);
     }
 
     private rejectIfBlocked(request: QueuedRequest): boolean {
@@ -137,50 +229,41 @@
     }
 
     /** Rejects a waiting request for whose software version no upstream is left. */
-    private rejectIfImpossible(request: QueuedRequest): void {
-        if (request.softwareVersion !== undefined && this.candidatesOf(request).length === 0) {
+    private rejectIfImpossible(request: QueuedRequest): boolean {
+        const isImpossible = request.softwareVersion !== undefined && this.candidates.of(request).length === 0;
+        if (isImpossible) {
             this.remove(request);
             this.reject(request, 0, "no upstream of the stream's software version is left");
         }
+        return isImpossible;
     }
 
-    /** Returns the share of the service's slots that may run the request. The others run some of those ahead of it. */
-    private shareOfSlots(request: QueuedRequest, slots: number): number {
-        if (request.softwareVersion === undefined) {
-            return 1;
+    /** Rejects a waiting request that has become certain enough to miss its caller's timeout. */
+    private rejectIfUnreachable(request: QueuedRequest): void {
+        const nowMs = this.opts.clock.nowMs();
+        const queue = this.queueOf(request.service);
+        const mayBeUnreachable = this.weights.hasTeams && !request.isStarted
+            && isUnreachable(this.estimator.worstInputsOf(request, queue, nowMs));
+        if (!mayBeUnreachable) {
+            return;
+        }
+        const inputs = this.estimator.inputsOf(request, queue, { isQueued: true, nowMs });
+        const decision = decideAdmission(inputs);
+        if (decision.kind === "reject" && isUnreachable(inputs)) {
+            this.remove(request);
+            this.reject(request, decision.retryAfterMs, "no slot in time any more", estimateOf(inputs, decision));
         }
-        const allSlots = slotsOf(this.opts.usableUpstreams(request.service, undefined));
-        return allSlots === 0 ? 1 : Math.min(1, slots / allSlots);
-    }
-
-    private reject(request: QueuedRequest, retryAfterMs: number, reason: string): void {
-        request.onRejected(retryAfterMs * (1 + this.opts.random.next() * RETRY_JITTER), reason);
-    }
-
-    /**
-     * Compares requests by priority, then those whose response has begun first, then requests that can still meet their
-     * objective first, then first attempts before retries, then by arrival. Late requests at the front of the queue would
-     * make the others late in turn.
-     */
-    private compareByUrgency(left: QueuedRequest, right: QueuedRequest, nowMs: number): number {
-        return left.priority - right.priority
-            || Number(right.isStarted) - Number(left.isStarted)
-            || Number(this.isLate(left, nowMs)) - Number(this.isLate(right, nowMs))
-            || Number(left.isRetry) - Number(right.isRetry)
-            || left.arrivedAtMs - right.arrivedAtMs;
     }
 
-    private isLate(request: QueuedRequest, nowMs: number): boolean {
-        return nowMs + this.opts.serviceTimes.meanFirstDataMs(request.service) > request.objectiveAtMs;
+    private reject(request: QueuedRequest, retryAfterMs: number, reason: string, estimate?: QueueEstimate): void {
+        request.onRejected(retryAfterMs * (1 + this.opts.random.next() * RETRY_JITTER), reason, estimate);
     }
 }
 
-/** Whether `request` can't run before `other` does: it needs one of the same slots, or one of fewer slots. */
-function needsSameSlots(other: QueuedRequest, request: QueuedRequest): boolean {
-    return other.service === request.service
-        && (other.softwareVersion === undefined || other.softwareVersion === request.softwareVersion);
+function estimateOf({ waitingAhead, slots }: AdmissionInputs, { expectedWaitMs }: AdmissionDecision): QueueEstimate {
+    return { expectedWaitMs, waitingAhead, slots };
 }
 
-function slotsOf(upstreams: readonly Upstream[]): number {
-    return upstreams.reduce((sum, upstream) => sum + upstream.slots, 0);
+function compareByTimeout(left: WaitingRequest, right: WaitingRequest): number {
+    return left.callerTimeoutAtMs - right.callerTimeoutAtMs || left.sequence - right.sequence;
 }
--- a/fleet/load/test/requestQueue.test.ts
+++ b/fleet/load/test/requestQueue.test.ts
@@ -41,6 +41,7 @@
         }),
         usableUpstreams: (_service, softwareVersion) =>
             upstreams.filter(upstream => [undefined, upstream.softwareVersion].includes(softwareVersion)),
+        teams: () => undefined,
     });
     const request = (change: Partial<QueuedRequest> = {}): TestRequest => {
         const made: TestRequest = {
@@ -63,6 +64,7 @@
                 made.placedAt = upstream;
                 loadTracker.count(upstream.id, "online", 1);
             },
+            onWaiting: () => undefined,
             onRejected: retryAfterMs => {
                 made.retryAfterMs = retryAfterMs;
             },
--- a/routing/limits/src/weightedFairQueue.ts
+++ b/routing/limits/src/weightedFairQueue.ts
@@ -1,5 +1,6 @@
 import type { TeamId } from "@knapweedwood/core.ids/teamId";
 import type { FairQueueEntry } from "./fairQueueEntry.js";
+import { StartTags } from "./startTags.js";
 
 interface QueuedEntry<Item> extends FairQueueEntry<Item> {
     /** Virtual time at which serving the item would start. The lowest start tag is served next. */
@@ -12,10 +13,7 @@
  */
 export class WeightedFairQueue<Item> {
     private readonly queues = new Map<TeamId, QueuedEntry<Item>[]>();
-    /** Virtual time at which each team's last queued item would be finished. */
-    private readonly finishTags = new Map<TeamId, number>();
-    /** Start tag of the item that was dequeued last. */
-    private virtualTime = 0;
+    private readonly startTags = new StartTags<TeamId>();
     private count = 0;
 
     get size(): number {
@@ -29,8 +27,7 @@
 
     /** Adds an item behind the other items of its team. */
     enqueue(entry: FairQueueEntry<Item>): void {
-        const startTag = Math.max(this.virtualTime, this.finishTags.get(entry.teamId) ?? 0);
-        this.finishTags.set(entry.teamId, startTag + entry.cost / entry.weight);
+        const startTag = this.startTags.assign(entry.teamId, entry.cost / entry.weight);
         const queue = this.queues.get(entry.teamId) ?? [];
         queue.push({ ...entry, startTag });
         this.queues.set(entry.teamId, queue);
@@ -48,7 +45,7 @@
         if (next === undefined) {
             return undefined;
         }
-        this.virtualTime = next.startTag;
+        this.startTags.advanceTo(next.startTag);
         this.removeFirst(next.teamId);
         return next.item;
     }
@@ -77,8 +74,7 @@
             this.queues.delete(teamId);
         }
         if (this.count === 0) {
-            this.finishTags.clear();
-            this.virtualTime = 0;
+            this.startTags.clear();
         }
     }
 }
