feat(load): a team above its share leaves slots free for the other teams' requests at other gateways

Change: a team that demands and gets more than its share takes a slot only if it leaves a share of all slots free.

--- a/bench/decisions/src/callOutcomes.ts
+++ b/bench/decisions/src/callOutcomes.ts
@@ -1,6 +1,7 @@
 import type { CallOutcome } from "./callOutcome.js";
 import type { DecisionFigures } from "./decisionFigures.js";
 import type { LoadPattern } from "./loadPattern.js";
+import type { TeamFigures } from "./teamFigures.js";
 
 /** Time to the first event up to which a call is on time. */
 const OBJECTIVE_MS = 300;
@@ -22,6 +23,7 @@
 
     /** Returns the figures of the calls that arrived within the measured span of a load. */
     figures(load: LoadPattern): Omit<DecisionFigures, "policy" | "load" | "itemsOnTimeShare"> {
+        const teams = this.teamFigures(load);
         const calls = this.arrivedBetween(load.fromMs, load.toMs);
         const onTime = calls.filter(isOnTime);
         const served = calls.filter(call => call.firstEventAtMs !== undefined);
@@ -39,9 +41,29 @@
             worstWindowShare: Math.min(...windows),
             goodputPerSecond: onTime.length * MS_PER_SECOND / (load.toMs - load.fromMs),
             recoveryMs: this.recoveryMs(load),
+            teams,
+            worstUsualTeamShare: Math.min(
+                1,
+                ...teams.filter(team => team.isUsual).map(team => team.onTime / Math.max(1, team.calls)),
+            ),
         };
     }
 
+    private teamFigures(load: LoadPattern): TeamFigures[] {
+        const calls = this.arrivedBetween(load.fromMs, load.toMs);
+        return (load.teams ?? []).map(({ team, isUsual }) => {
+            const own = calls.filter(call => call.teamId === team.id);
+            return {
+                teamId: team.id,
+                isUsual,
+                calls: own.length,
+                onTime: own.filter(isOnTime).length,
+                served: own.filter(call => call.firstEventAtMs !== undefined).length,
+                refused: own.filter(call => call.rejections > 0).length,
+            };
+        });
+    }
+
     /** Returns the time from the end of the span to the first window whose calls are all on time, else Infinity. */
     private recoveryMs(load: LoadPattern): number {
         for (let fromMs = load.toMs; fromMs < load.durationMs - WINDOW_MS; fromMs += RECOVERY_WINDOW_MS) {
--- a/bench/decisions/src/decisionFigures.ts
+++ b/bench/decisions/src/decisionFigures.ts
@@ -1,3 +1,5 @@
+import type { TeamFigures } from "./teamFigures.js";
+
 /** Figures of one policy under one load, over the measured span of the load pattern. */
 export interface DecisionFigures {
     policy: string;
@@ -22,4 +24,8 @@
     recoveryMs: number;
     /** Share of the items due in the span whose result was stored on time. */
     itemsOnTimeShare: number;
+    /** Figures of the teams of the first seed, shape [teams]; empty if callers have no teams. */
+    teams: TeamFigures[];
+    /** Smallest share of calls on time of any team that sends at its usual rate; 1 without such teams. */
+    worstUsualTeamShare: number;
 }
--- a/bench/decisions/src/simulateDecisions.ts
+++ b/bench/decisions/src/simulateDecisions.ts
@@ -1,7 +1,9 @@
 import { exponentialGap } from "@knapweedwood/bench.load/exponentialGap";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
+import type { Random } from "@knapweedwood/core.random/random";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { CallOutcomes } from "./callOutcomes.js";
 import type { DecisionFigures } from "./decisionFigures.js";
@@ -22,6 +24,9 @@
 const MEAN_GAP_MS = 1000 / 39;
 const REPORT_INTERVAL_MS = 15;
 const SEED_FACTOR = 7919;
+/** First stream of random numbers for the callers of teams. */
+const TEAM_STREAM = 100;
+const MS_PER_SECOND = 1000;
 
 /** Simulates one load with one policy. The same seed gives the same arrivals for every policy. */
 export function simulateDecisions(opts: { policy: DecisionPolicy; load: LoadPattern; seed: number; }): DecisionFigures {
@@ -34,6 +39,7 @@
             new SimulatedEngine({ clock, id: `e${index}`, service: SERVICE, zone: ZONES[index % 3]!, slots: SLOTS }),
     );
     const usableEngines = () => engines.slice(0, Math.round(ENGINES * load.engineShare(clock.nowMs())));
+    const teams = load.teams?.map(({ team }) => team);
     const upstreams = (): Upstream[] => usableEngines().map(engine => engine.upstream);
     const gateways = Array.from(
         { length: GATEWAYS },
@@ -46,6 +52,7 @@
                 index,
                 upstreams,
                 placingPeers: () => GATEWAYS - 1,
+                teams,
             }),
     );
     const outcomes = new CallOutcomes();
@@ -63,14 +70,18 @@
         jobs.dispatch();
         clock.setTimer(REPORT_INTERVAL_MS, exchangeReports);
     };
-    const random = randomOf(1);
-    const startNextCaller = () => {
-        const gapMs = exponentialGap(random, MEAN_GAP_MS / load.rateFactor(clock.nowMs()));
-        clock.setTimer(gapMs, startNextCaller);
-        new SimulatedCaller({ clock, random, gateways, engines, outcomes }).start();
+    const startCallers = (random: Random, meanGapMs: () => number, team: Team | undefined) => {
+        clock.setTimer(exponentialGap(random, meanGapMs()), () => startCallers(random, meanGapMs, team));
+        new SimulatedCaller({ clock, random, gateways, engines, outcomes, team }).start();
     };
     exchangeReports();
-    startNextCaller();
+    if (load.teams === undefined) {
+        startCallers(randomOf(1), () => MEAN_GAP_MS / load.rateFactor(clock.nowMs()), undefined);
+    }
+    // Each team has its own random numbers, so that its arrivals don't depend on the load of the others.
+    load.teams?.forEach(({ team, ratePerSecond }, index) =>
+        startCallers(randomOf(TEAM_STREAM + index), () => MS_PER_SECOND / ratePerSecond(clock.nowMs()), team)
+    );
     clock.runUntil(load.durationMs);
     return { policy, load: load.name, ...outcomes.figures(load), itemsOnTimeShare: jobs.onTimeShare(load) };
 }
--- a/bench/decisions/src/simulatedCaller.ts
+++ b/bench/decisions/src/simulatedCaller.ts
@@ -3,6 +3,7 @@
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { QueuedRequest } from "@knapweedwood/fleet.load/queuedRequest";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { CallOutcome } from "./callOutcome.js";
 import type { CallOutcomes } from "./callOutcomes.js";
@@ -31,6 +32,7 @@
         gateways: SimulatedGateway[];
         engines: SimulatedEngine[];
         outcomes: CallOutcomes;
+        team: Team | undefined;
     };
     private readonly outcome: CallOutcome;
     private readonly holdMs: number;
@@ -39,6 +41,7 @@
     constructor(opts: SimulatedCaller["opts"]) {
         this.opts = opts;
         this.outcome = {
+            teamId: opts.team?.id,
             arrivedAtMs: opts.clock.nowMs(),
             lastAttemptAtMs: opts.clock.nowMs(),
             firstEventAtMs: undefined,
@@ -60,12 +63,12 @@
         const nowMs = clock.nowMs();
         this.outcome.lastAttemptAtMs = nowMs;
         const call: QueuedRequest = {
-            team: undefined,
+            team: this.opts.team,
             promptParts: [],
             service: "model" as ServiceName,
             softwareVersion: undefined,
             isStarted: false,
-            priority: 0,
+            priority: this.opts.team?.priority ?? 0,
             arrivedAtMs: nowMs,
             objectiveAtMs: nowMs + OBJECTIVE_MS,
             callerTimeoutAtMs: nowMs + CALLER_TIMEOUT_MS,
--- a/bench/decisions/src/simulatedGateway.ts
+++ b/bench/decisions/src/simulatedGateway.ts
@@ -4,6 +4,7 @@
 import { LeastLoadedPlacement } from "@knapweedwood/fleet.load/leastLoadedPlacement";
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
+import type { Team } from "@knapweedwood/fleet.view/team";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { CallQueue } from "./callQueue.js";
 import type { DecisionPolicy } from "./decisionPolicy.js";
@@ -25,6 +26,8 @@
         index: number;
         upstreams: () => Upstream[];
         placingPeers: () => number;
+        /** The teams whose shares the policy takes into account, shape [teams]; undefined if callers have none. */
+        teams: readonly Team[] | undefined;
     }) {
         const { clock, random, zone, upstreams } = opts;
         this.reporter = new LoadReporter(`gateway-${opts.index}`, () => requestQueue.waitingCounts());
@@ -43,7 +46,7 @@
             serviceTimes: this.serviceTimes,
             placement,
             usableUpstreams: upstreams,
-            teams: () => undefined,
+            teams: () => opts.policy === "ours" ? opts.teams : undefined,
         });
         switch (opts.policy) {
             case "ours":
--- a/cli/knapweed/src/commands/bench/decisions.ts
+++ b/cli/knapweed/src/commands/bench/decisions.ts
@@ -32,6 +32,7 @@
             "on time/s",
             "recovery ms",
             "items on time %",
+            "worst usual team %",
         ];
         this.log(formatTable(
             header,
@@ -47,6 +48,7 @@
                 one.goodputPerSecond.toFixed(1),
                 Math.round(one.recoveryMs),
                 share(one.itemsOnTimeShare),
+                share(one.worstUsualTeamShare),
             ]),
         ));
     }
--- a/fleet/load/src/admissionEstimator.ts
+++ b/fleet/load/src/admissionEstimator.ts
@@ -71,17 +71,12 @@
     ): number {
         const teamId = request.team?.id;
         const atPeers = this.loadTracker.waitingAtPeers(request.service);
-        const othersHere = queue.size - (opts.isQueued ? 1 : 0);
-        if (othersHere === 0) {
-            return queue.countAheadAtPeers(teamId, atPeers, opts.nowMs);
-        }
-        const ahead = queue.countAhead({
+        const position = {
             ...opts,
             urgency: this.urgencyOf(request, queue, opts.nowMs),
             teamId,
             lateBeforeMs: this.lateBeforeMs(queue, opts.nowMs),
-        });
-        // Peers report only the number of their queued requests; the same mix as in this queue is assumed.
-        return ahead + atPeers * ahead / othersHere;
+        };
+        return queue.countAhead(position) + queue.countAheadAtPeers({ ...position, count: atPeers });
     }
 }
--- a/fleet/load/src/fairShares.ts
+++ b/fleet/load/src/fairShares.ts
@@ -8,6 +8,13 @@
 /** Iterations of the estimate of later arrivals, which converges geometrically. */
 const MAX_ITERATIONS = 8;
 
+/** Number of recent arrivals above its share from which a team exceeds it. Few requests come together by chance. */
+const MAX_EXCESS = 3;
+/** Recent arrivals from which a team counts as active. */
+const MIN_ACTIVE_COUNT = 0.2;
+/** Share of the slots that teams above their share leave to the others, if all other requests are of those. */
+const MAX_RESERVED_SHARE = 0.16;
+
 /** The waiting requests of another team, seen from one request. */
 interface OtherTeam {
     teamId: TeamKey;
@@ -20,6 +27,7 @@
 export class FairShares {
     private readonly weights: TeamWeights;
     private readonly startTags = new StartTags<TeamKey>();
+    private readonly arrivals = new RecentCounts<TeamKey>();
     private readonly placements = new RecentCounts<TeamKey>();
     private readonly unplaced = new RecentCounts<TeamKey>();
 
@@ -32,6 +40,11 @@
         return this.startTags.startTagOf(teamId);
     }
 
+    /** Records that a request of the team has arrived. */
+    recordArrival(teamId: TeamKey, nowMs: number): void {
+        this.arrivals.add(teamId, nowMs);
+    }
+
     /** Records that a request of the team takes a slot, also if it hasn't waited. */
     recordPlaced(teamId: TeamKey, nowMs: number): void {
         this.startTags.advanceTo(this.startTags.assign(teamId, 1 / this.weights.weightOf(teamId)));
@@ -43,6 +56,30 @@
         this.unplaced.add(teamId, nowMs);
     }
 
+    /**
+     * Returns the share of the slots that a team leaves free for the others, 0 to 1. A team that demands and gets more
+     * than its share reserves some: a slot that it took would be missed by another gateway's requests, whose teams this
+     * process doesn't know. A team that gets less than its share reserves none, so that it isn't starved.
+     */
+    reservedShareOf(teamId: TeamKey, nowMs: number): number {
+        const isAboveShare = this.excessOf(this.arrivals, teamId, nowMs) > MAX_EXCESS
+            && this.excessOf(this.placements, teamId, nowMs) >= 0;
+        return isAboveShare ? MAX_RESERVED_SHARE * (1 - this.arrivals.shareOf(teamId, nowMs)) : 0;
+    }
+
+    /** Returns the number of recent events of a team above its share by weight among the active teams. */
+    private excessOf(events: RecentCounts<TeamKey>, teamId: TeamKey, nowMs: number): number {
+        const share = events.shareOf(teamId, nowMs);
+        if (share === 0) {
+            return -Infinity;
+        }
+        const activeWeight = this.arrivals.keys()
+            .filter(key => key === teamId || this.arrivals.countOf(key, nowMs) > MIN_ACTIVE_COUNT)
+            .reduce((sum, key) => sum + this.weights.weightOf(key), 0);
+        const count = events.countOf(teamId, nowMs);
+        return count - count / share * this.weights.weightOf(teamId) / activeWeight;
+    }
+
     /**
      * Returns the expected number of requests that are served before one of a team: of the team those ahead of it, and of
      * the others those that wait or arrive meanwhile, up to their fair shares of the time.
--- a/fleet/load/src/queueCandidates.ts
+++ b/fleet/load/src/queueCandidates.ts
@@ -1,6 +1,7 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { LoadTracker } from "./loadTracker.js";
 import type { QueuedRequest } from "./queuedRequest.js";
 
 /**
@@ -12,9 +13,11 @@
 /** The upstreams and slots that may run a request. */
 export class QueueCandidates {
     private readonly usableUpstreams: UsableUpstreams;
+    private readonly loadTracker: LoadTracker;
 
-    constructor(usableUpstreams: UsableUpstreams) {
-        this.usableUpstreams = usableUpstreams;
+    constructor(opts: { usableUpstreams: UsableUpstreams; loadTracker: LoadTracker; }) {
+        this.usableUpstreams = opts.usableUpstreams;
+        this.loadTracker = opts.loadTracker;
     }
 
     /** Returns the upstreams that may run a request, shape [upstreams]. */
@@ -28,6 +31,21 @@
         return sumOfSlots(this.of(request));
     }
 
+    /**
+     * Whether so many slots are free that a request leaves a share of all to others.
+     *
+     * @param reservedShare 0 to 1
+     */
+    leavesFree(request: QueuedRequest, reservedShare: number): boolean {
+        if (reservedShare === 0) {
+            return true;
+        }
+        const upstreams = this.usableUpstreams(request.service, undefined);
+        const free = upstreams
+            .reduce((sum, { id, slots }) => sum + Math.max(0, slots - this.loadTracker.onlineCount(id)), 0);
+        return free > Math.round(sumOfSlots(upstreams) * reservedShare);
+    }
+
     /**
      * Returns the share of the service's slots, of which `slots` may run the request. The other slots run some of the
      * requests ahead of it.
--- a/fleet/load/src/recentCounts.ts
+++ b/fleet/load/src/recentCounts.ts
@@ -1,5 +1,5 @@
 /** Time after which an event counts 1/e, in milliseconds. */
-const DECAY_MS = 1000;
+const DECAY_MS = 2000;
 /** Number of entries from which those that hardly count are dropped. */
 const MIN_PURGED_ENTRIES = 64;
 const NEGLIGIBLE_COUNT = 0.01;
@@ -21,10 +21,15 @@
         this.purge(nowMs);
     }
 
+    /** Returns the number of recent events that have the key. */
+    countOf(key: Key, nowMs: number): number {
+        return decayed(this.counts.get(key), nowMs);
+    }
+
     /** Returns the share of the recent events that have the key; 0 if there were none. */
     shareOf(key: Key, nowMs: number): number {
         const total = decayed(this.total, nowMs);
-        return total < NEGLIGIBLE_COUNT ? 0 : decayed(this.counts.get(key), nowMs) / total;
+        return total < NEGLIGIBLE_COUNT ? 0 : this.countOf(key, nowMs) / total;
     }
 
     /** Returns the keys of recent events, shape [keys]. */
--- a/fleet/load/src/requestQueue.ts
+++ b/fleet/load/src/requestQueue.ts
@@ -68,7 +68,7 @@
     constructor(opts: RequestQueueOptions) {
         this.opts = opts;
         this.weights = new TeamWeights(opts.teams);
-        this.candidates = new QueueCandidates(opts.usableUpstreams);
+        this.candidates = new QueueCandidates(opts);
         this.estimator = new AdmissionEstimator({ ...opts, candidates: this.candidates });
     }
 
@@ -79,6 +79,7 @@
         }
         const nowMs = this.opts.clock.nowMs();
         const queue = this.queueOf(request.service);
+        queue.recordArrival(request.team?.id, nowMs);
         if (this.weights.hasTeams) {
             // What still waits afterwards can't use the free slots, and must not keep other teams from them.
             this.dispatchService(queue);
@@ -87,7 +88,7 @@
         const urgency = this.estimator.urgencyOf(request, queue, nowMs);
         const lateBeforeMs = this.estimator.lateBeforeMs(queue, nowMs);
         const mustWait = queue.mustWait(urgency, teamId, request.softwareVersion, lateBeforeMs);
-        const upstream = mustWait ? undefined : this.place(request);
+        const upstream = mustWait || !this.mayTakeSlot(request, queue) ? undefined : this.place(request);
         if (upstream !== undefined) {
             queue.recordPlaced(teamId, nowMs);
             request.onPlaced(upstream);
@@ -181,6 +182,10 @@
             if (this.rejectIfBlocked(next)) {
                 continue;
             }
+            if (!this.mayTakeSlot(next, queue)) {
+                skippedTeams.add(next.team?.id);
+                continue;
+            }
             const upstream = this.place(next);
             if (upstream !== undefined) {
                 this.remove(next);
@@ -215,6 +220,13 @@
         }
     }
 
+    /** Whether the request leaves the slots free that its team has to leave to others. */
+    private mayTakeSlot(request: QueuedRequest, queue: ServiceQueue): boolean {
+        const nowMs = this.opts.clock.nowMs();
+        return request.isStarted
+            || this.candidates.leavesFree(request, queue.reservedShareOf(request.team?.id, nowMs));
+    }
+
     private place(request: QueuedRequest): Upstream | undefined {
         return this.opts.placement.placeOnline(this.candidates.of(request), request);
     }
--- a/fleet/load/src/serviceQueue.ts
+++ b/fleet/load/src/serviceQueue.ts
@@ -54,6 +54,13 @@
         }
     }
 
+    /** Records that a request of the team has arrived. */
+    recordArrival(teamId: TeamKey, nowMs: number): void {
+        if (this.weights.hasTeams) {
+            this.shares.recordArrival(teamId, nowMs);
+        }
+    }
+
     /** Records that a request of the team takes a slot, also if it hasn't waited. */
     recordPlaced(teamId: TeamKey, nowMs: number): void {
         if (this.weights.hasTeams) {
@@ -68,6 +75,11 @@
         }
     }
 
+    /** Returns the share of the slots that a team leaves free for the others, 0 to 1. */
+    reservedShareOf(teamId: TeamKey, nowMs: number): number {
+        return this.weights.hasTeams ? this.shares.reservedShareOf(teamId, nowMs) : 0;
+    }
+
     /**
      * Returns the request that is served next, of the teams and software versions that may be served.
      *
@@ -123,8 +135,7 @@
         const { urgency, teamId, lateBeforeMs, nowMs } = opts;
         const itself = opts.isQueued ? 1 : 0;
         if (!this.weights.hasTeams) {
-            return [...this.teams.values()]
-                .reduce((sum, team) => sum + team.countAhead(urgency, compareUrgency, lateBeforeMs), -itself);
+            return this.countMoreUrgent(urgency, lateBeforeMs) - itself;
         }
         const urgencyClass = urgencyClassOf(urgency);
         const ownCount = this.teams.get(teamId)?.countAhead(urgency, compareWithinTeam, lateBeforeMs) ?? 0;
@@ -143,9 +154,31 @@
         });
     }
 
-    /** Returns the expected number of requests, of `count` that wait at peers while none waits here, that go first. */
-    countAheadAtPeers(teamId: TeamKey, count: number, nowMs: number): number {
-        return this.weights.hasTeams ? this.shares.countAheadAtPeers(teamId, count, nowMs) : count;
+    /**
+     * Returns the expected number of requests that are served before one, of `count` that wait at peers. Peers report only
+     * the number of their queued requests; the same mix as here is assumed.
+     */
+    countAheadAtPeers(opts: {
+        urgency: Urgency;
+        teamId: TeamKey;
+        isQueued: boolean;
+        count: number;
+        lateBeforeMs: number;
+        nowMs: number;
+    }): number {
+        const itself = opts.isQueued ? 1 : 0;
+        const moreUrgentShare = this.count === itself
+            ? 1
+            : (this.countMoreUrgent(opts.urgency, opts.lateBeforeMs) - itself) / (this.count - itself);
+        const moreUrgent = opts.count * moreUrgentShare;
+        return this.weights.hasTeams
+            ? this.shares.countAheadAtPeers(opts.teamId, moreUrgent, opts.nowMs)
+            : moreUrgent;
+    }
+
+    private countMoreUrgent(urgency: Urgency, lateBeforeMs: number): number {
+        const order = this.weights.hasTeams ? compareWithinTeam : compareUrgency;
+        return [...this.teams.values()].reduce((sum, team) => sum + team.countAhead(urgency, order, lateBeforeMs), 0);
     }
 }
 
