--- a/fleet/load/src/serviceQueue.ts
+++ b/fleet/load/src/serviceQueue.ts
@@ -92,11 +92,12 @@
         mayUse: ((softwareVersion: SoftwareVersion | undefined) => boolean) | undefined;
     }): RankedRequest | undefined {
         const { hasTeams } = this.weights;
-        const order = hasTeams ? compareWithinTeam : compareUrgency;
+        const { lateBeforeMs, mayUse } = opts;
+        const query = { lateBeforeMs, mayUse, order: hasTeams ? compareWithinTeam : compareUrgency };
         return [...this.teams]
             .filter(([teamId]) => opts.mayServe(teamId))
             .map(([teamId, team]) => ({
-                head: team.first({ ...opts, order }),
+                head: team.first(query),
                 startTag: hasTeams ? this.shares.startTagOf(teamId) : 0,
             }))
             .filter((candidate): candidate is Candidate => candidate.head !== undefined)
