--- a/bench/decisions/src/unequalGateway.ts
+++ b/bench/decisions/src/unequalGateway.ts
@@ -62,6 +62,7 @@
             loadTracker,
             serviceTimes: this.serviceTimes,
             usableUpstreams,
+            teams: () => undefined,
             placement: new LeastLoadedPlacement({
                 loadTracker,
                 random,
@@ -90,6 +91,7 @@
             isRetry: false,
             excluded: new Set(),
             blockedForMs: () => 0,
+            onWaiting: () => undefined,
             onPlaced: upstream => this.run(upstream, outcome),
             onRejected: () => {
                 outcome.isRejected = true;
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -76,6 +76,7 @@
                 speeds,
             }),
             usableUpstreams: (service, softwareVersion) => this.fleet.upstreams.usable(service, softwareVersion),
+            teams: () => configuration.current?.teams,
         });
         const context: GatewayContext = {
             clock,
