fix(upstreams): a late second copy of a response isn't taken for the response to the next request

Operators of a similar system saw callers get a response that wasn't theirs, from a connection that was in use again. A copy without a request id was accepted here, and so was one of an earlier run of the same request. Once an upstream has echoed an id on a connection, a response without one belongs to no request, and a request that is sent again gets a connection that hasn't carried it.

--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -29,6 +29,8 @@
 /** Failure of an exchange whose response is not acceptable. */
 const INVALID = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
 const REQUEST_ID_HEADER = "x-request-id";
+/** Number of earlier requests of a connection whose late responses are told apart by their ids. */
+const REMEMBERED_REQUESTS = 16;
 
 /** A connection to an upstream that carries one exchange at a time. */
 export class UpstreamConnection {
@@ -40,6 +42,10 @@
     private connection: HttpConnection | undefined;
     /** Bytes that had been received on the connection when the last head or data arrived. */
     private bytesAtLastData = 0;
+    /** Ids of the last requests on this connection, shape [requests]. */
+    private requestIds: string[] = [];
+    /** Whether a response on this connection had an id, so that one without belongs to no request. */
+    private echoesIds = false;
     private failExchange: (failure: ExchangeFailure) => void = () => undefined;
 
     /**
@@ -87,6 +93,7 @@
             }
         };
         this.failExchange = fail;
+        this.requestIds = [...this.requestIds, request.requestId].slice(-REMEMBERED_REQUESTS);
         this.recordData();
         const dispatchHandler: Dispatcher.DispatchHandler = {
             onRequestStart: started => {
@@ -104,7 +111,7 @@
                 }
                 this.recordData();
                 ending = responseEndingOf(request.method, statusCode, headers);
-                if (!isResponseTo(request, headers)) {
+                if (!this.isResponseTo(request, headers)) {
                     fail({ ...INVALID, code: "ANSWER_OF_ANOTHER_REQUEST" });
                     return;
                 }
@@ -150,6 +157,18 @@
         };
     }
 
+    /** Returns whether the connection has carried a request with this id, of which a second response may still arrive. */
+    hasCarried(requestId: string): boolean {
+        return this.requestIds.includes(requestId);
+    }
+
+    private isResponseTo(request: ExchangeRequest, headers: IncomingHttpHeaders): boolean {
+        const echoed = headers[REQUEST_ID_HEADER];
+        const isAcceptable = echoed === request.requestId || (echoed === undefined && !this.echoesIds);
+        this.echoesIds ||= echoed !== undefined;
+        return isAcceptable;
+    }
+
     /** Records how a connection ends, before the HTTP client reacts to it. */
     private onConnected(connection: HttpConnection): void {
         this.connection = connection;
@@ -185,8 +204,3 @@
         ? error.causeCode
         : (error as NodeJS.ErrnoException).code ?? error.message;
 }
-
-function isResponseTo(request: ExchangeRequest, headers: IncomingHttpHeaders): boolean {
-    const echoed = headers[REQUEST_ID_HEADER];
-    return echoed === undefined || echoed === request.requestId;
-}
--- a/fleet/upstreams/src/upstreamConnections.ts
+++ b/fleet/upstreams/src/upstreamConnections.ts
@@ -16,10 +16,13 @@
 export class UpstreamConnections {
     private readonly pools = new Map<UpstreamProcessKey, Pool>();
 
-    /** Sends a request to the upstream on an idle connection, or on a new one if none is idle. */
+    /**
+     * Sends a request to the upstream on an idle connection, or on a new one if none is idle. A request that is sent again
+     * gets another connection, since a late second response to the first time would have its id.
+     */
     send(upstream: Upstream, request: ExchangeRequest, handler: ExchangeHandler): Exchange {
         const pool = this.poolOf(upstream);
-        const connection = pool.idle.pop() ?? this.open(upstream, pool);
+        const connection = takeIdle(pool, request.requestId) ?? this.open(upstream, pool);
         return connection.send(request, handler);
     }
 
@@ -63,3 +66,9 @@
         return connection;
     }
 }
+
+/** Takes the idle connection that was used last and hasn't carried a request with this id. */
+function takeIdle(pool: Pool, requestId: string): UpstreamConnection | undefined {
+    const index = pool.idle.findLastIndex(connection => !connection.hasCarried(requestId));
+    return index < 0 ? undefined : pool.idle.splice(index, 1)[0];
+}
