--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -18,6 +18,7 @@
 import { AttemptOutcomes } from "./attemptOutcomes.js";
 import { callerTimeoutAtMs } from "./callerTimeoutAtMs.js";
 import { CallRecorder } from "./callRecorder.js";
+import { CallTimes } from "./callTimes.js";
 import { CallTraits } from "./callTraits.js";
 import { chooseService } from "./chooseService.js";
 import { createAttempt } from "./createAttempt.js";
@@ -25,20 +26,17 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { headerOf } from "./headerOf.js";
 import { isRepeatable } from "./isRepeatable.js";
-import { MAX_UNSENT_BYTES } from "./maxUnsentBytes.js";
 import { queueFieldsOf } from "./queueFieldsOf.js";
+import { ResponseForwarder } from "./responseForwarder.js";
 import { type ResponseWriter } from "./responseWriter.js";
 import type { ResumptionDecision } from "./resumptionDecision.js";
 import { sendFailure } from "./sendFailure.js";
 import { StreamContinuity } from "./streamContinuity.js";
 import { upstreamRequestOf } from "./upstreamRequestOf.js";
 
-const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
 const HTTP_SERVER_ERROR = 500;
-/** Share of the route's timeout below which the remaining time identifies a request as a retry. */
-const RETRY_REMAINING_SHARE = 0.97;
 /** Failure of an attempt that this process has ended. */
 const ABORTED = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
 const FAILED_RETRY_AFTER_MS = 100;
@@ -68,10 +66,10 @@
     private readonly requestId: RequestId;
     /** Undefined unless the response is a stream that may be resumed. */
     private readonly continuity: StreamContinuity | undefined;
-    private readonly memory: MemoryReservation;
     private readonly traits: CallTraits;
     private readonly deadlineTimer: Timer;
     private readonly writer: ResponseWriter;
+    private readonly forwarder: ResponseForwarder;
     private attempt: Attempt | undefined;
     private attempts = 0;
     private mayHaveRun = false;
@@ -97,7 +95,6 @@
         this.request = request;
         this.response = opts.response;
         this.body = opts.body;
-        this.memory = opts.memory;
         this.onNotRun = opts.onNotRun;
         this.arrivedAtMs = opts.arrivedAtMs;
         this.requestId = (headerOf(request, context.headers.requestId) ?? "") as RequestId;
@@ -106,10 +103,12 @@
         this.team = opts.team;
         this.priority = this.team?.priority ?? route.priority;
         this.traits = new CallTraits(context, request, opts.body);
-        const remainingMs = Number(headerOf(request, context.headers.remainingMs) ?? route.timeoutMs);
-        this.isRetry = remainingMs < route.timeoutMs * RETRY_REMAINING_SHARE;
-        this.objectiveAtMs = this.arrivedAtMs + route.objectiveMs;
-        this.deadlineAtMs = this.arrivedAtMs + Math.min(remainingMs, route.timeoutMs);
+        const remaining = headerOf(request, context.headers.remainingMs);
+        const remainingMs = remaining === undefined ? undefined : Number(remaining);
+        const times = new CallTimes(route, { arrivedAtMs: opts.arrivedAtMs, remainingMs });
+        this.isRetry = times.isRetry;
+        this.objectiveAtMs = times.objectiveAtMs;
+        this.deadlineAtMs = times.deadlineAtMs;
         this.callerTimeoutAtMs = callerTimeoutAtMs(this, route, this.arrivedAtMs);
         this.continuity = route.kind === "stream" && route.isResumable
             ? new StreamContinuity({ context, route, request, requestId: this.requestId })
@@ -119,6 +118,14 @@
             route,
             mayBeEmpty: this.continuity?.isResumption === true,
         });
+        this.forwarder = new ResponseForwarder({
+            ...opts,
+            clock: context.clock,
+            serviceTimes: context.serviceTimes,
+            writer: this.writer,
+            recorder: this.recorder,
+            continuity: this.continuity,
+        });
         this.deadlineTimer = context.clock.setTimer(this.deadlineAtMs - context.clock.nowMs(), () => this.onDeadline());
         opts.response.on("close", () => this.onCallerDisconnected());
     }
@@ -263,39 +270,13 @@
             }
             return;
         }
-        const nowMs = this.context.clock.nowMs();
-        if (!attempt.stallDetector.hasData) {
-            this.context.serviceTimes.recordFirstData(this.service, nowMs - attempt.startedAtMs);
-        }
-        const { progress } = this.writer;
-        this.recorder.onData(nowMs);
-        if (this.writer.statusCode === HTTP_OK) {
-            attempt.sampler.onData(chunk);
-        }
-        const isCallerSlow = !this.writer.onData(chunk);
-        attempt.stallDetector.onData(this.writer.progress !== progress);
-        this.holdUnsent(attempt, isCallerSlow);
-        if (this.writer.hasStarted && this.writer.statusCode === HTTP_OK) {
-            this.continuity?.onEventsSent(attempt.upstream);
-        }
-        if (this.writer.isOverLimit()) {
+        const outcome = this.forwarder.onData(attempt, this.service, chunk);
+        if (outcome === "too-large") {
             this.failAttempt(attempt, "ANSWER_TOO_LARGE");
         }
-    }
-
-    /** Counts what is not sent yet. Lets the upstream wait where that is too much, ends the call where it can't wait. */
-    private holdUnsent(attempt: Attempt, isCallerSlow: boolean): void {
-        const { unsentBytes } = this.writer;
-        const hasRoom = this.memory.trySetResponseBytes(unsentBytes);
-        if (!hasRoom && !isCallerSlow) {
+        if (outcome === "no-memory") {
             this.abort(attempt);
             this.fail(502, "The process holds as much for its callers as it may");
-            return;
-        }
-        if (isCallerSlow && (!hasRoom || unsentBytes > MAX_UNSENT_BYTES)) {
-            attempt.sampler.onPaused();
-            attempt.exchange.pause();
-            this.response.once("drain", () => attempt.exchange.resume());
         }
     }
 
