feat(prompts): placement counts what prompt caches of upstreams save

Upstreams read repeated prompts again, because placement spread them without regard to the parts that an upstream has read before. Each gateway now keeps an index of its own responses by upstream process, learns the time to read a token, and subtracts the time saved from the cost of a placement, with a small preference for upstreams chosen by rendezvous hashing. The term is at most 0.6 of the cost of one more request.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -2,6 +2,7 @@
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import type { Incarnation } from "@knapweedwood/core.ids/incarnation";
 import type { InstanceId } from "@knapweedwood/core.ids/instanceId";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { LoadExchange } from "@knapweedwood/fleet.load/loadExchange";
 import type { LoadReport } from "@knapweedwood/fleet.load/loadReport";
@@ -60,6 +61,8 @@
     onConfiguration(): void;
     /** Called with the revision at which another process last wrote a job. */
     onJobsWritten(revision: number): void;
+    /** Called when an upstream has left. */
+    onUpstreamLeft?: (id: UpstreamId) => void;
     /** Called when the operators request to drain this instance. May be called more than once. */
     onDrainRequested(): void;
     /** Called when this process becomes or is no longer the leader, which runs batch jobs. Only called on runners. */
@@ -151,6 +154,7 @@
             connections,
             drainMs: () => opts.settings.upstreamDrainMs,
             isKeyValueReachable: () => this.reachability.isLeaseRenewed,
+            onLeft: id => opts.onUpstreamLeft?.(id),
             onChanged: opts.onLoadChanged,
         });
         this.reachability = new KeyValueReachability({ clock, peers: this.peers, loadTracker });
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -14,6 +14,7 @@
 import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import { MemoryBudget } from "@knapweedwood/fleet.memory/memoryBudget";
 import { memoryBudgetBytes } from "@knapweedwood/fleet.memory/memoryBudgetBytes";
+import { PromptCacheCost } from "@knapweedwood/fleet.prompts/promptCacheCost";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
 import type { ActiveSettings } from "./activeSettings.js";
@@ -38,6 +39,7 @@
     private readonly server: GatewayServer;
     private readonly readiness: ReadinessServer;
     private readonly requestQueue: RequestQueue;
+    private readonly promptCaches: PromptCacheCost;
     private readonly snapshotLoader: SnapshotLoader;
     private readonly closing = new AbortController();
     private isStopping = false;
@@ -54,6 +56,7 @@
             waiting: () => this.requestQueue.waitingCounts(),
             onConfiguration: () => this.server.applyLimits(this.fleet.operators.configuration.current!.limits),
             onJobsWritten: () => undefined,
+            onUpstreamLeft: id => this.promptCaches.forget(id),
             onDrainRequested: () => undefined,
             onLeadershipChanged: () => undefined,
         });
@@ -62,6 +65,11 @@
         const usableUpstreams = (service: ServiceName) => this.fleet.upstreams.usable(service, undefined);
         const meanSlowness = new MeanSlowness({ clock, speeds, usableUpstreams });
         const serviceTimes = new ServiceTimes({ meanSlowness: service => meanSlowness.of(service) });
+        this.promptCaches = new PromptCacheCost({
+            speeds,
+            usableUpstreams,
+            processes: () => this.fleet.peers.placingPeerCount + 1,
+        });
         this.requestQueue = new RequestQueue({
             clock,
             random,
@@ -74,6 +82,7 @@
                 connectionShare: service => this.connectionShare(service),
                 placingPeers: () => this.fleet.peers.placingPeerCount,
                 speeds,
+                cost: this.promptCaches,
             }),
             usableUpstreams: (service, softwareVersion) => this.fleet.upstreams.usable(service, softwareVersion),
             teams: () => configuration.current?.teams,
@@ -92,6 +101,7 @@
             speeds,
             requestQueue: this.requestQueue,
             memory: new MemoryBudget({ limitBytes: memoryBudgetBytes(settings.memoryMb) }),
+            promptCaches: this.promptCaches,
             quarantine: this.fleet.quarantine,
             rateLimiter: this.fleet.rateLimiter,
             origins: this.fleet.streamOrigins,
@@ -99,6 +109,7 @@
             soleVersion: (service, sinceMs) => this.fleet.upstreams.soleVersion(service, sinceMs),
             headers: protocol.headers,
             decodeSharedPromptParts: value => protocol.decodeSharedPromptParts(value),
+            decodePromptParts: value => protocol.decodePromptParts(value),
             onLoadChanged: () => this.fleet.markLoadChanged(),
             whenInitialized: () => this.fleet.whenInitialized(MAX_START_WAIT_MS),
             isStopping: () => this.isStopping,
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -27,6 +27,8 @@
     drainMs: () => number;
     /** Returns whether this process has reached the key-value service a short time ago. */
     isKeyValueReachable: () => boolean;
+    /** Called when an upstream has left. */
+    onLeft?: (id: UpstreamId) => void;
     /** Called when the set of upstreams or the state of an upstream has changed. */
     onChanged: () => void;
 }
@@ -194,6 +196,7 @@
             }
             if (kind === "left") {
                 this.opts.connections.forget(upstream);
+                this.opts.onLeft?.(upstream.id);
             }
         });
         if (changes.length > 0) {
--- a/fleet/gateway/src/attempt.ts
+++ b/fleet/gateway/src/attempt.ts
@@ -1,3 +1,4 @@
+import type { PromptRun } from "@knapweedwood/fleet.prompts/promptRun";
 import type { RequestRun } from "@knapweedwood/fleet.quarantine/requestRun";
 import type { Exchange } from "@knapweedwood/fleet.upstreams/exchange";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
@@ -11,6 +12,7 @@
     startedAtMs: number;
     stallDetector: StallDetector;
     sampler: ResponseSampler;
+    promptRun: PromptRun;
     /** Whether the upstream has responded that it doesn't run the request. */
     isNotRun: boolean;
     /** Bytes of the body of a response that says that the upstream doesn't run the request. */
--- a/fleet/gateway/src/callRecorder.ts
+++ b/fleet/gateway/src/callRecorder.ts
@@ -1,5 +1,6 @@
 import type { RequestId } from "@knapweedwood/core.ids/requestId";
 import type { QueueEstimate } from "@knapweedwood/fleet.load/queueEstimate";
+import type { PromptRun } from "@knapweedwood/fleet.prompts/promptRun";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Team } from "@knapweedwood/fleet.view/team";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -50,6 +51,15 @@
         this.log("call-placed", { ...fields, waitedMs: this.elapsedMs() });
     }
 
+    /** Records how much of its prompt the chosen upstream is expected to read. */
+    onPrompt({ keptTokens, readTokens }: PromptRun): void {
+        if (keptTokens + readTokens > 0) {
+            const { metrics } = this.opts.context;
+            metrics.increment("prompt_tokens_total", { outcome: "kept" }, keptTokens);
+            metrics.increment("prompt_tokens_total", { outcome: "read" }, readTokens);
+        }
+    }
+
     /** Records that the request waits for a slot. */
     onWaiting(team: Team | undefined, estimate: QueueEstimate): void {
         this.countForTeam(team, "waiting");
--- a/fleet/gateway/src/callerProtocol.ts
+++ b/fleet/gateway/src/callerProtocol.ts
@@ -2,6 +2,7 @@
 import type { JobSubmission } from "@knapweedwood/fleet.jobs/jobSubmission";
 import type { ResultsPage } from "@knapweedwood/fleet.jobs/resultsPage";
 import type { CallHeaderNames } from "@knapweedwood/fleet.view/callHeaderNames";
+import type { PromptPart } from "@knapweedwood/fleet.view/promptPart";
 import type { IncomingMessage } from "node:http";
 import type { JobCall } from "./jobCall.js";
 
@@ -12,6 +13,8 @@
     readonly readinessPath: string;
     /** Decodes the parts of a prompt that other requests may share from the header that lists them, shape [parts]. */
     decodeSharedPromptParts(value: string | undefined): PromptPartId[];
+    /** Decodes all parts of a prompt in their order from the same header, shape [parts]. */
+    decodePromptParts(value: string | undefined): PromptPart[];
     /** Decodes a call about a job; returns undefined for any other request. */
     parseJobCall(request: IncomingMessage): JobCall | undefined;
     /** Decodes a job submission. Throws `SUBMISSION_INVALID` if it is malformed. */
--- a/fleet/gateway/src/createAttempt.ts
+++ b/fleet/gateway/src/createAttempt.ts
@@ -1,3 +1,4 @@
+import type { PromptRun } from "@knapweedwood/fleet.prompts/promptRun";
 import type { RequestRun } from "@knapweedwood/fleet.quarantine/requestRun";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
@@ -15,16 +16,18 @@
     response: ServerResponse;
     upstream: Upstream;
     requestRun: RequestRun;
+    promptRun: PromptRun;
     onNoResponse: (attempt: Attempt) => void;
     onPaused: (attempt: Attempt) => void;
 }): Attempt {
-    const { clock, speeds, route, response, upstream, requestRun } = opts;
+    const { clock, speeds, route, response, upstream, requestRun, promptRun } = opts;
     const attempt: Attempt = {
         upstream,
         startedAtMs: clock.nowMs(),
         isNotRun: false,
         notRunBodyBytes: 0,
         requestRun,
+        promptRun,
         sampler: new ResponseSampler({ clock, speeds, upstream, isStream: route.kind === "stream" }),
         stallDetector: new StallDetector({
             clock,
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -9,11 +9,13 @@
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import type { MemoryBudget } from "@knapweedwood/fleet.memory/memoryBudget";
+import type { PromptCacheCost } from "@knapweedwood/fleet.prompts/promptCacheCost";
 import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { CallHeaderNames } from "@knapweedwood/fleet.view/callHeaderNames";
+import type { PromptPart } from "@knapweedwood/fleet.view/promptPart";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
@@ -37,6 +39,8 @@
     /** Bytes held for callers. */
     memory: MemoryBudget;
     quarantine: RequestQuarantine;
+    /** What upstreams probably keep of prompts. */
+    promptCaches: PromptCacheCost;
     /** Meters the requests of limited teams. */
     rateLimiter: FleetRateLimiter;
     /** What began the streams that callers may resume. */
@@ -48,6 +52,8 @@
     headers: CallHeaderNames;
     /** Decodes the parts of a prompt that other requests may share from the header that lists them, shape [parts]. */
     decodeSharedPromptParts: (value: string | undefined) => PromptPartId[];
+    /** Decodes all parts of a prompt in their order from the same header, shape [parts]. */
+    decodePromptParts: (value: string | undefined) => PromptPart[];
     /** Notifies the other processes that the load has changed. */
     onLoadChanged: () => void;
     /** Resolves once the configuration and the upstreams are loaded, or after a short timeout. */
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -49,7 +49,7 @@
 export class OnlineCall implements QueuedRequest {
     service: ServiceName;
     readonly team: Team | undefined;
-    readonly promptParts: readonly PromptPart[] = [];
+    readonly promptParts: readonly PromptPart[];
     readonly priority: number;
     readonly arrivedAtMs: number;
     readonly objectiveAtMs: number;
@@ -106,6 +106,7 @@
         this.team = opts.team;
         this.priority = this.team?.priority ?? route.priority;
         this.traits = new CallTraits(context, request, opts.body);
+        this.promptParts = context.decodePromptParts(headerOf(request, context.headers.promptParts));
         const remainingMs = Number(headerOf(request, context.headers.remainingMs) ?? route.timeoutMs);
         this.isRetry = remainingMs < route.timeoutMs * RETRY_REMAINING_SHARE;
         this.objectiveAtMs = this.arrivedAtMs + route.objectiveMs;
@@ -169,6 +170,7 @@
         this.excluded.add(upstream.id);
         this.context.loadTracker.count(upstream.id, "online", 1);
         this.context.onLoadChanged();
+        const promptRun = this.context.promptCaches.begin(upstream, this.promptParts);
         this.recorder.onPlaced({
             upstream: upstream.id,
             softwareVersion: upstream.softwareVersion,
@@ -178,7 +180,9 @@
             online: this.context.loadTracker.onlineCount(upstream.id),
             slowness: this.context.speeds.loggedSlownessOf(upstream.id),
             configuration: this.context.configuration.version,
+            promptTokensKept: this.promptParts.length === 0 ? undefined : promptRun.keptTokens,
         });
+        this.recorder.onPrompt(promptRun);
         const attempt = createAttempt({
             clock: this.context.clock,
             speeds: this.context.speeds,
@@ -186,6 +190,7 @@
             response: this.response,
             upstream,
             requestRun: this.context.quarantine.begin(this.service, this.traits.all),
+            promptRun,
             onNoResponse: silent => this.onNoResponse(silent),
             onPaused: paused => this.onPaused(paused),
         });
@@ -270,6 +275,9 @@
         const { progress } = this.writer;
         this.recorder.onData(nowMs);
         if (this.writer.statusCode === HTTP_OK) {
+            if (!attempt.stallDetector.hasData) {
+                attempt.promptRun.onBegun(nowMs - attempt.startedAtMs);
+            }
             attempt.sampler.onData(chunk);
         }
         const isCallerSlow = !this.writer.onData(chunk);
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -9,6 +9,7 @@
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import { MemoryBudget } from "@knapweedwood/fleet.memory/memoryBudget";
+import { PromptCacheCost } from "@knapweedwood/fleet.prompts/promptCacheCost";
 import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
@@ -104,6 +105,7 @@
             /** Handles calls about jobs; without it there are none. */
             jobs?: { routes: JobRoutes; parse: CallerProtocol["parseJobCall"]; };
             origins?: StreamOrigins;
+            decodePromptParts?: CallerProtocol["decodePromptParts"];
             soleVersion?: SoftwareVersion;
             logger?: Logger;
             metrics?: Metrics;
@@ -182,11 +184,17 @@
                 teamOf: teamId => configuration.teamWithId(teamId),
                 onActive: () => undefined,
             }),
+            promptCaches: new PromptCacheCost({
+                speeds: new UpstreamSpeeds({ clock }),
+                usableUpstreams: () => [],
+                processes: () => 1,
+            }),
             origins: opts.origins ?? unknownOrigins,
             soleVersion: () => opts.soleVersion,
             onUpstreamLeaving: upstream => directory.markLeaving(upstream, clock.nowMs()),
             headers,
             decodeSharedPromptParts: value => (value ?? "").split(",").slice(0, -1) as PromptPartId[],
+            decodePromptParts: opts.decodePromptParts ?? (() => []),
             onLoadChanged: () => undefined,
             whenInitialized: () => Promise.resolve(),
             isStopping: () => this.isStopping,
--- a/fleet/load/src/leastLoadedPlacement.ts
+++ b/fleet/load/src/leastLoadedPlacement.ts
@@ -3,6 +3,7 @@
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { LoadTracker } from "./loadTracker.js";
+import { OWN_REQUEST_WEIGHT } from "./ownRequestWeight.js";
 import type { PlacementCost } from "./placementCost.js";
 import type { PlacementPolicy } from "./placementPolicy.js";
 import type { PlacementRequest } from "./placementRequest.js";
@@ -23,11 +24,6 @@
 const MIN_SPREAD = 0.05;
 const MAX_SPREAD = 2;
 
-/**
- * Cost of the request itself, as the time of this many requests at an upstream. The higher it is, the more requests a
- * fast upstream gets before a slow one gets its first.
- */
-const OWN_WEIGHT = 3;
 /** Cost of an upstream at which the request misses its objective. It is chosen only if no other has room. */
 const LATE_WEIGHT = 1000;
 /** Slowness up to which no upstream counts as late, since it may be due to noise. */
@@ -107,7 +103,7 @@
     private loadOf(upstream: Upstream, online: number): number {
         const batch = this.opts.loadTracker.batchCount(upstream.id);
         const displacement = online + batch >= upstream.slots ? DISPLACEMENT_WEIGHT : 0;
-        return OWN_WEIGHT + online + batch * BATCH_WEIGHT + displacement;
+        return OWN_REQUEST_WEIGHT + online + batch * BATCH_WEIGHT + displacement;
     }
 
     /**
@@ -144,6 +140,6 @@
     /** Returns the cost of a millisecond: the time to the first event corresponds to the request's own weight. */
     private costPerMs(service: ServiceName): number {
         const firstDataMs = this.opts.speeds?.firstDataMs(service) ?? 0;
-        return firstDataMs === 0 ? 0 : OWN_WEIGHT / firstDataMs;
+        return firstDataMs === 0 ? 0 : OWN_REQUEST_WEIGHT / firstDataMs;
     }
 }
