--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -47,7 +47,7 @@
 export class OnlineCall implements QueuedRequest {
     service: ServiceName;
     readonly team: Team | undefined;
-    readonly promptParts: readonly PromptPart[] = [];
+    readonly promptParts: readonly PromptPart[];
     readonly priority: number;
     readonly arrivedAtMs: number;
     readonly objectiveAtMs: number;
@@ -103,6 +103,7 @@
         this.team = opts.team;
         this.priority = this.team?.priority ?? route.priority;
         this.traits = new CallTraits(context, request, opts.body);
+        this.promptParts = context.decodePromptParts(headerOf(request, context.headers.promptParts));
         const remaining = headerOf(request, context.headers.remainingMs);
         const remainingMs = remaining === undefined ? undefined : Number(remaining);
         const times = new CallTimes(route, { arrivedAtMs: opts.arrivedAtMs, remainingMs });
@@ -176,6 +177,7 @@
         this.excluded.add(upstream.id);
         this.context.loadTracker.count(upstream.id, "online", 1);
         this.context.onLoadChanged();
+        const promptRun = this.context.promptCaches.begin(upstream, this.promptParts);
         this.recorder.onPlaced({
             upstream: upstream.id,
             softwareVersion: upstream.softwareVersion,
@@ -185,7 +187,9 @@
             online: this.context.loadTracker.onlineCount(upstream.id),
             slowness: this.context.speeds.loggedSlownessOf(upstream.id),
             configuration: this.context.configuration.version,
+            promptTokensKept: this.promptParts.length === 0 ? undefined : promptRun.keptTokens,
         });
+        this.recorder.onPrompt(promptRun);
         const attempt = createAttempt({
             clock: this.context.clock,
             speeds: this.context.speeds,
@@ -193,6 +197,7 @@
             response: this.response,
             upstream,
             requestRun: this.context.quarantine.begin(this.service, this.traits.all),
+            promptRun,
             onNoResponse: silent => this.onNoResponse(silent),
             onPaused: paused => this.onPaused(paused),
         });
--- a/fleet/gateway/src/responseForwarder.ts
+++ b/fleet/gateway/src/responseForwarder.ts
@@ -35,7 +35,7 @@
         const { writer, recorder, continuity, clock } = this.opts;
         const nowMs = clock.nowMs();
         if (!attempt.stallDetector.hasData) {
-            this.opts.serviceTimes.recordFirstData(service, nowMs - attempt.startedAtMs);
+            this.onBegun(attempt, service, nowMs - attempt.startedAtMs);
         }
         recorder.onData(nowMs);
         if (writer.statusCode === HTTP_OK) {
@@ -54,6 +54,13 @@
         return hasRoom ? "forwarded" : "no-memory";
     }
 
+    private onBegun(attempt: Attempt, service: ServiceName, firstDataMs: number): void {
+        this.opts.serviceTimes.recordFirstData(service, firstDataMs);
+        if (this.opts.writer.statusCode === HTTP_OK) {
+            attempt.promptRun.onBegun(firstDataMs);
+        }
+    }
+
     /**
      * Counts what is not sent yet, and lets the upstream wait where that is too much.
      *
