test(soak): teams with keys and a limit, withdrawn keys, slow readers

The randomized soak knew only deployments without teams, so that no fault was tried against keys and limits. The operator replaces keys and changes a limit with each version, callers send valid and withdrawn keys and an X-Tenant of another team, try to read other teams' jobs, and one reads slowly or not at all. Slow calls are new, and only they are left out of the checks of contents, planned stops and recovery.

--- a/fuzz/soak/src/callRecord.ts
+++ b/fuzz/soak/src/callRecord.ts
@@ -23,6 +23,8 @@
     resumedCallId: string | undefined;
     /** Id of the last event that the caller has; 0 for a new stream. */
     resumedAfter: number;
+    /** The key that the caller sent; undefined without teams. */
+    key: string | undefined;
     /** For probes: the version of the configuration whose route is requested. */
     version: number | undefined;
 }
--- a/fuzz/soak/src/callerConnection.ts
+++ b/fuzz/soak/src/callerConnection.ts
@@ -33,6 +33,8 @@
         body: string;
         timeoutMs: number;
         headers?: { [name: string]: string; };
+        /** Time between two reads of the response, Infinity to read nothing; 0 reads at once. */
+        readIntervalMs?: number;
     }): Promise<ConnectionResponse> {
         return new Promise(resolve => {
             const request = sendRequest({
@@ -56,7 +58,7 @@
             };
             request.on("socket", socket => this.watchSocket(socket));
             request.on("error", () => finish({ statusCode: 0, isComplete: false, body: "", hasProof: false }));
-            request.on("response", response => this.readResponse(response, finish));
+            request.on("response", response => this.readResponse(response, opts.readIntervalMs ?? 0, finish));
             request.end(opts.body);
         });
     }
@@ -73,9 +75,22 @@
         }
     }
 
-    private readResponse(response: IncomingMessage, finish: (result: ConnectionResponse) => void): void {
+    private readResponse(
+        response: IncomingMessage,
+        readIntervalMs: number,
+        finish: (result: ConnectionResponse) => void,
+    ): void {
         const chunks: Buffer[] = [];
-        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("data", (chunk: Buffer) => {
+            chunks.push(chunk);
+            if (readIntervalMs > 0 && readIntervalMs < Infinity) {
+                response.pause();
+                setTimeout(() => response.resume(), readIntervalMs);
+            }
+        });
+        if (readIntervalMs === Infinity) {
+            response.pause();
+        }
         response.on("error", () => undefined);
         response.on("close", () => {
             finish({
--- a/fuzz/soak/src/checkRecovery.ts
+++ b/fuzz/soak/src/checkRecovery.ts
@@ -14,7 +14,7 @@
         return [];
     }
     const calls = record.calls.filter(call =>
-        call.kind !== "probe" && call.kind !== "crashing" && call.endedAtMs !== undefined
+        !["probe", "crashing", "slow"].includes(call.kind) && call.endedAtMs !== undefined
         && call.sentAtMs > faultsEndedAtMs + RECOVERY_MS
     );
     const served = calls.filter(call => call.statusCode === 200 && call.isComplete);
--- a/fuzz/soak/src/checkStops.ts
+++ b/fuzz/soak/src/checkStops.ts
@@ -18,6 +18,8 @@
     }));
     const cut = record.faults.filter(fault => fault.kind === "stop").flatMap(stop =>
         record.calls
+            // Slow readers are cut off on purpose.
+            .filter(call => call.kind !== "slow")
             .filter(call => call.gateway === stop.target && call.endedAtMs !== undefined && !call.isComplete)
             .filter(call => call.sentAtMs < stop.fromMs + SENT_WITHIN_MS && call.endedAtMs! >= stop.fromMs)
             .filter(call => call.sentAtMs < stop.toMs && wasForwarded(call, record))
--- a/fuzz/soak/src/jobRecord.ts
+++ b/fuzz/soak/src/jobRecord.ts
@@ -6,6 +6,8 @@
 export interface JobRecord {
     id: string;
     route: JobRoute;
+    /** The team whose keys the caller sends; undefined without teams. */
+    team: string | undefined;
     items: JobItemRecord[];
     /** Time at which the first attempt to submit the job began. */
     submittedAtMs: number;
--- a/fuzz/soak/src/oracle.ts
+++ b/fuzz/soak/src/oracle.ts
@@ -7,6 +7,8 @@
 import { checkRuns } from "./checkRuns.js";
 import { checkSoftwareVersions } from "./checkSoftwareVersions.js";
 import { checkStops } from "./checkStops.js";
+import { checkTeamLimits } from "./checkTeamLimits.js";
+import { checkTeams } from "./checkTeams.js";
 import type { SoakRecord } from "./soakRecord.js";
 import type { Violation } from "./violation.js";
 
@@ -21,6 +23,8 @@
         checkDraining,
         checkSoftwareVersions,
         checkStops,
+        checkTeams,
+        checkTeamLimits,
         checkRecovery,
     ].flatMap(check => check(record));
 }
--- a/fuzz/soak/src/runRecord.ts
+++ b/fuzz/soak/src/runRecord.ts
@@ -10,6 +10,10 @@
     path: string;
     body: string;
     atMs: number;
+    /** The header with a key, which no upstream may receive. */
+    key: string | undefined;
+    /** The team that the request names; undefined for none. */
+    team: string | undefined;
     /** Id of the event after which the stream is to resume; 0 for a stream from its start. */
     lastEventId: number;
     /** How the upstream failed the request on purpose; undefined if it did not. `crash`: it ended during the run. */
--- a/fuzz/soak/src/runSoak.ts
+++ b/fuzz/soak/src/runSoak.ts
@@ -13,7 +13,10 @@
 import type { SoakOptions } from "./soakOptions.js";
 import { SoakRecord } from "./soakRecord.js";
 import type { SoakReport } from "./soakReport.js";
+import { SoakTeams } from "./soakTeams.js";
 
+/** Share of the seeds whose deployment has teams. */
+const TEAMS_SHARE = 0.6;
 const CALLERS = 16;
 const PROBERS = 2;
 const JOB_INTERVAL_MS = 900;
@@ -41,13 +44,15 @@
     const record = new SoakRecord();
     const randomOf = (stream: number) => new SeededRandom(opts.seed * SEED_FACTOR + stream);
     const subnet = FIRST_SUBNET + opts.seed % SUBNETS;
-    const fleet = new SoakFleet({ ...opts, subnet, record, random: randomOf(1), nowMs });
+    const hasTeams = drawsCrashingRequest(randomOf(6), TEAMS_SHARE);
+    const teams = hasTeams ? new SoakTeams({ record, random: randomOf(7) }) : undefined;
+    const fleet = new SoakFleet({ ...opts, teams, subnet, record, random: randomOf(1), nowMs });
     await fleet.start();
     await pause(START_DELAY_MS);
 
     const balancer = new SoakBalancer({ gateways: fleet.gatewayAddresses, random: randomOf(2) });
     const [callersAbort, jobsAbort] = [new AbortController(), new AbortController()];
-    const shared = { balancer, record, nowMs, newestVersion: () => fleet.operator.newestVersion };
+    const shared = { balancer, record, nowMs, teams, newestVersion: () => fleet.operator.newestVersion };
     const callers = Array.from(
         { length: CALLERS + PROBERS + 1 },
         (_, index) => new SoakCaller({ ...shared, name: `c${index}`, random: randomOf(10 + index) }),
@@ -57,6 +62,8 @@
     callers.slice(hasCrashingRequest ? -1 : callers.length).forEach(caller =>
         void caller.sendCrashing(callersAbort.signal)
     );
+    const slowReader = new SoakCaller({ ...shared, name: "slow", random: randomOf(8) });
+    void (hasTeams ? slowReader.readSlowly(callersAbort.signal) : undefined);
     callers.slice(0, PROBERS).forEach(prober => void prober.probe(fleet.gatewayAddresses, callersAbort.signal));
     const jobs = new SoakJobClient({ ...shared, name: "j", random: randomOf(3), cancelledShare: CANCELLED_SHARE });
     void jobs.run(JOB_INTERVAL_MS, jobsAbort.signal);
@@ -88,10 +95,14 @@
     return {
         seed: opts.seed,
         violations,
+        hasTeams,
         crashes: record.runs.filter(run => run.body === crashingRequest.body).length,
         faults: record.faults.map(fault => `${Math.round(fault.fromMs)} ${fault.kind} ${fault.target}`),
         calls: record.calls.length,
         served: record.calls.filter(call => call.statusCode === 200 && call.isComplete).length,
+        limited: record.calls.filter(call => call.statusCode === 429).length,
+        unknownKeys: record.calls.filter(call => call.statusCode === 401).length,
+        foreignReads: record.foreignReads.length,
         jobs: record.jobs.filter(job => job.acceptedAtMs !== undefined).length,
         items: record.jobs.reduce((sum, job) => sum + job.results.length, 0),
     };
--- a/fuzz/soak/src/soakCaller.ts
+++ b/fuzz/soak/src/soakCaller.ts
@@ -8,6 +8,7 @@
 import type { SoakBalancer } from "./soakBalancer.js";
 import type { SoakGateway } from "./soakGateway.js";
 import type { SoakRecord } from "./soakRecord.js";
+import type { SoakTeams } from "./soakTeams.js";
 
 const MAX_PAUSE_MS = 150;
 const MIN_CRASHING_PAUSE_MS = 500;
@@ -15,12 +16,18 @@
 const PAUSE_AFTER_FAILURE_MS = 100;
 const TIMEOUT_MS = 4000;
 const MAX_EVENTS = 20;
-const PATHS: { [kind in Exclude<CallKind, "probe" | "crashing">]: string; } = {
+const PATHS: { [kind in Exclude<CallKind, "probe" | "crashing" | "slow">]: string; } = {
     "idempotent": "/fetch/x",
     "once": "/book/x",
     "stream": "/stream/x",
     "stream-once": "/stream-once/x",
 };
+/** Share of the calls with a withdrawn key, and with the header of another team. */
+const WITHDRAWN_SHARE = 0.15;
+const OTHER_TEAM_SHARE = 0.2;
+const SLOW_EVENTS = 200_000;
+const SLOW_PAUSE_MS = 2000;
+const SLOW_READ_INTERVAL_MS = 20;
 const KINDS = Object.keys(PATHS) as (keyof typeof PATHS)[];
 
 /** A caller that sends one request at a time. It reuses its connection until the gateway closes it. */
@@ -32,6 +39,8 @@
         random: Random;
         nowMs: () => number;
         newestVersion: () => number;
+        /** Undefined for a deployment without teams. */
+        teams?: SoakTeams | undefined;
     };
     private connection: CallerConnection | undefined;
     private callCount = 0;
@@ -86,6 +95,17 @@
         }
     }
 
+    /** Sends calls with long responses and reads these slowly or not at all, until `signal` is aborted. */
+    async readSlowly(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await pause(SLOW_PAUSE_MS);
+            const body = JSON.stringify({ events: SLOW_EVENTS, caller: this.opts.name });
+            const readIntervalMs = this.opts.random.next() < 0.5 ? Infinity : SLOW_READ_INTERVAL_MS;
+            await this.send({ kind: "slow", path: PATHS.idempotent, body }, readIntervalMs);
+            this.connection?.close();
+        }
+    }
+
     /** Resumes a stream that has been cut off after its first event, at another gateway where the balancer chooses one. */
     private async resume(call: CallRecord): Promise<void> {
         const events = [...call.responseBody.matchAll(/^id: (\d+)\ndata: .*\n\n/gmu)];
@@ -94,13 +114,15 @@
             return;
         }
         this.connection?.close();
-        await this.send({ kind: call.kind, path: call.path, body: call.body, resumedCallId: call.id, resumedAfter });
+        const { kind, path, body, key } = call;
+        await this.send({ kind, path, body, key, resumedCallId: call.id, resumedAfter });
     }
 
     private async send(
         opts:
             & Pick<CallRecord, "kind" | "path" | "body">
-            & Partial<Pick<CallRecord, "version" | "resumedCallId" | "resumedAfter">>,
+            & Partial<Pick<CallRecord, "version" | "resumedCallId" | "resumedAfter" | "key">>,
+        readIntervalMs = 0,
     ): Promise<CallRecord> {
         const connection = this.openConnection();
         const { gateway } = connection;
@@ -116,6 +138,7 @@
             responseBody: "",
             hasProof: false,
             version: opts.version,
+            key: opts.key ?? this.keyFor(opts.kind),
             resumedCallId: opts.resumedCallId,
             resumedAfter: opts.resumedAfter ?? 0,
         };
@@ -124,9 +147,13 @@
             ...call,
             method: "POST",
             timeoutMs: TIMEOUT_MS,
-            headers: opts.resumedCallId === undefined ? {} : {
-                [wireHeaders.resumedRequestId]: opts.resumedCallId,
-                [wireHeaders.lastEventId]: String(call.resumedAfter),
+            readIntervalMs,
+            headers: {
+                ...this.teamHeaders(call.key),
+                ...opts.resumedCallId === undefined ? {} : {
+                    [wireHeaders.resumedRequestId]: opts.resumedCallId,
+                    [wireHeaders.lastEventId]: String(call.resumedAfter),
+                },
             },
         });
         call.statusCode = response.statusCode;
@@ -137,6 +164,28 @@
         return call;
     }
 
+    /** Draws a key. Probes and crashing calls always have a valid key of a team without a limit. */
+    private keyFor(kind: CallKind): string | undefined {
+        const { teams, random } = this.opts;
+        if (teams === undefined || kind === "probe" || kind === "crashing" || kind === "slow") {
+            return teams?.validKey().key;
+        }
+        const withdrawn = random.next() < WITHDRAWN_SHARE ? teams.withdrawnKey() : undefined;
+        return (withdrawn ?? teams.validKey(teams.randomTeam())).key;
+    }
+
+    private teamHeaders(key: string | undefined): { [name: string]: string; } {
+        const { teams, random } = this.opts;
+        if (teams === undefined || key === undefined) {
+            return {};
+        }
+        const headers: { [name: string]: string; } = { [wireHeaders.key]: key };
+        if (random.next() < OTHER_TEAM_SHARE) {
+            headers[wireHeaders.team] = teams.randomTeam();
+        }
+        return headers;
+    }
+
     private openConnection(): CallerConnection {
         if (this.connection === undefined || this.connection.isClosed) {
             this.connection = new CallerConnection(this.opts.balancer.pick());
--- a/fuzz/soak/src/soakFleet.ts
+++ b/fuzz/soak/src/soakFleet.ts
@@ -15,6 +15,7 @@
 import { SoakOperator } from "./soakOperator.js";
 import { SoakProcess } from "./soakProcess.js";
 import type { SoakRecord } from "./soakRecord.js";
+import type { SoakTeams } from "./soakTeams.js";
 import { SoakUpstream } from "./soakUpstream.js";
 
 const CALLERS_PORT = 8144;
@@ -45,6 +46,8 @@
     processes: number;
     record: SoakRecord;
     random: Random;
+    /** Undefined for a deployment without teams. */
+    teams: SoakTeams | undefined;
     nowMs: () => number;
 }
 
--- a/fuzz/soak/src/soakJobClient.ts
+++ b/fuzz/soak/src/soakJobClient.ts
@@ -1,4 +1,5 @@
 import type { Random } from "@knapweedwood/core.random/random";
+import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
 import { callerPaths } from "@knapweedwood/platform.standins/callerPaths";
 import { decodeResultsPage } from "@knapweedwood/platform.standins/decodeResultsPage";
 import { encodeSubmission } from "@knapweedwood/platform.standins/encodeSubmission";
@@ -9,6 +10,7 @@
 import { pause } from "./pause.js";
 import type { SoakBalancer } from "./soakBalancer.js";
 import type { SoakRecord } from "./soakRecord.js";
+import type { SoakTeams } from "./soakTeams.js";
 
 const MAX_ITEMS = 8;
 const MIN_EVENTS = 20;
@@ -21,6 +23,8 @@
 const READ_AGAIN_INTERVAL_MS = 2000;
 /** Time after the submission of a job in which its results are read again. */
 const READ_AGAIN_MS = 40_000;
+/** Share of the reads after which another team tries to read the job too. */
+const FOREIGN_SHARE = 0.2;
 const MAX_ATTEMPTS = 6;
 const HTTP_ACCEPTED = 202;
 const HTTP_OK = 200;
@@ -36,6 +40,8 @@
         nowMs: () => number;
         /** Share of the jobs that are cancelled while they run. */
         cancelledShare: number;
+        /** Undefined for a deployment without teams. */
+        teams?: SoakTeams | undefined;
     };
     private jobCount = 0;
     private isStopped = false;
@@ -75,6 +81,7 @@
         const job: JobRecord = {
             id,
             route: jobRoutes[this.opts.random.nextInteger(jobRoutes.length)]!,
+            team: this.opts.teams?.randomTeam(),
             items,
             submittedAtMs: this.opts.nowMs(),
             attemptStatuses: [],
@@ -102,6 +109,7 @@
             const isFirstRead = isOpen();
             await pause(isFirstRead ? READ_INTERVAL_MS : READ_AGAIN_INTERVAL_MS);
             await this.readResults(job, isFirstRead || this.opts.random.next() < 0.5 ? job.results.length : 0);
+            await this.readForeign(job);
             if (shouldCancel && isFirstRead && job.cancelledAtMs === undefined) {
                 await this.cancel(job);
             }
@@ -111,7 +119,7 @@
     private async submit(job: JobRecord): Promise<void> {
         const body = encodeSubmission(job.items, { path: `/${job.route.name}/item`, tokensEach: ITEM_TOKENS });
         while (job.acceptedAtMs === undefined && job.attemptStatuses.length < MAX_ATTEMPTS) {
-            const response = await this.call("POST", `/${job.route.name}/submit`, job.id, body);
+            const response = await this.call("POST", `/${job.route.name}/submit`, job.id, { body, team: job.team });
             job.attemptStatuses.push(response.statusCode);
             if (response.statusCode === HTTP_ACCEPTED) {
                 job.acceptedAtMs = this.opts.nowMs();
@@ -121,7 +129,10 @@
     }
 
     private async cancel(job: JobRecord): Promise<void> {
-        const response = await this.call("DELETE", `${callerPaths.jobs}${job.id}`, `${job.id}-cancel`, "");
+        const response = await this.call("DELETE", `${callerPaths.jobs}${job.id}`, `${job.id}-cancel`, {
+            body: "",
+            team: job.team,
+        });
         if (response.statusCode === HTTP_OK) {
             job.cancelledAtMs = this.opts.nowMs();
         }
@@ -130,7 +141,7 @@
     /** Reads results from a position on. Differences from earlier reads are recorded as contradictions. */
     private async readResults(job: JobRecord, after: number): Promise<void> {
         const path = `${callerPaths.jobs}${job.id}?after=${after}`;
-        const response = await this.call("GET", path, `${job.id}-read-${after}`, "");
+        const response = await this.call("GET", path, `${job.id}-read-${after}`, { body: "", team: job.team });
         if (NOT_FOUND_STATUSES.includes(response.statusCode)) {
             job.missedAtMs.push(this.opts.nowMs());
         }
@@ -155,9 +166,21 @@
         }
     }
 
-    private async call(method: string, path: string, id: string, body: string) {
+    private async readForeign(job: JobRecord): Promise<void> {
+        const team = this.opts.teams?.randomTeam();
+        if (team !== undefined && team !== job.team && this.opts.random.next() < FOREIGN_SHARE) {
+            const path = `${callerPaths.jobs}${job.id}?after=0`;
+            const { statusCode } = await this.call("GET", path, `${job.id}-foreign`, { body: "", team });
+            this.opts.record.foreignReads.push({ jobId: job.id, team, statusCode });
+        }
+    }
+
+    private async call(method: string, path: string, id: string, opts: { body: string; team: string | undefined; }) {
+        const { body, team } = opts;
+        const key = team === undefined ? undefined : this.opts.teams?.validKey(team).key;
+        const headers: { [name: string]: string; } = key === undefined ? {} : { [wireHeaders.key]: key };
         const connection = new CallerConnection(this.opts.balancer.pick());
-        const response = await connection.send({ method, path, id, body, timeoutMs: TIMEOUT_MS });
+        const response = await connection.send({ method, path, id, body, headers, timeoutMs: TIMEOUT_MS });
         connection.close();
         return response;
     }
--- a/fuzz/soak/src/soakOperator.ts
+++ b/fuzz/soak/src/soakOperator.ts
@@ -9,6 +9,7 @@
 import { jobRoutes } from "./jobRoutes.js";
 import { ANSWER_SERVICE, CALLERS_HOST, MODEL_SERVICE } from "./soakNames.js";
 import type { SoakRecord } from "./soakRecord.js";
+import type { SoakTeams } from "./soakTeams.js";
 import type { SoakUpstream } from "./soakUpstream.js";
 
 const TIMEOUT_MS = 2500;
@@ -20,9 +21,17 @@
     private readonly keyValueService: MemoryKeyValueService;
     private readonly record: SoakRecord;
     private readonly nowMs: () => number;
+    /** Undefined for a deployment without teams. */
+    private readonly teams: SoakTeams | undefined;
     private version = 0;
 
-    constructor(opts: { keyValueService: MemoryKeyValueService; record: SoakRecord; nowMs: () => number; }) {
+    constructor(opts: {
+        keyValueService: MemoryKeyValueService;
+        record: SoakRecord;
+        nowMs: () => number;
+        teams?: SoakTeams | undefined;
+    }) {
+        this.teams = opts.teams;
         this.keyValueService = opts.keyValueService;
         this.record = opts.record;
         this.nowMs = opts.nowMs;
@@ -33,7 +42,7 @@
         return this.version;
     }
 
-    /** Writes the next configuration. It differs only in the route that is named after its version. */
+    /** Writes the next configuration. It differs in the route that is named after its version and in the teams. */
     async writeNextConfiguration(): Promise<void> {
         this.version += 1;
         const { version } = this;
@@ -73,7 +82,7 @@
             services: [MODEL_SERVICE, ANSWER_SERVICE]
                 .map(name => ({ name: name as ServiceName, maxConnections: MAX_CONNECTIONS })),
             limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 10_000 },
-            teams: undefined,
+            teams: this.teams?.advance(version),
         };
     }
 
--- a/fuzz/soak/src/soakRecord.ts
+++ b/fuzz/soak/src/soakRecord.ts
@@ -2,8 +2,11 @@
 import type { DrainRecord } from "./drainRecord.js";
 import type { ExitRecord } from "./exitRecord.js";
 import type { FaultRecord } from "./faultRecord.js";
+import type { ForeignReadRecord } from "./foreignReadRecord.js";
 import type { JobRecord } from "./jobRecord.js";
 import type { RunRecord } from "./runRecord.js";
+import type { TeamKeyRecord } from "./teamKeyRecord.js";
+import type { TeamLimitRecord } from "./teamLimitRecord.js";
 import type { VersionRecord } from "./versionRecord.js";
 
 /** Everything that callers, upstreams and operators observed during a soak. It is the only input of the oracle. */
@@ -15,6 +18,11 @@
     readonly versions: VersionRecord[] = [];
     readonly drains: DrainRecord[] = [];
     readonly exits: ExitRecord[] = [];
+    /** The keys that any configuration so far contains; empty without teams. */
+    readonly teamKeys: TeamKeyRecord[] = [];
+    /** The limits of the limited team, oldest first. */
+    readonly teamLimits: TeamLimitRecord[] = [];
+    readonly foreignReads: ForeignReadRecord[] = [];
     /** The service to which any configuration so far routes each path prefix. */
     readonly servicesOfPrefix = new Map<string, string>();
     /** Time at which all faults were over; undefined until then. */
--- a/fuzz/soak/src/soakReport.ts
+++ b/fuzz/soak/src/soakReport.ts
@@ -8,10 +8,16 @@
     faults: string[];
     /** Number of calls, including probes. */
     calls: number;
+    /** Whether the configuration has teams. */
+    hasTeams: boolean;
     /** Number of times that the crashing request ended an upstream. */
     crashes: number;
     /** Number of calls that got a complete response with status 200. */
     served: number;
+    /** Number of calls that got status 429 and 401, and of reads of jobs with another team's key. */
+    limited: number;
+    unknownKeys: number;
+    foreignReads: number;
     /** Number of accepted jobs. */
     jobs: number;
     /** Number of items whose result a caller has read. */
--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -12,6 +12,7 @@
 import type { AddressInfo } from "node:net";
 import { crashingRequest } from "./crashingRequest.js";
 import { expectedEvents } from "./expectedEvents.js";
+import { headerOf } from "./headerOf.js";
 import { pause } from "./pause.js";
 import type { RunRecord } from "./runRecord.js";
 import type { SoakRecord } from "./soakRecord.js";
@@ -158,6 +159,8 @@
             method: request.method ?? "",
             path: request.url ?? "",
             atMs: this.opts.nowMs(),
+            key: headerOf(request, wireHeaders.key),
+            team: headerOf(request, wireHeaders.team),
             lastEventId: Number(request.headers[wireHeaders.lastEventId] ?? 0),
             faultMode: isMisbehaving ? this.mode : undefined,
         };
--- a/fuzz/soak/test/brokenGateway.ts
+++ b/fuzz/soak/test/brokenGateway.ts
@@ -12,31 +12,15 @@
 import { jobRoutes } from "../src/jobRoutes.js";
 import { ANSWER_SERVICE, MODEL_SERVICE } from "../src/soakNames.js";
 import type { SoakUpstream } from "../src/soakUpstream.js";
+import type { TeamKeyRecord } from "../src/teamKeyRecord.js";
+import type { Breakage } from "./breakage.js";
 
-/** The fault of the gateway; with `nothing` it serves correctly. */
-export type Breakage =
-    | "nothing"
-    | "swaps-answers"
-    | "runs-twice"
-    | "lies-about-runs"
-    | "changes-bodies"
-    | "drops-events"
-    | "mixes-versions"
-    | "mixes-services"
-    | "goes-back"
-    | "keeps-old-routes"
-    | "ignores-draining"
-    | "cuts-when-stopping"
-    | "forgets-jobs"
-    | "cuts-texts"
-    | "gives-items-up"
-    | "moves-results"
-    | "lists-items-twice"
-    | "runs-cancelled-items"
-    | "runs-refused-jobs"
-    | "passes-crashing-requests"
-    | "rejects-sound-requests"
-    | "serves-nobody";
+interface Run {
+    id: string;
+    path: string;
+    body: string;
+    owner: TeamKeyRecord | undefined;
+}
 
 interface WireItem {
     id: string;
@@ -48,6 +32,7 @@
     items: WireItem[];
     results: { id: string; state: string; output: string; }[];
     isCancelled: boolean;
+    owner: TeamKeyRecord | undefined;
 }
 
 const PROBE = /^\/only-(\d+)\//u;
@@ -67,6 +52,7 @@
     isStopping = false;
     private readonly breakage: Breakage;
     private readonly upstreams: SoakUpstream[];
+    private readonly keys: TeamKeyRecord[];
     private readonly servers: Server[] = [];
     private readonly jobs = new Map<string, Job>();
     private readonly draining = new Set<SoakUpstream>();
@@ -74,7 +60,8 @@
     private requestCount = 0;
     private crashes = 0;
 
-    constructor(opts: { breakage: Breakage; upstreams: SoakUpstream[]; }) {
+    constructor(opts: { breakage: Breakage; upstreams: SoakUpstream[]; keys: TeamKeyRecord[]; }) {
+        this.keys = opts.keys;
         this.breakage = opts.breakage;
         this.upstreams = opts.upstreams;
     }
@@ -113,8 +100,13 @@
             response.writeHead(200).end();
             return;
         }
+        const owner = this.keys.find(({ key }) => key === request.headers[wireHeaders.key]);
+        if (this.keys.length > 0 && !this.isAccepted(owner)) {
+            response.writeHead(401, { "content-length": 0 }).end();
+            return;
+        }
         if (url.startsWith(callerPaths.jobs) || isSubmission(url)) {
-            this.handleJob(request, response, body);
+            this.handleJob(request, response, { body, owner });
             return;
         }
         if (!this.isActiveRoute(url) || this.breakage === "serves-nobody") {
@@ -125,7 +117,12 @@
             response.writeHead(422, { "content-length": 0 }).end();
             return;
         }
-        await this.forward(request, response, body);
+        await this.forward(request, response, { body, owner });
+    }
+
+    private isAccepted(owner: TeamKeyRecord | undefined): boolean {
+        return owner !== undefined && (owner.untilVersion === undefined || this.breakage === "serves-withdrawn-keys")
+            && this.breakage !== "rejects-valid-keys";
     }
 
     /** Returns whether the request has ended too many upstreams; by mistake, other requests of its route may count too. */
@@ -148,14 +145,18 @@
             : Number(version) === this.version - (goesBack ? 1 : 0);
     }
 
-    private async forward(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+    private async forward(
+        request: IncomingMessage,
+        response: ServerResponse,
+        { body, owner }: Pick<Run, "body" | "owner">,
+    ): Promise<void> {
         const id = String(request.headers[wireHeaders.requestId]);
         const path = request.url ?? "";
         const sent = this.breakage === "changes-bodies" ? body.replace("caller", "callee") : body;
         if (this.breakage === "runs-twice") {
-            await this.run({ id, path, body: sent });
+            await this.run({ id, path, body: sent, owner });
         }
-        const upstreamResponse = await this.run({ id, path, body: sent });
+        const upstreamResponse = await this.run({ id, path, body: sent, owner });
         const text = this.applyBreakage(upstreamResponse.text);
         this.lastResponseText = upstreamResponse.text;
         const statusCode = this.breakage === "lies-about-runs" ? 503 : upstreamResponse.statusCode;
@@ -176,17 +177,22 @@
         return this.breakage === "drops-events" ? text.replace(/^id: 2\n.*\n\n/mu, "") : text;
     }
 
-    private handleJob(request: IncomingMessage, response: ServerResponse, body: string): void {
+    private handleJob(
+        request: IncomingMessage,
+        response: ServerResponse,
+        { body, owner }: Pick<Run, "body" | "owner">,
+    ): void {
         const url = new URL(request.url ?? "", "http://gateway");
         const jobId = url.pathname.startsWith(callerPaths.jobs)
             ? url.pathname.slice(callerPaths.jobs.length)
             : String(request.headers[wireHeaders.requestId]);
         if (isSubmission(url.pathname)) {
-            this.submit(jobId, body);
+            this.submit(jobId, body, owner);
             response.writeHead(this.breakage === "runs-refused-jobs" ? 429 : 202, { "content-length": 0 }).end();
             return;
         }
-        const job = this.breakage === "forgets-jobs" ? undefined : this.jobs.get(jobId);
+        const known = this.breakage === "forgets-jobs" ? undefined : this.jobs.get(jobId);
+        const job = known?.owner?.team === owner?.team || this.breakage === "shows-jobs" ? known : undefined;
         if (job !== undefined && request.method === "DELETE") {
             job.isCancelled = true;
         }
@@ -196,12 +202,12 @@
         response.writeHead(job === undefined ? 404 : 200, { "content-length": Buffer.byteLength(text) }).end(text);
     }
 
-    private submit(jobId: string, body: string): void {
+    private submit(jobId: string, body: string, owner: TeamKeyRecord | undefined): void {
         if (this.jobs.has(jobId)) {
             return;
         }
         const { items } = JSON.parse(body) as { items: WireItem[]; };
-        const job: Job = { items, results: [], isCancelled: false };
+        const job: Job = { items, results: [], isCancelled: false, owner };
         this.jobs.set(jobId, job);
         void this.runJob(job);
     }
@@ -213,7 +219,7 @@
             if (job.isCancelled && !isLate) {
                 return;
             }
-            const text = await this.runItem(item);
+            const text = await this.runItem({ ...item, owner: job.owner });
             const output = [...text.matchAll(/^data: (.*)$/gmu)].map(match => match[1]).join("\n");
             const result = {
                 id: item.id,
@@ -229,7 +235,7 @@
     }
 
     /** Runs an item, and retries it while the upstreams are full. */
-    private async runItem(item: WireItem): Promise<string> {
+    private async runItem(item: Run): Promise<string> {
         const call = { ...item, body: Buffer.from(item.body, "base64").toString("utf8") };
         let response = await this.run(call);
         while (response.statusCode === HTTP_UNAVAILABLE) {
@@ -239,7 +245,7 @@
         return response.text;
     }
 
-    private run(call: { id: string; path: string; body: string; }): Promise<{ statusCode: number; text: string; }> {
+    private run(call: Run): Promise<{ statusCode: number; text: string; }> {
         const isAnswerService =
             /^\/(?:fetch|book|only-\d+)\//u.test(call.path) !== (this.breakage === "mixes-services");
         const service = isAnswerService ? ANSWER_SERVICE : MODEL_SERVICE;
@@ -253,7 +259,11 @@
                 agent: false,
                 method: "POST",
                 path: call.path,
-                headers: { [wireHeaders.requestId]: call.id, [wireHeaders.expectedUpstream]: upstream.id },
+                headers: {
+                    [wireHeaders.requestId]: call.id,
+                    [wireHeaders.expectedUpstream]: upstream.id,
+                    ...this.teamHeadersOf(call),
+                },
             }, response => {
                 void readText(response).catch(() => "").then(text =>
                     resolve({ statusCode: response.statusCode ?? 0, text })
@@ -266,6 +276,15 @@
             request.end(call.body);
         });
     }
+
+    private teamHeadersOf({ owner }: Run): { [name: string]: string; } {
+        if (owner === undefined) {
+            return {};
+        }
+        const team = this.breakage === "mixes-teams" ? "other" : owner.team;
+        const key = this.breakage === "passes-keys" ? { [wireHeaders.key]: owner.key } : undefined;
+        return { [wireHeaders.team]: team, ...key };
+    }
 }
 
 function isSubmission(path: string): boolean {
--- a/fuzz/soak/test/oracle.test.ts
+++ b/fuzz/soak/test/oracle.test.ts
@@ -12,8 +12,10 @@
 import { SoakJobClient } from "../src/soakJobClient.js";
 import { ANSWER_SERVICE, MODEL_SERVICE } from "../src/soakNames.js";
 import { SoakRecord } from "../src/soakRecord.js";
+import { SoakTeams } from "../src/soakTeams.js";
 import { SoakUpstream } from "../src/soakUpstream.js";
-import { type Breakage, BrokenGateway } from "./brokenGateway.js";
+import type { Breakage } from "./breakage.js";
+import { BrokenGateway } from "./brokenGateway.js";
 
 const CALLERS_PORT = 8144;
 const READINESS_PORT = 8140;
@@ -36,7 +38,11 @@
  *
  * @returns the promises found broken
  */
-async function findBrokenPromises(breakage: Breakage, subnet: number, promise?: string): Promise<string[]> {
+async function findBrokenPromises(
+    breakage: Breakage,
+    subnet: number,
+    opts: { promise?: string; hasTeams?: boolean; } = {},
+): Promise<string[]> {
     const clock = new SystemClock();
     const nowMs = () => clock.nowMs();
     const record = new SoakRecord();
@@ -48,7 +54,9 @@
         );
     const host = `127.${subnet}.${1 + process.pid % MAX_HOST_NUMBER}.1`;
     await Promise.all(upstreams.map(upstream => upstream.listen(host)));
-    const gateway = new BrokenGateway({ breakage, upstreams });
+    const teams = opts.hasTeams ? new SoakTeams({ record, random: new SeededRandom(54_321) }) : undefined;
+    teams?.advance(1);
+    const gateway = new BrokenGateway({ breakage, upstreams, keys: record.teamKeys });
     await gateway.listen(host, [CALLERS_PORT, READINESS_PORT]);
     ["fetch", "book", "only-1", "only-2"].forEach(name => record.servicesOfPrefix.set(`/${name}/`, ANSWER_SERVICE));
     ["stream", "stream-once", ...jobRoutes.map(route => route.name)].forEach(name =>
@@ -66,7 +74,7 @@
     };
     const balancer = new SoakBalancer({ gateways: [address], random });
     const controller = new AbortController();
-    const shared = { balancer, record, random, nowMs, newestVersion: () => gateway.version };
+    const shared = { balancer, record, random, nowMs, teams, newestVersion: () => gateway.version };
     const callers = Array.from({ length: 4 }, (_, index) => new SoakCaller({ ...shared, name: `c${index}` }));
     const crashingCallers = CRASHING_BREAKAGES.includes(breakage)
         ? [new SoakCaller({ ...shared, name: "crashing" })]
@@ -88,6 +96,7 @@
     await pause(BEFORE_CHANGES_MS);
 
     gateway.version = 2;
+    teams?.advance(2);
     record.versions.push({ version: 2, writtenAtMs: nowMs(), ackedAtMs: nowMs() });
     gateway.drain(upstreams[0]!);
     record.drains.push({ upstreamId: upstreams[0]!.id, ackedAtMs: nowMs() });
@@ -103,7 +112,7 @@
             if (breakage === "cuts-when-stopping") {
                 stopGateway();
             }
-            return brokenPromises().includes(promise!);
+            return brokenPromises().includes(opts.promise!);
         });
     }
     submitting.abort();
@@ -126,7 +135,7 @@
     }
 }
 
-const cases: { breakage: Breakage; promise: string; }[] = [
+const cases: { breakage: Breakage; promise: string; hasTeams?: boolean; }[] = [
     { breakage: "swaps-answers", promise: "answer-belongs" },
     { breakage: "runs-twice", promise: "run-once" },
     { breakage: "lies-about-runs", promise: "not-run-is-true" },
@@ -148,16 +157,25 @@
     { breakage: "passes-crashing-requests", promise: "crashing-request-stopped" },
     { breakage: "rejects-sound-requests", promise: "sound-requests-served" },
     { breakage: "serves-nobody", promise: "recovers" },
+    { breakage: "passes-keys", promise: "key-kept", hasTeams: true },
+    { breakage: "mixes-teams", promise: "right-team", hasTeams: true },
+    { breakage: "serves-withdrawn-keys", promise: "withdrawn-key-ends", hasTeams: true },
+    { breakage: "rejects-valid-keys", promise: "allowed-never-rejected", hasTeams: true },
+    { breakage: "shows-jobs", promise: "job-of-team", hasTeams: true },
 ];
 
 test("the oracle finds nothing where nothing is broken", async () => {
     assert.deepEqual(await findBrokenPromises("nothing", FIRST_SUBNET - 1), []);
 });
 
+test("the oracle finds nothing where nothing is broken between teams", async () => {
+    assert.deepEqual(await findBrokenPromises("nothing", FIRST_SUBNET + cases.length, { hasTeams: true }), []);
+});
+
 test("the oracle finds each promise that is broken on purpose", async () => {
-    const found = await Promise.all(cases.map(async ({ breakage, promise }, index) => ({
+    const found = await Promise.all(cases.map(async ({ breakage, promise, hasTeams = false }, index) => ({
         breakage,
-        isFound: (await findBrokenPromises(breakage, FIRST_SUBNET + index, promise)).includes(promise),
+        isFound: (await findBrokenPromises(breakage, FIRST_SUBNET + index, { promise, hasTeams })).includes(promise),
     })));
     assert.deepEqual(found.filter(entry => !entry.isFound), []);
 });
