--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -12,6 +12,8 @@
 import type { AddressInfo } from "node:net";
 import { crashingRequest } from "./crashingRequest.js";
 import { expectedEvents } from "./expectedEvents.js";
+import { headerOf } from "./headerOf.js";
+import { paddingOf } from "./paddingOf.js";
 import { pause } from "./pause.js";
 import type { RunRecord } from "./runRecord.js";
 import type { SoakRecord } from "./soakRecord.js";
@@ -158,6 +160,8 @@
             method: request.method ?? "",
             path: request.url ?? "",
             atMs: this.opts.nowMs(),
+            key: headerOf(request, wireHeaders.key),
+            team: headerOf(request, wireHeaders.team),
             lastEventId: Number(request.headers[wireHeaders.lastEventId] ?? 0),
             faultMode: isMisbehaving ? this.mode : undefined,
         };
@@ -179,7 +183,9 @@
         }
         if (!isMisbehaving || !await this.misbehave(response, events)) {
             response.setHeader(wireHeaders.upstreamProof, `proof-${this.id}`);
-            await (isStream ? this.stream(response, events, run.lastEventId) : this.reply(response, events));
+            await (isStream
+                ? this.stream(response, events, run.lastEventId)
+                : this.reply(response, events, paddingOf(call.body)));
         }
     }
 
@@ -236,9 +242,9 @@
         response.socket?.resetAndDestroy();
     }
 
-    private async reply(response: ServerResponse, events: string[]): Promise<void> {
+    private async reply(response: ServerResponse, events: string[], padding: string): Promise<void> {
         await pause(RESPONSE_DELAY_MS * this.slowdownFactor());
-        const text = events.join(",");
+        const text = `${events.join(",")}${padding}`;
         if (this.mode !== "unframed") {
             response.setHeader("content-length", Buffer.byteLength(text));
         }
