test(soak): longer responses for slow readers

The long response was 4 MB, which the buffers of the system took at once (a gateway had handed it over after 0.1 s), so that no gateway waited for a slow reader.

--- a/fuzz/soak/src/soakCaller.ts
+++ b/fuzz/soak/src/soakCaller.ts
@@ -25,7 +25,8 @@
 /** Share of the calls with a withdrawn key, and with the header of another team. */
 const WITHDRAWN_SHARE = 0.15;
 const OTHER_TEAM_SHARE = 0.2;
-const SLOW_EVENTS = 200_000;
+/** The buffers of the system take a response of 4 MB within 0.1 s, so that no gateway waits for the reader. */
+const SLOW_PADDING_BYTES = 16_000_000;
 const SLOW_PAUSE_MS = 2000;
 const SLOW_READ_INTERVAL_MS = 20;
 const KINDS = Object.keys(PATHS) as (keyof typeof PATHS)[];
@@ -99,7 +100,7 @@
     async readSlowly(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             await pause(SLOW_PAUSE_MS);
-            const body = JSON.stringify({ events: SLOW_EVENTS, caller: this.opts.name });
+            const body = JSON.stringify({ padding: SLOW_PADDING_BYTES, caller: this.opts.name });
             const readIntervalMs = this.opts.random.next() < 0.5 ? Infinity : SLOW_READ_INTERVAL_MS;
             await this.send({ kind: "slow", path: PATHS.idempotent, body }, readIntervalMs);
             this.connection?.close();
--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -13,6 +13,7 @@
 import { crashingRequest } from "./crashingRequest.js";
 import { expectedEvents } from "./expectedEvents.js";
 import { headerOf } from "./headerOf.js";
+import { paddingOf } from "./paddingOf.js";
 import { pause } from "./pause.js";
 import type { RunRecord } from "./runRecord.js";
 import type { SoakRecord } from "./soakRecord.js";
@@ -182,7 +183,9 @@
         }
         if (!isMisbehaving || !await this.misbehave(response, events)) {
             response.setHeader(wireHeaders.upstreamProof, `proof-${this.id}`);
-            await (isStream ? this.stream(response, events, run.lastEventId) : this.reply(response, events));
+            await (isStream
+                ? this.stream(response, events, run.lastEventId)
+                : this.reply(response, events, paddingOf(call.body)));
         }
     }
 
@@ -239,9 +242,9 @@
         response.socket?.resetAndDestroy();
     }
 
-    private async reply(response: ServerResponse, events: string[]): Promise<void> {
+    private async reply(response: ServerResponse, events: string[], padding: string): Promise<void> {
         await pause(RESPONSE_DELAY_MS * this.slowdownFactor());
-        const text = events.join(",");
+        const text = `${events.join(",")}${padding}`;
         if (this.mode !== "unframed") {
             response.setHeader("content-length", Buffer.byteLength(text));
         }
