--- a/bench/decisions/src/unequalLoads.ts
+++ b/bench/decisions/src/unequalLoads.ts
@@ -8,7 +8,7 @@
 const SLOWED = 2.5;
 const SLOWED_SHARE = 0.15;
 const PHASE_MS = 600;
-/** Slowness of engines of which all have the speed that these have on average. */
+/** Slowness of equal engines that together are as fast as the unequal ones. */
 const EQUAL = ENGINES
     / ((FAST_ENGINES / FAST + (ENGINES - FAST_ENGINES) / USUAL) * (1 - SLOWED_SHARE + SLOWED_SHARE / SLOWED));
 
@@ -47,6 +47,6 @@
             unequalEngines(random, common.durationMs).map((slowness, index) => index === 20 ? () => 6 : slowness),
         restart: { atMs: 8000, engine: 20 },
     },
-    /** As many engines of equal speed, in total as fast. */
+    /** As many engines of equal speed, together as fast. */
     equal: { ...common, engines: () => Array.from({ length: ENGINES }, () => () => EQUAL) },
 } satisfies { [name: string]: UnequalLoad; };
--- a/daemons/fleet/src/configurationSource.ts
+++ b/daemons/fleet/src/configurationSource.ts
@@ -1,4 +1,4 @@
-/** Where a process has a configuration from that it didn't read from the key-value service. */
+/** Origin of a configuration that a process didn't read from the key-value service. */
 export interface ConfigurationSource {
     /** `peer` for a runner, `disk` for what an earlier start of this process stored. */
     kind: "peer" | "disk";
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -44,7 +44,7 @@
 const HOUSEKEEPING_INTERVAL_MS = 100;
 const MICROSECONDS_PER_MS = 1000;
 const INITIALIZATION_POLL_MS = 5;
-/** Time after the start in which a runner may name a newer configuration before callers are served, in milliseconds. */
+/** Maximum time after the start for which callers wait until a runner has confirmed the configuration, in milliseconds. */
 const MAX_CONFIRMATION_MS = 400;
 /** Links of the fleet are idle most of the time, so idle links send fewer heartbeats. */
 const LINK_LIMITS = { heartbeatIntervalMs: 250, idleHeartbeatIntervalMs: 2000, silentAfterMs: 700 };
@@ -262,8 +262,8 @@
     }
 
     /**
-     * Whether the configuration and the upstreams are loaded. With teams, a runner is given time to name a newer
-     * configuration than the first listing did, which may contain a withdrawn key.
+     * Whether the configuration and the upstreams are loaded. With teams, a runner is first asked for a newer
+     * configuration than that of the first listing, which may contain a withdrawn key.
      */
     get isInitialized(): boolean {
         const hasTeams = this.operators.configuration.current?.teams !== undefined;
--- a/daemons/fleet/src/keyValueReachability.ts
+++ b/daemons/fleet/src/keyValueReachability.ts
@@ -8,7 +8,7 @@
 /** Maximum age of the last lease renewal with which the key-value service counts as reachable, in milliseconds. */
 const KEY_VALUE_REACHABLE_MS = 1800;
 
-/** What this process knows of who reaches the key-value service, and what follows for held jobs. */
+/** Determines which processes reach the key-value service, and whether all held jobs are written to it. */
 export class KeyValueReachability {
     private readonly opts: { clock: Clock; peers: PeerFollower; loadTracker: LoadTracker; };
     private readonly countTrust = new StoredCountTrust();
@@ -27,7 +27,7 @@
         };
     }
 
-    /** Whether a peer can reach the key-value service but this process can't. Peers then serve callers better. */
+    /** Whether a peer can reach the key-value service but this process can't. Callers should then be served by peers. */
     get isIsolated(): boolean {
         return !this.isLeaseRenewed && this.opts.loadTracker.isKeyValueReachableByPeer();
     }
@@ -46,7 +46,7 @@
     }
 
     /**
-     * Returns whether the key-value service is reachable, for a report. Once one says that it isn't, the leader may accept
+     * Returns whether the key-value service is reachable, for a report. After a report that it isn't, the leader may accept
      * jobs that are only held, so that the stored count isn't trusted for a while.
      */
     report(): boolean {
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -124,7 +124,7 @@
 
     /** Starts to follow the fleet, to serve links and to write held jobs. Rejects if a port can't be opened. */
     async start(): Promise<void> {
-        // Known before the first listing, so that a late replica of the key-value service brings back nothing older.
+        // Loaded before the first listing, so that a replica that lags behind can't bring back an older configuration.
         const stored = await this.snapshots.load();
         const name = this.settings.current.instanceName;
         this.fleet.operators.adoptFrom({ kind: "disk", name }, stored?.operators ?? []);
--- a/daemons/fleet/src/snapshotLoader.ts
+++ b/daemons/fleet/src/snapshotLoader.ts
@@ -25,7 +25,11 @@
     seeds: readonly HostPort[];
     /** Returns whether the key-value service has answered. */
     isListed: () => boolean;
-    /** Uses what is newer in a snapshot, and returns whether anything is. `source` is the host that knew most. */
+    /**
+     * Uses what is newer in a snapshot, and returns whether anything is.
+     *
+     * @param source host with the newest configuration
+     */
     seed: (source: string, snapshot: FleetSnapshot) => boolean;
 }
 
@@ -56,7 +60,7 @@
     }
 
     /**
-     * Resolves when all seeds have answered or failed. A snapshot that is used before the others have come may contain a
+     * Resolves when all seeds have answered or failed. A snapshot that is used before the others have arrived may contain a
      * withdrawn key.
      *
      * @returns whether a seed knew the fleet
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -39,7 +39,7 @@
     readonly mirror: PrefixMirror;
     private readonly opts: UpstreamFollowerOptions;
     private lastChangeRevision = 0;
-    /** Time since which peers have seen every change until this process did, and the time at which it began to. */
+    /** Time since which peers and then this process have seen every change, and since which this process has. */
     private inherited: { sinceMs: number; ownSinceMs: number; } | undefined;
 
     constructor(opts: UpstreamFollowerOptions) {
@@ -131,7 +131,7 @@
         if (ownSinceMs > askedAtMs) {
             return;
         }
-        // The record is as old as its way here, so these times are later than the true ones, which is the safe side.
+        // The delay of the record makes these times too late. Versions then count as seen later, which is safe.
         record.versions.forEach(({ service, softwareVersion, seenAgoMs }) =>
             this.directory.recordVersion(service, softwareVersion, nowMs - seenAgoMs)
         );
--- a/fleet/gateway/src/callRecorder.ts
+++ b/fleet/gateway/src/callRecorder.ts
@@ -66,7 +66,7 @@
         this.log("call-waiting", queueFieldsOf(team, estimate));
     }
 
-    /** Records that the request is rejected, if `estimate` is given for want of a slot. */
+    /** Records that the request is rejected. `estimate` is given if it would get no slot in time. */
     onRejected(team: Team | undefined, estimate: QueueEstimate | undefined): void {
         if (estimate !== undefined) {
             this.countForTeam(team, "waiting_rejected");
--- a/fleet/gateway/src/callTimes.ts
+++ b/fleet/gateway/src/callTimes.ts
@@ -12,7 +12,7 @@
     /** The earlier of the caller's deadline and the route's timeout. */
     readonly deadlineAtMs: number;
 
-    /** @param opts.remainingMs the time for which the caller waits; undefined if it doesn't say */
+    /** @param opts.remainingMs the time for which the caller waits; undefined if it is not given */
     constructor(route: Route, opts: { arrivedAtMs: number; remainingMs: number | undefined; }) {
         const remainingMs = opts.remainingMs ?? route.timeoutMs;
         this.isRetry = remainingMs < route.timeoutMs * RETRY_REMAINING_SHARE;
--- a/fleet/gateway/src/callerIdentity.ts
+++ b/fleet/gateway/src/callerIdentity.ts
@@ -1,6 +1,6 @@
 import type { Team } from "@knapweedwood/fleet.view/team";
 
-/** Who a call is from. `team` is undefined where callers need no key and bring no known one. */
+/** Who a call is from. `team` is undefined if the caller needs no key and has sent no known one. */
 export type CallerIdentity =
     | { kind: "identified"; team: Team | undefined; }
     | { kind: "unknown-key"; };
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -281,7 +281,7 @@
         }
         if (outcome === "no-memory") {
             this.abort(attempt);
-            this.fail(502, "The process holds as much for its callers as it may");
+            this.fail(502, "The limit of the memory for callers is reached");
         }
     }
 
--- a/fleet/gateway/src/readBody.ts
+++ b/fleet/gateway/src/readBody.ts
@@ -39,7 +39,7 @@
         });
     }
     if (!hasRoom) {
-        throw new KnapweedError("MEMORY_LIMIT_REACHED", "The process holds as much for its callers as it may", {
+        throw new KnapweedError("MEMORY_LIMIT_REACHED", "The limit of the memory for callers is reached", {
             statusCode: 503,
             outcome: "not-run",
             retryAfterMs: NO_MEMORY_RETRY_AFTER_MS,
--- a/fleet/gateway/src/requestLimits.ts
+++ b/fleet/gateway/src/requestLimits.ts
@@ -18,7 +18,7 @@
     arrivedAtMs: number;
 }
 
-/** Share of the time that the caller has left after which it is asked to retry at the latest. */
+/** Maximum retry time, as a share of the time that the caller has left. */
 const MAX_RETRY_SHARE = 1 / 3;
 /** Lower bound of the random factor of the retry time, so that not all rejected callers return at once. */
 const MIN_JITTER = 0.7;
--- a/fleet/gateway/src/responseForwarder.ts
+++ b/fleet/gateway/src/responseForwarder.ts
@@ -22,7 +22,7 @@
     continuity: StreamContinuity | undefined;
 }
 
-/** Passes the data of upstreams' responses on to the caller, and observes how fast it comes and is taken. */
+/** Forwards the data of upstreams' responses to the caller, samples its times and limits what is not sent yet. */
 export class ResponseForwarder {
     private readonly opts: ResponseForwarderOptions;
 
@@ -62,7 +62,7 @@
     }
 
     /**
-     * Counts what is not sent yet, and lets the upstream wait where that is too much.
+     * Counts the bytes that are not sent yet, and pauses the upstream's response if there are too many.
      *
      * @returns false if the response is collected before it is sent, so that nothing can wait, and there is no room for it
      */
--- a/fleet/gateway/src/stallDetector.ts
+++ b/fleet/gateway/src/stallDetector.ts
@@ -50,8 +50,8 @@
     /**
      * Records data of the response.
      *
-     * @param isProgress whether it completes an event of a stream. A response that only gets bytes of an event now and then
-     * has stopped.
+     * @param isProgress whether it completes an event of a stream. A response that receives only a few bytes of an
+     * event now and then has stalled.
      */
     onData(isProgress: boolean): void {
         if (isProgress || this.lastDataAtMs === undefined) {
--- a/fleet/gateway/src/streamContinuity.ts
+++ b/fleet/gateway/src/streamContinuity.ts
@@ -81,7 +81,10 @@
         }
     }
 
-    /** Returns the only origin that a stream of this route can have, if it has led to one service and one version has run that all the time. */
+    /**
+     * Returns the only origin that a stream of this route can have; undefined if in the lifetime of a stream the route has
+     * led to several services or several versions have run its service.
+     */
     private soleOrigin(): StreamOrigin | undefined {
         const { context, route } = this.opts;
         const [only, ...others] = route.services;
--- a/fleet/jobs/src/jobHoldHandler.ts
+++ b/fleet/jobs/src/jobHoldHandler.ts
@@ -22,8 +22,8 @@
 /** Longest time for which the leader tries to write a job before it responds, in milliseconds. */
 const MAX_WRITE_MS = 2300;
 /**
- * Time after the leader's last success within which peers may report from before an outage that they reach the service, in
- * milliseconds: a report counts a lease renewal of the last 1.8 s, and leases are renewed once a second at least.
+ * Time after the leader's last success in which reports of peers that they reach the service may be from before an outage,
+ * in milliseconds. A report counts a lease renewal of the last 1.8 s, and leases are renewed at least once a second.
  */
 const OUTDATED_REPORTS_MS = 3000;
 const POLL_INTERVAL_MS = 50;
@@ -140,7 +140,7 @@
 
     private async holdByOwnCount(job: HeldJob, mayBeStored: boolean): Promise<HoldResponse> {
         const decision = this.decide(job, undefined);
-        // Gateways may have written jobs while only the leader was rejected, which its count lacks.
+        // The leader's count lacks jobs that gateways wrote while the service rejected only the leader.
         const isCountOutdated = decision.kind === "hold" && this.opts.runner.lacksReportedJob;
         if (mayBeStored && (isCountOutdated || decision.kind !== "hold")) {
             return { outcome: "unknown" };
@@ -205,12 +205,12 @@
     /** Returns the leader's count without the tokens of `job` and of the jobs of `except`. */
     private count(job: HeldJob, except: ReadonlySet<JobId>): LeaderCount | undefined {
         const { jobId } = job.record;
-        const left = new Set([...except, jobId]);
-        const count = this.opts.runner.leaderCount(job.record, left);
+        const excluded = new Set([...except, jobId]);
+        const count = this.opts.runner.leaderCount(job.record, excluded);
         // A job that is being written to the disk isn't in the runner's table yet.
         const approvedTokens = [...this.approved.values()]
             .map(({ record }) => record)
-            .filter(record => isSameTokenGroup(record, job.record) && !left.has(record.jobId))
+            .filter(record => isSameTokenGroup(record, job.record) && !excluded.has(record.jobId))
             .filter(record => this.opts.runner.recordOf(record.jobId) === undefined)
             .reduce((sum, record) => sum + countJobTokens(record), 0);
         return count === undefined ? undefined : { ...count, waitingTokens: count.waitingTokens + approvedTokens };
--- a/fleet/jobs/src/storeReachability.ts
+++ b/fleet/jobs/src/storeReachability.ts
@@ -1,4 +1,4 @@
-/** What a process knows of who reaches the key-value service. */
+/** Which processes reach the key-value service, as far as one of them knows. */
 export interface StoreReachability {
     /** Whether this process reaches it. */
     isReachable: boolean;
--- a/fleet/load/src/fairShares.ts
+++ b/fleet/load/src/fairShares.ts
@@ -8,7 +8,7 @@
 /** Iterations of the estimate of later arrivals, which converges geometrically. */
 const MAX_ITERATIONS = 8;
 
-/** Number of recent arrivals above its share from which a team exceeds it. Few requests come together by chance. */
+/** Number of recent arrivals above its share from which a team exceeds it. A smaller excess may be due to chance. */
 const MAX_EXCESS = 3;
 /** Recent events from which a team counts as active. */
 const MIN_ACTIVE_COUNT = 0.2;
@@ -58,8 +58,8 @@
 
     /**
      * Returns the share of the slots that a team leaves free for the others, 0 to 1. A team that demands and gets more
-     * than its share reserves some: a slot that it took would be missed by another gateway's requests, whose teams this
-     * process doesn't know. A team that gets less than its share reserves none, so that it isn't starved.
+     * than its share reserves some, since requests at other gateways, whose teams this process doesn't know, may need the
+     * slots. A team that gets less than its share reserves none, so that it isn't starved.
      */
     reservedShareOf(teamId: TeamKey, nowMs: number): number {
         const isAboveShare = this.excessOf(this.arrivals, teamId, nowMs) > MAX_EXCESS
--- a/fleet/load/src/medianTime.ts
+++ b/fleet/load/src/medianTime.ts
@@ -1,14 +1,14 @@
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import { DecayedMean } from "./decayedMean.js";
 
-/** Time for which an upstream's mean counts, in milliseconds. Upstreams that get few requests keep counting. */
+/** Decay of the samples of an upstream, in milliseconds. Long, since some upstreams get few requests. */
 const MEAN_DECAY_MS = 20_000;
 /** Time for which a computed median is used, in milliseconds. */
 const MEDIAN_VALID_MS = 100;
 
 /**
  * Median over upstreams of the mean time that each takes. Each upstream counts once, however many requests it gets.
- * A mean over requests would follow the placement, which prefers fast upstreams, and all beliefs would drift.
+ * A mean over requests would depend on the placement, which prefers fast upstreams, and all speeds would drift.
  */
 export class MedianTime {
     private readonly means = new Map<UpstreamId, DecayedMean>();
--- a/fleet/load/src/queueCandidates.ts
+++ b/fleet/load/src/queueCandidates.ts
@@ -32,7 +32,7 @@
     }
 
     /**
-     * Whether so many slots are free that a request leaves a share of all to others.
+     * Returns whether enough slots are free for a request to leave a share of all slots to others.
      *
      * @param reservedShare 0 to 1
      */
--- a/fleet/load/src/requestQueue.ts
+++ b/fleet/load/src/requestQueue.ts
@@ -53,7 +53,7 @@
     private readonly weights: TeamWeights;
     private readonly candidates: QueueCandidates;
     private readonly estimator: AdmissionEstimator;
-    /** Has its own sequence, so that the form of a tree changes no decision that draws random numbers. */
+    /** A separate generator, so that the shapes of the trees don't affect decisions that draw random numbers. */
     private readonly treeRandom = new SeededRandom(TREE_SEED);
     private readonly services = new Map<ServiceName, ServiceQueue>();
     private readonly waiting = new Map<QueuedRequest, WaitingRequest>();
@@ -171,7 +171,7 @@
         const skippedTeams = new Set<TeamId | undefined>();
         const nowMs = this.opts.clock.nowMs();
         if (this.weights.hasTeams && queue.size > 0 && this.candidates.freeSlots(queue.service) === 0) {
-            // Most events find no free slot; comparing all teams would be in vain.
+            // The usual case under load. Skips the comparison of all teams.
             return;
         }
         while (queue.size > 0) {
@@ -226,7 +226,7 @@
         }
     }
 
-    /** Whether the request leaves the slots free that its team has to leave to others. */
+    /** Returns whether the request leaves enough slots free for the other teams. */
     private mayTakeSlot(request: QueuedRequest, queue: ServiceQueue): boolean {
         const nowMs = this.opts.clock.nowMs();
         return request.isStarted
--- a/fleet/load/src/requestStream.ts
+++ b/fleet/load/src/requestStream.ts
@@ -11,7 +11,7 @@
 
 /**
  * The waiting requests of a team that differ only in their arrival. They have the same time from arrival to objective, so
- * the late ones are always a prefix, and no request has to be moved when it turns late.
+ * the late ones are always a prefix, and no request has to be moved when it becomes late.
  */
 export class RequestStream {
     readonly softwareVersion: SoftwareVersion | undefined;
--- a/fleet/load/src/speedBelief.ts
+++ b/fleet/load/src/speedBelief.ts
@@ -1,6 +1,6 @@
 import { DecayedMean } from "./decayedMean.js";
 
-/** Decay of samples, in milliseconds. Slowdowns change each 600 ms. */
+/** Decay of samples, in milliseconds. Short, since a slowdown may last only a part of a second. */
 const RECENT_DECAY_MS = 150;
 /** Weight of the lasting speed beside the recent samples, in samples. A single outlier moves the belief little. */
 const LASTING_WEIGHT = 3;
@@ -70,7 +70,7 @@
 
 /**
  * Returns the weight of samples by the time that they cover, in events at the service's mean. A slow upstream sends few
- * events, and each of them tells of a long time.
+ * events, each of which covers a long time.
  */
 function evidenceOf(samples: DecayedMean, nowMs: number): number {
     return samples.weightAt(nowMs) * Math.max(1, samples.value);
--- a/fleet/load/src/teamQueue.ts
+++ b/fleet/load/src/teamQueue.ts
@@ -8,7 +8,7 @@
 
 type UrgencyOrder = (left: Urgency, right: Urgency) => number;
 
-/** The most urgent request, as long as no request is added, removed or turns late. */
+/** The most urgent request, valid until a request is added, is removed or becomes late. */
 interface KnownHead {
     head: RankedRequest | undefined;
     order: UrgencyOrder;
--- a/fleet/load/src/teamWeights.ts
+++ b/fleet/load/src/teamWeights.ts
@@ -20,7 +20,7 @@
         return this.teams() !== undefined;
     }
 
-    /** Returns a team's weight. Callers without a key on anonymous routes share one of the mean rate. */
+    /** Returns a team's weight. Callers without a key on anonymous routes share the weight of a mean rate. */
     weightOf(teamId: TeamId | undefined): number {
         this.update();
         return (teamId === undefined ? undefined : this.weights.get(teamId)) ?? this.meanRatePerSecond;
--- a/fleet/load/src/upstreamSpeedLog.ts
+++ b/fleet/load/src/upstreamSpeedLog.ts
@@ -3,11 +3,11 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { UpstreamSpeeds } from "./upstreamSpeeds.js";
 
-/** Slowness between the classes that are told apart. */
+/** Bounds of the classes of slowness. A change of the class is logged. */
 const THRESHOLDS = [0.7, 1.5, 4];
 /** Ratio by which a threshold must be exceeded in either direction. */
 const HYSTERESIS = 1.15;
-/** Minimum time between two lines on one upstream, in milliseconds. */
+/** Minimum time between two log lines on one upstream, in milliseconds. */
 const MIN_INTERVAL_MS = 2000;
 const HUNDREDTHS = 100;
 
--- a/fleet/load/src/upstreamSpeeds.ts
+++ b/fleet/load/src/upstreamSpeeds.ts
@@ -18,7 +18,7 @@
 const MAX_SLOWNESS = 10;
 /** Smallest slowness, so that no upstream counts as free of cost. */
 const MIN_SLOWNESS = 0.2;
-/** Difference from 1 from which on a speed is reported and used. Smaller ones are noise of the samples. */
+/** Ratio to 1 from which on a speed is reported and used. Smaller ones are noise of the samples. */
 const MIN_DIFFERENCE = 1.15;
 /** Weight of own samples from which on a speed is reported. */
 const MIN_REPORT_WEIGHT = 3;
@@ -28,7 +28,7 @@
 const STALL_MS = 15;
 /** Time after a stall in which data that arrived during it is handled, in milliseconds. */
 const CATCH_UP_MS = 5;
-/** Time without samples after which a belief is dropped, in milliseconds. It is 1 by then. */
+/** Time without samples after which a belief is dropped, in milliseconds. It has returned to 1 by then. */
 const BELIEF_VALID_MS = 60_000;
 const HUNDREDTHS = 100;
 
@@ -43,8 +43,8 @@
 /**
  * Learns how fast each upstream is, as the ratio of its times to the medians of its service. The samples are the gaps
  * between events, times to first data and, for services that don't stream, hold times of this process's requests, and
- * the speeds in the load reports of peers. A report contains only what its sender has observed itself, so that no belief
- * returns to its origin as another sample.
+ * the speeds in the load reports of peers. A report contains only what its sender has observed itself, so that no process
+ * receives its own samples back.
  */
 export class UpstreamSpeeds {
     private readonly clock: Clock;
@@ -68,7 +68,7 @@
 
     /**
      * Records the end of a response to a request that was sent at `sentAtMs`. Only responses that aren't streams are
-     * samples of the speed, since the length of a stream says more of the request.
+     * samples of the speed, since the duration of a stream depends more on the request.
      */
     recordHold(upstream: Upstream, sentAtMs: number, isStream: boolean): void {
         const weight = isStream ? 0 : HOLD_WEIGHT;
--- a/fleet/prompts/src/keptParts.ts
+++ b/fleet/prompts/src/keptParts.ts
@@ -25,7 +25,7 @@
 
     /**
      * Records that the upstream has read a prompt, and evicts down to `maxTokens`. The first part of the prompt counts as
-     * used last, as the others need it.
+     * most recently used, since the others need it.
      */
     add({ keys, tokens }: PromptKeys, maxTokens: number): void {
         for (let index = keys.length - 1; index >= 0; index -= 1) {
--- a/fleet/prompts/src/readingTime.ts
+++ b/fleet/prompts/src/readingTime.ts
@@ -1,6 +1,6 @@
 import type { ReadingSample } from "./readingSample.js";
 
-/** Samples of prompts with kept parts, which may be rare, and of the others. */
+/** Maximum number of samples of prompts with kept parts, which may be rare, and of the others. */
 const MAX_SAMPLES = 64;
 const MIN_PAIRS = 24;
 /** Number of new samples after which the time is estimated again. */
--- a/fleet/streams/src/originHolders.ts
+++ b/fleet/streams/src/originHolders.ts
@@ -14,7 +14,7 @@
 /**
  * Chooses the processes that keep the origin of a stream, and those to ask for it. Both follow from the request's id
  * alone, so that a gateway finds an origin without knowing where the stream began. One that keeps it is a runner, which
- * goes on when all gateways end at once.
+ * keeps running when all gateways end at once.
  */
 export class OriginHolders {
     private readonly peers: ReadonlyMap<InstanceName, StreamPeer>;
--- a/fleet/streams/src/streamPeer.ts
+++ b/fleet/streams/src/streamPeer.ts
@@ -10,6 +10,6 @@
     address: HostPort;
     /** Whether the process was heard of a short time ago. */
     isLive: boolean;
-    /** Whether the process is a runner, which goes on when all gateways end at once. */
+    /** Whether the process is a runner, which keeps running when all gateways end at once. */
     isRunner: boolean;
 }
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -11,7 +11,7 @@
 const CATCH_UP_DELAY_MS = 300;
 /**
  * Time for which listings of a lower revision than the known one are refused, in milliseconds. They come from a replica
- * that lags behind; a service restored from a backup returns them for good.
+ * that lags behind; a service restored from a backup returns them permanently.
  */
 const STALE_LISTING_REFUSAL_MS = 30_000;
 const COMPACTED_CODE = "ERR_KNAPWEED_KEY_VALUE_COMPACTED";
--- a/fleet/upstreams/src/upstreamConnections.ts
+++ b/fleet/upstreams/src/upstreamConnections.ts
@@ -18,7 +18,7 @@
 
     /**
      * Sends a request to the upstream on an idle connection, or on a new one if none is idle. A request that is sent again
-     * gets another connection, since a late second response to the first time would have its id.
+     * gets another connection, since a late second response to the first attempt has the same id.
      */
     send(upstream: Upstream, request: ExchangeRequest, handler: ExchangeHandler): Exchange {
         const pool = this.poolOf(upstream);
--- a/fleet/view/src/activeConfiguration.ts
+++ b/fleet/view/src/activeConfiguration.ts
@@ -28,7 +28,7 @@
     /**
      * Replaces the active configuration if the given one is newer.
      *
-     * @param nowMs time from which the services of changed routes count as new, Unix ms; by default they always count as old
+     * @param nowMs time since which the services of changed routes are known, Unix ms; by default they were always known
      * @returns whether it was replaced
      */
     adopt(configuration: FleetConfiguration, nowMs = -Infinity): boolean {
--- a/fuzz/soak/src/checkTeamLimits.ts
+++ b/fuzz/soak/src/checkTeamLimits.ts
@@ -5,7 +5,7 @@
 const MS_PER_SECOND = 1000;
 const TOLERANCE = 1.1;
 const EXTRA_REQUESTS = 20;
-/** Time after its write in which a lowered limit is in force, without and with faults. A window later it binds. */
+/** Time after its write in which a lowered limit is in force, without and with faults. Later windows have to keep it. */
 const IN_FORCE_MS = 3000;
 const IN_FORCE_FAULTY_MS = 9000;
 
--- a/fuzz/soak/src/soakCaller.ts
+++ b/fuzz/soak/src/soakCaller.ts
@@ -25,7 +25,7 @@
 /** Share of the calls with a withdrawn key, and with the header of another team. */
 const WITHDRAWN_SHARE = 0.15;
 const OTHER_TEAM_SHARE = 0.2;
-/** More than the system buffers for a connection. Responses of 4 MB never filled the buffers of a gateway. */
+/** Meant to exceed the buffers of the system for a connection, which take a response of 4 MB at once. */
 const SLOW_PADDING_BYTES = 16_000_000;
 const SLOW_PAUSE_MS = 2000;
 const SLOW_READ_INTERVAL_MS = 20;
--- a/routing/limits/src/fleetRateLimiter.ts
+++ b/routing/limits/src/fleetRateLimiter.ts
@@ -30,18 +30,21 @@
     oldestReportAgeMs: number;
 }
 
-/** Time after the start in which the levels may be unknown: the window in which the limits are binding. */
+/**
+ * Time for which unknown buckets are assumed to have been full at the start of this process, in milliseconds. It is the
+ * window for which the limits are guaranteed.
+ */
 const START_MS = 5000;
 /** Time for which a gateway that was silent gets the levels and all counts, in milliseconds. */
 const CATCH_UP_MS = 300;
-/** Time after the levels are known in which first counts of peers are contained in them, in milliseconds. */
+/** Time after the levels became known for which they contain the first counts of peers, in milliseconds. */
 const LEVELS_SETTLE_MS = 700;
 /** Time between two reports of the levels, in milliseconds, and the maximum number of levels in one. */
 const LEVELS_INTERVAL_MS = 100;
 const MAX_LEVELS = 80;
 /** Levels are reported in tenths, rounded up. */
 const LEVEL_STEPS = 10;
-/** Share of the gateways that have to be heard for the local levels to be worth reporting. */
+/** Smallest share of the gateways that has to be heard for the local levels to be reported. */
 const MIN_LEVELS_SHARE = 0.5;
 const EXPIRY_INTERVAL_MS = 5000;
 /** Time between reports while requests of limited teams arrive, and otherwise, in milliseconds. */
@@ -49,9 +52,9 @@
 const IDLE_INTERVAL_MS = 300;
 
 /**
- * Admits the requests of limited teams at one of several gateways that share the limits without a center. Each gateway
- * meters the requests of all, its own at once and those of the others from their reports, so any gateway may use the
- * whole limit. Gateways that can't hear each other use separate shares. docs/design/limits.md derives the bounds.
+ * Admits the requests of limited teams at one of several gateways that share the limits without a central process. Each
+ * gateway meters the requests of all, its own at once and those of the others from their reports, so any gateway may use
+ * the whole limit. Gateways that can't hear each other use separate shares. docs/design/limits.md derives the bounds.
  */
 export class FleetRateLimiter {
     private readonly opts: FleetRateLimiterOptions;
@@ -59,7 +62,7 @@
     private readonly ownCounts = new OwnCounts();
     private readonly peerCounts = new PeerCounts();
     private readonly meters = new Map<TeamId, TeamMeter>();
-    /** Time at which a peer has reported the levels; undefined until then. */
+    /** Time at which a peer reported the complete levels; undefined until then. */
     private levelsKnownAtMs: number | undefined;
     private catchUpUntilMs = -Infinity;
     private levelsSentAtMs = -Infinity;
@@ -156,7 +159,7 @@
         return this.presence.isActive(nowMs) || nowMs < this.catchUpUntilMs ? ACTIVE_INTERVAL_MS : IDLE_INTERVAL_MS;
     }
 
-    /** Returns the state on which decisions rest now. */
+    /** Returns the state by which requests are admitted now. */
     viewAt(nowMs: number): LimiterView {
         return { share: this.presence.share, oldestReportAgeMs: this.presence.oldestReportAgeMs(nowMs) };
     }
@@ -194,7 +197,7 @@
         return { nowMs, meteredMs, share };
     }
 
-    /** A new meter is empty once the levels are known, and was full at the start of this process until then. */
+    /** Returns a team's meter. A new one is empty if the levels are known, otherwise full at the start of this process. */
     private meterOf(team: LimitedTeam, nowMs: number): TeamMeter {
         const { meteredMs } = this.presence;
         const known = this.meters.get(team.id);
--- a/routing/limits/src/gatewayPresence.ts
+++ b/routing/limits/src/gatewayPresence.ts
@@ -17,18 +17,18 @@
 /** Time after which an unheard peer counts as silent while no requests arrive: two of its intervals, in milliseconds. */
 const IDLE_SILENCE_MS = 600;
 /**
- * The same while requests arrive, for the rate, in milliseconds. Short, since cut off gateways drain their buckets as long;
- * what is withheld from a peer that reports less often is returned with its next report.
+ * The same while requests arrive, for the rate, in milliseconds. Short, since gateways that are cut off from each other use
+ * the whole rate for this time. What is withheld from a peer that reports less often is returned with its next report.
  */
 const RATE_SILENCE_MS = 10;
 /**
  * The same for the burst, in milliseconds: two intervals of 100 ms and the delay. A smaller burst rejects requests below
- * the limit. Also the longest silence after which the first report is sure to tell what the peer admitted meanwhile.
+ * the limit. Also the longest silence after which the first report is certain to contain all that the peer has admitted.
  */
 const BURST_SILENCE_MS = 300;
-/** Time between two uses above which this process was stopped, and its view is outdated, in milliseconds. */
+/** Time between two uses above which this process was suspended, so that its view is outdated, in milliseconds. */
 const FREEZE_MS = 450;
-/** Time for which reports may be those that arrived while this process was stopped, in milliseconds. */
+/** Time after a suspension in which reports may be old ones that arrived during it, in milliseconds. */
 const DISTRUST_MS = 100;
 /** Time between updates, in milliseconds, since each visits all peers. */
 const UPDATE_INTERVAL_MS = 10;
@@ -38,7 +38,7 @@
 /**
  * Tracks which other gateways are heard, and so which share of the limits this gateway may use. Gateways that can't hear
  * each other thereby use separate shares: of the bursts, (heard gateways and itself) / (known gateways and itself).
- * Buckets drain by a metered time, from which a peer's share is withheld while it is silent: it may be using it.
+ * Buckets drain by a metered time. A silent peer's share of it is withheld, since the peer may be using it.
  */
 export class GatewayPresence {
     /** Share of the bursts that this gateway may use, in (0, 1]. */
@@ -132,7 +132,10 @@
         this.meteredMs += partMs * (heard.length - silent.length + 1);
     }
 
-    /** Peers report often only since requests arrive. Before that, a silence says nothing unless it is long. */
+    /**
+     * Returns the time for which a peer counts as silent. Peers report often only while requests arrive, so a short silence
+     * counts from the first request on.
+     */
     private silenceMs({ heardAtMs }: Peer, nowMs: number): number {
         if (nowMs > heardAtMs + IDLE_SILENCE_MS) {
             return Infinity;
--- a/routing/limits/src/ownCounts.ts
+++ b/routing/limits/src/ownCounts.ts
@@ -14,7 +14,7 @@
 
 /** Time for which a changed count is reported, in milliseconds. */
 const REPEAT_MS = 600;
-/** The same for peers that did not hear this gateway: the time for which a request matters to a limit. */
+/** The same while peers may have missed reports, in milliseconds: the window for which the limits are guaranteed. */
 const REPEAT_TO_SILENT_MS = 5000;
 /** Time in which each report has a changed count, in milliseconds. It covers two reports or more. */
 const EACH_REPORT_MS = 40;
@@ -22,14 +22,14 @@
 const REPEAT_INTERVAL_MS = 150;
 /** Maximum number of counts in a report, so that it fits a datagram. The others follow in the next ones. */
 const MAX_REPORTED = 40;
-/** Time after which a count starts again, in milliseconds. Peers forget it earlier. */
+/** Time after which an unchanged count is removed, in milliseconds. Peers remove it earlier and never see it restart. */
 const RETENTION_MS = 30_000;
 
 /** Counts the requests that this gateway has admitted, and selects those counts that its next report needs. */
 export class OwnCounts {
     private readonly counts = new Map<TeamId, OwnCount>();
     /** Counts that may have to be reported. */
-    private readonly unsettled = new Set<OwnCount>();
+    private readonly reportable = new Set<OwnCount>();
 
     /** Adds an admitted request; a `change` of -1 removes it. */
     add(teamId: TeamId, change: 1 | -1, nowMs: number): void {
@@ -47,7 +47,7 @@
         count.current += change;
         count.changedAtMs = nowMs;
         this.counts.set(teamId, count);
-        this.unsettled.add(count);
+        this.reportable.add(count);
     }
 
     /** Returns the number of requests of a team that were admitted. */
@@ -62,7 +62,7 @@
      */
     toReport(nowMs: number, hasSilentPeers: boolean): TeamCount[] {
         const repeatMs = hasSilentPeers ? REPEAT_TO_SILENT_MS : REPEAT_MS;
-        const due = [...this.unsettled]
+        const due = [...this.reportable]
             .filter(count => nowMs < count.changedAtMs + repeatMs)
             .filter(count =>
                 nowMs < count.changedAtMs + EACH_REPORT_MS || nowMs >= count.sentAtMs + REPEAT_INTERVAL_MS
@@ -70,9 +70,9 @@
             )
             .sort((left, right) => left.sentAtMs - right.sentAtMs)
             .slice(0, MAX_REPORTED);
-        [...this.unsettled]
+        [...this.reportable]
             .filter(count => nowMs >= count.changedAtMs + REPEAT_TO_SILENT_MS)
-            .forEach(count => this.unsettled.delete(count));
+            .forEach(count => this.reportable.delete(count));
         return due.map(count => {
             updateInterval(count, nowMs);
             count.sentAtMs = nowMs;
--- a/routing/limits/src/peerCounts.ts
+++ b/routing/limits/src/peerCounts.ts
@@ -33,19 +33,19 @@
 
 /** Time without a report after which a peer was silent for long, in milliseconds. */
 const LONG_SILENCE_MS = 600;
-/** Time after which an unchanged count is forgotten, in milliseconds. The peer keeps counting for longer. */
+/** Time after which an unchanged count is removed, in milliseconds. The peer itself keeps it for longer. */
 const COUNT_RETENTION_MS = 20_000;
-/** Time after which a peer is forgotten. Reports that arrive later than that don't exist, in milliseconds. */
+/** Time after the last report for which a peer is remembered, in milliseconds. No report is delayed by more. */
 const PEER_RETENTION_MS = 60_000;
 
-/** Remembers the counts that other gateways have reported, and so how many more requests each report tells of. */
+/** Remembers the counts that other gateways have reported, and derives the new requests in each report from them. */
 export class PeerCounts {
     private readonly peers = new Map<InstanceName, Peer>();
 
     /**
      * Applies a report.
      *
-     * @param isFirstCountKnown whether the requests of counts without an earlier one are known already
+     * @param isFirstCountKnown whether the requests in the first count of a team are already contained in the levels
      * @returns undefined if a newer report, or this one, has been applied
      */
     apply(usage: GatewayUsage, isFirstCountKnown: boolean, nowMs: number): AppliedUsage | undefined {
--- a/routing/limits/src/teamCount.ts
+++ b/routing/limits/src/teamCount.ts
@@ -5,6 +5,6 @@
     teamId: TeamId;
     /** Since the gateway started to count, without the requests that were released. */
     admitted: number;
-    /** Of these, the ones of the last 0.6 to 1.2 s. For receivers that know no earlier count. */
+    /** Those of the last 0.6 to 1.2 s, for receivers that know no earlier count. */
     recentlyAdmitted: number;
 }
--- a/routing/limits/src/teamMeter.ts
+++ b/routing/limits/src/teamMeter.ts
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Adds requests that a peer has admitted while it was silent, so that its share was withheld from this bucket. They
-     * leave the bucket full at most.
+     * Adds requests that a peer admitted while it was silent and its share was withheld from this bucket. They fill the
+     * bucket at most.
      */
     addOldPeerChange(change: number, meteredMs: number): void {
         const level = this.level(meteredMs);
@@ -125,7 +125,7 @@
         return (waitMs + ahead / this.limit.ratePerSecond * MS_PER_SECOND) / share;
     }
 
-    /** Returns whether the meter has been unused for so long that it says no more than a new one. */
+    /** Returns whether the meter is empty and has been unused for long, so that a new one can replace it. */
     isIdle(nowMs: number, meteredMs: number): boolean {
         return nowMs >= this.usedAtMs + IDLE_MS && this.level(meteredMs) === 0;
     }
