--- a/fleet/gateway/src/callTimes.ts
+++ b/fleet/gateway/src/callTimes.ts
@@ -12,9 +12,9 @@
     /** The earlier of the caller's deadline and the route's timeout. */
     readonly deadlineAtMs: number;
 
-    /** @param opts.remainingMs the time for which the caller waits; undefined if it doesn't say */
-    constructor(route: Route, opts: { arrivedAtMs: number; remainingMs: number | undefined; }) {
-        const remainingMs = opts.remainingMs ?? route.timeoutMs;
+    /** @param opts.remainingMs the time for which the caller waits */
+    constructor(route: Route, opts: { arrivedAtMs: number; remainingMs: number; }) {
+        const { remainingMs } = opts;
         this.isRetry = remainingMs < route.timeoutMs * RETRY_REMAINING_SHARE;
         this.objectiveAtMs = opts.arrivedAtMs + route.objectiveMs;
         this.deadlineAtMs = opts.arrivedAtMs + Math.min(remainingMs, route.timeoutMs);
--- a/fleet/gateway/src/cutOffStalledReader.ts
+++ b/fleet/gateway/src/cutOffStalledReader.ts
@@ -9,14 +9,15 @@
     response: ServerResponse,
     opts: { maxStallMs: number; onCutOff: () => void; },
 ): void {
-    response.setTimeout(opts.maxStallMs, () => {
+    response.on("timeout", () => {
         const isWaiting = response.writableLength > 0 || (response.writableEnded && !response.writableFinished);
         if (isWaiting) {
             opts.onCutOff();
             breakOffResponse(response);
             return;
         }
-        // The response waits for the upstream. The timeout starts again, since it is reported once.
-        cutOffStalledReader(response, opts);
+        // The response waits for the upstream. The socket reports each timeout once, so it is set again.
+        response.setTimeout(opts.maxStallMs);
     });
+    response.setTimeout(opts.maxStallMs);
 }
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -27,6 +27,7 @@
 import { headerOf } from "./headerOf.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { queueFieldsOf } from "./queueFieldsOf.js";
+import { remainingMsOf } from "./remainingMsOf.js";
 import { ResponseForwarder } from "./responseForwarder.js";
 import { type ResponseWriter } from "./responseWriter.js";
 import type { ResumptionDecision } from "./resumptionDecision.js";
@@ -104,8 +105,7 @@
         this.priority = this.team?.priority ?? route.priority;
         this.traits = new CallTraits(context, request, opts.body);
         this.promptParts = context.decodePromptParts(headerOf(request, context.headers.promptParts));
-        const remaining = headerOf(request, context.headers.remainingMs);
-        const remainingMs = remaining === undefined ? undefined : Number(remaining);
+        const remainingMs = remainingMsOf(request, route, context.headers);
         const times = new CallTimes(route, { arrivedAtMs: opts.arrivedAtMs, remainingMs });
         this.isRetry = times.isRetry;
         this.objectiveAtMs = times.objectiveAtMs;
@@ -281,7 +281,7 @@
         }
         if (outcome === "no-memory") {
             this.abort(attempt);
-            this.fail(502, "The process holds as much for its callers as it may");
+            this.fail(502, "The limit of the memory for callers is reached");
         }
     }
 
--- a/fleet/gateway/src/requestLimits.ts
+++ b/fleet/gateway/src/requestLimits.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { GatewayContext } from "./gatewayContext.js";
 import { headerOf } from "./headerOf.js";
+import { remainingMsOf } from "./remainingMsOf.js";
 import { sendFailure } from "./sendFailure.js";
 
 type LimitsContext = Pick<GatewayContext, "clock" | "headers" | "logger" | "metrics" | "onLoadChanged" | "random">;
@@ -18,7 +19,7 @@
     arrivedAtMs: number;
 }
 
-/** Share of the time that the caller has left after which it is asked to retry at the latest. */
+/** Maximum retry time, as a share of the time that the caller has left. */
 const MAX_RETRY_SHARE = 1 / 3;
 /** Lower bound of the random factor of the retry time, so that not all rejected callers return at once. */
 const MIN_JITTER = 0.7;
@@ -75,7 +76,7 @@
     private reject(call: LimitedCall, admission: RateAdmission): void {
         const { clock, headers, random } = this.context;
         const { request, response, route, arrivedAtMs } = call;
-        const remainingMs = Number(headerOf(request, headers.remainingMs) ?? route.timeoutMs);
+        const remainingMs = remainingMsOf(request, route, headers);
         const elapsedMs = clock.nowMs() - arrivedAtMs;
         const leftMs = Math.max(0, Math.min(remainingMs, route.timeoutMs) - elapsedMs);
         const jitter = MIN_JITTER + (1 - MIN_JITTER) * random.next();
--- a/fleet/gateway/src/sendFailure.ts
+++ b/fleet/gateway/src/sendFailure.ts
@@ -25,6 +25,9 @@
     if (opts.mustClose === true) {
         response.setHeader("connection", "close");
     }
-    response.writeHead(opts.statusCode, { "content-type": "application/json", "content-length": body.length });
+    response.writeHead(opts.statusCode, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+    });
     response.end(body);
 }
