fix(gateway): the log line of a limited call keeps its own level

The test of an unread stream no longer claims to guard against what stalledReader.test.ts checks; its assertions are unchanged.

--- a/fleet/gateway/src/requestLimits.ts
+++ b/fleet/gateway/src/requestLimits.ts
@@ -105,7 +105,7 @@
             requestId: headerOf(request, this.context.headers.requestId) as RequestId | undefined,
             route: route.name,
             team: admission.teamId,
-            level: Math.round(admission.level),
+            bucketLevel: Math.round(admission.level),
             requestsPerSecond: team?.requestsPerSecond,
             burst: team?.burst,
             share,
--- a/fleet/gateway/test/slowReaders.test.ts
+++ b/fleet/gateway/test/slowReaders.test.ts
@@ -30,8 +30,8 @@
     assert.ok(isTrue());
 }
 
-// The gateway stopped reading from the upstream as soon as a caller read slowly. The upstream then broke the stream off.
-test("an upstream sends a whole stream although its caller doesn't read", async () => {
+// The system's buffers take this stream; stalledReader.test.ts checks when an upstream has to wait.
+test("a caller that reads nothing at first receives the whole stream later", async () => {
     let isSent = false;
     const upstream = new UpstreamStandin((_request, response) => {
         response.writeHead(200, { "content-type": "text/event-stream", "x-proof": "p" });
--- a/fleet/gateway/test/stalledReader.test.ts
+++ b/fleet/gateway/test/stalledReader.test.ts
@@ -1,4 +1,5 @@
-// Callers that stop reading kept their responses in memory for good, and slow ones made upstreams wait until these broke off.
+// Responses to callers that had stopped reading were kept until the process ended. Upstreams broke off responses that they
+// had to hold back because a caller read slowly.
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
 import { MemoryBudget } from "@knapweedwood/fleet.memory/memoryBudget";
--- a/fleet/load/src/recentCounts.ts
+++ b/fleet/load/src/recentCounts.ts
@@ -1,6 +1,6 @@
 /** Time after which an event counts 1/e, in milliseconds. */
 const DECAY_MS = 2000;
-/** Time after which the counts are scaled anew, so that they stay within the range of numbers. */
+/** Time after which the counts are rescaled, so that they stay within the range of numbers. */
 const MAX_SCALED_MS = 100 * DECAY_MS;
 const NEGLIGIBLE_COUNT = 0.01;
 
--- a/fleet/load/src/speedBelief.ts
+++ b/fleet/load/src/speedBelief.ts
@@ -2,7 +2,7 @@
 
 /** Decay of samples, in milliseconds. Short, since a slowdown may last only a part of a second. */
 const RECENT_DECAY_MS = 150;
-/** Weight of the lasting speed beside the recent samples, in samples. A single outlier moves the belief little. */
+/** Weight of the lasting speed relative to the recent samples, in samples. A single outlier moves the belief little. */
 const LASTING_WEIGHT = 3;
 /** Time in which the lasting speed follows the recent one, in milliseconds. */
 const LASTING_FOLLOW_MS = 2500;
--- a/fleet/load/src/teamUsageCodec.ts
+++ b/fleet/load/src/teamUsageCodec.ts
@@ -1,11 +1,10 @@
 import type { TeamId } from "@knapweedwood/core.ids/teamId";
+import { LEVEL_STEPS } from "@knapweedwood/routing.limits/levelSteps";
 import type { TeamUsage } from "@knapweedwood/routing.limits/teamUsage";
 
 /** Empty if there is nothing to report; the levels are left out if there are none. */
 export type PackedTeamUsage = [counts?: (string | number)[], levels?: (string | number)[], areLevelsComplete?: boolean];
 
-/** Levels are packed in tenths, as integers. */
-const LEVEL_STEPS = 10;
 const COUNT_FIELDS = 3;
 const LEVEL_FIELDS = 2;
 
--- a/routing/limits/src/fleetRateLimiter.ts
+++ b/routing/limits/src/fleetRateLimiter.ts
@@ -2,6 +2,7 @@
 import type { TeamId } from "@knapweedwood/core.ids/teamId";
 import { GatewayPresence } from "./gatewayPresence.js";
 import type { GatewayUsage } from "./gatewayUsage.js";
+import { LEVEL_STEPS } from "./levelSteps.js";
 import type { LimitedTeam } from "./limitedTeam.js";
 import { OwnCounts } from "./ownCounts.js";
 import { PeerCounts } from "./peerCounts.js";
@@ -42,8 +43,6 @@
 /** Time between two reports of the levels, in milliseconds, and the maximum number of levels in one. */
 const LEVELS_INTERVAL_MS = 100;
 const MAX_LEVELS = 80;
-/** Levels are reported in tenths, rounded up. */
-const LEVEL_STEPS = 10;
 /** Smallest share of the gateways that has to be heard for the local levels to be reported. */
 const MIN_LEVELS_SHARE = 0.5;
 const EXPIRY_INTERVAL_MS = 5000;
--- /dev/null
+++ b/routing/limits/src/levelSteps.ts
@@ -0,0 +1,2 @@
+/** Steps per request in which the levels of buckets are reported. */
+export const LEVEL_STEPS = 10;
