fix(gateway): an error doesn't continue a stream that was resumed at a failing upstream

Cause: the stream's writer takes the status of a later attempt for that of the response that has begun, and all but 200 counts as complete. Such a response now ends the attempt as failed; an error response that breaks off isn't continued elsewhere.

--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -35,6 +35,7 @@
 import { StreamContinuity } from "./streamContinuity.js";
 import { upstreamRequestOf } from "./upstreamRequestOf.js";
 
+const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
 const HTTP_SERVER_ERROR = 500;
@@ -261,6 +262,11 @@
             this.failAttempt(attempt, "ANSWER_WITHOUT_PROOF");
             return;
         }
+        if (this.writer.hasStarted && head.statusCode !== HTTP_OK) {
+            // The caller has a part of a stream, which an error doesn't continue.
+            this.failAttempt(attempt, "STREAM_NOT_RESUMED");
+            return;
+        }
         this.writer.onHead(head, () => this.context.isStopping());
     }
 
@@ -344,7 +350,8 @@
             return;
         }
         this.mayHaveRun = true;
-        if (isRepeatable(this.route)) {
+        const isErrorBegun = this.writer.hasStarted && this.writer.statusCode !== HTTP_OK;
+        if (isRepeatable(this.route) && !isErrorBegun) {
             this.retryOrReject("the upstream broke off");
             return;
         }
