feat(upstreams): limits that upstreams name are logged

Cause: the logs couldn't tell whether a process knew of an upstream's limit when it sent a request. Change: UpstreamConnections, through which all requests to upstreams go, tells an observer of each request and response. UpstreamLimitTable remembers the limit that an upstream named last; upstream-limit-changed, and limitPerSecond in call-placed and item-started. Nothing is decided by it yet.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -17,12 +17,14 @@
 import { computeCoalesceMs } from "@knapweedwood/fleet.sync/computeCoalesceMs";
 import { computeWatchWaitMs } from "@knapweedwood/fleet.sync/computeWatchWaitMs";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
+import { UpstreamLimitTable } from "@knapweedwood/fleet.upstream-limits/upstreamLimitTable";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { PlatformKeyValueService } from "@knapweedwood/platform.adapter/platformKeyValueService";
+import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
 import { FleetRateLimiter } from "@knapweedwood/routing.limits/fleetRateLimiter";
 import { randomInt } from "node:crypto";
 import { ConfigurationCatchUp } from "./configurationCatchUp.js";
@@ -77,7 +79,8 @@
     readonly clock = new SystemClock();
     readonly random = new SeededRandom(randomInt(SEED_LIMIT));
     readonly metrics = new PrometheusMetrics();
-    readonly connections = new UpstreamConnections();
+    readonly limits: UpstreamLimitTable;
+    readonly connections: UpstreamConnections;
     readonly loadTracker = new LoadTracker();
     readonly health = new UpstreamHealth();
     readonly speeds = new UpstreamSpeeds({ clock: this.clock });
@@ -106,7 +109,14 @@
     constructor(opts: FleetProcessOptions) {
         this.opts = opts;
         const { settings, logger } = opts;
-        const { clock, random, loadTracker, health, speeds, connections } = this;
+        const { clock, random, loadTracker, health, speeds } = this;
+        const limits = new UpstreamLimitTable({ clock, logger, limitHeader: wireHeaders.requestLimit });
+        const connections = new UpstreamConnections({
+            onSent: () => undefined,
+            onResponse: (upstream, head) => limits.onResponse(upstream, head),
+        });
+        this.limits = limits;
+        this.connections = connections;
         this.speedLog = new UpstreamSpeedLog({ clock, logger, speeds });
         this.self = createMemberRecord(settings, opts.role);
         this.eventLoop = new EventLoopMonitor({ clock, logger, processorMs });
@@ -333,6 +343,7 @@
         this.configurationCatchUp.tick();
         this.versionRecords.tick();
         this.speeds.expire();
+        this.limits.expire();
         this.speedLog.review();
         this.quarantine.withdrawCrashes();
         const dueAtMs = this.clock.nowMs() + HOUSEKEEPING_INTERVAL_MS;
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -60,7 +60,7 @@
             onDrainRequested: () => undefined,
             onLeadershipChanged: () => undefined,
         });
-        const { clock, random, loadTracker, connections, health, speeds, metrics } = this.fleet;
+        const { clock, random, loadTracker, connections, health, speeds, limits, metrics } = this.fleet;
         const { configuration } = this.fleet.operators;
         const usableUpstreams = (service: ServiceName) => this.fleet.upstreams.usable(service, undefined);
         const meanSlowness = new MeanSlowness({ clock, speeds, usableUpstreams });
@@ -99,6 +99,7 @@
             health,
             serviceTimes,
             speeds,
+            limits,
             requestQueue: this.requestQueue,
             memory: new MemoryBudget({ limitBytes: memoryBudgetBytes(settings.memoryMb) }),
             promptCaches: this.promptCaches,
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -246,6 +246,7 @@
             loadTracker,
             health,
             speeds,
+            limits,
             metrics,
             quarantine,
         } = this.fleet;
@@ -264,6 +265,7 @@
             loadTracker,
             health,
             speeds,
+            limits,
             quarantine,
         };
     }
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -12,6 +12,7 @@
 import type { PromptCacheCost } from "@knapweedwood/fleet.prompts/promptCacheCost";
 import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
+import type { UpstreamLimitTable } from "@knapweedwood/fleet.upstream-limits/upstreamLimitTable";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { CallHeaderNames } from "@knapweedwood/fleet.view/callHeaderNames";
@@ -35,6 +36,8 @@
     health: UpstreamHealth;
     serviceTimes: ServiceTimes;
     speeds: UpstreamSpeeds;
+    /** The limits that upstreams have named. */
+    limits: UpstreamLimitTable;
     requestQueue: RequestQueue;
     /** Bytes held for callers. */
     memory: MemoryBudget;
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -187,6 +187,7 @@
             resumedRequestId: this.continuity?.resumedRequestId,
             online: this.context.loadTracker.onlineCount(upstream.id),
             slowness: this.context.speeds.loggedSlownessOf(upstream.id),
+            limitPerSecond: this.context.limits.limitOf(upstream),
             configuration: this.context.configuration.version,
             promptTokensKept: this.promptParts.length === 0 ? undefined : promptRun.keptTokens,
         });
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -12,6 +12,7 @@
 import { PromptCacheCost } from "@knapweedwood/fleet.prompts/promptCacheCost";
 import { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
+import { UpstreamLimitTable } from "@knapweedwood/fleet.upstream-limits/upstreamLimitTable";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { Route } from "@knapweedwood/fleet.view/route";
@@ -40,6 +41,7 @@
     expectedUpstream: "x-expected",
     notRun: "x-not-run",
     leaving: "x-leaving",
+    requestLimit: "x-limit",
     key: "x-key",
     team: "x-team",
     promptParts: "x-parts",
@@ -81,7 +83,7 @@
 
 /** A gateway for tests, with stand-ins as its upstreams. */
 export class GatewayTestBed {
-    readonly connections = new UpstreamConnections();
+    readonly connections: UpstreamConnections;
     readonly loadTracker = new LoadTracker();
     readonly directory = new UpstreamDirectory();
     readonly health = new UpstreamHealth();
@@ -132,6 +134,11 @@
                 teams: opts.teams,
             });
         }
+        const limits = new UpstreamLimitTable({ clock, logger: silentLogger, limitHeader: headers.requestLimit });
+        this.connections = new UpstreamConnections({
+            onSent: () => undefined,
+            onResponse: (upstream, head) => limits.onResponse(upstream, head),
+        });
         const { loadTracker, connections, directory } = this;
         opts.upstreams.forEach(upstream => directory.put(upstream, clock.nowMs()));
         const serviceTimes = new ServiceTimes();
@@ -165,6 +172,7 @@
             health: this.health,
             serviceTimes,
             speeds: new UpstreamSpeeds({ clock }),
+            limits,
             requestQueue,
             memory: this.memory,
             quarantine: new RequestQuarantine({
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -27,6 +27,7 @@
         | "directory"
         | "loadTracker"
         | "speeds"
+        | "limits"
         | "connections"
         | "headers"
         | "quarantine"
@@ -77,6 +78,7 @@
             online: this.opts.loadTracker.onlineCount(upstream.id),
             batch: this.opts.loadTracker.batchCount(upstream.id),
             slowness: this.opts.speeds?.loggedSlownessOf(upstream.id),
+            limitPerSecond: this.opts.limits?.limitOf(upstream),
         });
         const { host, team } = job.record;
         const hasTeams = team !== undefined || this.opts.configuration.current?.teams !== undefined;
--- a/fleet/upstreams/src/upstreamConnections.ts
+++ b/fleet/upstreams/src/upstreamConnections.ts
@@ -3,6 +3,7 @@
 import { upstreamProcessKeyOf } from "@knapweedwood/fleet.view/upstreamProcessKeyOf";
 import type { Exchange } from "./exchange.js";
 import type { ExchangeHandler } from "./exchangeHandler.js";
+import type { ExchangeObserver } from "./exchangeObserver.js";
 import type { ExchangeRequest } from "./exchangeRequest.js";
 import { UpstreamConnection } from "./upstreamConnection.js";
 
@@ -12,10 +13,19 @@
     all: Set<UpstreamConnection>;
 }
 
-/** Pools the connections of this process to upstreams, since opening one takes time at both ends. */
+/**
+ * Pools the connections of this process to upstreams, since opening one takes time at both ends. All requests to upstreams
+ * are sent here.
+ */
 export class UpstreamConnections {
+    private readonly observer: ExchangeObserver;
     private readonly pools = new Map<UpstreamProcessKey, Pool>();
 
+    /** @param observer told of all requests and responses; without it nothing is observed */
+    constructor(observer: ExchangeObserver = { onSent: () => undefined, onResponse: () => undefined }) {
+        this.observer = observer;
+    }
+
     /**
      * Sends a request to the upstream on an idle connection, or on a new one if none is idle. A request that is sent again
      * gets another connection, since a late second response to the first attempt has the same id.
@@ -23,7 +33,16 @@
     send(upstream: Upstream, request: ExchangeRequest, handler: ExchangeHandler): Exchange {
         const pool = this.poolOf(upstream);
         const connection = takeIdle(pool, request.requestId) ?? this.open(upstream, pool);
-        return connection.send(request, handler);
+        this.observer.onSent(upstream);
+        return connection.send(request, {
+            onHead: head => {
+                this.observer.onResponse(upstream, head);
+                handler.onHead(head);
+            },
+            onData: chunk => handler.onData(chunk),
+            onEnd: ending => handler.onEnd(ending),
+            onFailure: failure => handler.onFailure(failure),
+        });
     }
 
     /** Closes the idle connections to a removed upstream; those in use close when their exchanges end. */
--- a/fleet/view/src/callHeaderNames.ts
+++ b/fleet/view/src/callHeaderNames.ts
@@ -9,6 +9,8 @@
     notRun: string;
     /** Present on all responses of upstreams that are about to end. */
     leaving: string;
+    /** Names the requests a second that an upstream in need takes from all processes together. */
+    requestLimit: string;
     /** Present on all responses of upstreams that ran the request. */
     upstreamProof: string;
     /** Carries the key of the caller. */
