refactor(limits): counts of admitted requests are not bound to teams

OwnCounts and PeerCounts count by any id, so that upstreams can be counted as teams are; groupsOf stands once.

--- a/fleet/load/src/teamUsageCodec.ts
+++ b/fleet/load/src/teamUsageCodec.ts
@@ -1,6 +1,7 @@
 import type { TeamId } from "@knapweedwood/core.ids/teamId";
 import { LEVEL_STEPS } from "@knapweedwood/routing.limits/levelSteps";
 import type { TeamUsage } from "@knapweedwood/routing.limits/teamUsage";
+import { groupsOf } from "./groupsOf.js";
 
 /** Empty if there is nothing to report; the levels are left out if there are none. */
 export type PackedTeamUsage = [counts?: (string | number)[], levels?: (string | number)[], areLevelsComplete?: boolean];
@@ -11,7 +12,7 @@
 /** Packs the usage of teams for a load report. */
 export const teamUsageCodec = {
     pack({ counts, levels, areLevelsComplete }: TeamUsage): PackedTeamUsage {
-        const packedCounts = counts.flatMap(count => [count.teamId, count.admitted, count.recentlyAdmitted]);
+        const packedCounts = counts.flatMap(count => [count.id, count.admitted, count.recentlyAdmitted]);
         if (levels.length > 0 || areLevelsComplete) {
             const packedLevels = levels.flatMap(({ teamId, level }) => [teamId, Math.round(level * LEVEL_STEPS)]);
             return [packedCounts, packedLevels, areLevelsComplete];
@@ -22,8 +23,8 @@
     /** Unpacks the usage; undefined is what processes of earlier versions send. */
     unpack([counts = [], levels = [], areLevelsComplete = false]: PackedTeamUsage = []): TeamUsage {
         return {
-            counts: groupsOf(counts, COUNT_FIELDS).map(([teamId, admitted, recentlyAdmitted]) => ({
-                teamId: teamId as TeamId,
+            counts: groupsOf(counts, COUNT_FIELDS).map(([id, admitted, recentlyAdmitted]) => ({
+                id: id as TeamId,
                 admitted: admitted as number,
                 recentlyAdmitted: recentlyAdmitted as number,
             })),
@@ -35,7 +36,3 @@
         };
     },
 };
-
-function groupsOf<Value>(values: readonly Value[], size: number): Value[][] {
-    return Array.from({ length: values.length / size }, (_, index) => values.slice(index * size, (index + 1) * size));
-}
--- a/fleet/load/test/loadReportCodec.test.ts
+++ b/fleet/load/test/loadReportCodec.test.ts
@@ -24,7 +24,7 @@
     upstreamsRevision: 38,
     leader: { instanceName: "runner-1" as InstanceName, fencingNumber: 31 },
     teamUsage: {
-        counts: [{ teamId: "team-1" as TeamId, admitted: 312, recentlyAdmitted: 4 }],
+        counts: [{ id: "team-1" as TeamId, admitted: 312, recentlyAdmitted: 4 }],
         levels: [{ teamId: "team-2" as TeamId, level: 7.3 }],
         areLevelsComplete: true,
     },
--- a/routing/limits/src/fleetRateLimiter.ts
+++ b/routing/limits/src/fleetRateLimiter.ts
@@ -58,8 +58,8 @@
 export class FleetRateLimiter {
     private readonly opts: FleetRateLimiterOptions;
     private readonly presence: GatewayPresence;
-    private readonly ownCounts = new OwnCounts();
-    private readonly peerCounts = new PeerCounts();
+    private readonly ownCounts = new OwnCounts<TeamId>();
+    private readonly peerCounts = new PeerCounts<TeamId>();
     private readonly meters = new Map<TeamId, TeamMeter>();
     /** Time at which a peer reported the complete levels; undefined until then. */
     private levelsKnownAtMs: number | undefined;
@@ -130,7 +130,7 @@
         }
         this.advance(nowMs);
         const isSettling = this.levelsKnownAtMs !== undefined && nowMs < this.levelsKnownAtMs + LEVELS_SETTLE_MS;
-        const applied = this.peerCounts.apply(usage, isSettling, nowMs);
+        const applied = this.peerCounts.apply({ ...usage, counts: teamUsage.counts }, isSettling, nowMs);
         if (applied === undefined) {
             return;
         }
@@ -141,7 +141,7 @@
             this.recordActivity(nowMs);
         }
         const time = this.timeAt(nowMs);
-        applied.changes.forEach(({ teamId, change, isOld }) => {
+        applied.changes.forEach(({ id: teamId, change, isOld }) => {
             const meter = this.knownMeter(teamId, nowMs);
             if (isOld) {
                 meter?.addOldPeerChange(change, time.meteredMs);
--- a/routing/limits/src/ownCounts.ts
+++ b/routing/limits/src/ownCounts.ts
@@ -1,8 +1,7 @@
-import type { TeamId } from "@knapweedwood/core.ids/teamId";
-import type { TeamCount } from "./teamCount.js";
+import type { RequestCount } from "./requestCount.js";
 
-interface OwnCount {
-    teamId: TeamId;
+interface OwnCount<Id extends string> {
+    id: Id;
     admitted: number;
     changedAtMs: number;
     sentAtMs: number;
@@ -25,16 +24,16 @@
 /** Time after which an unchanged count is removed, in milliseconds. Peers remove it earlier and never see it restart. */
 const RETENTION_MS = 30_000;
 
-/** Counts the requests that this gateway has admitted, and selects those counts that its next report needs. */
-export class OwnCounts {
-    private readonly counts = new Map<TeamId, OwnCount>();
+/** Counts the requests that this process has admitted by id, and selects those counts that its next report needs. */
+export class OwnCounts<Id extends string> {
+    private readonly counts = new Map<Id, OwnCount<Id>>();
     /** Counts that may have to be reported. */
-    private readonly reportable = new Set<OwnCount>();
+    private readonly reportable = new Set<OwnCount<Id>>();
 
     /** Adds an admitted request; a `change` of -1 removes it. */
-    add(teamId: TeamId, change: 1 | -1, nowMs: number): void {
-        const count = this.counts.get(teamId) ?? {
-            teamId,
+    add(id: Id, change: 1 | -1, nowMs: number): void {
+        const count = this.counts.get(id) ?? {
+            id,
             admitted: 0,
             changedAtMs: nowMs,
             sentAtMs: -Infinity,
@@ -46,21 +45,21 @@
         count.admitted += change;
         count.current += change;
         count.changedAtMs = nowMs;
-        this.counts.set(teamId, count);
+        this.counts.set(id, count);
         this.reportable.add(count);
     }
 
-    /** Returns the number of requests of a team that were admitted. */
-    admitted(teamId: TeamId): number {
-        return this.counts.get(teamId)?.admitted ?? 0;
+    /** Returns the number of requests with an id that were admitted. */
+    admitted(id: Id): number {
+        return this.counts.get(id)?.admitted ?? 0;
     }
 
     /**
-     * Returns the counts for the next report, shape [teams].
+     * Returns the counts for the next report, shape [counts].
      *
-     * @param hasSilentPeers whether peers have not heard this gateway for a while
+     * @param hasSilentPeers whether peers have not heard this process for a while
      */
-    toReport(nowMs: number, hasSilentPeers: boolean): TeamCount[] {
+    toReport(nowMs: number, hasSilentPeers: boolean): RequestCount<Id>[] {
         const repeatMs = hasSilentPeers ? REPEAT_TO_SILENT_MS : REPEAT_MS;
         const due = [...this.reportable]
             .filter(count => nowMs < count.changedAtMs + repeatMs)
@@ -76,20 +75,20 @@
         return due.map(count => {
             updateInterval(count, nowMs);
             count.sentAtMs = nowMs;
-            const { teamId, admitted, current, previous } = count;
-            return { teamId, admitted, recentlyAdmitted: current + previous };
+            const { id, admitted, current, previous } = count;
+            return { id, admitted, recentlyAdmitted: current + previous };
         });
     }
 
-    /** Removes the counts of teams that have been idle for long. */
+    /** Removes the counts that haven't changed for long. */
     expire(nowMs: number): void {
         [...this.counts.values()]
             .filter(count => nowMs >= count.changedAtMs + RETENTION_MS)
-            .forEach(({ teamId }) => this.counts.delete(teamId));
+            .forEach(({ id }) => this.counts.delete(id));
     }
 }
 
-function updateInterval(count: OwnCount, nowMs: number): void {
+function updateInterval(count: OwnCount<string>, nowMs: number): void {
     if (nowMs >= count.intervalAtMs + REPEAT_MS) {
         count.previous = nowMs < count.intervalAtMs + 2 * REPEAT_MS ? count.current : 0;
         count.current = 0;
--- a/routing/limits/src/peerCounts.ts
+++ b/routing/limits/src/peerCounts.ts
@@ -1,7 +1,6 @@
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
-import type { TeamId } from "@knapweedwood/core.ids/teamId";
-import type { GatewayUsage } from "./gatewayUsage.js";
-import type { TeamCount } from "./teamCount.js";
+import type { CountReport } from "./countReport.js";
+import type { RequestCount } from "./requestCount.js";
 
 interface PeerCount {
     admitted: number;
@@ -9,26 +8,26 @@
     reportedAtMs: number;
 }
 
-interface Peer {
+interface Peer<Id extends string> {
     startedAtMs: number;
     sequence: number;
     appliedAtMs: number;
     /** Time of the first report after the last long silence, in milliseconds. */
     returnedAtMs: number;
-    counts: Map<TeamId, PeerCount>;
+    counts: Map<Id, PeerCount>;
 }
 
-interface CountChange {
-    teamId: TeamId;
+interface CountChange<Id extends string> {
+    id: Id;
     change: number;
     /** Whether the requests may be from a time in which the peer was silent for long. */
     isOld: boolean;
 }
 
-interface AppliedUsage {
+interface AppliedCounts<Id extends string> {
     isNewProcess: boolean;
-    /** Shape [teams]. */
-    changes: CountChange[];
+    /** Shape [counts]. */
+    changes: CountChange<Id>[];
 }
 
 /** Time without a report after which a peer was silent for long, in milliseconds. */
@@ -38,24 +37,24 @@
 /** Time after the last report for which a peer is remembered, in milliseconds. No report is delayed by more. */
 const PEER_RETENTION_MS = 60_000;
 
-/** Remembers the counts that other gateways have reported, and derives the new requests in each report from them. */
-export class PeerCounts {
-    private readonly peers = new Map<InstanceName, Peer>();
+/** Remembers the counts that other processes have reported, and derives the new requests in each report from them. */
+export class PeerCounts<Id extends string> {
+    private readonly peers = new Map<InstanceName, Peer<Id>>();
 
     /**
      * Applies a report.
      *
-     * @param isFirstCountKnown whether the requests in the first count of a team are already contained in the levels
+     * @param isFirstCountKnown whether the requests in the first count of an id are already contained in the levels
      * @returns undefined if a newer report, or this one, has been applied
      */
-    apply(usage: GatewayUsage, isFirstCountKnown: boolean, nowMs: number): AppliedUsage | undefined {
-        const { instanceName, startedAtMs, sequence, teamUsage } = usage;
+    apply(report: CountReport<Id>, isFirstCountKnown: boolean, nowMs: number): AppliedCounts<Id> | undefined {
+        const { instanceName, startedAtMs, sequence } = report;
         const previous = this.peers.get(instanceName);
-        if (previous !== undefined && !isNewer(usage, previous)) {
+        if (previous !== undefined && !isNewer(report, previous)) {
             return undefined;
         }
         const isNewProcess = previous?.startedAtMs !== startedAtMs;
-        const peer = isNewProcess
+        const peer: Peer<Id> = isNewProcess
             ? { startedAtMs, sequence, appliedAtMs: nowMs, returnedAtMs: -Infinity, counts: new Map() }
             : {
                 ...previous,
@@ -64,16 +63,16 @@
                 returnedAtMs: nowMs > previous.appliedAtMs + LONG_SILENCE_MS ? nowMs : previous.returnedAtMs,
             };
         this.peers.set(instanceName, peer);
-        const changes = teamUsage.counts.map(count => changeOf(peer, count, isFirstCountKnown, nowMs));
+        const changes = report.counts.map(count => changeOf(peer, count, isFirstCountKnown, nowMs));
         return { isNewProcess, changes: changes.filter(({ change }) => change !== 0) };
     }
 
-    /** Removes the counts of teams that have been idle for long, and peers that are gone. */
+    /** Removes counts that haven't changed for long, and peers that are gone. */
     expire(nowMs: number): void {
         [...this.peers].forEach(([name, peer]) => {
             [...peer.counts]
                 .filter(([, { changedAtMs }]) => nowMs >= changedAtMs + COUNT_RETENTION_MS)
-                .forEach(([teamId]) => peer.counts.delete(teamId));
+                .forEach(([id]) => peer.counts.delete(id));
             if (nowMs >= peer.appliedAtMs + PEER_RETENTION_MS) {
                 this.peers.delete(name);
             }
@@ -81,24 +80,24 @@
     }
 }
 
-function changeOf(
-    { counts, returnedAtMs }: Peer,
-    { teamId, admitted, recentlyAdmitted }: TeamCount,
+function changeOf<Id extends string>(
+    { counts, returnedAtMs }: Peer<Id>,
+    { id, admitted, recentlyAdmitted }: RequestCount<Id>,
     isFirstCountKnown: boolean,
     nowMs: number,
-): CountChange {
-    const known = counts.get(teamId);
+): CountChange<Id> {
+    const known = counts.get(id);
     if (known === undefined) {
-        counts.set(teamId, { admitted, changedAtMs: nowMs, reportedAtMs: nowMs });
-        return { teamId, change: isFirstCountKnown ? 0 : recentlyAdmitted, isOld: false };
+        counts.set(id, { admitted, changedAtMs: nowMs, reportedAtMs: nowMs });
+        return { id, change: isFirstCountKnown ? 0 : recentlyAdmitted, isOld: false };
     }
     const change = admitted - known.admitted;
     const isOld = known.reportedAtMs < returnedAtMs;
-    counts.set(teamId, { admitted, changedAtMs: change === 0 ? known.changedAtMs : nowMs, reportedAtMs: nowMs });
-    return { teamId, change, isOld };
+    counts.set(id, { admitted, changedAtMs: change === 0 ? known.changedAtMs : nowMs, reportedAtMs: nowMs });
+    return { id, change, isOld };
 }
 
-function isNewer(usage: GatewayUsage, previous: Peer): boolean {
-    return usage.startedAtMs > previous.startedAtMs
-        || (usage.startedAtMs === previous.startedAtMs && usage.sequence > previous.sequence);
+function isNewer(report: CountReport<string>, previous: Pick<Peer<string>, "startedAtMs" | "sequence">): boolean {
+    return report.startedAtMs > previous.startedAtMs
+        || (report.startedAtMs === previous.startedAtMs && report.sequence > previous.sequence);
 }
--- a/routing/limits/test/fleetRateLimiter.test.ts
+++ b/routing/limits/test/fleetRateLimiter.test.ts
@@ -250,7 +250,7 @@
 }
 
 function usageOf(startedAtMs: number, sequence: number, admitted: number): GatewayUsage {
-    const counts = [{ teamId: "team" as TeamId, admitted, recentlyAdmitted: Math.min(admitted, 5) }];
+    const counts = [{ id: "team" as TeamId, admitted, recentlyAdmitted: Math.min(admitted, 5) }];
     const teamUsage = { counts, levels: [], areLevelsComplete: false };
     return { instanceName: "peer" as InstanceName, startedAtMs, sequence, teamUsage };
 }
