fix(upstreams): requests keep to the limits that upstreams name

Callers saw nothing; upstreams in need got more requests than they had said they take. Change: UpstreamRequestLimiter meters the requests of all processes to a limited upstream, its own at once and those of the others from their load reports, which also carry the limits. Calls are placed, and items started, only where there is room; processes whose requests wait for the same upstream take turns; waits and Retry-After count with the rate. docs/design/upstream-limits.md.

--- a/bench/decisions/src/loadReporter.ts
+++ b/bench/decisions/src/loadReporter.ts
@@ -36,6 +36,7 @@
             leader: undefined,
             ...this.speeds === undefined ? {} : { speeds: this.speeds.reported(counts) },
             teamUsage: { counts: [], levels: [], areLevelsComplete: false },
+            upstreamUsage: { counts: [], limits: [] },
         };
     }
 }
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -17,7 +17,7 @@
 import { computeCoalesceMs } from "@knapweedwood/fleet.sync/computeCoalesceMs";
 import { computeWatchWaitMs } from "@knapweedwood/fleet.sync/computeWatchWaitMs";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
-import { UpstreamLimitTable } from "@knapweedwood/fleet.upstream-limits/upstreamLimitTable";
+import { UpstreamRequestLimiter } from "@knapweedwood/fleet.upstream-limits/upstreamRequestLimiter";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
 import { WebSocketLinkEndpoint } from "@knapweedwood/links.endpoint/webSocketLinkEndpoint";
@@ -79,7 +79,7 @@
     readonly clock = new SystemClock();
     readonly random = new SeededRandom(randomInt(SEED_LIMIT));
     readonly metrics = new PrometheusMetrics();
-    readonly limits: UpstreamLimitTable;
+    readonly limits: UpstreamRequestLimiter;
     readonly connections: UpstreamConnections;
     readonly loadTracker = new LoadTracker();
     readonly health = new UpstreamHealth();
@@ -110,11 +110,17 @@
         this.opts = opts;
         const { settings, logger } = opts;
         const { clock, random, loadTracker, health, speeds } = this;
-        const limits = new UpstreamLimitTable({ clock, logger, limitHeader: wireHeaders.requestLimit });
-        const connections = new UpstreamConnections({
-            onSent: () => undefined,
-            onResponse: (upstream, head) => limits.onResponse(upstream, head),
+        const limits = new UpstreamRequestLimiter({
+            clock,
+            random,
+            logger,
+            instanceName: settings.instanceName,
+            limitHeader: wireHeaders.requestLimit,
+            senders: () => this.peers.otherSenders(),
+            isLive: name => loadTracker.isLive(name),
+            waitingSenders: service => loadTracker.peersWaitingFor(service),
         });
+        const connections = new UpstreamConnections(limits);
         this.limits = limits;
         this.connections = connections;
         this.speedLog = new UpstreamSpeedLog({ clock, logger, speeds });
@@ -125,6 +131,7 @@
             host: settings.host,
             eventLoop: this.eventLoop,
             speeds: this.speeds,
+            limits,
         });
         this.keyValueService = new PlatformKeyValueService({
             clock,
@@ -187,6 +194,7 @@
             waiting: () => opts.waiting(),
             isKeyValueReachable: () => this.reachability.report(),
             rateLimiter: this.rateLimiter,
+            limits,
             onJobsWritten: revision => opts.onJobsWritten(revision),
             onNewerConfiguration: peer => this.configurationCatchUp.prefer(this.peers.runnerAddress(peer)),
             onLoadChanged: () => opts.onLoadChanged(),
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -82,8 +82,10 @@
                 connectionShare: service => this.connectionShare(service),
                 placingPeers: () => this.fleet.peers.placingPeerCount,
                 speeds,
+                limits,
                 cost: this.promptCaches,
             }),
+            limits,
             usableUpstreams: (service, softwareVersion) => this.fleet.upstreams.usable(service, softwareVersion),
             teams: () => configuration.current?.teams,
         });
--- a/daemons/fleet/src/loadReports.ts
+++ b/daemons/fleet/src/loadReports.ts
@@ -6,6 +6,7 @@
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
+import type { UpstreamRequestLimiter } from "@knapweedwood/fleet.upstream-limits/upstreamRequestLimiter";
 import type { FleetRateLimiter } from "@knapweedwood/routing.limits/fleetRateLimiter";
 import type { OperatorsFollower } from "./operatorsFollower.js";
 import type { PeerFollower } from "./peerFollower.js";
@@ -25,6 +26,7 @@
     isKeyValueReachable: () => boolean;
     /** Meters the requests of limited teams. Runners admit none, and report none. */
     rateLimiter: FleetRateLimiter;
+    limits: UpstreamRequestLimiter;
     /** Called with the revision at which another process last wrote a job. */
     onJobsWritten: (revision: number) => void;
     /** Called with a process that knows a newer configuration. */
@@ -68,6 +70,7 @@
             leader: peers.leadership.leader,
             speeds: speeds.reported(counts),
             teamUsage: this.opts.rateLimiter.usageToReport(clock.nowMs()),
+            upstreamUsage: this.opts.limits.usageToReport(),
         };
     }
 
@@ -80,6 +83,7 @@
         peers.lookUpIfUnknown(report.instanceName);
         this.applyEjections(report);
         speeds.apply(report);
+        this.opts.limits.apply(report);
         if (self.role === "gateway") {
             this.opts.rateLimiter.apply(report, clock.nowMs());
         }
--- a/daemons/fleet/src/metricsServer.ts
+++ b/daemons/fleet/src/metricsServer.ts
@@ -1,4 +1,5 @@
 import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
+import type { UpstreamRequestLimiter } from "@knapweedwood/fleet.upstream-limits/upstreamRequestLimiter";
 import type { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { createServer, type Server } from "node:http";
 import type { EventLoopMonitor } from "./eventLoopMonitor.js";
@@ -14,13 +15,21 @@
     private readonly server: Server;
     private readonly eventLoop: EventLoopMonitor;
     private readonly speeds: UpstreamSpeeds;
+    private readonly limits: UpstreamRequestLimiter;
 
     constructor(
-        opts: { metrics: PrometheusMetrics; host: string; eventLoop: EventLoopMonitor; speeds: UpstreamSpeeds; },
+        opts: {
+            metrics: PrometheusMetrics;
+            host: string;
+            eventLoop: EventLoopMonitor;
+            speeds: UpstreamSpeeds;
+            limits: UpstreamRequestLimiter;
+        },
     ) {
         this.metrics = opts.metrics;
         this.eventLoop = opts.eventLoop;
         this.speeds = opts.speeds;
+        this.limits = opts.limits;
         this.host = opts.host;
         this.server = createServer((request, response) => {
             if (request.url !== PATH) {
@@ -51,6 +60,7 @@
         this.metrics.gauge("memory_bytes", process.memoryUsage().rss);
         this.metrics.gauge("event_loop_delay_max_ms", this.eventLoop.takeMaxDelayMs());
         this.updateSpeeds();
+        this.updateLimits();
         return this.metrics.render();
     }
 
@@ -62,4 +72,12 @@
             this.metrics.gauge("upstream_speed_age_ms", this.speeds.ageMs(id) ?? 0, { upstream: id });
         });
     }
+
+    /** Sets the limits that are in force now. */
+    private updateLimits(): void {
+        this.metrics.resetGauge("upstream_limit_per_second");
+        this.limits.limitsInForce().forEach(({ upstreamId, requestsPerSecond }) =>
+            this.metrics.gauge("upstream_limit_per_second", requestsPerSecond, { upstream: upstreamId })
+        );
+    }
 }
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -46,7 +46,7 @@
     private readonly runnerRecords = new RunnerRecords();
     private isRetired = false;
     private lookedUpAtMs = -Infinity;
-    private countedPlacingPeers = 0;
+    private countedSenders: readonly InstanceName[] = [];
     private countedGateways: readonly InstanceName[] = [];
     private countedAtMs = -Infinity;
 
@@ -117,10 +117,15 @@
         return this.countedGateways;
     }
 
+    /** Returns the names of the other processes that send requests or items to upstreams, shape [processes]. As above. */
+    otherSenders(): readonly InstanceName[] {
+        this.countPeers();
+        return this.countedSenders;
+    }
+
     /** Number of other processes that place requests or items by load. Read for each request, so it is not recounted. */
     get placingPeerCount(): number {
-        this.countPeers();
-        return this.countedPlacingPeers;
+        return this.otherSenders().length;
     }
 
     /** Whether this process places requests or items by load. */
@@ -221,7 +226,7 @@
         if (nowMs >= this.countedAtMs + COUNT_VALID_MS) {
             this.countedAtMs = nowMs;
             const others = this.others();
-            this.countedPlacingPeers = others.filter(member => this.placesByLoad(member)).length;
+            this.countedSenders = others.filter(member => this.placesByLoad(member)).map(member => member.instanceName);
             this.countedGateways = others.filter(member => member.role === "gateway")
                 .map(member => member.instanceName);
         }
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -12,7 +12,7 @@
 import type { PromptCacheCost } from "@knapweedwood/fleet.prompts/promptCacheCost";
 import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { StreamOrigins } from "@knapweedwood/fleet.streams/streamOrigins";
-import type { UpstreamLimitTable } from "@knapweedwood/fleet.upstream-limits/upstreamLimitTable";
+import type { UpstreamRequestLimiter } from "@knapweedwood/fleet.upstream-limits/upstreamRequestLimiter";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { CallHeaderNames } from "@knapweedwood/fleet.view/callHeaderNames";
@@ -37,7 +37,7 @@
     serviceTimes: ServiceTimes;
     speeds: UpstreamSpeeds;
     /** The limits that upstreams have named. */
-    limits: UpstreamLimitTable;
+    limits: UpstreamRequestLimiter;
     requestQueue: RequestQueue;
     /** Bytes held for callers. */
     memory: MemoryBudget;
--- a/fleet/jobs/src/itemDispatcher.ts
+++ b/fleet/jobs/src/itemDispatcher.ts
@@ -16,7 +16,7 @@
 const KEEP_REMAINING_SHARE = 0.5;
 
 type ItemDispatcherOptions =
-    & Pick<JobRunnerOptions, "clock" | "directory" | "loadTracker" | "health" | "quarantine">
+    & Pick<JobRunnerOptions, "clock" | "directory" | "loadTracker" | "health" | "limits" | "quarantine">
     & {
         table: JobTable;
         routes: ItemRoutes;
@@ -74,6 +74,7 @@
     /** Returns an upstream with its current load; undefined if it may not run another item now. */
     candidateOf(upstream: Upstream, nowMs: number): BatchCandidate | undefined {
         const isUsable = this.opts.health.isUsable(upstream.id, nowMs, this.opts.inFlightItems.countAt(upstream));
-        return isUsable ? this.opts.inFlightItems.candidateOf(upstream) : undefined;
+        const isWithinLimit = this.opts.limits?.mayRunItem(upstream) !== false;
+        return isUsable && isWithinLimit ? this.opts.inFlightItems.candidateOf(upstream) : undefined;
     }
 }
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -7,7 +7,7 @@
 import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import type { RequestQuarantine } from "@knapweedwood/fleet.quarantine/requestQuarantine";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
-import type { UpstreamLimitTable } from "@knapweedwood/fleet.upstream-limits/upstreamLimitTable";
+import type { UpstreamRequestLimiter } from "@knapweedwood/fleet.upstream-limits/upstreamRequestLimiter";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import type { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
@@ -34,7 +34,7 @@
     /** The learned speeds; undefined if all upstreams count as equally fast. */
     speeds?: UpstreamSpeeds;
     /** The limits that upstreams have named; undefined if none of them counts. */
-    limits?: UpstreamLimitTable;
+    limits?: UpstreamRequestLimiter;
     headers: ItemRunHeaders;
     /** Decodes the parts of a prompt that other requests may share from the header that lists them, shape [parts]. */
     decodeSharedPromptParts: (value: string | undefined) => PromptPartId[];
--- a/fleet/load/src/admissionEstimator.ts
+++ b/fleet/load/src/admissionEstimator.ts
@@ -50,11 +50,12 @@
     }
 
     private inputsWith(request: QueuedRequest, waitingAhead: number, nowMs: number): AdmissionInputs {
-        const slots = this.candidates.slotsOf(request);
+        const meanHoldMs = this.serviceTimes.meanHoldMs(request.service);
+        const slots = this.candidates.slotsOf(request, meanHoldMs);
         return {
-            waitingAhead: waitingAhead * this.candidates.shareOf(request, slots),
+            waitingAhead: waitingAhead * this.candidates.shareOf(request, slots, meanHoldMs),
             slots,
-            meanHoldMs: this.serviceTimes.meanHoldMs(request.service),
+            meanHoldMs,
             meanFirstDataMs: this.serviceTimes.meanFirstDataMs(request.service),
             objectiveLeftMs: request.objectiveAtMs - nowMs,
             callerTimeLeftMs: request.callerTimeoutAtMs - nowMs,
--- /dev/null
+++ b/fleet/load/src/callLimits.ts
@@ -0,0 +1,15 @@
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+
+/** Limits of upstreams on the online requests that they take in a time. */
+export interface CallLimits {
+    /** Whether an online request may be sent to an upstream now. */
+    mayCall(upstream: Upstream): boolean;
+    /** Returns the used part of what an upstream takes after a pause, 0 to 1; 0 for an upstream without a limit. */
+    usedShare(upstream: Upstream): number;
+    /**
+     * Returns the number of slots of an upstream that its limit lets requests fill.
+     *
+     * @param meanHoldMs mean time for which a request holds a slot, in milliseconds
+     */
+    usableSlots(upstream: Upstream, meanHoldMs: number): number;
+}
--- a/fleet/load/src/leastLoadedPlacement.ts
+++ b/fleet/load/src/leastLoadedPlacement.ts
@@ -2,6 +2,7 @@
 import type { ZoneName } from "@knapweedwood/core.ids/zoneName";
 import type { Random } from "@knapweedwood/core.random/random";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { CallLimits } from "./callLimits.js";
 import type { LoadTracker } from "./loadTracker.js";
 import { OWN_REQUEST_WEIGHT } from "./ownRequestWeight.js";
 import type { PlacementCost } from "./placementCost.js";
@@ -24,6 +25,10 @@
 const MIN_SPREAD = 0.05;
 const MAX_SPREAD = 2;
 
+/**
+ * Cost of an upstream whose limit is used up, in proportion to its use. What others can take is kept for the next burst.
+ */
+const USED_LIMIT_WEIGHT = 4;
 /** Cost of an upstream at which the request misses its objective. It is chosen only if no other has room. */
 const LATE_WEIGHT = 1000;
 /** Slowness up to which no upstream counts as late, since it may be due to noise. */
@@ -42,6 +47,8 @@
     placingPeers: () => number;
     /** The learned speeds; undefined if all upstreams count as equally fast. */
     speeds?: UpstreamSpeeds;
+    /** Limits of upstreams; undefined if none has any. */
+    limits?: CallLimits;
     /** A further term of the cost; undefined if there is none. */
     cost?: PlacementCost;
 }
@@ -90,6 +97,7 @@
             const total = this.usedSlowness(slowness, upstream.slots - online, peers)
                     * (this.loadOf(upstream, online) + random.next() * spread)
                 + (upstream.zone === this.opts.zone ? 0 : OTHER_ZONE_WEIGHT)
+                + (this.opts.limits?.usedShare(upstream) ?? 0) * USED_LIMIT_WEIGHT
                 + (isLate ? LATE_WEIGHT : 0) + extra;
             if (total < bestCost) {
                 best = upstream;
--- a/fleet/load/src/loadReport.ts
+++ b/fleet/load/src/loadReport.ts
@@ -1,6 +1,7 @@
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
+import type { UpstreamUsage } from "@knapweedwood/fleet.upstream-limits/upstreamUsage";
 import type { TeamUsage } from "@knapweedwood/routing.limits/teamUsage";
 import type { UpstreamCount } from "./upstreamCount.js";
 import type { UpstreamSpeed } from "./upstreamSpeed.js";
@@ -32,4 +33,6 @@
     speeds?: UpstreamSpeed[];
     /** Requests of limited teams that this process has admitted. Only gateways admit requests. */
     teamUsage: TeamUsage;
+    /** What this process knows and uses of upstreams' limits. */
+    upstreamUsage: UpstreamUsage;
 }
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -3,11 +3,13 @@
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import { Packr } from "msgpackr";
 import type { EncodedReport } from "./encodedReport.js";
+import { groupsOf } from "./groupsOf.js";
 import type { LoadMessage } from "./loadMessage.js";
 import type { LoadReport } from "./loadReport.js";
 import { slownessCode } from "./slownessCode.js";
 import { type PackedTeamUsage, teamUsageCodec } from "./teamUsageCodec.js";
 import type { UpstreamSpeed } from "./upstreamSpeed.js";
+import { type PackedUpstreamUsage, upstreamUsageCodec } from "./upstreamUsageCodec.js";
 
 /** Values in their packed order. They are packed without names, since reports are frequent and cross zones. */
 type PackedReport = [
@@ -26,6 +28,8 @@
     teamUsage?: PackedTeamUsage,
     /** Pairs of an index in the counts and a code of the slowness; missing if there are none. */
     speeds?: number[],
+    /** Missing if there is nothing to report. */
+    upstreamUsage?: PackedUpstreamUsage,
 ];
 
 /** Reports that a relay hands on, each packed. The second value tells it from a report. */
@@ -33,8 +37,9 @@
 
 /** Index of the first revision in a packed report. */
 const REVISIONS_AT = 5;
-/** Index of the speeds in a packed report. */
+/** Indexes of the values in a packed report that may be missing. */
 const SPEEDS_AT = 13;
+const UPSTREAM_USAGE_AT = 14;
 /** Maximum total size of the reports in one datagram. It fits an Ethernet frame, since one lost fragment loses all. */
 const MAX_RELAYED_BYTES = 1300;
 
@@ -62,6 +67,11 @@
         if (report.speeds !== undefined && report.speeds.length > 0) {
             packed[SPEEDS_AT] = packedSpeedsOf(report);
         }
+        const upstreamUsage = upstreamUsageCodec.pack(report.upstreamUsage);
+        if (upstreamUsage.length > 0) {
+            packed[SPEEDS_AT] ??= [];
+            packed[UPSTREAM_USAGE_AT] = upstreamUsage;
+        }
         return this.packr.pack(packed);
     }
 
@@ -144,6 +154,7 @@
         leader: fencingNumber === 0 ? undefined : { instanceName: leaderName as InstanceName, fencingNumber },
         ...speeds.length > 0 ? { speeds } : {},
         teamUsage: teamUsageCodec.unpack(teamUsage),
+        upstreamUsage: upstreamUsageCodec.unpack(packed[UPSTREAM_USAGE_AT]),
     };
 }
 
@@ -162,7 +173,3 @@
         return count === undefined ? [] : [{ upstreamId: count.upstreamId, slowness: slownessCode.decode(code!) }];
     });
 }
-
-function groupsOf<Value>(values: readonly Value[], size: number): Value[][] {
-    return Array.from({ length: values.length / size }, (_, index) => values.slice(index * size, (index + 1) * size));
-}
--- a/fleet/load/src/loadTracker.ts
+++ b/fleet/load/src/loadTracker.ts
@@ -83,6 +83,17 @@
         return this.waitingCounts.get(service) ?? 0;
     }
 
+    /** Returns the peers in which online requests of a service are queued, shape [processes]. */
+    peersWaitingFor(service: ServiceName): InstanceName[] {
+        return this.waitingAtPeers(service) === 0
+            ? []
+            : [...this.reports.values()]
+                .filter(({ report }) =>
+                    report.waiting.some(waiting => waiting.service === service && waiting.count > 0)
+                )
+                .map(({ report }) => report.instanceName);
+    }
+
     /** Whether the last report of a peer is valid. */
     isLive(instanceName: InstanceName): boolean {
         return this.reports.has(instanceName);
--- a/fleet/load/src/queueCandidates.ts
+++ b/fleet/load/src/queueCandidates.ts
@@ -1,6 +1,7 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { CallLimits } from "./callLimits.js";
 import type { LoadTracker } from "./loadTracker.js";
 import type { QueuedRequest } from "./queuedRequest.js";
 
@@ -14,10 +15,13 @@
 export class QueueCandidates {
     private readonly usableUpstreams: UsableUpstreams;
     private readonly loadTracker: LoadTracker;
+    private readonly limits: CallLimits | undefined;
 
-    constructor(opts: { usableUpstreams: UsableUpstreams; loadTracker: LoadTracker; }) {
+    /** @param opts.limits undefined if no upstream has any */
+    constructor(opts: { usableUpstreams: UsableUpstreams; loadTracker: LoadTracker; limits?: CallLimits; }) {
         this.usableUpstreams = opts.usableUpstreams;
         this.loadTracker = opts.loadTracker;
+        this.limits = opts.limits;
     }
 
     /** Returns the upstreams that may run a request, shape [upstreams]. */
@@ -26,9 +30,18 @@
             .filter(upstream => !request.excluded.has(upstream.id));
     }
 
-    /** Returns the number of slots of the upstreams that may run a request. */
-    slotsOf(request: QueuedRequest): number {
-        return sumOfSlots(this.of(request));
+    /** Returns those of them that may be sent a request now, shape [upstreams]. */
+    within(request: QueuedRequest): Upstream[] {
+        return this.of(request).filter(upstream => this.mayCall(upstream));
+    }
+
+    /**
+     * Returns the number of slots of the upstreams that may run a request, as far as their limits let requests fill them.
+     *
+     * @param meanHoldMs mean time for which a request holds a slot, in milliseconds
+     */
+    slotsOf(request: QueuedRequest, meanHoldMs: number): number {
+        return this.sumOfSlots(this.of(request), meanHoldMs);
     }
 
     /**
@@ -40,13 +53,16 @@
         if (reservedShare === 0) {
             return true;
         }
-        const slots = sumOfSlots(this.usableUpstreams(request.service, undefined));
+        const slots = this.usableUpstreams(request.service, undefined)
+            .filter(upstream => this.mayCall(upstream))
+            .reduce((sum, upstream) => sum + upstream.slots, 0);
         return this.freeSlots(request.service) > Math.round(slots * reservedShare);
     }
 
-    /** Returns the number of slots of a service that no online request takes. */
+    /** Returns the number of slots of a service that no online request takes and that may be used now. */
     freeSlots(service: ServiceName): number {
         return this.usableUpstreams(service, undefined)
+            .filter(upstream => this.mayCall(upstream))
             .reduce((sum, { id, slots }) => sum + Math.max(0, slots - this.loadTracker.onlineCount(id)), 0);
     }
 
@@ -54,15 +70,22 @@
      * Returns the share of the service's slots, of which `slots` may run the request. The other slots run some of the
      * requests ahead of it.
      */
-    shareOf(request: QueuedRequest, slots: number): number {
+    shareOf(request: QueuedRequest, slots: number, meanHoldMs: number): number {
         if (request.softwareVersion === undefined) {
             return 1;
         }
-        const allSlots = sumOfSlots(this.usableUpstreams(request.service, undefined));
+        const allSlots = this.sumOfSlots(this.usableUpstreams(request.service, undefined), meanHoldMs);
         return allSlots === 0 ? 1 : Math.min(1, slots / allSlots);
     }
-}
 
-function sumOfSlots(upstreams: readonly Upstream[]): number {
-    return upstreams.reduce((sum, upstream) => sum + upstream.slots, 0);
+    private mayCall(upstream: Upstream): boolean {
+        return this.limits?.mayCall(upstream) !== false;
+    }
+
+    private sumOfSlots(upstreams: readonly Upstream[], meanHoldMs: number): number {
+        return upstreams.reduce(
+            (sum, upstream) => sum + (this.limits?.usableSlots(upstream, meanHoldMs) ?? upstream.slots),
+            0,
+        );
+    }
 }
--- a/fleet/load/src/requestQueue.ts
+++ b/fleet/load/src/requestQueue.ts
@@ -9,6 +9,7 @@
 import type { AdmissionDecision } from "./admissionDecision.js";
 import { AdmissionEstimator } from "./admissionEstimator.js";
 import type { AdmissionInputs } from "./admissionInputs.js";
+import type { CallLimits } from "./callLimits.js";
 import { CountedTree } from "./countedTree.js";
 import { decideAdmission } from "./decideAdmission.js";
 import { isUnreachable } from "./isUnreachable.js";
@@ -35,6 +36,8 @@
     loadTracker: LoadTracker;
     serviceTimes: ServiceTimes;
     placement: PlacementPolicy;
+    /** Limits of upstreams; undefined if none has any. */
+    limits?: CallLimits;
     /**
      * Returns the upstreams of a service that may receive requests now, shape [upstreams]; only those of a software
      * version if one is given.
@@ -234,7 +237,7 @@
     }
 
     private place(request: QueuedRequest): Upstream | undefined {
-        return this.opts.placement.placeOnline(this.candidates.of(request), request);
+        return this.opts.placement.placeOnline(this.candidates.within(request), request);
     }
 
     private rejectIfBlocked(request: QueuedRequest): boolean {
--- a/fleet/load/test/loadReportOf.ts
+++ b/fleet/load/test/loadReportOf.ts
@@ -16,6 +16,7 @@
         upstreamsRevision: 0,
         leader: undefined,
         teamUsage: { counts: [], levels: [], areLevelsComplete: false },
+        upstreamUsage: { counts: [], limits: [] },
         ...change,
     };
 }
--- a/fleet/load/test/teamShares.test.ts
+++ b/fleet/load/test/teamShares.test.ts
@@ -123,6 +123,7 @@
         jobsRevision: 0,
         leader: undefined,
         teamUsage: { counts: [], levels: [], areLevelsComplete: false },
+        upstreamUsage: { counts: [], limits: [] },
     }, 0);
     assert.equal(submit({ team: quiet }).retryAfterMs, undefined);
     assert.notEqual(submit({ team: heavy }).retryAfterMs, undefined);
