fix(upstreams): an odd entry among those of the upstreams ends no process

Callers saw connections that ended: a request to an address such as 999.1.1.1:80 or 'a b:80' threw out of the request queue and ended the process, again after each start; an entry with 2^53 slots drew all requests. Cause: parseHostPort checked the port only, decodeUpstream set no upper bounds, and opening a connection was trusted not to throw. The class: data of another writer that is well formed and of no use.

--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -169,13 +169,24 @@
     }
 
     private onEntry(entry: KeyValueEntry): void {
+        const nowMs = this.opts.clock.nowMs();
+        const upstream = this.decode(entry);
+        if (upstream === undefined) {
+            this.onChanges(this.directory.remove([upstreamIdOf(entry.key)], nowMs));
+            return;
+        }
+        const change = this.directory.put(upstream, nowMs);
+        this.onChanges(change === undefined ? [] : [change]);
+    }
+
+    /** Returns the upstream that an entry describes; undefined if it describes none, as another writer may have written it. */
+    private decode({ key, value }: KeyValueEntry): Upstream | undefined {
         try {
-            const change = this.directory.put(decodeUpstream(entry.key, entry.value), this.opts.clock.nowMs());
-            this.onChanges(change === undefined ? [] : [change]);
+            return decodeUpstream(key, value);
         }
         catch (error) {
-            this.opts.logger.warn("upstream-unreadable", { key: entry.key, message: (error as Error).message });
-            this.onChanges(this.directory.remove([upstreamIdOf(entry.key)], this.opts.clock.nowMs()));
+            this.opts.logger.warn("upstream-unreadable", { key, message: (error as Error).message });
+            return undefined;
         }
     }
 
--- a/fleet/upstreams/src/upstreamConnections.ts
+++ b/fleet/upstreams/src/upstreamConnections.ts
@@ -31,8 +31,10 @@
      * gets another connection, since a late second response to the first attempt has the same id.
      */
     send(upstream: Upstream, request: ExchangeRequest, handler: ExchangeHandler): Exchange {
-        const pool = this.poolOf(upstream);
-        const connection = takeIdle(pool, request.requestId) ?? this.open(upstream, pool);
+        const connection = this.connectionFor(upstream, request);
+        if (connection === undefined) {
+            return failLater(handler);
+        }
         this.observer.onSent(upstream);
         return connection.send(request, {
             onHead: head => {
@@ -45,6 +47,17 @@
         });
     }
 
+    /** Returns a connection for a request; undefined if none can be opened to the upstream's address. */
+    private connectionFor(upstream: Upstream, { requestId }: ExchangeRequest): UpstreamConnection | undefined {
+        const pool = this.poolOf(upstream);
+        try {
+            return takeIdle(pool, requestId) ?? this.open(upstream, pool);
+        }
+        catch {
+            return undefined;
+        }
+    }
+
     /** Closes the idle connections to a removed upstream; those in use close when their exchanges end. */
     forget(upstream: Upstream): void {
         const key = upstreamProcessKeyOf(upstream);
@@ -86,6 +99,28 @@
     }
 }
 
+/** Returns an exchange that fails before anything is sent. */
+function failLater(handler: ExchangeHandler): Exchange {
+    let isAborted = false;
+    queueMicrotask(() => {
+        if (!isAborted) {
+            handler.onFailure({
+                mayHaveRun: false,
+                isUnreachable: true,
+                isConnectionBroken: false,
+                code: "ADDRESS_UNUSABLE",
+            });
+        }
+    });
+    return {
+        abort: () => {
+            isAborted = true;
+        },
+        pause: () => undefined,
+        resume: () => undefined,
+    };
+}
+
 /** Takes the idle connection that was used last and hasn't carried a request with this id. */
 function takeIdle(pool: Pool, requestId: string): UpstreamConnection | undefined {
     const index = pool.idle.findLastIndex(connection => !connection.hasCarried(requestId));
