fix(upstreams): a refusal without an id that comes twice isn't the next response

A request that an upstream ran was sent to a second upstream, or its caller was told 'not run'. Cause: a response without an id is accepted on a connection whose responses had none so far. After a refusal without an id, its second copy was taken for the response to the next request. With ids this could not happen: the id of the copy is another one. Change: a connection that had a refusal or a failure without an id carries no further request. Not covered: a second copy of a success without an id.

--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -28,6 +28,7 @@
 const MAX_BYTES_WITHOUT_DATA = 262_144;
 /** Failure of an exchange whose response is not acceptable. */
 const INVALID = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
+const HTTP_BAD_REQUEST = 400;
 const REQUEST_ID_HEADER = "x-request-id";
 /** Number of earlier requests of a connection whose late responses are told apart by their ids. */
 const REMEMBERED_REQUESTS = 16;
@@ -46,6 +47,8 @@
     private requestIds: string[] = [];
     /** Whether a response on this connection had an id, so that one without belongs to no request. */
     private echoesIds = false;
+    /** Whether the connection had a refusal or failure without an id. A second copy could be taken for a later response. */
+    private hadAnonymousFailure = false;
     private failExchange: (failure: ExchangeFailure) => void = () => undefined;
 
     /**
@@ -115,6 +118,7 @@
                     fail({ ...INVALID, code: "ANSWER_OF_ANOTHER_REQUEST" });
                     return;
                 }
+                this.hadAnonymousFailure ||= statusCode >= HTTP_BAD_REQUEST && headers[REQUEST_ID_HEADER] === undefined;
                 handler.onHead(toResponseHead(statusCode, headers));
             },
             onResponseData: (_controller, chunk) => {
@@ -127,7 +131,7 @@
             onResponseEnd: () => {
                 if (!isEnded) {
                     isEnded = true;
-                    this.onIdle();
+                    this.release();
                     handler.onEnd(ending);
                 }
             },
@@ -169,6 +173,15 @@
         return isAcceptable;
     }
 
+    /** Lets the connection carry another exchange, unless its responses couldn't be told apart. */
+    private release(): void {
+        if (this.hadAnonymousFailure) {
+            this.destroy();
+            return;
+        }
+        this.onIdle();
+    }
+
     /** Records how a connection ends, before the HTTP client reacts to it. */
     private onConnected(connection: HttpConnection): void {
         this.connection = connection;
