fix(streams): a sole software version is confirmed before a stream of unknown origin goes on there

Callers got streams joined of two versions: a gateway that had stood still, or that was cut off for less than the 1.8 s in which its lease counts as renewed, lacked the entries of a new version's upstreams and took the version that it knew for the only one of its service. Cause: absence of other versions was concluded from a mirror that can't know yet that it is behind. The class: a decision from the absence of news. Streams whose origin a process knows are not concerned.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -22,6 +22,7 @@
 import { LinkJobHolder } from "./linkJobHolder.js";
 import { LinkJobReader } from "./linkJobReader.js";
 import { SnapshotLoader } from "./snapshotLoader.js";
+import { VersionConfirmation } from "./versionConfirmation.js";
 
 /** Time in which the load balancer detects that a process is no longer ready, in milliseconds. */
 const BALANCER_DETECTION_MS = 2500;
@@ -89,6 +90,11 @@
             usableUpstreams: (service, softwareVersion) => this.fleet.upstreams.usable(service, softwareVersion),
             teams: () => configuration.current?.teams,
         });
+        const versions = new VersionConfirmation({
+            clock,
+            upstreams: this.fleet.upstreams,
+            refreshConfiguration: () => this.fleet.operators.refresh(),
+        });
         const context: GatewayContext = {
             clock,
             random,
@@ -109,7 +115,7 @@
             rateLimiter: this.fleet.rateLimiter,
             origins: this.fleet.streamOrigins,
             onUpstreamLeaving: upstream => this.fleet.upstreams.onLeaving(upstream),
-            soleVersion: (service, sinceMs) => this.fleet.upstreams.soleVersion(service, sinceMs),
+            soleVersion: (service, sinceMs) => versions.soleVersion(service, sinceMs),
             headers: protocol.headers,
             decodeSharedPromptParts: value => protocol.decodeSharedPromptParts(value),
             decodePromptParts: value => protocol.decodePromptParts(value),
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -100,6 +100,17 @@
         return this.versionsKnownSinceMs <= sinceMs ? this.directory.soleVersion(service, sinceMs) : undefined;
     }
 
+    /**
+     * Resolves to whether the key-value service now lists no process of an upstream that this process doesn't know. Rejects
+     * if the service fails.
+     */
+    async isListingAsKnown(): Promise<boolean> {
+        const { entries } = await this.opts.service.snapshot(wireKeys.upstreams);
+        return entries
+            .flatMap(entry => this.decode(entry) ?? [])
+            .every(upstream => this.directory.isKnown(upstream));
+    }
+
     /** Returns what this process has seen of the software versions; undefined while it may be missing changes. */
     versionRecord(): VersionRecord | undefined {
         const sinceMs = this.versionsKnownSinceMs;
--- a/daemons/fleet/test/resumedStreams.test.ts
+++ b/daemons/fleet/test/resumedStreams.test.ts
@@ -1,7 +1,10 @@
 // All gateways were killed at once, and nobody knew where the streams had begun that callers resumed. A gateway that had
 // started during a release took the version that it saw for theirs: callers got texts joined of two versions.
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { SnapshotKeyValueService } from "@knapweedwood/core.key-value/snapshotKeyValueService";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
 import { StreamContinuity } from "@knapweedwood/fleet.gateway/streamContinuity";
 import { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
 import { PlatformCallerProtocol } from "@knapweedwood/platform.adapter/platformCallerProtocol";
@@ -10,6 +13,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { UpstreamFollower } from "../src/upstreamFollower.js";
+import { VersionConfirmation } from "../src/versionConfirmation.js";
 import { createFollowerContext } from "./createFollowerContext.js";
 import { createUpstreamFollower } from "./createUpstreamFollower.js";
 
@@ -22,7 +26,10 @@
 class ReleasingFleet {
     readonly clock = new ManualClock(1_000_000);
     readonly keyValueService = new MemoryKeyValueService({ clock: this.clock });
+    /** Whether the configuration turns out to be current when it is read again. */
+    isConfigurationConfirmed = true;
     private readonly configuration = new ActiveConfiguration();
+    private readonly confirmations = new Map<UpstreamFollower, VersionConfirmation>();
     private readonly controller = new AbortController();
 
     constructor() {
@@ -52,9 +59,15 @@
         await this.keyValueService.transact([], [{ kind: "delete", key: `${wireKeys.upstreams}${id}` }]);
     }
 
-    startProcess(): UpstreamFollower {
-        const follower = createUpstreamFollower(createFollowerContext(this.clock, this.keyValueService));
+    startProcess(service: SnapshotKeyValueService = this.keyValueService): UpstreamFollower {
+        const follower = createUpstreamFollower(createFollowerContext(this.clock, service));
         void follower.mirror.run(this.controller.signal);
+        const confirmation = new VersionConfirmation({
+            clock: this.clock,
+            upstreams: follower,
+            refreshConfiguration: () => Promise.resolve(this.isConfigurationConfirmed),
+        });
+        this.confirmations.set(follower, confirmation);
         return follower;
     }
 
@@ -66,7 +79,7 @@
                 configuration: this.configuration,
                 headers: new PlatformCallerProtocol().headers,
                 origins: { record: () => undefined, lookUp: () => Promise.resolve(undefined) },
-                soleVersion: (name, sinceMs) => gateway.soleVersion(name, sinceMs),
+                soleVersion: (name, sinceMs) => this.confirmations.get(gateway)!.soleVersion(name, sinceMs),
             },
             route: this.configuration.current!.routes[0]!,
             request: { headers: { "last-event-id": "3" } } as never,
@@ -131,6 +144,92 @@
     fleet.stop();
 });
 
+/** The key-value service as a process sees it that gets no changes for a while, or no responses at all. */
+class OutOfStepService {
+    getsChanges = true;
+    getsResponses = true;
+    private readonly clock: ManualClock;
+    private readonly service: MemoryKeyValueService;
+
+    constructor(fleet: ReleasingFleet) {
+        this.clock = fleet.clock;
+        this.service = fleet.keyValueService;
+    }
+
+    forProcess(): SnapshotKeyValueService {
+        const { service } = this;
+        return {
+            get: key => this.respond(() => service.get(key)),
+            list: (prefix, opts) => this.respond(() => service.list(prefix, opts)),
+            snapshot: prefix => this.respond(() => service.snapshot(prefix)),
+            transact: (...parameters) => this.respond(() => service.transact(...parameters)),
+            grantLease: ttlMs => service.grantLease(ttlMs),
+            keepLeaseAlive: leaseId => service.keepLeaseAlive(leaseId),
+            revokeLease: leaseId => service.revokeLease(leaseId),
+            watch: (prefix, opts) => this.watch(prefix, opts),
+        };
+    }
+
+    private async respond<Value>(call: () => Promise<Value>): Promise<Value> {
+        while (!this.getsResponses) {
+            await sleep(this.clock, 10);
+        }
+        return call();
+    }
+
+    private async *watch(...parameters: Parameters<SnapshotKeyValueService["watch"]>): AsyncIterable<WatchBatch> {
+        for await (const batch of this.service.watch(...parameters)) {
+            while (!this.getsChanges) {
+                await sleep(this.clock, 10);
+            }
+            yield batch;
+        }
+    }
+}
+
+// A gateway stood still while upstreams of another version joined. Streams that had begun there through other gateways went on
+// here at the version that it still took for the only one.
+test("a gateway that lacks the last changes of the upstreams doesn't take its only version for that of a stream", async () => {
+    const fleet = new ReleasingFleet();
+    await fleet.register("a", "v1");
+    const outOfStep = new OutOfStepService(fleet);
+    const gateway = fleet.startProcess(outOfStep.forProcess());
+    await fleet.clock.advance(60_000);
+    assert.equal(await fleet.resumeAt(gateway), "v1");
+    outOfStep.getsChanges = false;
+    await fleet.register("b", "v2");
+    assert.equal(await fleet.resumeAt(gateway), undefined, "the stream may have begun at b");
+    outOfStep.getsChanges = true;
+    await fleet.clock.advance(100);
+    assert.equal(await fleet.resumeAt(gateway), undefined, "two versions");
+    fleet.stop();
+});
+
+test("a gateway that is cut off from the key-value service doesn't let a stream of unknown origin go on", async () => {
+    const fleet = new ReleasingFleet();
+    await fleet.register("a", "v1");
+    const outOfStep = new OutOfStepService(fleet);
+    const gateway = fleet.startProcess(outOfStep.forProcess());
+    await fleet.clock.advance(60_000);
+    outOfStep.getsChanges = false;
+    outOfStep.getsResponses = false;
+    await fleet.register("b", "v2");
+    const resumed = fleet.resumeAt(gateway);
+    await fleet.clock.advance(1000);
+    assert.equal(await resumed, undefined);
+    fleet.stop();
+});
+
+test("a gateway that lacks a change of the configuration doesn't let a stream of unknown origin go on", async () => {
+    const fleet = new ReleasingFleet();
+    await fleet.register("a", "v1");
+    const gateway = fleet.startProcess();
+    await fleet.clock.advance(60_000);
+    fleet.isConfigurationConfirmed = false;
+    assert.equal(await fleet.resumeAt(gateway), undefined);
+    fleet.stop();
+});
+
 /** Lets `asking` learn from `runner` in `delayMs` what this has seen, as over a link. */
 async function askRunner(fleet: ReleasingFleet, asking: UpstreamFollower, runner: UpstreamFollower, delayMs = 20) {
     const askedAtMs = fleet.clock.nowMs();
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -48,8 +48,8 @@
     rateLimiter: FleetRateLimiter;
     /** What began the streams that callers may resume. */
     origins: StreamOrigins;
-    /** Returns the one software version that is certain to have run a service since `sinceMs`, if there is one. */
-    soleVersion: (service: ServiceName, sinceMs: number) => SoftwareVersion | undefined;
+    /** Resolves to the one software version that is certain to have run a service since `sinceMs`, if there is one. */
+    soleVersion: (service: ServiceName, sinceMs: number) => Promise<SoftwareVersion | undefined>;
     /** Records that an upstream has said in a response that it leaves. */
     onUpstreamLeaving: (upstream: Upstream) => void;
     headers: CallHeaderNames;
--- a/fleet/gateway/src/streamContinuity.ts
+++ b/fleet/gateway/src/streamContinuity.ts
@@ -59,7 +59,7 @@
         const recorded = resumedRequestId === undefined
             ? undefined
             : await this.opts.context.origins.lookUp(resumedRequestId);
-        const origin = recorded ?? this.soleOrigin();
+        const origin = recorded ?? await this.soleOrigin();
         if (origin === undefined) {
             const reason = "nobody knows what began the stream";
             return { kind: "reject", reason, retryAfterMs: UNKNOWN_ORIGIN_RETRY_AFTER_MS };
@@ -82,21 +82,20 @@
     }
 
     /**
-     * Returns the only origin that a stream of this route can have; undefined if in the lifetime of a stream the route has
+     * Resolves to the only origin that a stream of this route can have; undefined if in the lifetime of a stream the route has
      * led to several services or several versions have run its service.
      */
-    private soleOrigin(): StreamOrigin | undefined {
+    private async soleOrigin(): Promise<StreamOrigin | undefined> {
         const { context, route } = this.opts;
         const [only, ...others] = route.services;
         if (only === undefined || others.length > 0) {
             return undefined;
         }
         const sinceMs = context.clock.nowMs() - route.timeoutMs * LIFETIME_TIMEOUTS;
-        if (context.configuration.servicesKnownSinceMs(route) > sinceMs) {
-            return undefined;
-        }
-        const softwareVersion = context.soleVersion(only.service, sinceMs);
-        return softwareVersion === undefined ? undefined : { service: only.service, softwareVersion };
+        const softwareVersion = await context.soleVersion(only.service, sinceMs);
+        // Looked at afterwards: the version is confirmed together with the configuration.
+        const isOnlyService = context.configuration.servicesKnownSinceMs(route) <= sinceMs;
+        return softwareVersion === undefined || !isOnlyService ? undefined : { service: only.service, softwareVersion };
     }
 
     private header(name: "lastEventId" | "resumedRequestId"): string | undefined {
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -211,7 +211,7 @@
                 processes: () => 1,
             }),
             origins: opts.origins ?? unknownOrigins,
-            soleVersion: () => opts.soleVersion,
+            soleVersion: () => Promise.resolve(opts.soleVersion),
             onUpstreamLeaving: upstream => directory.markLeaving(upstream, clock.nowMs()),
             headers,
             decodeSharedPromptParts: value => (value ?? "").split(",").slice(0, -1) as PromptPartId[],
--- a/fleet/view/src/upstreamDirectory.ts
+++ b/fleet/view/src/upstreamDirectory.ts
@@ -122,6 +122,12 @@
         return entry?.upstream.startedAtMs === startedAtMs && entry.dropAtMs === undefined;
     }
 
+    /** Whether this process of an upstream is stored with its software version, listed or not. */
+    isKnown({ id, startedAtMs, softwareVersion }: Upstream): boolean {
+        const known = this.entries.get(id)?.upstream;
+        return known?.startedAtMs === startedAtMs && known.softwareVersion === softwareVersion;
+    }
+
     get(id: UpstreamId): Upstream | undefined {
         return this.entries.get(id)?.upstream;
     }
