--- a/fuzz/soak/src/faultInjector.ts
+++ b/fuzz/soak/src/faultInjector.ts
@@ -11,6 +11,8 @@
 const STORE_DELAY_MS = 250;
 const LINK_DELAY_MS = 150;
 const LOST_RESPONSES = 5;
+/** Time for which an upstream names a limit, beside the duration of the fault: it binds after 3 s, for windows of 4 s. */
+const LIMIT_EXTRA_MS = 9000;
 /** Time after which the entry of a crashed upstream is removed from the key-value service. */
 const ENTRY_EXPIRY_MS = 3600;
 /** Time for which an upstream keeps serving after it announced that it drains. */
@@ -192,6 +194,9 @@
 
     private async applyMode(upstream: SoakUpstream, mode: string, fault: PlannedFault): Promise<void> {
         upstream.mode = mode as UpstreamMode;
+        if (mode === "limited") {
+            await pause(LIMIT_EXTRA_MS);
+        }
         await pause(fault.durationMs);
         upstream.mode = "healthy";
     }
--- a/fuzz/soak/src/faultKinds.ts
+++ b/fuzz/soak/src/faultKinds.ts
@@ -21,6 +21,7 @@
     "store-cut-one-way",
     "upstream-crash",
     "upstream-slow",
+    "upstream-limited",
     "upstream-errors",
     "upstream-cut",
     "upstream-hang",
--- a/fuzz/soak/src/oracle.ts
+++ b/fuzz/soak/src/oracle.ts
@@ -9,6 +9,7 @@
 import { checkStops } from "./checkStops.js";
 import { checkTeamLimits } from "./checkTeamLimits.js";
 import { checkTeams } from "./checkTeams.js";
+import { checkUpstreamLimits } from "./checkUpstreamLimits.js";
 import type { SoakRecord } from "./soakRecord.js";
 import type { Violation } from "./violation.js";
 
@@ -25,6 +26,7 @@
         checkStops,
         checkTeams,
         checkTeamLimits,
+        checkUpstreamLimits,
         checkRecovery,
     ].flatMap(check => check(record));
 }
--- a/fuzz/soak/src/runSoak.ts
+++ b/fuzz/soak/src/runSoak.ts
@@ -1,5 +1,6 @@
 import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { bindingArrivalsOf } from "./bindingArrivalsOf.js";
 import { crashingRequest } from "./crashingRequest.js";
 import { drawsCrashingRequest } from "./drawsCrashingRequest.js";
 import { FaultInjector } from "./faultInjector.js";
@@ -103,6 +104,7 @@
         limited: record.calls.filter(call => call.statusCode === 429).length,
         unknownKeys: record.calls.filter(call => call.statusCode === 401).length,
         foreignReads: record.foreignReads.length,
+        upstreamLimits: record.upstreamLimits.filter(limit => bindingArrivalsOf(limit).length > 0).length,
         jobs: record.jobs.filter(job => job.acceptedAtMs !== undefined).length,
         items: record.jobs.reduce((sum, job) => sum + job.results.length, 0),
     };
--- a/fuzz/soak/src/soakRecord.ts
+++ b/fuzz/soak/src/soakRecord.ts
@@ -7,6 +7,7 @@
 import type { RunRecord } from "./runRecord.js";
 import type { TeamKeyRecord } from "./teamKeyRecord.js";
 import type { TeamLimitRecord } from "./teamLimitRecord.js";
+import type { UpstreamLimitRecord } from "./upstreamLimitRecord.js";
 import type { VersionRecord } from "./versionRecord.js";
 
 /** Everything that callers, upstreams and operators observed during a soak. It is the only input of the oracle. */
@@ -22,6 +23,7 @@
     readonly teamKeys: TeamKeyRecord[] = [];
     /** The limits of the limited team, oldest first. */
     readonly teamLimits: TeamLimitRecord[] = [];
+    readonly upstreamLimits: UpstreamLimitRecord[] = [];
     readonly foreignReads: ForeignReadRecord[] = [];
     /** The service to which any configuration so far routes each path prefix. */
     readonly servicesOfPrefix = new Map<string, string>();
--- a/fuzz/soak/src/soakReport.ts
+++ b/fuzz/soak/src/soakReport.ts
@@ -18,6 +18,8 @@
     limited: number;
     unknownKeys: number;
     foreignReads: number;
+    /** Number of times that an upstream named a limit for long enough that it binds. */
+    upstreamLimits: number;
     /** Number of accepted jobs. */
     jobs: number;
     /** Number of items whose result a caller has read. */
--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -17,6 +17,7 @@
 import { pause } from "./pause.js";
 import type { RunRecord } from "./runRecord.js";
 import type { SoakRecord } from "./soakRecord.js";
+import type { UpstreamLimitRecord } from "./upstreamLimitRecord.js";
 import type { UpstreamMode } from "./upstreamMode.js";
 
 const EVENT_INTERVAL_MS = 8;
@@ -24,10 +25,13 @@
 const SLOW_FACTOR = 5;
 const MIN_RESTART_MS = 1000;
 const MAX_RESTART_MS = 3000;
+/** Requests a second that a limited upstream takes. */
+const LIMIT_PER_S = 1;
+const FAILING_NO_REQUEST: readonly UpstreamMode[] = ["healthy", "slow", "limited"];
 const SLOTS = 8;
 /** Maximum number of requests that wait for a slot, in addition to those that run. */
 const MAX_QUEUED = 8;
-/** Share of the requests that an upstream fails while its mode is neither `healthy` nor `slow`. */
+/** Share of the requests that an upstream fails in the other modes. */
 const MISBEHAVING_SHARE = 0.4;
 /** Share of the streams broken off that end inside an event, and share of these whose connection is closed, not reset. */
 const INSIDE_EVENT_SHARE = 0.5;
@@ -57,6 +61,8 @@
     private isClosed = false;
     private readonly active = new Set<RunRecord>();
     private running = 0;
+    /** The limit that it names; undefined for none. */
+    private limit: UpstreamLimitRecord | undefined;
     private waiting: (() => void)[] = [];
 
     constructor(id: string, opts: SoakUpstream["opts"]) {
@@ -108,6 +114,7 @@
     /** Cuts off the running requests and listens again after a random time, unless the upstream is closed meanwhile. */
     private async crash(): Promise<void> {
         this.isCrashed = true;
+        this.endLimit(this.opts.nowMs());
         this.active.forEach(run => {
             run.faultMode = "crash";
         });
@@ -127,6 +134,7 @@
             return;
         }
         response.setHeader(wireHeaders.requestId, callId);
+        this.nameLimit(response);
         if (request.headers[wireHeaders.expectedUpstream] !== this.id) {
             this.reject(response, 421);
             return;
@@ -151,7 +159,7 @@
         response: ServerResponse,
         call: { body: string; callId: string; },
     ): Promise<void> {
-        const isMisbehaving = this.mode !== "healthy" && this.mode !== "slow"
+        const isMisbehaving = !FAILING_NO_REQUEST.includes(this.mode)
             && this.opts.random.next() < MISBEHAVING_SHARE;
         const run: RunRecord = {
             ...call,
@@ -270,6 +278,38 @@
         }
     }
 
+    /** Names a limit while the mode says so, and records the request for the check of the limit. */
+    private nameLimit(response: ServerResponse): void {
+        const nowMs = this.opts.nowMs();
+        if (this.mode !== "limited") {
+            this.endLimit(nowMs);
+            return;
+        }
+        response.setHeader(wireHeaders.requestLimit, LIMIT_PER_S);
+        if (this.limit === undefined) {
+            this.limit = {
+                upstreamId: this.id,
+                ratePerS: LIMIT_PER_S,
+                namedAtMs: undefined,
+                toMs: Infinity,
+                arrivedAtMs: [],
+            };
+            this.opts.record.upstreamLimits.push(this.limit);
+        }
+        const { limit } = this;
+        limit.arrivedAtMs.push(nowMs);
+        response.once("finish", () => {
+            limit.namedAtMs ??= this.opts.nowMs();
+        });
+    }
+
+    private endLimit(nowMs: number): void {
+        if (this.limit !== undefined) {
+            this.limit.toMs = nowMs;
+            this.limit = undefined;
+        }
+    }
+
     private slowdownFactor(): number {
         return this.mode === "slow" ? SLOW_FACTOR : 1;
     }
