fix(upstreams): that an upstream leaves is told to all processes

An upstream that says that it leaves got at least one more request from each gateway and the runner, until its entry followed. Change: the process that reads it tells the others in its load reports for 600 ms; noticed for all requests in one place, the observer of UpstreamConnections.

--- a/bench/decisions/src/loadReporter.ts
+++ b/bench/decisions/src/loadReporter.ts
@@ -37,6 +37,7 @@
             ...this.speeds === undefined ? {} : { speeds: this.speeds.reported(counts) },
             teamUsage: { counts: [], levels: [], areLevelsComplete: false },
             upstreamUsage: { counts: [], limits: [] },
+            leaving: [],
         };
     }
 }
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -120,7 +120,15 @@
             isLive: name => loadTracker.isLive(name),
             waitingSenders: service => loadTracker.peersWaitingFor(service),
         });
-        const connections = new UpstreamConnections(limits);
+        const connections = new UpstreamConnections({
+            onSent: upstream => limits.onSent(upstream),
+            onResponse: (upstream, head) => {
+                limits.onResponse(upstream, head);
+                if (head.header(wireHeaders.leaving) !== undefined) {
+                    this.upstreams.onLeaving(upstream);
+                }
+            },
+        });
         this.limits = limits;
         this.connections = connections;
         this.speedLog = new UpstreamSpeedLog({ clock, logger, speeds });
--- a/daemons/fleet/src/loadReports.ts
+++ b/daemons/fleet/src/loadReports.ts
@@ -71,6 +71,7 @@
             speeds: speeds.reported(counts),
             teamUsage: this.opts.rateLimiter.usageToReport(clock.nowMs()),
             upstreamUsage: this.opts.limits.usageToReport(),
+            leaving: upstreams.leavingToReport(),
         };
     }
 
@@ -84,6 +85,7 @@
         this.applyEjections(report);
         speeds.apply(report);
         this.opts.limits.apply(report);
+        report.leaving.forEach(upstream => upstreams.onLeavingAtPeer(upstream, report.instanceName));
         if (self.role === "gateway") {
             this.opts.rateLimiter.apply(report, clock.nowMs());
         }
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -1,3 +1,4 @@
+import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
@@ -11,10 +12,14 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { UpstreamChange } from "@knapweedwood/fleet.view/upstreamChange";
 import { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
+import type { UpstreamProcess } from "@knapweedwood/fleet.view/upstreamProcess";
 import type { VersionRecord } from "@knapweedwood/fleet.view/versionRecord";
 import { decodeUpstream } from "@knapweedwood/platform.adapter/decodeUpstream";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import type { FollowerContext } from "./followerContext.js";
+
+/** Time for which reports tell the other processes that an upstream leaves, in milliseconds. Some reports are lost. */
+const ANNOUNCE_LEAVING_MS = 600;
 /** Share of the time for which a leaving upstream serves in which streams may be resumed there. The rest is margin. */
 const RESUMABLE_DRAIN_SHARE = 0.5;
 
@@ -39,6 +44,8 @@
     readonly mirror: PrefixMirror;
     private readonly opts: UpstreamFollowerOptions;
     private lastChangeRevision = 0;
+    /** Upstreams that have said to this process a short time ago that they leave, shape [upstreams]. */
+    private announcedLeaving: (UpstreamProcess & { atMs: number; })[] = [];
     /** Time since which peers and then this process have seen every change, and since which this process has. */
     private inherited: { sinceMs: number; ownSinceMs: number; } | undefined;
 
@@ -85,13 +92,29 @@
         return this.directory.leaving(service, sinceMs).filter(upstream => isOfVersion(upstream, softwareVersion));
     }
 
-    /** Records that an upstream has said in a response that it leaves. */
-    onLeaving(upstream: Upstream): void {
-        if (this.directory.markLeaving(upstream, this.opts.clock.nowMs())) {
-            this.opts.logger.info("upstream-leaving", { upstream: upstream.id, startedAtMs: upstream.startedAtMs });
+    /** Records that an upstream has said in a response to this process that it leaves. */
+    onLeaving({ id, startedAtMs }: UpstreamProcess): void {
+        const nowMs = this.opts.clock.nowMs();
+        if (this.directory.markLeaving({ id, startedAtMs }, nowMs)) {
+            this.opts.logger.info("upstream-leaving", { upstream: id, startedAtMs });
+            this.announcedLeaving.push({ id, startedAtMs, atMs: nowMs });
+        }
+    }
+
+    /** Records that an upstream has said in a response to another process that it leaves. */
+    onLeavingAtPeer({ id, startedAtMs }: UpstreamProcess, peer: InstanceName): void {
+        if (this.directory.markLeaving({ id, startedAtMs }, this.opts.clock.nowMs())) {
+            this.opts.logger.info("upstream-leaving", { upstream: id, startedAtMs, peer });
         }
     }
 
+    /** Returns the upstreams of which the other processes are told now that they leave, shape [upstreams]. */
+    leavingToReport(): UpstreamProcess[] {
+        const nowMs = this.opts.clock.nowMs();
+        this.announcedLeaving = this.announcedLeaving.filter(({ atMs }) => nowMs < atMs + ANNOUNCE_LEAVING_MS);
+        return this.announcedLeaving.map(({ id, startedAtMs }) => ({ id, startedAtMs }));
+    }
+
     /**
      * Returns the one software version that has run a service since `sinceMs`; undefined if there were others, or if
      * changes of the upstreams since then may have been missed.
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -30,6 +30,8 @@
     speeds?: number[],
     /** Missing if there is nothing to report. */
     upstreamUsage?: PackedUpstreamUsage,
+    /** Missing if there are none. */
+    leaving?: (string | number)[],
 ];
 
 /** Reports that a relay hands on, each packed. The second value tells it from a report. */
@@ -40,6 +42,7 @@
 /** Indexes of the values in a packed report that may be missing. */
 const SPEEDS_AT = 13;
 const UPSTREAM_USAGE_AT = 14;
+const LEAVING_AT = 15;
 /** Maximum total size of the reports in one datagram. It fits an Ethernet frame, since one lost fragment loses all. */
 const MAX_RELAYED_BYTES = 1300;
 
@@ -72,6 +75,11 @@
             packed[SPEEDS_AT] ??= [];
             packed[UPSTREAM_USAGE_AT] = upstreamUsage;
         }
+        if (report.leaving.length > 0) {
+            packed[SPEEDS_AT] ??= [];
+            packed[UPSTREAM_USAGE_AT] ??= [];
+            packed[LEAVING_AT] = report.leaving.flatMap(({ id, startedAtMs }) => [id, startedAtMs]);
+        }
         return this.packr.pack(packed);
     }
 
@@ -155,6 +163,10 @@
         ...speeds.length > 0 ? { speeds } : {},
         teamUsage: teamUsageCodec.unpack(teamUsage),
         upstreamUsage: upstreamUsageCodec.unpack(packed[UPSTREAM_USAGE_AT]),
+        leaving: groupsOf(packed[LEAVING_AT] ?? [], 2).map(([id, processStartedAtMs]) => ({
+            id: id as UpstreamId,
+            startedAtMs: processStartedAtMs as number,
+        })),
     };
 }
 
--- a/fleet/load/test/loadReportCodec.test.ts
+++ b/fleet/load/test/loadReportCodec.test.ts
@@ -35,6 +35,7 @@
             { upstreamId: "u-2" as UpstreamId, startedAtMs: 0, requestsPerSecond: undefined, ageMs: 0 },
         ],
     },
+    leaving: [{ id: "u-3" as UpstreamId, startedAtMs: 1_777_167_900_000 }],
 };
 
 test("decodes an encoded report unchanged", () => {
@@ -51,7 +52,12 @@
     const message = codec.decodeMessage(packr.pack(packed.slice(0, 12)));
     const teamUsage = { counts: [], levels: [], areLevelsComplete: false };
     const upstreamUsage = { counts: [], limits: [] };
-    assert.deepEqual(message.kind === "direct" && message.report.report, { ...report, teamUsage, upstreamUsage });
+    assert.deepEqual(message.kind === "direct" && message.report.report, {
+        ...report,
+        teamUsage,
+        upstreamUsage,
+        leaving: [],
+    });
 });
 
 test("decodes relayed reports unchanged, in datagrams that fit a frame", () => {
--- a/fleet/load/test/loadReportOf.ts
+++ b/fleet/load/test/loadReportOf.ts
@@ -17,6 +17,7 @@
         leader: undefined,
         teamUsage: { counts: [], levels: [], areLevelsComplete: false },
         upstreamUsage: { counts: [], limits: [] },
+        leaving: [],
         ...change,
     };
 }
--- a/fleet/load/test/teamShares.test.ts
+++ b/fleet/load/test/teamShares.test.ts
@@ -124,6 +124,7 @@
         leader: undefined,
         teamUsage: { counts: [], levels: [], areLevelsComplete: false },
         upstreamUsage: { counts: [], limits: [] },
+        leaving: [],
     }, 0);
     assert.equal(submit({ team: quiet }).retryAfterMs, undefined);
     assert.notEqual(submit({ team: heavy }).retryAfterMs, undefined);
--- a/fleet/view/src/upstreamDirectory.ts
+++ b/fleet/view/src/upstreamDirectory.ts
@@ -4,6 +4,7 @@
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
 import type { Upstream } from "./upstream.js";
 import type { UpstreamChange } from "./upstreamChange.js";
+import type { UpstreamProcess } from "./upstreamProcess.js";
 import { upstreamProcessKeyOf } from "./upstreamProcessKeyOf.js";
 import type { VersionSighting } from "./versionSighting.js";
 import { VersionSightings } from "./versionSightings.js";
@@ -102,7 +103,7 @@
      *
      * @returns whether this was not known yet
      */
-    markLeaving(upstream: Upstream, nowMs: number): boolean {
+    markLeaving(upstream: UpstreamProcess, nowMs: number): boolean {
         const key = upstreamProcessKeyOf(upstream);
         if (this.announcedLeaving.has(key)) {
             return false;
