--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -37,7 +37,7 @@
     serviceTimes: ServiceTimes;
     speeds: UpstreamSpeeds;
     /** The limits that upstreams have named. */
-    limits: UpstreamRequestLimiter;
+    limits: Pick<UpstreamRequestLimiter, "limitOf">;
     requestQueue: RequestQueue;
     /** Bytes held for callers. */
     memory: MemoryBudget;
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -34,7 +34,7 @@
     /** The learned speeds; undefined if all upstreams count as equally fast. */
     speeds?: UpstreamSpeeds;
     /** The limits that upstreams have named; undefined if none of them counts. */
-    limits?: UpstreamRequestLimiter;
+    limits?: Pick<UpstreamRequestLimiter, "limitOf" | "mayRunItem">;
     headers: ItemRunHeaders;
     /** Decodes the parts of a prompt that other requests may share from the header that lists them, shape [parts]. */
     decodeSharedPromptParts: (value: string | undefined) => PromptPartId[];
--- a/fleet/jobs/test/createTestRunner.ts
+++ b/fleet/jobs/test/createTestRunner.ts
@@ -19,6 +19,7 @@
 import type { JobItemRecord } from "../src/jobItemRecord.js";
 import { jobKeys } from "../src/jobKeys.js";
 import { JobRunner } from "../src/jobRunner.js";
+import type { JobRunnerOptions } from "../src/jobRunnerOptions.js";
 import { planJobWrite } from "../src/planJobWrite.js";
 import { callHeaders } from "./callHeaders.js";
 import { createJobRecord } from "./createJobRecord.js";
@@ -39,6 +40,7 @@
     busySlots: number;
     jobs: number;
     connections: UpstreamConnections;
+    limits?: NonNullable<JobRunnerOptions["limits"]>;
     /** Makes an item one that crashes upstreams. Called for every other item. */
     makeBad?: (item: JobItemRecord) => void;
     /** Jobs on the disks of this instance and of the other runners, shape [jobs]. */
@@ -101,6 +103,7 @@
         metrics: silentMetrics,
         leadership: { isLeading: () => true, fence: () => term.fence, stepDown: () => undefined },
         connections: opts.connections,
+        ...opts.limits === undefined ? {} : { limits: opts.limits },
         health: new UpstreamHealth(),
         headers: callHeaders,
         decodeSharedPromptParts: value => value === undefined ? [] : [value as PromptPartId],
