--- a/fleet/load/src/queueCandidates.ts
+++ b/fleet/load/src/queueCandidates.ts
@@ -30,8 +30,8 @@
             .filter(upstream => !request.excluded.has(upstream.id));
     }
 
-    /** Returns those of them that may be sent a request now, shape [upstreams]. */
-    within(request: QueuedRequest): Upstream[] {
+    /** Returns the upstreams that may run a request and whose limits leave room for it now, shape [upstreams]. */
+    withRoomFor(request: QueuedRequest): Upstream[] {
         return this.of(request).filter(upstream => this.mayCall(upstream));
     }
 
--- a/fleet/load/src/requestQueue.ts
+++ b/fleet/load/src/requestQueue.ts
@@ -237,7 +237,7 @@
     }
 
     private place(request: QueuedRequest): Upstream | undefined {
-        return this.opts.placement.placeOnline(this.candidates.within(request), request);
+        return this.opts.placement.placeOnline(this.candidates.withRoomFor(request), request);
     }
 
     private rejectIfBlocked(request: QueuedRequest): boolean {
