--- a/fleet/load/src/callLimits.ts
+++ b/fleet/load/src/callLimits.ts
@@ -1,6 +1,6 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 
-/** Limits of upstreams on the online requests that they take in a time. */
+/** The request rates of upstreams, as far as they limit online requests. */
 export interface CallLimits {
     /** Whether an online request may be sent to an upstream now. */
     mayCall(upstream: Upstream): boolean;
--- a/fleet/load/src/leastLoadedPlacement.ts
+++ b/fleet/load/src/leastLoadedPlacement.ts
@@ -26,7 +26,8 @@
 const MAX_SPREAD = 2;
 
 /**
- * Cost of an upstream whose limit is used up, in proportion to its use. What others can take is kept for the next burst.
+ * Cost of an upstream whose limit is used up, in proportion to its use. Requests go elsewhere first, so that limited upstreams
+ * have room for the next burst.
  */
 const USED_LIMIT_WEIGHT = 4;
 /** Cost of an upstream at which the request misses its objective. It is chosen only if no other has room. */
--- a/fleet/upstream-limits/src/upstreamMeter.ts
+++ b/fleet/upstream-limits/src/upstreamMeter.ts
@@ -1,6 +1,6 @@
 import { LeakyBucket } from "@knapweedwood/routing.limits/leakyBucket";
 
-/** Time whose requests may be sent at once after a pause, beside one more, in seconds. */
+/** Size of a burst after a pause, in seconds of the rate. One further request is allowed. */
 const BURST_S = 1.5;
 /**
  * Rate to which a smaller limit is raised, in requests a second. An upstream that gets no requests could never say that it
--- a/fuzz/soak/src/faultInjector.ts
+++ b/fuzz/soak/src/faultInjector.ts
@@ -11,7 +11,7 @@
 const STORE_DELAY_MS = 250;
 const LINK_DELAY_MS = 150;
 const LOST_RESPONSES = 5;
-/** Time for which an upstream names a limit, beside the duration of the fault: it binds after 3 s, for windows of 4 s. */
+/** Added to the duration of a named limit, since a limit is checked only 3 s after it was named, in windows of 4 s. */
 const LIMIT_EXTRA_MS = 9000;
 /** Time after which the entry of a crashed upstream is removed from the key-value service. */
 const ENTRY_EXPIRY_MS = 3600;
