--- /dev/null
+++ b/review/harness/replicaStandin.mjs
@@ -0,0 +1,111 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
+import { clearInterval, setInterval } from "node:timers";
+import { setTimeout as sleep } from "node:timers/promises";
+
+const HEARTBEAT_MS = 1200;
+/** Time for which a replica that leaves serves longer than it has to, in milliseconds. */
+const LINGER_MS = 300;
+
+/**
+ * Stand-in for a sound replica (PROTOCOL.md, "Replicas"). Streams `events` events with ids from 1 on, `eventMs` apart, and
+ * resumes after `Last-Event-Id`. Records each request that it runs.
+ */
+export class ReplicaStandin {
+    #server;
+    #timer;
+    #announce;
+    #state = "ready";
+    #opts;
+
+    /**
+     * @param opts.store the store where it registers itself
+     * @param opts.record receives a line for each request that begins to run
+     */
+    constructor(opts) {
+        this.#opts = { events: 20, eventMs: 20, slots: 8, version: "v1", ...opts };
+        /** Requests that began to run: id, time, and whether the run was complete. */
+        this.runs = [];
+    }
+
+    async listen(host) {
+        const server = createServer((request, response) => void this.#handle(request, response));
+        await new Promise(resolve => server.listen(0, host, resolve));
+        this.#server = server;
+        const { store, id, service, zone, version, slots } = this.#opts;
+        const born = Date.now();
+        let sequence = 0;
+        const address = `${host}:${server.address().port}`;
+        this.#announce = () => {
+            if (store.mode === "up") {
+                sequence += 1;
+                const state = this.#state;
+                store.put(`servers/${id}`, {
+                    service,
+                    address,
+                    zone,
+                    version,
+                    slots,
+                    state,
+                    warmupLeftMs: 0,
+                    sequence,
+                    born,
+                });
+            }
+        };
+        this.#announce();
+        this.#timer = setInterval(this.#announce, HEARTBEAT_MS);
+    }
+
+    /** Leaves as planned: reports `draining`, serves for `drainMs` and a little longer, then ends. */
+    async leave(drainMs) {
+        this.#state = "draining";
+        this.#announce();
+        await sleep(drainMs + LINGER_MS);
+        this.#opts.record(`replica ${this.#opts.id} has left`);
+        this.#opts.store.remove(`servers/${this.#opts.id}`);
+        this.close();
+    }
+
+    close() {
+        clearInterval(this.#timer);
+        this.#server.closeAllConnections();
+        this.#server.close();
+    }
+
+    async #handle(request, response) {
+        const { id, service, events, eventMs, record } = this.#opts;
+        request.resume();
+        await once(request, "end");
+        const requestId = request.headers["x-request-id"];
+        const expected = request.headers["x-expect-instance"];
+        if (request.url === "/health") {
+            response.writeHead(200, { "x-instance-id": id, "content-length": 0 }).end();
+            return;
+        }
+        if (requestId === undefined || (expected !== undefined && expected !== id)) {
+            const statusCode = requestId === undefined ? 400 : 421;
+            response.writeHead(statusCode, { "x-not-run": "1", "x-request-id": requestId ?? "", "content-length": 0 });
+            response.end();
+            return;
+        }
+        const run = { requestId, atMs: Date.now(), isComplete: false };
+        this.runs.push(run);
+        const lastEventId = request.headers["last-event-id"];
+        const after = lastEventId === undefined ? "" : ` after event ${lastEventId}`;
+        record(`replica ${id} of ${service} runs ${requestId} ${request.method} ${request.url}${after}`);
+        response.writeHead(200, {
+            "content-type": "text/event-stream",
+            "x-request-id": requestId,
+            "x-server-stamp": `${id}.${requestId}`,
+            ...this.#state === "draining" ? { "server-leaving": "1" } : {},
+        });
+        const first = Number(lastEventId ?? 0) + 1;
+        for (let event = first; event <= events && !response.destroyed; event += 1) {
+            await sleep(eventMs);
+            response.write(`id: ${event}\ndata: ${service} ${requestId} ${event}\n\n`);
+        }
+        run.isComplete = !response.destroyed;
+        response.end();
+    }
+}
