--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,84 +1,75 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { batchConfiguration, HOST, SERVICE, submission } from "../harness/batchConfiguration.mjs";
+import { batchConfiguration, HOST, SERVICE } from "../harness/batchConfiguration.mjs";
 import { ReplicaStandin } from "../harness/replicaStandin.mjs";
 import { runCase } from "../harness/runCase.mjs";
 
-const JOB = "7c41e09b52d6a3f8";
-const ITEMS = 4;
-const OUTAGE_MS = 5900;
-const DARK_MS = Number(process.env.DARK_MS ?? 5000);
-/** Time before the end of the outage at which the storage machines lose power. */
-const LEAD_MS = 200;
-const CONTACT_MS = 3000;
-const SETTLE_MS = 1000;
+const STREAM_PREFIX = "/chat/";
+const STREAMS = 12;
+const EVENTS = 100;
+const EVENT_MS = 30;
+/** Time for which a replica is away, and between the restarts of two, in milliseconds. */
+const DOWN_MS = 200;
+const GAP_MS = 400;
+/** The rule is broken by more than so many streams. */
+const ALLOWED_STREAMS = 2;
 
 await runCase(fileURLToPath(new URL(".", import.meta.url)), async ({ deployment, record, hasTrouble }) => {
     const { store } = deployment;
-    await deployment.start({ gateways: 4, configuration: batchConfiguration() });
-    const replica = new ReplicaStandin({
-        store,
-        record: text => record.add(text),
-        id: "i-1",
+    const configuration = batchConfiguration();
+    configuration.routes.push({
+        name: "r-stream",
+        host: HOST,
+        prefix: STREAM_PREFIX,
+        routeKind: "stream",
         service: SERVICE,
-        zone: "z-a",
-        events: 200,
-        eventMs: 20,
+        timeoutMs: 5000,
+        sloMs: 300,
+        maxAttempts: 2,
+        priority: 0,
+        allowResume: true,
+        gapTargetMs: 250,
     });
-    await replica.listen(deployment.hostOf(4, 1));
-    await sleep(6000);
-    record.add("the store goes down (busy)");
-    store.mode = "busy";
-    const downAtMs = Date.now();
-    let accepted;
-    await deployment.until("the job is accepted", OUTAGE_MS - LEAD_MS - 500, async () => {
-        accepted = await deployment.send(deployment.gateways[0], submission(JOB, ITEMS));
-        return accepted.statusCode === 202;
-    });
-    const acceptedAtMs = Date.now();
-    await sleep(downAtMs + OUTAGE_MS - LEAD_MS - Date.now());
-    const darkAtMs = Date.now();
-    if (hasTrouble) {
-        await Promise.all(deployment.runners.map(runner => runner.kill()));
-    }
-    await sleep(downAtMs + OUTAGE_MS - Date.now());
-    record.add("the store is back");
-    store.mode = "up";
-    // From here on, all fronts are in touch: both disturbances began `contactMs` ago, and the second one hasn't ended.
-    await sleep(Math.max(Date.now(), darkAtMs + CONTACT_MS + LEAD_MS) - Date.now());
-    const answers = [];
-    while (Date.now() < darkAtMs + DARK_MS) {
-        if (Date.now() > acceptedAtMs + SETTLE_MS) {
-            answers.push(
-                ...await Promise.all(
-                    deployment.gateways.map(gateway =>
-                        deployment.send(gateway, {
-                            method: "DELETE",
-                            path: `/api/lots/${JOB}`,
-                            headers: { host: HOST },
-                        })
-                    ),
-                ),
-            );
-        }
-        if (answers.some(({ statusCode }) => statusCode === 404 || statusCode === 200)) {
-            break;
-        }
-        await sleep(100);
-    }
+    await deployment.start({ gateways: 2, configuration });
+    const replicas = ["i-1", "i-2", "i-3"].map((id, index) =>
+        new ReplicaStandin({
+            store,
+            record: text => record.add(text),
+            id,
+            service: SERVICE,
+            zone: `z-${"abc"[index]}`,
+            events: EVENTS,
+            eventMs: EVENT_MS,
+        })
+    );
+    await Promise.all(replicas.map((replica, index) => replica.listen(deployment.hostOf(4, index + 1))));
+    await sleep(5000);
+    const answers = Array.from({ length: STREAMS }, (_, index) =>
+        deployment.send(deployment.gateways[index % 2], {
+            method: "POST",
+            path: `${STREAM_PREFIX}${index}`,
+            headers: { host: HOST, "x-request-id": `6ad1f0b3${index}`, "x-deadline-ms": "5000" },
+            body: "prompt",
+        }));
+    await sleep(500);
     if (hasTrouble) {
-        await sleep(darkAtMs + DARK_MS - Date.now());
-        deployment.runners.forEach(runner => runner.start());
+        const restarts = replicas.map(async (replica, index) => {
+            await sleep(index * GAP_MS);
+            await replica.restart("v2", DOWN_MS);
+        });
+        await Promise.all(restarts);
     }
-    await sleep(6000);
-    const page = await deployment.send(deployment.gateways[0], {
-        path: `/api/lots/${JOB}?after=0`,
-        headers: { host: HOST },
+    const received = await Promise.all(answers);
+    replicas.forEach(replica => replica.close());
+    const versions = received.map(({ body }) => [...new Set(body.match(/@v\d/gu))]);
+    received.forEach(({ statusCode, error, body }, index) => {
+        const count = body.match(/^id:/gmu)?.length ?? 0;
+        record.add(
+            `stream ${index}: ${statusCode ?? error}, ${count} events, written by ${versions[index].join(" and ")}`,
+        );
     });
-    record.add(`runs of items: ${replica.runs.length}`);
-    replica.close();
-    const notFound = answers.filter(({ statusCode }) => statusCode === 404).length;
-    return notFound > 0
-        ? `${notFound} calls to end the accepted job were answered 404; later a read of it gives ${page.statusCode}`
+    const joined = versions.filter(({ length }) => length > 1).length;
+    return joined > ALLOWED_STREAMS
+        ? `${joined} of ${STREAMS} streams hold events of two software versions`
         : undefined;
 });
--- a/review/harness/replicaStandin.mjs
+++ b/review/harness/replicaStandin.mjs
@@ -1,6 +1,6 @@
 import { once } from "node:events";
 import { createServer } from "node:http";
-import { clearInterval, setInterval } from "node:timers";
+import { clearInterval, setInterval, setTimeout } from "node:timers";
 import { setTimeout as sleep } from "node:timers/promises";
 
 const HEARTBEAT_MS = 1200;
@@ -13,9 +13,12 @@
  */
 export class ReplicaStandin {
     #server;
+    #host;
+    #port;
     #timer;
-    #announce;
     #state = "ready";
+    #sequence = 0;
+    #born = Date.now();
     #opts;
 
     /**
@@ -28,33 +31,57 @@
         this.runs = [];
     }
 
+    /** Begins to serve at a free port, and registers itself at once. */
     async listen(host) {
+        this.#host = host;
+        await this.#serve(0);
+        this.#register();
+    }
+
+    /**
+     * Ends, and starts again after `downMs` under the id and at the address that it had, with another software version. Its
+     * entry in the store changes with its first heartbeat, `HEARTBEAT_MS` after the start.
+     */
+    async restart(version, downMs) {
+        const { id, record } = this.#opts;
+        record(`replica ${id} ends`);
+        this.close();
+        await sleep(downMs);
+        this.#opts.version = version;
+        this.#born = Date.now();
+        await this.#serve(this.#port);
+        record(`replica ${id} starts again, version ${version}`);
+        this.#timer = setTimeout(() => this.#register(), HEARTBEAT_MS);
+    }
+
+    async #serve(port) {
         const server = createServer((request, response) => void this.#handle(request, response));
-        await new Promise(resolve => server.listen(0, host, resolve));
+        await new Promise(resolve => server.listen(port, this.#host, resolve));
         this.#server = server;
-        const { store, id, service, zone, version, slots } = this.#opts;
-        const born = Date.now();
-        let sequence = 0;
-        const address = `${host}:${server.address().port}`;
-        this.#announce = () => {
-            if (store.mode === "up") {
-                sequence += 1;
-                const state = this.#state;
-                store.put(`servers/${id}`, {
-                    service,
-                    address,
-                    zone,
-                    version,
-                    slots,
-                    state,
-                    warmupLeftMs: 0,
-                    sequence,
-                    born,
-                });
-            }
-        };
+        this.#port = server.address().port;
+    }
+
+    #register() {
         this.#announce();
-        this.#timer = setInterval(this.#announce, HEARTBEAT_MS);
+        this.#timer = setInterval(() => this.#announce(), HEARTBEAT_MS);
+    }
+
+    #announce() {
+        const { store, id, service, zone, version, slots } = this.#opts;
+        if (store.mode === "up") {
+            this.#sequence += 1;
+            store.put(`servers/${id}`, {
+                service,
+                address: `${this.#host}:${this.#port}`,
+                zone,
+                version,
+                slots,
+                state: this.#state,
+                warmupLeftMs: 0,
+                sequence: this.#sequence,
+                born: this.#born,
+            });
+        }
     }
 
     /** Leaves as planned: reports `draining`, serves for `drainMs` and a little longer, then ends. */
@@ -74,7 +101,7 @@
     }
 
     async #handle(request, response) {
-        const { id, service, events, eventMs, record } = this.#opts;
+        const { id, service, version, events, eventMs, record } = this.#opts;
         request.resume();
         await once(request, "end");
         const requestId = request.headers["x-request-id"];
@@ -93,7 +120,7 @@
         this.runs.push(run);
         const lastEventId = request.headers["last-event-id"];
         const after = lastEventId === undefined ? "" : ` after event ${lastEventId}`;
-        record(`replica ${id} of ${service} runs ${requestId} ${request.method} ${request.url}${after}`);
+        record(`replica ${id} of ${service}@${version} runs ${requestId} ${request.method} ${request.url}${after}`);
         response.writeHead(200, {
             "content-type": "text/event-stream",
             "x-request-id": requestId,
@@ -103,7 +130,7 @@
         const first = Number(lastEventId ?? 0) + 1;
         for (let event = first; event <= events && !response.destroyed; event += 1) {
             await sleep(eventMs);
-            response.write(`id: ${event}\ndata: ${service} ${requestId} ${event}\n\n`);
+            response.write(`id: ${event}\ndata: ${service}@${version} ${requestId} ${event}\n\n`);
         }
         run.isComplete = !response.destroyed;
         response.end();
