--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -27,8 +27,10 @@
     });
     await replica.listen(deployment.hostOf(4, 1));
     await sleep(6000);
-    record.add("the store goes down (busy)");
-    store.mode = "busy";
+    if (hasTrouble) {
+        record.add("the store goes down (busy)");
+        store.mode = "busy";
+    }
     const downAtMs = Date.now();
     let accepted;
     await deployment.until("the job is accepted", OUTAGE_MS - LEAD_MS - 500, async () => {
@@ -42,8 +44,10 @@
         await Promise.all(deployment.runners.map(runner => runner.kill()));
     }
     await sleep(downAtMs + OUTAGE_MS - Date.now());
-    record.add("the store is back");
-    store.mode = "up";
+    if (hasTrouble) {
+        record.add("the store is back");
+        store.mode = "up";
+    }
     // From here on, all fronts are in touch: both disturbances began `contactMs` ago, and the second one hasn't ended.
     await sleep(Math.max(Date.now(), darkAtMs + CONTACT_MS + LEAD_MS) - Date.now());
     const answers = [];
--- a/review/harness/caseRecord.mjs
+++ b/review/harness/caseRecord.mjs
@@ -1,26 +1,25 @@
-import { writeFileSync } from "node:fs";
-import path from "node:path";
+import { appendFileSync, writeFileSync } from "node:fs";
 
-/** What was sent, answered and run, written to `record.txt` in the folder of the case. */
+/** What was sent, answered and run. Each line is written at once, so that a case that is ended from outside has a record too. */
 export class CaseRecord {
-    #lines = [];
     #startedAtMs = Date.now();
     #file;
 
-    constructor(folder) {
-        this.#file = path.join(folder, "record.txt");
+    /** @param file is replaced */
+    constructor(file) {
+        this.#file = file;
+        writeFileSync(file, "");
     }
 
     /** Adds a line with the time since the start, in seconds. */
     add(text) {
         const seconds = ((Date.now() - this.#startedAtMs) / 1000).toFixed(3).padStart(8);
-        this.#lines.push(`${seconds} ${text}`);
+        appendFileSync(this.#file, `${seconds} ${text}\n`);
     }
 
-    /** Writes the record and the verdict. */
-    write(verdict) {
+    /** Adds the verdict, and prints it. */
+    finish(verdict) {
         this.add(verdict);
-        writeFileSync(this.#file, `${this.#lines.join("\n")}\n`);
         console.log(verdict);
     }
 }
--- a/review/harness/deployment.mjs
+++ b/review/harness/deployment.mjs
@@ -181,6 +181,7 @@
     folder = mkdtempSync(path.join(tmpdir(), "review-"));
     #record;
     #subnet;
+    #sent = 0;
 
     constructor(record) {
         this.#record = record;
@@ -225,13 +226,16 @@
 
     /** Sends a request to a gateway on a new connection and records it with its answer. */
     async send(gateway, opts) {
-        const answer = await call({ host: gateway.host, port: FRONT_PORT, timeoutMs: 6000, ...opts });
-        const { method = "GET", path: target, headers = {} } = opts;
+        const { method = "GET", path: target, headers = {}, body = "" } = opts;
+        this.#sent += 1;
         const id = headers["x-request-id"] === undefined ? "" : ` id ${headers["x-request-id"]}`;
+        const what = `#${this.#sent} ${method} ${target}${id} at ${gateway.name}`;
+        this.#record.add(`sent ${what}, ${body.length} bytes`);
+        const answer = await call({ host: gateway.host, port: FRONT_PORT, timeoutMs: 6000, ...opts });
         const shown = answer.statusCode === undefined
             ? answer.error
-            : `${answer.statusCode} ${answer.body.slice(0, 120).replaceAll("\n", " ")}`;
-        this.#record.add(`${method} ${target}${id} at ${gateway.name} -> ${shown}`);
+            : `${answer.statusCode} ${answer.body.slice(0, 120).replaceAll(/[^\x20-\x7e]/gu, ".")}`;
+        this.#record.add(`answered ${what} -> ${shown}`);
         return answer;
     }
 
--- a/review/harness/replicaStandin.mjs
+++ b/review/harness/replicaStandin.mjs
@@ -133,6 +133,7 @@
             response.write(`id: ${event}\ndata: ${service}@${version} ${requestId} ${event}\n\n`);
         }
         run.isComplete = !response.destroyed;
+        record(`replica ${id} ends its run of ${requestId}: ${run.isComplete ? "complete" : "cut off"}`);
         response.end();
     }
 }
