fix(quarantine): crashes that were to be expected convict no request

Cause: three to five crashes under a request, one after the other, were taken for proof, however often the upstreams crashed anyway. Long sound runs meet such crashes again and again. A test run that met the next crash put the next test off by four times as long.

Change: the crashes under a trait convict it only if so many are unlikely (1 in 1,000) in the time of the runs that they broke off, at the rate at which the upstreams of the service crashed lately. A quarantine that began, or whose test failed, among crashes that no quarantine explains is tested again once they have ended.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -242,6 +242,7 @@
             remove: suspicion => suspicionStore.remove(suspicion),
             publish: changed => this.suspicions.publish(changed),
             listedAtMs: upstream => this.upstreams.listedAtMs(upstream),
+            upstreamCount: service => this.upstreams.directory.ready(service).length,
             // Runs after the request whose outcome changed the quarantine has been handled.
             onChanged: () => queueMicrotask(() => opts.onLoadChanged()),
         });
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -194,6 +194,7 @@
                 logger: silentLogger,
                 publish: () => undefined,
                 listedAtMs: () => -Infinity,
+                upstreamCount: () => 3,
                 store: () => undefined,
                 remove: () => undefined,
                 onChanged: () => queueMicrotask(() => requestQueue.dispatch()),
--- a/fleet/jobs/test/createTestRunner.ts
+++ b/fleet/jobs/test/createTestRunner.ts
@@ -80,6 +80,7 @@
         logger: silentLogger,
         publish: () => undefined,
         listedAtMs: () => opts.areUpstreamsListed === true ? clock.nowMs() : -Infinity,
+        upstreamCount: () => 3,
         store: () => undefined,
         remove: () => undefined,
         onChanged: () => undefined,
--- a/fleet/jobs/test/simulatedRunner.ts
+++ b/fleet/jobs/test/simulatedRunner.ts
@@ -188,6 +188,7 @@
                 logger: silentLogger,
                 publish: () => undefined,
                 listedAtMs: () => -Infinity,
+                upstreamCount: () => 3,
                 store: () => undefined,
                 remove: () => undefined,
                 onChanged: () => undefined,
--- a/fleet/quarantine/src/requestQuarantine.ts
+++ b/fleet/quarantine/src/requestQuarantine.ts
@@ -24,6 +24,8 @@
     remove: (suspicion: Suspicion) => void;
     /** Returns the time at which an upstream process was last known to be listed, in milliseconds; -infinity if it isn't. */
     listedAtMs: (upstream: Upstream) => number;
+    /** Returns the number of upstreams of a service. */
+    upstreamCount: (service: ServiceName) => number;
     /** Called when requests that wait may have to be rejected, or may run again. */
     onChanged: () => void;
 }
@@ -40,7 +42,7 @@
 
     constructor(opts: RequestQuarantineOptions) {
         this.opts = opts;
-        this.suspicions = new RequestSuspicions({ jitter: opts.random.next() });
+        this.suspicions = new RequestSuspicions(opts);
     }
 
     /** Whether any request or part of prompts is quarantined. */
@@ -54,8 +56,9 @@
      * @param traits the shared parts of its prompt in their order, then its fingerprint, shape [traits]
      */
     begin(service: ServiceName, traits: readonly RequestTraitId[]): RequestRun {
-        const run = this.suspicions.observe(service, traits);
-        this.onOwnChange(this.suspicions.onBegun(run, this.opts.clock.nowMs()), "probe");
+        const nowMs = this.opts.clock.nowMs();
+        const run = this.suspicions.observe(service, traits, nowMs);
+        this.onOwnChange(this.suspicions.onBegun(run, nowMs), "probe");
         return run;
     }
 
--- a/fleet/quarantine/src/requestRun.ts
+++ b/fleet/quarantine/src/requestRun.ts
@@ -6,6 +6,7 @@
     service: ServiceName;
     /** Number of the run: greater than those of the crashes that were known when it began. */
     sequence: number;
+    startedAtMs: number;
     /** From the trait that most requests share to that which the fewest share, shape [traits]. */
     traits: { trait: RequestTraitId; disproofs: number; rounds: number; }[];
 }
--- a/fleet/quarantine/src/requestSuspicions.ts
+++ b/fleet/quarantine/src/requestSuspicions.ts
@@ -1,9 +1,12 @@
 import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
+import type { Random } from "@knapweedwood/core.random/random";
+import { CrashHistory } from "./crashHistory.js";
 import { crashId } from "./crashId.js";
 import { isFingerprint } from "./isFingerprint.js";
 import { mergeSuspicions } from "./mergeSuspicions.js";
+import { poissonTail } from "./poissonTail.js";
 import { RecentSuccesses } from "./recentSuccesses.js";
 import type { RequestRun } from "./requestRun.js";
 import type { Suspicion } from "./suspicion.js";
@@ -25,8 +28,29 @@
 const FIRST_SOLE_PROBE_MS = 10_000;
 /** Factor by which the time to the next probe grows with each probe. */
 const PROBE_BACKOFF = 4;
+/**
+ * Time after which the next probe of a doubtful quarantine may come, in milliseconds, for each probe before it. It comes
+ * earlier than others only once the upstreams have been calm.
+ */
+const DOUBTFUL_PROBE_MS = 5000;
+const MIN_DOUBTFUL_PROBE_MS = 10_000;
+/** Time without a crash that no quarantine explains, after which the upstreams of a service are calm, in milliseconds. */
+const CALM_MS = 5000;
 /** Longest additional time to a probe of a process, as a share, so that not all processes probe at once. */
 const PROBE_JITTER = 1;
+/**
+ * Probability of as many crashes by coincidence, from which on they convict nothing. Many requests are cut by each crash, so
+ * that it has to be small.
+ */
+const COINCIDENCE_PROBABILITY = 0.001;
+/** Duration of a run that is assumed where only other processes have seen the runs, in milliseconds. */
+const ASSUMED_RUN_MS = 1000;
+
+interface RequestSuspicionsOptions {
+    random: Random;
+    /** Returns the number of upstreams of a service. */
+    upstreamCount: (service: ServiceName) => number;
+}
 
 /**
  * Finds the requests and the parts of prompts that crash upstreams, from the outcomes of runs of all processes. A crash
@@ -37,6 +61,10 @@
  * suspect, the last one is taken, which the fewest requests share; it explains the crashes under the others. A fingerprint
  * does not clear the parts of its request, since the repeats of one request may be all that was seen so far.
  *
+ * Upstreams also crash for reasons of their own. Where they did so a short time ago, so often that as many crashes were to
+ * be expected in the time of the runs that they broke off, the crashes convict nothing. A quarantine that began, or whose
+ * probe failed, among crashes of other upstreams is doubtful: its next probe comes soon after they have ended.
+ *
  * An upstream that breaks one response off and lives on has not crashed: once its process responds to a later run, the crash
  * is withdrawn.
  *
@@ -52,18 +80,21 @@
     private readonly successes = new RecentSuccesses();
     /** Those of single requests, apart, as they are many and would displace the others. */
     private readonly requestSuccesses = new RecentSuccesses();
+    private readonly crashHistory = new CrashHistory();
     private readonly probeDelayFactor: number;
+    private readonly opts: RequestSuspicionsOptions;
 
-    /** @param opts.jitter number between 0 and 1 that differs between processes */
-    constructor(opts: { jitter: number; }) {
-        this.probeDelayFactor = 1 + opts.jitter * PROBE_JITTER;
+    constructor(opts: RequestSuspicionsOptions) {
+        this.opts = opts;
+        this.probeDelayFactor = 1 + opts.random.next() * PROBE_JITTER;
     }
 
     /** Returns what is known of the traits of a run that begins. */
-    observe(service: ServiceName, traits: readonly RequestTraitId[]): RequestRun {
+    observe(service: ServiceName, traits: readonly RequestTraitId[], nowMs: number): RequestRun {
         return {
             service,
             sequence: this.table.crashes.nextSequence(),
+            startedAtMs: nowMs,
             traits: traits.map(trait => {
                 const { disproofs, rounds } = this.table.of(service, trait);
                 return { trait, disproofs, rounds };
@@ -75,31 +106,19 @@
      * Records that a run begins, which is a probe if one of its traits is quarantined. Returns the changed suspicions, shape
      * [suspicions].
      */
-    onBegun({ service, traits }: RequestRun, nowMs: number): Suspicion[] {
-        return this.table.statesOf(service, traits.map(({ trait }) => trait))
-            .filter(isQuarantined)
-            .map(({ suspicion }) => this.table.set({ ...suspicion, probes: suspicion.probes + 1 }, nowMs));
+    onBegun(run: RequestRun, nowMs: number): Suspicion[] {
+        const probed = this.statesOf(run).filter(isQuarantined);
+        this.assessDoubt(probed, nowMs);
+        return probed.map(({ suspicion }) => this.table.set({ ...suspicion, probes: suspicion.probes + 1 }, nowMs));
     }
 
     /** Records that an upstream process broke off a run. Returns the changed suspicions, shape [suspicions]. */
     onCrash(run: RequestRun, process: UpstreamProcessKey, nowMs: number): Suspicion[] {
-        const explained = run.traits.findLastIndex(({ trait }) => this.table.of(run.service, trait).isQuarantined);
-        const struck = run.traits.slice(explained + 1).flatMap(({ trait, disproofs, rounds }) => {
-            const known = this.table.of(run.service, trait);
-            const crash = { ...known, crashes: [crashId.of(process, known.withdrawn ?? [])], rounds: rounds + 1 };
-            return known.disproofs === disproofs ? this.mergeOne(crash, nowMs) : [];
-        });
-        const culprit = struck.filter(suspicion => this.isConvicted(suspicion, nowMs)).at(-1);
-        if (culprit === undefined) {
-            return struck;
-        }
-        const others = struck.filter(suspicion => suspicion !== culprit);
-        // One request may have crashed them all by its repeats. That doesn't clear a part that other requests have too.
-        const isCleared = !isFingerprint(culprit.part);
-        return [
-            this.table.set({ ...culprit, isQuarantined: true }, nowMs),
-            ...isCleared ? others.map(suspicion => this.disprove(suspicion, nowMs)) : others,
-        ];
+        const isExplained = this.statesOf(run).some(isQuarantined);
+        this.crashHistory.record(run.service, process, { nowMs, isExplained });
+        const changed = this.count(run, process, nowMs);
+        this.assessDoubt(this.statesOf(run), nowMs);
+        return changed;
     }
 
     /** Records a complete response to a run. Returns the changed suspicions, shape [suspicions]. */
@@ -140,7 +159,9 @@
                 state.heardAtMs = nowMs;
             })
         );
-        return changed.map(merged => this.review(merged, nowMs));
+        const reviewed = changed.map(merged => this.review(merged, nowMs));
+        reviewed.forEach(({ service, part }) => this.assessDoubt(this.table.statesOf(service, [part]), nowMs));
+        return reviewed;
     }
 
     /**
@@ -176,6 +197,62 @@
         return this.table.toRepeat(nowMs);
     }
 
+    /** Counts a crash against the traits of a run. Returns the changed suspicions, shape [suspicions]. */
+    private count(run: RequestRun, process: UpstreamProcessKey, nowMs: number): Suspicion[] {
+        const { service, traits, startedAtMs } = run;
+        const explained = traits.findLastIndex(({ trait }) => this.table.of(service, trait).isQuarantined);
+        const struck = traits.slice(explained + 1).flatMap(({ trait, disproofs, rounds }) => {
+            const known = this.table.of(service, trait);
+            if (known.disproofs !== disproofs) {
+                return [];
+            }
+            const crash = { ...known, crashes: [crashId.of(process, known.withdrawn ?? [])], rounds: rounds + 1 };
+            const changed = this.mergeOne(crash, nowMs);
+            this.table.statesOf(service, [trait]).forEach(({ exposure }) => exposure.add(process, nowMs - startedAtMs));
+            return changed;
+        });
+        const culprit = struck.filter(suspicion => this.isConvicted(suspicion, nowMs)).at(-1);
+        if (culprit === undefined) {
+            return struck;
+        }
+        const others = struck.filter(suspicion => suspicion !== culprit);
+        // One request may have crashed them all by its repeats. That doesn't clear a part that other requests have too.
+        const isCleared = !isFingerprint(culprit.part);
+        return [
+            this.table.set({ ...culprit, isQuarantined: true }, nowMs),
+            ...isCleared ? others.map(suspicion => this.disprove(suspicion, nowMs)) : others,
+        ];
+    }
+
+    private statesOf({ service, traits }: RequestRun): SuspicionState[] {
+        return this.table.statesOf(service, traits.map(({ trait }) => trait));
+    }
+
+    /**
+     * Whether as many crashes were likely in the time of the runs that they broke off, whatever these had been. Where one
+     * request comes again and again, its own crashes tell nothing of others.
+     */
+    private isLikelyCoincidence({ service, part, crashes }: Suspicion, nowMs: number): boolean {
+        const [state] = this.table.statesOf(service, [part]);
+        const durationMs = (state?.exposure.meanMs ?? ASSUMED_RUN_MS) * crashes.length;
+        const upstreamCount = this.opts.upstreamCount(service);
+        const excluded = new Set(isFingerprint(part) ? crashes.map(crashId.processOf) : []);
+        const expected = this.crashHistory.expectedCrashes(service, { durationMs, upstreamCount, nowMs, excluded });
+        return poissonTail(crashes.length, expected) > COINCIDENCE_PROBABILITY;
+    }
+
+    /** Records of quarantines whether the last crash may have been a coincidence. */
+    private assessDoubt(states: readonly SuspicionState[], nowMs: number): void {
+        states.filter(isQuarantined).forEach(state => {
+            state.isDoubtful = nowMs < this.lastOtherCrashAtMs(state) + CALM_MS;
+        });
+    }
+
+    /** Returns the time of the last crash that neither the suspicion nor another quarantine explains, in milliseconds. */
+    private lastOtherCrashAtMs(state: SuspicionState): number {
+        return this.crashHistory.lastUnexplainedAtMs(state.suspicion.service, new Set(crashedProcesses(state)));
+    }
+
     private mergeOne(received: Suspicion, nowMs: number): Suspicion[] {
         const known = this.table.of(received.service, received.part);
         const hasSucceeded = received.hasSucceeded || this.hasSucceeded(received);
@@ -191,7 +268,8 @@
         }
         const isDoubtful = hasSucceeded || (isFingerprint(part) && this.isFailingBroadly(service, nowMs));
         const needed = isDoubtful ? CONVICTION_AFTER_SUCCESS : CONVICTION;
-        return crashes.length >= needed.crashes && rounds >= needed.rounds;
+        return crashes.length >= needed.crashes && rounds >= needed.rounds
+            && !this.isLikelyCoincidence(suspicion, nowMs);
     }
 
     /**
@@ -242,14 +320,25 @@
         return this.lift({ ...suspicion, ...cleared }, nowMs);
     }
 
-    private probeDueAtMs({ suspicion, changedAtMs }: SuspicionState, isSoleRunner: boolean): number {
-        const firstMs = isSoleRunner && isFingerprint(suspicion.part)
-            ? FIRST_SOLE_PROBE_MS
-            : FIRST_PROBE_MS * this.probeDelayFactor;
-        return changedAtMs + firstMs * PROBE_BACKOFF ** suspicion.probes;
+    private probeDueAtMs(state: SuspicionState, isSoleRunner: boolean): number {
+        const { suspicion: { part, probes }, changedAtMs, isDoubtful } = state;
+        const isSole = isSoleRunner && isFingerprint(part);
+        const firstMs = isSole ? FIRST_SOLE_PROBE_MS : FIRST_PROBE_MS * this.probeDelayFactor;
+        const dueAtMs = changedAtMs + firstMs * PROBE_BACKOFF ** probes;
+        return isDoubtful ? Math.min(dueAtMs, this.doubtfulProbeDueAtMs(state, isSole)) : dueAtMs;
+    }
+
+    private doubtfulProbeDueAtMs(state: SuspicionState, isSole: boolean): number {
+        const delayMs = Math.max(MIN_DOUBTFUL_PROBE_MS, DOUBTFUL_PROBE_MS * state.suspicion.probes);
+        const waitedAtMs = state.changedAtMs + delayMs * (isSole ? 1 : this.probeDelayFactor);
+        return Math.max(waitedAtMs, this.lastOtherCrashAtMs(state) + CALM_MS);
     }
 }
 
 function isQuarantined({ suspicion }: SuspicionState): boolean {
     return suspicion.isQuarantined;
 }
+
+function crashedProcesses({ suspicion }: SuspicionState): UpstreamProcessKey[] {
+    return suspicion.crashes.map(crashId.processOf);
+}
--- a/fleet/quarantine/src/suspicionState.ts
+++ b/fleet/quarantine/src/suspicionState.ts
@@ -1,3 +1,4 @@
+import type { CrashExposure } from "./crashExposure.js";
 import type { Suspicion } from "./suspicion.js";
 
 /** A suspicion with what this process knows of its use. */
@@ -8,4 +9,8 @@
     askedAtMs: number;
     /** Time at which this process last heard of it, in milliseconds. */
     heardAtMs: number;
+    /** Whether the crash before its last change may have been a coincidence. */
+    isDoubtful: boolean;
+    /** The runs that crashes have broken off since the last disproof. */
+    exposure: CrashExposure;
 }
--- a/fleet/quarantine/src/suspicionTable.ts
+++ b/fleet/quarantine/src/suspicionTable.ts
@@ -1,5 +1,6 @@
 import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import { CrashExposure } from "./crashExposure.js";
 import { CrashIndex } from "./crashIndex.js";
 import { isFingerprint } from "./isFingerprint.js";
 import type { Suspicion } from "./suspicion.js";
@@ -69,12 +70,15 @@
     /** Adds or replaces a suspicion, and returns it. Drops another one early if there are too many. */
     set(suspicion: Suspicion, nowMs: number): Suspicion {
         const key = suspicionKeyOf(suspicion);
-        const askedAtMs = this.states.get(key)?.askedAtMs ?? -Infinity;
+        const known = this.states.get(key);
+        const { askedAtMs = -Infinity, isDoubtful = false } = known ?? {};
+        const isDisproved = known?.suspicion.disproofs !== suspicion.disproofs;
+        const exposure = isDisproved ? new CrashExposure() : known.exposure;
         this.states.delete(key);
         if (this.states.size >= MAX_SUSPICIONS) {
             this.dropEarly();
         }
-        this.states.set(key, { suspicion, changedAtMs: nowMs, askedAtMs, heardAtMs: nowMs });
+        this.states.set(key, { suspicion, changedAtMs: nowMs, askedAtMs, heardAtMs: nowMs, isDoubtful, exposure });
         this.crashes.set(key, suspicion.crashes);
         return suspicion;
     }
--- a/fleet/quarantine/test/recurringRequest.test.ts
+++ b/fleet/quarantine/test/recurringRequest.test.ts
@@ -166,6 +166,7 @@
         logger: silentLogger,
         publish: () => undefined,
         listedAtMs: () => -Infinity,
+        upstreamCount: () => 3,
         store: suspicion => stored.push(suspicion),
         remove: () => undefined,
         onChanged: () => undefined,
--- a/fleet/quarantine/test/requestSuspicions.test.ts
+++ b/fleet/quarantine/test/requestSuspicions.test.ts
@@ -2,6 +2,7 @@
 import type { RequestFingerprint } from "@knapweedwood/core.ids/requestFingerprint";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
+import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -16,8 +17,12 @@
 const MAX_KEPT = 2000;
 const MAX_REPEATED = 60;
 
+function createSuspicions(): RequestSuspicions {
+    return new RequestSuspicions({ random: new SeededRandom(1), upstreamCount: () => 3 });
+}
+
 function crash(suspicions: RequestSuspicions, fingerprint: RequestFingerprint, process: string, nowMs: number): void {
-    const run = suspicions.observe(SERVICE, [fingerprint]);
+    const run = suspicions.observe(SERVICE, [fingerprint], nowMs);
     suspicions.onCrash(run, process as UpstreamProcessKey, nowMs);
 }
 
@@ -26,8 +31,8 @@
 }
 
 test("a crash of many upstreams creates bounded suspicions and datagrams, and a quarantine outlasts it", () => {
-    const suspicions = new RequestSuspicions({ jitter: 0 });
-    const sound = suspicions.observe(SERVICE, ["request:sound" as RequestFingerprint]);
+    const suspicions = createSuspicions();
+    const sound = suspicions.observe(SERVICE, ["request:sound" as RequestFingerprint], 0);
     suspicions.onSuccess(sound, 0);
     ["u-1", "u-2", "u-3"].forEach(process => crash(suspicions, BAD, process, 1));
     assert.ok(blockedForMs(suspicions, 2) > 0);
@@ -59,11 +64,11 @@
 
 // A run in progress when a response breaks off may have been answered before its upstream crashed.
 test("only a response to a run that began after a crash was known withdraws the crash", () => {
-    const suspicions = new RequestSuspicions({ jitter: 0 });
+    const suspicions = createSuspicions();
     const process = "u-1" as UpstreamProcessKey;
-    const before = suspicions.observe(SERVICE, []);
+    const before = suspicions.observe(SERVICE, [], 0);
     crash(suspicions, BAD, process, 1);
-    const after = suspicions.observe(SERVICE, []);
+    const after = suspicions.observe(SERVICE, [], 0);
     assert.ok(!suspicions.isSuspected(process, before));
     assert.deepEqual(suspicions.withdraw(process, before.sequence, 2), []);
     assert.ok(suspicions.isSuspected(process, after));
@@ -72,10 +77,10 @@
 });
 
 test("an upstream that was cleared counts again once it breaks off another run", () => {
-    const suspicions = new RequestSuspicions({ jitter: 0 });
-    suspicions.onSuccess(suspicions.observe(SERVICE, []), 0);
+    const suspicions = createSuspicions();
+    suspicions.onSuccess(suspicions.observe(SERVICE, [], 0), 0);
     crash(suspicions, BAD, "u-1", 1);
-    suspicions.withdraw("u-1" as UpstreamProcessKey, suspicions.observe(SERVICE, []).sequence, 2);
+    suspicions.withdraw("u-1" as UpstreamProcessKey, suspicions.observe(SERVICE, [], 0).sequence, 2);
     ["u-1", "u-2"].forEach(process => crash(suspicions, BAD, process, 3));
     assert.equal(blockedForMs(suspicions, 4), 0);
     crash(suspicions, BAD, "u-3", 4);
@@ -84,9 +89,9 @@
 
 // The datagram that tells that the first crash was withdrawn may come after the one that tells of the second.
 test("two crashes of one process that are known at the same time are both withdrawn", () => {
-    const suspicions = new RequestSuspicions({ jitter: 0 });
+    const suspicions = createSuspicions();
     suspicions.merge([suspicionOf(BAD, ["u-1 1", "u-1 1 #2"])], 1);
-    const { sequence } = suspicions.observe(SERVICE, []);
+    const { sequence } = suspicions.observe(SERVICE, [], 0);
     const changed = suspicions.withdraw("u-1 1" as UpstreamProcessKey, sequence, 2);
     assert.deepEqual(changed.at(-1)?.crashes, []);
 });
--- a/fleet/quarantine/test/simulatedQuarantineFleet.ts
+++ b/fleet/quarantine/test/simulatedQuarantineFleet.ts
@@ -336,6 +336,7 @@
             random,
             logger: silentLogger,
             publish: changed => exchange.publish(changed),
+            upstreamCount: () => UPSTREAMS,
             store: suspicion => this.store(suspicion),
             remove: ({ part }) => {
                 this.stored = this.stored.filter(suspicion => suspicion.part !== part);
