fix(jobs): items stay with the route on which their job was accepted

Cause: the route of an item was looked up by the item's path, so that a route of another kind hid it, and it counted as missing. A batch route with a longer prefix took the items to its own service.

Change: the route is that of the job, by its stored name. Only where the configuration has it no longer, a batch route for the path replaces it.

--- a/fleet/jobs/src/itemRoutes.ts
+++ b/fleet/jobs/src/itemRoutes.ts
@@ -2,7 +2,9 @@
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { ActiveConfiguration } from "@knapweedwood/fleet.view/activeConfiguration";
+import type { Route } from "@knapweedwood/fleet.view/route";
 import type { JobItem } from "./jobItem.js";
+import type { JobRecord } from "./jobRecord.js";
 import type { OpenJob } from "./openJob.js";
 
 interface MatchedItem {
@@ -87,10 +89,9 @@
     }
 
     private match({ record }: OpenJob, item: JobItem): ServiceName | undefined {
-        const path = item.record.path.split("?", 1)[0]!;
         const { configuration, clock } = this.opts;
-        const route = configuration.match(record.host, path);
-        if (route?.kind === "batch") {
+        const route = this.routeOf(record, item);
+        if (route !== undefined) {
             this.missing.delete(record.jobId);
             return route.services[0]?.service;
         }
@@ -100,4 +101,18 @@
         }
         return undefined;
     }
+
+    /**
+     * Returns the batch route of an item: the one on which its job was accepted, whatever other routes its path matches. A
+     * configuration that has no such route any more may have others for the path, as where a route was split.
+     */
+    private routeOf({ routeName, host }: JobRecord, item: JobItem): Route | undefined {
+        const { configuration } = this.opts;
+        const path = item.record.path.split("?", 1)[0]!;
+        return [configuration.routeNamed(routeName), configuration.match(host, path)].find(isBatch);
+    }
+}
+
+function isBatch(route: Route | undefined): boolean {
+    return route?.kind === "batch";
 }
--- a/fleet/jobs/test/itemRoutes.test.ts
+++ b/fleet/jobs/test/itemRoutes.test.ts
@@ -10,7 +10,13 @@
 const SERVICE = "s" as ServiceName;
 /** Time for which a route has to be missing before its items are given up. */
 const MISSING_MS = 3000;
-const configurationOf = (version: number, hosts: string[]) => ({
+interface TestConfiguration {
+    version: number;
+    routes: object[];
+    services: never[];
+}
+
+const configurationOf = (version: number, hosts: string[]): TestConfiguration => ({
     version,
     routes: hosts.map(host => ({ host, prefix: "/", kind: "batch", services: [{ service: SERVICE, weight: 1 }] })),
     services: [],
@@ -66,3 +72,34 @@
     stored.isReachable = true;
     assert.equal(await isGivenUpWithin(2000), true);
 });
+
+/** A configuration with the batch route of a job and others, each a prefix, a kind and a service. */
+function configurationWith(
+    others: { name: string; prefix: string; kind: string; service: string; }[],
+): TestConfiguration {
+    const own = { name: "route", prefix: "/", kind: "batch", service: SERVICE };
+    const routes = [own, ...others].map(({ service, ...route }) => ({
+        ...route,
+        host: "host",
+        services: [{ service, weight: 1 }],
+    }));
+    return { version: 2, routes, services: [] };
+}
+
+// Items were given up unrun 3 s after another route with a longer prefix of their path was added (MIXED), or went to its service.
+["idempotent", "stream", "batch"].forEach(kind => {
+    void test(`an item stays with the route of its job when a ${kind} route with a longer prefix is added`, async () => {
+        const { stored, routes, job, isGivenUpWithin } = setUp();
+        stored.configuration = configurationWith([{ name: "added", prefix: "/p/", kind, service: "other" }]);
+        assert.equal(await isGivenUpWithin(MISSING_MS * 4), false);
+        assert.equal(routes.serviceOf(job, job.items[0]!), SERVICE);
+    });
+});
+
+test("an item goes on with the route of its path when the route of its job was replaced", async () => {
+    const { stored, routes, job, isGivenUpWithin } = setUp();
+    const replaced = configurationWith([{ name: "replacing", prefix: "/p/", kind: "batch", service: "other" }]);
+    stored.configuration = { ...replaced, routes: replaced.routes.slice(1) };
+    assert.equal(await isGivenUpWithin(MISSING_MS * 4), false);
+    assert.equal(routes.serviceOf(job, job.items[0]!), "other");
+});
--- a/fleet/view/src/activeConfiguration.ts
+++ b/fleet/view/src/activeConfiguration.ts
@@ -10,6 +10,7 @@
 export class ActiveConfiguration {
     private configuration: FleetConfiguration | undefined;
     private table: RouteTable | undefined;
+    private routesByName = new Map<string, Route>();
     private services = new Map<ServiceName, ServiceDefinition>();
     private teamsByKey = new Map<string, Team>();
     private servicesSinceMs = new Map<string, number>();
@@ -38,6 +39,7 @@
         this.servicesSinceMs = this.timeServices(configuration, nowMs);
         this.configuration = configuration;
         this.table = new RouteTable(configuration);
+        this.routesByName = new Map(configuration.routes.map(route => [route.name, route]));
         this.services = new Map(configuration.services.map(service => [service.name, service]));
         this.teamsByKey = new Map((configuration.teams ?? []).flatMap(team => team.keys.map(key => [key, team])));
         this.teamsById = new Map((configuration.teams ?? []).map(team => [team.id, team]));
@@ -49,6 +51,11 @@
         return this.table?.match(host, path);
     }
 
+    /** Returns the route with a name; undefined if there is none. */
+    routeNamed(name: string): Route | undefined {
+        return this.routesByName.get(name);
+    }
+
     /**
      * Returns the time at which this process learned that the route leads to its services, Unix ms; -infinity if it has
      * known no others.
