fix(jobs): a job is unknown only once all its possible holders were asked

Cause: a gateway concluded from time alone that all held jobs had been written. The leader, which collects held jobs when it begins to lead, also knew nothing of jobs that other runners had held since.

Change: a gateway asks the leader about a job that isn't stored, and answers 503 where there is no leader. Before the leader says that a job doesn't exist, it collects the held jobs of all runners (one collection at a time for all questions) and reads the service once more.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -123,6 +123,10 @@
             whenInitialized: () => this.fleet.whenInitialized(MAX_START_WAIT_MS),
             isStopping: () => this.isStopping,
         };
+        const leaderJobs = new LinkJobReader({
+            endpoint: this.fleet.links,
+            leader: () => this.fleet.peers.leaderAddress(),
+        });
         const jobs = new JobRoutes({
             logger,
             protocol,
@@ -139,14 +143,12 @@
                     copies: () => activeSettings.current.tolerableLosses + 1,
                 }),
                 areHeldJobsWritten: () => this.fleet.reachability.areHeldJobsWritten,
+                isKnownToLeader: (jobId, caller) => leaderJobs.isKnown(jobId, caller),
                 isTokenCountComplete: () => this.fleet.reachability.isTokenCountComplete,
             }),
             reader: new FallbackJobReader({
                 logger,
-                leader: new LinkJobReader({
-                    endpoint: this.fleet.links,
-                    leader: () => this.fleet.peers.leaderAddress(),
-                }),
+                leader: leaderJobs,
                 stored: new StoredJobReader({ service: this.fleet.keyValueService }),
             }),
             onJobWritten: revision => this.fleet.markJobsWritten(revision),
--- a/daemons/fleet/src/linkJobReader.ts
+++ b/daemons/fleet/src/linkJobReader.ts
@@ -26,6 +26,12 @@
         this.leader = opts.leader;
     }
 
+    /** Whether the caller has a job with this id, stored or held on disks. Rejects if that is uncertain. */
+    async isKnown(jobId: JobId, caller: JobCaller | undefined): Promise<boolean> {
+        const opts = { jobId, after: Number.MAX_SAFE_INTEGER, waitMs: 0 };
+        return await this.results(caller === undefined ? opts : { ...opts, caller }) !== undefined;
+    }
+
     async results(
         opts: { jobId: JobId; caller?: JobCaller; after: number; waitMs: number; },
     ): Promise<ResultsPage | undefined> {
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -33,12 +33,14 @@
     private readonly logger: Logger;
     private readonly holder: JobHolder;
     private readonly areHeldJobsWritten: () => boolean;
+    private readonly isKnownToLeader: (jobId: JobId, caller: JobCaller | undefined) => Promise<boolean>;
     private readonly isTokenCountComplete: () => boolean;
     private readonly waitingTokensEntries = new Map<string, KeyValueEntry>();
 
     /**
      * @param opts.holder holds jobs while the key-value service is unavailable
-     * @param opts.areHeldJobsWritten whether jobs held during any outage are certain to have been written
+     * @param opts.areHeldJobsWritten whether jobs held during an outage have had time to be written
+     * @param opts.isKnownToLeader whether a job of the caller exists that may only be held on disks; rejects if that is uncertain
      * @param opts.isTokenCountComplete whether the stored count of waiting tokens contains all jobs
      */
     constructor(opts: {
@@ -47,6 +49,7 @@
         logger: Logger;
         holder: JobHolder;
         areHeldJobsWritten: () => boolean;
+        isKnownToLeader: (jobId: JobId, caller: JobCaller | undefined) => Promise<boolean>;
         isTokenCountComplete: () => boolean;
     }) {
         this.service = opts.service;
@@ -54,6 +57,7 @@
         this.logger = opts.logger;
         this.holder = opts.holder;
         this.areHeldJobsWritten = opts.areHeldJobsWritten;
+        this.isKnownToLeader = opts.isKnownToLeader;
         this.isTokenCountComplete = opts.isTokenCountComplete;
     }
 
@@ -83,7 +87,7 @@
      */
     async cancel(jobId: JobId, caller?: JobCaller): Promise<number | undefined> {
         const record = await this.service.get(jobKeys.record(jobId));
-        if (record === undefined && !this.areHeldJobsWritten()) {
+        if (record === undefined && await this.mayBeHeld(jobId, caller)) {
             throw new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet");
         }
         if (record === undefined || !mayAccessJob(decodeRecord<JobRecord>(record.value), caller)) {
@@ -112,6 +116,17 @@
         return revision;
     }
 
+    /** Whether a job that isn't stored may be held on disks. Time alone doesn't tell: the disks may be out of reach. */
+    private async mayBeHeld(jobId: JobId, caller: JobCaller | undefined): Promise<boolean> {
+        try {
+            return !this.areHeldJobsWritten() || await this.isKnownToLeader(jobId, caller);
+        }
+        catch (thrown) {
+            this.logger.info("job-existence-uncertain", { jobId, code: toKnapweedError(thrown).code });
+            return true;
+        }
+    }
+
     /**
      * While jobs held during an outage are still being written, the stored count of waiting tokens is too low. Then a job
      * of a route with a limit is only held, because the leader has the complete count.
--- a/fleet/jobs/src/jobReader.ts
+++ b/fleet/jobs/src/jobReader.ts
@@ -22,6 +22,11 @@
     reachableSinceMs: () => number;
     /** Whether the table contains every job that was accepted under earlier leaders, also those only held on disks. */
     knowsHeldJobs: () => boolean;
+    /**
+     * Adds to the table the jobs that the runners hold on disks. Resolves to whether every job that was accepted before the
+     * call and isn't stored is certain to be in the table.
+     */
+    collectHeldJobs: () => Promise<boolean>;
     /** Applies entries of a job that the watch has not delivered yet. */
     apply: (entries: KeyValueEntry[]) => void;
 }
@@ -74,21 +79,38 @@
             return job;
         }
         // The watch may lag behind an acceptance.
-        const record = await this.opts.service.get(jobKeys.record(jobId));
-        if (record === undefined) {
-            this.assertHeldJobsKnown();
-            // Collected held jobs may have arrived during the read.
-            return this.opts.table.get(jobId);
+        return await this.findStored(jobId, fencingNumber) ?? this.findHeld(jobId, fencingNumber);
+    }
+
+    private async findStored(jobId: JobId, fencingNumber: number): Promise<OpenJob | undefined> {
+        if (await this.opts.service.get(jobKeys.record(jobId)) === undefined) {
+            return undefined;
         }
         const { entries } = await this.opts.service.snapshot(jobKeys.jobPrefix(jobId));
         // Under another leadership the job may have been removed since.
-        if (this.assertCurrent() !== fencingNumber) {
-            throw notLed();
-        }
+        this.assertSameLeadership(fencingNumber);
         this.opts.apply(entries);
         return this.opts.table.get(jobId);
     }
 
+    /**
+     * Looks for a job that isn't stored among those that runners hold on disks. All of them are asked, since some may have
+     * accepted the job without this process, and may not have written it since.
+     */
+    private async findHeld(jobId: JobId, fencingNumber: number): Promise<OpenJob | undefined> {
+        this.assertHeldJobsKnown();
+        const known = this.opts.table.get(jobId);
+        if (known !== undefined) {
+            return known;
+        }
+        if (!await this.opts.collectHeldJobs()) {
+            throw notSettled();
+        }
+        this.assertSameLeadership(fencingNumber);
+        // A runner may have stored the job before it was asked.
+        return this.opts.table.get(jobId) ?? this.findStored(jobId, fencingNumber);
+    }
+
     /**
      * Throws `JOBS_NOT_SETTLED` while too few runners have said which jobs they hold, and for a short time after an
      * outage, while held jobs are still being written.
@@ -96,9 +118,13 @@
     private assertHeldJobsKnown(): void {
         const { clock, reachableSinceMs, knowsHeldJobs } = this.opts;
         if (!knowsHeldJobs() || clock.nowMs() < reachableSinceMs() + HELD_JOBS_WRITE_MS) {
-            throw new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet", {
-                outcome: "not-run",
-            });
+            throw notSettled();
+        }
+    }
+
+    private assertSameLeadership(fencingNumber: number): void {
+        if (this.assertCurrent() !== fencingNumber) {
+            throw notLed();
         }
     }
 
@@ -131,3 +157,9 @@
         outcome: "not-run",
     });
 }
+
+function notSettled(): KnapweedError {
+    return new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet", {
+        outcome: "not-run",
+    });
+}
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -2,6 +2,7 @@
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
+import { CoalescedTask } from "./coalescedTask.js";
 import { findFinishedItems } from "./findFinishedItems.js";
 import type { HeldJob } from "./heldJob.js";
 import { InFlightItems } from "./inFlightItems.js";
@@ -60,6 +61,7 @@
     private readonly loader: JobLoader;
     private readonly checkpoints: JobCheckpoints;
     private readonly waitingItems: WaitingItemsLog;
+    private readonly heldJobsCollection = new CoalescedTask(() => this.collectHeldJobsOnce());
 
     constructor(opts: JobRunnerOptions) {
         this.opts = opts;
@@ -107,6 +109,7 @@
                 this.isLoaded && leadership.isLeading() ? leadership.fence()?.modRevision : undefined,
             reachableSinceMs: () => this.mirror?.reachableSinceMs ?? Infinity,
             knowsHeldJobs: () => this.knowsHeldJobs,
+            collectHeldJobs: () => this.heldJobsCollection.run(),
             apply: entries => this.apply(entries),
         });
     }
@@ -246,6 +249,21 @@
         });
     }
 
+    /** Adds the jobs held by other runners. Resolves to whether all accepted jobs are certain to be known under this leadership. */
+    private async collectHeldJobsOnce(): Promise<boolean> {
+        const fencingNumber = this.opts.leadership.fence()?.modRevision;
+        if (fencingNumber === undefined) {
+            return false;
+        }
+        const { jobs, isComplete } = await this.opts.collectHeldJobs(fencingNumber);
+        if (this.opts.leadership.fence()?.modRevision !== fencingNumber) {
+            return false;
+        }
+        this.openHeld(jobs);
+        this.requestDispatch();
+        return isComplete;
+    }
+
     /** Opens held jobs, except those that may have been removed. These are opened once they are stored. */
     private openHeld(jobs: readonly HeldJob[]): void {
         const opts = { nowMs: this.opts.clock.nowMs(), resultRetentionMs: this.opts.resultRetentionMs() };
--- a/fleet/jobs/test/heldJobsIncomplete.test.ts
+++ b/fleet/jobs/test/heldJobsIncomplete.test.ts
@@ -158,6 +158,7 @@
         holder: { hold: () => Promise.resolve("not-held") },
         // This gateway has seen no outage.
         areHeldJobsWritten: () => true,
+        isKnownToLeader: () => Promise.resolve(false),
         isTokenCountComplete: () => true,
     });
     const cancelling = gateway.cancel(jobId).then(
--- a/fleet/jobs/test/jobAcceptor.test.ts
+++ b/fleet/jobs/test/jobAcceptor.test.ts
@@ -31,6 +31,7 @@
             logger: silentLogger,
             holder: { hold: () => Promise.resolve(held) },
             areHeldJobsWritten: () => areHeldJobsWritten,
+            isKnownToLeader: () => Promise.resolve(false),
             isTokenCountComplete: () => areHeldJobsWritten,
         });
     const settle = async (pending: Promise<Acceptance>): Promise<Acceptance> => {
--- a/fleet/jobs/test/jobAcceptorUncertain.test.ts
+++ b/fleet/jobs/test/jobAcceptorUncertain.test.ts
@@ -27,6 +27,7 @@
         logger: silentLogger,
         holder: { hold: () => Promise.resolve(held) },
         areHeldJobsWritten: () => true,
+        isKnownToLeader: () => Promise.resolve(false),
         isTokenCountComplete: () => true,
     });
     const transact = service.transact.bind(service);
--- a/fleet/jobs/test/jobReader.test.ts
+++ b/fleet/jobs/test/jobReader.test.ts
@@ -24,6 +24,7 @@
         currentFencingNumber: () => leadership.fencingNumber,
         reachableSinceMs: () => -Infinity,
         knowsHeldJobs: () => true,
+        collectHeldJobs: () => Promise.resolve(true),
         apply: entries => table.apply(entries),
     });
     const { signal } = new AbortController();
@@ -66,6 +67,7 @@
         currentFencingNumber: () => 1,
         reachableSinceMs: () => -Infinity,
         knowsHeldJobs: () => knowsHeldJobs,
+        collectHeldJobs: () => Promise.resolve(true),
         apply: () => undefined,
     });
     const { signal } = new AbortController();
--- a/fleet/jobs/test/jobTeams.test.ts
+++ b/fleet/jobs/test/jobTeams.test.ts
@@ -36,6 +36,7 @@
         logger: silentLogger,
         holder: { hold: () => Promise.resolve("not-held") },
         areHeldJobsWritten: () => true,
+        isKnownToLeader: () => Promise.resolve(false),
         isTokenCountComplete: () => true,
     });
     const submit = async (id: string, caller?: JobCaller, tokens = 60) => {
@@ -54,6 +55,7 @@
         currentFencingNumber: () => 1,
         reachableSinceMs: () => -Infinity,
         knowsHeldJobs: () => true,
+        collectHeldJobs: () => Promise.resolve(true),
         apply: entries => table.apply(entries),
     });
     return { service, acceptor, submit, leader, stored: new StoredJobReader({ service }) };
--- a/fleet/jobs/test/simulatedTokenFleet.ts
+++ b/fleet/jobs/test/simulatedTokenFleet.ts
@@ -193,6 +193,7 @@
             ...common,
             holder: { hold: request => this.hold(request) },
             areHeldJobsWritten: () => true,
+            isKnownToLeader: () => Promise.resolve(false),
             isTokenCountComplete: updateTrust,
         });
         return { clock, connection, acceptor, closing, isReachable, updateTrust };
--- a/fleet/jobs/test/suspendedGateway.test.ts
+++ b/fleet/jobs/test/suspendedGateway.test.ts
@@ -29,6 +29,7 @@
         logger: silentLogger,
         holder: { hold: () => Promise.resolve("not-held") },
         areHeldJobsWritten: () => true,
+        isKnownToLeader: () => Promise.resolve(false),
         isTokenCountComplete: () => true,
     });
     const now = Date.now.bind(Date);
--- a/fleet/jobs/test/waitingTokensOfBoth.test.ts
+++ b/fleet/jobs/test/waitingTokensOfBoth.test.ts
@@ -59,6 +59,7 @@
             logger: silentLogger,
             holder: holderAt(leader),
             areHeldJobsWritten: () => true,
+            isKnownToLeader: () => Promise.resolve(false),
             isTokenCountComplete: () => true,
         });
     const close = () => {
