fix(upstreams): what a response costs is counted, not only its content

Cause: collected parts each cost an object and kept the read buffer alive, but only their bytes were counted. Each chunk and event was handled as fast as it came until the deadline, and empty events counted as progress.

Change: bytes are copied into counted blocks, also those of callers' bodies; few parts are kept for paused readers; unsent parts count what they cost. A response in too many small parts counts as a failure of its upstream, goes to another one where it may, and otherwise shares a budget with all of its kind. Streams have limits of empty events, events beyond the request's tokens, and bytes.

Two tests of endlessResponses.test.ts failed before, and the new one of byteCollector.test.ts (no heldBytes).

--- a/core/http-connections/src/httpConnection.ts
+++ b/core/http-connections/src/httpConnection.ts
@@ -4,6 +4,8 @@
 
 /** Maximum number of received bytes that are kept for a reader that has paused. */
 const READ_BUFFER_BYTES = 65_536;
+/** Maximum number of parts in which these bytes are kept. Each costs some hundred bytes besides its content. */
+const MAX_UNREAD_PARTS = 64;
 
 /**
  * A TCP connection as undici needs it. It ends only if the peer has closed it in order, and once all data has been read;
@@ -18,13 +20,18 @@
     private brokenBy: ConnectionBrokenError | undefined;
     /** Whether the socket has ended or failed, so that nothing more will be received. */
     private isClosing = false;
+    /** Parts received since the reader last took all that was kept. */
+    private unreadParts = 0;
 
     /** @param socket a connected socket, from now on used by this connection only */
     constructor(socket: Socket) {
         super({ allowHalfOpen: false, highWaterMark: READ_BUFFER_BYTES });
         this.socket = socket;
         socket.on("data", (chunk: Buffer) => {
-            if (!this.push(chunk)) {
+            const hasRoom = this.push(chunk);
+            this.unreadParts = this.readableLength === 0 ? 0 : this.unreadParts + 1;
+            // The system joins what arrives while the socket is paused.
+            if (!hasRoom || this.unreadParts >= MAX_UNREAD_PARTS) {
                 socket.pause();
             }
         });
@@ -52,6 +59,10 @@
 
     override read(sizeBytes?: number): unknown {
         const chunk: unknown = super.read(sizeBytes);
+        if (chunk !== null && this.readableLength === 0) {
+            this.unreadParts = 0;
+            this.socket.resume();
+        }
         // A read of size 0 is one of the stream itself. Undici reads until nothing is left, unless it has paused.
         if (chunk === null && sizeBytes === undefined && this.isClosing) {
             process.nextTick(() => this.finish());
@@ -60,7 +71,9 @@
     }
 
     override _read(): void {
-        this.socket.resume();
+        if (this.unreadParts < MAX_UNREAD_PARTS) {
+            this.socket.resume();
+        }
     }
 
     override _write(chunk: Buffer, encoding: BufferEncoding, callback: () => void): void {
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -128,7 +128,7 @@
                     this.upstreams.onLeaving(upstream);
                 }
             },
-        });
+        }, clock);
         this.limits = limits;
         this.connections = connections;
         this.speedLog = new UpstreamSpeedLog({ clock, logger, speeds });
--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -119,6 +119,7 @@
             headers: protocol.headers,
             decodeSharedPromptParts: value => protocol.decodeSharedPromptParts(value),
             decodePromptParts: value => protocol.decodePromptParts(value),
+            decodeMaxTokens: value => protocol.decodeMaxTokens(value),
             onLoadChanged: () => this.fleet.markLoadChanged(),
             whenInitialized: () => this.fleet.whenInitialized(MAX_START_WAIT_MS),
             isStopping: () => this.isStopping,
--- a/fleet/gateway/src/attempt.ts
+++ b/fleet/gateway/src/attempt.ts
@@ -17,5 +17,7 @@
     isNotRun: boolean;
     /** Bytes of the body of a response that says that the upstream doesn't run the request. */
     notRunBodyBytes: number;
+    /** Whether the response has come in too many small parts. */
+    hasTinyParts: boolean;
     requestRun: RequestRun;
 }
--- a/fleet/gateway/src/bufferedResponseWriter.ts
+++ b/fleet/gateway/src/bufferedResponseWriter.ts
@@ -23,7 +23,7 @@
     }
 
     get unsentBytes(): number {
-        return this.body.sizeBytes;
+        return this.body.heldBytes;
     }
 
     get progress(): number {
--- a/fleet/gateway/src/callerProtocol.ts
+++ b/fleet/gateway/src/callerProtocol.ts
@@ -15,6 +15,8 @@
     decodeSharedPromptParts(value: string | undefined): PromptPartId[];
     /** Decodes all parts of a prompt in their order from the same header, shape [parts]. */
     decodePromptParts(value: string | undefined): PromptPart[];
+    /** Decodes the number of tokens that a response may have from the header with the token counts; undefined if it names none. */
+    decodeMaxTokens(value: string | undefined): number | undefined;
     /** Decodes a call about a job; returns undefined for any other request. */
     parseJobCall(request: IncomingMessage): JobCall | undefined;
     /** Decodes a job submission. Throws `SUBMISSION_INVALID` if it is malformed. */
--- a/fleet/gateway/src/createAttempt.ts
+++ b/fleet/gateway/src/createAttempt.ts
@@ -26,6 +26,7 @@
         startedAtMs: clock.nowMs(),
         isNotRun: false,
         notRunBodyBytes: 0,
+        hasTinyParts: false,
         requestRun,
         promptRun,
         sampler: new ResponseSampler({ clock, speeds, upstream, isStream: route.kind === "stream" }),
--- a/fleet/gateway/src/createResponseWriter.ts
+++ b/fleet/gateway/src/createResponseWriter.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { ServerResponse } from "node:http";
 import { BufferedResponseWriter } from "./bufferedResponseWriter.js";
@@ -8,12 +9,19 @@
  * Returns the writer for responses of a route.
  *
  * @param opts.mayBeEmpty whether the caller may have all events of a stream already
+ * @param opts.maxTokens number of tokens that the request allows the response to have; undefined if it names none
  */
 export function createResponseWriter(
-    opts: { response: ServerResponse; route: Route; mayBeEmpty: boolean; },
+    opts: {
+        clock: Clock;
+        response: ServerResponse;
+        route: Route;
+        mayBeEmpty: boolean;
+        maxTokens: number | undefined;
+    },
 ): ResponseWriter {
-    const { response, route: { kind, isResumable }, mayBeEmpty } = opts;
+    const { route: { kind, isResumable } } = opts;
     return kind === "stream"
-        ? new StreamResponseWriter({ response, isResumable, mayBeEmpty })
-        : new BufferedResponseWriter({ response });
+        ? new StreamResponseWriter({ ...opts, isResumable })
+        : new BufferedResponseWriter(opts);
 }
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -57,6 +57,8 @@
     decodeSharedPromptParts: (value: string | undefined) => PromptPartId[];
     /** Decodes all parts of a prompt in their order from the same header, shape [parts]. */
     decodePromptParts: (value: string | undefined) => PromptPart[];
+    /** Decodes the number of tokens that a response may have from the header with the token counts; undefined if it names none. */
+    decodeMaxTokens: (value: string | undefined) => number | undefined;
     /** Notifies the other processes that the load has changed. */
     onLoadChanged: () => void;
     /** Resolves once the configuration and the upstreams are loaded, or after a short timeout. */
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -116,9 +116,11 @@
             ? new StreamContinuity({ context, route, request, requestId: this.requestId })
             : undefined;
         this.writer = createResponseWriter({
+            clock: context.clock,
             response: opts.response,
             route,
             mayBeEmpty: this.continuity?.isResumption === true,
+            maxTokens: context.decodeMaxTokens(headerOf(request, context.headers.tokenCounts)),
         });
         this.forwarder = new ResponseForwarder({
             ...opts,
@@ -217,6 +219,7 @@
         attempt.exchange = this.context.connections.send(upstream, request, {
             onHead: head => this.onHead(attempt, head),
             onData: chunk => this.onData(attempt, chunk),
+            onTinyParts: () => this.onTinyParts(attempt),
             onEnd: ending => this.onEnd(attempt, ending),
             onFailure: failure => this.onFailure(attempt, failure),
         });
@@ -292,6 +295,20 @@
         }
     }
 
+    /** Has another upstream run the request, where it may. Otherwise the response is read on, slowly. */
+    private onTinyParts(attempt: Attempt): void {
+        if (attempt !== this.attempt || attempt.hasTinyParts) {
+            return;
+        }
+        attempt.hasTinyParts = true;
+        if (isRepeatable(this.route) && this.attempts < this.route.maxAttempts) {
+            this.failAttempt(attempt, "ANSWER_IN_TINY_PARTS");
+            return;
+        }
+        const isEjected = this.context.health.onFailure(attempt.upstream.id, this.context.clock.nowMs());
+        this.recorder.log("upstream-slowed", { upstream: attempt.upstream.id, isEjected });
+    }
+
     /** Ends an attempt whose response can't be used, as a failure of its upstream. */
     private failAttempt(attempt: Attempt, code: string): void {
         attempt.exchange.abort();
--- a/fleet/gateway/src/readBody.ts
+++ b/fleet/gateway/src/readBody.ts
@@ -1,5 +1,6 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import type { MemoryReservation } from "@knapweedwood/fleet.memory/memoryReservation";
+import { ByteCollector } from "@knapweedwood/fleet.upstreams/byteCollector";
 import type { IncomingMessage } from "node:http";
 
 /** Time after which the process is likely to have room for a body, in milliseconds. */
@@ -14,8 +15,9 @@
     opts: { maxBytes: number; memory: MemoryReservation; },
 ): Promise<Buffer> {
     const { maxBytes, memory } = opts;
-    const chunks: Buffer[] = [];
+    const body = new ByteCollector();
     let sizeBytes = 0;
+    let countedBytes = 0;
     let hasRoom = true;
     try {
         for await (const chunk of request as AsyncIterable<Buffer>) {
@@ -23,11 +25,13 @@
             if (sizeBytes > maxBytes) {
                 throw new KnapweedError("BODY_TOO_LARGE", `The body is over ${maxBytes} bytes`, { statusCode: 413 });
             }
-            hasRoom &&= memory.tryAddRequestBytes(chunk.length);
             // The rest is read and dropped, since a caller that is still sending would see a reset in place of the response.
-            if (hasRoom) {
-                chunks.push(chunk);
+            if (!hasRoom) {
+                continue;
             }
+            body.append(chunk);
+            hasRoom = memory.tryAddRequestBytes(body.heldBytes - countedBytes);
+            countedBytes = body.heldBytes;
         }
     }
     catch (error) {
@@ -45,5 +49,5 @@
             retryAfterMs: NO_MEMORY_RETRY_AFTER_MS,
         });
     }
-    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+    return body.toBuffer();
 }
--- a/fleet/gateway/src/streamResponseWriter.ts
+++ b/fleet/gateway/src/streamResponseWriter.ts
@@ -1,14 +1,28 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
 import { EventBoundaries } from "@knapweedwood/fleet.upstreams/eventBoundaries";
 import { EventSplitter } from "@knapweedwood/fleet.upstreams/eventSplitter";
 import { maxEventBytes } from "@knapweedwood/fleet.upstreams/maxEventBytes";
 import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
+import { StreamLimit } from "@knapweedwood/fleet.upstreams/streamLimit";
 import type { ServerResponse } from "node:http";
 import { maxBodyBytes } from "./maxBodyBytes.js";
 import type { ResponseWriter } from "./responseWriter.js";
 import { withoutHeader } from "./withoutHeader.js";
 
 const HTTP_OK = 200;
+/** Memory that a part of the response takes while it is unsent, besides its content, in bytes. */
+const UNSENT_PART_BYTES = 512;
+
+interface StreamResponseWriterOptions {
+    clock: Clock;
+    response: ServerResponse;
+    isResumable: boolean;
+    /** Whether the caller may have all events already. */
+    mayBeEmpty: boolean;
+    /** Number of tokens that the request allows the response to have; undefined if it names none. */
+    maxTokens: number | undefined;
+}
 
 /**
  * Forwards a stream as its data arrives. For a resumable stream it forwards only complete events, so that another run
@@ -18,9 +32,7 @@
     hasStarted = false;
     lastEventId: number | undefined;
     progress = 0;
-    private readonly response: ServerResponse;
-    private readonly isResumable: boolean;
-    private readonly mayBeEmpty: boolean;
+    private readonly opts: StreamResponseWriterOptions;
     private head: ResponseHead | undefined;
     private isStopping: () => boolean = () => false;
     private splitter = new EventSplitter();
@@ -28,11 +40,17 @@
     /** Bytes received of the present attempt's body. */
     private bodyBytes = 0;
 
-    /** @param opts.mayBeEmpty whether the caller may have all events already */
-    constructor(opts: { response: ServerResponse; isResumable: boolean; mayBeEmpty: boolean; }) {
-        this.response = opts.response;
-        this.mayBeEmpty = opts.mayBeEmpty;
-        this.isResumable = opts.isResumable;
+    private limit: StreamLimit;
+    private hasTooMuch = false;
+    /** Parts written since the caller had received all. */
+    private unsentParts = 0;
+
+    constructor(opts: StreamResponseWriterOptions) {
+        this.opts = opts;
+        this.limit = new StreamLimit(opts);
+        opts.response.on("drain", () => {
+            this.unsentParts = 0;
+        });
     }
 
     get statusCode(): number {
@@ -40,7 +58,8 @@
     }
 
     get unsentBytes(): number {
-        return this.response.writableLength;
+        const { writableLength } = this.opts.response;
+        return writableLength === 0 ? 0 : writableLength + this.unsentParts * UNSENT_PART_BYTES;
     }
 
     onHead(head: ResponseHead, isStopping: () => boolean): void {
@@ -50,18 +69,17 @@
 
     onData(chunk: Buffer): boolean {
         this.bodyBytes += chunk.length;
-        if (this.isResumable && this.statusCode === HTTP_OK) {
+        if (this.opts.isResumable && this.statusCode === HTTP_OK) {
             return this.writeEvents(chunk);
         }
         const events = this.boundaries.push(chunk).length;
+        this.hasTooMuch ||= !this.limit.allows(events, chunk.length);
         this.progress += this.statusCode === HTTP_OK ? events : chunk.length;
         return this.write(chunk);
     }
 
     isOverLimit(): boolean {
-        return this.statusCode === HTTP_OK
-            ? this.splitter.isOverLimit || this.boundaries.partialEventBytes > maxEventBytes
-            : this.bodyBytes > maxBodyBytes;
+        return this.hasTooMuch || this.isPartOverLimit();
     }
 
     isComplete(ending: ResponseEnding): boolean {
@@ -75,12 +93,12 @@
             // It may have been broken off before its first event.
             return false;
         }
-        return !this.hasPartialEvent() && (this.hasStarted || this.mayBeEmpty);
+        return !this.hasPartialEvent() && (this.hasStarted || this.opts.mayBeEmpty);
     }
 
     end(): void {
         this.writeHeadOnce();
-        this.response.end();
+        this.opts.response.end();
     }
 
     restart(): void {
@@ -89,10 +107,18 @@
         }
         this.splitter = new EventSplitter();
         this.boundaries = new EventBoundaries();
+        this.limit = new StreamLimit(this.opts);
+        this.hasTooMuch = false;
         this.bodyBytes = 0;
         this.progress = 0;
     }
 
+    private isPartOverLimit(): boolean {
+        return this.statusCode === HTTP_OK
+            ? this.splitter.isOverLimit || this.boundaries.partialEventBytes > maxEventBytes
+            : this.bodyBytes > maxBodyBytes;
+    }
+
     private hasPartialEvent(): boolean {
         return this.splitter.hasPartialEvent || this.boundaries.isInsideEvent;
     }
@@ -100,6 +126,7 @@
     private writeEvents(chunk: Buffer): boolean {
         // A run that ignores the id to resume from would repeat events that the caller has received.
         const complete = this.splitter.push(chunk);
+        this.hasTooMuch ||= !this.limit.allows(complete.length, chunk.length);
         this.progress += complete.length;
         const events = complete.filter(event =>
             event.id === undefined || this.lastEventId === undefined || event.id > this.lastEventId
@@ -110,7 +137,8 @@
 
     private write(chunk: Buffer): boolean {
         this.writeHeadOnce();
-        return this.response.write(chunk);
+        this.unsentParts = this.opts.response.writableLength === 0 ? 1 : this.unsentParts + 1;
+        return this.opts.response.write(chunk);
     }
 
     /** Sends the head with the first data only, so that a run that fails before can be replaced. */
@@ -120,12 +148,12 @@
         }
         this.hasStarted = true;
         // Another upstream may send events of other sizes.
-        const headers = this.isResumable && this.statusCode === HTTP_OK
+        const headers = this.opts.isResumable && this.statusCode === HTTP_OK
             ? withoutHeader(this.head!.headers, "content-length")
             : [...this.head!.headers];
         if (this.isStopping()) {
             headers.push("connection", "close");
         }
-        this.response.writeHead(this.head!.statusCode, headers);
+        this.opts.response.writeHead(this.head!.statusCode, headers);
     }
 }
--- a/fleet/gateway/test/endlessResponses.test.ts
+++ b/fleet/gateway/test/endlessResponses.test.ts
@@ -12,6 +12,7 @@
 const KIB = 1024;
 const MIB = 1024 * KIB;
 const CHUNK = `400\r\n${"x".repeat(KIB)}\r\n`;
+const TINY_CHUNKS = "1\r\nx\r\n".repeat(200);
 const SOUND_BODY = "id: 1\ndata: sound\n\n";
 const headOf = (statusCode: number, rest = "") => `HTTP/1.1 ${statusCode} S\r\nx-proof: p\r\n${rest}\r\n`;
 const CHUNKED = "transfer-encoding: chunked\r\n";
@@ -47,12 +48,15 @@
     }
 }
 
+/** A response that was broken off before its head was sent. */
+const BROKEN_OFF = { isComplete: false, body: "" };
 const remaining = { "x-remaining": String(TEST_TIMEOUT_MS) };
 
 test("a body without end is replaced by another upstream's response", { timeout: TEST_TIMEOUT_MS }, async () => {
     const bodies = [
         { first: headOf(200), repeated: "x".repeat(KIB) },
         { first: headOf(200, CHUNKED), repeated: CHUNK },
+        { first: headOf(200, CHUNKED), repeated: TINY_CHUNKS },
         { first: headOf(500, CHUNKED), repeated: CHUNK },
         { first: headOf(200, `content-length: ${1024 * MIB}\r\n`), repeated: "x".repeat(KIB) },
     ];
@@ -114,6 +118,39 @@
     }
 });
 
+// Such streams complete an event with each few bytes and so never stalled. They were read until the deadline of the request, and
+// few of them took all the time of a gateway.
+const emptyEvents = [":\n\n", "\n", "data:\n\n"].flatMap(event => [
+    { first: `${headOf(200)}${EVENTS}`, repeated: event.repeat(KIB) },
+    { first: `${headOf(200, CHUNKED)}`, repeated: `${event.length.toString(16)}\r\n${event}\r\n`.repeat(200) },
+]);
+
+test("a stream of events without content is ended soon, and goes on at another upstream where it may", {
+    timeout: TEST_TIMEOUT_MS,
+}, async () => {
+    for (const stream of emptyEvents) {
+        const resumable = { kind: "stream", isResumable: true, maxAttempts: 2 } as const;
+        await withEndless({ ...stream, route: resumable }, async testBed => {
+            const received = await testBed.send({ headers: remaining });
+            assert.deepEqual([received.isComplete, received.body.length < MIB], [true, true]);
+        });
+        await withEndless({ ...stream, route: { kind: "stream" } }, async testBed => {
+            const received = await testBed.send({ headers: remaining }).catch(() => BROKEN_OFF);
+            assert.deepEqual([received.isComplete, received.body.length < MIB], [false, true]);
+        });
+    }
+});
+
+test("a stream with far more events than the request allows tokens is broken off", async () => {
+    const contents = "id: 1\ndata: a word that is more than nothing\n\n";
+    await withEndless({ first: headOf(200), repeated: contents, route: { kind: "stream" } }, async testBed => {
+        const headers = { ...remaining, "x-tokens": "100" };
+        const received = await testBed.send({ headers }).catch(() => BROKEN_OFF);
+        const events = received.body.split("\n\n").length;
+        assert.deepEqual([received.isComplete, events < 2000], [false, true], `${events} events`);
+    });
+});
+
 test("a failure of a stream route whose body doesn't end breaks off", { timeout: TEST_TIMEOUT_MS }, async () => {
     const body = { first: headOf(404, CHUNKED), repeated: CHUNK };
     for (const isResumable of [false, true]) {
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -8,6 +8,7 @@
 import type { ExchangeFailure } from "@knapweedwood/fleet.upstreams/exchangeFailure";
 import type { ResponseEnding } from "@knapweedwood/fleet.upstreams/responseEnding";
 import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
+import { StreamLimit } from "@knapweedwood/fleet.upstreams/streamLimit";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { discardEvents } from "./discardEvents.js";
@@ -34,7 +35,8 @@
 
 /**
  * One run of an item at an upstream. Appends the events to the item as they arrive. Ends as `garbled` with the code
- * `ANSWER_TOO_LARGE` when the output or one event is too large to be stored, so that the item starts over.
+ * `ANSWER_TOO_LARGE` when the output or one event is too large to be stored, or the response has too many bytes or
+ * events without content, so that the item starts over.
  */
 export class ItemRun {
     readonly item: JobItem;
@@ -49,6 +51,7 @@
     private readonly speeds: UpstreamSpeeds | undefined;
     private lastEventsAtMs: number | undefined;
     private readonly splitter = new EventSplitter();
+    private readonly limit: StreamLimit;
     private exchange: Exchange | undefined;
     private head: ResponseHead | undefined;
     private stallTimer: Timer | undefined;
@@ -76,6 +79,8 @@
         this.onLeaving = opts.onLeaving;
         this.onEnded = opts.onEnded;
         this.startedAtMs = opts.clock.nowMs();
+        // The size of the whole output is limited.
+        this.limit = new StreamLimit({ clock: opts.clock, maxTokens: undefined });
     }
 
     /**
@@ -143,10 +148,15 @@
     }
 
     private onData(chunk: Buffer): void {
-        if (this.isEnded || this.head?.statusCode !== HTTP_OK) {
+        if (this.isEnded) {
+            return;
+        }
+        const isSuccess = this.head?.statusCode === HTTP_OK;
+        const events = isSuccess ? this.splitter.push(chunk) : [];
+        if (!this.limit.allows(events.length, chunk.length)) {
+            this.endGarbled("ANSWER_TOO_LARGE");
             return;
         }
-        const events = this.splitter.push(chunk);
         if (events.length > 0) {
             this.restartStallTimer();
             this.recordSpeed(events.length);
--- a/fleet/jobs/test/itemRunLimits.test.ts
+++ b/fleet/jobs/test/itemRunLimits.test.ts
@@ -6,6 +6,7 @@
 import { MAX_VALUE_SIZE_BYTES } from "@knapweedwood/core.key-value/maxValueSizeBytes";
 import type { ExchangeHandler } from "@knapweedwood/fleet.upstreams/exchangeHandler";
 import type { ExchangeRequest } from "@knapweedwood/fleet.upstreams/exchangeRequest";
+import type { ResponseHead } from "@knapweedwood/fleet.upstreams/responseHead";
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import assert from "node:assert/strict";
@@ -30,7 +31,7 @@
     sentBytes = 0;
     private handler: ExchangeHandler | undefined;
 
-    constructor(item?: JobItem) {
+    constructor(head: ResponseHead = proof, item?: JobItem) {
         this.item = item ?? new OpenJob(createJobRecord({ id: "job", itemCount: 1, dueAtMs: 1000 })).items[0]!;
         const run = new ItemRun({
             clock: this.clock,
@@ -53,7 +54,7 @@
             },
         };
         run.start(connections as unknown as UpstreamConnections, { host: "h", body: Buffer.alloc(0) });
-        this.handler!.onHead(proof);
+        this.handler!.onHead(head);
     }
 
     send(text: string): void {
@@ -92,7 +93,7 @@
 test("the events of earlier runs count for the size of an output", () => {
     const first = new PlayedRun();
     first.send(eventOf(1, "x".repeat(600 * KIB)));
-    const second = new PlayedRun(first.item);
+    const second = new PlayedRun(proof, first.item);
     second.send(eventOf(2, "x".repeat(600 * KIB)));
     assert.deepEqual(second.outcomes, [{ kind: "garbled", code: "ANSWER_TOO_LARGE" }]);
 });
@@ -142,3 +143,10 @@
     }
     assert.deepEqual([run.outcomes, run.item.lastEventId], [[], 20]);
 });
+
+// It was read until the run counted as silent, as fast as it came.
+test("the body of a run that failed is bounded as well", () => {
+    const run = new PlayedRun({ statusCode: 500, headers: [], header: () => undefined });
+    run.sendUntilAborted(() => "x".repeat(KIB));
+    assert.equal(run.isAborted, true);
+});
--- a/fleet/upstreams/src/exchangeHandler.ts
+++ b/fleet/upstreams/src/exchangeHandler.ts
@@ -9,6 +9,11 @@
 export interface ExchangeHandler {
     onHead(head: ResponseHead): void;
     onData(chunk: Buffer): void;
+    /**
+     * Called for each part from then on when the response has come in too many small parts, after `onData`. It is read slowly
+     * from then on, unless it is aborted.
+     */
+    onTinyParts?(): void;
     onEnd(ending: ResponseEnding): void;
     onFailure(failure: ExchangeFailure): void;
 }
--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
 import { ConnectionBrokenError } from "@knapweedwood/core.http-connections/connectionBrokenError";
 import { createHttpConnector } from "@knapweedwood/core.http-connections/createHttpConnector";
 import type { HttpConnection } from "@knapweedwood/core.http-connections/httpConnection";
@@ -8,8 +9,11 @@
 import type { ExchangeFailure } from "./exchangeFailure.js";
 import type { ExchangeHandler } from "./exchangeHandler.js";
 import type { ExchangeRequest } from "./exchangeRequest.js";
+import type { PartBudget } from "./partBudget.js";
+import { ReadingGate } from "./readingGate.js";
 import type { ResponseEnding } from "./responseEnding.js";
 import { responseEndingOf } from "./responseEndingOf.js";
+import { ThinPartLimit } from "./thinPartLimit.js";
 import { toResponseHead } from "./toResponseHead.js";
 
 /**
@@ -26,6 +30,8 @@
  * bytes that the socket holds while the HTTP client reads none count too.
  */
 const MAX_BYTES_WITHOUT_DATA = 262_144;
+/** Number of parts without content that one response may have at once before it is read slowly. */
+const BURST_PARTS = 1024;
 /** Failure of an exchange whose response is not acceptable. */
 const INVALID = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
 const HTTP_BAD_REQUEST = 400;
@@ -36,6 +42,8 @@
 /** A connection to an upstream that carries one exchange at a time. */
 export class UpstreamConnection {
     private readonly client: Client;
+    private readonly clock: Clock;
+    private readonly partBudget: PartBudget;
     private readonly onIdle: () => void;
     private isOpen = true;
     /** Whether the upstream closed or reset the connection, or the network failed. */
@@ -52,10 +60,19 @@
     private failExchange: (failure: ExchangeFailure) => void = () => undefined;
 
     /**
+     * @param opts.partBudget shared by all connections
      * @param opts.onIdle called when an exchange has ended and the connection can carry another
      * @param opts.onClosed called once, when the connection can no longer be used
      */
-    constructor(opts: { address: HostPort; onIdle: () => void; onClosed: () => void; }) {
+    constructor(opts: {
+        clock: Clock;
+        partBudget: PartBudget;
+        address: HostPort;
+        onIdle: () => void;
+        onClosed: () => void;
+    }) {
+        this.clock = opts.clock;
+        this.partBudget = opts.partBudget;
         this.onIdle = opts.onIdle;
         this.client = new Client(`http://${opts.address.host}:${opts.address.port}`, {
             pipelining: 1,
@@ -82,15 +99,18 @@
     /**
      * Sends a request; the handler receives the response. Fails with `mayHaveRun` and the code `RESENT` if the HTTP
      * client sends the request a second time, `ANSWER_OF_ANOTHER_REQUEST` if the response has another request id,
-     * `ANSWER_WITHOUT_END` if the upstream sends too many bytes that are neither a head nor data.
+     * `ANSWER_WITHOUT_END` if the upstream sends too many bytes that are neither a head nor data. A response in too many small
+     * parts is read slowly, so that it leaves time for others.
      */
     send(request: ExchangeRequest, handler: ExchangeHandler): Exchange {
-        let controller: Dispatcher.DispatchController | undefined;
+        const reading = new ReadingGate({ clock: this.clock, budget: this.partBudget });
         let isEnded = false;
         let ending: ResponseEnding = "close";
+        const partLimit = new ThinPartLimit({ clock: this.clock, burstParts: BURST_PARTS });
         const fail = (failure: ExchangeFailure) => {
             if (!isEnded) {
                 isEnded = true;
+                reading.stop();
                 this.destroy();
                 handler.onFailure(failure);
             }
@@ -100,13 +120,13 @@
         this.recordData();
         const dispatchHandler: Dispatcher.DispatchHandler = {
             onRequestStart: started => {
-                if (controller !== undefined) {
+                if (reading.controller !== undefined) {
                     // The HTTP client is about to send the request again on another connection.
                     fail({ ...INVALID, code: "RESENT" });
                     started.abort(new Error("resent"));
                     return;
                 }
-                controller = started;
+                reading.controller = started;
             },
             onResponseStart: (_controller, statusCode, headers) => {
                 if (isEnded || statusCode < 200) {
@@ -124,19 +144,25 @@
             onResponseData: (_controller, chunk) => {
                 this.recordData();
                 // Undici passes an empty chunk on when reading is resumed.
-                if (!isEnded && chunk.length > 0) {
-                    handler.onData(chunk);
+                if (isEnded || chunk.length === 0) {
+                    return;
+                }
+                handler.onData(chunk);
+                if (!partLimit.allows(1, chunk.length)) {
+                    reading.onTinyPart();
+                    handler.onTinyParts?.();
                 }
             },
             onResponseEnd: () => {
                 if (!isEnded) {
                     isEnded = true;
+                    reading.close();
                     this.release();
                     handler.onEnd(ending);
                 }
             },
             onResponseError: (_controller, error) => {
-                const wasSent = controller !== undefined;
+                const wasSent = reading.controller !== undefined;
                 // The HTTP client itself closes a connection on which it receives anything but a valid response.
                 const isConnectionBroken = wasSent && this.isClosedByPeer;
                 fail({ mayHaveRun: wasSent, isUnreachable: !wasSent, isConnectionBroken, code: codeOf(error) });
@@ -154,10 +180,11 @@
         return {
             abort: () => {
                 isEnded = true;
+                reading.stop();
                 this.destroy();
             },
-            pause: () => controller?.pause(),
-            resume: () => controller?.resume(),
+            pause: () => reading.pause(),
+            resume: () => reading.resume(),
         };
     }
 
--- a/fleet/upstreams/src/upstreamConnections.ts
+++ b/fleet/upstreams/src/upstreamConnections.ts
@@ -1,3 +1,5 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import { SystemClock } from "@knapweedwood/core.clock/systemClock";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { upstreamProcessKeyOf } from "@knapweedwood/fleet.view/upstreamProcessKeyOf";
@@ -5,6 +7,7 @@
 import type { ExchangeHandler } from "./exchangeHandler.js";
 import type { ExchangeObserver } from "./exchangeObserver.js";
 import type { ExchangeRequest } from "./exchangeRequest.js";
+import { PartBudget } from "./partBudget.js";
 import { UpstreamConnection } from "./upstreamConnection.js";
 
 interface Pool {
@@ -19,11 +22,18 @@
  */
 export class UpstreamConnections {
     private readonly observer: ExchangeObserver;
+    private readonly clock: Clock;
+    private readonly partBudget: PartBudget;
     private readonly pools = new Map<UpstreamProcessKey, Pool>();
 
     /** @param observer told of all requests and responses; without it nothing is observed */
-    constructor(observer: ExchangeObserver = { onSent: () => undefined, onResponse: () => undefined }) {
+    constructor(
+        observer: ExchangeObserver = { onSent: () => undefined, onResponse: () => undefined },
+        clock: Clock = new SystemClock(),
+    ) {
         this.observer = observer;
+        this.clock = clock;
+        this.partBudget = new PartBudget({ clock });
     }
 
     /**
@@ -42,6 +52,7 @@
                 handler.onHead(head);
             },
             onData: chunk => handler.onData(chunk),
+            onTinyParts: () => handler.onTinyParts?.(),
             onEnd: ending => handler.onEnd(ending),
             onFailure: failure => handler.onFailure(failure),
         });
@@ -80,6 +91,8 @@
 
     private open(upstream: Upstream, pool: Pool): UpstreamConnection {
         const connection: UpstreamConnection = new UpstreamConnection({
+            clock: this.clock,
+            partBudget: this.partBudget,
             address: upstream.address,
             onIdle: () => {
                 if (this.pools.get(upstreamProcessKeyOf(upstream)) === pool && pool.all.has(connection)) {
--- a/fleet/upstreams/test/byteCollector.test.ts
+++ b/fleet/upstreams/test/byteCollector.test.ts
@@ -21,3 +21,16 @@
     collector.append(Buffer.from("b"));
     assert.deepEqual([collector.toBuffer().toString(), collector.sizeBytes], ["b", 1]);
 });
+
+// A part of one byte kept an object of its own and the whole buffer alive into which it had been read. Two gateways ran out of
+// memory within seconds by bodies in chunks of one byte, of which only the bytes were counted.
+test("keeps no part itself, and tells how much memory the bytes take", () => {
+    const readBuffer = Buffer.alloc(10_000, "a");
+    const collector = new ByteCollector();
+    readBuffer.forEach((_byte, index) => collector.append(readBuffer.subarray(index, index + 1)));
+    readBuffer.fill("b");
+    assert.ok(collector.toBuffer().every(byte => byte === "a".charCodeAt(0)), "the bytes are copies");
+    assert.ok(collector.heldBytes >= collector.sizeBytes && collector.heldBytes <= 2 * collector.sizeBytes + 1024);
+    const { blocks } = collector as unknown as { blocks: Buffer[]; };
+    assert.equal(blocks.reduce((sum, block) => sum + block.buffer.byteLength, 0), collector.heldBytes);
+});
--- a/fleet/view/src/callHeaderNames.ts
+++ b/fleet/view/src/callHeaderNames.ts
@@ -19,6 +19,8 @@
     team: string;
     /** Lists the parts of the prompt. */
     promptParts: string;
+    /** Carries the number of tokens of the prompt and the largest number of the response. */
+    tokenCounts: string;
     /** Carries the id of the event after which a stream or an item resumes. */
     lastEventId: string;
     /** Carries the id of the request that began the stream which the caller resumes. */
