fix(gateway): a stopping gateway takes only what can end in time, and answers the rest

Cause: a response whose head had gone before the signal doesn't ask its caller to close the connection, and the next request on it was taken, however long it could take. At the end of the grace what was open was closed. process.once left no listener for a second SIGTERM.

Change: from the signal on, a request that may take longer than the time left is rejected with 503 and connection: close. At the end of the grace requests without a response are answered: 503 if they haven't run, 504 otherwise. Failures ask for the connection to be closed. Further SIGTERMs have no effect.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -29,6 +29,8 @@
 /** Part of the stop grace reserved for shutdown after the last request, in milliseconds. */
 const STOP_MARGIN_MS = 700;
 const STOP_POLL_MS = 50;
+/** Time for the answers to requests that didn't end in time to reach their callers, in milliseconds. */
+const LAST_ANSWERS_MS = 200;
 /** Maximum time that requests wait for the configuration and the upstreams after a start, in milliseconds. */
 const MAX_START_WAIT_MS = 400;
 const DISPATCH_INTERVAL_MS = 20;
@@ -43,7 +45,8 @@
     private readonly promptCaches: PromptCacheCost;
     private readonly snapshotLoader: SnapshotLoader;
     private readonly closing = new AbortController();
-    private isStopping = false;
+    /** Time at which this process ends what is still open, on the clock; infinity unless it is stopping. */
+    private stopsAtMs = Infinity;
 
     constructor(activeSettings: ActiveSettings, logger: Logger) {
         this.settings = activeSettings;
@@ -123,6 +126,7 @@
             onLoadChanged: () => this.fleet.markLoadChanged(),
             whenInitialized: () => this.fleet.whenInitialized(MAX_START_WAIT_MS),
             isStopping: () => this.isStopping,
+            stopsAtMs: () => this.stopsAtMs,
         };
         const leaderJobs = new LinkJobReader({
             endpoint: this.fleet.links,
@@ -181,23 +185,33 @@
         this.dispatchPeriodically();
     }
 
-    /** Stops accepting connections, completes open requests within the stop grace, and closes. */
+    /**
+     * Stops accepting connections, completes open requests within the stop grace, and closes. Requests that may not end in that
+     * time are rejected from now on.
+     */
     async stop(): Promise<void> {
         const { clock } = this.fleet;
         const { stopGraceMs } = this.settings.current;
-        this.isStopping = true;
         this.closing.abort();
-        const endAtMs = clock.nowMs() + stopGraceMs - STOP_MARGIN_MS;
+        this.stopsAtMs = clock.nowMs() + stopGraceMs - STOP_MARGIN_MS;
         await sleep(clock, Math.min(BALANCER_DETECTION_MS, stopGraceMs / 3));
         this.server.stopAccepting();
-        while (this.server.openRequestCount > 0 && clock.nowMs() < endAtMs) {
+        while (this.server.openRequestCount > 0 && clock.nowMs() < this.stopsAtMs) {
             await sleep(clock, STOP_POLL_MS);
         }
+        if (this.server.openRequestCount > 0) {
+            this.server.answerOpenRequests();
+            await sleep(clock, LAST_ANSWERS_MS);
+        }
         this.server.close();
         this.readiness.close();
         await this.fleet.stop();
     }
 
+    private get isStopping(): boolean {
+        return Number.isFinite(this.stopsAtMs);
+    }
+
     private connectionShare(service: ServiceName): number {
         return connectionShareOf({
             maxConnections: this.fleet.operators.configuration.maxConnections(service),
--- a/daemons/fleet/src/runProgram.ts
+++ b/daemons/fleet/src/runProgram.ts
@@ -40,18 +40,22 @@
         logger = rootLogger.child({ program: name, instance: instanceName });
         const program = await start(settings, logger);
         logger.info("started", { zone, pid: process.pid });
-        process.once("SIGTERM", () => {
+        const stop = async (): Promise<number> => {
             logger.info("stopping");
-            void program.stop().then(
-                () => {
-                    logger.info("stopped");
-                    void exit(0);
-                },
-                (error: unknown) => {
-                    logger.error("stop-failed", { message: toKnapweedError(error).message });
-                    void exit(EXIT_FAILED);
-                },
-            );
+            try {
+                await program.stop();
+                logger.info("stopped");
+                return 0;
+            }
+            catch (thrown) {
+                logger.error("stop-failed", { message: toKnapweedError(thrown).message });
+                return EXIT_FAILED;
+            }
+        };
+        let stopping: Promise<void> | undefined;
+        // Without a listener, a further SIGTERM would end the process at once.
+        process.on("SIGTERM", () => {
+            stopping ??= stop().then(exit);
         });
         process.on("SIGHUP", () => {
             logger.info("reload-requested");
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -65,4 +65,6 @@
     whenInitialized: () => Promise<void>;
     /** Returns whether this process is stopping, so that responses ask callers to close their connections. */
     isStopping: () => boolean;
+    /** Returns the time at which this process ends what is still open, in milliseconds; infinity unless it is stopping. */
+    stopsAtMs: () => number;
 }
--- a/fleet/gateway/src/gatewayServer.ts
+++ b/fleet/gateway/src/gatewayServer.ts
@@ -16,6 +16,7 @@
 import type { JobRoutes } from "./jobRoutes.js";
 import { OnlineCall } from "./onlineCall.js";
 import { readBody } from "./readBody.js";
+import { remainingMsOf } from "./remainingMsOf.js";
 import { RequestLimits } from "./requestLimits.js";
 import { sendFailure } from "./sendFailure.js";
 
@@ -23,6 +24,9 @@
 const NO_CONFIGURATION_RETRY_MS = 300;
 /** Time without progress after which a caller that doesn't read its response is cut off, in milliseconds. */
 const MAX_READER_STALL_MS = 5000;
+/** Time in which calls about jobs end, in milliseconds: the longest wait for a result, and writes that are repeated. */
+const MAX_JOB_CALL_MS = 3000;
+const STOPPING = "This process is stopping";
 const DEFAULT_LIMITS: CallerLimits = {
     maxHeaderBytes: 16_384,
     maxBodyBytes: 4_194_304,
@@ -38,6 +42,7 @@
     private readonly limits: RequestLimits;
     private readonly server: Server;
     private readonly openResponses = new Set<ServerResponse>();
+    private readonly openCalls = new Set<OnlineCall>();
 
     constructor(opts: { context: GatewayContext; protocol: CallerProtocol; jobs: JobRoutes; }) {
         this.context = opts.context;
@@ -81,6 +86,21 @@
         this.server.closeIdleConnections();
     }
 
+    /**
+     * Answers the requests whose responses haven't begun, as this process stops: those that certainly haven't run so that their
+     * callers repeat them elsewhere.
+     */
+    answerOpenRequests(): void {
+        this.openCalls.forEach(call => call.onStop());
+        this.openResponses.forEach(response => {
+            if (!response.headersSent && !response.destroyed) {
+                // A request that isn't complete has been passed to nobody.
+                const statusCode = response.req.complete ? 504 : 503;
+                sendFailure(response, { statusCode, message: STOPPING, mustClose: true });
+            }
+        });
+    }
+
     /** Closes all connections, including those with open requests. */
     close(): void {
         this.openResponses.forEach(breakOffResponse);
@@ -128,6 +148,9 @@
         }
         const jobCall = this.protocol.parseJobCall(request);
         if (jobCall !== undefined) {
+            if (this.rejectIfStopping(request, response, MAX_JOB_CALL_MS)) {
+                return;
+            }
             await this.serveJobCall(jobCall, request, response);
             return;
         }
@@ -143,6 +166,12 @@
             this.rejectUnknown(request, response, { statusCode: 401, reason: "unknown key" });
             return;
         }
+        const maxDurationMs = route.kind === "batch"
+            ? MAX_JOB_CALL_MS
+            : remainingMsOf(request, route, this.protocol.headers);
+        if (this.rejectIfStopping(request, response, maxDurationMs)) {
+            return;
+        }
         if (route.kind === "batch") {
             const jobId = String(request.headers[this.protocol.headers.requestId] ?? "");
             await this.jobs.submit(route, { jobId, body, caller: this.jobCallerOf(caller.team) }, response);
@@ -154,7 +183,33 @@
             return;
         }
         const onNotRun = () => this.limits.release(admission);
-        new OnlineCall({ ...call, context: this.context, body, memory, onNotRun }).start();
+        const onlineCall = new OnlineCall({ ...call, context: this.context, body, memory, onNotRun });
+        this.openCalls.add(onlineCall);
+        response.on("close", () => this.openCalls.delete(onlineCall));
+        onlineCall.start();
+    }
+
+    /**
+     * Rejects a request that may take longer than this process has left before it stops. Its caller repeats it elsewhere.
+     *
+     * @returns whether it was rejected
+     */
+    private rejectIfStopping(request: IncomingMessage, response: ServerResponse, maxDurationMs: number): boolean {
+        const leftMs = this.context.stopsAtMs() - this.context.clock.nowMs();
+        if (maxDurationMs <= leftMs) {
+            return false;
+        }
+        const requestId = request.headers[this.protocol.headers.requestId];
+        this.context.logger.info("call-refused", {
+            requestId,
+            reason: STOPPING,
+            statusCode: 503,
+            maxDurationMs,
+            leftMs,
+        });
+        this.context.metrics.increment("calls_refused_stopping_total");
+        sendFailure(response, { statusCode: 503, message: STOPPING, retryAfterMs: 0, mustClose: true });
+        return true;
     }
 
     /** Begins to count what is held for a call, until its response is sent or broken off. */
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -242,7 +242,13 @@
             statusCode,
             ...queueFieldsOf(this.team, estimate),
         });
-        sendFailure(this.response, { statusCode, message: reason, ...this.mayHaveRun ? {} : { retryAfterMs } });
+        const mustClose = this.context.isStopping();
+        sendFailure(this.response, {
+            statusCode,
+            message: reason,
+            mustClose,
+            ...this.mayHaveRun ? {} : { retryAfterMs },
+        });
     }
 
     private onHead(attempt: Attempt, head: ResponseHead): void {
@@ -428,6 +434,21 @@
         this.fail(504, "No answer in time");
     }
 
+    /** Ends the call, as this process stops. A response that has begun is left as it is. */
+    onStop(): void {
+        if (this.isDone || this.writer.hasStarted) {
+            return;
+        }
+        const { attempt } = this;
+        if (attempt === undefined) {
+            this.context.requestQueue.remove(this);
+            this.onRejected(0, "This process is stopping");
+            return;
+        }
+        this.abort(attempt);
+        this.fail(504, "This process is stopping");
+    }
+
     private onCallerDisconnected(): void {
         if (this.isDone) {
             return;
@@ -444,7 +465,7 @@
 
     private fail(statusCode: number, message: string): void {
         this.finish("call-failed", { statusCode, message });
-        sendFailure(this.response, { statusCode, message });
+        sendFailure(this.response, { statusCode, message, mustClose: this.context.isStopping() });
     }
 
     private abort(attempt: Attempt): void {
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -93,7 +93,9 @@
     readonly health = new UpstreamHealth();
     readonly memory: MemoryBudget;
     isStopping = false;
-    private readonly server: GatewayServer;
+    /** Time at which the gateway ends what is still open, in milliseconds. */
+    stopsAtMs = Infinity;
+    readonly server: GatewayServer;
     private port = 0;
     private readonly dispatchTimer: NodeJS.Timeout;
 
@@ -222,6 +224,7 @@
             onLoadChanged: () => undefined,
             whenInitialized: () => Promise.resolve(),
             isStopping: () => this.isStopping,
+            stopsAtMs: () => this.stopsAtMs,
         };
         const protocol = {
             headers,
