fix(gateway): only events of a response that continues a stream go on in it

Change: a response continues a stream only with the media type of the first one. Text without any field of an event isn't forwarded in a resumable stream; the stream goes on at another upstream or breaks off.

Result: three new tests of resumedAtFailingUpstream.test.ts failed before and pass now.

--- a/fleet/gateway/src/bufferedResponseWriter.ts
+++ b/fleet/gateway/src/bufferedResponseWriter.ts
@@ -9,6 +9,7 @@
 export class BufferedResponseWriter implements ResponseWriter {
     readonly hasStarted = false;
     readonly lastEventId = undefined;
+    readonly hasForeignBytes = false;
     private readonly response: ServerResponse;
     private head: ResponseHead | undefined;
     private isStopping: () => boolean = () => false;
@@ -35,6 +36,10 @@
         this.isStopping = isStopping;
     }
 
+    continues(): boolean {
+        return true;
+    }
+
     onData(chunk: Buffer): boolean {
         this.body.append(chunk);
         return true;
--- a/fleet/gateway/src/forwardOutcome.ts
+++ b/fleet/gateway/src/forwardOutcome.ts
@@ -1,5 +1,6 @@
 /**
- * Result of forwarding data of a response. `too-large`: the response can't be used. `no-memory`: the process has no room
+ * Result of forwarding data of a response. `too-large`: the response can't be used. `foreign`: neither can it, since it has bytes
+ * that are no part of such a response. `no-memory`: the process has no room
  * for a response that is collected before it is sent.
  */
-export type ForwardOutcome = "forwarded" | "too-large" | "no-memory";
+export type ForwardOutcome = "forwarded" | "too-large" | "foreign" | "no-memory";
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -272,8 +272,8 @@
             this.failAttempt(attempt, "ANSWER_WITHOUT_PROOF");
             return;
         }
-        if (this.writer.hasStarted && head.statusCode !== HTTP_OK) {
-            // The caller has a part of a stream, which an error doesn't continue.
+        if (!this.writer.continues(head)) {
+            // The caller has a part of a stream, which an error doesn't continue, whatever its status.
             this.failAttempt(attempt, "STREAM_NOT_RESUMED");
             return;
         }
@@ -295,6 +295,9 @@
         if (outcome === "too-large") {
             this.failAttempt(attempt, "ANSWER_TOO_LARGE");
         }
+        if (outcome === "foreign") {
+            this.failAttempt(attempt, "ANSWER_WITHOUT_EVENTS");
+        }
         if (outcome === "no-memory") {
             this.abort(attempt);
             this.fail(502, "The limit of the memory for callers is reached");
--- a/fleet/gateway/src/responseForwarder.ts
+++ b/fleet/gateway/src/responseForwarder.ts
@@ -48,6 +48,9 @@
         if (writer.hasStarted && writer.statusCode === HTTP_OK) {
             continuity?.onEventsSent(attempt.upstream);
         }
+        if (writer.hasForeignBytes) {
+            return "foreign";
+        }
         if (writer.isOverLimit()) {
             return "too-large";
         }
--- a/fleet/gateway/src/responseWriter.ts
+++ b/fleet/gateway/src/responseWriter.ts
@@ -16,6 +16,10 @@
      * the same while an upstream sends an event byte by byte.
      */
     readonly progress: number;
+    /** Whether bytes have arrived that are no part of such a response. They aren't sent, nor is what follows them. */
+    readonly hasForeignBytes: boolean;
+    /** Returns whether a response with this head may go on where the present one has been broken off. */
+    continues(head: ResponseHead): boolean;
     /** @param isStopping whether the response has to ask the caller to close its connection */
     onHead(head: ResponseHead, isStopping: () => boolean): void;
     /** Returns false if the caller reads too slowly; its response emits `drain` when it has caught up. */
--- a/fleet/gateway/src/streamResponseWriter.ts
+++ b/fleet/gateway/src/streamResponseWriter.ts
@@ -32,6 +32,7 @@
     hasStarted = false;
     lastEventId: number | undefined;
     progress = 0;
+    hasForeignBytes = false;
     private readonly opts: StreamResponseWriterOptions;
     private head: ResponseHead | undefined;
     private isStopping: () => boolean = () => false;
@@ -42,6 +43,8 @@
 
     private limit: StreamLimit;
     private hasTooMuch = false;
+    /** Media type of the response that the caller has got a part of. */
+    private mediaType: string | undefined;
     /** Parts written since the caller had received all. */
     private unsentParts = 0;
 
@@ -67,6 +70,10 @@
         this.isStopping = isStopping;
     }
 
+    continues(head: ResponseHead): boolean {
+        return !this.hasStarted || (head.statusCode === HTTP_OK && mediaTypeOf(head) === this.mediaType);
+    }
+
     onData(chunk: Buffer): boolean {
         this.bodyBytes += chunk.length;
         if (this.opts.isResumable && this.statusCode === HTTP_OK) {
@@ -109,6 +116,7 @@
         this.boundaries = new EventBoundaries();
         this.limit = new StreamLimit(this.opts);
         this.hasTooMuch = false;
+        this.hasForeignBytes = false;
         this.bodyBytes = 0;
         this.progress = 0;
     }
@@ -128,7 +136,10 @@
         const complete = this.splitter.push(chunk);
         this.hasTooMuch ||= !this.limit.allows(complete.length, chunk.length);
         this.progress += complete.length;
-        const events = complete.filter(event =>
+        const foreignAt = complete.findIndex(event => event.isForeign);
+        this.hasForeignBytes ||= foreignAt >= 0;
+        const usable = foreignAt < 0 ? complete : complete.slice(0, foreignAt);
+        const events = usable.filter(event =>
             event.id === undefined || this.lastEventId === undefined || event.id > this.lastEventId
         );
         this.lastEventId = events.at(-1)?.id ?? this.lastEventId;
@@ -147,6 +158,7 @@
             return;
         }
         this.hasStarted = true;
+        this.mediaType = mediaTypeOf(this.head!);
         // Another upstream may send events of other sizes.
         const headers = this.opts.isResumable && this.statusCode === HTTP_OK
             ? withoutHeader(this.head!.headers, "content-length")
@@ -157,3 +169,7 @@
         this.opts.response.writeHead(this.head!.statusCode, headers);
     }
 }
+
+function mediaTypeOf(head: ResponseHead): string | undefined {
+    return head.header("content-type")?.split(";", 1)[0]!.trim().toLowerCase();
+}
--- a/fleet/gateway/test/resumedAtFailingUpstream.test.ts
+++ b/fleet/gateway/test/resumedAtFailingUpstream.test.ts
@@ -79,3 +79,47 @@
     }, 3);
     assert.deepEqual(received, { statusCode: 500, isComplete: false, body: "half", runs: 1 });
 });
+
+// An error with status 200 that ends with a blank line, or a head between two events, was forwarded as an event.
+const foreign = {
+    "an error of another content type": (response: ServerResponse) => {
+        response.writeHead(200, { "content-type": "application/json", "x-proof": "p" });
+        response.end('{"error":"overloaded"}\n\n');
+    },
+    "a head in place of events": (response: ServerResponse) => {
+        response.writeHead(200, { "content-type": "text/event-stream", "x-proof": "p" });
+        response.end('HTTP/1.1 500 Error\r\ncontent-type: application/json\r\n\r\n{"error":"x"}\n\n');
+    },
+    "an error's text behind an event": (response: ServerResponse) => {
+        response.writeHead(200, { "content-type": "text/event-stream; charset=utf-8", "x-proof": "p" });
+        response.end("id: 2\ndata: 2\n\nInternal Server Error\n\n");
+    },
+};
+
+Object.entries(foreign).forEach(([name, answer]) => {
+    void test(`a stream doesn't go on with ${name}`, async () => {
+        const respond = (lastRun: Respond): Respond => (request, response, run) => {
+            if (run === 2) {
+                answer(response);
+                return;
+            }
+            if (run === 3) {
+                lastRun(request, response, run);
+                return;
+            }
+            sendEvent(response, 1);
+            breakOff(response);
+        };
+        const goOn: Respond = (request, response) => {
+            const after = Number(request.headers["last-event-id"]);
+            response.writeHead(200, { "content-type": "text/event-stream", "x-proof": "p" });
+            response.end([2, 3].filter(id => id > after).map(id => `id: ${id}\ndata: ${id}\n\n`).join(""));
+        };
+        const continued = await receive(respond(goOn), 3);
+        const body = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n";
+        assert.deepEqual(continued, { statusCode: 200, isComplete: true, body, runs: 3 });
+        const broken = await receive(respond(goOn), 2);
+        assert.deepEqual([broken.isComplete, broken.runs], [false, 2]);
+        assert.match(broken.body, /^id: 1\ndata: 1\n\n(id: 2\ndata: 2\n\n)?$/u);
+    });
+});
--- a/fleet/upstreams/src/eventSplitter.ts
+++ b/fleet/upstreams/src/eventSplitter.ts
@@ -3,6 +3,9 @@
 import { maxEventBytes } from "./maxEventBytes.js";
 import type { StreamEvent } from "./streamEvent.js";
 
+/** A line that belongs to an event: one of its fields, or a comment. */
+const FIELD = /^(?:data|event|id|retry)?:|^(?:data|event|id|retry)$/u;
+
 /**
  * Splits the bytes of a server-sent event stream into complete events. Stops at an event that is larger than
  * `maxEventBytes`.
@@ -65,5 +68,6 @@
             .map(line => line.slice(line.startsWith("data: ") ? "data: ".length : "data:".length))
             .join("\n"),
         bytes,
+        isForeign: lines.some(line => line !== "") && !lines.some(line => FIELD.test(line)),
     };
 }
--- a/fleet/upstreams/src/streamEvent.ts
+++ b/fleet/upstreams/src/streamEvent.ts
@@ -6,4 +6,6 @@
     data: string;
     /** The event as received, including the blank line that ends it. */
     bytes: Buffer;
+    /** Whether it has bytes, but no field of an event and no comment, so that it is no event. */
+    isForeign: boolean;
 }
