--- a/fuzz/soak/src/faultKinds.ts
+++ b/fuzz/soak/src/faultKinds.ts
@@ -27,6 +27,7 @@
     "upstream-hang",
     "upstream-garble",
     "upstream-unframed",
+    "upstream-endless",
     "link-silent",
     "link-one-way",
     "link-delay",
--- a/fuzz/soak/src/soakProcess.ts
+++ b/fuzz/soak/src/soakProcess.ts
@@ -9,6 +9,8 @@
 /** Heap limit of the programs, as in their deploy file. */
 const HEAP_FLAG = "--max-old-space-size=200";
 const KILL_AFTER_GRACE_MS = 400;
+/** Time after which the signal to stop is sent again, in milliseconds. */
+const REPEAT_SIGNAL_MS = 500;
 
 interface SoakProcessOptions {
     root: string;
@@ -75,10 +77,12 @@
         await this.terminate("SIGKILL");
     }
 
-    /** Stops the process gracefully and resolves when it has exited. Kills it after its grace period. */
+    /** Stops the process gracefully, with two signals, and resolves when it has exited. Kills it after its grace period. */
     async stop(): Promise<void> {
         const timer = setTimeout(() => this.child?.kill("SIGKILL"), this.settings.stopGraceMs + KILL_AFTER_GRACE_MS);
+        const repeating = setTimeout(() => this.child?.kill("SIGTERM"), REPEAT_SIGNAL_MS);
         await this.terminate("SIGTERM");
+        clearTimeout(repeating);
         clearTimeout(timer);
     }
 
--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -27,6 +27,10 @@
 const MAX_RESTART_MS = 3000;
 /** Requests a second that a limited upstream takes. */
 const LIMIT_PER_S = 1;
+/** Share of the endless responses that send chunks of a byte; the others send empty events. */
+const TINY_CHUNK_SHARE = 0.5;
+const PARTS_PER_BURST = 2000;
+const MAX_BURSTS = 100;
 const FAILING_NO_REQUEST: readonly UpstreamMode[] = ["healthy", "slow", "limited"];
 const SLOTS = 8;
 /** Maximum number of requests that wait for a slot, in addition to those that run. */
@@ -213,6 +217,10 @@
             case "garble":
                 response.writeHead(200, { "content-length": 7 }).end("garbled");
                 return true;
+            case "endless":
+                response.writeHead(200, { [wireHeaders.upstreamProof]: `proof-${this.id}` });
+                await this.sendWithoutEnd(response);
+                return true;
             case "hang":
                 await Promise.race([
                     pause(EVENT_INTERVAL_MS * 1000),
@@ -225,6 +233,16 @@
         }
     }
 
+    /** Sends a chunk of a byte, or an empty event, again and again until the connection is closed, or long enough. */
+    private async sendWithoutEnd(response: ServerResponse): Promise<void> {
+        const part = this.opts.random.next() < TINY_CHUNK_SHARE ? "x" : ":\n\n";
+        for (let bursts = 0; bursts < MAX_BURSTS && !response.destroyed; bursts += 1) {
+            Array.from({ length: PARTS_PER_BURST }).forEach(() => response.write(part));
+            await pause(EVENT_INTERVAL_MS);
+        }
+        response.destroy();
+    }
+
     /**
      * Sends a part of a response and breaks it off.
      *
--- a/fuzz/soak/src/upstreamMode.ts
+++ b/fuzz/soak/src/upstreamMode.ts
@@ -4,6 +4,16 @@
  *
  * `errors` responds with status 500. `cut` closes the connection within the first event. `hang` sends no response and
  * closes the connection late. `garble` sends a wrong body without proof. `unframed` sends all responses without a length
- * or chunks, and breaks a share of them off: it resets the connection, or closes it within an event.
+ * or chunks, and breaks a share of them off: it resets the connection, or closes it within an event. `endless` sends chunks of a
+ * byte or empty events without end.
  */
-export type UpstreamMode = "healthy" | "slow" | "limited" | "errors" | "cut" | "hang" | "garble" | "unframed";
+export type UpstreamMode =
+    | "healthy"
+    | "slow"
+    | "limited"
+    | "errors"
+    | "cut"
+    | "hang"
+    | "garble"
+    | "unframed"
+    | "endless";
