perf(quarantine): upstreams are counted only where some have crashed lately

Cause: each suspicion that a peer reports went through all upstreams. Change: without a recent crash nothing is counted. Result: the tests of the quarantine pass; not measured at 10,000 upstreams.

--- a/fleet/gateway/src/streamResponseWriter.ts
+++ b/fleet/gateway/src/streamResponseWriter.ts
@@ -40,8 +40,8 @@
     private boundaries = new EventBoundaries();
     /** Bytes received of the present attempt's body. */
     private bodyBytes = 0;
-
     private limit: StreamLimit;
+    /** Whether the response has more than `limit` allows. */
     private hasTooMuch = false;
     /** Media type of the response that the caller has got a part of. */
     private mediaType: string | undefined;
--- a/fleet/quarantine/src/crashHistory.ts
+++ b/fleet/quarantine/src/crashHistory.ts
@@ -38,22 +38,20 @@
     }
 
     /**
-     * Returns the number of crashes that an upstream of the service has in a time, if it crashes as often as all of them did
-     * lately.
+     * Returns how many upstreams of a service crashed in a millisecond lately, all of them together.
      *
-     * @param opts.upstreamCount number of upstreams of the service
      * @param opts.excluded upstream processes whose crashes don't count
      */
-    expectedCrashes(
+    crashesPerMs(
         service: ServiceName,
-        opts: { durationMs: number; upstreamCount: number; nowMs: number; excluded: ReadonlySet<UpstreamProcessKey>; },
+        opts: { nowMs: number; excluded: ReadonlySet<UpstreamProcessKey>; },
     ): number {
-        const { durationMs, upstreamCount, nowMs, excluded } = opts;
+        const { nowMs, excluded } = opts;
         const crashes = this.recent(service, nowMs).filter(({ process }) => !excluded.has(process));
-        const crashesPerMs = WINDOWS_MS.map(windowMs =>
+        const rates = WINDOWS_MS.map(windowMs =>
             crashes.filter(({ atMs }) => nowMs < atMs + windowMs).length / windowMs
         );
-        return Math.max(...crashesPerMs) * durationMs / Math.max(1, upstreamCount);
+        return Math.max(...rates);
     }
 
     /** Returns the time of the last crash that no quarantined request explains, in milliseconds; -infinity if none is known. */
--- a/fleet/quarantine/src/requestSuspicions.ts
+++ b/fleet/quarantine/src/requestSuspicions.ts
@@ -233,11 +233,14 @@
      * request comes again and again, its own crashes tell nothing of others.
      */
     private isLikelyCoincidence({ service, part, crashes }: Suspicion, nowMs: number): boolean {
+        const excluded = new Set(isFingerprint(part) ? crashes.map(crashId.processOf) : []);
+        const crashesPerMs = this.crashHistory.crashesPerMs(service, { nowMs, excluded });
+        if (crashesPerMs === 0) {
+            return false;
+        }
         const [state] = this.table.statesOf(service, [part]);
         const durationMs = (state?.exposure.meanMs ?? ASSUMED_RUN_MS) * crashes.length;
-        const upstreamCount = this.opts.upstreamCount(service);
-        const excluded = new Set(isFingerprint(part) ? crashes.map(crashId.processOf) : []);
-        const expected = this.crashHistory.expectedCrashes(service, { durationMs, upstreamCount, nowMs, excluded });
+        const expected = crashesPerMs * durationMs / Math.max(1, this.opts.upstreamCount(service));
         return poissonTail(crashes.length, expected) > COINCIDENCE_PROBABILITY;
     }
 
