test(jobs): one fleet of runners for the tests of held jobs

Cause: the tests of absent jobs repeated the set-up of another file. Change: it stands once, in createRunnerFleet.ts.

--- a/fleet/jobs/test/absentJobs.test.ts
+++ b/fleet/jobs/test/absentJobs.test.ts
@@ -1,18 +1,13 @@
 // Guards against "no such job" for an accepted job (LOST): it is only held on disks whose machines are down, and some time
 // after an outage a gateway, or the leader, took it for certain that all held jobs had been written.
-import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
-import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
-import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
-import { mock, test } from "node:test";
+import { test } from "node:test";
 import { CoalescedTask } from "../src/coalescedTask.js";
 import { JobAcceptor } from "../src/jobAcceptor.js";
 import { createJobRecord } from "./createJobRecord.js";
-import { MemorySegments } from "./memorySegments.js";
-import { SimulatedRunner } from "./simulatedRunner.js";
-import { SimulatedUpstreams } from "./simulatedUpstreams.js";
+import { createRunnerFleet } from "./createRunnerFleet.js";
 
 /** Time after which held jobs count as written after an outage, with a margin. */
 const AFTER_HELD_JOBS_MS = 8000;
@@ -27,30 +22,8 @@
 
 /** Three runners, of which the last leads, and a gateway that has seen no outage. */
 function createFleet() {
-    const clock = new ManualClock();
-    const timeOfDay = mock.method(Date, "now", () => clock.nowMs());
-    const service = new MemoryKeyValueService({ clock });
-    const random = new SeededRandom(1);
-    const upstreams = new SimulatedUpstreams(clock);
-    const disks = [0, 1, 2].map(() => new MemorySegments());
-    const runners = new Map<number, SimulatedRunner>();
-    const start = (index: number): SimulatedRunner => {
-        const runner: SimulatedRunner = new SimulatedRunner({
-            name: `runner-${index}`,
-            clock,
-            service,
-            random,
-            upstreams,
-            segments: disks[index]!,
-            others: () => [...runners.values()].filter(other => other !== runner && !other.clock.isDead),
-            otherCount: 2,
-            resultRetentionMs: Infinity,
-            onRunBegun: () => undefined,
-        });
-        runners.set(index, runner);
-        runner.start();
-        return runner;
-    };
+    const fleet = createRunnerFleet();
+    const { clock, service, start } = fleet;
     const leader = start(2);
     const { signal } = new AbortController();
     const results = (id: JobId) => leader.runner.reader.results({ jobId: id, after: 0, waitMs: 0, signal });
@@ -74,11 +47,6 @@
         await clock.advance(CALL_MS);
         return outcome;
     };
-    const close = () => {
-        [...runners.values()].forEach(runner => runner.clock.kill());
-        service.close();
-        timeOfDay.mock.restore();
-    };
     /** Has two runners hold the job during an outage, and ends them before it is over. */
     const loseHolders = async () => {
         const holders = [start(0), start(1)];
@@ -89,7 +57,7 @@
         service.faults.outage = false;
         await clock.advance(AFTER_HELD_JOBS_MS);
     };
-    return { clock, service, leader, gateway, start, results, outcomeOf, loseHolders, close };
+    return { ...fleet, leader, gateway, results, outcomeOf, loseHolders };
 }
 
 test("an accepted job isn't unknown to the leader or a gateway while the runners that hold it are down", async () => {
--- a/fleet/jobs/test/heldJobsIncomplete.test.ts
+++ b/fleet/jobs/test/heldJobsIncomplete.test.ts
@@ -1,54 +1,14 @@
-import { ManualClock } from "@knapweedwood/core.clock/manualClock";
-import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
-import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
 import type { HeldJob } from "../src/heldJob.js";
 import { JobAcceptor } from "../src/jobAcceptor.js";
 import { createJobRecord } from "./createJobRecord.js";
-import { MemorySegments } from "./memorySegments.js";
-import { SimulatedRunner } from "./simulatedRunner.js";
-import { SimulatedUpstreams } from "./simulatedUpstreams.js";
+import { createRunnerFleet } from "./createRunnerFleet.js";
 
-const RUNNERS = 3;
 /** Time after which a leader counts all jobs that were held during an outage as written, with a margin. */
 const AFTER_HELD_JOBS_MS = 8000;
 
-/** Runners with disks of their own. A runner starts when it is asked for; dead ones keep their disks. */
-function createFleet() {
-    const clock = new ManualClock();
-    const timeOfDay = mock.method(Date, "now", () => clock.nowMs());
-    const service = new MemoryKeyValueService({ clock });
-    const random = new SeededRandom(1);
-    const upstreams = new SimulatedUpstreams(clock);
-    const disks = Array.from({ length: RUNNERS }, () => new MemorySegments());
-    const runners = new Map<number, SimulatedRunner>();
-    const start = (index: number) => {
-        const runner: SimulatedRunner = new SimulatedRunner({
-            name: `runner-${index}`,
-            clock,
-            service,
-            random,
-            upstreams,
-            segments: disks[index]!,
-            others: () => [...runners.values()].filter(other => other !== runner && !other.clock.isDead),
-            otherCount: RUNNERS - 1,
-            resultRetentionMs: Infinity,
-            onRunBegun: () => undefined,
-        });
-        runners.set(index, runner);
-        runner.start();
-        return runner;
-    };
-    const close = () => {
-        [...runners.values()].forEach(runner => runner.clock.kill());
-        service.close();
-        timeOfDay.mock.restore();
-    };
-    return { clock, service, disks, start, close };
-}
-
 function createHeldJob(): HeldJob {
     const record = createJobRecord({ id: "j", itemCount: 3, dueAtMs: 60_000 });
     return { record, bodies: Buffer.alloc(0), maxWaitingTokens: 1000 };
@@ -57,7 +17,7 @@
 // All machines lose power just after two runners have held a job, and those two start later than the third. It leads, knows
 // that it couldn't collect their held jobs, and yet answered that the job doesn't exist.
 test("a leader that couldn't collect the held jobs doesn't say that a job doesn't exist", async () => {
-    const { clock, service, start, close } = createFleet();
+    const { clock, service, start, close } = createRunnerFleet();
     const { signal } = new AbortController();
     const job = createHeldJob();
     const holders = [start(0), start(1)];
@@ -88,7 +48,7 @@
 // A runner answered with no held jobs while it was still reading its disk after a start. The new leader took its collection
 // for complete, and approved jobs beyond the limit of a route.
 test("held jobs that a runner hasn't read from its disk yet aren't missing from what the leader counts", async () => {
-    const { clock, service, disks, start, close } = createFleet();
+    const { clock, service, disks, start, close } = createRunnerFleet();
     const job = createHeldJob();
     const holders = [start(0), start(1)];
     await clock.advance(1000);
@@ -116,7 +76,7 @@
 // A runner that is to be emptied reports it as done, and its disk is removed, once it holds no job. Before it had read its
 // disk after a start, it took itself for empty.
 test("a runner doesn't count as empty before it has read its disk", async () => {
-    const { clock, service, disks, start, close } = createFleet();
+    const { clock, service, disks, start, close } = createRunnerFleet();
     const holder = start(0);
     await clock.advance(1000);
     service.faults.outage = true;
@@ -139,7 +99,7 @@
 // The service rejects the two runners that hold a job, and the third one leads. It collects the job and runs it, but only a
 // runner with the job on its disk stores it. Meanwhile a gateway answered to a cancellation that there is no such job.
 test("a job that the leader runs can be cancelled, also while the runners that hold it can't store it", async () => {
-    const { clock, service, start, close } = createFleet();
+    const { clock, service, start, close } = createRunnerFleet();
     const job = createHeldJob();
     const { jobId } = job.record;
     const holders = [start(0), start(1)];
