fix(quarantine): whether a probe explains a crash follows from what came before and after

A probe that met the first crash of a new series explained that crash for good, by the calm before it: a belief that was set once, the same class as the doubt. It is now derived from the crashes around it, also from later ones.

--- a/fleet/quarantine/src/crashHistory.ts
+++ b/fleet/quarantine/src/crashHistory.ts
@@ -26,31 +26,22 @@
 
     /** Records that a run of this process was broken off, also by an upstream process that was known to live on before. */
     recordOwn(service: ServiceName, process: UpstreamProcessKey, nowMs: number): void {
-        const isExplained = this.find(service, process)?.isExplained ?? false;
-        this.put(service, { process, atMs: nowMs, isExplained, isWithdrawn: false }, nowMs);
+        const hadProbe = this.find(service, process)?.hadProbe ?? false;
+        this.put(service, { process, atMs: nowMs, hadProbe, isWithdrawn: false }, nowMs);
     }
 
     /** Records a crash that this process has learned of, unless it is known. */
     recordLearned(service: ServiceName, process: UpstreamProcessKey, nowMs: number): void {
         if (this.find(service, process) === undefined) {
-            this.put(service, { process, atMs: nowMs, isExplained: false, isWithdrawn: false }, nowMs);
+            this.put(service, { process, atMs: nowMs, hadProbe: false, isWithdrawn: false }, nowMs);
         }
     }
 
-    /**
-     * Records that a known crash has broken off a probe. If the upstreams were calm before, the probe explains it; in a series
-     * of crashes it doesn't.
-     */
+    /** Records that a known crash has broken off a probe. */
     recordProbe(service: ServiceName, process: UpstreamProcessKey): void {
         const crash = this.find(service, process);
-        if (crash === undefined || crash.isExplained) {
-            return;
-        }
-        const isCalm = this
-            .unexplained(service, new Set([process]))
-            .every(({ atMs }) => atMs > crash.atMs || atMs <= crash.atMs - CALM_MS);
-        if (isCalm) {
-            crash.isExplained = true;
+        if (crash !== undefined && !crash.hadProbe) {
+            crash.hadProbe = true;
             this.changes += 1;
         }
     }
@@ -69,11 +60,15 @@
         return this.find(service, process)?.atMs;
     }
 
-    /** Returns the crashes of a service that no probe explains, shape [crashes]. */
+    /**
+     * Returns the crashes of a service that no probe explains, shape [crashes]. A probe explains the crash that broke it off, unless
+     * upstreams without a probe crashed around the same time.
+     */
     unexplained(service: ServiceName, excluded: ReadonlySet<UpstreamProcessKey>): KnownCrash[] {
-        return (this.byService.get(service) ?? []).filter(({ process, isExplained, isWithdrawn }) =>
-            !isExplained && !isWithdrawn && !excluded.has(process)
-        );
+        const crashes = (this.byService.get(service) ?? []).filter(({ isWithdrawn }) => !isWithdrawn);
+        const withoutProbe = crashes.filter(({ hadProbe }) => !hadProbe);
+        const isInSeries = ({ atMs }: KnownCrash) => withoutProbe.some(other => Math.abs(other.atMs - atMs) < CALM_MS);
+        return crashes.filter(crash => !excluded.has(crash.process) && (!crash.hadProbe || isInSeries(crash)));
     }
 
     /**
--- a/fleet/quarantine/src/knownCrash.ts
+++ b/fleet/quarantine/src/knownCrash.ts
@@ -5,8 +5,8 @@
     process: UpstreamProcessKey;
     /** Time at which this process learned of it, in milliseconds. */
     atMs: number;
-    /** Whether a probe of a quarantined trait was broken off by it while no other upstream crashed. */
-    isExplained: boolean;
+    /** Whether a probe of a quarantined trait was broken off by it. */
+    hadProbe: boolean;
     /** Whether the upstream process has turned out to live on. */
     isWithdrawn: boolean;
 }
--- a/fleet/quarantine/src/probeSchedule.ts
+++ b/fleet/quarantine/src/probeSchedule.ts
@@ -53,9 +53,9 @@
      * upstreams have been calm, or from time to time if they never are; if nothing is known but that it is in force.
      */
     private earlyDueAtMs(state: SuspicionState, isSoleRunner: boolean): number {
-        const { quarantinedAtMs, probedAtMs, brokenProbe, isHearsay } = state;
+        const { quarantinedAtMs, probedAtMs, brokenProbe, isUnverified } = state;
         const jitter = isSoleRunner ? 1 : this.delayFactor;
-        if (this.opts.table.hasProbeSurvivor(state)) {
+        if (this.opts.table.hasUpstreamSurvivedProbe(state)) {
             return probedAtMs + CALM_MS * jitter;
         }
         if (brokenProbe !== undefined && this.opts.table.isProbeShared(state)) {
@@ -66,6 +66,6 @@
         if (doubtedAtMs !== undefined) {
             return Math.min(repeatedAtMs, Math.max(doubtedAtMs, probedAtMs) + CALM_MS * jitter);
         }
-        return isSoleRunner && isHearsay ? repeatedAtMs : Infinity;
+        return isSoleRunner && isUnverified ? repeatedAtMs : Infinity;
     }
 }
--- a/fleet/quarantine/src/suspicionState.ts
+++ b/fleet/quarantine/src/suspicionState.ts
@@ -19,7 +19,7 @@
     /** How the last probe was broken off, if it was and was one of this process. */
     brokenProbe: BrokenProbe | undefined;
     /** Whether this process has seen neither the crashes that led to the quarantine nor a probe. */
-    isHearsay: boolean;
+    isUnverified: boolean;
     /** The runs that crashes have broken off since the last disproof. */
     exposure: CrashExposure;
 }
--- a/fleet/quarantine/src/suspicionTable.ts
+++ b/fleet/quarantine/src/suspicionTable.ts
@@ -11,7 +11,7 @@
 
 type SuspicionProbing = Pick<
     SuspicionState,
-    "quarantinedAtMs" | "probedAtMs" | "clearedAtMs" | "brokenProbe" | "isHearsay"
+    "quarantinedAtMs" | "probedAtMs" | "clearedAtMs" | "brokenProbe" | "isUnverified"
 >;
 
 /** What is known of the probes of a trait that is not quarantined. */
@@ -20,7 +20,7 @@
     probedAtMs: -Infinity,
     clearedAtMs: -Infinity,
     brokenProbe: undefined,
-    isHearsay: false,
+    isUnverified: false,
 };
 
 /** Time for which a suspicion that is no quarantine is kept without a change, in milliseconds. */
@@ -113,7 +113,9 @@
     }
 
     /** Whether the upstream that broke off the last probe of a quarantined trait lives on. */
-    hasProbeSurvivor({ suspicion: { withdrawn = [] }, brokenProbe, probedAtMs, clearedAtMs }: SuspicionState): boolean {
+    hasUpstreamSurvivedProbe(
+        { suspicion: { withdrawn = [] }, brokenProbe, probedAtMs, clearedAtMs }: SuspicionState,
+    ): boolean {
         // A peer doesn't say which of the crashes was that of its probe.
         return brokenProbe === undefined ? clearedAtMs > probedAtMs : withdrawn.includes(brokenProbe.crash);
     }
@@ -201,15 +203,21 @@
         return NOT_PROBED;
     }
     if (known?.suspicion.isQuarantined !== true) {
-        const isHearsay = known === undefined || known.suspicion.crashes.length === 0;
-        return { ...NOT_PROBED, quarantinedAtMs: nowMs, isHearsay };
+        const isUnverified = known === undefined || known.suspicion.crashes.length === 0;
+        return { ...NOT_PROBED, quarantinedAtMs: nowMs, isUnverified };
     }
-    const { quarantinedAtMs, probedAtMs, brokenProbe, isHearsay } = known;
+    const { quarantinedAtMs, probedAtMs, brokenProbe, isUnverified } = known;
     if (suspicion.probes > known.suspicion.probes) {
         return { ...NOT_PROBED, quarantinedAtMs, probedAtMs: nowMs };
     }
     const isCleared = (suspicion.withdrawn ?? []).length > (known.suspicion.withdrawn ?? []).length;
-    return { quarantinedAtMs, probedAtMs, clearedAtMs: isCleared ? nowMs : known.clearedAtMs, brokenProbe, isHearsay };
+    return {
+        quarantinedAtMs,
+        probedAtMs,
+        clearedAtMs: isCleared ? nowMs : known.clearedAtMs,
+        brokenProbe,
+        isUnverified,
+    };
 }
 
 function isToRepeat(state: SuspicionState, nowMs: number): boolean {
--- a/fleet/quarantine/test/crashSeriesOptions.ts
+++ b/fleet/quarantine/test/crashSeriesOptions.ts
@@ -1,4 +1,4 @@
-/** What a simulated series of crashes and the work beside it are like. */
+/** A simulated series of crashes, and the work that runs meanwhile. */
 export interface CrashSeriesOptions {
     seed: number;
     /** Duration of the series, in milliseconds; 0 for none. */
--- a/fleet/quarantine/test/simulatedCrashSeries.ts
+++ b/fleet/quarantine/test/simulatedCrashSeries.ts
@@ -85,7 +85,7 @@
         }
     }
 
-    /** Plays the series, then goes on until no upstream has crashed for so long, or for `MAX_AFTER_MS` at most. */
+    /** Plays the series, and after it until no upstream has crashed for so long, at most `MAX_AFTER_MS`. */
     async playUntilCalm(calmMs: number): Promise<void> {
         const { seriesMs } = this.opts;
         const endMs = () => Math.max(seriesMs, Math.min(this.lastCrashAtMs + calmMs, seriesMs + MAX_AFTER_MS));
