fix(quarantine): a probe by a request that was broken off before tells little of a part

A part of prompts that many sound items share stayed in quarantine after one bad item had run its probe: the failed probe made the quarantine certain, and the next one was due after 4^n times 30 s, with n grown by the probes during the series. Such a probe is now ambiguous and repeated after 5 to 10 s by another request, and no probe is due later than after an hour (two with jitter). A quarantine with no probe yet was probed at once if a crash was withdrawn or shared; the time now counts from its begin.

--- a/fleet/quarantine/src/probeSchedule.ts
+++ b/fleet/quarantine/src/probeSchedule.ts
@@ -11,6 +11,8 @@
 const FIRST_SOLE_PROBE_MS = 10_000;
 /** Factor by which the time to the next probe grows with each probe. */
 const PROBE_BACKOFF = 4;
+/** Longest time to a probe without jitter, in milliseconds. */
+const MAX_PROBE_MS = 3_600_000;
 /** Time between two probes of a doubtful quarantine while upstreams crash all the time, in milliseconds. */
 const DOUBTFUL_PROBE_MS = 10_000;
 /** Longest additional time to a probe of a process, as a share, so that not all processes probe at once. */
@@ -43,8 +45,8 @@
     dueAtMs(state: SuspicionState, isSoleRunner: boolean): number {
         const { suspicion: { part, probes }, changedAtMs } = state;
         const isSole = isSoleRunner && isFingerprint(part);
-        const firstMs = isSole ? FIRST_SOLE_PROBE_MS : FIRST_PROBE_MS * this.delayFactor;
-        const usualMs = changedAtMs + firstMs * PROBE_BACKOFF ** probes;
+        const delayMs = (isSole ? FIRST_SOLE_PROBE_MS : FIRST_PROBE_MS) * PROBE_BACKOFF ** probes;
+        const usualMs = changedAtMs + Math.min(delayMs, MAX_PROBE_MS) * (isSole ? 1 : this.delayFactor);
         return Math.min(usualMs, this.earlyDueAtMs(state, isSoleRunner));
     }
 
@@ -55,13 +57,14 @@
     private earlyDueAtMs(state: SuspicionState, isSoleRunner: boolean): number {
         const { quarantinedAtMs, probedAtMs, brokenProbe, isUnverified } = state;
         const jitter = isSoleRunner ? 1 : this.delayFactor;
+        const sinceMs = Math.max(quarantinedAtMs, probedAtMs);
         if (this.opts.table.hasUpstreamSurvivedProbe(state)) {
-            return probedAtMs + CALM_MS * jitter;
+            return sinceMs + CALM_MS * jitter;
         }
-        if (brokenProbe !== undefined && this.opts.table.isProbeShared(state)) {
-            return probedAtMs + CALM_MS * (jitter + brokenProbe.jitter);
+        if (brokenProbe !== undefined && this.opts.table.isProbeAmbiguous(state)) {
+            return sinceMs + CALM_MS * (jitter + brokenProbe.jitter);
         }
-        const repeatedAtMs = Math.max(quarantinedAtMs, probedAtMs) + DOUBTFUL_PROBE_MS * jitter;
+        const repeatedAtMs = sinceMs + DOUBTFUL_PROBE_MS * jitter;
         const doubtedAtMs = this.opts.doubt.doubtedAtMs(state);
         if (doubtedAtMs !== undefined) {
             return Math.min(repeatedAtMs, Math.max(doubtedAtMs, probedAtMs) + CALM_MS * jitter);
--- a/fleet/quarantine/src/requestSuspicions.ts
+++ b/fleet/quarantine/src/requestSuspicions.ts
@@ -217,15 +217,17 @@
             return [];
         }
         this.crashHistory.recordProbe(service, process);
+        const isRequestSuspect = this.ownCrashes(service, traits.map(({ trait }) => trait)) > 0;
         const known = this.table.of(service, last.trait);
         const crash = crashId.of(process, known.withdrawn ?? []);
         const changed = known.disproofs === last.disproofs
             ? this.mergeOne({ ...known, crashes: [crash], rounds: last.rounds + 1 }, nowMs)
             : [];
         this.table.statesOf(service, probed.map(({ trait }) => trait)).forEach(({ suspicion, exposure }) => {
-            const hasSpecificTrait = suspicion.part !== last.trait;
-            this.table.setBrokenProbe(suspicion, { crash, hasSpecificTrait, jitter: this.opts.random.next() });
-            if (!hasSpecificTrait) {
+            const isCounted = suspicion.part === last.trait;
+            const isAmbiguous = !isCounted || isRequestSuspect;
+            this.table.setBrokenProbe(suspicion, { crash, isCounted, isAmbiguous, jitter: this.opts.random.next() });
+            if (isCounted) {
                 exposure.add(process, nowMs - startedAtMs);
             }
         });
--- a/fleet/quarantine/src/suspicionTable.ts
+++ b/fleet/quarantine/src/suspicionTable.ts
@@ -120,14 +120,14 @@
         return brokenProbe === undefined ? clearedAtMs > probedAtMs : withdrawn.includes(brokenProbe.crash);
     }
 
-    /** Whether another quarantined trait that ran at the same upstream may have broken off the last probe of a trait. */
-    isProbeShared({ suspicion, brokenProbe }: SuspicionState): boolean {
+    /** Whether another trait, of the same request or of one at the same upstream, may have broken off the last probe of a trait. */
+    isProbeAmbiguous({ suspicion, brokenProbe }: SuspicionState): boolean {
         if (brokenProbe === undefined) {
             return false;
         }
         const key = suspicionKeyOf(suspicion);
         const others = this.crashes.keysOf(crashId.processOf(brokenProbe.crash)).filter(other => other !== key);
-        return brokenProbe.hasSpecificTrait || others.some(other => this.get(other)?.isQuarantined === true);
+        return brokenProbe.isAmbiguous || others.some(other => this.get(other)?.isQuarantined === true);
     }
 
     /** Drops the suspicions that are outdated, and returns those dropped since the last call, shape [suspicions]. */
@@ -160,8 +160,7 @@
 
     private indexCrashes(key: string): void {
         const { suspicion: { crashes }, brokenProbe } = this.states.get(key)!;
-        const isAdded = brokenProbe !== undefined && !brokenProbe.hasSpecificTrait
-            && !crashes.includes(brokenProbe.crash);
+        const isAdded = brokenProbe?.isCounted === true && !crashes.includes(brokenProbe.crash);
         this.crashes.set(key, isAdded ? [...crashes, brokenProbe.crash] : crashes);
     }
 
