--- a/fleet/quarantine/test/crashHistory.test.ts
+++ b/fleet/quarantine/test/crashHistory.test.ts
@@ -1,4 +1,4 @@
-// A probe that met the first crash of a new series explained it for good, so that the series put no quarantine in doubt.
+// A probe that met the first crash of a new series explained it also once others had crashed, so that the series raised no doubt.
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
 import assert from "node:assert/strict";
