--- a/fleet/quarantine/src/quarantineDoubt.ts
+++ b/fleet/quarantine/src/quarantineDoubt.ts
@@ -7,7 +7,7 @@
 import type { QuarantineEvidence } from "./quarantineEvidence.js";
 import type { SuspicionState } from "./suspicionState.js";
 
-/** Time before the last crash of a quarantine in which other crashes put it in doubt, in milliseconds. Later ones always do. */
+/** Time before the last crash of a quarantine in which other crashes put it in doubt, in milliseconds. Later ones count too. */
 const SERIES_MS = 2 * CALM_MS;
 /** Times over which other crashes are counted, in milliseconds. Several upstreams may crash at once. */
 const WINDOWS_MS = [300, 3000, SERIES_MS];
