--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,103 +1,86 @@
-// Results are joined from two services: a route is moved, and items that were under way go on at the other service.
+// Accepted items that name the header `Host` never run, and keep sound items of other jobs from running.
 import path from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
-import { call, itemOf, newId, readJob, submitJob } from "../harness-2/client.mjs";
+import { itemOf, newId, readJob, submitJob } from "../harness-2/client.mjs";
 import { runCase } from "../harness-2/deployment.mjs";
 import { BATCH_PATH, createManifest, HOST, MODEL } from "../harness-2/manifest.mjs";
-import { Replica, writeEvents } from "../harness-2/replica.mjs";
+import { Replica } from "../harness-2/replica.mjs";
 
-const OTHER_MODEL = "cellar-lm";
-const EVENTS = 150;
-const ONLINE_EVENTS = 30;
-const EVENT_MS = 30;
-const JOBS = 3;
-const ITEMS_PER_JOB = 5;
-/** As many as the three replicas of the first service have slots. */
-const ONLINE_REQUESTS = 24;
-const MAX_MS = 40_000;
+/** Time in which the last jobs are sent, until the end of traffic. */
+const TRAFFIC_MS = 8000;
+/** Time that batch jobs have after the end of traffic, `finishS`. */
+const FINISH_MS = 18_000;
+const CALM_MS = 5000;
+const UNFINISHED_MS = 3000;
+const REPLICAS = 4;
+const SLOTS = 8;
+const ITEMS_WITH_HOST = 10;
+const SOUND_JOBS = 2;
+const ITEMS_PER_SOUND_JOB = 5;
 
 await runCase(path.join(import.meta.dirname, "record.txt"), async (deployment, hasTrouble) => {
     const record = text => deployment.record(text);
-    const createReplica = (service, number) => store =>
-        new Replica({
-            id: `${service}-${number}`,
-            service,
-            store,
-            version: "1",
-            handle: exchange =>
-                writeEvents({ ...exchange, workMs: EVENT_MS, events: eventsOf(exchange), mark: service }),
-        });
     await deployment.start({
-        manifest: createManifest({ version: 7 }),
+        manifest: createManifest(),
         gateways: 2,
         runners: 3,
-        replicas: [MODEL, OTHER_MODEL].flatMap(service => [1, 2, 3].map(number => createReplica(service, number))),
+        replicas: Array.from(
+            { length: REPLICAS },
+            (_, index) => store => new Replica({ id: `i-${index + 1}`, service: MODEL, store, slots: SLOTS }),
+        ),
     });
-    const { store, gateways, replicas } = deployment;
+    const { gateways, replicas } = deployment;
     await pause(3000);
     const jobs = [];
-    for (let number = 0; number < JOBS; number += 1) {
+    const submit = async (name, items) => {
         const jobId = newId();
-        const items = Array.from({ length: ITEMS_PER_JOB }, () => itemOf(BATCH_PATH));
         const answer = await submitJob(gateways[0].front, { host: HOST, path: `${BATCH_PATH}${jobId}`, jobId, items });
-        record(`job ${jobId}: ${answer.status}`);
-        jobs.push({ jobId, items });
-    }
-    await pause(2000);
-    if (hasTrouble) {
-        store.put("op/config", createManifest({ version: 8, assess: { service: OTHER_MODEL } }));
-        record(`manifest 8 moves the batch route from ${MODEL} to ${OTHER_MODEL}`);
-    }
+        record(`${name} ${jobId} with ${items.length} items: ${answer.status}`);
+        if (answer.status === 202) {
+            jobs.push({ jobId, name, items, sentAtMs: answer.sentAtMs });
+        }
+    };
+    const createItems = count => Array.from({ length: count }, () => itemOf(BATCH_PATH));
+    const withHost = item => ({ ...item, headers: { Host: HOST, ...item.headers } });
+    const firstItems = createItems(ITEMS_WITH_HOST);
+    await submit("job whose items name Host", hasTrouble ? firstItems.map(withHost) : firstItems);
     await pause(500);
-    // Members ask, as they do all day: for a moment their requests need all slots of the first service.
-    const answers = await Promise.all(Array.from({ length: ONLINE_REQUESTS }, (_, number) => {
-        const id = newId();
-        const headers = {
-            host: HOST,
-            "x-request-id": id,
-            "x-deadline-ms": "5000",
-            "x-model": "m",
-            "x-token-counts": "250,64",
-            "x-prompt-prefix": `${id}:250`,
-        };
-        const { front } = gateways[number % gateways.length];
-        return call({ front, method: "POST", path: `/summary/${id}`, headers, body: id });
-    }));
-    record(
-        `${answers.length} streams for members, ${answers.filter(({ status }) => status === 200).length} answered 200`,
+    for (let number = 0; number < SOUND_JOBS; number += 1) {
+        await submit("sound job", createItems(ITEMS_PER_SOUND_JOB));
+        await pause(200);
+    }
+    await pause(TRAFFIC_MS + FINISH_MS);
+    const endMs = Date.now();
+    const arrivals = replicas.flatMap(replica => replica.arrivals);
+    const wasBusy = replicas.some(replica => isHalfFull(replica.arrivals, endMs));
+    const hasFinishedLately = arrivals.some(({ endedAtMs, outcome }) =>
+        outcome === "answered" && endedAtMs > endMs - UNFINISHED_MS
     );
-    const results = new Map();
-    await deployment.waitUntil("all items are listed", async () => {
-        for (const { jobId } of jobs) {
-            const answer = await readJob(gateways[1].front, { host: HOST, jobId });
-            const listed = answer.status === 200 ? JSON.parse(answer.text).results : [];
-            listed.forEach(result => results.set(result.id, result));
-        }
-        return results.size === JOBS * ITEMS_PER_JOB;
-    }, MAX_MS);
-    const completed = [...results.values()].filter(({ state }) => state === "completed");
-    const joined = completed.filter(({ output }) => servicesIn(output).length > 1);
-    joined.forEach(({ id, output }) => {
-        const [first, second] = servicesIn(output);
-        const events = output.split("\n");
-        const at = events.findIndex(event => event.endsWith(`@${second}`)) + 1;
-        record(`item ${id}: ${events.length} events, those before ${at} of ${first}, from ${at} on of ${second}`);
-    });
-    const runs = replicas.flatMap(replica => replica.arrivals);
-    joined.slice(0, 3).forEach(({ id }) =>
-        runs.filter(run => run.id === id).forEach(run =>
-            record(`item ${id} reached ${run.replicaId} with Last-Event-Id ${run.headers["last-event-id"] ?? "none"}`)
-        )
+    record(
+        `replicas half full in the last 5 s: ${wasBusy}; an item was finished in the last 3 s: ${hasFinishedLately}`,
     );
-    record(`${completed.length} results are completed, ${joined.length} of them hold events of two services`);
-    return joined.length > 0;
+    let lostItems = 0;
+    for (const job of jobs) {
+        const answer = await readJob(gateways[1].front, { host: HOST, jobId: job.jobId });
+        const listed = answer.status === 200 ? JSON.parse(answer.text).results : [];
+        const runs = arrivals.filter(({ id }) => job.items.some(item => item.id === id));
+        const hadItem = runs.some(({ endedAtMs }) => (endedAtMs ?? endMs) > endMs - CALM_MS);
+        const open = job.items.length - listed.length;
+        const lastEndMs = Math.max(0, ...runs.map(({ endedAtMs }) => (endedAtMs ?? endMs) - job.sentAtMs));
+        record(
+            `${job.name} ${job.jobId}: ${answer.status}, ${listed.length} of ${job.items.length} listed, ${runs.length} runs, the last ended ${lastEndMs} ms after the job was sent`,
+        );
+        lostItems += wasBusy || hasFinishedLately || hadItem ? 0 : open;
+    }
+    record(`${lostItems} accepted items are neither completed nor given up, and no replica has them`);
+    return lostItems > 0;
 });
 
-/** Items are long, the streams of members short. */
-function eventsOf({ request }) {
-    return request.url.startsWith(BATCH_PATH) ? EVENTS : ONLINE_EVENTS;
-}
-
-function servicesIn(output) {
-    return [...new Set([...output.matchAll(/@(.+)$/gmu)].map(([, service]) => service))];
+/** Whether the replica had requests in half of its slots or more at any time of the last seconds. */
+function isHalfFull(arrivals, endMs) {
+    const recent = arrivals.filter(({ endedAtMs }) => (endedAtMs ?? endMs) >= endMs - CALM_MS);
+    return recent.some(({ atMs }) => {
+        const atOnce = recent.filter(other => other.atMs <= atMs && (other.endedAtMs ?? endMs) > atMs);
+        return atOnce.length * 2 >= SLOTS;
+    });
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,7 @@
 for program in gateway runner; do
     test -f "target/$program.cjs" || { echo "target/$program.cjs is missing: run the build of deploy/system.toml" >&2; exit 1; }
 done
-for module in review/harness-2/*.mjs review/{6,7,8,9,10}/*.mjs; do
+for module in review/harness-2/*.mjs review/{6..10}/case.mjs; do
+    test -f "$module" || continue
     node --check "$module"
 done
--- a/review/harness-2/store.mjs
+++ b/review/harness-2/store.mjs
@@ -18,6 +18,7 @@
     #leases = new Map();
     #history = [];
     #waiting = new Set();
+    #watchesBegun = new Map();
     #revision = 10;
     #leaseNumber = 100;
     #servers = [];
@@ -78,6 +79,18 @@
         return cut.map(watch => watch.node);
     }
 
+    /** Number of watches of `prefix` that a node has begun. */
+    watchesBegun(node, prefix) {
+        return this.#watchesBegun.get(`${node} ${prefix}`) ?? 0;
+    }
+
+    /** Has the connections of a node's waiting watches of `prefix` go silent for good. Returns how many. */
+    silenceWatches(node, prefix) {
+        const silenced = [...this.#waiting].filter(watch => watch.node === node && watch.prefix === prefix);
+        silenced.forEach(watch => watch.silence());
+        return silenced.length;
+    }
+
     async #handle(request, response, node) {
         const chunks = [];
         for await (const chunk of request) {
@@ -163,12 +176,14 @@
             prefix,
             node,
             answer,
+            silence: end,
             cut: () => {
                 end();
                 request.socket.end();
             },
         };
         this.#waiting.add(watch);
+        this.#watchesBegun.set(`${node} ${prefix}`, this.watchesBegun(node, prefix) + 1);
         response.once("close", end);
     }
 
