--- a/review/harness-2/deployment.mjs
+++ b/review/harness-2/deployment.mjs
@@ -1,6 +1,14 @@
 // Starts the project's programs as separate processes, with the commands of the deploy file, on loopback addresses.
 import { spawn } from "node:child_process";
-import { createWriteStream, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+    appendFileSync,
+    createWriteStream,
+    mkdirSync,
+    mkdtempSync,
+    readFileSync,
+    rmSync,
+    writeFileSync,
+} from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import path from "node:path";
@@ -13,6 +21,8 @@
 const FRONT_PORT = 8144;
 const READY_PORT = 8140;
 const CONTROL_PORT = 8146;
+/** Time after which a case is given up. */
+const MAX_CASE_MS = 115_000;
 const PORT_RANGE = [7660, 7675];
 const ZONES = ["z-a", "z-b", "z-c"];
 export const BOUNDS = { contactMs: 3000, drainMs: 2000, graceS: 8, settleMs: 1000, cancelMs: 3000, statusS: 120 };
@@ -26,12 +36,12 @@
     folder = mkdtempSync(path.join(tmpdir(), "review-"));
     subnet = 0;
     #startedAtMs = Date.now();
-    #lines = [];
     #recordFile;
 
     /** @param recordFile where `record` writes */
     constructor(recordFile) {
         this.#recordFile = recordFile;
+        writeFileSync(recordFile, "");
     }
 
     /** Milliseconds since the start of the case. */
@@ -41,7 +51,7 @@
 
     record(text) {
         const line = `${(this.nowMs / 1000).toFixed(3)} ${text}`;
-        this.#lines.push(line);
+        appendFileSync(this.#recordFile, `${line}\n`);
         console.log(line);
     }
 
@@ -95,7 +105,16 @@
         await Promise.all([...this.gateways, ...this.runners].map(member => member.kill()));
         this.replicas.forEach(replica => replica.exit());
         this.store.close();
-        writeFileSync(this.#recordFile, `${this.#lines.join("\n")}\n`);
+        this.#removeFolder();
+    }
+
+    /** Kills the processes that are left, as this one ends. */
+    killNow() {
+        [...this.gateways, ...this.runners].forEach(member => member.killNow());
+        this.#removeFolder();
+    }
+
+    #removeFolder() {
         if (process.env.KEEP !== "1") {
             rmSync(this.folder, { recursive: true, force: true });
         }
@@ -172,6 +191,12 @@
         this.#child?.kill(name);
     }
 
+    /** Kills the process without waiting for its end. */
+    killNow() {
+        this.#isEnding = true;
+        this.#child?.kill("SIGKILL");
+    }
+
     /** Kills the process and resolves once it is gone. */
     async kill() {
         const child = this.#child;
@@ -290,6 +315,13 @@
 export async function runCase(recordFile, run) {
     const deployment = new Deployment(recordFile);
     let exitCode = 2;
+    const giveUp = reason => {
+        deployment.record(`RESULT: the case could not run: ${reason}`);
+        process.exit(2);
+    };
+    process.once("exit", () => deployment.killNow());
+    ["SIGINT", "SIGTERM"].forEach(name => process.once(name, () => giveUp(name)));
+    setTimeout(() => giveUp("time is up"), MAX_CASE_MS).unref();
     try {
         const isBroken = await run(deployment, process.env.TROUBLE !== "0");
         exitCode = isBroken ? 1 : 0;
