feat(logs): why a held job can't be written, and what the HTTP client refused to send

held-job-kept is now written once for each job and reason, with the message and the time since the acceptance. An exchange of which the HTTP client sent nothing has its message.

--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -43,6 +43,8 @@
     private readonly jobs = new Map<SegmentDigest, HeldJob>();
     /** Jobs that this process runs as the leader and that only other runners hold. */
     private readonly adopted = new Map<JobId, HeldJob>();
+    /** Code of the failure that was last logged for a job that couldn't be written. */
+    private readonly loggedCodes = new Map<JobId, string>();
     private readonly pendingHolds = new Set<Promise<void>>();
     /**
      * Resolves when files of interrupted writes have been removed and the others are listed; new writes have to wait for it.
@@ -168,15 +170,26 @@
             }
             catch (thrown) {
                 const error = toKnapweedError(thrown);
-                this.opts.logger.debug("held-job-kept", { jobId: job.record.jobId, code: error.code });
+                this.logKept(job, error);
                 this.reachableSinceMs = undefined;
                 return;
             }
         }
     }
 
+    /** Logs why a job can't be written now, once for each reason. */
+    private logKept({ record: { jobId, acceptedAtMs } }: HeldJob, { code, message }: KnapweedError): void {
+        if (this.loggedCodes.get(jobId) === code) {
+            return;
+        }
+        this.loggedCodes.set(jobId, code);
+        const heldMs = Math.round(this.opts.clock.nowMs() - acceptedAtMs);
+        this.opts.logger.info("held-job-kept", { jobId, code, message, heldMs, held: this.jobs.size });
+    }
+
     /** @param digest names the file of the job; undefined if it is held by other runners only */
     private async drop(digest: SegmentDigest | undefined, job: HeldJob): Promise<void> {
+        this.loggedCodes.delete(job.record.jobId);
         if (digest === undefined) {
             this.adopted.delete(job.record.jobId);
             return;
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -232,10 +232,10 @@
     }
 
     private outcomeOfFailure(failure: ExchangeFailure): ItemRunOutcome {
-        const { code, isUnreachable, isConnectionBroken } = failure;
+        const { mayHaveRun: _mayHaveRun, ...broken } = failure;
         return this.head !== undefined && this.isNotRun(this.head)
             ? notRunOutcomeOf(this.head)
-            : { kind: "broken", code, isUnreachable, isConnectionBroken };
+            : { kind: "broken", ...broken };
     }
 
     private isNotRun(head: ResponseHead): boolean {
--- a/fleet/jobs/src/itemRunOutcome.ts
+++ b/fleet/jobs/src/itemRunOutcome.ts
@@ -8,6 +8,6 @@
     /** The upstream did not run the item. If misdirected, another process responds at its address. */
     | { kind: "not-run"; isMisdirected: boolean; }
     /** The run was interrupted. The events received so far are kept. */
-    | { kind: "broken"; code: string; isUnreachable: boolean; isConnectionBroken: boolean; }
+    | { kind: "broken"; code: string; isUnreachable: boolean; isConnectionBroken: boolean; message?: string; }
     /** The output can't be trusted. The item starts over. */
     | { kind: "garbled"; code: string; };
--- a/fleet/upstreams/src/exchangeFailure.ts
+++ b/fleet/upstreams/src/exchangeFailure.ts
@@ -8,4 +8,6 @@
     isConnectionBroken: boolean;
     /** Identifies the reason; the message of the HTTP client's error if that has no code. */
     code: string;
+    /** What the HTTP client says of a request of which it sent nothing; undefined for other failures. */
+    message?: string;
 }
--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -165,7 +165,14 @@
                 const wasSent = reading.controller !== undefined;
                 // The HTTP client itself closes a connection on which it receives anything but a valid response.
                 const isConnectionBroken = wasSent && this.isClosedByPeer;
-                fail({ mayHaveRun: wasSent, isUnreachable: !wasSent, isConnectionBroken, code: codeOf(error) });
+                const message = wasSent ? {} : { message: error.message };
+                fail({
+                    mayHaveRun: wasSent,
+                    isUnreachable: !wasSent,
+                    isConnectionBroken,
+                    code: codeOf(error),
+                    ...message,
+                });
             },
         };
         this.client.dispatch(
