fix(jobs): a job that the key-value service would never take is stored in parts or rejected, and holds up no others

Its record, with 6 KB of headers an item, was larger than a value of the key-value service. The service refused it with 413 each time; the client knew only 'unavailable' and 'response lost', so that the job was held on disks as in an outage, answered with 202, and written again without end. Nothing made new copies, DELETE was answered 503 for good, and HeldJobs ended each round at the first job that failed, so that those behind it stayed on disks too.

The class: a failure that lasts was taken for one that passes. A third kind of error, made where the status is known (4xx but 408, 421, 425, 429), lets each caller decide: - items that don't fit into the record are stored in parts of their own, a job that no transaction takes is rejected with 400 before anything is written or held, and so is one that the service refuses for another reason; - held jobs: one that fails, for whatever reason, doesn't hold up the others; results and suspicions: a rejected write is divided, and what is rejected by itself is given up; - ids: a slash in a job's id no longer makes its keys those of another job, a long one is rejected; long names of routes and prompt parts make no key too long; a list of waiting tokens that is too large to be stored counts as over the limit. The stand-in of the platform's store answered 503 to what it rejects, which hid all this from the tests.

--- a/core/key-value/src/keyValueService.ts
+++ b/core/key-value/src/keyValueService.ts
@@ -8,7 +8,8 @@
  * The platform's key-value service. Each method makes one call, which the service counts.
  *
  * Methods reject with a KnapweedError: `KEY_VALUE_UNAVAILABLE` with outcome `not-run` if the call certainly had no
- * effect, `KEY_VALUE_ANSWER_LOST` with outcome `unknown` if a write may have taken effect.
+ * effect, `KEY_VALUE_ANSWER_LOST` with outcome `unknown` if a write may have taken effect. If the service rejects the call for
+ * what it contains, so that a repeated one is rejected too, `isInvalidCall` tells it.
  */
 export interface KeyValueService {
     get(key: string): Promise<KeyValueEntry | undefined>;
--- a/daemons/fleet/src/suspicionStore.ts
+++ b/daemons/fleet/src/suspicionStore.ts
@@ -1,6 +1,8 @@
 import { encodeRecord } from "@knapweedwood/batch.records/encodeRecord";
 import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { isInvalidCall } from "@knapweedwood/core.key-value/isInvalidCall";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
@@ -33,6 +35,8 @@
     /** The newest change of each key that is not written yet. */
     private readonly pending = new Map<string, SuspicionChange>();
     private isWriting = false;
+    /** Whether the service has rejected the last write for what it contains, so that the next one has a single change. */
+    private hasRejected = false;
 
     constructor(opts: SuspicionStoreOptions) {
         this.opts = opts;
@@ -60,11 +64,13 @@
             return;
         }
         this.isWriting = true;
+        const changes = [...this.pending].slice(0, this.hasRejected ? 1 : MAX_CHANGES);
         try {
-            await this.transact([...this.pending].slice(0, MAX_CHANGES));
+            await this.transact(changes);
+            this.hasRejected = false;
         }
         catch (thrown) {
-            this.opts.logger.info("suspicion-not-stored", { code: toKnapweedError(thrown).code });
+            this.onFailed(changes, toKnapweedError(thrown));
         }
         this.isWriting = false;
         if (this.pending.size > 0) {
@@ -72,6 +78,15 @@
         }
     }
 
+    /** Gives up a change that the service rejects by itself. A rejected write of several is divided. */
+    private onFailed(changes: readonly [string, SuspicionChange][], error: KnapweedError): void {
+        this.opts.logger.info("suspicion-not-stored", { code: error.code, changes: changes.length });
+        this.hasRejected = isInvalidCall(error);
+        if (this.hasRejected && changes.length === 1) {
+            this.pending.delete(changes[0]![0]);
+        }
+    }
+
     private async transact(changes: readonly [string, SuspicionChange][]): Promise<void> {
         const { succeeded, current } = await this.opts.service.transact(
             changes.map(([key, { replacedRevision }]) => ({ key, modRevision: replacedRevision })),
--- a/daemons/fleet/test/suspicionStore.test.ts
+++ b/daemons/fleet/test/suspicionStore.test.ts
@@ -6,8 +6,10 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamProcessKey } from "@knapweedwood/core.ids/upstreamProcessKey";
 import { answerLostError } from "@knapweedwood/core.key-value/answerLostError";
+import { invalidCallError } from "@knapweedwood/core.key-value/invalidCallError";
 import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
 import type { KeyValueOperation } from "@knapweedwood/core.key-value/keyValueOperation";
+import { MAX_KEY_SIZE_BYTES } from "@knapweedwood/core.key-value/maxKeySizeBytes";
 import type { TransactionResult } from "@knapweedwood/core.key-value/transactionResult";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import type { Suspicion } from "@knapweedwood/fleet.quarantine/suspicion";
@@ -38,6 +40,8 @@
 class LateKeyValueService extends MemoryKeyValueService {
     private late: (() => Promise<unknown>) | undefined;
     private isNextLate = false;
+    /** Key of an entry that can't be written. */
+    rejectedKey: string | undefined;
 
     delayNextWrite(): void {
         this.isNextLate = true;
@@ -48,6 +52,9 @@
     }
 
     override transact(compares: KeyValueCompare[], operations: KeyValueOperation[]): Promise<TransactionResult> {
+        if (operations.some(({ key }) => key === this.rejectedKey)) {
+            return Promise.reject(invalidCallError("The stand-in rejects this key."));
+        }
         if (!this.isNextLate) {
             return super.transact(compares, operations);
         }
@@ -176,3 +183,25 @@
     assert.equal((await stored()).length, parts.length);
     assert.ok(Math.max(...sizes) <= 32, `${Math.max(...sizes)} entries`);
 });
+
+// A part of a prompt whose id made a key too long kept every other suspicion from being stored, for good.
+test("a suspicion that the key-value service rejects holds up no others, and a long id makes no key too long", async () => {
+    const { clock, service, first, stored } = await start();
+    const [bad, sound] = ["request:bad", "request:sound"].map(part => ({
+        ...SUSPICION,
+        part: part as RequestFingerprint,
+    }));
+    service.rejectedKey = fleetKeys.suspicion(bad!.service, bad!.part);
+    const long = { ...SUSPICION, part: "request:long".padEnd(500, "g") as RequestFingerprint };
+    service.faults.outage = true;
+    [bad!, sound!, long].forEach(suspicion => first.write(suspicion));
+    await clock.advance(100);
+    service.faults.outage = false;
+    await clock.advance(3 * REPEATED_MS);
+    assert.deepEqual(new Set((await stored()).map(({ part }) => part)), new Set([sound!.part, long.part]));
+    const keys = (await service.list(fleetKeys.suspicionsPrefix)).map(({ key }) => key);
+    assert.equal(keys.every(key => key.length <= MAX_KEY_SIZE_BYTES), true);
+    first.remove(long);
+    await clock.advance(REPEATED_MS);
+    assert.deepEqual((await stored()).map(({ part }) => part), [sound!.part]);
+});
--- a/fleet/gateway/src/jobRoutes.ts
+++ b/fleet/gateway/src/jobRoutes.ts
@@ -12,7 +12,7 @@
 import { sendFailure } from "./sendFailure.js";
 
 const RETRY_AFTER_MS = 300;
-const STATUS_CODES = { "over-limit": 429, "store-away": 503, "id-taken": 400 };
+const STATUS_CODES = { "over-limit": 429, "store-away": 503, "id-taken": 400, "not-storable": 400 };
 
 /** Handles the HTTP calls about batch jobs. */
 export class JobRoutes {
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -5,6 +5,7 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
 import type { SegmentDigest } from "@knapweedwood/core.ids/segmentDigest";
+import { isInvalidCall } from "@knapweedwood/core.key-value/isInvalidCall";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
 import type { Random } from "@knapweedwood/core.random/random";
@@ -23,6 +24,18 @@
 const LEADER_WRITE_MS = 1500;
 /** Attempts to write one job while other writes change the waiting tokens of its route. */
 const MAX_CONFLICTS = 8;
+/** Pause before a job is written again that the key-value service rejects for what it contains, in milliseconds. */
+const INVALID_RETRY_DELAY_MS = 10_000;
+
+/** A job with the digest of its file; without one it is held by other runners only. */
+type WritableJob = readonly [SegmentDigest | undefined, HeldJob];
+
+/** Why a job couldn't be written. */
+interface WriteFailure {
+    code: string;
+    /** Time before which it isn't tried again, on the clock. */
+    notBeforeMs: number;
+}
 
 interface HeldJobsOptions {
     segments: FolderSegmentStore;
@@ -43,8 +56,8 @@
     private readonly jobs = new Map<SegmentDigest, HeldJob>();
     /** Jobs that this process runs as the leader and that only other runners hold. */
     private readonly adopted = new Map<JobId, HeldJob>();
-    /** Code of the failure that was last logged for a job that couldn't be written. */
-    private readonly loggedCodes = new Map<JobId, string>();
+    private readonly failures = new Map<JobId, WriteFailure>();
+    private lastFailedJobId: JobId | undefined;
     private readonly pendingHolds = new Set<Promise<void>>();
     /**
      * Resolves when files of interrupted writes have been removed and the others are listed; new writes have to wait for it.
@@ -161,35 +174,55 @@
         if (!this.opts.isLeading()) {
             this.adopted.clear();
         }
-        const adopted = [...this.adopted.values()].map(job => [undefined, job] as const);
-        for (const [digest, job] of [...this.jobs, ...adopted]) {
+        for (const [digest, job] of this.jobsToWrite()) {
             try {
                 if (await this.isStored(job) || this.isOutdated(job) || await this.write(job)) {
                     await this.drop(digest, job);
                 }
             }
             catch (thrown) {
-                const error = toKnapweedError(thrown);
-                this.logKept(job, error);
-                this.reachableSinceMs = undefined;
-                return;
+                this.onNotWritten(job, toKnapweedError(thrown));
+                if (!isInvalidCall(thrown)) {
+                    this.reachableSinceMs = undefined;
+                    return;
+                }
             }
         }
     }
 
+    /**
+     * Returns the jobs to be written now, each with the digest of its file if it is held here. Those that failed last come last,
+     * so that one that fails each time holds up no others.
+     */
+    private jobsToWrite(): WritableJob[] {
+        const adopted = [...this.adopted.values()].map((job): WritableJob => [undefined, job]);
+        const all = [...this.jobs, ...adopted];
+        const first = all.findIndex(([, job]) => job.record.jobId === this.lastFailedJobId) + 1;
+        const nowMs = this.opts.clock.nowMs();
+        return [...all.slice(first), ...all.slice(0, first)]
+            .filter(([, { record }]) => nowMs >= (this.failures.get(record.jobId)?.notBeforeMs ?? 0));
+    }
+
+    private onNotWritten(job: HeldJob, error: KnapweedError): void {
+        const { jobId } = job.record;
+        this.lastFailedJobId = jobId;
+        this.logKept(job, error);
+        const delayMs = isInvalidCall(error) ? INVALID_RETRY_DELAY_MS : 0;
+        this.failures.set(jobId, { code: error.code, notBeforeMs: this.opts.clock.nowMs() + delayMs });
+    }
+
     /** Logs why a job can't be written now, once for each reason. */
     private logKept({ record: { jobId, acceptedAtMs } }: HeldJob, { code, message }: KnapweedError): void {
-        if (this.loggedCodes.get(jobId) === code) {
+        if (this.failures.get(jobId)?.code === code) {
             return;
         }
-        this.loggedCodes.set(jobId, code);
         const heldMs = Math.round(this.opts.clock.nowMs() - acceptedAtMs);
         this.opts.logger.info("held-job-kept", { jobId, code, message, heldMs, held: this.jobs.size });
     }
 
     /** @param digest names the file of the job; undefined if it is held by other runners only */
     private async drop(digest: SegmentDigest | undefined, job: HeldJob): Promise<void> {
-        this.loggedCodes.delete(job.record.jobId);
+        this.failures.delete(job.record.jobId);
         if (digest === undefined) {
             this.adopted.delete(job.record.jobId);
             return;
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -5,12 +5,14 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
+import { isInvalidCall } from "@knapweedwood/core.key-value/isInvalidCall";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
 import type { Route } from "@knapweedwood/fleet.view/route";
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Acceptance } from "./acceptance.js";
+import { assertJobStorable } from "./assertJobStorable.js";
 import { createSubmittedJob } from "./createSubmittedJob.js";
 import type { HoldOutcome } from "./holdOutcome.js";
 import type { JobCaller } from "./jobCaller.js";
@@ -63,7 +65,8 @@
 
     /**
      * Stores the job, or holds it on disks. A job that was accepted before is accepted again. Rejects with
-     * `JOB_ITEMS_NOT_UNIQUE` if two items have the same id, since an item has one result.
+     * `JOB_ITEMS_NOT_UNIQUE` if two items have the same id, since an item has one result, and with `JOB_ID_TOO_LONG` or
+     * `JOB_TOO_LARGE` if it could never be stored.
      */
     async accept(route: Route, submission: JobSubmission): Promise<Acceptance> {
         const { jobId } = submission;
@@ -73,6 +76,7 @@
                 outcome: "not-run",
             });
         }
+        assertJobStorable(createSubmittedJob(route, submission, this.clock));
         const acceptance = await this.writeOrHold(route, submission);
         this.logger.info("job-submitted", { jobId, route: route.name, items: submission.items.length, ...acceptance });
         return acceptance;
@@ -191,9 +195,11 @@
         catch (thrown) {
             const error = toKnapweedError(thrown);
             this.logger.warn("job-write-failed", { jobId: submission.jobId, code: error.code, message: error.message });
-            return error.outcome === "not-run"
-                ? { kind: "refused", reason: "store-away", retryAfterMs: RETRY_AFTER_MS }
-                : { kind: "unknown" };
+            if (error.outcome !== "not-run") {
+                return { kind: "unknown" };
+            }
+            const reason = isInvalidCall(error) ? "not-storable" : "store-away";
+            return { kind: "refused", reason, retryAfterMs: RETRY_AFTER_MS };
         }
     }
 
--- a/fleet/jobs/src/jobTable.ts
+++ b/fleet/jobs/src/jobTable.ts
@@ -1,12 +1,13 @@
 import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import type { JobId } from "@knapweedwood/core.ids/jobId";
+import { decodeKeySegment } from "@knapweedwood/core.key-value/decodeKeySegment";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import { assembleJobRecord } from "./assembleJobRecord.js";
 import type { HeldJob } from "./heldJob.js";
 import { isSameTokenGroup } from "./isSameTokenGroup.js";
 import type { ItemProgress } from "./itemProgress.js";
 import type { ItemResult } from "./itemResult.js";
 import { jobKeys } from "./jobKeys.js";
-import type { JobRecord } from "./jobRecord.js";
 import type { ListedItems } from "./listedItems.js";
 import { OpenJob } from "./openJob.js";
 import { PART_BYTES } from "./partBytes.js";
@@ -15,7 +16,7 @@
 /** In-memory table of the stored jobs, assembled from their key-value entries. */
 export class JobTable {
     private readonly jobs = new Map<JobId, OpenJob>();
-    /** Entries whose job record has not arrived yet. */
+    /** Entries of jobs whose record, or a part of whose items, has not arrived yet. */
     private unmatchedEntries: KeyValueEntry[] = [];
     private unmatchedResults: KeyValueEntry[] = [];
     /** Revisions at which jobs were removed. A listing that began before may still bring their entries. */
@@ -58,9 +59,11 @@
         const keyed = [...this.unmatchedEntries, ...entries]
             .map(entry => ({ entry, ...parseKey(entry.key) }))
             .filter(({ entry, jobId }) => entry.modRevision > (this.removedAtRevision.get(jobId) ?? 0));
-        keyed.filter(({ part }) => part === "record").forEach(({ entry, jobId }) => {
-            if (!this.jobs.has(jobId)) {
-                this.jobs.set(jobId, new OpenJob(decodeRecord<JobRecord>(entry.value)));
+        const byKey = new Map(keyed.map(({ entry }) => [entry.key, entry.value]));
+        keyed.filter(({ part, jobId }) => part === "record" && !this.jobs.has(jobId)).forEach(({ entry, jobId }) => {
+            const record = assembleJobRecord(entry.value, index => byKey.get(jobKeys.items(jobId, index)));
+            if (record !== undefined) {
+                this.jobs.set(jobId, new OpenJob(record));
             }
         });
         this.retryUnmatchedResults();
@@ -84,8 +87,8 @@
     /** Applies stored results and progress. Results have to be in the order of their keys. */
     applyResults(entries: readonly KeyValueEntry[]): void {
         entries.forEach(entry => {
-            const [jobId, kind, number] = entry.key.slice(jobKeys.resultsPrefix.length).split("/");
-            const job = this.jobs.get(jobId as JobId);
+            const [segment, kind, number] = entry.key.slice(jobKeys.resultsPrefix.length).split("/");
+            const job = this.jobs.get(decodeKeySegment(segment!) as JobId);
             if (job === undefined) {
                 this.unmatchedResults.push(entry);
             }
@@ -139,5 +142,5 @@
 function parseKey(key: string): { jobId: JobId; part: string; } {
     const rest = key.slice(jobKeys.jobsPrefix.length);
     const slash = rest.indexOf("/");
-    return { jobId: rest.slice(0, slash) as JobId, part: rest.slice(slash + 1) };
+    return { jobId: decodeKeySegment(rest.slice(0, slash)) as JobId, part: rest.slice(slash + 1) };
 }
--- a/fleet/jobs/src/pendingResult.ts
+++ b/fleet/jobs/src/pendingResult.ts
@@ -5,4 +5,6 @@
 export interface PendingResult {
     job: OpenJob;
     result: ItemResult;
+    /** Whether it is written by itself, as the key-value service has rejected a write that contained it. */
+    isAlone?: boolean;
 }
--- a/fleet/jobs/src/planJobWrite.ts
+++ b/fleet/jobs/src/planJobWrite.ts
@@ -14,7 +14,10 @@
 interface JobWrite {
     compares: KeyValueCompare[];
     operations: KeyValueOperation[];
-    /** Waiting tokens of the route including this job; 0 if they aren't counted. */
+    /**
+     * Waiting tokens of the route including this job; 0 if they aren't counted, infinity if so many jobs wait that their list
+     * can't be stored.
+     */
     waitingTokens: number;
 }
 
@@ -40,9 +43,12 @@
     const key = jobKeys.waitingTokens(record.routeName, record.team);
     const others = waitingTokensEntry === undefined ? [] : decodeRecord<WaitingTokens>(waitingTokensEntry.value).jobs;
     const jobs = [...others, { jobId: record.jobId, tokens: countJobTokens(record) }];
+    const value = encodeRecord({ jobs } satisfies WaitingTokens);
     return {
         compares: [...compares, { key, modRevision: waitingTokensEntry?.modRevision ?? 0 }],
-        operations: [...operations, { kind: "put", key, value: encodeRecord({ jobs } satisfies WaitingTokens) }],
-        waitingTokens: jobs.reduce((sum, other) => sum + other.tokens, 0),
+        operations: [...operations, { kind: "put", key, value }],
+        waitingTokens: value.length > MAX_VALUE_SIZE_BYTES
+            ? Infinity
+            : jobs.reduce((sum, other) => sum + other.tokens, 0),
     };
 }
--- a/fleet/jobs/src/resultCommitter.ts
+++ b/fleet/jobs/src/resultCommitter.ts
@@ -1,7 +1,9 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
+import type { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
+import { isInvalidCall } from "@knapweedwood/core.key-value/isInvalidCall";
 import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
 import type { KeyValueService } from "@knapweedwood/core.key-value/keyValueService";
 import { settleTransaction } from "@knapweedwood/core.key-value/settleTransaction";
@@ -91,8 +93,9 @@
         listed.forEach(dropped => this.logDropped(dropped));
         const unlisted = this.pending.filter(pending => !listed.includes(pending));
         const batch = new ResultBatch(fence);
-        const firstLeft = unlisted.findIndex(pending => !batch.add(pending));
-        this.pending = firstLeft < 0 ? [] : unlisted.slice(firstLeft);
+        const candidates = unlisted[0]?.isAlone === true ? unlisted.slice(0, 1) : unlisted;
+        const firstLeft = candidates.findIndex(pending => !batch.add(pending));
+        this.pending = unlisted.slice(firstLeft < 0 ? candidates.length : firstLeft);
         return batch;
     }
 
@@ -123,11 +126,34 @@
             catch (thrown) {
                 const error = toKnapweedError(thrown);
                 this.opts.logger.debug("result-write-failed", { code: error.code, message: error.message });
+                if (isInvalidCall(error)) {
+                    this.onRejected(batch, error);
+                    return;
+                }
             }
             await sleep(this.opts.clock, RETRY_DELAY_MS);
         }
     }
 
+    /**
+     * Writes the results of a rejected write one by one. An item whose result is rejected by itself is given up, since the
+     * service would reject the same result again.
+     */
+    private onRejected(batch: ResultBatch, { code, message }: KnapweedError): void {
+        const { results } = batch;
+        const isAlone = results.length === 1;
+        const jobIds = batch.jobs.map(job => job.record.jobId);
+        this.opts.logger.error("results-rejected", { jobIds, results: results.length, code, message });
+        const retried = isAlone ? results.filter(({ result }) => result.state === "completed") : results;
+        results.filter(pending => !retried.includes(pending)).forEach(dropped => this.logDropped(dropped));
+        const left = retried.map(({ job, result }): PendingResult => ({
+            job,
+            result: isAlone ? { itemId: result.itemId, state: "given-up", output: "" } : result,
+            isAlone: true,
+        }));
+        this.pending = [...left, ...this.pending];
+    }
+
     private onStored(batch: ResultBatch, revision: number): void {
         batch.results.forEach(({ job, result, position }) => {
             job.addResult(position, result);
--- a/fleet/jobs/src/storedJobReader.ts
+++ b/fleet/jobs/src/storedJobReader.ts
@@ -7,10 +7,10 @@
 import type { ItemResult } from "./itemResult.js";
 import type { JobCaller } from "./jobCaller.js";
 import { jobKeys } from "./jobKeys.js";
-import type { JobRecord } from "./jobRecord.js";
 import { JobTable } from "./jobTable.js";
 import { mayAccessJob } from "./mayAccessJob.js";
 import type { ResultsPage } from "./resultsPage.js";
+import type { StoredJobRecord } from "./storedJobRecord.js";
 
 /**
  * Reads jobs from the key-value service, in any process. It never reports that a job doesn't exist, only that a stored one
@@ -41,7 +41,7 @@
         if (record === undefined) {
             throw notStored(jobId);
         }
-        const job = decodeRecord<JobRecord>(record.value);
+        const job = decodeRecord<StoredJobRecord>(record.value);
         if (!mayAccessJob(job, opts.caller)) {
             return undefined;
         }
@@ -50,7 +50,7 @@
             throw notStored(jobId);
         }
         const results = entries.map(entry => decodeRecord<ItemResult>(entry.value));
-        return cutResultsPage(results, { total: job.items.length, after });
+        return cutResultsPage(results, { total: job.itemCount ?? job.items.length, after });
     }
 
     /**
--- a/fleet/jobs/test/heldJobs.test.ts
+++ b/fleet/jobs/test/heldJobs.test.ts
@@ -1,6 +1,8 @@
 import { decodeRecord } from "@knapweedwood/batch.records/decodeRecord";
 import { FolderSegmentStore } from "@knapweedwood/batch.segments/folderSegmentStore";
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
+import type { JobId } from "@knapweedwood/core.ids/jobId";
+import { answerLostError } from "@knapweedwood/core.key-value/answerLostError";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
@@ -19,6 +21,7 @@
 import { TOMBSTONE_RETENTION_MS } from "../src/tombstoneRetentionMs.js";
 import type { WaitingTokens } from "../src/waitingTokens.js";
 import { createJobRecord } from "./createJobRecord.js";
+import { RejectingKeyValueService } from "./rejectingKeyValueService.js";
 
 /** Rounds of `settle` after which a test no longer waits for a condition. */
 const MAX_ROUNDS = 50;
@@ -293,3 +296,44 @@
         await assert.rejects(held.hold(job));
     });
 });
+
+// The first job that couldn't be written ended each round, so that those behind it stayed on disks for good.
+test("a job that can't be written, for whatever reason, doesn't hold up the others", async () => {
+    for (const failure of ["rejected", "answer lost"]) {
+        await withFolder(async folder => {
+            const clock = new ManualClock();
+            const service = new RejectingKeyValueService({ clock });
+            service.faults.outage = true;
+            const controller = new AbortController();
+            const { held } = start({ folder, service, clock, signal: controller.signal });
+            await settle(clock);
+            const ids = ["j1", "j2", "j3", "j4"];
+            for (const id of ids) {
+                const record = createJobRecord({ id, itemCount: 1 });
+                await held.hold({ record, bodies: Buffer.alloc(0), maxWaitingTokens: undefined });
+            }
+            const isOfBadJob = (key: string) => key === jobKeys.record("j2" as JobId);
+            service.isRejected = ({ key }) => isOfBadJob(key) && failure === "rejected";
+            const transact = service.transact.bind(service);
+            mock.method(
+                service,
+                "transact",
+                (...[compares, operations]: Parameters<typeof transact>) =>
+                    failure === "answer lost" && operations.some(({ key }) => isOfBadJob(key))
+                        ? Promise.reject(answerLostError("The stand-in never answers this write"))
+                        : transact(compares, operations),
+            );
+            service.faults.outage = false;
+            await settleUntil(clock, () => held.count === 1);
+            assert.deepEqual(held.all().map(({ record }) => record.jobId), ["j2"], failure);
+            const stored = (await service.list(jobKeys.jobsPrefix)).map(({ key }) => key);
+            assert.deepEqual(stored, ["j1", "j3", "j4"].map(id => jobKeys.record(id as JobId)));
+
+            service.isRejected = () => false;
+            mock.restoreAll();
+            await settleUntil(clock, () => held.count === 0);
+            assert.equal(held.count, 0, "it is still held, and written once that is possible");
+            controller.abort();
+        });
+    }
+});
--- a/fleet/jobs/test/resultCommitter.test.ts
+++ b/fleet/jobs/test/resultCommitter.test.ts
@@ -3,7 +3,6 @@
 import type { KeyValueCompare } from "@knapweedwood/core.key-value/keyValueCompare";
 import type { FencedLeadership } from "@knapweedwood/fleet.sync/fencedLeadership";
 import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
-import { MemoryKeyValueService } from "@knapweedwood/standins.key-value/memoryKeyValueService";
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
 import type { ItemResult } from "../src/itemResult.js";
@@ -11,6 +10,7 @@
 import { OpenJob } from "../src/openJob.js";
 import { ResultCommitter } from "../src/resultCommitter.js";
 import { createJobRecord } from "./createJobRecord.js";
+import { RejectingKeyValueService } from "./rejectingKeyValueService.js";
 
 const LEADER_KEY = "leader";
 
@@ -34,7 +34,7 @@
 
 async function setUp() {
     const clock = new ManualClock();
-    const service = new MemoryKeyValueService({ clock });
+    const service = new RejectingKeyValueService({ clock });
     const leadership = new TestLeadership();
     const gainLeadership = async () => {
         const put = { kind: "put", key: LEADER_KEY, value: Buffer.from(String(Math.random())) } as const;
@@ -176,3 +176,17 @@
     assert.equal(leadership.stepDownCount, 1);
     assert.deepEqual(await storedResults(), []);
 });
+
+// A write of results that the key-value service rejects was repeated without end, and no result of any job was stored.
+test("a result that the key-value service rejects is given up, and holds up no others", async () => {
+    const { clock, service, committer, job, result, storedResults } = await setUp();
+    service.isRejected = operation =>
+        operation.kind === "put" && Buffer.from(operation.value).toString().includes("refused");
+    committer.add(job, result(0));
+    committer.add(job, { ...result(1), output: "refused" });
+    committer.add(job, result(2));
+    await clock.advance(3000);
+    const states = job.page(0).results.map(({ itemId, state }) => [itemId, state]);
+    assert.deepEqual(states, [["j-0", "completed"], ["j-1", "given-up"], ["j-2", "completed"]]);
+    assert.equal((await storedResults()).length, 3);
+});
--- a/fleet/sync/src/fleetKeys.ts
+++ b/fleet/sync/src/fleetKeys.ts
@@ -1,6 +1,7 @@
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import type { RequestTraitId } from "@knapweedwood/core.ids/requestTraitId";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import { boundedKey } from "@knapweedwood/core.key-value/boundedKey";
 
 const PREFIX = "knapweed/fleet/";
 const SUSPICIONS_PREFIX = `${PREFIX}suspicions/`;
@@ -17,7 +18,7 @@
     suspicionsPrefix: SUSPICIONS_PREFIX,
     /** Written by the process that runs batch jobs. */
     jobsLeader: `${PREFIX}jobs-leader`,
-    suspicion: (service: ServiceName, part: RequestTraitId) => `${SUSPICIONS_PREFIX}${service}/${part}`,
+    suspicion: (service: ServiceName, part: RequestTraitId) => boundedKey(`${SUSPICIONS_PREFIX}${service}/${part}`),
     member: (instanceName: InstanceName) => `${MEMBERS_PREFIX}${instanceName}`,
     runner: (instanceName: InstanceName) => `${RUNNERS_PREFIX}${instanceName}`,
 } as const;
