fix(jobs): items that can't be sent are rejected with their job, and count as no failure of an upstream

An item's own headers were sent beside the system's; the HTTP client refused the request before it sent anything, which was reported as an upstream that can't be reached. Each of these tries counted as its failure, so that all upstreams were ejected for items, and the item was tried again without end. An online call with two Host headers took the same way (new here: it passes the server of Node.js), and so did an item or call with X-Expect-Version: its 421 ejected the upstream as a replaced one.

The class: what a caller sends is charged to the upstream, and tried again though nothing will change. - An item that no upstream can get is rejected at its submission with the whole job: 400 with its index and field (id, path, names and values of headers, a head larger than the operators allow). What can be run is run: headers of one connection, Host, X-Request-Id, Last-Event-Id and X-Expect-Instance are the system's, as for online calls. - What the HTTP client refuses nevertheless is a failure of its own kind: it keeps the connection, says nothing of the upstream, is final for a call (400), and an attempt for an item. - 421 says that an upstream was replaced only where the caller demands no version. - Ids: that of a job is decoded from the path of reads and cancellations; other than printable ASCII ids are rejected; calls about an id that no job can have are answered 404, not 503.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -150,6 +150,7 @@
                 areHeldJobsWritten: () => this.fleet.reachability.areHeldJobsWritten,
                 isKnownToLeader: (jobId, caller) => leaderJobs.isKnown(jobId, caller),
                 isTokenCountComplete: () => this.fleet.reachability.isTokenCountComplete,
+                maxItemHeadBytes: () => configuration.current?.limits.maxHeaderBytes ?? Infinity,
             }),
             reader: new FallbackJobReader({
                 logger,
--- a/fleet/gateway/src/jobRoutes.ts
+++ b/fleet/gateway/src/jobRoutes.ts
@@ -1,6 +1,7 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { Acceptance } from "@knapweedwood/fleet.jobs/acceptance";
+import { isJobIdValid } from "@knapweedwood/fleet.jobs/isJobIdValid";
 import type { JobAcceptor } from "@knapweedwood/fleet.jobs/jobAcceptor";
 import type { JobCaller } from "@knapweedwood/fleet.jobs/jobCaller";
 import type { Route } from "@knapweedwood/fleet.view/route";
@@ -80,6 +81,10 @@
     }
 
     private async dispatch(call: JobCall, caller: JobCaller | undefined, response: ServerResponse): Promise<void> {
+        if (!isJobIdValid(call.jobId)) {
+            sendFailure(response, { statusCode: 404, message: "No job can have this id" });
+            return;
+        }
         const callerField = caller === undefined ? {} : { caller };
         switch (call.kind) {
             case "read-results": {
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -261,7 +261,8 @@
         }
         if (head.header(headers.notRun) !== undefined || head.statusCode === HTTP_MISDIRECTED) {
             attempt.isNotRun = true;
-            if (head.statusCode === HTTP_MISDIRECTED) {
+            // A version that the caller demands is another reason for this status.
+            if (head.statusCode === HTTP_MISDIRECTED && headerOf(this.request, headers.expectedVersion) === undefined) {
                 this.context.health.onMisdirected(attempt.upstream.id, this.context.clock.nowMs());
             }
             this.recorder.log("upstream-not-run", { upstream: attempt.upstream.id, statusCode: head.statusCode });
@@ -358,6 +359,10 @@
             return;
         }
         this.release(attempt);
+        if (failure.isUnsendable === true) {
+            this.onUnsendable(failure);
+            return;
+        }
         if (attempt.isNotRun && failure.isConnectionBroken) {
             this.retryOrReject("upstreams did not run it");
             return;
@@ -385,6 +390,13 @@
         this.fail(502, "The upstream broke off");
     }
 
+    /** Rejects a request that can be sent to no upstream. It says nothing of the one that was chosen. */
+    private onUnsendable({ code, message }: ExchangeFailure): void {
+        this.onNotRun();
+        this.recorder.log("request-unsendable", { code, message });
+        this.fail(400, "The request can't be forwarded");
+    }
+
     private retryOrReject(reason: string): void {
         if (this.attempts < this.route.maxAttempts) {
             this.requeue();
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -42,6 +42,7 @@
     requestId: "x-request-id",
     remainingMs: "x-remaining",
     expectedUpstream: "x-expected",
+    expectedVersion: "x-version",
     notRun: "x-not-run",
     leaving: "x-leaving",
     requestLimit: "x-limit",
--- a/fleet/jobs/src/applyRunOutcome.ts
+++ b/fleet/jobs/src/applyRunOutcome.ts
@@ -9,7 +9,8 @@
 
 /**
  * Updates an item after a run and returns the next step. An item fails permanently only if an upstream reports that it
- * can't be processed, or after `maxAttempts` failures. Interrupted runs don't count as failures.
+ * can't be processed, or after `maxAttempts` failures, of which one is that it can't be sent. Interrupted runs don't count as
+ * failures.
  */
 export function applyRunOutcome(
     item: JobItem,
@@ -23,6 +24,7 @@
             item.isImpossible = true;
             return "given-up";
         case "failed":
+        case "unsendable":
             item.failedAttempts += 1;
             item.notBeforeMs = opts.nowMs + RETRY_DELAY_MS;
             return item.failedAttempts >= opts.maxAttempts ? "given-up" : "retry";
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -12,6 +12,7 @@
 import type { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import { discardEvents } from "./discardEvents.js";
+import { itemHeadersOf } from "./itemHeadersOf.js";
 import type { ItemRunHeaders } from "./itemRunHeaders.js";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
 import type { JobCaller } from "./jobCaller.js";
@@ -99,19 +100,16 @@
         }
         item.softwareVersion = this.upstream.softwareVersion;
         this.outputBytes = item.events.reduce((sum, event) => sum + jsonBytesOf(event), 0);
-        const list = ["host", opts.host, ...this.ownHeaders(opts.caller !== undefined)];
-        list.push(headers.requestId, item.id, headers.expectedUpstream, this.upstream.id);
-        if (opts.caller?.team !== undefined) {
-            list.push(headers.team, opts.caller.team);
-        }
-        if (item.lastEventId > 0) {
-            list.push(headers.lastEventId, String(item.lastEventId));
-        }
         this.restartStallTimer();
         this.exchange = connections.send(this.upstream, {
             method: "POST",
             path: item.record.path,
-            headers: list,
+            headers: itemHeadersOf(item, {
+                names: headers,
+                host: opts.host,
+                upstreamId: this.upstream.id,
+                caller: opts.caller,
+            }),
             body: opts.body,
             requestId: item.id,
         }, {
@@ -139,14 +137,6 @@
         this.exchange?.abort();
     }
 
-    /** Returns alternating names and values of the headers that the caller gave the item. */
-    private ownHeaders(hasTeams: boolean): string[] {
-        const reserved = hasTeams ? [this.headers.key, this.headers.team] : [];
-        return this.item.record.headers
-            .filter(({ name }) => !reserved.includes(name.toLowerCase()))
-            .flatMap(({ name, value }) => [name, value]);
-    }
-
     private onData(chunk: Buffer): void {
         if (this.isEnded) {
             return;
@@ -209,7 +199,7 @@
 
     private outcomeOf(head: ResponseHead, ending: ResponseEnding): ItemRunOutcome {
         if (this.isNotRun(head)) {
-            return notRunOutcomeOf(head);
+            return this.notRunOutcomeOf(head);
         }
         if (head.statusCode === HTTP_UNPROCESSABLE) {
             return { kind: "impossible" };
@@ -232,10 +222,19 @@
     }
 
     private outcomeOfFailure(failure: ExchangeFailure): ItemRunOutcome {
-        const { mayHaveRun: _mayHaveRun, ...broken } = failure;
-        return this.head !== undefined && this.isNotRun(this.head)
-            ? notRunOutcomeOf(this.head)
-            : { kind: "broken", ...broken };
+        const { mayHaveRun: _mayHaveRun, isUnsendable, code, message, ...broken } = failure;
+        if (this.head !== undefined && this.isNotRun(this.head)) {
+            return this.notRunOutcomeOf(this.head);
+        }
+        const reason = message === undefined ? { code } : { code, message };
+        return isUnsendable === true ? { kind: "unsendable", ...reason } : { kind: "broken", ...broken, ...reason };
+    }
+
+    /** A version that the caller demands is another reason for 421 than another process at the upstream's address. */
+    private notRunOutcomeOf({ statusCode }: ResponseHead): ItemRunOutcome {
+        const { expectedVersion } = this.headers;
+        const demandsVersion = this.item.record.headers.some(({ name }) => name.toLowerCase() === expectedVersion);
+        return { kind: "not-run", isMisdirected: statusCode === HTTP_MISDIRECTED && !demandsVersion };
     }
 
     private isNotRun(head: ResponseHead): boolean {
@@ -260,10 +259,6 @@
     }
 }
 
-function notRunOutcomeOf(head: ResponseHead): ItemRunOutcome {
-    return { kind: "not-run", isMisdirected: head.statusCode === HTTP_MISDIRECTED };
-}
-
 /** Returns the size of an event as JSON, with what separates it from the next. */
 function jsonBytesOf(event: string): number {
     return Buffer.byteLength(JSON.stringify(event)) + 1;
--- a/fleet/jobs/src/itemRunHeaders.ts
+++ b/fleet/jobs/src/itemRunHeaders.ts
@@ -5,6 +5,7 @@
     CallHeaderNames,
     | "requestId"
     | "expectedUpstream"
+    | "expectedVersion"
     | "promptParts"
     | "lastEventId"
     | "notRun"
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -13,6 +13,7 @@
 import type { Logger } from "@knapweedwood/observability.logs/logger";
 import type { Acceptance } from "./acceptance.js";
 import { assertJobStorable } from "./assertJobStorable.js";
+import { assertSubmissionValid } from "./assertSubmissionValid.js";
 import { createSubmittedJob } from "./createSubmittedJob.js";
 import type { HoldOutcome } from "./holdOutcome.js";
 import type { JobCaller } from "./jobCaller.js";
@@ -37,6 +38,7 @@
     private readonly areHeldJobsWritten: () => boolean;
     private readonly isKnownToLeader: (jobId: JobId, caller: JobCaller | undefined) => Promise<boolean>;
     private readonly isTokenCountComplete: () => boolean;
+    private readonly maxItemHeadBytes: () => number;
     private readonly waitingTokensEntries = new Map<string, KeyValueEntry>();
 
     /**
@@ -44,6 +46,7 @@
      * @param opts.areHeldJobsWritten whether jobs held during an outage have had time to be written
      * @param opts.isKnownToLeader whether a job of the caller exists that may only be held on disks; rejects if that is uncertain
      * @param opts.isTokenCountComplete whether the stored count of waiting tokens contains all jobs
+     * @param opts.maxItemHeadBytes largest head of the request of an item; unlimited if it is left out
      */
     constructor(opts: {
         service: KeyValueService;
@@ -53,6 +56,7 @@
         areHeldJobsWritten: () => boolean;
         isKnownToLeader: (jobId: JobId, caller: JobCaller | undefined) => Promise<boolean>;
         isTokenCountComplete: () => boolean;
+        maxItemHeadBytes?: () => number;
     }) {
         this.service = opts.service;
         this.clock = opts.clock;
@@ -61,21 +65,16 @@
         this.areHeldJobsWritten = opts.areHeldJobsWritten;
         this.isKnownToLeader = opts.isKnownToLeader;
         this.isTokenCountComplete = opts.isTokenCountComplete;
+        this.maxItemHeadBytes = opts.maxItemHeadBytes ?? (() => Infinity);
     }
 
     /**
-     * Stores the job, or holds it on disks. A job that was accepted before is accepted again. Rejects with
-     * `JOB_ITEMS_NOT_UNIQUE` if two items have the same id, since an item has one result, and with `JOB_ID_TOO_LONG` or
-     * `JOB_TOO_LARGE` if it could never be stored.
+     * Stores the job, or holds it on disks. A job that was accepted before is accepted again. Rejects with the
+     * errors of `assertSubmissionValid` if it can't be run, and with `JOB_TOO_LARGE` if it could never be stored.
      */
     async accept(route: Route, submission: JobSubmission): Promise<Acceptance> {
         const { jobId } = submission;
-        if (new Set(submission.items.map(({ id }) => id)).size < submission.items.length) {
-            throw new KnapweedError("JOB_ITEMS_NOT_UNIQUE", `Two items of job ${jobId} have the same id`, {
-                hint: "Give each item of a job an id of its own.",
-                outcome: "not-run",
-            });
-        }
+        assertSubmissionValid(submission, { maxHeadBytes: this.maxItemHeadBytes() });
         assertJobStorable(createSubmittedJob(route, submission, this.clock));
         const acceptance = await this.writeOrHold(route, submission);
         this.logger.info("job-submitted", { jobId, route: route.name, items: submission.items.length, ...acceptance });
--- a/fleet/jobs/src/recordUpstreamHealth.ts
+++ b/fleet/jobs/src/recordUpstreamHealth.ts
@@ -15,7 +15,7 @@
     else if (outcome.kind === "not-run" && outcome.isMisdirected) {
         health.onMisdirected(upstreamId, nowMs);
     }
-    else {
+    else if (outcome.kind !== "unsendable") {
         health.onSuccess(upstreamId, nowMs);
     }
 }
--- a/fleet/jobs/test/callHeaders.ts
+++ b/fleet/jobs/test/callHeaders.ts
@@ -2,6 +2,7 @@
 export const callHeaders = {
     requestId: "i",
     expectedUpstream: "u",
+    expectedVersion: "v",
     lastEventId: "l",
     notRun: "n",
     leaving: "g",
--- a/fleet/upstreams/src/exchangeFailure.ts
+++ b/fleet/upstreams/src/exchangeFailure.ts
@@ -2,6 +2,8 @@
 export interface ExchangeFailure {
     /** False only if the upstream certainly received nothing of the request. */
     mayHaveRun: boolean;
+    /** Whether the HTTP client refused to send the request to any upstream, so that a repeated one is refused too. */
+    isUnsendable?: true;
     /** Whether no connection could be established. */
     isUnreachable: boolean;
     /** Whether the connection broke, as it does when the upstream ends, and wasn't closed by this process. */
--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -34,6 +34,10 @@
 const BURST_PARTS = 1024;
 /** Failure of an exchange whose response is not acceptable. */
 const INVALID = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
+/** Failure of an exchange whose request the HTTP client refuses to send. */
+const UNSENDABLE = { mayHaveRun: false, isUnsendable: true, isUnreachable: false, isConnectionBroken: false } as const;
+/** Codes of the HTTP client's errors that are about the request only. */
+const REFUSED_REQUEST_CODES = ["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED", "UND_ERR_REQ_CONTENT_LENGTH_MISMATCH"];
 const HTTP_BAD_REQUEST = 400;
 const REQUEST_ID_HEADER = "x-request-id";
 /** Number of earlier requests of a connection whose late responses are told apart by their ids. */
@@ -115,6 +119,14 @@
                 handler.onFailure(failure);
             }
         };
+        // Nothing was sent, so that the connection is as good as before.
+        const rejectUnsendable = (error: Error) => {
+            if (!isEnded) {
+                isEnded = true;
+                this.onIdle();
+                handler.onFailure({ ...UNSENDABLE, code: codeOf(error), message: error.message });
+            }
+        };
         this.failExchange = fail;
         this.requestIds = [...this.requestIds, request.requestId].slice(-REMEMBERED_REQUESTS);
         this.recordData();
@@ -162,6 +174,10 @@
                 }
             },
             onResponseError: (_controller, error) => {
+                if (reading.controller === undefined && isRefusedByClient(error)) {
+                    queueMicrotask(() => rejectUnsendable(error));
+                    return;
+                }
                 const wasSent = reading.controller !== undefined;
                 // The HTTP client itself closes a connection on which it receives anything but a valid response.
                 const isConnectionBroken = wasSent && this.isClosedByPeer;
@@ -246,6 +262,10 @@
     }
 }
 
+function isRefusedByClient(error: Error): boolean {
+    return REFUSED_REQUEST_CODES.includes((error as NodeJS.ErrnoException).code ?? "");
+}
+
 function codeOf(error: Error): string {
     return error instanceof ConnectionBrokenError
         ? error.causeCode
--- a/fleet/view/src/callHeaderNames.ts
+++ b/fleet/view/src/callHeaderNames.ts
@@ -5,6 +5,8 @@
     remainingMs: string;
     /** Carries the id of the only upstream that may run the request. */
     expectedUpstream: string;
+    /** Demands a version of the upstream's weights. Any other upstream rejects the request like one for another upstream. */
+    expectedVersion: string;
     /** Present on responses of upstreams that did not run the request. */
     notRun: string;
     /** Present on all responses of upstreams that are about to end. */
