fix(upstreams): a response without a length isn't complete while a long upload is unread

Node.js closes its socket at the peer's end, so that the reset was never seen.

Responses with a length or chunks, and small requests, end as before. RFC 9112, section 9.6, has a server that closes early read on after its end, and such an answer stays complete. A server that only ends its half, reads nothing and resets later than that can't be told where the buffers of the system hold the whole upload.

--- a/core/http-connections/src/createHttpConnector.ts
+++ b/core/http-connections/src/createHttpConnector.ts
@@ -9,7 +9,8 @@
 export function createHttpConnector(
     opts: { timeoutMs: number; onConnected?: (connection: HttpConnection) => void; },
 ): buildConnector.connector {
-    const connect = buildConnector({ timeout: opts.timeoutMs });
+    // The connection itself ends the socket: one that Node.js closes at the peer's end doesn't tell of a reset after that.
+    const connect = buildConnector({ timeout: opts.timeoutMs, allowHalfOpen: true });
     return (target, callback) =>
         connect(target, (...[error, socket]) => {
             if (error !== null) {
--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -40,6 +40,8 @@
 const REFUSED_REQUEST_CODES = ["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED", "UND_ERR_REQ_CONTENT_LENGTH_MISMATCH"];
 const HTTP_BAD_REQUEST = 400;
 const REQUEST_ID_HEADER = "x-request-id";
+/** Size of a request's body from which an upstream may answer before it has read all of it, in bytes. */
+const LONG_BODY_BYTES = 65_536;
 /** Number of earlier requests of a connection whose late responses are told apart by their ids. */
 const REMEMBERED_REQUESTS = 16;
 
@@ -146,6 +148,10 @@
                 }
                 this.recordData();
                 ending = responseEndingOf(request.method, statusCode, headers);
+                if (this.connection !== undefined && ending === "close") {
+                    // An upstream may close before it has read the whole request.
+                    this.connection.mustConfirmEnd = (request.body?.length ?? 0) > LONG_BODY_BYTES;
+                }
                 if (!this.isResponseTo(request, headers)) {
                     fail({ ...INVALID, code: "ANSWER_OF_ANOTHER_REQUEST" });
                     return;
