fix(upstreams): a response whose status HTTP doesn't have is a failure of its upstream

RFC 9110, section 15, has no values outside 100 to 599. Such a response is now a failure of the upstream, of items too, and is repeated where it may; the same for plain services of the product standing alone.

--- a/daemons/side/src/plainUpstream.ts
+++ b/daemons/side/src/plainUpstream.ts
@@ -1,5 +1,6 @@
 import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { createHttpConnector } from "@knapweedwood/core.http-connections/createHttpConnector";
+import { isValidStatusCode } from "@knapweedwood/core.http-connections/isValidStatusCode";
 import { forwardableHeaders } from "@knapweedwood/core.http-headers/forwardableHeaders";
 import type { PlainCallRequest } from "@knapweedwood/daemons.inference/plainCallRequest";
 import type { PlainFrame } from "@knapweedwood/daemons.inference/plainFrame";
@@ -22,7 +23,7 @@
 
     /**
      * Sends a call and yields its response: the head, then the body. Throws `UPSTREAM_FAILED` if no response head
-     * arrives, with outcome `not-run` if no connection was made and `unknown` otherwise. Throws `UPSTREAM_CUT`
+     * arrives or its status is none of HTTP, with outcome `not-run` if no connection was made and `unknown` otherwise. Throws `UPSTREAM_CUT`
      * (`unknown`) if the body ends early.
      */
     async *call(
@@ -30,6 +31,12 @@
         opts: { body: AsyncIterable<Uint8Array> | Uint8Array | undefined; signal: AbortSignal; },
     ): AsyncIterable<PlainFrame> {
         const response = await this.send(request, opts);
+        if (!isValidStatusCode(response.statusCode)) {
+            response.body.on("error", () => undefined).destroy();
+            throw new KnapweedError("UPSTREAM_FAILED", `The upstream's status ${response.statusCode} is none of HTTP`, {
+                outcome: "unknown",
+            });
+        }
         yield {
             kind: "head",
             statusCode: response.statusCode,
--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -2,6 +2,7 @@
 import { ConnectionBrokenError } from "@knapweedwood/core.http-connections/connectionBrokenError";
 import { createHttpConnector } from "@knapweedwood/core.http-connections/createHttpConnector";
 import type { HttpConnection } from "@knapweedwood/core.http-connections/httpConnection";
+import { isValidStatusCode } from "@knapweedwood/core.http-connections/isValidStatusCode";
 import type { HostPort } from "@knapweedwood/fleet.view/hostPort";
 import type { IncomingHttpHeaders } from "node:http";
 import { Client, type Dispatcher } from "undici";
@@ -104,7 +105,7 @@
 
     /**
      * Sends a request; the handler receives the response. Fails with `mayHaveRun` and the code `RESENT` if the HTTP
-     * client sends the request a second time, `ANSWER_OF_ANOTHER_REQUEST` if the response has another request id,
+     * client sends the request a second time, `ANSWER_OF_ANOTHER_REQUEST` if the response has another request id, `ANSWER_WITH_INVALID_STATUS` if its status is none of HTTP,
      * `ANSWER_WITHOUT_END` if the upstream sends too many bytes that are neither a head nor data. A response in too many small
      * parts is read slowly, so that it leaves time for others.
      */
@@ -147,6 +148,10 @@
                     return;
                 }
                 this.recordData();
+                if (!isValidStatusCode(statusCode)) {
+                    fail({ ...INVALID, code: "ANSWER_WITH_INVALID_STATUS" });
+                    return;
+                }
                 ending = responseEndingOf(request.method, statusCode, headers);
                 if (this.connection !== undefined && ending === "close") {
                     // An upstream may close before it has read the whole request.
