fix(jobs): the parts of a job are as small as the values that the key-value service takes

The service now says what it takes, by the setting where there is one, and parts follow it. Outputs of items are still limited by the constant.

Measured: the new test stores and reads a job of 330 KB in values of 50,000 bytes; it fails before, as the part size was fixed.

--- a/core/key-value/src/keyValueService.ts
+++ b/core/key-value/src/keyValueService.ts
@@ -12,6 +12,8 @@
  * what it contains, so that a repeated one is rejected too, `isInvalidCall` tells it.
  */
 export interface KeyValueService {
+    /** Largest value that the service takes, in bytes; undefined for `MAX_VALUE_SIZE_BYTES`. */
+    readonly maxValueSizeBytes?: number | undefined;
     get(key: string): Promise<KeyValueEntry | undefined>;
     /** Returns the entries whose key starts with `prefix` and sorts after `afterKey`, in key order, shape [entries]. */
     list(prefix: string, opts?: { limit?: number; afterKey?: string; }): Promise<KeyValueEntry[]>;
--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -145,6 +145,7 @@
             clock,
             address: settings.keyValueAddress,
             metrics: this.metrics,
+            maxValueSizeBytes: settings.maxValueSizeBytes,
         });
         const watchWaitMs = () => computeWatchWaitMs(this.peers.count);
         const coalesceMs = () => computeCoalesceMs(this.peers.count);
--- a/fleet/jobs/src/assertJobStorable.ts
+++ b/fleet/jobs/src/assertJobStorable.ts
@@ -10,8 +10,8 @@
  * Throws `JOB_TOO_LARGE` if the key-value service would never take the job, so that it must not be
  * accepted: a job that is only held on disks is gone with them.
  */
-export function assertJobStorable(job: HeldJob): void {
-    const { compares, operations } = planJobWrite(job, undefined);
+export function assertJobStorable(job: HeldJob, maxValueSizeBytes?: number): void {
+    const { compares, operations } = planJobWrite(job, undefined, maxValueSizeBytes);
     const entries = compares.length + operations.length + LEADER_COMPARES;
     if (entries > MAX_TRANSACTION_ENTRIES) {
         const bytes = operations.reduce(
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -260,7 +260,7 @@
         const recordKey = jobKeys.record(job.record.jobId);
         for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts += 1) {
             const waitingTokensEntry = await service.get(jobKeys.waitingTokens(job.record.routeName, job.record.team));
-            const { compares, operations } = planJobWrite(job, waitingTokensEntry);
+            const { compares, operations } = planJobWrite(job, waitingTokensEntry, service.maxValueSizeBytes);
             const result = await settleTransaction({ service, clock, compares, operations, witnessKey: recordKey });
             if (result.kind === "failed" && hasTombstone(result.current, job.record.jobId)) {
                 this.opts.logger.info("held-job-dropped", { jobId: job.record.jobId, reason: "removed" });
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -75,7 +75,7 @@
     async accept(route: Route, submission: JobSubmission): Promise<Acceptance> {
         const { jobId } = submission;
         assertSubmissionValid(submission, { maxHeadBytes: this.maxItemHeadBytes() });
-        assertJobStorable(createSubmittedJob(route, submission, this.clock));
+        assertJobStorable(createSubmittedJob(route, submission, this.clock), this.service.maxValueSizeBytes);
         const acceptance = await this.writeOrHold(route, submission);
         this.logger.info("job-submitted", { jobId, route: route.name, items: submission.items.length, ...acceptance });
         return acceptance;
@@ -208,6 +208,7 @@
         const plan = planJobWrite(
             createSubmittedJob(route, submission, this.clock),
             this.waitingTokensEntries.get(tokensKeyOf(route, submission)),
+            this.service.maxValueSizeBytes,
         );
         if (plan.waitingTokens > (route.maxWaitingTokens ?? Infinity)) {
             return this.rejectOverLimit(route, submission);
--- a/fleet/jobs/src/leaderJobWriter.ts
+++ b/fleet/jobs/src/leaderJobWriter.ts
@@ -66,7 +66,7 @@
         const { record, maxWaitingTokens } = job;
         const recordKey = jobKeys.record(record.jobId);
         const entry = await service.get(jobKeys.waitingTokens(record.routeName, record.team));
-        const plan = planJobWrite(job, entry);
+        const plan = planJobWrite(job, entry, service.maxValueSizeBytes);
         const leaderKey = fence();
         const uncounted = this.opts.uncountedTokens(job, countedIn(entry));
         if (leaderKey === undefined || uncounted === undefined) {
--- a/fleet/jobs/src/planJobWrite.ts
+++ b/fleet/jobs/src/planJobWrite.ts
@@ -21,23 +21,28 @@
     waitingTokens: number;
 }
 
-/** Size of an entry of waiting tokens from which the jobs of a route without a limit aren't counted, in bytes. */
-const MAX_UNLIMITED_ENTRY_BYTES = MAX_VALUE_SIZE_BYTES / 2;
+/** Share of the largest value from which an entry of waiting tokens leaves out the jobs of a route without a limit. */
+const MAX_UNLIMITED_ENTRY_SHARE = 0.5;
 
 /**
  * Returns the conditional write that stores a job unless it is stored or was removed.
  *
  * @param waitingTokensEntry the route's entry of waiting tokens as last seen; the write fails if it has changed since
+ * @param maxValueSizeBytes largest value that the key-value service takes
  */
-export function planJobWrite(job: HeldJob, waitingTokensEntry: KeyValueEntry | undefined): JobWrite {
+export function planJobWrite(
+    job: HeldJob,
+    waitingTokensEntry: KeyValueEntry | undefined,
+    maxValueSizeBytes = MAX_VALUE_SIZE_BYTES,
+): JobWrite {
     const { record } = job;
     const compares = [
         { key: jobKeys.record(record.jobId), modRevision: 0 },
         { key: jobKeys.tombstone(record.jobId), modRevision: 0 },
     ];
-    const operations = createJobOperations(job);
+    const operations = createJobOperations(job, maxValueSizeBytes);
     const entryBytes = waitingTokensEntry?.value.length ?? 0;
-    if (job.maxWaitingTokens === undefined && entryBytes > MAX_UNLIMITED_ENTRY_BYTES) {
+    if (job.maxWaitingTokens === undefined && entryBytes > maxValueSizeBytes * MAX_UNLIMITED_ENTRY_SHARE) {
         return { compares, operations, waitingTokens: 0 };
     }
     const key = jobKeys.waitingTokens(record.routeName, record.team);
@@ -47,7 +52,7 @@
     return {
         compares: [...compares, { key, modRevision: waitingTokensEntry?.modRevision ?? 0 }],
         operations: [...operations, { kind: "put", key, value }],
-        waitingTokens: value.length > MAX_VALUE_SIZE_BYTES
+        waitingTokens: value.length > maxValueSizeBytes
             ? Infinity
             : jobs.reduce((sum, other) => sum + other.tokens, 0),
     };
--- a/fleet/jobs/test/largeJobs.test.ts
+++ b/fleet/jobs/test/largeJobs.test.ts
@@ -137,3 +137,18 @@
     const ofFirst = await service.snapshot(jobKeys.jobPrefix("x1" as JobId));
     assert.equal(ofFirst.entries.length, 2, "the record and the part of one job");
 });
+
+test("the parts of a job are as small as the values that the key-value service takes", async () => {
+    const { service, accept } = setUp();
+    const maxValueSizeBytes = 50_000;
+    Object.assign(service, { maxValueSizeBytes });
+    service.isRejected = operation => operation.kind === "put" && operation.value.length > maxValueSizeBytes;
+    const submission = createSubmission("j", { items: 20, headersBytes: HEADERS_BYTES, bodyBytes: BODY_BYTES });
+    assert.equal((await accept(submission)).kind, "accepted");
+    const { entries } = await service.snapshot(jobKeys.jobsPrefix);
+    const table = new JobTable();
+    table.apply(entries);
+    const job = table.get(submission.jobId)!;
+    assert.equal(job.isLoaded, true);
+    assert.deepEqual(job.items.map(item => job.bodyOf(item)), submission.items.map(({ body }) => body));
+});
--- a/fleet/view/src/processSettings.ts
+++ b/fleet/view/src/processSettings.ts
@@ -25,6 +25,8 @@
     keyValueAddress: HostPort;
     /** Shortest time to live that the key-value service grants a lease, in milliseconds. */
     minLeaseMs: number;
+    /** Largest value that the key-value service takes, in bytes; undefined if it isn't known. */
+    maxValueSizeBytes?: number | undefined;
     /** Folder for data on this instance's disk; undefined if the instance has no disk. */
     dataFolder: string | undefined;
     /** Number of instances with disks that may be lost at the same time. */
