fix(jobs): the leader replaces lost copies of held jobs

The leader now asks the other runners each second for the ids of the jobs that they hold, while it has one that was accepted over 2 s ago, and has as many of them hold it as copies are missing, itself first. Nothing is asked while no job is held.

--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -4,6 +4,7 @@
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { InstanceName } from "@knapweedwood/core.ids/instanceName";
 import { collectHeldCall } from "@knapweedwood/fleet.jobs/collectHeldCall";
+import { heldJobIdsCall } from "@knapweedwood/fleet.jobs/heldJobIdsCall";
 import { HeldJobs } from "@knapweedwood/fleet.jobs/heldJobs";
 import { HoldAdmission } from "@knapweedwood/fleet.jobs/holdAdmission";
 import { holdJobCall } from "@knapweedwood/fleet.jobs/holdJobCall";
@@ -20,6 +21,7 @@
 import { AbsentRunnerSweep } from "./absentRunnerSweep.js";
 import type { ActiveSettings } from "./activeSettings.js";
 import { FleetProcess } from "./fleetProcess.js";
+import { HeldCopies } from "./heldCopies.js";
 import { HeldJobsCollector } from "./heldJobsCollector.js";
 import { SnapshotKeeper } from "./snapshotKeeper.js";
 import { snapshotResponseOf } from "./snapshotResponseOf.js";
@@ -40,6 +42,7 @@
     private readonly held: HeldJobs;
     private readonly holdAdmission = new HoldAdmission();
     private readonly collector: HeldJobsCollector;
+    private readonly heldCopies: HeldCopies;
     private readonly snapshots: SnapshotKeeper;
     private readonly vacantDrains: VacantInstanceDrains;
     private readonly absentRunners: AbsentRunnerSweep;
@@ -94,6 +97,15 @@
                 return collected;
             },
         });
+        this.heldCopies = new HeldCopies({
+            clock: this.fleet.clock,
+            logger,
+            endpoint: this.fleet.links,
+            fencingNumber: () => this.fleet.peers.leadership.fence()?.modRevision,
+            held: this.held,
+            otherRunners: () => this.fleet.peers.otherRunners(),
+            copies: () => activeSettings.current.tolerableLosses + 1,
+        });
         this.snapshots = new SnapshotKeeper({
             clock: this.fleet.clock,
             logger,
@@ -130,6 +142,7 @@
         this.fleet.operators.adoptFrom({ kind: "disk", name }, stored?.operators ?? []);
         await this.fleet.start();
         void this.snapshots.run(this.closing.signal);
+        void this.heldCopies.run(this.closing.signal);
         void this.vacantDrains.run(this.closing.signal);
         void this.absentRunners.run(this.closing.signal);
         this.held.run(this.closing.signal).catch((thrown: unknown) => {
@@ -216,6 +229,9 @@
             const jobs = await held.collect();
             yield* jobs.map(job => ({ job }));
         });
+        this.fleet.links.handle(heldJobIdsCall, async function*() {
+            yield { jobIds: held.all().map(({ record }) => record.jobId) };
+        });
         const holdHandler = this.createHoldHandler();
         this.fleet.links.handle(holdJobCall, async function*(request) {
             yield await holdHandler.handle(request);
--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -131,10 +131,18 @@
         finally {
             this.pendingHolds.delete(keeping);
         }
+        this.adopted.delete(job.record.jobId);
         this.opts.logger.info("job-held", { jobId: job.record.jobId });
         this.opts.onHeld(job);
     }
 
+    /** Returns the jobs to be written, here or adopted, that were accepted `ageMs` ago or earlier, shape [jobs]. */
+    olderThan(ageMs: number): HeldJob[] {
+        const acceptedBeforeMs = this.opts.clock.nowMs() - ageMs;
+        return [...this.jobs.values(), ...this.adopted.values()]
+            .filter(({ record }) => record.acceptedAtMs <= acceptedBeforeMs);
+    }
+
     /**
      * Also writes jobs that other runners hold, while this process leads. Those runners may be cut off from the key-value
      * service, and a job that runs must be stored to be cancelled.
