test(soak): jobs near the limits of size, odd and invalid ones, and early answers to long uploads

Four of ten jobs now have headers that the system sets itself or that concern one connection, headers that together are larger than a value of the key-value service, or headers that no request can have, which must be rejected before an acceptance; some ids have slashes. 5 % of the calls have long bodies, and an upstream in the mode early answers these before it reads them and resets.

--- a/fuzz/soak/src/checkJobs.ts
+++ b/fuzz/soak/src/checkJobs.ts
@@ -12,15 +12,31 @@
 const FAULT_SLACK_MS = 3000;
 /** Time after its acceptance in which a job need not be found yet. */
 const SETTLE_MS = 1000;
+const HTTP_ACCEPTED = 202;
+const HTTP_BAD_REQUEST = 400;
 
 /**
- * Returns a violation for each accepted job that was lost or did not end. Also returns one for each item whose result
+ * Returns a violation for each job that was accepted though it can't be run, or rejected though it can, and for each accepted
+ * job that was lost or did not end. Also returns one for each item whose result
  * is duplicate, incomplete or moved, that was abandoned too early, or that ran after the cancellation of its job.
  */
 export function checkJobs(record: SoakRecord): Violation[] {
-    return record.jobs
-        .filter(job => job.acceptedAtMs !== undefined)
-        .flatMap(job => [...checkResults(job, record), ...checkEnd(job, record), ...checkCancellation(job, record)]);
+    return [
+        ...record.jobs.flatMap(checkAcceptance),
+        ...record.jobs
+            .filter(job => job.acceptedAtMs !== undefined)
+            .flatMap(
+                job => [...checkResults(job, record), ...checkEnd(job, record), ...checkCancellation(job, record)],
+            ),
+    ];
+}
+
+/** A job that can't be run is rejected before it is accepted, and no other is rejected as such. No fault excuses this. */
+function checkAcceptance({ id, traits, attemptStatuses }: JobRecord): Violation[] {
+    const wrongStatus = traits.isInvalid ? HTTP_ACCEPTED : HTTP_BAD_REQUEST;
+    return attemptStatuses.includes(wrongStatus)
+        ? [{ promise: "only-runnable-jobs-accepted", detail: `${id} got ${wrongStatus}` }]
+        : [];
 }
 
 function checkResults(job: JobRecord, record: SoakRecord): Violation[] {
--- a/fuzz/soak/src/faultKinds.ts
+++ b/fuzz/soak/src/faultKinds.ts
@@ -36,4 +36,5 @@
     "stop-runner",
     "reload",
     "drain",
+    "upstream-early",
 ] as const;
--- a/fuzz/soak/src/jobRecord.ts
+++ b/fuzz/soak/src/jobRecord.ts
@@ -1,6 +1,7 @@
 import type { JobItemRecord } from "./jobItemRecord.js";
 import type { JobResult } from "./jobResult.js";
 import type { JobRoute } from "./jobRoute.js";
+import type { JobTraits } from "./jobTraits.js";
 
 /** A batch job as its caller saw it. */
 export interface JobRecord {
@@ -9,6 +10,7 @@
     /** The team whose keys the caller sends; undefined without teams. */
     team: string | undefined;
     items: JobItemRecord[];
+    traits: JobTraits;
     /** Time at which the first attempt to submit the job began. */
     submittedAtMs: number;
     /** Status codes of the attempts to submit the job; 0 if there was no response. */
--- a/fuzz/soak/src/soakCaller.ts
+++ b/fuzz/soak/src/soakCaller.ts
@@ -16,6 +16,9 @@
 const PAUSE_AFTER_FAILURE_MS = 100;
 const TIMEOUT_MS = 4000;
 const MAX_EVENTS = 20;
+/** Share of the calls with a long body. */
+const UPLOAD_SHARE = 0.05;
+const MAX_UPLOAD_BYTES = 400_000;
 const PATHS: { [kind in Exclude<CallKind, "probe" | "crashing" | "slow">]: string; } = {
     "idempotent": "/fetch/x",
     "once": "/book/x",
@@ -54,9 +57,12 @@
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             const kind = KINDS[this.opts.random.nextInteger(KINDS.length)]!;
+            const { random } = this.opts;
+            const uploadBytes = random.next() < UPLOAD_SHARE ? random.nextInteger(MAX_UPLOAD_BYTES) : 0;
             const body = JSON.stringify({
-                events: 1 + this.opts.random.nextInteger(MAX_EVENTS),
+                events: 1 + random.nextInteger(MAX_EVENTS),
                 caller: this.opts.name,
+                upload: "u".repeat(uploadBytes),
             });
             const call = await this.send({ kind, path: PATHS[kind], body });
             await this.resume(call);
--- a/fuzz/soak/src/soakJobClient.ts
+++ b/fuzz/soak/src/soakJobClient.ts
@@ -4,6 +4,7 @@
 import { decodeResultsPage } from "@knapweedwood/platform.standins/decodeResultsPage";
 import { encodeSubmission } from "@knapweedwood/platform.standins/encodeSubmission";
 import { CallerConnection } from "./callerConnection.js";
+import { drawJobTraits } from "./drawJobTraits.js";
 import type { JobRecord } from "./jobRecord.js";
 import type { JobResult } from "./jobResult.js";
 import { jobRoutes } from "./jobRoutes.js";
@@ -26,8 +27,11 @@
 /** Share of the reads after which another team tries to read the job too. */
 const FOREIGN_SHARE = 0.2;
 const MAX_ATTEMPTS = 6;
+/** Share of the jobs whose ids have slashes. */
+const SLASH_SHARE = 0.15;
 const HTTP_ACCEPTED = 202;
 const HTTP_OK = 200;
+const HTTP_BAD_REQUEST = 400;
 const NOT_FOUND_STATUSES = [404, 410];
 
 /** A caller that submits batch jobs, reads their results again and again, and cancels some of the jobs. */
@@ -70,11 +74,14 @@
     }
 
     private createJob(): JobRecord {
-        const id = `${this.opts.name}-job-${this.jobCount++}`;
-        const items = Array.from({ length: 1 + this.opts.random.nextInteger(MAX_ITEMS) }, (_, index) => ({
+        const { random } = this.opts;
+        const separator = random.next() < SLASH_SHARE ? "/" : "-";
+        const id = [this.opts.name, "job", this.jobCount++].join(separator);
+        const traits = drawJobTraits(random);
+        const items = Array.from({ length: traits.items ?? 1 + random.nextInteger(MAX_ITEMS) }, (_, index) => ({
             id: `${id}-${index}`,
             body: JSON.stringify({
-                events: MIN_EVENTS + this.opts.random.nextInteger(MAX_EVENTS),
+                events: traits.items === undefined ? MIN_EVENTS + random.nextInteger(MAX_EVENTS) : 1,
                 item: `${id}-${index}`,
             }),
         }));
@@ -83,6 +90,7 @@
             route: jobRoutes[this.opts.random.nextInteger(jobRoutes.length)]!,
             team: this.opts.teams?.randomTeam(),
             items,
+            traits,
             submittedAtMs: this.opts.nowMs(),
             attemptStatuses: [],
             acceptedAtMs: undefined,
@@ -117,8 +125,13 @@
     }
 
     private async submit(job: JobRecord): Promise<void> {
-        const body = encodeSubmission(job.items, { path: `/${job.route.name}/item`, tokensEach: ITEM_TOKENS });
-        while (job.acceptedAtMs === undefined && job.attemptStatuses.length < MAX_ATTEMPTS) {
+        const body = encodeSubmission(job.items, {
+            path: `/${job.route.name}/item`,
+            tokensEach: ITEM_TOKENS,
+            headers: job.traits.headers,
+        });
+        const isFinal = () => job.acceptedAtMs !== undefined || job.attemptStatuses.includes(HTTP_BAD_REQUEST);
+        while (!isFinal() && job.attemptStatuses.length < MAX_ATTEMPTS) {
             const response = await this.call("POST", `/${job.route.name}/submit`, job.id, { body, team: job.team });
             job.attemptStatuses.push(response.statusCode);
             if (response.statusCode === HTTP_ACCEPTED) {
@@ -129,10 +142,15 @@
     }
 
     private async cancel(job: JobRecord): Promise<void> {
-        const response = await this.call("DELETE", `${callerPaths.jobs}${job.id}`, `${job.id}-cancel`, {
-            body: "",
-            team: job.team,
-        });
+        const response = await this.call(
+            "DELETE",
+            `${callerPaths.jobs}${encodeURIComponent(job.id)}`,
+            `${job.id}-cancel`,
+            {
+                body: "",
+                team: job.team,
+            },
+        );
         if (response.statusCode === HTTP_OK) {
             job.cancelledAtMs = this.opts.nowMs();
         }
@@ -140,7 +158,7 @@
 
     /** Reads results from a position on. Differences from earlier reads are recorded as contradictions. */
     private async readResults(job: JobRecord, after: number): Promise<void> {
-        const path = `${callerPaths.jobs}${job.id}?after=${after}`;
+        const path = `${callerPaths.jobs}${encodeURIComponent(job.id)}?after=${after}`;
         const response = await this.call("GET", path, `${job.id}-read-${after}`, { body: "", team: job.team });
         if (NOT_FOUND_STATUSES.includes(response.statusCode)) {
             job.missedAtMs.push(this.opts.nowMs());
@@ -169,7 +187,7 @@
     private async readForeign(job: JobRecord): Promise<void> {
         const team = this.opts.teams?.randomTeam();
         if (team !== undefined && team !== job.team && this.opts.random.next() < FOREIGN_SHARE) {
-            const path = `${callerPaths.jobs}${job.id}?after=0`;
+            const path = `${callerPaths.jobs}${encodeURIComponent(job.id)}?after=0`;
             const { statusCode } = await this.call("GET", path, `${job.id}-foreign`, { body: "", team });
             this.opts.record.foreignReads.push({ jobId: job.id, team, statusCode });
         }
--- a/fuzz/soak/src/soakOperator.ts
+++ b/fuzz/soak/src/soakOperator.ts
@@ -81,7 +81,7 @@
             ],
             services: [MODEL_SERVICE, ANSWER_SERVICE]
                 .map(name => ({ name: name as ServiceName, maxConnections: MAX_CONNECTIONS })),
-            limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 10_000 },
+            limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 10_000 },
             teams: this.teams?.advance(version),
         };
     }
--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -29,9 +29,11 @@
 const LIMIT_PER_S = 1;
 /** Share of the endless responses that send chunks of a byte; the others send empty events. */
 const TINY_CHUNK_SHARE = 0.5;
+const LONG_UPLOAD_BYTES = 65_536;
+const MAX_EARLY_RESET_MS = 20;
 const PARTS_PER_BURST = 2000;
 const MAX_BURSTS = 100;
-const FAILING_NO_REQUEST: readonly UpstreamMode[] = ["healthy", "slow", "limited"];
+const FAILING_NO_REQUEST: readonly UpstreamMode[] = ["healthy", "slow", "limited", "early"];
 const SLOTS = 8;
 /** Maximum number of requests that wait for a slot, in addition to those that run. */
 const MAX_QUEUED = 8;
@@ -132,6 +134,10 @@
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         response.on("error", () => undefined);
+        if (this.mode === "early" && Number(request.headers["content-length"]) > LONG_UPLOAD_BYTES) {
+            await this.answerEarly(request);
+            return;
+        }
         const body = await readBody(request).then(bytes => bytes.toString("utf8"), () => undefined);
         const callId = String(request.headers[wireHeaders.requestId] ?? "");
         if (body === undefined) {
@@ -158,6 +164,16 @@
         }
     }
 
+    /** Answers an upload that isn't read with a part of a response without a length, and resets the connection. */
+    private async answerEarly({ socket, headers }: IncomingMessage): Promise<void> {
+        socket.pause();
+        const id = `${wireHeaders.requestId}: ${String(headers[wireHeaders.requestId])}`;
+        const proof = `${wireHeaders.upstreamProof}: proof-${this.id}`;
+        socket.write(["HTTP/1.1 200 OK", id, proof, "", "id: 1\ndata: "].join("\r\n"));
+        await pause(this.opts.random.nextInteger(MAX_EARLY_RESET_MS));
+        socket.resetAndDestroy();
+    }
+
     private async run(
         request: IncomingMessage,
         response: ServerResponse,
--- a/fuzz/soak/src/upstreamMode.ts
+++ b/fuzz/soak/src/upstreamMode.ts
@@ -5,7 +5,8 @@
  * `errors` responds with status 500. `cut` closes the connection within the first event. `hang` sends no response and
  * closes the connection late. `garble` sends a wrong body without proof. `unframed` sends all responses without a length
  * or chunks, and breaks a share of them off: it resets the connection, or closes it within an event. `endless` sends chunks of a
- * byte or empty events without end.
+ * byte or empty events without end. `early` answers long uploads before it reads them, with a part of a response without a
+ * length, and resets the connection.
  */
 export type UpstreamMode =
     | "healthy"
@@ -16,4 +17,5 @@
     | "hang"
     | "garble"
     | "unframed"
-    | "endless";
+    | "endless"
+    | "early";
