--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -29,43 +29,29 @@
 /** Time after which a job whose write is still pending is also held on disks, in milliseconds. */
 const HOLD_AFTER_MS = 200;
 
+interface JobAcceptorOptions {
+    service: KeyValueService;
+    clock: Clock;
+    logger: Logger;
+    /** Holds jobs while the key-value service is unavailable. */
+    holder: JobHolder;
+    /** Whether jobs held during an outage have had time to be written. */
+    areHeldJobsWritten: () => boolean;
+    /** Whether a job of the caller exists that may only be held on disks; rejects if that is uncertain. */
+    isKnownToLeader: (jobId: JobId, caller: JobCaller | undefined) => Promise<boolean>;
+    /** Whether the stored count of waiting tokens contains all jobs. */
+    isTokenCountComplete: () => boolean;
+    /** Returns the largest head of the request of an item, in bytes; unlimited if it is left out. */
+    maxItemHeadBytes?: () => number;
+}
+
 /** Accepts and cancels jobs with one conditional write each, so that a job sent to many instances is stored once. */
 export class JobAcceptor {
-    private readonly service: KeyValueService;
-    private readonly clock: Clock;
-    private readonly logger: Logger;
-    private readonly holder: JobHolder;
-    private readonly areHeldJobsWritten: () => boolean;
-    private readonly isKnownToLeader: (jobId: JobId, caller: JobCaller | undefined) => Promise<boolean>;
-    private readonly isTokenCountComplete: () => boolean;
-    private readonly maxItemHeadBytes: () => number;
+    private readonly opts: JobAcceptorOptions;
     private readonly waitingTokensEntries = new Map<string, KeyValueEntry>();
 
-    /**
-     * @param opts.holder holds jobs while the key-value service is unavailable
-     * @param opts.areHeldJobsWritten whether jobs held during an outage have had time to be written
-     * @param opts.isKnownToLeader whether a job of the caller exists that may only be held on disks; rejects if that is uncertain
-     * @param opts.isTokenCountComplete whether the stored count of waiting tokens contains all jobs
-     * @param opts.maxItemHeadBytes largest head of the request of an item; unlimited if it is left out
-     */
-    constructor(opts: {
-        service: KeyValueService;
-        clock: Clock;
-        logger: Logger;
-        holder: JobHolder;
-        areHeldJobsWritten: () => boolean;
-        isKnownToLeader: (jobId: JobId, caller: JobCaller | undefined) => Promise<boolean>;
-        isTokenCountComplete: () => boolean;
-        maxItemHeadBytes?: () => number;
-    }) {
-        this.service = opts.service;
-        this.clock = opts.clock;
-        this.logger = opts.logger;
-        this.holder = opts.holder;
-        this.areHeldJobsWritten = opts.areHeldJobsWritten;
-        this.isKnownToLeader = opts.isKnownToLeader;
-        this.isTokenCountComplete = opts.isTokenCountComplete;
-        this.maxItemHeadBytes = opts.maxItemHeadBytes ?? (() => Infinity);
+    constructor(opts: JobAcceptorOptions) {
+        this.opts = opts;
     }
 
     /**
@@ -74,10 +60,15 @@
      */
     async accept(route: Route, submission: JobSubmission): Promise<Acceptance> {
         const { jobId } = submission;
-        assertSubmissionValid(submission, { maxHeadBytes: this.maxItemHeadBytes() });
-        assertJobStorable(createSubmittedJob(route, submission, this.clock), this.service.maxValueSizeBytes);
+        assertSubmissionValid(submission, { maxHeadBytes: this.opts.maxItemHeadBytes?.() ?? Infinity });
+        assertJobStorable(createSubmittedJob(route, submission, this.opts.clock), this.opts.service.maxValueSizeBytes);
         const acceptance = await this.writeOrHold(route, submission);
-        this.logger.info("job-submitted", { jobId, route: route.name, items: submission.items.length, ...acceptance });
+        this.opts.logger.info("job-submitted", {
+            jobId,
+            route: route.name,
+            items: submission.items.length,
+            ...acceptance,
+        });
         return acceptance;
     }
 
@@ -89,7 +80,7 @@
      * @returns the revision at which it was cancelled; undefined if the caller's team has no such job
      */
     async cancel(jobId: JobId, caller?: JobCaller): Promise<number | undefined> {
-        const record = await this.service.get(jobKeys.record(jobId));
+        const record = await this.opts.service.get(jobKeys.record(jobId));
         if (record === undefined && await this.mayBeHeld(jobId, caller)) {
             throw new KnapweedError("JOBS_NOT_SETTLED", "Jobs held during an outage may not be written yet");
         }
@@ -98,8 +89,8 @@
         }
         const key = jobKeys.cancellation(jobId);
         const result = await settleTransaction({
-            service: this.service,
-            clock: this.clock,
+            service: this.opts.service,
+            clock: this.opts.clock,
             compares: [{ key, modRevision: 0 }, { key: record.key, modRevision: record.modRevision }],
             operations: [{ kind: "put", key, value: encodeRecord({ cancelled: true }) }],
             witnessKey: key,
@@ -114,7 +105,7 @@
             : result.current.find(entry => entry.key === key)?.modRevision;
         // Without either, the job has been removed since its record was read.
         if (revision !== undefined) {
-            this.logger.info("job-cancelled", { jobId });
+            this.opts.logger.info("job-cancelled", { jobId });
         }
         return revision;
     }
@@ -122,10 +113,10 @@
     /** Whether a job that isn't stored may be held on disks. Time alone doesn't tell: the disks may be out of reach. */
     private async mayBeHeld(jobId: JobId, caller: JobCaller | undefined): Promise<boolean> {
         try {
-            return !this.areHeldJobsWritten() || await this.isKnownToLeader(jobId, caller);
+            return !this.opts.areHeldJobsWritten() || await this.opts.isKnownToLeader(jobId, caller);
         }
         catch (thrown) {
-            this.logger.info("job-existence-uncertain", { jobId, code: toKnapweedError(thrown).code });
+            this.opts.logger.info("job-existence-uncertain", { jobId, code: toKnapweedError(thrown).code });
             return true;
         }
     }
@@ -135,7 +126,7 @@
      * of a route with a limit is only held, because the leader has the complete count.
      */
     private async writeOrHold(route: Route, submission: JobSubmission): Promise<Acceptance> {
-        if (route.maxWaitingTokens === undefined || this.isTokenCountComplete()) {
+        if (route.maxWaitingTokens === undefined || this.opts.isTokenCountComplete()) {
             return this.writeThenHold(route, submission);
         }
         const held = await this.hold(route, submission);
@@ -156,7 +147,7 @@
     /** Writes the job. If that takes long or fails, holds it on disks until it can be written. */
     private async writeThenHold(route: Route, submission: JobSubmission): Promise<Acceptance> {
         const writing = this.tryWrite(route, submission);
-        const written = await Promise.race([writing, sleep(this.clock, HOLD_AFTER_MS)]);
+        const written = await Promise.race([writing, sleep(this.opts.clock, HOLD_AFTER_MS)]);
         if (written !== undefined && isFinal(written)) {
             return written;
         }
@@ -168,17 +159,17 @@
     private async findAccepted(submission: JobSubmission): Promise<Acceptance | undefined> {
         const { jobId } = submission;
         try {
-            const existing = await this.service.get(jobKeys.record(jobId));
+            const existing = await this.opts.service.get(jobKeys.record(jobId));
             return existing === undefined ? undefined : acceptanceOfExisting(existing, submission);
         }
         catch (thrown) {
-            this.logger.debug("job-not-looked-up", { jobId, code: toKnapweedError(thrown).code });
+            this.opts.logger.debug("job-not-looked-up", { jobId, code: toKnapweedError(thrown).code });
             return undefined;
         }
     }
 
     private hold(route: Route, submission: JobSubmission): Promise<HoldOutcome> {
-        return this.holder.hold({ job: createSubmittedJob(route, submission, this.clock) });
+        return this.opts.holder.hold({ job: createSubmittedJob(route, submission, this.opts.clock) });
     }
 
     private async tryWrite(route: Route, submission: JobSubmission): Promise<Acceptance> {
@@ -193,7 +184,11 @@
         }
         catch (thrown) {
             const error = toKnapweedError(thrown);
-            this.logger.warn("job-write-failed", { jobId: submission.jobId, code: error.code, message: error.message });
+            this.opts.logger.warn("job-write-failed", {
+                jobId: submission.jobId,
+                code: error.code,
+                message: error.message,
+            });
             if (error.outcome !== "not-run") {
                 return { kind: "unknown" };
             }
@@ -206,16 +201,16 @@
     private async writeOnce(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
         const recordKey = jobKeys.record(submission.jobId);
         const plan = planJobWrite(
-            createSubmittedJob(route, submission, this.clock),
+            createSubmittedJob(route, submission, this.opts.clock),
             this.waitingTokensEntries.get(tokensKeyOf(route, submission)),
-            this.service.maxValueSizeBytes,
+            this.opts.service.maxValueSizeBytes,
         );
         if (plan.waitingTokens > (route.maxWaitingTokens ?? Infinity)) {
             return this.rejectOverLimit(route, submission);
         }
         const result = await settleTransaction({
-            service: this.service,
-            clock: this.clock,
+            service: this.opts.service,
+            clock: this.opts.clock,
             compares: plan.compares,
             operations: plan.operations,
             witnessKey: recordKey,
@@ -243,8 +238,8 @@
      */
     private async rejectOverLimit(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
         const [existing, newest] = await Promise.all([
-            this.service.get(jobKeys.record(submission.jobId)),
-            this.service.get(tokensKeyOf(route, submission)),
+            this.opts.service.get(jobKeys.record(submission.jobId)),
+            this.opts.service.get(tokensKeyOf(route, submission)),
         ]);
         if (existing !== undefined) {
             return acceptanceOfExisting(existing, submission);
