fix(jobs): a job that was accepted under other limits is accepted again

An accepted job that came again after the operators had lowered the largest head was rejected with 400, since. It is looked up before. The new test fails before.

--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -60,9 +60,8 @@
      */
     async accept(route: Route, submission: JobSubmission): Promise<Acceptance> {
         const { jobId } = submission;
-        assertSubmissionValid(submission, { maxHeadBytes: this.opts.maxItemHeadBytes?.() ?? Infinity });
-        assertJobStorable(createSubmittedJob(route, submission, this.opts.clock), this.opts.service.maxValueSizeBytes);
-        const acceptance = await this.writeOrHold(route, submission);
+        const acceptance = await this.findAcceptedIfInvalid(route, submission)
+            ?? await this.writeOrHold(route, submission);
         this.opts.logger.info("job-submitted", {
             jobId,
             route: route.name,
@@ -72,6 +71,27 @@
         return acceptance;
     }
 
+    /**
+     * Rejects if the job can't be run or stored. One that was accepted under other limits is accepted again.
+     *
+     * @returns undefined if the job can be run and stored
+     */
+    private async findAcceptedIfInvalid(route: Route, submission: JobSubmission): Promise<Acceptance | undefined> {
+        const { service, clock, maxItemHeadBytes } = this.opts;
+        try {
+            assertSubmissionValid(submission, { maxHeadBytes: maxItemHeadBytes?.() ?? Infinity });
+            assertJobStorable(createSubmittedJob(route, submission, clock), service.maxValueSizeBytes);
+            return undefined;
+        }
+        catch (thrown) {
+            const accepted = await this.findAccepted(submission);
+            if (accepted === undefined) {
+                throw thrown;
+            }
+            return accepted;
+        }
+    }
+
     /**
      * Cancels a job. Rejects with `JOBS_NOT_SETTLED` if the job may be a held one that is not written yet, with
      * `JOB_UNSETTLED` if it is uncertain whether it is cancelled, otherwise with the error of the key-value service.
--- a/fleet/jobs/test/largeJobs.test.ts
+++ b/fleet/jobs/test/largeJobs.test.ts
@@ -33,7 +33,7 @@
     return { jobId: id as JobId, items };
 }
 
-function setUp() {
+function setUp(limits = { maxItemHeadBytes: Infinity }) {
     const clock = new ManualClock();
     const service = new RejectingKeyValueService({ clock });
     let holds = 0;
@@ -50,6 +50,7 @@
         areHeldJobsWritten: () => true,
         isKnownToLeader: () => Promise.resolve(false),
         isTokenCountComplete: () => true,
+        maxItemHeadBytes: () => limits.maxItemHeadBytes,
     });
     const accept = async (submission: JobSubmission) => {
         const pending = acceptor.accept(route, submission);
@@ -152,3 +153,14 @@
     assert.equal(job.isLoaded, true);
     assert.deepEqual(job.items.map(item => job.bodyOf(item)), submission.items.map(({ body }) => body));
 });
+
+test("an accepted job that comes again after the operators have lowered a limit is accepted again", async () => {
+    const limits = { maxItemHeadBytes: 16_000 };
+    const { accept } = setUp(limits);
+    const submission = createSubmission("j", { items: 1, headersBytes: HEADERS_BYTES, bodyBytes: 1 });
+    assert.equal((await accept(submission)).kind, "accepted");
+    limits.maxItemHeadBytes = 8000;
+    assert.equal((await accept(submission)).kind, "accepted");
+    const other = createSubmission("other", { items: 1, headersBytes: HEADERS_BYTES, bodyBytes: 1 });
+    await assert.rejects(accept(other), { code: "ERR_KNAPWEED_JOB_ITEM_INVALID" });
+});
