--- a/fleet/jobs/src/heldJobs.ts
+++ b/fleet/jobs/src/heldJobs.ts
@@ -56,6 +56,7 @@
     private readonly jobs = new Map<SegmentDigest, HeldJob>();
     /** Jobs that this process runs as the leader and that only other runners hold. */
     private readonly adopted = new Map<JobId, HeldJob>();
+    /** The last failures of jobs that couldn't be written. */
     private readonly failures = new Map<JobId, WriteFailure>();
     private lastFailedJobId: JobId | undefined;
     private readonly pendingHolds = new Set<Promise<void>>();
--- a/fleet/upstreams/src/upstreamConnection.ts
+++ b/fleet/upstreams/src/upstreamConnection.ts
@@ -105,9 +105,10 @@
 
     /**
      * Sends a request; the handler receives the response. Fails with `mayHaveRun` and the code `RESENT` if the HTTP
-     * client sends the request a second time, `ANSWER_OF_ANOTHER_REQUEST` if the response has another request id, `ANSWER_WITH_INVALID_STATUS` if its status is none of HTTP,
-     * `ANSWER_WITHOUT_END` if the upstream sends too many bytes that are neither a head nor data. A response in too many small
-     * parts is read slowly, so that it leaves time for others.
+     * client sends the request a second time, `ANSWER_OF_ANOTHER_REQUEST` if the response has another request id,
+     * `ANSWER_WITH_INVALID_STATUS` if its status is none of HTTP, `ANSWER_WITHOUT_END` if the upstream sends too many bytes
+     * that are neither a head nor data. Fails with `isUnsendable` if the HTTP client refuses the request. A response in too many
+     * small parts is read slowly, so that it leaves time for others.
      */
     send(request: ExchangeRequest, handler: ExchangeHandler): Exchange {
         const reading = new ReadingGate({ clock: this.clock, budget: this.partBudget });
