fix(jobs): an item that upstreams reject again and again waits longer each time

Each rejection in a row now doubles the pause, up to 1.6 s; a misdirected run is repeated elsewhere as before.

--- a/fleet/jobs/src/applyRunOutcome.ts
+++ b/fleet/jobs/src/applyRunOutcome.ts
@@ -6,6 +6,8 @@
 const RETRY_DELAY_MS = 300;
 /** Pause before an item runs again after its run was interrupted or did not start, in milliseconds. */
 const RESUME_DELAY_MS = 50;
+/** Longest pause before an item runs again that upstreams have rejected several times in a row, in milliseconds. */
+const MAX_REJECTED_DELAY_MS = 1600;
 
 /**
  * Updates an item after a run and returns the next step. An item fails permanently only if an upstream reports that it
@@ -17,6 +19,9 @@
     outcome: ItemRunOutcome,
     opts: { nowMs: number; maxAttempts: number; },
 ): "completed" | "given-up" | "retry" {
+    if (outcome.kind !== "not-run") {
+        item.consecutiveRejections = 0;
+    }
     switch (outcome.kind) {
         case "completed":
             return "completed";
@@ -33,8 +38,20 @@
             item.notBeforeMs = opts.nowMs + RETRY_DELAY_MS;
             return "retry";
         case "broken":
-        case "not-run":
             item.notBeforeMs = opts.nowMs + RESUME_DELAY_MS;
             return "retry";
+        case "not-run":
+            item.notBeforeMs = opts.nowMs + rejectedDelayMs(item, outcome.isMisdirected);
+            return "retry";
+    }
+}
+
+/** Each rejection in a row doubles the pause: an item may demand what no upstream has. */
+function rejectedDelayMs(item: JobItem, isMisdirected: boolean): number {
+    if (isMisdirected) {
+        return RESUME_DELAY_MS;
     }
+    const delayMs = Math.min(MAX_REJECTED_DELAY_MS, RESUME_DELAY_MS * 2 ** item.consecutiveRejections);
+    item.consecutiveRejections += 1;
+    return delayMs;
 }
--- a/fleet/jobs/src/jobItem.ts
+++ b/fleet/jobs/src/jobItem.ts
@@ -13,6 +13,8 @@
     state: "pending" | "running" | "finished" | "stored";
     /** Time before which the item is not started again, Unix ms. */
     notBeforeMs: number;
+    /** Number of times in a row that upstreams have rejected the item without running it. */
+    consecutiveRejections: number;
     /** Time at which the last run of this process ended, Unix ms; -Infinity if there was none. */
     lastRunEndedAtMs: number;
     /** Upstreams that ran the item and failed, as observed by this process. */
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -35,6 +35,7 @@
             failedAttempts: 0,
             isComplete: false,
             notBeforeMs: 0,
+            consecutiveRejections: 0,
             lastRunEndedAtMs: -Infinity,
             failedUpstreamIds: [],
         }));
--- a/fleet/jobs/test/applyRunOutcome.test.ts
+++ b/fleet/jobs/test/applyRunOutcome.test.ts
@@ -31,3 +31,17 @@
     applyRunOutcome(item, { kind: "garbled", code: "EVENT_OUT_OF_ORDER" }, opts);
     assert.deepEqual([item.events, item.lastEventId], [[], 0]);
 });
+
+// A job whose items demanded a version that no upstream has was sent to upstreams thousands of times a second.
+test("an item that is rejected again and again waits longer each time, until it runs once", () => {
+    const item = createItemWithProgress();
+    const delayAfter = (outcome: Parameters<typeof applyRunOutcome>[1]) => {
+        applyRunOutcome(item, outcome, opts);
+        return item.notBeforeMs - opts.nowMs;
+    };
+    const rejected = { kind: "not-run", isMisdirected: false } as const;
+    assert.deepEqual(Array.from({ length: 8 }, () => delayAfter(rejected)), [50, 100, 200, 400, 800, 1600, 1600, 1600]);
+    assert.equal(delayAfter({ kind: "not-run", isMisdirected: true }), 50, "another upstream may run it");
+    delayAfter({ kind: "failed" });
+    assert.equal(delayAfter(rejected), 50);
+});
