--- a/fleet/jobs/src/assertJobStorable.ts
+++ b/fleet/jobs/src/assertJobStorable.ts
@@ -7,8 +7,8 @@
 const LEADER_COMPARES = 1;
 
 /**
- * Throws `JOB_TOO_LARGE` if the key-value service would never take the job, so that it must not be
- * accepted: a job that is only held on disks is gone with them.
+ * Throws `JOB_TOO_LARGE` if the key-value service would never take the job, so that it must not be accepted: a job that is only
+ * held on disks is gone with them.
  */
 export function assertJobStorable(job: HeldJob, maxValueSizeBytes?: number): void {
     const { compares, operations } = planJobWrite(job, undefined, maxValueSizeBytes);
