--- a/fuzz/soak/test/brokenGateway.ts
+++ b/fuzz/soak/test/brokenGateway.ts
@@ -98,7 +98,11 @@
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         response.on("error", () => undefined);
         const url = request.url ?? "";
-        const body = await readText(request).catch(() => "");
+        const body = await readText(request).catch(() => undefined);
+        if (body === undefined) {
+            // The caller has gone while it sent its request.
+            return;
+        }
         if (url === callerPaths.readiness) {
             response.writeHead(200).end();
             return;
