--- a/fuzz/soak/src/drawJobTraits.ts
+++ b/fuzz/soak/src/drawJobTraits.ts
@@ -4,6 +4,8 @@
 const PLAIN_SHARE = 0.6;
 const ODD_SHARE = 0.25;
 const LARGE_SHARE = 0.05;
+/** Share of the odd headers that an odd job has. */
+const HEADER_SHARE = 0.3;
 /** Together the headers of a large job's items are larger than a value of the key-value service. */
 const LARGE_ITEMS = 90;
 const LARGE_HEADER_BYTES = 15_000;
@@ -43,7 +45,7 @@
         return { headers: {}, items: undefined, isInvalid: false };
     }
     if (drawn < PLAIN_SHARE + ODD_SHARE) {
-        const headers = ODD_HEADERS.filter(() => random.next() < 0.3);
+        const headers = ODD_HEADERS.filter(() => random.next() < HEADER_SHARE);
         return { headers: Object.fromEntries(headers), items: undefined, isInvalid: false };
     }
     if (drawn < PLAIN_SHARE + ODD_SHARE + LARGE_SHARE) {
