refactor(soak): odd jobs take the platform's header names from its adapter

Cause: drawJobTraits.ts spelled three names of the platform's headers outside platform/. Change: it takes them from wireHeaders, as the rest of the soak does; what is drawn is the same but for the case of their letters.

--- a/fuzz/soak/src/drawJobTraits.ts
+++ b/fuzz/soak/src/drawJobTraits.ts
@@ -1,4 +1,5 @@
 import type { Random } from "@knapweedwood/core.random/random";
+import { wireHeaders } from "@knapweedwood/platform.adapter/wireHeaders";
 import type { JobTraits } from "./jobTraits.js";
 
 const PLAIN_SHARE = 0.6;
@@ -21,9 +22,9 @@
     ["Keep-Alive", "timeout=1"],
     ["Connection", "close, X-Listed"],
     ["TE", "trailers"],
-    ["X-Request-Id", "of-another"],
-    ["Last-Event-Id", "3"],
-    ["X-Expect-Instance", "another"],
+    [wireHeaders.requestId, "of-another"],
+    [wireHeaders.lastEventId, "3"],
+    [wireHeaders.expectedUpstream, "another"],
     ["X-Latin", "\u00e9"],
     ["!#$%&'*+-.^_`|~", "\t"],
 ];
