--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -140,6 +140,7 @@
             eventLoop: this.eventLoop,
             speeds: this.speeds,
             limits,
+            mirrors: () => [this.operators, this.upstreams, this.peers].map(({ mirror }) => mirror),
         });
         this.keyValueService = new PlatformKeyValueService({
             clock,
--- a/daemons/fleet/src/metricsServer.ts
+++ b/daemons/fleet/src/metricsServer.ts
@@ -1,4 +1,5 @@
 import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
+import type { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
 import type { UpstreamRequestLimiter } from "@knapweedwood/fleet.upstream-limits/upstreamRequestLimiter";
 import type { PrometheusMetrics } from "@knapweedwood/observability.metrics/prometheusMetrics";
 import { createServer, type Server } from "node:http";
@@ -16,7 +17,9 @@
     private readonly eventLoop: EventLoopMonitor;
     private readonly speeds: UpstreamSpeeds;
     private readonly limits: UpstreamRequestLimiter;
+    private readonly mirrors: () => PrefixMirror[];
 
+    /** @param opts.mirrors returns the mirrors of keys in the key-value service, shape [mirrors] */
     constructor(
         opts: {
             metrics: PrometheusMetrics;
@@ -24,12 +27,14 @@
             eventLoop: EventLoopMonitor;
             speeds: UpstreamSpeeds;
             limits: UpstreamRequestLimiter;
+            mirrors: () => PrefixMirror[];
         },
     ) {
         this.metrics = opts.metrics;
         this.eventLoop = opts.eventLoop;
         this.speeds = opts.speeds;
         this.limits = opts.limits;
+        this.mirrors = opts.mirrors;
         this.host = opts.host;
         this.server = createServer((request, response) => {
             if (request.url !== PATH) {
@@ -61,6 +66,7 @@
         this.metrics.gauge("event_loop_delay_max_ms", this.eventLoop.takeMaxDelayMs());
         this.updateSpeeds();
         this.updateLimits();
+        this.mirrors().forEach(({ prefix, ageMs }) => this.metrics.gauge("mirror_age_ms", ageMs, { prefix }));
         return this.metrics.render();
     }
 
--- a/fleet/jobs/src/jobAcceptor.ts
+++ b/fleet/jobs/src/jobAcceptor.ts
@@ -125,7 +125,7 @@
             : result.current.find(entry => entry.key === key)?.modRevision;
         // Without either, the job has been removed since its record was read.
         if (revision !== undefined) {
-            this.opts.logger.info("job-cancelled", { jobId });
+            this.opts.logger.info("job-cancelled", { jobId, revision });
         }
         return revision;
     }
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -272,7 +272,12 @@
 
     private apply(entries: KeyValueEntry[]): void {
         this.table.apply(entries).forEach(job => {
-            this.opts.logger.info("job-ended", { jobId: job.record.jobId, reason: "cancelled" });
+            this.opts.logger.info("job-ended", {
+                jobId: job.record.jobId,
+                reason: "cancelled",
+                mirrorRevision: this.mirror?.knownRevision,
+                mirrorAgeMs: this.mirror?.ageMs,
+            });
             this.inFlightItems.endJob(job);
             this.onResultsStored(job);
         });
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -42,6 +42,10 @@
         this.opts = opts;
     }
 
+    get prefix(): string {
+        return this.opts.prefix;
+    }
+
     /** Revision of the service up to which the mirror is current; 0 before the first listing. */
     get revision(): number {
         return this.currentRevision;
@@ -130,6 +134,11 @@
         return this.respondedAtMs;
     }
 
+    /** Time since the last response of the service, in milliseconds; infinity before the first. */
+    get ageMs(): number {
+        return this.opts.clock.nowMs() - this.respondedAtMs;
+    }
+
     /** Unix ms of the end of the last outage that this process has seen: infinity during one, -infinity if none. */
     get lastOutageEndedAtMs(): number {
         return this.failures === 0 ? this.outageEndedAtMs : Infinity;
@@ -188,6 +197,7 @@
         this.opts.logger.info("mirror-behind", {
             prefix: this.opts.prefix,
             revision: this.currentRevision,
+            ageMs: this.ageMs,
             peerRevision,
         });
         this.currentRevision = 0;
@@ -270,6 +280,7 @@
             this.opts.logger.warn("key-value-lost", {
                 prefix: this.opts.prefix,
                 revision: this.currentRevision,
+                ageMs: this.ageMs,
                 code: error.code,
                 message: error.message,
             });
