fix(sync): a process checks its mirrors when nothing has verified them for a while

The leader's watch of the jobs was silent, and the gateway that wrote the end was lost before a report named its revision.

Cause: a mirror took a watch without a response for keys that don't change, for as long as the watch waited: 4 s and more and 0.7 s of slack, in a large fleet 20.7 s. All bounds of the users are shorter. Load reports cover that only where another process of ours wrote the change and lives on. The log of the leader shows it: key-value-lost, prefix knapweed/jobs/, ageMs 4,710, then job-ended.

Change: each mirror records until when it is known to have every change. At half of the bound of its keys (from the settings) it asks the service for changes without waiting, over another connection, and watches again if there are any. Processes that place requests or items take turns of 50 ms by name, and their load reports say what the service told them, so that one call verifies the mirrors of all. A mirror that wasn't verified for the whole bound isn't current. A mirror behind a peer asks for the missing changes and lists its keys only if that doesn't help.

Tests: endedJobsBehindSilentWatch, silentWatches, silentUpstreamWatch and mirrorCheckTimes; without the checks the first three fail at each phase of the watch (items run; mirrored after infinity).

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -35,6 +35,7 @@
 import { KeyValueReachability } from "./keyValueReachability.js";
 import { LoadReports } from "./loadReports.js";
 import { MetricsServer } from "./metricsServer.js";
+import { MirrorCheckTimes } from "./mirrorCheckTimes.js";
 import { OperatorsFollower } from "./operatorsFollower.js";
 import { otherRunners } from "./otherRunners.js";
 import { PeerFollower } from "./peerFollower.js";
@@ -48,6 +49,8 @@
 const INITIALIZATION_POLL_MS = 5;
 /** Maximum time after the start for which callers wait until a runner has confirmed the configuration, in milliseconds. */
 const MAX_CONFIRMATION_MS = 400;
+/** Time in which the end or the start of a process is to be known, in milliseconds. */
+const PROCESSES_BOUND_MS = 3000;
 /** Links of the fleet are idle most of the time, so idle links send fewer heartbeats. */
 const LINK_LIMITS = { heartbeatIntervalMs: 250, idleHeartbeatIntervalMs: 2000, silentAfterMs: 700 };
 
@@ -87,6 +90,7 @@
     readonly keyValueService: PlatformKeyValueService;
     readonly links: WebSocketLinkEndpoint;
     readonly peers: PeerFollower;
+    readonly checkTimes = new MirrorCheckTimes({ peers: () => this.peers });
     readonly upstreams: UpstreamFollower;
     readonly operators: OperatorsFollower;
     readonly streamOrigins: StreamOriginExchange;
@@ -157,19 +161,23 @@
             logger,
             watchWaitMs,
             coalesceMs,
+            checkDelayMs: () => this.checkTimes.delayMs(),
+            onChecked: () => this.exchange.markChanged(),
             keepsEntries: true,
         } as const;
         this.peers = new PeerFollower({
             ...followerContext,
             self: this.self,
             minLeaseMs: settings.minLeaseMs,
-            onLeadershipChanged: opts.onLeadershipChanged,
+            maxAgeMs: () => this.checkTimes.maxAgeMs(PROCESSES_BOUND_MS),
+            onLeadershipChanged: isLeading => this.onLeadershipChanged(isLeading),
             onSuspicions: suspicions => this.quarantine.merge(suspicions),
         });
         this.operators = new OperatorsFollower({
             ...followerContext,
             instanceName: settings.instanceName,
             metrics: this.metrics,
+            maxAgeMs: () => this.checkTimes.maxAgeMs(opts.settings.configurationBoundMs),
             onConfiguration: opts.onConfiguration,
             onDrainRequested: opts.onDrainRequested,
         });
@@ -179,6 +187,7 @@
             health,
             speeds,
             connections,
+            maxAgeMs: () => this.checkTimes.maxAgeMs(opts.settings.upstreamDrainMs),
             drainMs: () => opts.settings.upstreamDrainMs,
             isKeyValueReachable: () => this.reachability.isLeaseRenewed,
             onEnded: upstream => this.quarantine.onEnded(upstream),
@@ -354,6 +363,15 @@
         await this.keyValueService.close();
     }
 
+    /** A new leader places items from now on, by mirrors that it has checked less often until then. */
+    private onLeadershipChanged(isLeading: boolean): void {
+        if (isLeading) {
+            void this.upstreams.mirror.check();
+            void this.operators.mirror.check();
+        }
+        this.opts.onLeadershipChanged(isLeading);
+    }
+
     private housekeep(): void {
         if (this.closing.signal.aborted) {
             return;
--- a/daemons/fleet/src/followerContext.ts
+++ b/daemons/fleet/src/followerContext.ts
@@ -9,10 +9,14 @@
     clock: Clock;
     random: Random;
     logger: Logger;
-    /** Returns the time for which one watch call may wait for a change, in milliseconds. */
+    /** Returns the mean time for which one watch call waits for a change, in milliseconds. */
     watchWaitMs: () => number;
     /** Returns the time for which changes that aren't urgent are gathered, in milliseconds. */
     coalesceMs: () => number;
+    /** Returns how much later than others this process checks its mirrors, in milliseconds. Default 0. */
+    checkDelayMs?: () => number;
+    /** Called when the service has answered a check. */
+    onChecked?: () => void;
     /** The entries are kept for processes that start during an outage. */
     keepsEntries: true;
 }
--- a/daemons/fleet/src/loadReports.ts
+++ b/daemons/fleet/src/loadReports.ts
@@ -7,11 +7,16 @@
 import type { UpstreamSpeeds } from "@knapweedwood/fleet.load/upstreamSpeeds";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
 import type { UpstreamRequestLimiter } from "@knapweedwood/fleet.upstream-limits/upstreamRequestLimiter";
+import type { MirrorVerification } from "@knapweedwood/fleet.view/mirrorVerification";
+import type { MirrorVerifications } from "@knapweedwood/fleet.view/mirrorVerifications";
 import type { FleetRateLimiter } from "@knapweedwood/routing.limits/fleetRateLimiter";
 import type { OperatorsFollower } from "./operatorsFollower.js";
 import type { PeerFollower } from "./peerFollower.js";
 import type { UpstreamFollower } from "./upstreamFollower.js";
 
+/** Age up to which verifications are reported, in milliseconds. Processes that place nothing get a report a second. */
+const REPORTED_VERIFICATION_AGE_MS = 1000;
+
 interface LoadReportsOptions {
     clock: Clock;
     self: MemberRecord;
@@ -72,6 +77,7 @@
             teamUsage: this.opts.rateLimiter.usageToReport(clock.nowMs()),
             upstreamUsage: this.opts.limits.usageToReport(),
             leaving: upstreams.leavingToReport(),
+            verifications: this.verificationsToReport(),
         };
     }
 
@@ -100,9 +106,32 @@
         }
         operators.mirror.catchUp(report.configurationRevision);
         upstreams.mirror.catchUp(report.upstreamsRevision);
+        this.applyVerifications(report.verifications ?? {});
         this.opts.onLoadChanged();
     }
 
+    /** Returns what the key-value service said to this process a short time ago. */
+    private verificationsToReport(): MirrorVerifications {
+        const { operators, upstreams, peers } = this.opts;
+        return {
+            ...isRecent(operators.mirror.verification) ? { operators: operators.mirror.verification } : {},
+            ...isRecent(upstreams.mirror.verification) ? { upstreams: upstreams.mirror.verification } : {},
+            ...isRecent(peers.mirror.verification) ? { processes: peers.mirror.verification } : {},
+        };
+    }
+
+    private applyVerifications({ operators, upstreams, processes }: MirrorVerifications): void {
+        if (operators !== undefined) {
+            this.opts.operators.mirror.recordVerification(operators);
+        }
+        if (upstreams !== undefined) {
+            this.opts.upstreams.mirror.recordVerification(upstreams);
+        }
+        if (processes !== undefined) {
+            this.opts.peers.mirror.recordVerification(processes);
+        }
+    }
+
     private applyEjections(report: LoadReport): void {
         const { clock, self, health, peers } = this.opts;
         const nowMs = clock.nowMs();
@@ -112,3 +141,7 @@
         });
     }
 }
+
+function isRecent(verification: MirrorVerification | undefined): boolean {
+    return verification !== undefined && verification.ageMs <= REPORTED_VERIFICATION_AGE_MS;
+}
--- a/daemons/fleet/src/operatorsFollower.ts
+++ b/daemons/fleet/src/operatorsFollower.ts
@@ -10,6 +10,8 @@
 import type { FollowerContext } from "./followerContext.js";
 
 interface OperatorsFollowerOptions extends FollowerContext {
+    /** Returns the age at which the mirror is checked, in milliseconds. It isn't checked without this. */
+    maxAgeMs?: () => number;
     instanceName: InstanceName;
     metrics: Metrics;
     /** Called when a newer configuration has become active. */
--- a/daemons/fleet/src/peerFollower.ts
+++ b/daemons/fleet/src/peerFollower.ts
@@ -28,6 +28,8 @@
 const COUNT_VALID_MS = 100;
 
 interface PeerFollowerOptions extends FollowerContext {
+    /** Returns the age at which the mirror is checked, in milliseconds. It isn't checked without this. */
+    maxAgeMs?: () => number;
     self: MemberRecord;
     minLeaseMs: number;
     /** Called when this process becomes or is no longer the leader, which runs batch jobs. Only called on runners. */
@@ -133,6 +135,15 @@
         return this.placesByLoad(this.opts.self);
     }
 
+    /**
+     * Position of this process among those that place requests or items by load, in the order of their names; infinity if it
+     * isn't among them.
+     */
+    get placingRank(): number {
+        const { instanceName } = this.opts.self;
+        return this.placesLoad ? this.otherSenders().filter(name => name < instanceName).length : Infinity;
+    }
+
     /** Number of known processes, including this one. */
     get count(): number {
         return this.list().length;
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -84,6 +84,7 @@
         this.runner = new JobRunner({
             ...this.sharedOptions(),
             logger,
+            jobsMaxAgeMs: () => this.fleet.checkTimes.maxAgeMs(activeSettings.current.jobEndBoundMs),
             refreshConfiguration: () => this.fleet.operators.refresh(),
             headers: wireHeaders,
             decodeSharedPromptParts,
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -24,6 +24,8 @@
 const RESUMABLE_DRAIN_SHARE = 0.5;
 
 interface UpstreamFollowerOptions extends FollowerContext {
+    /** Returns the age at which the mirror is checked, in milliseconds. It isn't checked without this. */
+    maxAgeMs?: () => number;
     loadTracker: LoadTracker;
     health: UpstreamHealth;
     speeds: UpstreamSpeeds;
--- a/daemons/fleet/test/resumedStreams.test.ts
+++ b/daemons/fleet/test/resumedStreams.test.ts
@@ -162,6 +162,7 @@
             get: key => this.respond(() => service.get(key)),
             list: (prefix, opts) => this.respond(() => service.list(prefix, opts)),
             snapshot: prefix => this.respond(() => service.snapshot(prefix)),
+            changes: (prefix, opts) => this.respond(() => service.changes(prefix, opts)),
             transact: (...parameters) => this.respond(() => service.transact(...parameters)),
             grantLease: ttlMs => service.grantLease(ttlMs),
             keepLeaseAlive: leaseId => service.keepLeaseAlive(leaseId),
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -29,6 +29,8 @@
 
 /** Interval at which items are dispatched when no event triggers it, in milliseconds. */
 const DISPATCH_INTERVAL_MS = 50;
+/** Mean wait of a watch call, in milliseconds. Only the leader watches the jobs. */
+const WATCH_WAIT_MS = 20_000;
 /** Time for which triggers are gathered into one dispatch, in milliseconds. Load reports come from every process. */
 const DISPATCH_DELAY_MS = 5;
 
@@ -120,6 +122,8 @@
         this.leadershipController = controller;
         this.mirror = new PrefixMirror({
             ...this.opts,
+            ...this.opts.jobsMaxAgeMs === undefined ? {} : { maxAgeMs: this.opts.jobsMaxAgeMs },
+            watchWaitMs: () => WATCH_WAIT_MS,
             prefix: jobKeys.jobsPrefix,
             onSnapshot: entries => void this.load(entries, controller.signal),
             onChange: batch => this.apply(batch.puts),
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -41,6 +41,8 @@
     quarantine: RequestQuarantine;
     /** Returns how long an ended job stays readable after its acceptance, in milliseconds. */
     resultRetentionMs: () => number;
+    /** Returns the age at which the mirror of jobs is checked, in milliseconds. It isn't checked without this. */
+    jobsMaxAgeMs?: () => number;
     onLoadChanged: () => void;
     /** Returns the jobs on this instance's disk that are not in the key-value service yet, shape [jobs]. */
     heldJobs: () => HeldJob[];
--- a/fleet/jobs/test/simulatedConnection.ts
+++ b/fleet/jobs/test/simulatedConnection.ts
@@ -47,6 +47,10 @@
         return this.read(() => this.opts.service.snapshot(prefix));
     }
 
+    changes(prefix: string, opts: { afterRevision: number; signal?: AbortSignal; }): Promise<WatchBatch> {
+        return this.read(() => this.opts.service.changes(prefix, opts));
+    }
+
     async transact(...parameters: Parameters<SnapshotKeyValueService["transact"]>): Promise<TransactionResult> {
         const lateByMs = this.state === "connected" ? this.lateWriteDelaysMs.shift() : undefined;
         if (lateByMs !== undefined) {
--- a/fleet/load/src/loadReport.ts
+++ b/fleet/load/src/loadReport.ts
@@ -2,6 +2,7 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { UpstreamUsage } from "@knapweedwood/fleet.upstream-limits/upstreamUsage";
+import type { MirrorVerifications } from "@knapweedwood/fleet.view/mirrorVerifications";
 import type { UpstreamProcess } from "@knapweedwood/fleet.view/upstreamProcess";
 import type { TeamUsage } from "@knapweedwood/routing.limits/teamUsage";
 import type { UpstreamCount } from "./upstreamCount.js";
@@ -38,4 +39,6 @@
     upstreamUsage: UpstreamUsage;
     /** Upstreams that have said in a response to this process a short time ago that they leave, shape [upstreams]. */
     leaving: UpstreamProcess[];
+    /** What the key-value service said to this process a short time ago about the shared keys. */
+    verifications?: MirrorVerifications;
 }
--- a/fleet/load/src/loadReportCodec.ts
+++ b/fleet/load/src/loadReportCodec.ts
@@ -10,6 +10,7 @@
 import { type PackedTeamUsage, teamUsageCodec } from "./teamUsageCodec.js";
 import type { UpstreamSpeed } from "./upstreamSpeed.js";
 import { type PackedUpstreamUsage, upstreamUsageCodec } from "./upstreamUsageCodec.js";
+import { verificationsCodec } from "./verificationsCodec.js";
 
 /** Values in their packed order. They are packed without names, since reports are frequent and cross zones. */
 type PackedReport = [
@@ -32,6 +33,8 @@
     upstreamUsage?: PackedUpstreamUsage,
     /** Missing if there are none. */
     leaving?: (string | number)[],
+    /** Missing if there are none. */
+    verifications?: number[],
 ];
 
 /** Reports that a relay hands on, each packed. The second value tells it from a report. */
@@ -43,6 +46,7 @@
 const SPEEDS_AT = 13;
 const UPSTREAM_USAGE_AT = 14;
 const LEAVING_AT = 15;
+const VERIFICATIONS_AT = 16;
 /** Maximum total size of the reports in one datagram. It fits an Ethernet frame, since one lost fragment loses all. */
 const MAX_RELAYED_BYTES = 1300;
 
@@ -80,6 +84,13 @@
             packed[UPSTREAM_USAGE_AT] ??= [];
             packed[LEAVING_AT] = report.leaving.flatMap(({ id, startedAtMs }) => [id, startedAtMs]);
         }
+        const verifications = verificationsCodec.pack(report.verifications ?? {});
+        if (verifications.length > 0) {
+            packed[SPEEDS_AT] ??= [];
+            packed[UPSTREAM_USAGE_AT] ??= [];
+            packed[LEAVING_AT] ??= [];
+            packed[VERIFICATIONS_AT] = verifications;
+        }
         return this.packr.pack(packed);
     }
 
@@ -145,6 +156,7 @@
         batch: batch as number,
     }));
     const speeds = speedsOf(packed[SPEEDS_AT], upstreamCounts);
+    const verifications = packed[VERIFICATIONS_AT];
     return {
         instanceName: instanceName as InstanceName,
         startedAtMs,
@@ -167,6 +179,7 @@
             id: id as UpstreamId,
             startedAtMs: processStartedAtMs as number,
         })),
+        ...verifications === undefined ? {} : { verifications: verificationsCodec.unpack(verifications) },
     };
 }
 
--- /dev/null
+++ b/fleet/sync/src/checkSchedule.ts
@@ -0,0 +1,56 @@
+import type { Clock } from "@knapweedwood/core.clock/clock";
+import type { Timer } from "@knapweedwood/core.clock/timer";
+
+/** Shortest time between two checks, in milliseconds. */
+const MIN_INTERVAL_MS = 150;
+
+interface CheckScheduleOptions {
+    clock: Clock;
+    /** Returns the age of a mirror at which it is checked, in milliseconds. */
+    maxAgeMs: () => number;
+    /** Returns how long this process waits beyond that age for a verification by others, in milliseconds. */
+    delayMs: () => number;
+    /** Returns the age of the mirror, in milliseconds. */
+    ageMs: () => number;
+    /** Checks the mirror. Doesn't reject. */
+    check: () => Promise<void>;
+}
+
+/** Checks a mirror when nothing has verified it for a while. A verification in the meantime postpones the check. */
+export class CheckSchedule {
+    private readonly opts: CheckScheduleOptions;
+    private timer: Timer | undefined;
+    private isStopped = false;
+
+    constructor(opts: CheckScheduleOptions) {
+        this.opts = opts;
+    }
+
+    /** Checks the mirror whenever it is due, until `stop` is called. */
+    start(): void {
+        this.schedule();
+    }
+
+    stop(): void {
+        this.isStopped = true;
+        this.timer?.cancel();
+    }
+
+    private schedule(): void {
+        if (!this.isStopped) {
+            const delayMs = Math.max(MIN_INTERVAL_MS, this.dueInMs());
+            this.timer = this.opts.clock.setTimer(delayMs, () => void this.checkIfDue());
+        }
+    }
+
+    private async checkIfDue(): Promise<void> {
+        if (this.dueInMs() <= 0) {
+            await this.opts.check();
+        }
+        this.schedule();
+    }
+
+    private dueInMs(): number {
+        return this.opts.maxAgeMs() + this.opts.delayMs() - this.opts.ageMs();
+    }
+}
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -1,32 +1,41 @@
 import { sleep } from "@knapweedwood/core.clock/sleep";
 import type { Timer } from "@knapweedwood/core.clock/timer";
-import { KnapweedError } from "@knapweedwood/core.errors/knapweedError";
 import { toKnapweedError } from "@knapweedwood/core.errors/toKnapweedError";
 import type { KeyValueEntry } from "@knapweedwood/core.key-value/keyValueEntry";
+import type { WatchBatch } from "@knapweedwood/core.key-value/watchBatch";
+import type { MirrorVerification } from "@knapweedwood/fleet.view/mirrorVerification";
+import { CheckSchedule } from "./checkSchedule.js";
+import { MirrorAge } from "./mirrorAge.js";
 import type { PrefixMirrorOptions } from "./prefixMirrorOptions.js";
+import { StaleListingGuard } from "./staleListingGuard.js";
 
 const MIN_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 800;
 /** Time that the watch has to deliver a change reported by another process, in milliseconds. */
 const CATCH_UP_DELAY_MS = 300;
-/**
- * Time for which listings of a lower revision than the known one are refused, in milliseconds. They come from a replica
- * that lags behind; a service restored from a backup returns them permanently.
- */
-const STALE_LISTING_REFUSAL_MS = 30_000;
 const COMPACTED_CODE = "ERR_KNAPWEED_KEY_VALUE_COMPACTED";
+/** Shortest wait of a watch call as a share of the mean. Waits vary, so that the watches of a fleet end at different times. */
+const MIN_WAIT_SHARE = 0.5;
+/** Age of a mirror above which it isn't current, as a multiple of the age at which it is checked. */
+const STALE_AGE_FACTOR = 2;
 
 /**
  * Mirrors the keys under a prefix: lists them once, then watches for changes. Lists them again if the service has
  * compacted the history that the watch needs.
+ *
+ * The connection of a watch can go silent without an error, and its mirror then looks like one of keys that don't change.
+ * So the mirror records until when it is known to have every change, from its own calls and from those of other
+ * processes. When that is too long ago, it asks the service over another connection.
  */
 export class PrefixMirror {
     private readonly opts: PrefixMirrorOptions;
     private currentRevision = 0;
-    private relistController = new AbortController();
+    /** Ends the current listing or watch. */
+    private attemptController = new AbortController();
     private failures = 0;
     private recoveredAtMs = Infinity;
-    private respondedAtMs = -Infinity;
+    private readonly age: MirrorAge;
+    private readonly staleListings: StaleListingGuard;
     private outageEndedAtMs = -Infinity;
     private catchUpTimer: Timer | undefined;
     private readonly currentEntries = new Map<string, KeyValueEntry>();
@@ -35,11 +44,12 @@
     private reportedRevision = 0;
     /** Highest revision of a listing, a change or entries of another process that was applied. */
     private appliedRevision = 0;
-    private staleSinceMs: number | undefined;
     private listedAtMs = Infinity;
 
     constructor(opts: PrefixMirrorOptions) {
         this.opts = opts;
+        this.age = new MirrorAge(opts);
+        this.staleListings = new StaleListingGuard(opts);
     }
 
     get prefix(): string {
@@ -85,11 +95,13 @@
     }
 
     /**
-     * Whether the mirror has listed the keys, its calls succeed, and no process has reported a revision that it lacks. A
-     * service that has just become unresponsive is noticed only when a call fails.
+     * Whether the mirror has listed the keys, its calls succeed, no process has reported a revision that it lacks, and it
+     * was verified a short time ago.
      */
     get isCurrent(): boolean {
-        return this.isReachable && this.currentRevision >= this.reportedRevision;
+        const maxAgeMs = this.opts.maxAgeMs?.() ?? Infinity;
+        return this.isReachable && this.currentRevision >= this.reportedRevision
+            && this.ageMs <= maxAgeMs * STALE_AGE_FACTOR;
     }
 
     /** Whether a process has reported a change that the mirror lacks. */
@@ -129,14 +141,26 @@
         return this.failures === 0 ? this.recoveredAtMs : Infinity;
     }
 
-    /** Unix ms of the last response of the service, up to which the mirror is current; -infinity before the first. */
+    /** Unix ms up to which the mirror is known to have every change; -infinity before the first listing. */
     get currentAtMs(): number {
-        return this.respondedAtMs;
+        return this.age.verifiedAtMs;
     }
 
-    /** Time since the last response of the service, in milliseconds; infinity before the first. */
+    /** Time for which nothing has shown that the mirror has every change, in milliseconds; infinity before the first listing. */
     get ageMs(): number {
-        return this.opts.clock.nowMs() - this.respondedAtMs;
+        return this.age.ageMs;
+    }
+
+    /** What the service last said to this process; undefined before the first listing. */
+    get verification(): MirrorVerification | undefined {
+        return this.age.verification;
+    }
+
+    /** Records what the service has said to another process. It also holds for this mirror if that has the same changes. */
+    recordVerification({ revision, ageMs }: MirrorVerification): void {
+        if (this.currentRevision >= revision) {
+            this.age.recordOfPeer(ageMs);
+        }
     }
 
     /** Unix ms of the end of the last outage that this process has seen: infinity during one, -infinity if none. */
@@ -144,7 +168,7 @@
         return this.failures === 0 ? this.outageEndedAtMs : Infinity;
     }
 
-    /** Lists the prefix again if the watch does not deliver `revision` within `CATCH_UP_DELAY_MS` after the pause. */
+    /** Asks the service if the watch does not deliver `revision` within `CATCH_UP_DELAY_MS` after the pause. */
     catchUp(revision: number): void {
         this.reportedRevision = Math.max(this.reportedRevision, revision);
         if (revision <= this.currentRevision || this.catchUpTimer !== undefined) {
@@ -153,30 +177,63 @@
         this.catchUpTimer = this.opts.clock.setTimer(this.coalesceMs() + CATCH_UP_DELAY_MS, () => {
             this.catchUpTimer = undefined;
             if (this.currentRevision > 0 && revision > this.currentRevision) {
-                this.relist(revision);
+                void this.askFor(revision);
             }
         });
     }
 
+    /** Asks the service for changes that the watch should have delivered. Does nothing while the service is unreachable. */
+    async check(): Promise<void> {
+        try {
+            await this.applyMissedChanges();
+        }
+        catch (thrown) {
+            const { code } = toKnapweedError(thrown);
+            this.opts.logger.info("mirror-check-failed", { prefix: this.opts.prefix, ageMs: this.ageMs, code });
+            if (code === COMPACTED_CODE) {
+                this.relist();
+            }
+        }
+    }
+
     /** Mirrors the prefix until `signal` is aborted. Retries after failures. */
     async run(signal: AbortSignal): Promise<void> {
+        const checks = this.startChecks();
         signal.addEventListener("abort", () => {
+            checks?.stop();
             this.catchUpTimer?.cancel();
-            this.relistController.abort();
+            this.attemptController.abort();
         }, { once: true });
         while (!signal.aborted) {
-            this.relistController = new AbortController();
+            this.attemptController = new AbortController();
             try {
-                await this.listAndWatch(this.relistController.signal);
+                await this.listAndWatch(this.attemptController.signal);
             }
             catch (error) {
-                if (!signal.aborted && !this.relistController.signal.aborted) {
+                if (!signal.aborted && !this.attemptController.signal.aborted) {
                     await this.onFailure(error, signal);
                 }
             }
         }
     }
 
+    /** @returns undefined if the mirror isn't checked */
+    private startChecks(): CheckSchedule | undefined {
+        const { clock, maxAgeMs, checkDelayMs } = this.opts;
+        if (maxAgeMs === undefined) {
+            return undefined;
+        }
+        const schedule = new CheckSchedule({
+            clock,
+            maxAgeMs,
+            delayMs: () => checkDelayMs?.() ?? 0,
+            ageMs: () => this.ageMs,
+            check: () => this.check(),
+        });
+        schedule.start();
+        return schedule;
+    }
+
     private replaceEntries(entries: readonly KeyValueEntry[]): void {
         this.currentEntries.clear();
         this.applyToEntries({ puts: entries, deletedKeys: [] });
@@ -193,70 +250,111 @@
         return this.opts.coalesceMs?.() ?? 0;
     }
 
-    private relist(peerRevision: number): void {
+    /** Asks the service for the changes up to a revision, and lists the keys if it doesn't have that revision. */
+    private async askFor(revision: number): Promise<void> {
         this.opts.logger.info("mirror-behind", {
             prefix: this.opts.prefix,
             revision: this.currentRevision,
             ageMs: this.ageMs,
-            peerRevision,
+            peerRevision: revision,
         });
+        const askedAtMs = this.opts.clock.nowMs();
+        await this.check();
+        if (this.age.ownVerifiedAtMs >= askedAtMs && this.currentRevision < revision) {
+            this.relist();
+        }
+    }
+
+    private relist(): void {
         this.currentRevision = 0;
-        this.relistController.abort();
+        this.attemptController.abort();
     }
 
     private async listAndWatch(signal: AbortSignal): Promise<void> {
         // A watch sent while the service is unresponsive hangs for its whole wait. A listing detects recovery sooner.
         if (this.currentRevision === 0 || this.failures > 0) {
-            const snapshot = await this.opts.service.snapshot(this.opts.prefix);
-            if (signal.aborted) {
-                return;
-            }
-            this.refuseIfStale(snapshot.revision);
-            this.onResponse();
-            this.currentRevision = snapshot.revision;
-            this.appliedRevision = snapshot.revision;
-            this.hasListed = true;
-            this.listedAtMs = this.opts.clock.nowMs();
-            this.replaceEntries(snapshot.entries);
-            this.opts.onSnapshot(snapshot.entries, snapshot.revision);
+            await this.list(signal);
+        }
+        await this.watch(signal);
+    }
+
+    private async list(signal: AbortSignal): Promise<void> {
+        const sentAtMs = this.opts.clock.nowMs();
+        const snapshot = await this.opts.service.snapshot(this.opts.prefix);
+        if (signal.aborted) {
+            return;
         }
-        const { service, clock, prefix, watchWaitMs } = this.opts;
-        const waitMs = watchWaitMs?.();
+        this.staleListings.check(snapshot.revision, this.appliedRevision);
+        this.onResponse(sentAtMs);
+        this.currentRevision = snapshot.revision;
+        this.appliedRevision = snapshot.revision;
+        this.age.recordChange(snapshot.revision);
+        this.hasListed = true;
+        this.listedAtMs = this.opts.clock.nowMs();
+        this.replaceEntries(snapshot.entries);
+        this.opts.onSnapshot(snapshot.entries, snapshot.revision);
+    }
+
+    private async watch(signal: AbortSignal): Promise<void> {
+        const { service, clock, prefix } = this.opts;
+        const waitMs = this.drawWatchWaitMs();
         const opts = { afterRevision: this.currentRevision, signal, ...waitMs === undefined ? {} : { waitMs } };
         for await (const batch of service.watch(prefix, opts)) {
             if (signal.aborted) {
                 return;
             }
-            this.onResponse();
-            this.currentRevision = Math.max(this.currentRevision, batch.revision);
-            this.appliedRevision = Math.max(this.appliedRevision, batch.revision);
-            this.applyToEntries(batch);
-            if (batch.puts.length > 0 || batch.deletedKeys.length > 0) {
-                this.opts.onChange(batch);
+            this.onResponse(clock.nowMs());
+            if (batch.revision >= this.currentRevision && this.apply(batch)) {
                 await sleep(clock, this.coalesceMs(), signal);
             }
         }
     }
 
-    /** Throws if a listing would bring back a state older than the known one. */
-    private refuseIfStale(revision: number): void {
-        const nowMs = this.opts.clock.nowMs();
-        if (revision >= this.appliedRevision) {
-            this.staleSinceMs = undefined;
+    private drawWatchWaitMs(): number | undefined {
+        const meanMs = this.opts.watchWaitMs?.();
+        return meanMs === undefined ? undefined : Math.round(meanMs * (MIN_WAIT_SHARE + this.opts.random.next()));
+    }
+
+    /**
+     * Asks the service for the changes since the last one, and watches again if there are any, since the watch should have
+     * delivered them. Rejects with the error of the service.
+     */
+    private async applyMissedChanges(): Promise<void> {
+        const { signal } = this.attemptController;
+        if (this.currentRevision === 0 || !this.isReachable) {
             return;
         }
-        this.staleSinceMs ??= nowMs;
-        if (nowMs - this.staleSinceMs < STALE_LISTING_REFUSAL_MS) {
-            throw new KnapweedError(
-                "KEY_VALUE_STALE",
-                `The listing is of revision ${revision}, ${this.appliedRevision} is known`,
-                { outcome: "not-run" },
-            );
+        const { clock, service, prefix, logger } = this.opts;
+        const sentAtMs = clock.nowMs();
+        const { ageMs } = this;
+        const batch = await service.changes(prefix, { afterRevision: this.currentRevision, signal });
+        if (signal.aborted) {
+            return;
         }
+        this.onResponse(sentAtMs);
+        if (batch.revision > this.currentRevision && this.apply(batch)) {
+            logger.info("mirror-caught-up", { prefix, revision: batch.revision, ageMs });
+            this.attemptController.abort();
+        }
+        this.opts.onChecked?.();
+    }
+
+    /** Returns whether the batch contains a change. */
+    private apply(batch: WatchBatch): boolean {
+        this.currentRevision = batch.revision;
+        this.appliedRevision = Math.max(this.appliedRevision, batch.revision);
+        if (batch.puts.length === 0 && batch.deletedKeys.length === 0) {
+            return false;
+        }
+        this.age.recordChange(batch.revision);
+        this.applyToEntries(batch);
+        this.opts.onChange(batch);
+        return true;
     }
 
-    private onResponse(): void {
-        this.respondedAtMs = this.opts.clock.nowMs();
+    /** @param currentAtMs time up to which the response contains every change, Unix ms */
+    private onResponse(currentAtMs: number): void {
+        this.age.recordOwn(currentAtMs);
         if (this.failures === 0) {
             this.recoveredAtMs = Math.min(this.recoveredAtMs, this.opts.clock.nowMs());
             return;
@@ -285,12 +383,12 @@
                 message: error.message,
             });
         }
-        await sleep(this.opts.clock, this.retryDelayMs(), signal);
+        await sleep(this.opts.clock, this.retryDelayMs(this.failures), signal);
     }
 
     /** Returns an exponential delay with jitter, so that processes don't all reconnect at the same time. */
-    private retryDelayMs(): number {
-        const ceilingMs = Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** this.failures);
+    private retryDelayMs(failures: number): number {
+        const ceilingMs = Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** failures);
         return ceilingMs * (0.5 + this.opts.random.next() / 2);
     }
 }
--- a/fleet/sync/src/prefixMirrorOptions.ts
+++ b/fleet/sync/src/prefixMirrorOptions.ts
@@ -12,8 +12,17 @@
     random: Random;
     logger: Logger;
     prefix: string;
-    /** Longest wait of one watch call, in milliseconds. Longer waits mean fewer calls but detect a dead watch later. */
+    /** Mean wait of one watch call, in milliseconds. Longer waits mean fewer calls. */
     watchWaitMs?: () => number;
+    /**
+     * Returns the age at which the mirror asks the service for changes that its watch should have delivered, in milliseconds.
+     * Without it a watch that has gone silent is noticed only when its wait ends.
+     */
+    maxAgeMs?: () => number;
+    /** Returns how much later this process asks, in milliseconds, so that of several processes one asks. Default 0. */
+    checkDelayMs?: () => number;
+    /** Called when the service has answered a check, so that other processes can be told. */
+    onChecked?: () => void;
     /** Returns the pause after a change, in milliseconds, so that one call delivers several. Default 0, for urgent changes. */
     coalesceMs?: () => number;
     /** Whether the mirror keeps the entries for {@link PrefixMirror.entries}. Default false, for large entries. */
--- a/fleet/view/src/processSettings.ts
+++ b/fleet/view/src/processSettings.ts
@@ -37,6 +37,10 @@
     stopGraceMs: number;
     /** Time for which an upstream serves requests after it has said that it leaves, in milliseconds. */
     upstreamDrainMs: number;
+    /** Time after its acknowledgement in which a configuration has to take effect, in milliseconds. */
+    configurationBoundMs: number;
+    /** Time after the acknowledgement of a job's end in which the last of its items may begin, in milliseconds. */
+    jobEndBoundMs: number;
     /** Time for which the results of an ended job stay readable, in milliseconds. */
     resultRetentionMs: number;
 }
--- a/fuzz/soak/src/soakFleet.ts
+++ b/fuzz/soak/src/soakFleet.ts
@@ -29,6 +29,8 @@
 const ANSWER_UPSTREAMS = 3;
 const STOP_GRACE_MS = 8000;
 const UPSTREAM_DRAIN_MS = 2000;
+const CONFIGURATION_BOUND_MS = 2000;
+const JOB_END_BOUND_MS = 3000;
 const RESULT_RETENTION_MS = 120_000;
 const MIN_LEASE_MS = 1000;
 
@@ -169,6 +171,8 @@
             upstreamDrainMs: UPSTREAM_DRAIN_MS,
             memoryMb: undefined,
             stopGraceMs: STOP_GRACE_MS,
+            configurationBoundMs: CONFIGURATION_BOUND_MS,
+            jobEndBoundMs: JOB_END_BOUND_MS,
             resultRetentionMs: RESULT_RETENTION_MS,
         };
         return { process: new SoakProcess({ ...this.opts, folder, program, settings }), storeRelay };
