fix(sync): a watch that fails while other calls reach the service is no outage

Cause: each failed call of a mirror counted as an outage of the key-value service. Entries that are missing after an outage are kept for 2.2 s, since they expire with the service though their upstreams run. A connection of ours that was cut or went silent tells nothing about the service.

Change: when a watch fails though the lease of the process was renewed a short time ago, the mirror asks for the missed changes over another connection and watches again. It is an outage only if that fails as well, or if the lease wasn't renewed. The mirror is also without a gap then, so that streams may go on.

Tests: silentWatches ("a watch that is cut is no outage") and silentUpstreamWatch ("as the watch is cut") failed before: the removed upstream was still used. "A watch that fails while no other call reaches the service is an outage" keeps the other half.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -163,6 +163,7 @@
             coalesceMs,
             checkDelayMs: () => this.checkTimes.delayMs(),
             onChecked: () => this.exchange.markChanged(),
+            isServiceReachable: () => this.reachability.isLeaseRenewed,
             keepsEntries: true,
         } as const;
         this.peers = new PeerFollower({
--- a/daemons/fleet/src/followerContext.ts
+++ b/daemons/fleet/src/followerContext.ts
@@ -17,6 +17,8 @@
     checkDelayMs?: () => number;
     /** Called when the service has answered a check. */
     onChecked?: () => void;
+    /** Whether other calls of this process reach the service. Default true. */
+    isServiceReachable?: () => boolean;
     /** The entries are kept for processes that start during an outage. */
     keepsEntries: true;
 }
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -85,6 +85,7 @@
             ...this.sharedOptions(),
             logger,
             jobsMaxAgeMs: () => this.fleet.checkTimes.maxAgeMs(activeSettings.current.jobEndBoundMs),
+            isServiceReachable: () => this.fleet.reachability.isLeaseRenewed,
             refreshConfiguration: () => this.fleet.operators.refresh(),
             headers: wireHeaders,
             decodeSharedPromptParts,
--- a/daemons/fleet/test/silentUpstreamWatch.test.ts
+++ b/daemons/fleet/test/silentUpstreamWatch.test.ts
@@ -1,5 +1,5 @@
-// The connection on which a process watches the upstreams goes silent. Upstreams that drained or had left got requests for 4.7 s
-// more, of every process whose watch was silent.
+// The connection on which a process watches the upstreams goes silent or is cut. A cut one counted as an outage of the
+// key-value service, so that an upstream that left got requests for 2.2 s more; behind a silent one it got them for 4.7 s.
 import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
@@ -40,3 +40,13 @@
     assert.deepEqual(usableIds(), ["u3"]);
     stop();
 });
+
+test("an upstream that leaves as the watch is cut gets no request from then on", async () => {
+    const { clock, service, remove, usableIds, stop } = await startFollower();
+    service.silenceWatches(wireKeys.upstreams);
+    await remove("u2");
+    service.cutWatches(wireKeys.upstreams);
+    await clock.advance(100);
+    assert.deepEqual(usableIds(), ["u1", "u3"]);
+    stop();
+});
--- a/fleet/jobs/src/jobRunnerOptions.ts
+++ b/fleet/jobs/src/jobRunnerOptions.ts
@@ -43,6 +43,8 @@
     resultRetentionMs: () => number;
     /** Returns the age at which the mirror of jobs is checked, in milliseconds. It isn't checked without this. */
     jobsMaxAgeMs?: () => number;
+    /** Whether other calls of this process reach the key-value service. Default true. */
+    isServiceReachable?: () => boolean;
     onLoadChanged: () => void;
     /** Returns the jobs on this instance's disk that are not in the key-value service yet, shape [jobs]. */
     heldJobs: () => HeldJob[];
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -33,6 +33,7 @@
     /** Ends the current listing or watch. */
     private attemptController = new AbortController();
     private failures = 0;
+    private watchFailures = 0;
     private recoveredAtMs = Infinity;
     private readonly age: MirrorAge;
     private readonly staleListings: StaleListingGuard;
@@ -275,7 +276,12 @@
         if (this.currentRevision === 0 || this.failures > 0) {
             await this.list(signal);
         }
-        await this.watch(signal);
+        try {
+            await this.watch(signal);
+        }
+        catch (error) {
+            await this.onWatchFailure(error, signal);
+        }
     }
 
     private async list(signal: AbortSignal): Promise<void> {
@@ -303,6 +309,7 @@
             if (signal.aborted) {
                 return;
             }
+            this.watchFailures = 0;
             this.onResponse(clock.nowMs());
             if (batch.revision >= this.currentRevision && this.apply(batch)) {
                 await sleep(clock, this.coalesceMs(), signal);
@@ -315,6 +322,25 @@
         return meanMs === undefined ? undefined : Math.round(meanMs * (MIN_WAIT_SHARE + this.opts.random.next()));
     }
 
+    /**
+     * Handles the failure of a watch. Its connection may have gone silent or been cut while the service is available, which is
+     * no outage. Throws if the service doesn't answer over another connection either.
+     */
+    private async onWatchFailure(thrown: unknown, signal: AbortSignal): Promise<void> {
+        const { code } = toKnapweedError(thrown);
+        const isServiceReachable = this.opts.isServiceReachable?.() ?? true;
+        if (signal.aborted || code === COMPACTED_CODE || !isServiceReachable) {
+            throw thrown;
+        }
+        const { prefix, logger, clock } = this.opts;
+        logger.info("mirror-watch-lost", { prefix, revision: this.currentRevision, ageMs: this.ageMs, code });
+        this.watchFailures += 1;
+        await this.applyMissedChanges();
+        if (this.watchFailures > 1) {
+            await sleep(clock, this.retryDelayMs(this.watchFailures), signal);
+        }
+    }
+
     /**
      * Asks the service for the changes since the last one, and watches again if there are any, since the watch should have
      * delivered them. Rejects with the error of the service.
--- a/fleet/sync/src/prefixMirrorOptions.ts
+++ b/fleet/sync/src/prefixMirrorOptions.ts
@@ -23,6 +23,11 @@
     checkDelayMs?: () => number;
     /** Called when the service has answered a check, so that other processes can be told. */
     onChecked?: () => void;
+    /**
+     * Whether other calls of this process reach the service. If they do, the failure of a watch tells nothing about the
+     * service. Default true.
+     */
+    isServiceReachable?: () => boolean;
     /** Returns the pause after a change, in milliseconds, so that one call delivers several. Default 0, for urgent changes. */
     coalesceMs?: () => number;
     /** Whether the mirror keeps the entries for {@link PrefixMirror.entries}. Default false, for large entries. */
--- a/fleet/sync/test/silentWatches.test.ts
+++ b/fleet/sync/test/silentWatches.test.ts
@@ -1,6 +1,7 @@
 // The connection of a watch goes silent without an error, or is cut, while all other connections to the key-value service
 // work. The mirror took that for a service in which nothing changes: an ended job's items began for 4.7 s (review/10),
-// drained upstreams got requests, and a configuration took effect as late.
+// drained upstreams got requests, and a configuration took effect as late. A cut connection counted as an outage, after which
+// removed upstreams are kept.
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { PrefixMirror } from "../src/prefixMirror.js";
@@ -59,6 +60,30 @@
     fleet.stop();
 });
 
+test("a watch that is cut is no outage, and what it missed is mirrored at once", async () => {
+    const fleet = new MirroringFleet(1);
+    const [mirror] = fleet.mirrors as [PrefixMirror];
+    await fleet.service.transact([], [put("a/1")]);
+    await fleet.clock.advance(500);
+    fleet.service.silenceWatches("a/");
+    await fleet.service.transact([], [put("a/2"), { kind: "delete", key: "a/1" }]);
+    fleet.service.cutWatches("a/");
+    await fleet.clock.advance(100);
+    assert.deepEqual([...fleet.keys[0]!], ["a/2"]);
+    assert.deepEqual([mirror.lastOutageEndedAtMs, fleet.recoveries], [-Infinity, 0]);
+    assert.ok(mirror.gaplessSinceMs < 100, "no change was missed");
+    fleet.stop();
+});
+
+test("a watch that fails while no other call reaches the service is an outage", async () => {
+    const fleet = new MirroringFleet(1, { isServiceReachable: () => false });
+    await fleet.clock.advance(500);
+    fleet.service.cutWatches("a/");
+    await fleet.clock.advance(1000);
+    assert.equal(fleet.recoveries, 1);
+    fleet.stop();
+});
+
 test("a process verifies a mirror by another one's report only if it has the same changes", async () => {
     const fleet = new MirroringFleet(1, { checkDelayMs: () => 60_000 });
     const [mirror] = fleet.mirrors as [PrefixMirror];
