test(soak): connections that watch the key-value service go silent or are cut while all others work

The soak silenced all connections of a process to the service, or the service itself, never single ones. Three kinds of fault are added: watches go silent, the same and a gateway is lost 250 ms later, and watches are cut; of all processes in half of the cases.

--- a/fuzz/soak/src/faultInjector.ts
+++ b/fuzz/soak/src/faultInjector.ts
@@ -17,6 +17,8 @@
 const ENTRY_EXPIRY_MS = 3600;
 /** Time for which an upstream keeps serving after it announced that it drains. */
 const DRAIN_MS = 3200;
+/** Time between the silence of watches and the loss of a gateway. */
+const WRITER_LOSS_DELAY_MS = 250;
 /** Time that a process needs after its start until it works again. */
 const PROCESS_START_MS = 1500;
 
@@ -83,6 +85,9 @@
             case "store":
                 await this.applyStoreFault(fault, variant);
                 return;
+            case "watches":
+                await this.applyWatchFault(fault, variant);
+                return;
             case "upstream":
                 await this.runOnUpstream(
                     fault,
@@ -159,6 +164,28 @@
         });
     }
 
+    /**
+     * Silences or cuts connections that watch the key-value service while its other connections work: all of them, or a share.
+     * With `silent-kill` a gateway that may have acknowledged a change since is lost soon after.
+     */
+    private async applyWatchFault(fault: PlannedFault, variant: string): Promise<void> {
+        const { store } = this.fleet;
+        const share = fault.targetFraction < 0.5 ? 1 : fault.targetFraction;
+        await this.runRecorded(fault.kind, "store", [], false, () => {
+            if (variant === "cut") {
+                store.cutWatches(share);
+            }
+            else {
+                store.silenceWatches(share);
+            }
+            return Promise.resolve();
+        });
+        if (variant === "silent-kill") {
+            await pause(WRITER_LOSS_DELAY_MS);
+            await this.runOnProcess(fault, process => this.restart(process));
+        }
+    }
+
     /**
      * Silences a relay in one or both directions; a target fraction below 0.5 selects `forward` as the one direction.
      * Connections opened after the fault work; those silenced stay silent.
--- a/fuzz/soak/src/faultKinds.ts
+++ b/fuzz/soak/src/faultKinds.ts
@@ -1,5 +1,5 @@
 /**
- * The kinds of fault: signals to processes, faults of disks, of the key-value service, of links and of upstreams, and
+ * The kinds of fault: signals to processes, faults of disks, of the key-value service and of the connections that watch it, of links and of upstreams, and
  * the planned operations `stop`, `reload` and `drain`. The order decides which kinds a seed draws.
  */
 export const faultKinds = [
@@ -37,4 +37,7 @@
     "reload",
     "drain",
     "upstream-early",
+    "watches-silent",
+    "watches-silent-kill",
+    "watches-cut",
 ] as const;
