fix(jobs): an answer without usable output is no failure of the upstream until another one writes output of the item

Cause: such an answer counted as a failure of its upstream.

Change: an answer without events, or with too many, may be due to the item. It says nothing of the upstream until another one writes output of the same item; then the doubted upstreams have failed it, and are ejected as before. The item prefers upstreams that it doesn't doubt, and waits twice as long each time, 4.8 s at most.

--- a/fleet/jobs/src/batchSlots.ts
+++ b/fleet/jobs/src/batchSlots.ts
@@ -43,7 +43,8 @@
      * @returns undefined if the service has no free slot for the item, or if it ends earlier by waiting for a faster one
      */
     take(service: ServiceName, item: JobItem, keepsEvents: boolean, times?: ItemTimes): Upstream | undefined {
-        const { failedUpstreamIds, softwareVersion } = item;
+        const { softwareVersion } = item;
+        const failedUpstreamIds = [...item.failedUpstreamIds, ...item.doubtedUpstreamIds];
         const candidate = chooseBatchUpstream(this.freeOf(service), { failedUpstreamIds, softwareVersion, times });
         if (candidate !== undefined && times !== undefined && this.waitsForFaster(service, candidate, times)) {
             return undefined;
--- a/fleet/jobs/src/itemOutcomes.ts
+++ b/fleet/jobs/src/itemOutcomes.ts
@@ -11,6 +11,7 @@
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
 import type { JobTable } from "./jobTable.js";
 import type { OpenJob } from "./openJob.js";
+import { recordDoubt } from "./recordDoubt.js";
 import { recordUpstreamHealth } from "./recordUpstreamHealth.js";
 import type { ResultCommitter } from "./resultCommitter.js";
 
@@ -52,6 +53,7 @@
         });
         this.opts.metrics.increment("item_runs_total", { outcome: outcome.kind });
         recordUpstreamHealth(this.opts.health, upstream.id, outcome, nowMs);
+        recordDoubt(this.opts.health, run, outcome, nowMs);
         const slowness = this.opts.slownessOf(upstream);
         this.opts.runTimeEstimator.recordRun(run.eventCount, nowMs - run.startedAtMs, slowness);
         if (outcome.kind === "failed") {
--- a/fleet/jobs/src/jobItem.ts
+++ b/fleet/jobs/src/jobItem.ts
@@ -15,6 +15,10 @@
     notBeforeMs: number;
     /** Number of times in a row that upstreams have rejected the item without running it. */
     consecutiveRejections: number;
+    /** Number of times in a row that the answer to the item was no usable output, which may be due to the item. */
+    consecutiveDiscards: number;
+    /** Upstreams that gave these answers. If another one writes output, they were at fault. */
+    doubtedUpstreamIds: UpstreamId[];
     /** Time at which the last run of this process ended, Unix ms; -Infinity if there was none. */
     lastRunEndedAtMs: number;
     /** Upstreams that ran the item and failed, as observed by this process. */
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -36,6 +36,8 @@
             isComplete: false,
             notBeforeMs: 0,
             consecutiveRejections: 0,
+            consecutiveDiscards: 0,
+            doubtedUpstreamIds: [],
             lastRunEndedAtMs: -Infinity,
             failedUpstreamIds: [],
         }));
--- a/fleet/jobs/src/recordUpstreamHealth.ts
+++ b/fleet/jobs/src/recordUpstreamHealth.ts
@@ -1,6 +1,7 @@
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import type { ItemRunOutcome } from "./itemRunOutcome.js";
+import { mayBeDueToItem } from "./mayBeDueToItem.js";
 
 /** Records what the outcome of an item's run says about the health of its upstream. */
 export function recordUpstreamHealth(
@@ -9,6 +10,9 @@
     outcome: ItemRunOutcome,
     nowMs: number,
 ): void {
+    if (mayBeDueToItem(outcome)) {
+        return;
+    }
     if (outcome.kind === "broken" || outcome.kind === "garbled") {
         health.onFailure(upstreamId, nowMs);
     }
--- a/fleet/jobs/test/applyRunOutcome.test.ts
+++ b/fleet/jobs/test/applyRunOutcome.test.ts
@@ -45,3 +45,15 @@
     delayAfter({ kind: "failed" });
     assert.equal(delayAfter(rejected), 50);
 });
+
+// Upstreams answered an item with 200 and text that is no stream of events. It ran again each 300 ms for good.
+test("an item that gets no usable output again and again waits longer each time", () => {
+    const item = createItemWithProgress();
+    const delayAfter = (code: string) => {
+        applyRunOutcome(item, { kind: "garbled", code }, opts);
+        return item.notBeforeMs - opts.nowMs;
+    };
+    const delays = Array.from({ length: 7 }, () => delayAfter("ANSWER_WITHOUT_EVENTS"));
+    assert.deepEqual(delays, [300, 600, 1200, 2400, 4800, 4800, 4800]);
+    assert.equal(delayAfter("EVENT_OUT_OF_ORDER"), 300, "which only an upstream can cause");
+});
