--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -17,6 +17,7 @@
 import { computeCoalesceMs } from "@knapweedwood/fleet.sync/computeCoalesceMs";
 import { computeWatchWaitMs } from "@knapweedwood/fleet.sync/computeWatchWaitMs";
 import type { MemberRecord } from "@knapweedwood/fleet.sync/memberRecord";
+import type { PrefixMirror } from "@knapweedwood/fleet.sync/prefixMirror";
 import { UpstreamRequestLimiter } from "@knapweedwood/fleet.upstream-limits/upstreamRequestLimiter";
 import { UpstreamConnections } from "@knapweedwood/fleet.upstreams/upstreamConnections";
 import type { ProcessSettings } from "@knapweedwood/fleet.view/processSettings";
@@ -72,6 +73,8 @@
     onDrainRequested(): void;
     /** Called when this process becomes or is no longer the leader, which runs batch jobs. Only called on runners. */
     onLeadershipChanged(isLeading: boolean): void;
+    /** Returns the mirrors of this process that aren't part of it, whose age its metrics show, shape [mirrors]. */
+    otherMirrors?: () => PrefixMirror[];
 }
 
 /**
@@ -144,7 +147,10 @@
             eventLoop: this.eventLoop,
             speeds: this.speeds,
             limits,
-            mirrors: () => [this.operators, this.upstreams, this.peers].map(({ mirror }) => mirror),
+            mirrors: () => [
+                ...[this.operators, this.upstreams, this.peers].map(({ mirror }) => mirror),
+                ...opts.otherMirrors?.() ?? [],
+            ],
         });
         this.keyValueService = new PlatformKeyValueService({
             clock,
--- a/daemons/fleet/src/metricsServer.ts
+++ b/daemons/fleet/src/metricsServer.ts
@@ -66,7 +66,7 @@
         this.metrics.gauge("event_loop_delay_max_ms", this.eventLoop.takeMaxDelayMs());
         this.updateSpeeds();
         this.updateLimits();
-        this.mirrors().forEach(({ prefix, ageMs }) => this.metrics.gauge("mirror_age_ms", ageMs, { prefix }));
+        this.updateMirrors();
         return this.metrics.render();
     }
 
@@ -79,6 +79,14 @@
         });
     }
 
+    /** Sets the ages of the mirrors that this process has now. Before the first listing there is none. */
+    private updateMirrors(): void {
+        this.metrics.resetGauge("mirror_age_ms");
+        this.mirrors()
+            .filter(({ isListed }) => isListed)
+            .forEach(({ prefix, ageMs }) => this.metrics.gauge("mirror_age_ms", ageMs, { prefix }));
+    }
+
     /** Sets the limits that are in force now. */
     private updateLimits(): void {
         this.metrics.resetGauge("upstream_limit_per_second");
--- a/daemons/fleet/src/runnerProgram.ts
+++ b/daemons/fleet/src/runnerProgram.ts
@@ -65,6 +65,7 @@
             onConfiguration: () => this.runner.requestDispatch(),
             onJobsWritten: revision => this.runner.catchUp(revision),
             onDrainRequested: () => void this.drain(),
+            otherMirrors: () => this.runner.mirrors(),
             onLeadershipChanged: isLeading => isLeading ? this.runner.start() : this.runner.stop(),
         });
         this.collector = new HeldJobsCollector({
--- a/fleet/jobs/src/jobRunner.ts
+++ b/fleet/jobs/src/jobRunner.ts
@@ -166,6 +166,11 @@
         this.mirror?.catchUp(revision);
     }
 
+    /** Returns the mirror of the jobs while this process leads, shape [mirrors]. */
+    mirrors(): PrefixMirror[] {
+        return this.leadershipController === undefined || this.mirror === undefined ? [] : [this.mirror];
+    }
+
     /** Runs a job that is held on disk and is not in the key-value service yet. */
     onHeld(job: HeldJob): void {
         if (this.leadershipController !== undefined) {
