fix(jobs): an item goes on only at the service that began it

Cause: an item's progress named the software version that wrote its events and not the service. The versions of two services may be equal, so the second one was asked to go on with Last-Event-Id. Online streams bind both already.

Change: the progress names the service as well, also as it is stored for the next leader. At another service the item starts over, and it doesn't wait there for upstreams of its version.

Two tests of resumption name the service of their item now, as items have it after a run.

--- a/fleet/jobs/src/batchSlots.ts
+++ b/fleet/jobs/src/batchSlots.ts
@@ -43,14 +43,19 @@
      * @returns undefined if the service has no free slot for the item, or if it ends earlier by waiting for a faster one
      */
     take(service: ServiceName, item: JobItem, keepsEvents: boolean, times?: ItemTimes): Upstream | undefined {
-        const { softwareVersion } = item;
+        // No upstream of another service can go on with the events, whatever its version.
+        const hasEventsOfService = item.service === service;
+        const softwareVersion = hasEventsOfService ? item.softwareVersion : undefined;
         const failedUpstreamIds = [...item.failedUpstreamIds, ...item.doubtedUpstreamIds];
         const candidate = chooseBatchUpstream(this.freeOf(service), { failedUpstreamIds, softwareVersion, times });
         if (candidate !== undefined && times !== undefined && this.waitsForFaster(service, candidate, times)) {
             return undefined;
         }
         const chosen = candidate?.upstream;
-        if (keepsEvents && chosen?.softwareVersion !== softwareVersion && this.canResume(service, item)) {
+        if (
+            keepsEvents && hasEventsOfService && chosen?.softwareVersion !== softwareVersion
+            && this.canResume(service, item)
+        ) {
             return undefined;
         }
         this.changed = chosen;
--- a/fleet/jobs/src/itemProgress.ts
+++ b/fleet/jobs/src/itemProgress.ts
@@ -1,3 +1,4 @@
+import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 
 /** Progress of an item. */
@@ -6,6 +7,8 @@
     events: string[];
     /** Id of the last event; 0 if there is none. */
     lastEventId: number;
+    /** Service whose upstreams wrote the events; undefined if there is none, or it isn't known. */
+    service?: ServiceName | undefined;
     /** Software version of the upstreams that wrote the events; undefined if there is none, or it isn't known. */
     softwareVersion?: SoftwareVersion | undefined;
     failedAttempts: number;
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -85,8 +85,8 @@
     }
 
     /**
-     * Sends the item to the upstream. Asks it to resume after the last event received, if its software version wrote
-     * the events; otherwise the item starts over.
+     * Sends the item to the upstream. Asks it to resume after the last event received, if its service and software version
+     * wrote the events; otherwise the item starts over.
      *
      * @param opts.caller who submitted the item, whose team its own headers can't set; undefined where there are no teams
      */
@@ -95,10 +95,11 @@
         opts: { host: string; body: Buffer; caller?: JobCaller | undefined; },
     ): void {
         const { item, headers } = this;
-        if (item.softwareVersion !== this.upstream.softwareVersion) {
+        const { service, softwareVersion } = this.upstream;
+        if (item.service !== service || item.softwareVersion !== softwareVersion) {
             discardEvents(item);
         }
-        item.softwareVersion = this.upstream.softwareVersion;
+        Object.assign(item, { service, softwareVersion });
         this.outputBytes = item.events.reduce((sum, event) => sum + jsonBytesOf(event), 0);
         this.restartStallTimer();
         this.exchange = connections.send(this.upstream, {
--- a/fleet/jobs/test/batchChoices.test.ts
+++ b/fleet/jobs/test/batchChoices.test.ts
@@ -38,6 +38,7 @@
     const [old, next] = [candidate("old", 6, 0), candidate("new", 0, 0)];
     next.upstream.softwareVersion = "v2" as SoftwareVersion;
     const [item] = new OpenJob(createJobRecord({ id: "job", itemCount: 1, dueAtMs: 1000 })).items;
+    item!.service = old.upstream.service;
     item!.softwareVersion = old.upstream.softwareVersion;
     const take = (candidates: BatchCandidate[], keepsEvents: boolean) => {
         const upstreamsOf = () => candidates.map(({ upstream }) => upstream);
--- a/fleet/jobs/test/batchSlots.test.ts
+++ b/fleet/jobs/test/batchSlots.test.ts
@@ -34,7 +34,21 @@
         candidateOf: upstream => ({ upstream, online: 0, batch: 0 }),
     });
     const item = new OpenJob(createJobRecord({ id: "j", itemCount: 1 })).items[0]!;
+    item.service = SERVICE;
     item.softwareVersion = NEW_VERSION;
     item.failedUpstreamIds.push(upstreams[1]!.id);
     assert.notEqual(slots.take(SERVICE, item, true), undefined);
 });
+
+// A route had moved to another service. Its upstreams can't go on with what those of the first one wrote (review/8).
+test("an item with most of its output doesn't wait for its version at another service", () => {
+    const upstreams = [createUpstream("old", OLD_VERSION!), createUpstream("new", NEW_VERSION!)];
+    const loads = new Map([["old", 8], ["new", 0]]);
+    const slots = new BatchSlots({
+        upstreamsOf: () => upstreams,
+        candidateOf: upstream => ({ upstream, online: loads.get(upstream.id)!, batch: 0 }),
+    });
+    const item = new OpenJob(createJobRecord({ id: "j", itemCount: 1 })).items[0]!;
+    Object.assign(item, { service: "another", softwareVersion: OLD_VERSION });
+    assert.equal(slots.take(SERVICE, item, true)?.id, "new");
+});
