test(soak): a job may be gone once it has ended and its retention time is over

The check now leaves out just these: an ended job that its caller knows to have ended, at 120 s after its submission or later. A job that is open by what its caller has read must still be found.

--- a/fuzz/soak/src/checkJobs.ts
+++ b/fuzz/soak/src/checkJobs.ts
@@ -1,5 +1,6 @@
 import { expectedEvents } from "./expectedEvents.js";
 import type { JobRecord } from "./jobRecord.js";
+import { RESULT_RETENTION_MS } from "./resultRetentionMs.js";
 import type { SoakRecord } from "./soakRecord.js";
 import type { Violation } from "./violation.js";
 import { withoutSoftwareVersions } from "./withoutSoftwareVersions.js";
@@ -64,6 +65,7 @@
 
 function checkEnd(job: JobRecord, record: SoakRecord): Violation[] {
     const missed = job.missedAtMs
+        .filter(atMs => !mayBeRemoved(job, atMs))
         .filter(atMs =>
             atMs > job.acceptedAtMs! + SETTLE_MS && record.isFaultFree(atMs, atMs, { slackMs: FAULT_SLACK_MS })
         )
@@ -77,6 +79,13 @@
         : missed;
 }
 
+/** Whether the caller knows that a job had ended, and its retention time was over. */
+function mayBeRemoved(job: JobRecord, atMs: number): boolean {
+    const isCancelled = job.cancelledAtMs !== undefined && job.cancelledAtMs < atMs;
+    const isComplete = job.readAtMs.filter(readAtMs => readAtMs < atMs).length >= job.items.length;
+    return (isCancelled || isComplete) && atMs >= job.submittedAtMs + RESULT_RETENTION_MS;
+}
+
 function checkCancellation(job: JobRecord, record: SoakRecord): Violation[] {
     const { cancelledAtMs } = job;
     if (cancelledAtMs === undefined) {
