--- a/daemons/fleet/src/loadReports.ts
+++ b/daemons/fleet/src/loadReports.ts
@@ -113,10 +113,12 @@
     /** Returns what the key-value service said to this process a short time ago. */
     private verificationsToReport(): MirrorVerifications {
         const { operators, upstreams, peers } = this.opts;
+        const [ofOperators, ofUpstreams, ofProcesses] = [operators, upstreams, peers]
+            .map(({ mirror: { verification } }) => isRecent(verification) ? verification : undefined);
         return {
-            ...isRecent(operators.mirror.verification) ? { operators: operators.mirror.verification } : {},
-            ...isRecent(upstreams.mirror.verification) ? { upstreams: upstreams.mirror.verification } : {},
-            ...isRecent(peers.mirror.verification) ? { processes: peers.mirror.verification } : {},
+            ...ofOperators === undefined ? {} : { operators: ofOperators },
+            ...ofUpstreams === undefined ? {} : { upstreams: ofUpstreams },
+            ...ofProcesses === undefined ? {} : { processes: ofProcesses },
         };
     }
 
--- a/daemons/fleet/src/mirrorCheckTimes.ts
+++ b/daemons/fleet/src/mirrorCheckTimes.ts
@@ -2,7 +2,8 @@
 
 /** Part of the time in which a change has to take effect after which a mirror is checked. The rest is for the check. */
 const MAX_AGE_SHARE = 0.5;
-const MIN_MAX_AGE_MS = 500;
+/** Least age at which a mirror is checked, in milliseconds. The settings may name no drain time. */
+const LEAST_CHECKED_AGE_MS = 500;
 /** Time that a process has to check a mirror and to tell the others, in milliseconds. */
 const TURN_MS = 50;
 const MAX_TURNS = 8;
@@ -26,7 +27,7 @@
      * @param boundMs time in which a change of the mirrored keys has to take effect, in milliseconds
      */
     maxAgeMs(boundMs: number): number {
-        const maxAgeMs = Math.max(MIN_MAX_AGE_MS, boundMs * MAX_AGE_SHARE);
+        const maxAgeMs = Math.max(LEAST_CHECKED_AGE_MS, boundMs * MAX_AGE_SHARE);
         return this.peers().placesLoad ? maxAgeMs : Math.max(maxAgeMs, STANDBY_MAX_AGE_MS);
     }
 
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -33,6 +33,7 @@
     /** Ends the current listing or watch. */
     private attemptController = new AbortController();
     private failures = 0;
+    /** Watches in a row that failed without a response while the service was reachable. */
     private watchFailures = 0;
     private recoveredAtMs = Infinity;
     private readonly age: MirrorAge;
@@ -185,10 +186,14 @@
 
     /** Asks the service for changes that the watch should have delivered. Does nothing while the service is unreachable. */
     async check(): Promise<void> {
+        const { signal } = this.attemptController;
         try {
             await this.applyMissedChanges();
         }
         catch (thrown) {
+            if (signal.aborted) {
+                return;
+            }
             const { code } = toKnapweedError(thrown);
             this.opts.logger.info("mirror-check-failed", { prefix: this.opts.prefix, ageMs: this.ageMs, code });
             if (code === COMPACTED_CODE) {
