fix(sync): checks that fail are repeated less and less often, and a fleet out of touch spreads its checks

Change: a failed check doubles the pause to the next, up to 4.8 s. From the ninth process on, each checks 5 ms later than the one before, 12 s at most: 200 calls a second for a prefix. A mirror whose keys are being listed isn't asked for what a peer has reported.

--- a/daemons/fleet/src/mirrorCheckTimes.ts
+++ b/daemons/fleet/src/mirrorCheckTimes.ts
@@ -7,6 +7,13 @@
 /** Time that a process has to check a mirror and to tell the others, in milliseconds. */
 const TURN_MS = 50;
 const MAX_TURNS = 8;
+/**
+ * Time by which each further process checks later than the one before, in milliseconds. It limits the calls of a fleet whose
+ * processes don't hear each other.
+ */
+const LATE_TURN_MS = 5;
+/** Longest delay of a check, in milliseconds. */
+const MAX_DELAY_MS = 12_000;
 /** Age at which a process that places nothing checks its mirrors, in milliseconds. Others tell it once a second. */
 const STANDBY_MAX_AGE_MS = 4000;
 
@@ -33,6 +40,11 @@
 
     /** Returns how much later this process checks, in milliseconds. */
     delayMs(): number {
-        return Math.min(this.peers().placingRank, MAX_TURNS) * TURN_MS;
+        const { placingRank } = this.peers();
+        if (placingRank === Infinity) {
+            return MAX_TURNS * TURN_MS;
+        }
+        const lateTurns = Math.max(0, placingRank - MAX_TURNS);
+        return Math.min(MAX_DELAY_MS, (placingRank - lateTurns) * TURN_MS + lateTurns * LATE_TURN_MS);
     }
 }
--- a/fleet/sync/src/checkSchedule.ts
+++ b/fleet/sync/src/checkSchedule.ts
@@ -1,8 +1,9 @@
 import type { Clock } from "@knapweedwood/core.clock/clock";
 import type { Timer } from "@knapweedwood/core.clock/timer";
 
-/** Shortest time between two checks, in milliseconds. */
+/** Shortest time between two checks, in milliseconds. Each one that fails doubles it, to spare an overloaded service. */
 const MIN_INTERVAL_MS = 150;
+const MAX_INTERVAL_MS = 4800;
 
 interface CheckScheduleOptions {
     clock: Clock;
@@ -12,8 +13,8 @@
     delayMs: () => number;
     /** Returns the age of the mirror, in milliseconds. */
     ageMs: () => number;
-    /** Checks the mirror. Doesn't reject. */
-    check: () => Promise<void>;
+    /** Checks the mirror. Resolves to false if the check failed. */
+    check: () => Promise<boolean>;
 }
 
 /** Checks a mirror when nothing has verified it for a while. A verification in the meantime postpones the check. */
@@ -21,6 +22,7 @@
     private readonly opts: CheckScheduleOptions;
     private timer: Timer | undefined;
     private isStopped = false;
+    private failures = 0;
 
     constructor(opts: CheckScheduleOptions) {
         this.opts = opts;
@@ -38,14 +40,16 @@
 
     private schedule(): void {
         if (!this.isStopped) {
-            const delayMs = Math.max(MIN_INTERVAL_MS, this.dueInMs());
+            const intervalMs = Math.min(MAX_INTERVAL_MS, MIN_INTERVAL_MS * 2 ** this.failures);
+            const delayMs = Math.max(intervalMs, this.dueInMs());
             this.timer = this.opts.clock.setTimer(delayMs, () => void this.checkIfDue());
         }
     }
 
     private async checkIfDue(): Promise<void> {
         if (this.dueInMs() <= 0) {
-            await this.opts.check();
+            const hasSucceeded = await this.opts.check();
+            this.failures = hasSucceeded ? 0 : this.failures + 1;
         }
         this.schedule();
     }
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -178,27 +178,35 @@
         }
         this.catchUpTimer = this.opts.clock.setTimer(this.coalesceMs() + CATCH_UP_DELAY_MS, () => {
             this.catchUpTimer = undefined;
-            if (this.currentRevision > 0 && revision > this.currentRevision) {
+            // Otherwise the keys are being listed.
+            const isWatched = this.currentRevision > 0 && this.failures === 0;
+            if (isWatched && revision > this.currentRevision) {
                 void this.askFor(revision);
             }
         });
     }
 
-    /** Asks the service for changes that the watch should have delivered. Does nothing while the service is unreachable. */
-    async check(): Promise<void> {
+    /**
+     * Asks the service for changes that the watch should have delivered. Does nothing while the service is unreachable.
+     *
+     * @returns false if the service didn't answer
+     */
+    async check(): Promise<boolean> {
         const { signal } = this.attemptController;
         try {
             await this.applyMissedChanges();
+            return true;
         }
         catch (thrown) {
             if (signal.aborted) {
-                return;
+                return true;
             }
             const { code } = toKnapweedError(thrown);
             this.opts.logger.info("mirror-check-failed", { prefix: this.opts.prefix, ageMs: this.ageMs, code });
             if (code === COMPACTED_CODE) {
                 this.relist();
             }
+            return false;
         }
     }
 
