--- a/fleet/jobs/test/applyRunOutcome.test.ts
+++ b/fleet/jobs/test/applyRunOutcome.test.ts
@@ -46,7 +46,8 @@
     assert.equal(delayAfter(rejected), 50);
 });
 
-// Upstreams answered an item with 200 and text that is no stream of events. It ran again each 300 ms for good.
+// Each upstream answered an item with status 200 and text that is no stream of events. The item ran again every 300 ms
+// until its retention time ended.
 test("an item that gets no usable output again and again waits longer each time", () => {
     const item = createItemWithProgress();
     const delayAfter = (code: string) => {
--- a/fleet/jobs/test/recordDoubt.test.ts
+++ b/fleet/jobs/test/recordDoubt.test.ts
@@ -1,5 +1,5 @@
-// Items to which every upstream answered 200 with a body that is no stream of events counted as failures of the upstreams. Three
-// of them ejected all upstreams again and again, and sound jobs beside them took up to 17.7 s.
+// Each upstream answered some items with status 200 and a body that is no stream of events. These answers counted as failures
+// of the upstreams, so all upstreams were ejected, and the other jobs waited.
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import { UpstreamHealth } from "@knapweedwood/fleet.load/upstreamHealth";
 import assert from "node:assert/strict";
--- a/fleet/sync/test/silentWatches.test.ts
+++ b/fleet/sync/test/silentWatches.test.ts
@@ -30,7 +30,7 @@
     }
 });
 
-// The watches of all processes begin anew after each change, so that none of them ends before the others.
+// After each change all processes start a new watch at the same time. Then no watch ends soon and finds the next change.
 test("a change is mirrored by all processes within the bound though their watches went silent together", async () => {
     for (const processes of [2, 6, 12]) {
         const fleet = new MirroringFleet(processes);
