--- a/review/harness-3/replicaStandin.mjs
+++ b/review/harness-3/replicaStandin.mjs
@@ -12,10 +12,21 @@
      * @param opts.handle called with each request; returns true if it answers it itself
      */
     constructor(opts) {
-        this.opts = { slots: 8, zone: "z-a", version: "v1", eventCount: 5, eventGapMs: 20, workMs: 20, ...opts };
+        this.opts = {
+            slots: 8,
+            zone: "z-a",
+            version: "v1",
+            eventCount: 5,
+            eventGapMs: 20,
+            workMs: 20,
+            textOf: eventText,
+            adapters: [],
+            ...opts,
+        };
         this.id = opts.id;
         this.runs = [];
         this.arrivals = [];
+        this.rejections = 0;
         this.sequence = 0;
         this.running = 0;
         this.state = "ready";
@@ -49,7 +60,7 @@
             state: this.state,
             warmupLeftMs: 0,
             stage: "both",
-            models: [{ name: "m", version: 1, adapters: [] }],
+            models: [{ name: "m", version: 1, adapters: this.opts.adapters }],
             sequence: this.sequence,
             born: this.born,
         });
@@ -93,6 +104,7 @@
             return;
         }
         if (this.running >= this.opts.slots) {
+            this.rejections += 1;
             response.writeHead(503, { "x-not-run": "1", "content-length": 0 }).end();
             return;
         }
@@ -118,7 +130,7 @@
         response.writeHead(200, { "content-type": "text/event-stream" });
         for (let event = run.after + 1; event <= this.opts.eventCount && !response.destroyed; event += 1) {
             await pause(this.opts.eventGapMs);
-            response.write(`id: ${event}\ndata: ${eventText(id, event)}\n\n`);
+            response.write(`id: ${event}\ndata: ${this.opts.textOf(id, event)}\n\n`);
         }
         response.end();
     }
--- a/review/harness-3/storeStandin.mjs
+++ b/review/harness-3/storeStandin.mjs
@@ -8,6 +8,7 @@
 const MAX_ENTRIES = 32;
 const PAGE_ITEMS = 500;
 const PAGE_BYTES = 1_000_000;
+const VALUE_BYTES = 1_048_576;
 const ANSWER_DELAY_MS = 4;
 const EXPIRY_INTERVAL_MS = 20;
 
@@ -15,6 +16,7 @@
     constructor(host) {
         this.host = host;
         this.revision = 100;
+        this.valueBytes = VALUE_BYTES;
         this.items = new Map();
         this.leases = new Map();
         this.events = [];
@@ -198,6 +200,9 @@
         if ([...puts, ...remove.map(key => ({ key }))].some(({ key }) => /^(?:op|servers)\//u.test(key))) {
             return [403, {}];
         }
+        if (puts.some(({ value }) => Buffer.from(value, "base64").length > this.valueBytes)) {
+            return [413, {}];
+        }
         const current = precondition.map(({ key }) => this.items.get(key) ?? { key, revision: 0 });
         if (precondition.some(({ revision }, index) => current[index].revision !== revision)) {
             return [412, { items: current, currentRev: this.revision }];
