feat(jobs): log that items wait for reserved slots

A wait for a free slot was never logged by itself, and slots that are reserved for online requests counted as taken. Change: the wait reason slots-reserved, which is reported when slots of a service are idle, none may be taken by an item, and no item of the service runs. A wait for slots that are really taken stays unlogged, as under load it is usual.

--- a/fleet/jobs/src/itemConditions.ts
+++ b/fleet/jobs/src/itemConditions.ts
@@ -2,6 +2,7 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { JobItem } from "./jobItem.js";
 import type { OpenJob } from "./openJob.js";
+import type { ServiceSlots } from "./serviceSlots.js";
 
 /** What decides whether an item may start now. */
 export interface ItemConditions {
@@ -10,7 +11,7 @@
     readyUpstreams(service: ServiceName): Upstream[];
     /** Whether an online request of the service waits for an upstream. */
     hasWaitingRequest(service: ServiceName): boolean;
-    /** Returns how many more items an upstream may start; undefined if it may not be used now. */
-    freeSlots(upstream: Upstream): number | undefined;
+    /** Returns the slots of a service; undefined if none of its upstreams may be used now. */
+    slotsOf(service: ServiceName): ServiceSlots | undefined;
     isQuarantined(service: ServiceName, item: JobItem): boolean;
 }
--- a/fleet/jobs/src/waitingItems.ts
+++ b/fleet/jobs/src/waitingItems.ts
@@ -102,7 +102,10 @@
             ?? (this.conditions.isQuarantined(service, item) ? "quarantined" : "resumption-awaited");
     }
 
-    /** Returns why no item of a service can start; undefined if a slot is free. */
+    /**
+     * Returns why no item of a service can start; undefined if a slot is free. Reserved slots are a reason only while no
+     * item of the service runs at all.
+     */
     private serviceReason(service: ServiceName): WaitReason | undefined {
         const upstreams = this.conditions.readyUpstreams(service);
         if (upstreams.length === 0) {
@@ -111,11 +114,14 @@
         if (this.conditions.hasWaitingRequest(service)) {
             return "online-requests-wait";
         }
-        const freeSlots = upstreams.flatMap(upstream => this.conditions.freeSlots(upstream) ?? []);
-        if (freeSlots.length === 0) {
+        const slots = this.conditions.slotsOf(service);
+        if (slots === undefined) {
             return "upstreams-ejected";
         }
-        return freeSlots.some(count => count > 0) ? undefined : "no-free-slot";
+        if (slots.startable > 0) {
+            return undefined;
+        }
+        return slots.idle > 0 && slots.running === 0 ? "slots-reserved" : "no-free-slot";
     }
 }
 
--- a/fleet/jobs/src/waitingItemsLog.ts
+++ b/fleet/jobs/src/waitingItemsLog.ts
@@ -2,10 +2,12 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { freeBatchSlots } from "./freeBatchSlots.js";
+import { idleSlotsOf } from "./idleSlotsOf.js";
 import type { ItemRoutes } from "./itemRoutes.js";
 import type { JobItem } from "./jobItem.js";
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
 import type { OpenJob } from "./openJob.js";
+import type { ServiceSlots } from "./serviceSlots.js";
 import { WaitingItems } from "./waitingItems.js";
 
 type WaitingItemsLogOptions = Pick<JobRunnerOptions, "clock" | "logger" | "directory" | "loadTracker"> & {
@@ -23,15 +25,12 @@
 
     constructor(opts: WaitingItemsLogOptions) {
         this.opts = opts;
-        const { clock, routes, directory, loadTracker, candidateOf, mayRun } = opts;
+        const { routes, directory, loadTracker, mayRun } = opts;
         this.waitingItems = new WaitingItems({
             serviceOf: (job, item) => routes.serviceOf(job, item),
             readyUpstreams: service => directory.ready(service),
             hasWaitingRequest: service => loadTracker.waitingAtPeers(service) > 0,
-            freeSlots: upstream => {
-                const candidate = candidateOf(upstream, clock.nowMs());
-                return candidate === undefined ? undefined : freeBatchSlots(candidate);
-            },
+            slotsOf: service => this.slotsOf(service),
             isQuarantined: (service, item) => !mayRun(service, item),
         });
     }
@@ -43,4 +42,15 @@
             this.opts.logger.warn("items-not-started", { ...found.longest, itemsByReason: found.itemsByReason });
         }
     }
+
+    private slotsOf(service: ServiceName): ServiceSlots | undefined {
+        const { clock, directory, candidateOf } = this.opts;
+        const nowMs = clock.nowMs();
+        const candidates = directory.ready(service).flatMap(upstream => candidateOf(upstream, nowMs) ?? []);
+        const sumOf = (count: (candidate: BatchCandidate) => number) =>
+            candidates.reduce((sum, candidate) => sum + count(candidate), 0);
+        return candidates.length === 0
+            ? undefined
+            : { startable: sumOf(freeBatchSlots), idle: sumOf(idleSlotsOf), running: sumOf(({ batch }) => batch) };
+    }
 }
--- a/fleet/jobs/test/waitingItems.test.ts
+++ b/fleet/jobs/test/waitingItems.test.ts
@@ -14,7 +14,7 @@
     serviceOf: () => SERVICE,
     readyUpstreams: () => [{} as Upstream],
     hasWaitingRequest: () => false,
-    freeSlots: () => 1,
+    slotsOf: () => ({ startable: 1, idle: 1, running: 0 }),
     isQuarantined: () => false,
 };
 
@@ -28,7 +28,8 @@
         [{ serviceOf: () => undefined }, "route-missing"],
         [{ readyUpstreams: () => [] }, "no-upstream"],
         [{ hasWaitingRequest: () => true }, "online-requests-wait"],
-        [{ freeSlots: () => undefined }, "upstreams-ejected"],
+        [{ slotsOf: () => undefined }, "upstreams-ejected"],
+        [{ slotsOf: () => ({ startable: 0, idle: 3, running: 0 }) }, "slots-reserved"],
         [{ isQuarantined: () => true }, "quarantined"],
         [{}, "resumption-awaited"],
     ];
@@ -42,6 +43,14 @@
     });
 });
 
+// Reserved slots are idle for long under load, which is usual while other items of the service run.
+test("items that wait for a reserved slot are reported only while no item of their service runs", () => {
+    const waiting = new WaitingItems({ ...STARTABLE, slotsOf: () => ({ startable: 0, idle: 3, running: 1 }) });
+    const job = createJob(2);
+    waiting.review([job], 0);
+    assert.equal(waiting.review([job], LONG_WAIT_MS), undefined);
+});
+
 test("a result that isn't stored and bodies that don't arrive are reported", () => {
     const waiting = new WaitingItems(STARTABLE);
     const unstored = createJob(1);
@@ -53,7 +62,7 @@
 });
 
 test("items that wait for a free slot, have just run or are running are not reported", () => {
-    const busy = new WaitingItems({ ...STARTABLE, freeSlots: () => 0 });
+    const busy = new WaitingItems({ ...STARTABLE, slotsOf: () => ({ startable: 0, idle: 0, running: 0 }) });
     const idle = new WaitingItems(STARTABLE);
     const job = createJob(2);
     [busy, idle].forEach(waiting => waiting.review([job], 0));
