fix(jobs): run items where upstreams have no slot beyond the reserved one

Cause: a slot of each upstream is reserved for the next online request (RESERVED_SLOTS), also where an upstream has no other slot, and also while no online request comes. What is reserved is a matter of the service, not of each upstream. Evidence: items-not-started with slots-reserved for all ten items; with two slots each all were done. Change: findItemSlots decides for all upstreams of a service at once. An upstream keeps a slot if it has more than one; besides, one slot of the service stays idle. Where that leaves no slot and no item of the service runs, one item is lent a reserved slot: the slot is first reported to the gateways as taken, the item is sent 50 ms later unless an online request has come, and the next online request there ends it. For upstreams with more slots the numbers are as before (property test).

--- a/fleet/jobs/src/batchSlots.ts
+++ b/fleet/jobs/src/batchSlots.ts
@@ -1,9 +1,10 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { BatchCandidate } from "./batchCandidate.js";
-import { chooseBatchUpstream } from "./chooseBatchUpstream.js";
+import { chooseItemSlots } from "./chooseItemSlots.js";
 import { endsEarlierByWaiting } from "./endsEarlierByWaiting.js";
-import { freeBatchSlots } from "./freeBatchSlots.js";
+import { findItemSlots } from "./findItemSlots.js";
+import type { ItemSlots } from "./itemSlots.js";
 import type { ItemTimes } from "./itemTimes.js";
 import type { JobItem } from "./jobItem.js";
 
@@ -20,7 +21,8 @@
  */
 export class BatchSlots {
     private readonly opts: BatchSlotsOptions;
-    private readonly free = new Map<ServiceName, BatchCandidate[]>();
+    private readonly candidates = new Map<ServiceName, BatchCandidate[]>();
+    private readonly free = new Map<ServiceName, ItemSlots[]>();
     /** The upstream of the last item, whose load has changed since. */
     private changed: Upstream | undefined;
     /** Numbers of items that wait for a slot of a faster upstream. */
@@ -34,6 +36,11 @@
         return this.freeOf(service).length > 0;
     }
 
+    /** Whether the next item of a service would take the last idle slot for online requests. */
+    isLent(service: ServiceName): boolean {
+        return this.freeOf(service).some(({ isLent }) => isLent);
+    }
+
     /**
      * Chooses the upstream for an item, which has to be started before the next call.
      *
@@ -47,7 +54,8 @@
         const hasEventsOfService = item.service === service;
         const softwareVersion = hasEventsOfService ? item.softwareVersion : undefined;
         const failedUpstreamIds = [...item.failedUpstreamIds, ...item.doubtedUpstreamIds];
-        const candidate = chooseBatchUpstream(this.freeOf(service), { failedUpstreamIds, softwareVersion, times });
+        const candidate = chooseItemSlots(this.freeOf(service), { failedUpstreamIds, softwareVersion, times })
+            ?.candidate;
         if (candidate !== undefined && times !== undefined && this.waitsForFaster(service, candidate, times)) {
             return undefined;
         }
@@ -78,23 +86,27 @@
         );
     }
 
-    private freeOf(service: ServiceName): BatchCandidate[] {
-        const { changed } = this;
+    private freeOf(service: ServiceName): ItemSlots[] {
         const known = this.free.get(service);
-        if (known !== undefined && changed?.service !== service) {
+        if (known !== undefined && this.changed?.service !== service) {
             return known;
         }
-        const others = known?.filter(candidate => candidate.upstream !== changed);
-        const upstreams = others === undefined || changed === undefined ? this.opts.upstreamsOf(service) : [changed];
-        const free = [...others ?? [], ...this.findFree(upstreams)];
+        const free = findItemSlots(this.updateCandidates(service));
         this.free.set(service, free);
         this.changed = undefined;
         return free;
     }
 
-    private findFree(upstreams: readonly Upstream[]): BatchCandidate[] {
-        return upstreams
-            .flatMap(upstream => this.opts.candidateOf(upstream) ?? [])
-            .filter(candidate => freeBatchSlots(candidate) > 0);
+    /** Looks at all upstreams of a service, or only at the changed one if the others are known. */
+    private updateCandidates(service: ServiceName): BatchCandidate[] {
+        const { changed } = this;
+        const others = this.candidates.get(service)?.filter(({ upstream }) => upstream !== changed);
+        const upstreams = others === undefined || changed === undefined ? this.opts.upstreamsOf(service) : [changed];
+        const candidates = [
+            ...others ?? [],
+            ...upstreams.flatMap(upstream => this.opts.candidateOf(upstream) ?? []),
+        ];
+        this.candidates.set(service, candidates);
+        return candidates;
     }
 }
--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -1,3 +1,4 @@
+import type { Timer } from "@knapweedwood/core.clock/timer";
 import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { RequestRun } from "@knapweedwood/fleet.quarantine/requestRun";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
@@ -11,10 +12,16 @@
 import type { JobRunnerOptions } from "./jobRunnerOptions.js";
 import type { OpenJob } from "./openJob.js";
 
+/** Time in which the load reports tell all gateways that an item gets a lent slot, in milliseconds. */
+const LENT_SLOT_NOTICE_MS = 50;
+
 interface InFlightItem {
     job: OpenJob;
     run: ItemRun;
-    requestRun: RequestRun;
+    /** Undefined before the item is sent. */
+    requestRun?: RequestRun;
+    /** Sends the item at the end of the notice; undefined if it is sent at once. */
+    sendTimer?: Timer;
 }
 
 type InFlightItemsOptions =
@@ -49,7 +56,13 @@
         this.onEnded = opts.onEnded;
     }
 
-    start(job: OpenJob, item: JobItem, upstream: Upstream): void {
+    /**
+     * Starts an item at an upstream. It counts there from now on.
+     *
+     * @param opts.isLent whether it takes the last idle slot for online requests. It is then sent at the end of a notice, unless
+     * an online request has taken the slot by then
+     */
+    start(job: OpenJob, item: JobItem, upstream: Upstream, opts: { isLent: boolean; }): void {
         item.state = "running";
         this.opts.loadTracker.count(upstream.id, "batch", 1);
         this.opts.onLoadChanged();
@@ -66,9 +79,33 @@
                 this.onEnded(job, run, outcome);
             },
         });
-        const requestRun = this.opts.quarantine.begin(upstream.service, this.opts.traits.of(job, item));
-        const inFlightItem: InFlightItem = { job, run, requestRun };
+        const inFlightItem: InFlightItem = { job, run };
         this.byUpstream.set(upstream.id, [...this.at(upstream.id), inFlightItem]);
+        if (opts.isLent) {
+            inFlightItem.sendTimer = this.opts.clock.setTimer(
+                LENT_SLOT_NOTICE_MS,
+                () => this.onNoticeEnded(inFlightItem),
+            );
+            return;
+        }
+        this.send(inFlightItem);
+    }
+
+    private onNoticeEnded(inFlightItem: InFlightItem): void {
+        const { job, run: { item, upstream } } = inFlightItem;
+        const { quarantine, traits } = this.opts;
+        const isBlocked = quarantine.itemBlockedForMs(upstream.service, traits.of(job, item)) > 0;
+        if (isBlocked) {
+            this.end(inFlightItem);
+            return;
+        }
+        this.send(inFlightItem);
+    }
+
+    private send(inFlightItem: InFlightItem): void {
+        const { job, run } = inFlightItem;
+        const { item, upstream } = run;
+        inFlightItem.requestRun = this.opts.quarantine.begin(upstream.service, this.opts.traits.of(job, item));
         this.opts.logger.info("item-started", {
             jobId: job.record.jobId,
             itemId: item.id,
@@ -77,6 +114,7 @@
             resumedAfter: item.lastEventId,
             online: this.opts.loadTracker.onlineCount(upstream.id),
             batch: this.opts.loadTracker.batchCount(upstream.id),
+            isSlotLent: inFlightItem.sendTimer !== undefined,
             slowness: this.opts.speeds?.loggedSlownessOf(upstream.id),
             limitPerSecond: this.opts.limits?.limitOf(upstream),
         });
@@ -89,13 +127,14 @@
     /** Ends runs whose slots online requests need. */
     preemptForOnline(): void {
         [...this.byUpstream.values()].flatMap(inFlight => this.runsToPreempt(inFlight)).forEach(inFlightItem => {
-            const { job, run } = inFlightItem;
+            const { job, run, requestRun } = inFlightItem;
             this.opts.logger.info("item-displaced", {
                 jobId: job.record.jobId,
                 itemId: run.item.id,
                 upstream: run.upstream.id,
                 online: this.opts.loadTracker.onlineCount(run.upstream.id),
                 events: run.item.lastEventId,
+                wasSent: requestRun !== undefined,
             });
             this.opts.metrics.increment("items_displaced_total");
             this.end(inFlightItem);
@@ -157,6 +196,9 @@
     }
 
     private recordOutcome({ run, requestRun }: InFlightItem, outcome: ItemRunOutcome): void {
+        if (requestRun === undefined) {
+            return;
+        }
         if (outcome.kind === "completed") {
             this.opts.quarantine.onSuccess(requestRun, run.upstream);
         }
@@ -166,6 +208,7 @@
     }
 
     private end(inFlightItem: InFlightItem): void {
+        inFlightItem.sendTimer?.cancel();
         inFlightItem.run.abort();
         this.release(inFlightItem);
     }
--- a/fleet/jobs/src/itemDispatcher.ts
+++ b/fleet/jobs/src/itemDispatcher.ts
@@ -50,11 +50,13 @@
             ({ job, item }) => {
                 const keepsEvents = remainingMs(item) < totalMs(item) * KEEP_REMAINING_SHARE;
                 const times = { remainingMs: remainingMs(item), leftMs: job.record.dueAtMs - nowMs };
-                const upstream = slots.take(this.opts.routes.serviceOf(job, item)!, item, keepsEvents, times);
+                const service = this.opts.routes.serviceOf(job, item)!;
+                const isLent = slots.isLent(service);
+                const upstream = slots.take(service, item, keepsEvents, times);
                 const isBlocked = upstream !== undefined
                     && this.opts.quarantine.itemBlockedForMs(upstream.service, this.opts.traits.of(job, item)) > 0;
                 if (upstream !== undefined && !isBlocked) {
-                    this.opts.inFlightItems.start(job, item, upstream);
+                    this.opts.inFlightItems.start(job, item, upstream, { isLent });
                 }
             },
         );
--- a/fleet/jobs/src/itemRun.ts
+++ b/fleet/jobs/src/itemRun.ts
@@ -42,7 +42,8 @@
 export class ItemRun {
     readonly item: JobItem;
     readonly upstream: Upstream;
-    readonly startedAtMs: number;
+    /** Time at which the item was sent or, before that, at which this run was created. */
+    startedAtMs: number;
     /** What showed that the response had ended; undefined if it hasn't, or was broken off. */
     ending: ResponseEnding | undefined;
     private readonly clock: Clock;
@@ -96,6 +97,7 @@
     ): void {
         const { item, headers } = this;
         const { service, softwareVersion } = this.upstream;
+        this.startedAtMs = this.clock.nowMs();
         if (item.service !== service || item.softwareVersion !== softwareVersion) {
             discardEvents(item);
         }
--- a/fleet/jobs/src/waitingItemsLog.ts
+++ b/fleet/jobs/src/waitingItemsLog.ts
@@ -1,7 +1,7 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { BatchCandidate } from "./batchCandidate.js";
-import { freeBatchSlots } from "./freeBatchSlots.js";
+import { findItemSlots } from "./findItemSlots.js";
 import { idleSlotsOf } from "./idleSlotsOf.js";
 import type { ItemRoutes } from "./itemRoutes.js";
 import type { JobItem } from "./jobItem.js";
@@ -47,10 +47,16 @@
         const { clock, directory, candidateOf } = this.opts;
         const nowMs = clock.nowMs();
         const candidates = directory.ready(service).flatMap(upstream => candidateOf(upstream, nowMs) ?? []);
-        const sumOf = (count: (candidate: BatchCandidate) => number) =>
-            candidates.reduce((sum, candidate) => sum + count(candidate), 0);
         return candidates.length === 0
             ? undefined
-            : { startable: sumOf(freeBatchSlots), idle: sumOf(idleSlotsOf), running: sumOf(({ batch }) => batch) };
+            : {
+                startable: sum(findItemSlots(candidates).map(({ count }) => count)),
+                idle: sum(candidates.map(idleSlotsOf)),
+                running: sum(candidates.map(({ batch }) => batch)),
+            };
     }
 }
+
+function sum(counts: readonly number[]): number {
+    return counts.reduce((total, count) => total + count, 0);
+}
--- a/fleet/jobs/test/createTestRunner.ts
+++ b/fleet/jobs/test/createTestRunner.ts
@@ -39,6 +39,8 @@
 export async function createTestRunner(opts: {
     busySlots: number;
     jobs: number;
+    /** Number of upstreams and of slots of each; by default those of the test load. */
+    upstreams?: { count: number; slots: number; };
     connections: UpstreamConnections;
     limits?: NonNullable<JobRunnerOptions["limits"]>;
     /** Makes an item one that crashes upstreams. Called for every other item. */
@@ -61,7 +63,8 @@
     const directory = new UpstreamDirectory();
     const list = mock.method(directory, "ready");
     const loadTracker = new LoadTracker();
-    runnerTestLoad.upstreamIds.forEach(id => {
+    const { slots, upstreamIds } = runnerTestLoad;
+    upstreamIds.slice(0, opts.upstreams?.count).forEach(id => {
         const address = { host: "127.0.0.1", port: 1 };
         const zone = "z" as ZoneName;
         directory.put({
@@ -70,7 +73,7 @@
             address,
             zone,
             softwareVersion: VERSION,
-            slots: runnerTestLoad.slots,
+            slots: opts.upstreams?.slots ?? slots,
             state: "ready",
             startedAtMs: 1,
         }, 0);
@@ -140,5 +143,5 @@
         term.fence = { key: "leader", modRevision: revision };
         runner.start();
     };
-    return { clock, service, runner, match, list, finishedResults, leadAgain };
+    return { clock, service, runner, loadTracker, match, list, finishedResults, leadAgain };
 }
