fix(gateway): wait for displaced items instead of rejecting calls that found their slots taken

Cause: an upstream without a queue rejects a request in a millisecond, as not run. The gateway's count at the upstream fell back before a load report could show it, so that the leader didn't end the item, and the call had no upstream left. Evidence: upstream-not-run, then call-refused within 4 ms, with no item-displaced at the leader. Change: a request that is rejected as full, and finds no idle slot elsewhere, goes on counting at an upstream that batch runs fill (DisplacementWaits). The leader ends a run, the reports show it, and the request is sent to the same upstream again, which isn't a further one by maxAttempts. The wait ends with the caller's time.

--- a/daemons/fleet/src/gatewayProgram.ts
+++ b/daemons/fleet/src/gatewayProgram.ts
@@ -8,6 +8,7 @@
 import { JobAcceptor } from "@knapweedwood/fleet.jobs/jobAcceptor";
 import { StoredJobReader } from "@knapweedwood/fleet.jobs/storedJobReader";
 import { connectionShareOf } from "@knapweedwood/fleet.load/connectionShareOf";
+import { DisplacementWaits } from "@knapweedwood/fleet.load/displacementWaits";
 import { LeastLoadedPlacement } from "@knapweedwood/fleet.load/leastLoadedPlacement";
 import { MeanSlowness } from "@knapweedwood/fleet.load/meanSlowness";
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
@@ -42,6 +43,7 @@
     private readonly server: GatewayServer;
     private readonly readiness: ReadinessServer;
     private readonly requestQueue: RequestQueue;
+    private readonly displacementWaits: DisplacementWaits;
     private readonly promptCaches: PromptCacheCost;
     private readonly snapshotLoader: SnapshotLoader;
     private readonly closing = new AbortController();
@@ -56,7 +58,7 @@
             settings,
             role: "gateway",
             logger,
-            onLoadChanged: () => this.requestQueue.dispatch(),
+            onLoadChanged: () => this.dispatchRequests(),
             waiting: () => this.requestQueue.waitingCounts(),
             onConfiguration: () => this.server.applyLimits(this.fleet.operators.configuration.current!.limits),
             onJobsWritten: () => undefined,
@@ -93,6 +95,7 @@
             usableUpstreams: (service, softwareVersion) => this.fleet.upstreams.usable(service, softwareVersion),
             teams: () => configuration.current?.teams,
         });
+        this.displacementWaits = new DisplacementWaits({ clock, loadTracker });
         const versions = new VersionConfirmation({
             clock,
             upstreams: this.fleet.upstreams,
@@ -112,6 +115,7 @@
             speeds,
             limits,
             requestQueue: this.requestQueue,
+            displacementWaits: this.displacementWaits,
             memory: new MemoryBudget({ limitBytes: memoryBudgetBytes(settings.memoryMb) }),
             promptCaches: this.promptCaches,
             quarantine: this.fleet.quarantine,
@@ -220,8 +224,14 @@
         });
     }
 
-    private dispatchPeriodically(): void {
+    /** Sends the requests that wait for a slot and now have one. */
+    private dispatchRequests(): void {
+        this.displacementWaits.dispatch();
         this.requestQueue.dispatch();
+    }
+
+    private dispatchPeriodically(): void {
+        this.dispatchRequests();
         const dueAtMs = this.fleet.clock.nowMs() + DISPATCH_INTERVAL_MS;
         this.fleet.clock.setTimer(DISPATCH_INTERVAL_MS, () => {
             this.fleet.speeds.recordTimer(dueAtMs);
--- a/fleet/gateway/src/attempt.ts
+++ b/fleet/gateway/src/attempt.ts
@@ -15,6 +15,8 @@
     promptRun: PromptRun;
     /** Whether the upstream has responded that it doesn't run the request. */
     isNotRun: boolean;
+    /** Whether the upstream doesn't run the request because it is full. */
+    isFull: boolean;
     /** Bytes of the body of a response that says that the upstream doesn't run the request. */
     notRunBodyBytes: number;
     /** Whether the response has come in too many small parts. */
--- a/fleet/gateway/src/createAttempt.ts
+++ b/fleet/gateway/src/createAttempt.ts
@@ -25,6 +25,7 @@
         upstream,
         startedAtMs: clock.nowMs(),
         isNotRun: false,
+        isFull: false,
         notRunBodyBytes: 0,
         hasTinyParts: false,
         requestRun,
--- a/fleet/gateway/src/gatewayContext.ts
+++ b/fleet/gateway/src/gatewayContext.ts
@@ -3,6 +3,7 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import type { Random } from "@knapweedwood/core.random/random";
+import type { DisplacementWaits } from "@knapweedwood/fleet.load/displacementWaits";
 import type { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import type { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
 import type { ServiceTimes } from "@knapweedwood/fleet.load/serviceTimes";
@@ -39,6 +40,7 @@
     /** The limits that upstreams have named. */
     limits: Pick<UpstreamRequestLimiter, "limitOf">;
     requestQueue: RequestQueue;
+    displacementWaits: DisplacementWaits;
     /** Bytes held for callers. */
     memory: MemoryBudget;
     quarantine: RequestQuarantine;
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -39,6 +39,7 @@
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
 const HTTP_SERVER_ERROR = 500;
+const HTTP_UNAVAILABLE = 503;
 /** Failure of an attempt that this process has ended. */
 const ABORTED = { mayHaveRun: true, isUnreachable: false, isConnectionBroken: false };
 const FAILED_RETRY_AFTER_MS = 100;
@@ -57,6 +58,8 @@
     readonly deadlineAtMs: number;
     readonly isRetry: boolean;
     readonly excluded = new Set<UpstreamId>();
+    /** Upstreams that rejected the request since they were full, the last one first. */
+    private readonly fullUpstreams: Upstream[] = [];
     private readonly context: GatewayContext;
     private readonly outcomes: AttemptOutcomes;
     private readonly recorder: CallRecorder;
@@ -73,6 +76,8 @@
     private readonly writer: ResponseWriter;
     private readonly forwarder: ResponseForwarder;
     private attempt: Attempt | undefined;
+    /** Ends the wait for the slot of a batch run; undefined while there is none. */
+    private endWait: (() => void) | undefined;
     private attempts = 0;
     private mayHaveRun = false;
     private isDone = false;
@@ -261,6 +266,7 @@
         }
         if (head.header(headers.notRun) !== undefined || head.statusCode === HTTP_MISDIRECTED) {
             attempt.isNotRun = true;
+            attempt.isFull = head.statusCode === HTTP_UNAVAILABLE;
             // A version that the caller demands is another reason for this status.
             if (head.statusCode === HTTP_MISDIRECTED && headerOf(this.request, headers.expectedVersion) === undefined) {
                 this.context.health.onMisdirected(attempt.upstream.id, this.context.clock.nowMs());
@@ -330,8 +336,7 @@
             return;
         }
         if (attempt.isNotRun) {
-            this.release(attempt);
-            this.retryOrReject("upstreams did not run it");
+            this.onAttemptNotRun(attempt);
             return;
         }
         if (!this.writer.isComplete(ending)) {
@@ -358,15 +363,15 @@
         if (attempt !== this.attempt) {
             return;
         }
+        if (attempt.isNotRun && failure.isConnectionBroken) {
+            this.onAttemptNotRun(attempt);
+            return;
+        }
         this.release(attempt);
         if (failure.isUnsendable === true) {
             this.onUnsendable(failure);
             return;
         }
-        if (attempt.isNotRun && failure.isConnectionBroken) {
-            this.retryOrReject("upstreams did not run it");
-            return;
-        }
         const isEjected = this.outcomes.onFailure(attempt, failure);
         this.recorder.log("upstream-failed", {
             upstream: attempt.upstream.id,
@@ -390,6 +395,51 @@
         this.fail(502, "The upstream broke off");
     }
 
+    /** Sends the request to another upstream or, if none is idle and batch runs filled one, again to that one after them. */
+    private onAttemptNotRun(attempt: Attempt): void {
+        this.release(attempt);
+        if (attempt.isFull) {
+            this.fullUpstreams.unshift(attempt.upstream);
+        }
+        const { requestQueue, displacementWaits } = this.context;
+        const mayGoElsewhere = this.attempts < this.route.maxAttempts && requestQueue.hasIdleSlot(this);
+        const fullOfRuns = this.fullUpstreams.find(upstream => displacementWaits.isFullOfRuns(upstream));
+        if (!mayGoElsewhere && fullOfRuns !== undefined) {
+            this.waitForDisplacement(fullOfRuns);
+            return;
+        }
+        this.retryOrReject("upstreams did not run it");
+    }
+
+    /** Waits for the slot of a batch run. Until then, the request counts at the upstream, which has the run ended. */
+    private waitForDisplacement(upstream: Upstream): void {
+        this.context.loadTracker.count(upstream.id, "online", 1);
+        this.context.onLoadChanged();
+        this.recorder.log("displacement-awaited", { upstream: upstream.id });
+        const wait = this.context.displacementWaits.add({
+            upstream,
+            untilMs: this.callerTimeoutAtMs,
+            onEnded: isFree => this.onDisplacementEnded(upstream, isFree),
+        });
+        this.endWait = () => {
+            this.endWait = undefined;
+            wait.cancel();
+            this.releaseSlot(upstream);
+        };
+    }
+
+    private onDisplacementEnded(upstream: Upstream, isFree: boolean): void {
+        this.endWait?.();
+        if (!isFree) {
+            this.onRejected(0, "the caller's time is up");
+            return;
+        }
+        // The limit counts upstreams, and this one has counted already.
+        this.attempts -= 1;
+        this.writer.restart();
+        this.context.requestQueue.submitAgain(this, upstream);
+    }
+
     /** Rejects a request that can be sent to no upstream. It says nothing of the one that was chosen. */
     private onUnsendable({ code, message }: ExchangeFailure): void {
         this.onNotRun();
@@ -491,7 +541,11 @@
     private release(attempt: Attempt): void {
         attempt.stallDetector.cancel();
         this.attempt = undefined;
-        this.context.loadTracker.count(attempt.upstream.id, "online", -1);
+        this.releaseSlot(attempt.upstream);
+    }
+
+    private releaseSlot(upstream: Upstream): void {
+        this.context.loadTracker.count(upstream.id, "online", -1);
         this.context.onLoadChanged();
         // Runs after the caller of this method has finished with the request.
         queueMicrotask(() => this.context.requestQueue.dispatch());
@@ -499,6 +553,7 @@
 
     private finish(event: string, fields: { [field: string]: unknown; }): void {
         this.isDone = true;
+        this.endWait?.();
         this.deadlineTimer.cancel();
         this.recorder.end(event, fields);
     }
--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -3,6 +3,7 @@
 import type { PromptPartId } from "@knapweedwood/core.ids/promptPartId";
 import type { SoftwareVersion } from "@knapweedwood/core.ids/softwareVersion";
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
+import { DisplacementWaits } from "@knapweedwood/fleet.load/displacementWaits";
 import { LeastLoadedPlacement } from "@knapweedwood/fleet.load/leastLoadedPlacement";
 import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import { RequestQueue } from "@knapweedwood/fleet.load/requestQueue";
@@ -176,7 +177,11 @@
                 ),
             teams: () => configuration.current?.teams,
         });
-        this.dispatchTimer = setInterval(() => requestQueue.dispatch(), DISPATCH_INTERVAL_MS);
+        const displacementWaits = new DisplacementWaits({ clock, loadTracker });
+        this.dispatchTimer = setInterval(() => {
+            requestQueue.dispatch();
+            displacementWaits.dispatch();
+        }, DISPATCH_INTERVAL_MS);
         const context: GatewayContext = {
             clock,
             random,
@@ -191,6 +196,7 @@
             speeds: new UpstreamSpeeds({ clock }),
             limits,
             requestQueue,
+            displacementWaits,
             memory: this.memory,
             quarantine: new RequestQuarantine({
                 clock,
--- a/fleet/load/src/loadTracker.ts
+++ b/fleet/load/src/loadTracker.ts
@@ -19,6 +19,8 @@
     /** Sums over the valid reports, kept up to date by differences: reports arrive far more often than they expire. */
     private readonly peerCounts = new Map<UpstreamId, UpstreamCount>();
     private readonly waitingCounts = new Map<ServiceName, number>();
+    /** Times at which the last batch runs of the peers at upstreams ended, in milliseconds. */
+    private readonly batchEnds = new Map<UpstreamId, number>();
 
     /** Adds a request of this process at an upstream; a `change` of -1 removes it. */
     count(upstreamId: UpstreamId, kind: "online" | "batch", change: 1 | -1): void {
@@ -44,6 +46,7 @@
         this.addToSums(report, 1);
         if (previous !== undefined) {
             this.addToSums(previous, -1);
+            this.recordBatchEnds(previous, nowMs);
         }
         return true;
     }
@@ -55,7 +58,11 @@
             .forEach(([name, { report }]) => {
                 this.reports.delete(name);
                 this.addToSums(report, -1);
+                this.recordBatchEnds(report, nowMs);
             });
+        [...this.batchEnds]
+            .filter(([, endedAtMs]) => endedAtMs + REPORT_VALID_MS < nowMs)
+            .forEach(([id]) => this.batchEnds.delete(id));
     }
 
     /** Returns the number of online requests at an upstream over all processes. */
@@ -68,6 +75,14 @@
         return (this.own.get(upstreamId)?.batch ?? 0) + (this.peerCounts.get(upstreamId)?.batch ?? 0);
     }
 
+    /**
+     * Returns the time at which the last batch run of the peers at an upstream ended, as far as it is recent, in
+     * milliseconds; -infinity if there was none.
+     */
+    batchEndedAtMs(upstreamId: UpstreamId): number {
+        return this.batchEnds.get(upstreamId) ?? -Infinity;
+    }
+
     /** Returns the number of online requests of this process at an upstream. */
     ownOnlineCount(upstreamId: UpstreamId): number {
         return this.own.get(upstreamId)?.online ?? 0;
@@ -117,6 +132,13 @@
         report.waiting.forEach(({ service, count }) => this.addWaiting(service, sign * count));
     }
 
+    /** Records the upstreams at which a report that no longer counts had the last batch runs. */
+    private recordBatchEnds(report: LoadReport, nowMs: number): void {
+        report.counts
+            .filter(({ upstreamId, batch }) => batch > 0 && (this.peerCounts.get(upstreamId)?.batch ?? 0) === 0)
+            .forEach(({ upstreamId }) => this.batchEnds.set(upstreamId, nowMs));
+    }
+
     private addCount(upstreamId: UpstreamId, online: number, batch: number): void {
         const sum = this.peerCounts.get(upstreamId) ?? { upstreamId, online: 0, batch: 0 };
         sum.online += online;
--- a/fleet/load/src/queueCandidates.ts
+++ b/fleet/load/src/queueCandidates.ts
@@ -35,6 +35,19 @@
         return this.of(request).filter(upstream => this.mayCall(upstream));
     }
 
+    /** Whether an upstream that may run a request has a slot that neither an online request nor a batch run takes. */
+    hasIdleSlot(request: QueuedRequest): boolean {
+        return this.withRoomFor(request).some(({ id, slots }) =>
+            this.loadTracker.onlineCount(id) + this.loadTracker.batchCount(id) < slots
+        );
+    }
+
+    /** Whether a request may be sent to an upstream once more. */
+    mayReceiveAgain(request: QueuedRequest, upstream: Upstream): boolean {
+        return this.mayCall(upstream)
+            && this.usableUpstreams(request.service, request.softwareVersion).some(({ id }) => id === upstream.id);
+    }
+
     /**
      * Returns the number of slots of the upstreams that may run a request, as far as their limits let requests fill them.
      *
--- a/fleet/load/src/requestQueue.ts
+++ b/fleet/load/src/requestQueue.ts
@@ -109,6 +109,23 @@
         request.onWaiting(estimate);
     }
 
+    /** Whether an upstream that a request hasn't been sent to has an idle slot. */
+    hasIdleSlot(request: QueuedRequest): boolean {
+        return this.candidates.hasIdleSlot(request);
+    }
+
+    /** Places a request once more at the upstream that hasn't run it, or rejects it. */
+    submitAgain(request: QueuedRequest, upstream: Upstream): void {
+        if (this.rejectIfBlocked(request)) {
+            return;
+        }
+        if (this.candidates.mayReceiveAgain(request, upstream)) {
+            request.onPlaced(upstream);
+            return;
+        }
+        this.reject(request, 0, "the upstream has left");
+    }
+
     /** Removes a request whose caller has disconnected. */
     remove(request: QueuedRequest): void {
         const waiting = this.waiting.get(request);
