fix(side): give a plain service items whose limit is one call

A service that handles one call at a time, whose limit falls to 1, never got an item again, also while it was idle. Change: items may use one call at least, less the online calls in progress.

--- a/daemons/side/src/plainGate.ts
+++ b/daemons/side/src/plainGate.ts
@@ -17,6 +17,8 @@
 const IDLE_PULL_INTERVAL_MS = 250;
 /** Share of the concurrency limit up to which batch items are pulled. The rest is reserved for online calls. */
 const BATCH_LIMIT_SHARE = 0.5;
+/** Number of calls up to which items are pulled even if that share of the limit is less than one call. */
+const MIN_BATCH_LIMIT = 1;
 const RETRY_AFTER_MS = 500;
 const HTTP_SERVICE_UNAVAILABLE = 503;
 const DEFAULT_ITEM_TIMEOUT_MS = 60_000;
@@ -111,7 +113,8 @@
     }
 
     private async pullAndRun(): Promise<number> {
-        const freeSlots = Math.floor(this.concurrencyLimit.limit * BATCH_LIMIT_SHARE) - this.onlineCallCount;
+        const batchLimit = Math.max(MIN_BATCH_LIMIT, Math.floor(this.concurrencyLimit.limit * BATCH_LIMIT_SHARE));
+        const freeSlots = batchLimit - this.onlineCallCount;
         const items = freeSlots < 1 ? [] : await this.opts.batchSource.pull(freeSlots);
         await Promise.all(items.map(item => this.runItem(item)));
         return items.length;
--- a/daemons/side/test/plainGate.test.ts
+++ b/daemons/side/test/plainGate.test.ts
@@ -58,3 +58,47 @@
     const [result] = results;
     assert.ok(result?.outcome.kind === "failed" && result.outcome.mayHaveRun);
 });
+
+// Half of a limit of one call is no call: a service that handles one call at a time never got an item, also while it was idle
+// (the cause of review/14 at another place).
+test("a service whose limit has fallen to one call gets items while no online call runs", async () => {
+    const clock = new ManualClock();
+    const ran: number[] = [];
+    const pulled: number[] = [];
+    let isFailing = true;
+    const upstream: Pick<PlainUpstream, "call"> = {
+        async *call() {
+            await Promise.resolve();
+            if (isFailing) {
+                throw new KnapweedError("UPSTREAM_FAILED", "overloaded", { outcome: "not-run" });
+            }
+            ran.push(clock.nowMs());
+            yield { kind: "end" } as never;
+        },
+    };
+    const items = [item];
+    const batchSource: BatchSource = {
+        pull: count => {
+            pulled.push(count);
+            return Promise.resolve(items.splice(0, count));
+        },
+        report: () => Promise.resolve(),
+    };
+    const gate = new PlainGate({ upstream, batchSource, clock, logger: silentLogger });
+    for (let call = 0; call < 40; call += 1) {
+        const frames = gate.runOnline({} as never, { signal: new AbortController().signal } as never);
+        await assert.rejects(async () => {
+            for await (const _ of frames) {
+                // The call fails before its first frame.
+            }
+        });
+    }
+    isFailing = false;
+    gate.start();
+    await clock.advance(1000);
+    assert.equal(pulled[0], 1);
+    assert.equal(ran.length, 1);
+    const stopped = gate.stop();
+    await clock.advance(1000);
+    await stopped;
+});
