feat(upstreams): log an unreadable entry once, and count its readings

Change: one upstream-unreadable (with the entry's size) when an entry becomes unreadable, one upstream-readable with the number of failed readings, and the counter knapweed_upstream_entries_unreadable_total between.

--- a/daemons/fleet/src/fleetProcess.ts
+++ b/daemons/fleet/src/fleetProcess.ts
@@ -194,6 +194,7 @@
             health,
             speeds,
             connections,
+            metrics: this.metrics,
             maxAgeMs: () => this.checkTimes.maxAgeMs(opts.settings.upstreamDrainMs),
             drainMs: () => opts.settings.upstreamDrainMs,
             isKeyValueReachable: () => this.reachability.isLeaseRenewed,
--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -14,9 +14,11 @@
 import { UpstreamDirectory } from "@knapweedwood/fleet.view/upstreamDirectory";
 import type { UpstreamProcess } from "@knapweedwood/fleet.view/upstreamProcess";
 import type { VersionRecord } from "@knapweedwood/fleet.view/versionRecord";
+import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
 import { decodeUpstream } from "@knapweedwood/platform.adapter/decodeUpstream";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import type { FollowerContext } from "./followerContext.js";
+import { UnreadableEntries } from "./unreadableEntries.js";
 
 /** Time for which reports tell the other processes that an upstream leaves, in milliseconds. Some reports are lost. */
 const ANNOUNCE_LEAVING_MS = 600;
@@ -30,6 +32,7 @@
     health: UpstreamHealth;
     speeds: UpstreamSpeeds;
     connections: UpstreamConnections;
+    metrics: Metrics;
     /** Time for which an upstream serves requests after it has said that it leaves, in milliseconds. */
     drainMs: () => number;
     /** Returns whether this process has reached the key-value service a short time ago. */
@@ -47,6 +50,7 @@
     readonly directory = new UpstreamDirectory({ onEnded: upstream => this.opts.onEnded?.(upstream) });
     readonly mirror: PrefixMirror;
     private readonly opts: UpstreamFollowerOptions;
+    private readonly unreadable: UnreadableEntries;
     private lastChangeRevision = 0;
     /** Upstreams that have said to this process a short time ago that they leave, shape [upstreams]. */
     private announcedLeaving: (UpstreamProcess & { atMs: number; })[] = [];
@@ -55,6 +59,7 @@
 
     constructor(opts: UpstreamFollowerOptions) {
         this.opts = opts;
+        this.unreadable = new UnreadableEntries(opts);
         this.mirror = new PrefixMirror({
             ...opts,
             prefix: wireKeys.upstreams,
@@ -196,12 +201,14 @@
         const listed = new Set(entries.map(entry => entry.key));
         const removed = this.directory.ids().filter(id => !listed.has(`${wireKeys.upstreams}${id}`));
         this.onChanges(this.directory.remove(removed, this.opts.clock.nowMs()));
+        this.unreadable.retain(listed);
         entries.forEach(entry => this.onEntry(entry));
     }
 
     private onChange(batch: WatchBatch): void {
         this.lastChangeRevision = Math.max(this.lastChangeRevision, batch.revision);
         batch.puts.forEach(entry => this.onEntry(entry));
+        batch.deletedKeys.forEach(key => this.unreadable.forget(key));
         const removed = batch.deletedKeys.map(upstreamIdOf);
         this.onChanges(this.directory.remove(removed, this.opts.clock.nowMs()));
     }
@@ -220,10 +227,12 @@
     /** Returns the upstream that an entry describes; undefined if it describes none, as another writer may have written it. */
     private decode({ key, value }: KeyValueEntry): Upstream | undefined {
         try {
-            return decodeUpstream(key, value);
+            const upstream = decodeUpstream(key, value);
+            this.unreadable.onRead(key);
+            return upstream;
         }
         catch (error) {
-            this.opts.logger.warn("upstream-unreadable", { key, message: (error as Error).message });
+            this.unreadable.onFailure(key, { sizeBytes: value.length, message: (error as Error).message });
             return undefined;
         }
     }
