perf(upstreams): keep only the used fields of the upstreams' entries

Change: PrefixMirror takes a function that reduces an entry before it is kept and handed on; that of the upstreams keeps the fields that are decoded. The added test failed before.

--- a/daemons/fleet/src/upstreamFollower.ts
+++ b/daemons/fleet/src/upstreamFollower.ts
@@ -15,6 +15,7 @@
 import type { UpstreamProcess } from "@knapweedwood/fleet.view/upstreamProcess";
 import type { VersionRecord } from "@knapweedwood/fleet.view/versionRecord";
 import type { Metrics } from "@knapweedwood/observability.metrics/metrics";
+import { compactUpstreamEntry } from "@knapweedwood/platform.adapter/compactUpstreamEntry";
 import { decodeUpstream } from "@knapweedwood/platform.adapter/decodeUpstream";
 import { wireKeys } from "@knapweedwood/platform.adapter/wireKeys";
 import type { FollowerContext } from "./followerContext.js";
@@ -63,6 +64,7 @@
         this.mirror = new PrefixMirror({
             ...opts,
             prefix: wireKeys.upstreams,
+            compact: compactUpstreamEntry,
             onSnapshot: entries => this.onSnapshot(entries),
             onChange: batch => this.onChange(batch),
             onRecovered: () => this.directory.onKeyValueReconnected(opts.clock.nowMs()),
--- a/daemons/fleet/test/largeUpstreamEntries.test.ts
+++ b/daemons/fleet/test/largeUpstreamEntries.test.ts
@@ -63,3 +63,16 @@
     assert.deepEqual(usable(), ["growing"]);
     stop();
 });
+
+// 100 entries of 325 kB took a process to 372 MB of its 380, and each change was written to its disk as a whole.
+test("only the used fields of an entry are kept and handed to other processes", async () => {
+    const { follower, put, stop } = createFollower();
+    await put("u", withAdapters(12_000, { sequence: 7 }));
+    const [entry] = follower.mirror.entries();
+    assert.deepEqual(JSON.parse(Buffer.from(entry!.value).toString()), sound);
+    stop();
+    const other = createFollower();
+    assert.ok(other.follower.mirror.seed([entry!], 1));
+    assert.deepEqual(other.usable(), ["u"]);
+    other.stop();
+});
--- a/fleet/sync/src/prefixMirror.ts
+++ b/fleet/sync/src/prefixMirror.ts
@@ -127,14 +127,15 @@
      * @param revision revision up to which the other process knew the entries
      * @returns whether the entries are used
      */
-    seed(entries: readonly KeyValueEntry[], revision: number): boolean {
+    seed(seeded: readonly KeyValueEntry[], revision: number): boolean {
         const isNewer = !this.isInitialized || revision > this.appliedRevision;
-        if (this.hasListed || !isNewer || entries.length === 0) {
+        if (this.hasListed || !isNewer || seeded.length === 0) {
             return false;
         }
+        const entries = this.compact(seeded);
         this.appliedRevision = revision;
         this.replaceEntries(entries);
-        this.opts.onSnapshot([...entries], 0);
+        this.opts.onSnapshot(entries, 0);
         return true;
     }
 
@@ -310,8 +311,9 @@
         this.age.recordChange(snapshot.revision);
         this.hasListed = true;
         this.listedAtMs = this.opts.clock.nowMs();
-        this.replaceEntries(snapshot.entries);
-        this.opts.onSnapshot(snapshot.entries, snapshot.revision);
+        const entries = this.compact(snapshot.entries);
+        this.replaceEntries(entries);
+        this.opts.onSnapshot(entries, snapshot.revision);
     }
 
     private async watch(signal: AbortSignal): Promise<void> {
@@ -386,11 +388,17 @@
             return false;
         }
         this.age.recordChange(batch.revision);
-        this.applyToEntries(batch);
-        this.opts.onChange(batch);
+        const compacted = { ...batch, puts: this.compact(batch.puts) };
+        this.applyToEntries(compacted);
+        this.opts.onChange(compacted);
         return true;
     }
 
+    private compact(entries: readonly KeyValueEntry[]): KeyValueEntry[] {
+        const { compact } = this.opts;
+        return compact === undefined ? [...entries] : entries.map(entry => compact(entry));
+    }
+
     /** @param currentAtMs time up to which the response contains every change, Unix ms */
     private onResponse(currentAtMs: number): void {
         this.age.recordOwn(currentAtMs);
--- a/fleet/sync/src/prefixMirrorOptions.ts
+++ b/fleet/sync/src/prefixMirrorOptions.ts
@@ -32,6 +32,8 @@
     coalesceMs?: () => number;
     /** Whether the mirror keeps the entries for {@link PrefixMirror.entries}. Default false, for large entries. */
     keepsEntries?: boolean;
+    /** Reduces an entry to what processes use of it, before it is kept and handed on. */
+    compact?: (entry: KeyValueEntry) => KeyValueEntry;
     /** Called with all entries under the prefix. Earlier entries that are not among them were deleted. */
     onSnapshot(entries: KeyValueEntry[], revision: number): void;
     /** Called with the changes since the snapshot or the previous call. */
