fix(jobs): send an item that an upstream rejects to another one

Cause: the counts of this system don't contain what others send to an upstream, so that a full one looks like the best, each time; nothing remembered where an item had been rejected. The same for 421 where an item demands a version. Change: an item keeps the upstreams that have rejected it since its last run. Others go before them, then the one that rejected it the longest ago. An item with most of its output gives an upstream of its version three attempts first. The memory is the item's, not the upstream's: an item larger than an upstream's memory is rejected in the same way, which says nothing of others.

--- a/fleet/jobs/src/batchSlots.ts
+++ b/fleet/jobs/src/batchSlots.ts
@@ -1,5 +1,7 @@
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import type { UpstreamId } from "@knapweedwood/core.ids/upstreamId";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import { avoidRejectingUpstreams } from "./avoidRejectingUpstreams.js";
 import type { BatchCandidate } from "./batchCandidate.js";
 import { chooseItemSlots } from "./chooseItemSlots.js";
 import { endsEarlierByWaiting } from "./endsEarlierByWaiting.js";
@@ -8,6 +10,9 @@
 import type { ItemTimes } from "./itemTimes.js";
 import type { JobItem } from "./jobItem.js";
 
+/** Rejections in a row after which an item with most of its output no longer waits for an upstream that can resume it. */
+const MAX_REJECTIONS_BEFORE_RESTART = 3;
+
 interface BatchSlotsOptions {
     /** Returns the upstreams of a service, shape [upstreams]. */
     upstreamsOf: (service: ServiceName) => Upstream[];
@@ -54,15 +59,18 @@
         const hasEventsOfService = item.service === service;
         const softwareVersion = hasEventsOfService ? item.softwareVersion : undefined;
         const failedUpstreamIds = [...item.failedUpstreamIds, ...item.doubtedUpstreamIds];
-        const candidate = chooseItemSlots(this.freeOf(service), { failedUpstreamIds, softwareVersion, times })
-            ?.candidate;
+        // An upstream that can resume most of the output is worth some more attempts.
+        const waitsForVersion = keepsEvents && item.consecutiveRejections < MAX_REJECTIONS_BEFORE_RESTART;
+        const rejectedBy = waitsForVersion ? [] : item.rejectedByUpstreamIds;
+        const free = avoidRejectingUpstreams(this.freeOf(service), rejectedBy);
+        const candidate = chooseItemSlots(free, { failedUpstreamIds, softwareVersion, times })?.candidate;
         if (candidate !== undefined && times !== undefined && this.waitsForFaster(service, candidate, times)) {
             return undefined;
         }
         const chosen = candidate?.upstream;
         if (
             keepsEvents && hasEventsOfService && chosen?.softwareVersion !== softwareVersion
-            && this.canResume(service, item)
+            && this.canResume(service, item, rejectedBy)
         ) {
             return undefined;
         }
@@ -80,9 +88,10 @@
         return waits;
     }
 
-    private canResume(service: ServiceName, { softwareVersion, failedUpstreamIds }: JobItem): boolean {
+    private canResume(service: ServiceName, item: JobItem, rejectedBy: readonly UpstreamId[]): boolean {
+        const unsuitable = [...item.failedUpstreamIds, ...rejectedBy];
         return this.opts.upstreamsOf(service).some(upstream =>
-            upstream.softwareVersion === softwareVersion && !failedUpstreamIds.includes(upstream.id)
+            upstream.softwareVersion === item.softwareVersion && !unsuitable.includes(upstream.id)
         );
     }
 
--- a/fleet/jobs/src/itemOutcomes.ts
+++ b/fleet/jobs/src/itemOutcomes.ts
@@ -12,6 +12,7 @@
 import type { JobTable } from "./jobTable.js";
 import type { OpenJob } from "./openJob.js";
 import { recordDoubt } from "./recordDoubt.js";
+import { recordRejection } from "./recordRejection.js";
 import { recordUpstreamHealth } from "./recordUpstreamHealth.js";
 import type { ResultCommitter } from "./resultCommitter.js";
 
@@ -59,6 +60,7 @@
         if (outcome.kind === "failed") {
             item.failedUpstreamIds.push(upstream.id);
         }
+        recordRejection(item, upstream.id, outcome);
         const decision = applyRunOutcome(item, outcome, { nowMs, maxAttempts: job.record.maxAttempts });
         if (decision !== "retry") {
             this.finish(job, item, decision);
--- a/fleet/jobs/src/jobItem.ts
+++ b/fleet/jobs/src/jobItem.ts
@@ -15,6 +15,8 @@
     notBeforeMs: number;
     /** Number of times in a row that upstreams have rejected the item without running it. */
     consecutiveRejections: number;
+    /** Upstreams that have done so since the last run, the last one at the end. */
+    rejectedByUpstreamIds: UpstreamId[];
     /** Number of times in a row that the answer to the item was no usable output, which may be due to the item. */
     consecutiveDiscards: number;
     /** Upstreams that gave these answers. If another one writes output, they were at fault. */
--- a/fleet/jobs/src/openJob.ts
+++ b/fleet/jobs/src/openJob.ts
@@ -36,6 +36,7 @@
             isComplete: false,
             notBeforeMs: 0,
             consecutiveRejections: 0,
+            rejectedByUpstreamIds: [],
             consecutiveDiscards: 0,
             doubtedUpstreamIds: [],
             lastRunEndedAtMs: -Infinity,
