test(soak): draw upstreams of one slot and with large entries

Change: a third of the seeds have one slot at the upstreams of streams and items, half of these without a queue, and a third have 1,200 adapters in each entry. A generator of its own draws them, so that a seed's faults stay as they were. The report names them.

--- /dev/null
+++ b/fuzz/soak/src/drawUpstreamSizes.ts
@@ -0,0 +1,23 @@
+import type { Random } from "@knapweedwood/core.random/random";
+import type { UpstreamSizes } from "./upstreamSizes.js";
+
+const USUAL_SLOTS = 8;
+const USUAL_QUEUED = 8;
+/** Share of the soaks whose upstreams have one slot, and share of these whose upstreams have no queue. */
+const ONE_SLOT_SHARE = 0.35;
+const NO_QUEUE_SHARE = 0.5;
+/** Share of the soaks whose upstreams have large entries. */
+const LARGE_ENTRIES_SHARE = 0.35;
+const MANY_ADAPTERS = 1200;
+
+/** Draws the sizes of the upstreams: usual ones, or those of a deployment at the limits of what is valid. */
+export function drawUpstreamSizes(random: Random): UpstreamSizes {
+    const hasOneSlot = random.next() < ONE_SLOT_SHARE;
+    const hasNoQueue = random.next() < NO_QUEUE_SHARE;
+    const hasLargeEntries = random.next() < LARGE_ENTRIES_SHARE;
+    return {
+        modelSlots: hasOneSlot ? 1 : USUAL_SLOTS,
+        maxQueued: hasOneSlot && hasNoQueue ? 0 : USUAL_QUEUED,
+        adapters: hasLargeEntries ? MANY_ADAPTERS : 0,
+    };
+}
--- a/fuzz/soak/src/runSoak.ts
+++ b/fuzz/soak/src/runSoak.ts
@@ -3,6 +3,7 @@
 import { bindingArrivalsOf } from "./bindingArrivalsOf.js";
 import { crashingRequest } from "./crashingRequest.js";
 import { drawsCrashingRequest } from "./drawsCrashingRequest.js";
+import { drawUpstreamSizes } from "./drawUpstreamSizes.js";
 import { FaultInjector } from "./faultInjector.js";
 import { oracle } from "./oracle.js";
 import { pause } from "./pause.js";
@@ -47,7 +48,8 @@
     const subnet = FIRST_SUBNET + opts.seed % SUBNETS;
     const hasTeams = drawsCrashingRequest(randomOf(6), TEAMS_SHARE);
     const teams = hasTeams ? new SoakTeams({ record, random: randomOf(7) }) : undefined;
-    const fleet = new SoakFleet({ ...opts, teams, subnet, record, random: randomOf(1), nowMs });
+    const upstreamSizes = drawUpstreamSizes(randomOf(9));
+    const fleet = new SoakFleet({ ...opts, teams, upstreamSizes, subnet, record, random: randomOf(1), nowMs });
     await fleet.start();
     await pause(START_DELAY_MS);
 
@@ -97,6 +99,7 @@
         seed: opts.seed,
         violations,
         hasTeams,
+        upstreamSizes,
         crashes: record.runs.filter(run => run.body === crashingRequest.body).length,
         faults: record.faults.map(fault => `${Math.round(fault.fromMs)} ${fault.kind} ${fault.target}`),
         calls: record.calls.length,
--- a/fuzz/soak/src/soakFleet.ts
+++ b/fuzz/soak/src/soakFleet.ts
@@ -18,6 +18,7 @@
 import type { SoakRecord } from "./soakRecord.js";
 import type { SoakTeams } from "./soakTeams.js";
 import { SoakUpstream } from "./soakUpstream.js";
+import type { UpstreamSizes } from "./upstreamSizes.js";
 
 const CALLERS_PORT = 8144;
 const READINESS_PORT = 8140;
@@ -28,6 +29,7 @@
 const RUNNERS = 3;
 const MODEL_UPSTREAMS = 4;
 const ANSWER_UPSTREAMS = 3;
+const ANSWER_SLOTS = 8;
 const STOP_GRACE_MS = 8000;
 const UPSTREAM_DRAIN_MS = 2000;
 const CONFIGURATION_BOUND_MS = 2000;
@@ -50,6 +52,7 @@
     random: Random;
     /** Undefined for a deployment without teams. */
     teams: SoakTeams | undefined;
+    upstreamSizes: UpstreamSizes;
     nowMs: () => number;
 }
 
@@ -111,6 +114,8 @@
         const upstream = new SoakUpstream(`u-${number}`, {
             ...this.opts,
             service,
+            slots: service === MODEL_SERVICE ? this.opts.upstreamSizes.modelSlots : ANSWER_SLOTS,
+            maxQueued: this.opts.upstreamSizes.maxQueued,
             zone: ZONES[number % ZONES.length]!,
             softwareVersion: `v${number % SOFTWARE_VERSIONS}` as SoftwareVersion,
             onRestart: restarted => this.operator.announce(restarted),
--- a/fuzz/soak/src/soakOperator.ts
+++ b/fuzz/soak/src/soakOperator.ts
@@ -11,6 +11,7 @@
 import type { SoakRecord } from "./soakRecord.js";
 import type { SoakTeams } from "./soakTeams.js";
 import type { SoakUpstream } from "./soakUpstream.js";
+import type { UpstreamSizes } from "./upstreamSizes.js";
 
 const TIMEOUT_MS = 2500;
 const OBJECTIVE_MS = 300;
@@ -23,15 +24,18 @@
     private readonly nowMs: () => number;
     /** Undefined for a deployment without teams. */
     private readonly teams: SoakTeams | undefined;
+    private readonly upstreamSizes: UpstreamSizes;
     private version = 0;
 
     constructor(opts: {
         keyValueService: MemoryKeyValueService;
         record: SoakRecord;
+        upstreamSizes: UpstreamSizes;
         nowMs: () => number;
         teams?: SoakTeams | undefined;
     }) {
         this.teams = opts.teams;
+        this.upstreamSizes = opts.upstreamSizes;
         this.keyValueService = opts.keyValueService;
         this.record = opts.record;
         this.nowMs = opts.nowMs;
@@ -55,12 +59,16 @@
     /** Writes the entry of an upstream. Records the acknowledgement if the upstream drains. */
     async announce(upstream: SoakUpstream): Promise<void> {
         const key = `${wireKeys.upstreams}${upstream.id}`;
-        await this.keyValueService.transact([], [{ kind: "put", key, value: encodeUpstream(upstream.announcement) }]);
+        await this.keyValueService.transact([], [{ kind: "put", key, value: this.entryOf(upstream) }]);
         if (upstream.announcement.state === "draining") {
             this.record.drains.push({ upstreamId: upstream.id, ackedAtMs: this.nowMs() });
         }
     }
 
+    private entryOf(upstream: SoakUpstream): Buffer {
+        return encodeUpstream(upstream.announcement, { adapters: this.upstreamSizes.adapters });
+    }
+
     /** Deletes the entry of an upstream. */
     async remove(upstream: SoakUpstream): Promise<void> {
         await this.keyValueService.transact([], [{ kind: "delete", key: `${wireKeys.upstreams}${upstream.id}` }]);
--- a/fuzz/soak/src/soakReport.ts
+++ b/fuzz/soak/src/soakReport.ts
@@ -1,3 +1,4 @@
+import type { UpstreamSizes } from "./upstreamSizes.js";
 import type { Violation } from "./violation.js";
 
 /** The outcome of one soak. */
@@ -10,6 +11,7 @@
     calls: number;
     /** Whether the configuration has teams. */
     hasTeams: boolean;
+    upstreamSizes: UpstreamSizes;
     /** Number of times that the crashing request ended an upstream. */
     crashes: number;
     /** Number of calls that got a complete response with status 200. */
--- a/fuzz/soak/src/soakUpstream.ts
+++ b/fuzz/soak/src/soakUpstream.ts
@@ -34,9 +34,6 @@
 const PARTS_PER_BURST = 2000;
 const MAX_BURSTS = 100;
 const FAILING_NO_REQUEST: readonly UpstreamMode[] = ["healthy", "slow", "limited", "early"];
-const SLOTS = 8;
-/** Maximum number of requests that wait for a slot, in addition to those that run. */
-const MAX_QUEUED = 8;
 /** Share of the requests that an upstream fails in the other modes. */
 const MISBEHAVING_SHARE = 0.4;
 /** Share of the streams broken off that end inside an event, and share of these whose connection is closed, not reset. */
@@ -55,6 +52,9 @@
         service: string;
         zone: string;
         softwareVersion: SoftwareVersion;
+        slots: number;
+        /** Maximum number of requests that wait for a slot, in addition to those that run. */
+        maxQueued: number;
         record: SoakRecord;
         random: Random;
         nowMs: () => number;
@@ -94,7 +94,7 @@
             address: parseHostPort(await this.relay.listen(host)),
             zone: this.opts.zone as ZoneName,
             softwareVersion: this.opts.softwareVersion,
-            slots: SLOTS,
+            slots: this.opts.slots,
             state: this.upstream?.state ?? "ready",
             startedAtMs: Date.now(),
         };
@@ -149,7 +149,7 @@
             this.reject(response, 421);
             return;
         }
-        if (this.running >= SLOTS && this.waiting.length >= MAX_QUEUED) {
+        if (this.running >= this.opts.slots && this.waiting.length >= this.opts.maxQueued) {
             this.reject(response, 503);
             return;
         }
@@ -354,7 +354,7 @@
     }
 
     private async acquireSlot(): Promise<void> {
-        if (this.running >= SLOTS) {
+        if (this.running >= this.opts.slots) {
             await new Promise<void>(resolve => this.waiting.push(resolve));
         }
         this.running += 1;
--- a/fuzz/soak/test/oracle.test.ts
+++ b/fuzz/soak/test/oracle.test.ts
@@ -50,7 +50,16 @@
     const softwareVersion = "v0" as SoftwareVersion;
     const upstreams = [MODEL_SERVICE, MODEL_SERVICE, ANSWER_SERVICE, ANSWER_SERVICE]
         .map((service, index) =>
-            new SoakUpstream(`u-${index}`, { service, zone: "a", softwareVersion, record, random, nowMs })
+            new SoakUpstream(`u-${index}`, {
+                service,
+                zone: "a",
+                softwareVersion,
+                slots: 8,
+                maxQueued: 8,
+                record,
+                random,
+                nowMs,
+            })
         );
     const host = `127.${subnet}.${1 + process.pid % MAX_HOST_NUMBER}.1`;
     await Promise.all(upstreams.map(upstream => upstream.listen(host)));
