refactor(gateway): the wait for displaced items is a class of its own

Change: DisplacementRetry holds the upstreams that were full and the one wait; OnlineCall only decides where to go on.

--- /dev/null
+++ b/fleet/gateway/src/displacementRetry.ts
@@ -0,0 +1,60 @@
+import type { DisplacementWait } from "@knapweedwood/fleet.load/displacementWait";
+import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import type { GatewayContext } from "./gatewayContext.js";
+
+type RetryContext = Pick<GatewayContext, "displacementWaits" | "loadTracker" | "onLoadChanged">;
+
+/**
+ * Waits for one request until the batch runs that fill an upstream have given way. Until then, the request counts at the
+ * upstream, so that the leader ends a run for it.
+ */
+export class DisplacementRetry {
+    private readonly context: RetryContext;
+    private readonly onEnded: (upstream: Upstream, isFree: boolean) => void;
+    /** Upstreams that rejected the request since they were full, the last one first. */
+    private readonly fullUpstreams: Upstream[] = [];
+    private current: { upstream: Upstream; wait: DisplacementWait; } | undefined;
+
+    /** @param opts.onEnded called at the end of a wait, with whether the upstream has a slot for the request */
+    constructor(opts: { context: RetryContext; onEnded: (upstream: Upstream, isFree: boolean) => void; }) {
+        this.context = opts.context;
+        this.onEnded = opts.onEnded;
+    }
+
+    /** Records that an upstream has rejected the request as full. */
+    recordFull(upstream: Upstream): void {
+        this.fullUpstreams.unshift(upstream);
+    }
+
+    /**
+     * Begins to wait for one of the full upstreams, if there is one that batch runs fill.
+     *
+     * @param untilMs latest end of the wait, in milliseconds
+     * @returns the upstream; undefined if there is none
+     */
+    begin(untilMs: number): Upstream | undefined {
+        const { displacementWaits, loadTracker, onLoadChanged } = this.context;
+        const upstream = this.fullUpstreams.find(full => displacementWaits.isFullOfRuns(full));
+        if (upstream !== undefined) {
+            loadTracker.count(upstream.id, "online", 1);
+            onLoadChanged();
+            const onEnded = (isFree: boolean) => {
+                this.cancel();
+                this.onEnded(upstream, isFree);
+            };
+            this.current = { upstream, wait: displacementWaits.add({ upstream, untilMs, onEnded }) };
+        }
+        return upstream;
+    }
+
+    /** Ends the wait, if there is one. */
+    cancel(): void {
+        if (this.current !== undefined) {
+            const { upstream, wait } = this.current;
+            this.current = undefined;
+            wait.cancel();
+            this.context.loadTracker.count(upstream.id, "online", -1);
+            this.context.onLoadChanged();
+        }
+    }
+}
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -23,6 +23,7 @@
 import { chooseService } from "./chooseService.js";
 import { createAttempt } from "./createAttempt.js";
 import { createResponseWriter } from "./createResponseWriter.js";
+import { DisplacementRetry } from "./displacementRetry.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { headerOf } from "./headerOf.js";
 import { isRepeatable } from "./isRepeatable.js";
@@ -58,8 +59,6 @@
     readonly deadlineAtMs: number;
     readonly isRetry: boolean;
     readonly excluded = new Set<UpstreamId>();
-    /** Upstreams that rejected the request since they were full, the last one first. */
-    private readonly fullUpstreams: Upstream[] = [];
     private readonly context: GatewayContext;
     private readonly outcomes: AttemptOutcomes;
     private readonly recorder: CallRecorder;
@@ -75,9 +74,8 @@
     private readonly deadlineTimer: Timer;
     private readonly writer: ResponseWriter;
     private readonly forwarder: ResponseForwarder;
+    private readonly displacementRetry: DisplacementRetry;
     private attempt: Attempt | undefined;
-    /** Ends the wait for the slot of a batch run; undefined while there is none. */
-    private endWait: (() => void) | undefined;
     private attempts = 0;
     private mayHaveRun = false;
     private isDone = false;
@@ -135,6 +133,10 @@
             recorder: this.recorder,
             continuity: this.continuity,
         });
+        this.displacementRetry = new DisplacementRetry({
+            context,
+            onEnded: (upstream, isFree) => this.onDisplacementEnded(upstream, isFree),
+        });
         this.deadlineTimer = context.clock.setTimer(this.deadlineAtMs - context.clock.nowMs(), () => this.onDeadline());
         opts.response.on("close", () => this.onCallerDisconnected());
     }
@@ -399,37 +401,18 @@
     private onAttemptNotRun(attempt: Attempt): void {
         this.release(attempt);
         if (attempt.isFull) {
-            this.fullUpstreams.unshift(attempt.upstream);
+            this.displacementRetry.recordFull(attempt.upstream);
         }
-        const { requestQueue, displacementWaits } = this.context;
-        const mayGoElsewhere = this.attempts < this.route.maxAttempts && requestQueue.hasIdleSlot(this);
-        const fullOfRuns = this.fullUpstreams.find(upstream => displacementWaits.isFullOfRuns(upstream));
-        if (!mayGoElsewhere && fullOfRuns !== undefined) {
-            this.waitForDisplacement(fullOfRuns);
+        const mayGoElsewhere = this.attempts < this.route.maxAttempts && this.context.requestQueue.hasIdleSlot(this);
+        const fullOfRuns = mayGoElsewhere ? undefined : this.displacementRetry.begin(this.callerTimeoutAtMs);
+        if (fullOfRuns === undefined) {
+            this.retryOrReject("upstreams did not run it");
             return;
         }
-        this.retryOrReject("upstreams did not run it");
-    }
-
-    /** Waits for the slot of a batch run. Until then, the request counts at the upstream, which has the run ended. */
-    private waitForDisplacement(upstream: Upstream): void {
-        this.context.loadTracker.count(upstream.id, "online", 1);
-        this.context.onLoadChanged();
-        this.recorder.log("displacement-awaited", { upstream: upstream.id });
-        const wait = this.context.displacementWaits.add({
-            upstream,
-            untilMs: this.callerTimeoutAtMs,
-            onEnded: isFree => this.onDisplacementEnded(upstream, isFree),
-        });
-        this.endWait = () => {
-            this.endWait = undefined;
-            wait.cancel();
-            this.releaseSlot(upstream);
-        };
+        this.recorder.log("displacement-awaited", { upstream: fullOfRuns.id });
     }
 
     private onDisplacementEnded(upstream: Upstream, isFree: boolean): void {
-        this.endWait?.();
         if (!isFree) {
             this.onRejected(0, "the caller's time is up");
             return;
@@ -541,11 +524,7 @@
     private release(attempt: Attempt): void {
         attempt.stallDetector.cancel();
         this.attempt = undefined;
-        this.releaseSlot(attempt.upstream);
-    }
-
-    private releaseSlot(upstream: Upstream): void {
-        this.context.loadTracker.count(upstream.id, "online", -1);
+        this.context.loadTracker.count(attempt.upstream.id, "online", -1);
         this.context.onLoadChanged();
         // Runs after the caller of this method has finished with the request.
         queueMicrotask(() => this.context.requestQueue.dispatch());
@@ -553,7 +532,7 @@
 
     private finish(event: string, fields: { [field: string]: unknown; }): void {
         this.isDone = true;
-        this.endWait?.();
+        this.displacementRetry.cancel();
         this.deadlineTimer.cancel();
         this.recorder.end(event, fields);
     }
