test(gateway): take another port where the free one is gone

Cause: 'a caller gets no success for a response whose head was cut off, wherever it was' failed once with EADDRINUSE beside soaks, and its file hung. The test bed closes a free port before the gateway opens it, and another process took it. Change: the test bed takes another port then; any other error still fails the test.

--- a/fleet/gateway/test/gatewayTestBed.ts
+++ b/fleet/gateway/test/gatewayTestBed.ts
@@ -245,9 +245,20 @@
         });
     }
 
+    /** Another process may take the free port before the gateway does. */
     async listen(): Promise<void> {
-        this.port = await freePort();
-        await this.server.listen({ host: "127.0.0.1", port: this.port });
+        for (let isListening = false; !isListening;) {
+            this.port = await freePort();
+            isListening = await this.server.listen({ host: "127.0.0.1", port: this.port }).then(
+                () => true,
+                (error: NodeJS.ErrnoException) => {
+                    if (error.code !== "EADDRINUSE") {
+                        throw error;
+                    }
+                    return false;
+                },
+            );
+        }
     }
 
     get listeningPort(): number {
