test(soak): draw the sizes of upstreams from generators that differ between seeds

Cause: the first numbers of a generator are similar for near seeds: none of 20 seeds had upstreams of one slot. Change: drawShare (before: drawsCrashingRequest), which passes over these numbers, draws each property with a generator of its own.

--- a/fuzz/soak/src/runSoak.ts
+++ b/fuzz/soak/src/runSoak.ts
@@ -2,7 +2,7 @@
 import { SeededRandom } from "@knapweedwood/core.random/seededRandom";
 import { bindingArrivalsOf } from "./bindingArrivalsOf.js";
 import { crashingRequest } from "./crashingRequest.js";
-import { drawsCrashingRequest } from "./drawsCrashingRequest.js";
+import { drawShare } from "./drawShare.js";
 import { drawUpstreamSizes } from "./drawUpstreamSizes.js";
 import { FaultInjector } from "./faultInjector.js";
 import { oracle } from "./oracle.js";
@@ -31,6 +31,8 @@
 const RECOVERY_PHASE_MS = 16_000;
 /** Time in which all jobs end once there are no more faults and no new jobs. */
 const FINISH_MS = 18_000;
+/** Number of the first generator for the sizes of the upstreams. Those of the callers come before. */
+const FIRST_SIZES_STREAM = 1000;
 const SUBNETS = 200;
 const FIRST_SUBNET = 20;
 /** Spaces the seeds apart, because the generator starts with similar values for small seeds. */
@@ -46,9 +48,9 @@
     const record = new SoakRecord();
     const randomOf = (stream: number) => new SeededRandom(opts.seed * SEED_FACTOR + stream);
     const subnet = FIRST_SUBNET + opts.seed % SUBNETS;
-    const hasTeams = drawsCrashingRequest(randomOf(6), TEAMS_SHARE);
+    const hasTeams = drawShare(randomOf(6), TEAMS_SHARE);
     const teams = hasTeams ? new SoakTeams({ record, random: randomOf(7) }) : undefined;
-    const upstreamSizes = drawUpstreamSizes(randomOf(9));
+    const upstreamSizes = drawUpstreamSizes(number => randomOf(FIRST_SIZES_STREAM + number));
     const fleet = new SoakFleet({ ...opts, teams, upstreamSizes, subnet, record, random: randomOf(1), nowMs });
     await fleet.start();
     await pause(START_DELAY_MS);
@@ -60,7 +62,7 @@
         { length: CALLERS + PROBERS + 1 },
         (_, index) => new SoakCaller({ ...shared, name: `c${index}`, random: randomOf(10 + index) }),
     );
-    const hasCrashingRequest = drawsCrashingRequest(randomOf(5), opts.crashingShare);
+    const hasCrashingRequest = drawShare(randomOf(5), opts.crashingShare);
     callers.slice(PROBERS, -1).forEach(caller => void caller.run(callersAbort.signal));
     callers.slice(hasCrashingRequest ? -1 : callers.length).forEach(caller =>
         void caller.sendCrashing(callersAbort.signal)
