fix(gateway): send a waiting request again although no report shows the end of the item

Seen in a trial: a runner of three killed each 2.9 s, an upstream of one slot: calls waited for 0.9 to 2.0 s and 5 of 40 were rejected. The report of a killed process counts for 1.5 s, while its upstream is free at once. Change: a wait for displaced items lasts 100 ms at first, and twice as long each further time, whatever the reports say. Result: the added test failed before (503 when the caller's time was up).

--- a/fleet/gateway/src/displacementRetry.ts
+++ b/fleet/gateway/src/displacementRetry.ts
@@ -2,7 +2,13 @@
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
 import type { GatewayContext } from "./gatewayContext.js";
 
-type RetryContext = Pick<GatewayContext, "displacementWaits" | "loadTracker" | "onLoadChanged">;
+/**
+ * Longest first wait for batch runs, in milliseconds; each further one may last twice as long. The process that runs them may be
+ * gone, or the reports of their end lost.
+ */
+const FIRST_WAIT_MS = 100;
+
+type RetryContext = Pick<GatewayContext, "clock" | "displacementWaits" | "loadTracker" | "onLoadChanged">;
 
 /**
  * Waits for one request until the batch runs that fill an upstream have given way. Until then, the request counts at the
@@ -10,13 +16,14 @@
  */
 export class DisplacementRetry {
     private readonly context: RetryContext;
-    private readonly onEnded: (upstream: Upstream, isFree: boolean) => void;
+    private readonly onEnded: (upstream: Upstream) => void;
     /** Upstreams that rejected the request since they were full, the last one first. */
     private readonly fullUpstreams: Upstream[] = [];
+    private waitCount = 0;
     private current: { upstream: Upstream; wait: DisplacementWait; } | undefined;
 
-    /** @param opts.onEnded called at the end of a wait, with whether the upstream has a slot for the request */
-    constructor(opts: { context: RetryContext; onEnded: (upstream: Upstream, isFree: boolean) => void; }) {
+    /** @param opts.onEnded called at the end of a wait */
+    constructor(opts: { context: RetryContext; onEnded: (upstream: Upstream) => void; }) {
         this.context = opts.context;
         this.onEnded = opts.onEnded;
     }
@@ -33,16 +40,23 @@
      * @returns the upstream; undefined if there is none
      */
     begin(untilMs: number): Upstream | undefined {
-        const { displacementWaits, loadTracker, onLoadChanged } = this.context;
+        const { clock, displacementWaits, loadTracker, onLoadChanged } = this.context;
         const upstream = this.fullUpstreams.find(full => displacementWaits.isFullOfRuns(full));
         if (upstream !== undefined) {
             loadTracker.count(upstream.id, "online", 1);
             onLoadChanged();
-            const onEnded = (isFree: boolean) => {
+            const onEnded = () => {
                 this.cancel();
-                this.onEnded(upstream, isFree);
+                this.onEnded(upstream);
             };
-            this.current = { upstream, wait: displacementWaits.add({ upstream, untilMs, onEnded }) };
+            const longestMs = FIRST_WAIT_MS * 2 ** this.waitCount;
+            this.waitCount += 1;
+            const wait = displacementWaits.add({
+                upstream,
+                untilMs: Math.min(untilMs, clock.nowMs() + longestMs),
+                onEnded,
+            });
+            this.current = { upstream, wait };
         }
         return upstream;
     }
--- a/fleet/gateway/src/onlineCall.ts
+++ b/fleet/gateway/src/onlineCall.ts
@@ -135,7 +135,7 @@
         });
         this.displacementRetry = new DisplacementRetry({
             context,
-            onEnded: (upstream, isFree) => this.onDisplacementEnded(upstream, isFree),
+            onEnded: upstream => this.onDisplacementEnded(upstream),
         });
         this.deadlineTimer = context.clock.setTimer(this.deadlineAtMs - context.clock.nowMs(), () => this.onDeadline());
         opts.response.on("close", () => this.onCallerDisconnected());
@@ -412,8 +412,8 @@
         this.recorder.log("displacement-awaited", { upstream: fullOfRuns.id });
     }
 
-    private onDisplacementEnded(upstream: Upstream, isFree: boolean): void {
-        if (!isFree) {
+    private onDisplacementEnded(upstream: Upstream): void {
+        if (this.context.clock.nowMs() >= this.callerTimeoutAtMs) {
             this.onRejected(0, "the caller's time is up");
             return;
         }
--- a/fleet/gateway/test/displacedItems.test.ts
+++ b/fleet/gateway/test/displacedItems.test.ts
@@ -56,7 +56,7 @@
         state.isTaken = false;
         reportRuns(0);
     };
-    return { standin, upstream, bed, reportRuns, displace };
+    return { standin, upstream, bed, state, reportRuns, displace };
 }
 
 test("a request that is rejected because of an item is sent again when the item has ended", async context => {
@@ -86,6 +86,17 @@
     assert.equal(bed.loadTracker.onlineCount(upstream.id), 0);
 });
 
+// The process that ran the item was killed. Its last report counted for 1.5 s, while the upstream had been free at once.
+test("a request is sent again before the reports show the end of an item", async context => {
+    const { standin, bed, state, reportRuns } = await createBusyUpstream(context, { maxAttempts: 1, timeoutMs: 2000 });
+    reportRuns(1);
+    const answer = bed.send();
+    await sleep(RELEASE_MS);
+    state.isTaken = false;
+    assert.equal((await answer).statusCode, 200);
+    assert.equal(standin.requests.length, 2);
+});
+
 test("a caller that leaves while its request waits for an item gives its place up", async context => {
     const { bed, upstream, reportRuns } = await createBusyUpstream(context, { maxAttempts: 1, timeoutMs: 2000 });
     reportRuns(1);
--- a/fleet/load/src/displacementWaits.ts
+++ b/fleet/load/src/displacementWaits.ts
@@ -13,7 +13,7 @@
     /** Earliest and latest end of the wait, in milliseconds. */
     fromMs: number;
     untilMs: number;
-    onEnded: (isFree: boolean) => void;
+    onEnded: () => void;
 }
 
 /**
@@ -45,9 +45,9 @@
      * Waits until no batch run takes the slot of a request that counts at an upstream.
      *
      * @param opts.untilMs time at which the wait ends in any case, in milliseconds
-     * @param opts.onEnded called with whether no run takes it
+     * @param opts.onEnded called at the end of the wait
      */
-    add(opts: { upstream: Upstream; untilMs: number; onEnded: (isFree: boolean) => void; }): DisplacementWait {
+    add(opts: { upstream: Upstream; untilMs: number; onEnded: () => void; }): DisplacementWait {
         const waiting = { ...opts, fromMs: this.clock.nowMs() + MIN_PAUSE_MS };
         this.waiting.add(waiting);
         const timers = [MIN_PAUSE_MS, opts.untilMs - this.clock.nowMs()]
@@ -76,7 +76,7 @@
         const isFree = batch === 0 || this.loadTracker.onlineCount(id) + batch <= slots;
         if (isFree || nowMs >= waiting.untilMs) {
             this.waiting.delete(waiting);
-            waiting.onEnded(isFree);
+            waiting.onEnded();
         }
     }
 }
--- a/fleet/load/test/displacementWaits.test.ts
+++ b/fleet/load/test/displacementWaits.test.ts
@@ -29,14 +29,15 @@
 test("a wait ends when the reports show a free slot, not before the upstream can have released it", async () => {
     const { clock, waits, report } = createWaits();
     report(1);
-    const ended: boolean[] = [];
-    waits.add({ upstream, untilMs: clock.nowMs() + 1000, onEnded: isFree => ended.push(isFree) });
+    const endedAtMs: number[] = [];
+    const addedAtMs = clock.nowMs();
+    waits.add({ upstream, untilMs: clock.nowMs() + 1000, onEnded: () => endedAtMs.push(clock.nowMs()) });
     report(0);
-    assert.deepEqual(ended, []);
+    assert.deepEqual(endedAtMs, []);
     await clock.advance(20);
-    assert.deepEqual(ended, [true]);
+    assert.deepEqual(endedAtMs, [addedAtMs + 10]);
     await clock.advance(2000);
-    assert.equal(ended.length, 1);
+    assert.equal(endedAtMs.length, 1);
 });
 
 // Each of two gateways took the request of the other for one that ran, and both waited until their callers' time was up.
@@ -48,22 +49,24 @@
     };
     loadTracker.apply(loadReportOf(other), clock.nowMs());
     report(1);
-    const ended: boolean[] = [];
-    waits.add({ upstream, untilMs: clock.nowMs() + 1000, onEnded: isFree => ended.push(isFree) });
+    const endedAtMs: number[] = [];
+    const addedAtMs = clock.nowMs();
+    waits.add({ upstream, untilMs: clock.nowMs() + 1000, onEnded: () => endedAtMs.push(clock.nowMs()) });
     report(0);
     await clock.advance(20);
-    assert.deepEqual(ended, [true]);
+    assert.deepEqual(endedAtMs, [addedAtMs + 10]);
 });
 
 test("a wait ends without a slot at the time it was given, and never once it is cancelled", async () => {
     const { clock, waits, report } = createWaits();
     report(1);
-    const ended: boolean[] = [];
-    const onEnded = (isFree: boolean) => ended.push(isFree);
+    const endedAtMs: number[] = [];
+    const addedAtMs = clock.nowMs();
+    const onEnded = () => endedAtMs.push(clock.nowMs());
     waits.add({ upstream, untilMs: clock.nowMs() + 200, onEnded });
     waits.add({ upstream, untilMs: clock.nowMs() + 200, onEnded }).cancel();
     await clock.advance(500);
-    assert.deepEqual(ended, [false]);
+    assert.deepEqual(endedAtMs, [addedAtMs + 200]);
 });
 
 test("a rejection is due to batch runs while they take the slots, and for a moment after their end", async () => {
