fix(jobs): log items that wait for a lent slot, and count displaced items only if they were sent

Found when reading the change: a lent slot counted as one for all items, so that the reason slots-reserved couldn't occur any more, and an item whose slot was taken back before it was sent seemed to have run just now. Change: slots that are lent aren't startable for the log; an item that wasn't sent had no run, and isn't counted in knapweed_items_displaced_total. Placement is as before.

--- a/fleet/jobs/src/inFlightItems.ts
+++ b/fleet/jobs/src/inFlightItems.ts
@@ -136,7 +136,9 @@
                 events: run.item.lastEventId,
                 wasSent: requestRun !== undefined,
             });
-            this.opts.metrics.increment("items_displaced_total");
+            if (requestRun !== undefined) {
+                this.opts.metrics.increment("items_displaced_total");
+            }
             this.end(inFlightItem);
         });
     }
@@ -224,7 +226,9 @@
         if (others.length === 0) {
             this.byUpstream.delete(upstream.id);
         }
-        item.lastRunEndedAtMs = this.opts.clock.nowMs();
+        if (inFlightItem.requestRun !== undefined) {
+            item.lastRunEndedAtMs = this.opts.clock.nowMs();
+        }
         this.opts.loadTracker.count(upstream.id, "batch", -1);
         this.opts.onLoadChanged();
         if (item.state === "running") {
--- a/fleet/jobs/src/waitingItemsLog.ts
+++ b/fleet/jobs/src/waitingItemsLog.ts
@@ -50,7 +50,7 @@
         return candidates.length === 0
             ? undefined
             : {
-                startable: sum(findItemSlots(candidates).map(({ count }) => count)),
+                startable: sum(findItemSlots(candidates).map(({ count, isLent }) => isLent ? 0 : count)),
                 idle: sum(candidates.map(idleSlotsOf)),
                 running: sum(candidates.map(({ batch }) => batch)),
             };
--- a/fleet/jobs/test/waitingItems.test.ts
+++ b/fleet/jobs/test/waitingItems.test.ts
@@ -1,10 +1,14 @@
+import { ManualClock } from "@knapweedwood/core.clock/manualClock";
 import type { ServiceName } from "@knapweedwood/core.ids/serviceName";
+import { LoadTracker } from "@knapweedwood/fleet.load/loadTracker";
 import type { Upstream } from "@knapweedwood/fleet.view/upstream";
+import { silentLogger } from "@knapweedwood/observability.logs/silentLogger";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { ItemConditions } from "../src/itemConditions.js";
 import { OpenJob } from "../src/openJob.js";
 import { WaitingItems } from "../src/waitingItems.js";
+import { WaitingItemsLog } from "../src/waitingItemsLog.js";
 import type { WaitReason } from "../src/waitReason.js";
 import { createJobRecord } from "./createJobRecord.js";
 
@@ -80,3 +84,24 @@
     assert.ok(reports.length <= 6);
     assert.equal(reports[0]?.itemsByReason.quarantined, 1000);
 });
+
+// A slot that is lent counted as one for all items, so that those that never got it seemed to wait for a resumption.
+test("items that wait for a lent slot are reported as waiting for a reserved one", async () => {
+    const clock = new ManualClock();
+    const upstream = { id: "u", service: SERVICE, slots: 1 } as Upstream;
+    const reported: { [field: string]: unknown; }[] = [];
+    const log = new WaitingItemsLog({
+        clock,
+        logger: { ...silentLogger, warn: (_event, fields) => void reported.push(fields ?? {}) },
+        directory: { ready: () => [upstream] } as never,
+        loadTracker: new LoadTracker(),
+        routes: { serviceOf: () => SERVICE } as never,
+        candidateOf: () => ({ upstream, online: 0, batch: 0 }),
+        mayRun: () => true,
+    });
+    const job = createJob(2);
+    log.report([job]);
+    await clock.advance(LONG_WAIT_MS);
+    log.report([job]);
+    assert.deepEqual(reported.map(({ itemsByReason }) => itemsByReason), [{ "slots-reserved": 2 }]);
+});
